--- a/flaxloft/benchlink.py
+++ b/applevale/benchlink.py
@@ -59,7 +59,7 @@
             size, clock, count = wire.HEAD.unpack(head)
             data = answer(decoder, gateways, clock, count, _read(source, size, "body"))
         except wire.WireError as error:
-            print(f"flaxloft: malformed input in the batch at byte {at}: {error}", file=sys.stderr)
+            print(f"applevale: malformed input in the batch at byte {at}: {error}", file=sys.stderr)
             return 2
         except Exception as error:  # reported on the wire, then the day is over
             traceback.print_exc(file=sys.stderr)
--- a/flaxloft/interface.py
+++ b/applevale/interface.py
@@ -1,4 +1,4 @@
-"""The types that flaxloft.policy.Gateway takes and gives. All times are seconds (float).
+"""The types that applevale.policy.Gateway takes and gives. All times are seconds (float).
 
 `Gateway(settings, seed).handle(now, events) -> actions` is the whole surface. There are no decisions here:
 only the settings of a deployment, what can happen (events) and what can be done (actions).
--- a/flaxloft/policy.py
+++ b/applevale/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of flaxloft. The types it takes and gives are in flaxloft/interface.py.
+"""All decisions of applevale. The types it takes and gives are in applevale/interface.py.
 
 Ordinary path (docs/design.md): cheap pass -> flag (model, misses) -> entropy-priced quota of the home
 engine -> an accepted flag waits for memory room. The rest takes the table-group route, or is refused at once.
--- a/flaxloft/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""flaxloft: the decisions of a query gateway (see flaxloft/policy.py)."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small builders shared by the tests."""
 
-from flaxloft import interface as api
-from flaxloft.policy import Gateway
+from applevale import interface as api
+from applevale.policy import Gateway
 
 LOOKUP = api.ClassSpec(name="short", aim=0.8, aim_stretch=1.5, deadline=4.0, worth=1.0, threads=1)
 REPORT = api.ClassSpec(name="long", aim=1.5, aim_stretch=2.5, deadline=25.0, worth=5.0, threads=3)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,8 +10,8 @@
 import pytest
 from helpers import LOOKUP, REPORT, Driver, of
 
-from flaxloft import interface as api
-from flaxloft.policy import Estimate, Fading, Flagger, Gateway, price
+from applevale import interface as api
+from applevale.policy import Estimate, Fading, Flagger, Gateway, price
 
 R = api.Result
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import KINDS, LOOKUP, REPORT, Driver
 
-from flaxloft import interface as api
+from applevale import interface as api
 
 R = api.Result
 NEVER = {R.FULL, R.CONNECT_FAILED, R.MOOT}
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-LINES = (Path(__file__).parent.parent / "flaxloft" / "policy.py").read_text().splitlines()
+LINES = (Path(__file__).parent.parent / "applevale" / "policy.py").read_text().splitlines()
 
 
 def test_policy_stays_within_its_size():
@@ -14,4 +14,4 @@
 
 
 def test_the_top_names_the_interface():
-    assert "flaxloft/interface.py" in LINES[0]
+    assert "applevale/interface.py" in LINES[0]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from flaxloft import benchlink, wire
-from flaxloft import interface as api
+from applevale import benchlink, wire
+from applevale import interface as api
 
 SETTINGS = """az=0
 classes.count=2
