Build the real workload manager round the module: first program on sockets

applevale/node speaks the clients' MessagePack-RPC, the engines' RESP and the control feed, and drives the module in batches of one loop turn.

--- /dev/null
+++ b/applevale/node/broker.py
@@ -0,0 +1,150 @@
+"""The life of one request, whatever protocol it came by."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from .. import interface as api
+from .counters import Counters
+from .driver import Driver
+from .engine import Attempt, Broken, Done, Ending, Fleet, Link, Want
+
+GRACE = 0.01  # s past the client's patience at which the answer is ours, should the module owe it
+
+
+@dataclass(frozen=True)
+class Query:
+    ref: bytes
+    cls: int
+    statement: bytes
+    arrived: float  # by the driver's clock
+    allow: float  # s from `arrived` that the client waits
+    tenant: int = 0
+    key: int = 0
+    work: float = 0.0  # estimated, s on one core
+    memory_mb: float = 0.0  # estimated
+    tables: float = 0.0
+    client_retry: bool = False
+
+
+@dataclass(frozen=True)
+class Served:
+    rows: bytes
+
+
+@dataclass(frozen=True)
+class Refused:
+    retry_in: float  # s; 0: no advice
+
+
+@dataclass(frozen=True)
+class Failed:
+    pass
+
+
+Answer = Served | Refused | Failed
+
+
+class Broker:
+    def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
+        self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
+
+    async def serve(self, query: Query) -> Answer:
+        """Query in, one answer out; cancelled when the client has gone."""
+        if len(self.driver.routes) >= self.settings.max_open:
+            return Refused(self.settings.max_retry_after)
+        life = Life(self, query)
+        try:
+            async with asyncio.timeout(max(0.0, life.left()) + GRACE):
+                return await life.run()
+        except TimeoutError:  # guards the client's one answer against a decision that never comes
+            self.counters["overdue"] += 1
+            return life.last_answer()
+        finally:
+            life.close()
+
+
+class Life:
+    """What one request holds while it lasts: its number, its inbox and the attempt that is out."""
+
+    def __init__(self, broker: Broker, query: Query):
+        self.query, self.driver, self.fleet = query, broker.driver, broker.fleet
+        self.spec = broker.settings.classes[query.cls]
+        self.inbox: asyncio.Queue[api.Action | Ending] = asyncio.Queue()
+        self.number = self.driver.enter(self.inbox.put_nowait)
+        self.out: Attempt | None = None
+        self.tries, self.urgency = 0, 1
+        self.may_have_run = self.answered = False
+        self.avoid: set[Link] = set()  # where an attempt was given up
+
+    def left(self) -> float:
+        return self.query.arrived + self.query.allow - self.driver.now()
+
+    async def run(self) -> Answer:
+        query = self.query
+        self.driver.post(api.Request(
+            self.number, query.cls, query.tenant, query.key, max(0.0, self.left()), query.work,
+            query.memory_mb, query.tables, query.client_retry))
+        while True:
+            match await self.inbox.get():
+                case api.Terms(priority=urgency):
+                    if urgency != self.urgency and self.out is not None:
+                        self.out.hurry(urgency)
+                    self.urgency = urgency
+                case api.Send() as send:
+                    self.send(send)
+                case api.Cancel() if self.out is not None:
+                    self.avoid.add(self.out.link)
+                    self.out.give_up(api.Result.CANCELLED)
+                case Done(body=rows):
+                    self.answered = True
+                    return Served(rows)
+                case Broken() as broken:
+                    self.may_have_run |= broken.result not in api.NEVER_RAN
+                case api.Refuse(retry_in=after):
+                    self.answered = True
+                    return Refused(after)
+                case api.Fail():
+                    self.answered = True
+                    return Failed()
+
+    def send(self, send: api.Send) -> None:
+        """One attempt; its end goes to the module at once, and to this request's inbox."""
+        index, engine, sent = self.tries, send.engine, self.driver.now()
+        self.tries += 1
+        limit = min(send.try_for or self.left(), self.left())
+        timer: asyncio.TimerHandle | None = None
+
+        def ended(ending: Ending) -> None:
+            self.out = None
+            if timer is not None:
+                timer.cancel()
+            done = isinstance(ending, Done)
+            self.driver.post(api.Outcome(
+                self.number, index, engine, ending.result, self.driver.now() - sent, done,
+                ending.work if done else 0.0, ending.memory_mb if done else 0.0, ending.report))
+            self.inbox.put_nowait(ending)
+
+        want = Want(self.query.ref, self.spec.name, self.query.statement, limit, self.urgency)
+        attempt = self.fleet.start(engine, want, self.avoid, ended)
+        if not attempt.over:
+            self.out = attempt
+            timer = asyncio.get_running_loop().call_later(max(0.0, limit), self.time_out, attempt)
+
+    def time_out(self, attempt: Attempt) -> None:
+        self.avoid.add(attempt.link)
+        attempt.give_up(api.Result.TIMEOUT)
+
+    def last_answer(self) -> Answer:
+        """Without a word from the module: refusing is harmless only if nothing can have run."""
+        ran = self.may_have_run or (self.out is not None and self.out.message is not None)
+        return Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else Refused(0.0)
+
+    def close(self) -> None:
+        """The answer is out, or no longer owed: what is still out is given up, and the module hears of it."""
+        self.driver.leave(self.number)
+        if not self.answered:
+            self.driver.post(api.ClientGone(self.number))
+        if self.out is not None:
+            self.out.give_up(api.Result.CANCELLED)
--- /dev/null
+++ b/applevale/node/config.py
@@ -0,0 +1,132 @@
+"""The environment's variables and the JSON file they name, read into one typed configuration."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import isfinite
+
+from .. import interface as api
+from .. import wire
+from . import feed
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """Something is missing or makes no sense; the text names its key."""
+
+
+@dataclass(frozen=True)
+class LinkLimits:
+    """What the settings say of connections to engines."""
+
+    streams: int  # attempts that one carries at a time
+    idle: float  # s after which an engine closes one that carries nothing
+    connect: float  # s within which one comes up
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    feed: Address | None
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    settings: api.Settings
+    links: LinkLimits
+    names: feed.Names
+    known: tuple[feed.Change, ...]
+
+
+def address(text: object, key: str) -> Address:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
+        raise ConfigError(f"{key}: HOST:PORT is needed, not {text!r}")
+    return host, int(port)
+
+
+def flatten(value: object, path: str = "") -> list[str]:
+    """Nested settings as the path=value lines that the simulator's wire carries."""
+    if isinstance(value, dict):
+        prefix = f"{path}." if path else ""
+        return [line for key, item in value.items() for line in flatten(item, prefix + key)]
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        lines = [f"{path}.count={len(value)}"]
+        return lines + [line for at, item in enumerate(value) for line in flatten(item, f"{path}.{at}")]
+    if isinstance(value, list):
+        return [f"{path}={','.join(map(_plain, value))}"]
+    return [] if value is None else [f"{path}={_plain(value)}"]
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    return re.sub(r"[\s,]", "_", str(value))
+
+
+def _limit(limits: Mapping, key: str, default: float, least: float) -> float:
+    value = limits.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < least:
+        raise ConfigError(f"{key}: a number of {least:g} or more is needed, not {value!r}")
+    return value
+
+
+def _section(raw: Mapping, key: str) -> Mapping:
+    value = raw.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: an object is needed, not {value!r}")
+    return value
+
+
+def parse(raw: object, environ: Mapping[str, str]) -> Config:
+    if not isinstance(raw, dict):
+        raise ConfigError("BALANCER_CONFIG: an object is needed at the top")
+    told = _section(raw, "settings")
+    try:
+        settings = wire.settings("\n".join(flatten(told)))
+    except api.SettingsError as error:
+        raise ConfigError(f"settings.{error}") from None
+    limits = _section(told, "limits")
+    zones = told.get("zones", [])
+    names = feed.Names(
+        tuple(zones) if isinstance(zones, list) else (str(zones),), tuple(k.name for k in settings.kinds)
+    )
+    try:
+        known = feed.parse_known(raw.get("known", {"n": 0, "events": []}), names)
+    except feed.FeedError as error:
+        raise ConfigError(f"known: {error}") from None
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: hex digits are needed, not {raw['seed']!r}") from None
+    return Config(
+        name=environ.get("BALANCER_NAME") or str(raw.get("name", "")),
+        listen=address(environ.get("BALANCER_LISTEN") or raw.get("listen"), "listen"),
+        feed=address(raw["feed"], "feed") if raw.get("feed") else None,
+        seed=seed,
+        sockets=int(_limit(_section(raw, "limits"), "sockets", 1024, 64)),
+        settings=settings,
+        links=LinkLimits(
+            streams=int(_limit(limits, "streams_per_conn", 32, 1)),
+            idle=_limit(limits, "conn_idle", 15 * wire.NS, 1) / wire.NS,
+            connect=_limit(limits, "dial_timeout", 0.25 * wire.NS, 1) / wire.NS,
+        ),
+        names=names,
+        known=known,
+    )
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: missing")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"BALANCER_CONFIG: {error}".replace("\n", " ")) from None
+    return parse(raw, environ)
--- /dev/null
+++ b/applevale/node/driver.py
@@ -0,0 +1,84 @@
+"""Owns the decision module: its clock, its batches of events and its timers; routes actions to requests."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import traceback
+from collections.abc import Callable
+
+from .. import interface as api
+from ..policy import Gateway
+from .counters import Counters
+from .engine import Fleet
+from .log import say
+
+ForRequest = api.Send | api.Terms | api.Refuse | api.Fail | api.Cancel
+
+
+class Driver:
+    """All that is ready in one turn of the loop goes to the module as one batch, never re-entrantly."""
+
+    def __init__(self, gateway: Gateway, fleet: Fleet, counters: Counters,
+                 clock: Callable[[], float] = time.time):
+        self.gateway, self.fleet, self.counters, self.clock = gateway, fleet, counters, clock
+        self.routes: dict[int, Callable[[ForRequest], None]] = {}
+        self.waiting: list[api.Event] = []
+        self.latest = 0.0
+        self.numbers = 0
+
+    def now(self) -> float:
+        """The system's Unix clock, which engines' starts are told by; a step back is not passed on."""
+        self.latest = max(self.latest, self.clock())
+        return self.latest
+
+    def enter(self, take: Callable[[ForRequest], None]) -> int:
+        """A number for a new request, under which its actions go to `take`."""
+        self.numbers += 1
+        self.routes[self.numbers] = take
+        return self.numbers
+
+    def leave(self, number: int) -> None:
+        self.routes.pop(number, None)
+
+    def post(self, event: api.Event) -> None:
+        if not self.waiting:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self.waiting.append(event)
+
+    def _flush(self) -> None:
+        events, self.waiting = self.waiting, []
+        self.counters["batches"] += 1
+        try:
+            actions = self.gateway.handle(self.now(), events)
+        except Exception:  # guards the other requests; those of this batch end by the broker's own timer
+            self.counters["module_errors"] += 1
+            say("module", traceback.format_exc())
+            return
+        for action in actions:
+            self._act(action)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send() | api.Terms() | api.Refuse() | api.Fail() | api.Cancel():
+                take = self.routes.get(action.request)
+                if take is not None:  # else its client has gone, and its attempt was given up with it
+                    take(action)
+            case api.SetTimer():
+                loop = asyncio.get_running_loop()
+                loop.call_later(action.after, self.post, api.Timer(action.token))
+            case api.Probe():
+                self._probe(action.engine)
+            case api.Log():
+                say("module", action.text)
+            case _:  # the list is pushed and no peer is messaged: nothing to subscribe to, fetch or tell
+                self.counters["actions_without_use"] += 1
+
+    def _probe(self, engine: int) -> None:
+        self.counters["probes"] += 1
+        asked = self.now()
+
+        def told(result: api.Result, report: tuple) -> None:
+            self.post(api.ProbeResult(engine, result, self.now() - asked, report))
+
+        self.fleet.probe(engine, told)
--- /dev/null
+++ b/applevale/node/engine.py
@@ -0,0 +1,409 @@
+"""Links to engines: RESP on shared connections, attempts with their pages, and probes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from math import isfinite
+
+import hiredis
+
+from ..interface import Result, State
+from .config import LinkLimits
+from .counters import Counters
+from .feed import Change, Member
+from .log import say
+from .outbox import Message, Outbox
+
+MOST_RESULT = 48_000  # bytes of a whole result
+MOST_PAGES = 64
+MOST_ANSWER = 65_536  # bytes of one answer, all told
+STALL = 1.0  # s after which an engine that takes in nothing has lost its connection
+PROBE_TIME = 0.25  # s for a probe's answer, by the site
+USED = 0.8  # of the idle time after which a link is not used again: the engine may be closing it
+# What the settings call the figures of a report, and what engines may call them besides.
+ALIASES = {"active": "inflight", "cpu": "util", "waiting": "queue", "avg_ms": "latency_ms", "rps": "qps",
+           "err_rps": "eps", "memory_used": "x0", "disk_busy": "x1"}
+
+
+class Reach(Enum):
+    """How far an attempt came before it ended without a result."""
+
+    NEVER_SENT = 0
+    WRITTEN = 1  # sent, and the engine's word proves that it never ran
+    MAY_HAVE_RUN = 2
+    RAN = 3  # it ended well there, but its result is lost
+
+
+@dataclass(frozen=True)
+class Done:
+    body: bytes
+    work: float = 0.0  # s on one core
+    memory_mb: float = 0.0
+    report: tuple[float, ...] = ()
+    result: Result = Result.OK
+
+
+@dataclass(frozen=True)
+class Broken:
+    reach: Reach
+    result: Result
+    report: tuple[float, ...] = ()
+
+
+Ending = Done | Broken
+
+
+@dataclass(frozen=True)
+class Want:
+    """What an engine is asked for."""
+
+    ref: bytes
+    lane: str
+    statement: bytes
+    ttl: float  # s
+    urgency: int = 1
+
+
+def command(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
+def fields_of(raw: bytes) -> dict[str, str]:
+    """name=value,name=value, or - for none; what has another form is left out."""
+    pairs = (item.partition("=") for item in raw.decode("latin-1").split(","))
+    return {name: value for name, equals, value in pairs if equals}
+
+
+def number(text: str | None) -> float:
+    try:
+        value = float(text or 0)
+    except ValueError:
+        return 0.0
+    return value if isfinite(value) and value >= 0 else 0.0
+
+
+def report_of(fields: dict[str, str], columns: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report in the order of the settings; -1 for a figure that is not told."""
+    pairs = (item.partition(":") for item in fields.get("rep", "").split(";"))
+    told = {name: value for name, colon, value in pairs if colon}
+    if not told:
+        return ()
+    values = (told.get(name, told.get(ALIASES.get(name, ""))) for name in columns)
+    return tuple(-1.0 if value is None else number(value) for value in values)
+
+
+class Attempt:
+    """One attempt out at an engine. Exactly one ending is told, through `ended`."""
+
+    def __init__(self, want: Want, ended: Callable[[Ending], None]):
+        self.want, self.ended = want, ended
+        self.link: Link | None = None
+        self.message: Message | None = None  # its `want`, once the link is up
+        self.pages: dict[int, bytes] = {}
+        self.fields: dict[str, str] = {}  # of the good end
+        self.sheets = 0  # 0: no good end yet
+        self.size = 0
+        self.over = False
+
+    def end(self, ending: Ending) -> None:
+        if not self.over:
+            self.over = True
+            if self.link is not None:
+                self.link.forget(self)
+            self.ended(ending)
+
+    def lost(self) -> Broken:
+        """Its link is gone: what that proves."""
+        if self.sheets:
+            return Broken(Reach.RAN, Result.RESET)
+        if self.message is not None and self.message.begun:
+            return Broken(Reach.MAY_HAVE_RUN, Result.RESET)
+        return Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED)
+
+    def hurry(self, urgency: int) -> None:
+        if not self.over and self.message is not None and not self.sheets:
+            self.link.put(b"hurry", self.want.ref, b"%d" % urgency)
+
+    def give_up(self, result: Result) -> None:
+        """Ends it as `result`, once the engine's connection has taken the word that it is over."""
+        if self.over:
+            return
+        if self.message is None or self.link.outbox.withdraw(self.message):
+            self.end(Broken(Reach.NEVER_SENT, Result.MOOT))
+            return
+        reach = Reach.RAN if self.sheets else Reach.MAY_HAVE_RUN
+        self.link.put(b"shut" if self.sheets else b"never_mind", self.want.ref,
+                      written=lambda: self.end(Broken(reach, result)))
+
+
+class Link:
+    """One connection to an engine; it carries up to a number of attempts at a time, and probes."""
+
+    def __init__(self, engine: Engine):
+        self.engine, self.fleet = engine, engine.fleet
+        self.attempts: dict[bytes, Attempt] = {}  # by their ids; in order
+        self.probes: dict[bytes, Callable[[Result, tuple], None]] = {}
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.outbox = Outbox(self.sock, STALL, self.close)
+        self.up = self.closed = self.retired = False
+        self.idle_timer: asyncio.TimerHandle | None = None
+        self.task = asyncio.create_task(self._run())
+
+    @property
+    def streams(self) -> int:
+        return len(self.attempts) + len(self.probes)
+
+    def put(self, *words: bytes, written: Callable[[], None] | None = None) -> Message:
+        return self.outbox.put(command(*words), written)
+
+    def carry(self, attempt: Attempt) -> None:
+        attempt.link = self
+        self.attempts[attempt.want.ref] = attempt
+        self._busy()
+        if self.up:
+            self._write(attempt)
+
+    def _write(self, attempt: Attempt) -> None:
+        want = attempt.want
+        fields = f"lane={want.lane},ttl={max(1, int(want.ttl * 1000))}"
+        if want.urgency != 1:
+            fields += f",urgency={want.urgency}"
+        self.fleet.counters["attempts_written"] += 1
+        attempt.message = self.put(b"want", want.ref, fields.encode(), want.statement)
+
+    def ask(self, tag: bytes, told: Callable[[Result, tuple], None]) -> None:
+        self.probes[tag] = told
+        self._busy()
+        if self.up:
+            self.put(b"busy", tag)
+
+    def forget(self, attempt: Attempt) -> None:
+        if self.attempts.get(attempt.want.ref) is attempt:
+            del self.attempts[attempt.want.ref]
+        self._rest()
+
+    def _busy(self) -> None:
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+            self.idle_timer = None
+
+    def _rest(self) -> None:
+        """With nothing left to carry it is closed before the engine would: a `want` that crossed an idle
+        close could not be told from one that ran."""
+        if not self.streams and not self.closed and self.idle_timer is None:
+            loop = asyncio.get_running_loop()
+            wait = 0.0 if self.retired else self.fleet.limits.idle * USED
+            self.idle_timer = loop.call_later(wait, self.close, "idle")
+
+    def retire(self) -> None:
+        """No further attempt goes on it; those that it carries may end."""
+        self.retired = True
+        self._busy()
+        self._rest()
+
+    def close(self, why: str) -> None:
+        if not self.closed:
+            self.closed = True
+            if self.streams:
+                self.fleet.counters["links_lost"] += 1
+                say("link", f"engine {self.engine.number:08x}: {why}, {self.streams} open")
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        """Connects, then reads until the connection ends; whatever happens, each attempt gets its ending."""
+        why = "closed"
+        try:
+            why = await self._connect() or await self._read()
+        except (OSError, hiredis.HiredisError, ValueError) as error:
+            why = f"{type(error).__name__}: {error}"
+        finally:
+            self.close(why)
+            self.engine.links.remove(self)
+            self._busy()
+            try:
+                await self.outbox.close()
+            finally:
+                self.sock.close()
+                for attempt in list(self.attempts.values()):
+                    attempt.end(attempt.lost())
+                result = Result.RESET if self.up else Result.CONNECT_FAILED
+                for tag in list(self.probes):
+                    self.probe_over(tag, result)
+
+    async def _connect(self) -> str | None:
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            async with asyncio.timeout(self.fleet.limits.connect):
+                await asyncio.get_running_loop().sock_connect(self.sock, self.engine.address)
+        except TimeoutError:
+            return "no connection in time"
+        self.up = True
+        self.fleet.counters["links_opened"] += 1
+        for attempt in list(self.attempts.values()):
+            if self.engine.state is State.READY:
+                self._write(attempt)
+            else:  # the feed's word came while the connection did not
+                attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
+        for tag in self.probes:
+            self.put(b"busy", tag)
+        self._rest()
+        return None
+
+    async def _read(self) -> str:
+        loop, buffer, reader, held = asyncio.get_running_loop(), bytearray(32768), hiredis.Reader(), 0
+        while True:
+            size = await loop.sock_recv_into(self.sock, buffer)
+            if size == 0:
+                return "closed by the engine"
+            reader.feed(buffer, 0, size)
+            held += size
+            while (answer := reader.gets()) is not False:
+                held = 0
+                self.take(answer)
+            if held > MOST_ANSWER:  # guards against an answer without end
+                return f"an answer of over {MOST_ANSWER} bytes"
+
+    def take(self, answer: object) -> None:
+        """One answer. Anything but four strings ends the connection."""
+        if not isinstance(answer, list) or len(answer) != 4 or not all(type(w) is bytes for w in answer):
+            raise ValueError(f"not an answer: {str(answer)[:80]}")
+        tag, word, raw, body = answer
+        fields = fields_of(raw)
+        report = report_of(fields, self.fleet.columns)
+        self.fleet.counters["engine_" + word.decode("latin-1")[:12]] += 1
+        if tag in self.probes:
+            self.probe_over(tag, {b"PONG": Result.OK, b"SHED": Result.FULL}.get(word, Result.ERROR), report)
+            return
+        attempt = self.attempts.get(tag)
+        if attempt is None or attempt.message is None:
+            # It crossed the word that the request was given up; its pages are no longer wanted.
+            if word == b"HIT" and number(fields.get("sheets")) > 1:
+                self.put(b"shut", tag)
+        elif word == b"HIT" and not attempt.sheets:
+            self._good(attempt, fields, body)
+        elif word == b"PART" and attempt.sheets:
+            self._page(attempt, number(fields.get("sheet")), body)
+        elif word == b"SHED" and not attempt.sheets:
+            attempt.end(Broken(Reach.WRITTEN, Result.FULL, report))
+        elif word == b"LATE" and not attempt.sheets:
+            attempt.end(Broken(Reach.WRITTEN, Result.MOOT, report))
+        else:  # FAULT, of the query or of a page, or a word that says nothing
+            reach = Reach.RAN if attempt.sheets else Reach.MAY_HAVE_RUN
+            attempt.end(Broken(reach, Result.ERROR, report))
+
+    def _good(self, attempt: Attempt, fields: dict[str, str], body: bytes) -> None:
+        attempt.fields, attempt.sheets = fields, max(1, int(number(fields.get("sheets", "1"))))
+        if attempt.sheets > MOST_PAGES:
+            attempt.give_up(Result.ERROR)
+            return
+        for page in range(1, attempt.sheets):  # all at once: one round trip
+            self.put(b"turn", attempt.want.ref, b"%d" % page)
+        self._page(attempt, 0, body)
+
+    def _page(self, attempt: Attempt, page: float, body: bytes) -> None:
+        if page in attempt.pages or not 0 <= page < attempt.sheets:
+            return  # asked for nothing like it
+        attempt.pages[int(page)] = body
+        attempt.size += len(body)
+        if attempt.size > MOST_RESULT:  # guards the memory against a result without end
+            attempt.give_up(Result.ERROR)
+        elif len(attempt.pages) == attempt.sheets:
+            rows = b"".join(attempt.pages[at] for at in range(attempt.sheets))
+            told = attempt.fields
+            attempt.end(Done(rows, number(told.get("toil")) / 1000, number(told.get("room")),
+                             report_of(told, self.fleet.columns)))
+
+    def probe_over(self, tag: bytes, result: Result, report: tuple = ()) -> None:
+        told = self.probes.pop(tag, None)
+        if told is not None:
+            told(result, report)
+            self._rest()
+
+
+class Engine:
+    """One engine of the list, by its id: an address may go to another engine later."""
+
+    def __init__(self, fleet: Fleet, member: Member):
+        self.fleet, self.number, self.address = fleet, member.entry.engine, member.address
+        self.state, self.started = member.entry.state, member.entry.started
+        self.links: list[Link] = []
+
+    def update(self, member: Member) -> None:
+        entry = member.entry
+        if (entry.started, member.address) != (self.started, self.address) or entry.state is State.GONE:
+            for link in self.links:  # they lead to the process before this one
+                link.retire()
+        self.state, self.started, self.address = entry.state, entry.started, member.address
+
+    def link(self, ref: bytes, avoid: frozenset[Link] | set[Link]) -> Link | None:
+        """The fullest link with room, so that the others may go idle and close; a new one if none has."""
+        fit = [link for link in self.links
+               if not link.closed and not link.retired and link.streams < self.fleet.limits.streams
+               and ref not in link.attempts and link not in avoid]
+        if fit:
+            return max(fit, key=lambda link: (link.up, link.streams))
+        if self.fleet.count_links() >= self.fleet.most_links:
+            return None
+        self.links.append(Link(self))
+        return self.links[-1]
+
+
+class Fleet:
+    """All engines that the list has named, behind one interface."""
+
+    def __init__(self, limits: LinkLimits, columns: tuple[str, ...], most_links: int, counters: Counters):
+        self.limits, self.most_links, self.counters = limits, most_links, counters
+        self.columns = columns
+        self.engines: dict[int, Engine] = {}
+        self.tags = 0
+
+    def count_links(self) -> int:
+        return sum(len(engine.links) for engine in self.engines.values())
+
+    def update(self, change: Change) -> None:
+        seen = set()
+        for member in change.members:
+            seen.add(member.entry.engine)
+            engine = self.engines.get(member.entry.engine)
+            if engine is None:
+                self.engines[member.entry.engine] = Engine(self, member)
+            else:
+                engine.update(member)
+        for number, engine in list(self.engines.items()):
+            if change.whole and number not in seen:
+                engine.state = State.GONE
+                for link in engine.links:
+                    link.retire()
+            if engine.state is State.GONE and not engine.links:
+                del self.engines[number]
+
+    def start(self, number: int, want: Want, avoid: set[Link], ended: Callable[[Ending], None]) -> Attempt:
+        """Sends `want` on its way. Links in `avoid` gave the same id up before: a late answer there to the
+        former attempt must not be taken for one to this."""
+        attempt = Attempt(want, ended)
+        engine = self.engines.get(number)
+        if engine is None or engine.state is not State.READY or want.ttl <= 0:
+            attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
+        elif (link := engine.link(want.ref, avoid)) is None:
+            attempt.end(Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED))
+        else:
+            link.carry(attempt)
+        return attempt
+
+    def probe(self, number: int, told: Callable[[Result, tuple], None]) -> None:
+        """Asks an engine for its load; `told` is called once."""
+        engine = self.engines.get(number)
+        link = engine.link(b"", frozenset()) if engine is not None else None
+        if link is None:
+            told(Result.CONNECT_FAILED, ())
+            return
+        self.tags += 1
+        tag = b"p%d" % self.tags
+        link.ask(tag, told)
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROBE_TIME, link.probe_over, tag, Result.TIMEOUT)
