--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -10,7 +10,10 @@
 from .driver import Driver
 from .engine import Attempt, Broken, Done, Ending, Fleet, Link, Want
 
-GRACE = 0.01  # s past the client's patience at which the answer is ours, should the module owe it
+# Guards against answers that cross the client's giving up. The module looks at what it holds every 50 ms and
+# aims for 60 ms before the end, by the time of its batch, which comes later than the request.
+SPARE = 0.03  # s of the client's patience that the module is not told of
+LAST = 0.015  # s before the client gives up at which the answer is ours, should the module still owe it
 
 
 @dataclass(frozen=True)
@@ -56,7 +59,7 @@
             return Refused(self.settings.max_retry_after)
         life = Life(self, query)
         try:
-            async with asyncio.timeout(max(0.0, life.left()) + GRACE):
+            async with asyncio.timeout(max(0.0, life.left() - LAST)):
                 return await life.run()
         except TimeoutError:  # guards the client's one answer against a decision that never comes
             self.counters["overdue"] += 1
@@ -84,7 +87,8 @@
     async def run(self) -> Answer:
         query = self.query
         self.driver.post(api.Request(
-            self.number, query.cls, query.tenant, query.key, max(0.0, self.left()), query.work,
+            self.number, query.cls, query.tenant, query.key, max(0.0, self.left() - SPARE - self.driver.delay()),
+            query.work,
             query.memory_mb, query.tables, query.client_retry))
         while True:
             match await self.inbox.get():
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -6,6 +6,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from math import exp
 
 from .. import interface as api
 from ..policy import Gateway
@@ -13,6 +14,10 @@
 from .engine import Fleet
 from .log import say
 
+PACE = 0.004  # s between batches at least: a pass over a long line costs the same for one event as for many
+LAG_SPAN = 3.0  # s over which a late loop is kept in mind
+LAG_MOST = 0.1  # s of it that are taken off a client's patience
+
 ForRequest = api.Send | api.Terms | api.Refuse | api.Fail | api.Cancel
 
 
@@ -26,6 +31,8 @@
         self.waiting: list[api.Event] = []
         self.latest = 0.0
         self.numbers = 0
+        self.due = 0.0  # of the batch, by the loop's clock
+        self.lag, self.lag_at = 0.0, 0.0  # how late batches ran lately
 
     def now(self) -> float:
         """The system's Unix clock, which engines' starts are told by; a step back is not passed on."""
@@ -43,11 +50,26 @@
 
     def post(self, event: api.Event) -> None:
         if not self.waiting:
-            asyncio.get_running_loop().call_soon(self._flush)
+            loop = asyncio.get_running_loop()
+            now = loop.time()
+            if now >= self.due + PACE:
+                self.due = now
+                loop.call_soon(self._flush)
+            else:
+                self.due += PACE
+                loop.call_at(self.due, self._flush)
         self.waiting.append(event)
 
+    def delay(self) -> float:
+        """How long a message may have waited unread: a loop that runs late reads late."""
+        return min(LAG_MOST, self.lag * exp((self.lag_at - self.latest) / LAG_SPAN))
+
     def _flush(self) -> None:
         events, self.waiting = self.waiting, []
+        late = asyncio.get_running_loop().time() - self.due
+        self.due += late
+        if late >= self.delay():
+            self.lag, self.lag_at = late, self.now()
         self.counters["batches"] += 1
         try:
             actions = self.gateway.handle(self.now(), events)
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -22,6 +22,7 @@
 MOST_PAGES = 64
 MOST_ANSWER = 65_536  # bytes of one answer, all told
 STALL = 1.0  # s after which an engine that takes in nothing has lost its connection
+SETTLE = 0.01  # s from a `never_mind` to its attempt's end, so that no later `want` overtakes it elsewhere
 PROBE_TIME = 0.25  # s for a probe's answer, by the site
 USED = 0.8  # of the idle time after which a link is not used again: the engine may be closing it
 # What the settings call the figures of a report, and what engines may call them besides.
@@ -107,7 +108,7 @@
         self.fields: dict[str, str] = {}  # of the good end
         self.sheets = 0  # 0: no good end yet
         self.size = 0
-        self.over = False
+        self.given_up = self.over = False
 
     def end(self, ending: Ending) -> None:
         if not self.over:
@@ -125,19 +126,23 @@
         return Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED)
 
     def hurry(self, urgency: int) -> None:
-        if not self.over and self.message is not None and not self.sheets:
+        if not (self.over or self.given_up or self.sheets) and self.message is not None:
             self.link.put(b"hurry", self.want.ref, b"%d" % urgency)
 
     def give_up(self, result: Result) -> None:
-        """Ends it as `result`, once the engine's connection has taken the word that it is over."""
-        if self.over:
+        """Ends it as `result`, a moment after the engine's connection has taken the word that it is over:
+        on another connection the next attempt could arrive first, and be a second copy. What the engine
+        answers from now on has crossed that word, and is passed over."""
+        if self.over or self.given_up:
             return
+        self.given_up = True
         if self.message is None or self.link.outbox.withdraw(self.message):
             self.end(Broken(Reach.NEVER_SENT, Result.MOOT))
             return
-        reach = Reach.RAN if self.sheets else Reach.MAY_HAVE_RUN
+        ending = Broken(Reach.RAN if self.sheets else Reach.MAY_HAVE_RUN, result)
+        loop = asyncio.get_running_loop()
         self.link.put(b"shut" if self.sheets else b"never_mind", self.want.ref,
-                      written=lambda: self.end(Broken(reach, result)))
+                      written=lambda: loop.call_later(SETTLE, self.end, ending))
 
 
 class Link:
@@ -280,7 +285,7 @@
             self.probe_over(tag, {b"PONG": Result.OK, b"SHED": Result.FULL}.get(word, Result.ERROR), report)
             return
         attempt = self.attempts.get(tag)
-        if attempt is None or attempt.message is None:
+        if attempt is None or attempt.message is None or attempt.given_up:
             # It crossed the word that the request was given up; its pages are no longer wanted.
             if word == b"HIT" and number(fields.get("sheets")) > 1:
                 self.put(b"shut", tag)
