--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -9,6 +9,7 @@
 from .counters import Counters
 from .driver import Driver
 from .engine import Attempt, Broken, Done, Ending, Fleet, Link, Want
+from .log import say
 
 # Guards against answers that cross the client's giving up. The module looks at what it holds every 50 ms and
 # aims for 60 ms before the end, by the time of its batch, which comes later than the request.
@@ -63,6 +64,7 @@
                 return await life.run()
         except TimeoutError:  # guards the client's one answer against a decision that never comes
             self.counters["overdue"] += 1
+            say("broker", f"no decision on {self.settings.classes[query.cls].name} within {query.allow:.3f} s")
             return life.last_answer()
         finally:
             life.close()
@@ -86,9 +88,9 @@
 
     async def run(self) -> Answer:
         query = self.query
+        patience = max(0.0, self.left() - SPARE - self.driver.delay())
         self.driver.post(api.Request(
-            self.number, query.cls, query.tenant, query.key, max(0.0, self.left() - SPARE - self.driver.delay()),
-            query.work,
+            self.number, query.cls, query.tenant, query.key, patience, query.work,
             query.memory_mb, query.tables, query.client_retry))
         while True:
             match await self.inbox.get():
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -16,6 +16,7 @@
 
 PACE = 0.004  # s between batches at least: a pass over a long line costs the same for one event as for many
 LAG_SPAN = 3.0  # s over which a late loop is kept in mind
+STALLED = 0.03  # s late from which it is logged
 LAG_MOST = 0.1  # s of it that are taken off a client's patience
 
 ForRequest = api.Send | api.Terms | api.Refuse | api.Fail | api.Cancel
@@ -70,6 +71,9 @@
         self.due += late
         if late >= self.delay():
             self.lag, self.lag_at = late, self.now()
+        if late > STALLED:
+            self.counters["stalls"] += 1
+            say("loop", f"a batch ran {late * 1000:.0f} ms late")
         self.counters["batches"] += 1
         try:
             actions = self.gateway.handle(self.now(), events)
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -176,6 +176,7 @@
                 self.counters["given_up"] += 1
                 call = self.calls.get(number)
                 if call is not None:  # else its answer is on its way
+                    say("client", f"gave call {number} up before its answer")
                     call.cancel()
             case _:
                 raise BadMessage(f"not a call: {str(message)[:80]}")
