--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import time
 
 from .. import interface as api
 from ..policy import Gateway
@@ -17,11 +18,27 @@
 from .engine import Fleet
 from .feed import Change, Feed
 from .front import Front
+from .log import say
 
 BACKLOG = 512
+PAUSE = 0.01  # s of garbage collection from which it is logged
 LINGER = 0.8  # s after SIGTERM for which clients may still come
 
 
+class Pauses:
+    """Tells of collections that held the loop up."""
+
+    def __init__(self) -> None:
+        self.start = 0.0
+
+    def __call__(self, phase: str, info: dict) -> None:
+        now = time.perf_counter()
+        if phase == "start":
+            self.start = now
+        elif now - self.start > PAUSE:
+            say("loop", f"collecting generation {info['generation']} took {(now - self.start) * 1000:.0f} ms")
+
+
 def listen(config: Config) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -60,7 +77,8 @@
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20_000, 20, 100)
+    gc.set_threshold(20_000, 20, 1_000)
+    gc.callbacks.append(Pauses())
     host, port = listener.getsockname()
     print(f"{config.name} listens on {host}:{port}", file=sys.stderr, flush=True)
     try:
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -15,6 +15,7 @@
 # aims for 60 ms before the end, by the time of its batch, which comes later than the request.
 SPARE = 0.03  # s of the client's patience that the module is not told of
 LAST = 0.015  # s before the client gives up at which the answer is ours, should the module still owe it
+LEAST = 0.02  # s that the module has for its answer, however little patience the client has left
 
 
 @dataclass(frozen=True)
@@ -50,6 +51,10 @@
 Answer = Served | Refused | Failed
 
 
+class Overdue:
+    """The client's patience is all but over, and the module has not decided."""
+
+
 class Broker:
     def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
@@ -59,14 +64,12 @@
         if len(self.driver.routes) >= self.settings.max_open:
             return Refused(self.settings.max_retry_after)
         life = Life(self, query)
+        guard = asyncio.get_running_loop().call_later(
+            max(LEAST, life.left() - LAST), life.inbox.put_nowait, Overdue())
         try:
-            async with asyncio.timeout(max(0.0, life.left() - LAST)):
-                return await life.run()
-        except TimeoutError:  # guards the client's one answer against a decision that never comes
-            self.counters["overdue"] += 1
-            say("broker", f"no decision on {self.settings.classes[query.cls].name} within {query.allow:.3f} s")
-            return life.last_answer()
+            return await life.run()
         finally:
+            guard.cancel()
             life.close()
 
 
@@ -75,8 +78,9 @@
 
     def __init__(self, broker: Broker, query: Query):
         self.query, self.driver, self.fleet = query, broker.driver, broker.fleet
+        self.counters = broker.counters
         self.spec = broker.settings.classes[query.cls]
-        self.inbox: asyncio.Queue[api.Action | Ending] = asyncio.Queue()
+        self.inbox: asyncio.Queue[api.Action | Ending | Overdue] = asyncio.Queue()
         self.number = self.driver.enter(self.inbox.put_nowait)
         self.out: Attempt | None = None
         self.tries, self.urgency = 0, 1
@@ -114,6 +118,10 @@
                 case api.Fail():
                     self.answered = True
                     return Failed()
+                case Overdue():  # guards the client's one answer against a decision that never comes
+                    self.counters["overdue"] += 1
+                    say("broker", f"no decision on {self.spec.name} within {query.allow:.3f} s")
+                    return self.last_answer()
 
     def send(self, send: api.Send) -> None:
         """One attempt; its end goes to the module at once, and to this request's inbox."""
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -14,7 +14,9 @@
 from .engine import Fleet
 from .log import say
 
-PACE = 0.004  # s between batches at least: a pass over a long line costs the same for one event as for many
+# A pass over a long line costs the same for one event as for many, and must leave time for the sockets:
+PACE = 0.004  # s between the starts of two batches at least, and
+SHARE = 3.0  # times what the last one took
 LAG_SPAN = 3.0  # s over which a late loop is kept in mind
 STALLED = 0.03  # s late from which it is logged
 LAG_MOST = 0.1  # s of it that are taken off a client's patience
@@ -33,6 +35,7 @@
         self.latest = 0.0
         self.numbers = 0
         self.due = 0.0  # of the batch, by the loop's clock
+        self.pace = PACE
         self.lag, self.lag_at = 0.0, 0.0  # how late batches ran lately
 
     def now(self) -> float:
@@ -53,11 +56,10 @@
         if not self.waiting:
             loop = asyncio.get_running_loop()
             now = loop.time()
-            if now >= self.due + PACE:
-                self.due = now
+            self.due = max(now, self.due + self.pace)
+            if self.due == now:
                 loop.call_soon(self._flush)
             else:
-                self.due += PACE
                 loop.call_at(self.due, self._flush)
         self.waiting.append(event)
 
@@ -67,7 +69,8 @@
 
     def _flush(self) -> None:
         events, self.waiting = self.waiting, []
-        late = asyncio.get_running_loop().time() - self.due
+        loop = asyncio.get_running_loop()
+        late = loop.time() - self.due
         self.due += late
         if late >= self.delay():
             self.lag, self.lag_at = late, self.now()
@@ -83,6 +86,7 @@
             return
         for action in actions:
             self._act(action)
+        self.pace = max(PACE, SHARE * (loop.time() - self.due))
 
     def _act(self, action: api.Action) -> None:
         match action:
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -197,23 +197,25 @@
             return
         front.open += 1
         front.held += len(query.statement)
-        task = asyncio.create_task(front.broker.serve(query))
-        self.calls[number] = task
-        task.add_done_callback(lambda done: self.over(number, len(query.statement), done))
+        self.calls[number] = asyncio.create_task(self.serve(number, query))
 
-    def over(self, number: int, size: int, task: asyncio.Task) -> None:
-        """Every request comes through here once, however it ended."""
-        del self.calls[number]
-        self.front.open -= 1
-        self.front.held -= size
-        if task.cancelled():
+    async def serve(self, number: int, query: Query) -> None:
+        try:
+            self.answer(number, await self.front.broker.serve(query))
+        except asyncio.CancelledError:
             self.counters["clients_gone"] += 1
-        elif (error := task.exception()) is not None:  # guards the client's answer against our own faults
+            raise
+        except Exception as error:  # guards the client's answer against our own faults
             self.counters["broker_errors"] += 1
             say("broker", f"{type(error).__name__}: {error}")
             self.answer(number, Failed())
-        else:
-            self.answer(number, task.result())
+        finally:
+            self.release(number, query)
+
+    def release(self, number: int, query: Query) -> None:
+        del self.calls[number]
+        self.front.open -= 1
+        self.front.held -= len(query.statement)
 
     def answer(self, number: int, answer: Served | Refused | Failed) -> None:
         self.counters["answered_" + type(answer).__name__.lower()] += 1
