--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -124,7 +124,7 @@
     def __init__(self, front: Front, sock: socket.socket):
         self.front, self.sock, self.counters = front, sock, front.counters
         self.outbox = Outbox(sock, STALL, self.stop)
-        self.calls: dict[int, asyncio.Task] = {}
+        self.calls: dict[int, tuple[asyncio.Task, Query]] = {}
 
     def stop(self, why: str) -> None:
         say("client", why)
@@ -144,8 +144,8 @@
             self.counters["bad_messages"] += 1
             say("client", f"{type(error).__name__}: {error}")
         finally:
-            for call in self.calls.values():  # a client that hangs up has given all of its requests up
-                call.cancel()
+            for task, _ in self.calls.values():  # a client that hangs up has given all of its requests up
+                task.cancel()
             try:
                 await self.outbox.close()
             finally:
@@ -176,8 +176,10 @@
                 self.counters["given_up"] += 1
                 call = self.calls.get(number)
                 if call is not None:  # else its answer is on its way
-                    say("client", f"gave call {number} up before its answer")
-                    call.cancel()
+                    task, query = call
+                    spent = now - query.arrived
+                    say("client", f"gave call {number} up after {spent:.3f} of {query.allow:.3f} s")
+                    task.cancel()
             case _:
                 raise BadMessage(f"not a call: {str(message)[:80]}")
 
@@ -197,7 +199,7 @@
             return
         front.open += 1
         front.held += len(query.statement)
-        self.calls[number] = asyncio.create_task(self.serve(number, query))
+        self.calls[number] = asyncio.create_task(self.serve(number, query)), query
 
     async def serve(self, number: int, query: Query) -> None:
         try:
