--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -15,7 +15,6 @@
 # aims for 60 ms before the end, by the time of its batch, which comes later than the request.
 SPARE = 0.03  # s of the client's patience that the module is not told of
 LAST = 0.015  # s before the client gives up at which the answer is ours, should the module still owe it
-LEAST = 0.02  # s that the module has for its answer, however little patience the client has left
 
 
 @dataclass(frozen=True)
@@ -63,9 +62,14 @@
         """Query in, one answer out; cancelled when the client has gone."""
         if len(self.driver.routes) >= self.settings.max_open:
             return Refused(self.settings.max_retry_after)
+        if query.arrived + query.allow - self.driver.now() <= SPARE:
+            # Guards against answers that come too late: told of no patience at all, the module
+            # refuses too, but a batch later.
+            self.counters["no_patience"] += 1
+            return Refused(self.settings.max_retry_after)
         life = Life(self, query)
         guard = asyncio.get_running_loop().call_later(
-            max(LEAST, life.left() - LAST), life.inbox.put_nowait, Overdue())
+            max(0.0, life.left() - LAST), life.inbox.put_nowait, Overdue())
         try:
             return await life.run()
         finally:
--- /dev/null
+++ b/examples/ask.py
@@ -0,0 +1,28 @@
+"""Sends one query to a workload manager and prints the answer.
+
+    python examples/ask.py 127.0.0.1:7001 lookup "select * from air_17.readings limit 5"
+"""
+
+import secrets
+import socket
+import sys
+
+import msgpack
+
+
+def ask(address: str, method: str, statement: str) -> list:
+    host, port = address.split(":")
+    fields = {"ref": secrets.token_hex(8), "allow": "5000", "effort": "100", "space": "16", "lookup": "7"}
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(msgpack.packb([0, 1, method, [fields, statement.encode()]]))
+        unpacker = msgpack.Unpacker()
+        while data := sock.recv(65536):
+            unpacker.feed(data)
+            for message in unpacker:
+                return message
+    raise ConnectionError("closed before the answer")
+
+
+if __name__ == "__main__":
+    _, _, error, result = ask(*sys.argv[1:4])
+    print(error if result is None else result[0].decode(), end="\n" if result is None else "")
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,135 @@
+"""Random cuts of valid messages, and random garbage, against each parser."""
+
+import json
+import struct
+from pathlib import Path
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from applevale import interface as api
+from applevale.node import config, engine, feed, front
+from applevale.node.statement import table_group
+
+NAMES = feed.Names(("here",), ("a", "b"))
+EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
+SPECS = config.parse(EXAMPLE, {}).settings.classes
+CLASSES = {spec.name: at for at, spec in enumerate(SPECS)}
+
+
+def frame(number, kind, *records):
+    body = b"".join(feed.RECORD.pack(*record) for record in records)
+    return feed.HEAD.pack(9 + len(body), number, kind) + body
+
+
+ONE = (0xC41F7A, 0x0A010009, 7001, 1, 0, 1, 2, 4000, 1500)
+STREAM = frame(1, 1, ONE) + frame(1, 0) + frame(2, 2, ONE, (9, 1, 1, 2, 0, 0, 0, 0, 0))
+
+
+@given(st.lists(st.integers(0, len(STREAM))))
+def test_frames_in_any_cut_are_the_same(cuts):
+    frames, at = feed.Frames(NAMES), [0, *sorted(cuts), len(STREAM)]
+    found = [change for start, end in zip(at, at[1:]) for change in frames.feed(STREAM[start:end])]
+    told = [(c.number, c.whole, len(c.members)) for c in found]
+    assert told == [(1, True, 1), (1, False, 0), (2, False, 2)]
+    member = found[0].members[0]
+    assert member.address == ("10.1.0.9", 7001)
+    assert member.entry == api.EngineEntry(0xC41F7A, 0, 1, 2, 4.0, api.State.DRAINING, 1.5)
+
+
+@given(st.binary(max_size=200))
+def test_a_garbled_feed_is_an_error_or_incomplete(data):
+    frames = feed.Frames(NAMES)
+    try:
+        frames.feed(data)
+    except feed.FeedError:
+        return
+    assert len(frames.data) <= len(data)
+
+
+@pytest.mark.parametrize("bad", [frame(3, 2, ONE), frame(2, 0), b"\0\0\0\x08" + bytes(9), b"\xff" * 13])
+def test_a_gap_or_a_bad_frame_breaks_the_connection(bad):
+    told = []
+    follower = feed.Feed(("", 0), 1, NAMES, front.Counters(), told.append)
+    with pytest.raises(feed.FeedError):
+        for change in feed.Frames(NAMES).feed(bad):
+            follower.take(change)
+    follower.take(feed.Change(1, False, ()))
+    assert told == [] and follower.last == 1
+
+
+@given(st.text(alphabet="'\"`-/*#\\\n._ a9", max_size=60))
+def test_any_statement_has_a_group_or_none(text):
+    assert table_group(text.encode()) >= 0
+
+
+@pytest.mark.parametrize(
+    "text, group",
+    [
+        ("select * from sales_17.orders", 17),
+        ("select 'a_3.b', ''';x_2.y' from /* x_4.y * */ staging.t_5 join `geo_7`.x", 7),
+        ("-- a_1.b\ninsert into \"z_9\" . q", 9),
+        ("select a.b_4, t_3 from staging_2.t, air_my_6.q", 6),
+        ("select 'it_1.x", 0),
+    ],
+)
+def test_only_schemas_name_the_group(text, group):
+    assert table_group(text.encode()) == group
+
+
+VALUES = st.none() | st.integers() | st.floats() | st.text(max_size=8) | st.binary(max_size=8)
+FIELDS = st.dictionaries(st.sampled_from(["ref", "allow", "effort", "space", "lookup", "dup"]), VALUES)
+
+
+@given(st.sampled_from([*CLASSES, "other"]), st.lists(FIELDS | VALUES, max_size=3))
+def test_any_call_is_a_usable_query_or_a_named_fault(method, params):
+    try:
+        query = front.read_query(CLASSES, SPECS, method, params, 1.0)
+    except front.BadField as error:
+        assert str(error)
+        return
+    assert 0 <= query.allow < float("inf") and 0 <= query.key < 2**64 and 0 <= query.work < float("inf")
+
+
+def test_a_query_is_read_with_its_units():
+    fields = {"ref": "9b1f", "allow": "1500", "dup": "1", "effort": "820.0", "space": "96", "lookup": "ff"}
+    query = front.read_query(CLASSES, SPECS, "load", [fields, b"insert into air_4.x"], 9.0)
+    assert (query.allow, query.work, query.memory_mb, query.key, query.tables) == (1.5, 0.82, 96.0, 255, 4.0)
+    assert query.client_retry and query.cls == 2 and query.arrived == 9.0
+
+
+@given(st.binary(max_size=80))
+def test_engine_fields_never_raise(raw):
+    fields = engine.fields_of(raw)
+    report = engine.report_of(fields, ("active", "cpu"))
+    assert len(report) in (0, 2) and all(value >= 0 or value == -1 for value in report)
+
+
+def test_a_report_is_read_by_either_name():
+    fields = engine.fields_of(b"toil=3,rep=inflight:7;cpu:0.61")
+    assert engine.report_of(fields, ("active", "cpu", "x1")) == (7.0, 0.61, -1.0)
+
+
+def test_a_message_without_end_is_refused():
+    unpacker = msgpack.Unpacker(max_array_len=64)
+    unpacker.feed(struct.pack(">BI", 0xDD, 2**32 - 1))
+    with pytest.raises(ValueError):
+        next(unpacker)
+
+
+@pytest.mark.parametrize(
+    "path, value",
+    [("listen", "nowhere"), ("seed", "xyz"), ("known", {"events": [{}]}), ("settings.classes", None),
+     ("limits.sockets", "many"), ("settings.limits.conn_idle", float("nan")), ("feed", "1.2.3.4")],
+)
+def test_a_bad_configuration_names_the_key(path, value):
+    raw = json.loads(json.dumps(EXAMPLE))
+    *parents, last = path.split(".")
+    holder = raw
+    for parent in parents:
+        holder = holder[parent]
+    holder[last] = value
+    with pytest.raises(config.ConfigError, match=last):
+        config.parse(raw, {})
