Make room for new clients, refuse bad ones early, and follow the feed's new address on SIGHUP

Lines at fault: front.accept waited at the bound on connections while clients that asked once kept theirs for good; requests read seconds late lost the order in which they had come. app.run had no handler for SIGHUP.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -12,17 +12,19 @@
 from .. import interface as api
 from ..policy import Gateway
 from .broker import Broker
-from .config import Config
+from .config import Config, ConfigError, load
 from .counters import Counters
 from .driver import Driver
 from .engine import Fleet
-from .feed import Change, Feed
+from .feed import Change, Feed, FeedError
 from .front import Front
 from .log import say
 
 BACKLOG = 512
 PAUSE = 0.01  # s of garbage collection from which it is logged
-LINGER = 0.8  # s after SIGTERM for which clients may still come
+LINGER = 0.75  # s after SIGTERM for which clients may still come; 0.05 s later and a deadline on it is killed
+LAST_WORD = 0.2  # s before that in which all that is open gets its answer
+HELD = 0.125  # share of the memory that messages and answers of clients may take
 
 
 class Pauses:
@@ -48,32 +50,76 @@
     return listener
 
 
+class Node:
+    """The parts of one workload manager, and what the system's signals do to them."""
+
+    def __init__(self, config: Config):
+        self.config, self.counters, self.leaving = config, Counters(), asyncio.Event()
+        # Half of the descriptors for clients, who hold at most a third; the rest for engines and the files.
+        half = config.sockets // 2
+        self.fleet = Fleet(config.links, config.settings.report_columns, half - 32, self.counters)
+        self.driver = Driver(Gateway(config.settings, config.seed), self.fleet, self.counters)
+        self.broker = Broker(self.driver, self.fleet, config.settings, self.counters)
+        self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
+                           self.counters)
+        first = config.known[0].number - 1 if config.known else 0
+        self.feed = Feed(first, config.names, self.counters, self.tell)
+
+    def tell(self, change: Change) -> None:
+        self.fleet.update(change)
+        self.driver.post(api.EngineList(tuple(member.entry for member in change.members), change.whole))
+        self.front.ready = not self.leaving.is_set()
+
+    def learn(self, known: tuple[Change, ...]) -> None:
+        """What a configuration knows of the list, beyond what was told already."""
+        try:
+            for change in known:
+                self.feed.take(change)
+        except FeedError as error:  # a gap: the feed tells what lies in it
+            say("reload", f"known: {error}")
+
+    def reload(self) -> None:
+        """Takes the new configuration, or keeps the old one as it is."""
+        try:
+            config = load()
+        except ConfigError as error:
+            say("reload", f"the old configuration stays: {error}")
+            return
+        self.counters["reloads"] += 1
+        self.learn(config.known)
+        self.feed.move(config.feed)
+        fixed = [key for key in ("name", "listen", "sockets", "memory", "settings", "links", "names")
+                 if getattr(config, key) != getattr(self.config, key)]
+        if fixed:
+            say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
+
+    async def close(self, since: float) -> None:
+        """Answers what came until a moment after SIGTERM, and never stays until it is killed."""
+        loop = asyncio.get_running_loop()
+        longest = max(3.0, *(spec.deadline for spec in self.config.settings.classes))
+        await asyncio.sleep(since + LINGER - loop.time())
+        while self.busy() and loop.time() < since + LINGER + longest - LAST_WORD:
+            await asyncio.sleep(0.02)
+        self.broker.expire()  # guards against being killed with requests open
+        patience = loop.time() + LAST_WORD / 2
+        while self.busy() and loop.time() < patience:
+            await asyncio.sleep(0.01)
+
+    def busy(self) -> bool:
+        return bool(self.front.open or any(one.outbox.size for one in self.front.connections))
+
+
 async def run(config: Config) -> None:
-    counters = Counters()
     listener = listen(config)
-    # Half of the descriptors for clients, who hold at most a third; the rest for engines and the files.
-    most_links = config.sockets // 2 - 32
-    fleet = Fleet(config.links, config.settings.report_columns, most_links, counters)
-    driver = Driver(Gateway(config.settings, config.seed), fleet, counters)
-    broker = Broker(driver, fleet, config.settings, counters)
-    front = Front(broker, driver, config.settings, config.sockets // 2, counters)
-    leaving = asyncio.Event()
-
-    def tell(change: Change) -> None:
-        fleet.update(change)
-        driver.post(api.EngineList(tuple(member.entry for member in change.members), change.whole))
-        front.ready = not leaving.is_set()
-
-    for change in config.known:
-        tell(change)
-    tasks = [asyncio.create_task(front.accept(listener))]
-    if config.feed is not None:
-        last = config.known[-1].number if config.known else 0
-        tasks.append(asyncio.create_task(Feed(config.feed, last, config.names, counters, tell).follow()))
+    node = Node(config)
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGUSR1, counters.show)
+    loop.add_signal_handler(signal.SIGUSR1, node.counters.show)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, leaving.set)
+        loop.add_signal_handler(number, node.leaving.set)
+    node.learn(config.known)
+    node.feed.move(config.feed)
+    accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
     gc.freeze()
@@ -82,12 +128,10 @@
     host, port = listener.getsockname()
     print(f"{config.name} listens on {host}:{port}", file=sys.stderr, flush=True)
     try:
-        await leaving.wait()
-        front.ready = False
-        await asyncio.sleep(LINGER)
-        while front.open or any(connection.outbox.size for connection in front.connections):
-            await asyncio.sleep(0.02)
+        await node.leaving.wait()
+        node.front.ready = False
+        await node.close(loop.time())
     finally:
-        for task in tasks:
-            task.cancel()
-        counters.show()
+        accepting.cancel()
+        node.feed.move(None)
+        node.counters.show()
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -57,6 +57,12 @@
 class Broker:
     def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
+        self.lives: set[Life] = set()
+
+    def expire(self) -> None:
+        """What is still open is answered now."""
+        for life in self.lives:
+            life.inbox.put_nowait(Overdue())
 
     async def serve(self, query: Query) -> Answer:
         """Query in, one answer out; cancelled when the client has gone."""
@@ -68,12 +74,14 @@
             self.counters["no_patience"] += 1
             return Refused(self.settings.max_retry_after)
         life = Life(self, query)
+        self.lives.add(life)
         guard = asyncio.get_running_loop().call_later(
             max(0.0, life.left() - LAST), life.inbox.put_nowait, Overdue())
         try:
             return await life.run()
         finally:
             guard.cancel()
+            self.lives.discard(life)
             life.close()
 
 
@@ -164,5 +172,10 @@
         self.driver.leave(self.number)
         if not self.answered:
             self.driver.post(api.ClientGone(self.number))
+        while not self.inbox.empty():
+            # Guards the module's counts: a send that is not carried out would be out for ever.
+            if isinstance(send := self.inbox.get_nowait(), api.Send):
+                self.driver.post(api.Outcome(self.number, self.tries, send.engine, api.Result.MOOT))
+                self.tries += 1
         if self.out is not None:
             self.out.give_up(api.Result.CANCELLED)
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -36,6 +36,7 @@
     feed: Address | None
     seed: int
     sockets: int  # file descriptors that the process may hold
+    memory: int  # bytes
     settings: api.Settings
     links: LinkLimits
     names: feed.Names
@@ -109,6 +110,7 @@
         feed=address(raw["feed"], "feed") if raw.get("feed") else None,
         seed=seed,
         sockets=int(_limit(_section(raw, "limits"), "sockets", 1024, 64)),
+        memory=int(_limit(_section(raw, "limits"), "memory_mb", 192, 16) * 2**20),
         settings=settings,
         links=LinkLimits(
             streams=int(_limit(limits, "streams_per_conn", 32, 1)),
--- a/applevale/node/feed.py
+++ b/applevale/node/feed.py
@@ -18,8 +18,8 @@
 RECORD = struct.Struct(">IIHBBBHIQ")
 NOTHING, WHOLE, CHANGED = 0, 1, 2
 MOST_FRAME = 1 << 20  # bytes: 38,000 engines
-SILENCE = 2.5  # s without a whole frame, of which one comes each second, until the connection is given up
-REST = (0.05, 1.0)  # s between two tries to connect: first, and the most it doubles to
+SILENCE = 1.8  # s without a whole frame, of which one comes each second, until the connection is given up
+REST = (0.05, 0.4)  # s between two tries to connect: first, and the most it doubles to
 STATES = {0: api.State.READY, 1: api.State.DRAINING, 2: api.State.GONE}
 WORDS = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 
@@ -55,8 +55,9 @@
         changes = tuple(_event(item, names) for item in raw["events"])
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise FeedError(f"{type(error).__name__}: {error}") from None
-    if any(later.number <= former.number for former, later in zip(changes, changes[1:])):
-        raise FeedError("events: the numbers do not rise")
+    for former, later in zip(changes, changes[1:]):
+        if later.number <= former.number or not (later.whole or later.number == former.number + 1):
+            raise FeedError(f"events: {later.number} comes after {former.number}")
     return changes
 
 
@@ -118,17 +119,27 @@
 class Feed:
     """Follows the feed for as long as the program runs, and tells each change once, in order."""
 
-    def __init__(self, address, last: int, names: Names, counters: Counters, tell: Callable[[Change], None]):
-        self.address, self.last, self.names = address, last, names
-        self.counters, self.tell = counters, tell
-
-    async def follow(self) -> None:
+    def __init__(self, last: int, names: Names, counters: Counters, tell: Callable[[Change], None]):
+        self.last, self.names, self.counters, self.tell = last, names, counters, tell
+        self.address: tuple[str, int] | None = None
+        self.task: asyncio.Task | None = None
+
+    def move(self, address: tuple[str, int] | None) -> None:
+        """Follows it at `address` from now on, from the last event told; None follows it no more."""
+        if self.task is not None and (address is None or address != self.address):
+            self.task.cancel()
+            self.task = None
+        self.address = address
+        if address is not None and self.task is None:
+            self.task = asyncio.create_task(self._follow())
+
+    async def _follow(self) -> None:
         rest = REST[0]
         while True:
             before = self.counters["feed_frames"]
             try:
                 await self._connection()
-            except (OSError, TimeoutError, FeedError) as error:
+            except (OSError, FeedError) as error:
                 say("feed", f"{type(error).__name__}: {error}")
             self.counters["feed_breaks"] += 1
             rest = REST[0] if self.counters["feed_frames"] > before else min(rest * 2, REST[1])
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
-from math import ceil, isfinite
+from math import ceil, nan
 
 import msgpack
 
@@ -18,9 +19,16 @@
 
 MOST_MESSAGE = 256 * 1024  # bytes of one message
 MOST_OPEN = 32  # requests on one connection
-MOST_HELD = 64 * 1024 * 1024  # bytes of statements and answers, over all connections
 STALL = 30.0  # s after which a client that takes in nothing has lost its connection: no one waits longer
-RECEIVE = 16384
+RECEIVE = 4096  # bytes, for each connection: some stay for good
+UNFINISHED = 2.0  # s for the first message, and for each further one once it has begun
+CROSSING = 0.25  # s in which the first request of a new connection may still be on its way
+LEAVE = 0.5  # s for a client to read what it was sent last, before its connection is closed
+PENANCE = (0.05, 1.0)  # s for which a connection is not read after a bad request: first, and the most
+LONGEST = 1.1  # times a class's deadline that a client may be patient: more is no figure of this class
+MOST_EFFORT, MOST_SPACE = 1e8, 1e7  # ms and MB: far beyond any engine, and still harmless figures
+_REF = re.compile(r"[0-9a-fA-F]{16}")
+_UNPRINTABLE = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
 class BadMessage(ValueError):
@@ -35,19 +43,39 @@
     return msgpack.packb([1, number, error, result])
 
 
-def _number(fields: dict, name: str, default: float | None = None) -> float:
+def _number(fields: dict, name: str, most: float, default: float | None = None) -> float:
     raw = fields.get(name)
     if raw is None and default is not None:
         return default
     try:
-        value = float(raw)
-    except (TypeError, ValueError):
-        raise BadField(f"{name}: {str(raw)[:40]!r}") from None
-    if not isfinite(value) or value < 0:
-        raise BadField(f"{name}: {value}")
+        value = float(raw) if isinstance(raw, str) else nan
+    except ValueError:
+        value = nan
+    if not 0 <= value <= most:  # guards the estimates of all against one figure
+        raise BadField(f"{name}: {str(raw)[:40]!r}")
     return value
 
 
+def _key(fields: dict) -> int:
+    try:
+        key = int(fields.get("lookup", ""), 16)
+    except (TypeError, ValueError):
+        key = 0
+    if not 0 < key < 2**64:
+        raise BadField("lookup: missing or out of range")
+    return key
+
+
+def _check_statement(statement: bytes) -> None:
+    """Guards the links that requests share: an engine closes one on what it cannot read."""
+    try:
+        text = statement.decode()
+    except UnicodeDecodeError:
+        raise BadField("a statement that is no text") from None
+    if not text.strip() or _UNPRINTABLE.search(text):
+        raise BadField("a statement that is no text")
+
+
 def read_query(classes: dict[str, int], specs: tuple[api.ClassSpec, ...], method: str, params: list,
                now: float) -> Query:
     """The request in a call; raises BadField with what is wrong."""
@@ -56,48 +84,47 @@
     if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
         raise BadField("fields and a body are needed")
     fields, statement = params
-    cls = classes[method]
+    spec = specs[classes[method]]
     ref = fields.get("ref")
-    if not isinstance(ref, str) or not ref.isalnum() or not ref.isascii() or len(ref) > 64:
+    if not isinstance(ref, str) or not _REF.fullmatch(ref):
         raise BadField("ref")
-    try:
-        key = int(str(fields.get("lookup", "0")), 16)
-    except ValueError:
-        raise BadField("lookup") from None
-    if specs[cls].ordered and not 0 < key < 2**64:
-        raise BadField("lookup: missing or out of range")
-    return Query(
-        ref=ref.encode(),
-        cls=cls,
-        statement=statement,
-        arrived=now,
-        allow=_number(fields, "allow") / 1000,
-        key=key if specs[cls].ordered else 0,
-        work=_number(fields, "effort", 0.0) / 1000,
-        memory_mb=_number(fields, "space", 0.0),
-        tables=table_group(statement),
-        client_retry=fields.get("dup") == "1",
-    )
+    allow = _number(fields, "allow", spec.deadline * LONGEST * 1000) / 1000
+    work = _number(fields, "effort", MOST_EFFORT, 0.0) / 1000
+    memory = _number(fields, "space", MOST_SPACE, 0.0)
+    key = _key(fields) if spec.ordered else 0
+    _check_statement(statement)
+    return Query(ref.encode(), classes[method], statement, now, allow, key=key, work=work, memory_mb=memory,
+                 tables=table_group(statement), client_retry=fields.get("dup") == "1")
 
 
 class Front:
     """Accepts connections; each is a task of its own, and so is each request."""
 
-    def __init__(self, broker: Broker, driver: Driver, settings: api.Settings, most: int, counters: Counters):
+    def __init__(self, broker: Broker, driver: Driver, settings: api.Settings, most: int, most_held: int,
+                 counters: Counters):
         self.broker, self.driver, self.settings, self.counters = broker, driver, settings, counters
         self.classes = {spec.name: at for at, spec in enumerate(settings.classes)}
         self.most = most  # connections at a time
+        self.most_held = most_held  # bytes of messages, statements and answers, over all connections
         self.connections: dict[Connection, asyncio.Task] = {}
+        # Connections that are owed nothing, by when that began: without a whole message yet, and others.
+        self.silent: dict[Connection, float] = {}
+        self.idle: dict[Connection, float] = {}
         self.room = asyncio.Event()
         self.ready = False  # what a probe is told
-        self.open = 0  # requests without an answer
+        self.refs: set[bytes] = set()  # of the requests without an answer
         self.held = 0  # bytes
 
+    @property
+    def open(self) -> int:
+        """Requests without an answer."""
+        return len(self.refs)
+
     async def accept(self, listener: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            while len(self.connections) >= self.most:  # the rest waits in the system's queue
-                self.room.clear()
+            while len(self.connections) >= self.most and not (self.silent or self.idle):
+                self.room.clear()  # all are owed an answer: the rest waits in the system's queue
                 await self.room.wait()
             try:
                 sock, _ = await loop.sock_accept(listener)
@@ -106,18 +133,42 @@
                 await asyncio.sleep(0.01)
                 continue
             self.counters["connections"] += 1
+            if len(self.connections) >= self.most:
+                self.make_room(loop.time())
             connection = Connection(self, sock)
+            self.silent[connection] = loop.time()
             self.connections[connection] = asyncio.create_task(connection.run())
 
+    def make_room(self, now: float) -> None:
+        """Closes a connection that is owed nothing. Guards against clients that stay for good after one
+        request, and against crowds that say nothing: behind them, requests of others were not even read."""
+        oldest = next(iter(self.silent.items()), None)
+        if oldest is None or (self.idle and now - oldest[1] < CROSSING):
+            oldest = next(iter(self.idle.items()), None)
+        if oldest is not None:
+            self.counters["connections_evicted"] += 1
+            oldest[0].stop("")
+
+    def rests(self, connection: Connection) -> None:
+        """Keeps the order in which connections came to be owed nothing."""
+        self.silent.pop(connection, None)
+        self.idle.pop(connection, None)
+        if connection in self.connections and not (connection.calls or connection.outbox.size):
+            self.idle[connection] = asyncio.get_running_loop().time()
+            self.room.set()
+
     def closed(self, connection: Connection) -> None:
-        del self.connections[connection]
+        self.connections.pop(connection, None)
+        self.rests(connection)
         self.room.set()
 
-    def relieve(self) -> None:
-        """Over the bound on memory, the client that takes in least loses its connection."""
-        slow = max(self.connections, key=lambda connection: connection.outbox.size)
-        self.counters["slow_clients_closed"] += 1
-        slow.stop("its answers pile up")
+    def hold(self, size: int) -> None:
+        """Over the bound on memory, the client that holds most of it loses its connection."""
+        self.held += size
+        if self.held > self.most_held and self.connections:
+            slow = max(self.connections, key=lambda one: one.outbox.size + one.unread)
+            self.counters["slow_clients_closed"] += 1
+            slow.stop("it holds too much memory")
 
 
 class Connection:
@@ -125,10 +176,18 @@
         self.front, self.sock, self.counters = front, sock, front.counters
         self.outbox = Outbox(sock, STALL, self.stop)
         self.calls: dict[int, tuple[asyncio.Task, Query]] = {}
+        self.last = -1  # number of the last call: they count up
+        self.last_whole = 0  # where in the stream the last whole message ended
+        self.unread = 0  # bytes of a message that is not whole
+        self.faults = 0
 
     def stop(self, why: str) -> None:
-        say("client", why)
-        task = self.front.connections.get(self)
+        if why:
+            say("client", why)
+        self.front.held -= self.outbox.drop() + self.unread
+        self.unread = 0
+        task = self.front.connections.pop(self, None)
+        self.front.rests(self)
         if task is not None:
             task.cancel()
 
@@ -138,39 +197,83 @@
             self.sock.setblocking(False)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._read()
+        except TimeoutError:
+            self.counters["unfinished_messages"] += 1
+            await self._leave()
         except OSError:
             self.counters["connections_reset"] += 1
         except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
             self.counters["bad_messages"] += 1
-            say("client", f"{type(error).__name__}: {error}")
+            say("client", f"{type(error).__name__}: {str(error)[:80]}")
+            await self._leave()
         finally:
-            for task, _ in self.calls.values():  # a client that hangs up has given all of its requests up
-                task.cancel()
+            self._give_up()
             try:
                 await self.outbox.close()
             finally:
-                self.front.held -= self.outbox.size
+                self.front.held -= self.outbox.size + self.unread
                 self.sock.close()
                 self.front.closed(self)
 
+    def _give_up(self) -> None:
+        """A client that hangs up has given all of its requests up."""
+        for task, _ in self.calls.values():
+            task.cancel()
+
+    async def _leave(self) -> None:
+        """Sends what is left and waits a little for the client to read it and hang up: closed with bytes
+        unread, the connection is reset, which can take an answer with it."""
+        self._give_up()
+        loop, buffer = asyncio.get_running_loop(), bytearray(RECEIVE)
+        try:
+            async with asyncio.timeout(LEAVE):
+                await self.outbox.flush()
+                self.sock.shutdown(socket.SHUT_WR)
+                for _ in range(MOST_MESSAGE // RECEIVE):  # no more: who floods may be reset
+                    if not await loop.sock_recv_into(self.sock, buffer):
+                        break
+        except (OSError, TimeoutError):
+            pass
+
     async def _read(self) -> None:
         loop, buffer = asyncio.get_running_loop(), bytearray(RECEIVE)
         unpacker = msgpack.Unpacker(raw=False, max_buffer_size=MOST_MESSAGE, read_size=RECEIVE,
                                     max_array_len=64, max_map_len=64)
-        while size := await loop.sock_recv_into(self.sock, buffer):
+        fed, due = 0, loop.time() + UNFINISHED
+        while True:
+            # Guards against clients that say nothing, or never end what they say.
+            async with asyncio.timeout_at(due):
+                size = await loop.sock_recv_into(self.sock, buffer)
+            if not size:
+                return
             now = self.front.driver.now()
+            fed += size
             unpacker.feed(memoryview(buffer)[:size])
+            taken = 0
             for message in unpacker:
+                taken = unpacker.tell()
                 self.take(message, now)
+            if taken:
+                due, self.last_whole = None, taken
+                self.front.rests(self)
+            unread = fed - self.last_whole
+            self.front.hold(unread - self.unread)
+            self.unread = unread
+            if unread > MOST_MESSAGE:  # guards against arrays in arrays, which no other bound counts
+                raise BadMessage("a message without end")
+            if unread and due is None:
+                due = loop.time() + UNFINISHED
+            if self.faults:
+                await asyncio.sleep(min(PENANCE[0] * self.faults, PENANCE[1]))
 
     def take(self, message: object, now: float) -> None:
         match message:
             case [0, int(number), "probe", [dict()]]:
                 self.counters["probed"] += 1
+                self.count(number)
                 self.send(reply(number, None, [self.front.ready, {}]))
             case [0, int(number), str(method), list(params)]:
-                if isinstance(number, bool) or number in self.calls:
-                    raise BadMessage(f"message id {number} is in use")
+                self.count(number)
                 self.call(number, method, params, now)
             case [2, "giveUp", [int(number)]]:
                 self.counters["given_up"] += 1
@@ -180,44 +283,61 @@
                     spent = now - query.arrived
                     say("client", f"gave call {number} up after {spent:.3f} of {query.allow:.3f} s")
                     task.cancel()
+                    self.release(number)
             case _:
-                raise BadMessage(f"not a call: {str(message)[:80]}")
+                raise BadMessage(f"not a call: a {type(message).__name__}")
+
+    def count(self, number: int) -> None:
+        """Guards against two calls under one number: an answer would not tell which it is for."""
+        if isinstance(number, bool) or not self.last < number < 2**32:
+            raise BadMessage("the message ids do not count up")
+        self.last = number
 
     def call(self, number: int, method: str, params: list, now: float) -> None:
         front = self.front
+        # Guards against floods before they cost anything: at such a client's own count it has more open.
+        if len(self.calls) >= MOST_OPEN:
+            self.counters["over_bounds"] += 1
+            raise BadMessage(f"over {MOST_OPEN} open requests")
         try:
             query = read_query(front.classes, front.settings.classes, method, params, now)
+            if query.ref in front.refs:  # guards the open request: an engine would take this for a copy
+                raise BadField("ref: of an open request")
         except BadField as error:
             self.counters["bad_requests"] += 1
+            self.faults += 1
             say("request", str(error))
             self.send(reply(number, ["Error", {}], None))
             return
         self.counters["taken_" + method] += 1
-        if len(self.calls) >= MOST_OPEN or front.held > MOST_HELD:
-            self.counters["over_bounds"] += 1
-            self.answer(number, Refused(front.settings.max_retry_after))
-            return
-        front.open += 1
-        front.held += len(query.statement)
-        self.calls[number] = asyncio.create_task(self.serve(number, query)), query
+        front.refs.add(query.ref)
+        task = asyncio.create_task(self.serve(number, query))
+        # Guards against leaks: a task that is cancelled before its first step runs no `finally`.
+        task.add_done_callback(lambda task: self.ended(number, task))
+        self.calls[number] = task, query
+        front.hold(len(query.statement))
 
     async def serve(self, number: int, query: Query) -> None:
         try:
-            self.answer(number, await self.front.broker.serve(query))
-        except asyncio.CancelledError:
-            self.counters["clients_gone"] += 1
-            raise
+            answer = await self.front.broker.serve(query)
         except Exception as error:  # guards the client's answer against our own faults
             self.counters["broker_errors"] += 1
             say("broker", f"{type(error).__name__}: {error}")
-            self.answer(number, Failed())
-        finally:
-            self.release(number, query)
-
-    def release(self, number: int, query: Query) -> None:
-        del self.calls[number]
-        self.front.open -= 1
-        self.front.held -= len(query.statement)
+            answer = Failed()
+        self.release(number)
+        self.answer(number, answer)
+
+    def ended(self, number: int, task: asyncio.Task) -> None:
+        self.counters["clients_gone"] += task.cancelled()
+        self.release(number)
+
+    def release(self, number: int) -> None:
+        """The request is answered, or no longer wanted."""
+        call = self.calls.pop(number, None)
+        if call is not None:
+            self.front.refs.discard(call[1].ref)
+            self.front.held -= len(call[1].statement)
+            self.front.rests(self)
 
     def answer(self, number: int, answer: Served | Refused | Failed) -> None:
         self.counters["answered_" + type(answer).__name__.lower()] += 1
@@ -231,12 +351,11 @@
                 self.send(reply(number, ["Error", {}], None))
 
     def send(self, data: bytes) -> None:
-        if self.outbox.closed:
-            return
-        self.front.held += len(data)
-        self.outbox.put(data, lambda: self.sent(len(data)))
-        if self.front.held > 2 * MOST_HELD:
-            self.front.relieve()
+        if not self.outbox.closed:
+            self.outbox.put(data, lambda: self.sent(len(data)))
+            self.front.rests(self)
+            self.front.hold(len(data))
 
     def sent(self, size: int) -> None:
         self.front.held -= size
+        self.front.rests(self)
--- a/applevale/node/outbox.py
+++ b/applevale/node/outbox.py
@@ -62,6 +62,20 @@
         finally:
             self.task = None
 
+    def drop(self) -> int:
+        """Gives up what is not yet written; returns how much that is."""
+        self.closed = True
+        if self.task is not None and self.task is not asyncio.current_task():
+            self.task.cancel()
+        size, self.size = self.size, 0
+        self.queue.clear()
+        return size
+
+    async def flush(self) -> None:
+        """Waits until all of it is written, or the connection is broken."""
+        if self.task is not None:
+            await asyncio.wait([self.task])
+
     async def close(self) -> None:
         """Ends a write under way, so that the socket can be closed."""
         self.closed = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -39,11 +39,11 @@
 
 
 class Node:
-    def __init__(self, tmp_path):
+    def __init__(self, tmp_path, text=EXAMPLE):
         self.engine = ToyEngine(("127.0.0.1", 0), InPieces)
         threading.Thread(target=self.engine.serve_forever, daemon=True).start()
         port = self.engine.server_address[1]
-        self.process = start(tmp_path, EXAMPLE.replace(":7101", f":{port}"))
+        self.process = start(tmp_path, text.replace(":7101", f":{port}"))
         line = self.process.stderr.readline()
         self.address = ("127.0.0.1", int(re.search(r":(\d+)$", line)[1]))
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -52,7 +52,7 @@
 @pytest.mark.parametrize("bad", [frame(3, 2, ONE), frame(2, 0), b"\0\0\0\x08" + bytes(9), b"\xff" * 13])
 def test_a_gap_or_a_bad_frame_breaks_the_connection(bad):
     told = []
-    follower = feed.Feed(("", 0), 1, NAMES, front.Counters(), told.append)
+    follower = feed.Feed(1, NAMES, front.Counters(), told.append)
     with pytest.raises(feed.FeedError):
         for change in feed.Frames(NAMES).feed(bad):
             follower.take(change)
@@ -94,7 +94,8 @@
 
 
 def test_a_query_is_read_with_its_units():
-    fields = {"ref": "9b1f", "allow": "1500", "dup": "1", "effort": "820.0", "space": "96", "lookup": "ff"}
+    fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", "dup": "1", "effort": "820.0", "space": "96",
+              "lookup": "ff"}
     query = front.read_query(CLASSES, SPECS, "load", [fields, b"insert into air_4.x"], 9.0)
     assert (query.allow, query.work, query.memory_mb, query.key, query.tables) == (1.5, 0.82, 96.0, 255, 4.0)
     assert query.client_retry and query.cls == 2 and query.arrived == 9.0
