End links at spoilt answers, share few of them, and rest no engine for one error or reset

`sheets=nan` counted as one page. Now: answers are checked for form before the parser sees them (a nested array of 2^31 made it take 17 GB and stopped the loop for over a second), pages for whole rows; a spoilt answer ends its link. An attempt takes an idle link or a new one, up to the engine's share of the descriptors, and one that must not run twice shares its link with nothing: fewer attempts go down with a link. A link that says nothing is asked, and closed without an answer. The module rests an engine at two errors or resets without a good answer between, gives a request up after two errors, and forgets engines that left with attempts out. Ruled out on the way: attempts of closed links that never ended (a cancel of the own task; pytest hung on it).

--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -97,7 +97,7 @@
         self.out: Attempt | None = None
         self.tries, self.urgency = 0, 1
         self.may_have_run = self.answered = False
-        self.avoid: set[Link] = set()  # where an attempt was given up
+        self.avoid: set[Link] = set()  # that carried an attempt
 
     def left(self) -> float:
         return self.query.arrived + self.query.allow - self.driver.now()
@@ -117,7 +117,6 @@
                 case api.Send() as send:
                     self.send(send)
                 case api.Cancel() if self.out is not None:
-                    self.avoid.add(self.out.link)
                     self.out.give_up(api.Result.CANCELLED)
                 case Done(body=rows):
                     self.answered = True
@@ -152,15 +151,15 @@
                 ending.work if done else 0.0, ending.memory_mb if done else 0.0, ending.report))
             self.inbox.put_nowait(ending)
 
-        want = Want(self.query.ref, self.spec.name, self.query.statement, limit, self.urgency)
+        want = Want(self.query.ref, self.spec.name, self.query.statement, limit, self.urgency,
+                    self.spec.repeat is api.Repeat.UNSAFE)
         attempt = self.fleet.start(engine, want, self.avoid, ended)
+        if attempt.link is not None:  # a second copy of its answer must not be taken for the next attempt's
+            self.avoid.add(attempt.link)
         if not attempt.over:
             self.out = attempt
-            timer = asyncio.get_running_loop().call_later(max(0.0, limit), self.time_out, attempt)
-
-    def time_out(self, attempt: Attempt) -> None:
-        self.avoid.add(attempt.link)
-        attempt.give_up(api.Result.TIMEOUT)
+            timer = asyncio.get_running_loop().call_later(
+                max(0.0, limit), attempt.give_up, api.Result.TIMEOUT)
 
     def last_answer(self) -> Answer:
         """Without a word from the module: refusing is harmless only if nothing can have run."""
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,7 +21,14 @@
 
 MOST_RESULT = 48_000  # bytes of a whole result
 MOST_PAGES = 64
-MOST_ANSWER = 65_536  # bytes of one answer, all told
+MOST_ANSWER = 16_384  # bytes of one answer, all told: a page has 6,000 at most
+RECEIVE = 8_192
+QUIET = (1.0, 3.0)  # s without a whole answer after which a link that carries attempts is asked whether it
+# still answers: while links were found spoilt lately, and else
+ASKED = 0.4  # s that it has for its answer
+WARY = 20.0  # s for which a spoilt link is kept in mind
+OVERSLEPT = 0.1  # s that a timer may be late: beyond, the loop stood still, and answers may lie unread
+WORDS = frozenset((b"HIT", b"SHED", b"FAULT", b"LATE", b"PART", b"PONG", b"SICK"))
 STALL = 1.0  # s after which an engine that takes in nothing has lost its connection
 SETTLE = 0.01  # s from a `never_mind` to its attempt's end, so that no later `want` overtakes it elsewhere
 PROBE_TIME = 0.25  # s for a probe's answer, by the site
@@ -30,6 +38,9 @@
            "err_rps": "eps", "memory_used": "x0", "disk_busy": "x1"}
 
 
+_HEAD, _PART_OF_HEAD = re.compile(rb"\$(\d{1,10})\r\n"), re.compile(rb"(?:\$(?:\d{1,10}\r?)?)?")
+
+
 class Reach(Enum):
     """How far an attempt came before it ended without a result."""
 
@@ -67,6 +78,7 @@
     statement: bytes
     ttl: float  # s
     urgency: int = 1
+    alone: bool = False  # must not run twice: shares its link with nothing that could end it
 
 
 def command(*words: bytes) -> bytes:
@@ -97,6 +109,44 @@
     return tuple(-1.0 if value is None else number(value) for value in values)
 
 
+def whole_number(text: str | None, most: int) -> int:
+    """A count that an answer depends on; raises ValueError, for guessing it could cut a result off."""
+    if text is None or not text.isdecimal() or not 1 <= (value := int(text[:9])) <= most:
+        raise ValueError(f"not a number from 1 to {most}: {str(text)[:20]!r}")
+    return value
+
+
+def check_rows(page: bytes) -> None:
+    """Whole rows of three columns; raises ValueError: the client would take what is cut for the result."""
+    rows = page.count(b"\n")
+    if page.count(b"\t") != 2 * rows or (page and not page.endswith(b"\n")):
+        raise ValueError("a page that is not made of whole rows")
+
+
+def answer_end(data: bytearray) -> int:
+    """Where the first answer in `data` ends; 0 while it is not whole. Raises ValueError on what is none: four
+    strings of fitting lengths. Guards the parser, which makes room for as many elements as it is told of, and
+    passes over what follows a string whose length does not fit, so that it would give out what is cut."""
+    if data[:4] != b"*4\r\n"[: len(data)]:
+        raise ValueError("not an answer")
+    at = 4
+    for _ in range(4):
+        head = _HEAD.match(data, at)
+        if head is None:
+            if _PART_OF_HEAD.fullmatch(data, at):
+                return 0
+            raise ValueError("not an answer")
+        end = head.end() + int(head[1])
+        if end > MOST_ANSWER:
+            raise ValueError(f"an answer of over {MOST_ANSWER} bytes")
+        if data[end : end + 2] != b"\r\n"[: max(0, len(data) - end)]:
+            raise ValueError("a length that does not fit")
+        if len(data) < end + 2:
+            return 0
+        at = end + 2
+    return at
+
+
 class Attempt:
     """One attempt out at an engine. Exactly one ending is told, through `ended`."""
 
@@ -125,7 +175,8 @@
             return Broken(Reach.RAN, Result.RESET)
         if self.message is not None and self.message.begun:
             return Broken(Reach.MAY_HAVE_RUN, Result.RESET)
-        return Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED)
+        # A connection that came up and was reset before the request was written says nothing of the engine.
+        return Broken(Reach.NEVER_SENT, Result.MOOT if self.link.up else Result.CONNECT_FAILED)
 
     def hurry(self, urgency: int) -> None:
         if not (self.over or self.given_up or self.sheets) and self.message is not None:
@@ -157,7 +208,12 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.outbox = Outbox(self.sock, STALL, self.close)
         self.up = self.closed = self.retired = False
+        self.unread = bytearray()  # of an answer that is not whole
+        self.heard = 0.0  # when the last whole answer came, or the first attempt after a rest went out
+        self.alone = False  # carries an attempt that must not run twice, and takes nothing beside it
+        self.check: bytes | None = None  # the question whether it still answers, and is not to be trusted
         self.idle_timer: asyncio.TimerHandle | None = None
+        self.watch_timer: asyncio.TimerHandle | None = None
         self.task = asyncio.create_task(self._run())
 
     @property
@@ -170,6 +226,7 @@
     def carry(self, attempt: Attempt) -> None:
         attempt.link = self
         self.attempts[attempt.want.ref] = attempt
+        self.alone |= attempt.want.alone
         self._busy()
         if self.up:
             self._write(attempt)
@@ -191,17 +248,49 @@
     def forget(self, attempt: Attempt) -> None:
         if self.attempts.get(attempt.want.ref) is attempt:
             del self.attempts[attempt.want.ref]
+        self.alone = self.alone and bool(self.attempts)
         self._rest()
 
     def _busy(self) -> None:
         if self.idle_timer is not None:
             self.idle_timer.cancel()
             self.idle_timer = None
+        if self.watch_timer is None and not self.closed:
+            self.heard = asyncio.get_running_loop().time()
+            self._watch_in(self.fleet.quiet())
+
+    def _watch_in(self, wait: float) -> None:
+        loop = asyncio.get_running_loop()
+        self.watch_timer = loop.call_later(wait, self._watch, loop.time() + wait)
+
+    def _watch(self, due: float) -> None:
+        """Guards against a connection that stays open but is of no further use, after a spoilt answer or with
+        one that stopped short: it is asked, and closed if no answer comes, so that its attempts end."""
+        now, self.watch_timer = asyncio.get_running_loop().time(), None
+        if self.closed or not self.streams:
+            return
+        quiet = self.fleet.quiet()
+        if not self.up or now - due > OVERSLEPT:
+            self._watch_in(ASKED)
+        elif self.check is not None and self.check in self.probes:
+            self.fleet.spoilt()
+            self.close("no answer to the question whether it still answers")
+        elif now - self.heard < quiet:
+            self._watch_in(self.heard + quiet - now)
+        else:
+            self.fleet.counters["links_checked"] += 1
+            self.check = self.fleet.tag()
+            self.probes[self.check] = lambda result, report: None
+            self.put(b"there", self.check)
+            self._watch_in(ASKED)
 
     def _rest(self) -> None:
         """With nothing left to carry it is closed before the engine would: a `want` that crossed an idle
         close could not be told from one that ran."""
         if not self.streams and not self.closed and self.idle_timer is None:
+            if self.watch_timer is not None:
+                self.watch_timer.cancel()
+                self.watch_timer = None
             loop = asyncio.get_running_loop()
             wait = 0.0 if self.retired else self.fleet.limits.idle * USED
             self.idle_timer = loop.call_later(wait, self.close, "idle")
@@ -218,23 +307,31 @@
             if self.streams:
                 self.fleet.counters["links_lost"] += 1
                 say("link", f"engine {self.engine.number:08x}: {why}, {self.streams} open")
-            self.task.cancel()
+            if asyncio.current_task() is not self.task:  # else it has yet to end its attempts
+                self.task.cancel()
 
     async def _run(self) -> None:
         """Connects, then reads until the connection ends; whatever happens, each attempt gets its ending."""
         why = "closed"
         try:
             why = await self._connect() or await self._read()
-        except (OSError, hiredis.HiredisError, ValueError) as error:
-            why = f"{type(error).__name__}: {error}"
+        except OSError as error:
+            why = type(error).__name__
+        except (hiredis.HiredisError, ValueError) as error:
+            self.fleet.spoilt()
+            why = f"{type(error).__name__}: {str(error)[:80]}"
         finally:
             self.close(why)
             self.engine.links.remove(self)
-            self._busy()
+            for timer in (self.idle_timer, self.watch_timer):
+                if timer is not None:
+                    timer.cancel()
             try:
                 await self.outbox.close()
             finally:
                 self.sock.close()
+                if self.up and self.attempts:  # the engine hears of the end before anyone tries again
+                    await asyncio.sleep(SETTLE)
                 for attempt in list(self.attempts.values()):
                     attempt.end(attempt.lost())
                 result = Result.RESET if self.up else Result.CONNECT_FAILED
@@ -262,60 +359,60 @@
         return None
 
     async def _read(self) -> str:
-        loop, buffer, reader, held = asyncio.get_running_loop(), bytearray(32768), hiredis.Reader(), 0
+        loop, buffer, reader = asyncio.get_running_loop(), bytearray(RECEIVE), hiredis.Reader()
         while True:
             size = await loop.sock_recv_into(self.sock, buffer)
             if size == 0:
                 return "closed by the engine"
-            reader.feed(buffer, 0, size)
-            held += size
-            while (answer := reader.gets()) is not False:
-                held = 0
-                self.take(answer)
-            if held > MOST_ANSWER:  # guards against an answer without end
-                return f"an answer of over {MOST_ANSWER} bytes"
-
-    def take(self, answer: object) -> None:
-        """One answer. Anything but four strings ends the connection."""
-        if not isinstance(answer, list) or len(answer) != 4 or not all(type(w) is bytes for w in answer):
-            raise ValueError(f"not an answer: {str(answer)[:80]}")
+            self.unread += memoryview(buffer)[:size]
+            while end := answer_end(self.unread):
+                reader.feed(self.unread, 0, end)
+                del self.unread[:end]
+                self.heard = loop.time()
+                self.take(reader.gets())
+
+    def take(self, answer: list[bytes]) -> None:
+        """One answer. Raises ValueError on what is spoilt, which ends the connection."""
         tag, word, raw, body = answer
+        if word not in WORDS:
+            raise ValueError("an unknown word")
         fields = fields_of(raw)
         report = report_of(fields, self.fleet.columns)
-        self.fleet.counters["engine_" + word.decode("latin-1")[:12]] += 1
+        self.fleet.counters["engine_" + word.decode()] += 1
         if tag in self.probes:
             self.probe_over(tag, {b"PONG": Result.OK, b"SHED": Result.FULL}.get(word, Result.ERROR), report)
             return
         attempt = self.attempts.get(tag)
         if attempt is None or attempt.message is None or attempt.given_up:
-            # It crossed the word that the request was given up; its pages are no longer wanted.
-            if word == b"HIT" and number(fields.get("sheets")) > 1:
+            # It crossed the word that the request was given up, or is a copy, or under an id of no one's.
+            if word == b"HIT" and attempt is not None and number(fields.get("sheets")) > 1:
                 self.put(b"shut", tag)
         elif word == b"HIT" and not attempt.sheets:
             self._good(attempt, fields, body)
         elif word == b"PART" and attempt.sheets:
-            self._page(attempt, number(fields.get("sheet")), body)
+            self._page(attempt, whole_number(fields.get("sheet"), attempt.sheets - 1), body)
         elif word == b"SHED" and not attempt.sheets:
             attempt.end(Broken(Reach.WRITTEN, Result.FULL, report))
         elif word == b"LATE" and not attempt.sheets:
             attempt.end(Broken(Reach.WRITTEN, Result.MOOT, report))
-        else:  # FAULT, of the query or of a page, or a word that says nothing
+        elif word == b"FAULT":  # of the query or of a page
             reach = Reach.RAN if attempt.sheets else Reach.MAY_HAVE_RUN
             attempt.end(Broken(reach, Result.ERROR, report))
+        # The rest is a second copy, or more than belongs to the answer: the first one holds.
 
     def _good(self, attempt: Attempt, fields: dict[str, str], body: bytes) -> None:
-        attempt.fields, attempt.sheets = fields, max(1, int(number(fields.get("sheets", "1"))))
-        if attempt.sheets > MOST_PAGES:
-            attempt.give_up(Result.ERROR)
-            return
+        attempt.sheets = 1  # from here on it is known to have run
+        attempt.sheets = whole_number(fields.get("sheets"), MOST_PAGES)
+        attempt.fields = fields
         for page in range(1, attempt.sheets):  # all at once: one round trip
             self.put(b"turn", attempt.want.ref, b"%d" % page)
         self._page(attempt, 0, body)
 
-    def _page(self, attempt: Attempt, page: float, body: bytes) -> None:
-        if page in attempt.pages or not 0 <= page < attempt.sheets:
-            return  # asked for nothing like it
-        attempt.pages[int(page)] = body
+    def _page(self, attempt: Attempt, page: int, body: bytes) -> None:
+        if page in attempt.pages:
+            return  # a second copy
+        check_rows(body)
+        attempt.pages[page] = body
         attempt.size += len(body)
         if attempt.size > MOST_RESULT:  # guards the memory against a result without end
             attempt.give_up(Result.ERROR)
@@ -347,17 +444,21 @@
                 link.retire()
         self.state, self.started, self.address = entry.state, entry.started, member.address
 
-    def link(self, ref: bytes, avoid: frozenset[Link] | set[Link]) -> Link | None:
-        """The fullest link with room, so that the others may go idle and close; a new one if none has."""
+    def link(self, ref: bytes, avoid: frozenset[Link] | set[Link], alone: bool = False) -> Link | None:
+        """An idle link, the last one used, so that others may close; else a new one, and with too many of
+        them the one that carries least: a spoilt answer ends all else on its link."""
         fit = [link for link in self.links
-               if not link.closed and not link.retired and link.streams < self.fleet.limits.streams
+               if not (link.closed or link.retired or link.alone or link.check in link.probes)
+               and link.streams < self.fleet.limits.streams
                and ref not in link.attempts and link not in avoid]
-        if fit:
-            return max(fit, key=lambda link: (link.up, link.streams))
-        if self.fleet.count_links() >= self.fleet.most_links:
-            return None
-        self.links.append(Link(self))
-        return self.links[-1]
+        idle = [link for link in fit if link.up and not link.streams]
+        if idle:
+            return max(idle, key=lambda link: link.heard)
+        share = self.fleet.most_links // max(1, len(self.fleet.engines))
+        if (len(self.links) < share or not fit) and self.fleet.count_links() < self.fleet.most_links:
+            self.links.append(Link(self))
+            return self.links[-1]
+        return min(fit, key=lambda link: link.streams) if fit else None
 
 
 class Fleet:
@@ -368,21 +469,37 @@
         self.columns = columns
         self.engines: dict[int, Engine] = {}
         self.tags = 0
+        self.spoilt_at = -WARY  # by the loop's clock
+
+    def tag(self) -> bytes:
+        """A name for a probe, under which its answer comes."""
+        self.tags += 1
+        return b"p%d" % self.tags
+
+    def spoilt(self) -> None:
+        self.counters["links_spoilt"] += 1
+        self.spoilt_at = asyncio.get_running_loop().time()
+
+    def quiet(self) -> float:
+        """Asking has a price, so links are asked often only while some were found spoilt."""
+        return QUIET[asyncio.get_running_loop().time() - self.spoilt_at > WARY]
 
     def count_links(self) -> int:
         return sum(len(engine.links) for engine in self.engines.values())
 
     def update(self, change: Change) -> None:
-        seen = set()
+        seen, moved_in = set(), {}
         for member in change.members:
             seen.add(member.entry.engine)
             engine = self.engines.get(member.entry.engine)
             if engine is None:
                 self.engines[member.entry.engine] = Engine(self, member)
+                moved_in[member.address] = member.entry.engine
             else:
                 engine.update(member)
         for number, engine in list(self.engines.items()):
-            if change.whole and number not in seen:
+            # Who has the address of another shares nothing with it: that one has gone, told or not.
+            if (change.whole and number not in seen) or moved_in.get(engine.address, number) != number:
                 engine.state = State.GONE
                 for link in engine.links:
                     link.retire()
@@ -396,7 +513,7 @@
         engine = self.engines.get(number)
         if engine is None or engine.state is not State.READY or want.ttl <= 0:
             attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
-        elif (link := engine.link(want.ref, avoid)) is None:
+        elif (link := engine.link(want.ref, avoid, want.alone)) is None:
             attempt.end(Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED))
         else:
             link.carry(attempt)
@@ -409,8 +526,7 @@
         if link is None:
             told(Result.CONNECT_FAILED, ())
             return
-        self.tags += 1
-        tag = b"p%d" % self.tags
+        tag = self.tag()
         link.ask(tag, told)
         loop = asyncio.get_running_loop()
         loop.call_later(PROBE_TIME, link.probe_over, tag, Result.TIMEOUT)
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -39,6 +39,8 @@
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
 HOMES = 3  # engines among which the gateways spread a group of tables
 LOOKS = 6  # engines looked at for one request: the work must not grow with the fleet
+STRIKES = 2  # errors or resets, with no good answer between, that are a bad sign
+ERRORS = 2  # engines that may answer a request with an error before it is given up
 REST = (1.0, 8.0)  # s of rest after a bad sign: first, and the most it doubles to
 EJECT_SHARE = 0.4  # of the engines rest at most
 LONG = 10.0  # s for which a gap is kept in mind and over which the own usual load is smoothed
@@ -179,6 +181,7 @@
         self.others, self.memory_used = Fading(WINDOW), Fading(WINDOW)  # threads a core; share of the memory
         self.rest, self.rest_until, self.trial = REST[0], 0.0, False
         self.news_at, self.probe_at, self.last_ok = -inf, inf, -inf  # probe_at: inf while none is out
+        self.strikes = 0
         self.cold_level, self.cold_at = -debt, entry.started
 
     def warmth(self, now: float) -> float:
@@ -692,12 +695,16 @@
             self.judge(engine, event)
             if event.result is Result.OK:
                 self.learn(engine, attempt, event)
+            if engine.entry.state is State.GONE and not engine.out:  # else each that was replaced would stay
+                del self.engines[attempt.entry.engine]
         if req.spec.ordered and event.result in api.MAY_RUN_ON:
             self.key_rest[req.ask.key] = self.now + self.settings.order_pause
         if event.final or event.result is Result.OK:
             self.finish(req)
         elif not req.over and not req.out:
             stuck = req.first_run() is not None and req.spec.repeat is Repeat.UNSAFE
+            # Guards the engines against a request that none can use.
+            stuck = stuck or sum(t.done is Result.ERROR for t in req.tries) >= ERRORS
             if stuck or req.streaming or len(req.tries) >= self.settings.try_limit:
                 self.give_up(req)
             else:
@@ -707,11 +714,16 @@
 
     def judge(self, engine: Engine, event: api.Outcome) -> None:
         if event.result is Result.OK:
-            engine.last_ok, engine.trial, engine.rest = self.now, False, REST[0]
+            engine.last_ok, engine.trial, engine.rest, engine.strikes = self.now, False, REST[0], 0
         elif event.result is Result.FULL:  # overfull by all gateways together: no fault of its own
             engine.news_at = self.now
             engine.others.add(self.now, OVERFULL)
-        elif event.result in (Result.ERROR, Result.CONNECT_FAILED, Result.RESET):
+        elif event.result in (Result.ERROR, Result.RESET):
+            # One spoilt answer, or a request that no engine can use, says nothing of this one.
+            engine.strikes += 1
+            if engine.strikes >= STRIKES:
+                self.suspect(engine, event.result.value)
+        elif event.result is Result.CONNECT_FAILED:
             self.suspect(engine, event.result.value)
 
     def learn(self, engine: Engine, attempt: Attempt, event: api.Outcome) -> None:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -4,6 +4,7 @@
 import struct
 from pathlib import Path
 
+import hiredis
 import msgpack
 import pytest
 from hypothesis import given
@@ -101,6 +102,32 @@
     assert query.client_retry and query.cls == 2 and query.arrived == 9.0
 
 
+ANSWERS = engine.command(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n") + engine.command(b"b", b"SHED", b"-", b"")
+
+
+@given(st.lists(st.integers(0, len(ANSWERS))))
+def test_answers_in_any_cut_end_where_they_end(cuts):
+    data, ends, at = bytearray(), [], [0, *sorted(cuts), len(ANSWERS)]
+    for start, stop in zip(at, at[1:]):
+        data += ANSWERS[start:stop]
+        while end := engine.answer_end(data):
+            ends.append(bytes(data[:end]))
+            del data[:end]
+    assert b"".join(ends) == ANSWERS and len(ends) == 2
+
+
+@given(st.integers(0, len(ANSWERS) - 1), st.binary(min_size=1, max_size=30))
+def test_a_garbled_answer_is_an_error_or_not_whole_or_one_that_the_parser_reads(at, noise):
+    data = bytearray(ANSWERS[:at] + noise + ANSWERS[at:])
+    try:
+        end = engine.answer_end(data)
+    except ValueError:
+        return
+    reader = hiredis.Reader()
+    reader.feed(bytes(data[:end]))
+    assert not end or [type(word) for word in reader.gets()] == [bytes] * 4
+
+
 @given(st.binary(max_size=80))
 def test_engine_fields_never_raise(raw):
     fields = engine.fields_of(raw)
