--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -39,7 +39,7 @@
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
 HOMES = 3  # engines among which the gateways spread a group of tables
 LOOKS = 6  # engines looked at for one request: the work must not grow with the fleet
-STRIKES = 2  # errors or resets, with no good answer between, that are a bad sign
+STRIKES = 2  # resets, or errors of what is not tried elsewhere, with no good answer between: a bad sign
 ERRORS = 2  # engines that may answer a request with an error before it is given up
 REST = (1.0, 8.0)  # s of rest after a bad sign: first, and the most it doubles to
 EJECT_SHARE = 0.4  # of the engines rest at most
@@ -138,6 +138,7 @@
         self.req, self.index, self.entry, self.at, self.grant = req, len(req.tries), engine.entry, now, grant
         self.clock = now  # from when its age counts; moves on by the gateway's own gaps
         self.done, self.cut, self.told_trouble = None, False, False  # done: its result
+        self.blamed = False  # its engine rests for it
 
 
 class Held:
@@ -692,7 +693,7 @@
             engine.grant = max(0.0, engine.grant - attempt.grant) if engine.out else 0.0
             if event.report:
                 self.take_report(engine, event.report)
-            self.judge(engine, event)
+            self.judge(engine, attempt, event)
             if event.result is Result.OK:
                 self.learn(engine, attempt, event)
             if engine.entry.state is State.GONE and not engine.out:  # else each that was replaced would stay
@@ -712,19 +713,27 @@
         if req.over and not req.out:
             self.forget(req)
 
-    def judge(self, engine: Engine, event: api.Outcome) -> None:
+    def judge(self, engine: Engine, attempt: Attempt, event: api.Outcome) -> None:
         if event.result is Result.OK:
             engine.last_ok, engine.trial, engine.rest, engine.strikes = self.now, False, REST[0], 0
         elif event.result is Result.FULL:  # overfull by all gateways together: no fault of its own
             engine.news_at = self.now
             engine.others.add(self.now, OVERFULL)
+        elif event.result is Result.CONNECT_FAILED:
+            self.suspect(engine, event.result.value)
         elif event.result in (Result.ERROR, Result.RESET):
-            # One spoilt answer, or a request that no engine can use, says nothing of this one.
             engine.strikes += 1
-            if engine.strikes >= STRIKES:
+            earlier = next((t for t in attempt.req.tries[:-1] if t.done is Result.ERROR), None)
+            if event.result is Result.ERROR and earlier:
+                self.pardon(earlier)  # no engine can use this request: that says nothing of them
+            elif engine.strikes >= STRIKES or (event.result is Result.ERROR and self.repeatable(attempt.req)):
                 self.suspect(engine, event.result.value)
-        elif event.result is Result.CONNECT_FAILED:
-            self.suspect(engine, event.result.value)
+                attempt.blamed = True
+
+    def pardon(self, attempt: Attempt) -> None:
+        engine = self.engines.get(attempt.entry.engine)
+        if engine and attempt.blamed and engine.strikes <= 1:
+            engine.rest_until, engine.rest, engine.trial, engine.strikes = 0.0, REST[0], False, 0
 
     def learn(self, engine: Engine, attempt: Attempt, event: api.Outcome) -> None:
         req, stats = attempt.req, self.stats[attempt.req.ask.cls]
