--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -39,7 +39,7 @@
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
 HOMES = 3  # engines among which the gateways spread a group of tables
 LOOKS = 6  # engines looked at for one request: the work must not grow with the fleet
-STRIKES = 2  # resets, or errors of what is not tried elsewhere, with no good answer between: a bad sign
+STRIKES = 2  # resets, with no good answer between, that are a bad sign
 ERRORS = 2  # engines that may answer a request with an error before it is given up
 REST = (1.0, 8.0)  # s of rest after a bad sign: first, and the most it doubles to
 EJECT_SHARE = 0.4  # of the engines rest at most
@@ -726,7 +726,7 @@
             earlier = next((t for t in attempt.req.tries[:-1] if t.done is Result.ERROR), None)
             if event.result is Result.ERROR and earlier:
                 self.pardon(earlier)  # no engine can use this request: that says nothing of them
-            elif engine.strikes >= STRIKES or (event.result is Result.ERROR and self.repeatable(attempt.req)):
+            elif event.result is Result.ERROR or engine.strikes >= STRIKES:
                 self.suspect(engine, event.result.value)
                 attempt.blamed = True
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -197,16 +197,15 @@
     assert homes.count(bad) == 1
 
 
-@pytest.mark.parametrize("result, repeat", [(R.ERROR, api.Repeat.UNSAFE), (R.RESET, api.Repeat.SAFE)])
-def test_one_spoilt_answer_rests_no_engine_but_two_in_a_row_do(result, repeat):
-    """Peers spoil answers of any engine, and bad requests draw errors: each rested a sound engine."""
-    d = Driver(engines=4, classes=(replace(LOOKUP, repeat=repeat),))
+def test_one_reset_rests_no_engine_but_two_in_a_row_do():
+    """Peers spoil answers and reset links of any engine: each rested a sound one."""
+    d = Driver(engines=4)
     first, second, third, fourth = (of(api.Send, d.ask(tables=1.0, work=0.05)[1])[0] for _ in range(4))
-    d.end(first, result)
+    d.end(first, R.RESET)
     d.end(second)
-    d.end(third, result)
+    d.end(third, R.RESET)
     assert d.gateway.engines[first.engine].rest_until <= d.now
-    d.end(fourth, result)
+    d.end(fourth, R.RESET)
     assert d.gateway.engines[first.engine].rest_until > d.now
 
 
