Answer all that is open before SIGKILL comes at a planned restart, and decide with that time

Requests after SIGTERM are now told the time there is, and what is open at the end gets its answer. Refusals of the broker's own carry advice where the settings allow it, as the module's do. Ruled out: idle and slow clients (the wait was for open requests only).

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -22,8 +22,9 @@
 
 BACKLOG = 512
 PAUSE = 0.01  # s of garbage collection from which it is logged
-LINGER = 0.75  # s after SIGTERM for which clients may still come; 0.05 s later and a deadline on it is killed
-LAST_WORD = 0.2  # s before that in which all that is open gets its answer
+LINGER = 0.75  # s after SIGTERM for which clients may still come
+STAY = 3.0  # s, or the longest deadline if that is less: this and 0.7 s after SIGTERM it may be killed
+LAST_WORD = 0.3  # s before that at which all that is open gets its answer
 HELD = 0.125  # share of the memory that messages and answers of clients may take
 
 
@@ -94,15 +95,15 @@
             say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
     async def close(self, since: float) -> None:
-        """Answers what came until a moment after SIGTERM, and never stays until it is killed."""
+        """Answers what came until a moment after SIGTERM, and does not stay until it is killed."""
         loop = asyncio.get_running_loop()
-        longest = max(3.0, *(spec.deadline for spec in self.config.settings.classes))
+        last = min(STAY, max(spec.deadline for spec in self.config.settings.classes)) + 0.7 - LAST_WORD
+        self.broker.until = self.driver.now() + last  # what comes now is decided on with the time there is
         await asyncio.sleep(since + LINGER - loop.time())
-        while self.busy() and loop.time() < since + LINGER + longest - LAST_WORD:
+        while self.busy() and loop.time() < since + last:
             await asyncio.sleep(0.02)
-        self.broker.expire()  # guards against being killed with requests open
-        patience = loop.time() + LAST_WORD / 2
-        while self.busy() and loop.time() < patience:
+        self.broker.expire()
+        while self.busy() and loop.time() < since + last + LAST_WORD / 2:
             await asyncio.sleep(0.01)
 
     def busy(self) -> bool:
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from math import inf
 
 from .. import interface as api
 from .counters import Counters
@@ -58,6 +59,9 @@
     def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
         self.lives: set[Life] = set()
+        self.until = inf  # by the driver's clock: at the end of the program, when it stops
+        # What a refusal of the broker's own advises.
+        self.advice = settings.max_retry_after if settings.retry_after else 0.0
 
     def expire(self) -> None:
         """What is still open is answered now."""
@@ -67,12 +71,12 @@
     async def serve(self, query: Query) -> Answer:
         """Query in, one answer out; cancelled when the client has gone."""
         if len(self.driver.routes) >= self.settings.max_open:
-            return Refused(self.settings.max_retry_after)
+            return Refused(self.advice)
         if query.arrived + query.allow - self.driver.now() <= SPARE:
             # Guards against answers that come too late: told of no patience at all, the module
             # refuses too, but a batch later.
             self.counters["no_patience"] += 1
-            return Refused(self.settings.max_retry_after)
+            return Refused(self.advice)
         life = Life(self, query)
         self.lives.add(life)
         guard = asyncio.get_running_loop().call_later(
@@ -89,7 +93,7 @@
     """What one request holds while it lasts: its number, its inbox and the attempt that is out."""
 
     def __init__(self, broker: Broker, query: Query):
-        self.query, self.driver, self.fleet = query, broker.driver, broker.fleet
+        self.query, self.broker, self.driver, self.fleet = query, broker, broker.driver, broker.fleet
         self.counters = broker.counters
         self.spec = broker.settings.classes[query.cls]
         self.inbox: asyncio.Queue[api.Action | Ending | Overdue] = asyncio.Queue()
@@ -100,7 +104,7 @@
         self.avoid: set[Link] = set()  # that carried an attempt
 
     def left(self) -> float:
-        return self.query.arrived + self.query.allow - self.driver.now()
+        return min(self.query.arrived + self.query.allow, self.broker.until) - self.driver.now()
 
     async def run(self) -> Answer:
         query = self.query
@@ -164,7 +168,7 @@
     def last_answer(self) -> Answer:
         """Without a word from the module: refusing is harmless only if nothing can have run."""
         ran = self.may_have_run or (self.out is not None and self.out.message is not None)
-        return Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else Refused(0.0)
+        return Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else Refused(self.broker.advice)
 
     def close(self) -> None:
         """The answer is out, or no longer owed: what is still out is given up, and the module hears of it."""
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -150,7 +150,7 @@
     """A client's retry may come with a few milliseconds; its answer must not wait behind a busy module."""
 
     async def main():
-        settings = api.Settings(classes=(api.ClassSpec("lookup"),), kinds=(api.KindSpec("k"),))
+        settings = api.Settings((api.ClassSpec("lookup"),), (api.KindSpec("k"),), retry_after=True)
         driver = Driver(Module(), None, Counters())
         query = broker.Query(b"1", 0, b"", driver.now(), 0.005)
         return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -108,6 +108,19 @@
     assert node.stop()["answered_served"] == 31 and node.process.returncode == 0
 
 
+def test_what_is_still_open_is_answered_before_a_planned_restart_kills(node):
+    """The longest patience is 25 s here, but SIGKILL comes 3.7 s after SIGTERM: what was open was lost."""
+    client = Client(node)
+    client.ask(1, "load", OPEN, "insert hang into air_1.x", allow="25000", lookup="1")
+    client.ask(2, "lookup", "2" * 16, "select hang from air_1.x", allow="5000")
+    while not node.words(OPEN):
+        pass
+    node.process.send_signal(signal.SIGTERM)
+    answers = {answer[1]: answer[2] for answer in (client.read(), client.read())}
+    assert answers == {1: ["Error", {}], 2: ["Full", {"cooldown": "500"}]}
+    assert node.process.wait(15) == 0
+
+
 class ToyFeed:
     """Tells nothing, and keeps what it was asked from, and until when."""
 
