Leave a gap between requests of one key, so that none overtakes the answer before it

Now the next of a key leaves 20 ms after any end of the one before it. Ruled out: late reading (no stall in the logs), the links (the reset attempt had ended by then).

--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -95,6 +95,7 @@
     fall: float = 1.5
     fall_multiple: float = 2.0
     order_pause: float = 0.0
+    order_gap: float = 0.0  # from any end of a request to the next of its key, while its answer leaves
     budget_share: float | None = None  # None: further attempts are not rationed
     budget_free: float = 0.0
     budget_span: float = 5.0
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -6,7 +6,7 @@
 import os
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import isfinite
 
 from .. import interface as api
@@ -15,6 +15,8 @@
 
 Address = tuple[str, int]
 
+ORDER_GAP = 0.02  # s: answers and attempts leave on different sockets, which keep no order between them
+
 
 class ConfigError(ValueError):
     """Something is missing or makes no sense; the text names its key."""
@@ -88,7 +90,7 @@
         raise ConfigError("BALANCER_CONFIG: an object is needed at the top")
     told = _section(raw, "settings")
     try:
-        settings = wire.settings("\n".join(flatten(told)))
+        settings = replace(wire.settings("\n".join(flatten(told))), order_gap=ORDER_GAP)
     except api.SettingsError as error:
         raise ConfigError(f"settings.{error}") from None
     limits = _section(told, "limits")
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -660,6 +660,10 @@
 
     def forget(self, req: Held) -> None:
         self.held.pop(req.ask.request, None)
+        if req.spec.ordered and req.ask.key and self.settings.order_gap:
+            # The next of its key waits until this one's answer is out: in the same batch, it overtook that.
+            rest = self.now + self.settings.order_gap
+            self.key_rest[req.ask.key] = max(self.key_rest.get(req.ask.key, -inf), rest)
         self.trim_turns(req.ask.key)
 
     def on_gone(self, event: api.ClientGone) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -228,6 +228,16 @@
     assert send.engine not in d.gateway.engines and len(d.gateway.engines) == 1
 
 
+@pytest.mark.parametrize("result", [R.OK, R.RESET, R.ERROR])
+def test_the_next_of_a_key_waits_until_the_answer_before_it_is_out(result):
+    """Both in one batch, the engine had the next request before the client had the answer."""
+    d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True),), order_gap=0.02)
+    first = of(api.Send, d.ask(key=7)[1])[0]
+    second, actions = d.ask(key=7)
+    assert not of(api.Send, actions + d.end(first, result))
+    assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
+
+
 def test_rests_are_capped_when_all_fail():
     d = Driver(engines=5)
     for group in range(60):
