--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -44,7 +44,7 @@
 REST = (1.0, 8.0)  # s of rest after a bad sign: first, and the most it doubles to
 EJECT_SHARE = 0.4  # of the engines rest at most
 LONG = 10.0  # s for which a gap is kept in mind and over which the own usual load is smoothed
-CUT_LEAST = 0.6  # s before any cut
+CUT_LEAST = 0.6  # of the shortest aim: before any cut; a lost answer is asked for again within the aim
 COLD_SAFETY = 0.34  # share of multiple x cores that is used: cores are slower than told, estimates err
 COLD_SINGLE = 0.4  # share of all gateways' budget of a window that one query may take
 LINE_LOOKS = 24  # requests of the line tried at one event
@@ -261,6 +261,7 @@
         self.turns: dict[int, deque] = {}  # key -> requests in order of arrival
         self.key_rest: dict[int, float] = {}
         self.flagger = Flagger()
+        self.cut_least = CUT_LEAST * min(c.aim for c in settings.classes)  # s
         self.taken, self.further = deque(), deque()  # times, for the attempt budget
         self.tokens = [[0.0, -inf] for _ in settings.tenants]
         self.worth, self.work = Mean(1.0), Mean(1.0)  # of a request
@@ -636,7 +637,7 @@
     def overdue(self, attempt: Attempt) -> float:
         """Guards against restarts that only waste work: wider where run times scatter, and at each try."""
         times = 2**attempt.index * exp(SCATTER * self.stats[attempt.req.ask.cls].scatter.value)
-        return max(CUT_LEAST, OVERRUN * times * self.expected(attempt))
+        return max(self.cut_least, OVERRUN * times * self.expected(attempt))
 
     def give_up(self, req: Held) -> None:
         """The one final answer of ours; at once, with a hint when to come back."""
@@ -766,7 +767,8 @@
             attempt.told_trouble, self.last_trouble = True, self.now
         elif event.kind is api.NoteKind.PROGRESS and event.value > 0.001:
             # A bad plan shows in its pace long before it is overdue; also holds against a starved attempt.
-            if (self.now - attempt.clock) / event.value > max(CUT_LEAST, OVERRUN * self.expected(attempt)):
+            most = max(self.cut_least, OVERRUN * self.expected(attempt))
+            if (self.now - attempt.clock) / event.value > most:
                 self.cut(attempt)
 
     def suspect(self, engine: Engine, why: str) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -238,6 +238,19 @@
     assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
 
 
+def test_a_lost_answer_is_asked_for_again_within_the_aim_at_any_pace():
+    """Where aims are scaled down, a fixed least time before a cut was longer than the aim."""
+    for scale in (1.0, 0.3):
+        d = Driver(classes=(replace(LOOKUP, aim=scale, deadline=5 * scale),))
+        for _ in range(60):
+            send = of(api.Send, d.ask(work=0.1 * scale)[1])[0]
+            d.run(0.1 * scale)
+            d.end(send, work=0.1 * scale)
+        lost = of(api.Send, d.ask(work=0.1 * scale)[1])[0]
+        cuts = [action for action in d.run(0.75 * scale) if isinstance(action, api.Cancel)]
+        assert [cut.request for cut in cuts] == [lost.request]
+
+
 def test_rests_are_capped_when_all_fail():
     d = Driver(engines=5)
     for group in range(60):
