--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -15,7 +15,7 @@
 
 Address = tuple[str, int]
 
-ORDER_GAP = 0.02  # s: answers and attempts leave on different sockets, which keep no order between them
+ORDER_GAP = 0.1  # s in which a client has its last row: attempts leave on other sockets, in no order with that
 
 
 class ConfigError(ValueError):
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -175,8 +175,8 @@
             return Broken(Reach.RAN, Result.RESET)
         if self.message is not None and self.message.begun:
             return Broken(Reach.MAY_HAVE_RUN, Result.RESET)
-        # A connection that came up and was reset before the request was written says nothing of the engine.
-        return Broken(Reach.NEVER_SENT, Result.MOOT if self.link.up else Result.CONNECT_FAILED)
+        # A connection that was reset before the request was written says nothing of the engine.
+        return Broken(Reach.NEVER_SENT, Result.MOOT if self.link.shaken else Result.CONNECT_FAILED)
 
     def hurry(self, urgency: int) -> None:
         if not (self.over or self.given_up or self.sheets) and self.message is not None:
@@ -208,6 +208,7 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.outbox = Outbox(self.sock, STALL, self.close)
         self.up = self.closed = self.retired = False
+        self.shaken = False  # someone was there: it came up, or was reset as it did
         self.unread = bytearray()  # of an answer that is not whole
         self.heard = 0.0  # when the last whole answer came, or the first attempt after a rest went out
         self.alone = False  # carries an attempt that must not run twice, and takes nothing beside it
@@ -334,7 +335,7 @@
                     await asyncio.sleep(SETTLE)
                 for attempt in list(self.attempts.values()):
                     attempt.end(attempt.lost())
-                result = Result.RESET if self.up else Result.CONNECT_FAILED
+                result = Result.RESET if self.shaken else Result.CONNECT_FAILED
                 for tag in list(self.probes):
                     self.probe_over(tag, result)
 
@@ -346,7 +347,10 @@
                 await asyncio.get_running_loop().sock_connect(self.sock, self.engine.address)
         except TimeoutError:
             return "no connection in time"
-        self.up = True
+        except ConnectionResetError:
+            self.shaken = True
+            raise
+        self.up = self.shaken = True
         self.fleet.counters["links_opened"] += 1
         for attempt in list(self.attempts.values()):
             if self.engine.state is State.READY:
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -39,7 +39,7 @@
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
 HOMES = 3  # engines among which the gateways spread a group of tables
 LOOKS = 6  # engines looked at for one request: the work must not grow with the fleet
-STRIKES = 2  # resets, with no good answer between, that are a bad sign
+STRIKES = 3  # resets, with no good answer between, that are a bad sign
 ERRORS = 2  # engines that may answer a request with an error before it is given up
 REST = (1.0, 8.0)  # s of rest after a bad sign: first, and the most it doubles to
 EJECT_SHARE = 0.4  # of the engines rest at most
@@ -404,7 +404,9 @@
             if event.result in (Result.OK, Result.FULL):  # full: too many probes there, no news and no fault
                 self.take_report(engine, event.report)
             else:
-                self.suspect(engine, f"probe: {event.result.value}")
+                engine.strikes += 1
+                if event.result is not Result.RESET or engine.strikes >= STRIKES:
+                    self.suspect(engine, f"probe: {event.result.value}")
 
     def on_request(self, ask: api.Request) -> None:
         if ask.request in self.held or not 0 <= ask.cls < len(self.stats):
@@ -727,7 +729,7 @@
         elif event.result is Result.CONNECT_FAILED:
             self.suspect(engine, event.result.value)
         elif event.result in (Result.ERROR, Result.RESET):
-            engine.strikes += 1
+            engine.strikes += 1  # a network that resets a connection says little: a dead process resets many
             earlier = next((t for t in attempt.req.tries[:-1] if t.done is Result.ERROR), None)
             if event.result is Result.ERROR and earlier:
                 self.pardon(earlier)  # no engine can use this request: that says nothing of them
