--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -15,7 +15,7 @@
 
 Address = tuple[str, int]
 
-ORDER_GAP = 0.1  # s in which a client has its last row: attempts leave on other sockets, in no order with that
+ORDER_GAP = 0.1  # s in which a client has its last row: attempts leave on other sockets, in no set order
 
 
 class ConfigError(ValueError):
