Keep the order of a key: wait for the answer's write, and guess no order after a standstill

Ruled out: pauses before reading after bad requests (no keyed request came on such a connection). The second picture, a process that stands still and then reads socket by socket, is caused in a test by stopping the process: the old program sent the later request first.

The module now hears when an answer was written whole (Answered) and holds its key until then and for a gap of 0.25 s plus twice the lateness seen. Ticks tell when the loop stood still: keyed requests then wait until all sockets were read, and one that may have come before another of its key is refused.

--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -95,7 +95,7 @@
     fall: float = 1.5
     fall_multiple: float = 2.0
     order_pause: float = 0.0
-    order_gap: float = 0.0  # from any end of a request to the next of its key, while its answer leaves
+    order_gap: float = 0.0  # from any end of a request to the next of its key, after its `Answered`
     budget_share: float | None = None  # None: further attempts are not rationed
     budget_free: float = 0.0
     budget_span: float = 5.0
@@ -183,6 +183,16 @@
     memory_mb: float = 0.0  # estimated; 0: none
     tables: float = 0.0
     client_retry: bool = False
+    unsure: bool = False  # it may have come before one of its key that was told earlier
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The final answer has left whole, or no one is there to read it; for the settings' `order_gap` only."""
+
+    request: int
+    key: int
+    rest: float  # s from now until its client surely has it
 
 
 @dataclass(frozen=True)
@@ -246,7 +256,8 @@
     body: bytes = field(default=b"")
 
 
-Event = EngineList | Request | Outcome | Started | Note | ProbeResult | Timer | ClientGone | PeerMessage
+Event = (EngineList | Request | Outcome | Started | Note | ProbeResult | Timer | ClientGone | PeerMessage
+         | Answered)
 
 
 # --- actions ------------------------------------------------------------------------------------------------
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -120,6 +120,7 @@
         loop.add_signal_handler(number, node.leaving.set)
     node.learn(config.known)
     node.feed.move(config.feed)
+    node.driver.tick()
     accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
@@ -134,5 +135,6 @@
         await node.close(loop.time())
     finally:
         accepting.cancel()
+        node.driver.stop()
         node.feed.move(None)
         node.counters.show()
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -18,7 +18,7 @@
 LAST = 0.015  # s before the client gives up at which the answer is ours, should the module still owe it
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False)
 class Query:
     ref: bytes
     cls: int
@@ -31,6 +31,7 @@
     memory_mb: float = 0.0  # estimated
     tables: float = 0.0
     client_retry: bool = False
+    unsure: bool = False  # whether it came behind the others of its key
 
 
 @dataclass(frozen=True)
@@ -59,6 +60,7 @@
     def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
         self.lives: set[Life] = set()
+        self.unread: dict[Query, int] = {}  # keyed requests and their numbers, until their answers have left
         self.until = inf  # by the driver's clock: at the end of the program, when it stops
         # What a refusal of the broker's own advises.
         self.advice = settings.max_retry_after if settings.retry_after else 0.0
@@ -70,6 +72,8 @@
 
     async def serve(self, query: Query) -> Answer:
         """Query in, one answer out; cancelled when the client has gone."""
+        if query.key:
+            await self.driver.current.wait()
         if len(self.driver.routes) >= self.settings.max_open:
             return Refused(self.advice)
         if query.arrived + query.allow - self.driver.now() <= SPARE:
@@ -79,6 +83,8 @@
             return Refused(self.advice)
         life = Life(self, query)
         self.lives.add(life)
+        if query.key:
+            self.unread[query] = life.number
         guard = asyncio.get_running_loop().call_later(
             max(0.0, life.left() - LAST), life.inbox.put_nowait, Overdue())
         try:
@@ -89,6 +95,13 @@
             life.close()
 
 
+    def answered(self, query: Query) -> None:
+        """Each front tells this once for each query: its answer has left whole, or can reach no one."""
+        number = self.unread.pop(query, None)
+        if number is not None:
+            self.driver.post(api.Answered(number, query.key, self.driver.gap()))
+
+
 class Life:
     """What one request holds while it lasts: its number, its inbox and the attempt that is out."""
 
@@ -111,7 +124,7 @@
         patience = max(0.0, self.left() - SPARE - self.driver.delay())
         self.driver.post(api.Request(
             self.number, query.cls, query.tenant, query.key, patience, query.work,
-            query.memory_mb, query.tables, query.client_retry))
+            query.memory_mb, query.tables, query.client_retry, query.unsure))
         while True:
             match await self.inbox.get():
                 case api.Terms(priority=urgency):
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -10,6 +10,7 @@
 
 from .. import interface as api
 from ..policy import Gateway
+from .arrivals import TICK, Arrivals, Source
 from .counters import Counters
 from .engine import Fleet
 from .log import say
@@ -20,6 +21,9 @@
 LAG_SPAN = 3.0  # s over which a late loop is kept in mind
 STALLED = 0.03  # s late from which it is logged
 LAG_MOST = 0.1  # s of it that are taken off a client's patience
+# From the write of an answer to the next attempt of its key: no less, no more, and how often lateness counts.
+GAP = (0.25, 1.0)  # s
+LATE_TIMES = 2.0
 
 ForRequest = api.Send | api.Terms | api.Refuse | api.Fail | api.Cancel
 
@@ -37,6 +41,12 @@
         self.due = 0.0  # of the batch, by the loop's clock
         self.pace = PACE
         self.lag, self.lag_at = 0.0, 0.0  # how late batches ran lately
+        self.slow, self.slow_at = 0.0, 0.0  # how long peers took to answer a question lately
+        self.arrivals, self.current = Arrivals(), asyncio.Event()
+        self.current.set()
+        # The sockets that requests come by: each tells its source, and whether there is something to read.
+        self.inlets: list[Callable[[], list[tuple[Source, bool]]]] = []
+        self.ticker: asyncio.TimerHandle | None = None
 
     def now(self) -> float:
         """The system's Unix clock, which engines' starts are told by; a step back is not passed on."""
@@ -67,6 +77,27 @@
         """How long a message may have waited unread: a loop that runs late reads late."""
         return min(LAG_MOST, self.lag * exp((self.lag_at - self.latest) / LAG_SPAN))
 
+    def gap(self) -> float:
+        """s from the write of an answer until its client surely has it: who shares the machine with a loop
+        that runs late, or peers that answer late, may read as late."""
+        slow = self.slow * exp((self.slow_at - self.latest) / LAG_SPAN)
+        return min(GAP[1], GAP[0] + LATE_TIMES * max(self.delay(), slow))
+
+    def tick(self) -> None:
+        """Guards the order of keys: after a loop that stood still they wait until the rest is read."""
+        arrivals, now = self.arrivals, self.now()
+        self.ticker = asyncio.get_running_loop().call_later(TICK, self.tick)
+        if arrivals.ticked(now):
+            self.counters["stood_still"] += 1
+            self.current.clear()
+        elif arrivals.behind and arrivals.caught_up(
+                all(arrivals.settled(*one) for inlet in self.inlets for one in inlet()), now):
+            self.current.set()
+
+    def stop(self) -> None:
+        if self.ticker is not None:
+            self.ticker.cancel()
+
     def _flush(self) -> None:
         events, self.waiting = self.waiting, []
         loop = asyncio.get_running_loop()
@@ -109,6 +140,9 @@
         asked = self.now()
 
         def told(result: api.Result, report: tuple) -> None:
-            self.post(api.ProbeResult(engine, result, self.now() - asked, report))
+            took = self.now() - asked
+            if result is api.Result.OK and took >= self.slow * exp((self.slow_at - self.latest) / LAG_SPAN):
+                self.slow, self.slow_at = took, self.latest
+            self.post(api.ProbeResult(engine, result, took, report))
 
         self.fleet.probe(engine, told)
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import re
+import select
 import socket
+from dataclasses import replace
 from math import ceil, nan
 
 import msgpack
 
 from .. import interface as api
+from .arrivals import Source
 from .broker import Broker, Failed, Query, Refused, Served
 from .counters import Counters
 from .driver import Driver
@@ -114,6 +117,9 @@
         self.ready = False  # what a probe is told
         self.refs: set[bytes] = set()  # of the requests without an answer
         self.held = 0  # bytes
+        self.source = Source()  # the listener's
+        self.listener: socket.socket | None = None
+        driver.inlets.append(self.inlet)
 
     @property
     def open(self) -> int:
@@ -121,8 +127,9 @@
         return len(self.refs)
 
     async def accept(self, listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
+        loop, arrivals, self.listener = asyncio.get_running_loop(), self.driver.arrivals, listener
         while True:
+            asked = self.driver.now()
             while len(self.connections) >= self.most and not (self.silent or self.idle):
                 self.room.clear()  # all are owed an answer: the rest waits in the system's queue
                 await self.room.wait()
@@ -135,10 +142,23 @@
             self.counters["connections"] += 1
             if len(self.connections) >= self.most:
                 self.make_room(loop.time())
-            connection = Connection(self, sock)
+            # There may be more in the system's queue, unless this one was waited for.
+            waited = asked <= arrivals.polled
+            connection = Connection(self, sock, self.source.read(asked, arrivals.polled, waited))
             self.silent[connection] = loop.time()
             self.connections[connection] = asyncio.create_task(connection.run())
 
+    def inlet(self) -> list[tuple[Source, bool]]:
+        """The sockets, and whether there is something to read."""
+        sources = {one.sock.fileno(): one.source for one in self.connections}
+        if self.listener is not None:
+            sources[self.listener.fileno()] = self.source
+        sources.pop(-1, None)  # one that is being closed
+        poll = select.poll()
+        for number in sources:
+            poll.register(number, select.POLLIN)
+        return [(sources[number], True) for number, _ in poll.poll(0)]
+
     def make_room(self, now: float) -> None:
         """Closes a connection that is owed nothing. Guards against clients that stay for good after one
         request, and against crowds that say nothing: behind them, requests of others were not even read."""
@@ -172,8 +192,10 @@
 
 
 class Connection:
-    def __init__(self, front: Front, sock: socket.socket):
+    def __init__(self, front: Front, sock: socket.socket, since: float):
         self.front, self.sock, self.counters = front, sock, front.counters
+        self.source, self.since = Source(since), since  # since: of what was read last
+        self.leaving: set[Query] = set()  # keyed ones whose answers are not yet written
         self.outbox = Outbox(sock, STALL, self.stop)
         self.calls: dict[int, tuple[asyncio.Task, Query]] = {}
         self.last = -1  # number of the last call: they count up
@@ -213,6 +235,8 @@
             finally:
                 self.front.held -= self.outbox.size + self.unread
                 self.sock.close()
+                for query in list(self.leaving):
+                    self.left(query)
                 self.front.closed(self)
 
     def _give_up(self) -> None:
@@ -241,12 +265,14 @@
                                     max_array_len=64, max_map_len=64)
         fed, due = 0, loop.time() + UNFINISHED
         while True:
+            asked = self.front.driver.now()
             # Guards against clients that say nothing, or never end what they say.
             async with asyncio.timeout_at(due):
                 size = await loop.sock_recv_into(self.sock, buffer)
             if not size:
                 return
             now = self.front.driver.now()
+            self.since = self.source.read(asked, self.front.driver.arrivals.polled, size < RECEIVE)
             fed += size
             unpacker.feed(memoryview(buffer)[:size])
             taken = 0
@@ -309,11 +335,14 @@
             say("request", str(error))
             self.send(reply(number, ["Error", {}], None))
             return
+        if query.key and not front.driver.arrivals.sure(query.key, self.source, self.since, now):
+            self.counters["unsure_order"] += 1
+            query = replace(query, unsure=True)
         self.counters["taken_" + method] += 1
         front.refs.add(query.ref)
         task = asyncio.create_task(self.serve(number, query))
         # Guards against leaks: a task that is cancelled before its first step runs no `finally`.
-        task.add_done_callback(lambda task: self.ended(number, task))
+        task.add_done_callback(lambda task: self.ended(number, task, query))
         self.calls[number] = task, query
         front.hold(len(query.statement))
 
@@ -325,10 +354,12 @@
             say("broker", f"{type(error).__name__}: {error}")
             answer = Failed()
         self.release(number)
-        self.answer(number, answer)
+        self.answer(number, answer, query)
 
-    def ended(self, number: int, task: asyncio.Task) -> None:
+    def ended(self, number: int, task: asyncio.Task, query: Query) -> None:
         self.counters["clients_gone"] += task.cancelled()
+        if query not in self.leaving:  # no answer is on its way
+            self.front.broker.answered(query)
         self.release(number)
 
     def release(self, number: int) -> None:
@@ -339,23 +370,31 @@
             self.front.held -= len(call[1].statement)
             self.front.rests(self)
 
-    def answer(self, number: int, answer: Served | Refused | Failed) -> None:
+    def answer(self, number: int, answer: Served | Refused | Failed, query: Query) -> None:
         self.counters["answered_" + type(answer).__name__.lower()] += 1
         match answer:
             case Served(rows=rows):
-                self.send(reply(number, None, [rows, {}]))
+                self.send(reply(number, None, [rows, {}]), query)
             case Refused(retry_in=after):
                 advice = {"cooldown": str(ceil(after * 1000))} if after > 0 else {}
-                self.send(reply(number, ["Full", advice], None))
+                self.send(reply(number, ["Full", advice], None), query)
             case Failed():
-                self.send(reply(number, ["Error", {}], None))
+                self.send(reply(number, ["Error", {}], None), query)
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, query: Query | None = None) -> None:
         if not self.outbox.closed:
-            self.outbox.put(data, lambda: self.sent(len(data)))
+            if query is not None and query.key:
+                self.leaving.add(query)
+            self.outbox.put(data, lambda: self.sent(len(data), query))
             self.front.rests(self)
             self.front.hold(len(data))
 
-    def sent(self, size: int) -> None:
+    def left(self, query: Query) -> None:
+        self.leaving.discard(query)
+        self.front.broker.answered(query)
+
+    def sent(self, size: int, query: Query | None) -> None:
+        if query in self.leaving:
+            self.left(query)
         self.front.held -= size
         self.front.rests(self)
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -149,7 +149,7 @@
         self.until = now + max(0.0, ask.ttl if isfinite(ask.ttl) else stats.spec.deadline)
         self.tries: list[Attempt] = []
         self.out = 0  # attempts without an outcome
-        self.over = self.flagged = self.accepted = self.streaming = False
+        self.over = self.flagged = self.accepted = self.streaming = self.answered = False
         self.features: tuple[float, ...] = ()  # of the flag model
         self.work = max(stats.work.expect(ask.work if isfinite(ask.work) else 0.0), 1e-4)
         told = ask.memory_mb if isfinite(ask.memory_mb) and ask.memory_mb > 0 else 0.0
@@ -260,6 +260,7 @@
         self.siblings: dict[int, float] | None = None  # their threads a core by engine, in this pass
         self.turns: dict[int, deque] = {}  # key -> requests in order of arrival
         self.key_rest: dict[int, float] = {}
+        self.unread: dict[int, set[int]] = {}  # key -> requests that have ended, their answers still leaving
         self.flagger = Flagger()
         self.cut_least = CUT_LEAST * min(c.aim for c in settings.classes)  # s
         self.taken, self.further = deque(), deque()  # times, for the attempt budget
@@ -426,6 +427,9 @@
         req.rank = sum(dense >= level for level in DENSE)
         if req.spec.ordered and ask.key:
             self.turns.setdefault(ask.key, deque()).append(req)
+        if ask.unsure:  # sent or not, it could break the order; refused it cannot
+            self.give_up(req)
+            return
         self.flag(req)
         self.hold(req)  # the line is served at the end of the batch
 
@@ -566,7 +570,9 @@
             return True
         self.trim_turns(req.ask.key)
         queue = self.turns.get(req.ask.key)
-        return bool(queue) and queue[0] is req and self.key_rest.get(req.ask.key, -inf) <= self.now
+        if not queue or queue[0] is not req or req.ask.key in self.unread:
+            return False
+        return self.key_rest.get(req.ask.key, -inf) <= self.now
 
     def trim_turns(self, key: int) -> None:
         queue = self.turns.get(key)
@@ -665,10 +671,23 @@
         self.held.pop(req.ask.request, None)
         if req.spec.ordered and req.ask.key and self.settings.order_gap:
             # The next of its key waits until this one's answer is out: in the same batch, it overtook that.
-            rest = self.now + self.settings.order_gap
-            self.key_rest[req.ask.key] = max(self.key_rest.get(req.ask.key, -inf), rest)
+            self.rest_key(req.ask.key, self.settings.order_gap)
+            if not req.answered:
+                self.unread.setdefault(req.ask.key, set()).add(req.ask.request)
         self.trim_turns(req.ask.key)
 
+    def rest_key(self, key: int, rest: float) -> None:
+        self.key_rest[key] = max(self.key_rest.get(key, -inf), self.now + rest)
+
+    def on_answered(self, event: api.Answered) -> None:
+        self.rest_key(event.key, event.rest)
+        if event.request in self.held:  # an attempt of it has not ended yet
+            self.held[event.request].answered = True
+        elif event.key in self.unread:
+            self.unread[event.key].discard(event.request)
+            if not self.unread[event.key]:
+                del self.unread[event.key]
+
     def on_gone(self, event: api.ClientGone) -> None:
         if event.request in self.held:
             self.finish(self.held[event.request])
@@ -819,4 +838,4 @@
 
     HANDLERS = {api.EngineList: on_list, api.Outcome: on_outcome, api.ProbeResult: on_probe,
                 api.Started: on_started, api.Note: on_note, api.Request: on_request,
-                api.ClientGone: on_gone, api.Timer: on_timer}
+                api.ClientGone: on_gone, api.Answered: on_answered, api.Timer: on_timer}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+import time
 from pathlib import Path
 
 import msgpack
@@ -152,6 +153,27 @@
     assert seen == [(b"want", b"1"), (b"never_mind", b"1"), (b"want", b"2")]
 
 
+def test_after_a_standstill_requests_of_one_key_leave_in_their_order_or_not_at_all(node):
+    """Read connection by connection, the later one left first."""
+    early, late = Client(node), Client(node)
+    for client in (early, late):
+        client.ask(1, "lookup", f"{9:016x}", "select * from air_4.x")
+        assert client.read()[2] is None
+    before = len(node.engine.seen)
+    node.process.send_signal(signal.SIGSTOP)
+    late.ask(2, "lookup", "b" * 15 + "0", "select * from air_4.x")  # its connection is read first
+    time.sleep(0.07)  # as clients do between two requests of a key
+    early.ask(2, "load", "b" * 15 + "1", "insert into air_4.x", lookup="44")
+    time.sleep(0.07)
+    late.ask(3, "load", "b" * 15 + "2", "insert into air_4.x", lookup="44")
+    node.process.send_signal(signal.SIGCONT)
+    answers = {"1": early.read(), "2": next(one for one in (late.read(), late.read()) if one[1] == 3)}
+    sent = [c[1][-1:] for c in node.engine.seen[before:] if c[0] == b"want" and c[1][-1:] in b"12"]
+    assert sent in ([b"1"], [b"2"], [b"1", b"2"])
+    refused = [answers[ref][2] for ref in "12" if ref.encode() not in sent]
+    assert all(error[0] == "Full" for error in refused)
+
+
 @pytest.mark.parametrize("hang_up", [False, True])
 def test_giving_up_reaches_the_engine_and_is_not_answered(node, hang_up):
     ref = f"{'f' * 15}{hang_up:x}"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -234,10 +234,32 @@
     d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True),), order_gap=0.02)
     first = of(api.Send, d.ask(key=7)[1])[0]
     second, actions = d.ask(key=7)
-    assert not of(api.Send, actions + d.end(first, result))
+    assert not of(api.Send, actions + d.end(first, result) + d.run(0.5))
+    assert not of(api.Send, d.give(api.Answered(first.request, 7, 0.3)) + d.run(0.29))
     assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
 
 
+def test_an_answer_that_left_before_its_attempt_had_ended_blocks_no_key():
+    d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True),), order_gap=0.02)
+    first = of(api.Send, d.ask(key=7)[1])[0]
+    second, _ = d.ask(key=7)
+    d.give(api.ClientGone(first.request), api.Answered(first.request, 7, 0.1))
+    assert not of(api.Send, d.run(0.3))
+    assert not of(api.Send, d.end(first, R.CANCELLED))
+    assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
+    assert not d.gateway.unread
+
+
+def test_a_request_that_may_have_come_first_is_refused_and_the_other_waits_for_that():
+    d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True),), order_gap=0.02)
+    both = [api.Request(at, 0, key=7, ttl=4.0, work=0.2, unsure=at == 902) for at in (901, 902)]
+    actions = d.give(*both)
+    assert [type(a) for a in actions] == [api.Refuse] and actions[0].request == 902
+    assert not of(api.Send, d.run(0.5))
+    d.give(api.Answered(902, 7, 0.1))
+    assert [send.request for send in of(api.Send, d.run(0.2))] == [901]
+
+
 def test_a_lost_answer_is_asked_for_again_within_the_aim_at_any_pace():
     """Where aims are scaled down, a fixed least time before a cut was longer than the aim."""
     for scale in (1.0, 0.3):
