Sources: the list of engines from a registry by etcd watches or blocking reads

Other installations keep the engine list in a key-value registry; the platform's feed was the only source.

While the list is not confirmed nothing new is sent to any engine; past a deadline new work is refused at once with advice.

Without a registry in the configuration none of it is imported.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -8,18 +8,23 @@
 import socket
 import sys
 import time
+from typing import TYPE_CHECKING
 
-from .. import interface as api
 from ..policy import Gateway
+from ..sources.feed import Feed, FeedError
+from ..sources.members import Change
 from .broker import Broker
 from .config import Config, ConfigError, load
 from .counters import Counters
 from .driver import Driver
 from .engine import Fleet
-from .feed import Change, Feed, FeedError
 from .front import Front
+from .held import HeldList
 from .log import say
 
+if TYPE_CHECKING:
+    from ..sources.registry.source import RegistrySource
+
 BACKLOG = 512
 PAUSE = 0.01  # s of garbage collection from which it is logged
 LINGER = 0.75  # s after SIGTERM for which clients may still come
@@ -63,13 +68,36 @@
         self.broker = Broker(self.driver, self.fleet, config.settings, self.counters)
         self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
                            self.counters)
+        self.list = HeldList()
+        self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
         self.feed = Feed(first, config.names, self.counters, self.tell)
 
+    def _follow_registry(self) -> RegistrySource | None:
+        config = self.config
+        if config.registry is None:
+            return None
+        from ..sources.registry.source import RegistrySource  # its libraries cost memory where it is not used
+
+        source = RegistrySource(config.registry, config.names, self.counters, self.tell, self.turned,
+                                config.seed)
+        self.fleet.allowed = source.allowed
+        self.turned(False)
+        return source
+
     def tell(self, change: Change) -> None:
         self.fleet.update(change)
-        self.driver.post(api.EngineList(tuple(member.entry for member in change.members), change.whole))
-        self.front.ready = not self.leaving.is_set()
+        self.driver.post(self.list.changed(change))
+        self.front.ready = not (self.leaving.is_set() or self.list.held)
+
+    def turned(self, confirmed: bool) -> None:
+        """The registry's list is held to be true from now on, or no longer."""
+        if self.config.registry.on_stale == "serve":
+            return
+        self.driver.post(self.list.turned(confirmed))
+        self.broker.hold(None if confirmed else self.config.registry.hold)
+        if confirmed:
+            self.front.ready = not self.leaving.is_set()
 
     def learn(self, known: tuple[Change, ...]) -> None:
         """What a configuration knows of the list, beyond what was told already."""
@@ -89,11 +117,22 @@
         self.counters["reloads"] += 1
         self.learn(config.known)
         self.feed.move(config.feed)
+        self._move_registry(config.registry)
         fixed = [key for key in ("name", "listen", "sockets", "memory", "settings", "links", "names")
                  if getattr(config, key) != getattr(self.config, key)]
         if fixed:
             say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
+    def _move_registry(self, settings: object) -> None:
+        if self.registry is None or settings is None:
+            if settings is not self.config.registry:
+                say("reload", "takes effect at the next start only: registry")
+            return
+        try:
+            self.registry.move(settings)
+        except ValueError as error:
+            say("reload", f"the registry is followed as before: {error}")
+
     async def close(self, since: float) -> None:
         """Answers what came until a moment after SIGTERM, and does not stay until it is killed."""
         loop = asyncio.get_running_loop()
@@ -120,6 +159,8 @@
         loop.add_signal_handler(number, node.leaving.set)
     node.learn(config.known)
     node.feed.move(config.feed)
+    if node.registry is not None:
+        node.registry.start()
     node.driver.tick()
     accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
@@ -137,4 +178,6 @@
         accepting.cancel()
         node.driver.stop()
         node.feed.move(None)
+        if node.registry is not None:
+            await node.registry.stop()
         node.counters.show()
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -56,12 +56,18 @@
     """The client's patience is all but over, and the module has not decided."""
 
 
+class Unconfirmed:
+    """The engine list has not been confirmed for so long that nothing more is held for it."""
+
+
 class Broker:
     def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
         self.lives: set[Life] = set()
         self.unread: dict[Query, int] = {}  # keyed requests and their numbers, until their answers have left
         self.until = inf  # by the driver's clock: at the end of the program, when it stops
+        self.shut = False  # the list is not confirmed, and new work is refused
+        self.holding: asyncio.TimerHandle | None = None
         # What a refusal of the broker's own advises.
         self.advice = settings.max_retry_after if settings.retry_after else 0.0
 
@@ -70,12 +76,27 @@
         for life in self.lives:
             life.inbox.put_nowait(Overdue())
 
+    def hold(self, most: float | None) -> None:
+        """New work finds no engine from now on; past `most` s it is refused at once. None: that is over."""
+        if self.holding is not None:
+            self.holding.cancel()
+        self.shut = False
+        self.holding = None if most is None else asyncio.get_running_loop().call_later(most, self._shut)
+
+    def _shut(self) -> None:
+        self.shut = True
+        for life in self.lives:
+            life.inbox.put_nowait(Unconfirmed())
+
     async def serve(self, query: Query) -> Answer:
         """Query in, one answer out; cancelled when the client has gone."""
         if query.key:
             await self.driver.current.wait()
         if len(self.driver.routes) >= self.settings.max_open:
             return Refused(self.advice)
+        if self.shut:
+            self.counters["unconfirmed"] += 1
+            return Refused(self.advice)
         if query.arrived + query.allow - self.driver.now() <= SPARE:
             # Guards against answers that come too late: told of no patience at all, the module
             # refuses too, but a batch later.
@@ -109,7 +130,7 @@
         self.query, self.broker, self.driver, self.fleet = query, broker, broker.driver, broker.fleet
         self.counters = broker.counters
         self.spec = broker.settings.classes[query.cls]
-        self.inbox: asyncio.Queue[api.Action | Ending | Overdue] = asyncio.Queue()
+        self.inbox: asyncio.Queue[api.Action | Ending | Overdue | Unconfirmed] = asyncio.Queue()
         self.number = self.driver.enter(self.inbox.put_nowait)
         self.out: Attempt | None = None
         self.tries, self.urgency = 0, 1
@@ -146,6 +167,9 @@
                 case api.Fail():
                     self.answered = True
                     return Failed()
+                case Unconfirmed() if self.out is None:
+                    self.counters["unconfirmed"] += 1
+                    return self.last_answer()
                 case Overdue():  # guards the client's one answer against a decision that never comes
                     self.counters["overdue"] += 1
                     say("broker", f"no decision on {self.spec.name} within {query.allow:.3f} s")
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -11,7 +11,8 @@
 
 from .. import interface as api
 from .. import wire
-from . import feed
+from ..sources import feed
+from ..sources.members import Change, Names
 
 Address = tuple[str, int]
 
@@ -41,8 +42,9 @@
     memory: int  # bytes
     settings: api.Settings
     links: LinkLimits
-    names: feed.Names
-    known: tuple[feed.Change, ...]
+    names: Names
+    known: tuple[Change, ...]
+    registry: object = None  # settings of a key-value registry; None: the list comes from the feed
 
 
 def address(text: object, key: str) -> Address:
@@ -85,6 +87,22 @@
     return value
 
 
+def _registry(raw: Mapping) -> object:
+    """The `registry` section; its libraries are loaded only where there is one."""
+    if raw.get("registry") is None:
+        return None
+    if raw.get("feed"):
+        raise ConfigError("feed: not together with registry")
+    try:
+        from ..sources.registry import settings, source  # noqa: F401 - all that it needs must be there
+    except ImportError as error:
+        raise ConfigError(f"registry: {error.name} is missing: install the extra 'registry'") from None
+    try:
+        return settings.read_settings(raw["registry"])
+    except settings.SettingsError as error:
+        raise ConfigError(str(error)) from None
+
+
 def parse(raw: object, environ: Mapping[str, str]) -> Config:
     if not isinstance(raw, dict):
         raise ConfigError("BALANCER_CONFIG: an object is needed at the top")
@@ -95,13 +113,14 @@
         raise ConfigError(f"settings.{error}") from None
     limits = _section(told, "limits")
     zones = told.get("zones", [])
-    names = feed.Names(
+    names = Names(
         tuple(zones) if isinstance(zones, list) else (str(zones),), tuple(k.name for k in settings.kinds)
     )
     try:
         known = feed.parse_known(raw.get("known", {"n": 0, "events": []}), names)
     except feed.FeedError as error:
         raise ConfigError(f"known: {error}") from None
+    registry = _registry(raw)
     try:
         seed = int(str(raw.get("seed", "0")), 16)
     except ValueError:
@@ -121,6 +140,7 @@
         ),
         names=names,
         known=known,
+        registry=registry,
     )
 
 
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -13,9 +13,9 @@
 import hiredis
 
 from ..interface import Result, State
+from ..sources.members import Change, Member
 from .config import LinkLimits
 from .counters import Counters
-from .feed import Change, Member
 from .log import say
 from .outbox import Message, Outbox
 
@@ -353,9 +353,9 @@
         self.up = self.shaken = True
         self.fleet.counters["links_opened"] += 1
         for attempt in list(self.attempts.values()):
-            if self.engine.state is State.READY:
+            if self.engine.state is State.READY and self.fleet.allowed():
                 self._write(attempt)
-            else:  # the feed's word came while the connection did not
+            else:  # the list's word came while the connection did not
                 attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
         for tag in self.probes:
             self.put(b"busy", tag)
@@ -474,6 +474,7 @@
         self.engines: dict[int, Engine] = {}
         self.tags = 0
         self.spoilt_at = -WARY  # by the loop's clock
+        self.allowed: Callable[[], bool] = lambda: True  # whether the list holds as of now
 
     def tag(self) -> bytes:
         """A name for a probe, under which its answer comes."""
@@ -515,7 +516,7 @@
         former attempt must not be taken for one to this."""
         attempt = Attempt(want, ended)
         engine = self.engines.get(number)
-        if engine is None or engine.state is not State.READY or want.ttl <= 0:
+        if engine is None or engine.state is not State.READY or want.ttl <= 0 or not self.allowed():
             attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
         elif (link := engine.link(want.ref, avoid, want.alone)) is None:
             attempt.end(Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED))
--- /dev/null
+++ b/applevale/node/held.py
@@ -0,0 +1,36 @@
+"""What the module is told of the engine list while its source cannot confirm it.
+
+Invariant: while the list is held, no engine is told as ready, and what changed meanwhile is told with it at
+the end; so nothing new is sent, and what is under way goes on. No I/O and no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .. import interface as api
+from ..sources.members import Change
+
+
+class HeldList:
+    def __init__(self) -> None:
+        self.entries: dict[int, api.EngineEntry] = {}
+        self.held = False
+
+    def changed(self, change: Change) -> api.EngineList:
+        if change.whole:
+            self.entries.clear()
+        told = [member.entry for member in change.members]
+        for entry in told:
+            self.entries[entry.engine] = entry
+            if entry.state is api.State.GONE:
+                del self.entries[entry.engine]
+        return api.EngineList(tuple(map(self._seen, told)), change.whole)
+
+    def turned(self, confirmed: bool) -> api.EngineList:
+        self.held = not confirmed
+        return api.EngineList(tuple(map(self._seen, self.entries.values())), whole=True)
+
+    def _seen(self, entry: api.EngineEntry) -> api.EngineEntry:
+        hidden = self.held and entry.state is api.State.READY
+        return replace(entry, state=api.State.DRAINING) if hidden else entry
--- a/applevale/node/feed.py
+++ b/applevale/sources/feed.py
@@ -7,12 +7,12 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 from math import isfinite
 
 from .. import interface as api
-from .counters import Counters
-from .log import say
+from ..node.counters import Counters
+from ..node.log import say
+from .members import Change, Member, Names
 
 HEAD = struct.Struct(">IQB")  # length of all that follows it, number, kind
 RECORD = struct.Struct(">IIHBBBHIQ")
@@ -28,27 +28,6 @@
     """An event that cannot be read."""
 
 
-@dataclass(frozen=True)
-class Names:
-    """What positions in records mean."""
-
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
-
-
-@dataclass(frozen=True)
-class Member:
-    entry: api.EngineEntry
-    address: tuple[str, int]
-
-
-@dataclass(frozen=True)
-class Change:
-    number: int
-    whole: bool
-    members: tuple[Member, ...]
-
-
 def parse_known(raw: object, names: Names) -> tuple[Change, ...]:
     """The events of the start, as JSON."""
     try:
--- /dev/null
+++ b/applevale/sources/registry/session.py
@@ -0,0 +1,91 @@
+"""What a session with one member of a registry is to the source, whatever protocol it speaks."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Protocol
+
+from .settings import SettingsError, Tls
+
+MOST_ANSWER = 8 << 20  # bytes of one message of a registry: more is not taken into memory
+
+
+class Hear(Protocol):
+    """Who is told what comes. `number` is the session's; times are the source's clock."""
+
+    def connected(self, number: int) -> None: ...
+    def lost(self, number: int, why: str, refused: bool = False) -> None: ...
+    def whole(self, number: int, asked: float, revision: int,
+              records: Iterable[tuple[str, int, bytes]]) -> None: ...
+    def events(self, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]) -> None: ...
+    def answered(self, number: int, asked: float, revision: int) -> None: ...
+    def compacted(self, number: int) -> None: ...
+
+
+class Refused(Exception):
+    """The member does not take these credentials."""
+
+
+class Session:
+    """The tasks of one session; the first that fails ends it, and is told once."""
+
+    def __init__(self, number: int, hear: Hear, clock: Callable[[], float]):
+        self.number, self.hear, self.clock = number, hear, clock
+        self.tasks: set[asyncio.Task] = set()
+        self.closed = False
+
+    def spawn(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(self._guard(work))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _guard(self, work: Coroutine[object, object, None]) -> None:
+        """What goes wrong with a session stops here: whatever a library raises on what a member sent."""
+        why, refused = "ended by the other side", False
+        try:
+            await work
+            return
+        except Refused as error:
+            why, refused = str(error), True
+        except Exception as error:
+            why = f"{type(error).__name__}: {str(error)[:80]}"
+        if not self.closed:
+            self.hear.lost(self.number, why, refused)
+
+    async def close(self) -> None:
+        self.closed = True
+        tasks = [task for task in self.tasks if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.hang_up()
+
+    async def hang_up(self) -> None:
+        raise NotImplementedError
+
+    def open(self) -> None:
+        raise NotImplementedError
+
+    def read_all(self) -> None:
+        raise NotImplementedError
+
+    def watch(self, start: int) -> None:
+        raise NotImplementedError
+
+    def ask(self, asked: float) -> None:
+        raise NotImplementedError
+
+
+def context(tls: Tls | None) -> ssl.SSLContext | None:
+    """Raises SettingsError if the files cannot be used."""
+    if tls is None:
+        return None
+    try:
+        made = ssl.create_default_context(cafile=tls.ca)
+        if tls.cert:
+            made.load_cert_chain(tls.cert, tls.key)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError(f"registry.tls: {error}") from None
+    return made
--- /dev/null
+++ b/applevale/sources/registry/source.py
@@ -0,0 +1,209 @@
+"""The registry as a source of the engine list: carries out what the follower decides."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import asdict
+from random import Random
+
+from ...node.counters import Counters
+from ...node.log import say
+from ..members import Change, Names
+from . import follower as f
+from .consul import ConsulSession
+from .etcd import EtcdSession
+from .records import Ledger
+from .session import Session, context
+from .settings import RegistrySettings
+from .snapshot import Snapshot, SnapshotError
+
+KEEP_EVERY = 1.0  # s between two writes of the snapshot at least
+SESSIONS = {"etcd": EtcdSession, "consul": ConsulSession}
+
+
+class RegistrySource:
+    """Tells `tell` each change once and in order, and `turned` whether the list is confirmed as it turns."""
+
+    def __init__(self, settings: RegistrySettings, names: Names, counters: Counters,
+                 tell: Callable[[Change], None], turned: Callable[[bool], None], seed: int = 0,
+                 clock: Callable[[], float] = time.monotonic):
+        """Raises SettingsError if the addresses or the TLS files cannot be used."""
+        self.settings, self.counters, self.clock = settings, counters, clock
+        self.tell, self.turned = tell, turned
+        self.places, self.tls = settings.places(), context(settings.tls)
+        self.ledger = Ledger(names)
+        self.follower = f.Follower(
+            len(self.places), self.ledger, resumable=settings.kind == "etcd", random=Random(seed),
+            pace=f.Pace(fresh=settings.fresh, ask=settings.fresh / 5, silence=settings.fresh * 0.4,
+                        connect=settings.fresh * 0.4))
+        self.session: Session | None = None
+        self.ending: set[asyncio.Task] = set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.told = 0  # changes
+        self.was_fresh, self.stale_since = False, clock()
+        self.snapshot: Snapshot | None = None
+        self.kept_at, self.dirty = -KEEP_EVERY, False
+        self.stopped = False
+
+    # --- as a source ----------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        now = self.stale_since = self.clock()
+        if self.settings.snapshot:
+            self._open_snapshot()
+        self._do(self.follower.ticked(now))
+
+    def fresh(self) -> bool:
+        """Asked before each attempt: also after a loop that stood still it is the truth."""
+        return self.follower.fresh(self.clock())
+
+    def allowed(self) -> bool:
+        """Whether new work may go out."""
+        return self.settings.on_stale == "serve" or self.fresh()
+
+    def move(self, settings: RegistrySettings) -> None:
+        """Other addresses and credentials; list, revision and promise stay. Raises SettingsError."""
+        places, tls = settings.places(), context(settings.tls)
+        fixed = {key: getattr(self.settings, key) for key in ("kind", "prefix", "fresh", "snapshot")}
+        changed = [key for key, value in fixed.items() if getattr(settings, key) != value]
+        if changed:
+            say("registry", f"takes effect at the next start only: {', '.join(changed)}")
+        self.settings = type(settings)(**{key: getattr(settings, key) for key in settings.__struct_fields__}
+                                       | fixed)
+        self.places, self.tls = places, tls
+        self._do(self.follower.moved(self.clock(), len(places)))
+
+    async def stop(self) -> None:
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.session is not None:
+            await self.session.close()
+        await asyncio.gather(*self.ending, return_exceptions=True)
+        if self.snapshot is not None:
+            self._keep(self.clock(), last=True)
+            self.snapshot.close()
+
+    # --- what sessions tell ---------------------------------------------------------------------------------
+
+    def connected(self, number: int) -> None:
+        self._do(self.follower.connected(self.clock(), number))
+
+    def lost(self, number: int, why: str, refused: bool = False) -> None:
+        if self.session is not None and self.session.number == number:
+            say("registry", f"{self._where()}: {why}")
+        self._do(self.follower.lost(self.clock(), number, refused))
+
+    def whole(self, number: int, asked: float, revision: int,
+              records: Iterable[tuple[str, int, bytes]]) -> None:
+        self._do(self.follower.whole(self.clock(), number, asked, revision, records))
+
+    def events(self, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]) -> None:
+        self._do(self.follower.events(self.clock(), number, revision, events))
+
+    def answered(self, number: int, asked: float, revision: int) -> None:
+        self._do(self.follower.answered(self.clock(), number, asked, revision))
+
+    def compacted(self, number: int) -> None:
+        say("registry", f"{self._where()}: compacted behind {self.follower.revision}, all is read anew")
+        self._do(self.follower.compacted(self.clock(), number))
+
+    # --- inside ---------------------------------------------------------------------------------------------
+
+    def _where(self) -> str:
+        host, port = self.places[self.follower.place]
+        return f"{host}:{port}"
+
+    def _do(self, commands: list[f.Command]) -> None:
+        if self.stopped:
+            return
+        for command in commands:
+            match command:
+                case f.Connect(session=number, place=place):
+                    self._connect(number, place)
+                case f.ReadAll():
+                    self.session.read_all()
+                case f.Watch(start=start):
+                    self.session.watch(start)
+                case f.Ask(asked=asked):
+                    self.session.ask(asked)
+                case f.Tell(entries=entries, whole=whole):
+                    self.told += 1
+                    self.dirty = True
+                    self.tell(Change(self.told, whole, tuple(entry.member for entry in entries)))
+        if self.follower.session is None and self.session is not None:
+            self._end_session()
+        self._look()
+
+    def _connect(self, number: int, place: int) -> None:
+        self._end_session()
+        kind = SESSIONS[self.settings.kind]
+        self.session = kind(number, self.places[place], self.settings, self.tls, self, self.clock)
+        self.session.open()
+
+    def _end_session(self) -> None:
+        if self.session is not None:
+            task = asyncio.create_task(self.session.close())
+            self.ending.add(task)
+            task.add_done_callback(self.ending.discard)
+            self.session = None
+
+    def _look(self) -> None:
+        """Counts, the turn of the promise, the snapshot, and when to look again."""
+        now = self.clock()
+        for name, count in asdict(self.follower.figures).items():
+            self.counters[f"registry_{name}"] = count
+        self.counters["registry_bad_records"] = self.ledger.bad_seen
+        fresh = self.follower.fresh(now)
+        if fresh != self.was_fresh:
+            self._turn(fresh, now)
+        if self.snapshot is not None and fresh:
+            self._keep(now)
+        due = self.follower.next_look(now)
+        if fresh:
+            due = min(due, self.follower.confirmed + self.settings.fresh + 0.001)
+        if self.timer is not None:
+            self.timer.cancel()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(max(0.0, due - now), self._tick)
+
+    def _tick(self) -> None:
+        self._do(self.follower.ticked(self.clock()))
+
+    def _turn(self, fresh: bool, now: float) -> None:
+        if fresh:
+            stale = now - self.stale_since
+            self.counters["registry_stale_ms"] += int(stale * 1000)
+            say("registry", f"confirmed at revision {self.follower.revision}, after {stale:.3f} s")
+        else:
+            self.counters["registry_stale"] += 1
+            self.stale_since = now
+            say("registry", f"the list is not confirmed, on_stale is {self.settings.on_stale!r}")
+        self.was_fresh = fresh
+        self.turned(fresh)
+
+    def _open_snapshot(self) -> None:
+        name = f"{self.settings.kind}:{self.settings.prefix}"
+        try:
+            self.snapshot = Snapshot(self.settings.snapshot, name)
+            kept = self.snapshot.load()
+        except SnapshotError as error:
+            self.counters["registry_snapshot_bad"] += 1
+            say("registry", f"the snapshot is ignored: {error}")
+            return
+        if kept is not None:
+            self.counters["registry_snapshot_used"] += 1
+            say("registry", f"starts from the snapshot of revision {kept.revision}, not confirmed")
+            self._do(self.follower.restore(kept.revision, kept.records))
+
+    def _keep(self, now: float, last: bool = False) -> None:
+        if not self.dirty or not self.follower.revision or (now - self.kept_at < KEEP_EVERY and not last):
+            return
+        self.kept_at, self.dirty = now, False
+        try:
+            self.snapshot.keep(self.follower.revision, [
+                (entry.key, entry.revision, entry.value) for entry in self.ledger.entries.values()])
+        except SnapshotError as error:
+            say("registry", f"the snapshot was not written: {error}")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -11,10 +11,11 @@
 from hypothesis import strategies as st
 
 from applevale import interface as api
-from applevale.node import config, engine, feed, front
+from applevale.node import config, engine, front
 from applevale.node.statement import table_group
+from applevale.sources import feed, members
 
-NAMES = feed.Names(("here",), ("a", "b"))
+NAMES = members.Names(("here",), ("a", "b"))
 EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
 SPECS = config.parse(EXAMPLE, {}).settings.classes
 CLASSES = {spec.name: at for at, spec in enumerate(SPECS)}
@@ -57,7 +58,7 @@
     with pytest.raises(feed.FeedError):
         for change in feed.Frames(NAMES).feed(bad):
             follower.take(change)
-    follower.take(feed.Change(1, False, ()))
+    follower.take(members.Change(1, False, ()))
     assert told == [] and follower.last == 1
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,8 +6,9 @@
 from toy_engine import answer, rows
 
 from applevale import interface as api
-from applevale.node import config, engine, feed
+from applevale.node import config, engine
 from applevale.node.counters import Counters
+from applevale.sources import members
 
 GOOD = b"".join(rows(3))
 
@@ -87,6 +88,6 @@
     links = config.LinkLimits(32, 15.0, 0.25)
     fleet, ends, address = engine.Fleet(links, (), 8, Counters()), [], ("127.0.0.1", 1)
     for number in (1, 2):
-        fleet.update(feed.Change(number, False, (feed.Member(api.EngineEntry(number), address),)))
+        fleet.update(members.Change(number, False, (members.Member(api.EngineEntry(number), address),)))
     fleet.start(1, engine.Want(b"1", "load", b"x", 1.0), set(), ends.append)
     assert ends == [engine.Broken(engine.Reach.NEVER_SENT, api.Result.MOOT)] and list(fleet.engines) == [2]
