--- /dev/null
+++ b/applevale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/applevale/cli/main.py
@@ -0,0 +1,145 @@
+"""`applevale`: check a configuration, look into a registry, run a rig. The program: `python -m applevale`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from typing import Annotated
+
+import typer
+
+from ..node.config import Config, ConfigError, load
+
+app = typer.Typer(no_args_is_help=True, add_completion=False,
+                  help="A workload manager for query engines. The program itself: python -m applevale.")
+registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
+app.add_typer(registry, name="registry")
+
+ConfigPath = Annotated[str, typer.Argument(help="Path of the JSON configuration.")]
+Seconds = Annotated[float, typer.Option(help="How long to wait or to watch, in s.")]
+
+
+def read_config(path: str) -> Config:
+    """The configuration at `path`; ends with exit code 2 and one line if it cannot be used."""
+    try:
+        return load(os.environ | {"BALANCER_CONFIG": path})
+    except ConfigError as error:
+        fail(str(error))
+
+
+def fail(text: str) -> None:
+    typer.echo(f"applevale: {text}", err=True)
+    raise typer.Exit(2)
+
+
+@app.command()
+def check(path: ConfigPath) -> None:
+    """Check a configuration; on an error one line names the key, and the exit code is 2."""
+    config = read_config(path)
+    where = "the control feed" if config.feed else "known events only"
+    if config.registry is not None:
+        where = f"a registry ({config.registry.kind}, {len(config.registry.addresses)} addresses)"
+    typer.echo(f"{path}: good. {len(config.settings.classes)} classes, the engine list from {where}")
+
+
+def registry_config(path: str) -> Config:
+    config = read_config(path)
+    if config.registry is None:
+        fail("registry: missing")
+    return config
+
+
+async def follow(config: Config, seconds: float, show: bool) -> dict | None:
+    """Follows the registry until its list is confirmed, or with `show` for the whole time and told as it
+    changes. None: it could not be confirmed."""
+    from ..node.counters import Counters
+    from ..sources.members import Change
+    from ..sources.registry.source import RegistrySource
+
+    confirmed = asyncio.Event()
+
+    def tell(change: Change) -> None:
+        for member in change.members if show else ():
+            host, port = member.address
+            typer.echo(f"s-{member.entry.engine:08x} {member.entry.state.value:9} {host}:{port}")
+
+    def turned(fresh: bool) -> None:
+        if show:
+            typer.echo("confirmed" if fresh else "not confirmed")
+        if fresh:
+            confirmed.set()
+
+    source = RegistrySource(config.registry, config.names, Counters(), tell, turned, config.seed)
+    source.start()
+    try:
+        async with asyncio.timeout(seconds):
+            await (asyncio.Event() if show else confirmed).wait()
+    except TimeoutError:
+        pass
+    found = None
+    if confirmed.is_set():
+        source.note()
+        found = {"revision": source.follower.revision, "digest": source.counters["registry_digest"],
+                 "entries": list(source.ledger.entries.values()), "bad": dict(source.ledger.bad)}
+    await source.stop()
+    return found
+
+
+@registry.command()
+def watch(path: ConfigPath, seconds: Seconds = 60.0) -> None:
+    """Tell each change of the engine list as it comes, and whether the list is confirmed."""
+    if asyncio.run(follow(registry_config(path), seconds, show=True)) is None:
+        fail("registry: no member confirmed the list")
+
+
+@registry.command()
+def dump(path: ConfigPath, seconds: Seconds = 5.0) -> None:
+    """Print the engine list as JSON lines: key, revision, id, state, address."""
+    found = asyncio.run(follow(registry_config(path), seconds, show=False))
+    if found is None:
+        fail("registry: no member confirmed the list")
+    for entry in sorted(found["entries"], key=lambda one: one.key):
+        host, port = entry.member.address
+        typer.echo(json.dumps({"key": entry.key, "revision": entry.revision,
+                               "id": f"s-{entry.member.entry.engine:08x}",
+                               "state": entry.member.entry.state.value, "address": f"{host}:{port}"}))
+
+
+@registry.command()
+def verify(path: ConfigPath, seconds: Seconds = 5.0) -> None:
+    """Check every record, and print the revision and the digest to compare with a program's counters; exit
+    code 1 if a record cannot be used."""
+    found = asyncio.run(follow(registry_config(path), seconds, show=False))
+    if found is None:
+        fail("registry: no member confirmed the list")
+    for key, why in sorted(found["bad"].items()):
+        typer.echo(f"{key}: {why}")
+    typer.echo(f"revision {found['revision']}, digest {found['digest']}, {len(found['entries'])} engines, "
+               f"{len(found['bad'])} records that cannot be used")
+    raise typer.Exit(1 if found["bad"] else 0)
+
+
+@app.command()
+def rig(name: Annotated[str, typer.Argument(help="Which rig: registry.")],
+        seed: Annotated[int, typer.Option(help="Decides all that is drawn.")] = 1,
+        seconds: Annotated[float, typer.Option(help="How long it plays.")] = 60.0,
+        as_json: Annotated[bool, typer.Option("--json", help="Print one JSON line only.")] = False) -> None:
+    """Run the real program between stand-ins, cause failures, check promises; exit code 1 if one broke."""
+    if name != "registry":
+        fail(f"rig: no rig is called {name!r}; there is: registry")
+    from ..rigs import registry as rigs_registry
+
+    if not as_json:
+        typer.echo(f"rig {name}: seed {seed}, {seconds:g} s", err=True)
+    result = asyncio.run(rigs_registry.run(seed, seconds))
+    typer.echo(json.dumps(result))
+    raise typer.Exit(0 if result["ok"] else 1)
+
+
+def main() -> None:
+    try:
+        app()
+    except KeyboardInterrupt:
+        sys.exit(130)
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -85,6 +85,11 @@
         self.turned(False)
         return source
 
+    def show(self) -> None:
+        if self.registry is not None:
+            self.registry.note()
+        self.counters.show()
+
     def tell(self, change: Change) -> None:
         self.fleet.update(change)
         self.driver.post(self.list.changed(change))
@@ -153,7 +158,7 @@
     listener = listen(config)
     node = Node(config)
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGUSR1, node.counters.show)
+    loop.add_signal_handler(signal.SIGUSR1, node.show)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.leaving.set)
--- /dev/null
+++ b/applevale/rigs/program.py
@@ -0,0 +1,130 @@
+"""The real program as a process of a rig, and the rules that every rig checks."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from ..standins.clients import Clients
+from ..standins.engine import StandinEngine
+
+NS = 1_000_000_000
+ZONES, KINDS = ["east", "west"], ["std"]
+SETTINGS = {
+    "az": 0, "me": 0, "fleet_size": 1, "discovery": "pushed", "tick": 5_000_000,
+    "zones": ZONES, "kinds": KINDS,
+    "classes": [
+        {"name": "lookup", "aim": NS, "aim_stretch": 2.0, "deadline": 5 * NS, "repeat": "safe", "worth": 1.0},
+        {"name": "load", "aim": 3 * NS, "aim_stretch": 3.0, "deadline": 10 * NS, "repeat": "unsafe",
+         "by_arrival": True, "worth": 6.0}],
+    "guarantees": {"answer_slack": 20_000_000, "drain_grace": NS // 2, "cold_share": 0.33, "warm_up": 15 * NS,
+                   "fall": 3 * NS // 2, "fall_multiple": 4.0},
+    "limits": {"cancel": True, "may_probe": True, "retry_after": True, "max_retry_after": NS // 2,
+               "try_limit": 5,
+               "streams_per_conn": 32, "conn_idle": 15 * NS, "dial_timeout": NS // 4, "max_open": 20_000},
+    "specifics": {"class_threads": [1, 2], "class_load": [False, True], "yields_to_loads": [True, False],
+                  "cpu_of_kind": [8], "ram_of_kind_mb": [16384.0], "ranks_heeded": True, "says_cost": True,
+                  "largest_share": 0.4, "when_short": "shrink"},
+    "stats": {"how": "answers", "columns": ["active", "cpu", "x1"]},
+}
+
+
+class ProgramError(RuntimeError):
+    """The program did not start, or ended before it was asked to."""
+
+
+class Program:
+    """One process. Its counters are asked for by SIGUSR1, its log is kept."""
+
+    def __init__(self, config: dict, name: str):
+        self.config = {"name": name, "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS,
+                       "limits": {"memory_mb": 192, "sockets": 1024}} | config
+        self.folder = tempfile.TemporaryDirectory(prefix="applevale-rig-")
+        self.path = os.path.join(self.folder.name, "config.json")
+        self.process: asyncio.subprocess.Process | None = None
+        self.address = ("", 0)
+        self.log: list[str] = []
+        self.shown: asyncio.Queue[dict] = asyncio.Queue()
+        self.reading: asyncio.Task | None = None
+
+    async def start(self, *entry: str) -> None:
+        """Raises ProgramError. `entry`: the module to run, where it is not the package's own."""
+        self.write(self.config)
+        env = os.environ | {"BALANCER_CONFIG": self.path}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", *(entry or ("applevale",)), env=env, stderr=asyncio.subprocess.PIPE)
+        line = (await self.process.stderr.readline()).decode()
+        while line and " listens on " not in line:
+            self.log.append(line.rstrip())
+            line = (await self.process.stderr.readline()).decode()
+        if not line:
+            raise ProgramError(f"did not start: {' | '.join(self.log[-3:])}")
+        host, _, port = line.split()[-1].rpartition(":")
+        self.address = host, int(port)
+        self.reading = asyncio.create_task(self._read())
+
+    def write(self, config: dict) -> None:
+        """The configuration, as a whole or not at all."""
+        with open(self.path + ".new", "w", encoding="utf-8") as file:
+            json.dump(config, file)
+        os.replace(self.path + ".new", self.path)
+
+    async def _read(self) -> None:
+        while line := (await self.process.stderr.readline()).decode(errors="replace"):
+            if line.startswith("counters "):
+                self.shown.put_nowait(json.loads(line.removeprefix("counters ")))
+            else:
+                self.log.append(line.rstrip())
+
+    async def counters(self) -> dict:
+        """Raises ProgramError if it has ended."""
+        if self.process.returncode is not None:
+            raise ProgramError(f"ended with {self.process.returncode}: {' | '.join(self.log[-3:])}")
+        self.process.send_signal(signal.SIGUSR1)
+        async with asyncio.timeout(10.0):
+            return await self.shown.get()
+
+    async def stop(self) -> dict:
+        """SIGTERM, and the counters of its end."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(15.0):
+                await self.process.wait()
+                await self.reading
+        except TimeoutError:
+            self.process.kill()
+            raise ProgramError("did not end within 15 s of SIGTERM") from None
+        finally:
+            self.folder.cleanup()
+        shown: dict = {}
+        while not self.shown.empty():
+            shown = self.shown.get_nowait()
+        return shown
+
+
+def broken_rules(clients: Clients, engines: Iterable[StandinEngine]) -> Counter:
+    """What the rules on requests say of a run: loads that arrived twice, loads of a key out of order."""
+    found: Counter = Counter()
+    loads: dict[str, list[float]] = defaultdict(list)
+    for engine in engines:
+        for arrival in engine.arrivals:
+            if arrival.lane == b"load":
+                loads[arrival.ref.decode()].append(arrival.at)
+    found["loads_twice"] = sum(len(times) > 1 for times in loads.values())
+    by_key: dict[int, list[float]] = defaultdict(list)
+    for sent in clients.sent:
+        if sent.key and sent.ref in loads:
+            by_key[sent.key].append(loads[sent.ref][0])
+    found["order_breaks"] = sum(later < former for times in by_key.values()
+                                for former, later in zip(times, times[1:]))
+    answers = clients.figures()
+    found["lost_requests"] = answers["lost"]
+    found["answered_twice"] = answers["twice"]
+    return found
--- a/applevale/sources/registry/etcd.py
+++ b/applevale/sources/registry/etcd.py
@@ -58,11 +58,11 @@
             raise ConnectionError("no answer")
         return answer
 
-    async def _revision(self) -> int:
-        """What all members together have committed: the read is not `serializable`."""
+    async def _header(self) -> object:
+        """With the revision that all members together have committed: the read is not `serializable`."""
         request = m.RangeRequest(key=self.prefix, range_end=self.end, count_only=True)
         answer = await self._call(m.RANGE, request, m.RangeResponse)
-        return answer.header.revision
+        return answer.header
 
     def open(self) -> None:
         self.spawn(self._open())
@@ -72,8 +72,8 @@
             request = m.AuthenticateRequest(name=self.settings.user, password=self.settings.password)
             answer = await self._call(m.AUTHENTICATE, request, m.AuthenticateResponse)
             self.metadata = {"token": answer.token}
-        await self._revision()
-        self.hear.connected(self.number)
+        header = await self._header()
+        self.hear.connected(self.number, header.cluster_id)
 
     def read_all(self) -> None:
         self.spawn(self._read_all())
@@ -145,8 +145,8 @@
         self.spawn(self._ask(asked))
 
     async def _ask(self, asked: float) -> None:
-        revision = await self._revision()
-        self.hear.answered(self.number, asked, revision)
+        header = await self._header()
+        self.hear.answered(self.number, asked, header.revision)
         await self._progress()
 
     async def hang_up(self) -> None:
--- a/applevale/sources/registry/follower.py
+++ b/applevale/sources/registry/follower.py
@@ -131,11 +131,13 @@
     session: Session | None = None
     figures: Figures = field(default_factory=Figures)
     failures: int = 0  # sessions in a row that failed
-    denials: int = 0  # of them, for refused credentials
+    denials: int = 0  # the last of them, for refused credentials
     older: set[int] = field(default_factory=set)  # members that answered an older state, since one was right
     due: float = -inf  # when a rest ends
     place: int = -1
     must_read: bool = False  # the watch cannot be resumed
+    cluster: int = 0  # whose revisions these are; 0: not told
+    other: bool = False  # this session's member belongs to another, whose revisions start anew
     sessions: int = 0
 
     def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
@@ -176,12 +178,17 @@
                 return self._ask(now)
         return []
 
-    def connected(self, now: float, number: int) -> list[Command]:
-        """The member answers. With a list known, the watch goes on behind it; else all is read."""
+    def connected(self, now: float, number: int, cluster: int = 0) -> list[Command]:
+        """The member answers. With a list known, the watch goes on behind it; else all is read, as it is from
+        a cluster with another id (0: not told), for a backup may be restored under a new one."""
         session = self._of(number)
         if session is None or self.state is not State.CONNECTING:
             return []
         session.answered = now
+        self.other = bool(cluster and self.cluster and cluster != self.cluster)
+        self.cluster = self.cluster or cluster
+        if self.other:
+            self.must_read, self.cluster = True, cluster
         if self.revision and self.resumable and not self.must_read:
             session.resumed, session.progress = True, self.revision
             self.state = State.WATCHING
@@ -200,10 +207,10 @@
         session = self._of(number)
         if session is None or self.state is not State.READING:
             return []
-        if revision < self.revision and not self._is_restored(session):
+        if revision < self.revision and not (self.other or self._is_restored(session)):
             return self._lag(now)
-        if revision < self.revision:
-            self.figures.restored += 1
+        self.figures.restored += self.other or revision < self.revision
+        self.other = False
         self.figures.full_reads += 1
         self.older.clear()
         self.must_read, self.revision = False, revision
@@ -319,10 +326,10 @@
     def _fail(self, now: float, why: str) -> list[Command]:
         setattr(self.figures, why, getattr(self.figures, why) + 1)
         self.failures += 1
-        self.denials += why == "refused"
+        self.denials = self.denials + 1 if why == "refused" else 0
         self.session, self.state = None, State.RESTING
-        rounds = self.failures // self.members
-        if not rounds:
+        rounds, place = divmod(self.failures, self.members)
+        if place:
             return self._connect(now)  # a member that is up is found within the promise
         rest = min(self.pace.rest[0] * 2 ** min(rounds - 1, 20), self.pace.rest[1])
         if self.denials >= self.members:
--- a/applevale/sources/registry/records.py
+++ b/applevale/sources/registry/records.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Annotated, Literal
+from zlib import crc32
 
 import msgspec
 
@@ -72,12 +73,12 @@
     except Exception as error:  # the YAML parser's own errors, and what it fails on by depth
         raise RecordError(f"{type(error).__name__}: {str(error)[:80]}".replace("\n", " ")) from None
     host, _, port = record.address.rpartition(":")
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise RecordError(f"address: {record.address!r} is not IP:PORT")
     try:
         address = str(ipaddress.ip_address(host.strip("[]"))), int(port)
     except ValueError:
-        raise RecordError(f"address: {record.address[:60]!r} is not IP:PORT") from None
-    if not 0 < address[1] < 65536:
-        raise RecordError(f"address: port {address[1]}")
+        raise RecordError(f"address: {record.address!r} is not IP:PORT") from None
     return Member(
         api.EngineEntry(
             engine=int(record.id[2:], 16),
@@ -92,6 +93,12 @@
     )
 
 
+def digest(members: Iterable[Member]) -> int:
+    """A short figure of a list: equal for equal lists, in whatever order. To compare instances by."""
+    lines = sorted(f"{one.entry.engine:08x} {one.entry.state.value} {one.address}" for one in members)
+    return crc32("\n".join(lines).encode())
+
+
 class Ledger:
     """The engines by key, as last told."""
 
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -14,7 +14,7 @@
 from . import follower as f
 from .consul import ConsulSession
 from .etcd import EtcdSession
-from .records import Ledger
+from .records import Ledger, digest
 from .session import Session, context
 from .settings import RegistrySettings
 from .snapshot import Snapshot, SnapshotError
@@ -75,6 +75,13 @@
         self.places, self.tls = places, tls
         self._do(self.follower.moved(self.clock(), len(places)))
 
+    def note(self) -> None:
+        """Figures of the list that are worked out only when they are asked for."""
+        members = self.ledger.members()
+        self.counters["registry_revision"] = self.follower.revision
+        self.counters["registry_members"] = len(members)
+        self.counters["registry_digest"] = digest(members)
+
     async def stop(self) -> None:
         self.stopped = True
         if self.timer is not None:
@@ -88,8 +95,8 @@
 
     # --- what sessions tell ---------------------------------------------------------------------------------
 
-    def connected(self, number: int) -> None:
-        self._do(self.follower.connected(self.clock(), number))
+    def connected(self, number: int, cluster: int = 0) -> None:
+        self._do(self.follower.connected(self.clock(), number, cluster))
 
     def lost(self, number: int, why: str, refused: bool = False) -> None:
         if self.session is not None and self.session.number == number:
--- /dev/null
+++ b/applevale/standins/clients.py
@@ -0,0 +1,109 @@
+"""Scripted clients: a steady load, and a record of every answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import msgpack
+
+LATE = 0.3  # s behind a client's patience after which an answer counts as lost
+
+
+@dataclass
+class Sent:
+    ref: str
+    method: str
+    key: int
+    due: float  # by the loop's clock
+    answers: list[str] = field(default_factory=list)  # "served", "Full" or another error
+
+
+class Clients:
+    """Connections to one program, requests at a rate, loads with keys among them (60 ms apart and more)."""
+
+    def __init__(self, address: tuple[str, int], random: Random, rate: float, connections: int = 4,
+                 allow: float = 3.0, loads: float = 0.2, keys: int = 5):
+        self.address, self.random, self.rate, self.allow = address, random, rate, allow
+        self.loads, self.keys, self.count = loads, keys, connections
+        self.sent: list[Sent] = []
+        self.lost_connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self.open: list[dict[int, Sent]] = []
+        self.numbers: list[int] = []
+        self.readers: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        for at in range(self.count):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.writers.append(writer)
+            self.open.append({})
+            self.numbers.append(0)
+            self.readers.append(asyncio.create_task(self._read(reader, at)))
+
+    async def run(self, until: float) -> None:
+        """Sends until then, by the loop's clock; the time between two requests scatters."""
+        loop = asyncio.get_running_loop()
+        last_of: dict[int, float] = {}
+        while loop.time() < until:
+            await asyncio.sleep(self.random.expovariate(self.rate))
+            load = self.random.random() < self.loads
+            key = self.random.randint(1, self.keys) if load else 0
+            if load and loop.time() - last_of.get(key, 0.0) < 0.06:
+                continue
+            last_of[key] = loop.time()
+            self.send("load" if load else "lookup", key)
+
+    def send(self, method: str, key: int = 0) -> Sent:
+        at = self.random.randrange(self.count)
+        self.numbers[at] += 1
+        number = self.numbers[at]
+        ref = f"{self.random.getrandbits(64):016x}"
+        loop = asyncio.get_running_loop()
+        sent = Sent(ref, method, key, loop.time() + self.allow)
+        fields = {"ref": ref, "allow": f"{self.allow * 1000:.0f}", "effort": "20", "space": "4"}
+        if key:
+            fields["lookup"] = f"{key:x}"
+        group = self.random.randint(1, 20)
+        statement = f"{'insert into' if key else 'select * from'} air_{group}.x".encode()
+        self.open[at][number] = sent
+        self.sent.append(sent)
+        self.writers[at].write(msgpack.packb([0, number, method, [fields, statement]]))
+        return sent
+
+    async def _read(self, reader: asyncio.StreamReader, at: int) -> None:
+        unpacker, loop = msgpack.Unpacker(), asyncio.get_running_loop()
+        try:
+            while data := await reader.read(65536):
+                unpacker.feed(data)
+                for _, number, error, _ in unpacker:
+                    sent = self.open[at].get(number)
+                    if sent is not None:
+                        word = error[0] if error else "served"
+                        sent.answers.append(word if loop.time() <= sent.due + LATE else "late")
+        except OSError:
+            pass
+        self.lost_connections += 1
+
+    async def settle(self) -> None:
+        """Waits until each request has its answer, or its time has gone by."""
+        loop = asyncio.get_running_loop()
+        while any(not sent.answers and loop.time() < sent.due + LATE for sent in self.sent):
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        for task in self.readers:
+            task.cancel()
+        await asyncio.gather(*self.readers, return_exceptions=True)
+        for writer in self.writers:
+            writer.close()
+
+    def figures(self) -> Counter:
+        """Requests without exactly one answer in time, and the answers by word."""
+        found = Counter(word for sent in self.sent for word in sent.answers)
+        found["requests"] = len(self.sent)
+        found["lost"] = sum(not sent.answers or "late" in sent.answers for sent in self.sent)
+        found["twice"] = sum(len(sent.answers) > 1 for sent in self.sent)
+        return found
--- a/applevale/standins/etcd.py
+++ b/applevale/standins/etcd.py
@@ -49,7 +49,7 @@
         }
 
     def _header(self) -> object:
-        return m.ResponseHeader(cluster_id=1, member_id=1, revision=self.view.revision, raft_term=1)
+        return m.ResponseHeader(cluster_id=self.store.cluster, member_id=1, revision=self.view.revision)
 
     def _check(self, stream: Stream) -> None:
         if self.deny or (self.users and stream.metadata.get("token") not in self.users.values()):
@@ -96,8 +96,10 @@
                 if not await self._events(stream, create, told, lock):
                     return
                 waiting = asyncio.create_task(changed.wait())
-                await asyncio.wait({waiting, answering}, return_when=asyncio.FIRST_COMPLETED)
-                waiting.cancel()
+                try:
+                    await asyncio.wait({waiting, answering}, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    waiting.cancel()
                 changed.clear()
         except (StreamTerminatedError, ConnectionError):
             pass
--- a/applevale/standins/store.py
+++ b/applevale/standins/store.py
@@ -26,7 +26,7 @@
 
     def __init__(self, clock: Callable[[], float] = time.time):
         self.clock = clock
-        self.revision, self.compacted = 1, 0
+        self.revision, self.compacted, self.cluster = 1, 0, 1
         self.history: list[Version] = []
         self.revisions: list[int] = []  # of the history, to search in
         self.keys: list[bytes] = []  # that exist now, sorted
@@ -103,8 +103,9 @@
         made.keys, made.now, made.base = list(self.keys), dict(self.now), dict(self.base)
         return made
 
-    def restore(self, backup: Store) -> None:
-        """The store goes back to a backup; what was committed since is lost."""
+    def restore(self, backup: Store, cluster: int = 0) -> None:
+        """The store goes back to a backup, under a new id if one is given; what came since is lost."""
+        self.cluster = cluster or self.cluster
         lost = [self.now[key] for key in self.keys] + [v for v in backup.now.values()]
         for name in ("revision", "compacted"):
             setattr(self, name, getattr(backup, name))
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,343 @@
+"""The follower of a registry, driven message by message: no sockets, no clock."""
+
+import json
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from applevale import interface as api
+from applevale.sources.members import Names
+from applevale.sources.registry import follower as f
+from applevale.sources.registry.records import Ledger
+
+NAMES = Names(("a", "b"), ("std",))
+
+
+def record(number, state="ready", port=7000, **more):
+    known = {"id": f"s-{number:08x}", "address": f"10.0.0.1:{port}", "state": state}
+    return json.dumps(known | more).encode()
+
+
+@dataclass
+class Play:
+    """A follower, its time, and the list that its changes make."""
+
+    members: int = 2
+    resumable: bool = True
+    now: float = 100.0
+    engines: dict = field(default_factory=dict)
+    tells: int = 0
+
+    def __post_init__(self):
+        self.it = f.Follower(self.members, Ledger(NAMES), resumable=self.resumable)
+
+    def do(self, commands):
+        for tell in [one for one in commands if isinstance(one, f.Tell)]:
+            self.tells += 1
+            if tell.whole:
+                self.engines.clear()
+            for entry in tell.entries:
+                number, state = entry.member.entry.engine, entry.member.entry.state
+                self.engines[number] = state.value
+                if state is api.State.GONE:
+                    del self.engines[number]
+        return [one for one in commands if not isinstance(one, f.Tell)]
+
+    def tick(self, after=0.0):
+        self.now += after
+        return self.do(self.it.ticked(self.now))
+
+    @property
+    def number(self):
+        return self.it.session.number
+
+    def up(self, cluster=0):
+        if self.it.session is None:
+            self.now = max(self.now, self.it.due)
+            self.tick()
+        return self.do(self.it.connected(self.now, self.number, cluster))
+
+    def whole(self, revision, **records):
+        return self.do(self.it.whole(self.now, self.number, self.now - 0.01, revision,
+                                     [(key, revision, value) for key, value in records.items()]))
+
+    def events(self, revision, *events):
+        return self.do(self.it.events(self.now, self.number, revision, events))
+
+    def answer(self, revision, asked=None):
+        asked = self.it.session.asked if asked is None else asked
+        return self.do(self.it.answered(self.now, self.number, asked, revision))
+
+    def lose(self, **more):
+        return self.do(self.it.lost(self.now, self.number, **more))
+
+
+def watching(**more):
+    play = Play(**more)
+    play.tick()
+    play.up()
+    play.whole(10, k1=record(1), k2=record(2))
+    play.answer(10)
+    return play
+
+
+def kinds(commands):
+    return [type(one).__name__ for one in commands]
+
+
+def test_a_start_reads_all_then_watches_behind_it_and_asks():
+    play = Play()
+    assert play.tick() == [f.Connect(1, 0)]
+    assert play.up() == [f.ReadAll(1)]
+    assert play.whole(10, k1=record(1)) == [f.Watch(1, 11), f.Ask(1, play.now)]
+    assert play.engines == {1: "ready"} and play.it.confirmed == play.now - 0.01
+
+
+def test_what_confirms_is_the_question_not_its_answer_and_only_with_the_watch_as_far():
+    play = watching()
+    play.tick(0.07)
+    asked = play.now
+    play.now += 0.1
+    play.answer(12, asked)
+    assert play.it.confirmed < asked  # the watch has not told 11 and 12
+    play.events(12, ("k1", 12, record(1, "draining")))
+    assert play.it.confirmed == asked and play.engines == {1: "draining", 2: "ready"}
+    assert play.it.fresh(asked + 0.35) and not play.it.fresh(asked + 0.36)
+
+
+def test_a_break_goes_on_behind_the_last_revision_at_the_next_member():
+    play = watching()
+    assert play.lose() == [f.Connect(2, 1)]
+    commands = play.up()
+    assert commands[0] == f.Watch(2, 11) and kinds(commands) == ["Watch", "Ask"]
+    play.answer(13)
+    play.events(13, ("k1", 11, record(1, "draining")), ("k1", 12, None), ("k2", 13, None))
+    assert play.engines == {} and play.it.figures.resumes == 1 and play.it.figures.full_reads == 1
+    assert play.it.fresh(play.now)
+
+
+def test_compaction_during_a_break_reads_all_anew_and_misses_no_deletion():
+    play = watching()
+    play.lose()
+    play.up()
+    before = play.it.confirmed
+    play.now += 0.1
+    assert play.do(play.it.compacted(play.now, play.number)) == [f.ReadAll(2)]
+    assert play.it.confirmed == before
+    assert kinds(play.whole(20, k2=record(2))) == ["Watch", "Ask"]
+    assert play.engines == {2: "ready"}
+
+
+def test_compaction_between_the_full_read_and_the_watch():
+    play = Play()
+    play.tick()
+    play.up()
+    play.whole(10, k1=record(1))
+    assert play.do(play.it.compacted(play.now, 1)) == [f.ReadAll(1)]
+    play.whole(15, k2=record(2))
+    assert play.engines == {2: "ready"} and play.it.revision == 15
+
+
+def test_a_watch_that_goes_silent_while_reads_are_answered_is_left_within_the_promise():
+    play = watching()
+    last = play.it.confirmed
+    for _ in range(20):
+        commands = play.tick(0.02)
+        if any(isinstance(one, f.Connect) for one in commands):
+            break
+        if any(isinstance(one, f.Ask) for one in commands):
+            play.answer(11)  # the registry has changed, the watch says nothing
+    assert play.it.figures.stalls == 1 and play.it.session.place == 1
+    assert play.now - last < play.it.pace.fresh
+
+
+def test_a_member_that_answers_nothing_is_left_and_the_list_stays():
+    play = watching()
+    for _ in range(40):
+        play.tick(0.02)
+    assert play.it.figures.stalls == 1 and play.it.figures.breaks >= 2  # then none comes up in time
+    assert not play.it.fresh(play.now) and play.engines == {1: "ready", 2: "ready"}
+
+
+def test_a_member_that_is_behind_is_left_and_only_when_all_are_is_the_registry_restored():
+    play = watching(members=3)
+    play.lose()
+    play.up()
+    assert kinds(play.answer(8)) == ["Connect"] and play.engines == {1: "ready", 2: "ready"}
+    assert play.it.session.place == 2
+    play.up()
+    play.answer(10)  # one that is right ends the suspicion
+    play.tick(0.07)
+    for _ in range(2):
+        play.answer(8)
+        assert kinds(play.up()) == ["Watch", "Ask"]
+    play.answer(8)
+    assert play.it.must_read
+    assert kinds(play.up()) == ["ReadAll"]
+    play.whole(8, k1=record(1, "draining"))
+    assert play.engines == {1: "draining"} and play.it.revision == 8 and play.it.figures.restored == 1
+
+
+def test_a_full_read_of_a_member_that_is_behind_changes_nothing():
+    play = watching()
+    play.do(play.it.compacted(play.now, play.number))
+    assert kinds(play.whole(9, k1=record(1))) == ["Connect"]
+    assert play.engines == {1: "ready", 2: "ready"} and play.it.revision == 10
+
+
+def test_another_cluster_starts_its_revisions_anew():
+    play = Play(members=1)
+    play.tick()
+    play.up(cluster=5)
+    play.whole(10, k1=record(1))
+    play.lose()
+    assert kinds(play.up(cluster=6)) == ["ReadAll"]
+    assert kinds(play.whole(3, k2=record(2))) == ["Watch", "Ask"]
+    assert play.engines == {2: "ready"} and play.it.revision == 3
+
+
+def test_events_told_again_change_nothing_and_a_watch_that_goes_back_is_left():
+    play = watching()
+    play.events(11, ("k1", 11, record(1, "draining")))
+    play.events(11, ("k1", 11, record(1, "draining")))
+    assert play.it.figures.duplicates == 1 and play.tells == 2
+    commands = play.events(14, ("k2", 14, None), ("k1", 13, None))
+    assert kinds(commands) == ["Connect"] and play.it.must_read
+
+
+def test_nothing_counts_of_a_session_that_has_ended():
+    play = watching()
+    play.lose()
+    assert play.do(play.it.events(play.now, 1, 11, [("k1", 11, None)])) == []
+    assert play.do(play.it.lost(play.now, 1)) == [] and play.do(play.it.compacted(play.now, 1)) == []
+    assert play.engines == {1: "ready", 2: "ready"}
+
+
+def test_refused_credentials_rest_longer_than_a_break_and_the_rest_grows():
+    waits = {}
+    for refused in (False, True):
+        play = watching()
+        waits[refused] = []
+        for _ in range(16):
+            if play.lose(refused=refused) == []:
+                waits[refused].append(play.it.due - play.now)
+                play.now = play.it.due
+                play.tick()
+    assert all(rest <= 1.0 for rest in waits[False]) and waits[False][-1] > 4 * waits[False][0]
+    assert all(rest >= 1.0 for rest in waits[True])
+
+
+def test_a_kept_list_is_told_but_confirmed_by_no_one_until_the_watch_has_gone_on():
+    play = Play()
+    play.do(play.it.restore(10, [("k1", 9, record(1))]))
+    assert play.engines == {1: "ready"} and not play.it.fresh(play.now)
+    play.tick()
+    assert play.up()[0] == f.Watch(1, 11)
+    play.answer(10)
+    assert play.it.fresh(play.now) and play.it.figures.full_reads == 0
+
+
+def test_moved_to_other_members_it_goes_on_from_its_revision():
+    play = watching()
+    assert kinds(play.do(play.it.moved(play.now, 5))) == ["Connect"]
+    assert play.up()[0] == f.Watch(2, 11) and play.engines == {1: "ready", 2: "ready"}
+
+
+def test_without_resuming_each_session_reads_all():
+    play = watching(resumable=False)
+    play.lose()
+    assert kinds(play.up()) == ["ReadAll"]
+
+
+@pytest.mark.parametrize("value", [b"{", b"", b"\xff\xfe", b"[1]", record(1, "dead"), record(1, zone="c"),
+                                   record(1, weight=-1), record(1, port=0), b"x" * 70_000,
+                                   b"{" * 50_000, b"- " * 30_000, b"id: s-1", record(1, port="7\n")])
+def test_a_value_that_cannot_be_used_leaves_the_last_good_record(value):
+    play = watching()
+    play.events(11, ("k1", 11, value), ("k3", 11, value))
+    assert play.engines == {1: "ready", 2: "ready"} and set(play.it.ledger.bad) == {"k1", "k3"}
+    play.events(12, ("k1", 12, record(1, "draining")))
+    assert play.engines[1] == "draining" and set(play.it.ledger.bad) == {"k3"}
+    play.do(play.it.compacted(play.now, play.number))
+    play.whole(13, k1=value, k2=record(2))
+    assert play.engines == {1: "draining", 2: "ready"}
+
+
+def test_yaml_is_read_and_unknown_fields_are_passed_over():
+    play = watching()
+    play.events(11, ("k1", 11, b"id: s-00000001\naddress: 10.0.0.1:7001\nstate: draining\nzone: b\nby: x\n"))
+    assert play.engines[1] == "draining" and play.it.ledger.entries["k1"].member.entry.zone == 1
+
+
+def test_one_engine_under_two_keys_is_the_later_and_outlives_the_loss_of_one():
+    play = watching()
+    play.events(11, ("k9", 11, record(1, "draining", 7100)))
+    assert play.engines[1] == "draining"
+    play.events(12, ("k9", 12, None))
+    assert play.engines[1] == "ready"
+    play.events(13, ("k1", 13, record(5)))  # the key goes to another engine
+    assert play.engines == {2: "ready", 5: "ready"}
+
+
+STEP = st.tuples(st.sampled_from(["put", "drain", "delete", "bad", "cut", "compact", "again", "lag"]),
+                 st.integers(1, 4))
+
+
+@given(st.lists(STEP, max_size=40))
+def test_whatever_happens_the_list_is_the_registrys_once_it_is_confirmed(steps):
+    """A registry as a list of versions; the follower may be cut, compacted away or told things again."""
+    play, history, now, good = Play(), [], {}, {}
+    for what, number in steps + [("put", 1)]:
+        key = f"k{number}"
+        if what in ("put", "drain", "bad"):
+            value = b"{" if what == "bad" else record(number, "ready" if what == "put" else "draining")
+            history.append((key, len(history) + 1, value))
+            now[key] = history[-1]
+            if what != "bad":
+                good[key] = value
+        elif what == "delete" and key in now:
+            history.append((key, len(history) + 1, None))
+            del now[key]
+            good.pop(key, None)
+        elif what == "cut" and play.it.session is not None:
+            play.lose()
+        serve(play, history, now, what)
+    if not play.it.fresh(play.now):
+        serve(play, history, now, "")
+    assert play.it.fresh(play.now) and play.it.revision == len(history)
+    told = {f"k{number}": state for number, state in play.engines.items()}
+    for key, (_, _, value) in now.items():
+        if value == b"{":  # the last good one stays, if it was ever seen
+            assert told.pop(key, None) in (None, state_of(good.get(key)))
+        else:
+            assert told.pop(key) == state_of(value)
+    assert not told
+
+
+def state_of(value):
+    return json.loads(value)["state"] if value else None
+
+
+def serve(play, history, now, what):
+    """What a member would answer; it ends with the watch as far as the registry."""
+    for _ in range(6):
+        if play.it.session is None:
+            play.now = max(play.now, play.it.due)
+            play.tick()
+        if play.it.state is f.State.CONNECTING:
+            play.up()
+        if play.it.state is f.State.READING:
+            play.do(play.it.whole(play.now, play.number, play.now, len(history), list(now.values())))
+        elif what == "compact":
+            what = ""
+            play.do(play.it.compacted(play.now, play.number))
+        elif what == "lag" and play.it.revision:
+            what = ""
+            play.answer(play.it.revision - 1)
+        else:
+            start = 0 if what == "again" else play.it.revision
+            play.events(len(history), *history[start:])
+            play.tick(0.07)
+            play.answer(len(history))
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,373 @@
+"""The registry as a source, against stand-ins on loopback; every wait is for an event, with a bound."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+
+from applevale.node.counters import Counters
+from applevale.rigs.registry import Site
+from applevale.sources.members import Names
+from applevale.sources.registry import settings as registry_settings
+from applevale.sources.registry.snapshot import Snapshot, SnapshotError
+from applevale.sources.registry.source import RegistrySource
+from applevale.standins import consul, etcd
+from applevale.standins.gate import Gate, Mode
+from applevale.standins.store import Store
+
+NAMES = Names(("a",), ("std",))
+KINDS = ("etcd", "consul")
+PREFIX = "p/"
+BOUND = 20.0  # s: no test takes a part of it
+
+
+def record(number, state="ready", port=7000):
+    return json.dumps({"id": f"s-{number:08x}", "address": f"127.0.0.1:{port}", "state": state}).encode()
+
+
+class Around:
+    """A source, its members behind gates, and the list that it has told."""
+
+    def __init__(self, kind, **more):
+        self.kind, self.store, self.more = kind, Store(), more
+        self.members = [{"etcd": etcd, "consul": consul}[kind].Member(self.store) for _ in range(2)]
+        self.gates, self.counters, self.list, self.turns = [], Counters(), {}, []
+        self.event = asyncio.Event()
+        self.source = None
+
+    def put(self, number, *state, **more):
+        return self.store.put(f"{PREFIX}{number}".encode(), record(number, *state, **more))
+
+    def told(self, change):
+        if change.whole:
+            self.list.clear()
+        for member in change.members:
+            self.list[member.entry.engine] = member.entry.state.value
+            if member.entry.state.value == "gone":
+                del self.list[member.entry.engine]
+        self.event.set()
+
+    def turned(self, fresh):
+        self.turns.append(fresh)
+        self.event.set()
+
+    def settings(self, gates=None, **more):
+        addresses = [f"{gate.address[0]}:{gate.address[1]}" for gate in gates or self.gates]
+        return registry_settings.read_settings(
+            {"kind": self.kind, "addresses": addresses, "prefix": PREFIX} | self.more | more)
+
+    def begin(self):
+        self.source = RegistrySource(self.settings(), NAMES, self.counters, self.told, self.turned, 1)
+        self.source.start()
+
+    async def until(self, true):
+        async with asyncio.timeout(BOUND):
+            while not true():
+                self.event.clear()
+                waiting = asyncio.create_task(self.event.wait())
+                await asyncio.wait({waiting}, timeout=0.02)
+                waiting.cancel()
+
+    async def agreed(self):
+        """Until the list is confirmed at the registry's own revision."""
+        await self.until(lambda: self.source.fresh() and self.source.follower.revision == self.store.revision)
+
+
+@asynccontextmanager
+async def around(kind, **more):
+    it = Around(kind, **more)
+    try:
+        for member in it.members:
+            await member.start()
+            gate = Gate(member.address, Random(1))
+            await gate.start()
+            it.gates.append(gate)
+        it.put(1)
+        it.put(2)
+        it.begin()
+        await it.agreed()
+        yield it
+    finally:
+        if it.source is not None:
+            await it.source.stop()
+        for part in (*it.gates, *it.members):
+            await part.stop()
+
+
+def played(play, kind, **more):
+    async def run():
+        async with around(kind, **more) as it:
+            await play(it)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_drain_and_a_deletion_within_a_break_with_compaction(kind):
+    async def play(it):
+        for gate in it.gates:
+            gate.set(Mode.STALL)
+        it.put(1, "draining")
+        it.store.delete(b"p/1")
+        it.put(2, "draining")
+        it.store.compact()
+        await it.until(lambda: not it.source.fresh())
+        assert it.list == {1: "ready", 2: "ready"} and not it.source.allowed()
+        for gate in it.gates:
+            gate.set(Mode.PASS)
+        await it.agreed()
+        assert it.list == {2: "draining"} and it.counters["registry_full_reads"] == 2
+
+    played(play, kind)
+
+
+@pytest.mark.parametrize("mode", [Mode.HALF, Mode.GARBAGE])
+@pytest.mark.parametrize("kind", KINDS)
+def test_half_an_answer_and_garbage_cost_a_session_and_no_change(kind, mode):
+    async def play(it):
+        for gate in it.gates:
+            gate.set(mode)
+        it.put(1, "draining")
+        await it.until(lambda: it.counters["registry_breaks"] + it.counters["registry_stalls"] > 0)
+        await it.agreed()
+        assert it.list == {1: "draining", 2: "ready"}
+
+    played(play, kind)
+
+
+def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
+    async def play(it):
+        for member in it.members:
+            member.mute = it.source.follower.place == it.members.index(member)
+        it.put(1, "draining")
+        await it.agreed()
+        assert it.list[1] == "draining" and it.counters["registry_stalls"] == 1
+        assert it.counters["registry_resumes"] == 1 and it.counters["registry_full_reads"] == 1
+
+    played(play, "etcd")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_member_that_is_behind_is_left(kind):
+    async def play(it):
+        old = it.store.copy()
+        it.put(1, "draining")
+        await it.agreed()
+        it.members[it.source.follower.place].lag = old
+        it.gates[it.source.follower.place].cut()
+        it.put(2, "draining")
+        await it.agreed()
+        assert it.list == {1: "draining", 2: "draining"}
+
+    played(play, kind)
+
+
+@pytest.mark.parametrize("kind, cluster", [("etcd", 0), ("etcd", 7), ("consul", 0)])
+def test_a_registry_restored_from_a_backup_is_taken(kind, cluster):
+    async def play(it):
+        backup = it.store.copy()
+        it.put(1, "draining")
+        it.put(3)
+        await it.agreed()
+        it.store.restore(backup, cluster)
+        for gate in it.gates:
+            gate.cut()
+        await it.agreed()
+        assert it.list == {1: "ready", 2: "ready"} and it.counters["registry_restored"] == 1
+
+    played(play, kind)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_refused_credentials_are_told_and_taken_once_they_are_right(kind):
+    async def play(it):
+        for member in it.members:
+            member.deny = True
+        for gate in it.gates:
+            gate.cut()
+        await it.until(lambda: it.counters["registry_refused"] >= 2 and not it.source.fresh())
+        for member in it.members:
+            member.deny = False
+        it.source.move(it.settings())
+        it.put(1, "draining")
+        await it.agreed()
+        assert it.list[1] == "draining"
+
+    played(play, kind)
+
+
+def test_user_and_password_fetch_a_token():
+    async def run():
+        it = Around("etcd", user="ops", password="pw-ops")
+        for member in it.members:
+            member.users = {"ops": "token-1"}
+            await member.start()
+            gate = Gate(member.address, Random(1))
+            await gate.start()
+            it.gates.append(gate)
+        it.put(1)
+        it.begin()
+        await it.agreed()
+        assert it.list == {1: "ready"}
+        await it.source.stop()
+        for part in (*it.gates, *it.members):
+            await part.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_value_of_50_mb_is_not_taken_into_memory_and_ends_with_it(kind):
+    async def play(it):
+        it.store.put(b"p/1", b"x" * 50_000_000)
+        lost = ("registry_breaks", "registry_stalls")  # the stand-in shares the loop and is slow with it
+        await it.until(lambda: sum(it.counters[name] for name in lost) >= 2 and not it.source.fresh())
+        assert it.list == {1: "ready", 2: "ready"}
+        it.put(1, "draining")
+        it.store.compact()
+        await it.agreed()
+        assert it.list == {1: "draining", 2: "ready"}
+
+    played(play, kind)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_burst_of_10_000_changes_and_a_list_read_in_pages(kind):
+    async def play(it):
+        for number in range(1, 2501):
+            for state in ("ready", "draining", "ready", "draining"):
+                it.put(number, state)
+        await it.agreed()
+        assert it.list == dict.fromkeys(range(1, 2501), "draining")
+        it.source.move(it.settings(gates=it.gates[1:]))
+        it.store.compact()
+        it.put(1)
+        await it.agreed()
+        assert it.list[1] == "ready" and len(it.list) == 2500
+
+    played(play, kind, fresh=2.0)
+
+
+def test_a_lease_that_runs_out_takes_its_engine_away():
+    async def play(it):
+        it.store.put(b"p/3", record(3), lease=0.05)
+        await it.until(lambda: 3 in it.list)
+        await it.until(lambda: 3 not in it.list)
+        await it.agreed()
+
+    played(play, "etcd")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_other_members_are_followed_from_the_same_revision(kind):
+    async def play(it):
+        extra = Gate(it.members[1].address, Random(2))
+        await extra.start()
+        try:
+            for gate in it.gates:
+                gate.set(Mode.REFUSE)
+            it.put(1, "draining")
+            it.source.move(it.settings(gates=[extra]))
+            await it.agreed()
+            assert it.list[1] == "draining"
+            assert it.counters["registry_full_reads"] == (1 if kind == "etcd" else 2)
+        finally:
+            await extra.stop()
+
+    played(play, kind)
+
+
+def test_a_start_from_the_snapshot_serves_it_unconfirmed_and_resumes_without_a_full_read(tmp_path):
+    async def play(it):
+        it.put(1, "draining")
+        await it.agreed()
+        await it.source.stop()
+        it.list, it.counters = {}, Counters()
+        for gate in it.gates:
+            gate.set(Mode.STALL)
+        it.begin()
+        assert it.list == {1: "draining", 2: "ready"} and not it.source.fresh()
+        it.put(2, "draining")
+        for gate in it.gates:
+            gate.set(Mode.PASS)
+        await it.agreed()
+        assert it.list == {1: "draining", 2: "draining"}
+        assert it.counters["registry_full_reads"] == 0 and it.counters["registry_snapshot_used"] == 1
+
+    played(play, "etcd", snapshot=str(tmp_path / "kept"), on_stale="serve")
+
+
+def test_a_torn_a_foreign_and_no_snapshot_are_told_apart(tmp_path):
+    folder = str(tmp_path / "kept")
+    kept = Snapshot(folder, "etcd:p/")
+    assert kept.load() is None
+    kept.keep(5, [("p/1", 5, record(1))])
+    assert kept.load().revision == 5
+    kept.registry = "etcd:q/"
+    with pytest.raises(SnapshotError, match="q/"):
+        kept.load()
+    with kept.store.begin(write=True) as transaction:
+        transaction.put(b"list", transaction.get(b"list")[:-1])
+    with pytest.raises(SnapshotError, match="torn"):
+        kept.load()
+    kept.close()
+    (tmp_path / "file").write_text("no folder")
+    with pytest.raises(SnapshotError, match="file"):
+        Snapshot(str(tmp_path / "file"), "etcd:p/")
+
+
+@pytest.mark.parametrize("change, key", [
+    ({"kind": "zoo"}, "registry.kind"), ({"addresses": []}, "registry.addresses"),
+    ({"addresses": ["x"]}, r"registry.addresses\[0\]"), ({"addresses": ["h:0"]}, r"registry.addresses\[0\]"),
+    ({"fresh": 0}, "registry.fresh"), ({"hold": -1}, "registry.hold"), ({"colour": 1}, "colour"),
+    ({"user": "a"}, "registry.password"), ({"tls": {"ca": "x", "cert": "y"}}, "registry.tls.key"),
+    ({"on_stale": "wait"}, "registry.on_stale"),
+])
+def test_settings_that_cannot_be_used_name_their_key(change, key):
+    with pytest.raises(registry_settings.SettingsError, match=key):
+        registry_settings.read_settings({"kind": "etcd", "addresses": ["h:1"]} | change)
+
+
+def stalled(kind, *fault):
+    """A drain that falls into a silence of all members, with compaction behind it, under the real program."""
+    async def run():
+        site = Site(kind, Random(3), ("tests.planted", *fault) if fault else ())
+        try:
+            await site.start()
+            loop = asyncio.get_running_loop()
+            load = asyncio.create_task(site.clients.run(loop.time() + 3.0))
+            await asyncio.sleep(0.3)
+            for gate in site.gates:
+                gate.set(Mode.STALL)
+            for one in site.listed[:3]:
+                one.state = "draining"
+                site.store.put(one.key, one.record())
+            site.store.put(b"applevale/engines/900", b"{}")
+            site.store.compact()
+            await asyncio.sleep(1.2)
+            await site.quiet()
+            await load
+        finally:
+            await site.stop()
+        return max(site.drain_lags()), site.figures["wrong_lists"], site.clients.figures()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_the_program_sends_nothing_new_to_a_drain_that_it_could_not_hear_of(kind):
+    lag, wrong, answers = stalled(kind)
+    assert lag <= 0.5 and wrong == 0
+    assert answers["lost"] == answers["twice"] == 0 and answers["served"] > 30
+
+
+def test_the_rig_shows_a_program_that_does_not_watch_staleness():
+    lag, _, _ = stalled("etcd", "staleness")
+    assert lag > 0.5
+
+
+def test_the_rig_shows_a_program_that_ignores_compaction():
+    _, wrong, _ = stalled("etcd", "compaction")
+    assert wrong == 1
