Registry: TLS with client certificates, reload under load in the rig, one list event a batch

Sources now share one interface (start, move, fresh, stop), the feed among them. News of the list within a batch are joined before the module sees them. The rig's script reloads the program to other members by SIGHUP.

Tests with the stand-ins' own certificates, a foreign one refused.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -12,7 +12,7 @@
 
 from ..policy import Gateway
 from ..sources.feed import Feed, FeedError
-from ..sources.members import Change
+from ..sources.members import Change, Source
 from .broker import Broker
 from .config import Config, ConfigError, load
 from .counters import Counters
@@ -71,7 +71,8 @@
         self.list = HeldList()
         self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
-        self.feed = Feed(first, config.names, self.counters, self.tell)
+        self.feed = Feed(first, config.names, self.counters, self.tell, config.feed)
+        self.source: Source = self.registry or self.feed
 
     def _follow_registry(self) -> RegistrySource | None:
         config = self.config
@@ -121,22 +122,20 @@
             return
         self.counters["reloads"] += 1
         self.learn(config.known)
-        self.feed.move(config.feed)
-        self._move_registry(config.registry)
+        self._move(config)
         fixed = [key for key in ("name", "listen", "sockets", "memory", "settings", "links", "names")
                  if getattr(config, key) != getattr(self.config, key)]
         if fixed:
             say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
-    def _move_registry(self, settings: object) -> None:
-        if self.registry is None or settings is None:
-            if settings is not self.config.registry:
-                say("reload", "takes effect at the next start only: registry")
+    def _move(self, config: Config) -> None:
+        if (config.registry is None) != (self.registry is None):
+            say("reload", "takes effect at the next start only: registry")
             return
         try:
-            self.registry.move(settings)
+            self.source.move(config.feed if self.registry is None else config.registry)
         except ValueError as error:
-            say("reload", f"the registry is followed as before: {error}")
+            say("reload", f"the list is followed as before: {error}")
 
     async def close(self, since: float) -> None:
         """Answers what came until a moment after SIGTERM, and does not stay until it is killed."""
@@ -163,9 +162,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.leaving.set)
     node.learn(config.known)
-    node.feed.move(config.feed)
-    if node.registry is not None:
-        node.registry.start()
+    node.source.start()
     node.driver.tick()
     accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
@@ -182,7 +179,5 @@
     finally:
         accepting.cancel()
         node.driver.stop()
-        node.feed.move(None)
-        if node.registry is not None:
-            await node.registry.stop()
+        await node.source.stop()
         node.counters.show()
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -28,6 +28,20 @@
 ForRequest = api.Send | api.Terms | api.Refuse | api.Fail | api.Cancel
 
 
+def one_list(events: list[api.Event]) -> list[api.Event]:
+    """All news of the list in a batch as one: the module goes through all its engines for each."""
+    entries: dict[int, api.EngineEntry] = {}
+    whole = False
+    for event in events:
+        if isinstance(event, api.EngineList):
+            if event.whole:
+                whole = True
+                entries.clear()
+            entries.update((entry.engine, entry) for entry in event.entries)
+    rest = [event for event in events if not isinstance(event, api.EngineList)]
+    return [api.EngineList(tuple(entries.values()), whole), *rest]
+
+
 class Driver:
     """All that is ready in one turn of the loop goes to the module as one batch, never re-entrantly."""
 
@@ -36,6 +50,7 @@
         self.gateway, self.fleet, self.counters, self.clock = gateway, fleet, counters, clock
         self.routes: dict[int, Callable[[ForRequest], None]] = {}
         self.waiting: list[api.Event] = []
+        self.lists = 0  # news of the engine list among them
         self.latest = 0.0
         self.numbers = 0
         self.due = 0.0  # of the batch, by the loop's clock
@@ -72,6 +87,7 @@
             else:
                 loop.call_at(self.due, self._flush)
         self.waiting.append(event)
+        self.lists += isinstance(event, api.EngineList)
 
     def delay(self) -> float:
         """How long a message may have waited unread: a loop that runs late reads late."""
@@ -100,6 +116,9 @@
 
     def _flush(self) -> None:
         events, self.waiting = self.waiting, []
+        if self.lists > 1:
+            events = one_list(events)
+        self.lists = 0
         loop = asyncio.get_running_loop()
         late = loop.time() - self.due
         self.due += late
--- a/applevale/rigs/program.py
+++ b/applevale/rigs/program.py
@@ -43,8 +43,7 @@
     """One process. Its counters are asked for by SIGUSR1, its log is kept."""
 
     def __init__(self, config: dict, name: str):
-        self.config = {"name": name, "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS,
-                       "limits": {"memory_mb": 192, "sockets": 1024}} | config
+        self.config, self.name = config, name
         self.folder = tempfile.TemporaryDirectory(prefix="applevale-rig-")
         self.path = os.path.join(self.folder.name, "config.json")
         self.process: asyncio.subprocess.Process | None = None
@@ -70,9 +69,11 @@
         self.reading = asyncio.create_task(self._read())
 
     def write(self, config: dict) -> None:
-        """The configuration, as a whole or not at all."""
+        """The configuration beside what all rigs share, as a whole or not at all."""
+        whole = {"name": self.name, "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS,
+                 "limits": {"memory_mb": 192, "sockets": 1024}} | config
         with open(self.path + ".new", "w", encoding="utf-8") as file:
-            json.dump(config, file)
+            json.dump(whole, file)
         os.replace(self.path + ".new", self.path)
 
     async def _read(self) -> None:
--- a/applevale/rigs/registry.py
+++ b/applevale/rigs/registry.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 from bisect import bisect_right
 from collections import Counter
@@ -85,14 +86,16 @@
         self.spare = self.engines[ENGINES:]
         for one in self.listed:
             self.store.put(one.key, one.record())
-        addresses = [f"{host}:{port}" for host, port in (gate.address for gate in self.gates)]
-        self.program = Program({"registry": {"kind": self.kind, "addresses": addresses, "prefix": PREFIX}},
-                               f"rig-{self.kind}")
+        self.program = Program(self.config(self.gates), f"rig-{self.kind}")
         await self.program.start(*self.entry)
         await self.quiet()
         self.clients = Clients(self.program.address, Random(self.random.random()), RATE)
         await self.clients.start()
 
+    def config(self, gates: list[Gate]) -> dict:
+        addresses = [f"{host}:{port}" for host, port in (gate.address for gate in gates)]
+        return {"registry": {"kind": self.kind, "addresses": addresses, "prefix": PREFIX}}
+
     async def stop(self) -> dict:
         shown = {}
         try:
@@ -158,7 +161,8 @@
         at = draw.randrange(MEMBERS)
         gate, member, span = self.gates[at], self.members[at], draw.uniform(0.1, 1.5)
         what = draw.choice(["cut", "refuse", "stall", "half", "garbage", "compact", "mute", "lag", "deny",
-                            "slow", "all", "restore", "burst", *(["twice"] if self.kind == "etcd" else [])])
+                            "slow", "all", "restore", "burst", "reload",
+                            *(["twice"] if self.kind == "etcd" else [])])
         self.figures["failures"] += 1
         self.note(f"{what} of member {at} for {span:.2f} s")
         match what:
@@ -196,9 +200,17 @@
                 for number in range(1000, 1200):
                     self.store.put(f"{PREFIX}{number}".encode(), json.dumps(
                         {"id": f"s-{number:08x}", "address": "127.0.0.1:9", "state": "draining"}).encode())
+            case "reload":
+                await self.reload()
             case "restore":
                 await self.restore()
 
+    async def reload(self) -> None:
+        """Other members in another order, by SIGHUP, under load."""
+        gates = self.random.sample(self.gates, self.random.randint(2, MEMBERS))
+        self.program.write(self.config(gates))
+        self.program.process.send_signal(signal.SIGHUP)
+
     async def restore(self) -> None:
         """Back to the last quiet point. Without a new id it can be seen only while its revision is lower than
         one that was known, so nothing is written until it was."""
--- a/applevale/sources/feed.py
+++ b/applevale/sources/feed.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from math import isfinite
+from math import inf, isfinite
 
 from .. import interface as api
 from ..node.counters import Counters
@@ -98,20 +98,32 @@
 class Feed:
     """Follows the feed for as long as the program runs, and tells each change once, in order."""
 
-    def __init__(self, last: int, names: Names, counters: Counters, tell: Callable[[Change], None]):
+    def __init__(self, last: int, names: Names, counters: Counters, tell: Callable[[Change], None],
+                 address: tuple[str, int] | None = None):
         self.last, self.names, self.counters, self.tell = last, names, counters, tell
-        self.address: tuple[str, int] | None = None
+        self.address = address
         self.task: asyncio.Task | None = None
+        self.heard = -inf  # by the loop's clock
+
+    def start(self) -> None:
+        self.move(self.address)
 
-    def move(self, address: tuple[str, int] | None) -> None:
-        """Follows it at `address` from now on, from the last event told; None follows it no more."""
-        if self.task is not None and (address is None or address != self.address):
+    def move(self, to: tuple[str, int] | None) -> None:
+        """Follows it at `to` from now on, from the last event told; None follows it no more."""
+        if self.task is not None and (to is None or to != self.address):
             self.task.cancel()
             self.task = None
-        self.address = address
-        if address is not None and self.task is None:
+        self.address = to
+        if to is not None and self.task is None:
             self.task = asyncio.create_task(self._follow())
 
+    def fresh(self) -> bool:
+        """Whether a frame came lately; without an address the list is what is known."""
+        return self.address is None or asyncio.get_running_loop().time() - self.heard <= SILENCE
+
+    async def stop(self) -> None:
+        self.move(None)
+
     async def _follow(self) -> None:
         rest = REST[0]
         while True:
@@ -141,6 +153,7 @@
                         if size == 0:
                             raise FeedError("closed by the other side")
                         changes = frames.feed(memoryview(buffer)[:size])
+                self.heard = loop.time()
                 for change in changes:
                     self.take(change)
 
--- a/applevale/sources/members.py
+++ b/applevale/sources/members.py
@@ -36,6 +36,9 @@
     def start(self) -> None:
         """Follows from now on."""
 
+    def move(self, to: object) -> None:
+        """Follows it elsewhere, from the last change told; `to` is the source's own form of where."""
+
     def fresh(self) -> bool: ...
 
     async def stop(self) -> None: ...
--- a/applevale/sources/registry/session.py
+++ b/applevale/sources/registry/session.py
@@ -78,12 +78,13 @@
         raise NotImplementedError
 
 
-def context(tls: Tls | None) -> ssl.SSLContext | None:
+def context(tls: Tls | None, protocol: str) -> ssl.SSLContext | None:
     """Raises SettingsError if the files cannot be used."""
     if tls is None:
         return None
     try:
         made = ssl.create_default_context(cafile=tls.ca)
+        made.set_alpn_protocols([protocol])
         if tls.cert:
             made.load_cert_chain(tls.cert, tls.key)
     except (OSError, ssl.SSLError) as error:
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -8,6 +8,8 @@
 from dataclasses import asdict
 from random import Random
 
+import msgspec
+
 from ...node.counters import Counters
 from ...node.log import say
 from ..members import Change, Names
@@ -21,6 +23,7 @@
 
 KEEP_EVERY = 1.0  # s between two writes of the snapshot at least
 SESSIONS = {"etcd": EtcdSession, "consul": ConsulSession}
+PROTOCOLS = {"etcd": "h2", "consul": "http/1.1"}  # as TLS names them
 
 
 class RegistrySource:
@@ -32,7 +35,7 @@
         """Raises SettingsError if the addresses or the TLS files cannot be used."""
         self.settings, self.counters, self.clock = settings, counters, clock
         self.tell, self.turned = tell, turned
-        self.places, self.tls = settings.places(), context(settings.tls)
+        self.places, self.tls = settings.places(), context(settings.tls, PROTOCOLS[settings.kind])
         self.ledger = Ledger(names)
         self.follower = f.Follower(
             len(self.places), self.ledger, resumable=settings.kind == "etcd", random=Random(seed),
@@ -63,15 +66,14 @@
         """Whether new work may go out."""
         return self.settings.on_stale == "serve" or self.fresh()
 
-    def move(self, settings: RegistrySettings) -> None:
+    def move(self, to: RegistrySettings) -> None:
         """Other addresses and credentials; list, revision and promise stay. Raises SettingsError."""
-        places, tls = settings.places(), context(settings.tls)
+        places, tls = to.places(), context(to.tls, PROTOCOLS[self.settings.kind])
         fixed = {key: getattr(self.settings, key) for key in ("kind", "prefix", "fresh", "snapshot")}
-        changed = [key for key, value in fixed.items() if getattr(settings, key) != value]
+        changed = [key for key, value in fixed.items() if getattr(to, key) != value]
         if changed:
             say("registry", f"takes effect at the next start only: {', '.join(changed)}")
-        self.settings = type(settings)(**{key: getattr(settings, key) for key in settings.__struct_fields__}
-                                       | fixed)
+        self.settings = msgspec.structs.replace(to, **fixed)
         self.places, self.tls = places, tls
         self._do(self.follower.moved(self.clock(), len(places)))
 
--- a/applevale/standins/consul.py
+++ b/applevale/standins/consul.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import ssl
 
 from aiohttp import web
 
@@ -28,12 +29,12 @@
     def view(self) -> Store:
         return self.lag or self.store
 
-    async def start(self) -> None:
+    async def start(self, tls: ssl.SSLContext | None = None) -> None:
         app = web.Application()
         app.router.add_get("/v1/kv/{prefix:.*}", self._read)
         self.runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, *self.address)
+        site = web.TCPSite(self.runner, *self.address, ssl_context=tls)
         await site.start()
         self.address = self.runner.addresses[0][:2]
 
--- a/applevale/standins/etcd.py
+++ b/applevale/standins/etcd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -31,9 +32,9 @@
     def view(self) -> Store:
         return self.lag or self.store
 
-    async def start(self) -> None:
+    async def start(self, tls: ssl.SSLContext | None = None) -> None:
         self.server = Server([self])
-        await self.server.start(*self.address)
+        await self.server.start(*self.address, ssl=tls)
         self.address = self.server._server.sockets[0].getsockname()[:2]
 
     async def stop(self) -> None:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -37,6 +37,22 @@
     return asyncio.run(main())
 
 
+def test_news_of_the_list_in_one_batch_are_told_as_one():
+    module = Module()
+    ready, draining = api.EngineEntry(1), api.EngineEntry(1, state=api.State.DRAINING)
+    other = api.EngineEntry(2, state=api.State.GONE)
+
+    async def steps(driver):
+        driver.post(api.EngineList((api.EngineEntry(9),)))
+        driver.post(api.EngineList((ready,), whole=True))
+        driver.post(api.Timer(3))
+        driver.post(api.EngineList((draining, other)))
+        await until(lambda: module.batches)
+
+    drive(module, steps)
+    assert module.batches == [[api.EngineList((draining, other), whole=True), api.Timer(3)]]
+
+
 def test_one_turn_is_one_batch_and_a_timer_comes_in_a_later_one():
     module = Module([api.SetTimer(0.0, 7)])
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import ssl
 from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
+import trustme
 
 from applevale.node.counters import Counters
 from applevale.rigs.registry import Site
@@ -198,6 +200,39 @@
     played(play, kind)
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_tls_with_a_client_certificate_and_without_the_right_one(kind, tmp_path):
+    ours, other = trustme.CA(), trustme.CA()
+    paths = {}
+    for name, authority in (("ours", ours), ("other", other)):
+        made = authority.issue_cert("client.example.org")
+        paths[name] = {"cert": str(tmp_path / f"{name}.crt"), "key": str(tmp_path / f"{name}.key")}
+        made.private_key_pem.write_to_path(paths[name]["key"])
+        made.cert_chain_pems[0].write_to_path(paths[name]["cert"])
+    ours.cert_pem.write_to_path(str(tmp_path / "ca.crt"))
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server.set_alpn_protocols(["h2" if kind == "etcd" else "http/1.1"])
+    server.verify_mode = ssl.CERT_REQUIRED
+    ours.configure_trust(server)
+    ours.issue_cert("127.0.0.1").configure_cert(server)
+
+    async def run():
+        it = Around(kind, tls={"ca": str(tmp_path / "ca.crt")} | paths["other"])
+        await it.members[0].start(server)
+        it.gates = [it.members[0]]
+        it.put(1)
+        it.begin()
+        await it.until(lambda: it.counters["registry_breaks"] >= 2)
+        assert it.list == {}
+        it.source.move(it.settings(tls={"ca": str(tmp_path / "ca.crt")} | paths["ours"]))
+        await it.agreed()
+        assert it.list == {1: "ready"}
+        await it.source.stop()
+        await it.members[0].stop()
+
+    asyncio.run(run())
+
+
 def test_user_and_password_fetch_a_token():
     async def run():
         it = Around("etcd", user="ops", password="pw-ops")
