Zones: verdict, phases, exact spill windows, a guide for the module and a planner

One data centre is what the program knew; other installations lose a zone and get it back cold.

applevale/zones decides without I/O: when a zone is lost, how it comes back, how much work may spill (exact over any window), and a guide that the decision module asks for each engine: tier, may it take this work, how much finds room. Without a zones file the guide allows all and nothing is loaded. applevale zones plan finds the shares for every loss of one zone and of two with HiGHS, and tells which limit stands in the way.

--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -8,6 +8,7 @@
 import sys
 from typing import Annotated
 
+import msgspec
 import typer
 
 from ..node.config import Config, ConfigError, load
@@ -121,6 +122,57 @@
     raise typer.Exit(1 if found["bad"] else 0)
 
 
+zones = typer.Typer(no_args_is_help=True, help="Plan how work leaves a zone that is lost.")
+app.add_typer(zones, name="zones")
+
+
+@zones.command()
+def plan(path: Annotated[str, typer.Argument(help="Path of the plan: capacities, demand, tiers, limits.")],
+         out: Annotated[str, typer.Option(help="Where to write the zones file.")] = "") -> None:
+    """Find the shares of spill for every loss of one zone and of two; exit code 1 if work finds no room."""
+    try:
+        from ..zones import planner
+    except ImportError as error:
+        fail(f"zones plan: {error.name} is missing: install the extra 'planner'")
+    from ..zones.settings import ZonesError
+
+    try:
+        with open(path, "rb") as file:
+            wanted = planner.read_plan(file.read())
+        found = [planner.solve(wanted, lost) for lost in planner.losses(wanted)]
+    except (OSError, ZonesError) as error:
+        fail(str(error))
+    typer.echo(planner.table(found))
+    made = planner.zones_file(wanted, found)
+    if out:
+        with open(out, "wb") as file:
+            file.write(msgspec.json.format(msgspec.json.encode(made), indent=2))
+    raise typer.Exit(1 if any(sum(loss.unplaced.values()) > planner.TIGHT for loss in found) else 0)
+
+
+@zones.command("check")
+def check_zones(path: Annotated[str, typer.Argument(help="Path of the plan.")],
+                zones_path: Annotated[str, typer.Argument(help="Path of the zones file.")]) -> None:
+    """Whether a zones file keeps every zone under the plan's headroom at the loss of any one; exit code 1 if
+    not, with a line for each that it does not."""
+    from ..zones import planner
+    from ..zones.settings import ZonesError, read_zones
+
+    try:
+        with open(path, "rb") as file:
+            wanted = planner.read_plan(file.read())
+        classes = {name for zone in wanted.zones.values() for name in zone.demand}
+        with open(zones_path, "rb") as file:
+            given = read_zones(file.read(), tuple(wanted.zones), tuple(classes))
+    except (OSError, ZonesError) as error:
+        fail(str(error))
+    found = planner.too_much(wanted, given)
+    for line in found:
+        typer.echo(line)
+    typer.echo(f"{zones_path}: {'over the headroom' if found else 'good'}")
+    raise typer.Exit(1 if found else 0)
+
+
 @app.command()
 def rig(name: Annotated[str, typer.Argument(help="Which rig: registry.")],
         seed: Annotated[int, typer.Option(help="Decides all that is drawn.")] = 1,
--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
 from enum import Enum
 from math import isfinite
@@ -149,6 +150,33 @@
             raise SettingsError(f"{prefix}{item.name}: a number of 0 or more is needed, not {value!r}")
 
 
+class Guide:
+    """Whether a zone may take work, and which zones come first: without zones, all and none."""
+
+    def tier(self, cls: int, zone: int) -> int:
+        """0: the first choice."""
+        return 0
+
+    def may_take(self, now: float, cls: int, zone: int, work: float) -> bool:
+        return True
+
+    def full(self, now: float, cls: int, work: float) -> bool:
+        """The home zone is not whole, and no zone may take this now: it is refused at once."""
+        return False
+
+    def room(self, now: float, cores: float) -> float:
+        """Work a second that finds room for this gateway; `cores`: its part of all ready ones."""
+        return cores
+
+    def listed(self, now: float, engines: Iterable[tuple[EngineEntry, float]]) -> None:
+        """The ready engines, and their cores."""
+
+    def sent(self, now: float, zone: int, work: float) -> None: ...
+
+    def ended(self, now: float, entry: EngineEntry, result: Result) -> None:
+        """What came of an attempt or a probe."""
+
+
 # --- events -------------------------------------------------------------------------------------------------
 
 
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -10,6 +10,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from .. import interface as api
 from ..policy import Gateway
 from ..sources.feed import Feed, FeedError
 from ..sources.members import Change, Source
@@ -64,7 +65,8 @@
         # Half of the descriptors for clients, who hold at most a third; the rest for engines and the files.
         half = config.sockets // 2
         self.fleet = Fleet(config.links, config.settings.report_columns, half - 32, self.counters)
-        self.driver = Driver(Gateway(config.settings, config.seed), self.fleet, self.counters)
+        gateway = Gateway(config.settings, config.seed, self._guide())
+        self.driver = Driver(gateway, self.fleet, self.counters)
         self.broker = Broker(self.driver, self.fleet, config.settings, self.counters)
         self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
                            self.counters)
@@ -74,6 +76,16 @@
         self.feed = Feed(first, config.names, self.counters, self.tell, config.feed)
         self.source: Source = self.registry or self.feed
 
+    def _guide(self) -> api.Guide | None:
+        """Preference among zones, where a zones file is named."""
+        config = self.config
+        if config.zones is None:
+            return None
+        from ..zones.guide import ZoneGuide  # not loaded where it is not used
+
+        classes = tuple(spec.name for spec in config.settings.classes)
+        return ZoneGuide(config.zones, config.names.zones, classes, config.settings.zone, self.counters)
+
     def _follow_registry(self) -> RegistrySource | None:
         config = self.config
         if config.registry is None:
@@ -123,7 +135,7 @@
         self.counters["reloads"] += 1
         self.learn(config.known)
         self._move(config)
-        fixed = [key for key in ("name", "listen", "sockets", "memory", "settings", "links", "names")
+        fixed = [key for key in ("name", "listen", "sockets", "memory", "settings", "links", "names", "zones")
                  if getattr(config, key) != getattr(self.config, key)]
         if fixed:
             say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
@@ -154,8 +166,10 @@
 
 
 async def run(config: Config) -> None:
+    began = time.time()
     listener = listen(config)
     node = Node(config)
+    node.front.source.clear = began  # no one can have come before
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, node.show)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -45,6 +45,7 @@
     names: Names
     known: tuple[Change, ...]
     registry: object = None  # settings of a key-value registry; None: the list comes from the feed
+    zones: object = None  # the zones file; None: zones make no difference
 
 
 def address(text: object, key: str) -> Address:
@@ -103,6 +104,24 @@
         raise ConfigError(str(error)) from None
 
 
+def _zones(raw: Mapping, names: Names, settings: api.Settings) -> object:
+    """The file that `zones_file` names, checked against the settings; its library is loaded only then."""
+    path = raw.get("zones_file")
+    if path is None:
+        return None
+    try:
+        from ..zones.settings import ZonesError, read_zones
+    except ImportError as error:
+        raise ConfigError(f"zones_file: {error.name} is missing: install the extra 'zones'") from None
+    try:
+        with open(path, "rb") as file:
+            return read_zones(file.read(), names.zones, tuple(spec.name for spec in settings.classes))
+    except (OSError, TypeError) as error:
+        raise ConfigError(f"zones_file: {error}") from None
+    except ZonesError as error:
+        raise ConfigError(f"zones_file: {error}") from None
+
+
 def parse(raw: object, environ: Mapping[str, str]) -> Config:
     if not isinstance(raw, dict):
         raise ConfigError("BALANCER_CONFIG: an object is needed at the top")
@@ -121,6 +140,7 @@
     except feed.FeedError as error:
         raise ConfigError(f"known: {error}") from None
     registry = _registry(raw)
+    found_zones = _zones(raw, names, settings)
     try:
         seed = int(str(raw.get("seed", "0")), 16)
     except ValueError:
@@ -141,6 +161,7 @@
         names=names,
         known=known,
         registry=registry,
+        zones=found_zones,
     )
 
 
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -246,8 +246,8 @@
 
 
 class Gateway:
-    def __init__(self, settings: Settings, seed: int = 0):
-        self.settings, self.random = settings, Random(seed)
+    def __init__(self, settings: Settings, seed: int = 0, guide: api.Guide | None = None):
+        self.settings, self.random, self.guide = settings, Random(seed), guide or api.Guide()
         self.seed = self.random.getrandbits(48)  # spreads the gateways over a group's home engines
         self.now, self.seen_at, self.actions = -inf, -inf, []
         self.stats = [ClassStats(c) for c in settings.classes]
@@ -333,7 +333,9 @@
             elif engine:  # one that is gone is kept until its attempts are over, never used
                 engine.entry = entry
         self.orders.clear()
-        self.cores = sum(e.cores for e in self.engines.values() if e.entry.state is State.READY) or 1.0
+        ready = [(e.entry, e.cores) for e in self.engines.values() if e.entry.state is State.READY]
+        self.cores = sum(cores for _, cores in ready) or 1.0
+        self.guide.listed(self.now, ready)
 
     def usual_load(self) -> tuple[float, float]:
         """Own and siblings' threads a core, fleet-wide: by reports, else as if each had the own load."""
@@ -402,6 +404,7 @@
         engine = self.engines.get(event.engine)
         if engine:
             engine.probe_at = inf
+            self.guide.ended(self.now, engine.entry, event.result)
             if event.result in (Result.OK, Result.FULL):  # full: too many probes there, no news and no fault
                 self.take_report(engine, event.report)
             else:
@@ -468,12 +471,14 @@
         key = group, _ = int(req.ask.tables * 16), req.ask.cls
         if key not in self.orders:
             order = [e for e in self.engines.values() if e.entry.state is State.READY and self.placed(req, e)]
-            order.sort(key=lambda e: mix(group, e.entry.engine))
-            if req.spec.load:
-                order.reverse()  # it would stall its group's readers at their homes, and other loads anywhere
-            spread = max(1, len(order) - HOMES) if req.spec.load else HOMES
+            # A load takes the other end: it would stall its group's readers at their homes.
+            tiers = {e: self.guide.tier(req.ask.cls, e.entry.zone) for e in order}
+            sign = -1 if req.spec.load else 1
+            order.sort(key=lambda e: (tiers[e], sign * mix(group, e.entry.engine)))
+            near = sum(tier == tiers[order[0]] for tier in tiers.values())  # of the first choice of zones
+            spread = min(near, max(1, near - HOMES) if req.spec.load else HOMES)
             if order and self.settings.gateways > 1:
-                order.insert(0, order.pop(mix(self.seed, group) % min(spread, len(order))))
+                order.insert(0, order.pop(mix(self.seed, group) % spread))
             if len(self.orders) >= MOST:
                 self.orders.clear()
             self.orders[key] = order
@@ -518,8 +523,9 @@
             if not shunned and load + more <= max(min(room, BOUND if short else CALM), 1.01 * more):
                 return engine, False
             if fits or (short and load < OVERFULL):
-                spare.append((shunned, looks > HOMES or not fits, load, engine.entry.engine))
-        return self.engines[min(spare)[3]] if spare else None, False
+                tier = self.guide.tier(req.ask.cls, engine.entry.zone)
+                spare.append((shunned, tier, looks > HOMES or not fits, load, engine.entry.engine))
+        return self.engines[min(spare)[4]] if spare else None, False
 
     def hold(self, req: Held) -> None:
         if len(self.line) >= MOST:
@@ -532,7 +538,7 @@
         if not self.line:
             return
         self.line.sort(key=PLACE)
-        room = self.cores * BUSY / self.settings.gateways
+        room = self.guide.room(self.now, self.cores / self.settings.gateways) * BUSY
         # What stays the same over the pass is worked out once: the line may be long, and passes are many.
         self.siblings = {}
         self.rooms = [self.room(rank) for rank in range(len(DENSE) + 1)]
@@ -555,6 +561,7 @@
                         nowhere[alike] = req.work
             # The at-once refusal: the line ahead takes longer than it can wait and still make its aim.
             hopeless = not asked and ahead > max(0.0, left) * room and not (req.accepted or req.rank == 3)
+            hopeless = hopeless or (engine is None and self.guide.full(now, req.ask.cls, req.work))
             if engine is not None:
                 self.send(req, engine)
             elif hopeless or late or (left < 0 and not asked):
@@ -606,7 +613,9 @@
             same = spec.group == "all" or getattr(ran.entry, spec.group) == getattr(engine.entry, spec.group)
             if not (same and now < ran.at + spec.repeat_window):
                 return False
-        return engine.cold_fits(req.work, now)
+        # The cold budget last: it is worked out at each look.
+        may = self.guide.may_take(now, req.ask.cls, engine.entry.zone, req.work)
+        return may and engine.cold_fits(req.work, now)
 
     def in_budget(self) -> bool:
         told, since = self.settings, self.now - self.settings.budget_span
@@ -631,6 +640,7 @@
         if req.spec.load:
             engine.loads[req.ask.tables] = engine.loads.get(req.ask.tables, 0) + 1
         engine.cold_level -= req.work
+        self.guide.sent(self.now, engine.entry.zone, req.work)
         self.threads_out += req.spec.threads
         limited = not told.may_cancel and self.repeatable(req) and len(req.tries) < told.try_limit
         limit = min(2 * self.overdue(attempt), req.until - self.now) if limited else 0.0
@@ -709,6 +719,7 @@
         req, attempt.done = attempt.req, event.result
         req.out -= 1
         self.threads_out -= req.spec.threads
+        self.guide.ended(self.now, attempt.entry, event.result)
         engine = self.engines.get(attempt.entry.engine)
         if engine and engine.out.pop((event.request, event.attempt), None):
             engine.threads -= req.spec.threads
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,240 @@
+"""Zones: verdicts, phases, windows, the guide and the module with it; no sockets, no clock."""
+
+from dataclasses import replace
+
+import pytest
+from helpers import LOOKUP, REPORT, Driver, of
+from hypothesis import given
+from hypothesis import strategies as st
+
+from applevale import interface as api
+from applevale.policy import Gateway
+from applevale.zones.guide import ZoneGuide
+from applevale.zones.health import SPAN, Health, lost_zones
+from applevale.zones.phases import Course, Phase
+from applevale.zones.settings import Return, Spill, Zones, ZonesError, read_zones
+from applevale.zones.spill import Window
+
+NAMES = ("east", "west", "north")
+ZONES = Zones(
+    tiers={"east": [["east"], ["west"], ["north"]], "west": [["west"], ["east"]]},
+    spill=[Spill("east", "west", 0.25), Spill("east", "north", 0.1), Spill("west", "east", 0.25)],
+    instances={"east": 2}, stay=["long"], back=Return(first=0.1, over=10.0, rest=2.0, rest_most=16.0))
+CLASSES = ("short", "long")
+
+
+def seen(*signs, engines=3):
+    """A zone's health after signs of (engine, good) at one time."""
+    health = Health()
+    health.listed(set(range(1, engines + 1)))
+    for engine, good in signs:
+        health.sign(100.0, engine, good)
+    return health
+
+
+BAD = [(engine, False) for engine in (1, 2, 3)] * 2
+FINE = [(1, True), (2, True), (3, True)]
+
+
+@pytest.mark.parametrize("zones, lost", [
+    ({0: seen(*BAD), 1: seen(*FINE)}, {0}),
+    ({0: seen(*[(1, False)] * 50, (2, True), (3, True)), 1: seen(*FINE)}, set()),  # one bad engine
+    ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*BAD)}, set()),  # what all share is no zone's fault
+    ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*FINE)}, {0, 1}),
+    ({0: seen((1, False), (2, False)), 1: seen(*FINE)}, set()),  # too few signs
+    ({0: seen(*BAD, *FINE), 1: seen(*FINE)}, set()),  # good signs came behind the bad
+    ({0: seen(*[(1, False)] * 5, engines=1), 1: seen(*FINE)}, {0}),
+    ({0: seen(*BAD), 1: seen()}, {0}),  # nothing is known against the other
+])
+def test_a_zone_is_lost_when_its_engines_fail_together_and_others_do_not(zones, lost):
+    assert lost_zones(zones, 100.0) == lost
+    assert lost_zones(zones, 100.0 + SPAN * 1.01) == set()  # old signs count no more
+
+
+def test_a_zone_comes_back_by_trial_and_ramp_and_rests_longer_if_it_fails_again():
+    course, now = Course(ZONES.back), 100.0
+    rests = []
+    for _ in range(6):
+        course.lost(now)
+        assert course.share(now) == 0.0
+        rests.append(course.rest)
+        now += course.rest
+        course.looked(now - 0.01)
+        assert course.phase is Phase.LOST
+        course.looked(now)
+        assert course.phase is Phase.TRIAL and course.share(now) == 0.0
+        for _ in range(3):
+            course.answered(now, True)
+        assert course.phase is Phase.BACK and course.share(now) == 0.1
+        now += 5.0
+        course.looked(now)
+        assert course.share(now) == pytest.approx(0.55)
+    assert rests == [2.0, 4.0, 8.0, 16.0, 16.0, 16.0]
+    now += 20.0
+    course.looked(now)
+    assert course.phase is Phase.HOME and course.share(now) == 1.0
+    course.lost(now)
+    assert course.rest == 2.0  # it had stayed
+
+
+@given(st.lists(st.tuples(st.floats(0, 1.0), st.sampled_from(["lost", "good", "bad"])), max_size=300))
+def test_changes_of_phase_are_bounded_whatever_is_seen(steps):
+    course, now = Course(ZONES.back), 100.0
+    for after, what in steps:
+        now += after
+        course.looked(now)
+        course.lost(now) if what == "lost" else course.answered(now, what == "good")
+    assert course.changes <= course.most_changes(now - 100.0)
+
+
+@given(st.lists(st.tuples(st.floats(0, 0.4), st.floats(0.01, 3.0)), max_size=200))
+def test_no_window_of_a_second_holds_more_than_its_limit(pieces):
+    window, now, let = Window(1.0), 0.0, []
+    for after, work in pieces:
+        now += after
+        if window.fits(now, work, 2.0):
+            window.add(now, work)
+            let.append((now, work))
+    for start, _ in let:
+        assert sum(work for at, work in let if start <= at < start + 1.0) <= 2.0 + 1e-9
+
+
+def entries(east=4, west=4, north=4, **more):
+    numbers = iter(range(1, 100))
+    return tuple(api.EngineEntry(next(numbers), zone=zone, **more)
+                 for zone, count in enumerate((east, west, north)) for _ in range(count))
+
+
+class ZoneDriver(Driver):
+    """The module with a guide, home in the east; each engine has 8 cores."""
+
+    def __init__(self, zones=ZONES, home=0, listed=None, **changes):
+        super().__init__(entries=entries(), **changes)
+        self.guide = ZoneGuide(zones, NAMES, CLASSES, home)
+        self.gateway = Gateway(self.settings, 1, self.guide)
+        self.entries = listed or entries()
+        self.give(api.EngineList(self.entries, whole=True))
+
+    def zone(self, send):
+        return next(entry.zone for entry in self.entries if entry.engine == send.engine)
+
+    def lose(self, zone):
+        now = self.now
+        for entry in [one for one in self.entries if one.zone == zone] * 2:
+            self.guide.ended(now, entry, api.Result.CONNECT_FAILED)
+
+
+def test_work_stays_at_home_while_home_has_room():
+    d = ZoneDriver()
+    for group in range(40):
+        for send in of(api.Send, d.ask(tables=float(group))[1]):
+            assert d.zone(send) == 0
+            d.end(send)
+
+
+def test_a_lost_zone_takes_nothing_and_spill_stays_under_its_share():
+    d = ZoneDriver()
+    d.lose(0)
+    let = {1: [], 2: []}
+    for at in range(190):  # within its rest of 2 s
+        d.run(0.01)
+        for send in of(api.Send, d.ask(tables=float(at), work=0.3)[1]):
+            let[d.zone(send)].append((d.now, 0.3))
+            d.end(send, work=0.3)
+    work = {zone: max(sum(w for at, w in sent if start <= at < start + 1.0) for start, _ in sent)
+            for zone, sent in let.items()}
+    assert work[1] <= 0.25 / 2 * 32 and work[2] <= 0.1 / 2 * 32
+    assert work[1] > 0.25 / 2 * 32 * 0.7  # and is used
+
+
+def test_classes_that_stay_are_refused_at_once_with_advice_when_home_is_lost():
+    d = ZoneDriver()
+    d.lose(0)
+    _, actions = d.ask(cls=1, work=30.0)
+    assert not of(api.Send, actions)
+    answers = of(api.Refuse, actions + d.run(4.0))
+    assert answers and answers[0].retry_in > 0
+
+
+def test_a_jump_that_finds_no_room_is_refused_at_once_and_worth_decides_who_goes():
+    cheap = replace(LOOKUP, worth=0.1)
+    d = ZoneDriver(zones=Zones(tiers=ZONES.tiers, spill=ZONES.spill), classes=(LOOKUP, REPORT, cheap))
+    d.lose(0)
+    numbers = iter(range(10_000, 20_000))
+    asks = [api.Request(next(numbers), cls=at % 2 * 2, ttl=4.0, work=1.0, tables=float(at))
+            for at in range(200)]
+    actions = d.give(*asks)
+    sent = [send.request for send in of(api.Send, actions)]
+    refused = of(api.Refuse, actions)
+    classes = {ask.request: ask.cls for ask in asks}
+    assert sent and all(classes[number] == 0 for number in sent)
+    assert len(refused) > 100 and all(answer.retry_in > 0 for answer in refused)
+
+
+def test_one_attempt_at_a_time_on_trial_then_a_ramp_over_all_instances():
+    d = ZoneDriver()
+    d.lose(0)
+    d.run(2.1)
+    trial = [send for at in range(10) for send in of(api.Send, d.ask(tables=float(at))[1])]
+    assert sum(d.zone(send) == 0 for send in trial) == 1
+    home = next(send for send in trial if d.zone(send) == 0)
+    for _ in range(3):
+        d.end(home)
+        sends = [send for at in range(4) for send in of(api.Send, d.ask(tables=float(at))[1])]
+        home = next((send for send in sends if d.zone(send) == 0), home)
+    course = d.guide.zones[0].course
+    assert course.phase is Phase.BACK
+    begun, let = d.now, []
+    while d.now < begun + 9.0:
+        d.run(0.02)
+        for send in of(api.Send, d.ask(tables=d.now, work=0.4)[1]):
+            if d.zone(send) == 0:
+                let.append((d.now, 0.4))
+            d.end(send, work=0.4)
+    for start, _ in let:
+        share = 0.1 + 0.9 * min(1.0, (start + 1.0 - begun) / 10.0)
+        assert sum(work for at, work in let if start <= at < start + 1.0) <= share * 32 / 2 * 1.05
+    assert len(let) > 50
+
+
+def test_a_planned_drain_of_a_zone_ends_in_a_ramp_and_loses_nothing():
+    d = ZoneDriver()
+    send = of(api.Send, d.ask()[1])[0]
+    assert d.zone(send) == 0
+    drained = tuple(replace(entry, state=api.State.DRAINING) for entry in d.entries if entry.zone == 0)
+    d.give(api.EngineList(drained))
+    assert d.guide.zones[0].course.phase is Phase.LOST
+    assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
+    assert not of(api.Fail, d.end(send))  # what ran there goes on
+    back = tuple(replace(entry, started=d.now) for entry in d.entries if entry.zone == 0)
+    d.give(api.EngineList(back))
+    assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
+    d.run(2.1)
+    assert d.guide.may_take(d.now, 0, 0, 0.2) and d.guide.zones[0].course.phase is Phase.TRIAL
+
+
+def test_the_loss_of_the_zone_that_took_the_spill_moves_it_on():
+    d = ZoneDriver()
+    d.lose(0)
+    assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
+    d.lose(1)
+    assert d.zone(of(api.Send, d.ask()[1])[0]) == 2
+
+
+def test_without_zones_the_module_has_a_guide_that_allows_all():
+    guide = api.Guide()
+    assert guide.may_take(0.0, 0, 5, 1e9) and guide.room(0.0, 3.0) == 3.0 and guide.tier(0, 5) == 0
+
+
+@pytest.mark.parametrize("change, place", [
+    (b'{"tiers": {"south": [["south"]]}}', "tiers"), (b'{"tiers": {"east": [["west"]]}}', "tiers.east"),
+    (b'{"tiers": {"east": [["east"], ["east"]]}}', "tiers.east"), (b"[]", "zones"), (b"{", "zones"),
+    (b'{"tiers": {}, "spill": [{"from": "east", "to": "east", "share": 0.1}]}', r"spill\[0\]"),
+    (b'{"tiers": {}, "spill": [{"from": "east", "to": "west", "share": 2}]}', "share"),
+    (b'{"tiers": {}, "stay": ["none"]}', "stay"),
+    (b'{"tiers": {}, "back": {"rest": 9, "rest_most": 3}}', "back"),
+    (b'{"tiers": {}, "instances": {"east": 0}}', "instances"), (b'{"tiers": {}, "colour": 1}', "colour"),
+])
+def test_a_zones_file_that_cannot_be_used_names_the_place(change, place):
+    with pytest.raises(ZonesError, match=place):
+        read_zones(change, NAMES, CLASSES)
