--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -406,3 +406,29 @@
 def test_the_rig_shows_a_program_that_ignores_compaction():
     _, wrong, _ = stalled("etcd", "compaction")
     assert wrong == 1
+
+
+def test_past_the_deadline_of_hold_new_work_is_refused_at_once_until_the_list_is_confirmed():
+    async def run():
+        site = Site("etcd", Random(5))
+        try:
+            await site.start()
+            for gate in site.gates:
+                gate.set(Mode.STALL)
+            async with asyncio.timeout(BOUND):
+                while not (await site.program.counters()).get("unconfirmed"):
+                    site.clients.send("lookup")
+                    await asyncio.sleep(0.1)
+            late = site.clients.send("lookup")
+            await site.clients.settle()
+            await site.quiet()
+            async with asyncio.timeout(BOUND):
+                while site.clients.sent[-1].answers != ["served"]:
+                    site.clients.send("lookup")
+                    await site.clients.settle()
+        finally:
+            await site.stop()
+        assert late.answers == ["Full"]
+        assert site.clients.figures()["lost"] == 0
+
+    asyncio.run(run())
