--- a/applevale/rigs/registry.py
+++ b/applevale/rigs/registry.py
@@ -1,9 +1,8 @@
 """The registry rig: program, engines, clients and both kinds of registry, with failures from a seed.
 
 Promised, and checked in each run: no new work arrives at an engine later than 500 ms after the registry
-recorded its drain or its
-deletion; the program's list is the registry's at each quiet point; no request is lost, answered
-twice, run twice where that is not safe, or out of its key's order.
+recorded its drain or its deletion; the program's list is the registry's at each quiet point; no request is
+lost, answered twice, run twice where that is not safe, or out of its key's order.
 """
 
 from __future__ import annotations
--- a/applevale/sources/registry/follower.py
+++ b/applevale/sources/registry/follower.py
@@ -207,7 +207,7 @@
         session = self._of(number)
         if session is None or self.state is not State.READING:
             return []
-        if revision < self.revision and not (self.other or self._is_restored(session)):
+        if revision < self.revision and not (self.other or self._all_are_older()):
             return self._lag(now)
         self.figures.restored += self.other or revision < self.revision
         self.other = False
@@ -244,7 +244,8 @@
             return []
         self.revision = max(self.revision, last, revision)
         session.progress = max(session.progress, self.revision)
-        return [*self._told_so_far(found), *self._confirm(now)]
+        self._confirm(now)
+        return self._told_so_far(found)
 
     def answered(self, now: float, number: int, asked: float, revision: int) -> list[Command]:
         """The short read asked for at `asked`: the registry is at `revision`."""
@@ -255,7 +256,8 @@
             return self._lag(now)
         if asked > session.seen_asked:
             session.seen, session.seen_asked = max(session.seen, revision), asked
-        return self._confirm(now)
+        self._confirm(now)
+        return []
 
     def compacted(self, now: float, number: int) -> list[Command]:
         """What lies between the list and the watch is no longer there to be told."""
@@ -298,7 +300,7 @@
         session.unanswered = min(session.unanswered, now)
         return [Ask(session.number, now)]
 
-    def _confirm(self, now: float) -> list[Command]:
+    def _confirm(self, now: float) -> None:
         """The list is confirmed once the watch has told all up to what a short read has shown."""
         session = self.session
         if session.progress >= session.seen and session.seen_asked > -inf:
@@ -310,17 +312,16 @@
             self.older.clear()
             session.answered = now
             session.unanswered = session.asked if session.asked > session.seen_asked else inf
-        return []
 
-    def _is_restored(self, session: Session) -> bool:
-        self.older.add(session.place)
+    def _all_are_older(self) -> bool:
+        """This session's member answers an older state, and so has each other one since one was right."""
+        self.older.add(self.session.place)
         return len(self.older) >= self.members
 
     def _lag(self, now: float) -> list[Command]:
         """Guards the list against a member that is behind: what it would tell has been undone already."""
-        self.older.add(self.session.place)
-        if len(self.older) >= self.members:
-            self.must_read = True  # so do all: what they agree on is read anew
+        if self._all_are_older():
+            self.must_read = True  # what they agree on is read anew
         return self._fail(now, "lagging")
 
     def _fail(self, now: float, why: str) -> list[Command]:
--- a/applevale/sources/registry/records.py
+++ b/applevale/sources/registry/records.py
@@ -110,10 +110,6 @@
         self.bad: dict[str, str] = {}  # keys whose present value cannot be used, and why
         self.bad_seen = 0
 
-    def revision_of(self, key: str) -> int:
-        entry = self.entries.get(key)
-        return entry.revision if entry else 0
-
     def members(self) -> tuple[Member, ...]:
         return tuple(self.entries[key].member for key in self.keys.values())
 
--- a/applevale/sources/registry/session.py
+++ b/applevale/sources/registry/session.py
@@ -43,14 +43,14 @@
 
     async def _guard(self, work: Coroutine[object, object, None]) -> None:
         """What goes wrong with a session stops here: whatever a library raises on what a member sent."""
-        why, refused = "ended by the other side", False
         try:
             await work
-            return
         except Refused as error:
-            why, refused = str(error), True
+            self._lost(str(error), refused=True)
         except Exception as error:
-            why = f"{type(error).__name__}: {str(error)[:80]}"
+            self._lost(f"{type(error).__name__}: {str(error)[:80]}")
+
+    def _lost(self, why: str, refused: bool = False) -> None:
         if not self.closed:
             self.hear.lost(self.number, why, refused)
 
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import asdict
 from random import Random
 
 import msgspec
@@ -162,7 +161,7 @@
     def _look(self) -> None:
         """Counts, the turn of the promise, the snapshot, and when to look again."""
         now = self.clock()
-        for name, count in asdict(self.follower.figures).items():
+        for name, count in vars(self.follower.figures).items():
             self.counters[f"registry_{name}"] = count
         self.counters["registry_bad_records"] = self.ledger.bad_seen
         fresh = self.follower.fresh(now)
--- a/applevale/standins/engine.py
+++ b/applevale/standins/engine.py
@@ -10,6 +10,8 @@
 
 import hiredis
 
+from ..node.engine import command as resp
+
 ROWS = b"1\tstation\t2.5\n2\tstation\t3.5\n"
 MOST_BYTES = 65536
 
@@ -21,10 +23,6 @@
     lane: bytes
 
 
-def answer(*words: bytes) -> bytes:
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
-
-
 class StandinEngine:
     """`took`: the range of s that a want takes; `out`: the ids that run now."""
 
@@ -83,10 +81,10 @@
             running[tag].cancel()
             self.out.discard(tag)
         elif word in (b"there", b"busy"):
-            writer.write(answer(tag, b"PONG", b"rep=inflight:%d;util:0.2;x1:0.1" % len(self.out), b""))
+            writer.write(resp(tag, b"PONG", b"rep=inflight:%d;util:0.2;x1:0.1" % len(self.out), b""))
 
     async def _run(self, tag: bytes, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.random.uniform(*self.took))
         self.out.discard(tag)
-        writer.write(answer(tag, b"HIT", b"sheets=1,toil=12,room=4,rep=inflight:%d;util:0.2;x1:0.1"
+        writer.write(resp(tag, b"HIT", b"sheets=1,toil=12,room=4,rep=inflight:%d;util:0.2;x1:0.1"
                             % len(self.out), ROWS))
--- a/applevale/zones/guide.py
+++ b/applevale/zones/guide.py
@@ -28,7 +28,6 @@
 class Zone:
     """One zone as this instance sees it."""
 
-    number: int
     course: Course
     spill: Window  # work that this instance sent there from its home zone
     ramp: Window  # all its work there while it comes back
@@ -41,7 +40,7 @@
     def __init__(self, zones: Zones, names: tuple[str, ...], classes: tuple[str, ...], home: int,
                  counters: Counter | None = None):
         self.settings, self.names, self.home = zones, names, home
-        self.zones = {number: Zone(number, Course(zones.back), Window(zones.window), Window(zones.window))
+        self.zones = {number: Zone(Course(zones.back), Window(zones.window), Window(zones.window))
                       for number in range(len(names))}
         self.stay = {at for at, name in enumerate(classes) if name in zones.stay}
         tiers = zones.tiers.get(names[home], [[names[home]]])
