--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -105,6 +105,7 @@
     max_retry_after: float = 1.0
     may_cancel: bool = False
     may_probe: bool = False
+    probe_price: float = 0.0  # points of the result for one probe a request
     may_tell_peers: bool = False
     retry_after: bool = False
     parallel_tries: bool = False
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -34,7 +34,8 @@
 CALM = 1.0  # threads a core up to which all but short work takes the first; past it the least loaded home
 OVERFULL = 4.5  # threads a core up to which short work goes past every bound; taken for what says "full"
 FRESH = 0.4  # s for which a report is news
-PROBES = (1.3, 4.0)  # that each request earns its gateway; most kept: they have a price
+PROBES = (1.3, 4.0)  # that each request earns its gateway, most kept
+PROBE_SPEND = 0.0143  # of a request's worth is the most that its probes may cost
 PROBE_WAIT = 0.06  # s that a request waits for a probe's answer; silence beyond is a bad sign
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
 HOMES = 3  # engines among which the gateways spread a group of tables
@@ -269,6 +270,7 @@
         self.others = Fading(WINDOW)  # the siblings' threads a core, over all engines
         self.usual, self.threads_each = Fading(LONG), Fading(LONG)  # own threads out; threads of a query
         self.threads_out, self.probe_room = 0, PROBES[1]
+        self.probe_rate = min(PROBES[0], PROBE_SPEND / max(settings.probe_price, 1e-9))
         self.last_trouble, self.gap, self.gap_at, self.sweep_due = -inf, 0.0, 0.0, inf
         self.backoff, self.subscribed = 1.0, settings.discovery_push
 
@@ -419,7 +421,7 @@
         req = Held(ask, stats, self.now, self.settings.memory_heeded)
         self.held[ask.request] = req
         self.taken.append(self.now)
-        self.probe_room = min(self.probe_room + PROBES[0], PROBES[1])
+        self.probe_room = min(self.probe_room + self.probe_rate, PROBES[1])
         for times in (self.taken, self.further):
             while times and times[0] <= self.now - self.settings.budget_span:
                 times.popleft()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -106,6 +106,7 @@
     assert read.classes[1].kinds == frozenset({0}) and read.classes[0].kinds is None
     assert read.classes[1].ordered and read.classes[1].threads == 3 and read.kinds[1].cores == 12
     assert read.budget_share == 0.1 and read.report_columns == ("waiting", "cpu", "x1", "memory_used")
+    assert read.probe_price == 0.0 and wire.settings(SETTINGS + "\nprices.probe=0.08").probe_price == 0.08
 
 
 @pytest.mark.parametrize("key", ["classes.0.aim", "classes.1.repeat", "classes.count"])
