--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -31,6 +31,7 @@
 LINGER = 0.75  # s after SIGTERM for which clients may still come
 STAY = 3.0  # s, or the longest deadline if that is less: this and 0.7 s after SIGTERM it may be killed
 LAST_WORD = 0.3  # s before that at which all that is open gets its answer
+SHOWN = 5.0  # s between two lines of counters: one that is killed outright prints none at its end
 HELD = 0.125  # share of the memory that messages and answers of clients may take
 
 
@@ -103,6 +104,10 @@
             self.registry.note()
         self.counters.show()
 
+    def show_often(self) -> None:
+        self.show()
+        asyncio.get_running_loop().call_later(SHOWN, self.show_often)
+
     def tell(self, change: Change) -> None:
         self.fleet.update(change)
         self.driver.post(self.list.changed(change))
@@ -178,6 +183,7 @@
     node.learn(config.known)
     node.source.start()
     node.driver.tick()
+    loop.call_later(SHOWN, node.show_often)
     accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -30,6 +30,7 @@
     streams: int  # attempts that one carries at a time
     idle: float  # s after which an engine closes one that carries nothing
     connect: float  # s within which one comes up
+    handshake_price: float = 0.0  # points of the result for one new connection a request
 
 
 @dataclass(frozen=True)
@@ -157,6 +158,7 @@
             streams=int(_limit(limits, "streams_per_conn", 32, 1)),
             idle=_limit(limits, "conn_idle", 15 * wire.NS, 1) / wire.NS,
             connect=_limit(limits, "dial_timeout", 0.25 * wire.NS, 1) / wire.NS,
+            handshake_price=_limit(_section(told, "prices"), "handshake", 0.0, 0.0),
         ),
         names=names,
         known=known,
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -458,6 +458,8 @@
         idle = [link for link in fit if link.up and not link.streams]
         if idle:
             return max(idle, key=lambda link: link.heard)
+        if fit and not alone and self.fleet.frugal():
+            return min(fit, key=lambda link: link.streams)
         share = self.fleet.most_links // max(1, len(self.fleet.engines))
         if (len(self.links) < share or not fit) and self.fleet.count_links() < self.fleet.most_links:
             self.links.append(Link(self))
@@ -486,9 +488,16 @@
         self.counters["links_spoilt"] += 1
         self.spoilt_at = asyncio.get_running_loop().time()
 
+    def wary(self) -> bool:
+        return asyncio.get_running_loop().time() - self.spoilt_at <= WARY
+
+    def frugal(self) -> bool:
+        """Where handshakes are charged links are shared, unless answers that end all on theirs were seen."""
+        return self.limits.handshake_price > 0 and not self.wary()
+
     def quiet(self) -> float:
         """Asking has a price, so links are asked often only while some were found spoilt."""
-        return QUIET[asyncio.get_running_loop().time() - self.spoilt_at > WARY]
+        return QUIET[0] if self.wary() else QUIET[1]
 
     def count_links(self) -> int:
         return sum(len(engine.links) for engine in self.engines.values())
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -389,8 +389,8 @@
         self.last_trouble = self.now if told.get("waiting", 0) >= 1 else self.last_trouble
 
     def lacks_news(self, engine: Engine) -> bool:
-        """With siblings all work looks before it is sent, while probes last; alone only a trial does."""
-        wanted = engine.trial or self.settings.gateways > 1
+        """With siblings all work looks before it is sent, if each can afford to; else only a trial does."""
+        wanted = engine.trial or (self.settings.gateways > 1 and self.probe_rate >= 1)
         affordable = self.probe_room >= 1 or engine.probe_at <= self.now
         return self.settings.may_probe and wanted and affordable and self.now - engine.news_at > FRESH
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Answers that engines spoil, on sockets: what is spoilt is never passed on, and costs no one else much."""
 
+import asyncio
 
 import pytest
 from test_node import EXAMPLE, Client, Handler, Node
@@ -91,3 +92,24 @@
         fleet.update(members.Change(number, False, (members.Member(api.EngineEntry(number), address),)))
     fleet.start(1, engine.Want(b"1", "load", b"x", 1.0), set(), ends.append)
     assert ends == [engine.Broken(engine.Reach.NEVER_SENT, api.Result.MOOT)] and list(fleet.engines) == [2]
+
+
+@pytest.mark.parametrize("price,links", [(0.0, 3), (0.08, 1)])
+def test_links_are_shared_where_handshakes_are_charged(price, links):
+    async def main():
+        fleet = engine.Fleet(config.LinkLimits(32, 15.0, 0.25, price), (), 90, Counters())
+        fleet.update(members.Change(1, True, (members.Member(api.EngineEntry(1), ("127.0.0.1", 1)),)))
+        one, ends = fleet.engines[1], []
+        for ref in (b"1", b"2", b"3"):
+            fleet.start(1, engine.Want(ref, "lookup", b"x", 1.0), set(), ends.append)
+        shared = len(one.links)
+        fleet.start(1, engine.Want(b"4", "load", b"x", 1.0, alone=True), set(), ends.append)
+        alone = len(one.links)
+        fleet.spoilt()  # the answer of one could now end all on its link
+        fleet.start(1, engine.Want(b"5", "lookup", b"x", 1.0), set(), ends.append)
+        wary = len(one.links)
+        while one.links:
+            await asyncio.sleep(0)
+        return shared, alone, wary
+
+    assert asyncio.run(main()) == (links, links + 1, links + 2)
