--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -106,6 +106,7 @@
     may_cancel: bool = False
     may_probe: bool = False
     probe_price: float = 0.0  # points of the result for one probe a request
+    peer_price: float = 0.0  # points of the result for 256 bytes delivered to peers a request
     may_tell_peers: bool = False
     retry_after: bool = False
     parallel_tries: bool = False
@@ -285,8 +286,17 @@
     body: bytes = field(default=b"")
 
 
+@dataclass(frozen=True)
+class PeerNews:
+    """What a peer told of an engine."""
+
+    engine: int
+    report: tuple[float, ...] = ()  # that it had from the engine, as in an outcome
+    threads: int = 0  # that it has just sent there
+
+
 Event = (EngineList | Request | Outcome | Started | Note | ProbeResult | Timer | ClientGone | PeerMessage
-         | Answered)
+         | Answered | PeerNews)
 
 
 # --- actions ------------------------------------------------------------------------------------------------
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from ..sources.registry.source import RegistrySource
+    from .peers import Peers
 
 BACKLOG = 512
 PAUSE = 0.01  # s of garbage collection from which it is logged
@@ -72,6 +73,7 @@
         self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
                            self.counters)
         self.list = HeldList()
+        self.peers = self._peers(gateway)
         self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
         self.feed = Feed(first, config.names, self.counters, self.tell, config.feed)
@@ -87,6 +89,19 @@
         classes = tuple(spec.name for spec in config.settings.classes)
         return ZoneGuide(config.zones, config.names.zones, classes, config.settings.zone, self.counters)
 
+    def _peers(self, gateway: Gateway) -> Peers | None:
+        """News of load from peers, where looking at engines before each send is too dear."""
+        addresses, settings = self.config.peers, self.config.settings
+        if addresses is None or gateway.looks or not settings.may_tell_peers or settings.gateways < 2:
+            return None
+        from .news import News  # neither is loaded where it is not used
+        from .peers import Peers
+
+        news = News(settings.report_columns, settings.gateways - 1, settings.peer_price)
+        peers = Peers(addresses, settings.me, news, self.driver, self.counters)
+        self.fleet.reported, self.fleet.sent = peers.reported, peers.sent
+        return peers
+
     def _follow_registry(self) -> RegistrySource | None:
         config = self.config
         if config.registry is None:
@@ -110,6 +125,8 @@
 
     def tell(self, change: Change) -> None:
         self.fleet.update(change)
+        if self.peers is not None:
+            self.peers.news.listed(self.fleet.engines)
         self.driver.post(self.list.changed(change))
         self.front.ready = not (self.leaving.is_set() or self.list.held)
 
@@ -183,6 +200,8 @@
     node.learn(config.known)
     node.source.start()
     node.driver.tick()
+    if node.peers is not None:
+        node.peers.start()
     loop.call_later(SHOWN, node.show_often)
     accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
@@ -199,5 +218,7 @@
     finally:
         accepting.cancel()
         node.driver.stop()
+        if node.peers is not None:
+            node.peers.stop()
         await node.source.stop()
         node.counters.show()
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -33,6 +33,15 @@
     handshake_price: float = 0.0  # points of the result for one new connection a request
 
 
+@dataclass(frozen=True)
+class PeerAddresses:
+    """Where the workload managers of the tier hear each other; `each` in the order of their numbers."""
+
+    listen: Address
+    each: tuple[Address, ...]
+    everyone: Address  # what is sent there reaches all
+
+
 @dataclass(frozen=True)
 class Config:
     name: str
@@ -45,6 +54,7 @@
     links: LinkLimits
     names: Names
     known: tuple[Change, ...]
+    peers: PeerAddresses | None = None  # None: there are none to speak with
     registry: object = None  # settings of a key-value registry; None: the list comes from the feed
     zones: object = None  # the zones file; None: zones make no difference
 
@@ -56,6 +66,19 @@
     return host, int(port)
 
 
+def parse_peers(raw: Mapping) -> PeerAddresses | None:
+    if raw.get("peer_listen") is None or raw.get("peers_all") is None:
+        return None
+    each = raw.get("peers", [])
+    if not isinstance(each, list):
+        raise ConfigError(f"peers: a list of HOST:PORT is needed, not {each!r}")
+    return PeerAddresses(
+        address(raw["peer_listen"], "peer_listen"),
+        tuple(address(one, f"peers[{at}]") for at, one in enumerate(each)),
+        address(raw["peers_all"], "peers_all"),
+    )
+
+
 def flatten(value: object, path: str = "") -> list[str]:
     """Nested settings as the path=value lines that the simulator's wire carries."""
     if isinstance(value, dict):
@@ -162,6 +185,7 @@
         ),
         names=names,
         known=known,
+        peers=parse_peers(raw),
         registry=registry,
         zones=found_zones,
     )
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -51,6 +51,7 @@
         self.routes: dict[int, Callable[[ForRequest], None]] = {}
         self.waiting: list[api.Event] = []
         self.lists = 0  # news of the engine list among them
+        self.news: dict[int, api.PeerNews] = {}  # of each engine as one, for the next batch
         self.latest = 0.0
         self.numbers = 0
         self.due = 0.0  # of the batch, by the loop's clock
@@ -89,6 +90,13 @@
         self.waiting.append(event)
         self.lists += isinstance(event, api.EngineList)
 
+    def heard(self, event: api.PeerNews) -> None:
+        """A peer's news goes along with the next batch: it is no reason for one of its own."""
+        former = self.news.get(event.engine, event)
+        if former is not event:
+            event = api.PeerNews(event.engine, event.report or former.report, event.threads + former.threads)
+        self.news[event.engine] = event
+
     def delay(self) -> float:
         """How long a message may have waited unread: a loop that runs late reads late."""
         return min(LAG_MOST, self.lag * exp((self.lag_at - self.latest) / LAG_SPAN))
@@ -119,6 +127,9 @@
         if self.lists > 1:
             events = one_list(events)
         self.lists = 0
+        if self.news:
+            events = [*self.news.values(), *events]
+            self.news.clear()
         loop = asyncio.get_running_loop()
         late = loop.time() - self.due
         self.due += late
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -382,6 +382,8 @@
             raise ValueError("an unknown word")
         fields = fields_of(raw)
         report = report_of(fields, self.fleet.columns)
+        if report:
+            self.fleet.reported(self.engine.number, report)
         self.fleet.counters["engine_" + word.decode()] += 1
         if tag in self.probes:
             self.probe_over(tag, {b"PONG": Result.OK, b"SHED": Result.FULL}.get(word, Result.ERROR), report)
@@ -478,6 +480,8 @@
         self.tags = 0
         self.spoilt_at = -WARY  # by the loop's clock
         self.allowed: Callable[[], bool] = lambda: True  # whether the list holds as of now
+        self.reported: Callable[[int, tuple[float, ...]], None] = lambda engine, report: None
+        self.sent: Callable[[int, int], None] = lambda engine, threads: None
 
     def tag(self) -> bytes:
         """A name for a probe, under which its answer comes."""
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -1,9 +1,7 @@
-"""All decisions of applevale. The types it takes and gives are in applevale/interface.py.
+"""All decisions of applevale (docs/design.md). The types it takes and gives are in applevale/interface.py.
 
-Ordinary path (docs/design.md): cheap pass -> flag (model, misses) -> entropy-priced quota of the home
-engine -> an accepted flag waits for memory room. The rest takes the table-group route, or is refused at once.
-Every send passes `Gateway.may_send`, which alone checks the rules.
-"""
+Cheap pass -> flag -> entropy-priced quota of the home engine -> an accepted flag waits for memory room; the
+rest takes the table-group route or is refused at once. `may_go` and `may_take` alone check a send's rules."""
 
 from __future__ import annotations
 
@@ -22,6 +20,8 @@
 BETA = 0.1  # discount per miss of this engine since the last refill
 C_MIN = 0.2  # least price of a flag
 WINDOW = 3.0  # s between refills, and over which reports fade: a few queries of the longest common kind
+NEWS = 0.8  # s over which reports fade where many siblings pass them on
+UNSEEN = 0.6  # s that it takes until a report shows what was sent
 SMALL = 0.06  # share of an engine's memory under which a query passes at once
 P_FLAG = 0.5  # confidence that flags
 RATE = 0.1  # step of the online model
@@ -58,9 +58,6 @@
 HINT = (0.3, 1.5)  # s, retry hint: least and most
 
 
-PLACE = attrgetter("place")
-
-
 def mix(*parts: int) -> int:
     """A stable hash: the same in every process and at every gateway."""
     return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "big")
@@ -138,8 +135,7 @@
     def __init__(self, req, engine, now: float, grant: float):
         self.req, self.index, self.entry, self.at, self.grant = req, len(req.tries), engine.entry, now, grant
         self.clock = now  # from when its age counts; moves on by the gateway's own gaps
-        self.done, self.cut, self.told_trouble = None, False, False  # done: its result
-        self.blamed = False  # its engine rests for it
+        self.done, self.cut, self.told_trouble, self.blamed = None, False, False, False  # done: its result
 
 
 class Held:
@@ -151,6 +147,7 @@
         self.tries: list[Attempt] = []
         self.out = 0  # attempts without an outcome
         self.over = self.flagged = self.accepted = self.streaming = self.answered = False
+        self.waiting = False  # in the line
         self.features: tuple[float, ...] = ()  # of the flag model
         self.work = max(stats.work.expect(ask.work if isfinite(ask.work) else 0.0), 1e-4)
         told = ask.memory_mb if isfinite(ask.memory_mb) and ask.memory_mb > 0 else 0.0
@@ -159,7 +156,6 @@
         self.run = self.work / stats.spec.threads  # s on free cores
         self.aim = now + stats.spec.aim + stats.spec.aim_stretch * self.run
         self.worth, self.rank, self.place = stats.spec.worth, 1, ()  # place: in the line
-        self.waiting = False  # in the line
 
     def first_run(self):
         return next((t for t in self.tries if t.done not in api.NEVER_RAN), None)
@@ -170,21 +166,20 @@
 
     def __init__(self, entry, settings: Settings, debt: float):
         self.out: dict[tuple[int, int], Attempt] = {}
-        self.threads, self.grant = 0.0, 0.0  # own, out
+        self.threads, self.grant, self.settings = 0.0, 0.0, settings  # own, out
         self.loads: dict[float, int] = {}  # own loads out, by the group of tables that each holds
         self.quota, self.troubles, self.misses, self.next_refill = 1.0, 0, 0, 0.0
-        self.settings, self.entry = settings, entry
         kind = settings.kinds[min(entry.kind, len(settings.kinds) - 1)]
         self.cores, self.memory = kind.cores or max(entry.size, 0.1), kind.memory_mb or inf
         self.start(entry, debt)
 
     def start(self, entry, debt: float) -> None:
         self.entry = entry
-        self.others, self.memory_used = Fading(WINDOW), Fading(WINDOW)  # threads a core; share of the memory
+        self.others = Fading(NEWS if self.settings.gateways > HOMES else WINDOW)  # threads a core
+        self.memory_used, self.sent = Fading(WINDOW), Fading(UNSEEN)  # its share; siblings' threads a core
         self.rest, self.rest_until, self.trial = REST[0], 0.0, False
         self.news_at, self.probe_at, self.last_ok = -inf, inf, -inf  # probe_at: inf while none is out
-        self.strikes = 0
-        self.cold_level, self.cold_at = -debt, entry.started
+        self.strikes, self.cold_level, self.cold_at = 0, -debt, entry.started
 
     def warmth(self, now: float) -> float:
         """Share of its capacity that it can surely do; the ramp is not told, so the lower half of a line."""
@@ -258,7 +253,7 @@
         self.held: dict[int, Held] = {}
         self.line: list[Held] = []
         self.rooms: list[float] = []  # thread bound by rank, in this pass over the line
-        self.siblings: dict[int, float] | None = None  # their threads a core by engine, in this pass
+        self.siblings: dict[int, float] = {}  # their threads a core by engine, in this batch
         self.turns: dict[int, deque] = {}  # key -> requests in order of arrival
         self.key_rest: dict[int, float] = {}
         self.unread: dict[int, set[int]] = {}  # key -> requests that have ended, their answers still leaving
@@ -268,14 +263,16 @@
         self.tokens = [[0.0, -inf] for _ in settings.tenants]
         self.worth, self.work = Mean(1.0), Mean(1.0)  # of a request
         self.others = Fading(WINDOW)  # the siblings' threads a core, over all engines
+        self.sent = Fading(UNSEEN)  # their threads
         self.usual, self.threads_each = Fading(LONG), Fading(LONG)  # own threads out; threads of a query
         self.threads_out, self.probe_room = 0, PROBES[1]
         self.probe_rate = min(PROBES[0], PROBE_SPEND / max(settings.probe_price, 1e-9))
+        self.looks = settings.gateways > 1 and self.probe_rate >= 1  # before each send: each can pay for it
         self.last_trouble, self.gap, self.gap_at, self.sweep_due = -inf, 0.0, 0.0, inf
         self.backoff, self.subscribed = 1.0, settings.discovery_push
 
     def handle(self, now: float, events) -> list:
-        self.now, self.actions = now, []
+        self.now, self.actions, self.siblings = now, [], {}
         if not self.subscribed:
             self.on_timer(api.Timer(1))
         self.notice_gap()
@@ -345,8 +342,13 @@
         return own, self.others.mean(self.now, own * siblings, 0.5) if siblings else 0.0
 
     def others_on(self, engine: Engine) -> float:
-        """The siblings' threads a core there: its reports, shrunk towards the fleet's."""
-        return engine.others.mean(self.now, self.usual_load()[1], 0.3) if self.settings.gateways > 1 else 0.0
+        """The siblings' threads a core there: its reports, shrunk to the fleet's, and sends not in them."""
+        if self.settings.gateways <= 1:
+            return 0.0
+        engine.sent.fade(self.now), self.sent.fade(self.now)
+        # All that hear the same report would go there: what they sent since counts, against the fleet's mean.
+        unseen = engine.sent.total - self.sent.total / self.cores
+        return max(0.0, engine.others.mean(self.now, self.usual_load()[1], 0.3) + min(unseen, OVERFULL))
 
     def room(self, rank: int) -> float:
         """The thread bound of a rank: the fuller the fleet, the less for what is worth little per work."""
@@ -355,8 +357,6 @@
 
     def load(self, engine: Engine) -> float:
         """Threads a core, own and others'."""
-        if self.siblings is None:
-            return engine.threads / engine.cores + self.others_on(engine)
         number = engine.entry.engine
         if number not in self.siblings:
             self.siblings[number] = self.others_on(engine)
@@ -366,13 +366,13 @@
         """Capacity less own grants and what the others hold: by reports, else as their threads go by ours."""
         each = sum(s.memory.mean.value / s.spec.threads for s in self.stats) / len(self.stats)
         guess = min(1.0, self.others_on(engine) * engine.cores * each / engine.memory)
-        used = engine.memory_used.mean(self.now, guess, 0.3)
-        return engine.memory * (1 - used) - engine.grant
+        return engine.memory * (1 - engine.memory_used.mean(self.now, guess, 0.3)) - engine.grant
 
     def take_report(self, engine: Engine, values: tuple) -> None:
         engine.news_at = self.now
         columns = self.settings.report_columns if len(values) == len(self.settings.report_columns) else ()
         told = {name: value for name, value in zip(columns, values) if isfinite(value) and value >= 0}
+        self.siblings.pop(engine.entry.engine, None)
         shown = None  # threads a core
         if "active" in told:
             shown = told["active"] * self.threads_each.mean(self.now, 1.5, 1.0) / engine.cores
@@ -388,11 +388,18 @@
             engine.memory_used.add(self.now, max(0.0, min(told["memory_used"], 1.0) - own))
         self.last_trouble = self.now if told.get("waiting", 0) >= 1 else self.last_trouble
 
+    def on_peer_news(self, event: api.PeerNews) -> None:
+        if (engine := self.engines.get(event.engine)) is not None:
+            engine.sent.add(self.now, event.threads / engine.cores)
+            self.sent.add(self.now, event.threads)
+            if event.report:
+                self.take_report(engine, event.report)
+
     def lacks_news(self, engine: Engine) -> bool:
-        """With siblings all work looks before it is sent, if each can afford to; else only a trial does."""
-        wanted = engine.trial or (self.settings.gateways > 1 and self.probe_rate >= 1)
+        """With siblings work looks before it is sent, if each can afford to; else only a trial does."""
+        wanted = self.settings.may_probe and (engine.trial or self.looks)
         affordable = self.probe_room >= 1 or engine.probe_at <= self.now
-        return self.settings.may_probe and wanted and affordable and self.now - engine.news_at > FRESH
+        return wanted and affordable and self.now - engine.news_at > FRESH
 
     def asked(self, engine: Engine) -> bool:
         """Asks, anew after a rest if nothing came, and tells whether an answer may still come."""
@@ -491,12 +498,8 @@
                 and (req.spec.kinds is None or engine.entry.kind in req.spec.kinds))
 
     def usable(self, engine: Engine) -> bool:
-        if engine.entry.state is not State.READY or engine.rest_until > self.now:
-            return False
-        return not (engine.trial and engine.out)  # readmission by trickle: one attempt at a time
-
-    def blocked_by_load(self, req: Held, engine: Engine) -> bool:
-        return (req.spec.load or req.spec.yields) and req.ask.tables in engine.loads
+        ready = engine.entry.state is State.READY and engine.rest_until <= self.now
+        return ready and not (engine.trial and engine.out)  # readmission by trickle: one attempt at a time
 
     def route(self, req: Held) -> tuple[Engine | None, bool]:
         """Table-group route: the first in the group's order with room; or whether a probe's answer is due."""
@@ -516,7 +519,7 @@
                 self.suspect(engine, "silent to a probe")
                 continue
             full = req.accepted and self.free_memory(engine) < max(req.memory, req.grant)
-            if full or self.blocked_by_load(req, engine):
+            if full or ((req.spec.load or req.spec.yields) and req.ask.tables in engine.loads):
                 continue
             load, more = self.load(engine), req.spec.threads / engine.cores
             fits = load + more <= max(room, 1.01 * more)
@@ -527,6 +530,10 @@
             if fits or (short and load < OVERFULL):
                 tier = self.guide.tier(req.ask.cls, engine.entry.zone)
                 spare.append((shunned, tier, looks > HOMES or not fits, load, engine.entry.engine))
+        if self.settings.gateways > HOMES and len(spare) > 2:
+            # Many who know the same would all take the emptiest at once, so each takes the better of two.
+            spare = [one for one in spare if one[:3] == min(spare)[:3]]
+            spare = self.random.sample(spare, min(2, len(spare)))
         return self.engines[min(spare)[4]] if spare else None, False
 
     def hold(self, req: Held) -> None:
@@ -539,10 +546,9 @@
     def serve_line(self) -> None:
         if not self.line:
             return
-        self.line.sort(key=PLACE)
+        self.line.sort(key=attrgetter("place"))
         room = self.guide.room(self.now, self.cores / self.settings.gateways) * BUSY
         # What stays the same over the pass is worked out once: the line may be long, and passes are many.
-        self.siblings = {}
         self.rooms = [self.room(rank) for rank in range(len(DENSE) + 1)]
         slow = [min(max(stats.slow.value, 1.0), 1.5) for stats in self.stats]
         now, gap, kept, ahead, looks, nowhere = self.now, self.seen_gap(), [], 0.0, 0, {}
@@ -572,16 +578,15 @@
                 req.waiting = True
                 kept.append(req)
                 ahead += req.work
-        self.line, self.siblings = kept, None
+        self.line = kept
 
     def turn_free(self, req: Held) -> bool:
         if not (req.spec.ordered and req.ask.key):
             return True
         self.trim_turns(req.ask.key)
         queue = self.turns.get(req.ask.key)
-        if not queue or queue[0] is not req or req.ask.key in self.unread:
-            return False
-        return self.key_rest.get(req.ask.key, -inf) <= self.now
+        first = bool(queue) and queue[0] is req and req.ask.key not in self.unread
+        return first and self.key_rest.get(req.ask.key, -inf) <= self.now
 
     def trim_turns(self, key: int) -> None:
         queue = self.turns.get(key)
@@ -590,12 +595,8 @@
         if not queue:
             self.turns.pop(key, None)
 
-    def may_send(self, req: Held, engine: Engine) -> bool:
-        """Every rule, for first attempts, retries and copies alike."""
-        return self.may_go(req) and self.may_take(req, engine)
-
     def may_go(self, req: Held) -> bool:
-        """The rules that do not depend on the engine."""
+        """The rules that do not depend on the engine, for first attempts, retries and copies alike."""
         told = self.settings
         if req.over or req.streaming or self.now >= req.until or len(req.tries) >= told.try_limit:
             return False
@@ -808,9 +809,8 @@
     def suspect(self, engine: Engine, why: str) -> None:
         """One bad sign: a rest that doubles, for a capped share at most; then last choice until an answer."""
         engine.trial = True
-        ready = [e for e in self.engines.values() if e.entry.state is State.READY]
-        resting = sum(e.rest_until > self.now for e in ready)
-        if engine.rest_until <= self.now and resting < int(len(ready) * EJECT_SHARE):
+        rests = [e.rest_until > self.now for e in self.engines.values() if e.entry.state is State.READY]
+        if engine.rest_until <= self.now and sum(rests) < int(len(rests) * EJECT_SHARE):
             if engine.rest == REST[0]:
                 self.do(api.Log(f"engine {engine.entry.engine} rests: {why}"))
             engine.rest_until = self.now + engine.rest
@@ -837,8 +837,7 @@
             for attempt in req.tries:
                 if attempt.done is None:
                     self.watch(attempt)
-        for key in [k for k, t in self.key_rest.items() if t <= self.now]:
-            del self.key_rest[key]
+        self.key_rest = {key: until for key, until in self.key_rest.items() if until > self.now}
 
     def watch(self, attempt: Attempt) -> None:
         """What is overdue is cut, in case of a bad plan, and silence is asked about."""
@@ -849,6 +848,7 @@
         if engine and max(engine.last_ok, engine.news_at) <= attempt.at and not self.asked(engine):
             self.suspect(engine, "silent")
 
-    HANDLERS = {api.EngineList: on_list, api.Outcome: on_outcome, api.ProbeResult: on_probe,
-                api.Started: on_started, api.Note: on_note, api.Request: on_request,
-                api.ClientGone: on_gone, api.Answered: on_answered, api.Timer: on_timer}
+    HANDLERS = {api.EngineList: on_list, api.PeerNews: on_peer_news, api.Outcome: on_outcome,
+                api.ProbeResult: on_probe, api.Started: on_started, api.Note: on_note,
+                api.Request: on_request, api.ClientGone: on_gone, api.Answered: on_answered,
+                api.Timer: on_timer}
--- a/applevale/wire.py
+++ b/applevale/wire.py
@@ -361,6 +361,7 @@
         may_cancel=pairs.get("limits.cancel", bool, False),
         may_probe=pairs.get("limits.may_probe", bool, False),
         probe_price=pairs.get("prices.probe", float, 0.0),
+        peer_price=pairs.get("prices.peer", float, 0.0),
         may_tell_peers=pairs.get("limits.peers", bool, False),
         retry_after=pairs.get("limits.retry_after", bool, False),
         parallel_tries=pairs.get("limits.parallel_tries", bool, False),
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,193 @@
+"""What workload managers tell each other of engines: the figures, the traffic, and what is no news."""
+
+import asyncio
+import socket
+
+import pytest
+from helpers import Driver as Clocked
+from helpers import of
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from applevale import interface as api
+from applevale.node import config
+from applevale.node.counters import Counters
+from applevale.node.driver import Driver
+from applevale.node.engine import Fleet
+from applevale.node.news import MOST_ROOM, RENEW, SENT, News, NewsError, mark
+from applevale.node.peers import Peers
+
+COLUMNS = ("active", "cpu", "x1")
+
+
+def news(engines=(1, 2), peers=39, price=0.01, columns=COLUMNS):
+    made = News(columns, peers, price)
+    made.listed(engines)
+    return made
+
+
+def test_a_report_and_a_send_arrive_as_they_were_told():
+    here, there = news(), news()
+    assert there.heard(5.0, here.answered(5.0, 1, (7.0, 0.5, 0.25))) == [api.PeerNews(1, (7.0, -1.0, -1.0))]
+    assert there.heard(5.0, here.sent(2, 3)) == [api.PeerNews(2, (), 3)]
+
+
+def test_without_the_number_of_queries_how_busy_it_is_gets_told_and_what_is_unknown_stays_so():
+    here, there = (news(columns=("cpu", "disk_busy", "avg_ms")) for _ in range(2))
+    told = there.heard(5.0, here.answered(5.0, 1, (0.5, -1.0, 12.0)))
+    assert told == [api.PeerNews(1, (0.5, -1.0, -1.0))]
+
+
+def test_what_a_peer_told_is_told_again_only_when_it_changed_or_grew_old():
+    here, there = news(), news()
+    there.heard(5.0, here.answered(5.0, 1, (8.0, 0.5, 0.5)))
+    for one in (here, there):
+        assert one.answered(5.2, 1, (9.0, 0.5, 0.5)) is None  # hardly another figure
+        assert one.answered(5.05, 1, (80.0, 0.5, 0.5)) is None  # too soon
+        assert one.answered(5.2, 2, (8.0, 0.5, 0.5)) is not None  # of another engine
+    assert here.answered(5.2, 1, (20.0, 0.5, 0.5)) is not None
+    assert there.answered(5.0 + RENEW, 1, (8.0, 0.5, 0.5)) is not None
+
+
+@pytest.mark.parametrize("price", [0.0, 0.01, 0.1])
+def test_telling_costs_no_more_than_its_share(price):
+    one, told, requests = news(price=price), 0, 2_000
+    for at in range(requests):
+        told += len(one.sent(1, 1) or b"") + len(one.answered(at * 1.0, 1, (at % 90, 0.0, 0.0)) or b"")
+    assert 0 < told <= MOST_ROOM + requests * (0.012 / price * 256 / 39 if price else 8)
+
+
+def test_a_mark_that_two_engines_share_counts_for_both_and_one_off_the_list_for_none():
+    twin = 1 ^ 0x00070007
+    assert mark(twin) == mark(1)
+    one = news((1, twin))
+    data = one.sent(1, 2)
+    assert [event.engine for event in one.heard(0.0, data)] == [1, twin]
+    report = one.answered(0.0, 1, (5.0, 0.0, 0.0))
+    one.listed((twin,))
+    assert [event.engine for event in one.heard(0.0, data)] == [twin] and not one.told
+    one.listed(())
+    assert one.heard(0.0, data) == one.heard(0.0, report) == [] and not one.told
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.binary(max_size=300))
+def test_garbage_is_refused_or_bounded(data):
+    one = news()
+    try:
+        events = one.heard(1.0, data)
+    except NewsError:
+        assert not one.told
+        return
+    assert all(event.engine in (1, 2) and 0 <= event.threads <= 255 for event in events)
+    assert all(0 <= event.report[0] <= 254 or event.report[0] == -1 for event in events if event.report)
+
+
+def gateway(**more):
+    settings = dict(engines=4, gateways=40, report_columns=("active",), probe_price=0.08, may_probe=True)
+    return Clocked(**(settings | more))
+
+
+def test_a_peers_report_is_believed_like_an_own_one_and_one_of_a_stranger_is_passed_over():
+    d = gateway()
+    d.give(api.PeerNews(1, (60.0,)), api.PeerNews(99, (60.0,), 3))
+    loads = [d.gateway.load(engine) for engine in d.gateway.engines.values()]
+    assert loads[0] > 1.5 * max(loads[1:]) and len(d.gateway.engines) == 4
+
+
+def test_what_siblings_send_counts_before_any_report_shows_it():
+    """All hear of the same idle engine, and would fill it in the time that its next report takes."""
+    d = gateway()
+    d.give(*(api.PeerNews(number, (16.0,)) for number in (2, 3, 4)), api.PeerNews(1, (0.0,)))
+    before = d.gateway.load(d.gateway.engines[1])
+    d.give(*(api.PeerNews(1, (), 1) for _ in range(24)))
+    after = d.gateway.load(d.gateway.engines[1])
+    assert before < 1.0 < 2.0 < after
+    d.now += 6.0  # reports have shown it since
+    d.give(api.PeerNews(1, (0.0,)))
+    assert d.gateway.load(d.gateway.engines[1]) < 1.0
+
+
+def test_an_even_stream_of_sends_makes_no_engine_look_fuller():
+    d = gateway()
+    d.give(*(api.PeerNews(number, (8.0,)) for number in (1, 2, 3, 4)))
+    before = [d.gateway.load(engine) for engine in d.gateway.engines.values()]
+    d.give(*(api.PeerNews(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
+    after = [d.gateway.load(engine) for engine in d.gateway.engines.values()]
+    assert after == pytest.approx(before, abs=0.2)
+
+
+def test_a_liar_fills_no_more_than_the_bound_and_rests_no_engine():
+    d = gateway()
+    for _ in range(50):
+        d.now += 0.02
+        d.give(*(api.PeerNews(1, (254.0,), 255) for _ in range(20)))
+    assert d.gateway.load(d.gateway.engines[1]) <= 9.1
+    assert not any(e.trial or e.rest_until > d.now for e in d.gateway.engines.values())
+    assert of(api.Send, d.ask(1, work=1.0, tables=1.0)[1])
+
+
+def test_gateways_with_the_same_news_do_not_all_take_the_same_spare_engine():
+    taken = set()
+    for seed in range(12):
+        d = gateway(engines=6, seed=seed)
+        d.give(*(api.PeerNews(number, (8.0 + number / 4,)) for number in range(1, 7)))
+        taken.add(of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].engine)
+    assert len(taken) > 1
+
+
+class Silent:
+    """A module that decides nothing and keeps what it is told."""
+
+    def __init__(self):
+        self.events = []
+
+    def handle(self, now, events):
+        self.events += events
+        return []
+
+
+def free():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()
+
+
+def test_news_cross_the_socket_and_only_peers_are_heard():
+    async def main():
+        one, two, stranger = free(), free(), free()
+        module, counters = Silent(), Counters()
+        driver = Driver(module, Fleet(None, (), 0, counters), counters)
+        here = Peers(config.PeerAddresses(one, (one, two), two), 0, news(), driver, Counters())
+        there = Peers(config.PeerAddresses(two, (one, two), one), 1, news(), driver, counters)
+        here.start(), there.start()
+        here.reported(1, (7.0, 0.5, 0.25))
+        here.sent(2, 3)
+        here.sent(2, 1)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(stranger)
+            other.sendto(SENT.pack(mark(1), 9), two)
+        here.sock.sendto(b"garbage", two)
+        there.sock.sendto(SENT.pack(mark(1), 9), two)  # its own word, back from the address of all
+        async with asyncio.timeout(10):
+            while counters["news_heard"] < 3 or counters["news_unreadable"] < 2:
+                await asyncio.sleep(0)
+            driver.post(api.Timer(5))  # news alone are no reason for a batch
+            while not module.events:
+                await asyncio.sleep(0)
+        here.stop(), there.stop()
+        return module.events
+
+    events = asyncio.run(main())
+    assert events == [api.PeerNews(1, (7.0, -1.0, -1.0)), api.PeerNews(2, (), 4), api.Timer(5)]
+
+
+def test_peers_are_read_from_the_configuration_and_a_bad_address_is_named():
+    raw = {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946", "127.0.0.2:7946"],
+           "peers_all": "127.0.0.9:7946"}
+    assert config.parse_peers(raw).each[1] == ("127.0.0.2", 7946)
+    assert config.parse_peers({}) is None
+    with pytest.raises(config.ConfigError, match=r"peers\[1\]: HOST:PORT"):
+        config.parse_peers(raw | {"peers": ["127.0.0.1:7946", "nowhere"]})
+    with pytest.raises(config.ConfigError, match="peers: a list"):
+        config.parse_peers(raw | {"peers": "127.0.0.1:7946"})
