--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -31,6 +31,7 @@
     idle: float  # s after which an engine closes one that carries nothing
     connect: float  # s within which one comes up
     handshake_price: float = 0.0  # points of the result for one new connection a request
+    probe_price: float = 0.0  # for one probe a request
 
 
 @dataclass(frozen=True)
@@ -182,6 +183,7 @@
             idle=_limit(limits, "conn_idle", 15 * wire.NS, 1) / wire.NS,
             connect=_limit(limits, "dial_timeout", 0.25 * wire.NS, 1) / wire.NS,
             handshake_price=_limit(_section(told, "prices"), "handshake", 0.0, 0.0),
+            probe_price=settings.probe_price,
         ),
         names=names,
         known=known,
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -25,6 +25,7 @@
 RECEIVE = 8_192
 QUIET = (1.0, 3.0)  # s without a whole answer after which a link that carries attempts is asked whether it
 # still answers: while links were found spoilt lately, and else
+CHEAP = 0.02  # points for a probe a request up to which links are asked as often as that
 ASKED = 0.4  # s that it has for its answer
 WARY = 20.0  # s for which a spoilt link is kept in mind
 OVERSLEPT = 0.1  # s that a timer may be late: beyond, the loop stood still, and answers may lie unread
@@ -500,8 +501,8 @@
         return self.limits.handshake_price > 0 and not self.wary()
 
     def quiet(self) -> float:
-        """Asking has a price, so links are asked often only while some were found spoilt."""
-        return QUIET[0] if self.wary() else QUIET[1]
+        """Asking has a price: often only while links were found spoilt, seldom where it is dear."""
+        return QUIET[0] if self.wary() else QUIET[1] * max(1.0, self.limits.probe_price / CHEAP)
 
     def count_links(self) -> int:
         return sum(len(engine.links) for engine in self.engines.values())
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -164,22 +164,22 @@
 class Engine:
     """One engine as this gateway sees it: its own attempts, and what reports show of the others'."""
 
-    def __init__(self, entry, settings: Settings, debt: float):
+    def __init__(self, entry, settings: Settings, debt: float, now: float):
         self.out: dict[tuple[int, int], Attempt] = {}
         self.threads, self.grant, self.settings = 0.0, 0.0, settings  # own, out
         self.loads: dict[float, int] = {}  # own loads out, by the group of tables that each holds
         self.quota, self.troubles, self.misses, self.next_refill = 1.0, 0, 0, 0.0
         kind = settings.kinds[min(entry.kind, len(settings.kinds) - 1)]
         self.cores, self.memory = kind.cores or max(entry.size, 0.1), kind.memory_mb or inf
-        self.start(entry, debt)
+        self.start(entry, debt, now)
 
-    def start(self, entry, debt: float) -> None:
+    def start(self, entry, debt: float, now: float) -> None:
         self.entry = entry
         self.others = Fading(NEWS if self.settings.gateways > HOMES else WINDOW)  # threads a core
         self.memory_used, self.sent = Fading(WINDOW), Fading(UNSEEN)  # its share; siblings' threads a core
         self.rest, self.rest_until, self.trial = REST[0], 0.0, False
         self.news_at, self.probe_at, self.last_ok = -inf, inf, -inf  # probe_at: inf while none is out
-        self.strikes, self.cold_level, self.cold_at = 0, -debt, entry.started
+        self.strikes, self.cold_level, self.cold_at = 0, -debt, now  # not its start: all hear of it at once
 
     def warmth(self, now: float) -> float:
         """Share of its capacity that it can surely do; the ramp is not told, so the lower half of a line."""
@@ -324,11 +324,11 @@
         for number, entry in entries.items():
             engine, debt = self.engines.get(number), self.random.random() * self.work.value
             if engine is None and entry.state is not State.GONE:
-                self.engines[number] = Engine(entry, self.settings, debt)
+                self.engines[number] = Engine(entry, self.settings, debt, self.now)
             elif engine and entry.state is State.GONE and not engine.out:
                 del self.engines[number]
             elif engine and entry.started > engine.entry.started:
-                engine.start(entry, debt)
+                engine.start(entry, debt, self.now)
             elif engine:  # one that is gone is kept until its attempts are over, never used
                 engine.entry = entry
         self.orders.clear()
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -1,4 +1,4 @@
-"""A list of a thousand engines, and what may happen to it: no error, no lost request, bounded work a request."""
+"""A list of a thousand engines, and what may happen to it: no error, no lost request, bounded work each."""
 
 import pytest
 from helpers import Driver, of
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -145,6 +145,16 @@
     assert d.gateway.load(d.gateway.engines[1]) < 1.0
 
 
+def test_a_new_engine_is_not_sent_at_once_what_all_had_earned_since_it_started():
+    """Forty that hear of it 3 s after its start would each have a first send free."""
+    sent = 0
+    for seed in range(40):
+        entry = api.EngineEntry(1, started=97.0)  # 3 s before the list tells of it
+        d = gateway(entries=(entry,), seed=seed)
+        sent += len(of(api.Send, d.ask(0, work=0.3, tables=1.0)[1]))
+    assert sent <= 4
+
+
 def test_only_sends_that_draw_siblings_are_told():
     d = gateway()
     d.give(*(api.PeerNews(number, (4.0,)) for number in (1, 2, 3, 4)))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -94,6 +94,17 @@
     assert ends == [engine.Broken(engine.Reach.NEVER_SENT, api.Result.MOOT)] and list(fleet.engines) == [2]
 
 
+@pytest.mark.parametrize("price,quiet", [(0.0, 3.0), (0.011, 3.0), (0.08, 12.0)])
+def test_links_are_asked_seldom_where_a_probe_is_dear_but_not_once_one_was_spoilt(price, quiet):
+    async def main():
+        fleet = engine.Fleet(config.LinkLimits(32, 15.0, 0.25, probe_price=price), (), 8, Counters())
+        calm = fleet.quiet()
+        fleet.spoilt()
+        return calm, fleet.quiet()
+
+    assert asyncio.run(main()) == (quiet, 1.0)
+
+
 @pytest.mark.parametrize("price,links", [(0.0, 3), (0.08, 1)])
 def test_links_are_shared_where_handshakes_are_charged(price, links):
     async def main():
