Bind the clients' address with SO_REUSEPORT; at SIGTERM take the queue, then close it

The listener now shares its address; after the linger at SIGTERM the old process accepts what waits in the queue and closes its listener, so the kernel gives every later connection to the new one instead of resetting it at exit.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -53,6 +53,9 @@
 def listen(config: Config) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # An upgrade starts a second process on the same address; the kernel shares new connections out
+    # between the two until the old one closes its listener.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     listener.bind(config.listen)
     listener.listen(BACKLOG)
     listener.setblocking(False)
@@ -177,6 +180,7 @@
         last = min(STAY, max(spec.deadline for spec in self.config.settings.classes)) + 0.7 - LAST_WORD
         self.broker.until = self.driver.now() + last  # what comes now is decided on with the time there is
         await asyncio.sleep(since + LINGER - loop.time())
+        self.front.shut()
         while self.busy() and loop.time() < since + last:
             await asyncio.sleep(0.02)
         self.broker.expire()
@@ -203,7 +207,7 @@
     if node.peers is not None:
         node.peers.start()
     loop.call_later(SHOWN, node.show_often)
-    accepting = asyncio.create_task(node.front.accept(listener))
+    node.front.accepting = asyncio.create_task(node.front.accept(listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
     gc.freeze()
@@ -216,7 +220,7 @@
         node.front.ready = False
         await node.close(loop.time())
     finally:
-        accepting.cancel()
+        node.front.shut()
         node.driver.stop()
         if node.peers is not None:
             node.peers.stop()
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -119,6 +119,7 @@
         self.held = 0  # bytes
         self.source = Source()  # the listener's
         self.listener: socket.socket | None = None
+        self.accepting: asyncio.Task | None = None
         driver.inlets.append(self.inlet)
 
     @property
@@ -127,7 +128,7 @@
         return len(self.refs)
 
     async def accept(self, listener: socket.socket) -> None:
-        loop, arrivals, self.listener = asyncio.get_running_loop(), self.driver.arrivals, listener
+        loop, self.listener = asyncio.get_running_loop(), listener
         queue = select.poll()
         queue.register(listener, select.POLLIN)
         while True:
@@ -141,13 +142,34 @@
                 say("accept", str(error))
                 await asyncio.sleep(0.01)
                 continue
-            self.counters["connections"] += 1
-            if len(self.connections) >= self.most:
-                self.make_room(loop.time())
-            emptied = not queue.poll(0)  # else more connections wait in the system's queue
-            connection = Connection(self, sock, self.source.read(asked, arrivals.polled, emptied))
-            self.silent[connection] = loop.time()
-            self.connections[connection] = asyncio.create_task(connection.run())
+            self.take(sock, asked, not queue.poll(0))  # else more connections wait in the system's queue
+
+    def take(self, sock: socket.socket, asked: float, emptied: bool) -> None:
+        self.counters["connections"] += 1
+        now = asyncio.get_running_loop().time()
+        if len(self.connections) >= self.most:
+            self.make_room(now)
+        connection = Connection(self, sock, self.source.read(asked, self.driver.arrivals.polled, emptied))
+        self.silent[connection] = now
+        self.connections[connection] = asyncio.create_task(connection.run())
+
+    def shut(self) -> None:
+        """Takes no more connections. Guards those that wait in the system's queue: closed with the listener,
+        they would be reset, so they are taken first; from then on the kernel gives new ones to a second
+        process on the same address, if there is one."""
+        listener, self.listener = self.listener, None
+        if self.accepting is not None:
+            self.accepting.cancel()
+        if listener is None:
+            return
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:  # none is left, or it has gone already
+                break
+            sock.setblocking(False)
+            self.take(sock, self.driver.now(), False)
+        listener.close()
 
     def inlet(self) -> list[tuple[Source, bool]]:
         """The sockets, and whether there is something to read."""
