Operators' door on h11: ready, figures, engines out by hand, drain; bans cross in TMPDIR

Change: applevale/control/ (calls and answers, bans and their checked file, figures; none does I/O or reads a clock) and door.py, one task and one 2 s timer a caller. A banned engine is told to the module as draining whatever the feed says, so its own drain rule holds. Figures are counted where answers are written and attempts are written whole. Drain closes every connection as soon as nothing is owed on it. Tests: calls and bad input, a ban over a feed that re-lists the engine, the torn file, figures, a silent caller beside an answered one, bad and oversized HTTP.

--- /dev/null
+++ b/applevale/control/__init__.py
@@ -0,0 +1,1 @@
+"""Daily operation: the operators' door, figures, engines out by hand and drain (docs/control.md)."""
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -4,13 +4,20 @@
 
 import asyncio
 import gc
+import os
 import signal
 import socket
 import sys
+import tempfile
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from .. import interface as api
+from ..control import bans as ban_file
+from ..control.bans import Bans
+from ..control.door import Door
+from ..control.figures import Figures
 from ..policy import Gateway
 from ..sources.feed import Feed, FeedError
 from ..sources.members import Change, Source
@@ -50,13 +57,40 @@
             say("loop", f"collecting generation {info['generation']} took {(now - self.start) * 1000:.0f} ms")
 
 
-def listen(config: Config) -> socket.socket:
+def ban_path() -> str:
+    """Where bans by hand wait for the next process: an upgrade starts it with the same $TMPDIR."""
+    return os.path.join(tempfile.gettempdir(), "applevale-bans.json")
+
+
+def read_bans(path: str) -> frozenset[int]:
+    """The bans that a former process left; none, with one line, where its file cannot be trusted."""
+    try:
+        with open(path, "rb") as file:
+            return ban_file.decode(file.read())
+    except FileNotFoundError:
+        return frozenset()
+    except (OSError, ban_file.BanFileError) as error:
+        say("bans", f"{path}: {error}; starting with no bans")
+        return frozenset()
+
+
+def write_bans(path: str, banned: set[int]) -> None:
+    """Whole or not at all: a successor that reads while this writes sees the former file."""
+    try:
+        with open(path + ".new", "wb") as file:
+            file.write(ban_file.encode(banned))
+        os.replace(path + ".new", path)
+    except OSError as error:
+        say("bans", f"{path}: {error}")
+
+
+def listen(at: tuple[str, int], shared: bool) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # An upgrade starts a second process on the same address; the kernel shares new connections out
-    # between the two until the old one closes its listener.
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    listener.bind(config.listen)
+    if shared:  # an upgrade starts a second process on the same address; the kernel shares new connections
+        # out between the two until the old one closes its listener
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind(at)
     listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
@@ -76,12 +110,63 @@
         self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
                            self.counters)
         self.list = HeldList()
+        self.bans = Bans(read_bans(ban_path()))
+        self.list.banned = self.bans.banned  # one set: what the module is told follows every ban at once
+        self.draining = False
+        self.stats = self._figures()
         self.peers = self._peers(gateway)
         self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
         self.feed = Feed(first, config.names, self.counters, self.tell, config.feed)
         self.source: Source = self.registry or self.feed
 
+    def _figures(self) -> Figures:
+        fleet = self.fleet
+        figures = Figures(tuple(spec.name for spec in self.config.settings.classes))
+        self.front.figures, fleet.dispatched = figures, figures.dispatched
+        figures.concurrent = lambda: self.front.open
+        figures.targets = lambda: len(fleet.engines) - len(fleet.gone)
+        banned = self.bans.banned  # a handful at most: no walk over the engines
+        figures.disabled = lambda: sum(one in fleet.engines and one not in fleet.gone for one in banned)
+        return figures
+
+    def serving(self) -> bool:
+        """Whether new clients are welcome: what probes and /ready say."""
+        return not (self.leaving.is_set() or self.list.held or self.draining)
+
+    # What the operators' door works on (control.calls.Operated).
+    def ready(self) -> bool:
+        return self.front.ready
+
+    def figures(self) -> dict:
+        return self.stats.snapshot()
+
+    def disable(self, host: str) -> bool:
+        return self._ban(host, self.bans.disable)
+
+    def enable(self, host: str) -> bool:
+        return self._ban(host, self.bans.enable)
+
+    def _ban(self, host: str, change: Callable[[int], bool]) -> bool:
+        engine = self.bans.find(host)
+        if engine is None:
+            return False
+        if change(engine):
+            self.counters["bans_changed"] += 1
+            self.driver.post(self.list.told_again(engine))
+            write_bans(ban_path(), self.bans.banned)
+        return True
+
+    def drain(self) -> None:
+        self.draining = True
+        self.front.drain(True)
+        self.front.ready = self.serving()
+
+    def undrain(self) -> None:
+        self.draining = False
+        self.front.drain(False)
+        self.front.ready = self.serving()
+
     def _guide(self) -> api.Guide | None:
         """Preference among zones, where a zones file is named."""
         config = self.config
@@ -127,11 +212,12 @@
         asyncio.get_running_loop().call_later(SHOWN, self.show_often)
 
     def tell(self, change: Change) -> None:
+        self.bans.listed(change.members)
         self.fleet.update(change)
         if self.peers is not None:
             self.peers.news.listed(self.fleet.engines)
         self.driver.post(self.list.changed(change))
-        self.front.ready = not (self.leaving.is_set() or self.list.held)
+        self.front.ready = self.serving()
 
     def turned(self, confirmed: bool) -> None:
         """The registry's list is held to be true from now on, or no longer."""
@@ -139,8 +225,7 @@
             return
         self.driver.post(self.list.turned(confirmed))
         self.broker.hold(None if confirmed else self.config.registry.hold)
-        if confirmed:
-            self.front.ready = not self.leaving.is_set()
+        self.front.ready = self.serving()
 
     def learn(self, known: tuple[Change, ...]) -> None:
         """What a configuration knows of the list, beyond what was told already."""
@@ -156,8 +241,10 @@
             config = load()
         except ConfigError as error:
             say("reload", f"the old configuration stays: {error}")
+            self.stats.reloaded(False)
             return
         self.counters["reloads"] += 1
+        self.stats.reloaded(True)
         self.learn(config.known)
         self._move(config)
         fixed = [key for key in ("name", "listen", "sockets", "memory", "settings", "links", "names", "zones")
@@ -193,7 +280,8 @@
 
 async def run(config: Config) -> None:
     began = time.time()
-    listener = listen(config)
+    listener = listen(config.listen, shared=True)
+    door_listener = None if config.control is None else listen(config.control, shared=False)
     node = Node(config)
     node.front.source.clear = began  # no one can have come before
     loop = asyncio.get_running_loop()
@@ -208,6 +296,8 @@
         node.peers.start()
     loop.call_later(SHOWN, node.show_often)
     node.front.accepting = asyncio.create_task(node.front.accept(listener))
+    door = None if door_listener is None else asyncio.create_task(
+        Door(node, node.counters).serve(door_listener))
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
     gc.freeze()
@@ -221,6 +311,9 @@
         await node.close(loop.time())
     finally:
         node.front.shut()
+        if door is not None:
+            door.cancel()
+            door_listener.close()
         node.driver.stop()
         if node.peers is not None:
             node.peers.stop()
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -58,6 +58,7 @@
     peers: PeerAddresses | None = None  # None: there are none to speak with
     registry: object = None  # settings of a key-value registry; None: the list comes from the feed
     zones: object = None  # the zones file; None: zones make no difference
+    control: Address | None = None  # the operators' door; None: there is none
 
 
 def address(text: object, key: str) -> Address:
@@ -147,6 +148,12 @@
         raise ConfigError(f"zones_file: {error}") from None
 
 
+def _control(raw: Mapping, environ: Mapping[str, str]) -> Address | None:
+    if environ.get("BALANCER_CONTROL"):
+        return address(environ["BALANCER_CONTROL"], "BALANCER_CONTROL")
+    return address(raw["control"], "control") if raw.get("control") else None
+
+
 def parse(raw: object, environ: Mapping[str, str]) -> Config:
     if not isinstance(raw, dict):
         raise ConfigError("BALANCER_CONFIG: an object is needed at the top")
@@ -190,6 +197,7 @@
         peers=parse_peers(raw),
         registry=registry,
         zones=found_zones,
+        control=_control(raw, environ),
     )
 
 
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -239,7 +239,8 @@
         if want.urgency != 1:
             fields += f",urgency={want.urgency}"
         self.fleet.counters["attempts_written"] += 1
-        attempt.message = self.put(b"want", want.ref, fields.encode(), want.statement)
+        attempt.message = self.put(b"want", want.ref, fields.encode(), want.statement,
+                                   written=lambda: self.fleet.dispatched(want.lane))
 
     def ask(self, tag: bytes, told: Callable[[Result, tuple], None]) -> None:
         self.probes[tag] = told
@@ -483,6 +484,7 @@
         self.allowed: Callable[[], bool] = lambda: True  # whether the list holds as of now
         self.reported: Callable[[int, tuple[float, ...]], None] = lambda engine, report: None
         self.sent: Callable[[int, int], None] = lambda engine, threads: None
+        self.dispatched: Callable[[str], None] = lambda lane: None  # an attempt of a class, written whole
 
     def tag(self) -> bytes:
         """A name for a probe, under which its answer comes."""
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -12,6 +12,7 @@
 import msgpack
 
 from .. import interface as api
+from ..control.figures import Figures
 from .arrivals import Source
 from .broker import Broker, Failed, Query, Refused, Served
 from .counters import Counters
@@ -34,6 +35,9 @@
 _UNPRINTABLE = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
+OUTCOME = {Served: "success", Refused: "overload", Failed: "error"}  # as the figures name them
+
+
 class BadMessage(ValueError):
     """Not this protocol: ends the connection."""
 
@@ -120,6 +124,8 @@
         self.source = Source()  # the listener's
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
+        self.draining = False  # a connection that is owed nothing is closed, and clients go elsewhere
+        self.figures: Figures | None = None
         driver.inlets.append(self.inlet)
 
     @property
@@ -197,9 +203,20 @@
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
         if connection in self.connections and not (connection.calls or connection.outbox.size):
+            if self.draining:  # guards the drain: no client is held on an idle connection
+                connection.stop("")
+                return
             self.idle[connection] = asyncio.get_running_loop().time()
             self.room.set()
 
+    def drain(self, on: bool) -> None:
+        """Sends clients elsewhere, or takes them again; what is owed is answered either way."""
+        self.draining = on
+        if on:
+            self.counters["drains"] += 1
+            for connection in list(self.idle):
+                connection.stop("")
+
     def closed(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
         self.rests(connection)
@@ -395,6 +412,8 @@
 
     def answer(self, number: int, answer: Served | Refused | Failed, query: Query) -> None:
         self.counters["answered_" + type(answer).__name__.lower()] += 1
+        if self.front.figures is not None:
+            self.front.figures.answered(query.cls, OUTCOME[type(answer)])
         match answer:
             case Served(rows=rows):
                 self.send(reply(number, None, [rows, {}]), query)
--- a/applevale/node/held.py
+++ b/applevale/node/held.py
@@ -1,7 +1,8 @@
-"""What the module is told of the engine list while its source cannot confirm it.
+"""What the module is told of the engine list while its source cannot confirm it, and of engines out by hand.
 
 Invariant: while the list is held, no engine is told as ready, and what changed meanwhile is told with it at
-the end; so nothing new is sent, and what is under way goes on. No I/O and no clock.
+the end; so nothing new is sent, and what is under way goes on. An engine in `banned` is never told as ready,
+whatever its source says, until it is taken out of it. No I/O and no clock.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
     def __init__(self) -> None:
         self.entries: dict[int, api.EngineEntry] = {}
         self.held = False
+        self.banned: set[int] = set()
 
     def changed(self, change: Change) -> api.EngineList:
         if change.whole:
@@ -31,6 +33,11 @@
         self.held = not confirmed
         return api.EngineList(tuple(map(self._seen, self.entries.values())), whole=True)
 
+    def told_again(self, engine: int) -> api.EngineList:
+        """What the module is told of one engine after it was banned or let back in."""
+        entry = self.entries.get(engine)
+        return api.EngineList(() if entry is None else (self._seen(entry),), whole=False)
+
     def _seen(self, entry: api.EngineEntry) -> api.EngineEntry:
-        hidden = self.held and entry.state is api.State.READY
+        hidden = (self.held or entry.engine in self.banned) and entry.state is api.State.READY
         return replace(entry, state=api.State.DRAINING) if hidden else entry
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,154 @@
+"""The operators' door and what it works on: calls, bans and their file, figures, a silent caller."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from applevale import interface as api
+from applevale.control import bans
+from applevale.control.calls import answer
+from applevale.control.door import Door
+from applevale.control.figures import Figures
+from applevale.node.counters import Counters
+from applevale.node.held import HeldList
+from applevale.sources.members import Change, Member
+
+
+class Operated:
+    def __init__(self):
+        self.banned, self.draining, self.listed = set(), False, {"s-00000001"}
+
+    def ready(self):
+        return not self.draining
+
+    def figures(self):
+        return {"concurrent": 0}
+
+    def disable(self, host):
+        self.banned |= {host} & self.listed
+        return host in self.listed
+
+    def enable(self, host):
+        self.banned.discard(host)
+        return host in self.listed
+
+    def drain(self):
+        self.draining = True
+
+    def undrain(self):
+        self.draining = False
+
+
+def test_each_call_has_its_answer_and_bad_ones_change_nothing():
+    op = Operated()
+    assert answer(op, "GET", "/ready", b"").status == 200
+    assert answer(op, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
+    assert answer(op, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200  # again: the same
+    assert op.banned == {"s-00000001"}
+    assert answer(op, "POST", "/engines/disable", b'{"host":"s-0000000f"}').status == 404
+    bad = answer(op, "POST", "/engines/disable", b'{"hots":"s-00000001"}')
+    assert (bad.status, bad.body["field"]) == (400, "host")
+    assert answer(op, "POST", "/engines/enable", b"[").body["field"] == "body"
+    assert answer(op, "GET", "/drain", b"").status == 405 and not op.draining
+    assert answer(op, "POST", "/nowhere", b"").status == 404
+    assert answer(op, "POST", "/drain", b"").status == 200 and answer(op, "GET", "/ready", b"").status == 503
+    answer(op, "POST", "/engines/enable", b'{"host":"s-00000001"}')
+    assert op.banned == set()
+
+
+def member(engine, state=api.State.READY):
+    return Member(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
+
+
+def test_a_banned_engine_is_told_as_draining_whatever_the_feed_says_until_enabled():
+    held, ban = HeldList(), bans.Bans()
+    held.banned = ban.banned
+    first = Change(1, True, (member(1), member(2)))
+    ban.listed(first.members)
+    held.changed(first)
+    engine = ban.find("s-00000002")
+    assert engine == 2 and ban.find("127.0.0.1:7002") == 2 and ban.find("s-00000009") is None
+    assert ban.disable(engine) and not ban.disable(engine)
+    assert held.told_again(engine).entries[0].state is api.State.DRAINING
+    again = held.changed(Change(2, False, (member(2),)))  # the feed lists it as ready again
+    assert again.entries[0].state is api.State.DRAINING
+    assert ban.enable(engine)
+    assert held.told_again(engine).entries[0].state is api.State.READY
+
+
+def test_the_file_of_bans_is_read_back_whole_or_refused():
+    data = bans.encode({1, 0xC41F7A})
+    assert bans.decode(data) == {1, 0xC41F7A}
+    for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff"):
+        with pytest.raises(bans.BanFileError):
+            bans.decode(torn)
+
+
+def test_figures_are_counted_where_the_events_are_and_read_at_once():
+    figures = Figures(("lookup", "load"))
+    open_now = [3]
+    figures.concurrent = lambda: open_now[0]
+    for outcome in ["success"] * 5 + ["overload"] * 2 + ["error"]:
+        figures.answered(0, outcome)
+    figures.dispatched("load")
+    figures.dispatched("nobody")  # an attempt of no class that is listed counts nowhere
+    figures.reloaded(False)
+    shot = figures.snapshot()
+    assert shot["replies"]["lookup"] == {"success": 5, "overload": 2, "error": 1, "dispatches": 0}
+    assert shot["replies"]["load"]["dispatches"] == 1 == shot["dispatches"]
+    assert (shot["concurrent"], shot["reload_failure"], shot["reload_success"]) == (3, 1, 0)
+
+
+async def _door_with(calls):
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    counters = Counters()
+    door = asyncio.create_task(Door(Operated(), counters).serve(listener))
+    loop = asyncio.get_running_loop()
+    try:
+        return [await calls(loop, listener.getsockname()), counters]
+    finally:
+        door.cancel()
+        listener.close()
+
+
+async def _ask(loop, at, data):
+    sock = socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, at)
+    await loop.sock_sendall(sock, data)
+    got = b""
+    while chunk := await loop.sock_recv(sock, 4096):
+        got += chunk
+    sock.close()
+    return got
+
+
+def test_a_silent_caller_costs_its_timer_and_others_are_answered_meanwhile():
+    async def calls(loop, at):
+        silent = socket.socket()
+        silent.setblocking(False)
+        await loop.sock_connect(silent, at)
+        await loop.sock_sendall(silent, b"GET /rea")  # half a head, then nothing
+        ready = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        closed = await loop.sock_recv(silent, 10)  # the door closes it at its timer
+        silent.close()
+        return ready, closed
+
+    (ready, closed), counters = asyncio.run(_door_with(calls))
+    assert ready.startswith(b"HTTP/1.1 200") and json.loads(ready.split(b"\r\n\r\n")[1]) == {"ready": True}
+    assert closed == b"" and counters["door_timeouts"] == 1
+
+
+def test_what_is_no_http_or_too_large_is_answered_once_with_its_fault():
+    async def calls(loop, at):
+        garbage = await _ask(loop, at, b"\x00\x01 nonsense\r\n\r\n")
+        head = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nx: " + b"y" * 20_000 + b"\r\n\r\n")
+        body = await _ask(loop, at, b"POST /drain HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n")
+        return garbage, head, body
+
+    (garbage, head, body), _ = asyncio.run(_door_with(calls))
+    assert garbage.startswith(b"HTTP/1.1 400") and head.startswith(b"HTTP/1.1 431")
+    assert body.startswith(b"HTTP/1.1 413")
