Close a draining client's connection only after its last answer is put out

Connection.serve releases its call before it writes the answer; release calls Front.rests, which in a drain saw a connection owed nothing and closed it, answer unwritten (front.py, rests at the release in serve). Test: a drain with an idle and a busy connection: the idle one is closed, the busy one gets its whole answer first, undrain makes it ready (fails before: the busy one reads no answer).

--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -204,11 +204,18 @@
         self.idle.pop(connection, None)
         if connection in self.connections and not (connection.calls or connection.outbox.size):
             if self.draining:  # guards the drain: no client is held on an idle connection
-                connection.stop("")
+                asyncio.get_running_loop().call_soon(self.close_idle, connection)
                 return
             self.idle[connection] = asyncio.get_running_loop().time()
             self.room.set()
 
+    def close_idle(self, connection: Connection) -> None:
+        """Closes it if nothing is owed on it still. Guards the answer that a request's end writes just after
+        its call is released: closed at the release, the connection would take that answer with it."""
+        owed = connection.calls or connection.outbox.size
+        if self.draining and connection in self.connections and not owed:
+            connection.stop("")
+
     def drain(self, on: bool) -> None:
         """Sends clients elsewhere, or takes them again; what is owed is answered either way."""
         self.draining = on
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 
@@ -39,3 +40,40 @@
         assert second.wait(15) == 0
         node.engine.shutdown()
         node.engine.server_close()
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def call(port, method, path, body=b""):
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as sock:
+        head = f"{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
+        sock.sendall(head.encode() + body)
+        got = b""
+        while chunk := sock.recv(4096):
+            got += chunk
+    return int(got.split()[1])
+
+
+def test_a_drain_answers_what_is_under_way_closes_idle_connections_and_undrains(tmp_path, monkeypatch):
+    control = free_port()
+    monkeypatch.setenv("BALANCER_CONTROL", f"127.0.0.1:{control}")
+    node = Node(tmp_path)
+    try:
+        idle, busy = Client(node), Client(node)
+        idle.ask(1, "lookup", "1" * 16, "select * from air_1.x limit 1")
+        assert idle.read()[2] is None
+        busy.ask(1, "report", "2" * 16, "select * from air_1.x limit 900")
+        assert call(control, "POST", "/drain") == 200
+        assert call(control, "GET", "/ready") == 503
+        assert idle.read() is None  # closed: nothing was owed on it
+        answer = busy.read()
+        assert answer[1] == 1 and answer[2] is None  # its request got its whole answer first
+        assert busy.read() is None
+        assert call(control, "POST", "/undrain") == 200 and call(control, "GET", "/ready") == 200
+        assert node.process.poll() is None
+    finally:
+        node.stop()
