--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -174,18 +174,18 @@
 
 
 @app.command()
-def rig(name: Annotated[str, typer.Argument(help="Which rig: registry.")],
+def rig(name: Annotated[str, typer.Argument(help="Which rig: registry or ops.")],
         seed: Annotated[int, typer.Option(help="Decides all that is drawn.")] = 1,
         seconds: Annotated[float, typer.Option(help="How long it plays.")] = 60.0,
         as_json: Annotated[bool, typer.Option("--json", help="Print one JSON line only.")] = False) -> None:
     """Run the real program between stand-ins, cause failures, check promises; exit code 1 if one broke."""
-    if name != "registry":
-        fail(f"rig: no rig is called {name!r}; there is: registry")
-    from ..rigs import registry as rigs_registry
+    if name not in ("registry", "ops"):
+        fail(f"rig: no rig is called {name!r}; there are: registry, ops")
+    from ..rigs import ops, registry
 
     if not as_json:
         typer.echo(f"rig {name}: seed {seed}, {seconds:g} s", err=True)
-    result = asyncio.run(rigs_registry.run(seed, seconds))
+    result = asyncio.run((ops if name == "ops" else registry).run(seed, seconds))
     typer.echo(json.dumps(result))
     raise typer.Exit(0 if result["ok"] else 1)
 
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -213,7 +213,7 @@
         """Closes it if nothing is owed on it still. Guards the answer that a request's end writes just after
         its call is released: closed at the release, the connection would take that answer with it."""
         owed = connection.calls or connection.outbox.size
-        if self.draining and connection in self.connections and not owed:
+        if self.draining and connection in self.connections and not (owed or connection.pending()):
             connection.stop("")
 
     def drain(self, on: bool) -> None:
@@ -222,7 +222,7 @@
         if on:
             self.counters["drains"] += 1
             for connection in list(self.idle):
-                connection.stop("")
+                self.close_idle(connection)
 
     def closed(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
@@ -250,6 +250,15 @@
         self.unread = 0  # bytes of a message that is not whole
         self.faults = 0
 
+    def pending(self) -> bool:
+        """Whether the client has begun a message that is not read yet. Guards a request that crossed the
+        close of a drain: closed with it unread, its client would never have an answer."""
+        if self.unread:
+            return True
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return bool(poll.poll(0))
+
     def stop(self, why: str) -> None:
         if why:
             say("client", why)
--- a/applevale/rigs/program.py
+++ b/applevale/rigs/program.py
@@ -52,10 +52,11 @@
         self.shown: asyncio.Queue[dict] = asyncio.Queue()
         self.reading: asyncio.Task | None = None
 
-    async def start(self, *entry: str) -> None:
-        """Raises ProgramError. `entry`: the module to run, where it is not the package's own."""
+    async def start(self, *entry: str, env: dict[str, str] | None = None) -> None:
+        """Raises ProgramError. `entry`: the module to run, where it is not the package's own; `env`: more
+        variables."""
         self.write(self.config)
-        env = os.environ | {"BALANCER_CONFIG": self.path}
+        env = os.environ | (env or {}) | {"BALANCER_CONFIG": self.path}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", *(entry or ("applevale",)), env=env, stderr=asyncio.subprocess.PIPE)
         line = (await self.process.stderr.readline()).decode()
--- a/applevale/standins/clients.py
+++ b/applevale/standins/clients.py
@@ -19,14 +19,16 @@
     key: int
     due: float  # by the loop's clock
     answers: list[str] = field(default_factory=list)  # "served", "Full" or another error
+    cut: bool = False  # its connection was closed before it had an answer
 
 
 class Clients:
     """Connections to one program, requests at a rate, loads with keys among them (60 ms apart and more)."""
 
     def __init__(self, address: tuple[str, int], random: Random, rate: float, connections: int = 4,
-                 allow: float = 3.0, loads: float = 0.2, keys: int = 5):
+                 allow: float = 3.0, loads: float = 0.2, keys: int = 5, again: bool = False):
         self.address, self.random, self.rate, self.allow = address, random, rate, allow
+        self.again = again  # a closed connection is opened anew, as a platform's client does
         self.loads, self.keys, self.count = loads, keys, connections
         self.sent: list[Sent] = []
         self.lost_connections = 0
@@ -56,8 +58,12 @@
             last_of[key] = loop.time()
             self.send("load" if load else "lookup", key)
 
-    def send(self, method: str, key: int = 0) -> Sent:
-        at = self.random.randrange(self.count)
+    def send(self, method: str, key: int = 0) -> Sent | None:
+        """None where no connection is open to send on."""
+        live = [at for at, writer in enumerate(self.writers) if not writer.is_closing()]
+        if not live:
+            return None
+        at = self.random.choice(live)
         self.numbers[at] += 1
         number = self.numbers[at]
         ref = f"{self.random.getrandbits(64):016x}"
@@ -74,6 +80,21 @@
         return sent
 
     async def _read(self, reader: asyncio.StreamReader, at: int) -> None:
+        while True:
+            await self._read_one(reader, at)
+            self.lost_connections += 1
+            self.writers[at].close()
+            for sent in self.open[at].values():
+                sent.cut = sent.cut or not sent.answers
+            self.open[at] = {}
+            if not self.again:
+                return
+            try:
+                reader, self.writers[at] = await asyncio.open_connection(*self.address)
+            except OSError:
+                return
+
+    async def _read_one(self, reader: asyncio.StreamReader, at: int) -> None:
         unpacker, loop = msgpack.Unpacker(), asyncio.get_running_loop()
         try:
             while data := await reader.read(65536):
@@ -85,7 +106,6 @@
                         sent.answers.append(word if loop.time() <= sent.due + LATE else "late")
         except OSError:
             pass
-        self.lost_connections += 1
 
     async def settle(self) -> None:
         """Waits until each request has its answer, or its time has gone by."""
@@ -105,5 +125,6 @@
         found = Counter(word for sent in self.sent for word in sent.answers)
         found["requests"] = len(self.sent)
         found["lost"] = sum(not sent.answers or "late" in sent.answers for sent in self.sent)
+        found["cut"] = sum(sent.cut for sent in self.sent)  # of the lost: their connection closed unanswered
         found["twice"] = sum(len(sent.answers) > 1 for sent in self.sent)
         return found
