--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -24,8 +24,9 @@
 def test_a_second_process_binds_the_same_address_and_serves_when_the_first_has_left(tmp_path):
     node = Node(tmp_path)
     port = node.engine.server_address[1]
-    second = beside(tmp_path, node, EXAMPLE.replace(":7101", f":{port}"))
+    second = None
     try:
+        second = beside(tmp_path, node, EXAMPLE.replace(":7101", f":{port}"))
         held = Client(node)  # a request in flight on the old process when it is told to go
         held.ask(1, "lookup", "1" * 16, "select * from air_1.x limit 3")
         node.process.send_signal(signal.SIGTERM)
@@ -35,11 +36,14 @@
             client = Client(node)
             client.ask(1, "lookup", f"{at + 2:016x}", "select * from air_1.x limit 1")
             assert client.read()[2] is None
-    finally:
-        second.send_signal(signal.SIGTERM)
-        assert second.wait(15) == 0
+    finally:  # guards the machine against processes that a failed test would leave running
+        for process in (node.process, second):
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+                process.wait(15)
         node.engine.shutdown()
         node.engine.server_close()
+    assert second.returncode == 0
 
 
 def free_port():
