Read the drain from the front alone; tests use the rig's door client, not a copy

Node kept a draining flag beside Front.draining, set together in two near-identical methods; Node.serving now reads the front's, and drain/undrain share one body.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -112,7 +112,6 @@
         self.list = HeldList()
         self.bans = Bans(read_bans(ban_path()))
         self.list.banned = self.bans.banned  # one set: what the module is told follows every ban at once
-        self.draining = False
         self.stats = self._figures()
         self.peers = self._peers(gateway)
         self.registry = self._follow_registry()
@@ -132,7 +131,7 @@
 
     def serving(self) -> bool:
         """Whether new clients are welcome: what probes and /ready say."""
-        return not (self.leaving.is_set() or self.list.held or self.draining)
+        return not (self.leaving.is_set() or self.list.held or self.front.draining)
 
     # What the operators' door works on (control.calls.Operated).
     def ready(self) -> bool:
@@ -158,13 +157,13 @@
         return True
 
     def drain(self) -> None:
-        self.draining = True
-        self.front.drain(True)
-        self.front.ready = self.serving()
+        self._drain(True)
 
     def undrain(self) -> None:
-        self.draining = False
-        self.front.drain(False)
+        self._drain(False)
+
+    def _drain(self, on: bool) -> None:
+        self.front.drain(on)
         self.front.ready = self.serving()
 
     def _guide(self) -> api.Guide | None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,14 +1,16 @@
 """An upgrade in place: a second process on the same clients' address, and the first one leaving."""
 
+import asyncio
 import os
 import re
 import signal
-import socket
 import subprocess
 import sys
 
 from test_node import EXAMPLE, ROOT, Client, Node
 
+from applevale.rigs import ops
+
 
 def beside(tmp_path, node, text):
     """A second `run` on the address of `node`, as the platform starts it for an upgrade."""
@@ -46,25 +48,13 @@
     assert second.returncode == 0
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
-def call(port, method, path, body=b""):
-    with socket.create_connection(("127.0.0.1", port), timeout=10) as sock:
-        head = f"{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
-        sock.sendall(head.encode() + body)
-        got = b""
-        while chunk := sock.recv(4096):
-            got += chunk
-    return int(got.split()[1])
+def call(address, method, path):
+    return asyncio.run(ops.call(address, method, path))[0]
 
 
 def test_a_drain_answers_what_is_under_way_closes_idle_connections_and_undrains(tmp_path, monkeypatch):
-    control = free_port()
-    monkeypatch.setenv("BALANCER_CONTROL", f"127.0.0.1:{control}")
+    control = ops.free_address()
+    monkeypatch.setenv("BALANCER_CONTROL", control)
     node = Node(tmp_path)
     try:
         idle, busy = Client(node), Client(node)
