After SIGTERM's linger, drain the old process's client connections before it exits

Likely cause, not proven: in an upgrade the old process read requests on kept connections up to its exit (Node.close waited only while busy). It now drains after the linger, so idle connections close and busy ones close once answered.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -267,6 +267,7 @@
         self.broker.until = self.driver.now() + last  # what comes now is decided on with the time there is
         await asyncio.sleep(since + LINGER - loop.time())
         self.front.shut()
+        self.front.drain(True)  # guards a request on a kept connection read just before the exit: none comes
         while self.busy() and loop.time() < since + last:
             await asyncio.sleep(0.02)
         self.broker.expire()
