--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import json
+from collections import Counter
 
 from applevale.rigs import ops
+from applevale.rigs.program import broken_rules
+from applevale.standins.clients import Sent
+from applevale.standins.engine import Arrival
 
 
 def test_ban_drain_and_upgrade_keep_their_promises():
@@ -20,3 +24,30 @@
     result = asyncio.run(ops.run(seed=5, seconds=6.0))
     told = {"first_ready", "second_ready_in_6s", "undrained_in_2s"}
     assert not result["ok"] and told <= set(result["broken"])
+
+
+class Ran:
+    """An engine that only tells what reached it, and when."""
+
+    def __init__(self, *refs):
+        self.arrivals = [Arrival(float(at), ref.encode(), b"load") for at, ref in enumerate(refs)]
+
+
+class Asked:
+    """Clients that only tell what they sent: (ref, when) of one key."""
+
+    def __init__(self, *sent):
+        self.sent = [Sent(ref, "load", 7, at, at + 3.0, False, ["served"]) for ref, at in sent]
+
+    def figures(self):
+        return Counter()
+
+
+def test_a_key_out_of_order_is_found_but_across_two_processes_none_is_promised():
+    swapped = Ran("b", "a", "c")
+    assert broken_rules(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped])["order_breaks"] == 1
+    assert broken_rules(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (5.0, 6.0))["order_breaks"] == 1
+    # b was sent while both ran, and may have come to the other one; c goes to the one that is left
+    assert broken_rules(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (1.5, 6.0))["order_breaks"] == 0
+    late = Asked(("a", 7.0), ("b", 8.0), ("c", 9.0))  # the second alone: it counts again
+    assert broken_rules(late, [swapped], (1.5, 6.0))["order_breaks"] == 1
