--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -131,7 +131,7 @@
 
     def serving(self) -> bool:
         """Whether new clients are welcome: what probes and /ready say."""
-        return not (self.leaving.is_set() or self.list.held or self.front.draining)
+        return not (self.leaving.is_set() or self.list.held or self.front.draining.on)
 
     # What the operators' door works on (control.calls.Operated).
     def ready(self) -> bool:
@@ -157,13 +157,11 @@
         return True
 
     def drain(self) -> None:
-        self._drain(True)
+        self.front.drain()
+        self.front.ready = self.serving()
 
     def undrain(self) -> None:
-        self._drain(False)
-
-    def _drain(self, on: bool) -> None:
-        self.front.drain(on)
+        self.front.undrain()
         self.front.ready = self.serving()
 
     def _guide(self) -> api.Guide | None:
@@ -267,7 +265,7 @@
         self.broker.until = self.driver.now() + last  # what comes now is decided on with the time there is
         await asyncio.sleep(since + LINGER - loop.time())
         self.front.shut()
-        self.front.drain(True)  # guards a request on a kept connection read just before the exit: none comes
+        self.front.drain()  # guards a request on a kept connection read just before the exit: none comes
         while self.busy() and loop.time() < since + last:
             await asyncio.sleep(0.02)
         self.broker.expire()
@@ -275,7 +273,8 @@
             await asyncio.sleep(0.01)
 
     def busy(self) -> bool:
-        return bool(self.front.open or any(one.outbox.size for one in self.front.connections))
+        """Whether something is owed still, or a client has yet to end what it began to say."""
+        return bool(self.front.open or self.front.connections)
 
 
 async def run(config: Config) -> None:
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -88,20 +88,24 @@
         for life in self.lives:
             life.inbox.put_nowait(Unconfirmed())
 
+    def turn_away(self) -> Answer:
+        """A refusal without a decision: nothing of it can have run."""
+        return Refused(self.advice)
+
     async def serve(self, query: Query) -> Answer:
         """Query in, one answer out; cancelled when the client has gone."""
         if query.key:
             await self.driver.current.wait()
         if len(self.driver.routes) >= self.settings.max_open:
-            return Refused(self.advice)
+            return self.turn_away()
         if self.shut:
             self.counters["unconfirmed"] += 1
-            return Refused(self.advice)
+            return self.turn_away()
         if query.arrived + query.allow - self.driver.now() <= SPARE:
             # Guards against answers that come too late: told of no patience at all, the module
             # refuses too, but a batch later.
             self.counters["no_patience"] += 1
-            return Refused(self.advice)
+            return self.turn_away()
         life = Life(self, query)
         self.lives.add(life)
         if query.key:
@@ -115,7 +119,6 @@
             self.lives.discard(life)
             life.close()
 
-
     def answered(self, query: Query) -> None:
         """Each front tells this once for each query: its answer has left whole, or can reach no one."""
         number = self.unread.pop(query, None)
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -12,6 +12,7 @@
 import msgpack
 
 from .. import interface as api
+from ..control.drain import CROSSING, Drain
 from ..control.figures import Figures
 from .arrivals import Source
 from .broker import Broker, Failed, Query, Refused, Served
@@ -26,7 +27,6 @@
 STALL = 30.0  # s after which a client that takes in nothing has lost its connection: no one waits longer
 RECEIVE = 4096  # bytes, for each connection: some stay for good
 UNFINISHED = 2.0  # s for the first message, and for each further one once it has begun
-CROSSING = 0.25  # s in which the first request of a new connection may still be on its way
 LEAVE = 0.5  # s for a client to read what it was sent last, before its connection is closed
 PENANCE = (0.05, 1.0)  # s for which a connection is not read after a bad request: first, and the most
 LONGEST = 1.1  # times a class's deadline that a client may be patient: more is no figure of this class
@@ -124,7 +124,7 @@
         self.source = Source()  # the listener's
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
-        self.draining = False  # a connection that is owed nothing is closed, and clients go elsewhere
+        self.draining = Drain()  # whether clients are sent elsewhere
         self.figures: Figures | None = None
         driver.inlets.append(self.inlet)
 
@@ -158,6 +158,8 @@
         connection = Connection(self, sock, self.source.read(asked, self.driver.arrivals.polled, emptied))
         self.silent[connection] = now
         self.connections[connection] = asyncio.create_task(connection.run())
+        if self.draining.on:
+            self.close_silent(connection, now)
 
     def shut(self) -> None:
         """Takes no more connections. Guards those that wait in the system's queue: closed with the listener,
@@ -203,26 +205,37 @@
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
         if connection in self.connections and not (connection.calls or connection.outbox.size):
-            if self.draining:  # guards the drain: no client is held on an idle connection
-                asyncio.get_running_loop().call_soon(self.close_idle, connection)
-                return
-            self.idle[connection] = asyncio.get_running_loop().time()
+            loop = asyncio.get_running_loop()
+            self.idle[connection] = loop.time()
             self.room.set()
+            if self.draining.on:  # guards the drain: no client is held on an idle connection
+                loop.call_soon(self.close_idle, connection)
 
     def close_idle(self, connection: Connection) -> None:
         """Closes it if nothing is owed on it still. Guards the answer that a request's end writes just after
         its call is released: closed at the release, the connection would take that answer with it."""
-        owed = connection.calls or connection.outbox.size
-        if self.draining and connection in self.connections and not (owed or connection.pending()):
+        if connection not in self.connections:
+            return
+        owed = bool(connection.calls or connection.outbox.size)
+        if self.draining.closes(owed, connection.pending()):
             connection.stop("")
 
-    def drain(self, on: bool) -> None:
-        """Sends clients elsewhere, or takes them again; what is owed is answered either way."""
-        self.draining = on
-        if on:
-            self.counters["drains"] += 1
-            for connection in list(self.idle):
-                self.close_idle(connection)
+    def close_silent(self, connection: Connection, accepted: float) -> None:
+        """Guards a client that connected before it could know of the drain: its request may be on its way."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.draining.wait(accepted, loop.time()), self.close_idle, connection)
+
+    def drain(self) -> None:
+        """Sends clients elsewhere; what is owed is answered."""
+        self.counters["drains"] += 1
+        self.draining.begin(asyncio.get_running_loop().time())
+        for connection in list(self.idle):
+            self.close_idle(connection)
+        for connection, accepted in self.silent.items():
+            self.close_silent(connection, accepted)
+
+    def undrain(self) -> None:
+        self.draining.end()
 
     def closed(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
@@ -248,12 +261,16 @@
         self.last = -1  # number of the last call: they count up
         self.last_whole = 0  # where in the stream the last whole message ended
         self.unread = 0  # bytes of a message that is not whole
+        # What was read last. Invariant: its first byte is 0 unless something was read into it that the task
+        # has not taken yet; no message begins with 0.
+        self.buffer = bytearray(RECEIVE)
         self.faults = 0
 
     def pending(self) -> bool:
-        """Whether the client has begun a message that is not read yet. Guards a request that crossed the
-        close of a drain: closed with it unread, its client would never have an answer."""
-        if self.unread:
+        """Whether the client has begun a message that is not taken yet. Guards a request that crossed the
+        close of a drain: closed with it unread, or read while its task still had to run, its client would
+        never have an answer."""
+        if self.unread or self.buffer[0]:
             return True
         poll = select.poll()
         poll.register(self.sock, select.POLLIN)
@@ -316,7 +333,7 @@
             pass
 
     async def _read(self) -> None:
-        loop, buffer = asyncio.get_running_loop(), bytearray(RECEIVE)
+        loop, buffer = asyncio.get_running_loop(), self.buffer
         unpacker = msgpack.Unpacker(raw=False, max_buffer_size=MOST_MESSAGE, read_size=RECEIVE,
                                     max_array_len=64, max_map_len=64)
         fed, due = 0, loop.time() + UNFINISHED
@@ -331,6 +348,7 @@
             self.since = self.source.read(asked, self.front.driver.arrivals.polled, size < RECEIVE)
             fed += size
             unpacker.feed(memoryview(buffer)[:size])
+            buffer[0] = 0
             taken = 0
             for message in unpacker:
                 taken = unpacker.tell()
@@ -403,8 +421,13 @@
         front.hold(len(query.statement))
 
     async def serve(self, number: int, query: Query) -> None:
+        front = self.front
         try:
-            answer = await self.front.broker.serve(query)
+            if front.draining.refuses(asyncio.get_running_loop().time()):
+                self.counters["drain_refused"] += 1
+                answer = front.broker.turn_away()
+            else:
+                answer = await front.broker.serve(query)
         except Exception as error:  # guards the client's answer against our own faults
             self.counters["broker_errors"] += 1
             say("broker", f"{type(error).__name__}: {error}")
