Bans by hand hold in both processes of an upgrade, whichever door was called

Need: during an upgrade two doors are open, and the new process read the file of bans at its start only, so a call to the old door did not reach it, nor one to the new door the old process; and the later writer dropped what the other had written. Seen by reading Node._ban and write_bans; the new test of two real processes fails on the code before (the second never shows the ban). Change: the file keeps the last word on each engine with its time; processes join it into their own state (control/bans.py, pure) and look every 0.1 s (control/shared.py). Checked: any order of calls, looks and clocks (hypothesis), an overwrite unread, a torn file. Not taken: a lock (a stopped holder stops the other).

--- a/applevale/control/bans.py
+++ b/applevale/control/bans.py
@@ -1,23 +1,33 @@
-"""Engines taken out by hand, by the ids that operators use; and the file that carries them to a successor.
+"""Engines taken out by hand, by the ids that operators use; and the text that carries them to a successor.
 
-Invariants: an engine is banned from the first disable until one enable, however often either comes; only
-an id that the list has named is banned or let back in; the file is read back whole and checked, or not at
-all.
-No I/O and no clock.
+Invariants: an engine is banned from the first disable until one enable, however often either comes; only an
+id that the list has named is banned or let back in. What was said last of an engine holds, whichever process
+heard it, and at a tie the ban: two processes that join each other's words, in any order, end with the same
+bans. The text is read back whole and checked, or not at all. No I/O and no clock.
 """
 
 from __future__ import annotations
 
 import hashlib
 import json
+from dataclasses import dataclass
+from math import inf, isfinite, nextafter
 
 from ..sources.members import Member
 
-FORM = 1  # of the file
+FORM = 2  # of the text
 
 
 class BanFileError(ValueError):
-    """A file that is torn, foreign or of another form."""
+    """A text that is torn, foreign or of another form."""
+
+
+@dataclass(frozen=True, order=True)
+class Word:
+    """What was said last of an engine. Ordered: the greater one holds."""
+
+    at: float  # Unix time, s
+    banned: bool
 
 
 def name_of(engine: int) -> str:
@@ -25,9 +35,10 @@
 
 
 class Bans:
-    def __init__(self, banned: frozenset[int] = frozenset()) -> None:
-        self.banned: set[int] = set(banned)
-        self.names: dict[str, int] = {}  # every id of an engine that the list ever named: instance, HOST:PORT
+    def __init__(self) -> None:
+        self.words: dict[int, Word] = {}
+        self.banned: set[int] = set()  # by those words; one set for good: others look at it
+        self.names: dict[str, int] = {}  # every id that the list ever named an engine by: instance, HOST:PORT
 
     def listed(self, members: tuple[Member, ...]) -> None:
         for member in members:
@@ -39,29 +50,44 @@
         """The engine that `name` means; None for one that was never listed."""
         return self.names.get(name.strip().lower()) if isinstance(name, str) else None
 
-    def disable(self, engine: int) -> bool:
-        """Whether this is news."""
-        new = engine not in self.banned
-        self.banned.add(engine)
-        return new
+    def say(self, engine: int, banned: bool, now: float) -> bool:
+        """Whether this changes anything. It holds over all said before, though another's clock ran ahead."""
+        former = self.words.get(engine)
+        at = now if former is None else max(now, nextafter(former.at, inf))
+        return self._take(engine, Word(at, banned))
 
-    def enable(self, engine: int) -> bool:
-        new = engine in self.banned
-        self.banned.discard(engine)
-        return new
+    def join(self, words: dict[int, Word]) -> list[int]:
+        """Takes in what another process heard; the engines that are banned or back by it."""
+        return [engine for engine, word in words.items()
+                if (former := self.words.get(engine)) is None or former < word
+                if self._take(engine, word)]
+
+    def _take(self, engine: int, word: Word) -> bool:
+        self.words[engine] = word
+        self.names.setdefault(name_of(engine), engine)  # another process had it in its list
+        news = (engine in self.banned) is not word.banned
+        (self.banned.add if word.banned else self.banned.discard)(engine)
+        return news
 
 
 def _sum(body: bytes) -> str:
     return hashlib.sha256(body).hexdigest()
 
 
-def encode(banned: set[int] | frozenset[int]) -> bytes:
-    body = json.dumps({"form": FORM, "banned": sorted(map(name_of, banned))}, separators=(",", ":"))
+def encode(words: dict[int, Word]) -> bytes:
+    told = {name_of(engine): [word.at, word.banned] for engine, word in sorted(words.items())}
+    body = json.dumps({"form": FORM, "words": told}, separators=(",", ":"))
     return json.dumps({"body": body, "sha256": _sum(body.encode())}).encode() + b"\n"
 
 
-def decode(data: bytes) -> frozenset[int]:
-    """The banned engines in a file that `encode` wrote; raises BanFileError naming what is wrong."""
+def _word(at: object, banned: object) -> Word:
+    if not isinstance(at, float | int) or not isfinite(at) or not isinstance(banned, bool):
+        raise ValueError(f"no time and ban: {str([at, banned])[:40]}")
+    return Word(float(at), banned)
+
+
+def decode(data: bytes) -> dict[int, Word]:
+    """The words in a text that `encode` made; raises BanFileError naming what is wrong."""
     try:
         outer = json.loads(data)
         body = outer["body"]
@@ -70,8 +96,8 @@
         inner = json.loads(body)
         if inner["form"] != FORM:
             raise BanFileError(f"form: {inner['form']!r} is not {FORM}")
-        return frozenset(int(name.removeprefix("s-"), 16) for name in inner["banned"])
+        return {int(name.removeprefix("s-"), 16): _word(*told) for name, told in inner["words"].items()}
     except BanFileError:
         raise
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         raise BanFileError(f"not a file of bans: {type(error).__name__}: {error}") from None
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -10,14 +10,13 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..control import bans as ban_file
 from ..control.bans import Bans
 from ..control.door import Door
 from ..control.figures import Figures
+from ..control.shared import SharedBans
 from ..policy import Gateway
 from ..sources.feed import Feed, FeedError
 from ..sources.members import Change, Source
@@ -40,6 +39,7 @@
 STAY = 3.0  # s, or the longest deadline if that is less: this and 0.7 s after SIGTERM it may be killed
 LAST_WORD = 0.3  # s before that at which all that is open gets its answer
 SHOWN = 5.0  # s between two lines of counters: one that is killed outright prints none at its end
+BANS_SEEN = 0.1  # s between two looks at what another process wrote of bans
 HELD = 0.125  # share of the memory that messages and answers of clients may take
 
 
@@ -62,28 +62,6 @@
     return os.path.join(tempfile.gettempdir(), "applevale-bans.json")
 
 
-def read_bans(path: str) -> frozenset[int]:
-    """The bans that a former process left; none, with one line, where its file cannot be trusted."""
-    try:
-        with open(path, "rb") as file:
-            return ban_file.decode(file.read())
-    except FileNotFoundError:
-        return frozenset()
-    except (OSError, ban_file.BanFileError) as error:
-        say("bans", f"{path}: {error}; starting with no bans")
-        return frozenset()
-
-
-def write_bans(path: str, banned: set[int]) -> None:
-    """Whole or not at all: a successor that reads while this writes sees the former file."""
-    try:
-        with open(path + ".new", "wb") as file:
-            file.write(ban_file.encode(banned))
-        os.replace(path + ".new", path)
-    except OSError as error:
-        say("bans", f"{path}: {error}")
-
-
 def listen(at: tuple[str, int], shared: bool) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -110,7 +88,9 @@
         self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
                            self.counters)
         self.list = HeldList()
-        self.bans = Bans(read_bans(ban_path()))
+        self.bans = Bans()
+        self.shared = SharedBans(ban_path(), self.bans)
+        self.shared.look()  # what a former process left
         self.list.banned = self.bans.banned  # one set: what the module is told follows every ban at once
         self.stats = self._figures()
         self.peers = self._peers(gateway)
@@ -141,20 +121,26 @@
         return self.stats.snapshot()
 
     def disable(self, host: str) -> bool:
-        return self._ban(host, self.bans.disable)
+        return self._ban(host, True)
 
     def enable(self, host: str) -> bool:
-        return self._ban(host, self.bans.enable)
+        return self._ban(host, False)
 
-    def _ban(self, host: str, change: Callable[[int], bool]) -> bool:
+    def _ban(self, host: str, banned: bool) -> bool:
         engine = self.bans.find(host)
-        if engine is None:
-            return False
-        if change(engine):
+        if engine is not None:
+            self._banned(self.shared.say(engine, banned, self.driver.now()))
+        return engine is not None
+
+    def _banned(self, news: list[int]) -> None:
+        for engine in news:
             self.counters["bans_changed"] += 1
             self.driver.post(self.list.told_again(engine))
-            write_bans(ban_path(), self.bans.banned)
-        return True
+
+    def watch_bans(self) -> None:
+        """Guards a ban told to the other of two processes in an upgrade."""
+        self._banned(self.shared.look())
+        asyncio.get_running_loop().call_later(BANS_SEEN, self.watch_bans)
 
     def drain(self) -> None:
         self.front.drain()
@@ -295,8 +281,10 @@
         node.peers.start()
     loop.call_later(SHOWN, node.show_often)
     node.front.accepting = asyncio.create_task(node.front.accept(listener))
-    door = None if door_listener is None else asyncio.create_task(
-        Door(node, node.counters).serve(door_listener))
+    door = None
+    if door_listener is not None:
+        door = asyncio.create_task(Door(node, node.counters).serve(door_listener))
+        node.watch_bans()
     # A full collection stops the loop, and a stopped loop looks like silent engines: what is here stays.
     gc.collect()
     gc.freeze()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,13 +1,16 @@
 """The operators' door and what it works on: calls, bans and their file, figures, a silent caller."""
 
 import asyncio
+import hashlib
 import json
 import socket
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from applevale import interface as api
-from applevale.control import bans
+from applevale.control import bans, shared
 from applevale.control.calls import answer
 from applevale.control.door import Door
 from applevale.control.figures import Figures
@@ -70,22 +73,67 @@
     held.changed(first)
     engine = ban.find("s-00000002")
     assert engine == 2 and ban.find("127.0.0.1:7002") == 2 and ban.find("s-00000009") is None
-    assert ban.disable(engine) and not ban.disable(engine)
+    assert ban.say(engine, True, 1.0) and not ban.say(engine, True, 2.0)
     assert held.told_again(engine).entries[0].state is api.State.DRAINING
     again = held.changed(Change(2, False, (member(2),)))  # the feed lists it as ready again
     assert again.entries[0].state is api.State.DRAINING
-    assert ban.enable(engine)
+    assert ban.say(engine, False, 3.0) and not ban.say(engine, False, 4.0)
     assert held.told_again(engine).entries[0].state is api.State.READY
 
 
-def test_the_file_of_bans_is_read_back_whole_or_refused():
-    data = bans.encode({1, 0xC41F7A})
-    assert bans.decode(data) == {1, 0xC41F7A}
-    for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff"):
+def test_the_text_of_bans_is_read_back_whole_or_refused():
+    words = {1: bans.Word(5.25, True), 0xC41F7A: bans.Word(6.0, False)}
+    data = bans.encode(words)
+    assert bans.decode(data) == words
+    foreign = [json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
+               for body in ('{"form":1,"banned":[]}', '{"form":2,"words":{"s-1":[1e999,true]}}',
+                            '{"form":2,"words":{"s-1":[1]}}', '{"form":2,"words":{"s-1":[1,1]}}', "[]")]
+    for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff", *foreign):
         with pytest.raises(bans.BanFileError):
             bans.decode(torn)
 
 
+call = st.tuples(st.integers(0, 1), st.integers(1, 3), st.booleans(), st.integers(0, 5))
+
+
+@given(st.lists(call, max_size=12), st.lists(st.integers(0, 1), max_size=6))
+def test_two_processes_end_with_the_same_bans_whoever_writes_when(tmp_path_factory, calls, looks):
+    path = str(tmp_path_factory.mktemp("bans") / "bans.json")
+    two = [shared.SharedBans(path, bans.Bans()) for _ in range(2)]
+    last = {}
+    for at, (process, engine, banned, clock) in enumerate(calls):  # their clocks may differ, and step back
+        two[process].say(engine, banned, float(clock))
+        last[engine] = banned
+        if at < len(looks):
+            two[looks[at]].look()
+    for process in two:
+        process.look()
+        assert process.bans.banned == {engine for engine, banned in last.items() if banned}
+
+
+def test_a_ban_that_another_overwrote_unread_is_written_again(tmp_path):
+    path = str(tmp_path / "bans.json")
+    one, other = (shared.SharedBans(path, bans.Bans()) for _ in range(2))
+    one.say(1, True, 10.0)
+    other.bans.say(2, True, 11.0)
+    other.write()  # as if it had looked just before the other wrote
+    assert one.look() == [2] and other.look() == [1]
+    assert one.bans.banned == other.bans.banned == {1, 2} and one.look() == other.look() == []
+
+
+def test_a_torn_file_changes_no_ban_and_the_next_call_mends_it(tmp_path, capsys):
+    path = tmp_path / "bans.json"
+    first = shared.SharedBans(str(path), bans.Bans())
+    first.say(7, True, 1.0)
+    path.write_bytes(path.read_bytes()[:20])
+    assert first.look() == [] and first.bans.banned == {7} and "bans: " in capsys.readouterr().err
+    assert shared.SharedBans(str(path), bans.Bans()).look() == []  # a start with no bans, not with wrong ones
+    first.say(8, True, 2.0)
+    after = shared.SharedBans(str(path), bans.Bans())
+    assert after.look() == [7, 8] and after.bans.find("s-00000007") == 7
+    assert after.say(7, False, 3.0) == [7] and after.bans.banned == {8}
+
+
 def test_figures_are_counted_where_the_events_are_and_read_at_once():
     figures = Figures(("lookup", "load"))
     open_now = [3]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,13 +1,14 @@
 """An upgrade in place: a second process on the same clients' address, and the first one leaving."""
 
 import asyncio
+import json
 import os
 import re
 import signal
 import subprocess
 import sys
 
-from test_node import EXAMPLE, ROOT, Client, Node
+from test_node import EXAMPLE, ROOT, Client, Node, until
 
 from applevale.rigs import ops
 
@@ -71,3 +72,32 @@
         assert node.process.poll() is None
     finally:
         node.stop()
+
+
+def told(control, path, engine):
+    return asyncio.run(ops.call(control, "POST", path, {"host": engine}))[0]
+
+
+def out(control):
+    return asyncio.run(ops.call(control, "GET", "/metrics"))[1]["targets_disabled"]
+
+
+def test_a_ban_told_to_either_process_holds_in_both(tmp_path, monkeypatch):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    doors = [ops.free_address() for _ in range(2)]
+    monkeypatch.setenv("BALANCER_CONTROL", doors[0])
+    node = Node(tmp_path)
+    second = None
+    try:
+        monkeypatch.setenv("BALANCER_CONTROL", doors[1])
+        second = beside(tmp_path, node, EXAMPLE)
+        engine = json.loads(EXAMPLE)["known"]["events"][0]["members"]["instances"][0]["instanceId"]
+        assert told(doors[0], "/engines/disable", engine) == 200
+        until(lambda: out(doors[1]) == 1)
+        assert told(doors[1], "/engines/enable", engine) == 200
+        until(lambda: out(doors[0]) == 0)
+    finally:
+        if second is not None:
+            second.send_signal(signal.SIGTERM)
+            second.wait(15)
+        node.stop()
