--- a/applevale/control/calls.py
+++ b/applevale/control/calls.py
@@ -52,7 +52,7 @@
     if path not in GETS + POSTS:
         return Answer(404, {"error": f"no such call: {path[:80]}", "field": "path"})
     wanted = "GET" if path in GETS else "POST"
-    if method != wanted and not (wanted == "GET" and method == "HEAD"):
+    if method != wanted:
         return Answer(405, {"error": f"{path} takes {wanted}", "field": "method", "allow": wanted})
     match path:
         case "/ready":
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,7 +12,7 @@
 from applevale import interface as api
 from applevale.control import bans, shared
 from applevale.control.calls import answer
-from applevale.control.door import Door
+from applevale.control.door import MOST_CALLS, Door
 from applevale.control.figures import Figures
 from applevale.node.counters import Counters
 from applevale.node.held import HeldList
@@ -200,3 +200,25 @@
     (garbage, head, body), _ = asyncio.run(_door_with(calls))
     assert garbage.startswith(b"HTTP/1.1 400") and head.startswith(b"HTTP/1.1 431")
     assert body.startswith(b"HTTP/1.1 413")
+
+
+def test_a_flood_of_silent_callers_leaves_room_for_a_call():
+    async def calls(loop, at):
+        silent = [socket.create_connection(at) for _ in range(MOST_CALLS + 5)]
+        ready = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        for sock in silent:
+            sock.close()
+        return ready
+
+    ready, counters = asyncio.run(_door_with(calls))
+    assert ready.startswith(b"HTTP/1.1 200") and counters["door_evicted"] == 6
+    assert counters["door_timeouts"] == 0  # it did not wait for their timers
+
+
+def test_a_head_request_is_refused_without_a_body():
+    async def calls(loop, at):
+        return await _ask(loop, at, b"HEAD /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+
+    told, _ = asyncio.run(_door_with(calls))
+    head, _, body = told.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 405 ") and b"allow: GET" in head and body == b""
