Figures: engines that rest after bad signs count as avoided, beside those out by hand

A rest ends by the clock with no event, so this one gauge looks at each engine, at a call of an operator only: the rule that figures are not recounted is given up here, for a few hundred comparisons. Test: an engine whose probe failed is told, and no longer after its rest.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -105,8 +105,8 @@
         self.front.figures, fleet.dispatched = figures, figures.dispatched
         figures.concurrent = lambda: self.front.open
         figures.targets = lambda: len(fleet.engines) - len(fleet.gone)
-        banned = self.bans.banned  # a handful at most: no walk over the engines
-        figures.disabled = lambda: sum(one in fleet.engines and one not in fleet.gone for one in banned)
+        figures.disabled = lambda: sum(one in fleet.engines and one not in fleet.gone
+                                       for one in self.bans.banned | self.driver.resting())
         return figures
 
     def serving(self) -> bool:
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -107,6 +107,12 @@
         slow = self.slow * exp((self.slow_at - self.latest) / LAG_SPAN)
         return min(GAP[1], GAP[0] + LATE_TIMES * max(self.delay(), slow))
 
+    def resting(self) -> set[int]:
+        """Engines that the module avoids by its own choice for now. A rest ends by the clock, with no event
+        to count, so this looks at each: once for a call of an operator."""
+        now = self.now()
+        return {number for number, engine in self.gateway.engines.items() if engine.rest_until > now}
+
     def tick(self) -> None:
         """Guards the order of keys: after a loop that stood still they wait until the rest is read."""
         arrivals, now = self.arrivals, self.now()
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import helpers
+
 from applevale import interface as api
 from applevale.node import broker, engine
 from applevale.node.counters import Counters
 from applevale.node.driver import Driver
+from applevale.policy import Gateway
 
 
 class Module:
@@ -53,6 +56,18 @@
     assert module.batches == [[api.EngineList((draining, other), whole=True), api.Timer(3)]]
 
 
+def test_an_engine_that_rests_is_told_as_avoided_until_its_rest_is_over():
+    now = [100.0]
+    gateway = Gateway(helpers.settings(), 1)
+    entries = tuple(api.EngineEntry(number) for number in range(1, 5))
+    failed = api.ProbeResult(3, api.Result.CONNECT_FAILED)
+    gateway.handle(now[0], (api.EngineList(entries, whole=True), failed))
+    driver = Driver(gateway, None, Counters(), lambda: now[0])
+    assert driver.resting() == {3}
+    now[0] += 30.0
+    assert driver.resting() == set()
+
+
 def test_one_turn_is_one_batch_and_a_timer_comes_in_a_later_one():
     module = Module([api.SetTimer(0.0, 7)])
 
