Keys with too many loads: refuse turns that come too late, give up lost answers for those behind

Ruled out: probes, engines at their limit (sent to idle ones), the gap (kept). Change: Gateway.shed refuses a load whose turn leaves it under 4 usual runs, where one behind would miss its own by it; watch gives an unsafe request up past its aim and three scattered runs if others wait. Not taken: refusing by the aim. Two module tests.

--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -15,17 +15,12 @@
 from . import interface as api
 from .interface import Repeat, Result, Settings, State
 
-# SAFELoad (paper, section 4)
-GAMMA = 1.0  # price of an unsure flag, per bit of entropy
-BETA = 0.1  # discount per miss of this engine since the last refill
-C_MIN = 0.2  # least price of a flag
+GAMMA, BETA, C_MIN = 1.0, 0.1, 0.2  # a flag's price (paper, section 4): by entropy, off by misses, the least
 WINDOW = 3.0  # s between refills, and over which reports fade: a few queries of the longest common kind
 NEWS = 0.8  # s over which reports fade where many siblings pass them on
 UNSEEN = 0.6  # s that it takes until a report shows what was sent
 SMALL = 0.06  # share of an engine's memory under which a query passes at once
-P_FLAG = 0.5  # confidence that flags
-RATE = 0.1  # step of the online model
-MISS_LIFE = 60.0  # s that a miss is remembered
+P_FLAG, RATE, MISS_LIFE = 0.5, 0.1, 60.0  # confidence that flags; the model's step; s a miss is remembered
 OVERRUN = 3.0  # times the usual run that are memory trouble; a bad plan or silence, times the scatter
 SCATTER = 1.5  # mean deviations of a run time that are still chance
 BOUND = 1.5  # threads a core: the total work done falls beyond; all cores or disks show busy from there
@@ -33,26 +28,20 @@
 DENSE = (0.2, 0.65, 2.0)  # worth per work against the mean from which a request has rank 1, 2, 3
 CALM = 1.0  # threads a core up to which all but short work takes the first; past it the least loaded home
 OVERFULL = 4.5  # threads a core up to which short work goes past every bound; taken for what says "full"
-FRESH = 0.4  # s for which a report is news
 PROBES = (1.3, 4.0)  # that each request earns its gateway, most kept
 PROBE_SPEND = 0.0143  # of a request's worth is the most that its probes may cost
-PROBE_WAIT = 0.06  # s that a request waits for a probe's answer; silence beyond is a bad sign
+FRESH, PROBE_WAIT = 0.4, 0.06  # s that a report is news; that a probe is waited for: silence is a bad sign
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
-HOMES = 3  # engines among which the gateways spread a group of tables
-LOOKS = 6  # engines looked at for one request: the work must not grow with the fleet
-STRIKES = 3  # resets, with no good answer between, that are a bad sign
-ERRORS = 2  # engines that may answer a request with an error before it is given up
-REST = (1.0, 8.0)  # s of rest after a bad sign: first, and the most it doubles to
-EJECT_SHARE = 0.4  # of the engines rest at most
+HOMES, LOOKS = 3, 6  # engines that gateways spread a group of tables over; that one request looks at
+STRIKES, ERRORS = 3, 2  # resets in a row that are a bad sign; engines whose errors end a request
+REST, EJECT_SHARE = (1.0, 8.0), 0.4  # s of rest after a bad sign: first, and the most; of engines, most
+TURN = 4.0  # times its usual run that a request must have left at its key's turn: run times scatter
 LONG = 10.0  # s for which a gap is kept in mind and over which the own usual load is smoothed
 CUT_LEAST = 0.6  # of the shortest aim: before any cut; a lost answer is asked for again within the aim
-COLD_SAFETY = 0.34  # share of multiple x cores that is used: cores are slower than told, estimates err
-COLD_SINGLE = 0.4  # share of all gateways' budget of a window that one query may take
-LINE_LOOKS = 24  # requests of the line tried at one event
-MOST = 400  # requests in the line, misses, groups of tables kept
+COLD_SAFETY, COLD_SINGLE = 0.34, 0.4  # of multiple x cores, told too high; of a window's, for one query
+LINE_LOOKS, MOST = 24, 400  # of the line tried at one event; most in it, and of misses and groups kept
 BUSY = 0.85  # share of the cores that counts as full
-SWEEP = 0.05  # s between looks at what is held
-LAST = 0.06  # s before the client gives up at which the final answer goes out, whatever is still under way
+SWEEP, LAST = 0.05, 0.06  # s between looks at what is held; before the client gives up, for our last answer
 RATIO_MOST = 20.0  # learners ignore ratios beyond this
 SPARE_REQUESTS = 1.5  # of a tenant's share that a gateway may be ahead, besides a second's worth
 HINT = (0.3, 1.5)  # s, retry hint: least and most
@@ -146,8 +135,7 @@
         self.until = now + max(0.0, ask.ttl if isfinite(ask.ttl) else stats.spec.deadline)
         self.tries: list[Attempt] = []
         self.out = 0  # attempts without an outcome
-        self.over = self.flagged = self.accepted = self.streaming = self.answered = False
-        self.waiting = False  # in the line
+        self.over = self.flagged = self.accepted = self.streaming = self.answered = self.waiting = False
         self.features: tuple[float, ...] = ()  # of the flag model
         self.work = max(stats.work.expect(ask.work if isfinite(ask.work) else 0.0), 1e-4)
         told = ask.memory_mb if isfinite(ask.memory_mb) and ask.memory_mb > 0 else 0.0
@@ -255,15 +243,14 @@
         self.rooms: list[float] = []  # thread bound by rank, in this pass over the line
         self.siblings: dict[int, float] = {}  # their threads a core by engine, in this batch
         self.turns: dict[int, deque] = {}  # key -> requests in order of arrival
-        self.key_rest: dict[int, float] = {}
+        self.key_rest, self.turn_gap = {}, 0.0  # by key, until when; s behind an answer, as told last
         self.unread: dict[int, set[int]] = {}  # key -> requests that have ended, their answers still leaving
         self.flagger = Flagger()
         self.cut_least = CUT_LEAST * min(c.aim for c in settings.classes)  # s
         self.taken, self.further = deque(), deque()  # times, for the attempt budget
         self.tokens = [[0.0, -inf] for _ in settings.tenants]
         self.worth, self.work = Mean(1.0), Mean(1.0)  # of a request
-        self.others = Fading(WINDOW)  # the siblings' threads a core, over all engines
-        self.sent = Fading(UNSEEN)  # their threads
+        self.others, self.sent = Fading(WINDOW), Fading(UNSEEN)  # siblings' threads: a core, over all; sent
         self.usual, self.threads_each = Fading(LONG), Fading(LONG)  # own threads out; threads of a query
         self.threads_out, self.probe_room = 0, PROBES[1]
         self.probe_rate = min(PROBES[0], PROBE_SPEND / max(settings.probe_price, 1e-9))
@@ -409,8 +396,7 @@
         return engine.probe_at <= self.now <= engine.probe_at + PROBE_WAIT
 
     def on_probe(self, event: api.ProbeResult) -> None:
-        engine = self.engines.get(event.engine)
-        if engine:
+        if engine := self.engines.get(event.engine):
             engine.probe_at = inf
             self.guide.ended(self.now, engine.entry, event.result)
             if event.result in (Result.OK, Result.FULL):  # full: too many probes there, no news and no fault
@@ -594,6 +580,20 @@
         if not queue:
             self.turns.pop(key, None)
 
+    def shed(self, key: int, queue: deque) -> None:
+        """Refuses who waits for a turn that comes too late, where one behind would miss its own by it."""
+        start, late, lose = max(self.now, self.key_rest.get(key, -inf)), [], 0.0
+        for req in [req for req in queue if not req.over]:
+            takes, ends = self.expected(req) + self.turn_gap, start + TURN * self.expected(req)
+            if req.out:
+                start += max(0.0, takes - (self.now - req.tries[-1].clock))
+            elif ends > req.until:
+                late, lose = [*late, req], lose + takes
+            else:
+                for other in late if ends + lose > req.until else ():
+                    self.give_up(other)
+                start += takes
+
     def may_go(self, req: Held) -> bool:
         """The rules that do not depend on the engine, for first attempts, retries and copies alike."""
         told = self.settings
@@ -652,13 +652,13 @@
     def repeatable(self, req: Held) -> bool:
         return req.spec.repeat is Repeat.SAFE and not req.streaming and not req.over
 
-    def expected(self, attempt: Attempt) -> float:
-        return attempt.req.run * min(max(self.stats[attempt.req.ask.cls].slow.value, 1.0), 5.0)
+    def expected(self, req: Held) -> float:
+        return req.run * min(max(self.stats[req.ask.cls].slow.value, 1.0), 5.0)
 
     def overdue(self, attempt: Attempt) -> float:
         """Guards against restarts that only waste work: wider where run times scatter, and at each try."""
         times = 2**attempt.index * exp(SCATTER * self.stats[attempt.req.ask.cls].scatter.value)
-        return max(self.cut_least, OVERRUN * times * self.expected(attempt))
+        return max(self.cut_least, OVERRUN * times * self.expected(attempt.req))
 
     def give_up(self, req: Held) -> None:
         """The one final answer of ours; at once, with a hint when to come back."""
@@ -694,6 +694,7 @@
 
     def on_answered(self, event: api.Answered) -> None:
         self.rest_key(event.key, event.rest)
+        self.turn_gap = event.rest
         if event.request in self.held:  # an attempt of it has not ended yet
             self.held[event.request].answered = True
         elif event.key in self.unread:
@@ -716,8 +717,7 @@
         return req.tries[event.attempt] if known else None
 
     def on_outcome(self, event: api.Outcome) -> None:
-        attempt = self.attempt_of(event)
-        if attempt is None:
+        if (attempt := self.attempt_of(event)) is None:
             return
         req, attempt.done = attempt.req, event.result
         req.out -= 1
@@ -771,15 +771,14 @@
                 attempt.blamed = True
 
     def pardon(self, attempt: Attempt) -> None:
-        engine = self.engines.get(attempt.entry.engine)
-        if engine and attempt.blamed and engine.strikes <= 1:
+        if (engine := self.engines.get(attempt.entry.engine)) and attempt.blamed and engine.strikes <= 1:
             engine.rest_until, engine.rest, engine.trial, engine.strikes = 0.0, REST[0], False, 0
 
     def learn(self, engine: Engine, attempt: Attempt, event: api.Outcome) -> None:
         req, stats = attempt.req, self.stats[attempt.req.ask.cls]
         due = (event.work if event.work > 0 else req.work) / req.spec.threads
         slow, usual = (self.now - attempt.clock) / max(due, 0.001), stats.slow.value
-        stats.scatter.add(abs(bounded_log((self.now - attempt.clock) / self.expected(attempt))))
+        stats.scatter.add(abs(bounded_log((self.now - attempt.clock) / self.expected(req))))
         stats.slow.add(min(slow, RATIO_MOST))
         stats.work.learn(req.ask.work, event.work)
         stats.memory.learn(req.ask.memory_mb, event.memory_mb)
@@ -795,14 +794,13 @@
             engine.misses += not req.flagged
 
     def on_note(self, event: api.Note) -> None:
-        attempt = self.attempt_of(event)
-        if attempt is None:
+        if (attempt := self.attempt_of(event)) is None:
             return
         if event.kind is api.NoteKind.SPILLS or (event.kind is api.NoteKind.WAITS and event.value == 1):
             attempt.told_trouble, self.last_trouble = True, self.now
         elif event.kind is api.NoteKind.PROGRESS and event.value > 0.001:
             # A bad plan shows in its pace long before it is overdue; also holds against a starved attempt.
-            most = max(self.cut_least, OVERRUN * self.expected(attempt))
+            most = max(self.cut_least, OVERRUN * self.expected(attempt.req))
             if (self.now - attempt.clock) / event.value > most:
                 self.cut(attempt)
 
@@ -819,7 +817,7 @@
     def cut(self, attempt: Attempt) -> None:
         """Stop an attempt far past its time (bad plan, silent or slow engine) and try anew elsewhere."""
         req = attempt.req
-        open_try = len(req.tries) < self.settings.try_limit and req.until - self.now >= self.expected(attempt)
+        open_try = len(req.tries) < self.settings.try_limit and req.until - self.now >= self.expected(req)
         if open_try and self.repeatable(req) and self.in_budget():
             self.cancel(attempt)
 
@@ -835,16 +833,19 @@
             if not req.over and not req.streaming and self.now > self.last_moment(req):
                 self.give_up(req)
             for attempt in req.tries:
-                if attempt.done is None:
-                    self.watch(attempt)
+                self.watch(attempt)
+        for key, queue in list(self.turns.items()):
+            self.shed(key, queue)
         self.key_rest = {key: until for key, until in self.key_rest.items() if until > self.now}
 
     def watch(self, attempt: Attempt) -> None:
         """What is overdue is cut, in case of a bad plan, and silence is asked about."""
-        engine = self.engines.get(attempt.entry.engine)
-        if self.now - attempt.clock <= self.overdue(attempt):
+        engine, key = self.engines.get(attempt.entry.engine), attempt.req.ask.key
+        if attempt.done is not None or self.now - attempt.clock <= self.overdue(attempt):
             return
         self.cut(attempt)
+        if attempt.req.spec.ordered and self.now > attempt.req.aim and len(self.turns.get(key, ())) > 1:
+            self.give_up(attempt.req)  # guards those behind it against an answer that never comes
         if engine and max(engine.last_ok, engine.news_at) <= attempt.at and not self.asked(engine):
             self.suspect(engine, "silent")
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -170,6 +170,33 @@
     assert [a.request for a in of(api.Send, d.run(0.3))] == [second]
 
 
+def test_an_unsafe_request_far_past_its_time_is_given_up_only_for_those_behind_it():
+    """An answer that never came held its key until the client's deadline, and all behind it failed too."""
+    d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True, deadline=25.0),))
+    alone = of(api.Send, d.ask(key=5)[1])[0]
+    lost = of(api.Send, d.ask(key=9)[1])[0]
+    behind, _ = d.ask(key=9)
+    actions = d.run(12.0)
+    assert [a.request for a in of(api.Fail, actions)] == [lost.request]  # it may have run: not refused
+    assert [a.request for a in of(api.Cancel, actions)] == [lost.request]
+    assert alone.request not in {a.request for a in of(api.Fail, actions)}
+    assert [send.request for send in of(api.Send, d.end(lost, R.CANCELLED))] == [behind]
+
+
+def test_who_waits_for_a_turn_that_comes_too_late_is_refused_for_one_behind_it_only():
+    """Keys with more loads than they can do: each was begun just before its deadline, and failed at it."""
+    d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True, deadline=25.0),))
+    first = of(api.Send, d.ask(key=9, work=0.5)[1])[0]
+    short, _ = d.ask(key=9, work=0.5, ttl=2.5)
+    patient, _ = d.ask(key=9, work=0.5, ttl=20.0)
+    assert not of(api.Refuse, d.run(0.1))  # it costs the one behind it nothing
+    hurried, _ = d.ask(key=9, work=0.1, ttl=2.6)  # in time, but not behind all of those
+    assert [a.request for a in of(api.Refuse, d.run(0.1))] == [short]
+    sends = of(api.Send, d.end(first, work=0.5) + d.run(0.1))
+    assert [send.request for send in sends] == [patient]
+    assert [send.request for send in of(api.Send, d.end(sends[0], work=0.5))] == [hurried]
+
+
 def test_further_attempts_stay_within_the_budget():
     d = Driver(engines=6, budget_share=0.1, budget_free=1.0, budget_span=5.0, try_limit=5)
     sends = [of(api.Send, d.ask(tables=float(g))[1])[0] for g in range(10)]
