--- a/applevale/control/drain.py
+++ b/applevale/control/drain.py
@@ -1,7 +1,8 @@
 """How clients are sent away: what a drain does with new requests and with connections, by when it began.
 
-Invariants: a drain never cuts off what is owed; it lasts until it is ended, however often it is begun; its
-answers depend on the given times alone. No I/O and no clock.
+Invariants: a drain never cuts off what is owed; it lasts until it is ended, however often it is begun, and
+the first time named for its end of taking requests holds; its answers depend on the given times alone. No
+I/O and no clock.
 """
 
 from __future__ import annotations
@@ -9,8 +10,8 @@
 from dataclasses import dataclass
 from math import inf
 
-# s from its start on that requests are still taken. Guards the promise that 4 s after the call no connection
-# is held with a request of the last 2 s: one whose requests overlap is never owed nothing.
+# s from an operator's call on that requests are still taken. Guards the promise that 4 s after the call no
+# connection is held with a request of the last 2 s: one whose requests overlap is never owed nothing.
 TAKES = 1.75
 # s in which the first request of a new connection may still be on its way.
 CROSSING = 0.25
@@ -18,21 +19,18 @@
 
 @dataclass
 class Drain:
-    since: float = inf  # by the loop's clock; inf: no drain
+    on: bool = False
+    until: float = inf  # by the loop's clock: new requests are taken before that
 
-    @property
-    def on(self) -> bool:
-        return self.since < inf
-
-    def begin(self, now: float) -> None:
-        self.since = min(self.since, now)
+    def begin(self, until: float) -> None:
+        self.on, self.until = True, min(self.until, until)
 
     def end(self) -> None:
-        self.since = inf
+        self.on, self.until = False, inf
 
     def refuses(self, now: float) -> bool:
         """Whether a request that comes now is turned away at once."""
-        return now - self.since >= TAKES
+        return now >= self.until
 
     def closes(self, owed: bool, pending: bool) -> bool:
         """Whether a connection is closed: never over what is owed on it or has begun to come."""
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -38,6 +38,7 @@
 LINGER = 0.75  # s after SIGTERM for which clients may still come
 STAY = 3.0  # s, or the longest deadline if that is less: this and 0.7 s after SIGTERM it may be killed
 LAST_WORD = 0.3  # s before that at which all that is open gets its answer
+LAST_CALLS = 0.4  # s before that from which new requests are turned away
 SHOWN = 5.0  # s between two lines of counters: one that is killed outright prints none at its end
 BANS_SEEN = 0.1  # s between two looks at what another process wrote of bans
 HELD = 0.125  # share of the memory that messages and answers of clients may take
@@ -251,7 +252,9 @@
         self.broker.until = self.driver.now() + last  # what comes now is decided on with the time there is
         await asyncio.sleep(since + LINGER - loop.time())
         self.front.shut()
-        self.front.drain()  # guards a request on a kept connection read just before the exit: none comes
+        # Guards a request on a kept connection read just before the exit: none comes. Until shortly before,
+        # what comes is decided on with the time there is: short work still has its answer.
+        self.front.drain(since + last - LAST_CALLS - loop.time())
         while self.busy() and loop.time() < since + last:
             await asyncio.sleep(0.02)
         self.broker.expire()
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -12,7 +12,7 @@
 import msgpack
 
 from .. import interface as api
-from ..control.drain import CROSSING, Drain
+from ..control.drain import CROSSING, TAKES, Drain
 from ..control.figures import Figures
 from .arrivals import Source
 from .broker import Broker, Failed, Query, Refused, Served
@@ -225,10 +225,10 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self.draining.wait(accepted, loop.time()), self.close_idle, connection)
 
-    def drain(self) -> None:
-        """Sends clients elsewhere; what is owed is answered."""
+    def drain(self, takes: float = TAKES) -> None:
+        """Sends clients elsewhere; what is owed is answered, and what comes within `takes` s is taken."""
         self.counters["drains"] += 1
-        self.draining.begin(asyncio.get_running_loop().time())
+        self.draining.begin(asyncio.get_running_loop().time() + takes)
         for connection in list(self.idle):
             self.close_idle(connection)
         for connection, accepted in self.silent.items():
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -21,7 +21,7 @@
     assert not drain.on and not drain.refuses(1e9) and not drain.closes(False, False)
     drain.begin(10.0)
     drain.begin(11.0)  # again: it is the same drain
-    assert drain.on and not drain.refuses(10.0 + TAKES / 2) and drain.refuses(10.0 + TAKES)
+    assert drain.on and not drain.refuses(9.9) and drain.refuses(10.0)
     assert drain.closes(owed=False, pending=False)
     assert not drain.closes(owed=True, pending=False) and not drain.closes(owed=False, pending=True)
     assert drain.wait(10.0, 10.0) == CROSSING and drain.wait(5.0, 10.0) == 0.0
@@ -116,7 +116,7 @@
         site.ask(1)
         await site.broker.came.wait()
         site.front.drain()
-        site.front.draining.since -= TAKES  # it has lasted that long
+        site.front.draining.until -= TAKES  # it has lasted that long
         site.ask(2)
         refused = await site.read()
         assert refused[1] == 2 and refused[2] == ["Full", {"cooldown": "500"}]
