--- a/applevale/rigs/ops.py
+++ b/applevale/rigs/ops.py
@@ -1,13 +1,14 @@
 """A rig of daily operation: the real program through a ban by hand, a drain and an upgrade in place.
 
 The script, from a seed: clients with kept connections that open them anew; an engine taken out by hand; a
-drain and its end; a second process on the same address with the ban crossing through $TMPDIR; the first told
-to go; the engine let back in. The promises checked: nothing new to a banned engine after 0.5 s, from either
-process, and work again within 5 s of the enable; `/ready` no in the drain and yes within 2 s of its end; the
-second ready within 6 s; the figures true to the page's tolerance against the clients' own count; no request
-held without an answer, none answered twice, no load run twice; no key out of order among what one process
-took (across the two none is promised while both run); at most two requests cut by a closed connection in the
-upgrade, none of them after it reached an engine; every request that a process took answered by it.
+drain and its end; a second process on the same address with the ban crossing through $TMPDIR; another engine
+taken out at its door while both run; the first told to go; the engines let back in. The promises checked:
+nothing new to a banned engine after 0.5 s, from either process, and work again within 5 s of the enable;
+`/ready` no in the drain and yes within 2 s of its end; the second ready within 6 s; the figures true to the
+page's tolerance against the clients' own count; no request held without an answer, none answered twice, no
+load run twice; no key out of order among what one process took (across the two none is promised while both
+run); at most two requests cut by a closed connection in the upgrade, none of them after it reached an engine;
+every request that a process took answered by it.
 """
 
 from __future__ import annotations
@@ -93,7 +94,7 @@
     first = Program({"known": known(engines), "listen": listen, "control": doors[0]}, "ops-1")
     second = Program({"known": known(engines), "listen": listen, "control": doors[1]}, "ops-2")
     found: dict = {}
-    banned = engines[1]
+    banned, late = engines[1], engines[2]
     try:
         await first.start(env=env)
         found["first_ready"] = await until_ready(doors[0], READY_IN)
@@ -119,6 +120,9 @@
         both_from = loop.time()
         await second.start(env=env)
         found["second_ready"] = await until_ready(doors[1], READY_IN)
+        # An engine taken out at the new door while both run: the old one must let it be, too.
+        status, _ = await call(doors[1], "POST", "/engines/disable", {"host": "s-00000003"})
+        found["late_ban_yes"], late_from = status == 200, late.clock() + GRACE
         cut_before = sum(sent.cut for sent in clients.sent)
         first_counters = await first.stop()
         both_until = loop.time()
@@ -126,11 +130,13 @@
         await asyncio.sleep(step)
         found["cut_in_upgrade"] = sum(sent.cut for sent in clients.sent) - cut_before
         found["ban_crossed"] = (await call(doors[1], "POST", "/engines/enable", {"host": "s-00000002"}))[0]
+        await call(doors[1], "POST", "/engines/enable", {"host": "s-00000003"})
         enabled_at = banned.clock()
         await asyncio.sleep(BACK_IN)
         load.cancel()
         await clients.settle()
         found["to_banned"] = sum(banned_at < one.at < enabled_at for one in banned.arrivals)
+        found["to_late_banned"] = sum(late_from < one.at < enabled_at for one in late.arrivals)
         found["after_enable"] = sum(one.at > enabled_at for one in banned.arrivals)
         ran = {one.ref.decode() for engine in engines for one in engine.arrivals}
         found["cut_after_run"] = sum(sent.cut and sent.ref in ran for sent in clients.sent)
@@ -151,6 +157,7 @@
         "ready_no_in_drain": found["ready_in_drain"] == 503,
         "undrained_in_2s": found["undrained"], "second_ready_in_6s": found["second_ready"],
         "first_exit_0": found["first_exit"] == 0, "nothing_to_banned": found["to_banned"] == 0,
+        "nothing_to_banned_in_both": found["late_ban_yes"] and found["to_late_banned"] == 0,
         "figures_true": figures_true, "no_request_held": held == 0,
         "cut_at_most_2": found["cut_in_upgrade"] <= CUT_MOST,
         "every_taken_answered": all(map(unanswered_none, (first_counters, second_counters))),
@@ -163,7 +170,7 @@
             "broken": sorted(name for name, kept in promises.items() if not kept),
             "requests": answers["requests"], "served": answers["served"], "cut": answers["cut"],
             "held": held, **{name: found[name] for name in (
-                "figures_served", "clients_served", "to_banned", "after_enable", "cut_in_upgrade",
-                "cut_after_run")},
+                "figures_served", "clients_served", "to_banned", "to_late_banned", "after_enable",
+                "cut_in_upgrade", "cut_after_run")},
             "first_door_calls": first_counters.get("door_calls", 0),
             "second_served": second_counters.get("answered_served", 0)}
