Rig of daily operation ends its processes when it fails itself

Seen: a dozen programs of this rig still ran an hour after runs that ended in an exception of a probe's own; ops.run ended engines and folder only. The new test plants a fault and fails without the change.

--- a/applevale/rigs/ops.py
+++ b/applevale/rigs/ops.py
@@ -145,6 +145,8 @@
         await clients.stop()
         second_counters = await second.stop()
     finally:
+        for program in (first, second):  # a fault of the rig's own must leave no process behind
+            await program.end()
         for engine in engines:
             await engine.stop()
         shared.cleanup()
--- a/applevale/rigs/program.py
+++ b/applevale/rigs/program.py
@@ -93,6 +93,12 @@
         async with asyncio.timeout(10.0):
             return await self.shown.get()
 
+    async def end(self) -> None:
+        """At once, if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
     async def stop(self) -> dict:
         """SIGTERM, and the counters of its end."""
         if self.process.returncode is None:
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -4,6 +4,8 @@
 import json
 from collections import Counter
 
+import pytest
+
 from applevale.rigs import ops
 from applevale.rigs.program import broken_rules
 from applevale.standins.clients import Sent
@@ -26,6 +28,24 @@
     assert not result["ok"] and told <= set(result["broken"])
 
 
+def test_a_fault_of_the_rig_leaves_no_process_behind(monkeypatch):
+    started = []
+
+    class Noted(ops.Program):
+        async def start(self, *entry, env=None):
+            await super().start(*entry, env=env)
+            started.append(self.process)
+
+    def faulty(door, within):
+        raise RuntimeError("planted")
+
+    monkeypatch.setattr(ops, "Program", Noted)
+    monkeypatch.setattr(ops, "until_ready", faulty)
+    with pytest.raises(RuntimeError, match="planted"):
+        asyncio.run(ops.run(seed=5, seconds=6.0))
+    assert len(started) == 1 and started[0].returncode is not None
+
+
 class Ran:
     """An engine that only tells what reached it, and when."""
 
