--- a/applevale/control/drain.py
+++ b/applevale/control/drain.py
@@ -19,14 +19,17 @@
 
 @dataclass
 class Drain:
-    on: bool = False
-    until: float = inf  # by the loop's clock: new requests are taken before that
+    until: float = inf  # by the loop's clock: new requests are taken before that; inf: there is no drain
+
+    @property
+    def on(self) -> bool:
+        return self.until < inf
 
     def begin(self, until: float) -> None:
-        self.on, self.until = True, min(self.until, until)
+        self.until = min(self.until, until)
 
     def end(self) -> None:
-        self.on, self.until = False, inf
+        self.until = inf
 
     def refuses(self, now: float) -> bool:
         """Whether a request that comes now is turned away at once."""
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -89,7 +89,7 @@
             life.inbox.put_nowait(Unconfirmed())
 
     def turn_away(self) -> Answer:
-        """A refusal without a decision: nothing of it can have run."""
+        """A refusal of our own, without the module's word: only where trying again is harmless."""
         return Refused(self.advice)
 
     async def serve(self, query: Query) -> Answer:
@@ -210,7 +210,7 @@
     def last_answer(self) -> Answer:
         """Without a word from the module: refusing is harmless only if nothing can have run."""
         ran = self.may_have_run or (self.out is not None and self.out.message is not None)
-        return Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else Refused(self.broker.advice)
+        return Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else self.broker.turn_away()
 
     def close(self) -> None:
         """The answer is out, or no longer owed: what is still out is given up, and the module hears of it."""
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -217,7 +217,7 @@
         if connection not in self.connections:
             return
         owed = bool(connection.calls or connection.outbox.size)
-        if self.draining.closes(owed, connection.pending()):
+        if self.draining.closes(owed, owed or connection.pending()):
             connection.stop("")
 
     def close_silent(self, connection: Connection, accepted: float) -> None:
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -840,9 +840,9 @@
 
     def watch(self, attempt: Attempt) -> None:
         """What is overdue is cut, in case of a bad plan, and silence is asked about."""
-        engine, key = self.engines.get(attempt.entry.engine), attempt.req.ask.key
         if attempt.done is not None or self.now - attempt.clock <= self.overdue(attempt):
             return
+        engine, key = self.engines.get(attempt.entry.engine), attempt.req.ask.key
         self.cut(attempt)
         if attempt.req.spec.ordered and self.now > attempt.req.aim and len(self.turns.get(key, ())) > 1:
             self.give_up(attempt.req)  # guards those behind it against an answer that never comes
