Counters and log move below all that use them; events as JSON lines by a setting

control/ and sources/ imported node.counters and node.log, the only arrows that ran upwards. Both now lie in observe/. A line may carry fields; the console form is what it was and loads no library, JSON lines come from structlog.

--- a/applevale/__main__.py
+++ b/applevale/__main__.py
@@ -8,6 +8,7 @@
 
 from .node import app
 from .node.config import ConfigError, load
+from .observe import events
 
 
 def main() -> int:
@@ -16,6 +17,8 @@
     except ConfigError as error:
         print(f"applevale: {error}", file=sys.stderr)
         return 2
+    if config.json_log:
+        events.as_json(config.name)
     try:
         uvloop.run(app.run(config))
     except OSError as error:
--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -55,7 +55,7 @@
 async def follow(config: Config, seconds: float, show: bool) -> dict | None:
     """Follows the registry until its list is confirmed, or with `show` for the whole time and told as it
     changes. None: it could not be confirmed."""
-    from ..node.counters import Counters
+    from ..observe.counters import Counters
     from ..sources.members import Change
     from ..sources.registry.source import RegistrySource
 
--- a/applevale/control/door.py
+++ b/applevale/control/door.py
@@ -15,8 +15,8 @@
 
 import h11
 
-from ..node.counters import Counters
-from ..node.log import say
+from ..observe.counters import Counters
+from ..observe.events import say
 from .calls import Answer, Operated, answer
 
 CALL = 2.0  # s for a whole call, from the connection on: a silent or slow caller has this and no more
--- a/applevale/control/shared.py
+++ b/applevale/control/shared.py
@@ -8,7 +8,7 @@
 
 import os
 
-from ..node.log import say
+from ..observe.events import say
 from .bans import BanFileError, Bans, decode, encode
 
 Stamp = tuple[int, int, int]
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import socket
-import sys
 import tempfile
 import time
 from typing import TYPE_CHECKING
@@ -17,17 +16,17 @@
 from ..control.door import Door
 from ..control.figures import Figures
 from ..control.shared import SharedBans
+from ..observe.counters import Counters
+from ..observe.events import always, say
 from ..policy import Gateway
 from ..sources.feed import Feed, FeedError
 from ..sources.members import Change, Source
 from .broker import Broker
 from .config import Config, ConfigError, load
-from .counters import Counters
 from .driver import Driver
 from .engine import Fleet
 from .front import Front
 from .held import HeldList
-from .log import say
 
 if TYPE_CHECKING:
     from ..sources.registry.source import RegistrySource
@@ -294,7 +293,7 @@
     gc.set_threshold(1_000, 8, 1_000)  # short and often: over 20,000 objects it took 40 to 60 ms
     gc.callbacks.append(Pauses())
     host, port = listener.getsockname()
-    print(f"{config.name} listens on {host}:{port}", file=sys.stderr, flush=True)
+    always("listening", f"{config.name} listens on {host}:{port}", host=host, port=port, pid=os.getpid())
     try:
         await node.leaving.wait()
         node.front.ready = False
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -7,10 +7,10 @@
 from math import inf
 
 from .. import interface as api
-from .counters import Counters
+from ..observe.counters import Counters
+from ..observe.events import say
 from .driver import Driver
 from .engine import Attempt, Broken, Done, Ending, Fleet, Link, Want
-from .log import say
 
 # Guards against answers that cross the client's giving up. The module looks at what it holds every 50 ms and
 # aims for 60 ms before the end, by the time of its batch, which comes later than the request.
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -7,6 +7,7 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from importlib.util import find_spec
 from math import isfinite
 
 from .. import interface as api
@@ -59,6 +60,7 @@
     registry: object = None  # settings of a key-value registry; None: the list comes from the feed
     zones: object = None  # the zones file; None: zones make no difference
     control: Address | None = None  # the operators' door; None: there is none
+    json_log: bool = False  # events as JSON lines in place of plain ones
 
 
 def address(text: object, key: str) -> Address:
@@ -154,6 +156,15 @@
     return address(raw["control"], "control") if raw.get("control") else None
 
 
+def _json_log(raw: Mapping, environ: Mapping[str, str]) -> bool:
+    form = environ.get("BALANCER_LOG") or raw.get("log", "console")
+    if form not in ("console", "json"):
+        raise ConfigError(f"log: console or json is needed, not {form!r}")
+    if form == "json" and find_spec("structlog") is None:
+        raise ConfigError("log: structlog is missing: install the extra 'events'")
+    return form == "json"
+
+
 def parse(raw: object, environ: Mapping[str, str]) -> Config:
     if not isinstance(raw, dict):
         raise ConfigError("BALANCER_CONFIG: an object is needed at the top")
@@ -198,6 +209,7 @@
         registry=registry,
         zones=found_zones,
         control=_control(raw, environ),
+        json_log=_json_log(raw, environ),
     )
 
 
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -9,11 +9,11 @@
 from math import exp
 
 from .. import interface as api
+from ..observe.counters import Counters
+from ..observe.events import say
 from ..policy import Gateway
 from .arrivals import TICK, Arrivals, Source
-from .counters import Counters
 from .engine import Fleet
-from .log import say
 
 # A pass over a long line costs the same for one event as for many, and must leave time for the sockets:
 PACE = 0.004  # s between the starts of two batches at least, and
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -13,10 +13,10 @@
 import hiredis
 
 from ..interface import Result, State
+from ..observe.counters import Counters
+from ..observe.events import say
 from ..sources.members import Change, Member
 from .config import LinkLimits
-from .counters import Counters
-from .log import say
 from .outbox import Message, Outbox
 
 MOST_RESULT = 48_000  # bytes of a whole result
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -14,11 +14,11 @@
 from .. import interface as api
 from ..control.drain import CROSSING, TAKES, Drain
 from ..control.figures import Figures
+from ..observe.counters import Counters
+from ..observe.events import say
 from .arrivals import Source
 from .broker import Broker, Failed, Query, Refused, Served
-from .counters import Counters
 from .driver import Driver
-from .log import say
 from .outbox import Outbox
 from .statement import table_group
 
--- a/applevale/node/peers.py
+++ b/applevale/node/peers.py
@@ -5,10 +5,10 @@
 import asyncio
 import socket
 
+from ..observe.counters import Counters
+from ..observe.events import say
 from .config import Address, PeerAddresses
-from .counters import Counters
 from .driver import Driver
-from .log import say
 from .news import HOLD, MOST_BYTES, News, NewsError
 
 AT_ONCE = 64  # datagrams read in one turn of the loop, so that a flood leaves time for the rest
--- a/applevale/node/counters.py
+++ b/applevale/observe/counters.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
-import sys
 from collections import Counter
 
+from .events import always
+
 
 class Counters(Counter):
     """A count by name; a name that was never counted is 0."""
 
     def show(self) -> None:
-        print("counters " + json.dumps(dict(sorted(self.items()))), file=sys.stderr, flush=True)
+        shown = dict(sorted(self.items()))
+        always("counters", "counters " + json.dumps(shown), counts=shown)
--- a/applevale/sources/feed.py
+++ b/applevale/sources/feed.py
@@ -10,8 +10,8 @@
 from math import inf, isfinite
 
 from .. import interface as api
-from ..node.counters import Counters
-from ..node.log import say
+from ..observe.counters import Counters
+from ..observe.events import say
 from .members import Change, Member, Names
 
 HEAD = struct.Struct(">IQB")  # length of all that follows it, number, kind
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from ...node.counters import Counters
-from ...node.log import say
+from ...observe.counters import Counters
+from ...observe.events import say
 from ..members import Change, Names
 from . import follower as f
 from .consul import ConsulSession
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,8 +14,8 @@
 from applevale.control.calls import answer
 from applevale.control.door import MOST_CALLS, Door
 from applevale.control.figures import Figures
-from applevale.node.counters import Counters
 from applevale.node.held import HeldList
+from applevale.observe.counters import Counters
 from applevale.sources.members import Change, Member
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,9 +11,9 @@
 
 from applevale.control.drain import CROSSING, TAKES, Drain
 from applevale.node.broker import Refused, Served
-from applevale.node.counters import Counters
 from applevale.node.driver import Driver
 from applevale.node.front import Front
+from applevale.observe.counters import Counters
 
 
 def test_a_drain_takes_requests_for_a_while_and_lasts_until_it_is_ended():
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -6,8 +6,8 @@
 
 from applevale import interface as api
 from applevale.node import broker, engine
-from applevale.node.counters import Counters
 from applevale.node.driver import Driver
+from applevale.observe.counters import Counters
 from applevale.policy import Gateway
 
 
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -5,8 +5,8 @@
 
 from applevale import interface as api
 from applevale import policy
-from applevale.node.counters import Counters
 from applevale.node.engine import Fleet
+from applevale.observe.counters import Counters
 from applevale.sources.feed import Feed, FeedError
 from applevale.sources.members import Change, Member, Names
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -11,11 +11,11 @@
 
 from applevale import interface as api
 from applevale.node import config
-from applevale.node.counters import Counters
 from applevale.node.driver import Driver
 from applevale.node.engine import Fleet
 from applevale.node.news import HEAD, LEAST_BYTES, MOST_BYTES, MOST_ROOM, RENEW, News, NewsError, mark
 from applevale.node.peers import Peers
+from applevale.observe.counters import Counters
 
 COLUMNS = ("active", "cpu", "x1")
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 
 from applevale import interface as api
 from applevale.node import config, engine
-from applevale.node.counters import Counters
+from applevale.observe.counters import Counters
 from applevale.sources import members
 
 GOOD = b"".join(rows(3))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -9,7 +9,7 @@
 import pytest
 import trustme
 
-from applevale.node.counters import Counters
+from applevale.observe.counters import Counters
 from applevale.rigs.registry import Site
 from applevale.sources.members import Names
 from applevale.sources.registry import settings as registry_settings
