Faults between processes: fates, gates, datagram relays, schedules; a list service process

Need: hundreds of real programs under dropped links, delays and crashes. Each instance binds a local address of its own (local_address), so one gate per server knows who calls; a fate for each ordered pair, with random numbers of its own. The etcd-like stand-in has a stated capacity over all its members, refuses as published, and records its reads.

--- /dev/null
+++ b/applevale/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults between processes, on loopback only: fates of bytes and datagrams, gates, relays, and schedules."""
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import os
 import re
@@ -61,6 +62,7 @@
     zones: object = None  # the zones file; None: zones make no difference
     control: Address | None = None  # the operators' door; None: there is none
     json_log: bool = False  # events as JSON lines in place of plain ones
+    local: str = ""  # the local address that outgoing connections bind; empty: the system's choice
 
 
 def address(text: object, key: str) -> Address:
@@ -156,6 +158,14 @@
     return address(raw["control"], "control") if raw.get("control") else None
 
 
+def _local(raw: Mapping) -> str:
+    value = raw.get("local_address", "")
+    try:
+        return str(ipaddress.IPv4Address(value)) if value != "" else ""
+    except ValueError:
+        raise ConfigError(f"local_address: an IPv4 address is needed, not {value!r}") from None
+
+
 def _json_log(raw: Mapping, environ: Mapping[str, str]) -> bool:
     form = environ.get("BALANCER_LOG") or raw.get("log", "console")
     if form not in ("console", "json"):
@@ -210,6 +220,7 @@
         zones=found_zones,
         control=_control(raw, environ),
         json_log=_json_log(raw, environ),
+        local=_local(raw),
     )
 
 
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -33,6 +33,7 @@
 STALL = 1.0  # s after which an engine that takes in nothing has lost its connection
 SETTLE = 0.01  # s from a `never_mind` to its attempt's end, so that no later `want` overtakes it elsewhere
 PROBE_TIME = 0.25  # s for a probe's answer, by the site
+BIND_ADDRESS_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT of Linux: the port is chosen by connect, not by bind
 USED = 0.8  # of the idle time after which a link is not used again: the engine may be closing it
 # What the settings call the figures of a report, and what engines may call them besides.
 ALIASES = {"active": "inflight", "cpu": "util", "waiting": "queue", "avg_ms": "latency_ms", "rps": "qps",
@@ -344,6 +345,9 @@
     async def _connect(self) -> str | None:
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.fleet.local:
+            self.sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
+            self.sock.bind((self.fleet.local, 0))
         try:
             async with asyncio.timeout(self.fleet.limits.connect):
                 await asyncio.get_running_loop().sock_connect(self.sock, self.engine.address)
@@ -477,6 +481,7 @@
     def __init__(self, limits: LinkLimits, columns: tuple[str, ...], most_links: int, counters: Counters):
         self.limits, self.most_links, self.counters = limits, most_links, counters
         self.columns = columns
+        self.local = ""  # the address that connections bind; empty: the system's choice
         self.engines: dict[int, Engine] = {}
         self.gone: set[int] = set()  # of them, those that have left the list
         self.tags = 0
--- a/applevale/standins/etcd.py
+++ b/applevale/standins/etcd.py
@@ -4,27 +4,74 @@
 
 import asyncio
 import ssl
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from ..sources.registry import messages as m
+from .capacity import Capacity
 from .store import Compacted, Store, Version
 
 MOST_EVENTS = 500  # of one message
 
 
+@dataclass
+class ReadSeen:
+    """One read as the service saw it; times by the steady clock, s."""
+
+    at: float
+    caller: str  # IP:PORT
+    whole: bool  # a full read; else a short one
+    out: float = 0.0  # when it was answered, refused or broken off
+    answered: bool = False
+
+
+class _Server(Server):
+    """One that knows its connections."""
+
+    def __init__(self, handlers: list, member: Member):
+        super().__init__(handlers)
+        self.member = member
+
+    def _protocol_factory(self) -> asyncio.Protocol:
+        protocol, member = super()._protocol_factory(), self.member
+        made, lost, held = protocol.connection_made, protocol.connection_lost, []
+
+        def connection_made(transport: asyncio.Transport) -> None:
+            host, port = transport.get_extra_info("peername")[:2]
+            held.append(transport)
+            member.transports[transport] = f"{host}:{port}"
+            member.turned(member.transports[transport], True)
+            made(transport)
+
+        def connection_lost(error: Exception | None) -> None:
+            caller = member.transports.pop(held[0], "")
+            member.turned(caller, False)
+            lost(error)
+
+        protocol.connection_made, protocol.connection_lost = connection_made, connection_lost
+        return protocol
+
+
 class Member:
     """One member. `lag`: a frozen store that it answers from; `deny`: refuses all credentials; `slow`: s that
-    a read takes; `mute`: its watches say nothing, while reads go on; `twice`: each event is told again."""
+    a full read takes; `late`: s that each call takes besides; `mute`: its watches say nothing, while reads go
+    on; `twice`: each event is told again. `capacity` is that of the service, shared by its members."""
 
-    def __init__(self, store: Store, users: dict[str, str] | None = None):
+    def __init__(self, store: Store, users: dict[str, str] | None = None, capacity: Capacity | None = None):
         self.store, self.users = store, users or {}
         self.lag: Store | None = None
         self.deny = self.mute = self.twice = False
-        self.slow = 0.0
+        self.slow = self.late = 0.0
         self.reads = self.watches = 0
+        self.capacity = capacity or Capacity()
+        self.seen: Callable[[ReadSeen], None] = lambda read: None
+        self.transports: dict[asyncio.Transport, str] = {}  # connections, and whose they are
+        self.turned: Callable[[str, bool], None] = lambda caller, opened: None
         self.server: Server | None = None
         self.address = ("127.0.0.1", 0)
 
@@ -33,12 +80,14 @@
         return self.lag or self.store
 
     async def start(self, tls: ssl.SSLContext | None = None) -> None:
-        self.server = Server([self])
+        self.server = _Server([self], member=self)
         await self.server.start(*self.address, ssl=tls)
         self.address = self.server._server.sockets[0].getsockname()[:2]
 
     async def stop(self) -> None:
         self.server.close()
+        for transport in list(self.transports):
+            transport.abort()
         await self.server.wait_closed()
 
     def __mapping__(self) -> dict[str, Handler]:
@@ -67,8 +116,21 @@
         request = await stream.recv_message()
         self._check(stream)
         self.reads += 1
-        if self.slow and not request.count_only:
-            await asyncio.sleep(self.slow)
+        caller = f"{stream.peer.addr()[0]}:{stream.peer.addr()[1]}"
+        read = ReadSeen(time.monotonic(), caller, not request.count_only)
+        try:
+            await self._serve_read(stream, request, read)
+        finally:
+            read.out = time.monotonic()
+            self.seen(read)
+
+    async def _serve_read(self, stream: Stream, request: object, read: ReadSeen) -> None:
+        wait = self.capacity.turn(time.monotonic())
+        if wait is None:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "etcdserver: too many requests")
+        wait += self.late + (self.slow if read.whole else 0.0)
+        if wait:
+            await asyncio.sleep(wait)
         try:
             found = self.view.under(request.key, request.range_end, request.revision)
         except Compacted:
@@ -80,6 +142,7 @@
             answer.more = len(some) < len(found)
             answer.kvs.extend(_key_value(version) for version in some)
         await stream.send_message(answer)
+        read.answered = True
 
     async def _watch(self, stream: Stream) -> None:
         request = await stream.recv_message()
