Follower: one question at a time, a trial beside a silent session, a promise given up in the open

Seen: 100 programs hold the list service down; each asks every 70 ms, on top of open questions, and leaves its session when all are slow. Lines at fault: Pace.ask and Pace.silence, and _fail in follower.py, which left at the first silence. Now 4.1 to 5 questions a second, never one on another; startup/ holds line, latency and promise, without I/O and clock. A Consul-like session goes on behind the known list, without a full read.

--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -82,6 +82,7 @@
         # Half of the descriptors for clients, who hold at most a third; the rest for engines and the files.
         half = config.sockets // 2
         self.fleet = Fleet(config.links, config.settings.report_columns, half - 32, self.counters)
+        self.fleet.local = config.local
         gateway = Gateway(config.settings, config.seed, self._guide())
         self.driver = Driver(gateway, self.fleet, self.counters)
         self.broker = Broker(self.driver, self.fleet, config.settings, self.counters)
@@ -180,7 +181,7 @@
         from ..sources.registry.source import RegistrySource  # its libraries cost memory where it is not used
 
         source = RegistrySource(config.registry, config.names, self.counters, self.tell, self.turned,
-                                config.seed)
+                                config.seed, local=config.local)
         self.fleet.allowed = source.allowed
         self.turned(False)
         return source
--- a/applevale/sources/registry/consul.py
+++ b/applevale/sources/registry/consul.py
@@ -9,16 +9,15 @@
 
 import aiohttp
 
-from .session import MOST_ANSWER, Hear, Refused, Session
+from .session import MOST_ANSWER, Declined, Hear, Known, Refused, Session
 from .settings import RegistrySettings
 
 WAIT = 30  # s that a blocking read may stay unanswered
-Records = dict[str, tuple[int, bytes]]
 
 
-def read_list(body: bytes) -> Records:
+def read_list(body: bytes) -> Known:
     """Keys with their indexes and values. Raises ValueError on what is no such list."""
-    found: Records = {}
+    found: Known = {}
     for one in json.loads(body):
         if not isinstance(one, dict):
             raise ValueError("not a list of keys")
@@ -27,7 +26,7 @@
     return found
 
 
-def changes(former: Records, later: Records, index: int) -> list[tuple[str, int, bytes | None]]:
+def changes(former: Known, later: Known, index: int) -> list[tuple[str, int, bytes | None]]:
     """What leads from one list to the next, by index; what was deleted is told as of the list's."""
     events: list[tuple[str, int, bytes | None]] = [
         (key, at, value) for key, (at, value) in later.items() if former.get(key, (0,))[0] != at]
@@ -35,19 +34,25 @@
     return events + [(key, index, None) for key in former if key not in later]
 
 
+def retry_after(text: str) -> float:
+    """s that a `Retry-After` in s asks for, 60 at most; its other form, a date, counts as none told."""
+    return min(60.0, float(text)) if text.isdecimal() else 0.0
+
+
 class ConsulSession(Session):
-    """A blocking read tells the whole list, so the changes are found here, against the list that was read in
-    full before: a follower of such sessions never resumes."""
+    """A blocking read tells the whole list, so the changes are found here, against the list that was known
+    before, from this session's full read or from the one before it."""
 
     def __init__(self, number: int, address: tuple[str, int], settings: RegistrySettings,
-                 tls: ssl.SSLContext | None, hear: Hear, clock: Callable[[], float]):
-        super().__init__(number, hear, clock)
+                 tls: ssl.SSLContext | None, hear: Hear, clock: Callable[[], float], local: str = ""):
+        super().__init__(number, address, hear, clock)
+        self.local = local
         scheme = "https" if tls else "http"
         host = f"[{address[0]}]" if ":" in address[0] else address[0]
         self.url = f"{scheme}://{host}:{address[1]}/v1/kv/{settings.prefix}"
         self.tls, self.token = tls, settings.token
         self.http: aiohttp.ClientSession | None = None
-        self.known: Records = {}  # as of the last list read in this session
+        self.known: Known = {}  # as of the last list read in this session
 
     async def _get(self, **query: str) -> tuple[int, bytes]:
         """The index and the body. Raises Refused, ValueError and aiohttp's errors."""
@@ -55,6 +60,8 @@
         async with self.http.get(self.url, params=query, headers=headers, ssl=self.tls or True) as answer:
             if answer.status in (401, 403):
                 raise Refused(f"credentials refused: HTTP {answer.status}")
+            if answer.status in (429, 503) and answer.headers.get("Retry-After", "") or answer.status == 429:
+                raise Declined(retry_after(answer.headers.get("Retry-After", "")))
             if answer.status not in (200, 404):  # 404: no key under the prefix
                 raise ConnectionError(f"HTTP {answer.status}")
             index = int(answer.headers["X-Consul-Index"])
@@ -69,9 +76,14 @@
         self.spawn(self._open())
 
     async def _open(self) -> None:
-        self.http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False)
-        await self._get(keys="", separator="/", consistent="")
-        self.hear.connected(self.number)
+        if self.http is not None:  # the first word was declined, and is asked for again
+            await self.http.close()
+        connector = aiohttp.TCPConnector(local_addr=(self.local, 0)) if self.local else None
+        self.http = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False)
+        asked = self.clock()
+        index, _ = await self._get(keys="", separator="/", consistent="")
+        self.hear.connected(self.number, asked, index)
 
     def read_all(self) -> None:
         self.spawn(self._read_all())
@@ -82,9 +94,13 @@
         self.known = read_list(body)
         self.hear.whole(self.number, asked, index, [(key, *told) for key, told in self.known.items()])
 
-    def watch(self, start: int) -> None:
+    def watch(self, start: int, known: Callable[[], Known]) -> None:
+        self.known = self.known or known()
         self.spawn(self._watch(start - 1))
 
+    def progress(self) -> None:
+        """The blocking read tells at once what is new: there is nothing to ask for."""
+
     async def _watch(self, index: int) -> None:
         while True:
             last, (index, body) = index, await self._get(
--- a/applevale/sources/registry/etcd.py
+++ b/applevale/sources/registry/etcd.py
@@ -9,9 +9,10 @@
 from grpclib.client import Channel, Stream, StreamStreamMethod, UnaryUnaryMethod
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
+from grpclib.protocol import H2Protocol
 
 from . import messages as m
-from .session import MOST_ANSWER, Hear, Refused, Session
+from .session import MOST_ANSWER, Declined, Hear, Known, Refused, Session
 from .settings import RegistrySettings
 
 PAGE = 1_000  # keys of one answer to a full read
@@ -31,16 +32,31 @@
     return stream
 
 
+class _Channel(Channel):
+    """One that may bind a local address."""
+
+    local = ""
+
+    async def _create_connection(self) -> H2Protocol:
+        if not self.local:
+            return await super()._create_connection()
+        _, protocol = await self._loop.create_connection(
+            self._protocol_factory, self._host, self._port, ssl=self._ssl, local_addr=(self.local, 0))
+        return protocol
+
+
 class EtcdSession(Session):
     def __init__(self, number: int, address: tuple[str, int], settings: RegistrySettings,
-                 tls: ssl.SSLContext | None, hear: Hear, clock: Callable[[], float]):
-        super().__init__(number, hear, clock)
+                 tls: ssl.SSLContext | None, hear: Hear, clock: Callable[[], float], local: str = ""):
+        super().__init__(number, address, hear, clock)
         self.settings = settings
-        self.channel = Channel(*address, ssl=tls)
+        self.channel = _Channel(*address, ssl=tls)
+        self.channel.local = local
         self.prefix = settings.prefix.encode()
         self.end = m.range_end(self.prefix)
         self.metadata: dict[str, str] = {"token": settings.token} if settings.token else {}
         self.stream: Stream | None = None
+        self.behind = False  # progress was asked for before there was a watch
 
     async def _call(self, method: str, request: object, reply: type) -> object:
         """One answer. Raises Refused, GRPCError and whatever breaks the connection."""
@@ -53,6 +69,8 @@
         except GRPCError as error:
             if error.status in _DENIED or method == m.AUTHENTICATE:
                 raise Refused(f"credentials refused: {error.message}") from None
+            if error.status is Status.RESOURCE_EXHAUSTED:
+                raise Declined from None
             raise
         if answer is None:
             raise ConnectionError("no answer")
@@ -72,8 +90,9 @@
             request = m.AuthenticateRequest(name=self.settings.user, password=self.settings.password)
             answer = await self._call(m.AUTHENTICATE, request, m.AuthenticateResponse)
             self.metadata = {"token": answer.token}
+        asked = self.clock()
         header = await self._header()
-        self.hear.connected(self.number, header.cluster_id)
+        self.hear.connected(self.number, asked, header.revision, header.cluster_id)
 
     def read_all(self) -> None:
         self.spawn(self._read_all())
@@ -96,7 +115,7 @@
                 if error.status is not Status.OUT_OF_RANGE or not revision:
                     raise
 
-    def watch(self, start: int) -> None:
+    def watch(self, start: int, known: Callable[[], Known]) -> None:
         self.spawn(self._watch(start))
 
     async def _watch(self, start: int) -> None:
@@ -109,7 +128,8 @@
                 while (answer := await stream.recv_message()) is not None:
                     if answer.created:
                         self.stream = stream
-                        await self._progress()
+                        if self.behind:
+                            await self._progress()
                     if answer.canceled:
                         await stream.cancel()
                         self._canceled(answer)
@@ -138,6 +158,7 @@
 
     async def _progress(self) -> None:
         """Asks how far the watch is; answered behind all events that came before."""
+        self.behind = self.stream is None
         if self.stream is not None:
             await self.stream.send_message(m.WatchRequest(progress_request=m.WatchProgressRequest()))
 
@@ -147,7 +168,9 @@
     async def _ask(self, asked: float) -> None:
         header = await self._header()
         self.hear.answered(self.number, asked, header.revision)
-        await self._progress()
+
+    def progress(self) -> None:
+        self.spawn(self._progress())
 
     async def hang_up(self) -> None:
         self.channel.close()
--- a/applevale/sources/registry/session.py
+++ b/applevale/sources/registry/session.py
@@ -15,7 +15,8 @@
 class Hear(Protocol):
     """Who is told what comes. `number` is the session's; times are the source's clock."""
 
-    def connected(self, number: int, cluster: int = 0) -> None: ...
+    def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None: ...
+    def declined(self, number: int, after: float) -> None: ...
     def lost(self, number: int, why: str, refused: bool = False) -> None: ...
     def whole(self, number: int, asked: float, revision: int,
               records: Iterable[tuple[str, int, bytes]]) -> None: ...
@@ -28,11 +29,21 @@
     """The member does not take these credentials."""
 
 
+class Declined(Exception):
+    """The member refuses a call for its load; the session goes on. `after`: s that it asks for."""
+
+    def __init__(self, after: float = 0.0):
+        self.after = after
+
+
+Known = dict[str, tuple[int, bytes]]  # keys with the revision and the value of each
+
+
 class Session:
     """The tasks of one session; the first that fails ends it, and is told once."""
 
-    def __init__(self, number: int, hear: Hear, clock: Callable[[], float]):
-        self.number, self.hear, self.clock = number, hear, clock
+    def __init__(self, number: int, address: tuple[str, int], hear: Hear, clock: Callable[[], float]):
+        self.number, self.address, self.hear, self.clock = number, address, hear, clock
         self.tasks: set[asyncio.Task] = set()
         self.closed = False
 
@@ -45,6 +56,9 @@
         """What goes wrong with a session stops here: whatever a library raises on what a member sent."""
         try:
             await work
+        except Declined as error:
+            if not self.closed:
+                self.hear.declined(self.number, error.after)
         except Refused as error:
             self._lost(str(error), refused=True)
         except Exception as error:
@@ -71,12 +85,16 @@
     def read_all(self) -> None:
         raise NotImplementedError
 
-    def watch(self, start: int) -> None:
+    def watch(self, start: int, known: Callable[[], Known]) -> None:
+        """All changes from `start` on; `known`: the list that they change."""
         raise NotImplementedError
 
     def ask(self, asked: float) -> None:
         raise NotImplementedError
 
+    def progress(self) -> None:
+        raise NotImplementedError
+
 
 def context(tls: Tls | None, protocol: str) -> ssl.SSLContext | None:
     """Raises SettingsError if the files cannot be used."""
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from ...observe.counters import Counters
-from ...observe.events import say
+from ...observe.events import say, tell
+from ...startup.promise import Kept
 from ..members import Change, Names
 from . import follower as f
 from .consul import ConsulSession
@@ -30,21 +31,21 @@
 
     def __init__(self, settings: RegistrySettings, names: Names, counters: Counters,
                  tell: Callable[[Change], None], turned: Callable[[bool], None], seed: int = 0,
-                 clock: Callable[[], float] = time.monotonic):
+                 clock: Callable[[], float] = time.monotonic, local: str = ""):
         """Raises SettingsError if the addresses or the TLS files cannot be used."""
         self.settings, self.counters, self.clock = settings, counters, clock
-        self.tell, self.turned = tell, turned
+        self.tell, self.turned, self.local = tell, turned, local
         self.places, self.tls = settings.places(), context(settings.tls, PROTOCOLS[settings.kind])
-        self.ledger = Ledger(names)
+        self.ledger, random = Ledger(names), Random(seed)
         self.follower = f.Follower(
-            len(self.places), self.ledger, resumable=settings.kind == "etcd", random=Random(seed),
-            pace=f.Pace(fresh=settings.fresh, ask=settings.fresh / 5, silence=settings.fresh * 0.4,
-                        connect=settings.fresh * 0.4))
-        self.session: Session | None = None
+            len(self.places), self.ledger, random=random, pace=f.Pace(fresh=settings.fresh),
+            place=random.randrange(len(self.places)))  # not all begin with the same member
+        self.sessions: dict[int, Session] = {}
         self.ending: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.told = 0  # changes
         self.was_fresh, self.stale_since = False, clock()
+        self.promise_was = self.follower.promise.state
         self.snapshot: Snapshot | None = None
         self.kept_at, self.dirty = -KEEP_EVERY, False
         self.stopped = False
@@ -87,8 +88,7 @@
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
-        if self.session is not None:
-            await self.session.close()
+        self._end_sessions(set())
         await asyncio.gather(*self.ending, return_exceptions=True)
         if self.snapshot is not None:
             self._keep(self.clock(), last=True)
@@ -96,12 +96,15 @@
 
     # --- what sessions tell ---------------------------------------------------------------------------------
 
-    def connected(self, number: int, cluster: int = 0) -> None:
-        self._do(self.follower.connected(self.clock(), number, cluster))
+    def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None:
+        self._do(self.follower.connected(self.clock(), number, asked, revision, cluster))
+
+    def declined(self, number: int, after: float) -> None:
+        self._do(self.follower.declined(self.clock(), number, after))
 
     def lost(self, number: int, why: str, refused: bool = False) -> None:
-        if self.session is not None and self.session.number == number:
-            say("registry", f"{self._where()}: {why}")
+        if number in self.sessions:
+            say("registry", f"{self._where(number)}: {why}")
         self._do(self.follower.lost(self.clock(), number, refused))
 
     def whole(self, number: int, asked: float, revision: int,
@@ -115,13 +118,13 @@
         self._do(self.follower.answered(self.clock(), number, asked, revision))
 
     def compacted(self, number: int) -> None:
-        say("registry", f"{self._where()}: compacted behind {self.follower.revision}, all is read anew")
+        say("registry", f"{self._where(number)}: compacted behind {self.follower.revision}, all is read anew")
         self._do(self.follower.compacted(self.clock(), number))
 
     # --- inside ---------------------------------------------------------------------------------------------
 
-    def _where(self) -> str:
-        host, port = self.places[self.follower.place]
+    def _where(self, number: int) -> str:
+        host, port = self.sessions[number].address
         return f"{host}:{port}"
 
     def _do(self, commands: list[f.Command]) -> None:
@@ -131,32 +134,39 @@
             match command:
                 case f.Connect(session=number, place=place):
                     self._connect(number, place)
-                case f.ReadAll():
-                    self.session.read_all()
-                case f.Watch(start=start):
-                    self.session.watch(start)
-                case f.Ask(asked=asked):
-                    self.session.ask(asked)
+                case f.Greet(session=number):
+                    self.sessions[number].open()
+                case f.ReadAll(session=number):
+                    self.sessions[number].read_all()
+                case f.Watch(session=number, start=start):
+                    self.sessions[number].watch(start, self._known)
+                case f.Ask(session=number, asked=asked):
+                    self.sessions[number].ask(asked)
+                case f.Progress(session=number):
+                    self.sessions[number].progress()
                 case f.Tell(entries=entries, whole=whole):
                     self.told += 1
                     self.dirty = True
                     self.tell(Change(self.told, whole, tuple(entry.member for entry in entries)))
-        if self.follower.session is None and self.session is not None:
-            self._end_session()
+        self._end_sessions(self.follower.open)
         self._look()
 
+    def _known(self) -> dict[str, tuple[int, bytes]]:
+        """What was told so far, by key, with the revision and the value of each."""
+        return {key: (0, b"") for key in self.ledger.bad} | {
+            entry.key: (entry.revision, entry.value) for entry in self.ledger.entries.values()}
+
     def _connect(self, number: int, place: int) -> None:
-        self._end_session()
         kind = SESSIONS[self.settings.kind]
-        self.session = kind(number, self.places[place], self.settings, self.tls, self, self.clock)
-        self.session.open()
+        session = self.sessions[number] = kind(
+            number, self.places[place], self.settings, self.tls, self, self.clock, self.local)
+        session.open()
 
-    def _end_session(self) -> None:
-        if self.session is not None:
-            task = asyncio.create_task(self.session.close())
+    def _end_sessions(self, but: set[int]) -> None:
+        for number in self.sessions.keys() - but:
+            task = asyncio.create_task(self.sessions.pop(number).close())
             self.ending.add(task)
             task.add_done_callback(self.ending.discard)
-            self.session = None
 
     def _look(self) -> None:
         """Counts, the turn of the promise, the snapshot, and when to look again."""
@@ -165,6 +175,8 @@
             self.counters[f"registry_{name}"] = count
         self.counters["registry_bad_records"] = self.ledger.bad_seen
         fresh = self.follower.fresh(now)
+        if self.follower.promise.state is not self.promise_was:
+            self._say_promise()
         if fresh != self.was_fresh:
             self._turn(fresh, now)
         if self.snapshot is not None and fresh:
@@ -180,15 +192,29 @@
     def _tick(self) -> None:
         self._do(self.follower.ticked(self.clock()))
 
+    def _say_promise(self) -> None:
+        """Once for each time that the promise is given up, with figures; and when it is kept again."""
+        former, self.promise_was = self.promise_was, self.follower.promise.state
+        pace, latency = self.follower.pace, self.follower.latency
+        if former is Kept.KEPT:
+            say("promise", f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
+                f"reads a second, answered within {self.follower.promise.room * 1000:.0f} ms; they take "
+                f"{latency.mean * 1000:.0f} ms, {self.follower.figures.declined} were refused so far. "
+                f"on_stale is {self.settings.on_stale!r} until it can")
+        elif self.promise_was is Kept.KEPT:
+            say("promise", f"{pace.fresh:g} s is kept again")
+
     def _turn(self, fresh: bool, now: float) -> None:
         if fresh:
             stale = now - self.stale_since
             self.counters["registry_stale_ms"] += int(stale * 1000)
             say("registry", f"confirmed at revision {self.follower.revision}, after {stale:.3f} s")
+            tell("list", confirmed=True, revision=self.follower.revision, stale=round(stale, 3))
         else:
             self.counters["registry_stale"] += 1
             self.stale_since = now
             say("registry", f"the list is not confirmed, on_stale is {self.settings.on_stale!r}")
+            tell("list", confirmed=False)
         self.was_fresh = fresh
         self.turned(fresh)
 
