Fleet rig: real programs, a list service, engines, clients and faults in one history

Need: figures of hundreds of real processes, beside those of an earlier checkout on the same machine. rigs/fleet.py starts all, rigs/cases.py says what happens, verify/ reads the history and knows nothing of the program. Engines come into use one by one (startup/ramp.py, node/openings.py; off without startup.engine_connects): a rate of connections to each engine over the fleet, shared out as places in a round by instance number. Ready now also needs an engine that may be used; turns of readiness and of the list are JSON events.

--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -174,13 +174,19 @@
 
 
 @app.command()
-def rig(name: Annotated[str, typer.Argument(help="Which rig: registry or ops.")],
+def rig(name: Annotated[str, typer.Argument(help="Which rig: registry, ops or fleet.")],
         seed: Annotated[int, typer.Option(help="Decides all that is drawn.")] = 1,
         seconds: Annotated[float, typer.Option(help="How long it plays.")] = 60.0,
+        nodes: Annotated[int, typer.Option(help="fleet: how many programs.", min=1, max=1000)] = 8,
+        case: Annotated[str, typer.Option(help="fleet: what happens.")] = "coldstart",
+        history: Annotated[str, typer.Option(help="fleet: where to write the history.")] = "",
+        baseline: Annotated[str, typer.Option(help="fleet: a checkout to play first.")] = "",
         as_json: Annotated[bool, typer.Option("--json", help="Print one JSON line only.")] = False) -> None:
     """Run the real program between stand-ins, cause failures, check promises; exit code 1 if one broke."""
+    if name == "fleet":
+        fleet_rig(nodes, case, seed, history, baseline, as_json)
     if name not in ("registry", "ops"):
-        fail(f"rig: no rig is called {name!r}; there are: registry, ops")
+        fail(f"rig: no rig is called {name!r}; there are: registry, ops, fleet")
     from ..rigs import ops, registry
 
     if not as_json:
@@ -190,6 +196,28 @@
     raise typer.Exit(0 if result["ok"] else 1)
 
 
+def fleet_rig(nodes: int, case: str, seed: int, history: str, baseline: str, as_json: bool) -> None:
+    import uvloop
+
+    from ..rigs import cases
+    from ..rigs.fleet import Plan
+
+    if case not in cases.CASES:
+        fail(f"--case: no case is called {case!r}; there are: {', '.join(cases.CASES)}")
+    if baseline and not os.path.isfile(os.path.join(baseline, "applevale", "__main__.py")):
+        fail(f"--baseline: {baseline}: no checkout of the program")
+    if not as_json:
+        typer.echo(f"rig fleet: case {case}, {nodes} programs, seed {seed}", err=True)
+    before = None
+    if baseline:
+        before = uvloop.run(cases.run(Plan(nodes, seed, checkout=os.path.abspath(baseline)), case))
+    result = uvloop.run(cases.run(Plan(nodes, seed), case, history))
+    if before is not None:
+        result["baseline"] = before
+    typer.echo(json.dumps(result))
+    raise typer.Exit(0 if result["ok"] else 1)
+
+
 def main() -> None:
     try:
         app()
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -17,7 +17,7 @@
 from ..control.figures import Figures
 from ..control.shared import SharedBans
 from ..observe.counters import Counters
-from ..observe.events import always, say
+from ..observe.events import always, say, tell
 from ..policy import Gateway
 from ..sources.feed import Feed, FeedError
 from ..sources.members import Change, Source
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from ..sources.registry.source import RegistrySource
+    from .openings import Openings
     from .peers import Peers
 
 BACKLOG = 512
@@ -94,6 +95,7 @@
         self.shared.look()  # what a former process left
         self.list.banned = self.bans.banned  # one set: what the module is told follows every ban at once
         self.stats = self._figures()
+        self.openings = self._openings()
         self.peers = self._peers(gateway)
         self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
@@ -112,7 +114,15 @@
 
     def serving(self) -> bool:
         """Whether new clients are welcome: what probes and /ready say."""
-        return not (self.leaving.is_set() or self.list.held or self.front.draining.on)
+        engines = self.config.registry is None or self.list.usable()  # a list of none serves no one
+        return engines and not (self.leaving.is_set() or self.list.held or self.front.draining.on)
+
+    def welcome(self) -> None:
+        """Probes, /ready and who reads along are told the same, as it turns."""
+        ready = self.serving()
+        if ready != self.front.ready:
+            tell("ready", ready=ready)
+        self.front.ready = ready
 
     # What the operators' door works on (control.calls.Operated).
     def ready(self) -> bool:
@@ -145,11 +155,21 @@
 
     def drain(self) -> None:
         self.front.drain()
-        self.front.ready = self.serving()
+        self.welcome()
 
     def undrain(self) -> None:
         self.front.undrain()
-        self.front.ready = self.serving()
+        self.welcome()
+
+    def _openings(self) -> Openings | None:
+        """Engines one by one, where the settings name a rate of connections."""
+        config = self.config
+        if config.engine_connects is None:
+            return None
+        from .openings import Openings, Ramp  # not loaded where it is not used
+
+        ramp = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
+        return Openings(ramp, self.fleet, self.driver, self.list, self.welcome)
 
     def _guide(self) -> api.Guide | None:
         """Preference among zones, where a zones file is named."""
@@ -200,8 +220,10 @@
         self.fleet.update(change)
         if self.peers is not None:
             self.peers.news.listed(self.fleet.engines)
+        if self.openings is not None:
+            self.openings.listed()
         self.driver.post(self.list.changed(change))
-        self.front.ready = self.serving()
+        self.welcome()
 
     def turned(self, confirmed: bool) -> None:
         """The registry's list is held to be true from now on, or no longer."""
@@ -209,7 +231,7 @@
             return
         self.driver.post(self.list.turned(confirmed))
         self.broker.hold(None if confirmed else self.config.registry.hold)
-        self.front.ready = self.serving()
+        self.welcome()
 
     def learn(self, known: tuple[Change, ...]) -> None:
         """What a configuration knows of the list, beyond what was told already."""
@@ -297,7 +319,7 @@
     always("listening", f"{config.name} listens on {host}:{port}", host=host, port=port, pid=os.getpid())
     try:
         await node.leaving.wait()
-        node.front.ready = False
+        node.welcome()
         await node.close(loop.time())
     finally:
         node.front.shut()
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -62,6 +62,7 @@
     zones: object = None  # the zones file; None: zones make no difference
     control: Address | None = None  # the operators' door; None: there is none
     json_log: bool = False  # events as JSON lines in place of plain ones
+    engine_connects: float | None = None  # connections a second to one engine, over the fleet; None: no limit
     local: str = ""  # the local address that outgoing connections bind; empty: the system's choice
 
 
@@ -158,6 +159,14 @@
     return address(raw["control"], "control") if raw.get("control") else None
 
 
+def _engine_connects(raw: Mapping) -> float | None:
+    section = _section(raw, "startup")
+    for key in section:
+        if key != "engine_connects":
+            raise ConfigError(f"startup.{key}: unknown")
+    return _limit(section, "engine_connects", 0.0, 0.1) if section else None
+
+
 def _local(raw: Mapping) -> str:
     value = raw.get("local_address", "")
     try:
@@ -220,6 +229,7 @@
         zones=found_zones,
         control=_control(raw, environ),
         json_log=_json_log(raw, environ),
+        engine_connects=_engine_connects(raw),
         local=_local(raw),
     )
 
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -327,6 +327,8 @@
         finally:
             self.close(why)
             self.engine.links.remove(self)
+            if not self.engine.links and why != "idle":
+                self.fleet.parted(self.engine.number)
             for timer in (self.idle_timer, self.watch_timer):
                 if timer is not None:
                     timer.cancel()
@@ -469,7 +471,9 @@
         if fit and not alone and self.fleet.frugal():
             return min(fit, key=lambda link: link.streams)
         share = self.fleet.most_links // max(1, len(self.fleet.engines))
-        if (len(self.links) < share or not fit) and self.fleet.count_links() < self.fleet.most_links:
+        if ((len(self.links) < share or not fit) and self.fleet.count_links() < self.fleet.most_links
+                and self.fleet.may_open(self.number)):
+            self.fleet.opening(self.number)
             self.links.append(Link(self))
             return self.links[-1]
         return min(fit, key=lambda link: link.streams) if fit else None
@@ -481,6 +485,10 @@
     def __init__(self, limits: LinkLimits, columns: tuple[str, ...], most_links: int, counters: Counters):
         self.limits, self.most_links, self.counters = limits, most_links, counters
         self.columns = columns
+        # Whether a connection to an engine may be begun now; that one is; that the last one to it broke.
+        self.may_open: Callable[[int], bool] = lambda engine: True
+        self.opening: Callable[[int], None] = lambda engine: None
+        self.parted: Callable[[int], None] = lambda engine: None
         self.local = ""  # the address that connections bind; empty: the system's choice
         self.engines: dict[int, Engine] = {}
         self.gone: set[int] = set()  # of them, those that have left the list
@@ -547,7 +555,9 @@
         if engine is None or engine.state is not State.READY or want.ttl <= 0 or not self.allowed():
             attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
         elif (link := engine.link(want.ref, avoid, want.alone)) is None:
-            attempt.end(Broken(Reach.NEVER_SENT, Result.CONNECT_FAILED))
+            # Not allowed to connect says nothing of the engine; too many links open already does.
+            result = Result.CONNECT_FAILED if self.may_open(number) else Result.MOOT
+            attempt.end(Broken(Reach.NEVER_SENT, result))
         else:
             link.carry(attempt)
         return attempt
--- a/applevale/node/held.py
+++ b/applevale/node/held.py
@@ -2,7 +2,8 @@
 
 Invariant: while the list is held, no engine is told as ready, and what changed meanwhile is told with it at
 the end; so nothing new is sent, and what is under way goes on. An engine in `banned` is never told as ready,
-whatever its source says, until it is taken out of it. No I/O and no clock.
+whatever its source says, until it is taken out of it; nor is one in `unopened`, to which no connection may be
+begun yet. No I/O and no clock.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
         self.entries: dict[int, api.EngineEntry] = {}
         self.held = False
         self.banned: set[int] = set()
+        self.unopened: set[int] = set()
 
     def changed(self, change: Change) -> api.EngineList:
         if change.whole:
@@ -39,5 +41,13 @@
         return api.EngineList(() if entry is None else (self._seen(entry),), whole=False)
 
     def _seen(self, entry: api.EngineEntry) -> api.EngineEntry:
-        hidden = (self.held or entry.engine in self.banned) and entry.state is api.State.READY
+        hidden = entry.state is api.State.READY and (self.held or self._out(entry.engine))
         return replace(entry, state=api.State.DRAINING) if hidden else entry
+
+    def _out(self, engine: int) -> bool:
+        return engine in self.banned or engine in self.unopened
+
+    def usable(self) -> bool:
+        """Whether there is an engine to send to, once the list is confirmed."""
+        return any(entry.state is api.State.READY and not self._out(entry.engine)
+                   for entry in self.entries.values())
--- /dev/null
+++ b/applevale/node/openings.py
@@ -0,0 +1,71 @@
+"""Engines come into use one by one: carries out what the ramp says of connections to each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from math import inf
+
+from ..startup.ramp import Ramp
+from .driver import Driver
+from .engine import Fleet
+from .held import HeldList
+
+
+class Openings:
+    """Invariant: an engine without a link, to which none may be begun yet, is told to the module as not
+    ready; it is told as it is as soon as one may."""
+
+    def __init__(self, ramp: Ramp, fleet: Fleet, driver: Driver, held: HeldList, turned: Callable[[], None]):
+        self.ramp, self.fleet, self.driver, self.held, self.turned = ramp, fleet, driver, held, turned
+        fleet.may_open, fleet.opening, fleet.parted = self.may, self.begun, self.parted
+        self.timer: asyncio.TimerHandle | None = None
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def may(self, engine: int) -> bool:
+        return self.ramp.may(engine, self.now())
+
+    def begun(self, engine: int) -> None:
+        self.ramp.begun(engine, self.now())
+
+    def parted(self, engine: int) -> None:
+        """The last link to it broke, or its first never came up."""
+        self.ramp.parted(engine, self.now())
+        if self._hide(engine):
+            self.driver.post(self.held.told_again(engine))
+            self.turned()
+        self._wait()
+
+    def listed(self) -> None:
+        """Before the module hears of a list."""
+        present = set(self.fleet.engines) - self.fleet.gone
+        self.ramp.listed(present, self.now())
+        self.held.unopened &= present
+        for engine in present:
+            self._hide(engine)
+        self._wait()
+
+    def _hide(self, engine: int) -> bool:
+        known = self.fleet.engines.get(engine)
+        hidden = known is not None and not known.links and not self.may(engine)
+        if hidden:
+            self.held.unopened.add(engine)
+        return hidden
+
+    def _wait(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        due = min((self.ramp.next.get(engine, -inf) for engine in self.held.unopened), default=None)
+        self.timer = None
+        if due is not None:
+            self.timer = asyncio.get_running_loop().call_at(due, self._open)
+
+    def _open(self) -> None:
+        for engine in [engine for engine in self.held.unopened if self.may(engine)]:
+            self.held.unopened.discard(engine)
+            self.driver.post(self.held.told_again(engine))
+        self.turned()
+        self._wait()
--- /dev/null
+++ b/applevale/rigs/cases.py
@@ -0,0 +1,320 @@
+"""The cases of the fleet rig: what happens, and what may come of it at the most."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+from ..faults.fates import Fate
+from ..faults.schedule import Kill, Link, Term
+from ..verify import coldstart as verify
+from ..verify.history import History, quantile
+from .fleet import Fleet, Plan
+
+UP = 60.0  # s within which all are ready, with the machine's share
+REST = 5.0
+READY_LATER = 2.0  # s that the last ones are ready behind processes that only import the program
+
+Play = Callable[[Fleet], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Case:
+    """`bars`: figures and the most that each may be, from the figures and the number of instances."""
+
+    play: Play
+    bars: Callable[[dict, int], dict[str, float]] = lambda found, nodes: {}
+    plan: dict = field(default_factory=dict)  # what differs from the usual
+
+
+async def _up(fleet: Fleet, within: float = UP) -> None:
+    await fleet.launch_all()
+    await fleet.all_ready(within)
+
+
+async def _rest(fleet: Fleet) -> None:
+    """All that a start has brought has settled; then some seconds are looked at."""
+    await asyncio.sleep(2.0)
+    end = fleet.measure_idle()
+    fleet.mark("rest")
+    await asyncio.sleep(REST)
+    fleet.mark("rest_end")
+    end()
+
+
+async def _break(fleet: Fleet, span: float, after: float = verify.AFTER) -> None:
+    """The list service is away for `span` s, for all at once."""
+    fleet.mark("break")
+    await fleet.service.order("down")
+    await asyncio.sleep(span)
+    await fleet.service.order("up")
+    fleet.mark("break_end")
+    await asyncio.sleep(after)
+
+
+async def coldstart(fleet: Fleet) -> None:
+    """All at once, to rest; drains; the list service away for 1 s."""
+    await _up(fleet)
+    await _rest(fleet)
+    await fleet.drain(3)
+    await _break(fleet, 1.0)
+    await fleet.quiet()
+
+
+def _coldstart_bars(found: dict, nodes: int) -> dict[str, float]:
+    return {"sessions": 1.05 * nodes, "sessions_after_break": 1.05 * nodes, "full_reads_most": 1,
+            "list_reads_s_steady": 5 * nodes, "unconfirmed_at_rest": 0,
+            "reads_after_break": found.get("list_reads_s_steady", 0), "connects_per_engine_s_max": 20}
+
+
+async def late_service(fleet: Fleet) -> None:
+    """The instances come first, the list service 20 s later."""
+    await fleet.service.order("down")
+    await fleet.launch_all()
+    await fleet.until(lambda: all(one.program.listening.is_set() for one in fleet.instances), UP)
+    await asyncio.sleep(20.0)
+    fleet.mark("break_end")
+    await fleet.service.order("up")
+    await fleet.all_ready(UP)
+    await _rest(fleet)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def restart(fleet: Fleet) -> None:
+    """The list service is restarted under all of them, three times."""
+    await _up(fleet)
+    await _rest(fleet)
+    for _ in range(2):
+        await _break(fleet, 0.3, 3.0)
+    await _break(fleet, 3.0)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def scarce(fleet: Fleet) -> None:
+    """The list service takes 50 reads a second and refuses the rest; then as many as ever."""
+    await fleet.service.order("capacity", rate=50.0, most=0.1)
+    await fleet.launch_all()
+    await asyncio.sleep(25.0)
+    await fleet.drain(2)
+    await fleet.service.order("capacity", rate=fleet.plan.capacity)
+    await fleet.all_ready(UP)
+    await asyncio.sleep(8.0)  # trials of the promise, one after the other
+    await _rest(fleet)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+def _slow(seconds: float) -> Play:
+    async def slow(fleet: Fleet) -> None:
+        """All at rest, then every answer of the list service takes that long, then none does."""
+        await _up(fleet)
+        await _rest(fleet)
+        await fleet.service.order("late", seconds=seconds)
+        fleet.mark("slow")
+        await asyncio.sleep(3.0)
+        await fleet.drain(2)
+        await asyncio.sleep(5.0)
+        fleet.mark("slow_end")
+        await fleet.service.order("late", seconds=0.0)
+        await asyncio.sleep(12.0)
+        await fleet.drain(1)
+        await fleet.quiet()
+
+    return slow
+
+
+async def slow_member(fleet: Fleet) -> None:
+    """One member of three takes 0.3 s for each answer."""
+    await _up(fleet)
+    await _rest(fleet)
+    fleet.mark("slow")
+    await fleet.service.order("late", seconds=0.3, member=0)
+    await asyncio.sleep(5.0)
+    fleet.mark("slow_end")
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def restore(fleet: Fleet) -> None:
+    """The list service comes back from a backup that knows less."""
+    await _up(fleet)
+    await fleet.service.order("keep")
+    kept = dict(fleet.states)
+    await fleet.drain(1)
+    await fleet.list_engine(0, "gone")
+    await _rest(fleet)
+    fleet.mark("break")
+    await fleet.service.order("restore")
+    fleet.states = kept
+    fleet.mark("break_end")
+    await asyncio.sleep(verify.AFTER)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def cut_third(fleet: Fleet) -> None:
+    """A third of the instances is cut off from the list service for 6 s."""
+    await _up(fleet)
+    await _rest(fleet)
+    third = [one.name for one in fleet.instances[: max(1, len(fleet.instances) // 3)]]
+    cut = asyncio.create_task(fleet.play([
+        Link(at=0, sources=third, targets=["list*"], fate=Fate(cut=True), span=6.0),
+        Link(at=0, sources=["list*"], targets=third, fate=Fate(cut=True), span=6.0)]))
+    await asyncio.sleep(1.0)
+    await fleet.drain(3)
+    await cut
+    await asyncio.sleep(6.0)
+    await fleet.drain(1)
+    await fleet.quiet()
+
+
+async def crash_loop(fleet: Fleet) -> None:
+    """Half of the instances crash and start again every 2 s."""
+    await _up(fleet)
+    await _rest(fleet)
+    half = [one.name for one in fleet.instances[: len(fleet.instances) // 2]]
+    fleet.mark("crashes")
+    await fleet.play([Kill(at=2.0 * turn, who=half, back=0.1) for turn in range(5)])
+    fleet.mark("crashes_end")
+    await fleet.all_ready(UP)
+    await asyncio.sleep(3.0)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def rolling(fleet: Fleet) -> None:
+    """A release: each is ended and started anew, a tenth at a time."""
+    await _up(fleet)
+    await _rest(fleet)
+    names = [one.name for one in fleet.instances]
+    step = max(1, len(names) // 10)
+    for first in range(0, len(names), step):
+        await fleet.play([Term(at=0, who=names[first: first + step], back=0.1)])
+        await fleet.all_ready(UP)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def cold_site(fleet: Fleet) -> None:
+    """Engines cold and instances cold together: the whole site comes up."""
+    await _up(fleet)
+    await asyncio.sleep(8.0)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def eager(fleet: Fleet) -> None:
+    """Clients come before anyone is ready, and repeat at once what is refused."""
+    await fleet.service.order("down")
+    await fleet.launch_all()
+    await fleet.until(lambda: all(one.program.listening.is_set() for one in fleet.instances), UP)
+    await asyncio.sleep(4.0)
+    await fleet.service.order("up")
+    await fleet.all_ready(UP)
+    await _rest(fleet)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def away(fleet: Fleet) -> None:
+    """The list service is away for a minute; its return is no second cold start."""
+    await _up(fleet)
+    await _rest(fleet)
+    await _break(fleet, 60.0)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def engines_cut(fleet: Fleet) -> None:
+    """The network to all engines is away for 3 s: every link breaks at once."""
+    await _up(fleet)
+    await asyncio.sleep(6.0)
+    await _rest(fleet)
+    await fleet.play([Link(at=0, sources=["n*"], targets=["e*"], fate=Fate(refuse=True), span=3.0)])
+    await asyncio.sleep(8.0)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+def _calm(found: dict, nodes: int) -> dict[str, float]:
+    return {"unconfirmed_at_rest": 0, "full_reads_most": 1, "sessions": 1.05 * nodes}
+
+
+def _at_rest(found: dict, nodes: int) -> dict[str, float]:
+    return {"unconfirmed_at_rest": 0}
+
+
+def _after_break(found: dict, nodes: int) -> dict[str, float]:
+    return _calm(found, nodes) | {"sessions_after_break": 1.05 * nodes,
+                                  "reads_after_break": found.get("list_reads_s_steady", 0)}
+
+
+CASES: dict[str, Case] = {
+    "coldstart": Case(coldstart, _coldstart_bars),
+    "late-service": Case(late_service, lambda found, nodes: {"unconfirmed_at_rest": 0, "full_reads_most": 1}),
+    "restart": Case(restart, _calm),
+    "scarce": Case(scarce, lambda found, nodes: {"full_reads_most": 1}),
+    "slow-200": Case(_slow(0.2), _calm),
+    "slow-400": Case(_slow(0.4), _calm),
+    "slow-member": Case(slow_member, _calm),
+    "restore": Case(restore, _at_rest),
+    "cut-third": Case(cut_third, _calm),
+    "crash-loop": Case(crash_loop, _calm),
+    "rolling": Case(rolling, _calm),
+    "cold-site": Case(cold_site, lambda found, nodes: {"connects_per_engine_s_max": 20},
+                      {"engines": 30, "cold": 30, "clients": 4.0}),
+    "eager": Case(eager, lambda found, nodes: {"unconfirmed_at_rest": 0}, {"eager": True}),
+    "away": Case(away, _after_break),
+    "engines-cut": Case(engines_cut, lambda found, nodes: {"connects_per_engine_s_max": 20}),
+}
+
+
+async def run(plan: Plan, case: str, history: str = "") -> dict:
+    """One run; the figures, with `ok` and what was missed. `history`: where to write it."""
+    chosen = CASES[case]
+    fleet = Fleet(replace(plan, **chosen.plan))
+    play = asyncio.create_task(_play(fleet, chosen))
+    try:
+        found = await play
+    finally:
+        await fleet.stop()
+    told = fleet.history()
+    if history:
+        told.write(history)
+    return {"rig": "fleet", "case": case, **_figures(fleet, told, found, chosen)}
+
+
+async def _play(fleet: Fleet, chosen: Case) -> dict:
+    await fleet.measure_imports()
+    await fleet.start()
+    await chosen.play(fleet)
+    await fleet.settle()
+    shown = await asyncio.gather(*(one.program.counters() for one in fleet.instances
+                                   if one.program.process.returncode is None))
+    return {name: sum(counts.get(f"registry_{name}", 0) for counts in shown)
+            for name in ("stalls", "trials", "slow_for_all", "declined", "given_up", "stale", "breaks")}
+
+
+def _figures(fleet: Fleet, history: History, counted: dict, chosen: Case) -> dict:
+    nodes = fleet.plan.nodes
+    found = verify.figures(history, nodes) | counted
+    rules = fleet.rules()
+    found |= {name: rules[name] for name in ("lost_requests", "answered_twice", "loads_twice", "order_breaks",
+                                             "requests", "served", "cut_by_ends")}
+    found["wrong_lists"] = fleet.figures["wrong_lists"]
+    found["pushed_most"] = round(max(engine.pushed for engine in fleet.engines), 2)
+    found["import_s"] = {name: round(quantile(fleet.import_s, share), 2)
+                         for name, share in (("p50", 0.5), ("p99", 0.99), ("max", 1.0))}
+    found["idle"] = fleet.idle
+    missed = verify.broken(found, nodes, chosen.bars(found, nodes))
+    if fleet.figures["bad_exits"]:
+        missed.append(f"exits with another code than 0: {fleet.figures['bad_exits']}")
+    if chosen.play is coldstart and found["ready_s"]["p99"] > found["import_s"]["p99"] + READY_LATER:
+        missed.append(f"ready_s: p99 {found['ready_s']['p99']}, imports {found['import_s']['p99']}")
+    faults = {name.removeprefix("fault_"): count for name, count in fleet.figures.items()
+              if name.startswith("fault_")}
+    return {"ok": not missed, "missed": missed, "seed": fleet.plan.seed, "nodes": nodes, "faults": faults,
+            **found}
--- /dev/null
+++ b/applevale/rigs/fleet.py
@@ -0,0 +1,479 @@
+"""The fleet rig: many real programs, a list service, engines and clients, with faults between all of them.
+
+It causes what a case says, gathers one history and hands it to checkers (verify/) that know nothing of the
+program. Whatever happens, all that it started has ended when it returns.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from random import Random
+from zlib import crc32
+
+import msgspec
+
+from ..faults import schedule as f
+from ..faults.fates import Fates, matches
+from ..faults.gates import Gate, source_address, source_number
+from ..standins.clients import Clients
+from ..standins.cold import ColdEngine
+from ..verify.history import History
+from .program import KINDS, SETTINGS, ZONES, Program, broken_rules
+
+PREFIX = "applevale/engines/"
+IMPORTS = "import time, applevale.__main__, applevale.sources.registry.source; print(time.monotonic())"
+QUIET = 8.0  # s within which every list is the registry's, at a quiet point
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a run consists of."""
+
+    nodes: int
+    seed: int = 1
+    engines: int = 80
+    capacity: float = 600.0  # reads a second that the list service bears
+    clients: float = 2.0  # requests a second to each instance
+    eager: bool = False  # clients repeat at once what is refused
+    cold: int = 0  # engines that start together with the instances
+    connects: float = 20.0  # connections a second to one engine, over the fleet; 0: no limit
+    snapshot: bool = False
+    checkout: str | None = None  # a folder whose program is run, for a baseline
+    entry: tuple[str, ...] = ()  # another module to run as the program (for planted faults)
+
+
+def place(gate: Gate) -> str:
+    return f"{gate.address[0]}:{gate.address[1]}"
+
+
+class Instance:
+    """One program, its clients, and its process's states."""
+
+    def __init__(self, number: int, name: str, program: Program):
+        self.number, self.name, self.program = number, name, program
+        self.clients: Clients | None = None
+        self.load: asyncio.Task | None = None
+        self.ready = self.confirmed = False
+        self.killed: list[float] = []  # by the loop's clock
+
+
+class Service:
+    """The list service's process: orders to it, and what it tells."""
+
+    def __init__(self, heard: Callable[[dict], None]):
+        self.heard = heard
+        self.process: asyncio.subprocess.Process | None = None
+        self.done: asyncio.Queue[dict] = asyncio.Queue()
+        self.addresses: list[tuple[str, int]] = []
+        self.reading: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "applevale.standins.listhost",
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=1 << 24)
+        self.reading = asyncio.create_task(self._read())
+        self.addresses = [tuple(one) for one in (await self.done.get())["addresses"]]
+
+    async def _read(self) -> None:
+        while line := await self.process.stdout.readline():
+            event = json.loads(line)
+            if event["event"] in ("serving", "done"):
+                self.done.put_nowait(event)
+            else:
+                self.heard(event)
+
+    async def order(self, order: str, **values: object) -> None:
+        """Carried out when this returns."""
+        self.process.stdin.write(json.dumps({"order": order, **values}).encode() + b"\n")
+        async with asyncio.timeout(30.0):
+            await self.done.get()
+
+    async def stop(self) -> None:
+        if self.process is None:
+            return
+        if self.process.returncode is None:
+            self.process.stdin.close()
+            try:
+                async with asyncio.timeout(5.0):
+                    await self.process.wait()
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+        await self.reading
+
+
+class Fleet:
+    """The stage of a case. Names: `n0`… the instances, `list0`… the members, `e0`… the engines."""
+
+    def __init__(self, plan: Plan):
+        self.plan, self.random = plan, Random(plan.seed)
+        self.loop = asyncio.get_running_loop()
+        self.events: list[dict] = []
+        self.fates = Fates(plan.seed)
+        self.service = Service(self._service_said)
+        self.gates: list[Gate] = []
+        self.engine_gates: list[Gate] = []
+        self.engines: list[ColdEngine] = []
+        self.states: dict[int, str] = {}  # engine -> as last written
+        self.instances: list[Instance] = []
+        self.tasks: set[asyncio.Task] = set()
+        self.figures: Counter = Counter()
+        self.apart: list[float] = []
+        self.import_s: list[float] = []
+        self.idle: dict[str, float] = {}
+
+    # --- the history ----------------------------------------------------------------------------------------
+
+    def note(self, event: str, at: float | None = None, **fields: object) -> None:
+        self.events.append({"at": time.monotonic() if at is None else at, "event": event, **fields})
+
+    def mark(self, name: str) -> None:
+        self.note("mark", name=name)
+
+    @staticmethod
+    def _who(caller: str) -> str:
+        number = source_number(caller.partition(":")[0])
+        return "other" if number is None else f"n{number}"
+
+    def _service_said(self, event: dict) -> None:
+        match event["event"]:
+            case "reads":
+                for at, out, caller, member, whole, answered in event["reads"]:
+                    self.note("read", at, who=self._who(caller), out=out, member=member, whole=whole,
+                              answered=answered, caller=caller)
+            case "commit":
+                told = json.loads(event["value"]) if event["value"] else {}
+                self.note("commit", event["committed"], key=event["key"], engine=told.get("id", ""),
+                          address=told.get("address", ""), state=told.get("state", "gone"))
+            case "session" | "session_end" as name:
+                self.note(name, event["at"], who=self._who(event["caller"]), member=event["member"],
+                          caller=event["caller"])
+
+    def _program_said(self, instance: Instance, event: dict) -> None:
+        if event["event"] in ("listening", "ready", "list"):
+            known = {key: event[key] for key in ("ready", "confirmed") if key in event}
+            self.note(event["event"], event.get("at"), who=instance.name, **known)
+            instance.ready = known.get("ready", instance.ready)
+            instance.confirmed = known.get("confirmed", instance.confirmed)
+            if event["event"] == "listening" and self.plan.clients and instance.load is None:
+                instance.load = asyncio.create_task(self._serve(instance))
+
+    def history(self) -> History:
+        """With what the engines saw, in the order of times."""
+        seen = []
+        for engine, gate in zip(self.engines, self.engine_gates):
+            name = place(gate)
+            seen += [{"at": at, "event": "connect", "who": self._who(caller), "engine": name}
+                     for at, caller in engine.connects]
+            seen += [{"at": one.at, "event": "arrival", "who": self._who(one.caller), "engine": name,
+                      "ref": one.ref.decode(errors="replace"), "lane": one.lane.decode(errors="replace")}
+                     for one in engine.arrivals]
+            if engine.fell is not None:
+                seen.append({"at": engine.fell, "event": "fell", "engine": name})
+        return History([*self.events, *seen])
+
+    # --- start and end --------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """All but the instances."""
+        plan = self.plan
+        await self.service.start()
+        await self.service.order("capacity", rate=plan.capacity)
+        for at, address in enumerate(self.service.addresses):
+            gate = Gate(f"list{at}", address, self.fates)
+            await gate.start()
+            self.gates.append(gate)
+        for at in range(plan.engines):
+            engine = ColdEngine(Random(self.random.random()))
+            await engine.start()
+            gate = Gate(f"e{at}", engine.address, self.fates)
+            await gate.start()
+            self.engines.append(engine)
+            self.engine_gates.append(gate)
+        for at in range(plan.engines):
+            if at < plan.cold:
+                self.engines[at].started = time.monotonic()
+            await self.list_engine(at, "ready")
+        port = self._free_port()
+        for number in range(plan.nodes):
+            self.instances.append(self._instance(number, port))
+
+    @staticmethod
+    def _free_port() -> int:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            return sock.getsockname()[1]
+
+    def _instance(self, number: int, port: int) -> Instance:
+        name, plan = f"n{number}", self.plan
+        host = source_address(number).replace("127.1.", "127.2.", 1)
+        config = {
+            "listen": f"{host}:{port}", "local_address": source_address(number), "log": "json",
+            "seed": f"{self.random.getrandbits(48):x}",
+            "settings": SETTINGS | {"me": number, "fleet_size": plan.nodes},
+            "registry": {"kind": "etcd", "prefix": PREFIX,
+                         "addresses": [place(gate) for gate in self.gates]}}
+        if plan.connects:
+            config["startup"] = {"engine_connects": plan.connects}
+        program = Program(config, name, plan.checkout)
+        if plan.snapshot:
+            config["registry"]["snapshot"] = os.path.join(program.folder.name, "snapshot")
+        instance = Instance(number, name, program)
+        program.heard = lambda event: self._program_said(instance, event)
+        return instance
+
+    async def launch(self, instance: Instance) -> None:
+        self.note("launched", who=instance.name)
+        instance.ready = instance.confirmed = False
+        await instance.program.launch(*self.plan.entry)
+
+    async def launch_all(self, over: float = 0.0) -> None:
+        """All at once, or one after the other over `over` s."""
+        self.mark("launched")
+        for instance in self.instances:
+            await self.launch(instance)
+            if over:
+                await asyncio.sleep(over / len(self.instances))
+
+    async def measure_imports(self) -> None:
+        """The machine's own share of a start: as many processes that only import the program."""
+        began = time.monotonic()
+        processes = [await asyncio.create_subprocess_exec(
+            sys.executable, "-c", IMPORTS, stdout=asyncio.subprocess.PIPE, cwd=self.plan.checkout)
+            for _ in range(self.plan.nodes)]
+        told = await asyncio.gather(*(process.communicate() for process in processes))
+        self.import_s = [float(out) - began for out, _ in told]
+
+    async def stop(self) -> None:
+        """All that was started ends, also after a failure."""
+        for task in (*self.tasks, *(one.load for one in self.instances if one.load is not None)):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for instance in self.instances:
+            if instance.clients is not None:
+                await instance.clients.stop()
+            if instance.program.process is not None and instance.program.process.returncode is None:
+                instance.program.process.send_signal(signal.SIGCONT)
+        await asyncio.gather(*(self._end(one) for one in self.instances), return_exceptions=True)
+        for part in (*self.gates, *self.engine_gates, *self.engines):
+            await part.stop()
+        await self.service.stop()
+
+    @staticmethod
+    async def _end(instance: Instance) -> None:
+        process = instance.program.process
+        try:
+            if process is not None and process.returncode is None:
+                process.terminate()
+                async with asyncio.timeout(10.0):
+                    await process.wait()
+        finally:
+            await instance.program.end()
+            instance.program.folder.cleanup()
+
+    # --- clients --------------------------------------------------------------------------------------------
+
+    async def _serve(self, instance: Instance) -> None:
+        """Clients of one instance, from its first listening on until the run ends."""
+        plan = self.plan
+        instance.clients = Clients(instance.program.address, Random(self.random.random()), plan.clients,
+                                   connections=1, again=True, effort=400.0, repeat=plan.eager)
+        await instance.clients.start()
+        await instance.clients.run(inf)
+
+    async def settle(self) -> None:
+        """No new requests; those that are open get their answers."""
+        for instance in self.instances:
+            if instance.load is not None:
+                instance.load.cancel()
+        await asyncio.gather(*(one.clients.settle() for one in self.instances if one.clients is not None))
+
+    def rules(self) -> Counter:
+        """What the rules on requests say, over all instances; what an ended one held is its clients' loss."""
+        found: Counter = Counter()
+        for instance in self.instances:
+            if instance.clients is None:
+                continue
+            ends = [*instance.killed, *self.apart]
+            for sent in instance.clients.sent:
+                if sent.cut and any(sent.at <= end + 0.5 for end in ends):
+                    found["cut_by_ends"] += 1
+            apart = (min(ends), inf) if ends else (inf, -inf)
+            found += broken_rules(instance.clients, self.engines, apart)
+            found["requests"] += len(instance.clients.sent)
+            found["served"] += sum("served" in sent.answers for sent in instance.clients.sent)
+        found["lost_requests"] -= found["cut_by_ends"]
+        return found
+
+    # --- what cases do --------------------------------------------------------------------------------------
+
+    async def list_engine(self, at: int, state: str) -> None:
+        """Writes one engine into the list; `gone` deletes it."""
+        key = f"{PREFIX}{at}"
+        self.states[at] = state
+        if state == "gone":
+            await self.service.order("delete", key=key)
+            return
+        await self.service.order("put", key=key, value=json.dumps(self._record(at, state)))
+
+    def _record(self, at: int, state: str) -> dict:
+        started = 0.0
+        if at < self.plan.cold:
+            started = time.time() - (time.monotonic() - self.engines[at].started)
+        return {"id": f"s-{at + 1:08x}", "address": place(self.engine_gates[at]), "state": state,
+                "zone": ZONES[at % len(ZONES)], "kind": KINDS[0], "started": started}
+
+    async def until(self, what: Callable[[], bool], within: float) -> bool:
+        end = self.loop.time() + within
+        while not what():
+            if self.loop.time() > end:
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    async def all_ready(self, within: float) -> bool:
+        def come_up(one: Instance) -> bool:
+            return one.confirmed if self.plan.checkout else one.ready
+
+        return await self.until(lambda: all(map(come_up, self.instances)), within)
+
+    async def drain(self, count: int) -> None:
+        """The engines that get most now drain, a tenth at a time, and come back."""
+        for _ in range(count):
+            lately = time.monotonic() - 2.0
+            order = sorted(range(self.plan.engines), reverse=True, key=lambda at: sum(
+                one.at >= lately for one in self.engines[at].arrivals[-100:]))
+            busy = order[: max(1, self.plan.engines // 10)]
+            for at in busy:
+                await self.list_engine(at, "draining")
+            await asyncio.sleep(1.0)
+            for at in busy:
+                await self.list_engine(at, "ready")
+            await asyncio.sleep(0.5)
+
+    def _digest(self) -> int:
+        """Of the list as it was written, worked out here: not by the program's code."""
+        lines = sorted(f"{at + 1:08x} {state} {self.engine_gates[at].address}"
+                       for at, state in self.states.items() if state != "gone")
+        return crc32("\n".join(lines).encode())
+
+    async def quiet(self) -> None:
+        """Every instance that runs must come to the list as it is."""
+        wanted, end = self._digest(), self.loop.time() + QUIET
+        waiting = [one for one in self.instances if one.program.process.returncode is None]
+        while waiting and self.loop.time() < end:
+            shown = await asyncio.gather(*(one.program.counters() for one in waiting))
+            waiting = [one for one, counts in zip(waiting, shown) if counts.get("registry_digest") != wanted]
+            await asyncio.sleep(0.2)
+        self.figures["wrong_lists"] += len(waiting)
+
+    def measure_idle(self) -> Callable[[], None]:
+        """Processor time and memory of all instances from now until the function returned is called."""
+        began, spent = time.monotonic(), self._spent()
+
+        def end() -> None:
+            span, (before, _), (after, memory) = time.monotonic() - began, spent, self._spent()
+            self.idle = {"cpu_ms_s": round((after - before) * 1000 / span / len(self.instances), 2),
+                         "rss_mb": round(memory / len(self.instances) / 2**20, 1)}
+
+        return end
+
+    def _spent(self) -> tuple[float, float]:
+        """s of processor time and bytes of memory, over all instances."""
+        cpu = memory = 0.0
+        for instance in self.instances:
+            with open(f"/proc/{instance.program.process.pid}/stat", encoding="ascii") as file:
+                fields = file.read().rpartition(")")[2].split()
+            cpu += (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+            memory += int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+        return cpu, memory
+
+    # --- faults ---------------------------------------------------------------------------------------------
+
+    async def play(self, steps: list[f.Step]) -> None:
+        await f.play(steps, self, self._log, time.monotonic)
+
+    def _log(self, at: float, step: f.Step) -> None:
+        told = msgspec.to_builtins(step)
+        told.pop("at")
+        self.note("fault", at, **told)
+        self.figures["fault_" + told["do"]] += 1
+
+    def _named(self, patterns: list[str]) -> list[Instance]:
+        return [one for one in self.instances if matches(one.name, tuple(patterns))]
+
+    async def carry_out(self, step: f.Step) -> None:
+        match step:
+            case f.Link():
+                number = self.fates.put(tuple(step.sources), tuple(step.targets), step.fate)
+                self._fates_changed()
+                await asyncio.sleep(step.span)
+                self.fates.lift(number)
+                self._fates_changed()
+            case f.Kill():
+                await asyncio.gather(*(self._kill(one, step.back) for one in self._named(step.who)))
+            case f.Term():
+                await asyncio.gather(*(self._term(one, step.back) for one in self._named(step.who)))
+            case f.Stop():
+                await asyncio.gather(*(self._stop(one, step.span) for one in self._named(step.who)))
+            case f.Stall():
+                await asyncio.gather(*(self._stall(one, step) for one in self._named(step.who)))
+            case f.Service():
+                await self.service.order(step.order, **step.values)
+
+    def _fates_changed(self) -> None:
+        for gate in (*self.gates, *self.engine_gates):
+            gate.changed()
+
+    async def _kill(self, instance: Instance, back: float | None) -> None:
+        process = instance.program.process
+        instance.killed.append(self.loop.time())
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        self._ended(instance, "kill")
+        if back is not None:
+            await asyncio.sleep(back)
+            await self.launch(instance)
+
+    async def _term(self, instance: Instance, back: float | None) -> None:
+        process = instance.program.process
+        instance.killed.append(self.loop.time())
+        process.terminate()
+        await process.wait()
+        self._ended(instance, "term")
+        if process.returncode:
+            self.figures["bad_exits"] += 1
+        if back is not None:
+            await asyncio.sleep(back)
+            await self.launch(instance)
+
+    def _ended(self, instance: Instance, how: str) -> None:
+        instance.ready = instance.confirmed = False
+        self.note("ended", who=instance.name, how=how)
+
+    @staticmethod
+    async def _stop(instance: Instance, span: float) -> None:
+        process = instance.program.process
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(span)
+        finally:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+
+    async def _stall(self, instance: Instance, step: f.Stall) -> None:
+        for _ in range(step.times):
+            began = self.loop.time()
+            await self._stop(instance, step.span)
+            await asyncio.sleep(max(0.0, began + step.apart - self.loop.time()))
--- a/applevale/rigs/program.py
+++ b/applevale/rigs/program.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from math import inf
 
 from ..standins.clients import Clients
@@ -41,10 +41,14 @@
 
 
 class Program:
-    """One process. Its counters are asked for by SIGUSR1, its log is kept."""
-
-    def __init__(self, config: dict, name: str):
-        self.config, self.name = config, name
+    """One process, or one after another under the same name. Counters are asked for by SIGUSR1; the log is
+    kept, and each line of it is told to `heard` as an event, whichever form the program writes."""
+
+    def __init__(self, config: dict, name: str, checkout: str | None = None):
+        """`checkout`: a folder whose program is run, where it is not this one's."""
+        self.config, self.name, self.checkout = config, name, checkout
+        self.heard: Callable[[dict], None] = lambda event: None
+        self.listening = asyncio.Event()
         self.folder = tempfile.TemporaryDirectory(prefix="applevale-rig-")
         self.path = os.path.join(self.folder.name, "config.json")
         self.process: asyncio.subprocess.Process | None = None
@@ -54,21 +58,23 @@
         self.reading: asyncio.Task | None = None
 
     async def start(self, *entry: str, env: dict[str, str] | None = None) -> None:
-        """Raises ProgramError. `entry`: the module to run, where it is not the package's own; `env`: more
-        variables."""
+        """Until it listens. Raises ProgramError. `entry`: the module to run, where it is not the package's
+        own; `env`: more variables."""
+        await self.launch(*entry, env=env)
+        up = asyncio.create_task(self.listening.wait())
+        await asyncio.wait({up, self.reading}, return_when=asyncio.FIRST_COMPLETED)
+        up.cancel()
+        if not self.listening.is_set():
+            raise ProgramError(f"did not start: {' | '.join(self.log[-3:])}")
+
+    async def launch(self, *entry: str, env: dict[str, str] | None = None) -> None:
         self.write(self.config)
+        self.listening.clear()
         env = os.environ | (env or {}) | {"BALANCER_CONFIG": self.path}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *(entry or ("applevale",)), env=env, stderr=asyncio.subprocess.PIPE)
-        line = (await self.process.stderr.readline()).decode()
-        while line and " listens on " not in line:
-            self.log.append(line.rstrip())
-            line = (await self.process.stderr.readline()).decode()
-        if not line:
-            raise ProgramError(f"did not start: {' | '.join(self.log[-3:])}")
-        host, _, port = line.split()[-1].rpartition(":")
-        self.address = host, int(port)
-        self.reading = asyncio.create_task(self._read())
+            sys.executable, "-m", *(entry or ("applevale",)), env=env, stderr=asyncio.subprocess.PIPE,
+            cwd=self.checkout)
+        self.reading = asyncio.create_task(self._read(self.process))
 
     def write(self, config: dict) -> None:
         """The configuration beside what all rigs share, as a whole or not at all."""
@@ -78,17 +84,25 @@
             json.dump(whole, file)
         os.replace(self.path + ".new", self.path)
 
-    async def _read(self) -> None:
-        while line := (await self.process.stderr.readline()).decode(errors="replace"):
-            if line.startswith("counters "):
-                self.shown.put_nowait(json.loads(line.removeprefix("counters ")))
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        while line := (await process.stderr.readline()).decode(errors="replace"):
+            event = event_of(line.rstrip())
+            if event["event"] == "counters":
+                self.shown.put_nowait(event["counts"])
+                continue
+            if event["event"] == "listening":
+                self.address = event["host"], event["port"]
+                self.listening.set()
             else:
                 self.log.append(line.rstrip())
+            self.heard(event)
 
     async def counters(self) -> dict:
         """Raises ProgramError if it has ended."""
         if self.process.returncode is not None:
             raise ProgramError(f"ended with {self.process.returncode}: {' | '.join(self.log[-3:])}")
+        while not self.shown.empty():  # what it printed by itself
+            self.shown.get_nowait()
         self.process.send_signal(signal.SIGUSR1)
         async with asyncio.timeout(10.0):
             return await self.shown.get()
@@ -118,6 +132,25 @@
         return shown
 
 
+def event_of(line: str) -> dict:
+    """A line of the program as an event, also of a version that writes plain lines only."""
+    if line.startswith("{"):
+        try:
+            return {"event": "line"} | json.loads(line)
+        except ValueError:
+            return {"event": "line", "text": line}
+    if line.startswith("counters "):
+        return {"event": "counters", "counts": json.loads(line.removeprefix("counters "))}
+    name, _, place = line.partition(" listens on ")
+    host, _, port = place.rpartition(":")
+    if name and port.isdecimal():
+        return {"event": "listening", "host": host, "port": int(port)}
+    for text, confirmed in (("registry: confirmed", True), ("registry: the list is not confirmed", False)):
+        if line.startswith(text):
+            return {"event": "list", "confirmed": confirmed}
+    return {"event": "line", "text": line}
+
+
 def broken_rules(clients: Clients, engines: Iterable[StandinEngine],
                  apart: tuple[float, float] = (inf, -inf)) -> Counter:
     """What the rules on requests say of a run: loads that arrived twice, loads of a key out of order.
--- a/applevale/standins/clients.py
+++ b/applevale/standins/clients.py
@@ -10,6 +10,7 @@
 import msgpack
 
 APART, APART_NEW = 0.06, 0.25  # s between two requests of a key; behind the first one of a new connection
+REOPEN = 0.1  # s between two tries to open a connection
 LATE = 0.3  # s behind a client's patience after which an answer counts as lost
 
 
@@ -29,9 +30,13 @@
     """Connections to one program, requests at a rate, loads with keys among them, apart as the platform's."""
 
     def __init__(self, address: tuple[str, int], random: Random, rate: float, connections: int = 4,
-                 allow: float = 3.0, loads: float = 0.2, keys: int = 5, again: bool = False):
+                 allow: float = 3.0, loads: float = 0.2, keys: int = 5, again: bool = False,
+                 effort: float = 20.0, repeat: bool = False):
+        """`effort`: ms of work that each request is said to be; `repeat`: what is refused is asked for again
+        at once, with no heed to advice."""
         self.address, self.random, self.rate, self.allow = address, random, rate, allow
         self.again = again  # a closed connection is opened anew, as a platform's client does
+        self.effort, self.repeat = effort, repeat
         self.loads, self.keys, self.count = loads, keys, connections
         self.sent: list[Sent] = []
         self.lost_connections = 0
@@ -73,7 +78,8 @@
         ref = f"{self.random.getrandbits(64):016x}"
         loop = asyncio.get_running_loop()
         sent = Sent(ref, method, key, loop.time(), loop.time() + self.allow, number == 1)
-        fields = {"ref": ref, "allow": f"{self.allow * 1000:.0f}", "effort": "20", "space": "4"}
+        fields = {"ref": ref, "allow": f"{self.allow * 1000:.0f}", "effort": f"{self.effort:.0f}",
+                  "space": "4"}
         if key:
             fields["lookup"] = f"{key:x}"
         group = self.random.randint(1, 20)
@@ -94,10 +100,12 @@
             if not self.again:
                 return
             self.numbers[at] = 0
-            try:
-                reader, self.writers[at] = await asyncio.open_connection(*self.address)
-            except OSError:
-                return
+            while True:
+                try:
+                    reader, self.writers[at] = await asyncio.open_connection(*self.address)
+                    break
+                except OSError:  # its program has ended; it may be started again
+                    await asyncio.sleep(REOPEN)
 
     async def _read_one(self, reader: asyncio.StreamReader, at: int) -> None:
         unpacker, loop = msgpack.Unpacker(), asyncio.get_running_loop()
@@ -109,6 +117,8 @@
                     if sent is not None:
                         word = error[0] if error else "served"
                         sent.answers.append(word if loop.time() <= sent.due + LATE else "late")
+                        if self.repeat and word == "Full" and not sent.key:
+                            self.send(sent.method)
         except OSError:
             pass
 
--- a/applevale/standins/engine.py
+++ b/applevale/standins/engine.py
@@ -21,6 +21,7 @@
     at: float  # Unix time, s
     ref: bytes
     lane: bytes
+    caller: str = ""  # the address that it came from
 
 
 class StandinEngine:
@@ -30,6 +31,7 @@
                  clock: Callable[[], float] = time.time):
         self.random, self.took, self.clock = random, took, clock
         self.arrivals: list[Arrival] = []
+        self.connects: list[tuple[float, str]] = []  # when, and the address of the caller
         self.out: set[bytes] = set()
         self.tasks: set[asyncio.Task] = set()
         self.writers: set[asyncio.StreamWriter] = set()
@@ -52,11 +54,13 @@
         parser = hiredis.Reader()
         running: dict[bytes, asyncio.Task] = {}
         self.writers.add(writer)
+        caller = (writer.get_extra_info("peername") or ("",))[0]
+        self.connects.append((self.clock(), caller))
         try:
             while data := await reader.read(MOST_BYTES):
                 parser.feed(data)
                 while (command := parser.gets()) is not False:
-                    self._take(command, writer, running)
+                    self._take(command, writer, running, caller)
         except OSError:
             pass
         finally:
@@ -66,11 +70,11 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
-    def _take(self, command: list[bytes], writer: asyncio.StreamWriter, running: dict) -> None:
+    def _take(self, command: list[bytes], writer: asyncio.StreamWriter, running: dict, caller: str) -> None:
         word, tag, *rest = command
         if word == b"want":
             lane = rest[0].partition(b"lane=")[2].partition(b",")[0]
-            self.arrivals.append(Arrival(self.clock(), tag, lane))
+            self.arrivals.append(Arrival(self.clock(), tag, lane, caller))
             self.out.add(tag)
             task = asyncio.create_task(self._run(tag, writer))
             running[tag] = task
