--- a/applevale/standins/listhost.py
+++ b/applevale/standins/listhost.py
@@ -10,6 +10,7 @@
 import asyncio
 import gc
 import json
+import socket
 import sys
 import time
 from math import inf
@@ -31,7 +32,7 @@
         self.backup: Store | None = None
         self.told = 0  # commits
         self.reads: list[list] = []
-        self.tasks: set[asyncio.Task] = set()
+        self.held: dict[tuple[str, int], socket.socket] = {}  # bound, not listening
         for at, member in enumerate(self.members):
             member.seen = lambda read, at=at: self.reads.append(
                 [round(read.at, 5), round(read.out, 5), read.caller, at, read.whole, read.answered])
@@ -55,6 +56,13 @@
             await asyncio.sleep(TOLD_EVERY)
             self.tell()
 
+    def hold(self, address: tuple[str, int]) -> None:
+        """Guards the port of a member that is away: another's server on it would be taken for the member."""
+        if address not in self.held:
+            sock = self.held[address] = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+
     async def do(self, order: str, **values: object) -> None:
         """One order; each answers by an event `done`."""
         which = [self.members[int(values["member"])]] if "member" in values else self.members
@@ -77,6 +85,7 @@
             case "down":
                 for member in which:
                     await member.stop()
+                    self.hold(member.address)
             case "up":
                 for member in which:
                     await member.start()
