The pace stays even where answers are late for a moment; an instance that is late itself judges no one

Cause: _ask_at shortened the interval by the deviation of the latency too, so the busier the service the more it was asked; and lapses of a few ms gave the promise up. Now the interval follows the mean alone.

--- a/applevale/sources/registry/follower.py
+++ b/applevale/sources/registry/follower.py
@@ -92,6 +92,7 @@
 
 
 LATE_KEPT, LATE_TIMES = 0.8, 10.0  # of the lateness from look to look; patience for it, in times of it
+NARROW = 0.9  # of the time between two questions, the least that is drawn
 QUICK = 10  # answers in time in a row after which former trials no longer count
 
 Command = Connect | Greet | ReadAll | Watch | Ask | Progress | Tell
@@ -111,8 +112,8 @@
     asking more often or leaving sooner would burden a service that is slow for all."""
 
     fresh: float = 0.35  # the promise: the list is confirmed as of at most this long ago
-    ask: tuple[float, float] = (0.56, 0.7)  # between two questions, as shares of `fresh`: drawn anew each
-    # time, so that those whom one event has brought in step fall out of it
+    ask: tuple[float, float] = (0.56, 0.7)  # between two questions, as shares of `fresh`: the least, where
+    # answers take long, and the most; drawn anew each time, so that those who came in step fall out of it
     silence: tuple[float, float] = (0.17, 0.5)  # without an answer, until a trial: shares of `fresh`, drawn
     # anew, while the promise is kept and all answers were quick lately; a hiccup of the service meets few so
     patient: float = 1.5  # s until a trial else: a service that all have just come to is slow for all
@@ -397,11 +398,12 @@
         return []
 
     def _judge(self, now: float, asked: float) -> None:
-        """Whether the promise held until this answer, and whether it can at all; a time in which the loop
-        itself stood still says nothing of that."""
-        took = now - asked
-        if now - self.wary_until > self.pace.fresh:
-            lapsed = self.session.confirmed and max(now - self.confirmed, took) > self.pace.fresh
+        """Whether the promise can be held at this pace; an instance that is late itself judges no one. A
+        lapse counts where the answer was slow, or where so much is missing that questions were refused."""
+        took, age = now - asked, now - self.confirmed
+        if now - self.wary_until > self.pace.fresh and self.lateness <= self.pace.late:
+            lapsed = self.session.confirmed and age > self.pace.fresh and (
+                took > self.promise.room or age > 1.5 * self.pace.fresh)
             former = self.promise.state
             self.promise.answered(now, took, lapsed, self.random.random())
             self.figures.given_up += former is Kept.KEPT and self.promise.state is Kept.GIVEN_UP
@@ -464,8 +466,10 @@
         if seldom:
             return asked + seldom * (0.5 + draw)
         least, most = (share * pace.fresh for share in pace.ask)
-        # Where answers take long, the next one has to come before the last one is too old.
-        most = max(least, min(most, pace.fresh * 0.9 - self.latency.high()))
+        # Where answers take long as a rule, the next one has to come before the last one is too old. Not so
+        # for a few late ones: whoever asks more often then makes a busy service slower.
+        most = max(least, min(most, pace.fresh * 0.9 - self.latency.mean))
+        least = max(least, NARROW * most)
         return asked + least + draw * (most - least)
 
     def _took(self, seconds: float) -> None:
