A start at a slow service owes no trial: nothing was promised yet

History: their first nine answers were slow while the machine started the others; then came the rest and the trial that a promise given up owes, though none had been made.

--- a/applevale/startup/promise.py
+++ b/applevale/startup/promise.py
@@ -57,7 +57,7 @@
         """An answer after `took` s; `lapsed`: the promise was broken before it, or still is. `draw`: random
         from 0 to 1."""
         self.slow = self.slow + 1 if took > self.room else 0
-        self.proved |= not self.slow
+        first, self.proved = not (self.proved or self.slow), self.proved or not self.slow
         if lapsed:
             self.lapses.append(now)
         if self.state is Kept.KEPT:
@@ -71,6 +71,8 @@
             elif now - self.since >= TRIAL:
                 self.state, self.since, self.failed = Kept.KEPT, now, 0
                 self.lapses.clear()
+        elif first:  # nothing was promised before: no trial is owed
+            self.state, self.since = Kept.KEPT, now
         elif not self.slow and now - self.since >= self.rest:
             self.state, self.since = Kept.ON_TRIAL, now
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -65,6 +65,17 @@
     assert seen.index(Kept.ON_TRIAL) < seen.index(Kept.KEPT) and promise.holds
 
 
+def test_a_start_at_a_slow_service_is_given_up_later_and_owes_no_trial():
+    promise, now = Promise(room=0.15), 0.0
+    for _ in range(8):
+        promise.answered(now := now + 0.3, 0.3, False, 0.5)
+    assert promise.state is Kept.KEPT and not promise.holds
+    promise.answered(now + 0.3, 0.3, False, 0.5)
+    assert promise.state is Kept.GIVEN_UP and promise.seldom() == 1.0
+    promise.answered(now + 0.4, 0.01, False, 0.5)
+    assert promise.holds
+
+
 def test_a_trial_that_meets_a_refusal_fails_and_the_next_rest_is_longer():
     promise = Promise(room=0.15, state=Kept.ON_TRIAL, proved=True)
     rests = []
