--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,6 +14,9 @@
 from applevale.verify import coldstart as verify
 from applevale.verify.history import History, most_in, read_history
 
+# One after the other: many programs at once would slow each other, and the tests beside them.
+pytestmark = pytest.mark.xdist_group("fleet")
+
 
 def played(script, **plan):
     """A script on a fleet; the figures of its history. All processes have ended then."""
