--- a/applevale/rigs/cases.py
+++ b/applevale/rigs/cases.py
@@ -68,12 +68,11 @@
             "reads_after_break": found.get("list_reads_s_steady", 0), "connects_per_engine_s_max": 20}
 
 
-async def late_service(fleet: Fleet) -> None:
-    """The instances come first, the list service 20 s later."""
+async def _up_before_the_service(fleet: Fleet, after: float) -> None:
     await fleet.service.order("down")
     await fleet.launch_all()
     await fleet.until(lambda: all(one.program.listening.is_set() for one in fleet.instances), UP)
-    await asyncio.sleep(20.0)
+    await asyncio.sleep(after)
     fleet.mark("break_end")
     await fleet.service.order("up")
     await fleet.all_ready(UP)
@@ -82,6 +81,11 @@
     await fleet.quiet()
 
 
+async def late_service(fleet: Fleet) -> None:
+    """The instances come first, the list service 20 s later."""
+    await _up_before_the_service(fleet, 20.0)
+
+
 async def restart(fleet: Fleet) -> None:
     """The list service is restarted under all of them, three times."""
     await _up(fleet)
@@ -208,15 +212,7 @@
 
 async def eager(fleet: Fleet) -> None:
     """Clients come before anyone is ready, and repeat at once what is refused."""
-    await fleet.service.order("down")
-    await fleet.launch_all()
-    await fleet.until(lambda: all(one.program.listening.is_set() for one in fleet.instances), UP)
-    await asyncio.sleep(4.0)
-    await fleet.service.order("up")
-    await fleet.all_ready(UP)
-    await _rest(fleet)
-    await fleet.drain(2)
-    await fleet.quiet()
+    await _up_before_the_service(fleet, 4.0)
 
 
 async def away(fleet: Fleet) -> None:
