Read again: what no one used is gone from ramp, rig, gate and follower

The ramp's draw was never passed, the rig's tasks and apart and the gate's taken were never filled; one condition of the Consul-like session said the same twice.

--- a/applevale/faults/gates.py
+++ b/applevale/faults/gates.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 
 from .fates import Fates
 
@@ -174,7 +173,6 @@
         self.pairs: set[_Pair] = set()
         self.server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
-        self.taken: Callable[[str], None] = lambda caller: None  # a connection was asked for
 
     async def start(self) -> None:
         self.server = await self.loop.create_server(self._accept, *self.address, backlog=1024)
--- a/applevale/rigs/fleet.py
+++ b/applevale/rigs/fleet.py
@@ -129,9 +129,7 @@
         self.engines: list[ColdEngine] = []
         self.states: dict[int, str] = {}  # engine -> as last written
         self.instances: list[Instance] = []
-        self.tasks: set[asyncio.Task] = set()
         self.figures: Counter = Counter()
-        self.apart: list[float] = []
         self.import_s: list[float] = []
         self.idle: dict[str, float] = {}
 
@@ -269,10 +267,9 @@
 
     async def stop(self) -> None:
         """All that was started ends, also after a failure."""
-        for task in (*self.tasks, *(one.load for one in self.instances if one.load is not None)):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
         for instance in self.instances:
+            if instance.load is not None:
+                instance.load.cancel()
             if instance.clients is not None:
                 await instance.clients.stop()
             if instance.program.process is not None and instance.program.process.returncode is None:
@@ -317,7 +314,7 @@
         for instance in self.instances:
             if instance.clients is None:
                 continue
-            ends = [*instance.killed, *self.apart]
+            ends = instance.killed
             for sent in instance.clients.sent:
                 if sent.cut and any(sent.at <= end + 0.5 for end in ends):
                     found["cut_by_ends"] += 1
--- a/applevale/sources/registry/consul.py
+++ b/applevale/sources/registry/consul.py
@@ -60,8 +60,9 @@
         async with self.http.get(self.url, params=query, headers=headers, ssl=self.tls or True) as answer:
             if answer.status in (401, 403):
                 raise Refused(f"credentials refused: HTTP {answer.status}")
-            if answer.status in (429, 503) and answer.headers.get("Retry-After", "") or answer.status == 429:
-                raise Declined(retry_after(answer.headers.get("Retry-After", "")))
+            after = answer.headers.get("Retry-After", "")
+            if answer.status == 429 or (answer.status == 503 and after):
+                raise Declined(retry_after(after))
             if answer.status not in (200, 404):  # 404: no key under the prefix
                 raise ConnectionError(f"HTTP {answer.status}")
             index = int(answer.headers["X-Consul-Index"])
--- a/applevale/sources/registry/follower.py
+++ b/applevale/sources/registry/follower.py
@@ -243,7 +243,7 @@
                 return self._fail(now, "breaks" if self.state is State.CONNECTING else "stalls")
             if self.trial is not None and now >= self._trial_over():
                 self.trial = None  # no one there is better
-                self._no_faster(now)
+                self._no_faster()
         if now >= session.held_until:
             command, session.held, session.held_until = session.held, None, inf
             session.since = session.answered = now
@@ -299,7 +299,7 @@
         self.figures.declined += self._of(number) is not None
         if self.trial is not None and self.trial.number == number:
             self.trial = None
-            self._no_faster(now)
+            self._no_faster()
             return []
         session = self._of(number)
         if session is None:
@@ -533,7 +533,7 @@
             return []
         self.trial = None
         if 2 * (now - trial.since) > now - self._waiting_since():
-            self._no_faster(now)
+            self._no_faster()
             return []
         self.figures.stalls += 1
         self.slow_trials = self.lost_trials = 0
@@ -553,7 +553,7 @@
         """Over the whole of a window that grows: all may have failed at once."""
         return min(self.pace.rest[0] * 2 ** min(failed, 20), self.pace.rest[1]) * self.random.random()
 
-    def _no_faster(self, now: float) -> None:
+    def _no_faster(self) -> None:
         self.slow_trials += 1
         self.figures.slow_for_all += 1
 
--- a/applevale/startup/ramp.py
+++ b/applevale/startup/ramp.py
@@ -23,7 +23,6 @@
 
 SHORT = 0.1  # s: a round as short as this makes no difference
 SPARE = 0.95  # of the rate that is shared out: starts are not in step to the millisecond
-EARLY = 0.5  # of a place by which the draw shifts it: two fleets of one size do not fall on each other
 
 
 @dataclass
@@ -33,7 +32,6 @@
     rate: float
     instances: int
     me: int
-    draw: float = 0.0  # random from 0 to 1
     next: dict[int, float] = field(default_factory=dict)  # engine -> from when on it may be called
 
     @property
@@ -47,7 +45,7 @@
         if not self.round:
             return 0.0
         shift = int.from_bytes(blake2b(b"%d" % engine, digest_size=4).digest(), "big")
-        return ((self.me + shift) % self.instances + EARLY * self.draw) / (SPARE * self.rate)
+        return (self.me + shift) % self.instances / (SPARE * self.rate)
 
     def listed(self, engines: set[int], now: float) -> None:
         """The engines there are. For those not known yet a round begins."""
