--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -181,10 +181,11 @@
         case: Annotated[str, typer.Option(help="fleet: what happens.")] = "coldstart",
         history: Annotated[str, typer.Option(help="fleet: where to write the history.")] = "",
         baseline: Annotated[str, typer.Option(help="fleet: a checkout to play first.")] = "",
+        schedule: Annotated[str, typer.Option(help="fleet, case schedule: a file; else drawn.")] = "",
         as_json: Annotated[bool, typer.Option("--json", help="Print one JSON line only.")] = False) -> None:
     """Run the real program between stand-ins, cause failures, check promises; exit code 1 if one broke."""
     if name == "fleet":
-        fleet_rig(nodes, case, seed, history, baseline, as_json)
+        fleet_rig(nodes, case, seed, history, baseline, schedule, as_json)
     if name not in ("registry", "ops"):
         fail(f"rig: no rig is called {name!r}; there are: registry, ops, fleet")
     from ..rigs import ops, registry
@@ -196,7 +197,18 @@
     raise typer.Exit(0 if result["ok"] else 1)
 
 
-def fleet_rig(nodes: int, case: str, seed: int, history: str, baseline: str, as_json: bool) -> None:
+def read_steps(path: str) -> tuple:
+    from ..faults.schedule import ScheduleError, read_schedule
+
+    try:
+        with open(path, "rb") as file:
+            return tuple(read_schedule(file.read()))
+    except (OSError, ScheduleError) as error:
+        fail(f"--schedule: {error}")
+
+
+def fleet_rig(nodes: int, case: str, seed: int, history: str, baseline: str, schedule: str,
+              as_json: bool) -> None:
     import uvloop
 
     from ..rigs import cases
@@ -206,12 +218,14 @@
         fail(f"--case: no case is called {case!r}; there are: {', '.join(cases.CASES)}")
     if baseline and not os.path.isfile(os.path.join(baseline, "applevale", "__main__.py")):
         fail(f"--baseline: {baseline}: no checkout of the program")
+    steps = read_steps(schedule) if schedule else ()
     if not as_json:
         typer.echo(f"rig fleet: case {case}, {nodes} programs, seed {seed}", err=True)
     before = None
     if baseline:
-        before = uvloop.run(cases.run(Plan(nodes, seed, checkout=os.path.abspath(baseline)), case))
-    result = uvloop.run(cases.run(Plan(nodes, seed), case, history))
+        before = uvloop.run(cases.run(Plan(nodes, seed, checkout=os.path.abspath(baseline),
+                                           schedule=steps), case))
+    result = uvloop.run(cases.run(Plan(nodes, seed, schedule=steps), case, history))
     if before is not None:
         result["baseline"] = before
     typer.echo(json.dumps(result))
--- a/applevale/rigs/cases.py
+++ b/applevale/rigs/cases.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..faults.fates import Fate
-from ..faults.schedule import Kill, Link, Term
+from ..faults.schedule import Kill, Link, Term, drawn
 from ..verify import coldstart as verify
 from ..verify.history import History, quantile
 from .fleet import Fleet, Plan
@@ -235,6 +235,36 @@
     await fleet.quiet()
 
 
+async def snapshots(fleet: Fleet) -> None:
+    """All are killed at once and come back with the list that they kept: confirmed by its revision alone."""
+    await _up(fleet)
+    await asyncio.sleep(3.0)  # until each has kept its list
+    await fleet.play([Kill(at=0, who=["n*"], back=0.1)])
+    fleet.mark("again")
+    await fleet.all_ready(UP)
+    await _rest(fleet)
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
+async def schedule(fleet: Fleet) -> None:
+    """The steps of a file, or drawn from the seed, with drains beside them all the time."""
+    steps = list(fleet.plan.schedule) or drawn(fleet.plan.seed, fleet.plan.nodes)
+    await _up(fleet)
+    await _rest(fleet)
+    playing = asyncio.create_task(fleet.play(steps))
+    try:
+        while not playing.done():
+            await fleet.drain(1)
+        await playing
+    finally:
+        playing.cancel()
+    await fleet.all_ready(UP)
+    await asyncio.sleep(8.0)  # trials of the promise, one after the other
+    await fleet.drain(2)
+    await fleet.quiet()
+
+
 def _calm(found: dict, nodes: int) -> dict[str, float]:
     return {"unconfirmed_at_rest": 0, "full_reads_most": 1, "sessions": 1.05 * nodes}
 
@@ -268,6 +298,9 @@
                       {"engines": 30, "cold": 30, "clients": 4.0}),
     "eager": Case(eager, lambda found, nodes: {"unconfirmed_at_rest": 0}, {"eager": True}),
     "away": Case(away, _after_break),
+    "snapshots": Case(snapshots, lambda found, nodes: {
+        "unconfirmed_at_rest": 0, "full_reads": 1.02 * nodes, "full_reads_most": 1}, {"snapshot": True}),
+    "schedule": Case(schedule, lambda found, nodes: {}, {"gates": True}),
     "engines-cut": Case(engines_cut, lambda found, nodes: {"connects_per_engine_s_max": 20},
                         {"gates": True}),
 }
@@ -310,6 +343,7 @@
     found["import_s"] = {name: round(quantile(fleet.import_s, share), 2)
                          for name, share in (("p50", 0.5), ("p99", 0.99), ("max", 1.0))}
     found["idle"] = fleet.idle
+    found["turns_left_out"] = fleet.figures["turns_left_out"]
     missed = verify.broken(found, nodes, chosen.bars(found, nodes))
     if fleet.figures["bad_exits"]:
         missed.append(f"exits with another code than 0: {fleet.figures['bad_exits']}")
--- a/applevale/rigs/fleet.py
+++ b/applevale/rigs/fleet.py
@@ -49,6 +49,7 @@
     cold: int = 0  # engines that start together with the instances
     connects: float = 20.0  # connections a second to one engine, over the fleet; 0: no limit
     snapshot: bool = False
+    schedule: tuple[f.Step, ...] = ()  # for the case that plays one; none: drawn from the seed
     gates: bool = False  # between instances and servers, for faults on the way; else they meet directly
     checkout: str | None = None  # a folder whose program is run, for a baseline
     entry: tuple[str, ...] = ()  # another module to run as the program (for planted faults)
@@ -67,6 +68,7 @@
         self.load: asyncio.Task | None = None
         self.ready = self.confirmed = False
         self.killed: list[float] = []  # by the loop's clock
+        self.turn = asyncio.Lock()  # one end and start at a time
 
 
 class Service:
@@ -132,6 +134,7 @@
         self.figures: Counter = Counter()
         self.import_s: list[float] = []
         self.idle: dict[str, float] = {}
+        self.away = 0  # spans of `down` that have not ended
 
     # --- the history ----------------------------------------------------------------------------------------
 
@@ -237,7 +240,7 @@
         if plan.connects:
             config["startup"] = {"engine_connects": plan.connects}
         program = Program(config, name, plan.checkout)
-        if plan.snapshot:
+        if plan.snapshot:  # kept in the folder that all lives of this instance share
             config["registry"]["snapshot"] = os.path.join(program.folder.name, "snapshot")
         instance = Instance(number, name, program)
         program.heard = lambda event: self._program_said(instance, event)
@@ -449,31 +452,42 @@
             case f.Stall():
                 await asyncio.gather(*(self._stall(one, step) for one in self._named(step.who)))
             case f.Service():
-                await self.service.order(step.order, **step.values)
+                await self._order(step)
+
+    async def _order(self, step: f.Service) -> None:
+        """Spans in which the service is away may overlap: it is back when the last one ends."""
+        if step.order in ("down", "up"):
+            former = self.away
+            self.away += 1 if step.order == "down" else -1
+            if former and self.away:
+                return
+        await self.service.order(step.order, **step.values)
 
     def _fates_changed(self) -> None:
         for gate in self.gates:
             gate.changed()
 
     async def _kill(self, instance: Instance, back: float | None) -> None:
-        process = instance.program.process
-        instance.killed.append(self.loop.time())
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-        self._ended(instance, "kill")
-        if back is not None:
-            await asyncio.sleep(back)
-            await self.launch(instance)
+        async with instance.turn:
+            process = instance.program.process
+            instance.killed.append(self.loop.time())
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            await self._back(instance, "kill", back)
 
     async def _term(self, instance: Instance, back: float | None) -> None:
-        process = instance.program.process
-        instance.killed.append(self.loop.time())
-        process.terminate()
-        await process.wait()
-        self._ended(instance, "term")
-        if process.returncode:
-            self.figures["bad_exits"] += 1
+        async with instance.turn:
+            process = instance.program.process
+            instance.killed.append(self.loop.time())
+            await instance.program.listening.wait()  # before, the signal would find no one to heed it
+            process.terminate()
+            await process.wait()
+            self.figures["bad_exits"] += bool(process.returncode)
+            await self._back(instance, "term", back)
+
+    async def _back(self, instance: Instance, how: str, back: float | None) -> None:
+        self._ended(instance, how)
         if back is not None:
             await asyncio.sleep(back)
             await self.launch(instance)
@@ -485,6 +499,8 @@
     @staticmethod
     async def _stop(instance: Instance, span: float) -> None:
         process = instance.program.process
+        if process.returncode is not None:
+            return
         process.send_signal(signal.SIGSTOP)
         try:
             await asyncio.sleep(span)
--- a/applevale/sources/registry/consul.py
+++ b/applevale/sources/registry/consul.py
@@ -62,7 +62,7 @@
                 raise Refused(f"credentials refused: HTTP {answer.status}")
             after = answer.headers.get("Retry-After", "")
             if answer.status == 429 or (answer.status == 503 and after):
-                raise Declined(retry_after(after))
+                raise Declined(retry_after(after), watch="index" in query)
             if answer.status not in (200, 404):  # 404: no key under the prefix
                 raise ConnectionError(f"HTTP {answer.status}")
             index = int(answer.headers["X-Consul-Index"])
--- a/applevale/sources/registry/etcd.py
+++ b/applevale/sources/registry/etcd.py
@@ -139,6 +139,8 @@
             except GRPCError as error:
                 if error.status in _DENIED:
                     raise Refused(f"credentials refused: {error.message}") from None
+                if error.status is Status.RESOURCE_EXHAUSTED:
+                    raise Declined(watch=True) from None
                 raise
             finally:
                 self.stream = None
--- a/applevale/sources/registry/follower.py
+++ b/applevale/sources/registry/follower.py
@@ -246,6 +246,8 @@
                 self._no_faster()
         if now >= session.held_until:
             command, session.held, session.held_until = session.held, None, inf
+            if isinstance(command, Watch):  # as of now, not as of the refusal
+                return [Watch(command.session, self.revision + 1)]
             session.since = session.answered = now
             return [command]
         if self.state is State.WATCHING and session.open == inf and now >= session.next_ask:
@@ -292,9 +294,9 @@
             return [Watch(number, self.revision + 1), *self._answered(now, asked, revision)]
         return self._read(now)
 
-    def declined(self, now: float, number: int, after: float = 0.0) -> list[Command]:
-        """A call of this session was refused for the member's load; `after`: s that it asks for. The session
-        works: what was asked for is asked again, in line."""
+    def declined(self, now: float, number: int, after: float = 0.0, watch: bool = False) -> list[Command]:
+        """A call of this session was refused for the member's load; `after`: s that it asks for; `watch`: it
+        was the watch, which is over. The session works: what was asked for is asked again, in line."""
         self.latest = now
         self.figures.declined += self._of(number) is not None
         if self.trial is not None and self.trial.number == number:
@@ -307,6 +309,9 @@
         self.line.refused()
         self.promise.refused(now, self.random.random())
         wait = now + self.line.wait(self.random.random(), after)
+        if self.state is State.WATCHING and watch:
+            session.held, session.held_until = Watch(number, self.revision + 1), wait
+            return []
         if self.state is State.WATCHING:
             session.open = session.unanswered = inf
             session.next_ask = max(wait, self._ask_at(now))
@@ -476,8 +481,8 @@
         self.latency.took(seconds)
         self.line.answered(seconds)
         self.quick = self.quick + 1 if seconds <= self.promise.room else 0
-        if self.quick >= QUICK:  # what was slow for all has passed
-            self.slow_trials = 0
+        if self.quick >= QUICK:  # what was slow for all, or broke trials, has passed
+            self.slow_trials = self.lost_trials = 0
             self.trials.clear()
 
     # Trials: another session beside one that is silent.
@@ -485,8 +490,8 @@
     def _waiting_since(self) -> float:
         """Since when the session has said nothing that moves it on; inf: nothing is awaited."""
         session = self.session
-        if session.held is not None:
-            return inf
+        if session.held is not None:  # a watch that waits in line can confirm nothing: questions alone count
+            return session.open if self.state is State.WATCHING else inf
         return session.since if self.state is State.CONNECTING else session.unanswered
 
     def _patience(self) -> float:
--- a/applevale/sources/registry/session.py
+++ b/applevale/sources/registry/session.py
@@ -16,7 +16,7 @@
     """Who is told what comes. `number` is the session's; times are the source's clock."""
 
     def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None: ...
-    def declined(self, number: int, after: float) -> None: ...
+    def declined(self, number: int, after: float, watch: bool) -> None: ...
     def lost(self, number: int, why: str, refused: bool = False) -> None: ...
     def whole(self, number: int, asked: float, revision: int,
               records: Iterable[tuple[str, int, bytes]]) -> None: ...
@@ -30,10 +30,11 @@
 
 
 class Declined(Exception):
-    """The member refuses a call for its load; the session goes on. `after`: s that it asks for."""
+    """The member refuses a call for its load; the session goes on. `after`: s that it asks for; `watch`: the
+    call was the watch."""
 
-    def __init__(self, after: float = 0.0):
-        self.after = after
+    def __init__(self, after: float = 0.0, watch: bool = False):
+        self.after, self.watch = after, watch
 
 
 Known = dict[str, tuple[int, bytes]]  # keys with the revision and the value of each
@@ -58,7 +59,7 @@
             await work
         except Declined as error:
             if not self.closed:
-                self.hear.declined(self.number, error.after)
+                self.hear.declined(self.number, error.after, error.watch)
         except Refused as error:
             self._lost(str(error), refused=True)
         except Exception as error:
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -108,8 +108,8 @@
     def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None:
         self._do(self.follower.connected(self.clock(), number, asked, revision, cluster))
 
-    def declined(self, number: int, after: float) -> None:
-        self._do(self.follower.declined(self.clock(), number, after))
+    def declined(self, number: int, after: float, watch: bool) -> None:
+        self._do(self.follower.declined(self.clock(), number, after, watch))
 
     def lost(self, number: int, why: str, refused: bool = False) -> None:
         if number in self.sessions:
--- a/applevale/standins/consul.py
+++ b/applevale/standins/consul.py
@@ -14,12 +14,14 @@
 
 class Member:
     """One member. `lag`, `deny`, `slow` and `mute` as those of the etcd-like one (a mute one leaves blocking
-    reads unanswered); `reset`: its index starts again at 1, as after a new start of the store."""
+    reads unanswered); `reset`: its index starts again at 1, as after a new start of the store; `declining`:
+    it refuses all for its load, and asks to be left alone for that many whole s."""
 
     def __init__(self, store: Store, token: str = ""):
         self.store, self.token = store, token
         self.lag: Store | None = None
         self.deny = self.mute = self.reset = False
+        self.declining: int | None = None
         self.slow = 0.0
         self.reads = 0
         self.runner: web.AppRunner | None = None
@@ -49,9 +51,11 @@
         if self.deny or (self.token and request.headers.get("X-Consul-Token") != self.token):
             raise web.HTTPForbidden(text="ACL not found")
         self.reads += 1
+        self._declines()
         prefix = request.match_info["prefix"].encode()
         if "index" in request.query:
             await self._block(int(request.query["index"]), float(request.query["wait"].rstrip("s")))
+            self._declines()
         elif self.slow and "recurse" in request.query:
             await asyncio.sleep(self.slow)
         found = self.view.under(prefix, range_end(prefix))
@@ -65,13 +69,17 @@
              "ModifyIndex": version.revision, "CreateIndex": version.created, "LockIndex": 0, "Flags": 0}
             for version in found], headers=headers)
 
+    def _declines(self) -> None:
+        if self.declining is not None:
+            raise web.HTTPTooManyRequests(headers={"Retry-After": str(self.declining)})
+
     async def _block(self, index: int, wait: float) -> None:
         """Until the index has passed, or the wait is over."""
         changed = asyncio.Event()
         self.store.changed.add(changed)
         try:
             async with asyncio.timeout(wait):
-                while self.mute or self._index() == index:
+                while (self.mute or self._index() == index) and self.declining is None:
                     changed.clear()
                     await changed.wait()
         except TimeoutError:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -45,6 +45,18 @@
     assert len(waits) == 80 and {0.0, 1.0} == set(waits)
 
 
+def test_a_seed_draws_the_same_schedule_again_and_each_seed_leaves_out_some_kinds():
+    for seed in range(1, 30):
+        steps = f.drawn(seed, 12)
+        assert steps == f.drawn(seed, 12) == f.read_schedule(f.write_schedule(steps))
+        assert 12 <= len(steps) <= 24 and steps != f.drawn(seed + 1, 12)
+        orders = [step.order for step in steps if isinstance(step, f.Service)]
+        assert orders.count("down") == orders.count("up")
+    drawn = [{type(step) for step in f.drawn(seed, 12)} for seed in range(30)]
+    assert set.union(*drawn) == {f.Kill, f.Term, f.Stop, f.Stall, f.Link, f.Service}
+    assert sum(len(kinds) < 6 for kinds in drawn) > 20
+
+
 def test_a_schedule_is_read_in_order_and_a_bad_one_names_the_place():
     steps = [f.Kill(at=2, who=["n1"], back=0.1), f.Stall(at=0.5, who=["n*"], span=0.3, apart=0.5, times=3),
              f.Link(at=1, sources=["n1"], targets=["n2"], fate=Fate(loss=0.2), span=5)]
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -262,6 +262,25 @@
     assert kinds(one for _, one in looks(play, 4.0)) == ["ReadAll"] and play.it.sessions == 1
 
 
+def test_a_refused_watch_is_begun_anew_in_line_and_behind_what_is_known_then():
+    play = settled()
+    assert play.do(play.it.declined(play.now, 1, after=1.0, watch=True)) == []
+    due = play.it.session.held_until
+    assert due >= play.now + 1.0
+    while play.it.next_look(play.now) < due:  # questions go on meanwhile, and none brings a second watch
+        play.answer(10, took=0.005)
+    assert play.now > due - 0.3
+    begun = [one for _, one in looks(play, 0.1 + due - play.now) if isinstance(one, f.Watch)]
+    assert begun == [f.Watch(1, play.it.revision + 1)] and play.it.sessions == 1
+
+
+def test_lost_trials_are_forgotten_once_answers_are_quick_again():
+    play = settled()
+    play.it.lost_trials = 8
+    play.answer(f.QUICK, took=0.005)
+    assert play.it.lost_trials == 0
+
+
 def test_a_start_at_a_slow_service_is_not_ready_between_two_answers():
     play = Play()
     play.tick()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -183,6 +183,22 @@
     played(play, kind)
 
 
+def test_blocking_reads_refused_for_load_are_begun_anew_on_the_same_session():
+    async def play(it):
+        for member in it.members:
+            member.declining = 1
+        it.store.wake()
+        await it.until(lambda: it.counters["registry_declined"] >= 2 and not it.source.fresh())
+        for member in it.members:
+            member.declining = None
+        it.put(1, "draining")
+        await it.agreed()
+        assert it.list[1] == "draining" and it.source.follower.sessions == 1
+        assert it.counters["registry_full_reads"] == 1 and it.counters["registry_breaks"] == 0
+
+    played(play, "consul")
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_refused_credentials_are_told_and_taken_once_they_are_right(kind):
     async def play(it):
