Membership: who lives by words of distinct observers, emulated with planted faults; off by default

Need: leases, relays and shares per instance have to know who lives, and nobody may be held dead because he, a link or the judge stood still.

Change: applevale/membership (messages of at most 256 bytes, records with digests, words and deaths, a bucket of bytes, shares) decides without I/O and clock; node/members.py carries it out, with `membership` in the configuration only. The socket of datagrams is one for news and membership (node/datagrams.py). The module learns the number of living members by the event FleetSize. applevale/emulator plays machines of any kind in simulated time over faults/fates.py; faults/courses.py has the courses; verify/membership.py reads the history and shares no code with the machines. Fates draw by a small counter for each pair: there may be millions.

--- /dev/null
+++ b/applevale/emulator/membership.py
@@ -0,0 +1,84 @@
+"""Membership in the emulator: a fleet that lives through a course of faults, and its history."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import replace
+from random import Random
+
+from ..faults.courses import course, lasts
+from ..membership import messages
+from ..membership.machine import Command, Membership, Pace, Send, Stood, Turned
+from ..membership.suspicion import Times
+from .stage import Stage
+from .world import World
+
+JOIN = 4.0  # s for all to have joined
+SETTLE = 6.0  # s behind the last fault
+
+VERSIONS = {
+    "fleet": Pace(),
+    "swim": Pace(self_look=False, times=Times(need=1, many=1)),
+    "heartbeats": Pace(heartbeats=0.5, self_look=False),
+}
+
+
+class Fleet:
+    """`make` may make another machine for a member (a planted fault)."""
+
+    def __init__(self, count: int, seed: int, pace: Pace | None = None, latency: tuple[float, float] = (
+            0.0003, 0.003), machine: type[Membership] = Membership, liar: type[Membership] | None = None):
+        self.pace, self.machine, self.liar, self.seed = pace or Pace(), machine, liar, seed
+        self.count = count
+        self.world = World(count, seed, self._make, self._route, self._seen, latency=latency)
+        self.stage = Stage(self.world)
+        self.buckets: dict[tuple[int, int], list[int]] = defaultdict(lambda: [0, 0, 0])  # bytes, most, count
+        self.world.sent = self._sent
+
+    def _make(self, number: int, life: int) -> Membership:
+        random = Random(f"{self.seed} {number} {life}")
+        kind = self.liar if self.liar is not None and number == 0 else self.machine
+        return kind(number, self.count, random.getrandbits(16), random, self.pace)
+
+    @staticmethod
+    def _route(command: Command) -> tuple[int, messages.Message, int] | None:
+        if isinstance(command, Send):
+            return command.target, command.message, messages.size(command.message)
+        return None
+
+    def _seen(self, now: float, number: int, command: Command) -> None:
+        match command:
+            case Turned(changes=changes):
+                self.stage.note("view", who=f"n{number}",
+                                changes=[(f"n{one}", change.value) for one, change in changes])
+            case Stood(stand=stand):
+                self.stage.note("stand", who=f"n{number}", stand=stand.value)
+
+    def _sent(self, now: float, number: int, size: int) -> None:
+        bucket = self.buckets[number, int(now * 10)]
+        bucket[0] += size
+        bucket[1] = max(bucket[1], size)
+        bucket[2] += 1
+
+    def run(self, name: str, over: float = 1.0) -> list[dict]:
+        """A course from the start of all, within `over` s, to rest; its history."""
+        world, stage = self.world, self.stage
+        for number in range(self.count):
+            begin = over * Random(f"{self.seed} {number}").random()
+            world.at(begin, lambda number=number: stage.start(number))
+        world.run(JOIN)
+        stage.note("mark", name="joined")
+        steps = course(name, self.count, self.seed)
+        stage.play(steps)
+        world.run(JOIN + lasts(steps) + SETTLE)
+        for number, place in enumerate(world.places):
+            if place.actor is not None:
+                stage.note("held", who=f"n{number}", view=[f"n{one}" for one, _ in place.actor.view()])
+        sent = [{"at": tenth / 10, "event": "sent", "who": f"n{number}", "bytes": size, "most": most,
+                 "count": count} for (number, tenth), (size, most, count) in self.buckets.items()]
+        return stage.events + sent
+
+
+def version(name: str, **changes: float) -> Pace:
+    """A baseline or the way that is built, with settings of its own."""
+    return replace(VERSIONS[name], **changes)
--- a/applevale/faults/fates.py
+++ b/applevale/faults/fates.py
@@ -13,10 +13,11 @@
 from dataclasses import dataclass
 from fnmatch import fnmatchcase
 from hashlib import blake2b
-from random import Random
+from math import log
 
 import msgspec
 
+_MASK = (1 << 64) - 1
 MOST_LATE = 30.0  # s: what would come later than this is lost
 
 
@@ -37,11 +38,20 @@
 CLEAR = Fate()
 
 
-@dataclass
+@dataclass(slots=True)
 class _Pair:
-    random: Random
+    """Small, for there may be millions: its random numbers are those of a counter (SplitMix64)."""
+
+    state: int
     free: float = 0.0  # when its line is free again, by bandwidth
 
+    def draw(self) -> float:
+        """From 0 to under 1."""
+        self.state = mixed = (self.state + 0x9E3779B97F4A7C15) & _MASK
+        mixed = (mixed ^ mixed >> 30) * 0xBF58476D1CE4E5B9 & _MASK
+        mixed = (mixed ^ mixed >> 27) * 0x94D049BB133111EB & _MASK
+        return ((mixed ^ mixed >> 31) >> 11) / (1 << 53)
+
 
 class Fates:
     def __init__(self, seed: int):
@@ -74,13 +84,13 @@
         pair = self.pairs.get((source, target))
         if pair is None:
             mark = blake2b(f"{self.seed} {source} {target}".encode(), digest_size=8).digest()
-            pair = self.pairs[source, target] = _Pair(Random(int.from_bytes(mark, "big")))
+            pair = self.pairs[source, target] = _Pair(int.from_bytes(mark, "big"))
         return pair
 
     def wait(self, now: float, source: str, target: str, size: int) -> float:
         """How long bytes of a stream take, in s; the caller keeps their order."""
         fate, pair = self.of(source, target), self._pair(source, target)
-        wait = fate.delay + (pair.random.expovariate(1 / fate.jitter) if fate.jitter else 0.0)
+        wait = fate.delay + (-fate.jitter * log(1 - pair.draw()) if fate.jitter else 0.0)
         if fate.bandwidth:
             pair.free = max(now, pair.free) + size / fate.bandwidth
             wait += pair.free - now
@@ -88,13 +98,15 @@
 
     def datagram(self, now: float, source: str, target: str, size: int) -> tuple[float, ...]:
         """After how many s each of its copies arrives; none: it is lost."""
-        fate, random = self.of(source, target), self._pair(source, target).random
-        if fate.cut or (fate.loss and random.random() < fate.loss):
+        if not self.words or (fate := self.of(source, target)) is CLEAR:
+            return (0.0,)
+        pair = self._pair(source, target)
+        if fate.cut or (fate.loss and pair.draw() < fate.loss):
             return ()
         waits = []
-        for _ in range(1 + bool(fate.copies and random.random() < fate.copies)):
+        for _ in range(1 + bool(fate.copies and pair.draw() < fate.copies)):
             wait = self.wait(now, source, target, size)
-            if fate.reorder and random.random() < fate.reorder:
+            if fate.reorder and pair.draw() < fate.reorder:
                 wait += fate.held
             if wait <= MOST_LATE:
                 waits.append(wait)
--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -286,6 +286,13 @@
     body: bytes = field(default=b"")
 
 
+@dataclass(frozen=True)
+class FleetSize:
+    """So many gateways share from now on what all may use together, in place of the settings' number."""
+
+    gateways: int
+
+
 @dataclass(frozen=True)
 class PeerNews:
     """What a peer told of an engine."""
@@ -296,7 +303,7 @@
 
 
 Event = (EngineList | Request | Outcome | Started | Note | ProbeResult | Timer | ClientGone | PeerMessage
-         | Answered | PeerNews)
+         | Answered | PeerNews | FleetSize)
 
 
 # --- actions ------------------------------------------------------------------------------------------------
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -9,6 +9,7 @@
 import socket
 import tempfile
 import time
+from random import Random
 from typing import TYPE_CHECKING
 
 from .. import interface as api
@@ -30,6 +31,8 @@
 
 if TYPE_CHECKING:
     from ..sources.registry.source import RegistrySource
+    from .datagrams import Datagrams
+    from .members import Members
     from .openings import Openings
     from .peers import Peers
 
@@ -96,7 +99,9 @@
         self.list.banned = self.bans.banned  # one set: what the module is told follows every ban at once
         self.stats = self._figures()
         self.openings = self._openings()
+        self.datagrams: Datagrams | None = None
         self.peers = self._peers(gateway)
+        self.members = self._members(gateway)
         self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
         self.feed = Feed(first, config.names, self.counters, self.tell, config.feed)
@@ -184,16 +189,48 @@
     def _peers(self, gateway: Gateway) -> Peers | None:
         """News of load from peers, where looking at engines before each send is too dear."""
         addresses, settings = self.config.peers, self.config.settings
-        if addresses is None or gateway.looks or not settings.may_tell_peers or settings.gateways < 2:
+        if addresses is None or addresses.everyone is None or gateway.looks or not (
+                settings.may_tell_peers and settings.gateways > 1):
             return None
         from .news import News  # neither is loaded where it is not used
         from .peers import Peers
 
         news = News(settings.report_columns, settings.gateways - 1, settings.peer_price, self.config.seed)
-        peers = Peers(addresses, settings.me, news, self.driver, self.counters)
+        peers = Peers(self._datagram_socket(), news, self.driver, self.counters)
         self.fleet.reported, self.fleet.sent = peers.reported, peers.sent
         return peers
 
+    def _datagram_socket(self) -> Datagrams:
+        """One for all parts that speak with other workload managers."""
+        from .datagrams import Datagrams
+
+        config = self.config
+        if self.datagrams is None:
+            self.datagrams = Datagrams(config.peers, config.settings.me, self.counters,
+                                       shared=config.membership is not None)
+        return self.datagrams
+
+    def _members(self, gateway: Gateway) -> Members | None:
+        """Who of the others lives, where the configuration asks for it."""
+        config = self.config
+        if config.membership is None:
+            return None
+        from ..membership.machine import Membership, Pace  # not loaded where it is not used
+        from ..membership.shares import Shares
+        from .members import Members, new_life
+
+        count = len(config.peers.each)
+        machine = Membership(config.settings.me, count, new_life(), Random(config.seed),
+                             Pace(probe=config.membership))
+        return Members(machine, Shares(count), self._datagram_socket(), self.counters, self.resized)
+
+    def resized(self, size: int) -> None:
+        """What all instances may use together is shared by so many from now on."""
+        self.counters["share_of"] = size
+        self.driver.post(api.FleetSize(size))
+        if self.openings is not None:
+            self.openings.ramp.instances = size
+
     def _follow_registry(self) -> RegistrySource | None:
         config = self.config
         if config.registry is None:
@@ -209,6 +246,8 @@
     def show(self) -> None:
         if self.registry is not None:
             self.registry.note()
+        if self.members is not None:
+            self.members.show()
         self.counters.show()
 
     def show_often(self) -> None:
@@ -302,8 +341,10 @@
     node.learn(config.known)
     node.source.start()
     node.driver.tick()
-    if node.peers is not None:
-        node.peers.start()
+    if node.datagrams is not None:
+        node.datagrams.start()
+    if node.members is not None:
+        node.members.start()
     loop.call_later(SHOWN, node.show_often)
     node.front.accepting = asyncio.create_task(node.front.accept(listener))
     door = None
@@ -320,6 +361,8 @@
     try:
         await node.leaving.wait()
         node.welcome()
+        if node.members is not None:
+            node.members.leave()
         await node.close(loop.time())
     finally:
         node.front.shut()
@@ -327,7 +370,8 @@
             door.cancel()
             door_listener.close()
         node.driver.stop()
-        if node.peers is not None:
-            node.peers.stop()
+        for part in (node.peers, node.members, node.datagrams):
+            if part is not None:
+                part.stop()
         await node.source.stop()
         node.counters.show()
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -42,7 +42,7 @@
 
     listen: Address
     each: tuple[Address, ...]
-    everyone: Address  # what is sent there reaches all
+    everyone: Address | None  # what is sent there reaches all; None: there is no such address
 
 
 @dataclass(frozen=True)
@@ -63,6 +63,7 @@
     control: Address | None = None  # the operators' door; None: there is none
     json_log: bool = False  # events as JSON lines in place of plain ones
     engine_connects: float | None = None  # connections a second to one engine, over the fleet; None: no limit
+    membership: float | None = None  # s between two probes of members; None: there is no membership
     local: str = ""  # the local address that outgoing connections bind; empty: the system's choice
 
 
@@ -74,7 +75,7 @@
 
 
 def parse_peers(raw: Mapping) -> PeerAddresses | None:
-    if raw.get("peer_listen") is None or raw.get("peers_all") is None:
+    if raw.get("peer_listen") is None:
         return None
     each = raw.get("peers", [])
     if not isinstance(each, list):
@@ -82,7 +83,7 @@
     return PeerAddresses(
         address(raw["peer_listen"], "peer_listen"),
         tuple(address(one, f"peers[{at}]") for at, one in enumerate(each)),
-        address(raw["peers_all"], "peers_all"),
+        None if raw.get("peers_all") is None else address(raw["peers_all"], "peers_all"),
     )
 
 
@@ -169,6 +170,20 @@
     return _limit(section, "engine_connects", 0.0, 0.1) if section else None
 
 
+def _membership(raw: Mapping, peers: PeerAddresses | None, me: int) -> float | None:
+    if raw.get("membership") is None:
+        return None
+    section = _section(raw, "membership")
+    for key in section:
+        if key != "probe":
+            raise ConfigError(f"membership.{key}: unknown")
+    if peers is None or not 2 <= len(peers.each) <= 65535:
+        raise ConfigError("membership: peer_listen and the addresses of 2 to 65535 peers are needed")
+    if me >= len(peers.each):
+        raise ConfigError(f"settings.me: {me} is none of the {len(peers.each)} peers")
+    return _limit(section, "probe", 0.1, 0.02)
+
+
 def _local(raw: Mapping) -> str:
     value = raw.get("local_address", "")
     try:
@@ -203,6 +218,7 @@
         known = feed.parse_known(raw.get("known", {"n": 0, "events": []}), names)
     except feed.FeedError as error:
         raise ConfigError(f"known: {error}") from None
+    peers = parse_peers(raw)
     registry = _registry(raw)
     found_zones = _zones(raw, names, settings)
     try:
@@ -226,12 +242,13 @@
         ),
         names=names,
         known=known,
-        peers=parse_peers(raw),
+        peers=peers,
         registry=registry,
         zones=found_zones,
         control=_control(raw, environ),
         json_log=_json_log(raw, environ),
         engine_connects=_engine_connects(raw),
+        membership=_membership(raw, peers, settings.me),
         local=_local(raw),
     )
 
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -266,9 +266,8 @@
         self.usual.add(now, self.threads_out, min(now - self.seen_at, LONG))
         self.seen_at = now
         for kind, handler in self.HANDLERS.items():
-            for event in events:
-                if type(event) is kind:
-                    handler(self, event)
+            for event in [event for event in events if type(event) is kind]:
+                handler(self, event)
         self.serve_line()
         if self.held and self.sweep_due == inf:
             self.sweep_due = now + SWEEP
@@ -298,6 +297,11 @@
         else:
             self.sweep()
 
+    def on_size(self, event: api.FleetSize) -> None:
+        self.settings = replace(self.settings, gateways=event.gateways)
+        for engine in self.engines.values():
+            engine.settings = self.settings
+
     def on_list(self, event: api.EngineList) -> None:
         if event.failed:  # ask again with back-off: the list service may be what is overloaded
             self.do(api.SetTimer(self.backoff * (0.5 + self.random.random()), 1))
@@ -597,13 +601,10 @@
     def may_go(self, req: Held) -> bool:
         """The rules that do not depend on the engine, for first attempts, retries and copies alike."""
         told = self.settings
-        if req.over or req.streaming or self.now >= req.until or len(req.tries) >= told.try_limit:
-            return False
-        if req.out and (not told.parallel_tries or req.out >= 2):
-            return False
-        if not self.turn_free(req) or (req.tries and not self.in_budget()):
-            return False
-        return req.spec.repeat is not Repeat.UNSAFE or req.first_run() is None
+        over = req.over or req.streaming or self.now >= req.until or len(req.tries) >= told.try_limit or (
+            req.out and (not told.parallel_tries or req.out >= 2))
+        safe = not over and (req.spec.repeat is not Repeat.UNSAFE or req.first_run() is None)
+        return safe and self.turn_free(req) and (not req.tries or self.in_budget())
 
     def may_take(self, req: Held, engine: Engine) -> bool:
         """The rules that do."""
@@ -849,7 +850,7 @@
         if engine and max(engine.last_ok, engine.news_at) <= attempt.at and not self.asked(engine):
             self.suspect(engine, "silent")
 
-    HANDLERS = {api.EngineList: on_list, api.PeerNews: on_peer_news, api.Outcome: on_outcome,
-                api.ProbeResult: on_probe, api.Started: on_started, api.Note: on_note,
-                api.Request: on_request, api.ClientGone: on_gone, api.Answered: on_answered,
-                api.Timer: on_timer}
+    HANDLERS = {api.FleetSize: on_size, api.EngineList: on_list, api.PeerNews: on_peer_news,
+                api.Outcome: on_outcome, api.ProbeResult: on_probe, api.Started: on_started,
+                api.Note: on_note, api.Request: on_request, api.ClientGone: on_gone,
+                api.Answered: on_answered, api.Timer: on_timer}
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,359 @@
+"""Membership, message by message and in the emulator: no sockets, no clock."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from applevale.emulator.membership import Fleet
+from applevale.membership import messages as m
+from applevale.membership.bucket import DEPTH, RATE, Bucket
+from applevale.membership.machine import Membership, Pace, Send, Stand, Turned
+from applevale.membership.messages import Kind, Message, News, Record, Status, Words
+from applevale.membership.shares import SETTLED, Shares
+from applevale.membership.suspicion import LEAD, Suspicion, Times
+from applevale.verify import membership as verify
+from applevale.verify.history import History
+
+numbers = st.integers(0, 65535)
+records = st.builds(Record, st.sampled_from(Status), st.integers(0, m.MOST_INCARNATION), numbers)
+items = st.lists(st.one_of(
+    st.builds(News, numbers, records),
+    st.builds(Words, numbers, st.integers(0, m.LOW), st.integers(0, 255).map(lambda one: one * m.AGE_UNIT),
+              st.lists(numbers, max_size=m.MOST_OBSERVERS).map(tuple))), max_size=12).map(tuple)
+
+
+@given(st.sampled_from([Kind.PING, Kind.ACK, Kind.ASK, Kind.FOUND, Kind.NEWS]), numbers, records, items,
+       st.booleans())
+def test_messages_come_back_as_they_were_and_their_size_is_known(kind, number, yours, told, reached):
+    about = kind in (Kind.ASK, Kind.FOUND)
+    message = Message(kind, number, 7, 9, yours, 0xFFFFFFFF, number if about else 0, about and reached, told)
+    data = m.encode(message)
+    assert m.decode(data) == message and len(data) == m.size(message) <= m.MOST_BYTES
+
+
+def test_sums_and_parts_come_back_and_a_full_part_fits():
+    part = Message(Kind.PART, 1, 2, 3, first=40, part=(Record(Status.DEAD, 5, 6),) * m.MOST_PART)
+    sums = Message(Kind.SUMS, 1, 2, 3, sums=tuple(range(m.MOST_SUMS)))
+    for one in (part, sums):
+        assert m.decode(m.encode(one)) == one and m.size(one) == len(m.encode(one)) <= m.MOST_BYTES
+
+
+@given(st.binary(max_size=300))
+def test_garbage_is_refused_by_its_own_error(data):
+    for one in (data, bytes([m.MARK, 1]) + data, bytes([m.MARK, 7]) + data):
+        try:
+            m.decode(one)
+        except m.MessageError:
+            pass
+
+
+def test_no_second_sees_more_bytes_than_rate_and_depth():
+    bucket, sent = Bucket(), []
+    random = Random(1)
+    for step in range(4000):
+        now = 1000.0 + step * 0.002
+        size = random.randint(20, 256)
+        if bucket.take(now, size):
+            sent.append((now, size))
+    most = max(sum(size for at, size in sent if begin <= at < begin + 1) for begin, _ in sent[::20])
+    assert 0.9 * RATE < most <= RATE + DEPTH <= 2000
+
+
+def test_words_need_distinct_observers_and_the_time_shrinks_as_they_agree():
+    times = Times()
+    waits = [times.wait(count, 30) for count in (3, 4, 5, 9)]
+    assert waits[0] == times.most > waits[1] > waits[2] == waits[3] == times.least
+    assert times.of_others(1) == (2, 2) and times.of_others(2) == (2, 2) and times.of_others(9) == (3, 5)
+    one = Suspicion(1)
+    assert one.add(10.0, (4, 4), 9.0, 3) and not one.add(10.1, (4,), 9.0, 3) and one.first == float("inf")
+    assert one.add(10.5, (5, 6), 9.0, 3) and one.since == 10.5 - LEAD  # however old they say to be
+    one.begin_anew(12.0)
+    assert one.since == 12.0
+
+
+class Lone:
+    """One machine of a fleet of five; what it sends is looked at."""
+
+    def __init__(self, me=0, count=5, **pace):
+        self.it, self.now = Membership(me, count, 77, Random(1), Pace(**pace)), 50.0
+        self.sent, self.turned = [], []
+        self.did(self.it.begin(self.now))
+
+    def did(self, commands):
+        found = [one for one in commands if isinstance(one, Send)]
+        self.sent += found
+        self.turned += [one.changes for one in commands if isinstance(one, Turned)]
+        return found
+
+    def hear(self, sender, kind=Kind.PING, incarnation=1, life=None, yours=None, **fields):
+        yours = Record(Status.ALIVE, self.it.incarnation, 77) if yours is None else yours
+        fields = {"number": 1, "digest": self.it.records.digest} | fields
+        message = Message(kind, incarnation=incarnation, life=sender if life is None else life, yours=yours,
+                          **fields)
+        return self.did(self.it.heard(self.now, sender, message))
+
+    def wait(self, span, step=0.02):
+        end = self.now + span
+        while self.now < end:
+            self.now += step
+            self.did(self.it.ticked(self.now))
+
+    def busy(self, span, others=(1, 2, 3, 4)):
+        """Time goes on while others answer its probes."""
+        end = self.now + span
+        while self.now < end:
+            self.now += 0.02
+            for send in self.did(self.it.ticked(self.now)):
+                if send.message.kind is Kind.PING and send.target in others:
+                    self.hear(send.target, Kind.ACK, number=send.message.number,
+                              incarnation=self.it.records.all[send.target].incarnation or 1)
+
+
+def joined(**pace):
+    lone = Lone(**pace)
+    for sender in (1, 2, 3, 4):
+        lone.hear(sender, Kind.ACK, yours=m.UNKNOWN)
+    lone.busy(1.5)
+    assert lone.it.stand is Stand.WELL and lone.it.living == {1, 2, 3, 4}
+    return lone
+
+
+def words(member, observers, age=5.0, incarnation=1):
+    return (Words(member, incarnation, age, observers),)
+
+
+def test_a_newcomer_takes_an_incarnation_above_what_others_know_of_its_name():
+    lone = Lone()
+    for sender, known in ((1, 3), (2, 9), (3, 4)):
+        lone.hear(sender, Kind.ACK, yours=Record(Status.DEAD, known, 5))
+    assert lone.it.incarnation == 0
+    lone.wait(0.1)
+    assert lone.it.incarnation == 10 and lone.it.stand is Stand.WELL
+    assert any(send.message.kind is Kind.NEWS and send.message.incarnation == 10 for send in lone.sent)
+
+
+def test_one_word_holds_nobody_dead_and_is_not_passed_on():
+    lone = joined()
+    for _ in range(40):
+        lone.hear(1, items=words(2, (1,)))
+        lone.busy(0.2)
+    assert 2 in lone.it.living and lone.turned[-1][-1][1].value != "died"
+    assert not any(isinstance(item, Words) for send in lone.sent for item in send.message.items)
+
+
+def test_enough_distinct_words_hold_a_silent_member_dead_in_one_change_with_another():
+    lone = joined()
+    lone.hear(1, items=words(2, (1, 3, 4)) + words(4, (1, 3, 2)))
+    lone.busy(0.8, others=(1, 3))
+    assert {2, 4} <= lone.it.living  # however old the words said to be
+    lone.busy(3.0, others=(1, 3))
+    died = [changes for changes in lone.turned if any(change.value == "died" for _, change in changes)]
+    assert len(died) == 1 and {one for one, _ in died[0]} == {2, 4} and lone.it.living == {1, 3}
+
+
+def test_a_suspect_is_told_first_and_its_higher_incarnation_ends_the_suspicion():
+    lone = joined()
+    lone.hear(1, items=words(2, (1, 3, 4)))
+    told = [send for send in lone.did(lone.it.ticked(lone.now)) if send.target == 2]
+    assert told and told[0].message.yours.status is Status.SUSPECT
+    lone.hear(3, items=(News(2, Record(Status.ALIVE, 2, 2)),))
+    lone.busy(5.0, others=(1, 2, 3, 4))
+    assert 2 in lone.it.living and not lone.it.suspicions
+
+
+def test_who_is_held_suspect_dead_or_gone_outdoes_it_and_says_so_to_all():
+    for status in (Status.SUSPECT, Status.DEAD, Status.LEFT):
+        lone = joined()
+        former = lone.it.incarnation
+        sent = lone.hear(1, yours=Record(status, former, 77))
+        assert lone.it.incarnation == former + 1
+        assert {send.target for send in sent if send.message.kind is Kind.NEWS} == {1, 2, 3, 4}
+
+
+def test_who_stood_still_gives_no_word_and_begins_its_clocks_anew():
+    lone = joined()
+    lone.hear(1, items=words(2, (1, 3, 4)))
+    former, lone.now = lone.it.incarnation, lone.now + 6.0
+    lone.did(lone.it.ticked(lone.now))
+    assert lone.it.stand is Stand.PAUSED and 2 in lone.it.living and lone.it.incarnation == former + 1
+    lone.busy(0.3)
+    assert 2 in lone.it.living and lone.it.figures.paused == 1
+
+
+def test_who_hears_nobody_says_so_and_holds_nobody_dead():
+    lone = joined()
+    lone.wait(6.0)
+    assert lone.it.stand is Stand.ALONE and lone.it.living == {1, 2, 3, 4} and not lone.it.well
+    lone.hear(1)
+    assert lone.it.stand is Stand.WELL
+
+
+def test_who_is_answered_by_nobody_says_so_and_gives_no_word():
+    lone = joined()
+    for _ in range(100):
+        lone.hear(1 + _ % 4)
+        lone.wait(0.06)
+    assert lone.it.stand is Stand.UNHEARD and lone.it.living == {1, 2, 3, 4}
+
+
+def test_a_process_falls_silent_for_a_later_one_of_its_name_and_is_back_once_that_has_died():
+    lone = joined()
+    lone.hear(1, yours=Record(Status.ALIVE, lone.it.incarnation + 1, 78))
+    assert lone.it.stand is Stand.SUPERSEDED and lone.it.next_look(lone.now) == float("inf")
+    assert lone.did(lone.it.leave(lone.now)) == []
+    lone = joined()
+    lone.hear(1, yours=Record(Status.ALIVE, 5, 78))
+    lone.hear(2, yours=Record(Status.DEAD, 5, 78))
+    assert lone.it.stand is Stand.WELL and lone.it.incarnation == 6
+
+
+def test_a_leave_counts_at_once_from_itself_and_only_by_enough_from_others():
+    lone = joined()
+    left = (News(2, Record(Status.LEFT, 1, 2)),)
+    lone.hear(1, items=left)
+    lone.hear(1, items=left)
+    assert 2 in lone.it.living
+    lone.hear(2, items=left)
+    assert 2 not in lone.it.living and lone.turned[-1] == ((2, lone.turned[-1][0][1]),)
+
+
+def test_an_answer_of_an_earlier_life_is_no_answer():
+    lone = joined()
+    lone.hear(3, items=(News(2, Record(Status.ALIVE, 4, 9)),))
+    probe = next(iter(lone.it.probes.values()), None)
+    while probe is None or probe.subject != 2:
+        lone.busy(0.02, others=(1, 3, 4))
+        probe = next((one for one in lone.it.probes.values() if one.subject == 2), None)
+    number = next(number for number, one in lone.it.probes.items() if one is probe)
+    lone.hear(2, Kind.ACK, number=number, incarnation=1)
+    assert number in lone.it.probes
+    lone.hear(2, Kind.ACK, number=number, incarnation=4, life=9)
+    assert number not in lone.it.probes
+
+
+def test_a_flood_from_one_sender_is_counted_and_answered_within_bounds():
+    lone = joined()
+    lone.busy(1.1)
+    before = sum(send.message.kind is Kind.ACK for send in lone.sent)
+    for _ in range(2000):
+        lone.hear(1)
+    assert sum(send.message.kind is Kind.ACK for send in lone.sent) - before <= 40
+    assert lone.it.figures.floods > 1000
+
+
+def test_views_that_differ_are_mended_by_their_parts():
+    one, other = joined(), joined()
+    other.it._put(2, Record(Status.ALIVE, 7, 2), told=False)
+    other.now = one.now = max(one.now, other.now) + 1.0
+    one.it.latest = one.it.due = other.it.latest = other.it.due = one.now
+    sums = [send for send in one.hear(1, digest=1) if send.message.kind is Kind.SUMS]
+    parts = [send for send in other.hear(1, Kind.SUMS, sums=sums[0].message.sums)
+             if send.message.kind is Kind.PART]
+    assert parts
+    for part in parts:
+        one.hear(1, Kind.PART, first=part.message.first, part=part.message.part)
+    assert one.it.records.all[2].incarnation == 7
+
+
+def test_shares_grow_only_once_all_know_and_never_over_twice_the_configured_one():
+    shares = Shares(10)
+    assert shares.look(0.0, 10, True) == 10
+    assert shares.look(1.0, 7, True) == 10 and shares.due == 1.0 + SETTLED
+    assert shares.look(3.0, 6, True) == 10  # it shrank further: the time begins anew
+    assert shares.look(3.0 + SETTLED, 6, True) == 6
+    assert shares.look(7.0, 9, True) == 9  # who came back counts at once
+    assert shares.look(8.0, 4, True) == 10 and shares.look(20.0, 4, True) == 10  # under half: cut off
+    assert shares.look(21.0, 9, False) == 10
+
+
+CASES = ["killed", "quarter-2", "loss-20", "pair", "mute", "again", "toggles", "stalls"]
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_an_emulated_fleet_keeps_its_promises(name):
+    found = verify.figures(History(Fleet(12, 1).run(name)))
+    assert verify.broken(found, {}) == [] and found["datagram_max"] <= m.MOST_BYTES
+    assert found["killed"] == (name == "killed")
+
+
+def test_the_same_seed_plays_the_same_course():
+    assert Fleet(8, 3).run("loss-20") == Fleet(8, 3).run("loss-20") != Fleet(8, 4).run("loss-20")
+
+
+class OneWord(Membership):
+    """Planted: a death on one observer's word."""
+
+    def _suspect(self, now, member, incarnation, observers, age=0.0):
+        held = self.records.all[member]
+        if held.living and incarnation & m.LOW == held.incarnation & m.LOW:
+            self._end(now, ((member, Record(Status.DEAD, held.incarnation, held.life)),))
+
+
+class NoLook(Membership):
+    """Planted: no look at itself after a standstill."""
+
+    def _wake(self, now):
+        self.latest = now
+
+    def _judges(self, now):
+        return True
+
+
+class Reset(Membership):
+    """Planted: each start begins with the first incarnation."""
+
+    def _raise(self, now, over):
+        super()._raise(now, 0 if self.incarnation == 0 else over)
+
+    def _about_me(self, now, told):
+        if told.life == self.life:
+            super()._about_me(now, told)
+
+
+class NoHelp(Membership):
+    """Planted: no indirect probes."""
+
+    def _ask_helpers(self, now, own, probe):
+        pass
+
+
+class NeverMended(Membership):
+    """Planted: views are not compared, and nobody knocks at the dead."""
+
+    def _repair(self, now, sender):
+        pass
+
+    def _knock(self, now):
+        self.due_knock = float("inf")
+
+
+PLANTED = [(OneWord, "loss-20", "false_dead"), (NoLook, "waves", "false_dead"),
+           (Reset, "back", "wrong_views"), (NoHelp, "killed", "missed"),
+           (NeverMended, "halves", "wrong_views")]
+
+
+@pytest.mark.parametrize("machine,name,figure", PLANTED, ids=[one[0].__name__ for one in PLANTED])
+def test_a_planted_fault_is_caught_in_the_emulator(machine, name, figure):
+    found = verify.figures(History(Fleet(12, 1, machine=machine).run(name)))
+    assert found[figure] > 0
+    sound = verify.figures(History(Fleet(12, 1).run(name)))
+    assert sound[figure] == 0
+
+
+class Liar(Membership):
+    """Says all the time that everybody is dead, in its own word and in forged ones."""
+
+    def ticked(self, now):
+        for target in self.living:
+            others = [one for one in self.living if one != target]
+            items = tuple(Words(one, self.records.all[one].incarnation, 10.0, (self.me, *others[:2]))
+                          for one in others[:12])
+            self._send(now, target, Kind.NEWS, items=items)
+        return super().ticked(now)
+
+
+def test_a_liar_that_calls_everyone_dead_kills_nobody():
+    found = verify.figures(History(Fleet(12, 1, liar=Liar).run("calm")))
+    assert found["false_dead"] == 0 and found["wrong_views"] == 0
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -11,6 +11,7 @@
 
 from applevale import interface as api
 from applevale.node import config
+from applevale.node.datagrams import Datagrams
 from applevale.node.driver import Driver
 from applevale.node.engine import Fleet
 from applevale.node.news import HEAD, LEAST_BYTES, MOST_BYTES, MOST_ROOM, RENEW, News, NewsError, mark
@@ -216,24 +217,26 @@
         one, two, stranger = free(), free(), free()
         module, counters = Silent(), Counters()
         driver = Driver(module, Fleet(None, (), 0, counters), counters)
-        here = Peers(config.PeerAddresses(one, (one, two), two), 0, news(), driver, Counters())
-        there = Peers(config.PeerAddresses(two, (one, two), one), 1, news(), driver, counters)
-        here.start(), there.start()
+        ours = Datagrams(config.PeerAddresses(one, (one, two), two), 0, Counters())
+        theirs = Datagrams(config.PeerAddresses(two, (one, two), one), 1, counters)
+        here, there = Peers(ours, news(), driver, Counters()), Peers(theirs, news(), driver, counters)
+        ours.start(), theirs.start()
         here.reported(1, (7.0, 0.5, 0.25))
         here.sent(2, 3)
         here.sent(2, 1)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
             other.bind(stranger)
             other.sendto(told_send(news(), 1, 9), two)
-        here.sock.sendto(b"garbage", two)
-        there.sock.sendto(told_send(news(), 1, 9), two)  # its own word, back from the address of all
+        ours.sock.sendto(b"garbage", two)
+        theirs.sock.sendto(told_send(news(), 1, 9), two)  # its own word, back from the address of all
         async with asyncio.timeout(10):
             while counters["news_heard"] < 1 or counters["news_unreadable"] < 2:
                 await asyncio.sleep(0)
             driver.post(api.Timer(5))  # news alone are no reason for a batch
             while not module.events:
                 await asyncio.sleep(0)
-        here.stop(), there.stop()
+        for part in (here, there, ours, theirs):
+            part.stop()
         return module.events
 
     events = asyncio.run(main())
