--- a/applevale/emulator/membership.py
+++ b/applevale/emulator/membership.py
@@ -8,12 +8,14 @@
 from ..faults.courses import course, lasts
 from ..membership import messages
 from ..membership.machine import Command, Membership, Pace, Send, Stood, Turned
+from ..membership.shares import Shares
 from ..membership.suspicion import Times
 from .stage import Stage
 from .world import World
 
 JOIN = 4.0  # s for all to have joined
 SETTLE = 6.0  # s behind the last fault
+LOOKED = 0.1  # s between two looks at the sum of all shares
 
 VERSIONS = {
     "fleet": Pace(),
@@ -31,9 +33,22 @@
         self.count = count
         self.world = World(count, seed, self._make, self._route, self._seen, latency=latency)
         self.stage = Stage(self.world)
+        self.shares: dict[tuple[int, int], Shares] = {}
         self.buckets: dict[tuple[int, int], list[int]] = defaultdict(lambda: [0, 0, 0])  # bytes, most, count
         self.world.sent = self._sent
 
+    def _look_at_shares(self) -> None:
+        """What all take together of what they share, as a part of the whole."""
+        total = 0.0
+        for number, place in enumerate(self.world.places):
+            if place.actor is not None:
+                shares = self.shares.setdefault((number, place.life), Shares(self.count))
+                if self.world.now >= place.paused_until:
+                    shares.look(place.local(self.world.now), place.actor.size, place.actor.well)
+                total += 1 / shares.size
+        self.stage.note("shares", total=total)
+        self.world.at(self.world.now + LOOKED, self._look_at_shares)
+
     def _make(self, number: int, life: int) -> Membership:
         random = Random(f"{self.seed} {number} {life}")
         kind = self.liar if self.liar is not None and number == 0 else self.machine
@@ -67,6 +82,7 @@
             world.at(begin, lambda number=number: stage.start(number))
         world.run(JOIN)
         stage.note("mark", name="joined")
+        self._look_at_shares()
         steps = course(name, self.count, self.seed)
         stage.play(steps)
         world.run(JOIN + lasts(steps) + SETTLE)
--- a/applevale/membership/machine.py
+++ b/applevale/membership/machine.py
@@ -107,13 +107,15 @@
 MOST_HEALTH = 3.0  # a member that doubts itself takes up to so many times longer, and one
 MOST_ANSWERS = 30  # to one sender, in a second
 BURST = 32  # members that hear of a rise, a start or a leave at once
+LAST_TOLD = 2  # times that words are passed on in a last look
 LEAVERS = 12  # that hear of a leave at once
 # Bytes that each kind leaves for those before it: answers, probes, what is done for others, news.
 KEEP_PROBE, KEEP_HELP, KEEP_NEWS = 30.0, 100.0, 80.0
 MOST_VIA = 1024  # members of which it is kept who reached them
 MOST_DOUBT = 5.0  # s for which members that could not be reached are kept in mind
 MOST_CHURN = 3.0  # s for which views are not compared because they change all the time
-SPREAD = 1.2  # times that news are passed on, over the logarithm of the fleet
+SPREAD = 1.2  # times that news are passed on, over the logarithm of the fleet,
+SPREAD_WORDS = 0.9  # and words, each time that there are enough more of them
 
 
 @dataclass(slots=True)
@@ -162,6 +164,7 @@
         self.incarnation = 0
         self.changes = 0  # of the view
         self.suspicions: dict[int, Suspicion] = {}
+        self.graves: dict[int, Suspicion] = {}  # of members held dead: the words that they died by
         self.claims: dict[int, tuple[Record, set[int]]] = {}  # of deaths and leaves, by who holds them
         self.probes: dict[int, _Probe] = {}
         self.news: dict[int, int] = {}  # member -> how often its record or words are still passed on
@@ -394,16 +397,20 @@
     def _put(self, member: int, record: Record, told: bool = True) -> None:
         """Holds a later word on a member; `told`: it is passed on."""
         self.records.put(member, record)
-        self.suspicions.pop(member, None)
+        words = self.suspicions.pop(member, None)
+        if record.status is Status.DEAD and words is not None and words.first < inf:
+            self.graves[member] = words
+        else:
+            self.graves.pop(member, None)
         self.claims.pop(member, None)
         if told:
-            self.news[member] = self._times()
+            self.news[member] = self._times(SPREAD_WORDS if member in self.graves else SPREAD)
         if member != self.me:
             (self.living.add if record.living else self.living.discard)(member)
 
-    def _times(self) -> int:
+    def _times(self, spread: float) -> int:
         """How often news are passed on."""
-        return ceil(SPREAD * log2(2 + len(self.living)))
+        return ceil(spread * log2(2 + len(self.living)))
 
     def _from(self, now: float, sender: int, message: Message) -> None:
         """A message shows that its sender lives at its incarnation."""
@@ -457,7 +464,7 @@
                 self.pending[member] = Change.LEFT if record.status is Status.LEFT else Change.DIED
                 self.figures.died += record.status is Status.DEAD
                 self.due_told = now
-            self._put(member, record, told=record.status is Status.LEFT)
+            self._put(member, record)
         self.turned_at = now
         if self.due_knock == inf:
             self.due_knock = now + self._knock_rest()
@@ -468,6 +475,10 @@
         member = words.member
         if not 0 <= member < self.count or not all(0 <= one < self.count for one in words.observers):
             return
+        held = self.records.all[member]
+        if held.known and (held.incarnation & m.LOW != words.incarnation or held.status is Status.LEFT):
+            self._send(now, sender, Kind.NEWS, KEEP_HELP, items=(News(member, held),))  # it may be behind
+            return
         need = self._need(member)
         observers = tuple(dict.fromkeys(one for one in words.observers if one not in (member, self.me)))
         if member == self.me:
@@ -492,7 +503,7 @@
         words = len(suspicion.observers)
         if new and (before < need or suspicion.told < many <= words) and words >= min(self.pace.share, need):
             suspicion.told = words
-            self.news[member] = self._times()
+            self.news[member] = self._times(SPREAD_WORDS)
         if words < need:
             return
         if before < need:
@@ -538,7 +549,9 @@
         for member, one in self.suspicions.items():
             last = not one.last and now >= self._dies_at(member, one) - self.pace.last
             if now >= one.look or last:
-                one.last |= last
+                if last:
+                    one.last = True
+                    self.news[member] = max(LAST_TOLD, self.news.get(member, 0))  # who knows better says so
                 if one.look < inf:
                     one.look = now + self.pace.look
                 elif self.count > self.pace.few or self.me in one.observers:
@@ -636,16 +649,17 @@
                 self._send(now, probe.subject, Kind.PING, KEEP_PROBE, number=own)
 
     def _ask_helpers(self, now: float, own: int, probe: _Probe) -> None:
-        """One that reached it before, and others at random. None where others have failed already: they were
-        asked, and what they found is passed on."""
-        if probe.subject in self.suspicions or not self.pace.helpers:
+        """One that reached it before, and others at random: fewer where others have failed already."""
+        via, suspicion = self.via.get(probe.subject), self.suspicions.get(probe.subject)
+        wanted = 1 if via is not None else self.pace.helpers
+        if suspicion is not None:
+            wanted = min(wanted, self._need(probe.subject) - len({*suspicion.observers, self.me}))
+        if not self.pace.helpers or (wanted <= 0 and via is None):
             return
-        via = self.via.get(probe.subject)
         others = [one for one in self.living
                   if one not in (probe.subject, via) and one not in self.suspicions]
         helpers = [via] if via in self.living else []
-        wanted = 1 if helpers else self.pace.helpers
-        helpers += self.random.sample(others, min(wanted, len(others)))
+        helpers += self.random.sample(others, min(max(0, wanted), len(others)))
         for helper in helpers:
             if self._send(now, helper, Kind.ASK, KEEP_HELP, number=own, subject=probe.subject):
                 probe.helped += 1
@@ -655,6 +669,9 @@
         subject = message.subject
         if not 0 <= subject < self.count or subject == self.me or not self._judges(now):
             return
+        if subject in self.graves:
+            self._send(now, sender, Kind.NEWS, KEEP_HELP, items=(self._item(now, subject),))
+            return
         self._suspect(now, subject, self.records.all[subject].incarnation, (sender,))
         suspicion = self.suspicions.get(subject)
         if suspicion is not None and self.me in suspicion.observers:  # it has tried already
@@ -836,14 +853,14 @@
 
     def _item(self, now: float, member: int) -> m.Item | None:
         """Words where there are enough, else the record."""
-        suspicion = self.suspicions.get(member)
+        suspicion = self.suspicions.get(member) or self.graves.get(member)
         if suspicion is not None:
             if len(suspicion.observers) < min(self.pace.share, self._need(member)):
                 return None
             return Words(member, suspicion.incarnation, max(0.0, now - min(now, suspicion.since)),
                          tuple(suspicion.observers))
         record = self.records.all[member]
-        return News(member, record) if record.known else None
+        return News(member, record) if record.known and record.status is not Status.DEAD else None
 
     def _done(self, now: float) -> list[Command]:
         if now >= self.due_told:
--- a/applevale/membership/messages.py
+++ b/applevale/membership/messages.py
@@ -21,7 +21,7 @@
 MOST_BYTES = 256
 MOST_INCARNATION = (1 << 30) - 1
 LOW = 255  # of an incarnation, by which words are matched to it
-AGE_UNIT = 0.05  # s; ages are told rounded down, up to 12.75 s
+AGE_UNIT = 1 / 16  # s; ages are told rounded down, up to 15.9 s
 MOST_OBSERVERS = 5  # that one item names
 
 HEAD, ABOUT = struct.Struct(">BBHIHIHI"), struct.Struct(">HB")
--- a/applevale/membership/suspicion.py
+++ b/applevale/membership/suspicion.py
@@ -28,7 +28,7 @@
     need: int = 3
     many: int = 5
     least: float = 1.7
-    most: float = 3.5
+    most: float = 2.4
 
     def of_others(self, others: int) -> tuple[int, int]:
         """Need and many where so many may give a word. No fewer than two, where more than one is asked for:
--- a/applevale/verify/membership.py
+++ b/applevale/verify/membership.py
@@ -202,6 +202,7 @@
         "view_changes_needed": _needed(truth, joined),
         "rejoin_s": _three(returns_known(history, truth)),
         "wrong_views": wrong_views(history, truth),
+        "share_sum_max": round(max((event["total"] for event in history.of("shares")), default=0.0), 3),
         "bytes_s_max": max((_most_bytes(times) for times in sent.values()), default=0),
         "datagram_max": max((event["most"] for event in history.of("sent")), default=0),
         "datagrams_s_max": max((most_in([event["at"] for event in one for _ in range(event["count"])], 0.95)
@@ -221,7 +222,8 @@
     return most
 
 
-ALWAYS = {"false_dead": 0, "missed": 0, "wrong_views": 0, "bytes_s_max": 2000, "datagram_max": 256}
+ALWAYS = {"false_dead": 0, "missed": 0, "wrong_views": 0, "share_sum_max": 2, "bytes_s_max": 2000,
+          "datagram_max": 256}
 
 
 def broken(found: dict, most: dict[str, float]) -> list[str]:
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -10,7 +10,8 @@
 from applevale.verify import membership as verify
 from applevale.verify.history import History
 
-pytestmark = pytest.mark.xdist_group("members")
+# Never beside another fleet on the same machine.
+pytestmark = pytest.mark.xdist_group("fleet")
 CUT = Fate(cut=True)
 
 
