Fleet rig: what no process can answer while it stands still is no lost request

Checked: a request that crosses a drain's close (ruled out: none of the lost was cut); the history with each lost one: sent while its program stood still, due while it stood still again. Change: those are counted by themselves (late_by_standstill), all others that are lost stand in the history.

--- a/applevale/rigs/cases.py
+++ b/applevale/rigs/cases.py
@@ -337,10 +337,10 @@
         found = await play
     finally:
         await fleet.stop()
-    told = fleet.history()
+    figures = _figures(fleet, fleet.history(), found, chosen)
     if history:
-        told.write(history)
-    return {"rig": "fleet", "case": case, **_figures(fleet, told, found, chosen)}
+        fleet.history().write(history)  # with what the rules found
+    return {"rig": "fleet", "case": case, **figures}
 
 
 async def _play(fleet: Fleet, chosen: Case) -> dict:
@@ -359,7 +359,7 @@
     found = verify.figures(history, nodes) | counted
     rules = fleet.rules()
     found |= {name: rules[name] for name in ("lost_requests", "answered_twice", "loads_twice", "order_breaks",
-                                             "requests", "served", "cut_by_ends")}
+                                             "requests", "served", "cut_by_ends", "late_by_standstill")}
     found["wrong_lists"] = fleet.figures["wrong_lists"]
     found["pushed_most"] = round(max(engine.pushed for engine in fleet.engines), 2)
     found["import_s"] = {name: round(quantile(fleet.import_s, share), 2)
--- a/applevale/rigs/fleet.py
+++ b/applevale/rigs/fleet.py
@@ -34,6 +34,7 @@
 PREFIX = "applevale/engines/"
 IMPORTS = ("import time, applevale.__main__, applevale.sources.registry.source, "
            "applevale.sources.registry.etcd, structlog; print(time.monotonic())")
+LAST_WORD = 0.3  # s before its client gives up in which a request without a decision has its answer
 QUIET = 8.0  # s within which every list is the registry's, at a quiet point
 
 
@@ -72,6 +73,7 @@
         self.ready = self.confirmed = False
         self.stand = ""  # among the members
         self.killed: list[float] = []  # by the loop's clock
+        self.still: list[tuple[float, float]] = []  # spans in which it stood still
         self.turn = asyncio.Lock()  # one end and start at a time
 
 
@@ -358,11 +360,17 @@
             for sent in instance.clients.sent:
                 if sent.cut and any(sent.at <= end + 0.5 for end in ends):
                     found["cut_by_ends"] += 1
+                elif sent.answers == ["late"] and any(
+                        begin < sent.due and sent.due - LAST_WORD < end for begin, end in instance.still):
+                    found["late_by_standstill"] += 1  # no process answers while it stands still
+                elif not sent.answers or "late" in sent.answers:
+                    self.note("lost", sent.at, who=instance.name, ref=sent.ref, lane=sent.method,
+                              answers=sent.answers, cut=round(sent.cut - sent.at, 3) if sent.cut else None)
             apart = (min(ends), inf) if ends else (inf, -inf)
             found += broken_rules(instance.clients, self.engines, apart)
             found["requests"] += len(instance.clients.sent)
             found["served"] += sum("served" in sent.answers for sent in instance.clients.sent)
-        found["lost_requests"] -= found["cut_by_ends"]
+        found["lost_requests"] -= found["cut_by_ends"] + found["late_by_standstill"]
         return found
 
     # --- what cases do --------------------------------------------------------------------------------------
@@ -548,11 +556,11 @@
         instance.ready = instance.confirmed = False
         self.note("ended", who=instance.name, how=how)
 
-    @staticmethod
-    async def _stop(instance: Instance, span: float) -> None:
+    async def _stop(self, instance: Instance, span: float) -> None:
         process = instance.program.process
         if process.returncode is not None:
             return
+        instance.still.append((self.loop.time(), self.loop.time() + span))
         process.send_signal(signal.SIGSTOP)
         try:
             await asyncio.sleep(span)
