--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,7 @@
 
 
 def test_check_tells_good_from_bad_by_exit_code_and_one_line(tmp_path):
-    for name in ("examples/config.json", "deploy/registry.json"):
+    for name in ("examples/config.json", "deploy/registry.json", "deploy/fleet.json", "deploy/members.json"):
         good = run("check", str(ROOT / name))
         assert good.exit_code == 0 and "good" in good.output
     raw = json.loads((ROOT / "deploy/registry.json").read_text())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,10 @@
 """Membership, message by message and in the emulator: no sockets, no clock."""
 
+import asyncio
+import json
+import re
+import socket
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -13,6 +18,10 @@
 from applevale.membership.messages import Kind, Message, News, Record, Status, Words
 from applevale.membership.shares import SETTLED, Shares
 from applevale.membership.suspicion import LEAD, Suspicion, Times
+from applevale.node import config
+from applevale.node.datagrams import Datagrams
+from applevale.node.members import Members
+from applevale.observe.counters import Counters
 from applevale.verify import membership as verify
 from applevale.verify.history import History
 from tests.planted import MEMBERS
@@ -301,3 +310,50 @@
     liar = type("Liar", (Membership,), MEMBERS["liar"])
     found = verify.figures(History(Fleet(12, 1, liar=liar).run("calm")))
     assert found["false_dead"] == 0 and found["wrong_views"] == 0
+
+
+@pytest.mark.parametrize("change,text", [
+    ({"membership": {"probes": 1}}, "membership.probes: unknown"),
+    ({"membership": {"probe": 0}}, "probe: a number of 0.02 or more"),
+    ({"membership": []}, "membership: an object"),
+    ({"peers": ["127.0.0.1:7946"]}, "membership: peer_listen and the addresses of 2"),
+    ({"peer_listen": None}, "membership: peer_listen"),
+    ({"settings": {"me": 3}}, "settings.me: 3 is none of the 3 peers")])
+def test_a_bad_membership_section_is_one_line_that_names_its_key(change, text):
+    raw = json.loads((Path(__file__).parent.parent / "deploy" / "members.json").read_text())
+    assert config.parse(raw, {}).membership == 0.1
+    settings = raw["settings"] | change.pop("settings", {})
+    with pytest.raises(config.ConfigError, match="^" + re.escape(text)):
+        config.parse(raw | change | {"settings": settings}, {})
+
+
+def test_datagrams_of_strangers_and_garbage_cost_a_counter_and_nothing_else():
+    def free():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            return sock.getsockname()
+
+    async def main():
+        here, peer = free(), free()
+        counters, sizes = Counters(), []
+        datagrams = Datagrams(config.PeerAddresses(here, (here, peer), None), 0, counters, shared=True)
+        machine = Membership(0, 2, 7, Random(1))
+        part = Members(machine, Shares(2), datagrams, counters, sizes.append)
+        datagrams.start(), part.start()
+        good = Message(Kind.PING, 1, 4, 9, digest=0)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one, socket.socket(
+                socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            one.bind(peer)
+            stranger.bind(("127.0.0.1", 0))
+            for sock, data in ((stranger, m.encode(good)), (one, b""), (one, b"\x01x"),
+                               (one, bytes([m.MARK])),
+                               (one, m.encode(good)[:-1]), (one, m.encode(good) + b"\xff\xff"),
+                               (one, m.encode(good) + b"x" * 250), (one, m.encode(good))):
+                sock.sendto(data, here)
+            async with asyncio.timeout(10):
+                while not machine.figures.heard:
+                    await asyncio.sleep(0)
+        part.stop(), datagrams.stop()
+        return counters["news_unreadable"], machine.figures.heard, machine.living
+
+    assert asyncio.run(main()) == (7, 1, {1})
