Membership: while many are suspected, probes carry no news

Cause, from a trace at 40 members of which 19 were killed at once: one member held two words against a dead one for 3 s while others had five: news left with probes, of which half went to the dead, and used up their count.

--- a/applevale/membership/machine.py
+++ b/applevale/membership/machine.py
@@ -113,6 +113,7 @@
 KEEP_PROBE, KEEP_HELP, KEEP_NEWS = 30.0, 100.0, 80.0
 MOST_VIA = 1024  # members of which it is kept who reached them
 MOST_DOUBT = 5.0  # s for which members that could not be reached are kept in mind
+MANY_SUSPECTS = 3  # more than these, and probes carry no news: many go to dead members, and bytes are scarce
 MOST_CHURN = 3.0  # s for which views are not compared because they change all the time
 SPREAD = 1.2  # times that news are passed on, over the logarithm of the fleet,
 SPREAD_WORDS = 0.9  # and words, each time that there are enough more of them
@@ -820,7 +821,8 @@
         if keep != -inf and not self.bucket.take(now, size, keep):
             self.figures.held_back += 1
             return False
-        if kind in (Kind.PING, Kind.ACK, Kind.ASK, Kind.FOUND, Kind.NEWS) and not items and self.news:
+        wasted = kind is Kind.PING and (target in self.suspicions or len(self.suspicions) > MANY_SUSPECTS)
+        if kind not in (Kind.SUMS, Kind.PART) and not items and self.news and not wasted:
             told = self._news(now, m.MOST_BYTES - size)
             if told:
                 message = Message(kind, message.number, self.incarnation, self.life, held,
