Membership: clocks begun anew are looked at again; the emulator may begin with a known fleet

Cause, found on reading: after a standstill the time of the next burial was cleared and set again only by a new word. Change: it is worked out anew. Looks at suspects are fewer while many are suspected.

--- a/applevale/emulator/membership.py
+++ b/applevale/emulator/membership.py
@@ -25,14 +25,19 @@
 
 
 class Fleet:
-    """`make` may make another machine for a member (a planted fault)."""
+    """A world of members."""
 
     def __init__(self, count: int, seed: int, pace: Pace | None = None, latency: tuple[float, float] = (
-            0.0003, 0.003), machine: type[Membership] = Membership, liar: type[Membership] | None = None):
+            0.0003, 0.003), machine: type[Membership] = Membership, liar: type[Membership] | None = None,
+            known: bool = False):
+        """`machine`: another class of machine for all, `liar`: for the first one (planted faults); `known`:
+        all know each other from the first moment, without the traffic of their start."""
+        self.known = known
         self.pace, self.machine, self.liar, self.seed = pace or Pace(), machine, liar, seed
         self.count = count
         self.world = World(count, seed, self._make, self._route, self._seen, latency=latency)
         self.stage = Stage(self.world)
+        self.lives = [self._life(number, 1) for number in range(count)]
         self.shares: dict[tuple[int, int], Shares] = {}
         self.buckets: dict[tuple[int, int], list[int]] = defaultdict(lambda: [0, 0, 0])  # bytes, most, count
         self.world.sent = self._sent
@@ -52,7 +57,13 @@
     def _make(self, number: int, life: int) -> Membership:
         random = Random(f"{self.seed} {number} {life}")
         kind = self.liar if self.liar is not None and number == 0 else self.machine
-        return kind(number, self.count, random.getrandbits(16), random, self.pace)
+        made = kind(number, self.count, self._life(number, life), random, self.pace)
+        if self.known and life == 1:
+            made.begin = lambda now: made.begin_known(now, self.lives)
+        return made
+
+    def _life(self, number: int, life: int) -> int:
+        return Random(f"life {self.seed} {number} {life}").getrandbits(16)
 
     @staticmethod
     def _route(command: Command) -> tuple[int, messages.Message, int] | None:
@@ -74,9 +85,10 @@
         bucket[1] = max(bucket[1], size)
         bucket[2] += 1
 
-    def run(self, name: str, over: float = 1.0) -> list[dict]:
-        """A course from the start of all, within `over` s, to rest; its history."""
+    def run(self, name: str) -> list[dict]:
+        """A course from the start of all, within a second, to rest; its history."""
         world, stage = self.world, self.stage
+        over = 0.05 if self.known else 1.0
         for number in range(self.count):
             begin = over * Random(f"{self.seed} {number}").random()
             world.at(begin, lambda number=number: stage.start(number))
@@ -86,9 +98,12 @@
         steps = course(name, self.count, self.seed)
         stage.play(steps)
         world.run(JOIN + lasts(steps) + SETTLE)
+        views: dict[tuple[int, ...], list[str]] = {}  # equal ones once: of thousands they are large
         for number, place in enumerate(world.places):
             if place.actor is not None:
-                stage.note("held", who=f"n{number}", view=[f"n{one}" for one, _ in place.actor.view()])
+                living = tuple(one for one, _ in place.actor.view())
+                view = views.setdefault(living, [f"n{one}" for one in living])
+                stage.note("held", who=f"n{number}", view=view)
         sent = [{"at": tenth / 10, "event": "sent", "who": f"n{number}", "bytes": size, "most": most,
                  "count": count} for (number, tenth), (size, most, count) in self.buckets.items()]
         return stage.events + sent
--- a/applevale/emulator/players.py
+++ b/applevale/emulator/players.py
@@ -11,6 +11,7 @@
 from .experiment import ExperimentError
 from .membership import VERSIONS, Fleet
 
+KNOWN = 500  # members from which a fleet does not start first: what its start takes grows with the square
 _TIMES = tuple(one.name for one in fields(Times))
 
 
@@ -20,7 +21,7 @@
     times = {name: value for name, value in settings.items() if name in _TIMES}
     pace = replace(pace, times=replace(pace.times, **times),
                    **{name: value for name, value in settings.items() if name not in _TIMES})
-    found = verify.figures(History(Fleet(size, seed, pace).run(case)))
+    found = verify.figures(History(Fleet(size, seed, pace, known=size >= KNOWN).run(case)))
     flat: dict[str, float] = {}
     for name, value in found.items():
         if isinstance(value, dict):
--- a/applevale/membership/machine.py
+++ b/applevale/membership/machine.py
@@ -104,7 +104,7 @@
     times: Times = field(default_factory=Times)
 
 
-MOST_HEALTH = 3.0  # a member that doubts itself takes up to so many times longer, and one
+MOST_HEALTH = 3.0  # a member whose helpers say nothing either takes up to so many times longer, and once
 MOST_ANSWERS = 30  # to one sender, in a second
 BURST = 32  # members that hear of a rise, a start or a leave at once
 LAST_TOLD = 2  # times that words are passed on in a last look
@@ -188,21 +188,32 @@
         self.join_heard: set[int] = set()
         self.told_me = 0  # the highest incarnation of the own name that anyone told
         self.seen_at: dict[int, float] = {}  # with heartbeats: when each was heard last
-        self.missed: dict[int, float] = {}  # members that could not be reached lately, and when
         self.via: dict[int, int] = {}  # member -> who reached it where this one could not
+        self.missed: dict[int, float] = {}  # members that could not be reached lately, and when
         self.wrong: dict[int, float] = {}  # those of them that were heard after all, and when
         self.out: list[Command] = []
 
     # --- what the driver calls ------------------------------------------------------------------------------
 
     def begin(self, now: float) -> list[Command]:
-        self.latest = self.due = now
-        self.heard_at = self.answered_at = now
-        self.due_probe = now + self.random.random() * self.pace.probe
+        self._begin(now)
         self.join_by = now + self.pace.join_alone
         self.out.append(Stood(Stand.JOINING))
         return self._done(now)
 
+    def _begin(self, now: float) -> None:
+        self.latest = self.due = self.heard_at = self.answered_at = now
+        self.due_probe = now + self.random.random() * self.pace.probe
+
+    def begin_known(self, now: float, lives: list[int]) -> list[Command]:
+        """In place of `begin`: as one of a fleet whose members know each other already, by these marks."""
+        self._begin(now)
+        self._turn_to(Stand.WELL)
+        self.incarnation = 1
+        for member, life in enumerate(lives):
+            self._put(member, Record(Status.ALIVE, 1, life), told=False)
+        return self._done(now)
+
     def ticked(self, now: float) -> list[Command]:
         self._wake(now)
         if self.stand in (Stand.GONE, Stand.SUPERSEDED):
@@ -310,9 +321,9 @@
         self.probes.clear()
         self.quiet_until = now + self.pace.calm
         self.heard_at = self.answered_at = now
-        self.due_bury = inf
         for suspicion in self.suspicions.values():
             suspicion.begin_anew(now)
+        self._look_at_graves()
         if self.stand is Stand.ALONE:
             self._turn_to(Stand.WELL)
         if self.incarnation:
@@ -554,7 +565,8 @@
                     one.last = True
                     self.news[member] = max(LAST_TOLD, self.news.get(member, 0))  # who knows better says so
                 if one.look < inf:
-                    one.look = now + self.pace.look
+                    # Bytes are scarce where many are suspected.
+                    one.look = now + self.pace.look * max(1, len(self.suspicions) / MANY_SUSPECTS)
                 elif self.count > self.pace.few or self.me in one.observers:
                     continue
                 if self.me in one.observers:
