--- a/applevale/membership/machine.py
+++ b/applevale/membership/machine.py
@@ -123,7 +123,6 @@
 class _Probe:
     subject: int
     incarnation: int
-    sent: float
     again: float  # when the second try is due; inf: it was made
     ask: float  # when helpers are asked
     end: float
@@ -646,7 +645,7 @@
         self.figures.probes += 1
         pace, alone = self.pace, asker >= 0 or check
         self.probes[own] = _Probe(
-            subject, self.records.all[subject].incarnation, now, now + pace.again * slow,
+            subject, self.records.all[subject].incarnation, now + pace.again * slow,
             inf if alone else now + pace.ask * slow, now + ends * slow, asker, number, check=check)
 
     def _end_probes(self, now: float) -> None:
