Clients' idempotency keys reach engines; tenants are read from the clients' field

With the calls and wants logged in a trial: keyed requests carry a field `replay`, which the names on the sockets (real.json) call `dedupe` towards engines; it was dropped, so that no engine could have known a repeat. The same file names the tenant's field, `project`: it was not read, so all tenants were the first one.

`replay` is checked (plain characters, 128 at most) and passed on as `dedupe`; `project` is looked up in the settings' tenants, and one that they do not name is a bad field, like an unknown class.

--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -34,6 +34,7 @@
     client_retry: bool = False
     unsure: bool = False  # whether it came behind the others of its key
     gone: Callable[[], bool] = lambda: False  # whether its client has hung up, read or not
+    idempotency_key: str = ""  # by which engines know a repeat
 
 
 @dataclass(frozen=True)
@@ -206,8 +207,9 @@
                 ending.work if done else 0.0, ending.memory_mb if done else 0.0, ending.report))
             self.inbox.put_nowait(ending)
 
-        want = Want(self.query.ref, self.spec.name, self.query.statement, loop.time() + limit,
-                    loop.time() + by, self.urgency, self.spec.repeat is api.Repeat.UNSAFE, self.query.gone)
+        query, alone = self.query, self.spec.repeat is api.Repeat.UNSAFE
+        want = Want(query.ref, self.spec.name, query.statement, loop.time() + limit, loop.time() + by,
+                    self.urgency, alone, query.gone, query.idempotency_key)
         attempt = self.fleet.start(engine, want, self.avoid, ended)
         if attempt.link is not None:  # a second copy of its answer must not be taken for the next attempt's
             self.avoid.add(attempt.link)
--- a/applevale/node/config.py
+++ b/applevale/node/config.py
@@ -219,9 +219,9 @@
         settings = replace(wire.settings("\n".join(flatten(told))), order_gap=ORDER_GAP)
     except api.SettingsError as error:
         raise ConfigError(f"settings.{error}") from None
-    for key in ("classes", "kinds"):
+    for part, key in (("classes", "classes"), ("kinds", "kinds"), ("tenants", "orgs")):
         if isinstance(told.get(key), list):
-            settings = replace(settings, **{key: _named(getattr(settings, key), told[key], key)})
+            settings = replace(settings, **{part: _named(getattr(settings, part), told[key], key)})
     limits = _section(told, "limits")
     zones = told.get("zones", [])
     names = Names(
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -84,6 +84,7 @@
     urgency: int = 1
     alone: bool = False  # must not run twice: shares its link with nothing that could end it
     gone: Callable[[], bool] = lambda: False  # whether its client has hung up, read or not
+    dedupe: str = ""  # by which engines know a repeat of it, whatever its id
 
 
 def command(*words: bytes) -> bytes:
@@ -253,6 +254,8 @@
         fields = f"lane={want.lane},ttl={max(1, int(left * 1000))}"
         if want.urgency != 1:
             fields += f",urgency={want.urgency}"
+        if want.dedupe:
+            fields += f",dedupe={want.dedupe}"
         self.fleet.counters["attempts_written"] += 1
         attempt.message = self.put(b"want", want.ref, fields.encode(), want.statement,
                                    written=lambda: self.fleet.dispatched(want.lane))
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -7,7 +7,7 @@
 import select
 import socket
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from math import ceil, nan
 
 import msgpack
@@ -34,6 +34,7 @@
 MOST_EFFORT, MOST_SPACE = 1e8, 1e7  # ms and MB: far beyond any engine, and still harmless figures
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _REF = re.compile(r"[0-9a-fA-F]{16}")
+_TOKEN = re.compile(r"[0-9A-Za-z_.:-]{0,128}")  # as it is passed on among an engine's fields
 _UNPRINTABLE = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
@@ -75,6 +76,14 @@
     return key
 
 
+def _idempotency_key(fields: dict) -> str:
+    """By which engines know a repeat of a request; without one they go by its id."""
+    key = fields.get("replay", "")
+    if not isinstance(key, str) or not _TOKEN.fullmatch(key):
+        raise BadField("replay")
+    return key
+
+
 def _check_statement(statement: bytes) -> None:
     """Guards the links that requests share: an engine closes one on what it cannot read."""
     try:
@@ -85,15 +94,38 @@
         raise BadField("a statement that is no text")
 
 
-def read_query(classes: dict[str, int], specs: tuple[api.ClassSpec, ...], method: str, params: list,
-               now: float, gone: Callable[[], bool] = lambda: False) -> Query:
+@dataclass(frozen=True)
+class Names:
+    """What the settings name, by its place there."""
+
+    specs: tuple[api.ClassSpec, ...]
+    classes: dict[str, int]
+    tenants: dict[str, int]
+
+    @classmethod
+    def of(cls, settings: api.Settings) -> Names:
+        return cls(settings.classes, {spec.name: at for at, spec in enumerate(settings.classes)},
+                   {tenant.name: at for at, tenant in enumerate(settings.tenants)})
+
+    def tenant(self, fields: dict) -> int:
+        name = fields.get("project")
+        if not self.tenants or name is None:
+            return 0
+        if not isinstance(name, str) or name not in self.tenants:
+            raise BadField(f"project: {str(name)[:40]!r}")
+        return self.tenants[name]
+
+
+def read_query(names: Names, method: str, params: list, now: float,
+               gone: Callable[[], bool] = lambda: False) -> Query:
     """The request in a call; raises BadField with what is wrong."""
-    if method not in classes:
+    if method not in names.classes:
         raise BadField(f"unknown class {method[:40]!r}")
     if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
         raise BadField("fields and a body are needed")
     fields, statement = params
-    spec = specs[classes[method]]
+    cls = names.classes[method]
+    spec = names.specs[cls]
     ref = fields.get("ref")
     if not isinstance(ref, str) or not _REF.fullmatch(ref):
         raise BadField("ref")
@@ -102,8 +134,9 @@
     memory = _number(fields, "space", MOST_SPACE, 0.0)
     key = _key(fields) if spec.ordered else 0
     _check_statement(statement)
-    return Query(ref.encode(), classes[method], statement, now, allow, key=key, work=work, memory_mb=memory,
-                 tables=table_group(statement), client_retry=fields.get("dup") == "1", gone=gone)
+    return Query(ref.encode(), cls, statement, now, allow, names.tenant(fields), key, work, memory,
+                 table_group(statement), fields.get("dup") == "1", gone=gone,
+                 idempotency_key=_idempotency_key(fields))
 
 
 class Front:
@@ -112,7 +145,7 @@
     def __init__(self, broker: Broker, driver: Driver, settings: api.Settings, most: int, most_held: int,
                  counters: Counters):
         self.broker, self.driver, self.settings, self.counters = broker, driver, settings, counters
-        self.classes = {spec.name: at for at, spec in enumerate(settings.classes)}
+        self.names = Names.of(settings)
         self.most = most  # connections at a time
         self.most_held = most_held  # bytes of messages, statements and answers, over all connections
         self.connections: dict[Connection, asyncio.Task] = {}
@@ -415,7 +448,7 @@
             self.counters["over_bounds"] += 1
             raise BadMessage(f"over {MOST_OPEN} open requests")
         try:
-            query = read_query(front.classes, front.settings.classes, method, params, now, self.gone)
+            query = read_query(front.names, method, params, now, self.gone)
             if query.ref in front.refs:  # guards the open request: an engine would take this for a copy
                 raise BadField("ref: of an open request")
         except BadField as error:
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -47,11 +47,15 @@
 
     for method in ("gauge", "post", "peek at"):
         assert ask(method, "select * from a_1.x limit 2") == (None, 1)
+    client.ask(next(numbers), "post", "a" * 16, "select * from a_1.x limit 2", allow="900", replay="b2ec")
+    assert client.read()[2] is None  # engines know a repeat by what its client named it
+    wants = {command[1]: command[2] for command in node.engine.seen if command[0] == b"want"}
+    assert wants[b"a" * 16].endswith(b",dedupe=b2ec") and b"dedupe" not in wants[b"%016x" % 2]
     assert ask("gauge", "insert into a_1.x -- die") == (["Error", {}], 1)
     error, wants = ask("peek at", "select hang from a_1.x")
     assert error == ["Full", {}] and wants >= 1  # no advice: the settings do not allow it
     assert ask("load", "select 1 from a_1.x")[0] == ["Error", {}]  # another deployment's class
-    assert node.stop()["answered_served"] == 3
+    assert node.stop()["answered_served"] == 4
 
 
 @pytest.mark.parametrize("change,key", [
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,7 @@
 
 import json
 import struct
+from dataclasses import replace
 from pathlib import Path
 
 import hiredis
@@ -17,8 +18,8 @@
 
 NAMES = members.Names(("here",), ("a", "b"))
 EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
-SPECS = config.parse(EXAMPLE, {}).settings.classes
-CLASSES = {spec.name: at for at, spec in enumerate(SPECS)}
+SETTINGS = replace(config.parse(EXAMPLE, {}).settings, tenants=(api.TenantSpec("one"), api.TenantSpec("two")))
+NAMED = front.Names.of(SETTINGS)
 
 
 def frame(number, kind, *records):
@@ -82,13 +83,14 @@
 
 
 VALUES = st.none() | st.integers() | st.floats() | st.text(max_size=8) | st.binary(max_size=8)
-FIELDS = st.dictionaries(st.sampled_from(["ref", "allow", "effort", "space", "lookup", "dup"]), VALUES)
+FIELDS = st.dictionaries(st.sampled_from(["ref", "allow", "effort", "space", "lookup", "dup", "replay",
+                                          "project"]), VALUES)
 
 
-@given(st.sampled_from([*CLASSES, "other"]), st.lists(FIELDS | VALUES, max_size=3))
+@given(st.sampled_from([*NAMED.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
 def test_any_call_is_a_usable_query_or_a_named_fault(method, params):
     try:
-        query = front.read_query(CLASSES, SPECS, method, params, 1.0)
+        query = front.read_query(NAMED, method, params, 1.0)
     except front.BadField as error:
         assert str(error)
         return
@@ -97,10 +99,20 @@
 
 def test_a_query_is_read_with_its_units():
     fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", "dup": "1", "effort": "820.0", "space": "96",
-              "lookup": "ff"}
-    query = front.read_query(CLASSES, SPECS, "load", [fields, b"insert into air_4.x"], 9.0)
+              "lookup": "ff", "replay": "b2ec", "project": "two"}
+    query = front.read_query(NAMED, "load", [fields, b"insert into air_4.x"], 9.0)
     assert (query.allow, query.work, query.memory_mb, query.key, query.tables) == (1.5, 0.82, 96.0, 255, 4.0)
     assert query.client_retry and query.cls == 2 and query.arrived == 9.0
+    assert query.idempotency_key == "b2ec" and query.tenant == 1
+
+
+@pytest.mark.parametrize("field,value", [
+    ("replay", "a,b=c"), ("replay", "a b"), ("replay", "x" * 200), ("replay", 7), ("project", "three"),
+    ("project", 1)])
+def test_what_an_engine_would_misread_or_no_one_is_named_by_is_a_named_fault(field, value):
+    fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", field: value}
+    with pytest.raises(front.BadField, match=field):
+        front.read_query(NAMED, "lookup", [fields, b"select 1 from air_4.x"], 9.0)
 
 
 ANSWERS = engine.command(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n") + engine.command(b"b", b"SHED", b"-", b"")
