A connection accepted, or a message ended, in the turn of a shutdown or a timeout is not lost

A task that is cancelled in the turn in which its accept or its receive came back drops the result: on SIGTERM the accepted connection was closed unanswered, and behind a loop that stood still the end of a message was read and thrown away. Both are forced in tests/test_crossings.py, by the order of two callbacks and by a loop held still.

Front waits for a caller and accepts with nothing awaited in between; the time for a message ends it only where nothing of it lies read or unread. Programs that a failed test leaves are ended by the test run.

--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -169,7 +169,7 @@
         return len(self.refs)
 
     async def accept(self, listener: socket.socket) -> None:
-        loop, self.listener = asyncio.get_running_loop(), listener
+        self.listener = listener
         queue = select.poll()
         queue.register(listener, select.POLLIN)
         while True:
@@ -178,13 +178,28 @@
                 self.room.clear()  # all are owed an answer: the rest waits in the system's queue
                 await self.room.wait()
             try:
-                sock, _ = await loop.sock_accept(listener)
-            except OSError as error:  # guards against a caller that has gone, or no descriptor being free
+                await self._waiting(listener)
+                sock, _ = listener.accept()
+            except BlockingIOError:  # the caller has gone
+                continue
+            except OSError as error:  # guards against no descriptor being free
                 say("accept", str(error))
                 await asyncio.sleep(0.01)
                 continue
             self.take(sock, asked, not queue.poll(0))  # else more connections wait in the system's queue
 
+    @staticmethod
+    async def _waiting(listener: socket.socket) -> None:
+        """Until a caller waits. Guards the one that is accepted in the turn of the shutdown: it would be lost
+        with the result of a cancelled accept, and so is left in the system's queue."""
+        loop = asyncio.get_running_loop()
+        ready = loop.create_future()
+        loop.add_reader(listener, lambda: ready.done() or ready.set_result(None))
+        try:
+            await ready
+        finally:
+            loop.remove_reader(listener)
+
     def take(self, sock: socket.socket, asked: float, emptied: bool) -> None:
         self.counters["connections"] += 1
         now = asyncio.get_running_loop().time()
@@ -301,6 +316,7 @@
         # has not taken yet; no message begins with 0.
         self.buffer = bytearray(RECEIVE)
         self.faults = 0
+        self.unfinished = False  # its time to end a message is over
         self.poll = select.poll()
         self.poll.register(sock, select.POLLIN | select.POLLRDHUP)
 
@@ -340,7 +356,10 @@
             self.sock.setblocking(False)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._read()
-        except TimeoutError:
+        except asyncio.CancelledError:
+            if not self.unfinished:
+                raise
+            asyncio.current_task().uncancel()
             self.counters["unfinished_messages"] += 1
             await self._leave()
         except OSError:
@@ -388,8 +407,12 @@
         while True:
             asked = self.front.driver.now()
             # Guards against clients that say nothing, or never end what they say.
-            async with asyncio.timeout_at(due):
+            limit = None if due is None else loop.call_at(due, self._overdue, asyncio.current_task())
+            try:
                 size = await loop.sock_recv_into(self.sock, buffer)
+            finally:
+                if limit is not None:
+                    limit.cancel()
             if not size:
                 return
             now = self.front.driver.now()
@@ -414,6 +437,12 @@
             if self.faults:
                 await asyncio.sleep(self.penance())
 
+    def _overdue(self, reading: asyncio.Task) -> None:
+        """Guards the message whose end came in this very turn, or while the loop stood still: it is read."""
+        if not (self.buffer[0] or self.seen()):
+            self.unfinished = True
+            reading.cancel()
+
     def take(self, message: object, now: float) -> None:
         match message:
             case [0, int(number), "probe", [dict()]]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 import time
 
 import hiredis
+import msgpack
 import pytest
 from test_driver import Module
 
@@ -350,6 +351,52 @@
     assert alone == front.PENANCE[1] and busy <= 0.05
 
 
+def test_a_connection_that_is_accepted_in_the_turn_of_the_shutdown_is_served():
+    """Its accept was cancelled with the connection in hand: the client was reset."""
+
+    async def steps(scene):
+        loop = asyncio.get_running_loop()
+        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        scene.front.accepting = asyncio.create_task(scene.front.accept(listener))
+        await asyncio.sleep(0)
+        theirs = socket.create_connection(listener.getsockname())
+        # Behind the turn that finds the caller waiting, and ahead of the task that waits for it.
+        loop.call_soon(lambda: loop.call_soon(scene.front.shut))
+        theirs.sendall(msgpack.packb([0, 1, "probe", [{}]]))
+        theirs.setblocking(False)
+        async with asyncio.timeout(20):
+            answer = await loop.sock_recv(theirs, 100)
+        theirs.close()
+        return answer
+
+    assert play(steps) == msgpack.packb([1, 1, None, [False, {}]])
+
+
+@pytest.mark.parametrize("end", [b"", msgpack.packb([0, 1, "probe", [{}]])[5:]])
+def test_a_message_that_ends_while_its_time_runs_out_is_read(end, monkeypatch):
+    """Both lay there behind a loop that stood still: its end was read, and thrown away."""
+    monkeypatch.setattr(front, "UNFINISHED", 0.05)
+    message = msgpack.packb([0, 1, "probe", [{}]])
+
+    async def steps(scene):
+        loop = asyncio.get_running_loop()
+        one, theirs = pair(scene)
+        theirs.sendall(message[:5])
+        await until(lambda: one.unread)
+        theirs.sendall(end)
+        time.sleep(0.1)
+        theirs.setblocking(False)
+        async with asyncio.timeout(20):
+            answer = await loop.sock_recv(theirs, 100)
+        theirs.close()
+        return answer, scene.fleet.counters["unfinished_messages"]
+
+    whole = msgpack.packb([1, 1, None, [False, {}]])
+    assert play(steps) == ((whole, 0) if end else (b"", 1))
+
+
 def test_who_has_begun_to_ask_is_not_closed_for_another():
     async def steps(scene):
         asks, rests = pair(scene), pair(scene)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """Starts the program and speaks to it over sockets, with the toy engine of the examples behind it."""
 
+import atexit
 import json
 import os
 import re
@@ -36,7 +37,9 @@
     path.write_text(text)
     env = os.environ | {"BALANCER_CONFIG": str(path), "BALANCER_LISTEN": "127.0.0.1:0"}
     command = [sys.executable, "-m", "applevale"]
-    return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+    atexit.register(process.kill)  # guards the machine against what a failed test leaves
+    return process
 
 
 class Node:
