Own load alone is no reason to refuse: the guess of siblings' load stays calm

Seen: 27% refused, nearly all by the at-once refusal, with the fleet guessed at 1.3 to 3.0 threads a core; 143 probes in 23,000 requests, so no report ever came, and each workload manager took the fleet to be as busy as itself. Some see several times the mean. At fault: Gateway.usual_load, own x siblings as the whole prior.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -681,3 +681,12 @@
     assert not of(answer, d.end(send, api.Result.RESET))
     done = d.run(0.6)
     assert of(answer, done) and not of(api.Send, done)
+
+
+def test_own_load_alone_is_no_reason_to_refuse():
+    """Without reports one that saw several times the mean took all engines to be as full as it was busy."""
+    d = Driver(engines=30, gateways=200)
+    for _ in range(6):
+        assert of(api.Send, d.ask(1, work=9.0)[1])
+    d.run(3.0)
+    assert of(api.Send, d.ask()[1])
