--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -328,7 +328,7 @@
         self.guide.listed(self.now, ready)
 
     def usual_load(self) -> tuple[float, float]:
-        """Own and siblings' threads a core: by reports, else as if each had the own, but no more than calm."""
+        """Own and siblings' threads a core: by reports, else as if each had the own, at most calm."""
         own, siblings = self.usual.mean(self.now, 0.0, SWEEP) / self.cores, self.settings.gateways - 1
         return own, self.others.mean(self.now, min(own * siblings, CALM), 0.5) if siblings else 0.0
 
