A connection on which an answer stopped short is not used for the next request

An answer cut short leaves its beginning in the link's buffer; once the attempt was given up the link rested, and the next want went out on it: its answer was spoilt by the rest of the former one, a read was sent twice, and a load that had run well failed.

A resting link is used again only if nothing of an answer lies in it and the engine has not closed it.

--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -229,10 +229,11 @@
     def streams(self) -> int:
         return len(self.attempts) + len(self.probes)
 
-    def hung_up(self) -> bool:
-        """Guards a `want` that must not run twice: written behind the engine's close, still unread, it could
-        not be told from one that ran."""
-        return bool(self.poll.poll(0))
+    def whole(self) -> bool:
+        """Whether a resting connection may be used again. Guards a `want` against the engine's close, still
+        unread, behind which it could not be told from one that ran; and its answer against the rest of one
+        that stopped short, with which it would be spoilt."""
+        return not (self.unread or self.poll.poll(0))
 
     def put(self, *words: bytes, written: Callable[[], None] | None = None) -> Message:
         return self.outbox.put(command(*words), written)
@@ -500,7 +501,7 @@
                if not (link.closed or link.retired or link.alone or link.check in link.probes)
                and link.streams < self.fleet.limits.streams
                and ref not in link.attempts and link not in avoid]
-        idle = [link for link in fit if link.up and not link.streams and not link.hung_up()]
+        idle = [link for link in fit if link.up and not link.streams and link.whole()]
         if idle:
             return max(idle, key=lambda link: link.heard)
         fit = [link for link in fit if link.streams or not link.up]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -458,6 +458,24 @@
     assert play(steps) == 2
 
 
+def test_a_connection_on_which_an_answer_stopped_short_is_not_used_again():
+    """The next answer there was spoilt by what was missing, and a load that had run well failed."""
+
+    async def steps(scene):
+        attempt = scene.want(b"1")
+        await until(scene.server.refs)
+        scene.server.writers[0].write(b"*4\r\n$1\r\n1\r\n$3\r\nHI")
+        (former,) = scene.fleet.engines[1].links
+        await until(lambda: former.unread)
+        attempt.give_up(api.Result.CANCELLED)
+        await until(lambda: attempt.over)
+        scene.want(b"2")
+        await until(lambda: b"2" in scene.server.refs())
+        return len(scene.server.writers)
+
+    assert play(steps) == 2
+
+
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
         scene.driver.current.clear()  # a loop that stood still reads the rest first
