--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -29,7 +29,7 @@
 CALM = 1.0  # threads a core up to which all but short work takes the first; past it the least loaded home
 OVERFULL = 4.5  # threads a core up to which short work goes past every bound; taken for what says "full"
 PROBES = (1.3, 4.0)  # that each request earns its gateway, most kept
-PROBE_SPEND = 0.0143  # of a request's worth is the most that its probes may cost
+PROBE_SPEND = (0.0143, 0.035)  # of a request's worth is the most that its probes may cost; if they alone tell
 FRESH, PROBE_WAIT = 0.4, 0.06  # s that a report is news; that a probe is waited for: silence is a bad sign
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
 HOMES, LOOKS = 3, 6  # engines that gateways spread a group of tables over; that one request looks at
@@ -237,7 +237,7 @@
         self.stats = [ClassStats(c) for c in settings.classes]
         self.engines: dict[int, Engine] = {}
         self.orders: dict[tuple, list[Engine]] = {}  # by group of tables and bounds, of the present list
-        self.cores = 1.0  # of the ready engines
+        self.cores, self.subscribed = 1.0, settings.discovery_push  # cores: of the ready engines
         self.held: dict[int, Held] = {}
         self.line: list[Held] = []
         self.rooms: list[float] = []  # thread bound by rank, in this pass over the line
@@ -253,10 +253,10 @@
         self.others, self.sent = Fading(WINDOW), Fading(UNSEEN)  # siblings' threads: a core, over all; sent
         self.usual, self.threads_each = Fading(LONG), Fading(LONG)  # own threads out; threads of a query
         self.threads_out, self.probe_room = 0, PROBES[1]
-        self.probe_rate = min(PROBES[0], PROBE_SPEND / max(settings.probe_price, 1e-9))
+        self.blind = settings.gateways > 1 and settings.report_how == "probe"  # no answer tells of load
+        self.probe_rate = min(PROBES[0], PROBE_SPEND[self.blind] / max(settings.probe_price, 1e-9))
         self.looks = settings.gateways > 1 and self.probe_rate >= 1  # before each send: each can pay for it
-        self.last_trouble, self.gap, self.gap_at, self.sweep_due = -inf, 0.0, 0.0, inf
-        self.backoff, self.subscribed = 1.0, settings.discovery_push
+        self.last_trouble, self.gap, self.gap_at, self.sweep_due, self.backoff = -inf, 0.0, 0.0, inf, 1.0
 
     def handle(self, now: float, events) -> list:
         self.now, self.actions, self.siblings = now, [], {}
@@ -385,9 +385,10 @@
             if event.report:
                 self.take_report(engine, event.report)
 
-    def lacks_news(self, engine: Engine) -> bool:
-        """With siblings work looks before it is sent, if each can afford to; else only a trial does."""
-        wanted = self.settings.may_probe and (engine.trial or self.looks)
+    def lacks_news(self, engine: Engine, req: Held) -> bool:
+        """Who looks before a send: trials; all, if each can pay; long work, if no answer tells of load."""
+        long = self.blind and req.work >= self.work.value
+        wanted = self.settings.may_probe and (engine.trial or self.looks or long)
         affordable = self.probe_room >= 1 or engine.probe_at <= self.now
         return wanted and affordable and self.now - engine.news_at > FRESH
 
@@ -502,7 +503,7 @@
             if not self.usable(engine) or not self.may_take(req, engine):
                 continue
             looks += 1
-            if self.lacks_news(engine):
+            if self.lacks_news(engine, req):
                 if self.asked(engine):
                     return None, True
                 self.suspect(engine, "silent to a probe")
@@ -792,8 +793,7 @@
         if trouble:
             self.last_trouble = self.now
             engine.refill(self.now)
-            engine.troubles += 1
-            engine.misses += not req.flagged
+            engine.troubles, engine.misses = engine.troubles + 1, engine.misses + (not req.flagged)
 
     def on_note(self, event: api.Note) -> None:
         if (attempt := self.attempt_of(event)) is None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -690,3 +690,12 @@
         assert of(api.Send, d.ask(1, work=9.0)[1])
     d.run(3.0)
     assert of(api.Send, d.ask()[1])
+
+
+@pytest.mark.parametrize("how,work,looks", [
+    ("probe", 9.0, True), ("probe", 0.1, False), ("answers", 9.0, False)])
+def test_long_work_looks_first_where_no_answer_tells_of_load(how, work, looks):
+    """Without a look long work went wherever the tables lay, and engines that others filled stayed full."""
+    d = Driver(engines=4, gateways=100, may_probe=True, probe_price=0.08, report_how=how)
+    d.ask(work=0.01)
+    assert bool(of(api.Probe, d.ask(1, work=work)[1])) is looks
