--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 import time
 
 import hiredis
+import msgpack
 import pytest
 from test_driver import Module
 
@@ -350,6 +351,52 @@
     assert alone == front.PENANCE[1] and busy <= 0.05
 
 
+def test_a_connection_that_is_accepted_in_the_turn_of_the_shutdown_is_served():
+    """Its accept was cancelled with the connection in hand: the client was reset."""
+
+    async def steps(scene):
+        loop = asyncio.get_running_loop()
+        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        scene.front.accepting = asyncio.create_task(scene.front.accept(listener))
+        await asyncio.sleep(0)
+        theirs = socket.create_connection(listener.getsockname())
+        # Behind the turn that finds the caller waiting, and ahead of the task that waits for it.
+        loop.call_soon(lambda: loop.call_soon(scene.front.shut))
+        theirs.sendall(msgpack.packb([0, 1, "probe", [{}]]))
+        theirs.setblocking(False)
+        async with asyncio.timeout(20):
+            answer = await loop.sock_recv(theirs, 100)
+        theirs.close()
+        return answer
+
+    assert play(steps) == msgpack.packb([1, 1, None, [False, {}]])
+
+
+@pytest.mark.parametrize("end", [b"", msgpack.packb([0, 1, "probe", [{}]])[5:]])
+def test_a_message_that_ends_while_its_time_runs_out_is_read(end, monkeypatch):
+    """Both lay there behind a loop that stood still: its end was read, and thrown away."""
+    monkeypatch.setattr(front, "UNFINISHED", 0.05)
+    message = msgpack.packb([0, 1, "probe", [{}]])
+
+    async def steps(scene):
+        loop = asyncio.get_running_loop()
+        one, theirs = pair(scene)
+        theirs.sendall(message[:5])
+        await until(lambda: one.unread)
+        theirs.sendall(end)
+        time.sleep(0.1)
+        theirs.setblocking(False)
+        async with asyncio.timeout(20):
+            answer = await loop.sock_recv(theirs, 100)
+        theirs.close()
+        return answer, scene.fleet.counters["unfinished_messages"]
+
+    whole = msgpack.packb([1, 1, None, [False, {}]])
+    assert play(steps) == ((whole, 0) if end else (b"", 1))
+
+
 def test_who_has_begun_to_ask_is_not_closed_for_another():
     async def steps(scene):
         asks, rests = pair(scene), pair(scene)
@@ -411,6 +458,24 @@
     assert play(steps) == 2
 
 
+def test_a_connection_on_which_an_answer_stopped_short_is_not_used_again():
+    """The next answer there was spoilt by what was missing, and a load that had run well failed."""
+
+    async def steps(scene):
+        attempt = scene.want(b"1")
+        await until(scene.server.refs)
+        scene.server.writers[0].write(b"*4\r\n$1\r\n1\r\n$3\r\nHI")
+        (former,) = scene.fleet.engines[1].links
+        await until(lambda: former.unread)
+        attempt.give_up(api.Result.CANCELLED)
+        await until(lambda: attempt.over)
+        scene.want(b"2")
+        await until(lambda: b"2" in scene.server.refs())
+        return len(scene.server.writers)
+
+    assert play(steps) == 2
+
+
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
         scene.driver.current.clear()  # a loop that stood still reads the rest first
