--- a/applevale/control/calls.py
+++ b/applevale/control/calls.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+MOST_CALLS = 64  # at a time: past that the oldest unfinished one is closed
+
 
 @dataclass(frozen=True)
 class Answer:
--- a/applevale/control/door.py
+++ b/applevale/control/door.py
@@ -17,10 +17,9 @@
 
 from ..observe.counters import Counters
 from ..observe.events import say
-from .calls import Answer, Operated, answer
+from .calls import MOST_CALLS, Answer, Operated, answer
 
 CALL = 2.0  # s for a whole call, from the connection on: a silent or slow caller has this and no more
-MOST_CALLS = 64  # at a time: past that the oldest unfinished one is closed
 HEAD_MOST = 8 * 1024  # bytes of the request's head
 BODY_MOST = 4 * 1024  # bytes of its body
 RECEIVE = 4096
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -15,6 +15,7 @@
 
 from .. import interface as api
 from ..control.bans import Bans
+from ..control.calls import MOST_CALLS
 from ..control.figures import Figures
 from ..control.shared import SharedBans
 from ..observe.counters import Counters
@@ -44,7 +45,6 @@
 LAST_CALLS = 0.4  # s before that from which new requests are turned away
 SHOWN = 5.0  # s between two lines of counters: one that is killed outright prints none at its end
 BANS_SEEN = 0.1  # s between two looks at what another process wrote of bans
-DOOR_MOST = 64  # descriptors for callers of the operators' door
 RESERVE = 32  # descriptors for the files, listeners, list and datagrams
 HELD = 0.125  # share of the memory that messages and answers of clients may take
 
@@ -99,7 +99,7 @@
         # Half of the descriptors for clients, who hold at most a third; then what no one may take from the
         # files, listeners, list and datagrams, nor from the operators; the rest for engines.
         half = config.sockets // 2
-        self.door_calls = 0 if config.control is None else min(config.sockets // 8, DOOR_MOST)
+        self.door_calls = 0 if config.control is None else min(config.sockets // 8, MOST_CALLS)
         links = max(1, config.sockets - half - RESERVE - self.door_calls)
         self.fleet = Fleet(config.links, config.settings.report_columns, links, self.counters)
         self.fleet.local = config.local
@@ -312,16 +312,14 @@
         """Takes the new configuration, or keeps the old one as it is."""
         try:
             config = load()
+            # Guards the list: known engines and the new source speak of zones and kinds by their places.
+            others = [key for key in ("name", "names") if getattr(config, key) != getattr(self.config, key)]
+            if others:
+                raise ConfigError(f"another one's {', '.join(others)}")
         except ConfigError as error:
             say("reload", f"the old configuration stays: {error}")
             self.stats.reloaded(False)
             return
-        # Guards the list: known engines and the new source speak of zones and kinds by their places.
-        others = [key for key in ("name", "names") if getattr(config, key) != getattr(self.config, key)]
-        if others:
-            say("reload", f"the old configuration stays: another one's {', '.join(others)}")
-            self.stats.reloaded(False)
-            return
         self.counters["reloads"] += 1
         self.stats.reloaded(True)
         self.learn(config.known)
