--- /dev/null
+++ b/tests/test_stored_formats.py
@@ -0,0 +1,239 @@
+"""Stored and sent bytes keep their form: files on disk, datagrams between instances, figures that operators read.
+
+`fixtures/stored_formats.json` holds bytes written by the version of 2 December 2026, before any renaming; as hex
+where they are binary. Each case is read by today's version, and what today's version writes is byte for byte the
+same: a rolling upgrade mixes versions, and what is on disk outlives the process.
+"""
+
+import json
+from pathlib import Path
+
+import h11
+import lmdb
+import msgspec
+import pytest
+
+from applevale import interface as api
+from applevale.control import bans, door
+from applevale.control.calls import answer
+from applevale.control.figures import Figures
+from applevale.emulator.experiment import Experiment, read_experiment
+from applevale.faults import schedule as faults
+from applevale.faults.fates import Fate
+from applevale.membership import messages
+from applevale.node.news import News
+from applevale.sources.members import Names
+from applevale.sources.registry.records import read_record
+from applevale.sources.registry.snapshot import Snapshot, SnapshotError
+
+FIXTURES = Path(__file__).parent / "fixtures"
+STORED = json.loads((FIXTURES / "stored_formats.json").read_text())
+REGISTRY = "etcd 127.0.0.1:2379 applevale/engines/"
+REGISTRY_RECORDS = [
+    ("applevale/engines/a", 7, b'{"id":"s-00000001","address":"10.0.0.1:7101"}'),
+    ("applevale/engines/b", 9, b"id: s-00c41f7a\naddress: 10.0.0.2:7102\nstate: draining\n"),
+]
+
+
+def ejections():
+    return {
+        1: bans.Word(1764652800.25, True),
+        0xC41F7A: bans.Word(1764652801.5, False),
+        0xFFFFFFFF: bans.Word(0.1, True),
+    }
+
+
+def load_reports():
+    """A sender of load reports that has one send and two reports waiting."""
+    reports = News(("active", "waiting", "cpu", "disk_busy", "memory_used"), 3, 0.01, seed=7)
+    reports.listed([0x00000001, 0x00C41F7A])
+    reports.answered(10.0, 0x00000001, (3.0, 1.0, 0.5, 0.25, 0.75))
+    reports.answered(10.0, 0x00C41F7A, (300.0, 0.0, -1.0, 0.1, -1.0))
+    reports.sends[0x00000001] = 5
+    return reports
+
+
+def membership_messages():
+    held = messages.Record(messages.Status.ALIVE, 3, 0x1234)
+    suspected = messages.Record(messages.Status.SUSPECT, 4, 0x2345)
+    dead = messages.Record(messages.Status.DEAD, (1 << 30) - 1, 0xFFFF)
+    left = messages.Record(messages.Status.LEFT, 9, 1)
+    items = (
+        messages.News(17, dead),
+        messages.Words(18, 0x1FF, 2.5, (1, 2, 300)),
+        messages.News(65535, left),
+    )
+    kind = messages.Kind
+    head = dict(number=0xABCD, incarnation=5, life=0x4321, yours=held, digest=0xDEADBEEF)
+    return {
+        "ping": messages.Message(kind.PING, **head, items=items),
+        "ack": messages.Message(kind.ACK, **head | {"yours": suspected}),
+        "ask": messages.Message(kind.ASK, **head, subject=40),
+        "found": messages.Message(kind.FOUND, **head, subject=40, reached=True),
+        "news": messages.Message(kind.NEWS, **head, items=items[:1]),
+        "sums": messages.Message(kind.SUMS, **head, sums=(0, 1, 0xFFFFFFFF)),
+        "part": messages.Message(kind.PART, **head, first=20, part=(held, messages.UNKNOWN, dead)),
+    }
+
+
+def fault_steps():
+    fate = Fate(
+        cut=True, refuse=True, loss=0.1, delay=0.2, jitter=0.3, reorder=0.4, held=0.5, copies=0.6, bandwidth=7.0
+    )
+    return [
+        faults.Link(at=0.5, sources=["n0"], targets=["list*"], fate=fate, span=2.0),
+        faults.Kill(at=1.0, who=["n1", "n2"], back=0.5),
+        faults.Kill(at=1.5, who=["n3"]),
+        faults.Stop(at=2.0, who=["n4"], span=1.0),
+        faults.Stall(at=3.0, who=["n5"], span=0.1, apart=0.4, times=5),
+        faults.Term(at=4.0, who=["n6"], back=0.1),
+        faults.Upgrade(at=5.0, who=["n7"], both=1.0),
+        faults.Service(at=6.0, order="late", values={"seconds": 0.3, "who": "n1"}),
+    ]
+
+
+def metrics():
+    figures = Figures(("short", "long"))
+    figures.answered(0, "success")
+    figures.answered(1, "overload")
+    figures.answered(1, "error")
+    figures.dispatched("short")
+    figures.reloaded(True)
+    figures.reloaded(False)
+    figures.concurrent, figures.targets, figures.disabled = (lambda: 4), (lambda: 5), (lambda: 6)
+    return figures
+
+
+class Target:
+    """What the operators' calls work on, as fixed values."""
+
+    def ready(self):
+        return True
+
+    def figures(self):
+        return metrics().snapshot()
+
+    def disable(self, host):
+        return host == "s-00000001"
+
+    enable = disable
+
+    def drain(self):
+        pass
+
+    undrain = drain
+
+
+CALLS = {
+    "ready": ("GET", "/ready", b""),
+    "metrics": ("GET", "/metrics", b""),
+    "disable": ("POST", "/engines/disable", b'{"host":"s-00000001"}'),
+    "enable_unknown": ("POST", "/engines/enable", b'{"host":"s-00000002"}'),
+    "disable_no_host": ("POST", "/engines/disable", b"{}"),
+    "drain": ("POST", "/drain", b""),
+    "undrain": ("POST", "/undrain", b""),
+    "no_such_call": ("GET", "/nothing", b""),
+    "wrong_method": ("POST", "/metrics", b""),
+}
+
+
+def http_reply(method, path, body):
+    codec = h11.Connection(h11.SERVER)
+    head = f"{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
+    codec.receive_data(head.encode() + body)
+    while not isinstance(codec.next_event(), h11.EndOfMessage):
+        pass
+    return door.encode(codec, method.encode(), answer(Target(), method, path, body))
+
+
+def raw_snapshot(folder):
+    with lmdb.open(str(folder)) as store, store.begin() as transaction:
+        return transaction.get(b"list")
+
+
+def test_the_file_of_ejections_is_read_and_written_as_before():
+    stored = STORED["ejections"].encode()
+    assert bans.decode(stored) == ejections()
+    assert bans.encode(ejections()) == stored
+
+
+def test_a_registry_snapshot_is_written_as_before(tmp_path):
+    store = Snapshot(str(tmp_path), REGISTRY)
+    store.keep(42, iter(REGISTRY_RECORDS))
+    store.close()
+    assert raw_snapshot(tmp_path).hex() == STORED["registry_snapshot"]
+
+
+def test_a_stored_registry_snapshot_is_read(tmp_path):
+    with lmdb.open(str(tmp_path)) as written, written.begin(write=True) as transaction:
+        transaction.put(b"list", bytes.fromhex(STORED["registry_snapshot"]))
+    store = Snapshot(str(tmp_path), REGISTRY)
+    kept = store.load()
+    store.close()
+    assert (kept.revision, [tuple(one) for one in kept.records]) == (42, REGISTRY_RECORDS)
+
+
+def test_a_stored_snapshot_of_another_registry_is_refused(tmp_path):
+    with lmdb.open(str(tmp_path)) as written, written.begin(write=True) as transaction:
+        transaction.put(b"list", bytes.fromhex(STORED["registry_snapshot"]))
+    store = Snapshot(str(tmp_path), REGISTRY + "other/")
+    with pytest.raises(SnapshotError):
+        store.load()
+    store.close()
+
+
+@pytest.mark.parametrize("form", ["json", "yaml"])
+def test_a_registry_record_is_read(form):
+    names = Names(("north", "south"), ("small", "large"))
+    member = read_record(STORED[f"registry_record_{form}"].encode(), names)
+    wanted = api.EngineEntry(0xC41F7A, 1, 1, 3, 2.5, api.State.DRAINING, 1764652800.5)
+    assert (member.entry, member.address) == (wanted, ("10.0.0.9", 7109))
+
+
+def test_a_datagram_of_load_reports_is_written_as_before():
+    assert load_reports().datagram().hex() == STORED["load_reports"]
+
+
+def test_a_datagram_of_load_reports_is_read():
+    events = load_reports().heard(11.0, bytes.fromhex(STORED["load_reports"]))
+    assert [(event.engine, event.report, event.threads) for event in events] == [
+        (0x00000001, (), 5),
+        (0x00000001, (3.0, 1.0, -1.0, -1.0, 0.75), 0),
+        (0x00C41F7A, (254.0, 0.0, -1.0, -1.0, -1.0), 0),
+    ]
+
+
+@pytest.mark.parametrize("name", sorted(membership_messages()))
+def test_a_datagram_of_membership_is_read_and_written_as_before(name):
+    stored = bytes.fromhex(STORED[f"membership_{name}"])
+    message = membership_messages()[name]
+    assert messages.encode(message) == stored
+    assert messages.encode(messages.decode(stored)) == stored
+
+
+def test_every_kind_of_membership_datagram_has_a_case():
+    assert {message.kind for message in membership_messages().values()} == set(messages.Kind)
+
+
+def test_a_fault_schedule_is_read_and_written_as_before():
+    stored = STORED["fault_schedule"].encode()
+    assert faults.read_schedule(stored) == fault_steps()
+    assert faults.write_schedule(fault_steps()) == stored
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_seed_draws_the_schedule_that_it_drew_before(seed):
+    assert faults.write_schedule(faults.drawn(seed, 8)).decode() == STORED[f"drawn_schedule_{seed}"]
+
+
+def test_an_experiment_file_is_read_and_written_as_before():
+    stored = STORED["experiment"].encode()
+    experiment = read_experiment(stored)
+    wanted = Experiment("membership", [10, 20], ["calm"], (1, 5), {"now": {"probe": 0.5}, "slow": {}})
+    assert experiment == wanted
+    assert msgspec.json.encode(experiment) == stored
+
+
+@pytest.mark.parametrize("name", sorted(CALLS))
+def test_an_operators_call_is_answered_as_before(name):
+    assert http_reply(*CALLS[name]).decode() == STORED[f"call_{name}"]
