Estimators and the stable hash leave the decision module

RunningMean, DecayingMean, EstimateCorrection and stable_hash are the former Mean, Fading, Estimate and mix; constants of decisions stay in the module and are passed in. The arithmetic is unchanged.

--- /dev/null
+++ b/applevale/hashing.py
@@ -0,0 +1,10 @@
+"""Hashes that are the same in every process."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+
+def stable_hash(*parts: int) -> int:
+    """Return a 64-bit hash of some integers, the same in every process and on every instance."""
+    return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "big")
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -7,12 +7,13 @@
 
 from collections import deque
 from dataclasses import replace
-from hashlib import blake2b
 from math import exp, inf, isfinite, log
 from operator import attrgetter
 from random import Random
 
 from . import interface as api
+from .estimators import DecayingMean, EstimateCorrection, RunningMean, bounded_log
+from .hashing import stable_hash
 from .interface import Repeat, Result, Settings, State
 
 GAMMA, BETA, C_MIN = 1.0, 0.1, 0.2  # a flag's price (paper, section 4): by entropy, off by misses, the least
@@ -47,77 +48,13 @@
 HINT = (0.3, 1.5)  # s, retry hint: least and most
 
 
-def mix(*parts: int) -> int:
-    """A stable hash: the same in every process and at every gateway."""
-    return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "big")
-
-
-class Mean:
-    """A moving mean that starts as a plain one, or with a prior worth `count` values."""
-
-    def __init__(self, first: float, keep: int = 200, count: int = 0):
-        self.value, self.count, self.keep = first, count, keep
-
-    def add(self, value: float) -> None:
-        self.count = min(self.count + 1, self.keep)
-        self.value += (value - self.value) / self.count
-
-
-class Fading:
-    """Pooled evidence: a weighted mean whose weight fades with time, leaving the prior it is asked with."""
-
-    def __init__(self, span: float):
-        self.span, self.total, self.weight, self.at = span, 0.0, 0.0, -inf
-
-    def fade(self, now: float) -> None:
-        keep = exp((self.at - now) / self.span) if self.at < now else 1.0
-        self.total, self.weight, self.at = self.total * keep, self.weight * keep, now
-
-    def add(self, now: float, value: float, weight: float = 1.0) -> None:
-        self.fade(now)
-        self.total, self.weight = self.total + value * weight, self.weight + weight
-
-    def mean(self, now: float, prior: float, strength: float) -> float:
-        self.fade(now)
-        return (self.total + prior * strength) / (self.weight + strength)
-
-
-def bounded_log(ratio: float) -> float:
-    return log(min(max(ratio, 1 / RATIO_MOST), RATIO_MOST))
-
-
-class Estimate:
-    """What is needed by what is told: a regression of their logs, for estimates scatter and lie."""
-
-    def __init__(self, mean: float):
-        self.mean, self.told, self.excess = Mean(mean), Mean(0.0), Mean(0.0, count=2)
-        self.variance, self.covariance = Mean(1.0, count=3), Mean(0.8, count=3)
-
-    def expect(self, told: float) -> float:
-        if told <= 0:
-            return self.mean.value
-        slope = min(max(self.covariance.value / max(self.variance.value, 0.01), 0.0), 1.0)
-        off = log(told) - self.told.value if self.told.count else 0.0
-        return told * exp(self.excess.value - (1 - slope) * off)
-
-    def learn(self, told: float, needed: float) -> None:
-        if needed > 0:
-            self.mean.add(needed)
-        if needed > 0 and told > 0:
-            excess = bounded_log(needed / told)
-            self.told.add(log(told))
-            self.excess.add(excess)
-            off = log(told) - self.told.value
-            self.variance.add(off * off)
-            self.covariance.add(off * (off + excess - self.excess.value))
-
-
 class ClassStats:
     def __init__(self, spec):
         self.spec = spec
-        self.work = Estimate(max(spec.aim / 3 * spec.threads, 0.001))
-        self.memory, self.trouble, self.slow = Estimate(0.0), Mean(0.0), Mean(1.5)
-        self.scatter = Mean(0.3)  # of run times around the expected, as a log
+        self.work = EstimateCorrection(max(spec.aim / 3 * spec.threads, 0.001), RATIO_MOST)
+        self.memory = EstimateCorrection(0.0, RATIO_MOST)
+        self.trouble, self.slow = RunningMean(0.0), RunningMean(1.5)
+        self.scatter = RunningMean(0.3)  # of run times around the expected, as a log
 
 
 class Attempt:
@@ -163,8 +100,9 @@
 
     def start(self, entry, debt: float, now: float) -> None:
         self.entry = entry
-        self.others = Fading(NEWS if self.settings.gateways > HOMES else WINDOW)  # threads a core
-        self.memory_used, self.sent = Fading(WINDOW), Fading(UNSEEN)  # its share; siblings' threads a core
+        self.others = DecayingMean(NEWS if self.settings.gateways > HOMES else WINDOW)  # threads a core
+        self.memory_used = DecayingMean(WINDOW)  # its share
+        self.sent = DecayingMean(UNSEEN)  # siblings' threads a core
         self.rest, self.rest_until, self.trial = REST[0], 0.0, False
         self.news_at, self.probe_at, self.last_ok = -inf, inf, -inf  # probe_at: inf while none is out
         self.strikes, self.cold_level, self.cold_at = 0, -debt, now  # not its start: all hear of it at once
@@ -249,9 +187,11 @@
         self.cut_least = CUT_LEAST * min(c.aim for c in settings.classes)  # s
         self.taken, self.further = deque(), deque()  # times, for the attempt budget
         self.tokens = [[0.0, -inf] for _ in settings.tenants]
-        self.worth, self.work = Mean(1.0), Mean(1.0)  # of a request
-        self.others, self.sent = Fading(WINDOW), Fading(UNSEEN)  # siblings' threads: a core, over all; sent
-        self.usual, self.threads_each = Fading(LONG), Fading(LONG)  # own threads out; threads of a query
+        self.worth, self.work = RunningMean(1.0), RunningMean(1.0)  # of a request
+        self.others = DecayingMean(WINDOW)  # siblings' threads a core, over all engines
+        self.sent = DecayingMean(UNSEEN)  # siblings' threads sent
+        self.usual = DecayingMean(LONG)  # own threads out
+        self.threads_each = DecayingMean(LONG)  # threads of a query
         self.threads_out, self.probe_room = 0, PROBES[1]
         self.blind = settings.gateways > 1 and settings.report_how == "probe"  # no answer tells of load
         self.probe_rate = min(PROBES[0], PROBE_SPEND[self.blind] / max(settings.probe_price, 1e-9))
@@ -336,7 +276,7 @@
         """The siblings' threads a core there: its reports, shrunk to the fleet's, and sends not in them."""
         if self.settings.gateways <= 1:
             return 0.0
-        engine.sent.fade(self.now)
+        engine.sent.decay(self.now)
         # All that hear the same report would go there: what they sent since counts, against the fleet's mean.
         unseen = engine.sent.total - self.sent.total / self.cores
         return max(0.0, engine.others.mean(self.now, self.usual_load()[1], 0.3) + min(unseen, OVERFULL))
@@ -473,11 +413,11 @@
             # A load takes the other end: it would stall its group's readers at their homes.
             tiers = {e: self.guide.tier(req.ask.cls, e.entry.zone) for e in order}
             sign = -1 if req.spec.load else 1
-            order.sort(key=lambda e: (tiers[e], sign * mix(group, e.entry.engine)))
+            order.sort(key=lambda e: (tiers[e], sign * stable_hash(group, e.entry.engine)))
             near = sum(tier == tiers[order[0]] for tier in tiers.values())  # of the first choice of zones
             spread = min(near, max(1, near - HOMES) if req.spec.load else HOMES)
             if order and self.settings.gateways > 1:
-                order.insert(0, order.pop(mix(self.seed, group) % spread))
+                order.insert(0, order.pop(stable_hash(self.seed, group) % spread))
             if len(self.orders) >= MOST:
                 self.orders.clear()
             self.orders[key] = order
@@ -781,7 +721,7 @@
         req, stats = attempt.req, self.stats[attempt.req.ask.cls]
         due = (event.work if event.work > 0 else req.work) / req.spec.threads
         slow, usual = (self.now - attempt.clock) / max(due, 0.001), stats.slow.value
-        stats.scatter.add(abs(bounded_log((self.now - attempt.clock) / self.expected(req))))
+        stats.scatter.add(abs(bounded_log((self.now - attempt.clock) / self.expected(req), RATIO_MOST)))
         stats.slow.add(min(slow, RATIO_MOST))
         stats.work.learn(req.ask.work, event.work)
         stats.memory.learn(req.ask.memory_mb, event.memory_mb)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,7 +9,7 @@
 # What may import what: a package sees itself and those named before it. Single files are the base of all.
 ORDER = ["observe", "startup", "membership", "sources", "zones", "control", "node", "faults", "standins",
          "verify", "emulator", "rigs", "cli"]
-BASE = {"interface", "policy", "wire", "__init__"}
+BASE = {"estimators", "hashing", "interface", "policy", "wire", "__init__"}
 
 
 def module_file(parts):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -12,7 +12,8 @@
 from helpers import LOOKUP, REPORT, Driver, of
 
 from applevale import interface as api
-from applevale.policy import Estimate, Fading, Flagger, Gateway, Held, price
+from applevale.estimators import DecayingMean, EstimateCorrection
+from applevale.policy import RATIO_MOST, Flagger, Gateway, Held, price
 
 R = api.Result
 
@@ -348,7 +349,7 @@
 
 
 def test_short_answers_do_not_hide_pressure():
-    slow = Fading(5.0)
+    slow = DecayingMean(5.0)
     for step in range(4):
         slow.add(step * 0.1, 4.0, 1.0)
         for _ in range(6):
@@ -363,7 +364,7 @@
 
 
 def test_estimates_that_scatter_and_lie_are_drawn_towards_what_was_needed():
-    random, estimate, plain, learned = Random(5), Estimate(1.0), [], []
+    random, estimate, plain, learned = Random(5), EstimateCorrection(1.0, RATIO_MOST), [], []
     for number in range(400):
         needed = random.lognormvariate(0.0, 0.5)
         told = 3.0 * needed * random.lognormvariate(0.0, 1.2)
@@ -372,7 +373,8 @@
             learned.append(abs(log(estimate.expect(told) / needed)))
         estimate.learn(told, needed)
     assert sum(learned) < 0.6 * sum(plain)
-    assert Estimate(1.0).expect(2.0) == pytest.approx(2.0, rel=0.5)  # nothing learned yet: as told
+    fresh = EstimateCorrection(1.0, RATIO_MOST)
+    assert fresh.expect(2.0) == pytest.approx(2.0, rel=0.5)  # nothing learned yet: as told
 
 
 def test_one_absurd_estimate_does_not_move_the_ranks():
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -1,8 +1,8 @@
-"""Stored and sent bytes keep their form: files on disk, datagrams between instances, figures that operators read.
+"""Stored and sent bytes keep their form: files on disk, datagrams between instances, answers to operators.
 
-`fixtures/stored_formats.json` holds bytes written by the version of 2 December 2026, before any renaming; as hex
-where they are binary. Each case is read by today's version, and what today's version writes is byte for byte the
-same: a rolling upgrade mixes versions, and what is on disk outlives the process.
+`fixtures/stored_formats.json` holds bytes written by the version of 2 December 2026, before any renaming; as
+hex where they are binary. Each case is read by today's version, and what today's version writes is byte for
+byte the same: a rolling upgrade mixes versions, and what is on disk outlives the process.
 """
 
 import json
@@ -78,7 +78,15 @@
 
 def fault_steps():
     fate = Fate(
-        cut=True, refuse=True, loss=0.1, delay=0.2, jitter=0.3, reorder=0.4, held=0.5, copies=0.6, bandwidth=7.0
+        cut=True,
+        refuse=True,
+        loss=0.1,
+        delay=0.2,
+        jitter=0.3,
+        reorder=0.4,
+        held=0.5,
+        copies=0.6,
+        bandwidth=7.0,
     )
     return [
         faults.Link(at=0.5, sources=["n0"], targets=["list*"], fate=fate, span=2.0),
