--- a/applevale/cli/experiments.py
+++ b/applevale/cli/experiments.py
@@ -22,8 +22,11 @@
 
 
 @experiment.command("run")
-def run_experiment(path: Annotated[str, typer.Argument(help="Path of the experiment.")], folder: Folder,
-                   jobs: Annotated[int, typer.Option(help="Processes; 0: one a core.", min=0)] = 0) -> None:
+def run_experiment(
+    path: Annotated[str, typer.Argument(help="Path of the experiment.")],
+    folder: Folder,
+    jobs: Annotated[int, typer.Option(help="Processes; 0: one a core.", min=0)] = 0,
+) -> None:
     """Play a grid of sizes, cases, seeds and versions; what the folder has already is not played again."""
     extra("tqdm")
     from tqdm import tqdm
@@ -38,17 +41,24 @@
             raise grid.ExperimentError(f"machine: {wanted.machine!r} is none of {', '.join(PLAYERS)}")
         player, check_it = PLAYERS[wanted.machine]
         check_it(wanted.versions, wanted.cases)
-        played, known = grid.run(wanted, player, Path(folder), jobs or None,
-                                 lambda done, total: tqdm(done, total=total, unit="run", smoothing=0.05))
+        played, known = grid.run(
+            wanted,
+            player,
+            Path(folder),
+            jobs or None,
+            lambda done, total: tqdm(done, total=total, unit="run", smoothing=0.05),
+        )
     except (OSError, grid.ExperimentError) as error:
         fail(str(error))
     typer.echo(f"{folder}: {played} runs played, {known} were there")
 
 
 @experiment.command("compare")
-def compare_experiments(one: Folder, other: Folder,
-                        figure: Annotated[list[str], typer.Option(help="Which figures; else all.")] = []  # noqa: B006
-                        ) -> None:
+def compare_experiments(
+    one: Folder,
+    other: Folder,
+    figure: Annotated[list[str], typer.Option(help="Which figures; else all.")] = [],  # noqa: B006
+) -> None:
     """Set two folders' results side by side, seed by seed: mean difference and its 95% bounds."""
     extra("scipy")
     from ..emulator import experiment as grid
@@ -62,13 +72,17 @@
         fail(str(error))
     names = figure or grid.figures(first)
     for case, size, name, count, mean, low, high in grid.compare(first, second, names):
-        typer.echo(f"{case:14} {size:>6} {name:22} {count:4} pairs  {mean:+10.3f}  "
-                   f"{low:+10.3f} to {high:+10.3f}")
+        typer.echo(
+            f"{case:14} {size:>6} {name:22} {count:4} pairs  {mean:+10.3f}  {low:+10.3f} to {high:+10.3f}"
+        )
 
 
 @experiment.command("chart")
-def chart_experiment(folder: Folder, figure: Annotated[str, typer.Argument(help="Which figure.")],
-                     out: Annotated[str, typer.Argument(help="Where to write the picture.")]) -> None:
+def chart_experiment(
+    folder: Folder,
+    figure: Annotated[str, typer.Argument(help="Which figure.")],
+    out: Annotated[str, typer.Argument(help="Where to write the picture.")],
+) -> None:
     """Draw a figure over the sizes, a line for each version and case."""
     extra("matplotlib")
     from ..emulator import experiment as grid
--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -15,8 +15,11 @@
 from .ends import fail
 from .experiments import experiment
 
-app = typer.Typer(no_args_is_help=True, add_completion=False,
-                  help="A workload manager for query engines. The program itself: python -m applevale.")
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    help="A workload manager for query engines. The program itself: python -m applevale.",
+)
 registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
 app.add_typer(registry, name="registry")
 app.add_typer(experiment, name="experiment")
@@ -80,8 +83,12 @@
     found = None
     if confirmed.is_set():
         source.note()
-        found = {"revision": source.follower.revision, "digest": source.counters["registry_digest"],
-                 "entries": list(source.ledger.entries.values()), "bad": dict(source.ledger.bad)}
+        found = {
+            "revision": source.follower.revision,
+            "digest": source.counters["registry_digest"],
+            "entries": list(source.ledger.entries.values()),
+            "bad": dict(source.ledger.bad),
+        }
     await source.stop()
     return found
 
@@ -101,9 +108,17 @@
         fail("registry: no member confirmed the list")
     for entry in sorted(found["entries"], key=lambda one: one.key):
         host, port = entry.member.address
-        typer.echo(json.dumps({"key": entry.key, "revision": entry.revision,
-                               "id": f"s-{entry.member.entry.engine:08x}",
-                               "state": entry.member.entry.state.value, "address": f"{host}:{port}"}))
+        typer.echo(
+            json.dumps(
+                {
+                    "key": entry.key,
+                    "revision": entry.revision,
+                    "id": f"s-{entry.member.entry.engine:08x}",
+                    "state": entry.member.entry.state.value,
+                    "address": f"{host}:{port}",
+                }
+            )
+        )
 
 
 @registry.command()
@@ -115,8 +130,10 @@
         fail("registry: no member confirmed the list")
     for key, why in sorted(found["bad"].items()):
         typer.echo(f"{key}: {why}")
-    typer.echo(f"revision {found['revision']}, digest {found['digest']}, {len(found['entries'])} engines, "
-               f"{len(found['bad'])} records that cannot be used")
+    typer.echo(
+        f"revision {found['revision']}, digest {found['digest']}, {len(found['entries'])} engines, "
+        f"{len(found['bad'])} records that cannot be used"
+    )
     raise typer.Exit(1 if found["bad"] else 0)
 
 
@@ -125,8 +142,10 @@
 
 
 @zones.command()
-def plan(path: Annotated[str, typer.Argument(help="Path of the plan: capacities, demand, tiers, limits.")],
-         out: Annotated[str, typer.Option(help="Where to write the zones file.")] = "") -> None:
+def plan(
+    path: Annotated[str, typer.Argument(help="Path of the plan: capacities, demand, tiers, limits.")],
+    out: Annotated[str, typer.Option(help="Where to write the zones file.")] = "",
+) -> None:
     """Find the shares of spill for every loss of one zone and of two; exit code 1 if work finds no room."""
     try:
         from ..zones import planner
@@ -149,8 +168,10 @@
 
 
 @zones.command("check")
-def check_zones(path: Annotated[str, typer.Argument(help="Path of the plan.")],
-                zones_path: Annotated[str, typer.Argument(help="Path of the zones file.")]) -> None:
+def check_zones(
+    path: Annotated[str, typer.Argument(help="Path of the plan.")],
+    zones_path: Annotated[str, typer.Argument(help="Path of the zones file.")],
+) -> None:
     """Whether a zones file keeps every zone under the plan's headroom at the loss of any one; exit code 1 if
     not, with a line for each that it does not."""
     from ..zones import planner
@@ -173,7 +194,8 @@
 
 @app.command()
 def members(
-        path: Annotated[str, typer.Argument(help="A history, or JSON events; -: standard input.")]) -> None:
+    path: Annotated[str, typer.Argument(help="A history, or JSON events; -: standard input.")],
+) -> None:
     """Print what each instance last said of who lives: from a history, or the events of a running fleet."""
     from ..verify.views import last_views, read_lines
 
@@ -192,15 +214,17 @@
 
 
 @app.command()
-def rig(name: Annotated[str, typer.Argument(help="Which rig: registry, ops or fleet.")],
-        seed: Annotated[int, typer.Option(help="Decides all that is drawn.")] = 1,
-        seconds: Annotated[float, typer.Option(help="How long it plays.")] = 60.0,
-        nodes: Annotated[int, typer.Option(help="fleet: how many programs.", min=1, max=1000)] = 8,
-        case: Annotated[str, typer.Option(help="fleet: what happens.")] = "coldstart",
-        history: Annotated[str, typer.Option(help="fleet: where to write the history.")] = "",
-        baseline: Annotated[str, typer.Option(help="fleet: a checkout to play first.")] = "",
-        schedule: Annotated[str, typer.Option(help="fleet, case schedule: a file; else drawn.")] = "",
-        as_json: Annotated[bool, typer.Option("--json", help="Print one JSON line only.")] = False) -> None:
+def rig(
+    name: Annotated[str, typer.Argument(help="Which rig: registry, ops or fleet.")],
+    seed: Annotated[int, typer.Option(help="Decides all that is drawn.")] = 1,
+    seconds: Annotated[float, typer.Option(help="How long it plays.")] = 60.0,
+    nodes: Annotated[int, typer.Option(help="fleet: how many programs.", min=1, max=1000)] = 8,
+    case: Annotated[str, typer.Option(help="fleet: what happens.")] = "coldstart",
+    history: Annotated[str, typer.Option(help="fleet: where to write the history.")] = "",
+    baseline: Annotated[str, typer.Option(help="fleet: a checkout to play first.")] = "",
+    schedule: Annotated[str, typer.Option(help="fleet, case schedule: a file; else drawn.")] = "",
+    as_json: Annotated[bool, typer.Option("--json", help="Print one JSON line only.")] = False,
+) -> None:
     """Run the real program between stand-ins, cause failures, check promises; exit code 1 if one broke."""
     if name == "fleet":
         fleet_rig(nodes, case, seed, history, baseline, schedule, as_json)
@@ -225,8 +249,9 @@
         fail(f"--schedule: {error}")
 
 
-def fleet_rig(nodes: int, case: str, seed: int, history: str, baseline: str, schedule: str,
-              as_json: bool) -> None:
+def fleet_rig(
+    nodes: int, case: str, seed: int, history: str, baseline: str, schedule: str, as_json: bool
+) -> None:
     import uvloop
 
     from ..rigs import cases
@@ -241,8 +266,9 @@
         typer.echo(f"rig fleet: case {case}, {nodes} programs, seed {seed}", err=True)
     before = None
     if baseline:
-        before = uvloop.run(cases.run(Plan(nodes, seed, checkout=os.path.abspath(baseline),
-                                           schedule=steps), case))
+        before = uvloop.run(
+            cases.run(Plan(nodes, seed, checkout=os.path.abspath(baseline), schedule=steps), case)
+        )
     result = uvloop.run(cases.run(Plan(nodes, seed, schedule=steps), case, history))
     if before is not None:
         result["baseline"] = before
--- a/applevale/control/bans.py
+++ b/applevale/control/bans.py
@@ -58,9 +58,12 @@
 
     def join(self, words: dict[int, Word]) -> list[int]:
         """Takes in what another process heard; the engines that are banned or back by it."""
-        return [engine for engine, word in words.items()
-                if (former := self.words.get(engine)) is None or former < word
-                if self._take(engine, word)]
+        return [
+            engine
+            for engine, word in words.items()
+            if (former := self.words.get(engine)) is None or former < word
+            if self._take(engine, word)
+        ]
 
     def _take(self, engine: int, word: Word) -> bool:
         self.words[engine] = word
--- a/applevale/control/door.py
+++ b/applevale/control/door.py
@@ -28,8 +28,11 @@
 def encode(codec: h11.Connection, method: bytes, reply: Answer) -> bytes:
     """The whole answer. A codec that has met what is no HTTP can still say so, once."""
     body = json.dumps(reply.body, separators=(",", ":")).encode()
-    headers = [("content-type", "application/json"), ("content-length", str(len(body))),
-               ("connection", "close")]
+    headers = [
+        ("content-type", "application/json"),
+        ("content-length", str(len(body))),
+        ("connection", "close"),
+    ]
     if "allow" in reply.body:
         headers.append(("allow", reply.body["allow"]))
     phrase = HTTPStatus(reply.status).phrase
@@ -108,8 +111,9 @@
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint if error.error_status_hint >= 400 else 400
             return b"", self._bad(status, f"request: {error}"[:120], "head" if status == 431 else "request")
-        reply = answer(self.operated, request.method.decode("latin-1"), request.target.decode("latin-1"),
-                       bytes(body))
+        reply = answer(
+            self.operated, request.method.decode("latin-1"), request.target.decode("latin-1"), bytes(body)
+        )
         if reply.status >= 400 and reply.status != 503:  # not ready is no fault of the caller
             self.counters["door_refused"] += 1
             say("door", f"{reply.status} {request.method.decode('latin-1')} {request.target[:80]!r}")
--- a/applevale/control/figures.py
+++ b/applevale/control/figures.py
@@ -35,8 +35,10 @@
         self.reloads["success" if good else "failure"] += 1
 
     def snapshot(self) -> dict:
-        replies = {name: {key: counts[key] for key in (*OUTCOMES, "dispatches")}
-                   for name, counts in self.replies.items()}
+        replies = {
+            name: {key: counts[key] for key in (*OUTCOMES, "dispatches")}
+            for name, counts in self.replies.items()
+        }
         return {
             "replies": replies,
             "dispatches": sum(one["dispatches"] for one in replies.values()),
--- a/applevale/emulator/experiment.py
+++ b/applevale/emulator/experiment.py
@@ -39,10 +39,13 @@
     versions: Annotated[dict[str, dict[str, float]], msgspec.Meta(min_length=1, max_length=20)]
 
     def jobs(self) -> list[Job]:
-        return [(version, msgspec.json.encode(settings, order="sorted").decode(), size, case, seed)
-                for size in self.sizes for case in self.cases
-                for version, settings in self.versions.items()
-                for seed in range(self.seeds[0], self.seeds[1] + 1)]
+        return [
+            (version, msgspec.json.encode(settings, order="sorted").decode(), size, case, seed)
+            for size in self.sizes
+            for case in self.cases
+            for version, settings in self.versions.items()
+            for seed in range(self.seeds[0], self.seeds[1] + 1)
+        ]
 
 
 def read_experiment(data: bytes) -> Experiment:
@@ -78,22 +81,40 @@
     return [row for row in rows if None not in row and None not in row.values()]  # one may be cut off
 
 
-def run(experiment: Experiment, player: Player, folder: Path, jobs: int | None = None,
-        watch: Callable[[Iterable, int], Iterable] = lambda done, total: done) -> tuple[int, int]:
+def run(
+    experiment: Experiment,
+    player: Player,
+    folder: Path,
+    jobs: int | None = None,
+    watch: Callable[[Iterable, int], Iterable] = lambda done, total: done,
+) -> tuple[int, int]:
     """Plays what is not in the folder's results yet; returns how many were played, and how many were there.
     `watch` is given what comes and its number, for a progress bar."""
     folder.mkdir(parents=True, exist_ok=True)
     path, code = folder / "results.csv", code_mark()
     known = {_key(row) for row in read_results(path)} if path.exists() else set()
-    wanted = [job for job in experiment.jobs()
-              if (code, job[0], job[1], str(job[2]), job[3], str(job[4])) not in known]
+    wanted = [
+        job
+        for job in experiment.jobs()
+        if (code, job[0], job[1], str(job[2]), job[3], str(job[4])) not in known
+    ]
     # The longest first: the last ones to end should not be those that take long.
     wanted.sort(key=lambda job: -job[2])
     (folder / "experiment.json").write_bytes(msgspec.json.format(msgspec.json.encode(experiment), indent=1))
-    with ProcessPoolExecutor(jobs or os.cpu_count()) as pool, open(path, "a", newline="",
-                                                                  encoding="utf-8") as file:
-        running = {pool.submit(player, version, msgspec.json.decode(settings), size, case, seed):
-                   (version, settings, size, case, seed) for version, settings, size, case, seed in wanted}
+    with (
+        ProcessPoolExecutor(jobs or os.cpu_count()) as pool,
+        open(path, "a", newline="", encoding="utf-8") as file,
+    ):
+        running = {
+            pool.submit(player, version, msgspec.json.decode(settings), size, case, seed): (
+                version,
+                settings,
+                size,
+                case,
+                seed,
+            )
+            for version, settings, size, case, seed in wanted
+        }
         writer = None
         for done in watch(as_completed(running), len(running)):
             inputs = dict(zip(INPUTS, (code, *running[done])))
@@ -111,8 +132,9 @@
     return [name for name in rows[0] if name not in INPUTS] if rows else []
 
 
-def compare(one: list[dict[str, str]], other: list[dict[str, str]],
-            names: list[str]) -> list[tuple[str, str, str, int, float, float, float]]:
+def compare(
+    one: list[dict[str, str]], other: list[dict[str, str]], names: list[str]
+) -> list[tuple[str, str, str, int, float, float, float]]:
     """Two sets of results, seed by seed: for each case and size and figure the number of pairs, the mean of
     the second less the first, and the bounds between which it lies (95%, by Student's t over the pairs)."""
     from scipy import stats
@@ -151,8 +173,9 @@
         places = sorted(sizes)
         means = [sum(sizes[size]) / len(sizes[size]) for size in places]
         (line,) = axes.plot(places, means, marker="o", label=f"{version}, {case}")
-        axes.fill_between(places, means, [max(sizes[size]) for size in places], alpha=0.1,
-                          color=line.get_color())
+        axes.fill_between(
+            places, means, [max(sizes[size]) for size in places], alpha=0.1, color=line.get_color()
+        )
     axes.set(xlabel="members", ylabel=name, xscale="log", ylim=(0, None))
     axes.legend(fontsize="small")
     drawn.savefig(path, bbox_inches="tight")
--- a/applevale/emulator/membership.py
+++ b/applevale/emulator/membership.py
@@ -27,9 +27,16 @@
 class Fleet:
     """A world of members."""
 
-    def __init__(self, count: int, seed: int, pace: Pace | None = None, latency: tuple[float, float] = (
-            0.0003, 0.003), machine: type[Membership] = Membership, liar: type[Membership] | None = None,
-            known: bool = False):
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        pace: Pace | None = None,
+        latency: tuple[float, float] = (0.0003, 0.003),
+        machine: type[Membership] = Membership,
+        liar: type[Membership] | None = None,
+        known: bool = False,
+    ):
         """`machine`: another class of machine for all, `liar`: for the first one (planted faults); `known`:
         all know each other from the first moment, without the traffic of their start."""
         self.known = known
@@ -74,8 +81,9 @@
     def _seen(self, now: float, number: int, command: Command) -> None:
         match command:
             case Turned(changes=changes):
-                self.stage.note("view", who=f"n{number}",
-                                changes=[(f"n{one}", change.value) for one, change in changes])
+                self.stage.note(
+                    "view", who=f"n{number}", changes=[(f"n{one}", change.value) for one, change in changes]
+                )
             case Stood(stand=stand):
                 self.stage.note("stand", who=f"n{number}", stand=stand.value)
 
@@ -104,6 +112,15 @@
                 living = tuple(one for one, _ in place.actor.view())
                 view = views.setdefault(living, [f"n{one}" for one in living])
                 stage.note("held", who=f"n{number}", view=view)
-        sent = [{"at": tenth / 10, "event": "sent", "who": f"n{number}", "bytes": size, "most": most,
-                 "count": count} for (number, tenth), (size, most, count) in self.buckets.items()]
+        sent = [
+            {
+                "at": tenth / 10,
+                "event": "sent",
+                "who": f"n{number}",
+                "bytes": size,
+                "most": most,
+                "count": count,
+            }
+            for (number, tenth), (size, most, count) in self.buckets.items()
+        ]
         return stage.events + sent
--- a/applevale/emulator/players.py
+++ b/applevale/emulator/players.py
@@ -19,8 +19,11 @@
     """`settings`: fields of the machine's pace, and of its times."""
     pace = VERSIONS[version.partition(":")[0]]
     times = {name: value for name, value in settings.items() if name in _TIMES}
-    pace = replace(pace, times=replace(pace.times, **times),
-                   **{name: value for name, value in settings.items() if name not in _TIMES})
+    pace = replace(
+        pace,
+        times=replace(pace.times, **times),
+        **{name: value for name, value in settings.items() if name not in _TIMES},
+    )
     found = verify.figures(History(Fleet(size, seed, pace, known=size >= KNOWN).run(case)))
     flat: dict[str, float] = {}
     for name, value in found.items():
--- a/applevale/emulator/stage.py
+++ b/applevale/emulator/stage.py
@@ -45,8 +45,10 @@
             case f.Stall():
                 for turn in range(step.times):
                     for number in self._named(step.who):
-                        self.world.at(self.world.now + turn * step.apart,
-                                      lambda number=number: self.world.pause(number, step.span))
+                        self.world.at(
+                            self.world.now + turn * step.apart,
+                            lambda number=number: self.world.pause(number, step.span),
+                        )
             case f.Service() | f.Upgrade():
                 raise ValueError(f"{told['do']}: no part of this world")
 
--- a/applevale/emulator/world.py
+++ b/applevale/emulator/world.py
@@ -59,16 +59,24 @@
     """`make`: a new actor for a number and its start's count; `route`: a command as (target, message, bytes),
     or None where it is for `seen`, which is told (time, number, command)."""
 
-    def __init__(self, count: int, seed: int, make: Callable[[int, int], Actor],
-                 route: Callable[[Any], tuple[int, Any, int] | None],
-                 seen: Callable[[float, int, Any], None], drift: float = 1e-4,
-                 latency: tuple[float, float] = (0.0003, 0.003)):
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        make: Callable[[int, int], Actor],
+        route: Callable[[Any], tuple[int, Any, int] | None],
+        seen: Callable[[float, int, Any], None],
+        drift: float = 1e-4,
+        latency: tuple[float, float] = (0.0003, 0.003),
+    ):
         self.random, self.fates = Random(seed), Fates(seed)
         self.make, self.route, self.seen = make, route, seen
         self.latency = latency
         self.now = 0.0
-        self.places = [Place(f"n{at}", 1 + self.random.uniform(-drift, drift), self.random.uniform(0, 1e6))
-                       for at in range(count)]
+        self.places = [
+            Place(f"n{at}", 1 + self.random.uniform(-drift, drift), self.random.uniform(0, 1e6))
+            for at in range(count)
+        ]
         self.queue: list[tuple] = []
         self.events = 0
         self.sent: Callable[[float, int, int], None] = lambda now, number, size: None
@@ -165,5 +173,10 @@
         self.figures["messages"] += 1
         least, most = self.latency
         for wait in self.fates.datagram(self.now, self.places[number].name, self.places[target].name, size):
-            self._push(self.now + wait + least + (most - least) * self.random.random(),
-                       self._arrive, target, number, message)
+            self._push(
+                self.now + wait + least + (most - least) * self.random.random(),
+                self._arrive,
+                target,
+                number,
+                message,
+            )
--- a/applevale/faults/courses.py
+++ b/applevale/faults/courses.py
@@ -33,8 +33,10 @@
     names = [f"n{number}" for number in range(nodes)]
     random.shuffle(names)
     step = max(1, nodes // 10)
-    return [Term(at=BEGIN + 2.5 * turn, who=names[first: first + step], back=0.1)
-            for turn, first in enumerate(range(0, nodes, step))]
+    return [
+        Term(at=BEGIN + 2.5 * turn, who=names[first : first + step], back=0.1)
+        for turn, first in enumerate(range(0, nodes, step))
+    ]
 
 
 def _paused(share: float, span: float) -> Draw:
@@ -48,13 +50,15 @@
 def _out(fate: Fate, span: float) -> Draw:
     """What one member sends."""
     return lambda nodes, random: [
-        Link(at=BEGIN, sources=_some(nodes, random, 0), targets=["n*"], fate=fate, span=span)]
+        Link(at=BEGIN, sources=_some(nodes, random, 0), targets=["n*"], fate=fate, span=span)
+    ]
 
 
 def _into(fate: Fate, span: float) -> Draw:
     """What one member is sent."""
     return lambda nodes, random: [
-        Link(at=BEGIN, sources=["n*"], targets=_some(nodes, random, 0), fate=fate, span=span)]
+        Link(at=BEGIN, sources=["n*"], targets=_some(nodes, random, 0), fate=fate, span=span)
+    ]
 
 
 def _pair(nodes: int, random: Random) -> list[Step]:
@@ -80,8 +84,10 @@
 
 
 def _both_ways(one: list[str], other: list[str], span: float) -> list[Step]:
-    return [Link(at=BEGIN, sources=one, targets=other, fate=CUT, span=span),
-            Link(at=BEGIN, sources=other, targets=one, fate=CUT, span=span)]
+    return [
+        Link(at=BEGIN, sources=one, targets=other, fate=CUT, span=span),
+        Link(at=BEGIN, sources=other, targets=one, fate=CUT, span=span),
+    ]
 
 
 def _halves(nodes: int, random: Random) -> list[Step]:
@@ -116,8 +122,10 @@
     names = [f"n{number}" for number in range(nodes)]
     random.shuffle(names)
     quarter = max(1, nodes // 4)
-    return [Stop(at=BEGIN, who=names[:quarter], span=6.0),
-            Stop(at=BEGIN + 1.5, who=names[quarter:2 * quarter], span=6.0)]
+    return [
+        Stop(at=BEGIN, who=names[:quarter], span=6.0),
+        Stop(at=BEGIN + 1.5, who=names[quarter : 2 * quarter], span=6.0),
+    ]
 
 
 def _back(nodes: int, random: Random) -> list[Step]:
@@ -132,10 +140,15 @@
 def _all_of_it(nodes: int, random: Random) -> list[Step]:
     """One after the other: a death, a quarter that stands still, loss, a one-sided cut, a quick restart."""
     parts: list[tuple[float, Draw]] = [
-        (0.0, _killed(0)), (7.0, _paused(0.25, 2.0)), (13.0, _all(Fate(loss=0.2), 8.0)), (22.0, _one_sided),
-        (35.0, lambda nodes, random: [Kill(at=BEGIN, who=_some(nodes, random, 0), back=0.1)])]
-    return [msgspec.structs.replace(step, at=step.at + at) for at, part in parts
-            for step in part(nodes, random)]
+        (0.0, _killed(0)),
+        (7.0, _paused(0.25, 2.0)),
+        (13.0, _all(Fate(loss=0.2), 8.0)),
+        (22.0, _one_sided),
+        (35.0, lambda nodes, random: [Kill(at=BEGIN, who=_some(nodes, random, 0), back=0.1)]),
+    ]
+    return [
+        msgspec.structs.replace(step, at=step.at + at) for at, part in parts for step in part(nodes, random)
+    ]
 
 
 LATE = Fate(reorder=0.4, held=1.5, copies=0.3)
@@ -146,16 +159,31 @@
     "killed": _killed(0),
     "killed-47": _killed(0.47),
     "rolling": _rolling,
-    "pause-0.5": _paused(0, 0.5), "pause-2": _paused(0, 2.0), "pause-6": _paused(0, 6.0),
-    "quarter-0.5": _paused(0.25, 0.5), "quarter-2": _paused(0.25, 2.0), "quarter-6": _paused(0.25, 6.0),
-    "loss-5": _all(Fate(loss=0.05), 12.0), "loss-20": _all(Fate(loss=0.2), 12.0),
-    "loss-40": _all(Fate(loss=0.4), 12.0), "loss-60": _all(Fate(loss=0.6), 12.0),
+    "pause-0.5": _paused(0, 0.5),
+    "pause-2": _paused(0, 2.0),
+    "pause-6": _paused(0, 6.0),
+    "quarter-0.5": _paused(0.25, 0.5),
+    "quarter-2": _paused(0.25, 2.0),
+    "quarter-6": _paused(0.25, 6.0),
+    "loss-5": _all(Fate(loss=0.05), 12.0),
+    "loss-20": _all(Fate(loss=0.2), 12.0),
+    "loss-40": _all(Fate(loss=0.4), 12.0),
+    "loss-60": _all(Fate(loss=0.6), 12.0),
     "loss-out-80": _out(Fate(loss=0.8), 12.0),
-    "deaf": _into(CUT, 8.0), "mute": _out(CUT, 8.0),
-    "pair": _pair, "toggles": _toggles, "one-sided": _one_sided,
-    "halves": _halves, "three-groups": _three_groups,
-    "late": _all(LATE, 12.0), "all-late": _all(Fate(delay=1.5), 8.0),
-    "stalls": _stalls, "again": _again, "back": _back, "waves": _waves, "upgrade": _upgrade,
+    "deaf": _into(CUT, 8.0),
+    "mute": _out(CUT, 8.0),
+    "pair": _pair,
+    "toggles": _toggles,
+    "one-sided": _one_sided,
+    "halves": _halves,
+    "three-groups": _three_groups,
+    "late": _all(LATE, 12.0),
+    "all-late": _all(Fate(delay=1.5), 8.0),
+    "stalls": _stalls,
+    "again": _again,
+    "back": _back,
+    "waves": _waves,
+    "upgrade": _upgrade,
 }
 
 
--- a/applevale/faults/fates.py
+++ b/applevale/faults/fates.py
@@ -75,8 +75,14 @@
     def of(self, source: str, target: str) -> Fate:
         found = self.known.get((source, target))
         if found is None:
-            found = next((fate for _, sources, targets, fate in reversed(self.words)
-                          if matches(source, sources) and matches(target, targets)), CLEAR)
+            found = next(
+                (
+                    fate
+                    for _, sources, targets, fate in reversed(self.words)
+                    if matches(source, sources) and matches(target, targets)
+                ),
+                CLEAR,
+            )
             self.known[source, target] = found
         return found
 
--- a/applevale/faults/gates.py
+++ b/applevale/faults/gates.py
@@ -41,8 +41,9 @@
         loop = self.gate.loop
         now = loop.time()
         fate = self.gate.fates.of(self.source, self.target)
-        if not (self.waiting or fate.cut or fate.delay or fate.jitter or fate.bandwidth
-                or self.writes is None):
+        if not (
+            self.waiting or fate.cut or fate.delay or fate.jitter or fate.bandwidth or self.writes is None
+        ):
             self.writes.write(data)
             return
         self.last = max(self.last, now + self.gate.fates.wait(now, self.source, self.target, len(data)))
@@ -133,7 +134,8 @@
             while self.gate.fates.of(self.caller, self.gate.name).cut:
                 await asyncio.sleep(LOOK)
             await self.gate.loop.create_connection(
-                lambda: self.far, *self.gate.target, local_addr=self.gate.local(self.near.way.reads))
+                lambda: self.far, *self.gate.target, local_addr=self.gate.local(self.near.way.reads)
+            )
         except OSError:
             self.end()
             return
--- a/applevale/faults/schedule.py
+++ b/applevale/faults/schedule.py
@@ -19,8 +19,9 @@
     """A step that makes no sense; the text names its place."""
 
 
-class _Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True,
-            tag_field="do", tag=str.lower):
+class _Step(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, tag_field="do", tag=str.lower
+):
     at: Span  # s from the begin of the play
 
 
@@ -94,8 +95,16 @@
 
 
 # What `drawn` may draw: each kind with the most that one of its steps lasts, in s.
-KINDS = {"kill": 0.0, "term": 0.0, "stop": 2.0, "stall": 0.3, "cut": 4.0, "late": 4.0, "down": 3.0,
-         "slow": 0.3}
+KINDS = {
+    "kill": 0.0,
+    "term": 0.0,
+    "stop": 2.0,
+    "stall": 0.3,
+    "cut": 4.0,
+    "late": 4.0,
+    "down": 3.0,
+    "slow": 0.3,
+}
 
 
 def drawn(seed: int, nodes: int, steps: int = 12, span: float = 24.0) -> list[Step]:
@@ -126,12 +135,16 @@
         case "cut" | "late":
             fate = Fate(cut=True) if kind == "cut" else Fate(delay=0.4, jitter=0.1)
             ways = [(who, ["list*"]), (["list*"], who)]
-            return [Link(at=at, sources=one, targets=other, fate=fate, span=lasts)
-                    for one, other in random.choice((ways, ways[:1], ways[1:]))]
+            return [
+                Link(at=at, sources=one, targets=other, fate=fate, span=lasts)
+                for one, other in random.choice((ways, ways[:1], ways[1:]))
+            ]
         case "down":
             return [Service(at=at, order="down"), Service(at=round(at + lasts, 2), order="up")]
-    return [Service(at=at, order="late", values={"seconds": lasts}),
-            Service(at=round(at + 3.0, 2), order="late", values={"seconds": 0.0})]
+    return [
+        Service(at=at, order="late", values={"seconds": lasts}),
+        Service(at=round(at + 3.0, 2), order="late", values={"seconds": 0.0}),
+    ]
 
 
 class Stage(Protocol):
@@ -140,8 +153,9 @@
     async def carry_out(self, step: Step) -> None: ...
 
 
-async def play(steps: list[Step], stage: Stage, log: Callable[[float, Step], None],
-               clock: Callable[[], float]) -> None:
+async def play(
+    steps: list[Step], stage: Stage, log: Callable[[float, Step], None], clock: Callable[[], float]
+) -> None:
     """Each step at its time; those that last are carried out beside the ones behind them, and all are done at
     the end."""
     began = clock()
--- a/applevale/interface.py
+++ b/applevale/interface.py
@@ -302,8 +302,20 @@
     threads: int = 0  # that it has just sent there
 
 
-Event = (EngineList | Request | Outcome | Started | Note | ProbeResult | Timer | ClientGone | PeerMessage
-         | Answered | PeerNews | FleetSize)
+Event = (
+    EngineList
+    | Request
+    | Outcome
+    | Started
+    | Note
+    | ProbeResult
+    | Timer
+    | ClientGone
+    | PeerMessage
+    | Answered
+    | PeerNews
+    | FleetSize
+)
 
 
 # --- actions ------------------------------------------------------------------------------------------------
--- a/applevale/membership/machine.py
+++ b/applevale/membership/machine.py
@@ -347,7 +347,8 @@
     def _judges(self, now: float) -> bool:
         """Whether it may give words on others."""
         return not self.pace.self_look or (
-            self.stand is Stand.WELL and now >= self.quiet_until and not self._doubts(now))
+            self.stand is Stand.WELL and now >= self.quiet_until and not self._doubts(now)
+        )
 
     def _doubts(self, now: float) -> bool:
         """Several that it could not reach were heard after all, and more of them than were not."""
@@ -399,8 +400,11 @@
                 self.heard_at = self.answered_at = self.due_probe = self.latest = self.due = now
                 self.quiet_until = now + self.pace.calm
                 self._raise(now, told.incarnation)
-        elif told.status is not Status.ALIVE or told.incarnation > self.incarnation or (
-                not mine and self.life < told.life):
+        elif (
+            told.status is not Status.ALIVE
+            or told.incarnation > self.incarnation
+            or (not mine and self.life < told.life)
+        ):
             self._raise(now, told.incarnation)
 
     # --- others ---------------------------------------------------------------------------------------------
@@ -500,8 +504,9 @@
             observers = tuple(one for one in observers if one == sender)
         self._suspect(now, member, words.incarnation, observers, words.age if len(observers) >= need else 0.0)
 
-    def _suspect(self, now: float, member: int, incarnation: int, observers: tuple[int, ...],
-                 age: float = 0.0) -> None:
+    def _suspect(
+        self, now: float, member: int, incarnation: int, observers: tuple[int, ...], age: float = 0.0
+    ) -> None:
         held = self.records.all[member]
         if not observers or not held.living or incarnation & m.LOW != held.incarnation & m.LOW:
             return
@@ -535,8 +540,7 @@
     def _dies_at(self, member: int, suspicion: Suspicion) -> float:
         if not self._enough(member):
             return inf
-        return suspicion.since + self.pace.times.wait(len(suspicion.observers),
-                                                          self._observers(member))
+        return suspicion.since + self.pace.times.wait(len(suspicion.observers), self._observers(member))
 
     def _observers(self, member: int) -> int:
         """Living members that may give a word on this one, itself among them."""
@@ -590,8 +594,10 @@
             self.due_bury = min(soon) if self.due_bury <= now else min(self.due_bury, *soon)
             return
         self.bury_first = inf
-        ended = [(member, Record(Status.DEAD, self.suspicions[member].incarnation,
-                                 self.records.all[member].life)) for member in ready]
+        ended = [
+            (member, Record(Status.DEAD, self.suspicions[member].incarnation, self.records.all[member].life))
+            for member in ready
+        ]
         if ended:
             self._end(now, tuple(ended))
         self._look_at_graves()
@@ -645,8 +651,15 @@
         self.figures.probes += 1
         pace, alone = self.pace, asker >= 0 or check
         self.probes[own] = _Probe(
-            subject, self.records.all[subject].incarnation, now + pace.again * slow,
-            inf if alone else now + pace.ask * slow, now + ends * slow, asker, number, check=check)
+            subject,
+            self.records.all[subject].incarnation,
+            now + pace.again * slow,
+            inf if alone else now + pace.ask * slow,
+            now + ends * slow,
+            asker,
+            number,
+            check=check,
+        )
 
     def _end_probes(self, now: float) -> None:
         for own, probe in list(self.probes.items()):
@@ -668,8 +681,9 @@
             wanted = min(wanted, self._need(probe.subject) - len({*suspicion.observers, self.me}))
         if not self.pace.helpers or (wanted <= 0 and via is None):
             return
-        others = [one for one in self.living
-                  if one not in (probe.subject, via) and one not in self.suspicions]
+        others = [
+            one for one in self.living if one not in (probe.subject, via) and one not in self.suspicions
+        ]
         helpers = [via] if via in self.living else []
         helpers += self.random.sample(others, min(max(0, wanted), len(others)))
         for helper in helpers:
@@ -706,8 +720,9 @@
         self.health = max(0.0, self.health - 0.5)
         self._reached(now, sender)
         if probe.asker >= 0:
-            self._send(now, probe.asker, Kind.FOUND, KEEP_PROBE, number=probe.number, subject=sender,
-                       reached=True)
+            self._send(
+                now, probe.asker, Kind.FOUND, KEEP_PROBE, number=probe.number, subject=sender, reached=True
+            )
 
     def _reached(self, now: float, subject: int) -> None:
         """It lives, whatever others say; it is told of that with each message, and answers for itself."""
@@ -737,8 +752,9 @@
         self.figures.failed += 1
         if probe.asker >= 0:
             if self._judges(now):
-                self._send(now, probe.asker, Kind.FOUND, KEEP_HELP, number=probe.number,
-                           subject=probe.subject)
+                self._send(
+                    now, probe.asker, Kind.FOUND, KEEP_HELP, number=probe.number, subject=probe.subject
+                )
                 self._suspect(now, probe.subject, probe.incarnation, (self.me,))
             return
         if not probe.check and probe.helped and not probe.failed:
@@ -754,11 +770,22 @@
         for target in range(self.count):
             if target != self.me:
                 self._send(now, target, Kind.NEWS, keep=-inf)
-        silent = [member for member in self.living
-                  if now - self.seen_at.get(member, now) > self.pace.times.least]
+        silent = [
+            member for member in self.living if now - self.seen_at.get(member, now) > self.pace.times.least
+        ]
         if silent:
-            self._end(now, tuple((member, Record(Status.DEAD, self.records.all[member].incarnation,
-                                                 self.records.all[member].life)) for member in silent))
+            self._end(
+                now,
+                tuple(
+                    (
+                        member,
+                        Record(
+                            Status.DEAD, self.records.all[member].incarnation, self.records.all[member].life
+                        ),
+                    )
+                    for member in silent
+                ),
+            )
 
     # --- groups that were cut apart, and views that differ --------------------------------------------------
 
@@ -788,7 +815,7 @@
         for which in self.records.differing(sums)[:3]:
             members = self.records.part(which)
             for first in range(members.start, members.stop, m.MOST_PART):
-                part = tuple(self.records.all[first: min(first + m.MOST_PART, members.stop)])
+                part = tuple(self.records.all[first : min(first + m.MOST_PART, members.stop)])
                 self._send(now, sender, Kind.PART, KEEP_HELP, first=first, part=part)
 
     def _take_part(self, now: float, sender: int, message: Message) -> None:
@@ -817,8 +844,9 @@
         self.figures.floods += flooded
         return flooded
 
-    def _send(self, now: float, target: int, kind: Kind, keep: float = 0.0, items: tuple = (),
-              **fields: object) -> bool:
+    def _send(
+        self, now: float, target: int, kind: Kind, keep: float = 0.0, items: tuple = (), **fields: object
+    ) -> bool:
         """With news, as far as bytes and room allow. False: the bucket is empty."""
         if kind is Kind.ACK and self.answers.get(target, 0) > MOST_ANSWERS:
             self.figures.floods += 1
@@ -826,8 +854,16 @@
         held = self.records.all[target]
         if self._enough(target):
             held = Record(Status.SUSPECT, held.incarnation, held.life)
-        message = Message(kind, fields.pop("number", 0), self.incarnation, self.life, held,
-                          self.records.digest, items=items, **fields)
+        message = Message(
+            kind,
+            fields.pop("number", 0),
+            self.incarnation,
+            self.life,
+            held,
+            self.records.digest,
+            items=items,
+            **fields,
+        )
         size = m.size(message)
         if keep != -inf and not self.bucket.take(now, size, keep):
             self.figures.held_back += 1
@@ -836,8 +872,17 @@
         if kind not in (Kind.SUMS, Kind.PART) and not items and self.news and not wasted:
             told = self._news(now, m.MOST_BYTES - size)
             if told:
-                message = Message(kind, message.number, self.incarnation, self.life, held,
-                                  self.records.digest, message.subject, message.reached, told)
+                message = Message(
+                    kind,
+                    message.number,
+                    self.incarnation,
+                    self.life,
+                    held,
+                    self.records.digest,
+                    message.subject,
+                    message.reached,
+                    told,
+                )
         self.figures.sent += 1
         self.figures.sent_bytes += m.size(message)
         self.out.append(Send(target, message))
@@ -870,8 +915,12 @@
         if suspicion is not None:
             if len(suspicion.observers) < min(self.pace.share, self._need(member)):
                 return None
-            return Words(member, suspicion.incarnation, max(0.0, now - min(now, suspicion.since)),
-                         tuple(suspicion.observers))
+            return Words(
+                member,
+                suspicion.incarnation,
+                max(0.0, now - min(now, suspicion.since)),
+                tuple(suspicion.observers),
+            )
         record = self.records.all[member]
         return News(member, record) if record.known and record.status is not Status.DEAD else None
 
--- a/applevale/membership/messages.py
+++ b/applevale/membership/messages.py
@@ -148,9 +148,18 @@
 
 def encode(message: Message) -> bytes:
     yours = message.yours
-    found = bytearray(HEAD.pack(
-        MARK, message.kind, message.number, message.incarnation, message.life, _packed(yours), yours.life,
-        message.digest))
+    found = bytearray(
+        HEAD.pack(
+            MARK,
+            message.kind,
+            message.number,
+            message.incarnation,
+            message.life,
+            _packed(yours),
+            yours.life,
+            message.digest,
+        )
+    )
     if message.kind in _ABOUT:
         found += ABOUT.pack(message.subject, message.reached)
     if message.kind is Kind.SUMS:
@@ -183,10 +192,10 @@
     mark, kind, number, incarnation, life, yours, your_life, digest = HEAD.unpack_from(data)
     if mark != MARK or incarnation > MOST_INCARNATION:
         raise MessageError("no head")
-    body, kind = data[HEAD.size:], Kind(kind)
+    body, kind = data[HEAD.size :], Kind(kind)
     subject = reached = 0
     if kind in _ABOUT:
-        (subject, reached), body = ABOUT.unpack_from(body), body[ABOUT.size:]
+        (subject, reached), body = ABOUT.unpack_from(body), body[ABOUT.size :]
     items: tuple[Item, ...] = ()
     sums: tuple[int, ...] = ()
     first, part = 0, ()
@@ -196,11 +205,23 @@
         first, count = _PART.unpack_from(body)
         if len(body) != _PART.size + count * _ENTRY.size:
             raise MessageError("a part of another length")
-        part = tuple(_record(*entry) for entry in _ENTRY.iter_unpack(body[_PART.size:]))
+        part = tuple(_record(*entry) for entry in _ENTRY.iter_unpack(body[_PART.size :]))
     else:
         items = tuple(_items(body))
-    return Message(kind, number, incarnation, life, _record(yours, your_life), digest, subject,
-                   bool(reached), items, sums, first, part)
+    return Message(
+        kind,
+        number,
+        incarnation,
+        life,
+        _record(yours, your_life),
+        digest,
+        subject,
+        bool(reached),
+        items,
+        sums,
+        first,
+        part,
+    )
 
 
 def _items(body: bytes) -> list[Item]:
--- a/applevale/node/app.py
+++ b/applevale/node/app.py
@@ -106,8 +106,9 @@
         gateway = Gateway(config.settings, config.seed, self._guide())
         self.driver = Driver(gateway, self.fleet, self.counters)
         self.broker = Broker(self.driver, self.fleet, config.settings, self.counters)
-        self.front = Front(self.broker, self.driver, config.settings, half, int(config.memory * HELD),
-                           self.counters)
+        self.front = Front(
+            self.broker, self.driver, config.settings, half, int(config.memory * HELD), self.counters
+        )
         self.list = HeldList()
         self.bans = Bans()
         self.shared = SharedBans(ban_path(at), self.bans)
@@ -129,8 +130,9 @@
         self.front.figures, fleet.dispatched = figures, figures.dispatched
         figures.concurrent = lambda: self.front.open
         figures.targets = lambda: len(fleet.engines) - len(fleet.gone)
-        figures.disabled = lambda: sum(one in fleet.engines and one not in fleet.gone
-                                       for one in self.bans.banned | self.driver.resting())
+        figures.disabled = lambda: sum(
+            one in fleet.engines and one not in fleet.gone for one in self.bans.banned | self.driver.resting()
+        )
         return figures
 
     def serving(self) -> bool:
@@ -207,8 +209,12 @@
     def _peers(self, gateway: Gateway) -> Peers | None:
         """News of load from peers, where looking at engines before each send is too dear."""
         addresses, settings = self.config.peers, self.config.settings
-        if addresses is None or addresses.everyone is None or gateway.looks or not (
-                settings.may_tell_peers and settings.gateways > 1):
+        if (
+            addresses is None
+            or addresses.everyone is None
+            or gateway.looks
+            or not (settings.may_tell_peers and settings.gateways > 1)
+        ):
             return None
         from .news import News  # neither is loaded where it is not used
         from .peers import Peers
@@ -224,8 +230,9 @@
 
         config = self.config
         if self.datagrams is None:
-            self.datagrams = Datagrams(config.peers, config.settings.me, self.counters,
-                                       shared=config.membership is not None)
+            self.datagrams = Datagrams(
+                config.peers, config.settings.me, self.counters, shared=config.membership is not None
+            )
         return self.datagrams
 
     def _members(self, gateway: Gateway) -> Members | None:
@@ -238,8 +245,9 @@
         from .members import Members, new_life
 
         count = len(config.peers.each)
-        machine = Membership(config.settings.me, count, new_life(), Random(config.seed),
-                             Pace(probe=config.membership))
+        machine = Membership(
+            config.settings.me, count, new_life(), Random(config.seed), Pace(probe=config.membership)
+        )
         return Members(machine, Shares(count), self._datagram_socket(), self.counters, self.resized)
 
     def resized(self, size: int) -> None:
@@ -255,8 +263,15 @@
             return None
         from ..sources.registry.source import RegistrySource  # its libraries cost memory where it is not used
 
-        source = RegistrySource(config.registry, config.names, self.counters, self.tell, self.turned,
-                                config.seed, local=config.local)
+        source = RegistrySource(
+            config.registry,
+            config.names,
+            self.counters,
+            self.tell,
+            self.turned,
+            config.seed,
+            local=config.local,
+        )
         self.fleet.allowed = source.allowed
         self.turned(False)
         return source
@@ -324,8 +339,11 @@
         self.stats.reloaded(True)
         self.learn(config.known)
         self._move(config)
-        fixed = [key for key in ("listen", "sockets", "memory", "settings", "links", "zones")
-                 if getattr(config, key) != getattr(self.config, key)]
+        fixed = [
+            key
+            for key in ("listen", "sockets", "memory", "settings", "links", "zones")
+            if getattr(config, key) != getattr(self.config, key)
+        ]
         if fixed:
             say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
--- a/applevale/node/broker.py
+++ b/applevale/node/broker.py
@@ -115,7 +115,8 @@
         if query.key:
             self.unread[query] = life.number
         guard = asyncio.get_running_loop().call_later(
-            max(0.0, life.left() - LAST), life.inbox.put_nowait, Overdue())
+            max(0.0, life.left() - LAST), life.inbox.put_nowait, Overdue()
+        )
         try:
             return await life.run()
         finally:
@@ -153,9 +154,20 @@
     async def run(self) -> Answer:
         query = self.query
         patience = max(0.0, self.left() - SPARE - self.driver.delay())
-        self.driver.post(api.Request(
-            self.number, query.cls, query.tenant, query.key, patience, query.work,
-            query.memory_mb, query.tables, query.client_retry, query.unsure))
+        self.driver.post(
+            api.Request(
+                self.number,
+                query.cls,
+                query.tenant,
+                query.key,
+                patience,
+                query.work,
+                query.memory_mb,
+                query.tables,
+                query.client_retry,
+                query.unsure,
+            )
+        )
         while True:
             match await self.inbox.get():
                 case api.Terms(priority=urgency):
@@ -202,14 +214,33 @@
                 self.rows = ending.body
             if ending.result not in api.NEVER_RAN:
                 self.ran_at = min(self.ran_at, sent)
-            self.driver.post(api.Outcome(
-                self.number, index, engine, ending.result, self.driver.now() - sent, done,
-                ending.work if done else 0.0, ending.memory_mb if done else 0.0, ending.report))
+            self.driver.post(
+                api.Outcome(
+                    self.number,
+                    index,
+                    engine,
+                    ending.result,
+                    self.driver.now() - sent,
+                    done,
+                    ending.work if done else 0.0,
+                    ending.memory_mb if done else 0.0,
+                    ending.report,
+                )
+            )
             self.inbox.put_nowait(ending)
 
         query, alone = self.query, self.spec.repeat is api.Repeat.UNSAFE
-        want = Want(query.ref, self.spec.name, query.statement, loop.time() + limit, loop.time() + by,
-                    self.urgency, alone, query.gone, query.idempotency_key)
+        want = Want(
+            query.ref,
+            self.spec.name,
+            query.statement,
+            loop.time() + limit,
+            loop.time() + by,
+            self.urgency,
+            alone,
+            query.gone,
+            query.idempotency_key,
+        )
         attempt = self.fleet.start(engine, want, self.avoid, ended)
         if attempt.link is not None:  # a second copy of its answer must not be taken for the next attempt's
             self.avoid.add(attempt.link)
@@ -229,7 +260,8 @@
             self.out.give_up(api.Result.CANCELLED)
         ran = self.ran_at < inf or self.out is not None
         return self.or_served(
-            Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else self.broker.turn_away())
+            Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else self.broker.turn_away()
+        )
 
     def close(self) -> None:
         """The answer is out, or no longer owed: what is still out is given up, and the module hears of it."""
--- a/applevale/node/driver.py
+++ b/applevale/node/driver.py
@@ -48,8 +48,9 @@
 class Driver:
     """All that is ready in one turn of the loop goes to the module as one batch, never re-entrantly."""
 
-    def __init__(self, gateway: Gateway, fleet: Fleet, counters: Counters,
-                 clock: Callable[[], float] = time.time):
+    def __init__(
+        self, gateway: Gateway, fleet: Fleet, counters: Counters, clock: Callable[[], float] = time.time
+    ):
         self.gateway, self.fleet, self.counters, self.clock = gateway, fleet, counters, clock
         self.routes: dict[int, Callable[[ForRequest], None]] = {}
         self.waiting: list[api.Event] = []
@@ -124,7 +125,8 @@
             self.counters["stood_still"] += 1
             self.current.clear()
         elif arrivals.behind and arrivals.caught_up(
-                all(arrivals.settled(*one) for inlet in self.inlets for one in inlet()), now):
+            all(arrivals.settled(*one) for inlet in self.inlets for one in inlet()), now
+        ):
             self.current.set()
 
     def stop(self) -> None:
--- a/applevale/node/engine.py
+++ b/applevale/node/engine.py
@@ -37,8 +37,16 @@
 BIND_ADDRESS_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT of Linux: the port is chosen by connect, not by bind
 USED = 0.8  # of the idle time after which a link is not used again: the engine may be closing it
 # What the settings call the figures of a report, and what engines may call them besides.
-ALIASES = {"active": "inflight", "cpu": "util", "waiting": "queue", "avg_ms": "latency_ms", "rps": "qps",
-           "err_rps": "eps", "memory_used": "x0", "disk_busy": "x1"}
+ALIASES = {
+    "active": "inflight",
+    "cpu": "util",
+    "waiting": "queue",
+    "avg_ms": "latency_ms",
+    "rps": "qps",
+    "err_rps": "eps",
+    "memory_used": "x0",
+    "disk_busy": "x1",
+}
 
 
 _HEAD, _PART_OF_HEAD = re.compile(rb"\$(\d{1,10})\r\n"), re.compile(rb"(?:\$(?:\d{1,10}\r?)?)?")
@@ -200,8 +208,11 @@
             return
         ending = Broken(Reach.RAN if self.sheets else Reach.MAY_HAVE_RUN, result)
         loop = asyncio.get_running_loop()
-        self.link.put(b"shut" if self.sheets else b"never_mind", self.want.ref,
-                      written=lambda: loop.call_later(SETTLE, self.end, ending))
+        self.link.put(
+            b"shut" if self.sheets else b"never_mind",
+            self.want.ref,
+            written=lambda: loop.call_later(SETTLE, self.end, ending),
+        )
 
 
 class Link:
@@ -258,8 +269,13 @@
         if want.dedupe:
             fields += f",dedupe={want.dedupe}"
         self.fleet.counters["attempts_written"] += 1
-        attempt.message = self.put(b"want", want.ref, fields.encode(), want.statement,
-                                   written=lambda: self.fleet.dispatched(want.lane))
+        attempt.message = self.put(
+            b"want",
+            want.ref,
+            fields.encode(),
+            want.statement,
+            written=lambda: self.fleet.dispatched(want.lane),
+        )
 
     def ask(self, tag: bytes, told: Callable[[Result, tuple], None]) -> None:
         self.probes[tag] = told
@@ -463,8 +479,14 @@
         elif len(attempt.pages) == attempt.sheets:
             rows = b"".join(attempt.pages[at] for at in range(attempt.sheets))
             told = attempt.fields
-            attempt.end(Done(rows, number(told.get("toil")) / 1000, number(told.get("room")),
-                             report_of(told, self.fleet.columns)))
+            attempt.end(
+                Done(
+                    rows,
+                    number(told.get("toil")) / 1000,
+                    number(told.get("room")),
+                    report_of(told, self.fleet.columns),
+                )
+            )
 
     def probe_over(self, tag: bytes, result: Result, report: tuple = ()) -> None:
         told = self.probes.pop(tag, None)
@@ -497,10 +519,14 @@
     def link(self, ref: bytes, avoid: frozenset[Link] | set[Link], alone: bool = False) -> Link | None:
         """An idle link, the last one used, so that others may close; else a new one, and with too many of
         them the one that carries least: a spoilt answer ends all else on its link."""
-        fit = [link for link in self.links
-               if not (link.closed or link.retired or link.alone or link.check in link.probes)
-               and link.streams < self.fleet.limits.streams
-               and ref not in link.attempts and link not in avoid]
+        fit = [
+            link
+            for link in self.links
+            if not (link.closed or link.retired or link.alone or link.check in link.probes)
+            and link.streams < self.fleet.limits.streams
+            and ref not in link.attempts
+            and link not in avoid
+        ]
         idle = [link for link in fit if link.up and not link.streams and link.whole()]
         if idle:
             return max(idle, key=lambda link: link.heard)
@@ -508,8 +534,11 @@
         if fit and not alone and self.fleet.frugal():
             return min(fit, key=lambda link: link.streams)
         share = self.fleet.most_links // max(1, len(self.fleet.engines))
-        if ((len(self.links) < share or not fit) and self.fleet.count_links() < self.fleet.most_links
-                and self.fleet.may_open(self.number)):
+        if (
+            (len(self.links) < share or not fit)
+            and self.fleet.count_links() < self.fleet.most_links
+            and self.fleet.may_open(self.number)
+        ):
             self.fleet.opening(self.number)
             self.links.append(Link(self))
             return self.links[-1]
--- a/applevale/node/front.py
+++ b/applevale/node/front.py
@@ -104,8 +104,11 @@
 
     @classmethod
     def of(cls, settings: api.Settings) -> Names:
-        return cls(settings.classes, {spec.name: at for at, spec in enumerate(settings.classes)},
-                   {tenant.name: at for at, tenant in enumerate(settings.tenants)})
+        return cls(
+            settings.classes,
+            {spec.name: at for at, spec in enumerate(settings.classes)},
+            {tenant.name: at for at, tenant in enumerate(settings.tenants)},
+        )
 
     def tenant(self, fields: dict) -> int:
         name = fields.get("project")
@@ -116,8 +119,9 @@
         return self.tenants[name]
 
 
-def read_query(names: Names, method: str, params: list, now: float,
-               gone: Callable[[], bool] = lambda: False) -> Query:
+def read_query(
+    names: Names, method: str, params: list, now: float, gone: Callable[[], bool] = lambda: False
+) -> Query:
     """The request in a call; raises BadField with what is wrong."""
     if method not in names.classes:
         raise BadField(f"unknown class {method[:40]!r}")
@@ -134,16 +138,35 @@
     memory = _number(fields, "space", MOST_SPACE, 0.0)
     key = _key(fields) if spec.ordered else 0
     _check_statement(statement)
-    return Query(ref.encode(), cls, statement, now, allow, names.tenant(fields), key, work, memory,
-                 table_group(statement), fields.get("dup") == "1", gone=gone,
-                 idempotency_key=_idempotency_key(fields))
+    return Query(
+        ref.encode(),
+        cls,
+        statement,
+        now,
+        allow,
+        names.tenant(fields),
+        key,
+        work,
+        memory,
+        table_group(statement),
+        fields.get("dup") == "1",
+        gone=gone,
+        idempotency_key=_idempotency_key(fields),
+    )
 
 
 class Front:
     """Accepts connections; each is a task of its own, and so is each request."""
 
-    def __init__(self, broker: Broker, driver: Driver, settings: api.Settings, most: int, most_held: int,
-                 counters: Counters):
+    def __init__(
+        self,
+        broker: Broker,
+        driver: Driver,
+        settings: api.Settings,
+        most: int,
+        most_held: int,
+        counters: Counters,
+    ):
         self.broker, self.driver, self.settings, self.counters = broker, driver, settings, counters
         self.names = Names.of(settings)
         self.most = most  # connections at a time
@@ -401,8 +424,9 @@
 
     async def _read(self) -> None:
         loop, buffer = asyncio.get_running_loop(), self.buffer
-        unpacker = msgpack.Unpacker(raw=False, max_buffer_size=MOST_MESSAGE, read_size=RECEIVE,
-                                    max_array_len=64, max_map_len=64)
+        unpacker = msgpack.Unpacker(
+            raw=False, max_buffer_size=MOST_MESSAGE, read_size=RECEIVE, max_array_len=64, max_map_len=64
+        )
         fed, due = 0, loop.time() + UNFINISHED
         while True:
             asked = self.front.driver.now()
--- a/applevale/node/held.py
+++ b/applevale/node/held.py
@@ -49,5 +49,6 @@
 
     def usable(self) -> bool:
         """Whether there is an engine to send to, once the list is confirmed."""
-        return any(entry.state is api.State.READY and not self._out(entry.engine)
-                   for entry in self.entries.values())
+        return any(
+            entry.state is api.State.READY and not self._out(entry.engine) for entry in self.entries.values()
+        )
--- a/applevale/node/members.py
+++ b/applevale/node/members.py
@@ -18,8 +18,14 @@
 class Members:
     """The clock is the steady one that counts the sleep of a suspended machine too."""
 
-    def __init__(self, machine: Membership, shares: Shares, datagrams: Datagrams, counters: Counters,
-                 resized: Callable[[int], None]):
+    def __init__(
+        self,
+        machine: Membership,
+        shares: Shares,
+        datagrams: Datagrams,
+        counters: Counters,
+        resized: Callable[[int], None],
+    ):
         self.machine, self.shares, self.datagrams, self.counters = machine, shares, datagrams, counters
         self.resized = resized  # called with the size that shares are reckoned by, when it turns
         self.timer: asyncio.TimerHandle | None = None
@@ -47,8 +53,13 @@
             self.counters[f"members_{name}"] = count
         self.counters["members_living"] = self.machine.size
         self.counters["members_changes"] = self.machine.changes
-        tell("members", stand=self.machine.stand.value, view=self.machine.view(),
-             digest=self.machine.records.digest, share_of=self.shares.size)
+        tell(
+            "members",
+            stand=self.machine.stand.value,
+            view=self.machine.view(),
+            digest=self.machine.records.digest,
+            share_of=self.shares.size,
+        )
 
     def _take(self, number: int, data: bytes) -> None:
         try:
@@ -69,8 +80,12 @@
                 case Turned(changes=changes):
                     told = [(f"n{one}", change.value) for one, change in changes]
                     tell("view", changes=told, living=self.machine.size)
-                    say("membership", f"{self.machine.size} live: " + ", ".join(
-                        f"{name} {change}" for name, change in told[:8]) + (" …" if told[8:] else ""))
+                    say(
+                        "membership",
+                        f"{self.machine.size} live: "
+                        + ", ".join(f"{name} {change}" for name, change in told[:8])
+                        + (" …" if told[8:] else ""),
+                    )
                 case Stood(stand=stand):
                     tell("stand", stand=stand.value)
                     if stand is not Stand.PAUSED:
--- a/applevale/node/news.py
+++ b/applevale/node/news.py
@@ -130,8 +130,11 @@
         if middle > len(data) or (len(data) - middle) % self.size:
             raise NewsError(f"{len(data)} bytes that do not fit {data[1]} sends")
         sends = SENT.iter_unpack(data[HEAD.size : middle])
-        events = [api.PeerNews(engine, (), threads) for which, threads in sends
-                  for engine in self.marked.get(which, ())]
+        events = [
+            api.PeerNews(engine, (), threads)
+            for which, threads in sends
+            for engine in self.marked.get(which, ())
+        ]
         for at in range(middle, len(data), self.size):
             engines = self.marked.get(MARK.unpack_from(data, at)[0], ())
             figures = data[at + MARK.size : at + self.size]
--- a/applevale/observe/events.py
+++ b/applevale/observe/events.py
@@ -35,9 +35,12 @@
     def stamp(logger: object, method: str, event: dict) -> dict:
         return {"at": round(time.monotonic(), 6), "instance": name, **event}
 
-    logger = structlog.wrap_logger(structlog.WriteLogger(sys.stderr), cache_logger_on_first_use=True,
-                                   wrapper_class=structlog.BoundLogger,
-                                   processors=[stamp, structlog.processors.JSONRenderer()])
+    logger = structlog.wrap_logger(
+        structlog.WriteLogger(sys.stderr),
+        cache_logger_on_first_use=True,
+        wrapper_class=structlog.BoundLogger,
+        processors=[stamp, structlog.processors.JSONRenderer()],
+    )
 
     def write(kind: str, text: str, fields: dict) -> None:
         logger.info(kind, **({"text": text} if text else {}), **fields)
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -250,8 +250,11 @@
         self.backoff = 1.0
         entries = {entry.engine: entry for entry in event.entries}
         if event.whole:
-            entries |= {number: replace(engine.entry, state=State.GONE)
-                        for number, engine in self.engines.items() if number not in entries}
+            entries |= {
+                number: replace(engine.entry, state=State.GONE)
+                for number, engine in self.engines.items()
+                if number not in entries
+            }
         for number, entry in entries.items():
             engine, debt = self.engines.get(number), self.random.random() * self.work.value
             if engine is None and entry.state is not State.GONE:
@@ -395,9 +398,14 @@
         home = next((e for e in self.order(req) if self.usable(e)), None)
         if home is None or req.memory < SMALL * home.memory or self.now - self.last_trouble > WINDOW:
             return
-        p = self.flagger.confidence(req, self.now, req.memory / home.memory * 2,
-                                    1 - self.free_memory(home) / home.memory, self.load(home) / BOUND / 2,
-                                    self.stats[req.ask.cls].trouble.value)
+        p = self.flagger.confidence(
+            req,
+            self.now,
+            req.memory / home.memory * 2,
+            1 - self.free_memory(home) / home.memory,
+            self.load(home) / BOUND / 2,
+            self.stats[req.ask.cls].trouble.value,
+        )
         req.flagged = p >= P_FLAG
         home.refill(self.now)
         cost = price(p, home.misses)
@@ -424,8 +432,9 @@
         return self.orders[key]
 
     def placed(self, req: Held, engine: Engine) -> bool:
-        return ((req.spec.zones is None or engine.entry.zone in req.spec.zones)
-                and (req.spec.kinds is None or engine.entry.kind in req.spec.kinds))
+        return (req.spec.zones is None or engine.entry.zone in req.spec.zones) and (
+            req.spec.kinds is None or engine.entry.kind in req.spec.kinds
+        )
 
     def usable(self, engine: Engine) -> bool:
         ready = engine.entry.state is State.READY and engine.rest_until <= self.now
@@ -541,8 +550,13 @@
     def may_go(self, req: Held) -> bool:
         """The rules that do not depend on the engine, for first attempts, retries and copies alike."""
         told = self.settings
-        over = req.over or req.streaming or self.now >= req.until or len(req.tries) >= told.try_limit or (
-            req.out and (not told.parallel_tries or req.out >= 2))
+        over = (
+            req.over
+            or req.streaming
+            or self.now >= req.until
+            or len(req.tries) >= told.try_limit
+            or (req.out and (not told.parallel_tries or req.out >= 2))
+        )
         return not (over or self.spent(req)) and self.turn_free(req) and (not req.tries or self.in_budget())
 
     def spent(self, req: Held) -> bool:
@@ -791,7 +805,16 @@
         if engine and max(engine.last_ok, engine.news_at) <= attempt.at and not self.asked(engine):
             self.suspect(engine, "silent")
 
-    HANDLERS = {api.FleetSize: on_size, api.EngineList: on_list, api.PeerNews: on_peer_news,
-                api.Outcome: on_outcome, api.ProbeResult: on_probe, api.Started: on_started,
-                api.Note: on_note, api.Request: on_request, api.ClientGone: on_gone,
-                api.Answered: on_answered, api.Timer: on_timer}
+    HANDLERS = {
+        api.FleetSize: on_size,
+        api.EngineList: on_list,
+        api.PeerNews: on_peer_news,
+        api.Outcome: on_outcome,
+        api.ProbeResult: on_probe,
+        api.Started: on_started,
+        api.Note: on_note,
+        api.Request: on_request,
+        api.ClientGone: on_gone,
+        api.Answered: on_answered,
+        api.Timer: on_timer,
+    }
--- a/applevale/rigs/cases.py
+++ b/applevale/rigs/cases.py
@@ -66,9 +66,15 @@
 
 
 def _coldstart_bars(found: dict, nodes: int) -> dict[str, float]:
-    return {"sessions": 1.05 * nodes, "sessions_after_break": 1.05 * nodes, "full_reads_most": 1,
-            "list_reads_s_steady": 5 * nodes, "unconfirmed_at_rest": 0,
-            "reads_after_break": found.get("list_reads_s_steady", 0), "connects_per_engine_s_max": 20}
+    return {
+        "sessions": 1.05 * nodes,
+        "sessions_after_break": 1.05 * nodes,
+        "full_reads_most": 1,
+        "list_reads_s_steady": 5 * nodes,
+        "unconfirmed_at_rest": 0,
+        "reads_after_break": found.get("list_reads_s_steady", 0),
+        "connects_per_engine_s_max": 20,
+    }
 
 
 async def _up_before_the_service(fleet: Fleet, after: float) -> None:
@@ -167,9 +173,14 @@
     await _up(fleet)
     await _rest(fleet)
     third = [one.name for one in fleet.instances[: max(1, len(fleet.instances) // 3)]]
-    cut = asyncio.create_task(fleet.play([
-        Link(at=0, sources=third, targets=["list*"], fate=Fate(cut=True), span=6.0),
-        Link(at=0, sources=["list*"], targets=third, fate=Fate(cut=True), span=6.0)]))
+    cut = asyncio.create_task(
+        fleet.play(
+            [
+                Link(at=0, sources=third, targets=["list*"], fate=Fate(cut=True), span=6.0),
+                Link(at=0, sources=["list*"], targets=third, fate=Fate(cut=True), span=6.0),
+            ]
+        )
+    )
     await asyncio.sleep(1.0)
     await fleet.drain(3)
     await cut
@@ -199,7 +210,7 @@
     names = [one.name for one in fleet.instances]
     step = max(1, len(names) // 10)
     for first in range(0, len(names), step):
-        await fleet.play([Term(at=0, who=names[first: first + step], back=0.1)])
+        await fleet.play([Term(at=0, who=names[first : first + step], back=0.1)])
         await fleet.all_ready(UP)
     await fleet.drain(2)
     await fleet.quiet()
@@ -301,8 +312,10 @@
 
 
 def _after_break(found: dict, nodes: int) -> dict[str, float]:
-    return _calm(found, nodes) | {"sessions_after_break": 1.05 * nodes,
-                                  "reads_after_break": found.get("list_reads_s_steady", 0)}
+    return _calm(found, nodes) | {
+        "sessions_after_break": 1.05 * nodes,
+        "reads_after_break": found.get("list_reads_s_steady", 0),
+    }
 
 
 CASES: dict[str, Case] = {
@@ -317,23 +330,31 @@
     "cut-third": Case(cut_third, _calm, {"gates": True}),
     "crash-loop": Case(crash_loop, _calm),
     "rolling": Case(rolling, _calm),
-    "cold-site": Case(cold_site, lambda found, nodes: {"connects_per_engine_s_max": 20},
-                      {"engines": 30, "cold": 30, "clients": 4.0}),
-    "cold-push": Case(cold_push, lambda found, nodes: {"pushed_most": 1},
-                      {"engines": 6, "cold": 6, "clients": 10.0}),
+    "cold-site": Case(
+        cold_site,
+        lambda found, nodes: {"connects_per_engine_s_max": 20},
+        {"engines": 30, "cold": 30, "clients": 4.0},
+    ),
+    "cold-push": Case(
+        cold_push, lambda found, nodes: {"pushed_most": 1}, {"engines": 6, "cold": 6, "clients": 10.0}
+    ),
     "eager": Case(eager, lambda found, nodes: {"unconfirmed_at_rest": 0}, {"eager": True}),
     "away": Case(away, _after_break),
-    "snapshots": Case(snapshots, lambda found, nodes: {
-        "unconfirmed_at_rest": 0, "full_reads": 1.02 * nodes, "full_reads_most": 1}, {"snapshot": True}),
+    "snapshots": Case(
+        snapshots,
+        lambda found, nodes: {"unconfirmed_at_rest": 0, "full_reads": 1.02 * nodes, "full_reads_most": 1},
+        {"snapshot": True},
+    ),
     "schedule": Case(schedule, lambda found, nodes: {}, {"gates": True}),
-    "engines-cut": Case(engines_cut, lambda found, nodes: {"connects_per_engine_s_max": 20},
-                        {"gates": True}),
+    "engines-cut": Case(engines_cut, lambda found, nodes: {"connects_per_engine_s_max": 20}, {"gates": True}),
 }
 
 
 MEMBERS = {"members": True, "clients": 1.0}
-CASES |= {name if name == "membership" else f"members-{name}": Case(_members(name), plan=MEMBERS)
-          for name in COURSES}
+CASES |= {
+    name if name == "membership" else f"members-{name}": Case(_members(name), plan=MEMBERS)
+    for name in COURSES
+}
 
 
 async def run(plan: Plan, case: str, history: str = "") -> dict:
@@ -356,22 +377,38 @@
     await fleet.start()
     await chosen.play(fleet)
     await fleet.settle()
-    shown = await asyncio.gather(*(one.program.counters() for one in fleet.instances
-                                   if one.program.process.returncode is None))
-    return {name: sum(counts.get(f"registry_{name}", 0) for counts in shown)
-            for name in ("stalls", "trials", "slow_for_all", "declined", "given_up", "stale", "breaks")}
+    shown = await asyncio.gather(
+        *(one.program.counters() for one in fleet.instances if one.program.process.returncode is None)
+    )
+    return {
+        name: sum(counts.get(f"registry_{name}", 0) for counts in shown)
+        for name in ("stalls", "trials", "slow_for_all", "declined", "given_up", "stale", "breaks")
+    }
 
 
 def _figures(fleet: Fleet, history: History, counted: dict, chosen: Case) -> dict:
     nodes = fleet.plan.nodes
     found = verify.figures(history, nodes) | counted
     rules = fleet.rules()
-    found |= {name: rules[name] for name in ("lost_requests", "answered_twice", "loads_twice", "order_breaks",
-                                             "requests", "served", "cut_by_ends", "late_by_standstill")}
+    found |= {
+        name: rules[name]
+        for name in (
+            "lost_requests",
+            "answered_twice",
+            "loads_twice",
+            "order_breaks",
+            "requests",
+            "served",
+            "cut_by_ends",
+            "late_by_standstill",
+        )
+    }
     found["wrong_lists"] = fleet.figures["wrong_lists"]
     found["pushed_most"] = round(max(engine.pushed for engine in fleet.engines), 2)
-    found["import_s"] = {name: round(quantile(fleet.import_s, share), 2)
-                         for name, share in (("p50", 0.5), ("p99", 0.99), ("max", 1.0))}
+    found["import_s"] = {
+        name: round(quantile(fleet.import_s, share), 2)
+        for name, share in (("p50", 0.5), ("p99", 0.99), ("max", 1.0))
+    }
     found["idle"] = fleet.idle
     found["turns_left_out"] = fleet.figures["turns_left_out"]
     missed = verify.broken(found, nodes, chosen.bars(found, nodes))
@@ -383,7 +420,16 @@
         missed.append(f"exits with another code than 0: {fleet.figures['bad_exits']}")
     if chosen.play is coldstart and found["ready_s"]["p99"] > found["import_s"]["p99"] + READY_LATER:
         missed.append(f"ready_s: p99 {found['ready_s']['p99']}, imports {found['import_s']['p99']}")
-    faults = {name.removeprefix("fault_"): count for name, count in fleet.figures.items()
-              if name.startswith("fault_")}
-    return {"ok": not missed, "broken": missed, "seed": fleet.plan.seed, "nodes": nodes, "faults": faults,
-            **found}
+    faults = {
+        name.removeprefix("fault_"): count
+        for name, count in fleet.figures.items()
+        if name.startswith("fault_")
+    }
+    return {
+        "ok": not missed,
+        "broken": missed,
+        "seed": fleet.plan.seed,
+        "nodes": nodes,
+        "faults": faults,
+        **found,
+    }
--- a/applevale/rigs/fleet.py
+++ b/applevale/rigs/fleet.py
@@ -32,8 +32,10 @@
 from .program import KINDS, SETTINGS, ZONES, Program, broken_rules
 
 PREFIX = "applevale/engines/"
-IMPORTS = ("import time, applevale.__main__, applevale.sources.registry.source, "
-           "applevale.sources.registry.etcd, structlog; print(time.monotonic())")
+IMPORTS = (
+    "import time, applevale.__main__, applevale.sources.registry.source, "
+    "applevale.sources.registry.etcd, structlog; print(time.monotonic())"
+)
 LAST_WORD = 0.3  # s before its client gives up in which a request without a decision has its answer
 QUIET = 8.0  # s within which every list is the registry's, at a quiet point
 
@@ -89,8 +91,13 @@
 
     async def start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "applevale.standins.listhost",
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=1 << 24)
+            sys.executable,
+            "-m",
+            "applevale.standins.listhost",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=1 << 24,
+        )
         self.reading = asyncio.create_task(self._read())
         self.addresses = [tuple(one) for one in (await self.done.get())["addresses"]]
 
@@ -162,15 +169,34 @@
         match event["event"]:
             case "reads":
                 for at, out, caller, member, whole, answered in event["reads"]:
-                    self.note("read", at, who=self._who(caller), out=out, member=member, whole=whole,
-                              answered=answered, caller=caller)
+                    self.note(
+                        "read",
+                        at,
+                        who=self._who(caller),
+                        out=out,
+                        member=member,
+                        whole=whole,
+                        answered=answered,
+                        caller=caller,
+                    )
             case "commit":
                 told = json.loads(event["value"]) if event["value"] else {}
-                self.note("commit", event["committed"], key=event["key"], engine=told.get("id", ""),
-                          address=told.get("address", ""), state=told.get("state", "gone"))
+                self.note(
+                    "commit",
+                    event["committed"],
+                    key=event["key"],
+                    engine=told.get("id", ""),
+                    address=told.get("address", ""),
+                    state=told.get("state", "gone"),
+                )
             case "session" | "session_end" as name:
-                self.note(name, event["at"], who=self._who(event["caller"]), member=event["member"],
-                          caller=event["caller"])
+                self.note(
+                    name,
+                    event["at"],
+                    who=self._who(event["caller"]),
+                    member=event["member"],
+                    caller=event["caller"],
+                )
 
     def _program_said(self, instance: Instance, event: dict) -> None:
         if event["event"] == "promise":
@@ -179,8 +205,12 @@
             told = {key: event[key] for key in ("changes", "stand") if key in event}
             if event["event"] == "members":
                 told["view"] = [f"n{one}" for one, _ in event["view"]]
-            self.note("held" if event["event"] == "members" else event["event"], event.get("at"),
-                      who=instance.name, **told)
+            self.note(
+                "held" if event["event"] == "members" else event["event"],
+                event.get("at"),
+                who=instance.name,
+                **told,
+            )
             instance.stand = event.get("stand", instance.stand)
         if event["event"] in ("listening", "ready", "list"):
             known = {key: event[key] for key in ("ready", "confirmed") if key in event}
@@ -198,15 +228,27 @@
         seen = []
         for engine, address in zip(self.engines, self.places):
             name = place(address)
-            seen += [{"at": at, "event": "connect", "who": self._who(caller), "engine": name}
-                     for at, caller in engine.connects]
-            seen += [{"at": one.at, "event": "arrival", "who": self._who(one.caller), "engine": name,
-                      "ref": one.ref.decode(errors="replace"), "lane": one.lane.decode(errors="replace")}
-                     for one in engine.arrivals]
+            seen += [
+                {"at": at, "event": "connect", "who": self._who(caller), "engine": name}
+                for at, caller in engine.connects
+            ]
+            seen += [
+                {
+                    "at": one.at,
+                    "event": "arrival",
+                    "who": self._who(one.caller),
+                    "engine": name,
+                    "ref": one.ref.decode(errors="replace"),
+                    "lane": one.lane.decode(errors="replace"),
+                }
+                for one in engine.arrivals
+            ]
             if engine.fell is not None:
                 seen.append({"at": engine.fell, "event": "fell", "engine": name})
-        seen += [{"at": tenth / 10, "event": "sent", "who": name, "bytes": size, "most": most, "count": count}
-                 for (name, tenth), (size, most, count) in self.sent.items()]
+        seen += [
+            {"at": tenth / 10, "event": "sent", "who": name, "bytes": size, "most": most, "count": count}
+            for (name, tenth), (size, most, count) in self.sent.items()
+        ]
         return History([*self.events, *seen])
 
     def _datagram_seen(self, source: str, target: str, size: int) -> None:
@@ -222,8 +264,9 @@
         plan = self.plan
         await self.service.start()
         await self.service.order("capacity", rate=plan.capacity)
-        self.members = [await self._place(f"list{at}", address)
-                        for at, address in enumerate(self.service.addresses)]
+        self.members = [
+            await self._place(f"list{at}", address) for at, address in enumerate(self.service.addresses)
+        ]
         for at in range(plan.engines):
             engine = ColdEngine(Random(self.random.random()))
             await engine.start()
@@ -264,14 +307,23 @@
     def _instance(self, number: int, port: int) -> Instance:
         name, plan = f"n{number}", self.plan
         config = {
-            "listen": f"{self._host(number)}:{port}", "local_address": source_address(number), "log": "json",
+            "listen": f"{self._host(number)}:{port}",
+            "local_address": source_address(number),
+            "log": "json",
             "seed": f"{self.random.getrandbits(48):x}",
             "settings": SETTINGS | {"me": number, "fleet_size": plan.nodes},
-            "registry": {"kind": "etcd", "prefix": PREFIX,
-                         "addresses": [place(address) for address in self.members]}}
+            "registry": {
+                "kind": "etcd",
+                "prefix": PREFIX,
+                "addresses": [place(address) for address in self.members],
+            },
+        }
         if self.relay is not None:
-            config |= {"peer_listen": place(self.real[name]), "membership": {},
-                       "peers": [place(self.relay.address[one]) for one in self.real]}
+            config |= {
+                "peer_listen": place(self.real[name]),
+                "membership": {},
+                "peers": [place(self.relay.address[one]) for one in self.real],
+            }
         if plan.connects:
             config["startup"] = {"engine_connects": plan.connects}
         program = Program(config, name, plan.checkout)
@@ -298,9 +350,12 @@
     async def measure_imports(self) -> None:
         """The machine's own share of a start: as many processes that only import the program."""
         began = time.monotonic()
-        processes = [await asyncio.create_subprocess_exec(
-            sys.executable, "-c", IMPORTS, stdout=asyncio.subprocess.PIPE, cwd=self.plan.checkout)
-            for _ in range(self.plan.nodes)]
+        processes = [
+            await asyncio.create_subprocess_exec(
+                sys.executable, "-c", IMPORTS, stdout=asyncio.subprocess.PIPE, cwd=self.plan.checkout
+            )
+            for _ in range(self.plan.nodes)
+        ]
         told = await asyncio.gather(*(process.communicate() for process in processes))
         self.import_s = [float(out) - began for out, _ in told]
 
@@ -338,8 +393,15 @@
     async def _serve(self, instance: Instance) -> None:
         """Clients of one instance, from its first listening on until the run ends."""
         plan = self.plan
-        instance.clients = Clients(instance.program.address, Random(self.random.random()), plan.clients,
-                                   connections=1, again=True, effort=400.0, repeat=plan.eager)
+        instance.clients = Clients(
+            instance.program.address,
+            Random(self.random.random()),
+            plan.clients,
+            connections=1,
+            again=True,
+            effort=400.0,
+            repeat=plan.eager,
+        )
         await instance.clients.start()
         await instance.clients.run(inf)
 
@@ -361,11 +423,19 @@
                 if sent.cut and any(sent.at <= end + 0.5 for end in ends):
                     found["cut_by_ends"] += 1
                 elif sent.answers == ["late"] and any(
-                        begin < sent.due and sent.due - LAST_WORD < end for begin, end in instance.still):
+                    begin < sent.due and sent.due - LAST_WORD < end for begin, end in instance.still
+                ):
                     found["late_by_standstill"] += 1  # no process answers while it stands still
                 elif not sent.answers or "late" in sent.answers:
-                    self.note("lost", sent.at, who=instance.name, ref=sent.ref, lane=sent.method,
-                              answers=sent.answers, cut=round(sent.cut - sent.at, 3) if sent.cut else None)
+                    self.note(
+                        "lost",
+                        sent.at,
+                        who=instance.name,
+                        ref=sent.ref,
+                        lane=sent.method,
+                        answers=sent.answers,
+                        cut=round(sent.cut - sent.at, 3) if sent.cut else None,
+                    )
             apart = (min(ends), inf) if ends else (inf, -inf)
             found += broken_rules(instance.clients, self.engines, apart)
             found["requests"] += len(instance.clients.sent)
@@ -388,8 +458,14 @@
         started = 0.0
         if at < self.plan.cold:
             started = time.time() - (time.monotonic() - self.engines[at].started)
-        return {"id": f"s-{at + 1:08x}", "address": place(self.places[at]), "state": state,
-                "zone": ZONES[at % len(ZONES)], "kind": KINDS[0], "started": started}
+        return {
+            "id": f"s-{at + 1:08x}",
+            "address": place(self.places[at]),
+            "state": state,
+            "zone": ZONES[at % len(ZONES)],
+            "kind": KINDS[0],
+            "started": started,
+        }
 
     async def until(self, what: Callable[[], bool], within: float) -> bool:
         end = self.loop.time() + within
@@ -410,8 +486,11 @@
         tell all instances of in a moment: each change is a message to each of them."""
         for _ in range(count):
             lately = time.monotonic() - 2.0
-            order = sorted(range(self.plan.engines), reverse=True, key=lambda at: sum(
-                one.at >= lately for one in self.engines[at].arrivals[-100:]))
+            order = sorted(
+                range(self.plan.engines),
+                reverse=True,
+                key=lambda at: sum(one.at >= lately for one in self.engines[at].arrivals[-100:]),
+            )
             busy = order[: max(1, min(self.plan.engines // 10, 300 // self.plan.nodes))]
             for at in busy:
                 await self.list_engine(at, "draining")
@@ -422,8 +501,9 @@
 
     def _digest(self) -> int:
         """Of the list as it was written, worked out here: not by the program's code."""
-        lines = sorted(f"{at + 1:08x} {state} {self.places[at]}"
-                       for at, state in self.states.items() if state != "gone")
+        lines = sorted(
+            f"{at + 1:08x} {state} {self.places[at]}" for at, state in self.states.items() if state != "gone"
+        )
         return crc32("\n".join(lines).encode())
 
     async def quiet(self) -> None:
@@ -442,11 +522,17 @@
 
         def end() -> None:
             span, (before, _), (after, memory) = time.monotonic() - began, spent, self._spent()
-            self.idle = {"cpu_ms_s": round((after - before) * 1000 / span / len(self.instances), 2),
-                         "rss_mb": round(memory / len(self.instances) / 2**20, 1)}
+            self.idle = {
+                "cpu_ms_s": round((after - before) * 1000 / span / len(self.instances), 2),
+                "rss_mb": round(memory / len(self.instances) / 2**20, 1),
+            }
             # A stand-in that has no time left is no list service and no engine: its figures do not count.
-            self.idle |= {name: round((after - before) / span, 2) for name, before, after in zip(
-                ("rig_cores", "service_cores"), (rig, service), self._stand_ins())}
+            self.idle |= {
+                name: round((after - before) / span, 2)
+                for name, before, after in zip(
+                    ("rig_cores", "service_cores"), (rig, service), self._stand_ins()
+                )
+            }
 
         return end
 
@@ -463,8 +549,10 @@
     def _cpu(process: int) -> tuple[float, float]:
         with open(f"/proc/{process}/stat", encoding="ascii") as file:
             fields = file.read().rpartition(")")[2].split()
-        return ((int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK"),
-                int(fields[21]) * os.sysconf("SC_PAGE_SIZE"))
+        return (
+            (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK"),
+            int(fields[21]) * os.sysconf("SC_PAGE_SIZE"),
+        )
 
     # --- faults ---------------------------------------------------------------------------------------------
 
--- a/applevale/rigs/ops.py
+++ b/applevale/rigs/ops.py
@@ -56,10 +56,19 @@
 
 
 def known(engines: list[StandinEngine]) -> dict:
-    instances = [{"instanceId": f"s-{at + 1:08x}", "hostPort": "{}:{}".format(*engine.address),
-                  "zone": "east", "machineType": "std", "cell": 0, "lifecycle": "in_service", "weight": 1,
-                  "startedAtMs": 0}
-                 for at, engine in enumerate(engines)]
+    instances = [
+        {
+            "instanceId": f"s-{at + 1:08x}",
+            "hostPort": "{}:{}".format(*engine.address),
+            "zone": "east",
+            "machineType": "std",
+            "cell": 0,
+            "lifecycle": "in_service",
+            "weight": 1,
+            "startedAtMs": 0,
+        }
+        for at, engine in enumerate(engines)
+    ]
     return {"n": 1, "events": [{"n": 1, "members": {"generation": 1, "reset": True, "instances": instances}}]}
 
 
@@ -154,25 +163,47 @@
     figures_true = abs(served_told - found["clients_served"]) <= max(3, 0.01 * found["clients_served"])
     held = answers["lost"] - answers["cut"]
     promises = {
-        "first_ready": found["first_ready"], "ban_yes": found["ban_yes"],
+        "first_ready": found["first_ready"],
+        "ban_yes": found["ban_yes"],
         "unknown_refused": found["unknown_refused"] == 404,
         "ready_no_in_drain": found["ready_in_drain"] == 503,
-        "undrained_in_2s": found["undrained"], "second_ready_in_6s": found["second_ready"],
-        "first_exit_0": found["first_exit"] == 0, "nothing_to_banned": found["to_banned"] == 0,
+        "undrained_in_2s": found["undrained"],
+        "second_ready_in_6s": found["second_ready"],
+        "first_exit_0": found["first_exit"] == 0,
+        "nothing_to_banned": found["to_banned"] == 0,
         "nothing_to_banned_in_both": found["late_ban_yes"] and found["to_late_banned"] == 0,
-        "figures_true": figures_true, "no_request_held": held == 0,
+        "figures_true": figures_true,
+        "no_request_held": held == 0,
         "cut_at_most_2": found["cut_in_upgrade"] <= CUT_MOST,
         "every_taken_answered": all(map(unanswered_none, (first_counters, second_counters))),
         "none_cut_after_it_ran": found["cut_after_run"] == 0,
         "answered_once": rules["answered_twice"] == 0,
         "back_after_enable": found["after_enable"] > 0,
-        "loads_once": rules["loads_twice"] == 0, "keys_in_order": rules["order_breaks"] == 0,
+        "loads_once": rules["loads_twice"] == 0,
+        "keys_in_order": rules["order_breaks"] == 0,
+    }
+    return {
+        "rig": "ops",
+        "ok": all(promises.values()),
+        "seed": seed,
+        "seconds": seconds,
+        "broken": sorted(name for name, kept in promises.items() if not kept),
+        "requests": answers["requests"],
+        "served": answers["served"],
+        "cut": answers["cut"],
+        "held": held,
+        **{
+            name: found[name]
+            for name in (
+                "figures_served",
+                "clients_served",
+                "to_banned",
+                "to_late_banned",
+                "after_enable",
+                "cut_in_upgrade",
+                "cut_after_run",
+            )
+        },
+        "first_door_calls": first_counters.get("door_calls", 0),
+        "second_served": second_counters.get("answered_served", 0),
     }
-    return {"rig": "ops", "ok": all(promises.values()), "seed": seed, "seconds": seconds,
-            "broken": sorted(name for name, kept in promises.items() if not kept),
-            "requests": answers["requests"], "served": answers["served"], "cut": answers["cut"],
-            "held": held, **{name: found[name] for name in (
-                "figures_served", "clients_served", "to_banned", "to_late_banned", "after_enable",
-                "cut_in_upgrade", "cut_after_run")},
-            "first_door_calls": first_counters.get("door_calls", 0),
-            "second_served": second_counters.get("answered_served", 0)}
--- a/applevale/rigs/program.py
+++ b/applevale/rigs/program.py
@@ -18,20 +18,55 @@
 NS = 1_000_000_000
 ZONES, KINDS = ["east", "west"], ["std"]
 SETTINGS = {
-    "az": 0, "me": 0, "fleet_size": 1, "discovery": "pushed", "tick": 5_000_000,
-    "zones": ZONES, "kinds": KINDS,
+    "az": 0,
+    "me": 0,
+    "fleet_size": 1,
+    "discovery": "pushed",
+    "tick": 5_000_000,
+    "zones": ZONES,
+    "kinds": KINDS,
     "classes": [
         {"name": "lookup", "aim": NS, "aim_stretch": 2.0, "deadline": 5 * NS, "repeat": "safe", "worth": 1.0},
-        {"name": "load", "aim": 3 * NS, "aim_stretch": 3.0, "deadline": 10 * NS, "repeat": "unsafe",
-         "by_arrival": True, "worth": 6.0}],
-    "guarantees": {"answer_slack": 20_000_000, "drain_grace": NS // 2, "cold_share": 0.33, "warm_up": 15 * NS,
-                   "fall": 3 * NS // 2, "fall_multiple": 4.0},
-    "limits": {"cancel": True, "may_probe": True, "retry_after": True, "max_retry_after": NS // 2,
-               "try_limit": 5,
-               "streams_per_conn": 32, "conn_idle": 15 * NS, "dial_timeout": NS // 4, "max_open": 20_000},
-    "specifics": {"class_threads": [1, 2], "class_load": [False, True], "yields_to_loads": [True, False],
-                  "cpu_of_kind": [8], "ram_of_kind_mb": [16384.0], "ranks_heeded": True, "says_cost": True,
-                  "largest_share": 0.4, "when_short": "shrink"},
+        {
+            "name": "load",
+            "aim": 3 * NS,
+            "aim_stretch": 3.0,
+            "deadline": 10 * NS,
+            "repeat": "unsafe",
+            "by_arrival": True,
+            "worth": 6.0,
+        },
+    ],
+    "guarantees": {
+        "answer_slack": 20_000_000,
+        "drain_grace": NS // 2,
+        "cold_share": 0.33,
+        "warm_up": 15 * NS,
+        "fall": 3 * NS // 2,
+        "fall_multiple": 4.0,
+    },
+    "limits": {
+        "cancel": True,
+        "may_probe": True,
+        "retry_after": True,
+        "max_retry_after": NS // 2,
+        "try_limit": 5,
+        "streams_per_conn": 32,
+        "conn_idle": 15 * NS,
+        "dial_timeout": NS // 4,
+        "max_open": 20_000,
+    },
+    "specifics": {
+        "class_threads": [1, 2],
+        "class_load": [False, True],
+        "yields_to_loads": [True, False],
+        "cpu_of_kind": [8],
+        "ram_of_kind_mb": [16384.0],
+        "ranks_heeded": True,
+        "says_cost": True,
+        "largest_share": 0.4,
+        "when_short": "shrink",
+    },
     "stats": {"how": "answers", "columns": ["active", "cpu", "x1"]},
 }
 
@@ -72,14 +107,24 @@
         self.listening.clear()
         env = os.environ | (env or {}) | {"BALANCER_CONFIG": self.path}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *(entry or ("applevale",)), env=env, stderr=asyncio.subprocess.PIPE,
-            cwd=self.checkout)
+            sys.executable,
+            "-m",
+            *(entry or ("applevale",)),
+            env=env,
+            stderr=asyncio.subprocess.PIPE,
+            cwd=self.checkout,
+        )
         self.reading = asyncio.create_task(self._read(self.process))
 
     def write(self, config: dict) -> None:
         """The configuration beside what all rigs share, as a whole or not at all."""
-        whole = {"name": self.name, "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS,
-                 "limits": {"memory_mb": 192, "sockets": 1024}} | config
+        whole = {
+            "name": self.name,
+            "listen": "127.0.0.1:0",
+            "seed": "1",
+            "settings": SETTINGS,
+            "limits": {"memory_mb": 192, "sockets": 1024},
+        } | config
         with open(self.path + ".new", "w", encoding="utf-8") as file:
             json.dump(whole, file)
         os.replace(self.path + ".new", self.path)
@@ -151,8 +196,9 @@
     return {"event": "line", "text": line}
 
 
-def broken_rules(clients: Clients, engines: Iterable[StandinEngine],
-                 apart: tuple[float, float] = (inf, -inf)) -> Counter:
+def broken_rules(
+    clients: Clients, engines: Iterable[StandinEngine], apart: tuple[float, float] = (inf, -inf)
+) -> Counter:
     """What the rules on requests say of a run: loads that arrived twice, loads of a key out of order.
 
     `apart`: from when until when two programs shared the clients, by the loop's clock. Each keeps the order
@@ -168,8 +214,9 @@
     for sent in clients.sent:
         if sent.key and sent.ref in loads and not apart[0] <= sent.at <= apart[1]:
             by_key[sent.key, sent.at > apart[1]].append(loads[sent.ref][0])
-    found["order_breaks"] = sum(later < former for times in by_key.values()
-                                for former, later in zip(times, times[1:]))
+    found["order_breaks"] = sum(
+        later < former for times in by_key.values() for former, later in zip(times, times[1:])
+    )
     answers = clients.figures()
     found["lost_requests"] = answers["lost"]
     found["answered_twice"] = answers["twice"]
--- a/applevale/rigs/registry.py
+++ b/applevale/rigs/registry.py
@@ -50,8 +50,15 @@
 
     def record(self) -> bytes:
         host, port = self.engine.address
-        return json.dumps({"id": f"s-{self.number:08x}", "address": f"{host}:{port}", "state": self.state,
-                           "zone": ZONES[self.number % len(ZONES)], "kind": KINDS[0]}).encode()
+        return json.dumps(
+            {
+                "id": f"s-{self.number:08x}",
+                "address": f"{host}:{port}",
+                "state": self.state,
+                "zone": ZONES[self.number % len(ZONES)],
+                "kind": KINDS[0],
+            }
+        ).encode()
 
 
 class Site:
@@ -112,8 +119,9 @@
 
     def soon(self, after: float, action: object, *arguments: object) -> None:
         handle: asyncio.TimerHandle
-        handle = asyncio.get_running_loop().call_later(after, lambda: (self.later.discard(handle),
-                                                                      action(*arguments)))
+        handle = asyncio.get_running_loop().call_later(
+            after, lambda: (self.later.discard(handle), action(*arguments))
+        )
         self.later.add(handle)
 
     async def play(self, until: float) -> None:
@@ -159,9 +167,25 @@
         draw = self.random
         at = draw.randrange(MEMBERS)
         gate, member, span = self.gates[at], self.members[at], draw.uniform(0.1, 1.5)
-        what = draw.choice(["cut", "refuse", "stall", "half", "garbage", "compact", "mute", "lag", "deny",
-                            "slow", "all", "restore", "burst", "reload",
-                            *(["twice"] if self.kind == "etcd" else [])])
+        what = draw.choice(
+            [
+                "cut",
+                "refuse",
+                "stall",
+                "half",
+                "garbage",
+                "compact",
+                "mute",
+                "lag",
+                "deny",
+                "slow",
+                "all",
+                "restore",
+                "burst",
+                "reload",
+                *(["twice"] if self.kind == "etcd" else []),
+            ]
+        )
         self.figures["failures"] += 1
         self.note(f"{what} of member {at} for {span:.2f} s")
         match what:
@@ -197,8 +221,12 @@
                 self.soon(span / 2, self.store.compact)
             case "burst":
                 for number in range(1000, 1200):
-                    self.store.put(f"{PREFIX}{number}".encode(), json.dumps(
-                        {"id": f"s-{number:08x}", "address": "127.0.0.1:9", "state": "draining"}).encode())
+                    self.store.put(
+                        f"{PREFIX}{number}".encode(),
+                        json.dumps(
+                            {"id": f"s-{number:08x}", "address": "127.0.0.1:9", "state": "draining"}
+                        ).encode(),
+                    )
             case "reload":
                 await self.reload()
             case "restore":
@@ -242,8 +270,11 @@
     def course(self, since: float, until: float) -> list[str]:
         """What was caused and committed in that time, and what the program said, for a promise that broke."""
         lines = [(at, what) for at, what in self.script if since <= at <= until]
-        lines += [(at, f"commit {version.revision} {version.key} {version.value or 'deleted'}")
-                  for at, version in self.store.commits if since <= at <= until]
+        lines += [
+            (at, f"commit {version.revision} {version.key} {version.value or 'deleted'}")
+            for at, version in self.store.commits
+            if since <= at <= until
+        ]
         return [f"{self.kind} {at:.3f} {what[:140]}" for at, what in sorted(lines)]
 
     def heal(self) -> None:
@@ -261,13 +292,16 @@
         self.heal()
         ledger = Ledger(NAMES)
         start = PREFIX.encode()
-        ledger.replace((version.key.decode(), version.revision, version.value)
-                       for version in self.store.under(start, range_end(start)))
+        ledger.replace(
+            (version.key.decode(), version.revision, version.value)
+            for version in self.store.under(start, range_end(start))
+        )
         wanted = digest(ledger.members())
         loop = asyncio.get_running_loop()
         end = loop.time() + QUIET
         while (shown := await self.program.counters()).get("registry_digest") != wanted or not (
-                shown["registry_revision"] == self.store.revision):
+            shown["registry_revision"] == self.store.revision
+        ):
             if loop.time() > end:
                 self.figures["wrong_lists"] += 1
                 self.note(f"wrong list: {shown.get('registry_digest')}, not {wanted}")
@@ -347,8 +381,14 @@
         total.update({name: count for name, count in counters.items() if isinstance(count, int)})
     figures = {
         "drains": len(lags),
-        "drain_lag_ms": {name: round(value * 1000, 1) for name, value in (
-            ("p50", quantile(lags, 0.5)), ("p99", quantile(lags, 0.99)), ("max", max(lags, default=0.0)))},
+        "drain_lag_ms": {
+            name: round(value * 1000, 1)
+            for name, value in (
+                ("p50", quantile(lags, 0.5)),
+                ("p99", quantile(lags, 0.99)),
+                ("max", max(lags, default=0.0)),
+            )
+        },
         "missed_drains": sum(lag > PROMISE for lag in lags),
         "wrong_lists": total["wrong_lists"],
         "lost_requests": rules["lost_requests"],
@@ -360,12 +400,31 @@
         "held": total["unconfirmed"],
         "failures": total["failures"],
         "quiet_points": total["quiet_points"],
-        **{name: total[f"registry_{name}"] for name in (
-            "full_reads", "resumes", "breaks", "stalls", "compactions", "lagging", "restored", "refused",
-            "duplicates", "stale", "stale_ms")},
+        **{
+            name: total[f"registry_{name}"]
+            for name in (
+                "full_reads",
+                "resumes",
+                "breaks",
+                "stalls",
+                "compactions",
+                "lagging",
+                "restored",
+                "refused",
+                "duplicates",
+                "stale",
+                "stale_ms",
+            )
+        },
     }
-    broken = ("missed_drains", "wrong_lists", "lost_requests", "answered_twice", "loads_twice",
-              "order_breaks")
+    broken = (
+        "missed_drains",
+        "wrong_lists",
+        "lost_requests",
+        "answered_twice",
+        "loads_twice",
+        "order_breaks",
+    )
     ok = bool(lags) and not any(figures[name] for name in broken)
     if not ok:
         for site in sites:
--- a/applevale/sources/feed.py
+++ b/applevale/sources/feed.py
@@ -44,8 +44,11 @@
     members = item["members"]
     number = int(item["n"])
     # The first event carries the whole list whether or not it is marked so.
-    return Change(number, bool(members.get("reset")) or number == 1,
-                  tuple(_member(one, names) for one in members["instances"]))
+    return Change(
+        number,
+        bool(members.get("reset")) or number == 1,
+        tuple(_member(one, names) for one in members["instances"]),
+    )
 
 
 def _member(one: dict, names: Names) -> Member:
@@ -98,8 +101,14 @@
 class Feed:
     """Follows the feed for as long as the program runs, and tells each change once, in order."""
 
-    def __init__(self, last: int, names: Names, counters: Counters, tell: Callable[[Change], None],
-                 address: tuple[str, int] | None = None):
+    def __init__(
+        self,
+        last: int,
+        names: Names,
+        counters: Counters,
+        tell: Callable[[Change], None],
+        address: tuple[str, int] | None = None,
+    ):
         self.last, self.names, self.counters, self.tell = last, names, counters, tell
         self.address = address
         self.task: asyncio.Task | None = None
--- a/applevale/sources/registry/consul.py
+++ b/applevale/sources/registry/consul.py
@@ -29,7 +29,8 @@
 def changes(former: Known, later: Known, index: int) -> list[tuple[str, int, bytes | None]]:
     """What leads from one list to the next, by index; what was deleted is told as of the list's."""
     events: list[tuple[str, int, bytes | None]] = [
-        (key, at, value) for key, (at, value) in later.items() if former.get(key, (0,))[0] != at]
+        (key, at, value) for key, (at, value) in later.items() if former.get(key, (0,))[0] != at
+    ]
     events.sort(key=lambda event: event[1])
     return events + [(key, index, None) for key in former if key not in later]
 
@@ -43,8 +44,16 @@
     """A blocking read tells the whole list, so the changes are found here, against the list that was known
     before, from this session's full read or from the one before it."""
 
-    def __init__(self, number: int, address: tuple[str, int], settings: RegistrySettings,
-                 tls: ssl.SSLContext | None, hear: Hear, clock: Callable[[], float], local: str = ""):
+    def __init__(
+        self,
+        number: int,
+        address: tuple[str, int],
+        settings: RegistrySettings,
+        tls: ssl.SSLContext | None,
+        hear: Hear,
+        clock: Callable[[], float],
+        local: str = "",
+    ):
         super().__init__(number, address, hear, clock)
         self.local = local
         scheme = "https" if tls else "http"
@@ -81,7 +90,8 @@
             await self.http.close()
         connector = aiohttp.TCPConnector(local_addr=(self.local, 0)) if self.local else None
         self.http = aiohttp.ClientSession(
-            connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False)
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False
+        )
         asked = self.clock()
         index, _ = await self._get(keys="", separator="/", consistent="")
         self.hear.connected(self.number, asked, index)
@@ -104,8 +114,10 @@
 
     async def _watch(self, index: int) -> None:
         while True:
-            last, (index, body) = index, await self._get(
-                recurse="", consistent="", index=str(max(1, index)), wait=f"{WAIT}s")
+            last, (index, body) = (
+                index,
+                await self._get(recurse="", consistent="", index=str(max(1, index)), wait=f"{WAIT}s"),
+            )
             if index < last:  # the index went back: a new store, or one restored
                 raise ConnectionError(f"the index went back from {last} to {index}")
             former, self.known = self.known, read_list(body)
--- a/applevale/sources/registry/etcd.py
+++ b/applevale/sources/registry/etcd.py
@@ -41,13 +41,22 @@
         if not self.local:
             return await super()._create_connection()
         _, protocol = await self._loop.create_connection(
-            self._protocol_factory, self._host, self._port, ssl=self._ssl, local_addr=(self.local, 0))
+            self._protocol_factory, self._host, self._port, ssl=self._ssl, local_addr=(self.local, 0)
+        )
         return protocol
 
 
 class EtcdSession(Session):
-    def __init__(self, number: int, address: tuple[str, int], settings: RegistrySettings,
-                 tls: ssl.SSLContext | None, hear: Hear, clock: Callable[[], float], local: str = ""):
+    def __init__(
+        self,
+        number: int,
+        address: tuple[str, int],
+        settings: RegistrySettings,
+        tls: ssl.SSLContext | None,
+        hear: Hear,
+        clock: Callable[[], float],
+        local: str = "",
+    ):
         super().__init__(number, address, hear, clock)
         self.settings = settings
         self.channel = _Channel(*address, ssl=tls)
@@ -103,8 +112,11 @@
             asked, revision, key, found = self.clock(), 0, self.prefix, []
             try:
                 while True:
-                    page = await self._call(m.RANGE, m.RangeRequest(
-                        key=key, range_end=self.end, limit=PAGE, revision=revision), m.RangeResponse)
+                    page = await self._call(
+                        m.RANGE,
+                        m.RangeRequest(key=key, range_end=self.end, limit=PAGE, revision=revision),
+                        m.RangeResponse,
+                    )
                     revision = revision or page.header.revision
                     found += ((kv.key.decode(errors="replace"), kv.mod_revision, kv.value) for kv in page.kvs)
                     if not page.more or not page.kvs:
@@ -153,10 +165,18 @@
             raise ConnectionError(f"the watch was cancelled: {answer.cancel_reason[:60]}")
 
     def _take(self, answer: object) -> None:
-        self.hear.events(self.number, answer.header.revision, [
-            (event.kv.key.decode(errors="replace"), event.kv.mod_revision,
-             None if event.type == m.DELETE else event.kv.value)
-            for event in answer.events])
+        self.hear.events(
+            self.number,
+            answer.header.revision,
+            [
+                (
+                    event.kv.key.decode(errors="replace"),
+                    event.kv.mod_revision,
+                    None if event.type == m.DELETE else event.kv.value,
+                )
+                for event in answer.events
+            ],
+        )
 
     async def _progress(self) -> None:
         """Asks how far the watch is; answered behind all events that came before."""
--- a/applevale/sources/registry/follower.py
+++ b/applevale/sources/registry/follower.py
@@ -265,8 +265,9 @@
         if late and self.late_looks <= 3:
             self.wary_until = now + self.pace.late
 
-    def connected(self, now: float, number: int, asked: float, revision: int,
-                  cluster: int = 0) -> list[Command]:
+    def connected(
+        self, now: float, number: int, asked: float, revision: int, cluster: int = 0
+    ) -> list[Command]:
         """The member has answered a short read asked for at `asked`: it is at `revision`. With a list known,
         the watch goes on behind it; else all is read, as it is from a cluster with another id (0: not told),
         for a backup may be restored under a new one."""
@@ -329,8 +330,9 @@
             return []
         return self._fail(now, "refused" if refused else "breaks")
 
-    def whole(self, now: float, number: int, asked: float, revision: int,
-              records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
+    def whole(
+        self, now: float, number: int, asked: float, revision: int, records: Iterable[tuple[str, int, bytes]]
+    ) -> list[Command]:
         """A full read, asked for at `asked`: all keys, the revision of each, and its value."""
         self.latest = now
         session = self._of(number)
@@ -351,8 +353,9 @@
         tell = Tell(self.ledger.replace(records), whole=True)
         return [tell, Watch(number, revision + 1)]
 
-    def events(self, now: float, number: int, revision: int,
-               events: Iterable[tuple[str, int, bytes | None]]) -> list[Command]:
+    def events(
+        self, now: float, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]
+    ) -> list[Command]:
         """What the watch told: keys with the revision and the value of each, None for one that was deleted;
         `revision`: the watch has told all up to there. No events: progress only."""
         self.latest = now
@@ -407,8 +410,11 @@
         lapse counts where the answer was slow, or where so much is missing that questions were refused."""
         took, age = now - asked, now - self.confirmed
         if now - self.wary_until > self.pace.fresh and self.lateness <= self.pace.late:
-            lapsed = self.session.confirmed and age > self.pace.fresh and (
-                took > self.promise.room or age > 1.5 * self.pace.fresh)
+            lapsed = (
+                self.session.confirmed
+                and age > self.pace.fresh
+                and (took > self.promise.room or age > 1.5 * self.pace.fresh)
+            )
             former = self.promise.state
             self.promise.answered(now, took, lapsed, self.random.random())
             self.figures.given_up += former is Kept.KEPT and self.promise.state is Kept.GIVEN_UP
@@ -527,7 +533,7 @@
 
     def _try(self, now: float) -> list[Command]:
         self.figures.trials += 1
-        self.trials = [*self.trials[-self.members:], now]
+        self.trials = [*self.trials[-self.members :], now]
         self.trial = self._begin(now)
         return [Connect(self.trial.number, self.trial.place)]
 
@@ -603,4 +609,3 @@
         else:
             self.due = now + self._rest(rounds - 1)
         return []
-
--- a/applevale/sources/registry/messages.py
+++ b/applevale/sources/registry/messages.py
@@ -5,30 +5,69 @@
 from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
 
 _TYPES = descriptor_pb2.FieldDescriptorProto
-_SCALARS = {"int64": _TYPES.TYPE_INT64, "uint64": _TYPES.TYPE_UINT64, "bool": _TYPES.TYPE_BOOL,
-            "bytes": _TYPES.TYPE_BYTES, "string": _TYPES.TYPE_STRING, "int32": _TYPES.TYPE_INT32}
+_SCALARS = {
+    "int64": _TYPES.TYPE_INT64,
+    "uint64": _TYPES.TYPE_UINT64,
+    "bool": _TYPES.TYPE_BOOL,
+    "bytes": _TYPES.TYPE_BYTES,
+    "string": _TYPES.TYPE_STRING,
+    "int32": _TYPES.TYPE_INT32,
+}
 
 # name: {field: (number, type)}; a type in [] is repeated. An enumeration travels as int32 does.
 _MESSAGES: dict[str, dict[str, tuple[int, str]]] = {
-    "ResponseHeader": {"cluster_id": (1, "uint64"), "member_id": (2, "uint64"), "revision": (3, "int64"),
-                       "raft_term": (4, "uint64")},
-    "KeyValue": {"key": (1, "bytes"), "create_revision": (2, "int64"), "mod_revision": (3, "int64"),
-                 "version": (4, "int64"), "value": (5, "bytes"), "lease": (6, "int64")},
+    "ResponseHeader": {
+        "cluster_id": (1, "uint64"),
+        "member_id": (2, "uint64"),
+        "revision": (3, "int64"),
+        "raft_term": (4, "uint64"),
+    },
+    "KeyValue": {
+        "key": (1, "bytes"),
+        "create_revision": (2, "int64"),
+        "mod_revision": (3, "int64"),
+        "version": (4, "int64"),
+        "value": (5, "bytes"),
+        "lease": (6, "int64"),
+    },
     "Event": {"type": (1, "int32"), "kv": (2, "KeyValue"), "prev_kv": (3, "KeyValue")},
-    "RangeRequest": {"key": (1, "bytes"), "range_end": (2, "bytes"), "limit": (3, "int64"),
-                     "revision": (4, "int64"), "serializable": (7, "bool"), "keys_only": (8, "bool"),
-                     "count_only": (9, "bool")},
-    "RangeResponse": {"header": (1, "ResponseHeader"), "kvs": (2, "[KeyValue]"), "more": (3, "bool"),
-                      "count": (4, "int64")},
-    "WatchCreateRequest": {"key": (1, "bytes"), "range_end": (2, "bytes"), "start_revision": (3, "int64"),
-                           "progress_notify": (4, "bool")},
+    "RangeRequest": {
+        "key": (1, "bytes"),
+        "range_end": (2, "bytes"),
+        "limit": (3, "int64"),
+        "revision": (4, "int64"),
+        "serializable": (7, "bool"),
+        "keys_only": (8, "bool"),
+        "count_only": (9, "bool"),
+    },
+    "RangeResponse": {
+        "header": (1, "ResponseHeader"),
+        "kvs": (2, "[KeyValue]"),
+        "more": (3, "bool"),
+        "count": (4, "int64"),
+    },
+    "WatchCreateRequest": {
+        "key": (1, "bytes"),
+        "range_end": (2, "bytes"),
+        "start_revision": (3, "int64"),
+        "progress_notify": (4, "bool"),
+    },
     "WatchCancelRequest": {"watch_id": (1, "int64")},
     "WatchProgressRequest": {},
-    "WatchRequest": {"create_request": (1, "WatchCreateRequest"), "cancel_request": (2, "WatchCancelRequest"),
-                     "progress_request": (3, "WatchProgressRequest")},
-    "WatchResponse": {"header": (1, "ResponseHeader"), "watch_id": (2, "int64"), "created": (3, "bool"),
-                      "canceled": (4, "bool"), "compact_revision": (5, "int64"),
-                      "cancel_reason": (6, "string"), "events": (11, "[Event]")},
+    "WatchRequest": {
+        "create_request": (1, "WatchCreateRequest"),
+        "cancel_request": (2, "WatchCancelRequest"),
+        "progress_request": (3, "WatchProgressRequest"),
+    },
+    "WatchResponse": {
+        "header": (1, "ResponseHeader"),
+        "watch_id": (2, "int64"),
+        "created": (3, "bool"),
+        "canceled": (4, "bool"),
+        "compact_revision": (5, "int64"),
+        "cancel_reason": (6, "string"),
+        "events": (11, "[Event]"),
+    },
     "AuthenticateRequest": {"name": (1, "string"), "password": (2, "string")},
     "AuthenticateResponse": {"header": (1, "ResponseHeader"), "token": (2, "string")},
 }
@@ -44,9 +83,11 @@
         for field, (number, kind) in fields.items():
             inner = kind.strip("[]")
             entry = message.field.add(
-                name=field, number=number,
+                name=field,
+                number=number,
                 label=_TYPES.LABEL_REPEATED if kind.startswith("[") else _TYPES.LABEL_OPTIONAL,
-                type=_SCALARS.get(inner, _TYPES.TYPE_MESSAGE))
+                type=_SCALARS.get(inner, _TYPES.TYPE_MESSAGE),
+            )
             if inner not in _SCALARS:
                 entry.type_name = f".applevale.{inner}"
     return file
--- a/applevale/sources/registry/source.py
+++ b/applevale/sources/registry/source.py
@@ -37,9 +37,17 @@
 class RegistrySource:
     """Tells `tell` each change once and in order, and `turned` whether the list is confirmed as it turns."""
 
-    def __init__(self, settings: RegistrySettings, names: Names, counters: Counters,
-                 tell: Callable[[Change], None], turned: Callable[[bool], None], seed: int = 0,
-                 clock: Callable[[], float] = time.monotonic, local: str = ""):
+    def __init__(
+        self,
+        settings: RegistrySettings,
+        names: Names,
+        counters: Counters,
+        tell: Callable[[Change], None],
+        turned: Callable[[bool], None],
+        seed: int = 0,
+        clock: Callable[[], float] = time.monotonic,
+        local: str = "",
+    ):
         """Raises SettingsError if the addresses or the TLS files cannot be used."""
         self.settings, self.counters, self.clock = settings, counters, clock
         self.tell, self.turned, self.local = tell, turned, local
@@ -47,8 +55,12 @@
         self.kind = session_kind(settings.kind)
         self.ledger, random = Ledger(names), Random(seed)
         self.follower = f.Follower(
-            len(self.places), self.ledger, random=random, pace=f.Pace(fresh=settings.fresh),
-            place=random.randrange(len(self.places)))  # not all begin with the same member
+            len(self.places),
+            self.ledger,
+            random=random,
+            pace=f.Pace(fresh=settings.fresh),
+            place=random.randrange(len(self.places)),
+        )  # not all begin with the same member
         self.sessions: dict[int, Session] = {}
         self.ending: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
@@ -116,8 +128,9 @@
             say("registry", f"{self._where(number)}: {why}")
         self._do(self.follower.lost(self.clock(), number, refused))
 
-    def whole(self, number: int, asked: float, revision: int,
-              records: Iterable[tuple[str, int, bytes]]) -> None:
+    def whole(
+        self, number: int, asked: float, revision: int, records: Iterable[tuple[str, int, bytes]]
+    ) -> None:
         self._do(self.follower.whole(self.clock(), number, asked, revision, records))
 
     def events(self, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]) -> None:
@@ -163,11 +176,13 @@
     def _known(self) -> dict[str, tuple[int, bytes]]:
         """What was told so far, by key, with the revision and the value of each."""
         return {key: (0, b"") for key in self.ledger.bad} | {
-            entry.key: (entry.revision, entry.value) for entry in self.ledger.entries.values()}
+            entry.key: (entry.revision, entry.value) for entry in self.ledger.entries.values()
+        }
 
     def _connect(self, number: int, place: int) -> None:
         session = self.sessions[number] = self.kind(
-            number, self.places[place], self.settings, self.tls, self, self.clock, self.local)
+            number, self.places[place], self.settings, self.tls, self, self.clock, self.local
+        )
         session.open()
 
     def _end_sessions(self, but: set[int]) -> None:
@@ -205,10 +220,13 @@
         former, self.promise_was = self.promise_was, self.follower.promise.state
         pace, latency = self.follower.pace, self.follower.latency
         if former is Kept.KEPT:
-            say("promise", f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
+            say(
+                "promise",
+                f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
                 f"reads a second, answered within {self.follower.promise.room * 1000:.0f} ms; they take "
                 f"{latency.mean * 1000:.0f} ms, {self.follower.figures.declined} were refused so far. "
-                f"on_stale is {self.settings.on_stale!r} until it can")
+                f"on_stale is {self.settings.on_stale!r} until it can",
+            )
         elif self.promise_was is Kept.KEPT:
             say("promise", f"{pace.fresh:g} s is kept again")
 
@@ -245,7 +263,9 @@
             return
         self.kept_at, self.dirty = now, False
         try:
-            self.snapshot.keep(self.follower.revision, [
-                (entry.key, entry.revision, entry.value) for entry in self.ledger.entries.values()])
+            self.snapshot.keep(
+                self.follower.revision,
+                [(entry.key, entry.revision, entry.value) for entry in self.ledger.entries.values()],
+            )
         except SnapshotError as error:
             say("registry", f"the snapshot was not written: {error}")
--- a/applevale/standins/clients.py
+++ b/applevale/standins/clients.py
@@ -30,9 +30,19 @@
 class Clients:
     """Connections to one program, requests at a rate, loads with keys among them, apart as the platform's."""
 
-    def __init__(self, address: tuple[str, int], random: Random, rate: float, connections: int = 4,
-                 allow: float = 3.0, loads: float = 0.2, keys: int = 5, again: bool = False,
-                 effort: float = 20.0, repeat: bool = False):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        random: Random,
+        rate: float,
+        connections: int = 4,
+        allow: float = 3.0,
+        loads: float = 0.2,
+        keys: int = 5,
+        again: bool = False,
+        effort: float = 20.0,
+        repeat: bool = False,
+    ):
         """`effort`: ms of work that each request is said to be; `repeat`: what is refused is asked for again
         at once, with no heed to advice."""
         self.address, self.random, self.rate, self.allow = address, random, rate, allow
@@ -79,8 +89,12 @@
         ref = f"{self.random.getrandbits(64):016x}"
         loop = asyncio.get_running_loop()
         sent = Sent(ref, method, key, loop.time(), loop.time() + self.allow, number == 1)
-        fields = {"ref": ref, "allow": f"{self.allow * 1000:.0f}", "effort": f"{self.effort:.0f}",
-                  "space": "4"}
+        fields = {
+            "ref": ref,
+            "allow": f"{self.allow * 1000:.0f}",
+            "effort": f"{self.effort:.0f}",
+            "space": "4",
+        }
         if key:
             fields["lookup"] = f"{key:x}"
         group = self.random.randint(1, 20)
--- a/applevale/standins/cold.py
+++ b/applevale/standins/cold.py
@@ -33,8 +33,9 @@
             self.lately.append(now)
             while self.lately[0] < now - SPAN:
                 self.lately.popleft()
-            self.pushed = max(self.pushed,
-                              len(self.lately) * WORK / (MULTIPLE * SPAN * CORES * self.share(now)))
+            self.pushed = max(
+                self.pushed, len(self.lately) * WORK / (MULTIPLE * SPAN * CORES * self.share(now))
+            )
             if self.pushed > 1 and self.fell is None:
                 self.fell = now
                 self.server.close()
--- a/applevale/standins/consul.py
+++ b/applevale/standins/consul.py
@@ -64,10 +64,20 @@
             raise web.HTTPNotFound(headers=headers)
         if "keys" in request.query:
             return web.json_response([version.key.decode() for version in found], headers=headers)
-        return web.json_response([
-            {"Key": version.key.decode(), "Value": base64.b64encode(version.value).decode(),
-             "ModifyIndex": version.revision, "CreateIndex": version.created, "LockIndex": 0, "Flags": 0}
-            for version in found], headers=headers)
+        return web.json_response(
+            [
+                {
+                    "Key": version.key.decode(),
+                    "Value": base64.b64encode(version.value).decode(),
+                    "ModifyIndex": version.revision,
+                    "CreateIndex": version.created,
+                    "LockIndex": 0,
+                    "Flags": 0,
+                }
+                for version in found
+            ],
+            headers=headers,
+        )
 
     def _declines(self) -> None:
         if self.declining is not None:
--- a/applevale/standins/engine.py
+++ b/applevale/standins/engine.py
@@ -28,8 +28,13 @@
     """`took`: the range of s that a want takes; `toil`: the ms of work that it is told to have been; `out`:
     the ids that run now."""
 
-    def __init__(self, random: Random, took: tuple[float, float] = (0.01, 0.06),
-                 clock: Callable[[], float] = time.time, toil: int = 12):
+    def __init__(
+        self,
+        random: Random,
+        took: tuple[float, float] = (0.01, 0.06),
+        clock: Callable[[], float] = time.time,
+        toil: int = 12,
+    ):
         self.random, self.took, self.clock, self.toil = random, took, clock, toil
         self.arrivals: list[Arrival] = []
         self.connects: list[tuple[float, str]] = []  # when, and the address of the caller
@@ -91,5 +96,11 @@
     async def _run(self, tag: bytes, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.random.uniform(*self.took))
         self.out.discard(tag)
-        writer.write(resp(tag, b"HIT", b"sheets=1,toil=%d,room=4,rep=inflight:%d;util:0.2;x1:0.1"
-                            % (self.toil, len(self.out)), ROWS))
+        writer.write(
+            resp(
+                tag,
+                b"HIT",
+                b"sheets=1,toil=%d,room=4,rep=inflight:%d;util:0.2;x1:0.1" % (self.toil, len(self.out)),
+                ROWS,
+            )
+        )
--- a/applevale/standins/etcd.py
+++ b/applevale/standins/etcd.py
@@ -94,8 +94,9 @@
         return {
             m.RANGE: Handler(self._range, Cardinality.UNARY_UNARY, m.RangeRequest, m.RangeResponse),
             m.WATCH: Handler(self._watch, Cardinality.STREAM_STREAM, m.WatchRequest, m.WatchResponse),
-            m.AUTHENTICATE: Handler(self._authenticate, Cardinality.UNARY_UNARY, m.AuthenticateRequest,
-                                    m.AuthenticateResponse),
+            m.AUTHENTICATE: Handler(
+                self._authenticate, Cardinality.UNARY_UNARY, m.AuthenticateRequest, m.AuthenticateResponse
+            ),
         }
 
     def _header(self) -> object:
@@ -134,8 +135,9 @@
         try:
             found = self.view.under(request.key, request.range_end, request.revision)
         except Compacted:
-            raise GRPCError(Status.OUT_OF_RANGE,
-                            "etcdserver: mvcc: required revision has been compacted") from None
+            raise GRPCError(
+                Status.OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"
+            ) from None
         answer = m.RangeResponse(header=self._header(), count=len(found))
         if not request.count_only:
             some = found[: request.limit or len(found)]
@@ -189,9 +191,14 @@
                 try:
                     due = self.view.since(told[0], create.key, create.range_end)[:MOST_EVENTS]
                 except Compacted:
-                    await stream.send_message(m.WatchResponse(
-                        header=self._header(), canceled=True, compact_revision=self.view.compacted,
-                        cancel_reason="required revision has been compacted"))
+                    await stream.send_message(
+                        m.WatchResponse(
+                            header=self._header(),
+                            canceled=True,
+                            compact_revision=self.view.compacted,
+                            cancel_reason="required revision has been compacted",
+                        )
+                    )
                     return False
                 if not due:
                     break
@@ -204,8 +211,12 @@
 
 
 def _key_value(version: Version) -> object:
-    return m.KeyValue(key=version.key, create_revision=version.created, mod_revision=version.revision,
-                      value=version.value or b"")
+    return m.KeyValue(
+        key=version.key,
+        create_revision=version.created,
+        mod_revision=version.revision,
+        value=version.value or b"",
+    )
 
 
 def _event(version: Version) -> object:
--- a/applevale/standins/gate.py
+++ b/applevale/standins/gate.py
@@ -60,8 +60,9 @@
             far_reader, far_writer = await asyncio.open_connection(*self.target)
             self.writers |= {writer, far_writer}
             try:
-                await asyncio.gather(self._pass(reader, far_writer, False),
-                                     self._pass(far_reader, writer, True))
+                await asyncio.gather(
+                    self._pass(reader, far_writer, False), self._pass(far_reader, writer, True)
+                )
             finally:
                 self.writers -= {writer, far_writer}
                 far_writer.transport.abort()
--- a/applevale/standins/listhost.py
+++ b/applevale/standins/listhost.py
@@ -35,15 +35,17 @@
         self.held: dict[tuple[str, int], socket.socket] = {}  # bound, not listening
         for at, member in enumerate(self.members):
             member.seen = lambda read, at=at: self.reads.append(
-                [round(read.at, 5), round(read.out, 5), read.caller, at, read.whole, read.answered])
+                [round(read.at, 5), round(read.out, 5), read.caller, at, read.whole, read.answered]
+            )
             member.turned = lambda caller, opened, at=at: self.say(
-                "session" if opened else "session_end", caller=caller, member=at)
+                "session" if opened else "session_end", caller=caller, member=at
+            )
 
     def say(self, event: str, **fields: object) -> None:
         print(json.dumps({"event": event, "at": time.monotonic(), **fields}), flush=True)
 
     def tell(self) -> None:
-        for at, version in self.store.commits[self.told:]:
+        for at, version in self.store.commits[self.told :]:
             value = None if version.value is None else version.value.decode(errors="replace")
             self.say("commit", committed=at, key=version.key.decode(), revision=version.revision, value=value)
         self.told = len(self.store.commits)
@@ -113,7 +115,8 @@
     telling = asyncio.create_task(host.telling())
     reader = asyncio.StreamReader(limit=1 << 22)
     await asyncio.get_running_loop().connect_read_pipe(
-        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     while line := await reader.readline():
         await host.do(**json.loads(line))
     telling.cancel()
--- a/applevale/verify/coldstart.py
+++ b/applevale/verify/coldstart.py
@@ -144,9 +144,14 @@
     until_rest = rest or float("inf")
     found = {
         "ready": len(ready),
-        "ready_s": {name: round(value, 2) for name, value in (
-            ("p50", quantile(list(ready.values()), 0.5)), ("p99", quantile(list(ready.values()), 0.99)),
-            ("max", max(ready.values(), default=0.0)))},
+        "ready_s": {
+            name: round(value, 2)
+            for name, value in (
+                ("p50", quantile(list(ready.values()), 0.5)),
+                ("p99", quantile(list(ready.values()), 0.99)),
+                ("max", max(ready.values(), default=0.0)),
+            )
+        },
         "ready_early": ready_early(history),
         "full_reads": sum(full),
         "full_reads_most": max(full, default=0),
@@ -158,8 +163,10 @@
         "connects_per_engine_s_max": max((most_in(times, 1.0) for times in connects.values()), default=0),
         "engines_fallen": sum(1 for _ in history.of("fell")),
         "drains": len(lags),
-        "drain_lag_ms": {"p50": round(quantile(lags, 0.5) * 1000, 1),
-                         "max": round(max(lags, default=0.0) * 1000, 1)},
+        "drain_lag_ms": {
+            "p50": round(quantile(lags, 0.5) * 1000, 1),
+            "max": round(max(lags, default=0.0) * 1000, 1),
+        },
         "missed_drains": sum(lag > PROMISE for lag in lags),
         "stale_s": round(stale(history), 2),
     }
@@ -172,13 +179,23 @@
     if broke is not None and healed is not None:
         found["reads_after_break"] = sum(healed <= at < healed + 1 for at in reads)
         found["sessions_after_break"] = sum(
-            1 for _ in history.of("session", since=healed, until=healed + AFTER))
+            1 for _ in history.of("session", since=healed, until=healed + AFTER)
+        )
     return found
 
 
 # What a run must show, whatever its case; each is 0 in a sound one.
-ALWAYS = ("ready_early", "questions_on_top", "engines_fallen", "missed_drains", "wrong_lists",
-          "lost_requests", "answered_twice", "loads_twice", "order_breaks")
+ALWAYS = (
+    "ready_early",
+    "questions_on_top",
+    "engines_fallen",
+    "missed_drains",
+    "wrong_lists",
+    "lost_requests",
+    "answered_twice",
+    "loads_twice",
+    "order_breaks",
+)
 
 
 def broken(found: dict, nodes: int, bars: dict[str, float]) -> list[str]:
--- a/applevale/verify/membership.py
+++ b/applevale/verify/membership.py
@@ -44,8 +44,10 @@
             if event["event"] == "launched":
                 begun[who] = event["at"]
                 self.starts.append((event["at"], who))
-                self.ends = [(at, name, how, event["at"] if name == who and back == INF else back)
-                             for at, name, how, back in self.ends]
+                self.ends = [
+                    (at, name, how, event["at"] if name == who and back == INF else back)
+                    for at, name, how, back in self.ends
+                ]
             elif who in begun:
                 self.running[who].append((begun.pop(who), event["at"]))
                 self.ends.append((event["at"], who, event["how"], INF))
@@ -63,9 +65,13 @@
                         begin = at + turn * event.get("apart", 0.0)
                         self.still[name].append((begin, begin + event["span"]))
         elif event["do"] == "link" and event["fate"].get("cut"):
-            self.cuts.append(((at, at + event["span"]),
-                              {name for name in self.names if _matches(name, event["sources"])},
-                              {name for name in self.names if _matches(name, event["targets"])}))
+            self.cuts.append(
+                (
+                    (at, at + event["span"]),
+                    {name for name in self.names if _matches(name, event["sources"])},
+                    {name for name in self.names if _matches(name, event["targets"])},
+                )
+            )
 
     def ran(self, name: str, since: float, until: float) -> bool:
         """Without an end or a standstill of any length in between."""
@@ -77,8 +83,12 @@
             return False
         others = [one for one in self.names if one != name and self.ran(one, since, until)]
         cuts = [(sources, targets) for span, sources, targets in self.cuts if _overlaps([span], since, until)]
-        apart = {one for one in others for sources, targets in cuts
-                 if (one in sources and name in targets) or (name in sources and one in targets)}
+        apart = {
+            one
+            for one in others
+            for sources, targets in cuts
+            if (one in sources and name in targets) or (name in sources and one in targets)
+        }
         return 2 * len(apart) < len(others)
 
     def living(self, at: float) -> set[str]:
@@ -128,8 +138,11 @@
         for observer in truth.names:
             if observer == name or not truth.reachable(observer, at, until):
                 continue
-            heard = [when - at for when, who, change in words[observer]
-                     if who == name and change == "died" and at <= when <= until]
+            heard = [
+                when - at
+                for when, who, change in words[observer]
+                if who == name and change == "died" and at <= when <= until
+            ]
             if heard:
                 known.append(heard[0])
             else:
@@ -163,8 +176,11 @@
 def wrong_views(history: History, truth: Truth) -> int:
     """Members whose last view is not what lives."""
     last = {event["who"]: event for event in history.of("held")}
-    return sum(event["view"] is None or set(event["view"]) != truth.living(event["at"])
-               for who, event in last.items() if who in truth.living(event["at"]))
+    return sum(
+        event["view"] is None or set(event["view"]) != truth.living(event["at"])
+        for who, event in last.items()
+        if who in truth.living(event["at"])
+    )
 
 
 def _needed(truth: Truth, since: float) -> int:
@@ -174,8 +190,11 @@
 
 
 def _three(values: list[float]) -> dict[str, float]:
-    return {"p50": round(quantile(values, 0.5), 2), "p99": round(quantile(values, 0.99), 2),
-            "max": round(max(values, default=0.0), 2)}
+    return {
+        "p50": round(quantile(values, 0.5), 2),
+        "p99": round(quantile(values, 0.99), 2),
+        "max": round(max(values, default=0.0), 2),
+    }
 
 
 def figures(history: History) -> dict:
@@ -205,8 +224,13 @@
         "wrong_views": wrong_views(history, truth),
         "bytes_s_max": max((_most_bytes(times) for times in sent.values()), default=0),
         "datagram_max": max((event["most"] for event in history.of("sent")), default=0),
-        "datagrams_s_max": max((most_in([event["at"] for event in one for _ in range(event["count"])], 0.95)
-                                for one in history.whose("sent").values()), default=0),
+        "datagrams_s_max": max(
+            (
+                most_in([event["at"] for event in one for _ in range(event["count"])], 0.95)
+                for one in history.whose("sent").values()
+            ),
+            default=0,
+        ),
     }
 
 
@@ -222,15 +246,22 @@
     return most
 
 
-ALWAYS = {"false_dead": 0, "missed": 0, "wrong_views": 0, "share_sum_max": 2, "bytes_s_max": 2000,
-          "datagram_max": 256}
+ALWAYS = {
+    "false_dead": 0,
+    "missed": 0,
+    "wrong_views": 0,
+    "share_sum_max": 2,
+    "bytes_s_max": 2000,
+    "datagram_max": 256,
+}
 
 
 def broken(found: dict, most: dict[str, float]) -> list[str]:
     """Bars that were missed, in words."""
     bars = ALWAYS | most
-    missed = [f"{name}: {found[name]}, over {bar:g}" for name, bar in bars.items()
-              if found.get(name, 0) > bar]
+    missed = [
+        f"{name}: {found[name]}, over {bar:g}" for name, bar in bars.items() if found.get(name, 0) > bar
+    ]
     if found["agree_s"]["p99"] > 3.0:
         missed.append(f"agree_s: p99 {found['agree_s']['p99']}")
     return missed
--- a/applevale/zones/guide.py
+++ b/applevale/zones/guide.py
@@ -37,11 +37,19 @@
 
 
 class ZoneGuide(api.Guide):
-    def __init__(self, zones: Zones, names: tuple[str, ...], classes: tuple[str, ...], home: int,
-                 counters: Counter | None = None):
+    def __init__(
+        self,
+        zones: Zones,
+        names: tuple[str, ...],
+        classes: tuple[str, ...],
+        home: int,
+        counters: Counter | None = None,
+    ):
         self.settings, self.names, self.home = zones, names, home
-        self.zones = {number: Zone(Course(zones.back), Window(zones.window), Window(zones.window))
-                      for number in range(len(names))}
+        self.zones = {
+            number: Zone(Course(zones.back), Window(zones.window), Window(zones.window))
+            for number in range(len(names))
+        }
         self.stay = {at for at, name in enumerate(classes) if name in zones.stay}
         tiers = zones.tiers.get(names[home], [[names[home]]])
         self.tiers = {names.index(name): at for at, tier in enumerate(tiers) for name in tier}
@@ -76,8 +84,11 @@
         """Work a second (cores) that finds room for this instance; `cores` without zones."""
         own = self.zones[self.home]
         part = own.course.share(now) * self.capacity(self.home) / self.instances()
-        return part + sum(self.limits[number] * self.capacity(number) for number, one in self.zones.items()
-                          if number != self.home and number in self.tiers and one.course.share(now) > 0)
+        return part + sum(
+            self.limits[number] * self.capacity(number)
+            for number, one in self.zones.items()
+            if number != self.home and number in self.tiers and one.course.share(now) > 0
+        )
 
     # --- what it is told ------------------------------------------------------------------------------------
 
--- a/applevale/zones/planner.py
+++ b/applevale/zones/planner.py
@@ -88,21 +88,37 @@
     under = np.zeros((len(left), len(price)))
     for row, name in enumerate(left):
         under[row, : len(pairs)] = [float(to == name) for _, to in pairs]
-    found = linprog(price, A_ub=under, b_ub=[room[name] for name in left], A_eq=equal,
-                    b_eq=[moving[home] for home in lost], bounds=bounds, method="highs")
+    found = linprog(
+        price,
+        A_ub=under,
+        b_ub=[room[name] for name in left],
+        A_eq=equal,
+        b_eq=[moving[home] for home in lost],
+        bounds=bounds,
+        method="highs",
+    )
     if not found.success:
         raise ZonesError(f"plan: no solution for the loss of {', '.join(lost)}: {found.message}")
     flows = {pair: float(found.x[at]) for at, pair in enumerate(pairs) if found.x[at] > TIGHT}
     unplaced = {home: float(found.x[len(pairs) + at]) for at, home in enumerate(lost)}
     taken = {name: sum(flow for (_, to), flow in flows.items() if to == name) for name in left}
     binding = [f"headroom of {name}" for name in left if taken[name] >= room[name] - TIGHT]
-    binding += [f"limit from {home} to {to}" for (home, to) in pairs
-                if flows.get((home, to), 0.0) >= _most(plan, home, to) - TIGHT]
-    binding += [f"{home} has no zone left in its tiers" for home in lost
-                if not any(pair[0] == home for pair in pairs)]
-    return Loss(lost, flows, unplaced, {home: _work(plan, home, stay=True) for home in lost},
-                {name: (own[name] + taken[name]) / plan.zones[name].capacity for name in left},
-                tuple(binding) if sum(unplaced.values()) > TIGHT else ())
+    binding += [
+        f"limit from {home} to {to}"
+        for (home, to) in pairs
+        if flows.get((home, to), 0.0) >= _most(plan, home, to) - TIGHT
+    ]
+    binding += [
+        f"{home} has no zone left in its tiers" for home in lost if not any(pair[0] == home for pair in pairs)
+    ]
+    return Loss(
+        lost,
+        flows,
+        unplaced,
+        {home: _work(plan, home, stay=True) for home in lost},
+        {name: (own[name] + taken[name]) / plan.zones[name].capacity for name in left},
+        tuple(binding) if sum(unplaced.values()) > TIGHT else (),
+    )
 
 
 def zones_file(plan: Plan, found: list[Loss]) -> Zones:
@@ -115,11 +131,15 @@
                 shares[home, to] = max(shares.get((home, to), 0.0), flow / plan.zones[to].capacity)
     return Zones(
         tiers=plan.tiers,
-        spill=[Spill(home=home, to=to, share=min(1.0, round(share, 4)))
-               for (home, to), share in sorted(shares.items())],
+        spill=[
+            Spill(home=home, to=to, share=min(1.0, round(share, 4)))
+            for (home, to), share in sorted(shares.items())
+        ],
         instances={name: zone.instances for name, zone in plan.zones.items()},
         capacity={name: zone.capacity for name, zone in plan.zones.items()},
-        stay=plan.stay, back=plan.back)
+        stay=plan.stay,
+        back=plan.back,
+    )
 
 
 def too_much(plan: Plan, zones: Zones) -> list[str]:
@@ -131,8 +151,9 @@
                 zone = plan.zones[one.to]
                 used = sum(zone.demand.values()) / zone.capacity + one.share
                 if used > plan.headroom + TIGHT:
-                    found.append(f"the loss of {lost} may bring {one.to} to {used:.0%}, "
-                                 f"over {plan.headroom:.0%}")
+                    found.append(
+                        f"the loss of {lost} may bring {one.to} to {used:.0%}, over {plan.headroom:.0%}"
+                    )
     return found
 
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,6 +1,6 @@
 """Counts across a fleet: adds up the counters and log lines of many workload managers' logs.
 
-    python benchmarks/fleet.py DIR     one file NAME.log for each workload manager, as they wrote them
+python benchmarks/fleet.py DIR     one file NAME.log for each workload manager, as they wrote them
 """
 
 from __future__ import annotations
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -26,10 +26,19 @@
 
     classes = (api.ClassSpec(name="lookup", aim=0.75, aim_stretch=2.0, deadline=4.0, worth=1.0),)
     known = api.Settings.__dataclass_fields__
-    wanted = {"gateways": 40, "may_probe": True, "may_cancel": True, "report_columns": ("active",),
-              "report_how": "answers", "probe_price": 0.08}
-    settings = api.Settings(classes=classes, kinds=(api.KindSpec("k", 8.0, 16384.0),),
-                            **{key: value for key, value in wanted.items() if key in known})
+    wanted = {
+        "gateways": 40,
+        "may_probe": True,
+        "may_cancel": True,
+        "report_columns": ("active",),
+        "report_how": "answers",
+        "probe_price": 0.08,
+    }
+    settings = api.Settings(
+        classes=classes,
+        kinds=(api.KindSpec("k", 8.0, 16384.0),),
+        **{key: value for key, value in wanted.items() if key in known},
+    )
     figures: dict[str, list[float]] = {"request": [], "list_event": []}
     for size in SIZES:
         gateway, now = Gateway(settings, 1), 100.0
@@ -57,8 +66,9 @@
 
 
 def run(folder: Path) -> dict[str, list[float]]:
-    done = subprocess.run([sys.executable, __file__, "--measure", str(folder)], check=True,
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, __file__, "--measure", str(folder)], check=True, capture_output=True, text=True
+    )
     return json.loads(done.stdout)
 
 
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -22,8 +22,15 @@
 
 
 def record(number: int, state: str) -> bytes:
-    return json.dumps({"id": f"s-{number:08x}", "address": f"127.{number >> 16 & 255}.{number >> 8 & 255}."
-                       f"{number & 255}:7001", "state": state, "zone": ZONES[0], "kind": KINDS[0]}).encode()
+    return json.dumps(
+        {
+            "id": f"s-{number:08x}",
+            "address": f"127.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7001",
+            "state": state,
+            "zone": ZONES[0],
+            "kind": KINDS[0],
+        }
+    ).encode()
 
 
 def cpu(process: int) -> float:
@@ -69,9 +76,11 @@
         behind = time.monotonic() - ended
         spent = cpu(program.process.pid) - before
         each = (spent - rest * (time.monotonic() - began)) / changes * 1000
-        return (f"{kind:6} {engines:6} engines, {rate} changes/s: {each:6.3f} ms a change, "
-                f"{behind:5.2f} s behind, {memory(program.process.pid):5.0f} MB, "
-                f"at rest {rest * 100:.1f}% of a core")
+        return (
+            f"{kind:6} {engines:6} engines, {rate} changes/s: {each:6.3f} ms a change, "
+            f"{behind:5.2f} s behind, {memory(program.process.pid):5.0f} MB, "
+            f"at rest {rest * 100:.1f}% of a core"
+        )
     finally:
         await program.stop()
         await member.stop()
--- a/examples/ask.py
+++ b/examples/ask.py
@@ -1,6 +1,6 @@
 """Sends one query to a workload manager and prints the answer.
 
-    python examples/ask.py 127.0.0.1:7001 lookup "select * from air_17.readings limit 5"
+python examples/ask.py 127.0.0.1:7001 lookup "select * from air_17.readings limit 5"
 """
 
 import secrets
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -87,8 +87,10 @@
     """In its own word, and in forged ones of others."""
     for target in list(self.living):
         others = [one for one in self.living if one != target]
-        items = tuple(messages.Words(one, self.records.all[one].incarnation, 10.0, (self.me, *others[:2]))
-                      for one in others[:10])
+        items = tuple(
+            messages.Words(one, self.records.all[one].incarnation, 10.0, (self.me, *others[:2]))
+            for one in others[:10]
+        )
         self._send(now, target, messages.Kind.NEWS, KEEP_NEWS, items=items)
     return ticked(self, now)
 
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -11,12 +11,15 @@
     return start + (count - 1) * TICK
 
 
-@pytest.mark.parametrize("asked, emptied, since, clear", [
-    (10.0, True, 10.05, 10.05),  # waited since before the last look: the look found nothing
-    (10.0, False, 10.05, 9.0),  # the rest of what lay there is no newer
-    (10.06, True, 9.0, 10.05),  # not waited for at the last look: it may have lain there
-    (10.06, False, 9.0, 9.0),
-])
+@pytest.mark.parametrize(
+    "asked, emptied, since, clear",
+    [
+        (10.0, True, 10.05, 10.05),  # waited since before the last look: the look found nothing
+        (10.0, False, 10.05, 9.0),  # the rest of what lay there is no newer
+        (10.06, True, 9.0, 10.05),  # not waited for at the last look: it may have lain there
+        (10.06, False, 9.0, 9.0),
+    ],
+)
 def test_since_when_it_may_have_lain_there(asked, emptied, since, clear):
     source = Source(9.0)
     assert source.read(asked, 10.05, emptied) == since
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -47,9 +47,24 @@
 
 
 def test_a_short_rig_keeps_its_promises():
-    done = subprocess.run([sys.executable, "-c", "from applevale.cli.main import main; main()", "rig",
-                           "registry", "--seed", "1", "--seconds", "12", "--json"],
-                          cwd=ROOT, capture_output=True, text=True, timeout=120)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "from applevale.cli.main import main; main()",
+            "rig",
+            "registry",
+            "--seed",
+            "1",
+            "--seconds",
+            "12",
+            "--json",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
     result = json.loads(done.stdout.splitlines()[-1])
     assert result["rig"] == "registry" and result["drains"] > 5 and result["failures"] > 5
     assert result["ok"] and done.returncode == 0, result
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -85,9 +85,16 @@
     words = {1: bans.Word(5.25, True), 0xC41F7A: bans.Word(6.0, False)}
     data = bans.encode(words)
     assert bans.decode(data) == words
-    foreign = [json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
-               for body in ('{"form":1,"banned":[]}', '{"form":2,"words":{"s-1":[1e999,true]}}',
-                            '{"form":2,"words":{"s-1":[1]}}', '{"form":2,"words":{"s-1":[1,1]}}', "[]")]
+    foreign = [
+        json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
+        for body in (
+            '{"form":1,"banned":[]}',
+            '{"form":2,"words":{"s-1":[1e999,true]}}',
+            '{"form":2,"words":{"s-1":[1]}}',
+            '{"form":2,"words":{"s-1":[1,1]}}',
+            "[]",
+        )
+    ]
     for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff", *foreign):
         with pytest.raises(bans.BanFileError):
             bans.decode(torn)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -127,11 +127,20 @@
 
 @pytest.mark.parametrize("ends_first", [False, True])
 @pytest.mark.parametrize("word", [broker.Overdue, broker.Unconfirmed])
-@pytest.mark.parametrize("cls,ending,answer", [
-    (0, RESET, broker.Refused(0.0)), (0, FULL, broker.Refused(0.0)), (0, DONE, broker.Served(b"r")),
-    (1, RESET, broker.Failed()), (1, FULL, broker.Refused(0.0)), (1, DONE, broker.Served(b"r")),
-    (2, RESET, broker.Failed()), (2, FULL, broker.Refused(0.0)), (2, DONE, broker.Served(b"r")),
-])
+@pytest.mark.parametrize(
+    "cls,ending,answer",
+    [
+        (0, RESET, broker.Refused(0.0)),
+        (0, FULL, broker.Refused(0.0)),
+        (0, DONE, broker.Served(b"r")),
+        (1, RESET, broker.Failed()),
+        (1, FULL, broker.Refused(0.0)),
+        (1, DONE, broker.Served(b"r")),
+        (2, RESET, broker.Failed()),
+        (2, FULL, broker.Refused(0.0)),
+        (2, DONE, broker.Served(b"r")),
+    ],
+)
 def test_the_end_of_an_attempt_and_the_last_answer_in_one_turn(cls, ending, answer, word, ends_first):
     """Read in the inbox's order, a load that may have run was refused, and a good end was thrown away."""
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -54,8 +54,9 @@
     def __init__(self):
         listener = socket.create_server(("127.0.0.1", 0))
         self.broker, self.counters, self.unpacker = Answers(), Counters(), msgpack.Unpacker()
-        self.front = Front(self.broker, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20,
-                           self.counters)
+        self.front = Front(
+            self.broker, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20, self.counters
+        )
         self.client = socket.create_connection(listener.getsockname())
         theirs, _ = listener.accept()
         listener.close()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -31,7 +31,8 @@
     lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
     assert lines == [
         {"at": 100.0, "instance": "n3", "event": "link", "text": "lost", "engine": 3},
-        {"at": 100.0, "instance": "n3", "event": "ready", "ready": True}]
+        {"at": 100.0, "instance": "n3", "event": "ready", "ready": True},
+    ]
 
 
 @pytest.mark.parametrize("form", ["console", "json"])
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -7,8 +7,13 @@
 from applevale.cli.main import app
 from applevale.emulator import experiment as grid
 
-GRID = {"machine": "membership", "sizes": [6], "cases": ["killed"], "seeds": [1, 2],
-        "versions": {"fleet": {}, "swim": {"least": 1.0}}}
+GRID = {
+    "machine": "membership",
+    "sizes": [6],
+    "cases": ["killed"],
+    "seeds": [1, 2],
+    "versions": {"fleet": {}, "swim": {"least": 1.0}},
+}
 
 
 def run(*words):
@@ -27,7 +32,8 @@
     assert first.exit_code == 0 and "4 runs played, 0 were there" in first.output
     rows = grid.read_results(tmp_path / "out" / "results.csv")
     assert {(row["version"], row["seed"]) for row in rows} == {
-        (version, seed) for version in ("fleet", "swim") for seed in "12"}
+        (version, seed) for version in ("fleet", "swim") for seed in "12"
+    }
     assert all(float(row["missed"]) == 0 and float(row["agree_s_max"]) > 0 for row in rows)
     results = tmp_path / "out" / "results.csv"
     results.write_text("\n".join(results.read_text().splitlines()[:-1]) + "\n")  # stopped before the last
@@ -40,19 +46,25 @@
 
 def test_two_sets_of_results_are_compared_seed_by_seed_with_bounds():
     def rows(values):
-        return [{"case": "c", "size": "5", "seed": str(seed), "x": str(value)}
-                for seed, value in enumerate(values)]
+        return [
+            {"case": "c", "size": "5", "seed": str(seed), "x": str(value)}
+            for seed, value in enumerate(values)
+        ]
 
-    (case, size, name, count, mean, low, high), = grid.compare(rows([1, 2, 3, 9]), rows([2, 4, 4]), ["x"])
+    ((case, size, name, count, mean, low, high),) = grid.compare(rows([1, 2, 3, 9]), rows([2, 4, 4]), ["x"])
     assert (case, size, name, count) == ("c", "5", "x", 3)
     assert round(mean, 6) == 1.333333 and round(low, 3) == -0.101 and round(high, 3) == 2.768
     assert grid.compare(rows([1, 2]), rows([2, 3]), ["x"])[0][4:] == (1.0, 1.0, 1.0)
 
 
 def test_a_bad_experiment_is_one_line_that_names_the_place(tmp_path):
-    for change, word in (({"sizes": [0]}, "$.sizes[0]"), ({"machine": "kettle"}, "kettle"),
-                         ({"cases": ["nap"]}, "nap"), ({"versions": {"swim": {"warp": 9}}}, "warp"),
-                         ({"versions": {"raft": {}}}, "raft")):
+    for change, word in (
+        ({"sizes": [0]}, "$.sizes[0]"),
+        ({"machine": "kettle"}, "kettle"),
+        ({"cases": ["nap"]}, "nap"),
+        ({"versions": {"swim": {"warp": 9}}}, "warp"),
+        ({"versions": {"raft": {}}}, "raft"),
+    ):
         found = run("experiment", "run", write(tmp_path, **change), str(tmp_path / "no"))
         assert found.exit_code == 2 and word in found.output and found.output.count("\n") == 1
     found = run("experiment", "compare", str(tmp_path), str(tmp_path))
@@ -61,10 +73,17 @@
 
 def test_members_prints_the_last_views_of_a_log(tmp_path):
     log = tmp_path / "log"
-    log.write_text("plain line\n" + "\n".join(json.dumps(event) for event in (
-        {"event": "stand", "instance": "n0", "stand": "well", "at": 1.0},
-        {"event": "view", "instance": "n0", "at": 2.5, "changes": [["n1", "died"]]},
-        {"event": "members", "instance": "n0", "at": 3.0, "stand": "well", "view": [[0, 1], [2, 4]]})))
+    log.write_text(
+        "plain line\n"
+        + "\n".join(
+            json.dumps(event)
+            for event in (
+                {"event": "stand", "instance": "n0", "stand": "well", "at": 1.0},
+                {"event": "view", "instance": "n0", "at": 2.5, "changes": [["n1", "died"]]},
+                {"event": "members", "instance": "n0", "at": 3.0, "stand": "well", "view": [[0, 1], [2, 4]]},
+            )
+        )
+    )
     found = run("members", str(log))
     assert found.exit_code == 0 and "2 live: n0 n2; at 2.50: n1 died" in found.output
     empty = tmp_path / "empty"
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -58,13 +58,19 @@
 
 
 def test_a_schedule_is_read_in_order_and_a_bad_one_names_the_place():
-    steps = [f.Kill(at=2, who=["n1"], back=0.1), f.Stall(at=0.5, who=["n*"], span=0.3, apart=0.5, times=3),
-             f.Link(at=1, sources=["n1"], targets=["n2"], fate=Fate(loss=0.2), span=5)]
+    steps = [
+        f.Kill(at=2, who=["n1"], back=0.1),
+        f.Stall(at=0.5, who=["n*"], span=0.3, apart=0.5, times=3),
+        f.Link(at=1, sources=["n1"], targets=["n2"], fate=Fate(loss=0.2), span=5),
+    ]
     read = f.read_schedule(f.write_schedule(steps))
     assert [type(step).__name__ for step in read] == ["Stall", "Link", "Kill"] and read[1] == steps[2]
-    for bad, place in ((b'[{"do":"kill","at":-1,"who":["n1"]}]', "$[0].at"),
-                       (b'[{"do":"burn","at":1}]', "burn"),
-                       (b'[{"do":"stop","at":1,"who":[],"span":1}]', "$[0].who"), (b"[{", "truncated")):
+    for bad, place in (
+        (b'[{"do":"kill","at":-1,"who":["n1"]}]', "$[0].at"),
+        (b'[{"do":"burn","at":1}]', "burn"),
+        (b'[{"do":"stop","at":1,"who":[],"span":1}]', "$[0].who"),
+        (b"[{", "truncated"),
+    ):
         with pytest.raises(f.ScheduleError, match="^schedule: ") as error:
             f.read_schedule(bad)
         assert place in str(error.value)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,6 +20,7 @@
 
 def played(script, **plan):
     """A script on a fleet; the figures of its history. All processes have ended then."""
+
     async def run():
         fleet = Fleet(Plan(**({"nodes": 2, "engines": 8} | plan)))
         try:
@@ -103,8 +104,9 @@
 async def late_words(fleet):
     """What the list service says comes 0.8 s late, a drain among it, while its questions get through."""
     await up(fleet)
-    late = asyncio.create_task(fleet.play([
-        Link(at=0, sources=["list*"], targets=["n*"], fate=Fate(delay=0.8), span=4.0)]))
+    late = asyncio.create_task(
+        fleet.play([Link(at=0, sources=["list*"], targets=["n*"], fate=Fate(delay=0.8), span=4.0)])
+    )
     await asyncio.sleep(1.5)
     await fleet.list_engine(0, "draining")
     await asyncio.sleep(1.5)
@@ -114,14 +116,21 @@
 def turns(history):
     """Turns of the list in the time in which the promise cannot be kept, but for its first seconds."""
     slow = history.mark("slow")
-    return 0 if slow is None else sum(
-        1 for _ in history.of("list", since=slow + 2.0, until=history.mark("slow_end")))
+    return (
+        0
+        if slow is None
+        else sum(1 for _ in history.of("list", since=slow + 2.0, until=history.mark("slow_end")))
+    )
 
 
 LATE = {"engines": 1, "clients": 40.0, "gates": True}
-CAUGHT = [("on_top", slow, {}, "questions_on_top"), ("leaves", slow, {}, "sessions_left"),
-          ("thrash", slow, {}, "turns"), ("ready", never_served, {}, "ready_early"),
-          ("arrival", late_words, LATE, "missed_drains")]
+CAUGHT = [
+    ("on_top", slow, {}, "questions_on_top"),
+    ("leaves", slow, {}, "sessions_left"),
+    ("thrash", slow, {}, "turns"),
+    ("ready", never_served, {}, "ready_early"),
+    ("arrival", late_words, LATE, "missed_drains"),
+]
 
 
 @pytest.mark.parametrize("script,plan", [(slow, {}), (never_served, {}), (late_words, LATE)])
@@ -159,8 +168,14 @@
 
 
 def test_the_checker_finds_late_work_at_a_drain_and_only_until_the_engine_is_back():
-    late = [commit(1.0, "ready"), arrival(1.5), commit(2.0, "draining"), arrival(2.7), commit(5.0, "ready"),
-            arrival(6.0)]
+    late = [
+        commit(1.0, "ready"),
+        arrival(1.5),
+        commit(2.0, "draining"),
+        arrival(2.7),
+        commit(5.0, "ready"),
+        arrival(6.0),
+    ]
     assert verify.drains(History(late)) == [(2.0, 2.7, "10.0.0.1:1")]
     assert verify.figures(History(late), 1)["missed_drains"] == 1
     gone = [commit(1.0, "ready"), commit(2.0, "gone", address=""), arrival(2.3)]
@@ -169,13 +184,30 @@
 
 def test_the_checker_counts_full_reads_by_start_and_overlaps_by_connection():
     def read(at, out, whole=False, caller="c1", answered=True):
-        return {"at": at, "event": "read", "who": "n0", "out": out, "whole": whole, "caller": caller,
-                "answered": answered, "member": 0}
+        return {
+            "at": at,
+            "event": "read",
+            "who": "n0",
+            "out": out,
+            "whole": whole,
+            "caller": caller,
+            "answered": answered,
+            "member": 0,
+        }
 
     start = {"event": "launched", "who": "n0", "how": "start"}
-    history = History([start | {"at": 0.0}, read(1, 1.1, True), read(2, 2.1, True, answered=False),
-                       start | {"at": 5.0}, read(6, 6.1, True), read(7, 8), read(7.5, 8.5),
-                       read(7.6, 8, caller="c2")])
+    history = History(
+        [
+            start | {"at": 0.0},
+            read(1, 1.1, True),
+            read(2, 2.1, True, answered=False),
+            start | {"at": 5.0},
+            read(6, 6.1, True),
+            read(7, 8),
+            read(7.5, 8.5),
+            read(7.6, 8, caller="c2"),
+        ]
+    )
     found = verify.figures(history, 1)
     assert found["full_reads"] == 2 and found["full_reads_most"] == 1 and found["questions_on_top"] == 1
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -65,8 +65,15 @@
         return self.do(self.it.connected(self.now, self.number, asked, revision, cluster))
 
     def whole(self, revision, **records):
-        return self.do(self.it.whole(self.now, self.number, self.now - 0.01, revision,
-                                     [(key, revision, value) for key, value in records.items()]))
+        return self.do(
+            self.it.whole(
+                self.now,
+                self.number,
+                self.now - 0.01,
+                revision,
+                [(key, revision, value) for key, value in records.items()],
+            )
+        )
 
     def events(self, revision, *events):
         return self.do(self.it.events(self.now, self.number, revision, events))
@@ -74,8 +81,11 @@
     def ask(self):
         """Time goes on until the next question leaves."""
         for _ in range(20):
-            asks = [one for one in self.tick(max(0.0, self.it.next_look(self.now) - self.now))
-                    if isinstance(one, f.Ask)]
+            asks = [
+                one
+                for one in self.tick(max(0.0, self.it.next_look(self.now) - self.now))
+                if isinstance(one, f.Ask)
+            ]
             if asks:
                 return asks[0].asked
         raise AssertionError("no question left")
@@ -415,9 +425,24 @@
     assert kinds(play.up()) == ["ReadAll"]
 
 
-@pytest.mark.parametrize("value", [b"{", b"", b"\xff\xfe", b"[1]", record(1, "dead"), record(1, zone="c"),
-                                   record(1, weight=-1), record(1, port=0), b"x" * 70_000,
-                                   b"{" * 50_000, b"- " * 30_000, b"id: s-1", record(1, port="7\n")])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"{",
+        b"",
+        b"\xff\xfe",
+        b"[1]",
+        record(1, "dead"),
+        record(1, zone="c"),
+        record(1, weight=-1),
+        record(1, port=0),
+        b"x" * 70_000,
+        b"{" * 50_000,
+        b"- " * 30_000,
+        b"id: s-1",
+        record(1, port="7\n"),
+    ],
+)
 def test_a_value_that_cannot_be_used_leaves_the_last_good_record(value):
     play = watching()
     play.events(11, ("k1", 11, value), ("k3", 11, value))
@@ -445,8 +470,9 @@
     assert play.engines == {2: "ready", 5: "ready"}
 
 
-STEP = st.tuples(st.sampled_from(["put", "drain", "delete", "bad", "cut", "compact", "again", "lag"]),
-                 st.integers(1, 4))
+STEP = st.tuples(
+    st.sampled_from(["put", "drain", "delete", "bad", "cut", "compact", "again", "lag"]), st.integers(1, 4)
+)
 
 
 @given(st.lists(STEP, max_size=40))
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -19,16 +19,34 @@
     """Other names, places and effects; nothing optional."""
     raw = json.loads(EXAMPLE)
     raw["settings"] = {
-        "az": 1, "me": 4, "fleet_size": 9, "tick": 5_000_000, "zones": ["quay", "dock"],
+        "az": 1,
+        "me": 4,
+        "fleet_size": 9,
+        "tick": 5_000_000,
+        "zones": ["quay", "dock"],
         "kinds": ["rack", "toy"],
         "classes": [
-            {"name": "gauge", "aim": 2 * NS, "deadline": 4 * NS, "repeat": "unsafe", "by_arrival": True,
-             "worth": 7.0},
-            {"name": "post", "aim": NS, "deadline": 3 * NS, "repeat": "keyed", "group": "cell",
-             "repeat_window": NS // 2, "worth": 2.0},
+            {
+                "name": "gauge",
+                "aim": 2 * NS,
+                "deadline": 4 * NS,
+                "repeat": "unsafe",
+                "by_arrival": True,
+                "worth": 7.0,
+            },
+            {
+                "name": "post",
+                "aim": NS,
+                "deadline": 3 * NS,
+                "repeat": "keyed",
+                "group": "cell",
+                "repeat_window": NS // 2,
+                "worth": 2.0,
+            },
             {"name": "peek at", "aim": NS // 2, "deadline": NS, "repeat": "safe", "worth": 1.0},
         ],
-        "limits": {"try_limit": 2}, "guarantees": {"drain_grace": NS // 5},
+        "limits": {"try_limit": 2},
+        "guarantees": {"drain_grace": NS // 5},
     } | changes
     raw["known"]["events"][0]["members"]["instances"][0] |= {"zone": "quay", "machineType": "rack"}
     return raw
@@ -58,16 +76,22 @@
     assert node.stop()["answered_served"] == 4
 
 
-@pytest.mark.parametrize("change,key", [
-    ({"classes": [{"name": "gauge", "aim": "x", "deadline": NS}]}, "settings.classes"),
-    ({"classes": [{"name": "gauge", "aim": NS, "deadline": -1}]}, "settings.classes"),
-    ({"classes": [{"name": "gauge", "aim": NS, "deadline": NS, "repeat": "sometimes"}]}, "settings.classes"),
-    ({"classes": []}, "settings.classes"),
-    ({"classes": [{"name": "a b", "aim": NS, "deadline": NS, "repeat": "safe"}] * 2}, "settings.classes"),
-    ({"limits": {"try_limit": 0}}, "try_limit"),
-    ({"limits": 7}, "limits"),
-    ({"zones": ["dock"]}, "known"),
-])
+@pytest.mark.parametrize(
+    "change,key",
+    [
+        ({"classes": [{"name": "gauge", "aim": "x", "deadline": NS}]}, "settings.classes"),
+        ({"classes": [{"name": "gauge", "aim": NS, "deadline": -1}]}, "settings.classes"),
+        (
+            {"classes": [{"name": "gauge", "aim": NS, "deadline": NS, "repeat": "sometimes"}]},
+            "settings.classes",
+        ),
+        ({"classes": []}, "settings.classes"),
+        ({"classes": [{"name": "a b", "aim": NS, "deadline": NS, "repeat": "safe"}] * 2}, "settings.classes"),
+        ({"limits": {"try_limit": 0}}, "try_limit"),
+        ({"limits": 7}, "limits"),
+        ({"zones": ["dock"]}, "known"),
+    ],
+)
 def test_settings_that_cannot_be_used_are_one_line_that_names_the_key(tmp_path, change, key):
     import test_node
 
@@ -83,11 +107,18 @@
         names |= {told["name"], *told["net"]["zones"]}
         names |= {one["name"] for kind in ("class", "tier") for one in told[kind]}
         names |= {kind["name"] for tier in told["tier"] for kind in tier["kind"]}
-    files = [file for part in PROGRAM for file in
-             ((ROOT / part).rglob("*.py") if (ROOT / part).is_dir() else [ROOT / part])]
+    files = [
+        file
+        for part in PROGRAM
+        for file in ((ROOT / part).rglob("*.py") if (ROOT / part).is_dir() else [ROOT / part])
+    ]
     files.append(ROOT / "applevale" / "policy.py")
-    found = {(file.name, node.value) for file in files for node in ast.walk(ast.parse(file.read_text()))
-             if isinstance(node, ast.Constant) and node.value in names - FIELDS}
+    found = {
+        (file.name, node.value)
+        for file in files
+        for node in ast.walk(ast.parse(file.read_text()))
+        if isinstance(node, ast.Constant) and node.value in names - FIELDS
+    }
     assert len(files) > 20 and found == set()
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -33,15 +33,18 @@
     assert code == 0 and "known red: test_it.py::test_bad: a cause (issue 29)" in text
 
 
-@pytest.mark.parametrize("lines, said", [
-    ([], "test_bad"),  # what is not listed fails as ever
-    (["test_it.py::test_bad, a cause, 29", "test_it.py::test_good, mended, 29"], "XPASS(strict)"),
-    (["test_it.py::test_bad, a cause, 29"] * 4, "KNOWN-RED.txt: 4 lines, 3 at most"),
-    (["test_it.py::test_bad, 29"], "KNOWN-RED.txt line 1"),
-    (["test_it.py::test_bad, a cause, soon"], "KNOWN-RED.txt line 1"),
-    (["test_it.py::test_away, a cause, 29"], "there is no test test_it.py::test_away"),
-    (["test_bad, a cause, 29"], "KNOWN-RED.txt line 1"),
-])
+@pytest.mark.parametrize(
+    "lines, said",
+    [
+        ([], "test_bad"),  # what is not listed fails as ever
+        (["test_it.py::test_bad, a cause, 29", "test_it.py::test_good, mended, 29"], "XPASS(strict)"),
+        (["test_it.py::test_bad, a cause, 29"] * 4, "KNOWN-RED.txt: 4 lines, 3 at most"),
+        (["test_it.py::test_bad, 29"], "KNOWN-RED.txt line 1"),
+        (["test_it.py::test_bad, a cause, soon"], "KNOWN-RED.txt line 1"),
+        (["test_it.py::test_away, a cause, 29"], "there is no test test_it.py::test_away"),
+        (["test_bad, a cause, 29"], "KNOWN-RED.txt line 1"),
+    ],
+)
 def test_else_the_run_fails_and_says_why(run, lines, said):
     code, text = run(lines)
     assert code != 0 and said in text
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,8 +7,21 @@
 ROOT = Path(__file__).parent.parent
 PACKAGE = ROOT / "applevale"
 # What may import what: a package sees itself and those named before it. Single files are the base of all.
-ORDER = ["observe", "startup", "membership", "sources", "zones", "control", "node", "faults", "standins",
-         "verify", "emulator", "rigs", "cli"]
+ORDER = [
+    "observe",
+    "startup",
+    "membership",
+    "sources",
+    "zones",
+    "control",
+    "node",
+    "faults",
+    "standins",
+    "verify",
+    "emulator",
+    "rigs",
+    "cli",
+]
 BASE = {"estimators", "hashing", "interface", "policy", "wire", "__init__"}
 
 
@@ -59,7 +72,10 @@
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     named = [ROOT / one for one in deploy["node"] + deploy["policy"]]
     assert all(one.exists() for one in named)
-    missing = [str(path.relative_to(ROOT)) for path in reached
-               if not any(path == one or one in path.parents for one in named) and path.name != "__init__.py"]
+    missing = [
+        str(path.relative_to(ROOT))
+        for path in reached
+        if not any(path == one or one in path.parents for one in named) and path.name != "__init__.py"
+    ]
     assert missing == []
     assert len(reached) > 20  # the walk found the program
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -14,8 +14,14 @@
 
 
 def many(count=1000, **more):
-    return Driver(entries=tuple(api.EngineEntry(n) for n in range(1, count + 1)), gateways=40,
-                  probe_price=0.08, may_probe=True, report_columns=("active",), **more)
+    return Driver(
+        entries=tuple(api.EngineEntry(n) for n in range(1, count + 1)),
+        gateways=40,
+        probe_price=0.08,
+        may_probe=True,
+        report_columns=("active",),
+        **more,
+    )
 
 
 def test_work_a_request_does_not_grow_with_the_list(monkeypatch):
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -17,6 +17,7 @@
 
 def played(script, **plan):
     """A script on a fleet whose members all know each other; its figures and its history."""
+
     async def run():
         fleet = Fleet(Plan(**({"nodes": 6, "engines": 4, "clients": 2.0, "members": True} | plan)))
         try:
@@ -29,8 +30,13 @@
                 fleet.mark("joined")
                 await script(fleet)
                 await fleet.settle()
-                await asyncio.gather(*(one.program.counters() for one in fleet.instances
-                                       if one.program.process.returncode is None))
+                await asyncio.gather(
+                    *(
+                        one.program.counters()
+                        for one in fleet.instances
+                        if one.program.process.returncode is None
+                    )
+                )
         finally:
             await fleet.stop()
         history = fleet.history()
@@ -57,8 +63,9 @@
     await fleet.play([Term(at=0, who=["n3"], back=0.1)])
     assert await fleet.until(lambda: fleet.instances[3].stand == "well" and not died(fleet, "n3"), 20)
     await fleet.play([Upgrade(at=0, who=["n4"], both=2.0), Kill(at=0.5, who=["n5"], back=0.1)])
-    assert await fleet.until(lambda: all(
-        one.stand == "well" for one in fleet.instances if one.name != "n1"), 20)
+    assert await fleet.until(
+        lambda: all(one.stand == "well" for one in fleet.instances if one.name != "n1"), 20
+    )
     await asyncio.sleep(3.0)
 
 
@@ -98,8 +105,12 @@
 
 async def halves(fleet):
     one, other = ["n0", "n1", "n2"], ["n3", "n4", "n5"]
-    await fleet.play([Link(at=0, sources=one, targets=other, fate=CUT, span=8.0),
-                      Link(at=0, sources=other, targets=one, fate=CUT, span=8.0)])
+    await fleet.play(
+        [
+            Link(at=0, sources=one, targets=other, fate=CUT, span=8.0),
+            Link(at=0, sources=other, targets=one, fate=CUT, span=8.0),
+        ]
+    )
     await asyncio.sleep(5.0)
 
 
@@ -107,8 +118,13 @@
     await asyncio.sleep(6.0)
 
 
-CAUGHT = [("one_word", loss, "false_dead"), ("no_look", waves, "false_dead"), ("reset", back, "wrong_views"),
-          ("no_help", killed, "missed"), ("never_mended", halves, "wrong_views")]
+CAUGHT = [
+    ("one_word", loss, "false_dead"),
+    ("no_look", waves, "false_dead"),
+    ("reset", back, "wrong_views"),
+    ("no_help", killed, "missed"),
+    ("never_mended", halves, "wrong_views"),
+]
 
 
 @pytest.mark.parametrize("fault,script,figure", CAUGHT, ids=[one[0] for one in CAUGHT])
@@ -142,11 +158,20 @@
     still = {"at": 5.0, "event": "fault", "do": "stop", "who": ["n1"], "span": 3.0}
     assert verify.figures(History([*start, still, view(7.5, "died"), last]))["false_dead"] == 0
     assert verify.figures(History([*start, still, view(9.5, "died"), last]))["false_dead"] == 1
-    cut = {"at": 5.0, "event": "fault", "do": "link", "sources": ["n0", "n2"], "targets": ["n1"],
-           "fate": {"cut": True}, "span": 4.0}
+    cut = {
+        "at": 5.0,
+        "event": "fault",
+        "do": "link",
+        "sources": ["n0", "n2"],
+        "targets": ["n1"],
+        "fate": {"cut": True},
+        "span": 4.0,
+    }
     assert verify.figures(History([*start, cut, view(8.0, "died"), last]))["false_dead"] == 0
     assert verify.figures(History([*start, last]))["wrong_views"] == 1
-    sent = [{"at": 1 + tenth / 10, "event": "sent", "who": "n0", "bytes": 300, "most": 257, "count": 2}
-            for tenth in range(10)]
+    sent = [
+        {"at": 1 + tenth / 10, "event": "sent", "who": "n0", "bytes": 300, "most": 257, "count": 2}
+        for tenth in range(10)
+    ]
     found = verify.figures(History([*start, *sent, last | {"view": ["n0", "n1", "n2"]}]))
     assert found["bytes_s_max"] == 3000 and len(verify.broken(found, {})) == 2
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,14 +28,28 @@
 
 numbers = st.integers(0, 65535)
 records = st.builds(Record, st.sampled_from(Status), st.integers(0, m.MOST_INCARNATION), numbers)
-items = st.lists(st.one_of(
-    st.builds(News, numbers, records),
-    st.builds(Words, numbers, st.integers(0, m.LOW), st.integers(0, 255).map(lambda one: one * m.AGE_UNIT),
-              st.lists(numbers, max_size=m.MOST_OBSERVERS).map(tuple))), max_size=5).map(tuple)
-
-
-@given(st.sampled_from([Kind.PING, Kind.ACK, Kind.ASK, Kind.FOUND, Kind.NEWS]), numbers, records, items,
-       st.booleans())
+items = st.lists(
+    st.one_of(
+        st.builds(News, numbers, records),
+        st.builds(
+            Words,
+            numbers,
+            st.integers(0, m.LOW),
+            st.integers(0, 255).map(lambda one: one * m.AGE_UNIT),
+            st.lists(numbers, max_size=m.MOST_OBSERVERS).map(tuple),
+        ),
+    ),
+    max_size=5,
+).map(tuple)
+
+
+@given(
+    st.sampled_from([Kind.PING, Kind.ACK, Kind.ASK, Kind.FOUND, Kind.NEWS]),
+    numbers,
+    records,
+    items,
+    st.booleans(),
+)
 def test_messages_come_back_as_they_were_and_their_size_is_known(kind, number, yours, told, reached):
     about = kind in (Kind.ASK, Kind.FOUND)
     message = Message(kind, number, 7, 9, yours, 0xFFFFFFFF, number if about else 0, about and reached, told)
@@ -100,8 +114,9 @@
     def hear(self, sender, kind=Kind.PING, incarnation=1, life=None, yours=None, **fields):
         yours = Record(Status.ALIVE, self.it.incarnation, 77) if yours is None else yours
         fields = {"number": 1, "digest": self.it.records.digest} | fields
-        message = Message(kind, incarnation=incarnation, life=sender if life is None else life, yours=yours,
-                          **fields)
+        message = Message(
+            kind, incarnation=incarnation, life=sender if life is None else life, yours=yours, **fields
+        )
         return self.did(self.it.heard(self.now, sender, message))
 
     def wait(self, span, step=0.02):
@@ -117,8 +132,12 @@
             self.now += 0.02
             for send in self.did(self.it.ticked(self.now)):
                 if send.message.kind is Kind.PING and send.target in others:
-                    self.hear(send.target, Kind.ACK, number=send.message.number,
-                              incarnation=self.it.records.all[send.target].incarnation or 1)
+                    self.hear(
+                        send.target,
+                        Kind.ACK,
+                        number=send.message.number,
+                        incarnation=self.it.records.all[send.target].incarnation or 1,
+                    )
 
 
 def joined(**pace):
@@ -259,8 +278,9 @@
     other.now = one.now = max(one.now, other.now) + 1.0
     one.it.latest = one.it.due = other.it.latest = other.it.due = one.now
     sums = [send for send in one.hear(1, digest=1) if send.message.kind is Kind.SUMS]
-    parts = [send for send in other.hear(1, Kind.SUMS, sums=sums[0].message.sums)
-             if send.message.kind is Kind.PART]
+    parts = [
+        send for send in other.hear(1, Kind.SUMS, sums=sums[0].message.sums) if send.message.kind is Kind.PART
+    ]
     assert parts
     for part in parts:
         one.hear(1, Kind.PART, first=part.message.first, part=part.message.part)
@@ -292,9 +312,13 @@
     assert Fleet(8, 3).run("loss-20") == Fleet(8, 3).run("loss-20") != Fleet(8, 4).run("loss-20")
 
 
-CAUGHT = [("one_word", "loss-20", "false_dead"), ("no_look", "waves", "false_dead"),
-          ("reset", "back", "wrong_views"), ("no_help", "killed", "missed"),
-          ("never_mended", "halves", "wrong_views")]
+CAUGHT = [
+    ("one_word", "loss-20", "false_dead"),
+    ("no_look", "waves", "false_dead"),
+    ("reset", "back", "wrong_views"),
+    ("no_help", "killed", "missed"),
+    ("never_mended", "halves", "wrong_views"),
+]
 
 
 @pytest.mark.parametrize("fault,name,figure", CAUGHT, ids=[one[0] for one in CAUGHT])
@@ -312,13 +336,17 @@
     assert found["false_dead"] == 0 and found["wrong_views"] == 0
 
 
-@pytest.mark.parametrize("change,text", [
-    ({"membership": {"probes": 1}}, "membership.probes: unknown"),
-    ({"membership": {"probe": 0}}, "probe: a number of 0.02 or more"),
-    ({"membership": []}, "membership: an object"),
-    ({"peers": ["127.0.0.1:7946"]}, "membership: peer_listen and the addresses of 2"),
-    ({"peer_listen": None}, "membership: peer_listen"),
-    ({"settings": {"me": 3}}, "settings.me: 3 is none of the 3 peers")])
+@pytest.mark.parametrize(
+    "change,text",
+    [
+        ({"membership": {"probes": 1}}, "membership.probes: unknown"),
+        ({"membership": {"probe": 0}}, "probe: a number of 0.02 or more"),
+        ({"membership": []}, "membership: an object"),
+        ({"peers": ["127.0.0.1:7946"]}, "membership: peer_listen and the addresses of 2"),
+        ({"peer_listen": None}, "membership: peer_listen"),
+        ({"settings": {"me": 3}}, "settings.me: 3 is none of the 3 peers"),
+    ],
+)
 def test_a_bad_membership_section_is_one_line_that_names_its_key(change, text):
     raw = json.loads((Path(__file__).parent.parent / "deploy" / "members.json").read_text())
     assert config.parse(raw, {}).membership == 0.1
@@ -341,14 +369,22 @@
         part = Members(machine, Shares(2), datagrams, counters, sizes.append)
         datagrams.start(), part.start()
         good = Message(Kind.PING, 1, 4, 9, digest=0)
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one, socket.socket(
-                socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
+        ):
             one.bind(peer)
             stranger.bind(("127.0.0.1", 0))
-            for sock, data in ((stranger, m.encode(good)), (one, b""), (one, b"\x01x"),
-                               (one, bytes([m.MARK])),
-                               (one, m.encode(good)[:-1]), (one, m.encode(good) + b"\xff\xff"),
-                               (one, m.encode(good) + b"x" * 250), (one, m.encode(good))):
+            for sock, data in (
+                (stranger, m.encode(good)),
+                (one, b""),
+                (one, b"\x01x"),
+                (one, bytes([m.MARK])),
+                (one, m.encode(good)[:-1]),
+                (one, m.encode(good) + b"\xff\xff"),
+                (one, m.encode(good) + b"x" * 250),
+                (one, m.encode(good)),
+            ):
                 sock.sendto(data, here)
             async with asyncio.timeout(10):
                 while not machine.figures.heard:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -108,8 +108,10 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.binary(max_size=300) | st.builds(lambda n, rest: HEAD.pack(2, n) + rest, st.integers(0, 90),
-                                          st.binary(max_size=300)))
+@given(
+    st.binary(max_size=300)
+    | st.builds(lambda n, rest: HEAD.pack(2, n) + rest, st.integers(0, 90), st.binary(max_size=300))
+)
 def test_garbage_is_refused_or_bounded(data):
     one = news()
     try:
@@ -244,8 +246,11 @@
 
 
 def test_peers_are_read_from_the_configuration_and_a_bad_address_is_named():
-    raw = {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946", "127.0.0.2:7946"],
-           "peers_all": "127.0.0.9:7946"}
+    raw = {
+        "peer_listen": "127.0.0.1:7946",
+        "peers": ["127.0.0.1:7946", "127.0.0.2:7946"],
+        "peers_all": "127.0.0.9:7946",
+    }
     assert config.parse_peers(raw).each[1] == ("127.0.0.2", 7946)
     assert config.parse_peers({}) is None
     with pytest.raises(config.ConfigError, match=r"peers\[1\]: HOST:PORT"):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -73,7 +73,7 @@
     [
         ("select * from sales_17.orders", 17),
         ("select 'a_3.b', ''';x_2.y' from /* x_4.y * */ staging.t_5 join `geo_7`.x", 7),
-        ("-- a_1.b\ninsert into \"z_9\" . q", 9),
+        ('-- a_1.b\ninsert into "z_9" . q', 9),
         ("select a.b_4, t_3 from staging_2.t, air_my_6.q", 6),
         ("select 'it_1.x", 0),
     ],
@@ -83,8 +83,9 @@
 
 
 VALUES = st.none() | st.integers() | st.floats() | st.text(max_size=8) | st.binary(max_size=8)
-FIELDS = st.dictionaries(st.sampled_from(["ref", "allow", "effort", "space", "lookup", "dup", "replay",
-                                          "project"]), VALUES)
+FIELDS = st.dictionaries(
+    st.sampled_from(["ref", "allow", "effort", "space", "lookup", "dup", "replay", "project"]), VALUES
+)
 
 
 @given(st.sampled_from([*NAMED.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
@@ -98,17 +99,33 @@
 
 
 def test_a_query_is_read_with_its_units():
-    fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", "dup": "1", "effort": "820.0", "space": "96",
-              "lookup": "ff", "replay": "b2ec", "project": "two"}
+    fields = {
+        "ref": "9b1f03aa5c7e2d41",
+        "allow": "1500",
+        "dup": "1",
+        "effort": "820.0",
+        "space": "96",
+        "lookup": "ff",
+        "replay": "b2ec",
+        "project": "two",
+    }
     query = front.read_query(NAMED, "load", [fields, b"insert into air_4.x"], 9.0)
     assert (query.allow, query.work, query.memory_mb, query.key, query.tables) == (1.5, 0.82, 96.0, 255, 4.0)
     assert query.client_retry and query.cls == 2 and query.arrived == 9.0
     assert query.idempotency_key == "b2ec" and query.tenant == 1
 
 
-@pytest.mark.parametrize("field,value", [
-    ("replay", "a,b=c"), ("replay", "a b"), ("replay", "x" * 200), ("replay", 7), ("project", "three"),
-    ("project", 1)])
+@pytest.mark.parametrize(
+    "field,value",
+    [
+        ("replay", "a,b=c"),
+        ("replay", "a b"),
+        ("replay", "x" * 200),
+        ("replay", 7),
+        ("project", "three"),
+        ("project", 1),
+    ],
+)
 def test_what_an_engine_would_misread_or_no_one_is_named_by_is_a_named_fault(field, value):
     fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", field: value}
     with pytest.raises(front.BadField, match=field):
@@ -162,8 +179,15 @@
 
 @pytest.mark.parametrize(
     "path, value",
-    [("listen", "nowhere"), ("seed", "xyz"), ("known", {"events": [{}]}), ("settings.classes", None),
-     ("limits.sockets", "many"), ("settings.limits.conn_idle", float("nan")), ("feed", "1.2.3.4")],
+    [
+        ("listen", "nowhere"),
+        ("seed", "xyz"),
+        ("known", {"events": [{}]}),
+        ("settings.classes", None),
+        ("limits.sockets", "many"),
+        ("settings.limits.conn_idle", float("nan")),
+        ("feed", "1.2.3.4"),
+    ],
 )
 def test_a_bad_configuration_names_the_key(path, value):
     raw = json.loads(json.dumps(EXAMPLE))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,15 +9,27 @@
 from applevale.zones import planner
 from applevale.zones.settings import ZonesError, read_zones
 
-TIERS = {"east": [["east"], ["west"], ["north"]], "west": [["west"], ["east"], ["north"]],
-         "north": [["north"], ["east", "west"]]}
+TIERS = {
+    "east": [["east"], ["west"], ["north"]],
+    "west": [["west"], ["east"], ["north"]],
+    "north": [["north"], ["east", "west"]],
+}
 
 
 def plan(demand=10.0, load=0.0, limits=(), **more):
-    return json.dumps({
-        "zones": {name: {"capacity": 48, "demand": {"lookup": demand, "load": load}, "instances": 2}
-                  for name in TIERS},
-        "tiers": TIERS, "headroom": 0.75, "stay": ["load"], "limits": list(limits)} | more).encode()
+    return json.dumps(
+        {
+            "zones": {
+                name: {"capacity": 48, "demand": {"lookup": demand, "load": load}, "instances": 2}
+                for name in TIERS
+            },
+            "tiers": TIERS,
+            "headroom": 0.75,
+            "stay": ["load"],
+            "limits": list(limits),
+        }
+        | more
+    ).encode()
 
 
 def solved(raw):
@@ -72,10 +84,15 @@
     assert len(planner.too_much(read, given)) == 1
 
 
-@pytest.mark.parametrize("change, place", [
-    ({"tiers": {"south": [["south"]]}}, "tiers.south"), ({"headroom": 2}, "headroom"),
-    ({"limits": [{"from": "east", "to": "south", "share": 0.1}]}, r"limits\[0\]"), ({"zones": 1}, "zones"),
-])
+@pytest.mark.parametrize(
+    "change, place",
+    [
+        ({"tiers": {"south": [["south"]]}}, "tiers.south"),
+        ({"headroom": 2}, "headroom"),
+        ({"limits": [{"from": "east", "to": "south", "share": 0.1}]}, r"limits\[0\]"),
+        ({"zones": 1}, "zones"),
+    ],
+)
 def test_a_plan_that_cannot_be_used_names_the_place(change, place):
     with pytest.raises(ZonesError, match=place):
         planner.read_plan(plan(**change))
