--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -328,10 +328,6 @@
     assert all(s.engine != hung.engine for s in moved)
 
 
-
-
-
-
 def test_memory_is_granted_only_where_heeded():
     for heeded in (True, False):
         d = Driver(memory_heeded=heeded)
@@ -346,8 +342,6 @@
     assert refused + len(d.gateway.line) == 1000 and 0 < len(d.gateway.line) <= 500
 
 
-
-
 def test_short_answers_do_not_hide_pressure():
     slow = DecayingMean(5.0)
     for step in range(4):
@@ -673,13 +667,20 @@
 @pytest.mark.parametrize("group,answer", [("all", api.Refuse), ("cell", api.Fail)])
 def test_what_may_not_run_again_any_more_is_answered_at_once(group, answer):
     """Past its window of repeats it was held until the deadline neared."""
-    keyed = api.ClassSpec("post", aim=3.0, deadline=20.0, repeat=api.Repeat.KEYED, group=group,
-                          repeat_window=0.5)
+    keyed = api.ClassSpec(
+        "post", aim=3.0, deadline=20.0, repeat=api.Repeat.KEYED, group=group, repeat_window=0.5
+    )
     d = Driver(entries=(api.EngineEntry(1, cell=1), api.EngineEntry(2, cell=2)), classes=(keyed,))
     _, actions = d.ask()
     (send,) = of(api.Send, actions)
-    d.give(api.EngineList((api.EngineEntry(1, cell=1, state=api.State.DRAINING),
-                           api.EngineEntry(2, cell=2, state=api.State.DRAINING))))
+    d.give(
+        api.EngineList(
+            (
+                api.EngineEntry(1, cell=1, state=api.State.DRAINING),
+                api.EngineEntry(2, cell=2, state=api.State.DRAINING),
+            )
+        )
+    )
     assert not of(answer, d.end(send, api.Result.RESET))
     done = d.run(0.6)
     assert of(answer, done) and not of(api.Send, done)
@@ -694,8 +695,9 @@
     assert of(api.Send, d.ask()[1])
 
 
-@pytest.mark.parametrize("how,work,looks", [
-    ("probe", 9.0, True), ("probe", 0.1, False), ("answers", 9.0, False)])
+@pytest.mark.parametrize(
+    "how,work,looks", [("probe", 9.0, True), ("probe", 0.1, False), ("answers", 9.0, False)]
+)
 def test_long_work_looks_first_where_no_answer_tells_of_load(how, work, looks):
     """Without a look long work went wherever the tables lay, and engines that others filled stayed full."""
     d = Driver(engines=4, gateways=100, may_probe=True, probe_price=0.08, report_how=how)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -58,7 +58,8 @@
     def settings(self, gates=None, **more):
         addresses = [f"{gate.address[0]}:{gate.address[1]}" for gate in gates or self.gates]
         return registry_settings.read_settings(
-            {"kind": self.kind, "addresses": addresses, "prefix": PREFIX} | self.more | more)
+            {"kind": self.kind, "addresses": addresses, "prefix": PREFIX} | self.more | more
+        )
 
     def begin(self):
         self.source = RegistrySource(self.settings(), NAMES, self.counters, self.told, self.turned, 1)
@@ -370,13 +371,21 @@
         Snapshot(str(tmp_path / "file"), "etcd:p/")
 
 
-@pytest.mark.parametrize("change, key", [
-    ({"kind": "zoo"}, "registry.kind"), ({"addresses": []}, "registry.addresses"),
-    ({"addresses": ["x"]}, r"registry.addresses\[0\]"), ({"addresses": ["h:0"]}, r"registry.addresses\[0\]"),
-    ({"fresh": 0}, "registry.fresh"), ({"hold": -1}, "registry.hold"), ({"colour": 1}, "colour"),
-    ({"user": "a"}, "registry.password"), ({"tls": {"ca": "x", "cert": "y"}}, "registry.tls.key"),
-    ({"on_stale": "wait"}, "registry.on_stale"),
-])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"kind": "zoo"}, "registry.kind"),
+        ({"addresses": []}, "registry.addresses"),
+        ({"addresses": ["x"]}, r"registry.addresses\[0\]"),
+        ({"addresses": ["h:0"]}, r"registry.addresses\[0\]"),
+        ({"fresh": 0}, "registry.fresh"),
+        ({"hold": -1}, "registry.hold"),
+        ({"colour": 1}, "colour"),
+        ({"user": "a"}, "registry.password"),
+        ({"tls": {"ca": "x", "cert": "y"}}, "registry.tls.key"),
+        ({"on_stale": "wait"}, "registry.on_stale"),
+    ],
+)
 def test_settings_that_cannot_be_used_name_their_key(change, key):
     with pytest.raises(registry_settings.SettingsError, match=key):
         registry_settings.read_settings({"kind": "etcd", "addresses": ["h:1"]} | change)
@@ -384,6 +393,7 @@
 
 def stalled(kind, *fault):
     """A drain that falls into a silence of all members, with compaction behind it, under the real program."""
+
     async def run():
         site = Site(kind, Random(3), ("tests.planted", *fault) if fault else ())
         try:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -47,15 +47,20 @@
     assert client.read()[1] == 2
 
 
-@pytest.mark.parametrize("data", [
-    msgpack.packb([0, 1, "lookup", [{"ref": OPEN, "allow": "900"}, b"x" * 300]])[:-9],  # never whole
-    b"\xc6" + struct.pack(">I", 60_000_000) + b"x" * 100_000,
-    b"\x9f" * 2000,
-    msgpack.packb([0, -1, "lookup", [{}, b"x"]]),
-    msgpack.packb([0, 1, "probe", [{}]]) + msgpack.packb([0, 1, "probe", [{}]]),
-    b"".join(msgpack.packb([0, at, "lookup", [{"ref": f"{at:016x}", "allow": "900"}, b"hang"]])
-             for at in range(1, 200)),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        msgpack.packb([0, 1, "lookup", [{"ref": OPEN, "allow": "900"}, b"x" * 300]])[:-9],  # never whole
+        b"\xc6" + struct.pack(">I", 60_000_000) + b"x" * 100_000,
+        b"\x9f" * 2000,
+        msgpack.packb([0, -1, "lookup", [{}, b"x"]]),
+        msgpack.packb([0, 1, "probe", [{}]]) + msgpack.packb([0, 1, "probe", [{}]]),
+        b"".join(
+            msgpack.packb([0, at, "lookup", [{"ref": f"{at:016x}", "allow": "900"}, b"hang"]])
+            for at in range(1, 200)
+        ),
+    ],
+)
 def test_what_is_no_protocol_is_closed_and_never_served(node, data):
     bad = Client(node)
     bad.sock.sendall(data)
@@ -69,11 +74,22 @@
     assert not [command for command in node.engine.seen if command[0] == b"want"]
 
 
-@pytest.mark.parametrize("change", [
-    {"allow": "1e300"}, {"allow": "-5"}, {"allow": "x"}, {"effort": "1e30"}, {"space": "-1"},
-    {"space": "inf"},
-    {"ref": ""}, {"ref": "no such id"}, {"ref": OPEN}, {"statement": "\x00"}, {"statement": " "},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"allow": "1e300"},
+        {"allow": "-5"},
+        {"allow": "x"},
+        {"effort": "1e30"},
+        {"space": "-1"},
+        {"space": "inf"},
+        {"ref": ""},
+        {"ref": "no such id"},
+        {"ref": OPEN},
+        {"statement": "\x00"},
+        {"statement": " "},
+    ],
+)
 def test_what_engines_could_not_use_is_refused_before_it_reaches_one(node, change):
     usual, bad = Client(node), Client(node)
     usual.ask(1, "lookup", OPEN, "select hang from air_1.x")
@@ -188,8 +204,9 @@
     assert counts["reloads"] == 1 and counts["start_imports_ms"] > 0 and counts["start_list_ms"] >= 0
 
 
-@pytest.mark.parametrize("change", [
-    {"name": "another"}, {"zones": ["quay", "here"]}, {"kinds": ["x", "toy"]}])
+@pytest.mark.parametrize(
+    "change", [{"name": "another"}, {"zones": ["quay", "here"]}, {"kinds": ["x", "toy"]}]
+)
 def test_a_reload_with_anothers_configuration_changes_nothing(tmp_path, change):
     """Known engines and the new list service would be read by the places of zones and kinds of another."""
     old, new = ToyFeed(), ToyFeed()
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -19,7 +19,10 @@
 ZONES = Zones(
     tiers={"east": [["east"], ["west"], ["north"]], "west": [["west"], ["east"]]},
     spill=[Spill("east", "west", 0.25), Spill("east", "north", 0.1), Spill("west", "east", 0.25)],
-    instances={"east": 2}, stay=["long"], back=Return(first=0.1, over=10.0, rest=2.0, rest_most=16.0))
+    instances={"east": 2},
+    stay=["long"],
+    back=Return(first=0.1, over=10.0, rest=2.0, rest_most=16.0),
+)
 CLASSES = ("short", "long")
 
 
@@ -36,16 +39,19 @@
 FINE = [(1, True), (2, True), (3, True)]
 
 
-@pytest.mark.parametrize("zones, lost", [
-    ({0: seen(*BAD), 1: seen(*FINE)}, {0}),
-    ({0: seen(*[(1, False)] * 50, (2, True), (3, True)), 1: seen(*FINE)}, set()),  # one bad engine
-    ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*BAD)}, set()),  # what all share is no zone's fault
-    ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*FINE)}, {0, 1}),
-    ({0: seen((1, False), (2, False)), 1: seen(*FINE)}, set()),  # too few signs
-    ({0: seen(*BAD, *FINE), 1: seen(*FINE)}, set()),  # good signs came behind the bad
-    ({0: seen(*[(1, False)] * 5, engines=1), 1: seen(*FINE)}, {0}),
-    ({0: seen(*BAD), 1: seen()}, {0}),  # nothing is known against the other
-])
+@pytest.mark.parametrize(
+    "zones, lost",
+    [
+        ({0: seen(*BAD), 1: seen(*FINE)}, {0}),
+        ({0: seen(*[(1, False)] * 50, (2, True), (3, True)), 1: seen(*FINE)}, set()),  # one bad engine
+        ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*BAD)}, set()),  # what all share is no zone's fault
+        ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*FINE)}, {0, 1}),
+        ({0: seen((1, False), (2, False)), 1: seen(*FINE)}, set()),  # too few signs
+        ({0: seen(*BAD, *FINE), 1: seen(*FINE)}, set()),  # good signs came behind the bad
+        ({0: seen(*[(1, False)] * 5, engines=1), 1: seen(*FINE)}, {0}),
+        ({0: seen(*BAD), 1: seen()}, {0}),  # nothing is known against the other
+    ],
+)
 def test_a_zone_is_lost_when_its_engines_fail_together_and_others_do_not(zones, lost):
     assert lost_zones(zones, 100.0) == lost
     assert lost_zones(zones, 100.0 + SPAN * 1.01) == set()  # old signs count no more
@@ -101,8 +107,11 @@
 
 def entries(east=4, west=4, north=4, **more):
     numbers = iter(range(1, 100))
-    return tuple(api.EngineEntry(next(numbers), zone=zone, **more)
-                 for zone, count in enumerate((east, west, north)) for _ in range(count))
+    return tuple(
+        api.EngineEntry(next(numbers), zone=zone, **more)
+        for zone, count in enumerate((east, west, north))
+        for _ in range(count)
+    )
 
 
 class ZoneDriver(Driver):
@@ -141,8 +150,10 @@
         for send in of(api.Send, d.ask(tables=float(at), work=0.3)[1]):
             let[d.zone(send)].append((d.now, 0.3))
             d.end(send, work=0.3)
-    work = {zone: max(sum(w for at, w in sent if start <= at < start + 1.0) for start, _ in sent)
-            for zone, sent in let.items()}
+    work = {
+        zone: max(sum(w for at, w in sent if start <= at < start + 1.0) for start, _ in sent)
+        for zone, sent in let.items()
+    }
     assert work[1] <= 0.25 / 2 * 32 and work[2] <= 0.1 / 2 * 32
     assert work[1] > 0.25 / 2 * 32 * 0.7  # and is used
 
@@ -161,8 +172,9 @@
     d = ZoneDriver(zones=Zones(tiers=ZONES.tiers, spill=ZONES.spill), classes=(LOOKUP, REPORT, cheap))
     d.lose(0)
     numbers = iter(range(10_000, 20_000))
-    asks = [api.Request(next(numbers), cls=at % 2 * 2, ttl=4.0, work=1.0, tables=float(at))
-            for at in range(200)]
+    asks = [
+        api.Request(next(numbers), cls=at % 2 * 2, ttl=4.0, work=1.0, tables=float(at)) for at in range(200)
+    ]
     actions = d.give(*asks)
     sent = [send.request for send in of(api.Send, actions)]
     refused = of(api.Refuse, actions)
@@ -226,15 +238,22 @@
     assert guide.may_take(0.0, 0, 5, 1e9) and guide.room(0.0, 3.0) == 3.0 and guide.tier(0, 5) == 0
 
 
-@pytest.mark.parametrize("change, place", [
-    (b'{"tiers": {"south": [["south"]]}}', "tiers"), (b'{"tiers": {"east": [["west"]]}}', "tiers.east"),
-    (b'{"tiers": {"east": [["east"], ["east"]]}}', "tiers.east"), (b"[]", "zones"), (b"{", "zones"),
-    (b'{"tiers": {}, "spill": [{"from": "east", "to": "east", "share": 0.1}]}', r"spill\[0\]"),
-    (b'{"tiers": {}, "spill": [{"from": "east", "to": "west", "share": 2}]}', "share"),
-    (b'{"tiers": {}, "stay": ["none"]}', "stay"),
-    (b'{"tiers": {}, "back": {"rest": 9, "rest_most": 3}}', "back"),
-    (b'{"tiers": {}, "instances": {"east": 0}}', "instances"), (b'{"tiers": {}, "colour": 1}', "colour"),
-])
+@pytest.mark.parametrize(
+    "change, place",
+    [
+        (b'{"tiers": {"south": [["south"]]}}', "tiers"),
+        (b'{"tiers": {"east": [["west"]]}}', "tiers.east"),
+        (b'{"tiers": {"east": [["east"], ["east"]]}}', "tiers.east"),
+        (b"[]", "zones"),
+        (b"{", "zones"),
+        (b'{"tiers": {}, "spill": [{"from": "east", "to": "east", "share": 0.1}]}', r"spill\[0\]"),
+        (b'{"tiers": {}, "spill": [{"from": "east", "to": "west", "share": 2}]}', "share"),
+        (b'{"tiers": {}, "stay": ["none"]}', "stay"),
+        (b'{"tiers": {}, "back": {"rest": 9, "rest_most": 3}}', "back"),
+        (b'{"tiers": {}, "instances": {"east": 0}}', "instances"),
+        (b'{"tiers": {}, "colour": 1}', "colour"),
+    ],
+)
 def test_a_zones_file_that_cannot_be_used_names_the_place(change, place):
     with pytest.raises(ZonesError, match=place):
         read_zones(change, NAMES, CLASSES)
