--- a/applevale/__main__.py
+++ b/applevale/__main__.py
@@ -17,9 +17,9 @@
 
     import uvloop
 
-    from .node import app
-    from .node.config import ConfigError, load
-    from .observe import events
+    from .config.loader import ConfigError, load
+    from .observability import events
+    from .runtime import application as app
 
     imported = time.process_time()
     try:
@@ -28,7 +28,7 @@
         print(f"applevale: {error}", file=sys.stderr)
         return 2
     if config.json_log:
-        events.as_json(config.name)
+        events.use_json(config.name)
     try:
         uvloop.run(app.run(config, app.Begun(early, imported, time.process_time())))
     except OSError as error:
--- a/applevale/control/shared.py
+++ b/applevale/admin/ejection_store.py
@@ -8,8 +8,8 @@
 
 import os
 
-from ..observe.events import say
-from .bans import BanFileError, Bans, decode, encode
+from ..observability.events import log_event
+from .ejections import BanFileError, Bans, decode, encode
 
 Stamp = tuple[int, int, int]
 
@@ -36,7 +36,9 @@
             with open(self.path, "rb") as file:
                 words = decode(file.read())
         except (OSError, BanFileError) as error:
-            say("bans", f"{self.path}: {error}; the bans stay as they are here: {len(self.bans.banned)}")
+            log_event(
+                "bans", f"{self.path}: {error}; the bans stay as they are here: {len(self.bans.banned)}"
+            )
             return []
         news = self.bans.join(words)
         if words != self.bans.words:  # guards what was said here and overwritten by one that had not read it
@@ -60,6 +62,6 @@
                 stamp = _stamp(os.fstat(file.fileno()))  # of this file: the path may be another's in a moment
             os.replace(new, self.path)
         except OSError as error:
-            say("bans", f"{self.path}: {error}")
+            log_event("bans", f"{self.path}: {error}")
             return
         self.seen = stamp
--- a/applevale/control/bans.py
+++ b/applevale/admin/ejections.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from math import inf, isfinite, nextafter
 
-from ..sources.members import Member
+from ..discovery.endpoints import Member
 
 FORM = 2  # of the text
 
--- a/applevale/control/door.py
+++ b/applevale/admin/server.py
@@ -15,9 +15,9 @@
 
 import h11
 
-from ..observe.counters import Counters
-from ..observe.events import say
-from .calls import MOST_CALLS, Answer, Operated, answer
+from ..observability.counters import Counters
+from ..observability.events import log_event
+from .routes import MOST_CALLS, Answer, Operated, answer
 
 CALL = 2.0  # s for a whole call, from the connection on: a silent or slow caller has this and no more
 HEAD_MOST = 8 * 1024  # bytes of the request's head
@@ -52,7 +52,7 @@
             try:
                 sock, _ = await loop.sock_accept(listener)
             except OSError as error:  # a caller that has gone, or no descriptor free
-                say("door", str(error))
+                log_event("door", str(error))
                 await asyncio.sleep(0.01)
                 continue
             if len(self.calls) >= self.most:
@@ -116,10 +116,10 @@
         )
         if reply.status >= 400 and reply.status != 503:  # not ready is no fault of the caller
             self.counters["door_refused"] += 1
-            say("door", f"{reply.status} {request.method.decode('latin-1')} {request.target[:80]!r}")
+            log_event("door", f"{reply.status} {request.method.decode('latin-1')} {request.target[:80]!r}")
         return request.method, reply
 
     def _bad(self, status: int, text: str, field: str) -> Answer:
         self.counters["door_bad"] += 1
-        say("door", f"{status}: {text}")
+        log_event("door", f"{status}: {text}")
         return Answer(status, {"error": text, "field": field})
--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -11,7 +11,7 @@
 import msgspec
 import typer
 
-from ..node.config import Config, ConfigError, load
+from ..config.loader import Config, ConfigError, load
 from .ends import fail
 from .experiments import experiment
 
@@ -56,9 +56,9 @@
 async def follow(config: Config, seconds: float, show: bool) -> dict | None:
     """Follows the registry until its list is confirmed, or with `show` for the whole time and told as it
     changes. None: it could not be confirmed."""
-    from ..observe.counters import Counters
-    from ..sources.members import Change
-    from ..sources.registry.source import RegistrySource
+    from ..discovery.endpoints import Change
+    from ..discovery.registry.source import RegistrySource
+    from ..observability.counters import Counters
 
     confirmed = asyncio.Event()
 
--- /dev/null
+++ b/applevale/config/__init__.py
@@ -0,0 +1,1 @@
+"""The program's configuration: environment variables and one JSON file."""
--- a/applevale/node/config.py
+++ b/applevale/config/loader.py
@@ -13,10 +13,10 @@
 
 from .. import interface as api
 from .. import wire
-from ..sources import feed
-from ..sources.members import Change, Names
-
-Address = tuple[str, int]
+from ..discovery import control_feed as feed
+from ..discovery.endpoints import Change, Names
+from ..engines.limits import ConnectionLimits
+from ..net.addresses import Address, PeerAddresses
 
 ORDER_GAP = 0.1  # s in which a client has its last row: attempts leave on other sockets, in no set order
 
@@ -25,27 +25,6 @@
     """Something is missing or makes no sense; the text names its key."""
 
 
-@dataclass(frozen=True)
-class LinkLimits:
-    """What the settings say of connections to engines."""
-
-    streams: int  # attempts that one carries at a time
-    idle: float  # s after which an engine closes one that carries nothing
-    connect: float  # s within which one comes up
-    handshake_price: float = 0.0  # points of the result for one new connection a request
-    probe_price: float = 0.0  # for one probe a request
-    grace: float = 0.5  # s within which nothing new may reach an engine that drains
-
-
-@dataclass(frozen=True)
-class PeerAddresses:
-    """Where the workload managers of the tier hear each other; `each` in the order of their numbers."""
-
-    listen: Address
-    each: tuple[Address, ...]
-    everyone: Address | None  # what is sent there reaches all; None: there is no such address
-
-
 @dataclass(frozen=True)
 class Config:
     name: str
@@ -55,7 +34,7 @@
     sockets: int  # file descriptors that the process may hold
     memory: int  # bytes
     settings: api.Settings
-    links: LinkLimits
+    links: ConnectionLimits
     names: Names
     known: tuple[Change, ...]
     peers: PeerAddresses | None = None  # None: there are none to speak with
@@ -137,7 +116,7 @@
     if raw.get("feed"):
         raise ConfigError("feed: not together with registry")
     try:
-        from ..sources.registry import settings, source
+        from ..discovery.registry import settings, source
 
         found = settings.read_settings(raw["registry"])
         source.session_kind(found.kind)  # all that it needs must be there
@@ -246,13 +225,13 @@
         sockets=int(_limit(_section(raw, "limits"), "sockets", 1024, 64)),
         memory=int(_limit(_section(raw, "limits"), "memory_mb", 192, 16) * 2**20),
         settings=settings,
-        links=LinkLimits(
-            streams=int(_limit(limits, "streams_per_conn", 32, 1)),
-            idle=_limit(limits, "conn_idle", 15 * wire.NS, 1) / wire.NS,
-            connect=_limit(limits, "dial_timeout", 0.25 * wire.NS, 1) / wire.NS,
+        links=ConnectionLimits(
+            max_attempts=int(_limit(limits, "streams_per_conn", 32, 1)),
+            idle_timeout=_limit(limits, "conn_idle", 15 * wire.NS, 1) / wire.NS,
+            connect_timeout=_limit(limits, "dial_timeout", 0.25 * wire.NS, 1) / wire.NS,
             handshake_price=_limit(_section(told, "prices"), "handshake", 0.0, 0.0),
             probe_price=settings.probe_price,
-            grace=settings.drain_grace,
+            drain_grace=settings.drain_grace,
         ),
         names=names,
         known=known,
--- a/applevale/control/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Daily operation: the operators' door, figures, engines out by hand and drain (docs/control.md)."""
--- a/applevale/sources/feed.py
+++ b/applevale/discovery/control_feed.py
@@ -10,9 +10,9 @@
 from math import inf, isfinite
 
 from .. import interface as api
-from ..observe.counters import Counters
-from ..observe.events import say
-from .members import Change, Member, Names
+from ..observability.counters import Counters
+from ..observability.events import log_event
+from .endpoints import Change, Member, Names
 
 HEAD = struct.Struct(">IQB")  # length of all that follows it, number, kind
 RECORD = struct.Struct(">IIHBBBHIQ")
@@ -140,7 +140,7 @@
             try:
                 await self._connection()
             except (OSError, FeedError) as error:
-                say("feed", f"{type(error).__name__}: {error}")
+                log_event("feed", f"{type(error).__name__}: {error}")
             self.counters["feed_breaks"] += 1
             rest = REST[0] if self.counters["feed_frames"] > before else min(rest * 2, REST[1])
             await asyncio.sleep(rest)
--- a/applevale/node/held.py
+++ b/applevale/discovery/gated_endpoints.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from .. import interface as api
-from ..sources.members import Change
+from .endpoints import Change
 
 
 class HeldList:
--- a/applevale/sources/registry/records.py
+++ b/applevale/discovery/registry/records.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ... import interface as api
-from ..members import Member, Names
+from ..endpoints import Member, Names
 
 MOST_VALUE = 64 * 1024  # bytes of one record: more is no record, and is not parsed
 STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
--- a/applevale/sources/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from ...observe.counters import Counters
-from ...observe.events import say, tell
-from ...startup.promise import Kept
-from ..members import Change, Names
-from . import follower as f
+from ...observability.counters import Counters
+from ...observability.events import emit_event, log_event
+from ...startup.staleness_guard import Kept
+from ..endpoints import Change, Names
+from . import watcher as f
 from .records import Ledger, digest
 from .session import Session, context
 from .settings import RegistrySettings
@@ -93,7 +93,7 @@
         fixed = {key: getattr(self.settings, key) for key in ("kind", "prefix", "fresh", "snapshot")}
         changed = [key for key, value in fixed.items() if getattr(to, key) != value]
         if changed:
-            say("registry", f"takes effect at the next start only: {', '.join(changed)}")
+            log_event("registry", f"takes effect at the next start only: {', '.join(changed)}")
         self.settings = msgspec.structs.replace(to, **fixed)
         self.places, self.tls = places, tls
         self._do(self.follower.moved(self.clock(), len(places)))
@@ -125,7 +125,7 @@
 
     def lost(self, number: int, why: str, refused: bool = False) -> None:
         if number in self.sessions:
-            say("registry", f"{self._where(number)}: {why}")
+            log_event("registry", f"{self._where(number)}: {why}")
         self._do(self.follower.lost(self.clock(), number, refused))
 
     def whole(
@@ -140,7 +140,9 @@
         self._do(self.follower.answered(self.clock(), number, asked, revision))
 
     def compacted(self, number: int) -> None:
-        say("registry", f"{self._where(number)}: compacted behind {self.follower.revision}, all is read anew")
+        log_event(
+            "registry", f"{self._where(number)}: compacted behind {self.follower.revision}, all is read anew"
+        )
         self._do(self.follower.compacted(self.clock(), number))
 
     # --- inside ---------------------------------------------------------------------------------------------
@@ -220,7 +222,7 @@
         former, self.promise_was = self.promise_was, self.follower.promise.state
         pace, latency = self.follower.pace, self.follower.latency
         if former is Kept.KEPT:
-            say(
+            log_event(
                 "promise",
                 f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
                 f"reads a second, answered within {self.follower.promise.room * 1000:.0f} ms; they take "
@@ -228,19 +230,19 @@
                 f"on_stale is {self.settings.on_stale!r} until it can",
             )
         elif self.promise_was is Kept.KEPT:
-            say("promise", f"{pace.fresh:g} s is kept again")
+            log_event("promise", f"{pace.fresh:g} s is kept again")
 
     def _turn(self, fresh: bool, now: float) -> None:
         if fresh:
             stale = now - self.stale_since
             self.counters["registry_stale_ms"] += int(stale * 1000)
-            say("registry", f"confirmed at revision {self.follower.revision}, after {stale:.3f} s")
-            tell("list", confirmed=True, revision=self.follower.revision, stale=round(stale, 3))
+            log_event("registry", f"confirmed at revision {self.follower.revision}, after {stale:.3f} s")
+            emit_event("list", confirmed=True, revision=self.follower.revision, stale=round(stale, 3))
         else:
             self.counters["registry_stale"] += 1
             self.stale_since = now
-            say("registry", f"the list is not confirmed, on_stale is {self.settings.on_stale!r}")
-            tell("list", confirmed=False)
+            log_event("registry", f"the list is not confirmed, on_stale is {self.settings.on_stale!r}")
+            emit_event("list", confirmed=False)
         self.was_fresh = fresh
         self.turned(fresh)
 
@@ -251,11 +253,11 @@
             kept = self.snapshot.load()
         except SnapshotError as error:
             self.counters["registry_snapshot_bad"] += 1
-            say("registry", f"the snapshot is ignored: {error}")
+            log_event("registry", f"the snapshot is ignored: {error}")
             return
         if kept is not None:
             self.counters["registry_snapshot_used"] += 1
-            say("registry", f"starts from the snapshot of revision {kept.revision}, not confirmed")
+            log_event("registry", f"starts from the snapshot of revision {kept.revision}, not confirmed")
             self._do(self.follower.restore(kept.revision, kept.records))
 
     def _keep(self, now: float, last: bool = False) -> None:
@@ -268,4 +270,4 @@
                 [(entry.key, entry.revision, entry.value) for entry in self.ledger.entries.values()],
             )
         except SnapshotError as error:
-            say("registry", f"the snapshot was not written: {error}")
+            log_event("registry", f"the snapshot was not written: {error}")
--- a/applevale/sources/registry/follower.py
+++ b/applevale/discovery/registry/watcher.py
@@ -31,9 +31,9 @@
 from math import inf
 from random import Random
 
+from ...startup.adaptive_backoff import Line
 from ...startup.latency import Latency
-from ...startup.line import Line
-from ...startup.promise import Kept, Promise
+from ...startup.staleness_guard import Kept, Promise
 from .records import Entry, Ledger
 
 # --- commands -----------------------------------------------------------------------------------------------
--- a/applevale/node/driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -9,11 +9,11 @@
 from math import exp
 
 from .. import interface as api
-from ..observe.counters import Counters
-from ..observe.events import say
+from ..engines.connection import Fleet
+from ..observability.counters import Counters
+from ..observability.events import log_event
 from ..policy import Gateway
-from .arrivals import TICK, Arrivals, Source
-from .engine import Fleet
+from .arrival_order import TICK, Arrivals, Source
 
 # A pass over a long line costs the same for one event as for many, and must leave time for the sockets:
 PACE = 0.004  # s between the starts of two batches at least, and
@@ -158,13 +158,13 @@
             self.lag, self.lag_at = late, self.now()
         if late > STALLED:
             self.counters["stalls"] += 1
-            say("loop", f"a batch ran {late * 1000:.0f} ms late")
+            log_event("loop", f"a batch ran {late * 1000:.0f} ms late")
         self.counters["batches"] += 1
         try:
             actions = self.gateway.handle(self.now(), events)
         except Exception:  # guards the other requests; those of this batch end by the broker's own timer
             self.counters["module_errors"] += 1
-            say("module", traceback.format_exc())
+            log_event("module", traceback.format_exc())
             return
         for action in actions:
             self._act(action)
@@ -182,7 +182,7 @@
             case api.Probe():
                 self._probe(action.engine)
             case api.Log():
-                say("module", action.text)
+                log_event("module", action.text)
             case _:  # the list is pushed and no peer is messaged: nothing to subscribe to, fetch or tell
                 self.counters["actions_without_use"] += 1
 
--- a/applevale/emulator/membership.py
+++ b/applevale/emulator/membership.py
@@ -7,7 +7,7 @@
 
 from ..faults.courses import course, lasts
 from ..membership import messages
-from ..membership.machine import Command, Membership, Pace, Send, Stood, Turned
+from ..membership.protocol import Command, Membership, Pace, Send, Stood, Turned
 from ..membership.shares import Shares
 from ..membership.suspicion import Times
 from .stage import Stage
--- /dev/null
+++ b/applevale/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to engines: protocol, attempts, liveness, the pool."""
--- a/applevale/node/openings.py
+++ b/applevale/engines/connect_pacer.py
@@ -6,18 +6,25 @@
 from collections.abc import Callable
 from math import inf
 
-from ..startup.ramp import Ramp
-from .driver import Driver
-from .engine import Fleet
-from .held import HeldList
+from .. import interface as api
+from ..discovery.gated_endpoints import HeldList
+from ..startup.connect_schedule import Ramp
+from .connection import Fleet
 
 
 class Openings:
     """Invariant: an engine without a link, to which none may be begun yet, is told to the module as not
     ready; it is told as it is as soon as one may."""
 
-    def __init__(self, ramp: Ramp, fleet: Fleet, driver: Driver, held: HeldList, turned: Callable[[], None]):
-        self.ramp, self.fleet, self.driver, self.held, self.turned = ramp, fleet, driver, held, turned
+    def __init__(
+        self,
+        ramp: Ramp,
+        fleet: Fleet,
+        submit: Callable[[api.EngineList], None],
+        held: HeldList,
+        turned: Callable[[], None],
+    ):
+        self.ramp, self.fleet, self.submit, self.held, self.turned = ramp, fleet, submit, held, turned
         fleet.may_open, fleet.opening, fleet.parted = self.may, self.begun, self.parted
         self.timer: asyncio.TimerHandle | None = None
 
@@ -35,7 +42,7 @@
         """The last link to it broke, or its first never came up."""
         self.ramp.parted(engine, self.now())
         if self._hide(engine):
-            self.driver.post(self.held.told_again(engine))
+            self.submit(self.held.told_again(engine))
             self.turned()
         self._wait()
 
@@ -66,6 +73,6 @@
     def _open(self) -> None:
         for engine in [engine for engine in self.held.unopened if self.may(engine)]:
             self.held.unopened.discard(engine)
-            self.driver.post(self.held.told_again(engine))
+            self.submit(self.held.told_again(engine))
         self.turned()
         self._wait()
--- a/applevale/node/engine.py
+++ b/applevale/engines/connection.py
@@ -13,12 +13,12 @@
 
 import hiredis
 
+from ..discovery.endpoints import Change, Member
 from ..interface import Result, State
-from ..observe.counters import Counters
-from ..observe.events import say
-from ..sources.members import Change, Member
-from .config import LinkLimits
-from .outbox import Message, Outbox
+from ..net.write_queue import Message, Outbox
+from ..observability.counters import Counters
+from ..observability.events import log_event
+from .limits import ConnectionLimits
 
 MOST_RESULT = 48_000  # bytes of a whole result
 MOST_PAGES = 64
@@ -291,7 +291,7 @@
                 attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
         if self.outbox.size:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.fleet.limits.grace / 2, self._still_held_back, self.outbox.writes)
+            loop.call_later(self.fleet.limits.drain_grace / 2, self._still_held_back, self.outbox.writes)
 
     def _still_held_back(self, writes: int) -> None:
         if self.outbox.size and self.outbox.writes == writes:
@@ -344,7 +344,7 @@
                 self.watch_timer.cancel()
                 self.watch_timer = None
             loop = asyncio.get_running_loop()
-            wait = 0.0 if self.retired else self.fleet.limits.idle * USED
+            wait = 0.0 if self.retired else self.fleet.limits.idle_timeout * USED
             self.idle_timer = loop.call_later(wait, self.close, "idle")
 
     def retire(self) -> None:
@@ -358,7 +358,7 @@
             self.closed = True
             if self.streams:
                 self.fleet.counters["links_lost"] += 1
-                say("link", f"engine {self.engine.number:08x}: {why}, {self.streams} open")
+                log_event("link", f"engine {self.engine.number:08x}: {why}, {self.streams} open")
             if asyncio.current_task() is not self.task:  # else it has yet to end its attempts
                 self.task.cancel()
 
@@ -400,7 +400,7 @@
             self.sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
             self.sock.bind((self.fleet.local, 0))
         try:
-            async with asyncio.timeout(self.fleet.limits.connect):
+            async with asyncio.timeout(self.fleet.limits.connect_timeout):
                 await asyncio.get_running_loop().sock_connect(self.sock, self.engine.address)
         except TimeoutError:
             return "no connection in time"
@@ -523,7 +523,7 @@
             link
             for link in self.links
             if not (link.closed or link.retired or link.alone or link.check in link.probes)
-            and link.streams < self.fleet.limits.streams
+            and link.streams < self.fleet.limits.max_attempts
             and ref not in link.attempts
             and link not in avoid
         ]
@@ -548,7 +548,9 @@
 class Fleet:
     """All engines that the list has named, behind one interface."""
 
-    def __init__(self, limits: LinkLimits, columns: tuple[str, ...], most_links: int, counters: Counters):
+    def __init__(
+        self, limits: ConnectionLimits, columns: tuple[str, ...], most_links: int, counters: Counters
+    ):
         self.limits, self.most_links, self.counters = limits, most_links, counters
         self.columns = columns
         # Whether a connection to an engine may be begun now; that one is; that the last one to it broke.
--- /dev/null
+++ b/applevale/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Load reports that instances exchange."""
--- a/applevale/node/peers.py
+++ b/applevale/gossip/exchange.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from ..observe.counters import Counters
-from .datagrams import Datagrams
-from .driver import Driver
-from .news import HOLD, VERSION, News, NewsError
+from ..dispatch.event_loop_driver import Driver
+from ..net.datagrams import Datagrams
+from ..observability.counters import Counters
+from .load_reports import HOLD, VERSION, News, NewsError
 
 
 class Peers:
--- a/applevale/node/members.py
+++ b/applevale/membership/runner.py
@@ -7,12 +7,12 @@
 import time
 from collections.abc import Callable
 
-from ..membership import messages
-from ..membership.machine import Command, Membership, Send, Stand, Stood, Turned
-from ..membership.shares import Shares
-from ..observe.counters import Counters
-from ..observe.events import say, tell
-from .datagrams import Datagrams
+from ..net.datagrams import Datagrams
+from ..observability.counters import Counters
+from ..observability.events import emit_event, log_event
+from . import messages
+from .protocol import Command, Membership, Send, Stand, Stood, Turned
+from .shares import Shares
 
 
 class Members:
@@ -53,7 +53,7 @@
             self.counters[f"members_{name}"] = count
         self.counters["members_living"] = self.machine.size
         self.counters["members_changes"] = self.machine.changes
-        tell(
+        emit_event(
             "members",
             stand=self.machine.stand.value,
             view=self.machine.view(),
@@ -79,17 +79,17 @@
                     self.datagrams.send(messages.encode(message), self.datagrams.addresses.each[target])
                 case Turned(changes=changes):
                     told = [(f"n{one}", change.value) for one, change in changes]
-                    tell("view", changes=told, living=self.machine.size)
-                    say(
+                    emit_event("view", changes=told, living=self.machine.size)
+                    log_event(
                         "membership",
                         f"{self.machine.size} live: "
                         + ", ".join(f"{name} {change}" for name, change in told[:8])
                         + (" …" if told[8:] else ""),
                     )
                 case Stood(stand=stand):
-                    tell("stand", stand=stand.value)
+                    emit_event("stand", stand=stand.value)
                     if stand is not Stand.PAUSED:
-                        say("membership", f"this one is {stand.value}, of {self.machine.size}")
+                        log_event("membership", f"this one is {stand.value}, of {self.machine.size}")
         self._look()
 
     def _look(self) -> None:
--- /dev/null
+++ b/applevale/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets shared by several packages: ordered writes, datagrams between instances."""
--- /dev/null
+++ b/applevale/net/addresses.py
@@ -0,0 +1,16 @@
+"""Addresses of sockets, and where the instances of a tier hear each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+Address = tuple[str, int]  # host, port
+
+
+@dataclass(frozen=True)
+class PeerAddresses:
+    """The addresses for datagrams between instances."""
+
+    listen: Address
+    each: tuple[Address, ...]  # of all instances, in the order of their numbers
+    everyone: Address | None  # a datagram sent there reaches all; None: there is no such address
--- a/applevale/node/datagrams.py
+++ b/applevale/net/datagrams.py
@@ -6,9 +6,9 @@
 import socket
 from collections.abc import Callable
 
-from ..observe.counters import Counters
-from ..observe.events import say
-from .config import Address, PeerAddresses
+from ..observability.counters import Counters
+from ..observability.events import log_event
+from .addresses import Address, PeerAddresses
 
 AT_ONCE = 64  # datagrams read in one turn of the loop, so that a flood leaves time for the rest
 MOST_BYTES = 256
@@ -45,7 +45,7 @@
         try:
             self.sock.sendto(data, target)
         except OSError as error:
-            say("peers", f"not told: {error}")
+            log_event("peers", f"not told: {error}")
             return False
         return True
 
@@ -56,7 +56,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:  # word that an earlier datagram reached no one
-                say("peers", f"{type(error).__name__}: {error}")
+                log_event("peers", f"{type(error).__name__}: {error}")
                 return
             self._take(data, sender)
 
@@ -75,4 +75,4 @@
 
     def unreadable(self, sender: Address, why: str) -> None:
         self.counters["news_unreadable"] += 1
-        say("peers", f"{sender[0]}:{sender[1]}: {why}")
+        log_event("peers", f"{sender[0]}:{sender[1]}: {why}")
--- /dev/null
+++ b/applevale/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The life of one client request, whatever protocol it came by."""
--- a/applevale/node/broker.py
+++ b/applevale/requests/handler.py
@@ -8,10 +8,10 @@
 from math import inf
 
 from .. import interface as api
-from ..observe.counters import Counters
-from ..observe.events import say
-from .driver import Driver
-from .engine import Attempt, Done, Ending, Fleet, Link, Want
+from ..dispatch.event_loop_driver import Driver
+from ..engines.connection import Attempt, Done, Ending, Fleet, Link, Want
+from ..observability.counters import Counters
+from ..observability.events import log_event
 
 # Guards against answers that cross the client's giving up. The module looks at what it holds every 50 ms and
 # aims for 60 ms before the end, by the time of its batch, which comes later than the request.
@@ -192,7 +192,7 @@
                     return self.last_answer()
                 case Overdue():  # guards the client's one answer against a decision that never comes
                     self.counters["overdue"] += 1
-                    say("broker", f"no decision on {self.spec.name} within {query.allow:.3f} s")
+                    log_event("broker", f"no decision on {self.spec.name} within {query.allow:.3f} s")
                     return self.last_answer()
 
     def send(self, send: api.Send) -> None:
--- a/applevale/rigs/fleet.py
+++ b/applevale/rigs/fleet.py
@@ -33,8 +33,8 @@
 
 PREFIX = "applevale/engines/"
 IMPORTS = (
-    "import time, applevale.__main__, applevale.sources.registry.source, "
-    "applevale.sources.registry.etcd, structlog; print(time.monotonic())"
+    "import time, applevale.__main__, applevale.discovery.registry.source, "
+    "applevale.discovery.registry.etcd, structlog; print(time.monotonic())"
 )
 LAST_WORD = 0.3  # s before its client gives up in which a request without a decision has its answer
 QUIET = 8.0  # s within which every list is the registry's, at a quiet point
--- a/applevale/rigs/registry.py
+++ b/applevale/rigs/registry.py
@@ -16,10 +16,10 @@
 from dataclasses import dataclass
 from random import Random
 
+from ..discovery.endpoints import Names
+from ..discovery.registry.messages import range_end
+from ..discovery.registry.records import Ledger, RecordError, digest, read_record
 from ..interface import State
-from ..sources.members import Names
-from ..sources.registry.messages import range_end
-from ..sources.registry.records import Ledger, RecordError, digest, read_record
 from ..standins import consul, etcd
 from ..standins.clients import Clients
 from ..standins.engine import StandinEngine
--- /dev/null
+++ b/applevale/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Start, wiring, reload and shutdown of the program."""
--- a/applevale/node/app.py
+++ b/applevale/runtime/application.py
@@ -14,28 +14,28 @@
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..control.bans import Bans
-from ..control.calls import MOST_CALLS
-from ..control.figures import Figures
-from ..control.shared import SharedBans
-from ..observe.counters import Counters
-from ..observe.events import always, say, tell
+from ..admin.ejection_store import SharedBans
+from ..admin.ejections import Bans
+from ..admin.metrics import Figures
+from ..admin.routes import MOST_CALLS
+from ..config.loader import Config, ConfigError, load
+from ..discovery.control_feed import Feed, FeedError
+from ..discovery.endpoints import Change, Source
+from ..discovery.gated_endpoints import HeldList
+from ..dispatch.event_loop_driver import Driver
+from ..engines.connection import Fleet
+from ..observability.counters import Counters
+from ..observability.events import emit_event, log_event, log_unlimited
 from ..policy import Gateway
-from ..sources.feed import Feed, FeedError
-from ..sources.members import Change, Source
-from .broker import Broker
-from .config import Config, ConfigError, load
-from .driver import Driver
-from .engine import Fleet
-from .front import Front
-from .held import HeldList
+from ..requests.handler import Broker
+from ..server.connection import Front
 
 if TYPE_CHECKING:
-    from ..sources.registry.source import RegistrySource
-    from .datagrams import Datagrams
-    from .members import Members
-    from .openings import Openings
-    from .peers import Peers
+    from ..discovery.registry.source import RegistrySource
+    from ..engines.connect_pacer import Openings
+    from ..gossip.exchange import Peers
+    from ..membership.runner import Members
+    from ..net.datagrams import Datagrams
 
 BACKLOG = 512
 PAUSE = 0.01  # s of garbage collection from which it is logged
@@ -60,7 +60,9 @@
         if phase == "start":
             self.start = now
         elif now - self.start > PAUSE:
-            say("loop", f"collecting generation {info['generation']} took {(now - self.start) * 1000:.0f} ms")
+            log_event(
+                "loop", f"collecting generation {info['generation']} took {(now - self.start) * 1000:.0f} ms"
+            )
 
 
 def ban_path(at: tuple[str, int]) -> str:
@@ -144,7 +146,7 @@
         """Probes, /ready and who reads along are told the same, as it turns."""
         ready = self.serving()
         if ready != self.front.ready:
-            tell("ready", ready=ready)
+            emit_event("ready", ready=ready)
         self.front.ready = ready
 
     # What the operators' door works on (control.calls.Operated).
@@ -191,17 +193,17 @@
         config = self.config
         if config.engine_connects is None:
             return None
-        from .openings import Openings, Ramp  # not loaded where it is not used
+        from ..engines.connect_pacer import Openings, Ramp  # not loaded where it is not used
 
         ramp = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
-        return Openings(ramp, self.fleet, self.driver, self.list, self.welcome)
+        return Openings(ramp, self.fleet, self.driver.post, self.list, self.welcome)
 
     def _guide(self) -> api.Guide | None:
         """Preference among zones, where a zones file is named."""
         config = self.config
         if config.zones is None:
             return None
-        from ..zones.guide import ZoneGuide  # not loaded where it is not used
+        from ..zones.zone_router import ZoneGuide  # not loaded where it is not used
 
         classes = tuple(spec.name for spec in config.settings.classes)
         return ZoneGuide(config.zones, config.names.zones, classes, config.settings.zone, self.counters)
@@ -216,8 +218,8 @@
             or not (settings.may_tell_peers and settings.gateways > 1)
         ):
             return None
-        from .news import News  # neither is loaded where it is not used
-        from .peers import Peers
+        from ..gossip.exchange import Peers
+        from ..gossip.load_reports import News  # neither is loaded where it is not used
 
         news = News(settings.report_columns, settings.gateways - 1, settings.peer_price, self.config.seed)
         peers = Peers(self._datagram_socket(), news, self.driver, self.counters)
@@ -226,7 +228,7 @@
 
     def _datagram_socket(self) -> Datagrams:
         """One for all parts that speak with other workload managers."""
-        from .datagrams import Datagrams
+        from ..net.datagrams import Datagrams
 
         config = self.config
         if self.datagrams is None:
@@ -240,9 +242,9 @@
         config = self.config
         if config.membership is None:
             return None
-        from ..membership.machine import Membership, Pace  # not loaded where it is not used
+        from ..membership.protocol import Membership, Pace  # not loaded where it is not used
+        from ..membership.runner import Members, new_life
         from ..membership.shares import Shares
-        from .members import Members, new_life
 
         count = len(config.peers.each)
         machine = Membership(
@@ -261,7 +263,9 @@
         config = self.config
         if config.registry is None:
             return None
-        from ..sources.registry.source import RegistrySource  # its libraries cost memory where it is not used
+        from ..discovery.registry.source import (
+            RegistrySource,  # its libraries cost memory where it is not used
+        )
 
         source = RegistrySource(
             config.registry,
@@ -289,7 +293,7 @@
             self.registry.note()
         if self.members is not None:
             self.members.show()
-        self.counters.show()
+        self.counters.dump()
 
     def show_often(self) -> None:
         self.show()
@@ -321,7 +325,7 @@
             for change in known:
                 self.feed.take(change)
         except FeedError as error:  # a gap: the feed tells what lies in it
-            say("reload", f"known: {error}")
+            log_event("reload", f"known: {error}")
 
     def reload(self) -> None:
         """Takes the new configuration, or keeps the old one as it is."""
@@ -332,7 +336,7 @@
             if others:
                 raise ConfigError(f"another one's {', '.join(others)}")
         except ConfigError as error:
-            say("reload", f"the old configuration stays: {error}")
+            log_event("reload", f"the old configuration stays: {error}")
             self.stats.reloaded(False)
             return
         self.counters["reloads"] += 1
@@ -345,16 +349,16 @@
             if getattr(config, key) != getattr(self.config, key)
         ]
         if fixed:
-            say("reload", f"takes effect at the next start only: {', '.join(fixed)}")
+            log_event("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
     def _move(self, config: Config) -> None:
         if (config.registry is None) != (self.registry is None):
-            say("reload", "takes effect at the next start only: registry")
+            log_event("reload", "takes effect at the next start only: registry")
             return
         try:
             self.source.move(config.feed if self.registry is None else config.registry)
         except ValueError as error:
-            say("reload", f"the list is followed as before: {error}")
+            log_event("reload", f"the list is followed as before: {error}")
 
     async def close(self, since: float) -> None:
         """Answers what came until a moment after SIGTERM, and does not stay until it is killed."""
@@ -400,7 +404,7 @@
     node.front.accepting = asyncio.create_task(node.front.accept(listener))
     door = None
     if door_listener is not None:
-        from ..control.door import Door  # its library costs memory and time at the start where it is not used
+        from ..admin.server import Door  # its library costs memory and time at the start where it is not used
 
         door = asyncio.create_task(Door(node, node.counters, node.door_calls).serve(door_listener))
         node.watch_bans()
@@ -413,7 +417,9 @@
     gc.set_threshold(1_000, 8, 10)
     gc.callbacks.append(Pauses())
     node.started(begun)
-    always("listening", f"{config.name} listens on {host}:{port}", host=host, port=port, pid=os.getpid())
+    log_unlimited(
+        "listening", f"{config.name} listens on {host}:{port}", host=host, port=port, pid=os.getpid()
+    )
     try:
         await node.leaving.wait()
         node.welcome()
@@ -430,4 +436,4 @@
             if part is not None:
                 part.stop()
         await node.source.stop()
-        node.counters.show()
+        node.counters.dump()
--- /dev/null
+++ b/applevale/server/__init__.py
@@ -0,0 +1,1 @@
+"""The clients' side: MessagePack-RPC over TCP."""
--- a/applevale/node/front.py
+++ b/applevale/server/connection.py
@@ -13,14 +13,14 @@
 import msgpack
 
 from .. import interface as api
-from ..control.drain import CROSSING, TAKES, Drain
-from ..control.figures import Figures
-from ..observe.counters import Counters
-from ..observe.events import say
-from .arrivals import Source
-from .broker import Broker, Failed, Query, Refused, Served
-from .driver import Driver
-from .outbox import Outbox
+from ..admin.draining import CROSSING, TAKES, Drain
+from ..admin.metrics import Figures
+from ..dispatch.arrival_order import Source
+from ..dispatch.event_loop_driver import Driver
+from ..net.write_queue import Outbox
+from ..observability.counters import Counters
+from ..observability.events import log_event
+from ..requests.handler import Broker, Failed, Query, Refused, Served
 from .statement import table_group
 
 MOST_MESSAGE = 256 * 1024  # bytes of one message
@@ -206,7 +206,7 @@
             except BlockingIOError:  # the caller has gone
                 continue
             except OSError as error:  # guards against no descriptor being free
-                say("accept", str(error))
+                log_event("accept", str(error))
                 await asyncio.sleep(0.01)
                 continue
             self.take(sock, asked, not queue.poll(0))  # else more connections wait in the system's queue
@@ -365,7 +365,7 @@
 
     def stop(self, why: str) -> None:
         if why:
-            say("client", why)
+            log_event("client", why)
         self.front.held -= self.outbox.drop() + self.unread
         self.unread = 0
         task = self.front.connections.pop(self, None)
@@ -389,7 +389,7 @@
             self.counters["connections_reset"] += 1
         except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
             self.counters["bad_messages"] += 1
-            say("client", f"{type(error).__name__}: {str(error)[:80]}")
+            log_event("client", f"{type(error).__name__}: {str(error)[:80]}")
             await self._leave()
         finally:
             self._give_up()
@@ -482,7 +482,7 @@
                 if call is not None:  # else its answer is on its way
                     task, query = call
                     spent = now - query.arrived
-                    say("client", f"gave call {number} up after {spent:.3f} of {query.allow:.3f} s")
+                    log_event("client", f"gave call {number} up after {spent:.3f} of {query.allow:.3f} s")
                     task.cancel()
                     self.release(number)
             case _:
@@ -507,7 +507,7 @@
         except BadField as error:
             self.counters["bad_requests"] += 1
             self.faults += 1
-            say("request", str(error))
+            log_event("request", str(error))
             self.send(reply(number, ["Error", {}], None))
             return
         if query.key and not front.driver.arrivals.sure(query.key, self.source, self.since, now):
@@ -531,7 +531,7 @@
                 answer = await front.broker.serve(query)
         except Exception as error:  # guards the client's answer against our own faults
             self.counters["broker_errors"] += 1
-            say("broker", f"{type(error).__name__}: {error}")
+            log_event("broker", f"{type(error).__name__}: {error}")
             answer = Failed()
         self.release(number)
         self.answer(number, answer, query)
--- a/applevale/sources/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Where the engine list comes from: each source tells changes of one form (members.py)."""
--- a/applevale/standins/consul.py
+++ b/applevale/standins/consul.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from ..sources.registry.messages import range_end
+from ..discovery.registry.messages import range_end
 from .store import Store
 
 
--- a/applevale/standins/engine.py
+++ b/applevale/standins/engine.py
@@ -10,7 +10,7 @@
 
 import hiredis
 
-from ..node.engine import command as resp
+from ..engines.connection import command as resp
 
 ROWS = b"1\tstation\t2.5\n2\tstation\t3.5\n"
 MOST_BYTES = 65536
--- a/applevale/standins/etcd.py
+++ b/applevale/standins/etcd.py
@@ -12,7 +12,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
-from ..sources.registry import messages as m
+from ..discovery.registry import messages as m
 from .capacity import Capacity
 from .store import Compacted, Store, Version
 
--- a/applevale/zones/guide.py
+++ b/applevale/zones/zone_router.py
@@ -16,7 +16,7 @@
 
 from .. import interface as api
 from .health import Health, lost_zones
-from .phases import Course, Phase
+from .recovery import Course, Phase
 from .settings import Zones
 from .spill import Window
 
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -3,11 +3,11 @@
 import sys
 
 from applevale.__main__ import main
+from applevale.discovery.registry.watcher import Follower, Watch
 from applevale.membership import messages
-from applevale.membership.machine import KEEP_NEWS, Membership
-from applevale.node.app import Node
-from applevale.sources.registry.follower import Follower, Watch
-from applevale.startup.promise import Promise
+from applevale.membership.protocol import KEEP_NEWS, Membership
+from applevale.runtime.application import Node
+from applevale.startup.staleness_guard import Promise
 
 
 def ignore_compaction(self, now, number):
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from applevale.node.arrivals import CATCH_UP, KEPT, SPACING, TICK, Arrivals, Source
+from applevale.dispatch.arrival_order import CATCH_UP, KEPT, SPACING, TICK, Arrivals, Source
 
 
 def on_time(arrivals, start, count):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,13 +10,14 @@
 from hypothesis import strategies as st
 
 from applevale import interface as api
-from applevale.control import bans, shared
-from applevale.control.calls import answer
-from applevale.control.door import MOST_CALLS, Door
-from applevale.control.figures import Figures
-from applevale.node.held import HeldList
-from applevale.observe.counters import Counters
-from applevale.sources.members import Change, Member
+from applevale.admin import ejection_store as shared
+from applevale.admin import ejections as bans
+from applevale.admin.metrics import Figures
+from applevale.admin.routes import answer
+from applevale.admin.server import MOST_CALLS, Door
+from applevale.discovery.endpoints import Change, Member
+from applevale.discovery.gated_endpoints import HeldList
+from applevale.observability.counters import Counters
 
 
 class Operated:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,10 +11,13 @@
 from test_driver import Module
 
 from applevale import interface as api
-from applevale.node import broker, config, engine, front
-from applevale.node.driver import Driver
-from applevale.observe.counters import Counters
-from applevale.sources import members
+from applevale.discovery import endpoints as members
+from applevale.dispatch.event_loop_driver import Driver
+from applevale.engines import connection as engine
+from applevale.engines.limits import ConnectionLimits
+from applevale.observability.counters import Counters
+from applevale.requests import handler as broker
+from applevale.server import connection as front
 
 SAFE = api.ClassSpec("read", deadline=30.0)
 ONCE = api.ClassSpec("write", deadline=30.0, repeat=api.Repeat.UNSAFE)
@@ -68,7 +71,7 @@
 
     def __init__(self, server, grace=0.2):
         self.server = server
-        self.fleet = engine.Fleet(config.LinkLimits(32, 15.0, 5.0, grace=grace), (), 8, Counters())
+        self.fleet = engine.Fleet(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
         self.driver = Driver(Module(), self.fleet, self.fleet.counters)
         self.broker = broker.Broker(self.driver, self.fleet, SETTINGS, self.fleet.counters)
         self.ends = []
@@ -250,7 +253,7 @@
 
     async def steps(scene):
         scene.server.let.clear()
-        scene.fleet.limits = config.LinkLimits(32, 15.0, 5.0, handshake_price=1.0, grace=0.2)  # one link
+        scene.fleet.limits = ConnectionLimits(32, 15.0, 5.0, handshake_price=1.0, drain_grace=0.2)  # one link
         for number in range(30):
             scene.want(b"%d" % number, b"x" * 800_000)
             await asyncio.sleep(0.002)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,11 +9,11 @@
 import uvloop
 from test_node import Client, Node, probed, until
 
-from applevale.control.drain import CROSSING, TAKES, Drain
-from applevale.node.broker import Refused, Served
-from applevale.node.driver import Driver
-from applevale.node.front import Front
-from applevale.observe.counters import Counters
+from applevale.admin.draining import CROSSING, TAKES, Drain
+from applevale.dispatch.event_loop_driver import Driver
+from applevale.observability.counters import Counters
+from applevale.requests.handler import Refused, Served
+from applevale.server.connection import Front
 
 
 def test_a_drain_takes_requests_for_a_while_and_lasts_until_it_is_ended():
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -5,10 +5,11 @@
 import helpers
 
 from applevale import interface as api
-from applevale.node import broker, engine
-from applevale.node.driver import Driver
-from applevale.observe.counters import Counters
+from applevale.dispatch.event_loop_driver import Driver
+from applevale.engines import connection as engine
+from applevale.observability.counters import Counters
 from applevale.policy import Gateway
+from applevale.requests import handler as broker
 
 
 class Module:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,30 +4,30 @@
 
 import pytest
 
-from applevale.node.config import ConfigError, _json_log
-from applevale.observe import events
+from applevale.config.loader import ConfigError, _json_log
+from applevale.observability import events
 
 
 @pytest.fixture
 def clock(monkeypatch):
     at = [100.0]
-    monkeypatch.setattr(events, "_kinds", {})
+    monkeypatch.setattr(events, "_windows", {})
     monkeypatch.setattr(events.time, "monotonic", lambda: at[0])
     yield at
-    events.as_lines()
+    events.use_console()
 
 
 def test_on_the_console_a_line_is_kind_and_text(clock, capsys):
-    events.say("link", "lost", engine=3)
-    events.tell("ready", ready=True)
-    events.always("listening", "x listens", port=1)
+    events.log_event("link", "lost", engine=3)
+    events.emit_event("ready", ready=True)
+    events.log_unlimited("listening", "x listens", port=1)
     assert capsys.readouterr().err == "link: lost\nx listens\n"
 
 
 def test_json_lines_hold_the_fields_the_steady_time_and_the_instance(clock, capsys):
-    events.as_json("n3")
-    events.say("link", "lost", engine=3)
-    events.tell("ready", ready=True)
+    events.use_json("n3")
+    events.log_event("link", "lost", engine=3)
+    events.emit_event("ready", ready=True)
     lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
     assert lines == [
         {"at": 100.0, "instance": "n3", "event": "link", "text": "lost", "engine": 3},
@@ -38,13 +38,13 @@
 @pytest.mark.parametrize("form", ["console", "json"])
 def test_a_kind_leaves_five_lines_in_a_span_and_then_how_many_were_left_out(clock, capsys, form):
     if form == "json":
-        events.as_json("n")
+        events.use_json("n")
     for at in range(12):
-        events.say("flood", f"line {at}")
-        events.say("other", "one") if at == 0 else None
-    assert len(capsys.readouterr().err.splitlines()) == events.MOST + 1
-    clock[0] += events.SPAN
-    events.say("flood", "later")
+        events.log_event("flood", f"line {at}")
+        events.log_event("other", "one") if at == 0 else None
+    assert len(capsys.readouterr().err.splitlines()) == events.MAX_LINES_PER_KIND + 1
+    clock[0] += events.RATE_WINDOW_SECONDS
+    events.log_event("flood", "later")
     left_out, later = capsys.readouterr().err.splitlines()
     assert "7 more lines were left out" in left_out and "later" in later
 
@@ -54,6 +54,6 @@
     assert _json_log({"log": "json"}, {}) and _json_log({"log": "console"}, {"BALANCER_LOG": "json"})
     with pytest.raises(ConfigError, match="^log: console or json is needed, not 'yaml'$"):
         _json_log({"log": "yaml"}, {})
-    monkeypatch.setattr("applevale.node.config.find_spec", lambda name: None)
+    monkeypatch.setattr("applevale.config.loader.find_spec", lambda name: None)
     with pytest.raises(ConfigError, match="^log: structlog is missing"):
         _json_log({"log": "json"}, {})
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from applevale import interface as api
-from applevale.sources.members import Names
-from applevale.sources.registry import follower as f
-from applevale.sources.registry.records import Ledger
+from applevale.discovery.endpoints import Names
+from applevale.discovery.registry import watcher as f
+from applevale.discovery.registry.records import Ledger
 
 NAMES = Names(("a", "b"), ("std",))
 
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -5,10 +5,10 @@
 
 from applevale import interface as api
 from applevale import policy
-from applevale.node.engine import Fleet
-from applevale.observe.counters import Counters
-from applevale.sources.feed import Feed, FeedError
-from applevale.sources.members import Change, Member, Names
+from applevale.discovery.control_feed import Feed, FeedError
+from applevale.discovery.endpoints import Change, Member, Names
+from applevale.engines.connection import Fleet
+from applevale.observability.counters import Counters
 
 READY, GONE = api.State.READY, api.State.GONE
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,17 +11,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from applevale.config import loader as config
 from applevale.emulator.membership import Fleet
 from applevale.membership import messages as m
 from applevale.membership.bucket import DEPTH, RATE, Bucket
-from applevale.membership.machine import Membership, Pace, Send, Stand, Turned
 from applevale.membership.messages import Kind, Message, News, Record, Status, Words
+from applevale.membership.protocol import Membership, Pace, Send, Stand, Turned
+from applevale.membership.runner import Members
 from applevale.membership.shares import SETTLED, Shares
 from applevale.membership.suspicion import LEAD, Suspicion, Times
-from applevale.node import config
-from applevale.node.datagrams import Datagrams
-from applevale.node.members import Members
-from applevale.observe.counters import Counters
+from applevale.net.datagrams import Datagrams
+from applevale.observability.counters import Counters
 from applevale.verify import membership as verify
 from applevale.verify.history import History
 from tests.planted import MEMBERS
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -10,13 +10,22 @@
 from hypothesis import strategies as st
 
 from applevale import interface as api
-from applevale.node import config
-from applevale.node.datagrams import Datagrams
-from applevale.node.driver import Driver
-from applevale.node.engine import Fleet
-from applevale.node.news import HEAD, LEAST_BYTES, MOST_BYTES, MOST_ROOM, RENEW, News, NewsError, mark
-from applevale.node.peers import Peers
-from applevale.observe.counters import Counters
+from applevale.config import loader as config
+from applevale.dispatch.event_loop_driver import Driver
+from applevale.engines.connection import Fleet
+from applevale.gossip.exchange import Peers
+from applevale.gossip.load_reports import (
+    HEAD,
+    LEAST_BYTES,
+    MOST_BYTES,
+    MOST_ROOM,
+    RENEW,
+    News,
+    NewsError,
+    mark,
+)
+from applevale.net.datagrams import Datagrams
+from applevale.observability.counters import Counters
 
 COLUMNS = ("active", "cpu", "x1")
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,9 +12,12 @@
 from hypothesis import strategies as st
 
 from applevale import interface as api
-from applevale.node import config, engine, front
-from applevale.node.statement import table_group
-from applevale.sources import feed, members
+from applevale.config import loader as config
+from applevale.discovery import control_feed as feed
+from applevale.discovery import endpoints as members
+from applevale.engines import connection as engine
+from applevale.server import connection as front
+from applevale.server.statement import table_group
 
 NAMES = members.Names(("here",), ("a", "b"))
 EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,9 +8,10 @@
 from toy_engine import answer, rows
 
 from applevale import interface as api
-from applevale.node import config, engine
-from applevale.observe.counters import Counters
-from applevale.sources import members
+from applevale.discovery import endpoints as members
+from applevale.engines import connection as engine
+from applevale.engines.limits import ConnectionLimits
+from applevale.observability.counters import Counters
 
 GOOD = b"".join(rows(3))
 
@@ -88,7 +89,7 @@
 
 
 def test_a_new_engine_at_an_old_address_shares_nothing_with_the_old_one():
-    links = config.LinkLimits(32, 15.0, 0.25)
+    links = ConnectionLimits(32, 15.0, 0.25)
     fleet, ends, address = engine.Fleet(links, (), 8, Counters()), [], ("127.0.0.1", 1)
     for number in (1, 2):
         fleet.update(members.Change(number, False, (members.Member(api.EngineEntry(number), address),)))
@@ -103,7 +104,7 @@
 @pytest.mark.parametrize("price,quiet", [(0.0, 3.0), (0.011, 3.0), (0.08, 12.0)])
 def test_links_are_asked_seldom_where_a_probe_is_dear_but_not_once_one_was_spoilt(price, quiet):
     async def main():
-        fleet = engine.Fleet(config.LinkLimits(32, 15.0, 0.25, probe_price=price), (), 8, Counters())
+        fleet = engine.Fleet(ConnectionLimits(32, 15.0, 0.25, probe_price=price), (), 8, Counters())
         calm = fleet.quiet()
         fleet.spoilt()
         return calm, fleet.quiet()
@@ -114,7 +115,7 @@
 @pytest.mark.parametrize("price,links", [(0.0, 3), (0.08, 1)])
 def test_links_are_shared_where_handshakes_are_charged(price, links):
     async def main():
-        fleet = engine.Fleet(config.LinkLimits(32, 15.0, 0.25, price), (), 90, Counters())
+        fleet = engine.Fleet(ConnectionLimits(32, 15.0, 0.25, price), (), 90, Counters())
         fleet.update(members.Change(1, True, (members.Member(api.EngineEntry(1), ("127.0.0.1", 1)),)))
         one, ends = fleet.engines[1], []
         for ref in (b"1", b"2", b"3"):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -9,12 +9,12 @@
 import pytest
 import trustme
 
-from applevale.observe.counters import Counters
+from applevale.discovery.endpoints import Names
+from applevale.discovery.registry import settings as registry_settings
+from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
+from applevale.discovery.registry.source import RegistrySource
+from applevale.observability.counters import Counters
 from applevale.rigs.registry import Site
-from applevale.sources.members import Names
-from applevale.sources.registry import settings as registry_settings
-from applevale.sources.registry.snapshot import Snapshot, SnapshotError
-from applevale.sources.registry.source import RegistrySource
 from applevale.standins import consul, etcd
 from applevale.standins.gate import Gate, Mode
 from applevale.standins.store import Store
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from applevale.sources.members import Names
-from applevale.sources.registry import follower as f
-from applevale.sources.registry.records import Ledger
+from applevale.discovery.endpoints import Names
+from applevale.discovery.registry import watcher as f
+from applevale.discovery.registry.records import Ledger
+from applevale.startup.adaptive_backoff import Line
+from applevale.startup.connect_schedule import Ramp
 from applevale.startup.latency import Latency
-from applevale.startup.line import Line
-from applevale.startup.promise import Kept, Promise
-from applevale.startup.ramp import Ramp
+from applevale.startup.staleness_guard import Kept, Promise
 from applevale.verify.history import most_in
 
 
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -14,17 +14,18 @@
 import pytest
 
 from applevale import interface as api
-from applevale.control import bans, door
-from applevale.control.calls import answer
-from applevale.control.figures import Figures
+from applevale.admin import ejections as bans
+from applevale.admin import server as door
+from applevale.admin.metrics import Figures
+from applevale.admin.routes import answer
+from applevale.discovery.endpoints import Names
+from applevale.discovery.registry.records import read_record
+from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
 from applevale.emulator.experiment import Experiment, read_experiment
 from applevale.faults import schedule as faults
 from applevale.faults.fates import Fate
+from applevale.gossip.load_reports import News
 from applevale.membership import messages
-from applevale.node.news import News
-from applevale.sources.members import Names
-from applevale.sources.registry.records import read_record
-from applevale.sources.registry.snapshot import Snapshot, SnapshotError
 
 FIXTURES = Path(__file__).parent / "fixtures"
 STORED = json.loads((FIXTURES / "stored_formats.json").read_text())
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -9,11 +9,11 @@
 
 from applevale import interface as api
 from applevale.policy import Gateway
-from applevale.zones.guide import ZoneGuide
 from applevale.zones.health import SPAN, Health, lost_zones
-from applevale.zones.phases import Course, Phase
+from applevale.zones.recovery import Course, Phase
 from applevale.zones.settings import Return, Spill, Zones, ZonesError, read_zones
 from applevale.zones.spill import Window
+from applevale.zones.zone_router import ZoneGuide
 
 NAMES = ("east", "west", "north")
 ZONES = Zones(
