--- a/applevale/observability/counters.py
+++ b/applevale/observability/counters.py
@@ -1,4 +1,4 @@
-"""Counts of what the program takes in, sends and answers; logged every few seconds, on SIGUSR1 and at exit."""
+"""Counts of what the program takes in, sends and answers; logged regularly, on SIGUSR1 and at exit."""
 
 from __future__ import annotations
 
--- a/applevale/observability/events.py
+++ b/applevale/observability/events.py
@@ -2,8 +2,8 @@
 
 Invariants:
 
-- Of one kind at most `MAX_LINES_PER_KIND` lines are written in a window of time, whatever the form, so that bad
-  input cannot flood the log; the next line of that kind reports how many were left out.
+- Of one kind at most `MAX_LINES_PER_KIND` lines are written in a window of time, whatever the form, so that
+  bad input cannot flood the log; the next line of that kind reports how many were left out.
 - `emit_event` is for programs that follow the state of an instance; the console prints none of its events.
 - The console needs no library; structlog is loaded by `use_json` only.
 """
@@ -38,8 +38,8 @@
 def use_json(instance: str) -> None:
     """Write one JSON object a line from now on.
 
-    Its keys are `event`, `text` where there is one, the fields of the event, `at` (s, the monotonic clock that
-    all processes of a machine share) and `instance`.
+    Its keys are `event`, `text` where there is one, the fields of the event, `at` (s, the monotonic clock
+    that all processes of a machine share) and `instance`.
 
     Raises:
         ImportError: structlog is not installed.
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -24,6 +24,7 @@
     NewsError,
     mark,
 )
+from applevale.net.addresses import PeerAddresses
 from applevale.net.datagrams import Datagrams
 from applevale.observability.counters import Counters
 
@@ -228,8 +229,8 @@
         one, two, stranger = free(), free(), free()
         module, counters = Silent(), Counters()
         driver = Driver(module, Fleet(None, (), 0, counters), counters)
-        ours = Datagrams(config.PeerAddresses(one, (one, two), two), 0, Counters())
-        theirs = Datagrams(config.PeerAddresses(two, (one, two), one), 1, counters)
+        ours = Datagrams(PeerAddresses(one, (one, two), two), 0, Counters())
+        theirs = Datagrams(PeerAddresses(two, (one, two), one), 1, counters)
         here, there = Peers(ours, news(), driver, Counters()), Peers(theirs, news(), driver, counters)
         ours.start(), theirs.start()
         here.reported(1, (7.0, 0.5, 0.25))
