--- a/applevale/__init__.py
+++ b/applevale/__init__.py
@@ -1,1 +1,1 @@
-"""applevale: the decisions of a query gateway (see applevale/policy.py)."""
+"""applevale: a workload manager for query engines."""
--- a/applevale/benchlink.py
+++ b/applevale/benchlink.py
@@ -7,7 +7,7 @@
 import traceback
 
 from . import wire
-from .policy import Gateway
+from .policy import AdmissionController
 
 
 def _read(stream, size: int, what: str) -> bytes:
@@ -17,8 +17,10 @@
     return data
 
 
-def answer(decoder: wire.Decoder, gateways: dict[int, Gateway], clock: int, count: int, body: bytes) -> bytes:
-    """One batch in, one reply out. A gateway's events go to it together, in their order."""
+def answer(
+    decoder: wire.Decoder, gateways: dict[int, AdmissionController], clock: int, count: int, body: bytes
+) -> bytes:
+    """One batch in, one reply out. An instance's events go to it together, in their order."""
     waiting: dict[int, list] = {}
     records: list[bytes] = []
     now = clock / wire.NS
@@ -34,7 +36,7 @@
     for instance, event in decoder.batch(count, body):
         if isinstance(event, wire.Boot):
             waiting.pop(instance, None)
-            gateways[instance] = Gateway(wire.settings(event.settings), event.seed)
+            gateways[instance] = AdmissionController(wire.settings(event.settings), event.seed)
             waiting[instance] = []
         elif isinstance(event, wire.Down):
             waiting.pop(instance, None)
--- a/applevale/config/loader.py
+++ b/applevale/config/loader.py
@@ -11,8 +11,7 @@
 from importlib.util import find_spec
 from math import isfinite
 
-from .. import interface as api
-from .. import wire
+from .. import api, wire
 from ..discovery import control_feed as feed
 from ..discovery.endpoints import Change, Names
 from ..engines.limits import ConnectionLimits
--- a/applevale/discovery/control_feed.py
+++ b/applevale/discovery/control_feed.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from math import inf, isfinite
 
-from .. import interface as api
+from .. import api
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from .endpoints import Change, Member, Names
--- a/applevale/discovery/endpoints.py
+++ b/applevale/discovery/endpoints.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from .. import interface as api
+from .. import api
 
 
 @dataclass(frozen=True)
--- a/applevale/discovery/gated_endpoints.py
+++ b/applevale/discovery/gated_endpoints.py
@@ -10,7 +10,7 @@
 
 from dataclasses import replace
 
-from .. import interface as api
+from .. import api
 from .endpoints import Change
 
 
--- a/applevale/discovery/registry/records.py
+++ b/applevale/discovery/registry/records.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from ... import interface as api
+from ... import api
 from ..endpoints import Member, Names
 
 MOST_VALUE = 64 * 1024  # bytes of one record: more is no record, and is not parsed
--- a/applevale/dispatch/event_loop_driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from math import exp
 
-from .. import interface as api
+from .. import api
 from ..engines.connection import Fleet
 from ..observability.counters import Counters
 from ..observability.events import log_event
-from ..policy import Gateway
+from ..policy import AdmissionController
 from .arrival_order import TICK, Arrivals, Source
 
 # A pass over a long line costs the same for one event as for many, and must leave time for the sockets:
@@ -28,7 +28,7 @@
 GAP = (0.25, 1.0)  # s
 LATE_TIMES = 2.0
 
-ForRequest = api.Send | api.Terms | api.Refuse | api.Fail | api.Cancel
+ForRequest = api.Send | api.Terms | api.Reject | api.Fail | api.Cancel
 
 
 def one_list(events: list[api.Event]) -> list[api.Event]:
@@ -49,13 +49,17 @@
     """All that is ready in one turn of the loop goes to the module as one batch, never re-entrantly."""
 
     def __init__(
-        self, gateway: Gateway, fleet: Fleet, counters: Counters, clock: Callable[[], float] = time.time
+        self,
+        controller: AdmissionController,
+        fleet: Fleet,
+        counters: Counters,
+        clock: Callable[[], float] = time.time,
     ):
-        self.gateway, self.fleet, self.counters, self.clock = gateway, fleet, counters, clock
+        self.controller, self.fleet, self.counters, self.clock = controller, fleet, counters, clock
         self.routes: dict[int, Callable[[ForRequest], None]] = {}
         self.waiting: list[api.Event] = []
         self.lists = 0  # news of the engine list among them
-        self.news: dict[int, api.PeerNews] = {}  # of each engine as one, for the next batch
+        self.news: dict[int, api.PeerLoadReport] = {}  # of each engine as one, for the next batch
         self.latest = 0.0
         self.numbers = 0
         self.due = 0.0  # of the batch, by the loop's clock
@@ -94,11 +98,13 @@
         self.waiting.append(event)
         self.lists += isinstance(event, api.EngineList)
 
-    def heard(self, event: api.PeerNews) -> None:
+    def heard(self, event: api.PeerLoadReport) -> None:
         """A peer's news goes along with the next batch: it is no reason for one of its own."""
         former = self.news.get(event.engine, event)
         if former is not event:
-            event = api.PeerNews(event.engine, event.report or former.report, event.threads + former.threads)
+            event = api.PeerLoadReport(
+                event.engine, event.report or former.report, event.threads + former.threads
+            )
         self.news[event.engine] = event
 
     def delay(self) -> float:
@@ -115,7 +121,7 @@
         """Engines that the module avoids by its own choice for now. A rest ends by the clock, with no event
         to count, so this looks at each: once for a call of an operator."""
         now = self.now()
-        return {number for number, engine in self.gateway.engines.items() if engine.rest_until > now}
+        return {number for number, engine in self.controller.engines.items() if engine.rest_until > now}
 
     def tick(self) -> None:
         """Guards the order of keys: after a loop that stood still they wait until the rest is read."""
@@ -161,7 +167,7 @@
             log_event("loop", f"a batch ran {late * 1000:.0f} ms late")
         self.counters["batches"] += 1
         try:
-            actions = self.gateway.handle(self.now(), events)
+            actions = self.controller.handle(self.now(), events)
         except Exception:  # guards the other requests; those of this batch end by the broker's own timer
             self.counters["module_errors"] += 1
             log_event("module", traceback.format_exc())
@@ -172,7 +178,7 @@
 
     def _act(self, action: api.Action) -> None:
         match action:
-            case api.Send() | api.Terms() | api.Refuse() | api.Fail() | api.Cancel():
+            case api.Send() | api.Terms() | api.Reject() | api.Fail() | api.Cancel():
                 take = self.routes.get(action.request)
                 if take is not None:  # else its client has gone, and its attempt was given up with it
                     take(action)
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from math import inf
 
-from .. import interface as api
+from .. import api
 from ..discovery.gated_endpoints import HeldList
 from ..startup.connect_schedule import Ramp
 from .connection import Fleet
--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -13,8 +13,8 @@
 
 import hiredis
 
+from ..api import Result, State
 from ..discovery.endpoints import Change, Member
-from ..interface import Result, State
 from ..net.write_queue import Message, Outbox
 from ..observability.counters import Counters
 from ..observability.events import log_event
--- a/applevale/gossip/load_reports.py
+++ b/applevale/gossip/load_reports.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from .. import interface as api
+from .. import api
 
 SPEND = 0.03  # of a request's worth is the most that the news of it may cost, and
 SENDS_SPEND = 0.025  # the part of it for sends: where it does not suffice, a share is told for all of them
@@ -122,7 +122,7 @@
         self.room -= cost
         return data
 
-    def heard(self, now: float, data: bytes) -> list[api.PeerNews]:
+    def heard(self, now: float, data: bytes) -> list[api.PeerLoadReport]:
         """A peer's datagram as events; raises NewsError."""
         if len(data) < HEAD.size or data[0] != VERSION:
             raise NewsError(f"{len(data)} bytes that are no news of engines")
@@ -131,7 +131,7 @@
             raise NewsError(f"{len(data)} bytes that do not fit {data[1]} sends")
         sends = SENT.iter_unpack(data[HEAD.size : middle])
         events = [
-            api.PeerNews(engine, (), threads)
+            api.PeerLoadReport(engine, (), threads)
             for which, threads in sends
             for engine in self.marked.get(which, ())
         ]
@@ -139,7 +139,7 @@
             engines = self.marked.get(MARK.unpack_from(data, at)[0], ())
             figures = data[at + MARK.size : at + self.size]
             self.told.update((engine, Told(now, figures)) for engine in engines)
-            events += [api.PeerNews(engine, self._report(figures)) for engine in engines]
+            events += [api.PeerLoadReport(engine, self._report(figures)) for engine in engines]
         return events
 
     def _report(self, figures: bytes) -> tuple[float, ...]:
--- a/applevale/policy.py
+++ b/applevale/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of applevale (docs/design.md). The types it takes and gives are in applevale/interface.py.
+"""All decisions of applevale (docs/design.md). The types it takes and gives are in applevale/api.
 
 Cheap pass -> flag -> entropy-priced quota of the home engine -> an accepted flag waits for memory room; the
 rest takes the table-group route or is refused at once. `may_go` and `may_take` alone check a send's rules."""
@@ -11,10 +11,10 @@
 from operator import attrgetter
 from random import Random
 
-from . import interface as api
+from . import api
+from .api import Repeat, Result, Settings, State
 from .estimators import DecayingMean, EstimateCorrection, RunningMean, bounded_log
 from .hashing import stable_hash
-from .interface import Repeat, Result, Settings, State
 
 GAMMA, BETA, C_MIN = 1.0, 0.1, 0.2  # a flag's price (paper, section 4): by entropy, off by misses, the least
 WINDOW = 3.0  # s between refills, and over which reports fade: a few queries of the longest common kind
@@ -29,11 +29,11 @@
 DENSE = (0.2, 0.65, 2.0)  # worth per work against the mean from which a request has rank 1, 2, 3
 CALM = 1.0  # threads a core up to which all but short work takes the first; past it the least loaded home
 OVERFULL = 4.5  # threads a core up to which short work goes past every bound; taken for what says "full"
-PROBES = (1.3, 4.0)  # that each request earns its gateway, most kept
+PROBES = (1.3, 4.0)  # that each request earns its instance, most kept
 PROBE_SPEND = (0.0143, 0.035)  # of a request's worth is the most that its probes may cost; if they alone tell
 FRESH, PROBE_WAIT = 0.4, 0.06  # s that a report is news; that a probe is waited for: silence is a bad sign
 SATURATED = 10.0  # threads a core added for each share past BUSY, where a share can no longer show the queue
-HOMES, LOOKS = 3, 6  # engines that gateways spread a group of tables over; that one request looks at
+HOMES, LOOKS = 3, 6  # engines that instances spread a group of tables over; that one request looks at
 STRIKES, ERRORS = 3, 2  # resets in a row that are a bad sign; engines whose errors end a request
 REST, EJECT_SHARE = (1.0, 8.0), 0.4  # s of rest after a bad sign: first, and the most; of engines, most
 TURN = 4.0  # times its usual run that a request must have left at its key's turn: run times scatter
@@ -44,7 +44,7 @@
 BUSY = 0.85  # share of the cores that counts as full
 SWEEP, LAST = 0.05, 0.06  # s between looks at what is held; before the client gives up, for our last answer
 RATIO_MOST = 20.0  # learners ignore ratios beyond this
-SPARE_REQUESTS = 1.5  # of a tenant's share that a gateway may be ahead, besides a second's worth
+SPARE_REQUESTS = 1.5  # of a tenant's share that an instance may be ahead, besides a second's worth
 HINT = (0.3, 1.5)  # s, retry hint: least and most
 
 
@@ -60,12 +60,12 @@
 class Attempt:
     def __init__(self, req, engine, now: float, grant: float):
         self.req, self.index, self.entry, self.at, self.grant = req, len(req.tries), engine.entry, now, grant
-        self.clock = now  # from when its age counts; moves on by the gateway's own gaps
+        self.clock = now  # from when its age counts; moves on by the instance's own gaps
         self.done, self.cut, self.told_trouble, self.blamed = None, False, False, False  # done: its result
 
 
-class Held:
-    """A request that this gateway has taken and not yet ended."""
+class PendingRequest:
+    """A request that this instance has taken and not yet ended."""
 
     def __init__(self, ask: api.Request, stats: ClassStats, now: float, memory_heeded: bool):
         self.ask, self.spec, self.at = ask, stats.spec, now
@@ -87,7 +87,7 @@
 
 
 class Engine:
-    """One engine as this gateway sees it: its own attempts, and what reports show of the others'."""
+    """One engine as this instance sees it: its own attempts, and what reports show of the others'."""
 
     def __init__(self, entry, settings: Settings, debt: float, now: float):
         self.out: dict[tuple[int, int], Attempt] = {}
@@ -116,7 +116,7 @@
         return self.settings.cold_share + (1 - self.settings.cold_share) * share * share
 
     def cold_fits(self, work: float, now: float) -> bool:
-        """A token bucket: guards against pushing a cold engine over, all gateways taken together."""
+        """A token bucket: guards against pushing a cold engine over, all instances taken together."""
         if self.entry.started <= 0 or (warmth := self.warmth(now)) >= 1.0:
             return True
         told = self.settings
@@ -140,17 +140,17 @@
         self.weights = [-2.0, 2.0, 1.0, 1.0, 1.0]
         self.misses: dict[tuple, float] = {}
 
-    def key(self, req: Held) -> tuple:
+    def key(self, req: PendingRequest) -> tuple:
         return (req.ask.cls, req.ask.tables, int(log(max(req.memory, 1.0), 2)))
 
     def model(self, features) -> float:
         return 1 / (1 + exp(-sum(w * x for w, x in zip(self.weights, features))))
 
-    def confidence(self, req: Held, now: float, *features: float) -> float:
+    def confidence(self, req: PendingRequest, now: float, *features: float) -> float:
         req.features = (1.0, *(min(1.0, max(0.0, value)) for value in features))
         return 1.0 if self.misses.get(self.key(req), 0.0) > now else self.model(req.features)
 
-    def learn(self, req: Held, trouble: bool, now: float) -> None:
+    def learn(self, req: PendingRequest, trouble: bool, now: float) -> None:
         if req.features:
             step = RATE * (trouble - self.model(req.features))
             self.weights = [max(-8.0, min(8.0, w + step * x)) for w, x in zip(self.weights, req.features)]
@@ -167,17 +167,17 @@
     return max(1 + GAMMA * h - BETA * misses, C_MIN)
 
 
-class Gateway:
-    def __init__(self, settings: Settings, seed: int = 0, guide: api.Guide | None = None):
-        self.settings, self.random, self.guide = settings, Random(seed), guide or api.Guide()
-        self.seed = self.random.getrandbits(48)  # spreads the gateways over a group's home engines
+class AdmissionController:
+    def __init__(self, settings: Settings, seed: int = 0, router: api.Router | None = None):
+        self.settings, self.random, self.router = settings, Random(seed), router or api.Router()
+        self.seed = self.random.getrandbits(48)  # spreads the instances over a group's home engines
         self.now, self.seen_at, self.actions = -inf, -inf, []
         self.stats = [ClassStats(c) for c in settings.classes]
         self.engines: dict[int, Engine] = {}
         self.orders: dict[tuple, list[Engine]] = {}  # by group of tables and bounds, of the present list
         self.cores, self.subscribed = 1.0, settings.discovery_push  # cores: of the ready engines
-        self.held: dict[int, Held] = {}
-        self.line: list[Held] = []
+        self.held: dict[int, PendingRequest] = {}
+        self.line: list[PendingRequest] = []
         self.rooms: list[float] = []  # thread bound by rank, in this pass over the line
         self.siblings: dict[int, float] = {}  # their threads a core by engine, in this batch
         self.turns: dict[int, deque] = {}  # key -> requests in order of arrival
@@ -268,7 +268,7 @@
         self.orders.clear()
         ready = [(e.entry, e.cores) for e in self.engines.values() if e.entry.state is State.READY]
         self.cores = sum(cores for _, cores in ready) or 1.0
-        self.guide.listed(self.now, ready)
+        self.router.on_engine_list(self.now, ready)
 
     def usual_load(self) -> tuple[float, float]:
         """Own and siblings' threads a core: by reports, else as if each had the own, at most calm."""
@@ -321,14 +321,14 @@
             engine.memory_used.add(self.now, max(0.0, min(told["memory_used"], 1.0) - own))
         self.last_trouble = self.now if told.get("waiting", 0) >= 1 else self.last_trouble
 
-    def on_peer_news(self, event: api.PeerNews) -> None:
+    def on_peer_news(self, event: api.PeerLoadReport) -> None:
         if (engine := self.engines.get(event.engine)) is not None:
             engine.sent.add(self.now, event.threads / engine.cores)
             self.sent.add(self.now, event.threads)
             if event.report:
                 self.take_report(engine, event.report)
 
-    def lacks_news(self, engine: Engine, req: Held) -> bool:
+    def lacks_news(self, engine: Engine, req: PendingRequest) -> bool:
         """Who looks before a send: trials; all, if each can pay; long work, if no answer tells of load."""
         long = self.blind and req.work >= self.work.value
         wanted = self.settings.may_probe and (engine.trial or self.looks or long)
@@ -346,7 +346,7 @@
     def on_probe(self, event: api.ProbeResult) -> None:
         if engine := self.engines.get(event.engine):
             engine.probe_at = inf
-            self.guide.ended(self.now, engine.entry, event.result)
+            self.router.on_result(self.now, engine.entry, event.result)
             if event.result in (Result.OK, Result.FULL):  # full: too many probes there, no news and no fault
                 self.take_report(engine, event.report)
             else:
@@ -358,7 +358,7 @@
         if ask.request in self.held or not 0 <= ask.cls < len(self.stats):
             return
         stats = self.stats[ask.cls]
-        req = Held(ask, stats, self.now, self.settings.memory_heeded)
+        req = PendingRequest(ask, stats, self.now, self.settings.memory_heeded)
         self.held[ask.request] = req
         self.taken.append(self.now)
         self.probe_room = min(self.probe_room + self.probe_rate, PROBES[1])
@@ -372,13 +372,13 @@
         req.rank = sum(dense >= level for level in DENSE)
         if req.spec.ordered and ask.key:
             self.turns.setdefault(ask.key, deque()).append(req)
-        if ask.unsure:  # sent or not, it could break the order; refused it cannot
+        if ask.order_unknown:  # sent or not, it could break the order; refused it cannot
             self.give_up(req)
             return
         self.flag(req)
         self.hold(req)  # the line is served at the end of the batch
 
-    def last_moment(self, req: Held) -> float:
+    def last_moment(self, req: PendingRequest) -> float:
         """When the final answer goes out, whatever is still under way; earlier where gaps were seen."""
         return req.until - LAST - min(self.seen_gap(), 0.3 * (req.until - req.at))
 
@@ -393,7 +393,7 @@
         self.tokens[tenant] = [level - inside, self.now]
         return 1.0 if inside else self.settings.over_share_worth
 
-    def flag(self, req: Held) -> None:
+    def flag(self, req: PendingRequest) -> None:
         """The cheap pass, the flag and its price; an accepted flag waits for memory room."""
         home = next((e for e in self.order(req) if self.usable(e)), None)
         if home is None or req.memory < SMALL * home.memory or self.now - self.last_trouble > WINDOW:
@@ -413,13 +413,13 @@
             home.quota -= cost
             req.accepted = True
 
-    def order(self, req: Held) -> list[Engine]:
-        """Engines it may use, one of its tables' homes first, by gateway (rendezvous hashing)."""
+    def order(self, req: PendingRequest) -> list[Engine]:
+        """Engines it may use, one of its tables' homes first, by instance (rendezvous hashing)."""
         key = group, _ = int(req.ask.tables * 16), req.ask.cls
         if key not in self.orders:
             order = [e for e in self.engines.values() if e.entry.state is State.READY and self.placed(req, e)]
             # A load takes the other end: it would stall its group's readers at their homes.
-            tiers = {e: self.guide.tier(req.ask.cls, e.entry.zone) for e in order}
+            tiers = {e: self.router.tier(req.ask.cls, e.entry.zone) for e in order}
             sign = -1 if req.spec.load else 1
             order.sort(key=lambda e: (tiers[e], sign * stable_hash(group, e.entry.engine)))
             near = sum(tier == tiers[order[0]] for tier in tiers.values())  # of the first choice of zones
@@ -431,7 +431,7 @@
             self.orders[key] = order
         return self.orders[key]
 
-    def placed(self, req: Held, engine: Engine) -> bool:
+    def placed(self, req: PendingRequest, engine: Engine) -> bool:
         return (req.spec.zones is None or engine.entry.zone in req.spec.zones) and (
             req.spec.kinds is None or engine.entry.kind in req.spec.kinds
         )
@@ -440,7 +440,7 @@
         ready = engine.entry.state is State.READY and engine.rest_until <= self.now
         return ready and not (engine.trial and engine.out)  # readmission by trickle: one attempt at a time
 
-    def route(self, req: Held) -> tuple[Engine | None, bool]:
+    def route(self, req: PendingRequest) -> tuple[Engine | None, bool]:
         """Table-group route: the first in the group's order with room; or whether a probe's answer is due."""
         if not self.may_go(req):
             return None, False
@@ -467,7 +467,7 @@
             if not shunned and load + more <= max(min(room, BOUND if short else CALM), 1.01 * more):
                 return engine, False
             if fits or (short and load < OVERFULL):
-                tier = self.guide.tier(req.ask.cls, engine.entry.zone)
+                tier = self.router.tier(req.ask.cls, engine.entry.zone)
                 spare.append((shunned, tier, looks > HOMES or not fits, load, engine.entry.engine))
         if self.settings.gateways > HOMES and len(spare) > 2:
             # Many who know the same would all take the emptiest at once, so each takes the better of two.
@@ -475,7 +475,7 @@
             spare = self.random.sample(spare, min(2, len(spare)))
         return self.engines[min(spare)[4]] if spare else None, False
 
-    def hold(self, req: Held) -> None:
+    def hold(self, req: PendingRequest) -> None:
         if len(self.line) >= MOST:
             self.give_up(req)
         elif not req.waiting:
@@ -486,7 +486,7 @@
         if not self.line:
             return
         self.line.sort(key=attrgetter("place"))
-        room = self.guide.room(self.now, self.cores / self.settings.gateways) * BUSY
+        room = self.router.available_rate(self.now, self.cores / self.settings.gateways) * BUSY
         # What stays the same over the pass is worked out once: the line may be long, and passes are many.
         self.rooms = [self.room(rank) for rank in range(len(DENSE) + 1)]
         slow = [min(max(stats.slow.value, 1.0), 1.5) for stats in self.stats]
@@ -508,7 +508,7 @@
                         nowhere[alike] = req.work
             # The at-once refusal: the line ahead takes longer than it can wait and still make its aim.
             hopeless = not asked and ahead > max(0.0, left) * room and not (req.accepted or req.rank == 3)
-            hopeless = hopeless or (engine is None and self.guide.full(now, req.ask.cls, req.work))
+            hopeless = hopeless or (engine is None and self.router.is_saturated(now, req.ask.cls, req.work))
             if engine is not None:
                 self.send(req, engine)
             elif hopeless or late or (left < 0 and not asked):
@@ -519,7 +519,7 @@
                 ahead += req.work
         self.line = kept
 
-    def turn_free(self, req: Held) -> bool:
+    def turn_free(self, req: PendingRequest) -> bool:
         if not (req.spec.ordered and req.ask.key):
             return True
         self.trim_turns(req.ask.key)
@@ -547,7 +547,7 @@
                     self.give_up(other)
                 start += takes
 
-    def may_go(self, req: Held) -> bool:
+    def may_go(self, req: PendingRequest) -> bool:
         """The rules that do not depend on the engine, for first attempts, retries and copies alike."""
         told = self.settings
         over = (
@@ -559,12 +559,12 @@
         )
         return not (over or self.spent(req)) and self.turn_free(req) and (not req.tries or self.in_budget())
 
-    def spent(self, req: Held) -> bool:
+    def spent(self, req: PendingRequest) -> bool:
         """It may have run, and may not run again: not at all, or not that late."""
         ran = None if req.spec.repeat is Repeat.SAFE else req.first_run()
         return bool(ran) and (req.spec.repeat is Repeat.UNSAFE or self.now >= ran.at + req.spec.repeat_window)
 
-    def may_take(self, req: Held, engine: Engine) -> bool:
+    def may_take(self, req: PendingRequest, engine: Engine) -> bool:
         """The rules that do."""
         spec, now = req.spec, self.now
         if engine.entry.state is not State.READY or not self.placed(req, engine):
@@ -573,7 +573,7 @@
         if ran and getattr(ran.entry, spec.group) != getattr(engine.entry, spec.group):
             return False
         # The cold budget last: it is worked out at each look.
-        may = self.guide.may_take(now, req.ask.cls, engine.entry.zone, req.work)
+        may = self.router.may_take(now, req.ask.cls, engine.entry.zone, req.work)
         return may and engine.cold_fits(req.work, now)
 
     def in_budget(self) -> bool:
@@ -583,7 +583,7 @@
         further, taken = (sum(at > since for at in times) for times in (self.further, self.taken))
         return further + 1 <= told.budget_free + told.budget_share * taken
 
-    def send(self, req: Held, engine: Engine) -> None:
+    def send(self, req: PendingRequest, engine: Engine) -> None:
         told = self.settings
         if told.ranks_heeded or told.memory_heeded:
             priority = max(req.rank, 2) if req.spec.load else req.rank  # others wait for the tables it holds
@@ -599,17 +599,17 @@
         if req.spec.load:
             engine.loads[req.ask.tables] = engine.loads.get(req.ask.tables, 0) + 1
         engine.cold_level -= req.work
-        self.guide.sent(self.now, engine.entry.zone, req.work)
+        self.router.on_send(self.now, engine.entry.zone, req.work)
         self.threads_out += req.spec.threads
         limited = not told.may_cancel and self.repeatable(req) and len(req.tries) < told.try_limit
         limit = min(2 * self.overdue(attempt), req.until - self.now) if limited else 0.0
-        draws = self.rooms[0] < BOUND and self.load(engine) < sum(self.usual_load())
-        self.do(api.Send(req.ask.request, engine.entry.engine, limit, draws))
+        announce = self.rooms[0] < BOUND and self.load(engine) < sum(self.usual_load())
+        self.do(api.Send(req.ask.request, engine.entry.engine, limit, announce))
 
-    def repeatable(self, req: Held) -> bool:
+    def repeatable(self, req: PendingRequest) -> bool:
         return req.spec.repeat is Repeat.SAFE and not req.streaming and not req.over
 
-    def expected(self, req: Held) -> float:
+    def expected(self, req: PendingRequest) -> float:
         return req.run * min(max(self.stats[req.ask.cls].slow.value, 1.0), 5.0)
 
     def overdue(self, attempt: Attempt) -> float:
@@ -617,19 +617,19 @@
         times = 2**attempt.index * exp(SCATTER * self.stats[attempt.req.ask.cls].scatter.value)
         return max(self.cut_least, OVERRUN * times * self.expected(attempt.req))
 
-    def give_up(self, req: Held) -> None:
+    def give_up(self, req: PendingRequest) -> None:
         """The one final answer of ours; at once, with a hint when to come back."""
         if req.over:
             return
         drops_repeats = req.spec.repeat is Repeat.KEYED and req.spec.group == "all"
         if drops_repeats or req.spec.repeat is Repeat.SAFE or not req.first_run():
             hint = min(self.random.uniform(*HINT), self.settings.max_retry_after)
-            self.do(api.Refuse(req.ask.request, hint if self.settings.retry_after else 0.0))
+            self.do(api.Reject(req.ask.request, hint if self.settings.retry_after else 0.0))
         else:
             self.do(api.Fail(req.ask.request))
         self.finish(req)
 
-    def finish(self, req: Held) -> None:
+    def finish(self, req: PendingRequest) -> None:
         req.over = True
         for attempt in req.tries:
             if attempt.done is None and not req.streaming:
@@ -637,7 +637,7 @@
         if not req.out:
             self.forget(req)
 
-    def forget(self, req: Held) -> None:
+    def forget(self, req: PendingRequest) -> None:
         self.held.pop(req.ask.request, None)
         req.tries.clear()  # they lead back to it: a cycle would wait for the collector
         if req.spec.ordered and req.ask.key and self.settings.order_gap:
@@ -650,9 +650,9 @@
     def rest_key(self, key: int, rest: float) -> None:
         self.key_rest[key] = max(self.key_rest.get(key, -inf), self.now + rest)
 
-    def on_answered(self, event: api.Answered) -> None:
-        self.rest_key(event.key, event.rest)
-        self.turn_gap = event.rest
+    def on_answered(self, event: api.AnswerSent) -> None:
+        self.rest_key(event.key, event.delivery_time)
+        self.turn_gap = event.delivery_time
         if event.request in self.held:  # an attempt of it has not ended yet
             self.held[event.request].answered = True
         elif event.key in self.unread:
@@ -680,7 +680,7 @@
         req, attempt.done = attempt.req, event.result
         req.out -= 1
         self.threads_out -= req.spec.threads
-        self.guide.ended(self.now, attempt.entry, event.result)
+        self.router.on_result(self.now, attempt.entry, event.result)
         engine = self.engines.get(attempt.entry.engine)
         if engine and engine.out.pop((event.request, event.attempt), None):
             engine.threads -= req.spec.threads
@@ -713,7 +713,7 @@
     def judge(self, engine: Engine, attempt: Attempt, event: api.Outcome) -> None:
         if event.result is Result.OK:
             engine.last_ok, engine.trial, engine.rest, engine.strikes = self.now, False, REST[0], 0
-        elif event.result is Result.FULL:  # overfull by all gateways together: no fault of its own
+        elif event.result is Result.FULL:  # overfull by all instances together: no fault of its own
             engine.news_at = self.now
             engine.others.add(self.now, OVERFULL)
         elif event.result is Result.CONNECT_FAILED:
@@ -808,13 +808,13 @@
     HANDLERS = {
         api.FleetSize: on_size,
         api.EngineList: on_list,
-        api.PeerNews: on_peer_news,
+        api.PeerLoadReport: on_peer_news,
         api.Outcome: on_outcome,
         api.ProbeResult: on_probe,
         api.Started: on_started,
         api.Note: on_note,
         api.Request: on_request,
         api.ClientGone: on_gone,
-        api.Answered: on_answered,
+        api.AnswerSent: on_answered,
         api.Timer: on_timer,
     }
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from .. import interface as api
+from .. import api
 from ..dispatch.event_loop_driver import Driver
 from ..engines.connection import Attempt, Done, Ending, Fleet, Link, Want
 from ..observability.counters import Counters
@@ -128,7 +128,7 @@
         """Each front tells this once for each query: its answer has left whole, or can reach no one."""
         number = self.unread.pop(query, None)
         if number is not None:
-            self.driver.post(api.Answered(number, query.key, self.driver.gap()))
+            self.driver.post(api.AnswerSent(number, query.key, self.driver.gap()))
 
 
 class Life:
@@ -181,7 +181,7 @@
                 case Done(body=rows):
                     self.answered = True
                     return Served(rows)
-                case api.Refuse(retry_in=after):
+                case api.Reject(retry_after=after):
                     self.answered = True
                     return self.or_served(Refused(after))
                 case api.Fail():
@@ -200,7 +200,7 @@
         index, engine, sent = self.tries, send.engine, self.driver.now()
         self.tries += 1
         loop = asyncio.get_running_loop()
-        limit = by = min(send.try_for or inf, self.left())
+        limit = by = min(send.timeout or inf, self.left())
         if self.spec.repeat is api.Repeat.KEYED:  # once it may have run, only so long may another be begun
             by = min(by, self.ran_at + self.spec.repeat_window - sent)
         timer: asyncio.TimerHandle | None = None
@@ -245,7 +245,7 @@
         if attempt.link is not None:  # a second copy of its answer must not be taken for the next attempt's
             self.avoid.add(attempt.link)
         if not attempt.over:
-            if send.draws:
+            if send.announce:
                 self.fleet.sent(engine, self.spec.threads)
             self.out = attempt
             timer = loop.call_later(max(0.0, limit), attempt.give_up, api.Result.TIMEOUT)
--- a/applevale/rigs/registry.py
+++ b/applevale/rigs/registry.py
@@ -16,10 +16,10 @@
 from dataclasses import dataclass
 from random import Random
 
+from ..api import State
 from ..discovery.endpoints import Names
 from ..discovery.registry.messages import range_end
 from ..discovery.registry.records import Ledger, RecordError, digest, read_record
-from ..interface import State
 from ..standins import consul, etcd
 from ..standins.clients import Clients
 from ..standins.engine import StandinEngine
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from .. import interface as api
+from .. import api
 from ..admin.ejection_store import SharedBans
 from ..admin.ejections import Bans
 from ..admin.metrics import Figures
@@ -26,7 +26,7 @@
 from ..engines.connection import Fleet
 from ..observability.counters import Counters
 from ..observability.events import emit_event, log_event, log_unlimited
-from ..policy import Gateway
+from ..policy import AdmissionController
 from ..requests.handler import Broker
 from ..server.connection import Front
 
@@ -105,8 +105,8 @@
         links = max(1, config.sockets - half - RESERVE - self.door_calls)
         self.fleet = Fleet(config.links, config.settings.report_columns, links, self.counters)
         self.fleet.local = config.local
-        gateway = Gateway(config.settings, config.seed, self._guide())
-        self.driver = Driver(gateway, self.fleet, self.counters)
+        controller = AdmissionController(config.settings, config.seed, self._router())
+        self.driver = Driver(controller, self.fleet, self.counters)
         self.broker = Broker(self.driver, self.fleet, config.settings, self.counters)
         self.front = Front(
             self.broker, self.driver, config.settings, half, int(config.memory * HELD), self.counters
@@ -119,8 +119,8 @@
         self.stats = self._figures()
         self.openings = self._openings()
         self.datagrams: Datagrams | None = None
-        self.peers = self._peers(gateway)
-        self.members = self._members(gateway)
+        self.peers = self._peers(controller)
+        self.members = self._members(controller)
         self.registry = self._follow_registry()
         first = config.known[0].number - 1 if config.known else 0
         self.feed = Feed(first, config.names, self.counters, self.tell, config.feed)
@@ -198,23 +198,23 @@
         ramp = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
         return Openings(ramp, self.fleet, self.driver.post, self.list, self.welcome)
 
-    def _guide(self) -> api.Guide | None:
+    def _router(self) -> api.Router | None:
         """Preference among zones, where a zones file is named."""
         config = self.config
         if config.zones is None:
             return None
-        from ..zones.zone_router import ZoneGuide  # not loaded where it is not used
+        from ..zones.zone_router import ZoneRouter  # not loaded where it is not used
 
         classes = tuple(spec.name for spec in config.settings.classes)
-        return ZoneGuide(config.zones, config.names.zones, classes, config.settings.zone, self.counters)
+        return ZoneRouter(config.zones, config.names.zones, classes, config.settings.zone, self.counters)
 
-    def _peers(self, gateway: Gateway) -> Peers | None:
+    def _peers(self, controller: AdmissionController) -> Peers | None:
         """News of load from peers, where looking at engines before each send is too dear."""
         addresses, settings = self.config.peers, self.config.settings
         if (
             addresses is None
             or addresses.everyone is None
-            or gateway.looks
+            or controller.looks
             or not (settings.may_tell_peers and settings.gateways > 1)
         ):
             return None
@@ -237,7 +237,7 @@
             )
         return self.datagrams
 
-    def _members(self, gateway: Gateway) -> Members | None:
+    def _members(self, controller: AdmissionController) -> Members | None:
         """Who of the others lives, where the configuration asks for it."""
         config = self.config
         if config.membership is None:
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -12,7 +12,7 @@
 
 import msgpack
 
-from .. import interface as api
+from .. import api
 from ..admin.draining import CROSSING, TAKES, Drain
 from ..admin.metrics import Figures
 from ..dispatch.arrival_order import Source
--- a/applevale/wire.py
+++ b/applevale/wire.py
@@ -5,7 +5,7 @@
 import struct
 from math import isfinite
 
-from . import interface as api
+from . import api
 
 NS = 1_000_000_000
 NOBODY = 0xFFFFFFFF
@@ -208,11 +208,11 @@
 def action(item: api.Action) -> bytes:
     match item:
         case api.Send():
-            return _record(10, struct.pack("<QQI", item.request, _ns(item.try_for), item.engine))
+            return _record(10, struct.pack("<QQI", item.request, _ns(item.timeout), item.engine))
         case api.Terms():
             return _record(130, struct.pack("<QfB", item.request, item.memory_mb, item.priority))
-        case api.Refuse():
-            return _record(20, struct.pack("<QQ", item.request, _ns(item.retry_in)))
+        case api.Reject():
+            return _record(20, struct.pack("<QQ", item.request, _ns(item.retry_after)))
         case api.Fail():
             return _record(30, struct.pack("<Q", item.request))
         case api.Cancel():
@@ -227,7 +227,7 @@
             return _record(110, struct.pack("<B", item.active))
         case api.FetchList():
             return _record(120)
-        case api.TellPeer():
+        case api.SendPeerMessage():
             body = item.body[:256]
             to = NOBODY if item.peer is None else item.peer
             return _record(80, struct.pack("<IH", to, len(body)) + body)
--- a/applevale/zones/zone_router.py
+++ b/applevale/zones/zone_router.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .. import interface as api
+from .. import api
 from .health import Health, lost_zones
 from .recovery import Course, Phase
 from .settings import Zones
@@ -36,7 +36,7 @@
     trying: int = 0  # attempts out on trial
 
 
-class ZoneGuide(api.Guide):
+class ZoneRouter(api.Router):
     def __init__(
         self,
         zones: Zones,
@@ -74,13 +74,13 @@
             return False
         return one.course.phase is not Phase.BACK or one.ramp.fits(now, work, self.ramp_limit(now, zone))
 
-    def full(self, now: float, cls: int, work: float) -> bool:
+    def is_saturated(self, now: float, cls: int, work: float) -> bool:
         self.zones[self.home].course.looked(now)
         if self.zones[self.home].course.phase is Phase.HOME:
             return False
         return not any(self.may_take(now, cls, zone, work) for zone in self.tiers)
 
-    def room(self, now: float, cores: float) -> float:
+    def available_rate(self, now: float, cores: float) -> float:
         """Work a second (cores) that finds room for this instance; `cores` without zones."""
         own = self.zones[self.home]
         part = own.course.share(now) * self.capacity(self.home) / self.instances()
@@ -92,7 +92,7 @@
 
     # --- what it is told ------------------------------------------------------------------------------------
 
-    def listed(self, now: float, engines: Iterable[tuple[api.EngineEntry, float]]) -> None:
+    def on_engine_list(self, now: float, engines: Iterable[tuple[api.EngineEntry, float]]) -> None:
         """The ready engines of the list and their cores."""
         numbers: dict[int, set[int]] = {number: set() for number in self.zones}
         ready = dict.fromkeys(self.zones, 0.0)
@@ -105,7 +105,7 @@
             one.ready = ready[number]
             one.health.listed(numbers[number])
 
-    def sent(self, now: float, zone: int, work: float) -> None:
+    def on_send(self, now: float, zone: int, work: float) -> None:
         one = self.zones[zone]
         if zone != self.home:
             one.spill.add(now, work)
@@ -114,7 +114,7 @@
             one.ramp.add(now, work)
         one.trying += one.course.phase is Phase.TRIAL
 
-    def ended(self, now: float, entry: api.EngineEntry, result: api.Result) -> None:
+    def on_result(self, now: float, entry: api.EngineEntry, result: api.Result) -> None:
         """What came of an attempt or of a probe."""
         one = self.zones[entry.zone]
         one.trying = max(0, one.trying - 1)
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -21,8 +21,8 @@
 
 def measure() -> dict[str, list[float]]:
     """Microseconds of a request with its outcome, and of a change of one engine, at each size."""
-    from applevale import interface as api
-    from applevale.policy import Gateway
+    from applevale import api
+    from applevale.policy import AdmissionController
 
     classes = (api.ClassSpec(name="lookup", aim=0.75, aim_stretch=2.0, deadline=4.0, worth=1.0),)
     known = api.Settings.__dataclass_fields__
@@ -41,26 +41,26 @@
     )
     figures: dict[str, list[float]] = {"request": [], "list_event": []}
     for size in SIZES:
-        gateway, now = Gateway(settings, 1), 100.0
-        gateway.handle(now, [api.EngineList(tuple(api.EngineEntry(n) for n in range(size)), whole=True)])
+        controller, now = AdmissionController(settings, 1), 100.0
+        controller.handle(now, [api.EngineList(tuple(api.EngineEntry(n) for n in range(size)), whole=True)])
         began = time.perf_counter()
         for number in range(REQUESTS):
             now += 0.1
             asked = api.Request(number, 0, ttl=4.0, work=0.2, memory_mb=50.0, tables=float(number % 40))
-            actions = gateway.handle(now, [asked])
+            actions = controller.handle(now, [asked])
             # A version that looks first gets its answers, else its requests would pile up in the line.
             while looks := [a.engine for a in actions if isinstance(a, api.Probe)]:
                 told = [api.ProbeResult(one, api.Result.OK, 0.001, (5.0,)) for one in looks]
-                actions = gateway.handle(now, told)
+                actions = controller.handle(now, told)
             for send in (a for a in actions if isinstance(a, api.Send)):
                 done = api.Outcome(number, 0, send.engine, api.Result.OK, 0.1, True, 0.2, 40.0, (5.0,))
-                gateway.handle(now + 0.05, [done])
+                controller.handle(now + 0.05, [done])
         figures["request"].append((time.perf_counter() - began) / REQUESTS * 1e6)
         began = time.perf_counter()
         for turn in range(EVENTS):
             now += 0.1
             state = api.State.DRAINING if turn % 2 == 0 else api.State.READY
-            gateway.handle(now, [api.EngineList((api.EngineEntry(1, state=state),))])
+            controller.handle(now, [api.EngineList((api.EngineEntry(1, state=state),))])
         figures["list_event"].append((time.perf_counter() - began) / EVENTS * 1e6)
     return figures
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small builders shared by the tests."""
 
-from applevale import interface as api
-from applevale.policy import Gateway
+from applevale import api
+from applevale.policy import AdmissionController
 
 LOOKUP = api.ClassSpec(name="short", aim=0.8, aim_stretch=1.5, deadline=4.0, worth=1.0, threads=1)
 REPORT = api.ClassSpec(name="long", aim=1.5, aim_stretch=2.5, deadline=25.0, worth=5.0, threads=3)
@@ -26,17 +26,22 @@
 
 
 class Driver:
-    """A gateway with a clock; keeps all actions and fires the timers that are due."""
+    """A controller with a clock; keeps all actions and fires the timers that are due."""
 
     def __init__(self, engines=3, seed=1, entries=None, **changes):
         self.settings = settings(**changes)
-        self.gateway, self.now, self.timers, self.log = Gateway(self.settings, seed), 100.0, [], []
+        self.controller, self.now, self.timers, self.log = (
+            AdmissionController(self.settings, seed),
+            100.0,
+            [],
+            [],
+        )
         self.ids = iter(range(1, 1_000_000))
         entries = entries or tuple(api.EngineEntry(n) for n in range(1, engines + 1))
         self.give(api.EngineList(entries, whole=True))
 
     def give(self, *events):
-        actions = self.gateway.handle(self.now, events)
+        actions = self.controller.handle(self.now, events)
         self.timers += [(self.now + a.after, a.token) for a in actions if isinstance(a, api.SetTimer)]
         self.log += [(self.now, a) for a in actions]
         return [a for a in actions if not isinstance(a, (api.SetTimer, api.Terms))]
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -5,8 +5,8 @@
 import helpers
 import pytest
 
-from applevale import interface as api
-from applevale.policy import Gateway
+from applevale import api
+from applevale.policy import AdmissionController
 
 WORK, CORES, STEP = 0.2, 8.0, 0.05
 
@@ -17,21 +17,21 @@
     """N is what the settings allow in a window; all together send N and 2 x root of N + 2 at the most."""
     told = helpers.settings(gateways=count, cold_share=0.33, warm_up=15.0, fall=1.5, fall_multiple=4.0)
     entry = api.EngineEntry(1, started=100.0)
-    fleet = [Gateway(told, 100 * seed + at) for at in range(count)]
+    fleet = [AdmissionController(told, 100 * seed + at) for at in range(count)]
     sent, number, now = [], 0, 100.0
-    for gateway in fleet:
-        gateway.handle(now, (api.EngineList((entry,), whole=True),))
+    for controller in fleet:
+        controller.handle(now, (api.EngineList((entry,), whole=True),))
     while now < 110.0:
-        for gateway in fleet:
+        for controller in fleet:
             asks = []
             for _ in range(max(1, 40 // count)):
                 number += 1
                 asks.append(api.Request(number, 0, ttl=4.0, work=WORK, memory_mb=10.0))
-            for action in gateway.handle(now, tuple(asks)):
+            for action in controller.handle(now, tuple(asks)):
                 if isinstance(action, api.Send):
                     sent.append(now)
                     done = api.Outcome(action.request, 0, 1, api.Result.OK, 0.1, True, WORK, 10.0)
-                    gateway.handle(now, (done,))
+                    controller.handle(now, (done,))
         now += STEP
     assert len(sent) > 50
     for start in sent:
@@ -45,10 +45,10 @@
 def test_the_shares_add_up_to_the_budget_whatever_the_fleets_size(count):
     def levels(size):
         told = helpers.settings(gateways=size)
-        fleet = [Gateway(told, at) for at in range(size)]
-        for gateway in fleet:
-            gateway.handle(100.0, (api.EngineList((api.EngineEntry(1, started=100.0),), whole=True),))
-        engines = [gateway.engines[1] for gateway in fleet]
+        fleet = [AdmissionController(told, at) for at in range(size)]
+        for controller in fleet:
+            controller.handle(100.0, (api.EngineList((api.EngineEntry(1, started=100.0),), whole=True),))
+        engines = [controller.engines[1] for controller in fleet]
         for engine in engines:
             engine.cold_level = -1e9
             engine.cold_fits(0.0, 100.0)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from applevale import interface as api
+from applevale import api
 from applevale.admin import ejection_store as shared
 from applevale.admin import ejections as bans
 from applevale.admin.metrics import Figures
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import pytest
 from test_driver import Module
 
-from applevale import interface as api
+from applevale import api
 from applevale.discovery import endpoints as members
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.engines import connection as engine
@@ -157,7 +157,7 @@
     assert play(steps) == answer
 
 
-@pytest.mark.parametrize("said", [api.Refuse(1), api.Fail(1)])
+@pytest.mark.parametrize("said", [api.Reject(1), api.Fail(1)])
 def test_a_good_end_behind_the_modules_answer_is_the_answer(said):
     async def steps(scene):
         task, life = await scene.out(0)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -4,16 +4,16 @@
 
 import helpers
 
-from applevale import interface as api
+from applevale import api
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.engines import connection as engine
 from applevale.observability.counters import Counters
-from applevale.policy import Gateway
+from applevale.policy import AdmissionController
 from applevale.requests import handler as broker
 
 
 class Module:
-    """Stands in for the Gateway: keeps the batches, and answers them with what it was given."""
+    """Stands in for the AdmissionController: keeps the batches, and answers them with what it was given."""
 
     def __init__(self, *replies):
         self.batches, self.replies = [], list(replies)
@@ -59,11 +59,11 @@
 
 def test_an_engine_that_rests_is_told_as_avoided_until_its_rest_is_over():
     now = [100.0]
-    gateway = Gateway(helpers.settings(), 1)
+    controller = AdmissionController(helpers.settings(), 1)
     entries = tuple(api.EngineEntry(number) for number in range(1, 5))
     failed = api.ProbeResult(3, api.Result.CONNECT_FAILED)
-    gateway.handle(now[0], (api.EngineList(entries, whole=True), failed))
-    driver = Driver(gateway, None, Counters(), lambda: now[0])
+    controller.handle(now[0], (api.EngineList(entries, whole=True), failed))
+    driver = Driver(controller, None, Counters(), lambda: now[0])
     assert driver.resting() == {3}
     now[0] += 30.0
     assert driver.resting() == set()
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from applevale import interface as api
+from applevale import api
 from applevale.discovery.endpoints import Names
 from applevale.discovery.registry import watcher as f
 from applevale.discovery.registry.records import Ledger
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,7 +29,7 @@
     "rigs",
     "cli",
 ]
-BASE = {"estimators", "hashing", "interface", "policy", "wire", "__init__"}
+BASE = {"api", "estimators", "hashing", "policy", "wire", "__init__"}
 
 
 def module_file(parts):
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -3,8 +3,7 @@
 import pytest
 from helpers import Driver, of
 
-from applevale import interface as api
-from applevale import policy
+from applevale import api, policy
 from applevale.discovery.control_feed import Feed, FeedError
 from applevale.discovery.endpoints import Change, Member, Names
 from applevale.engines.connection import Fleet
@@ -28,15 +27,15 @@
     looked = {}
     for count in (8, 60, 1000):
         d, calls = many(count), [0]
-        load = policy.Gateway.load
+        load = policy.AdmissionController.load
 
         def counted(self, engine, calls=calls, load=load):
             calls[0] += 1
             return load(self, engine)
 
-        monkeypatch.setattr(policy.Gateway, "load", counted)
+        monkeypatch.setattr(policy.AdmissionController, "load", counted)
         sends = [send for group in range(20) for send in of(api.Send, d.ask(0, tables=float(group))[1])]
-        monkeypatch.setattr(policy.Gateway, "load", load)
+        monkeypatch.setattr(policy.AdmissionController, "load", load)
         assert len(sends) == 20
         looked[count] = calls[0]
     assert looked[1000] <= 2 * looked[8]
@@ -53,20 +52,20 @@
     assert [send.request for send in of(api.Send, actions)] == [waiting]
     d.end(first)
     d.end(of(api.Send, actions)[0])
-    assert not d.gateway.held and len(d.gateway.engines) == 1000
+    assert not d.controller.held and len(d.controller.engines) == 1000
 
 
 def test_an_engine_that_comes_back_under_its_id_starts_anew_and_cold():
     d = many(3)
-    d.give(api.PeerNews(1, (40.0,), 8))
-    assert d.gateway.load(d.gateway.engines[1]) > 2
+    d.give(api.PeerLoadReport(1, (40.0,), 8))
+    assert d.controller.load(d.controller.engines[1]) > 2
     d.now += 5.0
     d.give(api.EngineList((api.EngineEntry(1, state=GONE),)))
-    d.give(api.PeerNews(1, (40.0,), 8))  # a peer whose list is older
-    assert 1 not in d.gateway.engines
+    d.give(api.PeerLoadReport(1, (40.0,), 8))  # a peer whose list is older
+    assert 1 not in d.controller.engines
     d.give(api.EngineList((api.EngineEntry(1, started=d.now - 0.5),)))
-    d.gateway.siblings.clear()
-    assert d.gateway.load(d.gateway.engines[1]) < 2 and d.gateway.engines[1].warmth(d.now) < 0.5
+    d.controller.siblings.clear()
+    assert d.controller.load(d.controller.engines[1]) < 2 and d.controller.engines[1].warmth(d.now) < 0.5
 
 
 def test_an_event_told_twice_or_out_of_turn_changes_nothing():
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from applevale import interface as api
+from applevale import api
 from applevale.config import loader as config
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.engines.connection import Fleet
@@ -55,7 +55,7 @@
     here.sent(2, 1)
     assert here.waiting()
     events = there.heard(5.0, here.datagram())
-    assert events == [api.PeerNews(2, (), 4), api.PeerNews(1, (7.0, -1.0, -1.0))]
+    assert events == [api.PeerLoadReport(2, (), 4), api.PeerLoadReport(1, (7.0, -1.0, -1.0))]
     assert not here.waiting() and here.datagram() is None
 
 
@@ -70,7 +70,9 @@
 
 def test_without_the_number_of_queries_how_busy_it_is_gets_told_and_what_is_unknown_stays_so():
     here, there = (news(columns=("cpu", "disk_busy", "avg_ms")) for _ in range(2))
-    assert there.heard(5.0, told(here, 5.0, 1, (0.5, -1.0, 12.0))) == [api.PeerNews(1, (0.5, -1.0, -1.0))]
+    assert there.heard(5.0, told(here, 5.0, 1, (0.5, -1.0, 12.0))) == [
+        api.PeerLoadReport(1, (0.5, -1.0, -1.0))
+    ]
 
 
 def test_what_a_peer_told_is_told_again_only_when_it_changed_or_grew_old():
@@ -133,29 +135,29 @@
     assert all(0 <= event.report[0] <= 254 or event.report[0] == -1 for event in events if event.report)
 
 
-def gateway(**more):
+def controlled(**more):
     settings = dict(engines=4, gateways=40, report_columns=("active",), probe_price=0.08, may_probe=True)
     return Clocked(**(settings | more))
 
 
 def test_a_peers_report_is_believed_like_an_own_one_and_one_of_a_stranger_is_passed_over():
-    d = gateway()
-    d.give(api.PeerNews(1, (60.0,)), api.PeerNews(99, (60.0,), 3))
-    loads = [d.gateway.load(engine) for engine in d.gateway.engines.values()]
-    assert loads[0] > 1.5 * max(loads[1:]) and len(d.gateway.engines) == 4
+    d = controlled()
+    d.give(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
+    loads = [d.controller.load(engine) for engine in d.controller.engines.values()]
+    assert loads[0] > 1.5 * max(loads[1:]) and len(d.controller.engines) == 4
 
 
 def test_what_siblings_send_counts_before_any_report_shows_it():
     """All hear of the same idle engine, and would fill it in the time that its next report takes."""
-    d = gateway()
-    d.give(*(api.PeerNews(number, (16.0,)) for number in (2, 3, 4)), api.PeerNews(1, (0.0,)))
-    before = d.gateway.load(d.gateway.engines[1])
-    d.give(*(api.PeerNews(1, (), 1) for _ in range(24)))
-    after = d.gateway.load(d.gateway.engines[1])
+    d = controlled()
+    d.give(*(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,)))
+    before = d.controller.load(d.controller.engines[1])
+    d.give(*(api.PeerLoadReport(1, (), 1) for _ in range(24)))
+    after = d.controller.load(d.controller.engines[1])
     assert before < 1.0 < 2.0 < after
     d.now += 6.0  # reports have shown it since
-    d.give(api.PeerNews(1, (0.0,)))
-    assert d.gateway.load(d.gateway.engines[1]) < 1.0
+    d.give(api.PeerLoadReport(1, (0.0,)))
+    assert d.controller.load(d.controller.engines[1]) < 1.0
 
 
 def test_a_new_engine_is_not_sent_at_once_what_all_had_earned_since_it_started():
@@ -163,46 +165,46 @@
     sent = 0
     for seed in range(40):
         entry = api.EngineEntry(1, started=97.0)  # 3 s before the list tells of it
-        d = gateway(entries=(entry,), seed=seed)
+        d = controlled(entries=(entry,), seed=seed)
         sent += len(of(api.Send, d.ask(0, work=0.3, tables=1.0)[1]))
     assert sent == 0
 
 
 def test_only_sends_that_draw_siblings_are_told():
-    d = gateway()
-    d.give(*(api.PeerNews(number, (4.0,)) for number in (1, 2, 3, 4)))
-    assert not of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].draws  # there is room everywhere
+    d = controlled()
+    d.give(*(api.PeerLoadReport(number, (4.0,)) for number in (1, 2, 3, 4)))
+    assert not of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].announce  # there is room everywhere
     for _ in range(40):
         d.now += 0.1
-        d.give(api.PeerNews(1, (2.0,)), *(api.PeerNews(number, (24.0,)) for number in (2, 3, 4)))
+        d.give(api.PeerLoadReport(1, (2.0,)), *(api.PeerLoadReport(number, (24.0,)) for number in (2, 3, 4)))
     sends = [of(api.Send, d.ask(0, work=0.1, tables=float(group))[1]) for group in range(12)]
-    assert {send.engine: send.draws for one in sends for send in one}[1]
+    assert {send.engine: send.announce for one in sends for send in one}[1]
 
 
 def test_an_even_stream_of_sends_makes_no_engine_look_fuller():
-    d = gateway()
-    d.give(*(api.PeerNews(number, (8.0,)) for number in (1, 2, 3, 4)))
-    before = [d.gateway.load(engine) for engine in d.gateway.engines.values()]
-    d.give(*(api.PeerNews(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
-    after = [d.gateway.load(engine) for engine in d.gateway.engines.values()]
+    d = controlled()
+    d.give(*(api.PeerLoadReport(number, (8.0,)) for number in (1, 2, 3, 4)))
+    before = [d.controller.load(engine) for engine in d.controller.engines.values()]
+    d.give(*(api.PeerLoadReport(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
+    after = [d.controller.load(engine) for engine in d.controller.engines.values()]
     assert after == pytest.approx(before, abs=0.2)
 
 
 def test_a_liar_fills_no_more_than_the_bound_and_rests_no_engine():
-    d = gateway()
+    d = controlled()
     for _ in range(50):
         d.now += 0.02
-        d.give(*(api.PeerNews(1, (254.0,), 255) for _ in range(20)))
-    assert d.gateway.load(d.gateway.engines[1]) <= 9.1
-    assert not any(e.trial or e.rest_until > d.now for e in d.gateway.engines.values())
+        d.give(*(api.PeerLoadReport(1, (254.0,), 255) for _ in range(20)))
+    assert d.controller.load(d.controller.engines[1]) <= 9.1
+    assert not any(e.trial or e.rest_until > d.now for e in d.controller.engines.values())
     assert of(api.Send, d.ask(1, work=1.0, tables=1.0)[1])
 
 
 def test_gateways_with_the_same_news_do_not_all_take_the_same_spare_engine():
     taken = set()
     for seed in range(12):
-        d = gateway(engines=6, seed=seed)
-        d.give(*(api.PeerNews(number, (8.0 + number / 4,)) for number in range(1, 7)))
+        d = controlled(engines=6, seed=seed)
+        d.give(*(api.PeerLoadReport(number, (8.0 + number / 4,)) for number in range(1, 7)))
         taken.add(of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].engine)
     assert len(taken) > 1
 
@@ -252,7 +254,7 @@
         return module.events
 
     events = asyncio.run(main())
-    assert events == [api.PeerNews(2, (), 4), api.PeerNews(1, (7.0, -1.0, -1.0)), api.Timer(5)]
+    assert events == [api.PeerLoadReport(2, (), 4), api.PeerLoadReport(1, (7.0, -1.0, -1.0)), api.Timer(5)]
 
 
 def test_peers_are_read_from_the_configuration_and_a_bad_address_is_named():
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from applevale import interface as api
+from applevale import api
 from applevale.config import loader as config
 from applevale.discovery import control_feed as feed
 from applevale.discovery import endpoints as members
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,7 @@
 from test_node import EXAMPLE, Client, Handler, Node
 from toy_engine import answer, rows
 
-from applevale import interface as api
+from applevale import api
 from applevale.discovery import endpoints as members
 from applevale.engines import connection as engine
 from applevale.engines.limits import ConnectionLimits
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,9 +11,9 @@
 import pytest
 from helpers import LOOKUP, REPORT, Driver, of
 
-from applevale import interface as api
+from applevale import api
 from applevale.estimators import DecayingMean, EstimateCorrection
-from applevale.policy import RATIO_MOST, Flagger, Gateway, Held, price
+from applevale.policy import RATIO_MOST, AdmissionController, Flagger, PendingRequest, price
 
 R = api.Result
 
@@ -47,7 +47,7 @@
 def test_a_miss_flags_the_next_of_its_kind_and_expires():
     d = Driver()
     number, _ = d.ask(1, work=2.0, memory=3000.0)
-    req, flagger = d.gateway.held[number], Flagger()
+    req, flagger = d.controller.held[number], Flagger()
     flagger.learn(req, True, d.now)
     assert flagger.confidence(req, d.now + 1, 0.1, 0.1, 0.1, 0.0) == 1.0
     assert flagger.confidence(req, d.now + 1000, 0.1, 0.1, 0.1, 0.0) < 1.0
@@ -55,36 +55,36 @@
 
 def report(d, engine, memory=0.0, cpu=0.0):
     """An engine's report, as an answer would bring it."""
-    d.gateway.take_report(d.gateway.engines[engine], (0.0, cpu, 0.0, memory))
-    d.gateway.siblings.clear()  # as at the start of a batch
+    d.controller.take_report(d.controller.engines[engine], (0.0, cpu, 0.0, memory))
+    d.controller.siblings.clear()  # as at the start of a batch
 
 
 def test_accepted_flag_waits_for_memory_and_is_refused_at_its_deadline():
     d = Driver(engines=1)
-    engine = d.gateway.engines[1]
-    d.gateway.last_trouble = d.now
-    d.gateway.flagger.weights = [8.0, 0.0, 0.0, 0.0, 0.0]
+    engine = d.controller.engines[1]
+    d.controller.last_trouble = d.now
+    d.controller.flagger.weights = [8.0, 0.0, 0.0, 0.0, 0.0]
     report(d, 1, memory=0.95)
     engine.quota, engine.next_refill = 5.0, d.now + 3.0
     number, actions = d.ask(1, work=3.0, memory=4000.0)
-    assert not of(api.Send, actions) and not of(api.Refuse, actions)
+    assert not of(api.Send, actions) and not of(api.Reject, actions)
     done = []
     for _ in range(60):
         report(d, 1, memory=0.95)
         done += d.run(0.1)
-    refused = of(api.Refuse, done)
-    assert [a.request for a in refused] == [number] and refused[0].retry_in > 0
+    refused = of(api.Reject, done)
+    assert [a.request for a in refused] == [number] and refused[0].retry_after > 0
     assert not of(api.Send, done)
 
 
 def test_one_report_releases_no_more_than_it_can_hold():
     d = Driver(engines=1)
-    engine = d.gateway.engines[1]
+    engine = d.controller.engines[1]
     report(d, 1, memory=0.5)
-    first = d.gateway.free_memory(engine)
+    first = d.controller.free_memory(engine)
     d.now += 0.01
     d.ask(1, work=1.0, memory=2000.0)
-    assert d.gateway.free_memory(engine) <= first - 2000.0
+    assert d.controller.free_memory(engine) <= first - 2000.0
 
 
 def test_every_request_is_answered_before_its_time():
@@ -92,19 +92,19 @@
     number, actions = d.ask(ttl=2.0)
     assert of(api.Send, actions)
     d.run(2.5)
-    ends = [(t, a) for t, a in d.log if isinstance(a, (api.Refuse, api.Fail)) and a.request == number]
+    ends = [(t, a) for t, a in d.log if isinstance(a, (api.Reject, api.Fail)) and a.request == number]
     assert len(ends) == 1 and ends[0][0] < 102.0
 
 
 def test_a_try_with_hardly_any_time_left_is_refused_at_once():
     d = Driver()
     _, actions = d.ask(ttl=0.02)
-    assert of(api.Refuse, actions) and not of(api.Send, actions)
+    assert of(api.Reject, actions) and not of(api.Send, actions)
 
 
 def test_no_time_left_means_none_not_the_class_deadline():
     d = Driver()
-    assert of(api.Refuse, d.give(api.Request(900, 0, ttl=0.0, work=0.2)))
+    assert of(api.Reject, d.give(api.Request(900, 0, ttl=0.0, work=0.2)))
 
 
 def test_no_engine_holds_while_there_is_hope():
@@ -136,7 +136,7 @@
     for result in (R.ERROR, R.TIMEOUT, R.RESET, R.CANCELLED):
         d = Driver(classes=(unsafe,))
         actions = d.end(of(api.Send, d.ask()[1])[0], result)
-        assert of(api.Fail, actions) and not of(api.Send, actions) and not of(api.Refuse, actions)
+        assert of(api.Fail, actions) and not of(api.Send, actions) and not of(api.Reject, actions)
 
 
 def test_unsafe_that_never_ran_goes_elsewhere():
@@ -157,7 +157,7 @@
     assert again and again[0].engine % 2 == first.engine % 2
     d.now += 0.8
     actions = d.end(again[0], R.RESET, attempt=1)
-    assert not of(api.Send, actions) and not of(api.Refuse, actions)
+    assert not of(api.Send, actions) and not of(api.Reject, actions)
     assert of(api.Fail, actions + d.run(5.0))
 
 
@@ -191,9 +191,9 @@
     first = of(api.Send, d.ask(key=9, work=0.5)[1])[0]
     short, _ = d.ask(key=9, work=0.5, ttl=2.5)
     patient, _ = d.ask(key=9, work=0.5, ttl=20.0)
-    assert not of(api.Refuse, d.run(0.1))  # it costs the one behind it nothing
+    assert not of(api.Reject, d.run(0.1))  # it costs the one behind it nothing
     hurried, _ = d.ask(key=9, work=0.1, ttl=2.6)  # in time, but not behind all of those
-    assert [a.request for a in of(api.Refuse, d.run(0.1))] == [short]
+    assert [a.request for a in of(api.Reject, d.run(0.1))] == [short]
     sends = of(api.Send, d.end(first, work=0.5) + d.run(0.1))
     assert [send.request for send in sends] == [patient]
     assert [send.request for send in of(api.Send, d.end(sends[0], work=0.5))] == [hurried]
@@ -212,7 +212,7 @@
     second = of(api.Send, d.end(first, R.ERROR))
     assert len(second) == 1
     actions = d.end(second[0], R.ERROR, attempt=1)
-    assert of(api.Refuse, actions) and not of(api.Send, actions)
+    assert of(api.Reject, actions) and not of(api.Send, actions)
 
 
 def test_failing_engine_rests_at_one_bad_sign_and_returns_by_one_at_a_time():
@@ -234,28 +234,28 @@
     for send, result in zip(sends, (R.RESET, R.RESET, R.OK, R.RESET, R.RESET)):
         d.end(send, result)
     d.give(api.ProbeResult(99, R.RESET))
-    assert d.gateway.engines[sends[0].engine].rest_until <= d.now
+    assert d.controller.engines[sends[0].engine].rest_until <= d.now
     d.give(api.ProbeResult(sends[0].engine, R.RESET))
-    assert d.gateway.engines[sends[0].engine].rest_until > d.now
+    assert d.controller.engines[sends[0].engine].rest_until > d.now
 
 
 def test_a_request_that_no_engine_can_use_is_given_up_after_two():
     d = Driver(engines=5)
     first = of(api.Send, d.ask()[1])[0]
     second = of(api.Send, d.end(first, R.ERROR))[0]
-    assert d.gateway.engines[first.engine].rest_until > d.now
+    assert d.controller.engines[first.engine].rest_until > d.now
     (answer,) = d.end(second, R.ERROR, attempt=1)
-    assert isinstance(answer, api.Refuse) and answer.retry_in > 0
-    assert not any(e.rest_until > d.now or e.trial for e in d.gateway.engines.values())
+    assert isinstance(answer, api.Reject) and answer.retry_after > 0
+    assert not any(e.rest_until > d.now or e.trial for e in d.controller.engines.values())
 
 
 def test_an_engine_that_left_with_attempts_out_is_forgotten_after_them():
     d = Driver(engines=2)
     send = of(api.Send, d.ask()[1])[0]
     d.give(api.EngineList((api.EngineEntry(send.engine, state=api.State.GONE),)))
-    assert send.engine in d.gateway.engines
+    assert send.engine in d.controller.engines
     d.end(send)
-    assert send.engine not in d.gateway.engines and len(d.gateway.engines) == 1
+    assert send.engine not in d.controller.engines and len(d.controller.engines) == 1
 
 
 @pytest.mark.parametrize("result", [R.OK, R.RESET, R.ERROR])
@@ -265,7 +265,7 @@
     first = of(api.Send, d.ask(key=7)[1])[0]
     second, actions = d.ask(key=7)
     assert not of(api.Send, actions + d.end(first, result) + d.run(0.5))
-    assert not of(api.Send, d.give(api.Answered(first.request, 7, 0.3)) + d.run(0.29))
+    assert not of(api.Send, d.give(api.AnswerSent(first.request, 7, 0.3)) + d.run(0.29))
     assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
 
 
@@ -273,21 +273,21 @@
     d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True),), order_gap=0.02)
     first = of(api.Send, d.ask(key=7)[1])[0]
     second, _ = d.ask(key=7)
-    d.give(api.ClientGone(first.request), api.Answered(first.request, 7, 0.4))
+    d.give(api.ClientGone(first.request), api.AnswerSent(first.request, 7, 0.4))
     assert not of(api.Send, d.run(0.1))
     # The end of the attempt must not cut the rest short.
     assert not of(api.Send, d.end(first, R.CANCELLED) + d.run(0.25))
     assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
-    assert not d.gateway.unread
+    assert not d.controller.unread
 
 
 def test_a_request_that_may_have_come_first_is_refused_and_the_other_waits_for_that():
     d = Driver(classes=(replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True),), order_gap=0.02)
-    both = [api.Request(at, 0, key=7, ttl=4.0, work=0.2, unsure=at == 902) for at in (901, 902)]
+    both = [api.Request(at, 0, key=7, ttl=4.0, work=0.2, order_unknown=at == 902) for at in (901, 902)]
     actions = d.give(*both)
-    assert [type(a) for a in actions] == [api.Refuse] and actions[0].request == 902
+    assert [type(a) for a in actions] == [api.Reject] and actions[0].request == 902
     assert not of(api.Send, d.run(0.5))
-    d.give(api.Answered(902, 7, 0.1))
+    d.give(api.AnswerSent(902, 7, 0.1))
     assert [send.request for send in of(api.Send, d.run(0.2))] == [901]
 
 
@@ -309,7 +309,7 @@
     for group in range(60):
         for send in of(api.Send, d.ask(tables=float(group))[1]):
             d.end(send, R.ERROR)
-    assert sum(e.rest_until > d.now for e in d.gateway.engines.values()) <= 2
+    assert sum(e.rest_until > d.now for e in d.controller.engines.values()) <= 2
 
 
 def test_silent_engine_is_cut_and_its_work_moved():
@@ -338,8 +338,8 @@
 
 def test_the_line_is_bounded():
     d = Driver(entries=(api.EngineEntry(1, state=api.State.DRAINING),))
-    refused = sum(len(of(api.Refuse, d.ask()[1])) for _ in range(1000))
-    assert refused + len(d.gateway.line) == 1000 and 0 < len(d.gateway.line) <= 500
+    refused = sum(len(of(api.Reject, d.ask()[1])) for _ in range(1000))
+    assert refused + len(d.controller.line) == 1000 and 0 < len(d.controller.line) <= 500
 
 
 def test_short_answers_do_not_hide_pressure():
@@ -353,7 +353,7 @@
 
 def test_over_share_tenant_is_worth_little():
     d = Driver(tenants=(api.TenantSpec("a", 2.0), api.TenantSpec("b", 100.0)), over_share_worth=0.1)
-    worths = [d.gateway.held[d.ask(tenant=0)[0]].worth for _ in range(6)]
+    worths = [d.controller.held[d.ask(tenant=0)[0]].worth for _ in range(6)]
     assert 1.0 in worths and worths[-1] == pytest.approx(0.1)
 
 
@@ -374,26 +374,26 @@
 def test_one_absurd_estimate_does_not_move_the_ranks():
     d = Driver()
     d.ask(1, work=3.0)
-    before = d.gateway.held[d.ask(0, work=0.05)[0]].rank
+    before = d.controller.held[d.ask(0, work=0.05)[0]].rank
     d.ask(1, work=100000.0), d.ask(0, work=1e-6)
-    assert d.gateway.held[d.ask(0, work=0.05)[0]].rank == before > 0
+    assert d.controller.held[d.ask(0, work=0.05)[0]].rank == before > 0
 
 
 def test_cuts_wait_longer_where_run_times_scatter_and_at_each_try():
     d = Driver()
     d.ask(1, work=3.0)
-    attempt = next(iter(d.gateway.held.values())).tries[0]
-    first = d.gateway.overdue(attempt)
-    d.gateway.stats[1].scatter.value = 1.0
-    scattered = d.gateway.overdue(attempt)
+    attempt = next(iter(d.controller.held.values())).tries[0]
+    first = d.controller.overdue(attempt)
+    d.controller.stats[1].scatter.value = 1.0
+    scattered = d.controller.overdue(attempt)
     attempt.index = 1
-    assert first < scattered and d.gateway.overdue(attempt) == pytest.approx(2 * scattered)
+    assert first < scattered and d.controller.overdue(attempt) == pytest.approx(2 * scattered)
 
 
 def test_a_pace_that_shows_a_bad_plan_is_cut_before_it_is_overdue():
     d = Driver(progress=0.5)
     number, _ = d.ask(1, work=3.0)
-    attempt = d.gateway.held[number].tries[0]
+    attempt = d.controller.held[number].tries[0]
     d.run(0.7)
     assert not d.give(api.Note(number, 0, attempt.entry.engine, api.NoteKind.PROGRESS, 0.5))
     assert of(api.Cancel, d.give(api.Note(number, 0, attempt.entry.engine, api.NoteKind.PROGRESS, 0.01)))
@@ -401,17 +401,17 @@
 
 def test_low_worth_per_work_finds_less_room_only_as_the_fleet_fills():
     d = Driver(engines=4, gateways=100)
-    quiet = [d.gateway.room(rank) for rank in range(4)]
+    quiet = [d.controller.room(rank) for rank in range(4)]
     for _ in range(3):
         for number in range(1, 5):
             report(d, number, cpu=1.0)
-    full = [d.gateway.room(rank) for rank in range(4)]
+    full = [d.controller.room(rank) for rank in range(4)]
     assert quiet[0] == quiet[1] == quiet[2] and full[0] < full[1] < full[2] < full[3] == quiet[3]
 
 
 def test_past_one_thread_a_core_the_least_loaded_is_taken():
     d = Driver(engines=3, gateways=100)
-    home = d.gateway.order(d.gateway.held[d.ask(tables=2.0)[0]])[0].entry.engine
+    home = d.controller.order(d.controller.held[d.ask(tables=2.0)[0]])[0].entry.engine
     for number in (1, 2, 3):
         report(d, number, cpu=0.85 if number == home else 0.3)
     assert of(api.Send, d.ask(tables=2.0)[1])[0].engine != home
@@ -440,8 +440,8 @@
             d = Driver(seed=seed, gateways=gateways, tenants=tenants, over_share_worth=0.0)
             step = gateways / (30.0 * excess)
             for _ in range(200):
-                d.gateway.now += step
-                inside.append(d.gateway.share_worth(0))
+                d.controller.now += step
+                inside.append(d.controller.share_worth(0))
     assert sum(shares[1.0]) / len(shares[1.0]) > 0.9
     assert sum(shares[4.0]) / len(shares[4.0]) < 0.45
 
@@ -472,14 +472,14 @@
 
 def test_a_report_shows_the_siblings_and_own_attempts_count_once():
     d = Driver(engines=3, gateways=200)
-    engine = d.gateway.engines[1]
-    assert d.gateway.load(engine) < 0.5  # one own query there is no two hundred
+    engine = d.controller.engines[1]
+    assert d.controller.load(engine) < 0.5  # one own query there is no two hundred
     report(d, 1, cpu=1.0)
-    busy = d.gateway.load(engine)
-    assert busy > 1.5 and d.gateway.load(d.gateway.engines[2]) < busy
+    busy = d.controller.load(engine)
+    assert busy > 1.5 and d.controller.load(d.controller.engines[2]) < busy
     alone = Driver(engines=3, gateways=1)
     report(alone, 1, cpu=1.0)
-    assert alone.gateway.load(alone.gateway.engines[1]) == 0.0
+    assert alone.controller.load(alone.controller.engines[1]) == 0.0
 
 
 def test_work_looks_before_it_is_sent_and_a_silent_engine_is_passed_by():
@@ -497,7 +497,7 @@
 @pytest.mark.parametrize("price,least,most", [(0.0, 50, 1.3), (0.011, 50, 1.3), (0.08, 0, 0.18)])
 def test_probes_are_rationed_by_requests_and_by_what_they_cost(price, least, most):
     d = Driver(engines=40, gateways=300, may_probe=True, probe_price=price)
-    for engine in d.gateway.engines.values():
+    for engine in d.controller.engines.values():
         engine.trial = True  # after a bad sign each is looked at, whatever it costs
     for group in range(100):
         d.now += 0.5
@@ -520,7 +520,7 @@
     d.timers.clear()
     actions = d.give(api.Timer(0), api.Outcome(send.request, 0, send.engine, R.OK, 0.4, True, 1.0, 50.0))
     assert not of(api.Cancel, actions) and not of(api.Log, actions)
-    assert all(not e.trial for e in d.gateway.engines.values())
+    assert all(not e.trial for e in d.controller.engines.values())
 
 
 def test_after_gaps_the_last_answer_goes_out_earlier():
@@ -532,7 +532,7 @@
     number, _ = d.ask(ttl=4.0)
     asked = d.now
     d.run(5.0)
-    (end,) = [t for t, a in d.log if isinstance(a, api.Refuse) and a.request == number]
+    (end,) = [t for t, a in d.log if isinstance(a, api.Reject) and a.request == number]
     assert end < asked + 4.0 - 1.0
 
 
@@ -541,7 +541,7 @@
     send = of(api.Send, d.ask()[1])[0]
     d.end(send)
     d.run(1.0)
-    assert not d.timers and not d.gateway.held
+    assert not d.timers and not d.controller.held
 
 
 def test_work_for_a_request_does_not_grow_with_the_fleet():
@@ -550,8 +550,8 @@
         d = Driver(engines=engines, gateways=300)
         for number in range(1, engines + 1):
             report(d, number, cpu=1.0)
-        count, load = [], d.gateway.load
-        d.gateway.load = lambda engine, count=count, load=load: count.append(engine) or load(engine)
+        count, load = [], d.controller.load
+        d.controller.load = lambda engine, count=count, load=load: count.append(engine) or load(engine)
         d.ask(1, work=3.0)
         looked.append(len(count))
     assert 0 < looked[0] == looked[1] < 10
@@ -621,7 +621,7 @@
         for send in of(api.Send, pair[1].ask(tables=float(i))[1]):
             pair[1].end(send, R.ERROR)
     assert alone.log == pair[0].log
-    assert isinstance(pair[0].gateway, Gateway)
+    assert isinstance(pair[0].controller, AdmissionController)
 
 
 def test_a_cold_engines_budget_follows_the_size_of_the_fleet():
@@ -657,14 +657,14 @@
             d.give(api.ClientGone(send.request))
             d.end(send, api.Result.CANCELLED, attempt=attempt)
         gc.collect()
-        assert not d.gateway.held and not [one for one in gc.garbage if isinstance(one, Held)]
+        assert not d.controller.held and not [one for one in gc.garbage if isinstance(one, PendingRequest)]
     finally:
         gc.set_debug(0)
         gc.garbage.clear()
         gc.enable()
 
 
-@pytest.mark.parametrize("group,answer", [("all", api.Refuse), ("cell", api.Fail)])
+@pytest.mark.parametrize("group,answer", [("all", api.Reject), ("cell", api.Fail)])
 def test_what_may_not_run_again_any_more_is_answered_at_once(group, answer):
     """Past its window of repeats it was held until the deadline neared."""
     keyed = api.ClassSpec(
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -1,11 +1,11 @@
-"""Random legal days against an independent checker of the rules that one gateway can see."""
+"""Random legal days against an independent checker of the rules that one instance can see."""
 
 from random import Random
 
 import pytest
 from helpers import KINDS, LOOKUP, REPORT, Driver
 
-from applevale import interface as api
+from applevale import api
 
 R = api.Result
 NEVER = {R.FULL, R.CONNECT_FAILED, R.MOOT}
@@ -26,7 +26,7 @@
     def __init__(self, settings):
         self.s, self.engines, self.told, self.asks, self.tries = settings, {}, {}, {}, {}
         self.ended, self.arrivals, self.further, self.rest, self.line = {}, [], [], {}, []
-        self.gap = (0.0, 0.0)  # the last time that the gateway stood still
+        self.gap = (0.0, 0.0)  # the last time that the instance stood still
 
     def entry(self, now, entry):
         self.engines[entry.engine] = entry
@@ -58,17 +58,17 @@
             assert self.s.may_cancel and a.attempt < len(self.tries[a.request])
         elif isinstance(a, api.Probe):
             assert self.s.may_probe
-        elif isinstance(a, api.TellPeer):
+        elif isinstance(a, api.SendPeerMessage):
             assert self.s.may_tell_peers
-        elif isinstance(a, (api.Refuse, api.Fail)):
+        elif isinstance(a, (api.Reject, api.Fail)):
             at, ask = self.asks[a.request]
             due = at + ask.ttl + self.s.answer_slack
             stood_still = self.gap[0] <= due and now == self.gap[1]
             assert now <= due or stood_still, "too late an answer"
             spec = self.s.classes[ask.cls]
-            if isinstance(a, api.Refuse) and spec.repeat is not api.Repeat.SAFE and spec.group != "all":
+            if isinstance(a, api.Reject) and spec.repeat is not api.Repeat.SAFE and spec.group != "all":
                 assert all(t[2] in NEVER for t in self.tries[a.request]), "refused though it may have run"
-            if isinstance(a, api.Refuse) and spec.repeat is api.Repeat.UNSAFE:
+            if isinstance(a, api.Reject) and spec.repeat is api.Repeat.UNSAFE:
                 assert all(t[2] in NEVER for t in self.tries[a.request]), "refused though it may have run"
             self.end(now, a.request)
         elif isinstance(a, api.Send):
@@ -154,7 +154,7 @@
                 probes.append((at + random.choice([0.005, 0.02, 0.25]), a.engine))
             if isinstance(a, api.Send):
                 asked, ask = check.asks[a.request]
-                limit = min(at + (a.try_for or 99.0), asked + ask.ttl)
+                limit = min(at + (a.timeout or 99.0), asked + ask.ttl)
                 done = at + random.expovariate(3.0) * (100.0 if random.random() < 0.08 else 1.0)
                 n = len(check.tries[a.request]) - 1
                 flying.append([min(done, limit), a, n, None if done < limit else R.TIMEOUT])
@@ -220,4 +220,4 @@
             check.ended.pop(item[1].request, None)
             give(api.Outcome(item[1].request, item[2], item[1].engine, item[3] or R.TIMEOUT, 0.2, final))
     assert len(clients) > 400 and set(check.ended) == set(clients)
-    assert not d.gateway.held and not d.gateway.line and not d.gateway.turns
+    assert not d.controller.held and not d.controller.line and not d.controller.turns
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -13,5 +13,5 @@
     assert max(map(len, LINES)) <= 110
 
 
-def test_the_top_names_the_interface():
-    assert "applevale/interface.py" in LINES[0]
+def test_the_top_names_the_package_of_its_types():
+    assert "applevale/api" in LINES[0]
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from applevale import interface as api
+from applevale import api
 from applevale.admin import ejections as bans
 from applevale.admin import server as door
 from applevale.admin.metrics import Figures
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from applevale import benchlink, wire
-from applevale import interface as api
+from applevale import api, benchlink, wire
 
 SETTINGS = """az=0
 classes.count=2
@@ -93,7 +92,7 @@
         (api.Subscribe(), "6e01000000 01"),
         (api.FetchList(), "7800000000"),
         (api.Fail(0x0CAA925D3A91C4), "1e08000000 c4913a5d92aa0c00"),
-        (api.TellPeer(None, b"hi 7"), "500a000000 ffffffff 0400 68692037"),
+        (api.SendPeerMessage(None, b"hi 7"), "500a000000 ffffffff 0400 68692037"),
         (api.Terms(0x0CAA925D3A91C4, 2, 640.0), "820d000000 c4913a5d92aa0c00 00002044 02"),
     ],
 )
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,4 +1,4 @@
-"""Zones: verdicts, phases, windows, the guide and the module with it; no sockets, no clock."""
+"""Zones: verdicts, phases, windows, the router and the module with it; no sockets, no clock."""
 
 from dataclasses import replace
 
@@ -7,13 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from applevale import interface as api
-from applevale.policy import Gateway
+from applevale import api
+from applevale.policy import AdmissionController
 from applevale.zones.health import SPAN, Health, lost_zones
 from applevale.zones.recovery import Course, Phase
 from applevale.zones.settings import Return, Spill, Zones, ZonesError, read_zones
 from applevale.zones.spill import Window
-from applevale.zones.zone_router import ZoneGuide
+from applevale.zones.zone_router import ZoneRouter
 
 NAMES = ("east", "west", "north")
 ZONES = Zones(
@@ -115,12 +115,12 @@
 
 
 class ZoneDriver(Driver):
-    """The module with a guide, home in the east; each engine has 8 cores."""
+    """The module with a router, home in the east; each engine has 8 cores."""
 
     def __init__(self, zones=ZONES, home=0, listed=None, **changes):
         super().__init__(entries=entries(), **changes)
-        self.guide = ZoneGuide(zones, NAMES, CLASSES, home)
-        self.gateway = Gateway(self.settings, 1, self.guide)
+        self.router = ZoneRouter(zones, NAMES, CLASSES, home)
+        self.controller = AdmissionController(self.settings, 1, self.router)
         self.entries = listed or entries()
         self.give(api.EngineList(self.entries, whole=True))
 
@@ -130,7 +130,7 @@
     def lose(self, zone):
         now = self.now
         for entry in [one for one in self.entries if one.zone == zone] * 2:
-            self.guide.ended(now, entry, api.Result.CONNECT_FAILED)
+            self.router.on_result(now, entry, api.Result.CONNECT_FAILED)
 
 
 def test_work_stays_at_home_while_home_has_room():
@@ -163,8 +163,8 @@
     d.lose(0)
     _, actions = d.ask(cls=1, work=30.0)
     assert not of(api.Send, actions)
-    answers = of(api.Refuse, actions + d.run(4.0))
-    assert answers and answers[0].retry_in > 0
+    answers = of(api.Reject, actions + d.run(4.0))
+    assert answers and answers[0].retry_after > 0
 
 
 def test_a_jump_that_finds_no_room_is_refused_at_once_and_worth_decides_who_goes():
@@ -177,10 +177,10 @@
     ]
     actions = d.give(*asks)
     sent = [send.request for send in of(api.Send, actions)]
-    refused = of(api.Refuse, actions)
+    refused = of(api.Reject, actions)
     classes = {ask.request: ask.cls for ask in asks}
     assert sent and all(classes[number] == 0 for number in sent)
-    assert len(refused) > 100 and all(answer.retry_in > 0 for answer in refused)
+    assert len(refused) > 100 and all(answer.retry_after > 0 for answer in refused)
 
 
 def test_one_attempt_at_a_time_on_trial_then_a_ramp_over_all_instances():
@@ -194,7 +194,7 @@
         d.end(home)
         sends = [send for at in range(4) for send in of(api.Send, d.ask(tables=float(at))[1])]
         home = next((send for send in sends if d.zone(send) == 0), home)
-    course = d.guide.zones[0].course
+    course = d.router.zones[0].course
     assert course.phase is Phase.BACK
     begun, let = d.now, []
     while d.now < begun + 9.0:
@@ -215,14 +215,14 @@
     assert d.zone(send) == 0
     drained = tuple(replace(entry, state=api.State.DRAINING) for entry in d.entries if entry.zone == 0)
     d.give(api.EngineList(drained))
-    assert d.guide.zones[0].course.phase is Phase.LOST
+    assert d.router.zones[0].course.phase is Phase.LOST
     assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
     assert not of(api.Fail, d.end(send))  # what ran there goes on
     back = tuple(replace(entry, started=d.now) for entry in d.entries if entry.zone == 0)
     d.give(api.EngineList(back))
     assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
     d.run(2.1)
-    assert d.guide.may_take(d.now, 0, 0, 0.2) and d.guide.zones[0].course.phase is Phase.TRIAL
+    assert d.router.may_take(d.now, 0, 0, 0.2) and d.router.zones[0].course.phase is Phase.TRIAL
 
 
 def test_the_loss_of_the_zone_that_took_the_spill_moves_it_on():
@@ -233,9 +233,11 @@
     assert d.zone(of(api.Send, d.ask()[1])[0]) == 2
 
 
-def test_without_zones_the_module_has_a_guide_that_allows_all():
-    guide = api.Guide()
-    assert guide.may_take(0.0, 0, 5, 1e9) and guide.room(0.0, 3.0) == 3.0 and guide.tier(0, 5) == 0
+def test_without_zones_the_module_has_a_router_that_allows_all():
+    router = api.Router()
+    assert (
+        router.may_take(0.0, 0, 5, 1e9) and router.available_rate(0.0, 3.0) == 3.0 and router.tier(0, 5) == 0
+    )
 
 
 @pytest.mark.parametrize(
