The application split: wiring, reload, ejections, shutdown, lifecycle

node/app.py did wiring, reload, bans by hand, shutdown and tuning in one class of 267 lines. runtime/ has a module for each; optional parts are built by functions that import them only where they are used, as before. The order of effects at start and end is the former one.

--- a/applevale/benchlink.py
+++ b/applevale/benchlink.py
@@ -1,4 +1,4 @@
-"""The adapter: hosts many gateways that share nothing on the simulator's wire. It decides nothing."""
+"""The adapter: hosts many instances that share nothing on the simulator's wire. It decides nothing."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def answer(
-    decoder: wire.Decoder, gateways: dict[int, AdmissionController], clock: int, count: int, body: bytes
+    decoder: wire.Decoder, controllers: dict[int, AdmissionController], clock: int, count: int, body: bytes
 ) -> bytes:
     """One batch in, one reply out. An instance's events go to it together, in their order."""
     waiting: dict[int, list] = {}
@@ -27,8 +27,8 @@
 
     def run(instance: int) -> None:
         events = waiting.pop(instance, None)
-        if events is not None and instance in gateways:
-            actions = gateways[instance].handle(now, events)
+        if events is not None and instance in controllers:
+            actions = controllers[instance].handle(now, events)
             if actions:
                 records.append(wire.context(instance))
                 records.extend(wire.action(item) for item in actions)
@@ -36,11 +36,11 @@
     for instance, event in decoder.batch(count, body):
         if isinstance(event, wire.Boot):
             waiting.pop(instance, None)
-            gateways[instance] = AdmissionController(wire.settings(event.settings), event.seed)
+            controllers[instance] = AdmissionController(wire.settings(event.settings), event.seed)
             waiting[instance] = []
         elif isinstance(event, wire.Down):
             waiting.pop(instance, None)
-            gateways.pop(instance, None)
+            controllers.pop(instance, None)
         else:
             waiting.setdefault(instance, []).append(event)
     for instance in list(waiting):
@@ -49,7 +49,7 @@
 
 
 def serve(source, sink) -> int:
-    decoder, gateways, at = wire.Decoder(), {}, 0
+    decoder, controllers, at = wire.Decoder(), {}, 0
     gc.freeze()
     while True:
         head = source.read(wire.HEAD.size)
@@ -59,7 +59,7 @@
             if len(head) != wire.HEAD.size:
                 raise wire.WireError(f"header: {wire.HEAD.size} bytes expected, {len(head)} came")
             size, clock, count = wire.HEAD.unpack(head)
-            data = answer(decoder, gateways, clock, count, _read(source, size, "body"))
+            data = answer(decoder, controllers, clock, count, _read(source, size, "body"))
         except wire.WireError as error:
             print(f"applevale: malformed input in the batch at byte {at}: {error}", file=sys.stderr)
             return 2
--- /dev/null
+++ b/applevale/runtime/listeners.py
@@ -0,0 +1,28 @@
+"""Listening sockets."""
+
+from __future__ import annotations
+
+import socket
+
+from ..net.addresses import Address
+
+BACKLOG = 512
+
+
+def listen(address: Address, shared: bool) -> socket.socket:
+    """Return a listening, non-blocking TCP socket.
+
+    With `shared` another process may listen on the same address: an upgrade starts a second process there,
+    and the kernel shares new connections out between the two until the old one closes its listener.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind(address)
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/applevale/runtime/optional_parts.py
@@ -0,0 +1,118 @@
+"""Parts that only some configurations have. Their modules and libraries are imported only where they are
+used: each costs memory and time at every start.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+from .. import api
+from ..config.loader import Config
+from ..discovery.endpoints import Change
+from ..discovery.gated_endpoints import HeldList
+from ..dispatch.event_loop_driver import Driver
+from ..engines.connection import Fleet
+from ..observability.counters import Counters
+from ..policy import AdmissionController
+
+if TYPE_CHECKING:
+    from ..discovery.registry.source import RegistrySource
+    from ..engines.connect_pacer import Openings
+    from ..gossip.exchange import Peers
+    from ..membership.runner import Members
+    from ..net.datagrams import Datagrams
+
+
+def create_router(config: Config, counters: Counters) -> api.Router | None:
+    """Return the router among zones; None without a zones file."""
+    if config.zones is None:
+        return None
+    from ..zones.zone_router import ZoneRouter
+
+    classes = tuple(spec.name for spec in config.settings.classes)
+    return ZoneRouter(config.zones, config.names.zones, classes, config.settings.zone, counters)
+
+
+def create_connect_pacer(
+    config: Config,
+    pool: Fleet,
+    driver: Driver,
+    endpoints: HeldList,
+    on_readiness_change: Callable[[], None],
+) -> Openings | None:
+    """Return the pacer of connects to engines; None where the configuration names no rate."""
+    if config.engine_connects is None:
+        return None
+    from ..engines.connect_pacer import Openings, Ramp
+
+    schedule = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
+    return Openings(schedule, pool, driver.post, endpoints, on_readiness_change)
+
+
+def needs_gossip(config: Config, controller: AdmissionController) -> bool:
+    """Return whether load reports are exchanged: where probing engines before each send is too expensive."""
+    settings = config.settings
+    if config.peers is None or config.peers.everyone is None:
+        return False
+    return not controller.looks and settings.may_tell_peers and settings.gateways > 1
+
+
+def create_datagrams(config: Config, counters: Counters) -> Datagrams:
+    """Return the one socket of all parts that exchange datagrams with other instances."""
+    from ..net.datagrams import Datagrams
+
+    is_shared = config.membership is not None
+    return Datagrams(config.peers, config.settings.me, counters, shared=is_shared)
+
+
+def create_gossip(
+    config: Config, datagrams: Datagrams, pool: Fleet, driver: Driver, counters: Counters
+) -> Peers:
+    """Return the exchange of load reports, which hears of the pool's attempts and reports."""
+    from ..gossip.exchange import Peers
+    from ..gossip.load_reports import News
+
+    settings = config.settings
+    reports = News(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
+    gossip = Peers(datagrams, reports, driver, counters)
+    pool.reported = gossip.reported
+    pool.sent = gossip.sent
+    return gossip
+
+
+def create_membership(
+    config: Config, datagrams: Datagrams, counters: Counters, on_resize: Callable[[int], None]
+) -> Members:
+    """Return the membership of this instance in the fleet."""
+    from ..membership.protocol import Membership, Pace
+    from ..membership.runner import Members, new_life
+    from ..membership.shares import Shares
+
+    count = len(config.peers.each)
+    timing = Pace(probe=config.membership)
+    protocol = Membership(config.settings.me, count, new_life(), Random(config.seed), timing)
+    return Members(protocol, Shares(count), datagrams, counters, on_resize)
+
+
+def create_registry_source(
+    config: Config,
+    counters: Counters,
+    on_update: Callable[[Change], None],
+    on_staleness_change: Callable[[bool], None],
+) -> RegistrySource | None:
+    """Return the source of the list in a key-value registry; None where the control feed is followed."""
+    if config.registry is None:
+        return None
+    from ..discovery.registry.source import RegistrySource
+
+    return RegistrySource(
+        config.registry,
+        config.names,
+        counters,
+        on_update,
+        on_staleness_change,
+        config.seed,
+        local=config.local,
+    )
--- /dev/null
+++ b/applevale/runtime/reload.py
@@ -0,0 +1,87 @@
+"""Reload of the configuration on SIGHUP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..admin.metrics import Figures
+from ..config.loader import Config, ConfigError, load
+from ..discovery.control_feed import Feed, FeedError
+from ..discovery.endpoints import Change, Source
+from ..observability.counters import Counters
+from ..observability.events import log_event
+
+FIXED_KEYS = ("listen", "sockets", "memory", "settings", "links", "zones")
+IDENTITY_KEYS = ("name", "names")
+
+
+class ConfigReloader:
+    """Takes over a new configuration, or keeps the old one as it is.
+
+    Only where the list of engines comes from, and what is known of it, changes in a running process. The
+    other keys take effect at the next start, and a line says so.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        source: Source,
+        control_feed: Feed,
+        metrics: Figures,
+        counters: Counters,
+        load_config: Callable[[], Config] = load,
+    ):
+        """Compare new configurations with `config`, the one of the start."""
+        self.config = config
+        self.source = source
+        self.control_feed = control_feed
+        self.metrics = metrics
+        self.counters = counters
+        self.load_config = load_config
+
+    def reload(self) -> None:
+        """Read the configuration again and apply it; on any error log one line and change nothing."""
+        try:
+            config = self.load_config()
+            self._check_identity(config)
+        except ConfigError as error:
+            log_event("reload", f"the old configuration stays: {error}")
+            self.metrics.reloaded(False)
+            return
+        self.counters["reloads"] += 1
+        self.metrics.reloaded(True)
+        self.apply_known_endpoints(config.known)
+        self._move_source(config)
+        fixed = self._changed_keys(FIXED_KEYS, config)
+        if fixed:
+            log_event("reload", f"takes effect at the next start only: {', '.join(fixed)}")
+
+    def apply_known_endpoints(self, known: tuple[Change, ...]) -> None:
+        """Apply what a configuration knows of the list, beyond what was applied already."""
+        try:
+            for change in known:
+                self.control_feed.take(change)
+        except FeedError as error:  # a gap: the feed will send what lies in it
+            log_event("reload", f"known: {error}")
+
+    def _check_identity(self, config: Config) -> None:
+        """Refuse a configuration of another instance, or with other zones and kinds.
+
+        Known engines and the new source refer to zones and kinds by their positions.
+        """
+        others = self._changed_keys(IDENTITY_KEYS, config)
+        if others:
+            raise ConfigError(f"another one's {', '.join(others)}")
+
+    def _changed_keys(self, keys: tuple[str, ...], config: Config) -> list[str]:
+        return [key for key in keys if getattr(config, key) != getattr(self.config, key)]
+
+    def _move_source(self, config: Config) -> None:
+        uses_registry = self.config.registry is not None
+        if (config.registry is not None) != uses_registry:
+            log_event("reload", "takes effect at the next start only: registry")
+            return
+        try:
+            self.source.move(config.registry if uses_registry else config.feed)
+        except ValueError as error:
+            log_event("reload", f"the list is followed as before: {error}")
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -6,7 +6,7 @@
 from applevale.discovery.registry.watcher import Follower, Watch
 from applevale.membership import messages
 from applevale.membership.protocol import KEEP_NEWS, Membership
-from applevale.runtime.application import Node
+from applevale.runtime.application import Application
 from applevale.startup.staleness_guard import Promise
 
 
@@ -40,7 +40,7 @@
 
 
 def serving(self):
-    return not self.leaving.is_set()
+    return not self.shutdown_requested.is_set()
 
 
 def never_give_up(self, now, draw):
@@ -114,7 +114,7 @@
     "arrival": lambda: setattr(Follower, "answered", dated_by_arrival),
     "on_top": lambda: setattr(Follower, "_ask", ask_on_top),
     "leaves": lambda: setattr(Follower, "_tried", leave_the_slow),
-    "ready": lambda: setattr(Node, "serving", serving),
+    "ready": lambda: setattr(Application, "is_serving", serving),
     "thrash": lambda: setattr(Promise, "_give_up", never_give_up),
     "compaction": lambda: setattr(Follower, "compacted", ignore_compaction),
     "staleness": lambda: setattr(Follower, "fresh", lambda self, now: True),
