The configuration split: model, values, settings, sections, loader

One module read the environment, the file, the settings' lines and eight sections. Each section has a function with a docstring, shared checks are in values.py; keys, errors and defaults are the former ones.

--- a/applevale/__main__.py
+++ b/applevale/__main__.py
@@ -15,13 +15,14 @@
 
     import uvloop
 
-    from .config.loader import ConfigError, load
+    from .config.loader import load_config
+    from .config.model import ConfigError
     from .observability import events
     from .runtime import lifecycle
 
     imported_at = time.process_time()
     try:
-        config = load()
+        config = load_config()
     except ConfigError as error:
         print(f"applevale: {error}", file=sys.stderr)
         return EXIT_UNUSABLE_INPUT
--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -11,7 +11,8 @@
 import msgspec
 import typer
 
-from ..config.loader import Config, ConfigError, load
+from ..config.loader import load_config
+from ..config.model import Config, ConfigError
 from .ends import fail
 from .experiments import experiment
 
@@ -31,7 +32,7 @@
 def read_config(path: str) -> Config:
     """The configuration at `path`; ends with exit code 2 and one line if it cannot be used."""
     try:
-        return load(os.environ | {"BALANCER_CONFIG": path})
+        return load_config(os.environ | {"BALANCER_CONFIG": path})
     except ConfigError as error:
         fail(str(error))
 
--- /dev/null
+++ b/applevale/config/sections.py
@@ -0,0 +1,144 @@
+"""The sections of the configuration file, each read and checked by a function of its own.
+
+All of them raise ConfigError.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Mapping
+from importlib.util import find_spec
+
+from .. import api, wire
+from ..discovery.endpoints import Names
+from ..engines.limits import ConnectionLimits
+from ..net.addresses import Address, PeerAddresses
+from .model import ConfigError
+from .values import read_address, read_number, read_section, reject_unknown_keys
+
+DEFAULT_MAX_ATTEMPTS = 32  # on one connection to an engine
+DEFAULT_IDLE_TIMEOUT_NS = 15 * wire.NS
+DEFAULT_CONNECT_TIMEOUT_NS = 0.25 * wire.NS
+MIN_ENGINE_CONNECTS = 0.1  # a second
+MIN_MEMBERS, MAX_MEMBERS = 2, 65535
+DEFAULT_PROBE_SECONDS = 0.1  # between two probes of members
+MIN_PROBE_SECONDS = 0.02
+LOG_FORMS = ("console", "json")
+
+
+def read_peers(raw: Mapping) -> PeerAddresses | None:
+    """Return the addresses of the other instances; None without `peer_listen`."""
+    if raw.get("peer_listen") is None:
+        return None
+    each = raw.get("peers", [])
+    if not isinstance(each, list):
+        raise ConfigError(f"peers: a list of HOST:PORT is needed, not {each!r}")
+    everyone = raw.get("peers_all")
+    return PeerAddresses(
+        read_address(raw["peer_listen"], "peer_listen"),
+        tuple(read_address(peer, f"peers[{index}]") for index, peer in enumerate(each)),
+        None if everyone is None else read_address(everyone, "peers_all"),
+    )
+
+
+def read_connection_limits(raw_settings: Mapping, settings: api.Settings) -> ConnectionLimits:
+    """Return the limits of connections to engines."""
+    limits = read_section(raw_settings, "limits")
+    prices = read_section(raw_settings, "prices")
+    return ConnectionLimits(
+        max_attempts=int(read_number(limits, "streams_per_conn", DEFAULT_MAX_ATTEMPTS, 1)),
+        idle_timeout=read_number(limits, "conn_idle", DEFAULT_IDLE_TIMEOUT_NS, 1) / wire.NS,
+        connect_timeout=read_number(limits, "dial_timeout", DEFAULT_CONNECT_TIMEOUT_NS, 1) / wire.NS,
+        handshake_price=read_number(prices, "handshake", 0.0, 0.0),
+        probe_price=settings.probe_price,
+        drain_grace=settings.drain_grace,
+    )
+
+
+def read_registry(raw: Mapping) -> object:
+    """Return the settings of the registry, if there is one; its libraries are imported only then."""
+    if raw.get("registry") is None:
+        return None
+    if raw.get("feed"):
+        raise ConfigError("feed: not together with registry")
+    try:
+        from ..discovery.registry import settings, source
+
+        registry = settings.read_settings(raw["registry"])
+        source.session_kind(registry.kind)  # all that it needs must be there
+        return registry
+    except ImportError as error:
+        raise ConfigError(f"registry: {error.name} is missing: install the extra 'registry'") from None
+    except settings.SettingsError as error:
+        raise ConfigError(str(error)) from None
+
+
+def read_zones_file(raw: Mapping, names: Names, settings: api.Settings) -> object:
+    """Return the file that `zones_file` names, if any; its library is imported only then."""
+    path = raw.get("zones_file")
+    if path is None:
+        return None
+    try:
+        from ..zones.settings import ZonesError, read_zones
+    except ImportError as error:
+        raise ConfigError(f"zones_file: {error.name} is missing: install the extra 'zones'") from None
+    classes = tuple(spec.name for spec in settings.classes)
+    try:
+        with open(path, "rb") as file:
+            return read_zones(file.read(), names.zones, classes)
+    except (OSError, TypeError, ZonesError) as error:
+        raise ConfigError(f"zones_file: {error}") from None
+
+
+def read_control(raw: Mapping, environ: Mapping[str, str]) -> Address | None:
+    """Return the address of the operators' API; None: there is none."""
+    if environ.get("BALANCER_CONTROL"):
+        return read_address(environ["BALANCER_CONTROL"], "BALANCER_CONTROL")
+    return read_address(raw["control"], "control") if raw.get("control") else None
+
+
+def read_engine_connects(raw: Mapping) -> float | None:
+    """Return the connects a second to one engine, over the fleet; None: no limit."""
+    section = read_section(raw, "startup")
+    reject_unknown_keys(section, "startup", "engine_connects")
+    return read_number(section, "engine_connects", 0.0, MIN_ENGINE_CONNECTS) if section else None
+
+
+def read_membership(raw: Mapping, peers: PeerAddresses | None, me: int) -> float | None:
+    """Return the seconds between two probes of members; None: there is no membership."""
+    if raw.get("membership") is None:
+        return None
+    section = read_section(raw, "membership")
+    reject_unknown_keys(section, "membership", "probe")
+    if peers is None or not MIN_MEMBERS <= len(peers.each) <= MAX_MEMBERS:
+        raise ConfigError("membership: peer_listen and the addresses of 2 to 65535 peers are needed")
+    if me >= len(peers.each):
+        raise ConfigError(f"settings.me: {me} is none of the {len(peers.each)} peers")
+    return read_number(section, "probe", DEFAULT_PROBE_SECONDS, MIN_PROBE_SECONDS)
+
+
+def read_local_address(raw: Mapping) -> str:
+    """Return the local address of outgoing connections; empty: the system's choice."""
+    value = raw.get("local_address", "")
+    try:
+        return str(ipaddress.IPv4Address(value)) if value != "" else ""
+    except ValueError:
+        raise ConfigError(f"local_address: an IPv4 address is needed, not {value!r}") from None
+
+
+def read_log_form(raw: Mapping, environ: Mapping[str, str]) -> bool:
+    """Return whether events are logged as JSON."""
+    form = environ.get("BALANCER_LOG") or raw.get("log", "console")
+    if form not in LOG_FORMS:
+        raise ConfigError(f"log: console or json is needed, not {form!r}")
+    if form == "json" and find_spec("structlog") is None:
+        raise ConfigError("log: structlog is missing: install the extra 'events'")
+    return form == "json"
+
+
+def read_seed(raw: Mapping) -> int:
+    """Return the seed, which the file has in hex digits."""
+    try:
+        return int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: hex digits are needed, not {raw['seed']!r}") from None
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -9,7 +9,7 @@
 from .. import api
 from ..admin.metrics import Figures
 from ..admin.routes import MOST_CALLS
-from ..config.loader import Config
+from ..config.model import Config
 from ..discovery.control_feed import Feed
 from ..discovery.endpoints import Change, Source
 from ..discovery.gated_endpoints import HeldList
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -9,7 +9,7 @@
 import time
 from dataclasses import dataclass
 
-from ..config.loader import Config
+from ..config.model import Config
 from ..observability.counters import Counters
 from ..observability.events import log_unlimited
 from .application import COUNTERS_INTERVAL_SECONDS, Application
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from .. import api
-from ..config.loader import Config
+from ..config.model import Config
 from ..discovery.endpoints import Change
 from ..discovery.gated_endpoints import HeldList
 from ..dispatch.event_loop_driver import Driver
--- a/applevale/runtime/reload.py
+++ b/applevale/runtime/reload.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from ..admin.metrics import Figures
-from ..config.loader import Config, ConfigError, load
+from ..config.loader import load_config
+from ..config.model import Config, ConfigError
 from ..discovery.control_feed import Feed, FeedError
 from ..discovery.endpoints import Change, Source
 from ..observability.counters import Counters
@@ -29,7 +30,7 @@
         control_feed: Feed,
         metrics: Figures,
         counters: Counters,
-        load_config: Callable[[], Config] = load,
+        load: Callable[[], Config] = load_config,
     ):
         """Compare new configurations with `config`, the one of the start."""
         self.config = config
@@ -37,12 +38,12 @@
         self.control_feed = control_feed
         self.metrics = metrics
         self.counters = counters
-        self.load_config = load_config
+        self.load = load
 
     def reload(self) -> None:
         """Read the configuration again and apply it; on any error log one line and change nothing."""
         try:
-            config = self.load_config()
+            config = self.load()
             self._check_identity(config)
         except ConfigError as error:
             log_event("reload", f"the old configuration stays: {error}")
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from applevale.config.loader import ConfigError, _json_log
+from applevale.config.model import ConfigError
+from applevale.config.sections import read_log_form
 from applevale.observability import events
 
 
@@ -50,10 +51,10 @@
 
 
 def test_the_form_is_named_or_refused(monkeypatch):
-    assert not _json_log({}, {})
-    assert _json_log({"log": "json"}, {}) and _json_log({"log": "console"}, {"BALANCER_LOG": "json"})
+    assert not read_log_form({}, {})
+    assert read_log_form({"log": "json"}, {}) and read_log_form({"log": "console"}, {"BALANCER_LOG": "json"})
     with pytest.raises(ConfigError, match="^log: console or json is needed, not 'yaml'$"):
-        _json_log({"log": "yaml"}, {})
-    monkeypatch.setattr("applevale.config.loader.find_spec", lambda name: None)
+        read_log_form({"log": "yaml"}, {})
+    monkeypatch.setattr("applevale.config.sections.find_spec", lambda name: None)
     with pytest.raises(ConfigError, match="^log: structlog is missing"):
-        _json_log({"log": "json"}, {})
+        read_log_form({"log": "json"}, {})
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from applevale.config import loader as config
+from applevale.config.loader import parse_config
+from applevale.config.model import ConfigError
 from applevale.emulator.membership import Fleet
 from applevale.membership import messages as m
 from applevale.membership.bucket import DEPTH, RATE, Bucket
@@ -350,10 +351,10 @@
 )
 def test_a_bad_membership_section_is_one_line_that_names_its_key(change, text):
     raw = json.loads((Path(__file__).parent.parent / "deploy" / "members.json").read_text())
-    assert config.parse(raw, {}).membership == 0.1
+    assert parse_config(raw, {}).membership == 0.1
     settings = raw["settings"] | change.pop("settings", {})
-    with pytest.raises(config.ConfigError, match="^" + re.escape(text)):
-        config.parse(raw | change | {"settings": settings}, {})
+    with pytest.raises(ConfigError, match="^" + re.escape(text)):
+        parse_config(raw | change | {"settings": settings}, {})
 
 
 def test_datagrams_of_strangers_and_garbage_cost_a_counter_and_nothing_else():
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from applevale import api
-from applevale.config import loader as config
+from applevale.config.model import ConfigError
+from applevale.config.sections import read_peers
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.engines.connection import Fleet
 from applevale.gossip.exchange import Peers
@@ -263,9 +264,9 @@
         "peers": ["127.0.0.1:7946", "127.0.0.2:7946"],
         "peers_all": "127.0.0.9:7946",
     }
-    assert config.parse_peers(raw).each[1] == ("127.0.0.2", 7946)
-    assert config.parse_peers({}) is None
-    with pytest.raises(config.ConfigError, match=r"peers\[1\]: HOST:PORT"):
-        config.parse_peers(raw | {"peers": ["127.0.0.1:7946", "nowhere"]})
-    with pytest.raises(config.ConfigError, match="peers: a list"):
-        config.parse_peers(raw | {"peers": "127.0.0.1:7946"})
+    assert read_peers(raw).each[1] == ("127.0.0.2", 7946)
+    assert read_peers({}) is None
+    with pytest.raises(ConfigError, match=r"peers\[1\]: HOST:PORT"):
+        read_peers(raw | {"peers": ["127.0.0.1:7946", "nowhere"]})
+    with pytest.raises(ConfigError, match="peers: a list"):
+        read_peers(raw | {"peers": "127.0.0.1:7946"})
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from applevale import api
-from applevale.config import loader as config
+from applevale.config.loader import parse_config
+from applevale.config.model import ConfigError
 from applevale.discovery import control_feed as feed
 from applevale.discovery import endpoints as members
 from applevale.engines import connection as engine
@@ -21,7 +22,7 @@
 
 NAMES = members.Names(("here",), ("a", "b"))
 EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
-SETTINGS = replace(config.parse(EXAMPLE, {}).settings, tenants=(api.TenantSpec("one"), api.TenantSpec("two")))
+SETTINGS = replace(parse_config(EXAMPLE, {}).settings, tenants=(api.TenantSpec("one"), api.TenantSpec("two")))
 NAMED = front.Names.of(SETTINGS)
 
 
@@ -199,5 +200,5 @@
     for parent in parents:
         holder = holder[parent]
     holder[last] = value
-    with pytest.raises(config.ConfigError, match=last):
-        config.parse(raw, {})
+    with pytest.raises(ConfigError, match=last):
+        parse_config(raw, {})
