--- a/applevale/cli/experiments.py
+++ b/applevale/cli/experiments.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from .ends import fail
+from .exit_codes import fail
 
 experiment = typer.Typer(no_args_is_help=True, help="Play state machines in simulated time, over a grid.")
 
@@ -31,8 +31,8 @@
     extra("tqdm")
     from tqdm import tqdm
 
-    from ..emulator import experiment as grid
-    from ..emulator.players import PLAYERS
+    from ..simulation import experiment as grid
+    from ..simulation.runners import PLAYERS
 
     try:
         with open(path, "rb") as file:
@@ -61,7 +61,7 @@
 ) -> None:
     """Set two folders' results side by side, seed by seed: mean difference and its 95% bounds."""
     extra("scipy")
-    from ..emulator import experiment as grid
+    from ..simulation import experiment as grid
 
     try:
         first, second = (grid.read_results(Path(folder) / "results.csv") for folder in (one, other))
@@ -85,7 +85,7 @@
 ) -> None:
     """Draw a figure over the sizes, a line for each version and case."""
     extra("matplotlib")
-    from ..emulator import experiment as grid
+    from ..simulation import experiment as grid
 
     try:
         rows = grid.read_results(Path(folder) / "results.csv")
--- a/applevale/cli/main.py
+++ b/applevale/cli/main.py
@@ -13,7 +13,7 @@
 
 from ..config.loader import load_config
 from ..config.model import Config, ConfigError
-from .ends import fail
+from .exit_codes import fail
 from .experiments import experiment
 
 app = typer.Typer(
@@ -198,7 +198,7 @@
     path: Annotated[str, typer.Argument(help="A history, or JSON events; -: standard input.")],
 ) -> None:
     """Print what each instance last said of who lives: from a history, or the events of a running fleet."""
-    from ..verify.views import last_views, read_lines
+    from ..checkers.views import last_views, read_lines
 
     try:
         if path == "-":
@@ -231,7 +231,7 @@
         fleet_rig(nodes, case, seed, history, baseline, schedule, as_json)
     if name not in ("registry", "ops"):
         fail(f"rig: no rig is called {name!r}; there are: registry, ops, fleet")
-    from ..rigs import ops, registry
+    from ..harness import ops, registry
 
     if not as_json:
         typer.echo(f"rig {name}: seed {seed}, {seconds:g} s", err=True)
@@ -241,7 +241,7 @@
 
 
 def read_steps(path: str) -> tuple:
-    from ..faults.schedule import ScheduleError, read_schedule
+    from ..fault_injection.schedule import ScheduleError, read_schedule
 
     try:
         with open(path, "rb") as file:
@@ -255,8 +255,8 @@
 ) -> None:
     import uvloop
 
-    from ..rigs import cases
-    from ..rigs.fleet import Plan
+    from ..harness import scenarios as cases
+    from ..harness.fleet import Plan
 
     if case not in cases.CASES:
         fail(f"--case: no case is called {case!r}; there are: {', '.join(cases.CASES)}")
--- a/applevale/config/sections.py
+++ b/applevale/config/sections.py
@@ -9,16 +9,17 @@
 from collections.abc import Mapping
 from importlib.util import find_spec
 
-from .. import api, wire
+from .. import api
 from ..discovery.endpoints import Names
 from ..engines.limits import ConnectionLimits
 from ..net.addresses import Address, PeerAddresses
+from ..simulator_wire.units import NANOSECONDS
 from .model import ConfigError
 from .values import read_address, read_number, read_section, reject_unknown_keys
 
 DEFAULT_MAX_ATTEMPTS = 32  # on one connection to an engine
-DEFAULT_IDLE_TIMEOUT_NS = 15 * wire.NS
-DEFAULT_CONNECT_TIMEOUT_NS = 0.25 * wire.NS
+DEFAULT_IDLE_TIMEOUT_NS = 15 * NANOSECONDS
+DEFAULT_CONNECT_TIMEOUT_NS = 0.25 * NANOSECONDS
 MIN_ENGINE_CONNECTS = 0.1  # a second
 MIN_MEMBERS, MAX_MEMBERS = 2, 65535
 DEFAULT_PROBE_SECONDS = 0.1  # between two probes of members
@@ -47,8 +48,8 @@
     prices = read_section(raw_settings, "prices")
     return ConnectionLimits(
         max_attempts=int(read_number(limits, "streams_per_conn", DEFAULT_MAX_ATTEMPTS, 1)),
-        idle_timeout=read_number(limits, "conn_idle", DEFAULT_IDLE_TIMEOUT_NS, 1) / wire.NS,
-        connect_timeout=read_number(limits, "dial_timeout", DEFAULT_CONNECT_TIMEOUT_NS, 1) / wire.NS,
+        idle_timeout=read_number(limits, "conn_idle", DEFAULT_IDLE_TIMEOUT_NS, 1) / NANOSECONDS,
+        connect_timeout=read_number(limits, "dial_timeout", DEFAULT_CONNECT_TIMEOUT_NS, 1) / NANOSECONDS,
         handshake_price=read_number(prices, "handshake", 0.0, 0.0),
         probe_price=settings.probe_price,
         drain_grace=settings.drain_grace,
--- a/applevale/config/settings_lines.py
+++ b/applevale/config/settings_lines.py
@@ -7,7 +7,8 @@
 from dataclasses import replace
 from typing import TypeVar
 
-from .. import api, wire
+from .. import api
+from ..simulator_wire import settings as wire_settings
 from .model import ConfigError
 
 # Between an answer and the next request of its key, seconds: attempts leave on other sockets, in no set
@@ -26,7 +27,7 @@
         ConfigError: A setting is missing or makes no sense.
     """
     try:
-        settings = wire.settings("\n".join(flatten(raw)))
+        settings = wire_settings.read_settings("\n".join(flatten(raw)))
     except api.SettingsError as error:
         raise ConfigError(f"settings.{error}") from None
     settings = replace(settings, order_gap=ORDER_GAP_SECONDS)
--- a/applevale/standins/listhost.py
+++ b/applevale/fakes/listhost.py
@@ -1,4 +1,4 @@
-"""A list service in a process of its own, for rigs of many programs: python -m applevale.standins.listhost.
+"""A list service in a process of its own, for rigs of many programs: python -m applevale.fakes.listhost.
 
 Three etcd-like members of one store behind one capacity. Orders come as JSON lines on standard input; what
 happened goes out as JSON lines on standard output: commits, sessions, and the reads of each tenth of a
--- a/applevale/faults/courses.py
+++ b/applevale/fault_injection/scenarios.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from .fates import Fate
+from .link_conditions import Fate
 from .schedule import Kill, Link, Stall, Step, Stop, Term, Upgrade
 
 Draw = Callable[[int, Random], list[Step]]
--- a/applevale/faults/schedule.py
+++ b/applevale/fault_injection/schedule.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .fates import Fate
+from .link_conditions import Fate
 
 Span = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 Names = Annotated[list[str], msgspec.Meta(min_length=1, max_length=256)]
--- a/applevale/faults/gates.py
+++ b/applevale/fault_injection/tcp_proxy.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import deque
 
-from .fates import Fates
+from .link_conditions import Fates
 
 HIGH = 1 << 18  # bytes that wait in one direction of a connection until its sender is not read from any more
 LOOK = 0.02  # s between two looks whether a cut has ended
--- a/applevale/faults/datagrams.py
+++ b/applevale/fault_injection/udp_proxy.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from .fates import Fates
+from .link_conditions import Fates
 
 AT_ONCE = 256  # read from one socket in one turn
 MOST_BYTES = 2048
--- a/applevale/rigs/fleet.py
+++ b/applevale/harness/fleet.py
@@ -22,14 +22,14 @@
 
 import msgspec
 
-from ..faults import schedule as f
-from ..faults.datagrams import Relay
-from ..faults.fates import Fates, matches
-from ..faults.gates import Gate, source_address, source_number
-from ..standins.clients import Clients
-from ..standins.cold import ColdEngine
-from ..verify.history import History
-from .program import KINDS, SETTINGS, ZONES, Program, broken_rules
+from ..checkers.history import History
+from ..fakes.clients import Clients
+from ..fakes.cold import ColdEngine
+from ..fault_injection import schedule as f
+from ..fault_injection.link_conditions import Fates, matches
+from ..fault_injection.tcp_proxy import Gate, source_address, source_number
+from ..fault_injection.udp_proxy import Relay
+from .managed_process import KINDS, SETTINGS, ZONES, Program, broken_rules
 
 PREFIX = "applevale/engines/"
 IMPORTS = (
@@ -93,7 +93,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "applevale.standins.listhost",
+            "applevale.fakes.listhost",
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             limit=1 << 24,
--- a/applevale/rigs/program.py
+++ b/applevale/harness/managed_process.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterable
 from math import inf
 
-from ..standins.clients import Clients
-from ..standins.engine import StandinEngine
+from ..fakes.clients import Clients
+from ..fakes.engine import StandinEngine
 
 NS = 1_000_000_000
 ZONES, KINDS = ["east", "west"], ["std"]
--- a/applevale/rigs/ops.py
+++ b/applevale/harness/ops.py
@@ -19,9 +19,9 @@
 import tempfile
 from random import Random
 
-from ..standins.clients import Clients
-from ..standins.engine import StandinEngine
-from .program import Program, broken_rules
+from ..fakes.clients import Clients
+from ..fakes.engine import StandinEngine
+from .managed_process import Program, broken_rules
 
 ENGINES = 3
 RATE = 60.0  # requests a second
--- a/applevale/rigs/registry.py
+++ b/applevale/harness/registry.py
@@ -20,12 +20,12 @@
 from ..discovery.endpoints import Names
 from ..discovery.registry.messages import range_end
 from ..discovery.registry.records import Ledger, RecordError, digest, read_record
-from ..standins import consul, etcd
-from ..standins.clients import Clients
-from ..standins.engine import StandinEngine
-from ..standins.gate import Gate, Mode
-from ..standins.store import Store
-from .program import KINDS, ZONES, Program, broken_rules
+from ..fakes import consul, etcd
+from ..fakes.clients import Clients
+from ..fakes.engine import StandinEngine
+from ..fakes.gate import Gate, Mode
+from ..fakes.store import Store
+from .managed_process import KINDS, ZONES, Program, broken_rules
 
 PREFIX = "applevale/engines/"
 MEMBERS, ENGINES, SPARES = 3, 6, 3
--- a/applevale/rigs/cases.py
+++ b/applevale/harness/scenarios.py
@@ -6,12 +6,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
-from ..faults.courses import COURSES, course
-from ..faults.fates import Fate
-from ..faults.schedule import Kill, Link, Term, drawn
-from ..verify import coldstart as verify
-from ..verify import membership
-from ..verify.history import History, quantile
+from ..checkers import coldstart as verify
+from ..checkers import membership
+from ..checkers.history import History, quantile
+from ..fault_injection.link_conditions import Fate
+from ..fault_injection.scenarios import COURSES, course
+from ..fault_injection.schedule import Kill, Link, Term, drawn
 from .fleet import Fleet, Plan
 
 UP = 60.0  # s within which all are ready, with the machine's share
--- a/applevale/emulator/world.py
+++ b/applevale/simulation/engine.py
@@ -19,7 +19,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from ..faults.fates import Fates
+from ..fault_injection.link_conditions import Fates
 
 AT_ONCE = 64  # that one reads before its timers have their turn
 ROOM = 400  # datagrams that wait for an actor that stands still
--- a/applevale/emulator/experiment.py
+++ b/applevale/simulation/experiment.py
@@ -59,7 +59,7 @@
 def code_mark(root: Path = Path(__file__).parent.parent) -> str:
     """Of all that a run may depend on."""
     digest = blake2b(digest_size=6)
-    for part in ("membership", "startup", "leases", "emulator", "faults", "verify"):
+    for part in ("membership", "startup", "leases", "simulation", "fault_injection", "checkers"):
         for path in sorted((root / part).glob("*.py")):
             digest.update(path.name.encode() + path.read_bytes())
     return digest.hexdigest()
--- a/applevale/emulator/stage.py
+++ b/applevale/simulation/fault_player.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ..faults import schedule as f
-from ..faults.fates import matches
-from .world import World
+from ..fault_injection import schedule as f
+from ..fault_injection.link_conditions import matches
+from .engine import World
 
 
 class Stage:
--- a/applevale/emulator/membership.py
+++ b/applevale/simulation/membership.py
@@ -5,13 +5,13 @@
 from collections import defaultdict
 from random import Random
 
-from ..faults.courses import course, lasts
+from ..fault_injection.scenarios import course, lasts
 from ..membership import messages
 from ..membership.protocol import Command, Membership, Pace, Send, Stood, Turned
 from ..membership.shares import Shares
 from ..membership.suspicion import Times
-from .stage import Stage
-from .world import World
+from .engine import World
+from .fault_player import Stage
 
 JOIN = 4.0  # s for all to have joined
 SETTLE = 6.0  # s behind the last fault
--- a/applevale/emulator/players.py
+++ b/applevale/simulation/runners.py
@@ -4,10 +4,10 @@
 
 from dataclasses import fields, replace
 
-from ..faults.courses import COURSES
+from ..checkers import membership as verify
+from ..checkers.history import History
+from ..fault_injection.scenarios import COURSES
 from ..membership.suspicion import Times
-from ..verify import membership as verify
-from ..verify.history import History
 from .experiment import ExperimentError
 from .membership import VERSIONS, Fleet
 
--- /dev/null
+++ b/applevale/simulator_wire/settings.py
@@ -0,0 +1,187 @@
+"""Reads the settings of a deployment from the path=value lines of the simulator's wire."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .. import api
+from .units import NANOSECONDS
+
+# Report columns whose meaning a setting names, and what those meanings are called in `Settings`.
+COLUMN_SETTINGS = {"x0": "report_x0", "x1": "report_x1"}
+COLUMN_MEANINGS = {"share_of_memory_granted": "memory_used", "share_of_disks_busy": "disk_busy"}
+BOOLEANS = {"true": True, "false": False}
+
+
+class SettingLines:
+    """The path=value lines; a value that is missing or unreadable raises SettingsError with its path."""
+
+    def __init__(self, text: str):
+        """Split the lines; those without an equals sign are passed over."""
+        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+    def get(self, path: str, kind: type, default: object = None):
+        """Return the value of a path as `kind`; a path without a default must be there."""
+        if path not in self.values:
+            if default is None:
+                raise api.SettingsError(f"{path}: missing")
+            return default
+        raw = self.values[path]
+        try:
+            return BOOLEANS[raw] if kind is bool else kind(raw)
+        except (ValueError, KeyError):
+            raise api.SettingsError(f"{path}: {raw!r} is not a {kind.__name__}") from None
+
+    def seconds(self, path: str, default: float) -> float:
+        """Return a time, which the line has in nanoseconds."""
+        return self.get(path, float, default * NANOSECONDS) / NANOSECONDS
+
+    def list(self, path: str) -> list[str]:
+        """Return a list, empty where the path is absent."""
+        raw = self.values.get(path, "")
+        return raw.split(",") if raw else []
+
+    def item(self, path: str, kind: type, index: int, default: object):
+        """Return one item of a list; the last one stands for all behind it."""
+        values = self.list(path)
+        if not values:
+            return default
+        raw = values[min(index, len(values) - 1)]
+        try:
+            return raw == "true" if kind is bool else kind(raw)
+        except ValueError:
+            raise api.SettingsError(f"{path}: {raw!r} is not a {kind.__name__}") from None
+
+    def indices(self, path: str, names: list[str]) -> frozenset[int] | None:
+        """Return a list of numbers or names as numbers; None where the path is absent."""
+        count = self.get(f"{path}.count", int, 0)
+        raw_items = [self.values[f"{path}.{index}"] for index in range(count)] if count else self.list(path)
+        if path not in self.values and not count:
+            return None
+        try:
+            return frozenset(names.index(item) if item in names else int(item) for item in raw_items)
+        except ValueError:
+            raise api.SettingsError(f"{path}: {raw_items!r} names nothing known") from None
+
+    def items(self, path: str, read: Callable[[int], object], default_count: int | None = None) -> tuple:
+        """Return what `read` makes of each index below the number at `path`.count."""
+        return tuple(read(index) for index in range(self.get(f"{path}.count", int, default_count)))
+
+
+def read_settings(text: str) -> api.Settings:
+    """Return the settings that the lines describe.
+
+    Raises:
+        SettingsError: A value is missing or makes no sense; the text begins with its path.
+    """
+    lines = SettingLines(text)
+    zones = lines.list("zones")
+    kinds = lines.list("kinds")
+    return api.Settings(
+        classes=lines.items("classes", lambda index: _read_class(lines, index, zones, kinds)),
+        tenants=lines.items("orgs", lambda index: _read_tenant(lines, index), 0),
+        kinds=tuple(_read_kind(lines, index, name) for index, name in enumerate(kinds)),
+        me=lines.get("me", int, 0),
+        gateways=lines.get("fleet_size", int, 1),
+        zone=lines.get("az", int, 0),
+        discovery_push=lines.get("discovery", str, "pushed") == "pushed",
+        tick=lines.seconds("tick", 0.005),
+        over_share_worth=lines.get("over_share_worth", float, 1.0),
+        probe_price=lines.get("prices.probe", float, 0.0),
+        peer_price=lines.get("prices.peer", float, 0.0),
+        report_columns=_read_report_columns(lines),
+        report_how=lines.get("stats.how", str, "none"),
+        **_read_guarantees(lines),
+        **_read_limits(lines),
+        **_read_engine_traits(lines),
+    )
+
+
+def _read_class(lines: SettingLines, index: int, zones: list[str], kinds: list[str]) -> api.ClassSpec:
+    path = f"classes.{index}."
+    try:
+        repeat = api.Repeat(lines.get(path + "repeat", str))
+    except ValueError:
+        raise api.SettingsError(f"{path}repeat: safe, keyed or unsafe") from None
+    return api.ClassSpec(
+        name=lines.get(path + "name", str, f"class-{index}"),
+        aim=lines.get(path + "aim", float) / NANOSECONDS,
+        aim_stretch=lines.get(path + "aim_stretch", float, 0.0),
+        deadline=lines.get(path + "deadline", float) / NANOSECONDS,
+        worth=lines.get(path + "worth", float, 1.0),
+        late_share=lines.get(path + "late_share", float, 0.0),
+        repeat=repeat,
+        group=lines.get(path + "group", str, "all"),
+        repeat_window=lines.seconds(path + "repeat_window", 0.0),
+        ordered=lines.get(path + "by_arrival", bool, False),
+        zones=lines.indices(path + "zones_allowed", zones),
+        kinds=lines.indices(path + "allowed_on", kinds),
+        stream=lines.get(path + "stream", bool, False),
+        threads=lines.item("specifics.class_threads", int, index, 1),
+        load=lines.item("specifics.class_load", bool, index, False),
+        yields=lines.item("specifics.yields_to_loads", bool, index, False),
+    )
+
+
+def _read_tenant(lines: SettingLines, index: int) -> api.TenantSpec:
+    return api.TenantSpec(
+        name=lines.get(f"orgs.{index}.name", str, f"tenant-{index}"),
+        quota_rps=lines.get(f"orgs.{index}.quota_rps", float, 0.0),
+    )
+
+
+def _read_kind(lines: SettingLines, index: int, name: str) -> api.KindSpec:
+    return api.KindSpec(
+        name=name,
+        cores=lines.item("specifics.cpu_of_kind", float, index, 0.0),
+        memory_mb=lines.item("specifics.ram_of_kind_mb", float, index, 0.0),
+    )
+
+
+def _read_report_columns(lines: SettingLines) -> tuple[str, ...]:
+    columns = []
+    for name in lines.list("stats.columns"):
+        setting = "specifics." + COLUMN_SETTINGS.get(name, "")
+        columns.append(COLUMN_MEANINGS.get(lines.values.get(setting, ""), name))
+    return tuple(columns)
+
+
+def _read_guarantees(lines: SettingLines) -> dict[str, object]:
+    budget_share = lines.get("guarantees.budget_share", float, -1.0)
+    return {
+        "answer_slack": lines.seconds("guarantees.answer_slack", 0.0),
+        "ask_within": lines.seconds("guarantees.ask_within", 10.0),
+        "drain_grace": lines.seconds("guarantees.drain_grace", 0.0),
+        "cold_share": lines.get("guarantees.cold_share", float, 0.1),
+        "warm_up": lines.seconds("guarantees.warm_up", 30.0),
+        "fall": lines.seconds("guarantees.fall", 1.0),
+        "fall_multiple": lines.get("guarantees.fall_multiple", float, 1.0),
+        "order_pause": lines.seconds("guarantees.order_pause", 0.0),
+        "budget_share": None if budget_share < 0 else budget_share,
+        "budget_free": lines.get("guarantees.min_extra", float, 0.0),
+        "budget_span": lines.seconds("guarantees.ratio_span", 5.0),
+    }
+
+
+def _read_limits(lines: SettingLines) -> dict[str, object]:
+    return {
+        "try_limit": lines.get("limits.try_limit", int, 1),
+        "max_open": lines.get("limits.max_open", int, 20000),
+        "max_retry_after": lines.seconds("limits.max_retry_after", 0.0),
+        "may_cancel": lines.get("limits.cancel", bool, False),
+        "may_probe": lines.get("limits.may_probe", bool, False),
+        "may_tell_peers": lines.get("limits.peers", bool, False),
+        "retry_after": lines.get("limits.retry_after", bool, False),
+        "parallel_tries": lines.get("limits.parallel_tries", bool, False),
+    }
+
+
+def _read_engine_traits(lines: SettingLines) -> dict[str, object]:
+    return {
+        "memory_heeded": lines.get("specifics.memory_heeded", bool, False),
+        "ranks_heeded": lines.get("specifics.ranks_heeded", bool, False),
+        "tells_cost": lines.get("specifics.says_cost", bool, False),
+        "progress": lines.seconds("specifics.progress", 0.0),
+        "largest_share": lines.get("specifics.largest_share", float, 1.0),
+        "when_short": lines.get("specifics.when_short", str, "wait"),
+    }
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -13,9 +13,9 @@
 import sys
 import time
 
-from applevale.rigs.program import KINDS, ZONES, Program
-from applevale.standins import consul, etcd
-from applevale.standins.store import Store
+from applevale.fakes import consul, etcd
+from applevale.fakes.store import Store
+from applevale.harness.managed_process import KINDS, ZONES, Program
 
 PREFIX = "applevale/engines/"
 SECONDS = 5.0
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -5,7 +5,7 @@
 from typer.testing import CliRunner
 
 from applevale.cli.main import app
-from applevale.emulator import experiment as grid
+from applevale.simulation import experiment as grid
 
 GRID = {
     "machine": "membership",
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from applevale.faults import schedule as f
-from applevale.faults.datagrams import Relay
-from applevale.faults.fates import Fate, Fates
-from applevale.faults.gates import Gate, source_address, source_number
+from applevale.fault_injection import schedule as f
+from applevale.fault_injection.link_conditions import Fate, Fates
+from applevale.fault_injection.tcp_proxy import Gate, source_address, source_number
+from applevale.fault_injection.udp_proxy import Relay
 
 
 def test_a_pair_has_its_own_fate_and_its_own_random_numbers():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from applevale.faults.fates import Fate
-from applevale.faults.schedule import Kill, Link, Stop
-from applevale.rigs.cases import CASES
-from applevale.rigs.fleet import Fleet, Plan
-from applevale.rigs.program import event_of
-from applevale.verify import coldstart as verify
-from applevale.verify.history import History, most_in, read_history
+from applevale.checkers import coldstart as verify
+from applevale.checkers.history import History, most_in, read_history
+from applevale.fault_injection.link_conditions import Fate
+from applevale.fault_injection.schedule import Kill, Link, Stop
+from applevale.harness.fleet import Fleet, Plan
+from applevale.harness.managed_process import event_of
+from applevale.harness.scenarios import CASES
 
 # One after the other: many programs at once would slow each other, and the tests beside them.
 pytestmark = pytest.mark.xdist_group("fleet")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -22,14 +22,14 @@
     "server",
     "config",
     "runtime",
-    "faults",
-    "standins",
-    "verify",
-    "emulator",
-    "rigs",
+    "fault_injection",
+    "fakes",
+    "checkers",
+    "simulation",
+    "harness",
     "cli",
 ]
-BASE = {"api", "estimators", "hashing", "policy", "wire", "__init__"}
+BASE = {"api", "estimators", "hashing", "policy", "simulator_wire", "__init__"}
 
 
 def module_file(parts):
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from applevale.faults.fates import Fate
-from applevale.faults.schedule import Kill, Link, Stop, Term, Upgrade
-from applevale.rigs.fleet import Fleet, Plan
-from applevale.verify import membership as verify
-from applevale.verify.history import History
+from applevale.checkers import membership as verify
+from applevale.checkers.history import History
+from applevale.fault_injection.link_conditions import Fate
+from applevale.fault_injection.schedule import Kill, Link, Stop, Term, Upgrade
+from applevale.harness.fleet import Fleet, Plan
 
 # Never beside another fleet on the same machine.
 pytestmark = pytest.mark.xdist_group("fleet")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,9 +11,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from applevale.checkers import membership as verify
+from applevale.checkers.history import History
 from applevale.config.loader import parse_config
 from applevale.config.model import ConfigError
-from applevale.emulator.membership import Fleet
 from applevale.membership import messages as m
 from applevale.membership.bucket import DEPTH, RATE, Bucket
 from applevale.membership.messages import Kind, Message, News, Record, Status, Words
@@ -24,8 +25,7 @@
 from applevale.net.addresses import PeerAddresses
 from applevale.net.datagrams import Datagrams
 from applevale.observability.counters import Counters
-from applevale.verify import membership as verify
-from applevale.verify.history import History
+from applevale.simulation.membership import Fleet
 from tests.planted import MEMBERS
 
 numbers = st.integers(0, 65535)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -13,11 +13,11 @@
 from applevale.discovery.registry import settings as registry_settings
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
 from applevale.discovery.registry.source import RegistrySource
+from applevale.fakes import consul, etcd
+from applevale.fakes.gate import Gate, Mode
+from applevale.fakes.store import Store
+from applevale.harness.registry import Site
 from applevale.observability.counters import Counters
-from applevale.rigs.registry import Site
-from applevale.standins import consul, etcd
-from applevale.standins.gate import Gate, Mode
-from applevale.standins.store import Store
 
 NAMES = Names(("a",), ("std",))
 KINDS = ("etcd", "consul")
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from applevale.rigs import ops
-from applevale.rigs.program import broken_rules
-from applevale.standins.clients import Sent
-from applevale.standins.engine import Arrival
+from applevale.fakes.clients import Sent
+from applevale.fakes.engine import Arrival
+from applevale.harness import ops
+from applevale.harness.managed_process import broken_rules
 
 
 def test_ban_drain_and_upgrade_keep_their_promises():
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from applevale.checkers.history import most_in
 from applevale.discovery.endpoints import Names
 from applevale.discovery.registry import watcher as f
 from applevale.discovery.registry.records import Ledger
@@ -11,7 +12,6 @@
 from applevale.startup.connect_schedule import Ramp
 from applevale.startup.latency import Latency
 from applevale.startup.staleness_guard import Kept, Promise
-from applevale.verify.history import most_in
 
 
 def test_alone_at_a_quick_service_nobody_waits_and_refusals_widen_the_window_up_to_a_bound():
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -21,11 +21,11 @@
 from applevale.discovery.endpoints import Names
 from applevale.discovery.registry.records import read_record
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
-from applevale.emulator.experiment import Experiment, read_experiment
-from applevale.faults import schedule as faults
-from applevale.faults.fates import Fate
+from applevale.fault_injection import schedule as faults
+from applevale.fault_injection.link_conditions import Fate
 from applevale.gossip.load_reports import News
 from applevale.membership import messages
+from applevale.simulation.experiment import Experiment, read_experiment
 
 FIXTURES = Path(__file__).parent / "fixtures"
 STORED = json.loads((FIXTURES / "stored_formats.json").read_text())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 
 from test_node import EXAMPLE, ROOT, Client, Node, until
 
-from applevale.rigs import ops
+from applevale.harness import ops
 
 
 def beside(tmp_path, node, text):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from applevale import api, benchlink, wire
+from applevale import api
+from applevale.simulator_wire import adapter, codec
+from applevale.simulator_wire.settings import read_settings
 
 SETTINGS = """az=0
 classes.count=2
@@ -36,7 +38,7 @@
     while at < len(body):
         at += 5 + struct.unpack_from("<I", body, at + 1)[0]
         count += 1
-    return [event for _, event in wire.Decoder().batch(count, body)]
+    return [event for _, event in codec.Decoder().batch(count, body)]
 
 
 def test_request():
@@ -75,7 +77,7 @@
     assert note.kind is api.NoteKind.PROGRESS and note.value == 0.5
     assert probe.engine == 0x2C9011F2 and len(probe.report) == 4
     assert timer.token == 77 and gone.request == 0x030E310E6F2B19
-    assert memo == api.PeerMessage(2, b"hi 7") and isinstance(down, wire.Down)
+    assert memo == api.PeerMessage(2, b"hi 7") and isinstance(down, codec.Shutdown)
 
 
 @pytest.mark.parametrize(
@@ -97,31 +99,31 @@
     ],
 )
 def test_actions(item, text):
-    assert wire.action(item) == bytes.fromhex(text)
+    assert codec.encode_action(item) == bytes.fromhex(text)
 
 
 def test_settings_are_read_and_unknown_ones_skipped():
-    read = wire.settings(SETTINGS)
+    read = read_settings(SETTINGS)
     assert read.classes[1].kinds == frozenset({0}) and read.classes[0].kinds is None
     assert read.classes[1].ordered and read.classes[1].threads == 3 and read.kinds[1].cores == 12
     assert read.budget_share == 0.1 and read.report_columns == ("waiting", "cpu", "x1", "memory_used")
-    assert read.probe_price == 0.0 and wire.settings(SETTINGS + "\nprices.probe=0.08").probe_price == 0.08
+    assert read.probe_price == 0.0 and read_settings(SETTINGS + "\nprices.probe=0.08").probe_price == 0.08
 
 
 @pytest.mark.parametrize("key", ["classes.0.aim", "classes.1.repeat", "classes.count"])
 def test_a_missing_setting_is_named(key):
     text = "\n".join(line for line in SETTINGS.splitlines() if not line.startswith(key + "="))
     with pytest.raises(api.SettingsError, match=key):
-        wire.settings(text)
+        read_settings(text)
 
 
 def batch(body, count):
-    return wire.HEAD.pack(len(body), 10_000_000_000, count) + body
+    return codec.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
 
 
 def test_unknown_event_is_skipped_and_the_end_is_silent(capsys):
     out = io.BytesIO()
-    assert benchlink.serve(io.BytesIO(batch(bytes.fromhex("82020000000300fe03000000010203"), 2)), out) == 0
+    assert adapter.serve(io.BytesIO(batch(bytes.fromhex("82020000000300fe03000000010203"), 2)), out) == 0
     assert out.getvalue() == bytes(8) and capsys.readouterr().err == ""
 
 
@@ -129,13 +131,13 @@
     "data", [b"\0" * 7, batch(b"\x1e\x30\0\0\0", 1), batch(b"", 1), batch(b"ab", 0)[:-1]]
 )
 def test_malformed_input_ends_with_one_line(data, capsys):
-    assert benchlink.serve(io.BytesIO(data), io.BytesIO()) == 2
+    assert adapter.serve(io.BytesIO(data), io.BytesIO()) == 2
     assert capsys.readouterr().err.count("\n") == 1
 
 
 def test_an_exception_is_reported_on_the_wire(capsys):
     boot = struct.pack("<QI", 1, 4) + b"me=x"
-    body = bytes.fromhex("82020000000300") + wire.RECORD.pack(10, len(boot)) + boot
+    body = bytes.fromhex("82020000000300") + codec.RECORD_HEAD.pack(10, len(boot)) + boot
     out = io.BytesIO()
-    assert benchlink.serve(io.BytesIO(batch(body, 2)), out) == 0
+    assert adapter.serve(io.BytesIO(batch(body, 2)), out) == 0
     assert out.getvalue()[8] == 100 and "Traceback" in capsys.readouterr().err
