--- a/applevale/simulator_wire/adapter.py
+++ b/applevale/simulator_wire/adapter.py
@@ -36,6 +36,7 @@
         waiting: dict[int, list[api.Event]] = {}
         for instance, event in self.decoder.batch(count, body):
             if isinstance(event, codec.Boot):
+                waiting.pop(instance, None)  # what came before its start is not for it
                 settings = read_settings(event.settings)
                 self.controllers[instance] = AdmissionController(settings, event.seed)
                 waiting[instance] = []
