--- a/applevale/fault_injection/__init__.py
+++ b/applevale/fault_injection/__init__.py
@@ -1,1 +1,1 @@
-"""Faults between processes, on loopback only: fates of bytes and datagrams, gates, relays, and schedules."""
+"""Faults between processes, on loopback only: link conditions, TCP and UDP proxies, schedules, scenarios."""
--- a/applevale/fault_injection/schedule.py
+++ b/applevale/fault_injection/schedule.py
@@ -9,80 +9,96 @@
 
 import msgspec
 
-from .link_conditions import Fate
+from .link_conditions import LinkCondition
 
-Span = Annotated[float, msgspec.Meta(ge=0, le=3600)]
-Names = Annotated[list[str], msgspec.Meta(min_length=1, max_length=256)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+Patterns = Annotated[list[str], msgspec.Meta(min_length=1, max_length=256)]
 
 
 class ScheduleError(ValueError):
     """A step that makes no sense; the text names its place."""
 
 
-class _Step(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, tag_field="do", tag=str.lower
-):
-    at: Span  # s from the begin of the play
+class _Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, tag_field="do"):
+    """What all steps have. Names in files are those of `rename` and `tag`."""
+
+    at: Seconds  # from the begin of the schedule
 
 
-class Link(_Step):
-    """The fate of all that `sources` send `targets`, for `span` s."""
+class ApplyLinkCondition(_Step, tag="link", rename={"condition": "fate", "duration": "span"}):
+    """Apply a condition to all that `sources` send `targets`, for a time."""
 
-    sources: Names
-    targets: Names
-    fate: Fate
-    span: Span
+    sources: Patterns
+    targets: Patterns
+    condition: LinkCondition
+    duration: Seconds
 
 
-class Kill(_Step):
-    """SIGKILL; started again under the same name after `back` s, or never."""
+class KillProcess(_Step, tag="kill", rename={"processes": "who", "restart_after": "back"}):
+    """Send SIGKILL; start again under the same name after a time, or never."""
 
-    who: Names
-    back: Span | None = None
+    processes: Patterns
+    restart_after: Seconds | None = None
 
 
-class Stop(_Step):
-    """SIGSTOP for `span` s, then SIGCONT."""
+class PauseProcess(_Step, tag="stop", rename={"processes": "who", "duration": "span"}):
+    """Send SIGSTOP, and SIGCONT after a time."""
 
-    who: Names
-    span: Span
+    processes: Patterns
+    duration: Seconds
 
 
-class Stall(_Step):
-    """Stands still `times` times for `span` s each, `apart` s from one begin to the next."""
+class PauseRepeatedly(
+    _Step,
+    tag="stall",
+    rename={"processes": "who", "duration": "span", "interval": "apart", "count": "times"},
+):
+    """Pause several times; `interval` is from one begin to the next."""
 
-    who: Names
-    span: Span
-    apart: Span
-    times: Annotated[int, msgspec.Meta(ge=1, le=1000)]
+    processes: Patterns
+    duration: Seconds
+    interval: Seconds
+    count: Annotated[int, msgspec.Meta(ge=1, le=1000)]
 
 
-class Term(_Step):
-    """SIGTERM; started again under the same name once it has ended, `back` s later."""
+class TerminateProcess(_Step, tag="term", rename={"processes": "who", "restart_after": "back"}):
+    """Send SIGTERM; start again under the same name a time after the process has ended, or never."""
 
-    who: Names
-    back: Span | None = None
+    processes: Patterns
+    restart_after: Seconds | None = None
 
 
-class Upgrade(_Step):
-    """A second process under the same name and address; the first is ended by SIGTERM after `both` s."""
+class UpgradeProcess(_Step, tag="upgrade", rename={"processes": "who", "overlap": "both"}):
+    """Start a second process under the same name and address; end the first by SIGTERM after a time."""
 
-    who: Names
-    both: Span
+    processes: Patterns
+    overlap: Seconds
 
 
-class Service(_Step):
-    """An order to the list service: its word and its figures, as the stand-in knows them."""
+class OrderRegistry(_Step, tag="service"):
+    """Give an order to the fake registry: its word and its values, as the fake knows them."""
 
     order: str
     values: dict[str, float | str] = {}
 
 
-Step = Link | Kill | Stop | Stall | Term | Upgrade | Service
+Step = (
+    ApplyLinkCondition
+    | KillProcess
+    | PauseProcess
+    | PauseRepeatedly
+    | TerminateProcess
+    | UpgradeProcess
+    | OrderRegistry
+)
 
 
 def read_schedule(data: bytes) -> list[Step]:
-    """Steps in the order of their times. Raises ScheduleError."""
+    """Return the steps of a file in the order of their times.
+
+    Raises:
+        ScheduleError: It is none.
+    """
     try:
         steps = msgspec.json.decode(data, type=list[Step])
     except msgspec.MsgspecError as error:
@@ -91,11 +107,12 @@
 
 
 def write_schedule(steps: list[Step]) -> bytes:
+    """Return the steps as a file."""
     return msgspec.json.format(msgspec.json.encode(steps), indent=1)
 
 
-# What `drawn` may draw: each kind with the most that one of its steps lasts, in s.
-KINDS = {
+# The kinds of faults that `draw_schedule` draws, each with the maximum duration of one of its steps, in s.
+MAX_DURATIONS = {
     "kill": 0.0,
     "term": 0.0,
     "stop": 2.0,
@@ -105,66 +122,94 @@
     "down": 3.0,
     "slow": 0.3,
 }
+RESTART_DELAYS = (0.1, 1.0, 3.0)
+STALL_COUNT = 5
+LATE_CONDITION = LinkCondition(delay=0.4, jitter=0.1)
+SLOW_ANSWERS_SECONDS = 3.0  # how long the registry answers slowly
+
 
+def draw_schedule(seed: int, nodes: int, steps: int = 12, span: float = 24.0) -> list[Step]:
+    """Return a schedule over `span` s from a seed alone: the same seed and size draw the same steps.
 
-def drawn(seed: int, nodes: int, steps: int = 12, span: float = 24.0) -> list[Step]:
-    """A schedule over `span` s from a seed alone: the same seed and size draw the same steps. Each run leaves
-    out some of the kinds (swarm testing), so that no kind hides what another would have shown."""
+    Each run leaves out some of the kinds (swarm testing), so that no kind hides what another would have
+    shown.
+    """
     random = Random(f"{seed} {nodes}")
-    kinds = random.sample(sorted(KINDS), k=random.randint(2, len(KINDS) - 1))
-    found: list[Step] = []
+    kinds = random.sample(sorted(MAX_DURATIONS), k=random.randint(2, len(MAX_DURATIONS) - 1))
+    drawn: list[Step] = []
     for _ in range(steps):
-        kind, at = random.choice(kinds), round(random.uniform(0.0, span), 2)
-        many = random.choice((1, max(1, nodes // 4), max(1, nodes // 3)))
-        who = [f"n{number}" for number in sorted(random.sample(range(nodes), many))]
-        lasts = round(random.uniform(0.1, 1.0) * KINDS[kind], 2)
-        found += _steps(kind, at, who, lasts, random)
-    return sorted(found, key=lambda step: step.at)
+        kind = random.choice(kinds)
+        at = round(random.uniform(0.0, span), 2)
+        count = random.choice((1, max(1, nodes // 4), max(1, nodes // 3)))
+        processes = [f"n{number}" for number in sorted(random.sample(range(nodes), count))]
+        duration = round(random.uniform(0.1, 1.0) * MAX_DURATIONS[kind], 2)
+        drawn += _draw_steps(kind, at, processes, duration, random)
+    return sorted(drawn, key=lambda step: step.at)
 
 
-def _steps(kind: str, at: float, who: list[str], lasts: float, random: Random) -> list[Step]:
+def _draw_steps(kind: str, at: float, processes: list[str], duration: float, random: Random) -> list[Step]:
     match kind:
         case "kill":
-            return [Kill(at=at, who=who, back=random.choice((0.1, 1.0, 3.0)))]
+            return [KillProcess(at=at, processes=processes, restart_after=random.choice(RESTART_DELAYS))]
         case "term":
-            return [Term(at=at, who=who, back=0.1)]
+            return [TerminateProcess(at=at, processes=processes, restart_after=0.1)]
         case "stop":
-            return [Stop(at=at, who=who, span=lasts)]
+            return [PauseProcess(at=at, processes=processes, duration=duration)]
         case "stall":
-            return [Stall(at=at, who=who, span=lasts, apart=2 * lasts + 0.2, times=5)]
-        case "cut" | "late":
-            fate = Fate(cut=True) if kind == "cut" else Fate(delay=0.4, jitter=0.1)
-            ways = [(who, ["list*"]), (["list*"], who)]
+            interval = 2 * duration + 0.2
             return [
-                Link(at=at, sources=one, targets=other, fate=fate, span=lasts)
-                for one, other in random.choice((ways, ways[:1], ways[1:]))
+                PauseRepeatedly(
+                    at=at, processes=processes, duration=duration, interval=interval, count=STALL_COUNT
+                )
             ]
+        case "cut":
+            return _draw_link_steps(LinkCondition(cut=True), at, processes, duration, random)
+        case "late":
+            return _draw_link_steps(LATE_CONDITION, at, processes, duration, random)
         case "down":
-            return [Service(at=at, order="down"), Service(at=round(at + lasts, 2), order="up")]
+            return [
+                OrderRegistry(at=at, order="down"),
+                OrderRegistry(at=round(at + duration, 2), order="up"),
+            ]
+    return [
+        OrderRegistry(at=at, order="late", values={"seconds": duration}),
+        OrderRegistry(at=round(at + SLOW_ANSWERS_SECONDS, 2), order="late", values={"seconds": 0.0}),
+    ]
+
+
+def _draw_link_steps(
+    condition: LinkCondition, at: float, processes: list[str], duration: float, random: Random
+) -> list[Step]:
+    """Return steps between processes and the registry: both ways, or one of them."""
+    ways = [(processes, ["list*"]), (["list*"], processes)]
+    chosen = random.choice((ways, ways[:1], ways[1:]))
     return [
-        Service(at=at, order="late", values={"seconds": lasts}),
-        Service(at=round(at + 3.0, 2), order="late", values={"seconds": 0.0}),
+        ApplyLinkCondition(at=at, sources=sources, targets=targets, condition=condition, duration=duration)
+        for sources, targets in chosen
     ]
 
 
-class Stage(Protocol):
-    """Where steps are carried out. `done` is called once each has been, with what it came to."""
+class FaultPlayer(Protocol):
+    """Carries out the steps of a schedule."""
 
-    async def carry_out(self, step: Step) -> None: ...
+    async def execute(self, step: Step) -> None:
+        """Carry out one step; return when it is over."""
 
 
-async def play(
-    steps: list[Step], stage: Stage, log: Callable[[float, Step], None], clock: Callable[[], float]
+async def play_schedule(
+    steps: list[Step],
+    player: FaultPlayer,
+    log: Callable[[float, Step], None],
+    clock: Callable[[], float],
 ) -> None:
-    """Each step at its time; those that last are carried out beside the ones behind them, and all are done at
-    the end."""
-    began = clock()
+    """Carry out each step at its time, beside those that last; return when all are over."""
+    started_at = clock()
     running: list[asyncio.Task] = []
     try:
         for step in steps:
-            await asyncio.sleep(max(0.0, began + step.at - clock()))
+            await asyncio.sleep(max(0.0, started_at + step.at - clock()))
             log(clock(), step)
-            running.append(asyncio.create_task(stage.carry_out(step)))
+            running.append(asyncio.create_task(player.execute(step)))
         await asyncio.gather(*running)
     finally:
         for task in running:
--- a/applevale/fault_injection/tcp_proxy.py
+++ b/applevale/fault_injection/tcp_proxy.py
@@ -1,201 +1,234 @@
-"""TCP gates before servers. Who calls is told by the local address that it bound: one for each instance."""
+"""TCP proxies before servers. The caller is known by the local address that it bound: one for each
+instance.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
 
-from .link_conditions import Fates
+from .link_conditions import LinkConditions
 
-HIGH = 1 << 18  # bytes that wait in one direction of a connection until its sender is not read from any more
-LOOK = 0.02  # s between two looks whether a cut has ended
+MAX_BUFFERED_BYTES = 1 << 18  # in one direction of a connection; beyond, its sender is not read from
+CUT_POLL_SECONDS = 0.02  # between two looks whether a cut has ended
+MIN_DELAY_SECONDS = 0.0005  # what is due within this time leaves now
+BACKLOG = 1024
+ADDRESSES_PER_BLOCK = 250
+
+Address = tuple[str, int]
 
 
 def source_address(number: int) -> str:
-    """The local address of an instance, up to 60,000 of them."""
-    return f"127.1.{number // 250}.{number % 250 + 1}"
+    """Return the local address of an instance; there are 60,000 of them."""
+    return f"127.1.{number // ADDRESSES_PER_BLOCK}.{number % ADDRESSES_PER_BLOCK + 1}"
 
 
 def source_number(address: str) -> int | None:
-    """The instance whose address this is; None for others."""
+    """Return the number of the instance with this address; None for others."""
     head, _, tail = address.partition("127.1.")
     if head or not tail:
         return None
-    high, _, low = tail.partition(".")
-    return int(high) * 250 + int(low) - 1
+    block, _, position = tail.partition(".")
+    return int(block) * ADDRESSES_PER_BLOCK + int(position) - 1
 
 
-class _Way:
-    """One direction of a connection: bytes leave in the order they came, when their fate lets them."""
+class _Direction:
+    """One direction of a connection: bytes leave in the order they came, when the conditions let them."""
 
-    def __init__(self, gate: Gate, source: str, target: str):
-        self.gate, self.source, self.target = gate, source, target
-        self.waiting: deque[tuple[float, bytes]] = deque()
-        self.size, self.last = 0, 0.0
+    def __init__(self, proxy: TcpProxy, source: str, target: str):
+        self.proxy = proxy
+        self.source = source
+        self.target = target
+        self.buffer: deque[tuple[float, bytes]] = deque()  # when due, data
+        self.buffered_bytes = 0
+        self.last_due = 0.0
         self.timer: asyncio.TimerHandle | None = None
-        self.reads: asyncio.Transport | None = None
-        self.writes: asyncio.Transport | None = None
-        self.ending = False
+        self.reader: asyncio.Transport | None = None
+        self.writer: asyncio.Transport | None = None
+        self.is_ending = False
 
     def put(self, data: bytes) -> None:
-        loop = self.gate.loop
-        now = loop.time()
-        fate = self.gate.fates.of(self.source, self.target)
-        if not (
-            self.waiting or fate.cut or fate.delay or fate.jitter or fate.bandwidth or self.writes is None
-        ):
-            self.writes.write(data)
+        """Take data from the sender."""
+        condition = self.proxy.conditions.between(self.source, self.target)
+        is_delayed = condition.cut or condition.delay or condition.jitter or condition.bandwidth
+        if not (self.buffer or is_delayed or self.writer is None):
+            self.writer.write(data)
             return
-        self.last = max(self.last, now + self.gate.fates.wait(now, self.source, self.target, len(data)))
-        self.waiting.append((self.last, data))
-        self.size += len(data)
-        if self.size > HIGH:
-            self.reads.pause_reading()
-        self.look()
-
-    def look(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.writes is None or self.writes.is_closing():
+        now = self.proxy.loop.time()
+        delay = self.proxy.conditions.stream_delay(now, self.source, self.target, len(data))
+        self.last_due = max(self.last_due, now + delay)
+        self.buffer.append((self.last_due, data))
+        self.buffered_bytes += len(data)
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+            self.reader.pause_reading()
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what is due, and come back when more is."""
+        self.cancel_timer()
+        if self.writer is None or self.writer.is_closing():
             return
-        now = self.gate.loop.time()
-        if self.gate.fates.of(self.source, self.target).cut:
-            if self.waiting or self.ending:
-                self.timer = self.gate.loop.call_later(LOOK, self.look)
+        loop = self.proxy.loop
+        if self.proxy.conditions.between(self.source, self.target).cut:
+            if self.buffer or self.is_ending:
+                self.timer = loop.call_later(CUT_POLL_SECONDS, self.flush)
             return
-        while self.waiting and self.waiting[0][0] <= now + 0.0005:
-            _, data = self.waiting.popleft()
-            self.size -= len(data)
-            self.writes.write(data)
-        if self.size <= HIGH and self.reads is not None and not self.reads.is_closing():
-            self.reads.resume_reading()
-        if self.waiting:
-            self.timer = self.gate.loop.call_later(self.waiting[0][0] - now, self.look)
-        elif self.ending:
-            self.writes.close()
+        now = loop.time()
+        while self.buffer and self.buffer[0][0] <= now + MIN_DELAY_SECONDS:
+            _, data = self.buffer.popleft()
+            self.buffered_bytes -= len(data)
+            self.writer.write(data)
+        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+            if self.reader is not None and not self.reader.is_closing():
+                self.reader.resume_reading()
+        if self.buffer:
+            self.timer = loop.call_later(self.buffer[0][0] - now, self.flush)
+        elif self.is_ending:
+            self.writer.close()
 
     def end(self) -> None:
-        """The sender has closed: the other side hears of it behind all that was sent."""
-        self.ending = True
-        self.look()
+        """Note that the sender has closed: the receiver sees it behind all that was sent."""
+        self.is_ending = True
+        self.flush()
 
-    def drop(self) -> None:
+    def cancel_timer(self) -> None:
+        """Cancel the timer of the next flush, if there is one."""
         if self.timer is not None:
             self.timer.cancel()
+            self.timer = None
 
 
 class _Side(asyncio.Protocol):
-    def __init__(self, pair: _Pair, way: _Way):
-        self.pair, self.way = pair, way
+    """One of the two connections of a pair; its direction begins at this side."""
+
+    def __init__(self, pair: _ConnectionPair, direction: _Direction):
+        self.pair = pair
+        self.direction = direction
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self.way.reads = transport
-        self.pair.made(self)
+        self.direction.reader = transport
+        self.pair.on_connected(self)
 
     def data_received(self, data: bytes) -> None:
-        self.way.put(data)
+        self.direction.put(data)
 
     def eof_received(self) -> bool:
-        self.way.end()
+        self.direction.end()
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.pair.lost(self)
+        self.pair.on_disconnected(self)
 
 
-class _Pair:
+class _ConnectionPair:
     """A caller's connection and the one to the server behind it."""
 
-    def __init__(self, gate: Gate):
-        self.gate = gate
+    def __init__(self, proxy: TcpProxy):
+        self.proxy = proxy
         self.caller = ""
-        self.near: _Side = _Side(self, _Way(gate, "", gate.name))
-        self.far: _Side | None = None
-        self.task: asyncio.Task | None = None
+        self.downstream = _Side(self, _Direction(proxy, "", proxy.name))  # the caller's
+        self.upstream: _Side | None = None  # the server's
+        self.connect_task: asyncio.Task | None = None
 
-    def made(self, side: _Side) -> None:
-        if side is not self.near:
+    def on_connected(self, side: _Side) -> None:
+        if side is not self.downstream:
             return
-        host = side.way.reads.get_extra_info("peername")[0]
-        number = source_number(host)
+        transport = side.direction.reader
+        number = source_number(transport.get_extra_info("peername")[0])
         self.caller = f"n{number}" if number is not None else "other"
-        self.near.way.source = self.caller
-        if self.gate.fates.of(self.caller, self.gate.name).refuse:
-            side.way.reads.abort()
+        side.direction.source = self.caller
+        if self.proxy.conditions.between(self.caller, self.proxy.name).refuse:
+            transport.abort()
             return
-        self.gate.pairs.add(self)
-        self.far = _Side(self, _Way(self.gate, self.gate.name, self.caller))
-        self.far.way.writes = side.way.reads
-        self.task = self.gate.loop.create_task(self._connect())
+        self.proxy.pairs.add(self)
+        self.upstream = _Side(self, _Direction(self.proxy, self.proxy.name, self.caller))
+        self.upstream.direction.writer = transport
+        self.connect_task = self.proxy.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
+        proxy = self.proxy
         try:
-            while self.gate.fates.of(self.caller, self.gate.name).cut:
-                await asyncio.sleep(LOOK)
-            await self.gate.loop.create_connection(
-                lambda: self.far, *self.gate.target, local_addr=self.gate.local(self.near.way.reads)
-            )
+            while proxy.conditions.between(self.caller, proxy.name).cut:
+                await asyncio.sleep(CUT_POLL_SECONDS)
+            local_address = proxy.local_address(self.downstream.direction.reader)
+            await proxy.loop.create_connection(lambda: self.upstream, *proxy.target, local_addr=local_address)
         except OSError:
-            self.end()
+            self.abort()
             return
-        self.near.way.writes = self.far.way.reads
-        self.near.way.look()
-
-    def lost(self, side: _Side) -> None:
-        other = self.far if side is self.near else self.near
-        side.way.drop()
-        if other is not None and other.way.reads is not None and not other.way.reads.is_closing():
-            if side.way.waiting and not side.way.writes.is_closing():
-                side.way.end()
+        self.downstream.direction.writer = self.upstream.direction.reader
+        self.downstream.direction.flush()
+
+    def on_disconnected(self, side: _Side) -> None:
+        other = self.upstream if side is self.downstream else self.downstream
+        direction = side.direction
+        direction.cancel_timer()
+        if self._is_open(other):
+            if direction.buffer and not direction.writer.is_closing():
+                direction.end()
             else:
-                other.way.reads.close()
+                other.direction.reader.close()
         else:
-            self.gate.pairs.discard(self)
-        if side is self.near and self.far is not None and self.far.way.reads is None:
-            self.end()
-
-    def end(self) -> None:
-        if self.task is not None and self.task is not asyncio.current_task():
-            self.task.cancel()
-        for side in (self.near, self.far):
-            if side is not None and side.way.reads is not None:
-                side.way.drop()
-                side.way.reads.abort()
-        self.gate.pairs.discard(self)
+            self.proxy.pairs.discard(self)
+        is_connecting = self.upstream is not None and self.upstream.direction.reader is None
+        if side is self.downstream and is_connecting:
+            self.abort()
 
-
-class Gate:
-    """Listens on loopback before one server, and passes on what the fates of each pair let pass. The server
-    sees the caller's own local address."""
-
-    def __init__(self, name: str, target: tuple[str, int], fates: Fates):
-        self.name, self.target, self.fates = name, target, fates
+    @staticmethod
+    def _is_open(side: _Side | None) -> bool:
+        return (
+            side is not None and side.direction.reader is not None and not side.direction.reader.is_closing()
+        )
+
+    def abort(self) -> None:
+        """End both connections at once."""
+        if self.connect_task is not None and self.connect_task is not asyncio.current_task():
+            self.connect_task.cancel()
+        for side in (self.downstream, self.upstream):
+            if side is not None and side.direction.reader is not None:
+                side.direction.cancel_timer()
+                side.direction.reader.abort()
+        self.proxy.pairs.discard(self)
+
+
+class TcpProxy:
+    """Listens on loopback before one server, and passes on what the conditions of each pair let pass.
+
+    The server sees the caller's own local address.
+    """
+
+    def __init__(self, name: str, target: Address, conditions: LinkConditions):
+        """Proxy the server `name` at `target`."""
+        self.name = name
+        self.target = target
+        self.conditions = conditions
         self.loop = asyncio.get_running_loop()
-        self.pairs: set[_Pair] = set()
+        self.pairs: set[_ConnectionPair] = set()
         self.server: asyncio.Server | None = None
-        self.address = ("127.0.0.1", 0)
+        self.address: Address = ("127.0.0.1", 0)
 
     async def start(self) -> None:
-        self.server = await self.loop.create_server(self._accept, *self.address, backlog=1024)
+        """Listen; `address` is set from now on."""
+        self.server = await self.loop.create_server(self._accept, *self.address, backlog=BACKLOG)
         self.address = self.server.sockets[0].getsockname()[:2]
 
     def _accept(self) -> _Side:
-        return _Pair(self).near
+        return _ConnectionPair(self).downstream
 
     @staticmethod
-    def local(transport: asyncio.Transport) -> tuple[str, int] | None:
+    def local_address(transport: asyncio.Transport) -> Address | None:
+        """Return the address to connect to the server from; None: the system's choice."""
         host = transport.get_extra_info("peername")[0]
         return (host, 0) if host != "127.0.0.1" else None
 
-    def changed(self) -> None:
-        """Fates have changed: what is refused now ends."""
+    def on_conditions_changed(self) -> None:
+        """End the connections that are refused from now on."""
         for pair in list(self.pairs):
-            if self.fates.of(pair.caller, self.name).refuse:
-                pair.end()
+            if self.conditions.between(pair.caller, self.name).refuse:
+                pair.abort()
 
     async def stop(self) -> None:
+        """Close the listener and end all connections."""
         self.server.close()
         for pair in list(self.pairs):
-            pair.end()
+            pair.abort()
         await asyncio.sleep(0)
--- a/applevale/fault_injection/udp_proxy.py
+++ b/applevale/fault_injection/udp_proxy.py
@@ -1,7 +1,9 @@
-"""Datagrams between instances: each has a relay socket, which is its address in everyone's `peers`.
+"""A proxy for datagrams between instances: each has a proxy socket, which is its address in everyone's
+`peers`.
 
-The relay socket that a datagram reaches tells its receiver, its source tells its sender; it leaves from the
-sender's relay socket, so the receiver sees the address that it knows. One process carries them all.
+The proxy socket that a datagram reaches tells its receiver, its source address tells its sender; it leaves
+from the sender's proxy socket, so the receiver sees the address that it knows. One process carries them
+all.
 """
 
 from __future__ import annotations
@@ -11,85 +13,108 @@
 from collections import Counter
 from collections.abc import Callable
 
-from .link_conditions import Fates
+from .link_conditions import LinkConditions
 
-AT_ONCE = 256  # read from one socket in one turn
-MOST_BYTES = 2048
-MOST_WAITING = 20_000  # datagrams that wait at a time: beyond, they are lost, and counted
+MAX_READS_AT_ONCE = 256  # from one socket in one turn of the loop
+MAX_DATAGRAM_BYTES = 2048
+MAX_DELAYED_DATAGRAMS = 20_000  # at a time; beyond, they are lost and counted
+MIN_DELAY_SECONDS = 0.0005  # a shorter delay is none
+RECEIVE_BUFFER_BYTES = 1 << 20
 
+Address = tuple[str, int]
 
-class Relay:
-    """`names` are the instances; `real` are where each listens; `address` is what its peers are told."""
 
-    def __init__(self, names: list[str], real: dict[str, tuple[str, int]], fates: Fates):
-        self.names, self.real, self.fates = names, real, fates
+def _ignore_datagram(source: str, target: str, size: int) -> None:
+    pass
+
+
+class UdpProxy:
+    """Carries datagrams among instances under the conditions of each pair.
+
+    `addresses` has what the peers of an instance are told; what is sent to `broadcast_socket` reaches all
+    others.
+    """
+
+    def __init__(
+        self,
+        names: list[str],
+        listen_addresses: dict[str, Address],
+        conditions: LinkConditions,
+        on_datagram: Callable[[str, str, int], None] = _ignore_datagram,
+    ):
+        """Open a socket for each name; `on_datagram` hears sender, receiver and size of all that is sent."""
+        self.names = names
+        self.listen_addresses = listen_addresses
+        self.conditions = conditions
+        self.on_datagram = on_datagram
         self.loop = asyncio.get_running_loop()
-        self.senders = {address: name for name, address in real.items()}
-        self.socks: dict[str, socket.socket] = {}
-        self.address: dict[str, tuple[str, int]] = {}
-        self.waiting: set[asyncio.TimerHandle] = set()
-        self.figures: Counter = Counter()
-        self.seen: Callable[[str, str, int], None] = lambda source, target, size: None  # each that was sent
-        self.everyone = self._bind()  # what is sent there reaches all others
-        self.loop.add_reader(self.everyone, self._readable, None, self.everyone)
+        self.senders = {address: name for name, address in listen_addresses.items()}
+        self.sockets: dict[str, socket.socket] = {}
+        self.addresses: dict[str, Address] = {}
+        self.timers: set[asyncio.TimerHandle] = set()
+        self.stats: Counter = Counter()
+        self.broadcast_socket = self._open_socket()
+        self.loop.add_reader(self.broadcast_socket, self._on_readable, None, self.broadcast_socket)
         for name in names:
-            sock = self.socks[name] = self._bind()
-            self.address[name] = sock.getsockname()
-            self.loop.add_reader(sock, self._readable, name, sock)
+            sock = self.sockets[name] = self._open_socket()
+            self.addresses[name] = sock.getsockname()
+            self.loop.add_reader(sock, self._on_readable, name, sock)
 
     @staticmethod
-    def _bind() -> socket.socket:
+    def _open_socket() -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.setblocking(False)
         sock.bind(("127.0.0.1", 0))
         return sock
 
     def stop(self) -> None:
-        for sock in (self.everyone, *self.socks.values()):
+        """Close all sockets; what is delayed is lost."""
+        for sock in (self.broadcast_socket, *self.sockets.values()):
             self.loop.remove_reader(sock)
             sock.close()
-        for timer in self.waiting:
+        for timer in self.timers:
             timer.cancel()
 
-    def _readable(self, target: str | None, sock: socket.socket) -> None:
-        for _ in range(AT_ONCE):
+    def _on_readable(self, target: str | None, sock: socket.socket) -> None:
+        for _ in range(MAX_READS_AT_ONCE):
             try:
-                data, sender = sock.recvfrom(MOST_BYTES)
+                data, address = sock.recvfrom(MAX_DATAGRAM_BYTES)
             except (BlockingIOError, InterruptedError, ConnectionError):
                 return
-            source = self.senders.get(sender)
+            source = self.senders.get(address)
             if source is None:
-                self.figures["strangers"] += 1
+                self.stats["strangers"] += 1
                 continue
-            for one in [target] if target else [name for name in self.names if name != source]:
-                self._take(source, one, data)
-
-    def _take(self, source: str, target: str, data: bytes) -> None:
-        self.figures["sent"] += 1
-        self.seen(source, target, len(data))
-        waits = self.fates.datagram(self.loop.time(), source, target, len(data))
-        if not waits:
-            self.figures["lost"] += 1
-        for wait in waits:
-            if wait <= 0.0005:
-                self._leave(source, target, data)
-            elif len(self.waiting) >= MOST_WAITING:
-                self.figures["over_limit"] += 1
+            targets = [target] if target else [name for name in self.names if name != source]
+            for name in targets:
+                self._forward(source, name, data)
+
+    def _forward(self, source: str, target: str, data: bytes) -> None:
+        self.stats["sent"] += 1
+        self.on_datagram(source, target, len(data))
+        delays = self.conditions.datagram_delays(self.loop.time(), source, target, len(data))
+        if not delays:
+            self.stats["lost"] += 1
+        for delay in delays:
+            if delay <= MIN_DELAY_SECONDS:
+                self._deliver(source, target, data)
+            elif len(self.timers) >= MAX_DELAYED_DATAGRAMS:
+                self.stats["over_limit"] += 1
             else:
-                self._later(wait, source, target, data)
+                self._deliver_later(delay, source, target, data)
 
-    def _later(self, wait: float, source: str, target: str, data: bytes) -> None:
-        def due() -> None:
-            self.waiting.discard(handle)
-            self._leave(source, target, data)
+    def _deliver_later(self, delay: float, source: str, target: str, data: bytes) -> None:
+        def deliver() -> None:
+            self.timers.discard(timer)
+            self._deliver(source, target, data)
 
-        handle = self.loop.call_later(wait, due)
-        self.waiting.add(handle)
+        timer = self.loop.call_later(delay, deliver)
+        self.timers.add(timer)
 
-    def _leave(self, source: str, target: str, data: bytes) -> None:
+    def _deliver(self, source: str, target: str, data: bytes) -> None:
         try:
-            self.socks[source].sendto(data, self.real[target])
-            self.figures["passed"] += 1
+            self.sockets[source].sendto(data, self.listen_addresses[target])
+            self.stats["passed"] += 1
         except OSError:
-            self.figures["unsendable"] += 1
+            self.stats["unsendable"] += 1
--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -26,9 +26,9 @@
 from ..fakes.clients import Clients
 from ..fakes.cold import ColdEngine
 from ..fault_injection import schedule as f
-from ..fault_injection.link_conditions import Fates, matches
-from ..fault_injection.tcp_proxy import Gate, source_address, source_number
-from ..fault_injection.udp_proxy import Relay
+from ..fault_injection.link_conditions import LinkConditions, matches_any
+from ..fault_injection.tcp_proxy import TcpProxy, source_address, source_number
+from ..fault_injection.udp_proxy import UdpProxy
 from .managed_process import KINDS, SETTINGS, ZONES, Program, broken_rules
 
 PREFIX = "applevale/engines/"
@@ -136,9 +136,9 @@
         self.plan, self.random = plan, Random(plan.seed)
         self.loop = asyncio.get_running_loop()
         self.events: list[dict] = []
-        self.fates = Fates(plan.seed)
+        self.link_conditions = LinkConditions(plan.seed)
         self.service = Service(self._service_said)
-        self.gates: list[Gate] = []
+        self.gates: list[TcpProxy] = []
         self.members: list[tuple[str, int]] = []
         self.places: list[tuple[str, int]] = []  # of the engines, as instances are told
         self.engines: list[ColdEngine] = []
@@ -147,7 +147,7 @@
         self.figures: Counter = Counter()
         self.import_s: list[float] = []
         self.idle: dict[str, float] = {}
-        self.relay: Relay | None = None
+        self.relay: UdpProxy | None = None
         self.real: dict[str, tuple[str, int]] = {}  # where each instance hears datagrams
         self.sent: dict[tuple[str, int], list[int]] = defaultdict(lambda: [0, 0, 0])  # bytes, most, count
         self.away = 0  # spans of `down` that have not ended
@@ -279,8 +279,7 @@
         port = self._free_port()
         if plan.members:
             self.real = {f"n{number}": (self._host(number), port) for number in range(plan.nodes)}
-            self.relay = Relay(list(self.real), self.real, self.fates)
-            self.relay.seen = self._datagram_seen
+            self.relay = UdpProxy(list(self.real), self.real, self.link_conditions, self._datagram_seen)
         for number in range(plan.nodes):
             self.instances.append(self._instance(number, port))
 
@@ -288,7 +287,7 @@
         """Where instances find a server."""
         if not self.plan.gates:
             return address
-        gate = Gate(name, address, self.fates)
+        gate = TcpProxy(name, address, self.link_conditions)
         await gate.start()
         self.gates.append(gate)
         return gate.address
@@ -322,7 +321,7 @@
             config |= {
                 "peer_listen": place(self.real[name]),
                 "membership": {},
-                "peers": [place(self.relay.address[one]) for one in self.real],
+                "peers": [place(self.relay.addresses[one]) for one in self.real],
             }
         if plan.connects:
             config["startup"] = {"engine_connects": plan.connects}
@@ -557,7 +556,7 @@
     # --- faults ---------------------------------------------------------------------------------------------
 
     async def play(self, steps: list[f.Step]) -> None:
-        await f.play(steps, self, self._log, time.monotonic)
+        await f.play_schedule(steps, self, self._log, time.monotonic)
 
     def _log(self, at: float, step: f.Step) -> None:
         told = msgspec.to_builtins(step)
@@ -566,30 +565,36 @@
         self.figures["fault_" + told["do"]] += 1
 
     def _named(self, patterns: list[str]) -> list[Instance]:
-        return [one for one in self.instances if matches(one.name, tuple(patterns))]
+        return [one for one in self.instances if matches_any(one.name, tuple(patterns))]
 
-    async def carry_out(self, step: f.Step) -> None:
+    async def execute(self, step: f.Step) -> None:
         match step:
-            case f.Link():
-                number = self.fates.put(tuple(step.sources), tuple(step.targets), step.fate)
-                self._fates_changed()
-                await asyncio.sleep(step.span)
-                self.fates.lift(number)
-                self._fates_changed()
-            case f.Kill():
-                await asyncio.gather(*(self._kill(one, step.back) for one in self._named(step.who)))
-            case f.Term():
-                await asyncio.gather(*(self._term(one, step.back) for one in self._named(step.who)))
-            case f.Stop():
-                await asyncio.gather(*(self._stop(one, step.span) for one in self._named(step.who)))
-            case f.Stall():
-                await asyncio.gather(*(self._stall(one, step) for one in self._named(step.who)))
-            case f.Upgrade():
-                await asyncio.gather(*(self._upgrade(one, step.both) for one in self._named(step.who)))
-            case f.Service():
+            case f.ApplyLinkCondition():
+                number = self.link_conditions.apply(tuple(step.sources), tuple(step.targets), step.condition)
+                self._conditions_changed()
+                await asyncio.sleep(step.duration)
+                self.link_conditions.remove(number)
+                self._conditions_changed()
+            case f.KillProcess():
+                await asyncio.gather(
+                    *(self._kill(one, step.restart_after) for one in self._named(step.processes))
+                )
+            case f.TerminateProcess():
+                await asyncio.gather(
+                    *(self._term(one, step.restart_after) for one in self._named(step.processes))
+                )
+            case f.PauseProcess():
+                await asyncio.gather(*(self._stop(one, step.duration) for one in self._named(step.processes)))
+            case f.PauseRepeatedly():
+                await asyncio.gather(*(self._stall(one, step) for one in self._named(step.processes)))
+            case f.UpgradeProcess():
+                await asyncio.gather(
+                    *(self._upgrade(one, step.overlap) for one in self._named(step.processes))
+                )
+            case f.OrderRegistry():
                 await self._order(step)
 
-    async def _order(self, step: f.Service) -> None:
+    async def _order(self, step: f.OrderRegistry) -> None:
         """Spans in which the service is away may overlap: it is back when the last one ends."""
         if step.order in ("down", "up"):
             former = self.away
@@ -598,9 +603,9 @@
                 return
         await self.service.order(step.order, **step.values)
 
-    def _fates_changed(self) -> None:
+    def _conditions_changed(self) -> None:
         for gate in self.gates:
-            gate.changed()
+            gate.on_conditions_changed()
 
     async def _kill(self, instance: Instance, back: float | None) -> None:
         async with instance.turn:
@@ -656,8 +661,8 @@
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
 
-    async def _stall(self, instance: Instance, step: f.Stall) -> None:
-        for _ in range(step.times):
+    async def _stall(self, instance: Instance, step: f.PauseRepeatedly) -> None:
+        for _ in range(step.count):
             began = self.loop.time()
-            await self._stop(instance, step.span)
-            await asyncio.sleep(max(0.0, began + step.apart - self.loop.time()))
+            await self._stop(instance, step.duration)
+            await asyncio.sleep(max(0.0, began + step.interval - self.loop.time()))
--- a/applevale/harness/scenarios.py
+++ b/applevale/harness/scenarios.py
@@ -9,9 +9,9 @@
 from ..checkers import coldstart as verify
 from ..checkers import membership
 from ..checkers.history import History, quantile
-from ..fault_injection.link_conditions import Fate
-from ..fault_injection.scenarios import COURSES, course
-from ..fault_injection.schedule import Kill, Link, Term, drawn
+from ..fault_injection.link_conditions import LinkCondition
+from ..fault_injection.scenarios import SCENARIOS, scenario_steps
+from ..fault_injection.schedule import ApplyLinkCondition, KillProcess, TerminateProcess, draw_schedule
 from .fleet import Fleet, Plan
 
 UP = 60.0  # s within which all are ready, with the machine's share
@@ -176,8 +176,12 @@
     cut = asyncio.create_task(
         fleet.play(
             [
-                Link(at=0, sources=third, targets=["list*"], fate=Fate(cut=True), span=6.0),
-                Link(at=0, sources=["list*"], targets=third, fate=Fate(cut=True), span=6.0),
+                ApplyLinkCondition(
+                    at=0, sources=third, targets=["list*"], condition=LinkCondition(cut=True), duration=6.0
+                ),
+                ApplyLinkCondition(
+                    at=0, sources=["list*"], targets=third, condition=LinkCondition(cut=True), duration=6.0
+                ),
             ]
         )
     )
@@ -195,7 +199,7 @@
     await _rest(fleet)
     half = [one.name for one in fleet.instances[: len(fleet.instances) // 2]]
     fleet.mark("crashes")
-    await fleet.play([Kill(at=2.0 * turn, who=half, back=0.1) for turn in range(5)])
+    await fleet.play([KillProcess(at=2.0 * turn, processes=half, restart_after=0.1) for turn in range(5)])
     fleet.mark("crashes_end")
     await fleet.all_ready(UP)
     await asyncio.sleep(3.0)
@@ -210,7 +214,7 @@
     names = [one.name for one in fleet.instances]
     step = max(1, len(names) // 10)
     for first in range(0, len(names), step):
-        await fleet.play([Term(at=0, who=names[first : first + step], back=0.1)])
+        await fleet.play([TerminateProcess(at=0, processes=names[first : first + step], restart_after=0.1)])
         await fleet.all_ready(UP)
     await fleet.drain(2)
     await fleet.quiet()
@@ -249,7 +253,13 @@
     await _up(fleet)
     await asyncio.sleep(6.0)
     await _rest(fleet)
-    await fleet.play([Link(at=0, sources=["n*"], targets=["e*"], fate=Fate(refuse=True), span=3.0)])
+    await fleet.play(
+        [
+            ApplyLinkCondition(
+                at=0, sources=["n*"], targets=["e*"], condition=LinkCondition(refuse=True), duration=3.0
+            )
+        ]
+    )
     await asyncio.sleep(8.0)
     await fleet.drain(2)
     await fleet.quiet()
@@ -259,7 +269,7 @@
     """All are killed at once and come back with the list that they kept: confirmed by its revision alone."""
     await _up(fleet)
     await asyncio.sleep(3.0)  # until each has kept its list
-    await fleet.play([Kill(at=0, who=["n*"], back=0.1)])
+    await fleet.play([KillProcess(at=0, processes=["n*"], restart_after=0.1)])
     fleet.mark("again")
     await fleet.all_ready(UP)
     await _rest(fleet)
@@ -269,7 +279,7 @@
 
 async def schedule(fleet: Fleet) -> None:
     """The steps of a file, or drawn from the seed, with drains beside them all the time."""
-    steps = list(fleet.plan.schedule) or drawn(fleet.plan.seed, fleet.plan.nodes)
+    steps = list(fleet.plan.schedule) or draw_schedule(fleet.plan.seed, fleet.plan.nodes)
     await _up(fleet)
     await _rest(fleet)
     playing = asyncio.create_task(fleet.play(steps))
@@ -291,11 +301,11 @@
         await fleet.until(lambda: all(one.stand == "well" for one in fleet.instances), UP)
         await asyncio.sleep(3.0)
         fleet.mark("joined")
-        steps = course(name, fleet.plan.nodes, fleet.plan.seed)
+        steps = scenario_steps(name, fleet.plan.nodes, fleet.plan.seed)
         await fleet.play(steps)
         await asyncio.sleep(JOINED)
 
-    play.__doc__ = COURSES[name].__doc__ or f"Among members: {name}."
+    play.__doc__ = SCENARIOS[name].__doc__ or f"Among members: {name}."
     return play
 
 
@@ -353,7 +363,7 @@
 MEMBERS = {"members": True, "clients": 1.0}
 CASES |= {
     name if name == "membership" else f"members-{name}": Case(_members(name), plan=MEMBERS)
-    for name in COURSES
+    for name in SCENARIOS
 }
 
 
@@ -415,7 +425,7 @@
     if fleet.plan.members:
         among = membership.figures(history)
         missed += membership.broken(among, {})
-        found |= among | {"datagrams": dict(fleet.relay.figures)}
+        found |= among | {"datagrams": dict(fleet.relay.stats)}
     if fleet.figures["bad_exits"]:
         missed.append(f"exits with another code than 0: {fleet.figures['bad_exits']}")
     if chosen.play is coldstart and found["ready_s"]["p99"] > found["import_s"]["p99"] + READY_LATER:
--- a/applevale/simulation/__init__.py
+++ b/applevale/simulation/__init__.py
@@ -1,1 +1,1 @@
-"""State machines by the thousand in simulated time, with the fates of faults/ as their network."""
+"""State machines by the thousand in simulated time, on the simulated links of fault_injection."""
--- a/applevale/simulation/engine.py
+++ b/applevale/simulation/engine.py
@@ -19,7 +19,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from ..fault_injection.link_conditions import Fates
+from ..fault_injection.link_conditions import LinkConditions
 
 AT_ONCE = 64  # that one reads before its timers have their turn
 ROOM = 400  # datagrams that wait for an actor that stands still
@@ -69,7 +69,8 @@
         drift: float = 1e-4,
         latency: tuple[float, float] = (0.0003, 0.003),
     ):
-        self.random, self.fates = Random(seed), Fates(seed)
+        self.random = Random(seed)
+        self.link_conditions = LinkConditions(seed)
         self.make, self.route, self.seen = make, route, seen
         self.latency = latency
         self.now = 0.0
@@ -172,7 +173,9 @@
         self.sent(self.now, number, size)
         self.figures["messages"] += 1
         least, most = self.latency
-        for wait in self.fates.datagram(self.now, self.places[number].name, self.places[target].name, size):
+        for wait in self.link_conditions.datagram_delays(
+            self.now, self.places[number].name, self.places[target].name, size
+        ):
             self._push(
                 self.now + wait + least + (most - least) * self.random.random(),
                 self._arrive,
--- a/applevale/simulation/fault_player.py
+++ b/applevale/simulation/fault_player.py
@@ -5,12 +5,12 @@
 import msgspec
 
 from ..fault_injection import schedule as f
-from ..fault_injection.link_conditions import matches
+from ..fault_injection.link_conditions import matches_any
 from .engine import World
 
 
 class Stage:
-    """Steps as of faults/schedule.py; those to a list service have no meaning here."""
+    """Steps of fault_injection/schedule.py; those to a list service have no meaning here."""
 
     def __init__(self, world: World):
         self.world = world
@@ -30,30 +30,34 @@
         told.pop("at")
         self.note("fault", **told)
         match step:
-            case f.Link():
-                number = self.world.fates.put(tuple(step.sources), tuple(step.targets), step.fate)
-                self.world.at(self.world.now + step.span, lambda: self.world.fates.lift(number))
-            case f.Kill():
-                for number in self._named(step.who):
-                    self.end(number, "kill", step.back)
-            case f.Term():
-                for number in self._named(step.who):
-                    self.end(number, "term", step.back)
-            case f.Stop():
-                for number in self._named(step.who):
-                    self.world.pause(number, step.span)
-            case f.Stall():
-                for turn in range(step.times):
-                    for number in self._named(step.who):
+            case f.ApplyLinkCondition():
+                number = self.world.link_conditions.apply(
+                    tuple(step.sources), tuple(step.targets), step.condition
+                )
+                self.world.at(
+                    self.world.now + step.duration, lambda: self.world.link_conditions.remove(number)
+                )
+            case f.KillProcess():
+                for number in self._named(step.processes):
+                    self.end(number, "kill", step.restart_after)
+            case f.TerminateProcess():
+                for number in self._named(step.processes):
+                    self.end(number, "term", step.restart_after)
+            case f.PauseProcess():
+                for number in self._named(step.processes):
+                    self.world.pause(number, step.duration)
+            case f.PauseRepeatedly():
+                for turn in range(step.count):
+                    for number in self._named(step.processes):
                         self.world.at(
-                            self.world.now + turn * step.apart,
-                            lambda number=number: self.world.pause(number, step.span),
+                            self.world.now + turn * step.interval,
+                            lambda number=number: self.world.pause(number, step.duration),
                         )
-            case f.Service() | f.Upgrade():
+            case f.OrderRegistry() | f.UpgradeProcess():
                 raise ValueError(f"{told['do']}: no part of this world")
 
     def _named(self, patterns: list[str]) -> list[int]:
-        return [at for at, place in enumerate(self.world.places) if matches(place.name, tuple(patterns))]
+        return [at for at, place in enumerate(self.world.places) if matches_any(place.name, tuple(patterns))]
 
     def start(self, number: int) -> None:
         self.note("launched", who=f"n{number}", how="start")
--- a/applevale/simulation/membership.py
+++ b/applevale/simulation/membership.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from random import Random
 
-from ..fault_injection.scenarios import course, lasts
+from ..fault_injection.scenarios import scenario_duration, scenario_steps
 from ..membership import messages
 from ..membership.protocol import Command, Membership, Pace, Send, Stood, Turned
 from ..membership.shares import Shares
@@ -103,9 +103,9 @@
         world.run(JOIN)
         stage.note("mark", name="joined")
         self._look_at_shares()
-        steps = course(name, self.count, self.seed)
+        steps = scenario_steps(name, self.count, self.seed)
         stage.play(steps)
-        world.run(JOIN + lasts(steps) + SETTLE)
+        world.run(JOIN + scenario_duration(steps) + SETTLE)
         views: dict[tuple[int, ...], list[str]] = {}  # equal ones once: of thousands they are large
         for number, place in enumerate(world.places):
             if place.actor is not None:
--- a/applevale/simulation/runners.py
+++ b/applevale/simulation/runners.py
@@ -6,7 +6,7 @@
 
 from ..checkers import membership as verify
 from ..checkers.history import History
-from ..fault_injection.scenarios import COURSES
+from ..fault_injection.scenarios import SCENARIOS
 from ..membership.suspicion import Times
 from .experiment import ExperimentError
 from .membership import VERSIONS, Fleet
@@ -43,7 +43,7 @@
             if one not in _TIMES and one not in VERSIONS["fleet"].__dataclass_fields__:
                 raise ExperimentError(f"versions.{name}: {one!r} is no setting")
     for case in cases:
-        if case not in COURSES or case == "upgrade":
+        if case not in SCENARIOS or case == "upgrade":
             raise ExperimentError(f"cases: {case!r} is no course of the emulator's")
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,8 +8,8 @@
 
 from applevale.checkers import coldstart as verify
 from applevale.checkers.history import History, most_in, read_history
-from applevale.fault_injection.link_conditions import Fate
-from applevale.fault_injection.schedule import Kill, Link, Stop
+from applevale.fault_injection.link_conditions import LinkCondition
+from applevale.fault_injection.schedule import ApplyLinkCondition, KillProcess, PauseProcess
 from applevale.harness.fleet import Fleet, Plan
 from applevale.harness.managed_process import event_of
 from applevale.harness.scenarios import CASES
@@ -56,7 +56,12 @@
         await fleet.service.order("up")
         fleet.mark("break_end")
         assert await fleet.all_ready(20)
-        await fleet.play([Kill(at=0, who=["n1"], back=0.1), Stop(at=0, who=["n2"], span=0.5)])
+        await fleet.play(
+            [
+                KillProcess(at=0, processes=["n1"], restart_after=0.1),
+                PauseProcess(at=0, processes=["n2"], duration=0.5),
+            ]
+        )
         assert await fleet.all_ready(30)
         await fleet.quiet()
 
@@ -105,7 +110,13 @@
     """What the list service says comes 0.8 s late, a drain among it, while its questions get through."""
     await up(fleet)
     late = asyncio.create_task(
-        fleet.play([Link(at=0, sources=["list*"], targets=["n*"], fate=Fate(delay=0.8), span=4.0)])
+        fleet.play(
+            [
+                ApplyLinkCondition(
+                    at=0, sources=["list*"], targets=["n*"], condition=LinkCondition(delay=0.8), duration=4.0
+                )
+            ]
+        )
     )
     await asyncio.sleep(1.5)
     await fleet.list_engine(0, "draining")
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -6,13 +6,19 @@
 
 from applevale.checkers import membership as verify
 from applevale.checkers.history import History
-from applevale.fault_injection.link_conditions import Fate
-from applevale.fault_injection.schedule import Kill, Link, Stop, Term, Upgrade
+from applevale.fault_injection.link_conditions import LinkCondition
+from applevale.fault_injection.schedule import (
+    ApplyLinkCondition,
+    KillProcess,
+    PauseProcess,
+    TerminateProcess,
+    UpgradeProcess,
+)
 from applevale.harness.fleet import Fleet, Plan
 
 # Never beside another fleet on the same machine.
 pytestmark = pytest.mark.xdist_group("fleet")
-CUT = Fate(cut=True)
+CUT = LinkCondition(cut=True)
 
 
 def played(script, **plan):
@@ -57,12 +63,17 @@
 async def bad_day(fleet):
     """A death, a standstill, a clean end, an upgrade and a quick restart."""
     others = len(fleet.instances) - 1
-    await fleet.play([Kill(at=0, who=["n1"])])
+    await fleet.play([KillProcess(at=0, processes=["n1"])])
     assert await fleet.until(lambda: died(fleet, "n1") == others, 20)
-    await fleet.play([Stop(at=0, who=["n2"], span=1.5)])
-    await fleet.play([Term(at=0, who=["n3"], back=0.1)])
+    await fleet.play([PauseProcess(at=0, processes=["n2"], duration=1.5)])
+    await fleet.play([TerminateProcess(at=0, processes=["n3"], restart_after=0.1)])
     assert await fleet.until(lambda: fleet.instances[3].stand == "well" and not died(fleet, "n3"), 20)
-    await fleet.play([Upgrade(at=0, who=["n4"], both=2.0), Kill(at=0.5, who=["n5"], back=0.1)])
+    await fleet.play(
+        [
+            UpgradeProcess(at=0, processes=["n4"], overlap=2.0),
+            KillProcess(at=0.5, processes=["n5"], restart_after=0.1),
+        ]
+    )
     assert await fleet.until(
         lambda: all(one.stand == "well" for one in fleet.instances if one.name != "n1"), 20
     )
@@ -79,19 +90,30 @@
 
 
 async def loss(fleet):
-    await fleet.play([Link(at=0, sources=["n*"], targets=["n*"], fate=Fate(loss=0.3), span=6.0)])
+    await fleet.play(
+        [
+            ApplyLinkCondition(
+                at=0, sources=["n*"], targets=["n*"], condition=LinkCondition(loss=0.3), duration=6.0
+            )
+        ]
+    )
     await asyncio.sleep(3.0)
 
 
 async def waves(fleet):
     """The second that stands still has words against the first, and misses that it is back."""
-    await fleet.play([Stop(at=0, who=["n1"], span=6.0), Stop(at=1.5, who=["n2"], span=6.5)])
+    await fleet.play(
+        [
+            PauseProcess(at=0, processes=["n1"], duration=6.0),
+            PauseProcess(at=1.5, processes=["n2"], duration=6.5),
+        ]
+    )
     await asyncio.sleep(4.0)
 
 
 async def back(fleet):
     others = len(fleet.instances) - 1
-    await fleet.play([Kill(at=0, who=["n1"])])
+    await fleet.play([KillProcess(at=0, processes=["n1"])])
     await fleet.until(lambda: died(fleet, "n1") == others, 10)
     await fleet.launch(fleet.instances[1])
     assert await fleet.until(lambda: fleet.instances[1].stand == "well", 20)
@@ -99,7 +121,7 @@
 
 
 async def killed(fleet):
-    await fleet.play([Kill(at=0, who=["n1"])])
+    await fleet.play([KillProcess(at=0, processes=["n1"])])
     await asyncio.sleep(6.5)
 
 
@@ -107,8 +129,8 @@
     one, other = ["n0", "n1", "n2"], ["n3", "n4", "n5"]
     await fleet.play(
         [
-            Link(at=0, sources=one, targets=other, fate=CUT, span=8.0),
-            Link(at=0, sources=other, targets=one, fate=CUT, span=8.0),
+            ApplyLinkCondition(at=0, sources=one, targets=other, condition=CUT, duration=8.0),
+            ApplyLinkCondition(at=0, sources=other, targets=one, condition=CUT, duration=8.0),
         ]
     )
     await asyncio.sleep(5.0)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -22,7 +22,7 @@
 from applevale.discovery.registry.records import read_record
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
 from applevale.fault_injection import schedule as faults
-from applevale.fault_injection.link_conditions import Fate
+from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.gossip.load_reports import News
 from applevale.membership import messages
 from applevale.simulation.experiment import Experiment, read_experiment
@@ -78,26 +78,28 @@
 
 
 def fault_steps():
-    fate = Fate(
+    condition = LinkCondition(
         cut=True,
         refuse=True,
         loss=0.1,
         delay=0.2,
         jitter=0.3,
         reorder=0.4,
-        held=0.5,
-        copies=0.6,
+        reorder_delay=0.5,
+        duplication=0.6,
         bandwidth=7.0,
     )
     return [
-        faults.Link(at=0.5, sources=["n0"], targets=["list*"], fate=fate, span=2.0),
-        faults.Kill(at=1.0, who=["n1", "n2"], back=0.5),
-        faults.Kill(at=1.5, who=["n3"]),
-        faults.Stop(at=2.0, who=["n4"], span=1.0),
-        faults.Stall(at=3.0, who=["n5"], span=0.1, apart=0.4, times=5),
-        faults.Term(at=4.0, who=["n6"], back=0.1),
-        faults.Upgrade(at=5.0, who=["n7"], both=1.0),
-        faults.Service(at=6.0, order="late", values={"seconds": 0.3, "who": "n1"}),
+        faults.ApplyLinkCondition(
+            at=0.5, sources=["n0"], targets=["list*"], condition=condition, duration=2.0
+        ),
+        faults.KillProcess(at=1.0, processes=["n1", "n2"], restart_after=0.5),
+        faults.KillProcess(at=1.5, processes=["n3"]),
+        faults.PauseProcess(at=2.0, processes=["n4"], duration=1.0),
+        faults.PauseRepeatedly(at=3.0, processes=["n5"], duration=0.1, interval=0.4, count=5),
+        faults.TerminateProcess(at=4.0, processes=["n6"], restart_after=0.1),
+        faults.UpgradeProcess(at=5.0, processes=["n7"], overlap=1.0),
+        faults.OrderRegistry(at=6.0, order="late", values={"seconds": 0.3, "who": "n1"}),
     ]
 
 
@@ -232,7 +234,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_seed_draws_the_schedule_that_it_drew_before(seed):
-    assert faults.write_schedule(faults.drawn(seed, 8)).decode() == STORED[f"drawn_schedule_{seed}"]
+    assert faults.write_schedule(faults.draw_schedule(seed, 8)).decode() == STORED[f"drawn_schedule_{seed}"]
 
 
 def test_an_experiment_file_is_read_and_written_as_before():
