--- a/applevale/cli/experiments.py
+++ b/applevale/cli/experiments.py
@@ -15,8 +15,8 @@
 Folder = Annotated[str, typer.Argument(help="Folder of the results.")]
 
 
-def extra(needed: str) -> None:
-    """Ends with one line where the extra 'experiments' is missing."""
+def require_extra(needed: str) -> None:
+    """End with one line and exit code 2 where the extra 'experiments' is missing."""
     if find_spec(needed) is None:
         fail(f"experiment: {needed} is missing: install the extra 'experiments'")
 
@@ -28,7 +28,7 @@
     jobs: Annotated[int, typer.Option(help="Processes; 0: one a core.", min=0)] = 0,
 ) -> None:
     """Play a grid of sizes, cases, seeds and versions; what the folder has already is not played again."""
-    extra("tqdm")
+    require_extra("tqdm")
     from tqdm import tqdm
 
     from ..simulation import experiment as grid
@@ -60,7 +60,7 @@
     figure: Annotated[list[str], typer.Option(help="Which figures; else all.")] = [],  # noqa: B006
 ) -> None:
     """Set two folders' results side by side, seed by seed: mean difference and its 95% bounds."""
-    extra("scipy")
+    require_extra("scipy")
     from ..simulation import experiment as grid
 
     try:
@@ -84,7 +84,7 @@
     out: Annotated[str, typer.Argument(help="Where to write the picture.")],
 ) -> None:
     """Draw a figure over the sizes, a line for each version and case."""
-    extra("matplotlib")
+    require_extra("matplotlib")
     from ..simulation import experiment as grid
 
     try:
--- /dev/null
+++ b/applevale/cli/registry.py
@@ -0,0 +1,125 @@
+"""`applevale registry`: look into the registry that a configuration names."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import typer
+
+from ..config.model import Config
+from .arguments import ConfigPath, Seconds, read_config
+from .exit_codes import exit_with, fail
+
+if TYPE_CHECKING:
+    from ..discovery.endpoints import Change
+    from ..discovery.registry.records import Entry
+
+registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
+
+
+@dataclass(frozen=True)
+class RegistryView:
+    """The list of engines as a registry has it."""
+
+    revision: int
+    digest: int
+    entries: list[Entry]
+    unusable: dict[str, str]  # keys whose value is no record, and why
+
+
+@registry.command()
+def watch(path: ConfigPath, seconds: Seconds = 60.0) -> None:
+    """Tell each change of the engine list as it comes, and whether the list is confirmed."""
+    _require_view(path, seconds, is_watching=True)
+
+
+@registry.command()
+def dump(path: ConfigPath, seconds: Seconds = 5.0) -> None:
+    """Print the engine list as JSON lines: key, revision, id, state, address."""
+    view = _require_view(path, seconds)
+    for entry in sorted(view.entries, key=lambda entry: entry.key):
+        host, port = entry.member.address
+        record = {
+            "key": entry.key,
+            "revision": entry.revision,
+            "id": f"s-{entry.member.entry.engine:08x}",
+            "state": entry.member.entry.state.value,
+            "address": f"{host}:{port}",
+        }
+        typer.echo(json.dumps(record))
+
+
+@registry.command()
+def verify(path: ConfigPath, seconds: Seconds = 5.0) -> None:
+    """Check every record, and print the revision and the digest to compare with a program's counters; exit
+    code 1 if a record cannot be used."""
+    view = _require_view(path, seconds)
+    for key, reason in sorted(view.unusable.items()):
+        typer.echo(f"{key}: {reason}")
+    typer.echo(
+        f"revision {view.revision}, digest {view.digest}, {len(view.entries)} engines, "
+        f"{len(view.unusable)} records that cannot be used"
+    )
+    exit_with(not view.unusable)
+
+
+def _require_view(path: str, seconds: float, is_watching: bool = False) -> RegistryView:
+    """Return the registry's list; end with exit code 2 if no member confirmed it."""
+    config = read_config(path)
+    if config.registry is None:
+        fail("registry: missing")
+    view = asyncio.run(follow(config, seconds, is_watching))
+    if view is None:
+        fail("registry: no member confirmed the list")
+    return view
+
+
+async def follow(config: Config, seconds: float, is_watching: bool) -> RegistryView | None:
+    """Follow the registry until its list is confirmed; None if it could not be within `seconds`.
+
+    With `is_watching` follow it for the whole time, and print its list as it changes.
+    """
+    from ..discovery.registry.source import RegistrySource
+    from ..observability.counters import Counters
+
+    confirmed = asyncio.Event()
+
+    def on_update(update: Change) -> None:
+        if is_watching:
+            _print_update(update)
+
+    def on_staleness_change(is_fresh: bool) -> None:
+        if is_watching:
+            typer.echo("confirmed" if is_fresh else "not confirmed")
+        if is_fresh:
+            confirmed.set()
+
+    source = RegistrySource(
+        config.registry, config.names, Counters(), on_update, on_staleness_change, config.seed
+    )
+    source.start()
+    try:
+        async with asyncio.timeout(seconds):
+            await (asyncio.Event() if is_watching else confirmed).wait()
+    except TimeoutError:
+        pass
+    view = None
+    if confirmed.is_set():
+        source.note()
+        view = RegistryView(
+            revision=source.follower.revision,
+            digest=source.counters["registry_digest"],
+            entries=list(source.ledger.entries.values()),
+            unusable=dict(source.ledger.bad),
+        )
+    await source.stop()
+    return view
+
+
+def _print_update(update: Change) -> None:
+    for member in update.members:
+        host, port = member.address
+        typer.echo(f"s-{member.entry.engine:08x} {member.entry.state.value:9} {host}:{port}")
