--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -290,7 +290,7 @@
         (life,) = scene.broker.lives
         life.inbox.put_nowait(api.Send(life.number, 1))
         await until(life.inbox.empty)
-        told = scene.driver.waiting + [event for batch in scene.driver.gateway.batches for event in batch]
+        told = scene.driver.waiting + [event for batch in scene.driver.controller.batches for event in batch]
         task.cancel()
         return life.out, [event.result for event in told if isinstance(event, api.Outcome)]
 
@@ -308,7 +308,7 @@
             await asyncio.get_running_loop().sock_recv(ours, 1)
             scene.driver.post(api.ClientGone(7))
 
-        module, reading = scene.driver.gateway, asyncio.create_task(read())
+        module, reading = scene.driver.controller, asyncio.create_task(read())
         scene.driver.post(api.Timer(1))
         await until(lambda: module.batches)
         scene.driver.post(api.Timer(2))
