Engines: codec, attempts, connections, liveness and pool in modules of their own

Change: resp.py (codec; the only place with bytes of the wire, as named constants), attempt.py, connection.py, liveness.py, engine.py, pool.py, connect_pacer.py. Main names: Want = AttemptSpec, Reach = Progress, Done/Broken/Ending = AttemptSucceeded/AttemptFailed/AttemptResult, Link = EngineConnection, Fleet = EnginePool, Openings = ConnectPacer. The liveness monitor and the attempt own their state; the local address is given to the pool when it is made. Wire bytes, counter names, and the kind of log line stay; the reason in the text of some lines is worded anew. Two uses of Driver.gateway in test_crossings.py follow its new name, controller.

--- a/applevale/dispatch/event_loop_driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -9,7 +9,7 @@
 from math import exp
 
 from .. import api
-from ..engines.connection import Fleet
+from ..engines.pool import EnginePool
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from ..policy import AdmissionController
@@ -51,7 +51,7 @@
     def __init__(
         self,
         controller: AdmissionController,
-        fleet: Fleet,
+        fleet: EnginePool,
         counters: Counters,
         clock: Callable[[], float] = time.time,
     ):
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -1,4 +1,4 @@
-"""Engines come into use one by one: carries out what the ramp says of connections to each."""
+"""Paces connections: engines come into use one by one, as the connect schedule says."""
 
 from __future__ import annotations
 
@@ -9,70 +9,82 @@
 from .. import api
 from ..discovery.gated_endpoints import HeldList
 from ..startup.connect_schedule import Ramp
-from .connection import Fleet
+from .pool import EnginePool
 
 
-class Openings:
-    """Invariant: an engine without a link, to which none may be begun yet, is told to the module as not
-    ready; it is told as it is as soon as one may."""
+class ConnectPacer:
+    """Carries out the connect schedule.
+
+    Invariant: an engine without a connection, to which none may be opened yet, is shown to the policy as not
+    ready; as soon as one may be opened, it is shown as it is listed.
+    """
 
     def __init__(
         self,
-        ramp: Ramp,
-        fleet: Fleet,
+        schedule: Ramp,
+        pool: EnginePool,
         submit: Callable[[api.EngineList], None],
-        held: HeldList,
-        turned: Callable[[], None],
-    ):
-        self.ramp, self.fleet, self.submit, self.held, self.turned = ramp, fleet, submit, held, turned
-        fleet.may_open, fleet.opening, fleet.parted = self.may, self.begun, self.parted
-        self.timer: asyncio.TimerHandle | None = None
+        endpoints: HeldList,
+        on_readiness_change: Callable[[], None],
+    ) -> None:
+        self.schedule = schedule
+        self.pool = pool
+        self.submit = submit
+        self.endpoints = endpoints
+        self.on_readiness_change = on_readiness_change
+        self._timer: asyncio.TimerHandle | None = None
+        pool.may_connect = self.may_connect
+        pool.on_connect_started = self.record_connect
+        pool.on_disconnected = self.record_disconnect
 
-    @staticmethod
-    def now() -> float:
-        return asyncio.get_running_loop().time()
+    def may_connect(self, engine_id: int) -> bool:
+        """Return whether a connection to the engine may be opened now."""
+        return self.schedule.may(engine_id, self._now())
 
-    def may(self, engine: int) -> bool:
-        return self.ramp.may(engine, self.now())
+    def record_connect(self, engine_id: int) -> None:
+        """Note that a connection to the engine is being opened."""
+        self.schedule.begun(engine_id, self._now())
 
-    def begun(self, engine: int) -> None:
-        self.ramp.begun(engine, self.now())
+    def record_disconnect(self, engine_id: int) -> None:
+        """Note that the last connection to the engine ended, or the first was never established."""
+        self.schedule.parted(engine_id, self._now())
+        if self._hide_if_waiting(engine_id):
+            self.submit(self.endpoints.told_again(engine_id))
+            self.on_readiness_change()
+        self._restart_timer()
 
-    def parted(self, engine: int) -> None:
-        """The last link to it broke, or its first never came up."""
-        self.ramp.parted(engine, self.now())
-        if self._hide(engine):
-            self.submit(self.held.told_again(engine))
-            self.turned()
-        self._wait()
+    def on_list_change(self) -> None:
+        """Apply a change of the engine list, before the policy is told of it."""
+        present = set(self.pool.engines) - self.pool.departed
+        self.schedule.listed(present, self._now())
+        self.endpoints.unopened &= present
+        for engine_id in present:
+            self._hide_if_waiting(engine_id)
+        self._restart_timer()
 
-    def listed(self) -> None:
-        """Before the module hears of a list."""
-        present = set(self.fleet.engines) - self.fleet.gone
-        self.ramp.listed(present, self.now())
-        self.held.unopened &= present
-        for engine in present:
-            self._hide(engine)
-        self._wait()
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
 
-    def _hide(self, engine: int) -> bool:
-        known = self.fleet.engines.get(engine)
-        hidden = known is not None and not known.links and not self.may(engine)
-        if hidden:
-            self.held.unopened.add(engine)
-        return hidden
+    def _hide_if_waiting(self, engine_id: int) -> bool:
+        engine = self.pool.engines.get(engine_id)
+        is_hidden = engine is not None and not engine.connections and not self.may_connect(engine_id)
+        if is_hidden:
+            self.endpoints.unopened.add(engine_id)
+        return is_hidden
 
-    def _wait(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        due = min((self.ramp.next.get(engine, -inf) for engine in self.held.unopened), default=None)
-        self.timer = None
+    def _restart_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        slots = (self.schedule.next.get(engine_id, -inf) for engine_id in self.endpoints.unopened)
+        due = min(slots, default=None)
         if due is not None:
-            self.timer = asyncio.get_running_loop().call_at(due, self._open)
+            self._timer = asyncio.get_running_loop().call_at(due, self._show_due)
 
-    def _open(self) -> None:
-        for engine in [engine for engine in self.held.unopened if self.may(engine)]:
-            self.held.unopened.discard(engine)
-            self.submit(self.held.told_again(engine))
-        self.turned()
-        self._wait()
+    def _show_due(self) -> None:
+        for engine_id in [engine_id for engine_id in self.endpoints.unopened if self.may_connect(engine_id)]:
+            self.endpoints.unopened.discard(engine_id)
+            self.submit(self.endpoints.told_again(engine_id))
+        self.on_readiness_change()
+        self._restart_timer()
--- /dev/null
+++ b/applevale/engines/pool.py
@@ -0,0 +1,196 @@
+"""The engines that the list names, behind one interface: attempts and probes go through the pool."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Set
+
+from ..api import Result, State
+from ..discovery.endpoints import Change, Member
+from ..observability.counters import Counters
+from .attempt import Attempt, AttemptFailed, AttemptResult, AttemptSpec, Progress
+from .connection import EngineConnection, ProbeCallback
+from .engine import Engine
+from .limits import ConnectionLimits
+from .resp import LoadReport
+
+PROBE_TIMEOUT_SECONDS = 0.25  # by the site
+CORRUPTION_MEMORY_SECONDS = 20.0  # for which a corrupt reply is kept in mind
+# Silence after which a busy connection is pinged: while corruption is suspected, and else.
+SUSPICIOUS_LIVENESS_INTERVAL_SECONDS = 1.0
+LIVENESS_INTERVAL_SECONDS = 3.0
+CHEAP_PROBE_PRICE = 0.02  # points for a probe a request, up to which pings are sent as often as that
+
+
+class EnginePool:
+    """All engines that the list has named, and the connections to them.
+
+    The callbacks are set by the parts that they concern; by default nothing is limited and nobody listens.
+
+    Attributes:
+        engines: By their ids; one that has left the list stays until its connections have ended.
+        departed: Ids of those that have left the list.
+        local_address: The address that connections bind; empty: the system's choice.
+        may_connect: Whether a connection to an engine may be opened now.
+        on_connect_started: A connection to an engine is being opened.
+        on_disconnected: The last connection to an engine ended.
+        is_list_confirmed: Whether the list is held to be true now.
+        on_load_report: An engine reported its load.
+        announce_send: An attempt with so many threads was sent that other instances are to hear of.
+        on_attempt_written: The command of an attempt of a class was written whole.
+    """
+
+    def __init__(
+        self,
+        limits: ConnectionLimits,
+        report_columns: tuple[str, ...],
+        max_connections: int,
+        counters: Counters,
+        local_address: str = "",
+    ) -> None:
+        self.limits = limits
+        self.report_columns = report_columns
+        self.max_connections = max_connections
+        self.counters = counters
+        self.local_address = local_address
+        self.engines: dict[int, Engine] = {}
+        self.departed: set[int] = set()
+        self.may_connect: Callable[[int], bool] = lambda engine_id: True
+        self.on_connect_started: Callable[[int], None] = lambda engine_id: None
+        self.on_disconnected: Callable[[int], None] = lambda engine_id: None
+        self.is_list_confirmed: Callable[[], bool] = lambda: True
+        self.on_load_report: Callable[[int, LoadReport], None] = lambda engine_id, report: None
+        self.announce_send: Callable[[int, int], None] = lambda engine_id, threads: None
+        self.on_attempt_written: Callable[[str], None] = lambda class_name: None
+        self._tag_count = 0
+        self._corrupted_at = -CORRUPTION_MEMORY_SECONDS  # by the event loop's clock
+
+    def next_tag(self) -> bytes:
+        """Return a new tag for a probe, under which its reply comes."""
+        self._tag_count += 1
+        return b"p%d" % self._tag_count
+
+    def record_corrupt_response(self) -> None:
+        """Note that an engine's reply was corrupt, or failed to come."""
+        self.counters["links_spoilt"] += 1
+        self._corrupted_at = asyncio.get_running_loop().time()
+
+    def corruption_suspected(self) -> bool:
+        """Return whether a corrupt reply was seen lately."""
+        return asyncio.get_running_loop().time() - self._corrupted_at <= CORRUPTION_MEMORY_SECONDS
+
+    def shares_connections(self) -> bool:
+        """Return whether a busy connection is preferred to a new one.
+
+        It is where handshakes have a price, unless corrupt replies were seen, which end all else on theirs.
+        """
+        return self.limits.handshake_price > 0 and not self.corruption_suspected()
+
+    def liveness_interval(self) -> float:
+        """Return the seconds of silence after which a busy connection is pinged.
+
+        Pings have a price: they are frequent only while corruption is suspected, and rare where it is high.
+        """
+        if self.corruption_suspected():
+            return SUSPICIOUS_LIVENESS_INTERVAL_SECONDS
+        return LIVENESS_INTERVAL_SECONDS * max(1.0, self.limits.probe_price / CHEAP_PROBE_PRICE)
+
+    def connection_count(self) -> int:
+        """Return the number of connections to all engines."""
+        return sum(len(engine.connections) for engine in self.engines.values())
+
+    def update(self, change: Change) -> None:
+        """Apply a change of the engine list."""
+        listed = {member.entry.engine for member in change.members}
+        new_owners = self._apply_members(change.members)
+        # A long list is gone through as a whole only where a change may concern any engine.
+        concerned = self.engines if change.whole or new_owners else self.departed | listed
+        for engine_id in [engine_id for engine_id in concerned if engine_id in self.engines]:
+            engine = self.engines[engine_id]
+            is_unlisted = change.whole and engine_id not in listed
+            # An engine whose address another one has taken is gone, whether the list says so or not.
+            is_address_taken = new_owners.get(engine.address, engine_id) != engine_id
+            if is_unlisted or is_address_taken:
+                engine.mark_gone()
+            self._update_departed(engine)
+
+    def _apply_members(self, members: Iterable[Member]) -> dict[tuple[str, int], int]:
+        """Update the engines; returns the addresses of the new ones, and whose they are."""
+        new_owners: dict[tuple[str, int], int] = {}
+        for member in members:
+            engine_id = member.entry.engine
+            engine = self.engines.get(engine_id)
+            if engine is None:
+                self.engines[engine_id] = Engine(self, member)
+                new_owners[member.address] = engine_id
+            else:
+                engine.update(member)
+        return new_owners
+
+    def _update_departed(self, engine: Engine) -> None:
+        self.departed.discard(engine.engine_id)
+        if engine.state is not State.GONE:
+            return
+        if engine.connections:
+            self.departed.add(engine.engine_id)
+        else:
+            del self.engines[engine.engine_id]
+
+    def withdraw_unsent(self, engine_id: int) -> None:
+        """Fail the attempts at an engine that have not begun to leave, whatever the list says of it."""
+        if engine_id in self.engines:
+            self.engines[engine_id].withdraw_unsent()
+
+    def may_send(self, spec: AttemptSpec, engine: Engine | None) -> bool:
+        """Return whether an attempt may be sent now; what held before a wait is checked again after it.
+
+        Guards the grace period of a drain, the time in which repeats are recognized, and engines against
+        work for no one.
+        """
+        if spec.is_client_gone():
+            self.counters["gone_unread"] += 1
+            return False
+        is_ready = engine is not None and engine.state is State.READY and self.is_list_confirmed()
+        return is_ready and asyncio.get_running_loop().time() < spec.start_before
+
+    def start_attempt(
+        self,
+        engine_id: int,
+        spec: AttemptSpec,
+        excluded: Set[EngineConnection],
+        on_result: Callable[[AttemptResult], None],
+    ) -> Attempt:
+        """Start an attempt at an engine; `on_result` is called once, perhaps before this returns.
+
+        Args:
+            engine_id: The engine.
+            spec: What it is asked for.
+            excluded: Connections that carried earlier attempts of the request, of which a late reply there
+                must not be taken for one to this.
+            on_result: Is given the result.
+        """
+        attempt = Attempt(spec, on_result)
+        engine = self.engines.get(engine_id)
+        if not self.may_send(spec, engine):
+            attempt.finish(AttemptFailed(Progress.NOT_SENT, Result.MOOT))
+            return attempt
+        connection = engine.pick_connection(spec.request_id, excluded, spec.exclusive)
+        if connection is None:
+            # Not allowed to connect proves nothing about the engine; too many open connections do.
+            result = Result.CONNECT_FAILED if self.may_connect(engine_id) else Result.MOOT
+            attempt.finish(AttemptFailed(Progress.NOT_SENT, result))
+        else:
+            connection.send_attempt(attempt)
+        return attempt
+
+    def probe(self, engine_id: int, on_result: ProbeCallback) -> None:
+        """Ask an engine for its load; `on_result` is called once, perhaps before this returns."""
+        engine = self.engines.get(engine_id)
+        connection = engine.pick_connection(b"", frozenset()) if engine is not None else None
+        if connection is None:
+            on_result(Result.CONNECT_FAILED, ())
+            return
+        tag = self.next_tag()
+        connection.probe(tag, on_result)
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROBE_TIMEOUT_SECONDS, connection.finish_probe, tag, Result.TIMEOUT)
--- a/applevale/fakes/engine.py
+++ b/applevale/fakes/engine.py
@@ -10,7 +10,7 @@
 
 import hiredis
 
-from ..engines.connection import command as resp
+from ..engines.resp import encode_array
 
 ROWS = b"1\tstation\t2.5\n2\tstation\t3.5\n"
 MOST_BYTES = 65536
@@ -91,13 +91,13 @@
             running[tag].cancel()
             self.out.discard(tag)
         elif word in (b"there", b"busy"):
-            writer.write(resp(tag, b"PONG", b"rep=inflight:%d;util:0.2;x1:0.1" % len(self.out), b""))
+            writer.write(encode_array(tag, b"PONG", b"rep=inflight:%d;util:0.2;x1:0.1" % len(self.out), b""))
 
     async def _run(self, tag: bytes, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.random.uniform(*self.took))
         self.out.discard(tag)
         writer.write(
-            resp(
+            encode_array(
                 tag,
                 b"HIT",
                 b"sheets=1,toil=%d,room=4,rep=inflight:%d;util:0.2;x1:0.1" % (self.toil, len(self.out)),
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -9,7 +9,9 @@
 
 from .. import api
 from ..dispatch.event_loop_driver import Driver
-from ..engines.connection import Attempt, Done, Ending, Fleet, Link, Want
+from ..engines.attempt import Attempt, AttemptResult, AttemptSpec, AttemptSucceeded
+from ..engines.connection import EngineConnection
+from ..engines.pool import EnginePool
 from ..observability.counters import Counters
 from ..observability.events import log_event
 
@@ -64,7 +66,7 @@
 
 
 class Broker:
-    def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
+    def __init__(self, driver: Driver, fleet: EnginePool, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
         self.lives: set[Life] = set()
         self.unread: dict[Query, int] = {}  # keyed requests and their numbers, until their answers have left
@@ -138,7 +140,7 @@
         self.query, self.broker, self.driver, self.fleet = query, broker, broker.driver, broker.fleet
         self.counters = broker.counters
         self.spec = broker.settings.classes[query.cls]
-        self.inbox: asyncio.Queue[api.Action | Ending | Overdue | Unconfirmed] = asyncio.Queue()
+        self.inbox: asyncio.Queue[api.Action | AttemptResult | Overdue | Unconfirmed] = asyncio.Queue()
         self.number = self.driver.enter(self.inbox.put_nowait)
         self.out: Attempt | None = None
         self.tries, self.urgency = 0, 1
@@ -146,7 +148,7 @@
         self.rows: bytes | None = None
         self.ran_at = inf  # by the driver's clock: when the first attempt that may have run was sent
         self.answered = False
-        self.avoid: set[Link] = set()  # that carried an attempt
+        self.avoid: set[EngineConnection] = set()  # that carried an attempt
 
     def left(self) -> float:
         return min(self.query.arrived + self.query.allow, self.broker.until) - self.driver.now()
@@ -172,13 +174,13 @@
             match await self.inbox.get():
                 case api.Terms(priority=urgency):
                     if urgency != self.urgency and self.out is not None:
-                        self.out.hurry(urgency)
+                        self.out.set_priority(urgency)
                     self.urgency = urgency
                 case api.Send() as send:
                     self.send(send)
                 case api.Cancel() if self.out is not None:
-                    self.out.give_up(api.Result.CANCELLED)
-                case Done(body=rows):
+                    self.out.cancel(api.Result.CANCELLED)
+                case AttemptSucceeded(rows=rows):
                     self.answered = True
                     return Served(rows)
                 case api.Reject(retry_after=after):
@@ -205,13 +207,13 @@
             by = min(by, self.ran_at + self.spec.repeat_window - sent)
         timer: asyncio.TimerHandle | None = None
 
-        def ended(ending: Ending) -> None:
+        def ended(ending: AttemptResult) -> None:
             self.out = None
             if timer is not None:
                 timer.cancel()
-            done = isinstance(ending, Done)
+            done = isinstance(ending, AttemptSucceeded)
             if done:
-                self.rows = ending.body
+                self.rows = ending.rows
             if ending.result not in api.NEVER_RAN:
                 self.ran_at = min(self.ran_at, sent)
             self.driver.post(
@@ -222,7 +224,7 @@
                     ending.result,
                     self.driver.now() - sent,
                     done,
-                    ending.work if done else 0.0,
+                    ending.work_seconds if done else 0.0,
                     ending.memory_mb if done else 0.0,
                     ending.report,
                 )
@@ -230,7 +232,7 @@
             self.inbox.put_nowait(ending)
 
         query, alone = self.query, self.spec.repeat is api.Repeat.UNSAFE
-        want = Want(
+        spec = AttemptSpec(
             query.ref,
             self.spec.name,
             query.statement,
@@ -241,14 +243,15 @@
             query.gone,
             query.idempotency_key,
         )
-        attempt = self.fleet.start(engine, want, self.avoid, ended)
-        if attempt.link is not None:  # a second copy of its answer must not be taken for the next attempt's
-            self.avoid.add(attempt.link)
-        if not attempt.over:
+        attempt = self.fleet.start_attempt(engine, spec, self.avoid, ended)
+        # A second copy of its answer must not be taken for the next attempt's.
+        if attempt.connection is not None:
+            self.avoid.add(attempt.connection)
+        if not attempt.is_finished:
             if send.announce:
-                self.fleet.sent(engine, self.spec.threads)
+                self.fleet.announce_send(engine, self.spec.threads)
             self.out = attempt
-            timer = loop.call_later(max(0.0, limit), attempt.give_up, api.Result.TIMEOUT)
+            timer = loop.call_later(max(0.0, limit), attempt.cancel, api.Result.TIMEOUT)
 
     def or_served(self, answer: Answer) -> Answer:
         """Guards a good end that lies in the inbox behind another answer: it has run, and is the truth."""
@@ -257,7 +260,7 @@
     def last_answer(self) -> Answer:
         """Without a word from the module: refusing is harmless only if nothing can have run."""
         if self.out is not None:  # one of which nothing was written ends here, and proves that it never ran
-            self.out.give_up(api.Result.CANCELLED)
+            self.out.cancel(api.Result.CANCELLED)
         ran = self.ran_at < inf or self.out is not None
         return self.or_served(
             Failed() if ran and self.spec.repeat is not api.Repeat.SAFE else self.broker.turn_away()
@@ -274,4 +277,4 @@
                 self.driver.post(api.Outcome(self.number, self.tries, send.engine, api.Result.MOOT))
                 self.tries += 1
         if self.out is not None:
-            self.out.give_up(api.Result.CANCELLED)
+            self.out.cancel(api.Result.CANCELLED)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -14,7 +14,7 @@
 from ..discovery.endpoints import Change, Source
 from ..discovery.gated_endpoints import HeldList
 from ..dispatch.event_loop_driver import Driver
-from ..engines.connection import Fleet
+from ..engines.pool import EnginePool
 from ..net.addresses import Address
 from ..observability.counters import Counters
 from ..observability.events import emit_event
@@ -66,10 +66,13 @@
         self.counters = Counters()
         self.shutdown_requested = asyncio.Event()
         self.descriptors = DescriptorBudget.of(config)
-        self.pool = Fleet(
-            config.links, config.settings.report_columns, self.descriptors.engines, self.counters
+        self.pool = EnginePool(
+            config.links,
+            config.settings.report_columns,
+            self.descriptors.engines,
+            self.counters,
+            local_address=config.local,
         )
-        self.pool.local = config.local
         router = optional_parts.create_router(config, self.counters)
         controller = AdmissionController(config.settings, config.seed, router)
         self.driver = Driver(controller, self.pool, self.counters)
@@ -102,9 +105,9 @@
         pool = self.pool
         metrics = Figures(tuple(spec.name for spec in self.config.settings.classes))
         self.server.figures = metrics
-        pool.dispatched = metrics.dispatched
+        pool.on_attempt_written = metrics.dispatched
         metrics.concurrent = lambda: self.server.open
-        metrics.targets = lambda: len(pool.engines) - len(pool.gone)
+        metrics.targets = lambda: len(pool.engines) - len(pool.departed)
         metrics.disabled = self._count_disabled_engines
         return metrics
 
@@ -112,7 +115,7 @@
         """Count listed engines that are ejected, by hand or by the decision module."""
         pool = self.pool
         ejected = self.ejection_control.ejections.banned | self.driver.resting()
-        return sum(engine in pool.engines and engine not in pool.gone for engine in ejected)
+        return sum(engine in pool.engines and engine not in pool.departed for engine in ejected)
 
     def _create_gossip(self, controller: AdmissionController) -> Peers | None:
         if not optional_parts.needs_gossip(self.config, controller):
@@ -136,7 +139,7 @@
             self.config, self.counters, self.apply_update, self.on_staleness_change
         )
         if source is not None:
-            self.pool.allowed = source.allowed
+            self.pool.is_list_confirmed = source.allowed
             self.on_staleness_change(False)
         return source
 
@@ -190,7 +193,7 @@
         if self.gossip is not None:
             self.gossip.news.listed(self.pool.engines)
         if self.connect_pacer is not None:
-            self.connect_pacer.listed()
+            self.connect_pacer.on_list_change()
         self.driver.post(self.endpoints.changed(update))
         self.update_readiness()
 
@@ -201,7 +204,7 @@
         self.driver.post(self.endpoints.turned(confirmed))
         if not confirmed:
             for engine in self.pool.engines:
-                self.pool.withdraw(engine)
+                self.pool.withdraw_unsent(engine)
         self.handler.hold(None if confirmed else self.config.registry.hold)
         self.update_readiness()
 
@@ -210,7 +213,7 @@
         self.counters["share_of"] = size
         self.driver.post(api.FleetSize(size))
         if self.connect_pacer is not None:
-            self.connect_pacer.ramp.instances = size
+            self.connect_pacer.schedule.instances = size
 
     def dump_counters(self) -> None:
         """Log all counters."""
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -13,7 +13,7 @@
 from ..admin.ejections import Bans
 from ..discovery.gated_endpoints import HeldList
 from ..dispatch.event_loop_driver import Driver
-from ..engines.connection import Fleet
+from ..engines.pool import EnginePool
 from ..net.addresses import Address
 from ..observability.counters import Counters
 
@@ -36,7 +36,12 @@
     """
 
     def __init__(
-        self, listen_address: Address, endpoints: HeldList, pool: Fleet, driver: Driver, counters: Counters
+        self,
+        listen_address: Address,
+        endpoints: HeldList,
+        pool: EnginePool,
+        driver: Driver,
+        counters: Counters,
     ):
         """Take over what a former process left in its file."""
         self.endpoints = endpoints
@@ -65,5 +70,5 @@
         for engine in engines:
             self.counters["bans_changed"] += 1
             if engine in self.ejections.banned:
-                self.pool.withdraw(engine)
+                self.pool.withdraw_unsent(engine)
             self.driver.post(self.endpoints.told_again(engine))
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -13,13 +13,13 @@
 from ..discovery.endpoints import Change
 from ..discovery.gated_endpoints import HeldList
 from ..dispatch.event_loop_driver import Driver
-from ..engines.connection import Fleet
+from ..engines.pool import EnginePool
 from ..observability.counters import Counters
 from ..policy import AdmissionController
 
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
-    from ..engines.connect_pacer import Openings
+    from ..engines.connect_pacer import ConnectPacer
     from ..gossip.exchange import Peers
     from ..membership.runner import Members
     from ..net.datagrams import Datagrams
@@ -37,18 +37,19 @@
 
 def create_connect_pacer(
     config: Config,
-    pool: Fleet,
+    pool: EnginePool,
     driver: Driver,
     endpoints: HeldList,
     on_readiness_change: Callable[[], None],
-) -> Openings | None:
+) -> ConnectPacer | None:
     """Return the pacer of connects to engines; None where the configuration names no rate."""
     if config.engine_connects is None:
         return None
-    from ..engines.connect_pacer import Openings, Ramp
+    from ..engines.connect_pacer import ConnectPacer
+    from ..startup.connect_schedule import Ramp
 
     schedule = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
-    return Openings(schedule, pool, driver.post, endpoints, on_readiness_change)
+    return ConnectPacer(schedule, pool, driver.post, endpoints, on_readiness_change)
 
 
 def needs_gossip(config: Config, controller: AdmissionController) -> bool:
@@ -68,7 +69,7 @@
 
 
 def create_gossip(
-    config: Config, datagrams: Datagrams, pool: Fleet, driver: Driver, counters: Counters
+    config: Config, datagrams: Datagrams, pool: EnginePool, driver: Driver, counters: Counters
 ) -> Peers:
     """Return the exchange of load reports, which hears of the pool's attempts and reports."""
     from ..gossip.exchange import Peers
@@ -77,8 +78,8 @@
     settings = config.settings
     reports = News(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
     gossip = Peers(datagrams, reports, driver, counters)
-    pool.reported = gossip.reported
-    pool.sent = gossip.sent
+    pool.on_load_report = gossip.reported
+    pool.announce_send = gossip.sent
     return gossip
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,8 +13,9 @@
 from applevale import api
 from applevale.discovery import endpoints as members
 from applevale.dispatch.event_loop_driver import Driver
-from applevale.engines import connection as engine
+from applevale.engines.attempt import AttemptFailed, AttemptSpec, AttemptSucceeded, Progress
 from applevale.engines.limits import ConnectionLimits
+from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
 from applevale.requests import handler as broker
 from applevale.server import connection as front
@@ -23,9 +24,9 @@
 ONCE = api.ClassSpec("write", deadline=30.0, repeat=api.Repeat.UNSAFE)
 KEYED = api.ClassSpec("merge", deadline=30.0, repeat=api.Repeat.KEYED, repeat_window=0.2)
 SETTINGS = api.Settings((SAFE, ONCE, KEYED), (api.KindSpec("k"),))
-RESET = engine.Broken(engine.Reach.MAY_HAVE_RUN, api.Result.RESET)
-FULL = engine.Broken(engine.Reach.WRITTEN, api.Result.FULL)
-DONE = engine.Done(b"r")
+RESET = AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.RESET)
+FULL = AttemptFailed(Progress.SENT_NOT_EXECUTED, api.Result.FULL)
+DONE = AttemptSucceeded(b"r")
 
 
 class HeldLoop(asyncio.SelectorEventLoop):
@@ -67,24 +68,24 @@
 
 
 class Scene:
-    """A broker on a fleet of one engine, and a module that says what it is told to say."""
+    """A broker on a pool of one engine, and a module that says what it is told to say."""
 
     def __init__(self, server, grace=0.2):
         self.server = server
-        self.fleet = engine.Fleet(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
-        self.driver = Driver(Module(), self.fleet, self.fleet.counters)
-        self.broker = broker.Broker(self.driver, self.fleet, SETTINGS, self.fleet.counters)
+        self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
+        self.driver = Driver(Module(), self.pool, self.pool.counters)
+        self.broker = broker.Broker(self.driver, self.pool, SETTINGS, self.pool.counters)
         self.ends = []
         self.list(api.State.READY)
 
     def list(self, state):
         entry = api.EngineEntry(1, state=state)
-        self.fleet.update(members.Change(1, True, (members.Member(entry, self.server.address),)))
+        self.pool.update(members.Change(1, True, (members.Member(entry, self.server.address),)))
 
     def want(self, ref, statement=b"x", until=30.0, by=30.0, gone=lambda: False):
         now = asyncio.get_running_loop().time()
-        want = engine.Want(ref, "read", statement, now + until, now + by, gone=gone)
-        return self.fleet.start(1, want, set(), lambda ending: self.ends.append((ref, ending)))
+        want = AttemptSpec(ref, "read", statement, now + until, now + by, is_client_gone=gone)
+        return self.pool.start_attempt(1, want, set(), lambda ending: self.ends.append((ref, ending)))
 
     def serve(self, cls, gone=lambda: False):
         query = broker.Query(b"%016x" % cls, cls, b"x", self.driver.now(), 30.0, gone=gone)
@@ -149,7 +150,7 @@
 
     async def steps(scene):
         task, life = await scene.out(cls)
-        crossing = [lambda: life.inbox.put_nowait(word()), lambda: life.out.end(ending)]
+        crossing = [lambda: life.inbox.put_nowait(word()), lambda: life.out.finish(ending)]
         for event in reversed(crossing) if ends_first else crossing:
             event()
         return await task
@@ -162,7 +163,7 @@
     async def steps(scene):
         task, life = await scene.out(0)
         life.inbox.put_nowait(said)
-        life.out.end(engine.Done(b"r"))
+        life.out.finish(AttemptSucceeded(b"r"))
         return await task
 
     assert play(steps) == broker.Served(b"r")
@@ -186,7 +187,8 @@
         scene.broker.expire()
         answer = await task
         loop.let.set()
-        await until(lambda: not scene.fleet.engines[1].links or scene.fleet.engines[1].links[0].up)
+        engine = scene.pool.engines[1]
+        await until(lambda: not engine.connections or engine.connections[0].is_connected)
         return answer, scene.server.refs()
 
     assert play(steps) == (answer, [b"%016x" % 1] if connects else [])
@@ -221,9 +223,9 @@
         elif crossing == "hung up":  # and its leaving is not read yet
             away.append(True)
         else:
-            attempt.give_up(api.Result.TIMEOUT)
+            attempt.cancel(api.Result.TIMEOUT)
         loop.let.set()
-        await until(lambda: attempt.over)
+        await until(lambda: attempt.is_finished)
         scene.list(api.State.READY)
         scene.want(b"9")
         await until(scene.server.refs)
@@ -235,7 +237,7 @@
 def test_a_further_attempt_begins_within_the_window_of_repeats_only():
     async def steps(scene):
         task, life = await scene.out(2)
-        life.out.end(RESET)
+        life.out.finish(RESET)
         asyncio.get_running_loop().let.clear()
         life.inbox.put_nowait(api.Send(life.number, 1))
         await until(lambda: life.out)
@@ -253,12 +255,13 @@
 
     async def steps(scene):
         scene.server.let.clear()
-        scene.fleet.limits = ConnectionLimits(32, 15.0, 5.0, handshake_price=1.0, drain_grace=0.2)  # one link
+        # With a price for handshakes there is one connection.
+        scene.pool.limits = ConnectionLimits(32, 15.0, 5.0, handshake_price=1.0, drain_grace=0.2)
         for number in range(30):
             scene.want(b"%d" % number, b"x" * 800_000)
             await asyncio.sleep(0.002)
-        link = scene.fleet.engines[1].links[0]
-        begun = {ref for ref, one in link.attempts.items() if one.message.begun}
+        connection = scene.pool.engines[1].connections[0]
+        begun = {ref for ref, one in connection.attempts.items() if one.message.begun}
         scene.list(api.State.DRAINING)
         back = {ref for ref, ending in scene.ends if ending.result is api.Result.MOOT}
         told = time.monotonic()
@@ -277,10 +280,10 @@
         asyncio.get_running_loop().let.clear()
         attempt = scene.want(b"1")
         await asyncio.sleep(0)
-        scene.fleet.withdraw(1)
-        return attempt.over, scene.ends
+        scene.pool.withdraw_unsent(1)
+        return attempt.is_finished, scene.ends
 
-    assert play(steps) == (True, [(b"1", engine.Broken(engine.Reach.NEVER_SENT, api.Result.MOOT))])
+    assert play(steps) == (True, [(b"1", AttemptFailed(Progress.NOT_SENT, api.Result.MOOT))])
 
 
 def test_nothing_is_sent_for_a_client_that_has_hung_up_unread():
@@ -290,7 +293,7 @@
         (life,) = scene.broker.lives
         life.inbox.put_nowait(api.Send(life.number, 1))
         await until(life.inbox.empty)
-        told = scene.driver.waiting + [event for batch in scene.driver.gateway.batches for event in batch]
+        told = scene.driver.waiting + [event for batch in scene.driver.controller.batches for event in batch]
         task.cancel()
         return life.out, [event.result for event in told if isinstance(event, api.Outcome)]
 
@@ -308,7 +311,7 @@
             await asyncio.get_running_loop().sock_recv(ours, 1)
             scene.driver.post(api.ClientGone(7))
 
-        module, reading = scene.driver.gateway, asyncio.create_task(read())
+        module, reading = scene.driver.controller, asyncio.create_task(read())
         scene.driver.post(api.Timer(1))
         await until(lambda: module.batches)
         scene.driver.post(api.Timer(2))
@@ -326,7 +329,7 @@
 def pair(scene):
     """A connection of the front, and its client's end."""
     if not hasattr(scene, "front"):
-        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname())
         ours, _ = listener.accept()
@@ -368,7 +371,7 @@
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
-        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         scene.front.accepting = asyncio.create_task(scene.front.accept(listener))
@@ -403,7 +406,7 @@
         async with asyncio.timeout(20):
             answer = await loop.sock_recv(theirs, 100)
         theirs.close()
-        return answer, scene.fleet.counters["unfinished_messages"]
+        return answer, scene.pool.counters["unfinished_messages"]
 
     whole = msgpack.packb([1, 1, None, [False, {}]])
     assert play(steps) == ((whole, 0) if end else (b"", 1))
@@ -432,16 +435,16 @@
         one, theirs = pair(scene)
         scene.want(b"1")
         await until(scene.server.refs)
-        link = scene.fleet.engines[1].links[0]
-        kinds = {type(one), type(link), type(one.outbox)}
+        connection = scene.pool.engines[1].connections[0]
+        kinds = {type(one), type(connection), type(one.outbox)}
         gc.collect()
         gc.disable()
         try:
             gc.set_debug(gc.DEBUG_SAVEALL)
             theirs.close()
-            link.close("it ends")
-            await until(lambda: not scene.front.connections and not scene.fleet.engines[1].links)
-            del one, link
+            connection.close("it ends")
+            await until(lambda: not scene.front.connections and not scene.pool.engines[1].connections)
+            del one, connection
             await asyncio.sleep(0.05)
             gc.collect()
             return [kind for kind in map(type, gc.garbage) if kind in kinds]
@@ -459,10 +462,10 @@
     async def steps(scene):
         scene.want(b"1")
         await until(scene.server.refs)
-        (former,) = scene.fleet.engines[1].links
-        former.attempts[b"1"].end(FULL)
+        (former,) = scene.pool.engines[1].connections
+        former.attempts[b"1"].finish(FULL)
         scene.server.writers[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)  # the loop reads nothing
-        former.put = None  # nothing may be written there
+        former.send_command = None  # nothing may be written there
         scene.want(b"2")
         await until(lambda: b"2" in scene.server.refs())
         return len(scene.server.writers)
@@ -477,10 +480,10 @@
         attempt = scene.want(b"1")
         await until(scene.server.refs)
         scene.server.writers[0].write(b"*4\r\n$1\r\n1\r\n$3\r\nHI")
-        (former,) = scene.fleet.engines[1].links
-        await until(lambda: former.unread)
-        attempt.give_up(api.Result.CANCELLED)
-        await until(lambda: attempt.over)
+        (former,) = scene.pool.engines[1].connections
+        await until(lambda: former.parser.unparsed)
+        attempt.cancel(api.Result.CANCELLED)
+        await until(lambda: attempt.is_finished)
         scene.want(b"2")
         await until(lambda: b"2" in scene.server.refs())
         return len(scene.server.writers)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -6,7 +6,9 @@
 
 from applevale import api
 from applevale.dispatch.event_loop_driver import Driver
-from applevale.engines import connection as engine
+from applevale.engines.attempt import Attempt, AttemptFailed, AttemptSpec, Progress
+from applevale.engines.pool import EnginePool
+from applevale.net.write_queue import Message
 from applevale.observability.counters import Counters
 from applevale.policy import AdmissionController
 from applevale.requests import handler as broker
@@ -34,7 +36,7 @@
 
 def drive(module, steps):
     async def main():
-        driver = Driver(module, engine.Fleet(None, (), 0, Counters()), Counters())
+        driver = Driver(module, EnginePool(None, (), 0, Counters()), Counters())
         await steps(driver)
         return driver
 
@@ -124,25 +126,25 @@
     assert isinstance(answer, broker.Refused) and driver.counters["overdue"] == 1 and not driver.routes
 
 
-class FakeLink:
+class FakeConnection:
     def __init__(self):
-        self.said, self.written, self.outbox, self.shaken = [], [], self, True
+        self.said, self.written, self.write_queue, self.was_connected = [], [], self, True
 
     def withdraw(self, message):
         return not message.begun
 
-    def put(self, *words, written=None):
-        self.said.append(words[0])
-        self.written.append(written)
+    def send_command(self, *parts, on_written=None):
+        self.said.append(parts[0])
+        self.written.append(on_written)
 
-    def forget(self, attempt):
+    def remove_attempt(self, attempt):
         pass
 
 
 def attempt(begun):
     ends = []
-    one = engine.Attempt(engine.Want(b"1", "load", b"", 1.0, 1.0), ends.append)
-    one.link, one.message = FakeLink(), engine.Message(b"", begun=begun)
+    one = Attempt(AttemptSpec(b"1", "load", b"", 1.0, 1.0), ends.append)
+    one.connection, one.message = FakeConnection(), Message(b"", begun=begun)
     return one, ends
 
 
@@ -151,31 +153,31 @@
 
     async def main():
         one, ends = attempt(begun=True)
-        one.give_up(api.Result.CANCELLED)
-        one.give_up(api.Result.CANCELLED)
-        assert one.link.said == [b"never_mind"] and ends == []
-        one.link.written[0]()
+        one.cancel(api.Result.CANCELLED)
+        one.cancel(api.Result.CANCELLED)
+        assert one.connection.said == [b"never_mind"] and ends == []
+        one.connection.written[0]()
         assert ends == []
         await until(lambda: ends)
-        one.end(one.lost())
+        one.finish(one.result_after_disconnect())
         return ends
 
-    ending = engine.Broken(engine.Reach.MAY_HAVE_RUN, api.Result.CANCELLED)
+    ending = AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.CANCELLED)
     assert asyncio.run(main()) == [ending]
 
 
 def test_what_was_never_written_never_ran():
     one, ends = attempt(begun=False)
-    assert one.lost().result in api.NEVER_RAN
-    one.give_up(api.Result.CANCELLED)
-    assert ends == [engine.Broken(engine.Reach.NEVER_SENT, api.Result.MOOT)] and one.link.said == []
+    assert one.result_after_disconnect().result in api.NEVER_RAN
+    one.cancel(api.Result.CANCELLED)
+    assert ends == [AttemptFailed(Progress.NOT_SENT, api.Result.MOOT)] and one.connection.said == []
 
 
 def test_an_engine_that_dies_between_pages_ran():
     one, _ = attempt(begun=True)
-    assert one.lost() == engine.Broken(engine.Reach.MAY_HAVE_RUN, api.Result.RESET)
-    one.sheets = 2
-    assert one.lost().reach is engine.Reach.RAN
+    assert one.result_after_disconnect() == AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.RESET)
+    one.page_count = 2
+    assert one.result_after_disconnect().progress is Progress.EXECUTED
 
 
 def test_a_call_with_no_patience_left_is_refused_without_waiting_for_a_batch():
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -6,7 +6,7 @@
 from applevale import api, policy
 from applevale.discovery.control_feed import Feed, FeedError
 from applevale.discovery.endpoints import Change, Member, Names
-from applevale.engines.connection import Fleet
+from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
 
 READY, GONE = api.State.READY, api.State.GONE
@@ -81,8 +81,8 @@
 
 
 def test_engines_that_swap_addresses_share_no_link_with_those_before():
-    fleet = Fleet(None, (), 8, Counters())
-    fleet.update(Change(1, True, tuple(Member(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2))))
-    fleet.update(Change(2, False, (Member(api.EngineEntry(1), ("127.0.0.1", 2)),)))
-    fleet.update(Change(3, False, (Member(api.EngineEntry(3), ("127.0.0.1", 2)),)))
-    assert set(fleet.engines) == {3} and fleet.engines[3].state is READY
+    pool = EnginePool(None, (), 8, Counters())
+    pool.update(Change(1, True, tuple(Member(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2))))
+    pool.update(Change(2, False, (Member(api.EngineEntry(1), ("127.0.0.1", 2)),)))
+    pool.update(Change(3, False, (Member(api.EngineEntry(3), ("127.0.0.1", 2)),)))
+    assert set(pool.engines) == {3} and pool.engines[3].state is READY
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -13,7 +13,7 @@
 from applevale.config.model import ConfigError
 from applevale.config.sections import read_peers
 from applevale.dispatch.event_loop_driver import Driver
-from applevale.engines.connection import Fleet
+from applevale.engines.pool import EnginePool
 from applevale.gossip.exchange import Peers
 from applevale.gossip.load_reports import (
     HEAD,
@@ -231,7 +231,7 @@
     async def main():
         one, two, stranger = free(), free(), free()
         module, counters = Silent(), Counters()
-        driver = Driver(module, Fleet(None, (), 0, counters), counters)
+        driver = Driver(module, EnginePool(None, (), 0, counters), counters)
         ours = Datagrams(PeerAddresses(one, (one, two), two), 0, Counters())
         theirs = Datagrams(PeerAddresses(two, (one, two), one), 1, counters)
         here, there = Peers(ours, news(), driver, Counters()), Peers(theirs, news(), driver, counters)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -16,7 +16,7 @@
 from applevale.config.model import ConfigError
 from applevale.discovery import control_feed as feed
 from applevale.discovery import endpoints as members
-from applevale.engines import connection as engine
+from applevale.engines import resp
 from applevale.server import connection as front
 from applevale.server.statement import table_group
 
@@ -136,7 +136,12 @@
         front.read_query(NAMED, "lookup", [fields, b"select 1 from air_4.x"], 9.0)
 
 
-ANSWERS = engine.command(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n") + engine.command(b"b", b"SHED", b"-", b"")
+ANSWERS = b"".join(
+    (
+        resp.encode_array(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n"),
+        resp.encode_array(b"b", b"SHED", b"-", b""),
+    )
+)
 
 
 @given(st.lists(st.integers(0, len(ANSWERS))))
@@ -144,7 +149,7 @@
     data, ends, at = bytearray(), [], [0, *sorted(cuts), len(ANSWERS)]
     for start, stop in zip(at, at[1:]):
         data += ANSWERS[start:stop]
-        while end := engine.answer_end(data):
+        while end := resp.find_reply_end(data):
             ends.append(bytes(data[:end]))
             del data[:end]
     assert b"".join(ends) == ANSWERS and len(ends) == 2
@@ -154,7 +159,7 @@
 def test_a_garbled_answer_is_an_error_or_not_whole_or_one_that_the_parser_reads(at, noise):
     data = bytearray(ANSWERS[:at] + noise + ANSWERS[at:])
     try:
-        end = engine.answer_end(data)
+        end = resp.find_reply_end(data)
     except ValueError:
         return
     reader = hiredis.Reader()
@@ -164,14 +169,14 @@
 
 @given(st.binary(max_size=80))
 def test_engine_fields_never_raise(raw):
-    fields = engine.fields_of(raw)
-    report = engine.report_of(fields, ("active", "cpu"))
+    fields = resp.parse_fields(raw)
+    report = resp.parse_load_report(fields, ("active", "cpu"))
     assert len(report) in (0, 2) and all(value >= 0 or value == -1 for value in report)
 
 
 def test_a_report_is_read_by_either_name():
-    fields = engine.fields_of(b"toil=3,rep=inflight:7;cpu:0.61")
-    assert engine.report_of(fields, ("active", "cpu", "x1")) == (7.0, 0.61, -1.0)
+    fields = resp.parse_fields(b"toil=3,rep=inflight:7;cpu:0.61")
+    assert resp.parse_load_report(fields, ("active", "cpu", "x1")) == (7.0, 0.61, -1.0)
 
 
 def test_a_message_without_end_is_refused():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,8 +9,9 @@
 
 from applevale import api
 from applevale.discovery import endpoints as members
-from applevale.engines import connection as engine
+from applevale.engines.attempt import AttemptFailed, AttemptSpec, Progress
 from applevale.engines.limits import ConnectionLimits
+from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
 
 GOOD = b"".join(rows(3))
@@ -90,24 +91,24 @@
 
 def test_a_new_engine_at_an_old_address_shares_nothing_with_the_old_one():
     links = ConnectionLimits(32, 15.0, 0.25)
-    fleet, ends, address = engine.Fleet(links, (), 8, Counters()), [], ("127.0.0.1", 1)
+    pool, ends, address = EnginePool(links, (), 8, Counters()), [], ("127.0.0.1", 1)
     for number in (1, 2):
-        fleet.update(members.Change(number, False, (members.Member(api.EngineEntry(number), address),)))
+        pool.update(members.Change(number, False, (members.Member(api.EngineEntry(number), address),)))
 
     async def start():
-        fleet.start(1, engine.Want(b"1", "load", b"x", inf, inf), set(), ends.append)
+        pool.start_attempt(1, AttemptSpec(b"1", "load", b"x", inf, inf), set(), ends.append)
 
     asyncio.run(start())
-    assert ends == [engine.Broken(engine.Reach.NEVER_SENT, api.Result.MOOT)] and list(fleet.engines) == [2]
+    assert ends == [AttemptFailed(Progress.NOT_SENT, api.Result.MOOT)] and list(pool.engines) == [2]
 
 
 @pytest.mark.parametrize("price,quiet", [(0.0, 3.0), (0.011, 3.0), (0.08, 12.0)])
 def test_links_are_asked_seldom_where_a_probe_is_dear_but_not_once_one_was_spoilt(price, quiet):
     async def main():
-        fleet = engine.Fleet(ConnectionLimits(32, 15.0, 0.25, probe_price=price), (), 8, Counters())
-        calm = fleet.quiet()
-        fleet.spoilt()
-        return calm, fleet.quiet()
+        pool = EnginePool(ConnectionLimits(32, 15.0, 0.25, probe_price=price), (), 8, Counters())
+        calm = pool.liveness_interval()
+        pool.record_corrupt_response()
+        return calm, pool.liveness_interval()
 
     assert asyncio.run(main()) == (quiet, 1.0)
 
@@ -115,18 +116,18 @@
 @pytest.mark.parametrize("price,links", [(0.0, 3), (0.08, 1)])
 def test_links_are_shared_where_handshakes_are_charged(price, links):
     async def main():
-        fleet = engine.Fleet(ConnectionLimits(32, 15.0, 0.25, price), (), 90, Counters())
-        fleet.update(members.Change(1, True, (members.Member(api.EngineEntry(1), ("127.0.0.1", 1)),)))
-        one, ends = fleet.engines[1], []
+        pool = EnginePool(ConnectionLimits(32, 15.0, 0.25, price), (), 90, Counters())
+        pool.update(members.Change(1, True, (members.Member(api.EngineEntry(1), ("127.0.0.1", 1)),)))
+        one, ends = pool.engines[1], []
         for ref in (b"1", b"2", b"3"):
-            fleet.start(1, engine.Want(ref, "lookup", b"x", inf, inf), set(), ends.append)
-        shared = len(one.links)
-        fleet.start(1, engine.Want(b"4", "load", b"x", inf, inf, alone=True), set(), ends.append)
-        alone = len(one.links)
-        fleet.spoilt()  # the answer of one could now end all on its link
-        fleet.start(1, engine.Want(b"5", "lookup", b"x", inf, inf), set(), ends.append)
-        wary = len(one.links)
-        while one.links:
+            pool.start_attempt(1, AttemptSpec(ref, "lookup", b"x", inf, inf), set(), ends.append)
+        shared = len(one.connections)
+        pool.start_attempt(1, AttemptSpec(b"4", "load", b"x", inf, inf, exclusive=True), set(), ends.append)
+        alone = len(one.connections)
+        pool.record_corrupt_response()  # the answer of one could now end all on its connection
+        pool.start_attempt(1, AttemptSpec(b"5", "lookup", b"x", inf, inf), set(), ends.append)
+        wary = len(one.connections)
+        while one.connections:
             await asyncio.sleep(0)
         return shared, alone, wary
 
