--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -80,7 +80,7 @@
     assert told == [first] and feed.last == 1
 
 
-def test_engines_that_swap_addresses_share_no_link_with_those_before():
+def test_engines_that_swap_addresses_share_no_connection_with_those_before():
     pool = EnginePool(None, (), 8, Counters())
     pool.update(Change(1, True, tuple(Member(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2))))
     pool.update(Change(2, False, (Member(api.EngineEntry(1), ("127.0.0.1", 2)),)))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -121,7 +121,7 @@
     assert client.read() == [1, 1, None, [b"".join(rows(count)), {}]]
 
 
-def test_many_calls_share_one_link_and_each_gets_its_own(node):
+def test_many_calls_share_one_connection_and_each_gets_its_own(node):
     client = Client(node)
     for number in range(1, 31):
         client.ask(number, "lookup", f"a{number:015x}", f"select * from air_3.x limit {number * 20}")
