Engines: the socket of a connection in a transport of its own

Change: transport.py, with connect, receive, send and close of the socket; EngineConnection keeps what it carries. Order of effects as before: replies are dated before they are handled, the socket is closed before attempts get their results.

--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -3,28 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import select
-import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import hiredis
 
 from ..api import Result
-from ..net.write_queue import Message, Outbox
+from ..net.write_queue import Message
 from ..observability.events import log_event
 from . import resp
 from .attempt import CANCEL_SETTLE_SECONDS, Attempt, AttemptFailed, Progress
 from .liveness import LivenessMonitor
+from .transport import EngineTransport
 
 if TYPE_CHECKING:
     from .engine import Engine
 
-RECEIVE_BUFFER_BYTES = 8_192
-WRITE_STALL_SECONDS = 1.0  # after which an engine that takes in nothing has lost its connection
 # Share of the engine's idle timeout after which a connection is closed: later, the engine may be closing it.
 IDLE_TIMEOUT_SHARE = 0.8
-IP_BIND_ADDRESS_NO_PORT = 24  # of Linux: the port is chosen by connect, not by bind
 
 REPLY_COUNTERS = {status: f"engine_{status.decode()}" for status in resp.REPLY_STATUSES}
 PROBE_RESULTS = {resp.REPLY_PONG: Result.OK, resp.REPLY_REJECTED: Result.FULL}
@@ -32,10 +28,6 @@
 ProbeCallback = Callable[[Result, resp.LoadReport], None]
 
 
-class ConnectTimeoutError(OSError):
-    """The connection was not established in time."""
-
-
 class EngineConnection:
     """A connection to one engine.
 
@@ -57,17 +49,14 @@
         self.pool = engine.pool
         self.attempts: dict[bytes, Attempt] = {}
         self.probes: dict[bytes, ProbeCallback] = {}
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.write_queue = Outbox(self.sock, WRITE_STALL_SECONDS, self.close)
-        self.parser = resp.ReplyParser()
+        self.transport = EngineTransport(self.close)
+        self.write_queue = self.transport.write_queue
         self.liveness = LivenessMonitor(self)
         self.is_connected = False
         self.was_connected = False
         self.is_closed = False
         self.is_draining = False
         self.is_exclusive = False
-        self._hangup_poll = select.poll()
-        self._hangup_poll.register(self.sock, select.POLLRDHUP)
         self._idle_timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task | None = asyncio.create_task(self._run())
 
@@ -91,11 +80,11 @@
         Guards a command against the engine's close, still unread, behind which it could not be told from one
         that executed; and its reply against the rest of a truncated one, which would corrupt it.
         """
-        return not (self.parser.unparsed or self._hangup_poll.poll(0))
+        return self.transport.is_reusable()
 
     def send_command(self, *parts: bytes, on_written: Callable[[], None] | None = None) -> Message:
         """Queue a command; `on_written` is called once the system has all of it."""
-        return self.write_queue.put(resp.encode_array(*parts), on_written)
+        return self.transport.send_command(*parts, on_written=on_written)
 
     def send_attempt(self, attempt: Attempt) -> None:
         """Carry an attempt; its command is written at once, or when the connection is established."""
@@ -207,7 +196,7 @@
         reason = "closed"
         try:
             await self._connect()
-            await self._receive()
+            await self.transport.receive(self._handle_reply)
             reason = "closed by the engine"
         except OSError as error:
             reason = type(error).__name__
@@ -218,9 +207,8 @@
             self.close(reason)
             self._leave_pool()
             try:
-                await self.write_queue.close()
+                await self.transport.close()
             finally:
-                self.sock.close()
                 await self._finish_streams()
                 self._task = None  # a cancelled task refers back to this through its exception
 
@@ -242,16 +230,9 @@
             self.finish_probe(tag, result)
 
     async def _connect(self) -> None:
-        self.sock.setblocking(False)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.pool.local_address:
-            self.sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
-            self.sock.bind((self.pool.local_address, 0))
+        timeout = self.pool.limits.connect_timeout
         try:
-            async with asyncio.timeout(self.pool.limits.connect_timeout):
-                await asyncio.get_running_loop().sock_connect(self.sock, self.engine.address)
-        except TimeoutError:
-            raise ConnectTimeoutError from None
+            await self.transport.connect(self.engine.address, self.pool.local_address, timeout)
         except ConnectionResetError:
             self.was_connected = True
             raise
@@ -264,18 +245,9 @@
             self.send_command(resp.CMD_REPORT_LOAD, tag)
         self._start_idle_timer()
 
-    async def _receive(self) -> None:
-        """Handle replies until the engine closes the connection."""
-        loop = asyncio.get_running_loop()
-        buffer = bytearray(RECEIVE_BUFFER_BYTES)
-        while size := await loop.sock_recv_into(self.sock, buffer):
-            self.parser.feed(memoryview(buffer)[:size])
-            while (reply := self.parser.next_reply()) is not None:
-                self.liveness.last_active_at = loop.time()
-                self._handle_reply(reply)
-
     def _handle_reply(self, reply: resp.Reply) -> None:
         """Pass a reply on to whom it belongs; raises CorruptReplyError, which ends the connection."""
+        self.liveness.last_active_at = asyncio.get_running_loop().time()
         report = resp.parse_load_report(reply.fields, self.pool.report_columns)
         if report:
             self.pool.on_load_report(self.engine.engine_id, report)
--- /dev/null
+++ b/applevale/engines/transport.py
@@ -0,0 +1,79 @@
+"""The socket of one connection to an engine: commands out, replies in."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+
+from ..net.write_queue import Message, Outbox
+from . import resp
+
+RECEIVE_BUFFER_BYTES = 8_192
+WRITE_STALL_SECONDS = 1.0  # after which an engine that takes in nothing has lost its connection
+IP_BIND_ADDRESS_NO_PORT = 24  # of Linux: the port is chosen by connect, not by bind
+
+
+class ConnectTimeoutError(OSError):
+    """The connection was not established in time."""
+
+
+class EngineTransport:
+    """A stream socket that writes commands in order and splits what it receives into replies."""
+
+    def __init__(self, on_broken: Callable[[str], None]) -> None:
+        """Create the socket; `on_broken` is told why writing has failed, until `close`."""
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.write_queue = Outbox(self.sock, WRITE_STALL_SECONDS, on_broken)
+        self.parser = resp.ReplyParser()
+        self._hangup_poll = select.poll()
+        self._hangup_poll.register(self.sock, select.POLLRDHUP)
+
+    async def connect(self, address: tuple[str, int], local_address: str, timeout: float) -> None:
+        """Connect to `address` within `timeout` seconds; an empty `local_address` leaves it to the system.
+
+        Raises:
+            ConnectTimeoutError: It took longer.
+            OSError: It failed.
+        """
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if local_address:
+            self.sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+            self.sock.bind((local_address, 0))
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.get_running_loop().sock_connect(self.sock, address)
+        except TimeoutError:
+            raise ConnectTimeoutError from None
+
+    async def receive(self, on_reply: Callable[[resp.Reply], None]) -> None:
+        """Pass each reply to `on_reply` until the engine closes the connection.
+
+        Raises:
+            CorruptReplyError: What was received is no valid reply.
+            hiredis.HiredisError: What was received is no valid RESP.
+            OSError: The connection broke.
+        """
+        loop = asyncio.get_running_loop()
+        buffer = bytearray(RECEIVE_BUFFER_BYTES)
+        while size := await loop.sock_recv_into(self.sock, buffer):
+            self.parser.feed(memoryview(buffer)[:size])
+            while (reply := self.parser.next_reply()) is not None:
+                on_reply(reply)
+
+    def is_reusable(self) -> bool:
+        """Return whether nothing is left of the replies so far, and the engine has not closed its end."""
+        return not (self.parser.unparsed or self._hangup_poll.poll(0))
+
+    def send_command(self, *parts: bytes, on_written: Callable[[], None] | None = None) -> Message:
+        """Queue a command; `on_written` is called once the system has all of it."""
+        return self.write_queue.put(resp.encode_array(*parts), on_written)
+
+    async def close(self) -> None:
+        """End a write that is under way, and close the socket."""
+        try:
+            await self.write_queue.close()
+        finally:
+            self.sock.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -481,7 +481,7 @@
         await until(scene.server.refs)
         scene.server.writers[0].write(b"*4\r\n$1\r\n1\r\n$3\r\nHI")
         (former,) = scene.pool.engines[1].connections
-        await until(lambda: former.parser.unparsed)
+        await until(lambda: former.transport.parser.unparsed)
         attempt.cancel(api.Result.CANCELLED)
         await until(lambda: attempt.is_finished)
         scene.want(b"2")
