Requests and write queue: RequestHandler, RequestContext, typed responses, WriteQueue

Cause: the life of a request was written in words of its own (Broker, Query, Life, Served, unsure, gone), one method of 50 lines with a nested closure, and counter names made from class names.

Change: net/write_queue.py has WriteQueue and QueuedMessage. requests/ is split into model.py (Request, Completed, Rejected, Failed), context.py (RequestContext, RequestEnvironment) and handler.py (RequestHandler). Counter names are written out in a table. Order of events, checks and clocks as before.

--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -15,7 +15,7 @@
 
 from ..api import Result, State
 from ..discovery.endpoints import Change, Member
-from ..net.write_queue import Message, Outbox
+from ..net.write_queue import QueuedMessage, WriteQueue
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from .limits import ConnectionLimits
@@ -168,7 +168,7 @@
         self.want = want
         self.ended: Callable[[Ending], None] | None = ended
         self.link: Link | None = None
-        self.message: Message | None = None  # its `want`, once the link is up
+        self.message: QueuedMessage | None = None  # its `want`, once the link is up
         self.pages: dict[int, bytes] = {}
         self.fields: dict[str, str] = {}  # of the good end
         self.sheets = 0  # 0: no good end yet
@@ -187,7 +187,7 @@
         """Its link is gone: what that proves."""
         if self.sheets:
             return Broken(Reach.RAN, Result.RESET)
-        if self.message is not None and self.message.begun:
+        if self.message is not None and self.message.write_started:
             return Broken(Reach.MAY_HAVE_RUN, Result.RESET)
         # A connection that was reset before the request was written says nothing of the engine.
         return Broken(Reach.NEVER_SENT, Result.MOOT if self.link.shaken else Result.CONNECT_FAILED)
@@ -225,7 +225,7 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.poll = select.poll()
         self.poll.register(self.sock, select.POLLRDHUP)
-        self.outbox = Outbox(self.sock, STALL, self.close)
+        self.outbox = WriteQueue(self.sock, STALL, self.close)
         self.up = self.closed = self.retired = False
         self.shaken = False  # someone was there: it came up, or was reset as it did
         self.unread = bytearray()  # of an answer that is not whole
@@ -246,7 +246,7 @@
         that stopped short, with which it would be spoilt."""
         return not (self.unread or self.poll.poll(0))
 
-    def put(self, *words: bytes, written: Callable[[], None] | None = None) -> Message:
+    def put(self, *words: bytes, written: Callable[[], None] | None = None) -> QueuedMessage:
         return self.outbox.put(command(*words), written)
 
     def carry(self, attempt: Attempt) -> None:
@@ -289,12 +289,14 @@
         for attempt in list(self.attempts.values()):
             if not attempt.given_up and (attempt.message is None or self.outbox.withdraw(attempt.message)):
                 attempt.end(Broken(Reach.NEVER_SENT, Result.MOOT))
-        if self.outbox.size:
+        if self.outbox.pending_bytes:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.fleet.limits.drain_grace / 2, self._still_held_back, self.outbox.writes)
+            loop.call_later(
+                self.fleet.limits.drain_grace / 2, self._still_held_back, self.outbox.completed_writes
+            )
 
     def _still_held_back(self, writes: int) -> None:
-        if self.outbox.size and self.outbox.writes == writes:
+        if self.outbox.pending_bytes and self.outbox.completed_writes == writes:
             self.close("it takes nothing in, and drains")
 
     def forget(self, attempt: Attempt) -> None:
--- a/applevale/net/write_queue.py
+++ b/applevale/net/write_queue.py
@@ -1,4 +1,4 @@
-"""Writes messages to one socket, in order; knows of each whether it was begun."""
+"""An ordered write queue for one non-blocking socket."""
 
 from __future__ import annotations
 
@@ -8,82 +8,133 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-AT_ONCE = 64  # messages joined into one write
+MAX_MESSAGES_PER_WRITE = 64
 
 
 @dataclass
-class Message:
+class QueuedMessage:
+    """One message of a write queue.
+
+    Attributes:
+        data: The bytes to write.
+        on_written: Called once the kernel has accepted the whole message.
+        write_started: Whether some of the message may have been sent.
+    """
+
     data: bytes
-    written: Callable[[], None] | None = None  # called once the system has all of it
-    begun: bool = False  # some of it may have left
+    on_written: Callable[[], None] | None = None
+    write_started: bool = False
+
+
+def _ignore_failure(reason: str) -> None:
+    """Replace the failure callback of a closed queue."""
+
+
+class WriteQueue:
+    """Writes messages to one socket in the order in which they were queued.
+
+    One task writes for as long as messages are queued, and joins several of them into one write.
 
+    Attributes:
+        pending_bytes: Bytes that are queued and not yet written.
+        completed_writes: Number of writes that the kernel has accepted whole.
+        closed: Whether the queue accepts no further messages.
+    """
 
-class Outbox:
-    def __init__(self, sock: socket.socket, stall: float, broken: Callable[[str], None]):
-        self.sock, self.stall, self.broken = sock, stall, broken
-        self.queue: deque[Message] = deque()
-        self.size = 0  # bytes not yet written
-        self.writes = 0  # that the system has taken whole
-        self.task: asyncio.Task | None = None
+    def __init__(self, sock: socket.socket, stall_timeout: float, on_failure: Callable[[str], None]):
+        """Create an empty queue.
+
+        Args:
+            sock: A connected non-blocking socket, which the caller closes.
+            stall_timeout: Seconds after which a write that the peer does not accept fails.
+            on_failure: Called with the reason when a write fails.
+        """
+        self._sock = sock
+        self._stall_timeout = stall_timeout
+        self._on_failure = on_failure
+        self._messages: deque[QueuedMessage] = deque()
+        self._task: asyncio.Task | None = None
+        self.pending_bytes = 0
+        self.completed_writes = 0
         self.closed = False
 
-    def put(self, data: bytes, written: Callable[[], None] | None = None) -> Message:
-        message = Message(data, written)
+    def put(self, data: bytes, on_written: Callable[[], None] | None = None) -> QueuedMessage:
+        """Queue a message; a closed queue drops it.
+
+        Args:
+            data: The bytes to write.
+            on_written: Called once the kernel has accepted the whole message.
+
+        Returns:
+            The message, by which it can be withdrawn.
+        """
+        message = QueuedMessage(data, on_written)
         if not self.closed:
-            self.queue.append(message)
-            self.size += len(data)
-            if self.task is None:
-                self.task = asyncio.create_task(self._drain())
+            self._messages.append(message)
+            self.pending_bytes += len(data)
+            if self._task is None:
+                self._task = asyncio.create_task(self._write_messages())
         return message
 
-    def withdraw(self, message: Message) -> bool:
-        """Takes back a message of which nothing was written."""
-        if message.begun or message not in self.queue:
+    def withdraw(self, message: QueuedMessage) -> bool:
+        """Remove a message of which nothing was written; return whether that was so."""
+        if message.write_started or message not in self._messages:
             return False
-        self.queue.remove(message)
-        self.size -= len(message.data)
+        self._messages.remove(message)
+        self.pending_bytes -= len(message.data)
         return True
 
-    async def _drain(self) -> None:
+    async def _write_messages(self) -> None:
         loop = asyncio.get_running_loop()
         try:
-            while self.queue:
-                batch = [self.queue.popleft() for _ in range(min(AT_ONCE, len(self.queue)))]
+            while self._messages:
+                batch = self._next_batch()
+                async with asyncio.timeout(self._stall_timeout):
+                    await loop.sock_sendall(self._sock, b"".join(message.data for message in batch))
+                self.completed_writes += 1
                 for message in batch:
-                    message.begun = True
-                async with asyncio.timeout(self.stall):
-                    await loop.sock_sendall(self.sock, b"".join(message.data for message in batch))
-                self.writes += 1
-                for message in batch:
-                    self.size -= len(message.data)
-                    if message.written:
-                        message.written()
+                    self.pending_bytes -= len(message.data)
+                    if message.on_written:
+                        message.on_written()
         except (OSError, TimeoutError) as error:
             self.closed = True
-            self.broken(f"write: {type(error).__name__}")
+            self._on_failure(f"write: {type(error).__name__}")
         finally:
-            self.task = None
+            self._task = None
+
+    def _next_batch(self) -> list[QueuedMessage]:
+        count = min(MAX_MESSAGES_PER_WRITE, len(self._messages))
+        batch = [self._messages.popleft() for _ in range(count)]
+        for message in batch:
+            message.write_started = True
+        return batch
+
+    def discard(self) -> int:
+        """Close the queue and drop what is not yet written.
 
-    def drop(self) -> int:
-        """Gives up what is not yet written; returns how much that is."""
+        Returns:
+            The number of bytes dropped.
+        """
         self.closed = True
-        if self.task is not None and self.task is not asyncio.current_task():
-            self.task.cancel()
-        size, self.size = self.size, 0
-        self.queue.clear()
-        return size
+        if self._task is not None and self._task is not asyncio.current_task():
+            self._task.cancel()
+        discarded_bytes = self.pending_bytes
+        self.pending_bytes = 0
+        self._messages.clear()
+        return discarded_bytes
 
     async def flush(self) -> None:
-        """Waits until all of it is written, or the connection is broken."""
-        if self.task is not None:
-            await asyncio.wait([self.task])
+        """Wait until everything queued is written or the write has failed."""
+        if self._task is not None:
+            await asyncio.wait([self._task])
 
     async def close(self) -> None:
-        """Ends a write under way, so that the socket can be closed."""
+        """Close the queue and end the write in progress, so that the socket can be closed."""
         self.closed = True
-        if self.task is not None and self.task is not asyncio.current_task():
-            self.task.cancel()
-            await asyncio.wait([self.task])
-        # These lead back to whose it is: a cycle would hold all of a connection until the collector comes.
-        self.queue.clear()
-        self.broken = lambda why: None
+        if self._task is not None and self._task is not asyncio.current_task():
+            self._task.cancel()
+            await asyncio.wait([self._task])
+        # The callbacks refer to the owner of the queue: kept, they would form a reference cycle, which holds
+        # all of a connection's memory until the garbage collector runs.
+        self._messages.clear()
+        self._on_failure = _ignore_failure
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -19,7 +19,7 @@
 from ..observability.counters import Counters
 from ..observability.events import emit_event
 from ..policy import AdmissionController
-from ..requests.handler import Broker
+from ..requests.handler import RequestHandler
 from ..server.connection import Front
 from . import optional_parts
 from .ejection_control import EjectionControl
@@ -73,7 +73,7 @@
         router = optional_parts.create_router(config, self.counters)
         controller = AdmissionController(config.settings, config.seed, router)
         self.driver = Driver(controller, self.pool, self.counters)
-        self.handler = Broker(self.driver, self.pool, config.settings, self.counters)
+        self.handler = RequestHandler(self.driver, self.pool, config.settings, self.counters)
         self.server = self._create_server()
         self.endpoints = HeldList()
         self.ejection_control = EjectionControl(
@@ -202,7 +202,7 @@
         if not confirmed:
             for engine in self.pool.engines:
                 self.pool.withdraw(engine)
-        self.handler.hold(None if confirmed else self.config.registry.hold)
+        self.handler.reject_after(None if confirmed else self.config.registry.hold)
         self.update_readiness()
 
     def on_fleet_resize(self, size: int) -> None:
--- a/applevale/runtime/shutdown.py
+++ b/applevale/runtime/shutdown.py
@@ -6,7 +6,7 @@
 
 from ..api import Settings
 from ..dispatch.event_loop_driver import Driver
-from ..requests.handler import Broker
+from ..requests.handler import RequestHandler
 from ..server.connection import Front
 
 ACCEPT_SECONDS = 0.75  # after SIGTERM for which clients may still come
@@ -23,7 +23,7 @@
 class GracefulShutdown:
     """Answers what comes until a moment after SIGTERM, and ends before the process would be killed."""
 
-    def __init__(self, server: Front, handler: Broker, driver: Driver, settings: Settings):
+    def __init__(self, server: Front, handler: RequestHandler, driver: Driver, settings: Settings):
         """Take the parts that are shut down; the settings have the longest deadline."""
         self.server = server
         self.handler = handler
@@ -36,7 +36,7 @@
         """Drain; `started_at` is the time of SIGTERM by the event loop's clock."""
         loop = asyncio.get_running_loop()
         final_answer_at = started_at + self.final_answer_after
-        self.handler.until = self.driver.now() + self.final_answer_after
+        self.handler.set_shutdown_deadline(self.driver.now() + self.final_answer_after)
         await asyncio.sleep(started_at + ACCEPT_SECONDS - loop.time())
         self.server.shut()
         # A request on a kept connection that is read just before the exit would get no answer, so none may
@@ -45,7 +45,7 @@
         self.server.drain(final_answer_at - REJECT_NEW_SECONDS - loop.time())
         while self._is_busy() and loop.time() < final_answer_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        self.handler.expire()
+        self.handler.finish_all()
         while self._is_busy() and loop.time() < final_answer_at + FINAL_ANSWER_SECONDS / 2:
             await asyncio.sleep(FINAL_POLL_SECONDS)
 
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -17,10 +17,11 @@
 from ..admin.metrics import Figures
 from ..dispatch.arrival_order import Source
 from ..dispatch.event_loop_driver import Driver
-from ..net.write_queue import Outbox
+from ..net.write_queue import WriteQueue
 from ..observability.counters import Counters
 from ..observability.events import log_event
-from ..requests.handler import Broker, Failed, Query, Refused, Served
+from ..requests.handler import RequestHandler
+from ..requests.model import Completed, Failed, Rejected, Request, Response
 from .statement import table_group
 
 MOST_MESSAGE = 256 * 1024  # bytes of one message
@@ -38,7 +39,8 @@
 _UNPRINTABLE = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
-OUTCOME = {Served: "success", Refused: "overload", Failed: "error"}  # as the figures name them
+ANSWER_COUNTER = {Completed: "answered_served", Rejected: "answered_refused", Failed: "answered_failed"}
+OUTCOME = {Completed: "success", Rejected: "overload", Failed: "error"}  # as the figures name them
 
 
 class BadMessage(ValueError):
@@ -121,7 +123,7 @@
 
 def read_query(
     names: Names, method: str, params: list, now: float, gone: Callable[[], bool] = lambda: False
-) -> Query:
+) -> Request:
     """The request in a call; raises BadField with what is wrong."""
     if method not in names.classes:
         raise BadField(f"unknown class {method[:40]!r}")
@@ -138,7 +140,7 @@
     memory = _number(fields, "space", MOST_SPACE, 0.0)
     key = _key(fields) if spec.ordered else 0
     _check_statement(statement)
-    return Query(
+    return Request(
         ref.encode(),
         cls,
         statement,
@@ -150,7 +152,7 @@
         memory,
         table_group(statement),
         fields.get("dup") == "1",
-        gone=gone,
+        is_client_gone=gone,
         idempotency_key=_idempotency_key(fields),
     )
 
@@ -160,7 +162,7 @@
 
     def __init__(
         self,
-        broker: Broker,
+        broker: RequestHandler,
         driver: Driver,
         settings: api.Settings,
         most: int,
@@ -278,7 +280,7 @@
         """Keeps the order in which connections came to be owed nothing."""
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
-        if connection in self.connections and not (connection.calls or connection.outbox.size):
+        if connection in self.connections and not (connection.calls or connection.outbox.pending_bytes):
             loop = asyncio.get_running_loop()
             self.idle[connection] = loop.time()
             self.room.set()
@@ -290,7 +292,7 @@
         its call is released: closed at the release, the connection would take that answer with it."""
         if connection not in self.connections:
             return
-        owed = bool(connection.calls or connection.outbox.size)
+        owed = bool(connection.calls or connection.outbox.pending_bytes)
         if self.draining.closes(owed, owed or connection.pending()):
             connection.stop("")
 
@@ -320,7 +322,7 @@
         """Over the bound on memory, the client that holds most of it loses its connection."""
         self.held += size
         if self.held > self.most_held and self.connections:
-            slow = max(self.connections, key=lambda one: one.outbox.size + one.unread)
+            slow = max(self.connections, key=lambda one: one.outbox.pending_bytes + one.unread)
             self.counters["slow_clients_closed"] += 1
             slow.stop("it holds too much memory")
 
@@ -329,9 +331,9 @@
     def __init__(self, front: Front, sock: socket.socket, since: float):
         self.front, self.sock, self.counters = front, sock, front.counters
         self.source, self.since = Source(since), since  # since: of what was read last
-        self.leaving: set[Query] = set()  # keyed ones whose answers are not yet written
-        self.outbox = Outbox(sock, STALL, self.stop)
-        self.calls: dict[int, tuple[asyncio.Task, Query]] = {}
+        self.leaving: set[Request] = set()  # keyed ones whose answers are not yet written
+        self.outbox = WriteQueue(sock, STALL, self.stop)
+        self.calls: dict[int, tuple[asyncio.Task, Request]] = {}
         self.last = -1  # number of the last call: they count up
         self.last_whole = 0  # where in the stream the last whole message ended
         self.unread = 0  # bytes of a message that is not whole
@@ -366,7 +368,7 @@
     def stop(self, why: str) -> None:
         if why:
             log_event("client", why)
-        self.front.held -= self.outbox.drop() + self.unread
+        self.front.held -= self.outbox.discard() + self.unread
         self.unread = 0
         task = self.front.connections.pop(self, None)
         self.front.rests(self)
@@ -396,7 +398,7 @@
             try:
                 await self.outbox.close()
             finally:
-                self.front.held -= self.outbox.size + self.unread
+                self.front.held -= self.outbox.pending_bytes + self.unread
                 self.sock.close()
                 for query in list(self.leaving):
                     self.left(query)
@@ -481,8 +483,8 @@
                 call = self.calls.get(number)
                 if call is not None:  # else its answer is on its way
                     task, query = call
-                    spent = now - query.arrived
-                    log_event("client", f"gave call {number} up after {spent:.3f} of {query.allow:.3f} s")
+                    spent = now - query.received_at
+                    log_event("client", f"gave call {number} up after {spent:.3f} of {query.timeout:.3f} s")
                     task.cancel()
                     self.release(number)
             case _:
@@ -502,7 +504,9 @@
             raise BadMessage(f"over {MOST_OPEN} open requests")
         try:
             query = read_query(front.names, method, params, now, self.gone)
-            if query.ref in front.refs:  # guards the open request: an engine would take this for a copy
+            if (
+                query.request_id in front.refs
+            ):  # guards the open request: an engine would take this for a copy
                 raise BadField("ref: of an open request")
         except BadField as error:
             self.counters["bad_requests"] += 1
@@ -510,25 +514,27 @@
             log_event("request", str(error))
             self.send(reply(number, ["Error", {}], None))
             return
-        if query.key and not front.driver.arrivals.sure(query.key, self.source, self.since, now):
+        if query.ordering_key and not front.driver.arrivals.sure(
+            query.ordering_key, self.source, self.since, now
+        ):
             self.counters["unsure_order"] += 1
-            query = replace(query, unsure=True)
+            query = replace(query, order_unknown=True)
         self.counters["taken_" + method] += 1
-        front.refs.add(query.ref)
+        front.refs.add(query.request_id)
         task = asyncio.create_task(self.serve(number, query))
         # Guards against leaks: a task that is cancelled before its first step runs no `finally`.
         task.add_done_callback(lambda task: self.ended(number, task, query))
         self.calls[number] = task, query
         front.hold(len(query.statement))
 
-    async def serve(self, number: int, query: Query) -> None:
+    async def serve(self, number: int, query: Request) -> None:
         front = self.front
         try:
             if front.draining.refuses(asyncio.get_running_loop().time()):
                 self.counters["drain_refused"] += 1
-                answer = front.broker.turn_away()
+                answer = front.broker.reject()
             else:
-                answer = await front.broker.serve(query)
+                answer = await front.broker.handle(query)
         except Exception as error:  # guards the client's answer against our own faults
             self.counters["broker_errors"] += 1
             log_event("broker", f"{type(error).__name__}: {error}")
@@ -536,46 +542,46 @@
         self.release(number)
         self.answer(number, answer, query)
 
-    def ended(self, number: int, task: asyncio.Task, query: Query) -> None:
+    def ended(self, number: int, task: asyncio.Task, query: Request) -> None:
         self.counters["clients_gone"] += task.cancelled()
         if query not in self.leaving:  # no answer is on its way
-            self.front.broker.answered(query)
+            self.front.broker.on_response_delivered(query)
         self.release(number)
 
     def release(self, number: int) -> None:
         """The request is answered, or no longer wanted."""
         call = self.calls.pop(number, None)
         if call is not None:
-            self.front.refs.discard(call[1].ref)
+            self.front.refs.discard(call[1].request_id)
             self.front.held -= len(call[1].statement)
             self.front.rests(self)
 
-    def answer(self, number: int, answer: Served | Refused | Failed, query: Query) -> None:
-        self.counters["answered_" + type(answer).__name__.lower()] += 1
+    def answer(self, number: int, answer: Response, query: Request) -> None:
+        self.counters[ANSWER_COUNTER[type(answer)]] += 1
         if self.front.figures is not None:
-            self.front.figures.answered(query.cls, OUTCOME[type(answer)])
+            self.front.figures.answered(query.class_index, OUTCOME[type(answer)])
         match answer:
-            case Served(rows=rows):
+            case Completed(rows=rows):
                 self.send(reply(number, None, [rows, {}]), query)
-            case Refused(retry_in=after):
+            case Rejected(retry_after=after):
                 advice = {"cooldown": str(ceil(after * 1000))} if after > 0 else {}
                 self.send(reply(number, ["Full", advice], None), query)
             case Failed():
                 self.send(reply(number, ["Error", {}], None), query)
 
-    def send(self, data: bytes, query: Query | None = None) -> None:
+    def send(self, data: bytes, query: Request | None = None) -> None:
         if not self.outbox.closed:
-            if query is not None and query.key:
+            if query is not None and query.ordering_key:
                 self.leaving.add(query)
             self.outbox.put(data, lambda: self.sent(len(data), query))
             self.front.rests(self)
             self.front.hold(len(data))
 
-    def left(self, query: Query) -> None:
+    def left(self, query: Request) -> None:
         self.leaving.discard(query)
-        self.front.broker.answered(query)
+        self.front.broker.on_response_delivered(query)
 
-    def sent(self, size: int, query: Query | None) -> None:
+    def sent(self, size: int, query: Request | None) -> None:
         if query in self.leaving:
             self.left(query)
         self.front.held -= size
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from applevale.engines import connection as engine
 from applevale.engines.limits import ConnectionLimits
 from applevale.observability.counters import Counters
-from applevale.requests import handler as broker
+from applevale.requests import context, handler, model
 from applevale.server import connection as front
 
 SAFE = api.ClassSpec("read", deadline=30.0)
@@ -67,13 +67,13 @@
 
 
 class Scene:
-    """A broker on a fleet of one engine, and a module that says what it is told to say."""
+    """A request handler on a fleet of one engine, and a module that says what it is told to say."""
 
     def __init__(self, server, grace=0.2):
         self.server = server
         self.fleet = engine.Fleet(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
         self.driver = Driver(Module(), self.fleet, self.fleet.counters)
-        self.broker = broker.Broker(self.driver, self.fleet, SETTINGS, self.fleet.counters)
+        self.handler = handler.RequestHandler(self.driver, self.fleet, SETTINGS, self.fleet.counters)
         self.ends = []
         self.list(api.State.READY)
 
@@ -87,18 +87,18 @@
         return self.fleet.start(1, want, set(), lambda ending: self.ends.append((ref, ending)))
 
     def serve(self, cls, gone=lambda: False):
-        query = broker.Query(b"%016x" % cls, cls, b"x", self.driver.now(), 30.0, gone=gone)
-        task = asyncio.create_task(self.broker.serve(query))
+        request = model.Request(b"%016x" % cls, cls, b"x", self.driver.now(), 30.0, is_client_gone=gone)
+        task = asyncio.create_task(self.handler.handle(request))
         return task
 
     async def out(self, cls):
         """A request with an attempt that has reached the engine."""
         task = self.serve(cls)
-        await until(lambda: self.broker.lives)
-        (life,) = self.broker.lives
-        life.inbox.put_nowait(api.Send(life.number, 1))
+        await until(lambda: self.handler.active)
+        (active,) = self.handler.active
+        active.inbox.put_nowait(api.Send(active.number, 1))
         await until(lambda: self.server.refs())
-        return task, life
+        return task, active
 
 
 async def until(condition):
@@ -129,27 +129,27 @@
 
 
 @pytest.mark.parametrize("ends_first", [False, True])
-@pytest.mark.parametrize("word", [broker.Overdue, broker.Unconfirmed])
+@pytest.mark.parametrize("word", [context.DeadlineReached, context.DiscoveryStale])
 @pytest.mark.parametrize(
     "cls,ending,answer",
     [
-        (0, RESET, broker.Refused(0.0)),
-        (0, FULL, broker.Refused(0.0)),
-        (0, DONE, broker.Served(b"r")),
-        (1, RESET, broker.Failed()),
-        (1, FULL, broker.Refused(0.0)),
-        (1, DONE, broker.Served(b"r")),
-        (2, RESET, broker.Failed()),
-        (2, FULL, broker.Refused(0.0)),
-        (2, DONE, broker.Served(b"r")),
+        (0, RESET, model.Rejected(0.0)),
+        (0, FULL, model.Rejected(0.0)),
+        (0, DONE, model.Completed(b"r")),
+        (1, RESET, model.Failed()),
+        (1, FULL, model.Rejected(0.0)),
+        (1, DONE, model.Completed(b"r")),
+        (2, RESET, model.Failed()),
+        (2, FULL, model.Rejected(0.0)),
+        (2, DONE, model.Completed(b"r")),
     ],
 )
 def test_the_end_of_an_attempt_and_the_last_answer_in_one_turn(cls, ending, answer, word, ends_first):
     """Read in the inbox's order, a load that may have run was refused, and a good end was thrown away."""
 
     async def steps(scene):
-        task, life = await scene.out(cls)
-        crossing = [lambda: life.inbox.put_nowait(word()), lambda: life.out.end(ending)]
+        task, active = await scene.out(cls)
+        crossing = [lambda: active.inbox.put_nowait(word()), lambda: active.in_flight.end(ending)]
         for event in reversed(crossing) if ends_first else crossing:
             event()
         return await task
@@ -160,30 +160,30 @@
 @pytest.mark.parametrize("said", [api.Reject(1), api.Fail(1)])
 def test_a_good_end_behind_the_modules_answer_is_the_answer(said):
     async def steps(scene):
-        task, life = await scene.out(0)
-        life.inbox.put_nowait(said)
-        life.out.end(engine.Done(b"r"))
+        task, active = await scene.out(0)
+        active.inbox.put_nowait(said)
+        active.in_flight.end(engine.Done(b"r"))
         return await task
 
-    assert play(steps) == broker.Served(b"r")
+    assert play(steps) == model.Completed(b"r")
 
 
-@pytest.mark.parametrize("connects,answer", [(False, broker.Refused(0.0)), (True, broker.Failed())])
+@pytest.mark.parametrize("connects,answer", [(False, model.Rejected(0.0)), (True, model.Failed())])
 def test_the_last_answer_while_an_attempt_is_on_its_way(connects, answer):
     """What waits for its connection has not run; what is out may have."""
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
         if connects:
-            task, life = await scene.out(1)
+            task, active = await scene.out(1)
         else:
             loop.let.clear()
             task = scene.serve(1)
-            await until(lambda: scene.broker.lives)
-            (life,) = scene.broker.lives
-            life.inbox.put_nowait(api.Send(life.number, 1))
-            await until(lambda: life.out)
-        scene.broker.expire()
+            await until(lambda: scene.handler.active)
+            (active,) = scene.handler.active
+            active.inbox.put_nowait(api.Send(active.number, 1))
+            await until(lambda: active.in_flight)
+        scene.handler.finish_all()
         answer = await task
         loop.let.set()
         await until(lambda: not scene.fleet.engines[1].links or scene.fleet.engines[1].links[0].up)
@@ -234,14 +234,14 @@
 
 def test_a_further_attempt_begins_within_the_window_of_repeats_only():
     async def steps(scene):
-        task, life = await scene.out(2)
-        life.out.end(RESET)
+        task, active = await scene.out(2)
+        active.in_flight.end(RESET)
         asyncio.get_running_loop().let.clear()
-        life.inbox.put_nowait(api.Send(life.number, 1))
-        await until(lambda: life.out)
+        active.inbox.put_nowait(api.Send(active.number, 1))
+        await until(lambda: active.in_flight)
         await asyncio.sleep(KEYED.repeat_window)
         asyncio.get_running_loop().let.set()
-        await until(lambda: not life.out)
+        await until(lambda: not active.in_flight)
         task.cancel()
         return len(scene.server.refs())
 
@@ -258,7 +258,7 @@
             scene.want(b"%d" % number, b"x" * 800_000)
             await asyncio.sleep(0.002)
         link = scene.fleet.engines[1].links[0]
-        begun = {ref for ref, one in link.attempts.items() if one.message.begun}
+        begun = {ref for ref, one in link.attempts.items() if one.message.write_started}
         scene.list(api.State.DRAINING)
         back = {ref for ref, ending in scene.ends if ending.result is api.Result.MOOT}
         told = time.monotonic()
@@ -286,13 +286,13 @@
 def test_nothing_is_sent_for_a_client_that_has_hung_up_unread():
     async def steps(scene):
         task = scene.serve(0, lambda: True)
-        await until(lambda: scene.broker.lives)
-        (life,) = scene.broker.lives
-        life.inbox.put_nowait(api.Send(life.number, 1))
-        await until(life.inbox.empty)
-        told = scene.driver.waiting + [event for batch in scene.driver.gateway.batches for event in batch]
+        await until(lambda: scene.handler.active)
+        (active,) = scene.handler.active
+        active.inbox.put_nowait(api.Send(active.number, 1))
+        await until(active.inbox.empty)
+        told = scene.driver.waiting + [event for batch in scene.driver.controller.batches for event in batch]
         task.cancel()
-        return life.out, [event.result for event in told if isinstance(event, api.Outcome)]
+        return active.in_flight, [event.result for event in told if isinstance(event, api.Outcome)]
 
     assert play(steps) == (None, [api.Result.MOOT])
 
@@ -308,7 +308,7 @@
             await asyncio.get_running_loop().sock_recv(ours, 1)
             scene.driver.post(api.ClientGone(7))
 
-        module, reading = scene.driver.gateway, asyncio.create_task(read())
+        module, reading = scene.driver.controller, asyncio.create_task(read())
         scene.driver.post(api.Timer(1))
         await until(lambda: module.batches)
         scene.driver.post(api.Timer(2))
@@ -326,7 +326,7 @@
 def pair(scene):
     """A connection of the front, and its client's end."""
     if not hasattr(scene, "front"):
-        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        scene.front = front.Front(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname())
         ours, _ = listener.accept()
@@ -368,7 +368,7 @@
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
-        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        scene.front = front.Front(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         scene.front.accepting = asyncio.create_task(scene.front.accept(listener))
@@ -491,11 +491,11 @@
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
         scene.driver.current.clear()  # a loop that stood still reads the rest first
-        query = broker.Query(b"1", 1, b"x", scene.driver.now(), 30.0, key=7)
-        task = asyncio.create_task(scene.broker.serve(query))
+        request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, ordering_key=7)
+        task = asyncio.create_task(scene.handler.handle(request))
         await asyncio.sleep(0)
-        scene.broker.until = scene.driver.now()
-        scene.broker.expire()
+        scene.handler.set_shutdown_deadline(scene.driver.now())
+        scene.handler.finish_all()
         return await asyncio.wait_for(task, 5)
 
-    assert play(steps) == broker.Refused(0.0)
+    assert play(steps) == model.Rejected(0.0)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -12,7 +12,7 @@
 from applevale.admin.draining import CROSSING, TAKES, Drain
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.observability.counters import Counters
-from applevale.requests.handler import Refused, Served
+from applevale.requests.model import Completed, Rejected
 from applevale.server.connection import Front
 
 
@@ -29,23 +29,23 @@
     assert not drain.on and not drain.refuses(1e9)
 
 
-class Answers:
-    """A broker that answers when it is let."""
+class FakeHandler:
+    """A request handler that answers when it is let."""
 
     def __init__(self):
         self.came, self.let = asyncio.Event(), asyncio.Event()
         self.let.set()
 
-    def turn_away(self):
-        return Refused(0.5)
+    def reject(self):
+        return Rejected(0.5)
 
-    def answered(self, query):
+    def on_response_delivered(self, request):
         pass
 
-    async def serve(self, query):
+    async def handle(self, request):
         self.came.set()
         await self.let.wait()
-        return Served(b"row")
+        return Completed(b"row")
 
 
 class Site:
@@ -53,9 +53,9 @@
 
     def __init__(self):
         listener = socket.create_server(("127.0.0.1", 0))
-        self.broker, self.counters, self.unpacker = Answers(), Counters(), msgpack.Unpacker()
+        self.handler, self.counters, self.unpacker = FakeHandler(), Counters(), msgpack.Unpacker()
         self.front = Front(
-            self.broker, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20, self.counters
+            self.handler, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20, self.counters
         )
         self.client = socket.create_connection(listener.getsockname())
         theirs, _ = listener.accept()
@@ -113,15 +113,15 @@
 
 def test_a_client_that_never_falls_idle_is_turned_away_and_then_closed():
     async def script(site):
-        site.broker.let.clear()
+        site.handler.let.clear()
         site.ask(1)
-        await site.broker.came.wait()
+        await site.handler.came.wait()
         site.front.drain()
         site.front.draining.until -= TAKES  # it has lasted that long
         site.ask(2)
         refused = await site.read()
         assert refused[1] == 2 and refused[2] == ["Full", {"cooldown": "500"}]
-        site.broker.let.set()
+        site.handler.let.set()
         assert (await site.read())[1] == 1
         assert await site.read() is None
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -9,7 +9,7 @@
 from applevale.engines import connection as engine
 from applevale.observability.counters import Counters
 from applevale.policy import AdmissionController
-from applevale.requests import handler as broker
+from applevale.requests import handler, model
 
 
 class Module:
@@ -117,11 +117,11 @@
     async def main():
         settings = api.Settings(classes=(api.ClassSpec("lookup"),), kinds=(api.KindSpec("k"),))
         driver = Driver(Module(), None, Counters())
-        query = broker.Query(b"1", 0, b"", driver.now(), 0.1)
-        return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
+        request = model.Request(b"1", 0, b"", driver.now(), 0.1)
+        return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
     answer, driver = asyncio.run(main())
-    assert isinstance(answer, broker.Refused) and driver.counters["overdue"] == 1 and not driver.routes
+    assert isinstance(answer, model.Rejected) and driver.counters["overdue"] == 1 and not driver.routes
 
 
 class FakeLink:
@@ -129,7 +129,7 @@
         self.said, self.written, self.outbox, self.shaken = [], [], self, True
 
     def withdraw(self, message):
-        return not message.begun
+        return not message.write_started
 
     def put(self, *words, written=None):
         self.said.append(words[0])
@@ -142,7 +142,7 @@
 def attempt(begun):
     ends = []
     one = engine.Attempt(engine.Want(b"1", "load", b"", 1.0, 1.0), ends.append)
-    one.link, one.message = FakeLink(), engine.Message(b"", begun=begun)
+    one.link, one.message = FakeLink(), engine.QueuedMessage(b"", write_started=begun)
     return one, ends
 
 
@@ -184,8 +184,8 @@
     async def main():
         settings = api.Settings((api.ClassSpec("lookup"),), (api.KindSpec("k"),), retry_after=True)
         driver = Driver(Module(), None, Counters())
-        query = broker.Query(b"1", 0, b"", driver.now(), 0.005)
-        return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
+        request = model.Request(b"1", 0, b"", driver.now(), 0.005)
+        return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
     answer, driver = asyncio.run(main())
-    assert answer == broker.Refused(1.0) and not driver.waiting
+    assert answer == model.Rejected(1.0) and not driver.waiting
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -93,16 +93,20 @@
 
 
 @given(st.sampled_from([*NAMED.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
-def test_any_call_is_a_usable_query_or_a_named_fault(method, params):
+def test_any_call_is_a_usable_request_or_a_named_fault(method, params):
     try:
-        query = front.read_query(NAMED, method, params, 1.0)
+        request = front.read_query(NAMED, method, params, 1.0)
     except front.BadField as error:
         assert str(error)
         return
-    assert 0 <= query.allow < float("inf") and 0 <= query.key < 2**64 and 0 <= query.work < float("inf")
+    assert (
+        0 <= request.timeout < float("inf")
+        and 0 <= request.ordering_key < 2**64
+        and 0 <= request.estimated_work < float("inf")
+    )
 
 
-def test_a_query_is_read_with_its_units():
+def test_a_request_is_read_with_its_units():
     fields = {
         "ref": "9b1f03aa5c7e2d41",
         "allow": "1500",
@@ -113,10 +117,16 @@
         "replay": "b2ec",
         "project": "two",
     }
-    query = front.read_query(NAMED, "load", [fields, b"insert into air_4.x"], 9.0)
-    assert (query.allow, query.work, query.memory_mb, query.key, query.tables) == (1.5, 0.82, 96.0, 255, 4.0)
-    assert query.client_retry and query.cls == 2 and query.arrived == 9.0
-    assert query.idempotency_key == "b2ec" and query.tenant == 1
+    request = front.read_query(NAMED, "load", [fields, b"insert into air_4.x"], 9.0)
+    assert (
+        request.timeout,
+        request.estimated_work,
+        request.estimated_memory_mb,
+        request.ordering_key,
+        request.table_group,
+    ) == (1.5, 0.82, 96.0, 255, 4.0)
+    assert request.is_client_retry and request.class_index == 2 and request.received_at == 9.0
+    assert request.idempotency_key == "b2ec" and request.tenant_index == 1
 
 
 @pytest.mark.parametrize(
