--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -20,7 +20,7 @@
 from ..observability.events import emit_event
 from ..policy import AdmissionController
 from ..requests.handler import RequestHandler
-from ..server.connection import Front
+from ..server.listener import RpcServer
 from . import optional_parts
 from .ejection_control import EjectionControl
 from .reload import ConfigReloader
@@ -74,12 +74,12 @@
         controller = AdmissionController(config.settings, config.seed, router)
         self.driver = Driver(controller, self.pool, self.counters)
         self.handler = RequestHandler(self.driver, self.pool, config.settings, self.counters)
+        self.metrics = self._create_metrics()
         self.server = self._create_server()
         self.endpoints = HeldList()
         self.ejection_control = EjectionControl(
             listen_address, self.endpoints, self.pool, self.driver, self.counters
         )
-        self.metrics = self._create_metrics()
         self.connect_pacer = optional_parts.create_connect_pacer(
             config, self.pool, self.driver, self.endpoints, self.update_readiness
         )
@@ -93,17 +93,23 @@
         self.reloader = ConfigReloader(config, self.source, self.control_feed, self.metrics, self.counters)
         self.shutdown = GracefulShutdown(self.server, self.handler, self.driver, config.settings)
 
-    def _create_server(self) -> Front:
+    def _create_server(self) -> RpcServer:
         memory = int(self.config.memory * CLIENT_MEMORY_SHARE)
-        settings = self.config.settings
-        return Front(self.handler, self.driver, settings, self.descriptors.clients, memory, self.counters)
+        return RpcServer(
+            self.handler,
+            self.driver,
+            self.config.settings,
+            self.descriptors.clients,
+            memory,
+            self.counters,
+            self.metrics,
+        )
 
     def _create_metrics(self) -> Figures:
         pool = self.pool
         metrics = Figures(tuple(spec.name for spec in self.config.settings.classes))
-        self.server.figures = metrics
         pool.dispatched = metrics.dispatched
-        metrics.concurrent = lambda: self.server.open
+        metrics.concurrent = lambda: self.server.open_requests
         metrics.targets = lambda: len(pool.engines) - len(pool.gone)
         metrics.disabled = self._count_disabled_engines
         return metrics
@@ -144,7 +150,7 @@
 
     def ready(self) -> bool:
         """Return whether new clients are accepted."""
-        return self.server.ready
+        return self.server.is_ready
 
     def figures(self) -> dict:
         """Return the metrics as one snapshot."""
@@ -174,14 +180,14 @@
         """Return whether new clients should be accepted."""
         has_engines = self.config.registry is None or self.endpoints.usable()
         is_leaving = self.shutdown_requested.is_set()
-        return has_engines and not (is_leaving or self.endpoints.held or self.server.draining.on)
+        return has_engines and not (is_leaving or self.endpoints.held or self.server.is_draining)
 
     def update_readiness(self) -> None:
         """Report readiness to probes, operators and programs that follow the events, as it changes."""
         ready = self.is_serving()
-        if ready != self.server.ready:
+        if ready != self.server.is_ready:
             emit_event("ready", ready=ready)
-        self.server.ready = ready
+        self.server.is_ready = ready
 
     def apply_update(self, update: Change) -> None:
         """Hand a change of the list to all that know engines; the decision module hears of it last."""
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -37,12 +37,12 @@
     admin_listener = None if config.control is None else listen(config.control, shared=False)
     host, port = listener.getsockname()
     application = Application(config, (host, port))
-    application.server.source.clear = started_at  # no one can have come before
+    application.server.arrival_source.clear = started_at  # no one can have come before
     _install_signal_handlers(application)
     application.start()
     loop = asyncio.get_running_loop()
     loop.call_later(COUNTERS_INTERVAL_SECONDS, application.dump_counters_regularly)
-    application.server.accepting = asyncio.create_task(application.server.accept(listener))
+    application.server.start(listener)
     admin_task = None
     if admin_listener is not None:
         admin_task = _serve_operators(application, admin_listener)
@@ -57,7 +57,7 @@
         application.leave()
         await application.shutdown.run(loop.time())
     finally:
-        application.server.shut()
+        application.server.stop_accepting()
         if admin_task is not None:
             admin_task.cancel()
             admin_listener.close()
--- a/applevale/runtime/shutdown.py
+++ b/applevale/runtime/shutdown.py
@@ -7,7 +7,7 @@
 from ..api import Settings
 from ..dispatch.event_loop_driver import Driver
 from ..requests.handler import RequestHandler
-from ..server.connection import Front
+from ..server.listener import RpcServer
 
 ACCEPT_SECONDS = 0.75  # after SIGTERM for which clients may still come
 # After SIGTERM the process may be killed once MAX_DRAIN_SECONDS, or the longest deadline if that is less, and
@@ -23,7 +23,7 @@
 class GracefulShutdown:
     """Answers what comes until a moment after SIGTERM, and ends before the process would be killed."""
 
-    def __init__(self, server: Front, handler: RequestHandler, driver: Driver, settings: Settings):
+    def __init__(self, server: RpcServer, handler: RequestHandler, driver: Driver, settings: Settings):
         """Take the parts that are shut down; the settings have the longest deadline."""
         self.server = server
         self.handler = handler
@@ -38,7 +38,7 @@
         final_answer_at = started_at + self.final_answer_after
         self.handler.set_shutdown_deadline(self.driver.now() + self.final_answer_after)
         await asyncio.sleep(started_at + ACCEPT_SECONDS - loop.time())
-        self.server.shut()
+        self.server.stop_accepting()
         # A request on a kept connection that is read just before the exit would get no answer, so none may
         # come then. Until shortly before, new requests are decided on with the time there is: short work
         # still has its answer.
@@ -51,4 +51,4 @@
 
     def _is_busy(self) -> bool:
         """Return whether an answer is owed, or a client has yet to end the message that it began."""
-        return bool(self.server.open or self.server.connections)
+        return bool(self.server.open_requests or self.server.connections)
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -1,588 +1,250 @@
-"""The clients' protocol: MessagePack-RPC over TCP, in front of the broker."""
+"""A client's connection: one task reads and owns it; whatever goes wrong on it ends with it."""
 
 from __future__ import annotations
 
 import asyncio
-import re
 import select
 import socket
-from collections.abc import Callable
-from dataclasses import dataclass, replace
-from math import ceil, nan
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
 
 import msgpack
 
-from .. import api
-from ..admin.draining import CROSSING, TAKES, Drain
-from ..admin.metrics import Figures
 from ..dispatch.arrival_order import Source
 from ..dispatch.event_loop_driver import Driver
 from ..net.write_queue import WriteQueue
 from ..observability.counters import Counters
 from ..observability.events import log_event
-from ..requests.handler import RequestHandler
-from ..requests.model import Completed, Failed, Rejected, Request, Response
-from .statement import table_group
-
-MOST_MESSAGE = 256 * 1024  # bytes of one message
-MOST_OPEN = 32  # requests on one connection
-STALL = 30.0  # s after which a client that takes in nothing has lost its connection: no one waits longer
-RECEIVE = 4096  # bytes, for each connection: some stay for good
-UNFINISHED = 2.0  # s for the first message, and for each further one once it has begun
-LEAVE = 0.5  # s for a client to read what it was sent last, before its connection is closed
-PENANCE = (0.05, 1.0)  # s for which a connection is not read after a bad request: first, and the most
-LONGEST = 1.1  # times a class's deadline that a client may be patient: more is no figure of this class
-MOST_EFFORT, MOST_SPACE = 1e8, 1e7  # ms and MB: far beyond any engine, and still harmless figures
-GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-_REF = re.compile(r"[0-9a-fA-F]{16}")
-_TOKEN = re.compile(r"[0-9A-Za-z_.:-]{0,128}")  # as it is passed on among an engine's fields
-_UNPRINTABLE = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
-
-
-ANSWER_COUNTER = {Completed: "answered_served", Rejected: "answered_refused", Failed: "answered_failed"}
-OUTCOME = {Completed: "success", Rejected: "overload", Failed: "error"}  # as the figures name them
-
-
-class BadMessage(ValueError):
-    """Not this protocol: ends the connection."""
-
-
-class BadField(ValueError):
-    """A request that cannot be used: answered with an error."""
-
-
-def reply(number: int, error: list | None, result: list | None) -> bytes:
-    return msgpack.packb([1, number, error, result])
-
-
-def _number(fields: dict, name: str, most: float, default: float | None = None) -> float:
-    raw = fields.get(name)
-    if raw is None and default is not None:
-        return default
-    try:
-        value = float(raw) if isinstance(raw, str) else nan
-    except ValueError:
-        value = nan
-    if not 0 <= value <= most:  # guards the estimates of all against one figure
-        raise BadField(f"{name}: {str(raw)[:40]!r}")
-    return value
-
-
-def _key(fields: dict) -> int:
-    try:
-        key = int(fields.get("lookup", ""), 16)
-    except (TypeError, ValueError):
-        key = 0
-    if not 0 < key < 2**64:
-        raise BadField("lookup: missing or out of range")
-    return key
-
-
-def _idempotency_key(fields: dict) -> str:
-    """By which engines know a repeat of a request; without one they go by its id."""
-    key = fields.get("replay", "")
-    if not isinstance(key, str) or not _TOKEN.fullmatch(key):
-        raise BadField("replay")
-    return key
-
-
-def _check_statement(statement: bytes) -> None:
-    """Guards the links that requests share: an engine closes one on what it cannot read."""
-    try:
-        text = statement.decode()
-    except UnicodeDecodeError:
-        raise BadField("a statement that is no text") from None
-    if not text.strip() or _UNPRINTABLE.search(text):
-        raise BadField("a statement that is no text")
-
-
-@dataclass(frozen=True)
-class Names:
-    """What the settings name, by its place there."""
-
-    specs: tuple[api.ClassSpec, ...]
-    classes: dict[str, int]
-    tenants: dict[str, int]
-
-    @classmethod
-    def of(cls, settings: api.Settings) -> Names:
-        return cls(
-            settings.classes,
-            {spec.name: at for at, spec in enumerate(settings.classes)},
-            {tenant.name: at for at, tenant in enumerate(settings.tenants)},
-        )
-
-    def tenant(self, fields: dict) -> int:
-        name = fields.get("project")
-        if not self.tenants or name is None:
-            return 0
-        if not isinstance(name, str) or name not in self.tenants:
-            raise BadField(f"project: {str(name)[:40]!r}")
-        return self.tenants[name]
-
-
-def read_query(
-    names: Names, method: str, params: list, now: float, gone: Callable[[], bool] = lambda: False
-) -> Request:
-    """The request in a call; raises BadField with what is wrong."""
-    if method not in names.classes:
-        raise BadField(f"unknown class {method[:40]!r}")
-    if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
-        raise BadField("fields and a body are needed")
-    fields, statement = params
-    cls = names.classes[method]
-    spec = names.specs[cls]
-    ref = fields.get("ref")
-    if not isinstance(ref, str) or not _REF.fullmatch(ref):
-        raise BadField("ref")
-    allow = _number(fields, "allow", spec.deadline * LONGEST * 1000) / 1000
-    work = _number(fields, "effort", MOST_EFFORT, 0.0) / 1000
-    memory = _number(fields, "space", MOST_SPACE, 0.0)
-    key = _key(fields) if spec.ordered else 0
-    _check_statement(statement)
-    return Request(
-        ref.encode(),
-        cls,
-        statement,
-        now,
-        allow,
-        names.tenant(fields),
-        key,
-        work,
-        memory,
-        table_group(statement),
-        fields.get("dup") == "1",
-        is_client_gone=gone,
-        idempotency_key=_idempotency_key(fields),
-    )
-
-
-class Front:
-    """Accepts connections; each is a task of its own, and so is each request."""
+from ..requests.model import Request
+from .connection_table import ConnectionTable
+from .rpc import MAX_MESSAGE_BYTES, RECEIVE_BUFFER_BYTES, MalformedMessageError, MessageDecoder
+
+WRITE_STALL_TIMEOUT_SECONDS = 30.0  # no client waits longer for a response
+# For the first message of a connection, and for each further one from its first byte on.
+MESSAGE_TIMEOUT_SECONDS = 2.0
+LINGER_TIMEOUT_SECONDS = 0.5  # for a client to read the last responses before its connection is closed
+# For each invalid request, a pause before the connection is read again.
+MIN_ERROR_BACKOFF_SECONDS = 0.05
+MAX_ERROR_BACKOFF_SECONDS = 1.0
+_HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+@dataclass(slots=True)
+class OpenCall:
+    """A call without a response: its request, and the task that handles it."""
+
+    task: asyncio.Task
+    request: Request
+
+
+class ClientConnection(ABC):
+    """Reads messages from a socket, writes to it, and closes it; a subclass handles the messages.
+
+    Attributes:
+        sock: The connected socket.
+        source: The socket as a source of requests whose order matters.
+        write_queue: What is to be written.
+        calls: Calls without a response, by their message ids.
+        unread_bytes: Bytes of an incomplete message.
+        invalid_requests: Number of invalid requests so far.
+    """
 
     def __init__(
         self,
-        broker: RequestHandler,
+        sock: socket.socket,
+        arrived_since: float,
+        table: ConnectionTable,
         driver: Driver,
-        settings: api.Settings,
-        most: int,
-        most_held: int,
         counters: Counters,
     ):
-        self.broker, self.driver, self.settings, self.counters = broker, driver, settings, counters
-        self.names = Names.of(settings)
-        self.most = most  # connections at a time
-        self.most_held = most_held  # bytes of messages, statements and answers, over all connections
-        self.connections: dict[Connection, asyncio.Task] = {}
-        # Connections that are owed nothing, by when that began: without a whole message yet, and others.
-        self.silent: dict[Connection, float] = {}
-        self.idle: dict[Connection, float] = {}
-        self.room = asyncio.Event()
-        self.ready = False  # what a probe is told
-        self.refs: set[bytes] = set()  # of the requests without an answer
-        self.held = 0  # bytes
-        self.source = Source()  # the listener's
-        self.listener: socket.socket | None = None
-        self.accepting: asyncio.Task | None = None
-        self.draining = Drain()  # whether clients are sent elsewhere
-        self.figures: Figures | None = None
-        driver.inlets.append(self.inlet)
+        """Create a connection for an accepted socket; `run` serves it.
+
+        Args:
+            sock: The accepted socket.
+            arrived_since: Nothing can have arrived before this time, by the driver's clock.
+            table: All connections of the server.
+            driver: Has the clock, and the order of arrivals.
+            counters: Counts how connections end.
+        """
+        self.sock = sock
+        self.source = Source(arrived_since)
+        self.write_queue = WriteQueue(sock, WRITE_STALL_TIMEOUT_SECONDS, self.stop)
+        self.calls: dict[int, OpenCall] = {}
+        self.unread_bytes = 0
+        self.invalid_requests = 0
+        self._arrived_since = arrived_since  # what was read last cannot have arrived before
+        self._table = table
+        self._driver = driver
+        self._counters = counters
+        self._decoder = MessageDecoder()
+        self._is_message_overdue = False
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN | select.POLLRDHUP)
+
+    @abstractmethod
+    def handle_message(self, message: object, received_at: float) -> None:
+        """Handle a decoded message.
+
+        Raises:
+            ValueError: The message violates the protocol, which ends the connection.
+        """
+
+    @abstractmethod
+    def abandon_responses(self) -> None:
+        """Note that responses which are not written yet will reach no one."""
 
     @property
-    def open(self) -> int:
-        """Requests without an answer."""
-        return len(self.refs)
-
-    async def accept(self, listener: socket.socket) -> None:
-        self.listener = listener
-        queue = select.poll()
-        queue.register(listener, select.POLLIN)
-        while True:
-            asked = self.driver.now()
-            while len(self.connections) >= self.most and not (self.silent or self.idle):
-                self.room.clear()  # all are owed an answer: the rest waits in the system's queue
-                await self.room.wait()
-            try:
-                await self._waiting(listener)
-                sock, _ = listener.accept()
-            except BlockingIOError:  # the caller has gone
-                continue
-            except OSError as error:  # guards against no descriptor being free
-                log_event("accept", str(error))
-                await asyncio.sleep(0.01)
-                continue
-            self.take(sock, asked, not queue.poll(0))  # else more connections wait in the system's queue
-
-    @staticmethod
-    async def _waiting(listener: socket.socket) -> None:
-        """Until a caller waits. Guards the one that is accepted in the turn of the shutdown: it would be lost
-        with the result of a cancelled accept, and so is left in the system's queue."""
-        loop = asyncio.get_running_loop()
-        ready = loop.create_future()
-        loop.add_reader(listener, lambda: ready.done() or ready.set_result(None))
-        try:
-            await ready
-        finally:
-            loop.remove_reader(listener)
-
-    def take(self, sock: socket.socket, asked: float, emptied: bool) -> None:
-        self.counters["connections"] += 1
-        now = asyncio.get_running_loop().time()
-        if len(self.connections) >= self.most:
-            self.make_room(now)
-        connection = Connection(self, sock, self.source.read(asked, self.driver.arrivals.polled, emptied))
-        self.silent[connection] = now
-        self.connections[connection] = asyncio.create_task(connection.run())
-        if self.draining.on:
-            self.close_silent(connection, now)
-
-    def shut(self) -> None:
-        """Takes no more connections. Guards those that wait in the system's queue: closed with the listener,
-        they would be reset, so they are taken first; from then on the kernel gives new ones to a second
-        process on the same address, if there is one."""
-        listener, self.listener = self.listener, None
-        if self.accepting is not None:
-            self.accepting.cancel()
-        if listener is None:
-            return
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:  # none is left, or it has gone already
-                break
-            sock.setblocking(False)
-            self.take(sock, self.driver.now(), False)
-        listener.close()
-
-    def inlet(self) -> list[tuple[Source, bool]]:
-        """The sockets, and whether there is something to read."""
-        sources = {one.sock.fileno(): one.source for one in self.connections}
-        if self.listener is not None:
-            sources[self.listener.fileno()] = self.source
-        sources.pop(-1, None)  # one that is being closed
-        poll = select.poll()
-        for number in sources:
-            poll.register(number, select.POLLIN)
-        return [(sources[number], True) for number, _ in poll.poll(0)]
-
-    def make_room(self, now: float) -> None:
-        """Closes a connection that is owed nothing. Guards against clients that stay for good after one
-        request, and against crowds that say nothing: behind them, requests of others were not even read."""
-        silent = [one for one, since in self.silent.items() if now - since >= CROSSING]
-        owed_nothing = [*silent, *self.idle, *self.silent]
-        # One whose next request lies unread goes last of all: its client would be reset.
-        one = next((one for one in owed_nothing if not one.pending()), next(iter(owed_nothing), None))
-        if one is not None:
-            self.counters["connections_evicted"] += 1
-            one.stop("")
-
-    def rests(self, connection: Connection) -> None:
-        """Keeps the order in which connections came to be owed nothing."""
-        self.silent.pop(connection, None)
-        self.idle.pop(connection, None)
-        if connection in self.connections and not (connection.calls or connection.outbox.pending_bytes):
-            loop = asyncio.get_running_loop()
-            self.idle[connection] = loop.time()
-            self.room.set()
-            if self.draining.on:  # guards the drain: no client is held on an idle connection
-                loop.call_soon(self.close_idle, connection)
-
-    def close_idle(self, connection: Connection) -> None:
-        """Closes it if nothing is owed on it still. Guards the answer that a request's end writes just after
-        its call is released: closed at the release, the connection would take that answer with it."""
-        if connection not in self.connections:
-            return
-        owed = bool(connection.calls or connection.outbox.pending_bytes)
-        if self.draining.closes(owed, owed or connection.pending()):
-            connection.stop("")
-
-    def close_silent(self, connection: Connection, accepted: float) -> None:
-        """Guards a client that connected before it could know of the drain: its request may be on its way."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(self.draining.wait(accepted, loop.time()), self.close_idle, connection)
-
-    def drain(self, takes: float = TAKES) -> None:
-        """Sends clients elsewhere; what is owed is answered, and what comes within `takes` s is taken."""
-        self.counters["drains"] += 1
-        self.draining.begin(asyncio.get_running_loop().time() + takes)
-        for connection in list(self.idle):
-            self.close_idle(connection)
-        for connection, accepted in self.silent.items():
-            self.close_silent(connection, accepted)
-
-    def undrain(self) -> None:
-        self.draining.end()
-
-    def closed(self, connection: Connection) -> None:
-        self.connections.pop(connection, None)
-        self.rests(connection)
-        self.room.set()
-
-    def hold(self, size: int) -> None:
-        """Over the bound on memory, the client that holds most of it loses its connection."""
-        self.held += size
-        if self.held > self.most_held and self.connections:
-            slow = max(self.connections, key=lambda one: one.outbox.pending_bytes + one.unread)
-            self.counters["slow_clients_closed"] += 1
-            slow.stop("it holds too much memory")
-
-
-class Connection:
-    def __init__(self, front: Front, sock: socket.socket, since: float):
-        self.front, self.sock, self.counters = front, sock, front.counters
-        self.source, self.since = Source(since), since  # since: of what was read last
-        self.leaving: set[Request] = set()  # keyed ones whose answers are not yet written
-        self.outbox = WriteQueue(sock, STALL, self.stop)
-        self.calls: dict[int, tuple[asyncio.Task, Request]] = {}
-        self.last = -1  # number of the last call: they count up
-        self.last_whole = 0  # where in the stream the last whole message ended
-        self.unread = 0  # bytes of a message that is not whole
-        # What was read last. Invariant: its first byte is 0 unless something was read into it that the task
-        # has not taken yet; no message begins with 0.
-        self.buffer = bytearray(RECEIVE)
-        self.faults = 0
-        self.unfinished = False  # its time to end a message is over
-        self.poll = select.poll()
-        self.poll.register(sock, select.POLLIN | select.POLLRDHUP)
-
-    def seen(self) -> int:
-        """What the system knows of the socket, read or not; of a closed one its number may be another's."""
-        return select.POLLHUP if self.sock.fileno() < 0 else sum(event for _, event in self.poll.poll(0))
-
-    def pending(self) -> bool:
-        """Whether the client has begun a message that is not taken yet. Guards a request that crossed the
-        close of a drain: closed with it unread, or read while its task still had to run, its client would
-        never have an answer."""
-        return bool(self.unread or self.buffer[0] or self.seen())
-
-    def gone(self) -> bool:
-        """Whether the client has hung up. Guards engines against work for no one: after a loop that stood
-        still, or behind bad requests, the end of the connection may lie unread."""
-        return bool(self.seen() & GONE)
-
-    def penance(self) -> float:
-        """s for which nothing is read after bad requests: with requests open no longer than their client's
-        leaving may go unnoticed."""
-        return min(PENANCE[0] * self.faults, PENANCE[0] if self.calls else PENANCE[1])
-
-    def stop(self, why: str) -> None:
-        if why:
-            log_event("client", why)
-        self.front.held -= self.outbox.discard() + self.unread
-        self.unread = 0
-        task = self.front.connections.pop(self, None)
-        self.front.rests(self)
+    def is_busy(self) -> bool:
+        """Whether a response is owed, or not yet written."""
+        return bool(self.calls or self.write_queue.pending_bytes)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes held for the connection that its client could take or complete."""
+        return self.write_queue.pending_bytes + self.unread_bytes
+
+    def _socket_events(self) -> int:
+        """Return the kernel's events of the socket, whether read or not."""
+        if self.sock.fileno() < 0:  # closed: its number may be another one's
+            return select.POLLHUP
+        return sum(event for _, event in self._poll.poll(0))
+
+    def has_pending_input(self) -> bool:
+        """Return whether the client has begun a message that is not handled yet.
+
+        Closed then, the connection would take a request with it that never gets a response.
+        """
+        return bool(self.unread_bytes or self._decoder.buffer[0] or self._socket_events())
+
+    def is_client_gone(self) -> bool:
+        """Return whether the client has hung up, even if that is not read yet.
+
+        The end of a connection may be unread while the event loop is late, or during an error backoff.
+        """
+        return bool(self._socket_events() & _HANG_UP_EVENTS)
+
+    def error_backoff(self) -> float:
+        """Return the seconds for which nothing is read after invalid requests.
+
+        With open calls it is short, so that it is noticed soon when their client hangs up.
+        """
+        maximum = MIN_ERROR_BACKOFF_SECONDS if self.calls else MAX_ERROR_BACKOFF_SECONDS
+        return min(MIN_ERROR_BACKOFF_SECONDS * self.invalid_requests, maximum)
+
+    def stop(self, reason: str) -> None:
+        """Close the connection without regard to what is owed; a reason is logged, an empty one is not."""
+        if reason:
+            log_event("client", reason)
+        self._table.release_bytes(self.write_queue.discard() + self.unread_bytes)
+        self.unread_bytes = 0
+        task = self._table.detach(self)
         if task is not None:
             task.cancel()
 
     async def run(self) -> None:
-        """Reads messages until the connection ends. What goes wrong on it stops here."""
+        """Read and handle messages until the connection ends, and close it."""
         try:
             self.sock.setblocking(False)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self._read()
+            await self._read_messages()
         except asyncio.CancelledError:
-            if not self.unfinished:
+            if not self._is_message_overdue:
                 raise
             asyncio.current_task().uncancel()
-            self.counters["unfinished_messages"] += 1
-            await self._leave()
+            self._counters["unfinished_messages"] += 1
+            await self._linger()
         except OSError:
-            self.counters["connections_reset"] += 1
+            self._counters["connections_reset"] += 1
         except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
-            self.counters["bad_messages"] += 1
+            self._counters["bad_messages"] += 1
             log_event("client", f"{type(error).__name__}: {str(error)[:80]}")
-            await self._leave()
+            await self._linger()
         finally:
-            self._give_up()
+            await self._close()
+
+    async def _read_messages(self) -> None:
+        loop = asyncio.get_running_loop()
+        buffer = self._decoder.buffer
+        message_deadline = loop.time() + MESSAGE_TIMEOUT_SECONDS
+        while True:
+            read_started_at = self._driver.now()
+            timer = None
+            if message_deadline is not None:
+                timer = loop.call_at(message_deadline, self._on_message_overdue, asyncio.current_task())
             try:
-                await self.outbox.close()
+                size = await loop.sock_recv_into(self.sock, buffer)
             finally:
-                self.front.held -= self.outbox.pending_bytes + self.unread
-                self.sock.close()
-                for query in list(self.leaving):
-                    self.left(query)
-                self.front.closed(self)
-
-    def _give_up(self) -> None:
-        """A client that hangs up has given all of its requests up."""
-        for task, _ in self.calls.values():
-            task.cancel()
-
-    async def _leave(self) -> None:
-        """Sends what is left and waits a little for the client to read it and hang up: closed with bytes
-        unread, the connection is reset, which can take an answer with it."""
-        self._give_up()
-        loop, buffer = asyncio.get_running_loop(), bytearray(RECEIVE)
+                if timer is not None:
+                    timer.cancel()
+            if not size:
+                return
+            if self._handle_received(size, read_started_at):
+                message_deadline = None
+            if self.unread_bytes and message_deadline is None:
+                message_deadline = loop.time() + MESSAGE_TIMEOUT_SECONDS
+            if self.invalid_requests:
+                await asyncio.sleep(self.error_backoff())
+
+    def _handle_received(self, size: int, read_started_at: float) -> bool:
+        """Handle the messages that are complete with `size` received bytes; return whether there is one.
+
+        Raises:
+            MalformedMessageError: The incomplete message is too long.
+        """
+        received_at = self._driver.now()
+        is_drained = size < RECEIVE_BUFFER_BYTES
+        self._arrived_since = self.source.read(read_started_at, self._driver.arrivals.polled, is_drained)
+        is_any_complete = False
+        for message in self._decoder.decode(size):
+            is_any_complete = True
+            self.handle_message(message, received_at)
+        if is_any_complete:
+            self._table.mark_idle(self)
+        incomplete_bytes = self._decoder.incomplete_bytes
+        self._table.add_bytes(incomplete_bytes - self.unread_bytes)
+        self.unread_bytes = incomplete_bytes
+        if incomplete_bytes > MAX_MESSAGE_BYTES:  # nested arrays, which no other limit counts
+            raise MalformedMessageError("the message is too long")
+        return is_any_complete
+
+    def _on_message_overdue(self, reader: asyncio.Task) -> None:
+        """End a connection whose client sends nothing, or does not complete a message.
+
+        If the rest has arrived in this iteration, or while the event loop was late, it is read first.
+        """
+        if not (self._decoder.buffer[0] or self._socket_events()):
+            self._is_message_overdue = True
+            reader.cancel()
+
+    async def _linger(self) -> None:
+        """Write what is left, and wait a little for the client to read it and to hang up.
+
+        A connection that is closed with bytes unread is reset, which can take a response with it.
+        """
+        self._cancel_calls()
+        loop = asyncio.get_running_loop()
+        buffer = bytearray(RECEIVE_BUFFER_BYTES)
         try:
-            async with asyncio.timeout(LEAVE):
-                await self.outbox.flush()
+            async with asyncio.timeout(LINGER_TIMEOUT_SECONDS):
+                await self.write_queue.flush()
                 self.sock.shutdown(socket.SHUT_WR)
-                for _ in range(MOST_MESSAGE // RECEIVE):  # no more: who floods may be reset
+                for _ in range(MAX_MESSAGE_BYTES // RECEIVE_BUFFER_BYTES):  # a client that floods is reset
                     if not await loop.sock_recv_into(self.sock, buffer):
                         break
         except (OSError, TimeoutError):
             pass
 
-    async def _read(self) -> None:
-        loop, buffer = asyncio.get_running_loop(), self.buffer
-        unpacker = msgpack.Unpacker(
-            raw=False, max_buffer_size=MOST_MESSAGE, read_size=RECEIVE, max_array_len=64, max_map_len=64
-        )
-        fed, due = 0, loop.time() + UNFINISHED
-        while True:
-            asked = self.front.driver.now()
-            # Guards against clients that say nothing, or never end what they say.
-            limit = None if due is None else loop.call_at(due, self._overdue, asyncio.current_task())
-            try:
-                size = await loop.sock_recv_into(self.sock, buffer)
-            finally:
-                if limit is not None:
-                    limit.cancel()
-            if not size:
-                return
-            now = self.front.driver.now()
-            self.since = self.source.read(asked, self.front.driver.arrivals.polled, size < RECEIVE)
-            fed += size
-            unpacker.feed(memoryview(buffer)[:size])
-            buffer[0] = 0
-            taken = 0
-            for message in unpacker:
-                taken = unpacker.tell()
-                self.take(message, now)
-            if taken:
-                due, self.last_whole = None, taken
-                self.front.rests(self)
-            unread = fed - self.last_whole
-            self.front.hold(unread - self.unread)
-            self.unread = unread
-            if unread > MOST_MESSAGE:  # guards against arrays in arrays, which no other bound counts
-                raise BadMessage("a message without end")
-            if unread and due is None:
-                due = loop.time() + UNFINISHED
-            if self.faults:
-                await asyncio.sleep(self.penance())
-
-    def _overdue(self, reading: asyncio.Task) -> None:
-        """Guards the message whose end came in this very turn, or while the loop stood still: it is read."""
-        if not (self.buffer[0] or self.seen()):
-            self.unfinished = True
-            reading.cancel()
-
-    def take(self, message: object, now: float) -> None:
-        match message:
-            case [0, int(number), "probe", [dict()]]:
-                self.counters["probed"] += 1
-                self.count(number)
-                self.send(reply(number, None, [self.front.ready, {}]))
-            case [0, int(number), str(method), list(params)]:
-                self.count(number)
-                self.call(number, method, params, now)
-            case [2, "giveUp", [int(number)]]:
-                self.counters["given_up"] += 1
-                call = self.calls.get(number)
-                if call is not None:  # else its answer is on its way
-                    task, query = call
-                    spent = now - query.received_at
-                    log_event("client", f"gave call {number} up after {spent:.3f} of {query.timeout:.3f} s")
-                    task.cancel()
-                    self.release(number)
-            case _:
-                raise BadMessage(f"not a call: a {type(message).__name__}")
-
-    def count(self, number: int) -> None:
-        """Guards against two calls under one number: an answer would not tell which it is for."""
-        if isinstance(number, bool) or not self.last < number < 2**32:
-            raise BadMessage("the message ids do not count up")
-        self.last = number
-
-    def call(self, number: int, method: str, params: list, now: float) -> None:
-        front = self.front
-        # Guards against floods before they cost anything: at such a client's own count it has more open.
-        if len(self.calls) >= MOST_OPEN:
-            self.counters["over_bounds"] += 1
-            raise BadMessage(f"over {MOST_OPEN} open requests")
-        try:
-            query = read_query(front.names, method, params, now, self.gone)
-            if (
-                query.request_id in front.refs
-            ):  # guards the open request: an engine would take this for a copy
-                raise BadField("ref: of an open request")
-        except BadField as error:
-            self.counters["bad_requests"] += 1
-            self.faults += 1
-            log_event("request", str(error))
-            self.send(reply(number, ["Error", {}], None))
-            return
-        if query.ordering_key and not front.driver.arrivals.sure(
-            query.ordering_key, self.source, self.since, now
-        ):
-            self.counters["unsure_order"] += 1
-            query = replace(query, order_unknown=True)
-        self.counters["taken_" + method] += 1
-        front.refs.add(query.request_id)
-        task = asyncio.create_task(self.serve(number, query))
-        # Guards against leaks: a task that is cancelled before its first step runs no `finally`.
-        task.add_done_callback(lambda task: self.ended(number, task, query))
-        self.calls[number] = task, query
-        front.hold(len(query.statement))
-
-    async def serve(self, number: int, query: Request) -> None:
-        front = self.front
+    def _cancel_calls(self) -> None:
+        """Cancel all calls: the client has hung up, or can get no response."""
+        for call in self.calls.values():
+            call.task.cancel()
+
+    async def _close(self) -> None:
+        self._cancel_calls()
         try:
-            if front.draining.refuses(asyncio.get_running_loop().time()):
-                self.counters["drain_refused"] += 1
-                answer = front.broker.reject()
-            else:
-                answer = await front.broker.handle(query)
-        except Exception as error:  # guards the client's answer against our own faults
-            self.counters["broker_errors"] += 1
-            log_event("broker", f"{type(error).__name__}: {error}")
-            answer = Failed()
-        self.release(number)
-        self.answer(number, answer, query)
-
-    def ended(self, number: int, task: asyncio.Task, query: Request) -> None:
-        self.counters["clients_gone"] += task.cancelled()
-        if query not in self.leaving:  # no answer is on its way
-            self.front.broker.on_response_delivered(query)
-        self.release(number)
-
-    def release(self, number: int) -> None:
-        """The request is answered, or no longer wanted."""
-        call = self.calls.pop(number, None)
-        if call is not None:
-            self.front.refs.discard(call[1].request_id)
-            self.front.held -= len(call[1].statement)
-            self.front.rests(self)
-
-    def answer(self, number: int, answer: Response, query: Request) -> None:
-        self.counters[ANSWER_COUNTER[type(answer)]] += 1
-        if self.front.figures is not None:
-            self.front.figures.answered(query.class_index, OUTCOME[type(answer)])
-        match answer:
-            case Completed(rows=rows):
-                self.send(reply(number, None, [rows, {}]), query)
-            case Rejected(retry_after=after):
-                advice = {"cooldown": str(ceil(after * 1000))} if after > 0 else {}
-                self.send(reply(number, ["Full", advice], None), query)
-            case Failed():
-                self.send(reply(number, ["Error", {}], None), query)
-
-    def send(self, data: bytes, query: Request | None = None) -> None:
-        if not self.outbox.closed:
-            if query is not None and query.ordering_key:
-                self.leaving.add(query)
-            self.outbox.put(data, lambda: self.sent(len(data), query))
-            self.front.rests(self)
-            self.front.hold(len(data))
-
-    def left(self, query: Request) -> None:
-        self.leaving.discard(query)
-        self.front.broker.on_response_delivered(query)
-
-    def sent(self, size: int, query: Request | None) -> None:
-        if query in self.leaving:
-            self.left(query)
-        self.front.held -= size
-        self.front.rests(self)
+            await self.write_queue.close()
+        finally:
+            self._table.release_bytes(self.buffered_bytes)
+            self.sock.close()
+            self.abandon_responses()
+            self._table.remove(self)
--- /dev/null
+++ b/applevale/server/connection_table.py
@@ -0,0 +1,159 @@
+"""The open connections of a server: which of them are idle, the limits that they share, and their drain."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from ..admin.draining import CROSSING, Drain
+from ..observability.counters import Counters
+
+if TYPE_CHECKING:
+    from .connection import ClientConnection
+
+
+class ConnectionTable:
+    """All connections of a server, within a maximum number of them and of bytes buffered for them.
+
+    Attributes:
+        silent: Connections without a complete message yet, in order, and when each was accepted.
+        idle: Connections whose messages are all answered, in order, and when each became idle.
+        buffered_bytes: Bytes of messages, statements and responses held for all connections.
+        drain_state: Whether clients are sent elsewhere, and until when their requests are accepted.
+    """
+
+    def __init__(self, max_connections: int, max_buffered_bytes: int, counters: Counters):
+        """Create an empty table.
+
+        Args:
+            max_connections: Number of connections above which idle ones are closed for new ones.
+            max_buffered_bytes: Bytes above which the connection that holds most of them is closed.
+            counters: Counts evicted and slow connections, and drains.
+        """
+        self.silent: dict[ClientConnection, float] = {}
+        self.idle: dict[ClientConnection, float] = {}
+        self.buffered_bytes = 0
+        self._max_connections = max_connections
+        self._max_buffered_bytes = max_buffered_bytes
+        self._counters = counters
+        self._tasks: dict[ClientConnection, asyncio.Task] = {}
+        self._capacity_changed = asyncio.Event()
+        self.drain_state = Drain()
+
+    def __iter__(self) -> Iterator[ClientConnection]:
+        """Iterate over the connections in the order in which they were accepted."""
+        return iter(self._tasks)
+
+    def __len__(self) -> int:
+        """Return the number of connections."""
+        return len(self._tasks)
+
+    def __contains__(self, connection: object) -> bool:
+        """Return whether a connection is open."""
+        return connection in self._tasks
+
+    def add(self, connection: ClientConnection, task: asyncio.Task, accepted_at: float) -> None:
+        """Add a connection that is served by `task`; `accepted_at` is by the event loop's clock."""
+        self.silent[connection] = accepted_at
+        self._tasks[connection] = task
+        if self.drain_state.on:
+            self._schedule_close_of_silent(connection, accepted_at)
+
+    def detach(self, connection: ClientConnection) -> asyncio.Task | None:
+        """Remove a connection that is being closed; return its task if it was still open."""
+        task = self._tasks.pop(connection, None)
+        self.mark_idle(connection)
+        return task
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Remove a connection whose task has ended, and let another one in."""
+        self.detach(connection)
+        self._capacity_changed.set()
+
+    def mark_idle(self, connection: ClientConnection) -> None:
+        """Note a change of what is owed on a connection: it becomes the last idle one, or none."""
+        self.silent.pop(connection, None)
+        self.idle.pop(connection, None)
+        if connection in self._tasks and not connection.is_busy:
+            loop = asyncio.get_running_loop()
+            self.idle[connection] = loop.time()
+            self._capacity_changed.set()
+            if self.drain_state.on:
+                # Later in this iteration: the response that ends a call is queued just after the call is
+                # released, and must not be lost with the connection.
+                loop.call_soon(self._close_if_unused, connection)
+
+    async def wait_for_capacity(self) -> None:
+        """Wait until a connection can be added, or an idle one closed for it."""
+        while len(self._tasks) >= self._max_connections and not (self.silent or self.idle):
+            self._capacity_changed.clear()
+            await self._capacity_changed.wait()
+
+    def make_room(self, now: float) -> None:
+        """Close an idle connection if there are too many of them."""
+        if len(self._tasks) >= self._max_connections:
+            self._evict_idle(now)
+
+    def _evict_idle(self, now: float) -> None:
+        """Close a silent connection, or else the one that is idle for longest.
+
+        The requests of others would not be read behind clients that stay idle. A connection whose next
+        message has begun to arrive is closed last of all: its client would be reset.
+        """
+        silent = [
+            connection for connection, accepted_at in self.silent.items() if now - accepted_at >= CROSSING
+        ]
+        candidates = [*silent, *self.idle, *self.silent]
+        unused = (connection for connection in candidates if not connection.has_pending_input())
+        evicted = next(unused, next(iter(candidates), None))
+        if evicted is not None:
+            self._counters["connections_evicted"] += 1
+            evicted.stop("")
+
+    def add_bytes(self, size: int) -> None:
+        """Account for buffered bytes; above the limit, close the connection that holds most of them."""
+        self.buffered_bytes += size
+        if self.buffered_bytes > self._max_buffered_bytes and self._tasks:
+            slowest = max(self._tasks, key=lambda connection: connection.buffered_bytes)
+            self._counters["slow_clients_closed"] += 1
+            slowest.stop("too many buffered bytes")
+
+    def release_bytes(self, size: int) -> None:
+        """Account for bytes that are no longer buffered."""
+        self.buffered_bytes -= size
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether clients are sent elsewhere."""
+        return self.drain_state.on
+
+    def rejects_requests(self, now: float) -> bool:
+        """Return whether a drain has lasted so long that new requests are rejected."""
+        return self.drain_state.refuses(now)
+
+    def drain(self, accept_for: float) -> None:
+        """Close each connection once it is unused; reject new requests after `accept_for` seconds."""
+        self._counters["drains"] += 1
+        self.drain_state.begin(asyncio.get_running_loop().time() + accept_for)
+        for connection in list(self.idle):
+            self._close_if_unused(connection)
+        for connection, accepted_at in self.silent.items():
+            self._schedule_close_of_silent(connection, accepted_at)
+
+    def undrain(self) -> None:
+        """End a drain."""
+        self.drain_state.end()
+
+    def _close_if_unused(self, connection: ClientConnection) -> None:
+        """Close a connection for a drain, unless something is owed on it or has begun to arrive."""
+        if connection not in self._tasks:
+            return
+        is_busy = connection.is_busy
+        if self.drain_state.closes(is_busy, is_busy or connection.has_pending_input()):
+            connection.stop("")
+
+    def _schedule_close_of_silent(self, connection: ClientConnection, accepted_at: float) -> None:
+        """Close a connection once the first request of its client would have arrived."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.drain_state.wait(accepted_at, loop.time()), self._close_if_unused, connection)
--- /dev/null
+++ b/applevale/server/request_parser.py
@@ -0,0 +1,155 @@
+"""Validation of the calls of clients: from the fields of a call to a request."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import nan
+
+from .. import api
+from ..requests.model import Request, client_is_present
+from .rpc import RequestCall
+from .statement import table_group
+
+MAX_TIMEOUT_FACTOR = 1.1  # of the class's deadline: a longer timeout does not belong to the class
+# Far beyond any engine, and still without effect on the estimates that all requests share.
+MAX_ESTIMATED_WORK_MS = 1e8
+MAX_ESTIMATED_MEMORY_MB = 1e7
+MAX_ORDERING_KEY = 2**64 - 1
+
+_REQUEST_ID = re.compile(r"[0-9a-fA-F]{16}")
+_IDEMPOTENCY_KEY = re.compile(r"[0-9A-Za-z_.:-]{0,128}")  # it is passed on among an engine's fields
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+
+
+class InvalidRequestError(ValueError):
+    """A request cannot be used: it is answered with an error."""
+
+
+@dataclass(frozen=True)
+class RequestSchema:
+    """The classes and tenants that the settings define.
+
+    Attributes:
+        specs: The classes, by their index.
+        classes: Index of each class, by its name.
+        tenants: Index of each tenant, by its name.
+    """
+
+    specs: tuple[api.ClassSpec, ...]
+    classes: dict[str, int]
+    tenants: dict[str, int]
+
+    @classmethod
+    def from_settings(cls, settings: api.Settings) -> RequestSchema:
+        """Return the schema of a deployment."""
+        classes = {spec.name: index for index, spec in enumerate(settings.classes)}
+        tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
+        return cls(settings.classes, classes, tenants)
+
+
+def parse_request(
+    schema: RequestSchema,
+    call: RequestCall,
+    received_at: float,
+    is_client_gone: Callable[[], bool] = client_is_present,
+) -> Request:
+    """Return the request in a call.
+
+    Args:
+        schema: The classes and tenants that exist.
+        call: The call of a client.
+        received_at: When it was read, by the driver's clock.
+        is_client_gone: Returns whether the client has hung up.
+
+    Raises:
+        InvalidRequestError: A field is missing or invalid; the text names it.
+    """
+    method = call.method
+    if method not in schema.classes:
+        raise InvalidRequestError(f"unknown class {method[:40]!r}")
+    params = call.params
+    if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
+        raise InvalidRequestError("fields and a body are needed")
+    fields, statement = params
+    class_index = schema.classes[method]
+    spec = schema.specs[class_index]
+    request_id = _parse_request_id(fields)
+    timeout = _parse_number(fields, "allow", spec.deadline * MAX_TIMEOUT_FACTOR * 1000) / 1000
+    estimated_work = _parse_number(fields, "effort", MAX_ESTIMATED_WORK_MS, 0.0) / 1000
+    estimated_memory_mb = _parse_number(fields, "space", MAX_ESTIMATED_MEMORY_MB, 0.0)
+    ordering_key = _parse_ordering_key(fields) if spec.ordered else 0
+    _check_statement(statement)
+    return Request(
+        request_id,
+        class_index,
+        statement,
+        received_at,
+        timeout,
+        _parse_tenant(fields, schema),
+        ordering_key,
+        estimated_work,
+        estimated_memory_mb,
+        table_group(statement),
+        fields.get("dup") == "1",
+        is_client_gone=is_client_gone,
+        idempotency_key=_parse_idempotency_key(fields),
+    )
+
+
+def _parse_request_id(fields: dict) -> bytes:
+    request_id = fields.get("ref")
+    if not isinstance(request_id, str) or not _REQUEST_ID.fullmatch(request_id):
+        raise InvalidRequestError("ref")
+    return request_id.encode()
+
+
+def _parse_number(fields: dict, name: str, maximum: float, default: float | None = None) -> float:
+    """Return a number from 0 to `maximum`; without a default the field is required."""
+    raw = fields.get(name)
+    if raw is None and default is not None:
+        return default
+    try:
+        value = float(raw) if isinstance(raw, str) else nan
+    except ValueError:
+        value = nan
+    if not 0 <= value <= maximum:
+        raise InvalidRequestError(f"{name}: {str(raw)[:40]!r}")
+    return value
+
+
+def _parse_ordering_key(fields: dict) -> int:
+    try:
+        key = int(fields.get("lookup", ""), 16)
+    except (TypeError, ValueError):
+        key = 0
+    if not 0 < key <= MAX_ORDERING_KEY:
+        raise InvalidRequestError("lookup: missing or out of range")
+    return key
+
+
+def _parse_idempotency_key(fields: dict) -> str:
+    key = fields.get("replay", "")
+    if not isinstance(key, str) or not _IDEMPOTENCY_KEY.fullmatch(key):
+        raise InvalidRequestError("replay")
+    return key
+
+
+def _parse_tenant(fields: dict, schema: RequestSchema) -> int:
+    name = fields.get("project")
+    if not schema.tenants or name is None:
+        return 0
+    if not isinstance(name, str) or name not in schema.tenants:
+        raise InvalidRequestError(f"project: {str(name)[:40]!r}")
+    return schema.tenants[name]
+
+
+def _check_statement(statement: bytes) -> None:
+    """Check that engines can read a statement: one that cannot closes a connection that requests share."""
+    try:
+        text = statement.decode()
+    except UnicodeDecodeError:
+        raise InvalidRequestError("the statement is not text") from None
+    if not text.strip() or _CONTROL_CHARACTERS.search(text):
+        raise InvalidRequestError("the statement is not text")
--- /dev/null
+++ b/applevale/server/rpc.py
@@ -0,0 +1,161 @@
+"""MessagePack-RPC: the typed messages of the protocol, and their encoding."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from math import ceil
+
+import msgpack
+
+from ..requests.model import Completed, Failed, Rejected, Response
+
+MAX_MESSAGE_BYTES = 256 * 1024
+RECEIVE_BUFFER_BYTES = 4096  # for each connection: some stay for good
+MAX_CONTAINER_ITEMS = 64  # in one array or map
+MAX_MESSAGE_ID = 2**32 - 1
+
+_ERROR_FAILED = "Error"
+_ERROR_REJECTED = "Full"
+_FIELD_RETRY_AFTER = "cooldown"  # milliseconds, as a string
+
+
+class _MessageType:
+    """Message types of MessagePack-RPC."""
+
+    REQUEST = 0
+    RESPONSE = 1
+    NOTIFICATION = 2
+
+
+class _Method:
+    """Methods with a meaning of their own; any other names a class of requests."""
+
+    PROBE = "probe"
+    CANCEL = "giveUp"
+
+
+class MalformedMessageError(ValueError):
+    """A message violates the protocol, which ends the connection."""
+
+
+@dataclass(slots=True)
+class ProbeCall:
+    """Asks whether the server accepts new clients."""
+
+    message_id: int
+
+
+@dataclass(slots=True)
+class RequestCall:
+    """Asks for the execution of a request; `method` names its class."""
+
+    message_id: int
+    method: str
+    params: list
+
+
+@dataclass(slots=True)
+class CancelNotification:
+    """Cancels the call with this message id; no response is expected."""
+
+    message_id: int
+
+
+Call = ProbeCall | RequestCall | CancelNotification
+
+
+class MessageDecoder:
+    """Decodes the messages in a stream of bytes.
+
+    Attributes:
+        buffer: Bytes are received into it. Invariant: its first byte is 0 unless something was received that
+            is not yet decoded; no message begins with 0.
+    """
+
+    def __init__(self) -> None:
+        """Start at the beginning of a stream."""
+        self.buffer = bytearray(RECEIVE_BUFFER_BYTES)
+        self._unpacker = msgpack.Unpacker(
+            raw=False,
+            max_buffer_size=MAX_MESSAGE_BYTES,
+            read_size=RECEIVE_BUFFER_BYTES,
+            max_array_len=MAX_CONTAINER_ITEMS,
+            max_map_len=MAX_CONTAINER_ITEMS,
+        )
+        self._received_bytes = 0
+        self._last_message_end = 0
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes received of a message that is not complete."""
+        return self._received_bytes - self._last_message_end
+
+    def decode(self, size: int) -> Iterator[object]:
+        """Yield the messages that are complete with the first `size` bytes of the buffer.
+
+        Raises:
+            ValueError: The bytes are not MessagePack, or a message exceeds a limit.
+            msgpack.exceptions.UnpackException: Likewise.
+        """
+        unpacker = self._unpacker
+        self._received_bytes += size
+        unpacker.feed(memoryview(self.buffer)[:size])
+        self.buffer[0] = 0
+        for message in unpacker:
+            self._last_message_end = unpacker.tell()
+            yield message
+
+
+def parse_call(message: object) -> Call:
+    """Return the call in a decoded message.
+
+    Raises:
+        MalformedMessageError: The message is none of the known calls.
+    """
+    match message:
+        case [_MessageType.REQUEST, int(message_id), _Method.PROBE, [dict()]]:
+            return ProbeCall(message_id)
+        case [_MessageType.REQUEST, int(message_id), str(method), list(params)]:
+            return RequestCall(message_id, method, params)
+        case [_MessageType.NOTIFICATION, _Method.CANCEL, [int(message_id)]]:
+            return CancelNotification(message_id)
+    raise MalformedMessageError(f"not a call: a {type(message).__name__}")
+
+
+def check_message_id(message_id: int, last_message_id: int) -> None:
+    """Check that message ids increase, so that a response belongs to one call.
+
+    Raises:
+        MalformedMessageError: The id is out of range or not above the last one.
+    """
+    if isinstance(message_id, bool) or not last_message_id < message_id <= MAX_MESSAGE_ID:
+        raise MalformedMessageError("message ids do not increase")
+
+
+def _encode(message_id: int, error: list | None, result: list | None) -> bytes:
+    return msgpack.packb([_MessageType.RESPONSE, message_id, error, result])
+
+
+def encode_probe_reply(message_id: int, is_ready: bool) -> bytes:
+    """Return the reply to a probe."""
+    return _encode(message_id, None, [is_ready, {}])
+
+
+def encode_response(message_id: int, response: Response) -> bytes:
+    """Return the reply that carries a response."""
+    match response:
+        case Completed(rows=rows):
+            return _encode(message_id, None, [rows, {}])
+        case Rejected(retry_after=retry_after):
+            advice = {}
+            if retry_after > 0:
+                advice[_FIELD_RETRY_AFTER] = str(ceil(retry_after * 1000))
+            return _encode(message_id, [_ERROR_REJECTED, advice], None)
+        case Failed():
+            return encode_error(message_id)
+
+
+def encode_error(message_id: int) -> bytes:
+    """Return the reply to a call that has failed or is invalid."""
+    return _encode(message_id, [_ERROR_FAILED, {}], None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,8 @@
 from applevale.engines.limits import ConnectionLimits
 from applevale.observability.counters import Counters
 from applevale.requests import context, handler, model
-from applevale.server import connection as front
+from applevale.server import connection
+from applevale.server.listener import RpcServer
 
 SAFE = api.ClassSpec("read", deadline=30.0)
 ONCE = api.ClassSpec("write", deadline=30.0, repeat=api.Repeat.UNSAFE)
@@ -324,26 +325,26 @@
 
 
 def pair(scene):
-    """A connection of the front, and its client's end."""
-    if not hasattr(scene, "front"):
-        scene.front = front.Front(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+    """A connection of the server, and its client's end."""
+    if not hasattr(scene, "rpc_server"):
+        scene.rpc_server = RpcServer(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname())
         ours, _ = listener.accept()
     ours.setblocking(False)
-    scene.front.take(ours, scene.driver.now(), True)
-    return list(scene.front.connections)[-1], theirs
+    scene.rpc_server.accept_connection(ours, scene.driver.now(), True)
+    return list(scene.rpc_server.connections)[-1], theirs
 
 
 @pytest.mark.parametrize("before", [b"", b"junk"])
 def test_a_client_has_gone_though_the_end_lies_unread(before):
     async def steps(scene):
         one, theirs = pair(scene)
-        here = one.gone()
+        here = one.is_client_gone()
         theirs.sendall(before)
-        said = one.gone()
+        said = one.is_client_gone()
         theirs.close()
-        return here, said, one.gone()
+        return here, said, one.is_client_gone()
 
     assert play(steps) == (False, False, True)
 
@@ -351,16 +352,16 @@
 def test_bad_requests_do_not_hide_the_clients_leaving_while_work_is_open():
     async def steps(scene):
         one, theirs = pair(scene)
-        one.faults = 40
-        alone = one.penance()
+        one.invalid_requests = 40
+        alone = one.error_backoff()
         one.calls[1] = None
-        busy = one.penance()
+        busy = one.error_backoff()
         one.calls.clear()
         theirs.close()
         return alone, busy
 
     alone, busy = play(steps)
-    assert alone == front.PENANCE[1] and busy <= 0.05
+    assert alone == connection.MAX_ERROR_BACKOFF_SECONDS and busy <= 0.05
 
 
 def test_a_connection_that_is_accepted_in_the_turn_of_the_shutdown_is_served():
@@ -368,14 +369,14 @@
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
-        scene.front = front.Front(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
+        scene.rpc_server = RpcServer(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.fleet.counters)
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        scene.front.accepting = asyncio.create_task(scene.front.accept(listener))
+        scene.rpc_server.start(listener)
         await asyncio.sleep(0)
         theirs = socket.create_connection(listener.getsockname())
         # Behind the turn that finds the caller waiting, and ahead of the task that waits for it.
-        loop.call_soon(lambda: loop.call_soon(scene.front.shut))
+        loop.call_soon(lambda: loop.call_soon(scene.rpc_server.stop_accepting))
         theirs.sendall(msgpack.packb([0, 1, "probe", [{}]]))
         theirs.setblocking(False)
         async with asyncio.timeout(20):
@@ -389,14 +390,14 @@
 @pytest.mark.parametrize("end", [b"", msgpack.packb([0, 1, "probe", [{}]])[5:]])
 def test_a_message_that_ends_while_its_time_runs_out_is_read(end, monkeypatch):
     """Both lay there behind a loop that stood still: its end was read, and thrown away."""
-    monkeypatch.setattr(front, "UNFINISHED", 0.05)
+    monkeypatch.setattr(connection, "MESSAGE_TIMEOUT_SECONDS", 0.05)
     message = msgpack.packb([0, 1, "probe", [{}]])
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
         one, theirs = pair(scene)
         theirs.sendall(message[:5])
-        await until(lambda: one.unread)
+        await until(lambda: one.unread_bytes)
         theirs.sendall(end)
         time.sleep(0.1)
         theirs.setblocking(False)
@@ -414,10 +415,10 @@
         asks, rests = pair(scene), pair(scene)
         await asyncio.sleep(0)
         for one, _ in (asks, rests):
-            scene.front.rests(one)
+            scene.rpc_server.connections.mark_idle(one)
         asks[1].sendall(b"\x94")
         new = pair(scene)
-        left = [one in scene.front.connections for one, _ in (asks, rests, new)]
+        left = [one in scene.rpc_server.connections for one, _ in (asks, rests, new)]
         for _, theirs in (asks, rests, new):
             theirs.close()
         return left
@@ -433,14 +434,14 @@
         scene.want(b"1")
         await until(scene.server.refs)
         link = scene.fleet.engines[1].links[0]
-        kinds = {type(one), type(link), type(one.outbox)}
+        kinds = {type(one), type(link), type(one.write_queue)}
         gc.collect()
         gc.disable()
         try:
             gc.set_debug(gc.DEBUG_SAVEALL)
             theirs.close()
             link.close("it ends")
-            await until(lambda: not scene.front.connections and not scene.fleet.engines[1].links)
+            await until(lambda: not scene.rpc_server.connections and not scene.fleet.engines[1].links)
             del one, link
             await asyncio.sleep(0.05)
             gc.collect()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -13,7 +13,7 @@
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.observability.counters import Counters
 from applevale.requests.model import Completed, Rejected
-from applevale.server.connection import Front
+from applevale.server.listener import RpcServer
 
 
 def test_a_drain_takes_requests_for_a_while_and_lasts_until_it_is_ended():
@@ -49,12 +49,12 @@
 
 
 class Site:
-    """A front with one client, on the loop that the program uses."""
+    """A server with one client, on the loop that the program uses."""
 
     def __init__(self):
         listener = socket.create_server(("127.0.0.1", 0))
         self.handler, self.counters, self.unpacker = FakeHandler(), Counters(), msgpack.Unpacker()
-        self.front = Front(
+        self.server = RpcServer(
             self.handler, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20, self.counters
         )
         self.client = socket.create_connection(listener.getsockname())
@@ -62,7 +62,7 @@
         listener.close()
         for sock in (self.client, theirs):
             sock.setblocking(False)
-        self.front.take(theirs, 0.0, True)
+        self.server.accept_connection(theirs, 0.0, True)
 
     def ask(self, number):
         fields = {"ref": f"{number:016x}", "allow": "3000"}
@@ -86,7 +86,7 @@
         try:
             await script(site)
         finally:
-            for connection in list(site.front.connections):
+            for connection in list(site.server.connections):
                 connection.stop("")
             site.client.close()
 
@@ -101,7 +101,7 @@
 
         def crossing():  # the loop reads it after this turn, and the drain begins before its task has run
             site.ask(2)
-            loop.call_soon(site.front.drain)
+            loop.call_soon(site.server.drain)
 
         loop.call_soon(crossing)
         answer = await site.read()
@@ -116,8 +116,8 @@
         site.handler.let.clear()
         site.ask(1)
         await site.handler.came.wait()
-        site.front.drain()
-        site.front.draining.until -= TAKES  # it has lasted that long
+        site.server.drain()
+        site.server.connections.drain_state.until -= TAKES  # it has lasted that long
         site.ask(2)
         refused = await site.read()
         assert refused[1] == 2 and refused[2] == ["Full", {"cooldown": "500"}]
@@ -130,14 +130,14 @@
 
 def test_a_silent_connection_is_closed_soon_but_its_first_request_is_awaited():
     async def script(site):
-        site.front.drain()
-        assert site.front.connections
+        site.server.drain()
+        assert site.server.connections
         site.ask(1)  # it was on its way
         assert (await site.read())[1] == 1
         assert await site.read() is None
 
     async def silent(site):
-        site.front.drain()
+        site.server.drain()
         assert await site.read() is None
         assert not site.counters["unfinished_messages"]  # closed by the drain, not by the bound on silence
 
@@ -149,12 +149,12 @@
     async def script(site):
         site.ask(1)
         await site.read()
-        site.front.draining.begin(0.0)
-        connection = next(iter(site.front.connections))
-        site.front.rests(connection)  # to be looked at in the next turn
-        site.front.undrain()
+        site.server.connections.drain_state.begin(0.0)
+        connection = next(iter(site.server.connections))
+        site.server.connections.mark_idle(connection)  # to be looked at in the next turn
+        site.server.undrain()
         site.ask(2)
-        assert (await site.read())[1] == 2 and connection in site.front.idle
+        assert (await site.read())[1] == 2 and connection in site.server.connections.idle
 
     played(script)
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -17,13 +17,15 @@
 from applevale.discovery import control_feed as feed
 from applevale.discovery import endpoints as members
 from applevale.engines import connection as engine
-from applevale.server import connection as front
+from applevale.observability.counters import Counters
+from applevale.server.request_parser import InvalidRequestError, RequestSchema, parse_request
+from applevale.server.rpc import RequestCall
 from applevale.server.statement import table_group
 
 NAMES = members.Names(("here",), ("a", "b"))
 EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
 SETTINGS = replace(parse_config(EXAMPLE, {}).settings, tenants=(api.TenantSpec("one"), api.TenantSpec("two")))
-NAMED = front.Names.of(SETTINGS)
+SCHEMA = RequestSchema.from_settings(SETTINGS)
 
 
 def frame(number, kind, *records):
@@ -59,7 +61,7 @@
 @pytest.mark.parametrize("bad", [frame(3, 2, ONE), frame(2, 0), b"\0\0\0\x08" + bytes(9), b"\xff" * 13])
 def test_a_gap_or_a_bad_frame_breaks_the_connection(bad):
     told = []
-    follower = feed.Feed(1, NAMES, front.Counters(), told.append)
+    follower = feed.Feed(1, NAMES, Counters(), told.append)
     with pytest.raises(feed.FeedError):
         for change in feed.Frames(NAMES).feed(bad):
             follower.take(change)
@@ -92,11 +94,11 @@
 )
 
 
-@given(st.sampled_from([*NAMED.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
+@given(st.sampled_from([*SCHEMA.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
 def test_any_call_is_a_usable_request_or_a_named_fault(method, params):
     try:
-        request = front.read_query(NAMED, method, params, 1.0)
-    except front.BadField as error:
+        request = parse_request(SCHEMA, RequestCall(1, method, params), 1.0)
+    except InvalidRequestError as error:
         assert str(error)
         return
     assert (
@@ -117,7 +119,7 @@
         "replay": "b2ec",
         "project": "two",
     }
-    request = front.read_query(NAMED, "load", [fields, b"insert into air_4.x"], 9.0)
+    request = parse_request(SCHEMA, RequestCall(1, "load", [fields, b"insert into air_4.x"]), 9.0)
     assert (
         request.timeout,
         request.estimated_work,
@@ -142,8 +144,8 @@
 )
 def test_what_an_engine_would_misread_or_no_one_is_named_by_is_a_named_fault(field, value):
     fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", field: value}
-    with pytest.raises(front.BadField, match=field):
-        front.read_query(NAMED, "lookup", [fields, b"select 1 from air_4.x"], 9.0)
+    with pytest.raises(InvalidRequestError, match=field):
+        parse_request(SCHEMA, RequestCall(1, "lookup", [fields, b"select 1 from air_4.x"]), 9.0)
 
 
 ANSWERS = engine.command(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n") + engine.command(b"b", b"SHED", b"-", b"")
