--- a/applevale/requests/context.py
+++ b/applevale/requests/context.py
@@ -126,7 +126,7 @@
             self.number,
             request.class_index,
             request.tenant_index,
-            request.ordering_key,
+            request.order_key,
             max(0.0, time_to_live),
             request.estimated_work,
             request.estimated_memory_mb,
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -35,20 +35,20 @@
         self._environment = RequestEnvironment(driver, pool, settings, counters)
         self._driver = driver
         self._counters = counters
-        # Requests with an ordering key, and their numbers, until their responses are delivered.
+        # Requests with an order key, and their numbers, until their responses are delivered.
         self._undelivered: dict[Request, int] = {}
         self._is_rejecting = False
         self._rejection_timer: asyncio.TimerHandle | None = None
 
     async def handle(self, request: Request) -> Response:
         """Return the response to a request; the task is cancelled when the client has gone."""
-        if request.ordering_key:
+        if request.order_key:
             await self._driver.current.wait()
         if not self._may_admit(request):
             return self.reject()
         context = RequestContext(self._environment, request)
         self.active.add(context)
-        if request.ordering_key:
+        if request.order_key:
             self._undelivered[request] = context.number
         deadline_timer = asyncio.get_running_loop().call_later(
             max(0.0, context.time_remaining() - FINAL_ANSWER_MARGIN_SECONDS),
@@ -86,7 +86,7 @@
         """
         number = self._undelivered.pop(request, None)
         if number is not None:
-            self._driver.post(api.AnswerSent(number, request.ordering_key, self._driver.gap()))
+            self._driver.post(api.AnswerSent(number, request.order_key, self._driver.gap()))
 
     def set_shutdown_deadline(self, deadline: float) -> None:
         """Set the time, by the driver's clock, at which the process stops; no request is given more."""
--- a/applevale/requests/model.py
+++ b/applevale/requests/model.py
@@ -22,7 +22,7 @@
         received_at: When it was read, by the driver's clock.
         timeout: Seconds from `received_at` for which the client waits.
         tenant_index: Index of the tenant in the settings.
-        ordering_key: Requests of one key are executed in their order of arrival; 0: no order.
+        order_key: Requests of one key are executed in their order of arrival; 0: no order.
         estimated_work: Estimated seconds on one core; 0: none was given.
         estimated_memory_mb: Estimated memory; 0: none was given.
         table_group: Number of the group of tables that the statement uses; 0: none.
@@ -38,7 +38,7 @@
     received_at: float
     timeout: float
     tenant_index: int = 0
-    ordering_key: int = 0
+    order_key: int = 0
     estimated_work: float = 0.0
     estimated_memory_mb: float = 0.0
     table_group: float = 0.0
--- a/applevale/server/request_parser.py
+++ b/applevale/server/request_parser.py
@@ -16,7 +16,7 @@
 # Far beyond any engine, and still without effect on the estimates that all requests share.
 MAX_ESTIMATED_WORK_MS = 1e8
 MAX_ESTIMATED_MEMORY_MB = 1e7
-MAX_ORDERING_KEY = 2**64 - 1
+MAX_ORDER_KEY = 2**64 - 1
 
 _REQUEST_ID = re.compile(r"[0-9a-fA-F]{16}")
 _IDEMPOTENCY_KEY = re.compile(r"[0-9A-Za-z_.:-]{0,128}")  # it is passed on among an engine's fields
@@ -69,17 +69,14 @@
     method = call.method
     if method not in schema.classes:
         raise InvalidRequestError(f"unknown class {method[:40]!r}")
-    params = call.params
-    if len(params) != 2 or not isinstance(params[0], dict) or not isinstance(params[1], bytes):
-        raise InvalidRequestError("fields and a body are needed")
-    fields, statement = params
+    fields, statement = _split_params(call.params)
     class_index = schema.classes[method]
     spec = schema.specs[class_index]
     request_id = _parse_request_id(fields)
     timeout = _parse_number(fields, "allow", spec.deadline * MAX_TIMEOUT_FACTOR * 1000) / 1000
     estimated_work = _parse_number(fields, "effort", MAX_ESTIMATED_WORK_MS, 0.0) / 1000
     estimated_memory_mb = _parse_number(fields, "space", MAX_ESTIMATED_MEMORY_MB, 0.0)
-    ordering_key = _parse_ordering_key(fields) if spec.ordered else 0
+    order_key = _parse_order_key(fields) if spec.ordered else 0
     _check_statement(statement)
     return Request(
         request_id,
@@ -88,7 +85,7 @@
         received_at,
         timeout,
         _parse_tenant(fields, schema),
-        ordering_key,
+        order_key,
         estimated_work,
         estimated_memory_mb,
         table_group(statement),
@@ -98,6 +95,14 @@
     )
 
 
+def _split_params(params: list) -> tuple[dict, bytes]:
+    """Return the fields and the statement of a call."""
+    match params:
+        case [dict(fields), bytes(statement)]:
+            return fields, statement
+    raise InvalidRequestError("fields and a body are needed")
+
+
 def _parse_request_id(fields: dict) -> bytes:
     request_id = fields.get("ref")
     if not isinstance(request_id, str) or not _REQUEST_ID.fullmatch(request_id):
@@ -119,12 +124,12 @@
     return value
 
 
-def _parse_ordering_key(fields: dict) -> int:
+def _parse_order_key(fields: dict) -> int:
     try:
         key = int(fields.get("lookup", ""), 16)
     except (TypeError, ValueError):
         key = 0
-    if not 0 < key <= MAX_ORDERING_KEY:
+    if not 0 < key <= MAX_ORDER_KEY:
         raise InvalidRequestError("lookup: missing or out of range")
     return key
 
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -41,7 +41,7 @@
         super().__init__(sock, arrived_since, context.connections, context.driver, context.counters)
         self._context = context
         self._last_message_id = -1
-        # Requests with an ordering key whose responses are queued and not yet written.
+        # Requests with an order key whose responses are queued and not yet written.
         self._undelivered: set[Request] = set()
 
     def handle_message(self, message: object, received_at: float) -> None:
@@ -106,8 +106,8 @@
         request = parse_request(context.schema, call, received_at, self.is_client_gone)
         if request.request_id in context.open_request_ids:  # engines would take it for a repetition
             raise InvalidRequestError("ref: of an open request")
-        if request.ordering_key and not self._driver.arrivals.sure(
-            request.ordering_key, self.source, self._arrived_since, received_at
+        if request.order_key and not self._driver.arrivals.sure(
+            request.order_key, self.source, self._arrived_since, received_at
         ):
             self._counters["unsure_order"] += 1
             request = replace(request, order_unknown=True)
@@ -158,7 +158,7 @@
         """Queue a reply; `request` is the one that it responds to, if any."""
         if self.write_queue.closed:
             return
-        if request is not None and request.ordering_key:
+        if request is not None and request.order_key:
             self._undelivered.add(request)
         self.write_queue.put(data, lambda: self._on_written(len(data), request))
         self._table.mark_idle(self)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -492,7 +492,7 @@
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
         scene.driver.current.clear()  # a loop that stood still reads the rest first
-        request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, ordering_key=7)
+        request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, order_key=7)
         task = asyncio.create_task(scene.handler.handle(request))
         await asyncio.sleep(0)
         scene.handler.set_shutdown_deadline(scene.driver.now())
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -18,8 +18,9 @@
 from applevale.discovery import endpoints as members
 from applevale.engines import connection as engine
 from applevale.observability.counters import Counters
+from applevale.requests.model import Completed, Failed, Rejected
+from applevale.server import rpc
 from applevale.server.request_parser import InvalidRequestError, RequestSchema, parse_request
-from applevale.server.rpc import RequestCall
 from applevale.server.statement import table_group
 
 NAMES = members.Names(("here",), ("a", "b"))
@@ -97,13 +98,13 @@
 @given(st.sampled_from([*SCHEMA.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
 def test_any_call_is_a_usable_request_or_a_named_fault(method, params):
     try:
-        request = parse_request(SCHEMA, RequestCall(1, method, params), 1.0)
+        request = parse_request(SCHEMA, rpc.RequestCall(1, method, params), 1.0)
     except InvalidRequestError as error:
         assert str(error)
         return
     assert (
         0 <= request.timeout < float("inf")
-        and 0 <= request.ordering_key < 2**64
+        and 0 <= request.order_key < 2**64
         and 0 <= request.estimated_work < float("inf")
     )
 
@@ -119,12 +120,12 @@
         "replay": "b2ec",
         "project": "two",
     }
-    request = parse_request(SCHEMA, RequestCall(1, "load", [fields, b"insert into air_4.x"]), 9.0)
+    request = parse_request(SCHEMA, rpc.RequestCall(1, "load", [fields, b"insert into air_4.x"]), 9.0)
     assert (
         request.timeout,
         request.estimated_work,
         request.estimated_memory_mb,
-        request.ordering_key,
+        request.order_key,
         request.table_group,
     ) == (1.5, 0.82, 96.0, 255, 4.0)
     assert request.is_client_retry and request.class_index == 2 and request.received_at == 9.0
@@ -145,7 +146,49 @@
 def test_what_an_engine_would_misread_or_no_one_is_named_by_is_a_named_fault(field, value):
     fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", field: value}
     with pytest.raises(InvalidRequestError, match=field):
-        parse_request(SCHEMA, RequestCall(1, "lookup", [fields, b"select 1 from air_4.x"]), 9.0)
+        parse_request(SCHEMA, rpc.RequestCall(1, "lookup", [fields, b"select 1 from air_4.x"]), 9.0)
+
+
+@pytest.mark.parametrize(
+    "response, data",
+    [
+        (Completed(b"r\n"), b"\x94\x01\x07\xc0\x92\xc4\x02r\n\x80"),
+        (Rejected(0.5), b"\x94\x01\x07\x92\xa4Full\x81\xa8cooldown\xa3500\xc0"),
+        (Rejected(0.0001), b"\x94\x01\x07\x92\xa4Full\x81\xa8cooldown\xa11\xc0"),
+        (Rejected(0.0), b"\x94\x01\x07\x92\xa4Full\x80\xc0"),
+        (Failed(), b"\x94\x01\x07\x92\xa5Error\x80\xc0"),
+    ],
+)
+def test_each_response_has_its_bytes(response, data):
+    assert rpc.encode_response(7, response) == data
+
+
+@pytest.mark.parametrize(
+    "message, call",
+    [
+        ([0, 1, "probe", [{}]], rpc.ProbeCall(1)),
+        ([0, 1, "probe", []], rpc.RequestCall(1, "probe", [])),
+        ([0, 1, "lookup", [{}, b"x"]], rpc.RequestCall(1, "lookup", [{}, b"x"])),
+        ([2, "giveUp", [1]], rpc.CancelNotification(1)),
+        ([2, "giveUp", []], None),
+        ([0, "1", "lookup", []], None),
+        ([1, 1, None, []], None),
+        (7, None),
+    ],
+)
+def test_each_message_is_one_call_or_malformed(message, call):
+    if call is not None:
+        assert rpc.parse_call(message) == call
+        return
+    with pytest.raises(rpc.MalformedMessageError):
+        rpc.parse_call(message)
+
+
+@pytest.mark.parametrize("message_id, last", [(True, 0), (0, 0), (3, 4), (2**32, 0)])
+def test_message_ids_increase_within_32_bits(message_id, last):
+    rpc.check_message_id(last + 1, last)
+    with pytest.raises(rpc.MalformedMessageError):
+        rpc.check_message_id(message_id, last)
 
 
 ANSWERS = engine.command(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n") + engine.command(b"b", b"SHED", b"-", b"")
