--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -95,7 +95,7 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a response is owed, or not yet written."""
+        """Whether a call is open, or a response is not yet written."""
         return bool(self.calls or self.write_queue.pending_bytes)
 
     @property
@@ -132,7 +132,7 @@
         return min(MIN_ERROR_BACKOFF_SECONDS * self.invalid_requests, maximum)
 
     def stop(self, reason: str) -> None:
-        """Close the connection without regard to what is owed; a reason is logged, an empty one is not."""
+        """Close the connection at once, with its open calls; an empty reason is not logged."""
         if reason:
             log_event("client", reason)
         self._table.release_bytes(self.write_queue.discard() + self.unread_bytes)
--- a/applevale/server/connection_table.py
+++ b/applevale/server/connection_table.py
@@ -72,7 +72,7 @@
         self._capacity_changed.set()
 
     def mark_idle(self, connection: ClientConnection) -> None:
-        """Note a change of what is owed on a connection: it becomes the last idle one, or none."""
+        """Update whether a connection is idle; an idle one becomes the last in the order of eviction."""
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
         if connection in self._tasks and not connection.is_busy:
@@ -146,7 +146,7 @@
         self.drain_state.end()
 
     def _close_if_unused(self, connection: ClientConnection) -> None:
-        """Close a connection for a drain, unless something is owed on it or has begun to arrive."""
+        """Close a connection for a drain, unless it is busy or a message has begun to arrive."""
         if connection not in self._tasks:
             return
         is_busy = connection.is_busy
--- a/applevale/server/context.py
+++ b/applevale/server/context.py
@@ -23,7 +23,7 @@
         connections: All connections, and the limits that they share.
         counters: Counts of what comes in and goes out.
         metrics: Counts of responses for operators, if any.
-        is_ready: Whether probes are told that new clients are accepted.
+        is_ready: Whether probes are answered that new clients are accepted.
         open_request_ids: Ids of the requests without a response.
     """
 
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -69,7 +69,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether probes are told that new clients are accepted."""
+        """Whether probes are answered that new clients are accepted."""
         return self._context.is_ready
 
     @is_ready.setter
@@ -167,7 +167,7 @@
         return self.connections.is_draining
 
     def drain(self, accept_for: float = TAKES) -> None:
-        """Send clients elsewhere: answer what is owed, and accept requests for `accept_for` seconds."""
+        """Send clients elsewhere: finish open calls, and accept requests for `accept_for` more seconds."""
         self.connections.drain(accept_for)
 
     def undrain(self) -> None:
