--- a/applevale/engines/attempt.py
+++ b/applevale/engines/attempt.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..api import Result
-from ..net.write_queue import Message
+from ..net.write_queue import QueuedMessage
 from . import resp
 
 if TYPE_CHECKING:
@@ -111,7 +111,7 @@
     def __init__(self, spec: AttemptSpec, on_result: Callable[[AttemptResult], None]) -> None:
         self.spec = spec
         self.connection: EngineConnection | None = None
-        self.message: Message | None = None
+        self.message: QueuedMessage | None = None
         self.page_count = 0
         self.is_cancelled = False
         self.is_finished = False
@@ -136,7 +136,7 @@
         """Return what the end of its connection proves about this attempt."""
         if self.page_count:
             return AttemptFailed(Progress.EXECUTED, Result.RESET)
-        if self.message is not None and self.message.begun:
+        if self.message is not None and self.message.write_started:
             return AttemptFailed(Progress.POSSIBLY_EXECUTED, Result.RESET)
         # A connection that was reset before the command was written proves nothing about the engine.
         result = Result.MOOT if self.connection.was_connected else Result.CONNECT_FAILED
--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -9,7 +9,7 @@
 import hiredis
 
 from ..api import Result
-from ..net.write_queue import Message
+from ..net.write_queue import QueuedMessage
 from ..observability.events import log_event
 from . import resp
 from .attempt import CANCEL_SETTLE_SECONDS, Attempt, AttemptFailed, Progress
@@ -82,7 +82,7 @@
         """
         return self.transport.is_reusable()
 
-    def send_command(self, *parts: bytes, on_written: Callable[[], None] | None = None) -> Message:
+    def send_command(self, *parts: bytes, on_written: Callable[[], None] | None = None) -> QueuedMessage:
         """Queue a command; `on_written` is called once the system has all of it."""
         return self.transport.send_command(*parts, on_written=on_written)
 
@@ -133,10 +133,10 @@
                 continue
             if attempt.message is None or self.write_queue.withdraw(attempt.message):
                 attempt.finish(AttemptFailed(Progress.NOT_SENT, Result.MOOT))
-        if self.write_queue.size:
+        if self.write_queue.pending_bytes:
             loop = asyncio.get_running_loop()
             wait = self.pool.limits.drain_grace / 2
-            loop.call_later(wait, self._close_if_stalled, self.write_queue.writes)
+            loop.call_later(wait, self._close_if_stalled, self.write_queue.completed_writes)
 
     def drain(self) -> None:
         """Take no further attempt, and close once those that it carries have ended."""
@@ -156,7 +156,7 @@
             self._task.cancel()
 
     def _close_if_stalled(self, write_count: int) -> None:
-        if self.write_queue.size and self.write_queue.writes == write_count:
+        if self.write_queue.pending_bytes and self.write_queue.completed_writes == write_count:
             self.close("it takes nothing in, and drains")
 
     def _mark_busy(self) -> None:
--- a/applevale/engines/transport.py
+++ b/applevale/engines/transport.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 
-from ..net.write_queue import Message, Outbox
+from ..net.write_queue import QueuedMessage, WriteQueue
 from . import resp
 
 RECEIVE_BUFFER_BYTES = 8_192
@@ -25,7 +25,7 @@
     def __init__(self, on_broken: Callable[[str], None]) -> None:
         """Create the socket; `on_broken` is told why writing has failed, until `close`."""
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.write_queue = Outbox(self.sock, WRITE_STALL_SECONDS, on_broken)
+        self.write_queue = WriteQueue(self.sock, WRITE_STALL_SECONDS, on_broken)
         self.parser = resp.ReplyParser()
         self._hangup_poll = select.poll()
         self._hangup_poll.register(self.sock, select.POLLRDHUP)
@@ -67,7 +67,7 @@
         """Return whether nothing is left of the replies so far, and the engine has not closed its end."""
         return not (self.parser.unparsed or self._hangup_poll.poll(0))
 
-    def send_command(self, *parts: bytes, on_written: Callable[[], None] | None = None) -> Message:
+    def send_command(self, *parts: bytes, on_written: Callable[[], None] | None = None) -> QueuedMessage:
         """Queue a command; `on_written` is called once the system has all of it."""
         return self.write_queue.put(resp.encode_array(*parts), on_written)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,8 +17,9 @@
 from applevale.engines.limits import ConnectionLimits
 from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
-from applevale.requests import handler as broker
-from applevale.server import connection as front
+from applevale.requests import context, handler, model
+from applevale.server import connection
+from applevale.server.listener import RpcServer
 
 SAFE = api.ClassSpec("read", deadline=30.0)
 ONCE = api.ClassSpec("write", deadline=30.0, repeat=api.Repeat.UNSAFE)
@@ -68,13 +69,13 @@
 
 
 class Scene:
-    """A broker on a pool of one engine, and a module that says what it is told to say."""
+    """A request handler on a pool of one engine, and a module that says what it is told to say."""
 
     def __init__(self, server, grace=0.2):
         self.server = server
         self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
         self.driver = Driver(Module(), self.pool, self.pool.counters)
-        self.broker = broker.Broker(self.driver, self.pool, SETTINGS, self.pool.counters)
+        self.handler = handler.RequestHandler(self.driver, self.pool, SETTINGS, self.pool.counters)
         self.ends = []
         self.list(api.State.READY)
 
@@ -88,18 +89,18 @@
         return self.pool.start_attempt(1, want, set(), lambda ending: self.ends.append((ref, ending)))
 
     def serve(self, cls, gone=lambda: False):
-        query = broker.Query(b"%016x" % cls, cls, b"x", self.driver.now(), 30.0, gone=gone)
-        task = asyncio.create_task(self.broker.serve(query))
+        request = model.Request(b"%016x" % cls, cls, b"x", self.driver.now(), 30.0, is_client_gone=gone)
+        task = asyncio.create_task(self.handler.handle(request))
         return task
 
     async def out(self, cls):
         """A request with an attempt that has reached the engine."""
         task = self.serve(cls)
-        await until(lambda: self.broker.lives)
-        (life,) = self.broker.lives
-        life.inbox.put_nowait(api.Send(life.number, 1))
+        await until(lambda: self.handler.active)
+        (active,) = self.handler.active
+        active.inbox.put_nowait(api.Send(active.number, 1))
         await until(lambda: self.server.refs())
-        return task, life
+        return task, active
 
 
 async def until(condition):
@@ -130,27 +131,27 @@
 
 
 @pytest.mark.parametrize("ends_first", [False, True])
-@pytest.mark.parametrize("word", [broker.Overdue, broker.Unconfirmed])
+@pytest.mark.parametrize("word", [context.DeadlineReached, context.DiscoveryStale])
 @pytest.mark.parametrize(
     "cls,ending,answer",
     [
-        (0, RESET, broker.Refused(0.0)),
-        (0, FULL, broker.Refused(0.0)),
-        (0, DONE, broker.Served(b"r")),
-        (1, RESET, broker.Failed()),
-        (1, FULL, broker.Refused(0.0)),
-        (1, DONE, broker.Served(b"r")),
-        (2, RESET, broker.Failed()),
-        (2, FULL, broker.Refused(0.0)),
-        (2, DONE, broker.Served(b"r")),
+        (0, RESET, model.Rejected(0.0)),
+        (0, FULL, model.Rejected(0.0)),
+        (0, DONE, model.Completed(b"r")),
+        (1, RESET, model.Failed()),
+        (1, FULL, model.Rejected(0.0)),
+        (1, DONE, model.Completed(b"r")),
+        (2, RESET, model.Failed()),
+        (2, FULL, model.Rejected(0.0)),
+        (2, DONE, model.Completed(b"r")),
     ],
 )
 def test_the_end_of_an_attempt_and_the_last_answer_in_one_turn(cls, ending, answer, word, ends_first):
     """Read in the inbox's order, a load that may have run was refused, and a good end was thrown away."""
 
     async def steps(scene):
-        task, life = await scene.out(cls)
-        crossing = [lambda: life.inbox.put_nowait(word()), lambda: life.out.finish(ending)]
+        task, active = await scene.out(cls)
+        crossing = [lambda: active.inbox.put_nowait(word()), lambda: active.in_flight.finish(ending)]
         for event in reversed(crossing) if ends_first else crossing:
             event()
         return await task
@@ -161,30 +162,30 @@
 @pytest.mark.parametrize("said", [api.Reject(1), api.Fail(1)])
 def test_a_good_end_behind_the_modules_answer_is_the_answer(said):
     async def steps(scene):
-        task, life = await scene.out(0)
-        life.inbox.put_nowait(said)
-        life.out.finish(AttemptSucceeded(b"r"))
+        task, active = await scene.out(0)
+        active.inbox.put_nowait(said)
+        active.in_flight.finish(AttemptSucceeded(b"r"))
         return await task
 
-    assert play(steps) == broker.Served(b"r")
+    assert play(steps) == model.Completed(b"r")
 
 
-@pytest.mark.parametrize("connects,answer", [(False, broker.Refused(0.0)), (True, broker.Failed())])
+@pytest.mark.parametrize("connects,answer", [(False, model.Rejected(0.0)), (True, model.Failed())])
 def test_the_last_answer_while_an_attempt_is_on_its_way(connects, answer):
     """What waits for its connection has not run; what is out may have."""
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
         if connects:
-            task, life = await scene.out(1)
+            task, active = await scene.out(1)
         else:
             loop.let.clear()
             task = scene.serve(1)
-            await until(lambda: scene.broker.lives)
-            (life,) = scene.broker.lives
-            life.inbox.put_nowait(api.Send(life.number, 1))
-            await until(lambda: life.out)
-        scene.broker.expire()
+            await until(lambda: scene.handler.active)
+            (active,) = scene.handler.active
+            active.inbox.put_nowait(api.Send(active.number, 1))
+            await until(lambda: active.in_flight)
+        scene.handler.finish_all()
         answer = await task
         loop.let.set()
         engine = scene.pool.engines[1]
@@ -236,14 +237,14 @@
 
 def test_a_further_attempt_begins_within_the_window_of_repeats_only():
     async def steps(scene):
-        task, life = await scene.out(2)
-        life.out.finish(RESET)
+        task, active = await scene.out(2)
+        active.in_flight.finish(RESET)
         asyncio.get_running_loop().let.clear()
-        life.inbox.put_nowait(api.Send(life.number, 1))
-        await until(lambda: life.out)
+        active.inbox.put_nowait(api.Send(active.number, 1))
+        await until(lambda: active.in_flight)
         await asyncio.sleep(KEYED.repeat_window)
         asyncio.get_running_loop().let.set()
-        await until(lambda: not life.out)
+        await until(lambda: not active.in_flight)
         task.cancel()
         return len(scene.server.refs())
 
@@ -260,8 +261,8 @@
         for number in range(30):
             scene.want(b"%d" % number, b"x" * 800_000)
             await asyncio.sleep(0.002)
-        connection = scene.pool.engines[1].connections[0]
-        begun = {ref for ref, one in connection.attempts.items() if one.message.begun}
+        engine_connection = scene.pool.engines[1].connections[0]
+        begun = {ref for ref, one in engine_connection.attempts.items() if one.message.write_started}
         scene.list(api.State.DRAINING)
         back = {ref for ref, ending in scene.ends if ending.result is api.Result.MOOT}
         told = time.monotonic()
@@ -289,13 +290,13 @@
 def test_nothing_is_sent_for_a_client_that_has_hung_up_unread():
     async def steps(scene):
         task = scene.serve(0, lambda: True)
-        await until(lambda: scene.broker.lives)
-        (life,) = scene.broker.lives
-        life.inbox.put_nowait(api.Send(life.number, 1))
-        await until(life.inbox.empty)
+        await until(lambda: scene.handler.active)
+        (active,) = scene.handler.active
+        active.inbox.put_nowait(api.Send(active.number, 1))
+        await until(active.inbox.empty)
         told = scene.driver.waiting + [event for batch in scene.driver.controller.batches for event in batch]
         task.cancel()
-        return life.out, [event.result for event in told if isinstance(event, api.Outcome)]
+        return active.in_flight, [event.result for event in told if isinstance(event, api.Outcome)]
 
     assert play(steps) == (None, [api.Result.MOOT])
 
@@ -327,26 +328,26 @@
 
 
 def pair(scene):
-    """A connection of the front, and its client's end."""
-    if not hasattr(scene, "front"):
-        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
+    """A connection of the server, and its client's end."""
+    if not hasattr(scene, "rpc_server"):
+        scene.rpc_server = RpcServer(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname())
         ours, _ = listener.accept()
     ours.setblocking(False)
-    scene.front.take(ours, scene.driver.now(), True)
-    return list(scene.front.connections)[-1], theirs
+    scene.rpc_server.accept_connection(ours, scene.driver.now(), True)
+    return list(scene.rpc_server.connections)[-1], theirs
 
 
 @pytest.mark.parametrize("before", [b"", b"junk"])
 def test_a_client_has_gone_though_the_end_lies_unread(before):
     async def steps(scene):
         one, theirs = pair(scene)
-        here = one.gone()
+        here = one.is_client_gone()
         theirs.sendall(before)
-        said = one.gone()
+        said = one.is_client_gone()
         theirs.close()
-        return here, said, one.gone()
+        return here, said, one.is_client_gone()
 
     assert play(steps) == (False, False, True)
 
@@ -354,16 +355,16 @@
 def test_bad_requests_do_not_hide_the_clients_leaving_while_work_is_open():
     async def steps(scene):
         one, theirs = pair(scene)
-        one.faults = 40
-        alone = one.penance()
+        one.invalid_requests = 40
+        alone = one.error_backoff()
         one.calls[1] = None
-        busy = one.penance()
+        busy = one.error_backoff()
         one.calls.clear()
         theirs.close()
         return alone, busy
 
     alone, busy = play(steps)
-    assert alone == front.PENANCE[1] and busy <= 0.05
+    assert alone == connection.MAX_ERROR_BACKOFF_SECONDS and busy <= 0.05
 
 
 def test_a_connection_that_is_accepted_in_the_turn_of_the_shutdown_is_served():
@@ -371,14 +372,14 @@
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
-        scene.front = front.Front(scene.broker, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
+        scene.rpc_server = RpcServer(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        scene.front.accepting = asyncio.create_task(scene.front.accept(listener))
+        scene.rpc_server.start(listener)
         await asyncio.sleep(0)
         theirs = socket.create_connection(listener.getsockname())
         # Behind the turn that finds the caller waiting, and ahead of the task that waits for it.
-        loop.call_soon(lambda: loop.call_soon(scene.front.shut))
+        loop.call_soon(lambda: loop.call_soon(scene.rpc_server.stop_accepting))
         theirs.sendall(msgpack.packb([0, 1, "probe", [{}]]))
         theirs.setblocking(False)
         async with asyncio.timeout(20):
@@ -392,14 +393,14 @@
 @pytest.mark.parametrize("end", [b"", msgpack.packb([0, 1, "probe", [{}]])[5:]])
 def test_a_message_that_ends_while_its_time_runs_out_is_read(end, monkeypatch):
     """Both lay there behind a loop that stood still: its end was read, and thrown away."""
-    monkeypatch.setattr(front, "UNFINISHED", 0.05)
+    monkeypatch.setattr(connection, "MESSAGE_TIMEOUT_SECONDS", 0.05)
     message = msgpack.packb([0, 1, "probe", [{}]])
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
         one, theirs = pair(scene)
         theirs.sendall(message[:5])
-        await until(lambda: one.unread)
+        await until(lambda: one.unread_bytes)
         theirs.sendall(end)
         time.sleep(0.1)
         theirs.setblocking(False)
@@ -417,10 +418,10 @@
         asks, rests = pair(scene), pair(scene)
         await asyncio.sleep(0)
         for one, _ in (asks, rests):
-            scene.front.rests(one)
+            scene.rpc_server.connections.mark_idle(one)
         asks[1].sendall(b"\x94")
         new = pair(scene)
-        left = [one in scene.front.connections for one, _ in (asks, rests, new)]
+        left = [one in scene.rpc_server.connections for one, _ in (asks, rests, new)]
         for _, theirs in (asks, rests, new):
             theirs.close()
         return left
@@ -435,16 +436,16 @@
         one, theirs = pair(scene)
         scene.want(b"1")
         await until(scene.server.refs)
-        connection = scene.pool.engines[1].connections[0]
-        kinds = {type(one), type(connection), type(one.outbox)}
+        engine_connection = scene.pool.engines[1].connections[0]
+        kinds = {type(one), type(engine_connection), type(one.write_queue)}
         gc.collect()
         gc.disable()
         try:
             gc.set_debug(gc.DEBUG_SAVEALL)
             theirs.close()
-            connection.close("it ends")
-            await until(lambda: not scene.front.connections and not scene.pool.engines[1].connections)
-            del one, connection
+            engine_connection.close("it ends")
+            await until(lambda: not scene.rpc_server.connections and not scene.pool.engines[1].connections)
+            del one, engine_connection
             await asyncio.sleep(0.05)
             gc.collect()
             return [kind for kind in map(type, gc.garbage) if kind in kinds]
@@ -494,11 +495,11 @@
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
         scene.driver.current.clear()  # a loop that stood still reads the rest first
-        query = broker.Query(b"1", 1, b"x", scene.driver.now(), 30.0, key=7)
-        task = asyncio.create_task(scene.broker.serve(query))
+        request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, order_key=7)
+        task = asyncio.create_task(scene.handler.handle(request))
         await asyncio.sleep(0)
-        scene.broker.until = scene.driver.now()
-        scene.broker.expire()
+        scene.handler.set_shutdown_deadline(scene.driver.now())
+        scene.handler.finish_all()
         return await asyncio.wait_for(task, 5)
 
-    assert play(steps) == broker.Refused(0.0)
+    assert play(steps) == model.Rejected(0.0)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -8,10 +8,10 @@
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.engines.attempt import Attempt, AttemptFailed, AttemptSpec, Progress
 from applevale.engines.pool import EnginePool
-from applevale.net.write_queue import Message
+from applevale.net.write_queue import QueuedMessage
 from applevale.observability.counters import Counters
 from applevale.policy import AdmissionController
-from applevale.requests import handler as broker
+from applevale.requests import handler, model
 
 
 class Module:
@@ -119,11 +119,11 @@
     async def main():
         settings = api.Settings(classes=(api.ClassSpec("lookup"),), kinds=(api.KindSpec("k"),))
         driver = Driver(Module(), None, Counters())
-        query = broker.Query(b"1", 0, b"", driver.now(), 0.1)
-        return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
+        request = model.Request(b"1", 0, b"", driver.now(), 0.1)
+        return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
     answer, driver = asyncio.run(main())
-    assert isinstance(answer, broker.Refused) and driver.counters["overdue"] == 1 and not driver.routes
+    assert isinstance(answer, model.Rejected) and driver.counters["overdue"] == 1 and not driver.routes
 
 
 class FakeConnection:
@@ -131,7 +131,7 @@
         self.said, self.written, self.write_queue, self.was_connected = [], [], self, True
 
     def withdraw(self, message):
-        return not message.begun
+        return not message.write_started
 
     def send_command(self, *parts, on_written=None):
         self.said.append(parts[0])
@@ -144,7 +144,7 @@
 def attempt(begun):
     ends = []
     one = Attempt(AttemptSpec(b"1", "load", b"", 1.0, 1.0), ends.append)
-    one.connection, one.message = FakeConnection(), Message(b"", begun=begun)
+    one.connection, one.message = FakeConnection(), QueuedMessage(b"", write_started=begun)
     return one, ends
 
 
@@ -186,8 +186,8 @@
     async def main():
         settings = api.Settings((api.ClassSpec("lookup"),), (api.KindSpec("k"),), retry_after=True)
         driver = Driver(Module(), None, Counters())
-        query = broker.Query(b"1", 0, b"", driver.now(), 0.005)
-        return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
+        request = model.Request(b"1", 0, b"", driver.now(), 0.005)
+        return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
     answer, driver = asyncio.run(main())
-    assert answer == broker.Refused(1.0) and not driver.waiting
+    assert answer == model.Rejected(1.0) and not driver.waiting
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -12,7 +12,7 @@
 from applevale.engines.limits import ConnectionLimits
 from applevale.engines.liveness import MAX_TIMER_LATENESS_SECONDS, LivenessMonitor
 from applevale.engines.pool import EnginePool
-from applevale.net.write_queue import Message
+from applevale.net.write_queue import QueuedMessage
 from applevale.observability.counters import Counters
 from applevale.startup.connect_schedule import Ramp
 
@@ -108,7 +108,7 @@
 def test_a_result_of_several_pages_is_fetched_at_once_and_put_together_in_order():
     results = []
     one = attempt.Attempt(attempt.AttemptSpec(b"7", "read", b"", 1.0, 1.0), results.append)
-    one.connection, one.message = FakeConnection(), Message(b"", begun=True)
+    one.connection, one.message = FakeConnection(), QueuedMessage(b"", write_started=True)
     fields = {"sheets": "3", "toil": "1500", "room": "4"}
     one.handle_reply(resp.Reply(b"7", resp.REPLY_RESULT, fields, b"a\tb\tc\n"), (2.0,))
     assert one.connection.commands == [(b"turn", b"7", b"1"), (b"turn", b"7", b"2")]
@@ -122,7 +122,7 @@
 def test_a_result_beyond_the_bound_is_released_and_fails():
     results = []
     one = attempt.Attempt(attempt.AttemptSpec(b"7", "read", b"", 1.0, 1.0), results.append)
-    one.connection, one.message = FakeConnection(), Message(b"", begun=True)
+    one.connection, one.message = FakeConnection(), QueuedMessage(b"", write_started=True)
     one.connection.write_queue = one.connection
     one.connection.withdraw = lambda message: False
     rows = b"a\tb\tc\n" * (attempt.MAX_RESULT_BYTES // 6 + 1)
