Admin: manual ejections as a registry, a codec and a store

Change: Bans -> EjectionRegistry (say -> set_ejected, join -> merge, listed -> add_endpoints, banned -> ejected), Word -> EjectionEntry, SharedBans -> EjectionStore (look -> refresh, write -> save), encode and decode in ejection_codec.py, BanFileError -> EjectionFileError. The stored form is unchanged.

--- a/applevale/admin/__init__.py
+++ b/applevale/admin/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' HTTP API: readiness, metrics, manual ejection of engines, draining (docs/control.md)."""
+"""Administration: the HTTP API of operators, metrics, manual ejections of engines, and draining."""
--- /dev/null
+++ b/applevale/admin/ejection_codec.py
@@ -0,0 +1,69 @@
+"""The stored form of manual ejections: JSON with a checksum.
+
+A file is decoded completely or rejected. The module does no I/O.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from math import isfinite
+
+from .ejections import EjectionEntry, instance_id
+
+FORMAT_VERSION = 2
+MAX_QUOTED_CHARACTERS = 40  # of a bad value, in an error
+
+
+class EjectionFileError(ValueError):
+    """The data is truncated, was altered, or is not of the supported format version."""
+
+
+def encode(entries: Mapping[int, EjectionEntry]) -> bytes:
+    """Return the stored form of the entries."""
+    words = {
+        instance_id(engine): [entry.updated_at, entry.ejected] for engine, entry in sorted(entries.items())
+    }
+    body = json.dumps({"form": FORMAT_VERSION, "words": words}, separators=(",", ":"))
+    return json.dumps({"body": body, "sha256": _checksum(body)}).encode() + b"\n"
+
+
+def decode(data: bytes) -> dict[int, EjectionEntry]:
+    """Return the entries in data that `encode` made.
+
+    Raises:
+        EjectionFileError: The data cannot be trusted; the message names the cause.
+    """
+    try:
+        return _decode_document(json.loads(data))
+    except EjectionFileError:
+        raise
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        raise EjectionFileError(f"not an ejection file: {type(error).__name__}: {error}") from None
+
+
+def _checksum(body: str) -> str:
+    return hashlib.sha256(body.encode()).hexdigest()
+
+
+def _decode_document(document: dict) -> dict[int, EjectionEntry]:
+    body = document["body"]
+    if _checksum(body) != document["sha256"]:
+        raise EjectionFileError("sha256: the file is truncated or was altered")
+    content = json.loads(body)
+    if content["form"] != FORMAT_VERSION:
+        raise EjectionFileError(f"form: {content['form']!r} is not {FORMAT_VERSION}")
+    entries = {}
+    for name, fields in content["words"].items():
+        engine = int(name.removeprefix("s-"), 16)
+        entries[engine] = _decode_entry(*fields)
+    return entries
+
+
+def _decode_entry(updated_at: object, ejected: object) -> EjectionEntry:
+    is_time = isinstance(updated_at, float | int) and isfinite(updated_at)
+    if not is_time or not isinstance(ejected, bool):
+        quoted = str([updated_at, ejected])[:MAX_QUOTED_CHARACTERS]
+        raise ValueError(f"not a time and a flag: {quoted}")
+    return EjectionEntry(float(updated_at), ejected)
--- a/applevale/admin/ejection_store.py
+++ b/applevale/admin/ejection_store.py
@@ -1,67 +1,102 @@
-"""The file in $TMPDIR by which the bans of one process reach the next, and one that runs beside it.
+"""The file through which processes share manual ejections.
 
-Invariants: the file is written whole or not at all; a file that cannot be trusted is told in one line and
-changes nothing; what is in memory and the file end up the same, whichever of two processes wrote last.
+An upgrade runs two processes side by side, and a restart leaves the file to the next one. The file is
+replaced atomically. A file that cannot be trusted is logged and changes nothing. Whichever process wrote
+last, the registries of all processes and the file converge to the same entries.
 """
 
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 
 from ..observability.events import log_event
-from .ejections import BanFileError, Bans, decode, encode
+from .ejection_codec import EjectionFileError, decode, encode
+from .ejections import EjectionEntry, EjectionRegistry
 
-Stamp = tuple[int, int, int]
 
+@dataclass(frozen=True)
+class FileVersion:
+    """What tells one written file from the next at the same path."""
 
-def _stamp(found: os.stat_result) -> Stamp:
-    return found.st_ino, found.st_mtime_ns, found.st_size
+    inode: int
+    modified_ns: int
+    size: int
 
+    @classmethod
+    def of(cls, status: os.stat_result) -> FileVersion:
+        """Return the version that a file status shows."""
+        return cls(status.st_ino, status.st_mtime_ns, status.st_size)
 
-class SharedBans:
-    def __init__(self, path: str, bans: Bans) -> None:
-        self.path, self.bans = path, bans
-        self.seen: Stamp | None = None  # of the file that was read or written last
 
-    def look(self) -> list[int]:
-        """Joins what another process wrote since the last look; the engines banned or back by it."""
+class EjectionStore:
+    """Keeps an ejection registry and its file in step."""
+
+    def __init__(self, path: str, registry: EjectionRegistry) -> None:
+        """Create a store for the file at `path`; nothing is read or written yet."""
+        self.path = path
+        self.registry = registry
+        self._known_version: FileVersion | None = None  # of the file that was read or written last
+
+    def refresh(self) -> list[int]:
+        """Merge what another process wrote since the last call.
+
+        Returns:
+            The engines whose state changes.
+        """
         try:
-            stamp = _stamp(os.stat(self.path))
+            version = FileVersion.of(os.stat(self.path))
         except OSError:
             return []
-        if stamp == self.seen:
+        if version == self._known_version:
             return []
-        self.seen = stamp
-        try:
-            with open(self.path, "rb") as file:
-                words = decode(file.read())
-        except (OSError, BanFileError) as error:
-            log_event(
-                "bans", f"{self.path}: {error}; the bans stay as they are here: {len(self.bans.banned)}"
-            )
+        self._known_version = version
+        entries = self._read()
+        if entries is None:
             return []
-        news = self.bans.join(words)
-        if words != self.bans.words:  # guards what was said here and overwritten by one that had not read it
-            self.write()
-        return news
-
-    def say(self, engine: int, banned: bool, now: float) -> list[int]:
-        """A call of an operator, over all that the file tells; the engines banned or back now."""
-        news = self.look()
-        if self.bans.say(engine, banned, now):
-            news = [one for one in news if one != engine] + [engine]
-        self.write()
-        return news
-
-    def write(self) -> None:
+        changed = self.registry.merge(entries)
+        if entries != self.registry.entries:  # another process replaced entries that it had not read
+            self.save()
+        return changed
+
+    def set_ejected(self, engine: int, ejected: bool, now: float) -> list[int]:
+        """Eject an engine or let it back in, on top of what the file holds by now.
+
+        Args:
+            engine: The engine.
+            ejected: Whether it is ejected from now on.
+            now: Unix time in seconds.
+
+        Returns:
+            The engines whose state changes, also by entries of other processes.
+        """
+        changed = self.refresh()
+        if self.registry.set_ejected(engine, ejected, now):
+            changed = [other for other in changed if other != engine]
+            changed.append(engine)
+        self.save()
+        return changed
+
+    def save(self) -> None:
+        """Replace the file by the entries of the registry; a failure is logged."""
+        temporary_path = f"{self.path}.{os.getpid()}"  # one for each process: two may write at once
         try:
-            new = f"{self.path}.{os.getpid()}"  # guards against two processes that write at once
-            with open(new, "wb") as file:
-                file.write(encode(self.bans.words))
+            with open(temporary_path, "wb") as file:
+                file.write(encode(self.registry.entries))
                 file.flush()
-                stamp = _stamp(os.fstat(file.fileno()))  # of this file: the path may be another's in a moment
-            os.replace(new, self.path)
+                # Of this very file: the path may be another process's in a moment.
+                version = FileVersion.of(os.fstat(file.fileno()))
+            os.replace(temporary_path, self.path)
         except OSError as error:
             log_event("bans", f"{self.path}: {error}")
             return
-        self.seen = stamp
+        self._known_version = version
+
+    def _read(self) -> dict[int, EjectionEntry] | None:
+        try:
+            with open(self.path, "rb") as file:
+                return decode(file.read())
+        except (OSError, EjectionFileError) as error:
+            count = len(self.registry.ejected)
+            log_event("bans", f"{self.path}: {error}; the ejections of this process stay: {count}")
+            return None
--- a/applevale/admin/ejections.py
+++ b/applevale/admin/ejections.py
@@ -1,106 +1,106 @@
-"""Engines taken out by hand, by the ids that operators use; and the text that carries them to a successor.
+"""The engines that operators have ejected by hand.
 
-Invariants: an engine is banned from the first disable until one enable, however often either comes; only an
-id that the list has named is banned or let back in. What was said last of an engine holds, whichever process
-heard it, and at a tie the ban: two processes that join each other's words, in any order, end with the same
-bans. The text is read back whole and checked, or not at all. No I/O and no clock.
+Each engine has at most one entry, a last-writer-wins register: the entry with the later time holds, and at
+equal times the ejection. Merging is commutative and idempotent, so processes that merge each other's entries
+in any order end with the same ejected engines.
+
+The module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
 
-import hashlib
-import json
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from math import inf, isfinite, nextafter
+from math import inf, nextafter
 
 from ..discovery.endpoints import Member
 
-FORM = 2  # of the text
 
+@dataclass(frozen=True, order=True)
+class EjectionEntry:
+    """The latest decision on one engine. Of two entries the greater one holds.
 
-class BanFileError(ValueError):
-    """A text that is torn, foreign or of another form."""
+    Attributes:
+        updated_at: Unix time of the decision in seconds.
+        ejected: Whether the engine is ejected.
+    """
 
+    updated_at: float
+    ejected: bool
 
-@dataclass(frozen=True, order=True)
-class Word:
-    """What was said last of an engine. Ordered: the greater one holds."""
 
-    at: float  # Unix time, s
-    banned: bool
+def instance_id(engine: int) -> str:
+    """Return the id by which operators and the discovery feed name an engine."""
+    return f"s-{engine:08x}"
 
 
-def name_of(engine: int) -> str:
-    return f"s-{engine:08x}"
+class EjectionRegistry:
+    """The entries of all engines, and the ejected engines that follow from them.
 
+    An engine stays ejected from the first ejection until it is let back in, however often either is asked
+    for. Ejections outlive the endpoint: an engine that is listed again is still ejected.
 
-class Bans:
-    def __init__(self) -> None:
-        self.words: dict[int, Word] = {}
-        self.banned: set[int] = set()  # by those words; one set for good: others look at it
-        self.names: dict[str, int] = {}  # every id that the list ever named an engine by: instance, HOST:PORT
+    Attributes:
+        entries: The entry that holds for each engine.
+        ejected: The ejected engines. One set object for the registry's lifetime: others keep a reference.
+    """
 
-    def listed(self, members: tuple[Member, ...]) -> None:
-        for member in members:
-            engine = member.entry.engine
-            host, port = member.address
-            self.names[name_of(engine)] = self.names[f"{host}:{port}"] = engine
+    def __init__(self) -> None:
+        """Create a registry without entries."""
+        self.entries: dict[int, EjectionEntry] = {}
+        self.ejected: set[int] = set()
+        self._engines_by_name: dict[str, int] = {}  # instance ids and HOST:PORT, also of former endpoints
+
+    def add_endpoints(self, endpoints: Iterable[Member]) -> None:
+        """Make endpoints known by their instance id and by their HOST:PORT."""
+        for endpoint in endpoints:
+            engine = endpoint.entry.engine
+            host, port = endpoint.address
+            self._engines_by_name[instance_id(engine)] = engine
+            self._engines_by_name[f"{host}:{port}"] = engine
 
     def find(self, name: str) -> int | None:
-        """The engine that `name` means; None for one that was never listed."""
-        return self.names.get(name.strip().lower()) if isinstance(name, str) else None
-
-    def say(self, engine: int, banned: bool, now: float) -> bool:
-        """Whether this changes anything. It holds over all said before, though another's clock ran ahead."""
-        former = self.words.get(engine)
-        at = now if former is None else max(now, nextafter(former.at, inf))
-        return self._take(engine, Word(at, banned))
-
-    def join(self, words: dict[int, Word]) -> list[int]:
-        """Takes in what another process heard; the engines that are banned or back by it."""
-        return [
-            engine
-            for engine, word in words.items()
-            if (former := self.words.get(engine)) is None or former < word
-            if self._take(engine, word)
-        ]
-
-    def _take(self, engine: int, word: Word) -> bool:
-        self.words[engine] = word
-        self.names.setdefault(name_of(engine), engine)  # another process had it in its list
-        news = (engine in self.banned) is not word.banned
-        (self.banned.add if word.banned else self.banned.discard)(engine)
-        return news
-
-
-def _sum(body: bytes) -> str:
-    return hashlib.sha256(body).hexdigest()
-
-
-def encode(words: dict[int, Word]) -> bytes:
-    told = {name_of(engine): [word.at, word.banned] for engine, word in sorted(words.items())}
-    body = json.dumps({"form": FORM, "words": told}, separators=(",", ":"))
-    return json.dumps({"body": body, "sha256": _sum(body.encode())}).encode() + b"\n"
-
-
-def _word(at: object, banned: object) -> Word:
-    if not isinstance(at, float | int) or not isfinite(at) or not isinstance(banned, bool):
-        raise ValueError(f"no time and ban: {str([at, banned])[:40]}")
-    return Word(float(at), banned)
-
-
-def decode(data: bytes) -> dict[int, Word]:
-    """The words in a text that `encode` made; raises BanFileError naming what is wrong."""
-    try:
-        outer = json.loads(data)
-        body = outer["body"]
-        if _sum(body.encode()) != outer["sha256"]:
-            raise BanFileError("sha256: the file is torn or was changed")
-        inner = json.loads(body)
-        if inner["form"] != FORM:
-            raise BanFileError(f"form: {inner['form']!r} is not {FORM}")
-        return {int(name.removeprefix("s-"), 16): _word(*told) for name, told in inner["words"].items()}
-    except BanFileError:
-        raise
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-        raise BanFileError(f"not a file of bans: {type(error).__name__}: {error}") from None
+        """Return the engine with an instance id or HOST:PORT, or None for one that was never listed."""
+        if not isinstance(name, str):
+            return None
+        return self._engines_by_name.get(name.strip().lower())
+
+    def set_ejected(self, engine: int, ejected: bool, now: float) -> bool:
+        """Eject an engine or let it back in.
+
+        The new entry supersedes the present one even if that came from a process whose clock is ahead.
+
+        Args:
+            engine: The engine.
+            ejected: Whether it is ejected from now on.
+            now: Unix time in seconds.
+
+        Returns:
+            Whether this changes the state of the engine.
+        """
+        present = self.entries.get(engine)
+        updated_at = now
+        if present is not None:
+            updated_at = max(now, nextafter(present.updated_at, inf))
+        return self._apply(engine, EjectionEntry(updated_at, ejected))
+
+    def merge(self, entries: Mapping[int, EjectionEntry]) -> list[int]:
+        """Merge the entries of another process and return the engines whose state changes."""
+        changed = []
+        for engine, entry in entries.items():
+            present = self.entries.get(engine)
+            if present is not None and present >= entry:
+                continue
+            if self._apply(engine, entry):
+                changed.append(engine)
+        return changed
+
+    def _apply(self, engine: int, entry: EjectionEntry) -> bool:
+        self.entries[engine] = entry
+        self._engines_by_name.setdefault(instance_id(engine), engine)  # the other process had it listed
+        was_ejected = engine in self.ejected
+        if entry.ejected:
+            self.ejected.add(engine)
+        else:
+            self.ejected.discard(engine)
+        return was_ejected is not entry.ejected
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -111,7 +111,7 @@
     def _count_disabled_engines(self) -> int:
         """Count listed engines that are ejected, by hand or by the decision module."""
         pool = self.pool
-        ejected = self.ejection_control.ejections.banned | self.driver.resting()
+        ejected = self.ejection_control.ejections.ejected | self.driver.resting()
         return sum(engine in pool.engines and engine not in pool.gone for engine in ejected)
 
     def _create_gossip(self, controller: AdmissionController) -> Peers | None:
@@ -185,7 +185,7 @@
 
     def apply_update(self, update: Change) -> None:
         """Hand a change of the list to all that know engines; the decision module hears of it last."""
-        self.ejection_control.ejections.listed(update.members)
+        self.ejection_control.ejections.add_endpoints(update.members)
         self.pool.update(update)
         if self.gossip is not None:
             self.gossip.news.listed(self.pool.engines)
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -9,8 +9,8 @@
 import tempfile
 from collections.abc import Iterable
 
-from ..admin.ejection_store import SharedBans
-from ..admin.ejections import Bans
+from ..admin.ejection_store import EjectionStore
+from ..admin.ejections import EjectionRegistry
 from ..discovery.gated_endpoints import HeldList
 from ..dispatch.event_loop_driver import Driver
 from ..engines.connection import Fleet
@@ -43,27 +43,27 @@
         self.pool = pool
         self.driver = driver
         self.counters = counters
-        self.ejections = Bans()
-        self.store = SharedBans(ejection_path(listen_address), self.ejections)
-        self.store.look()
-        endpoints.banned = self.ejections.banned  # one set: the decision module sees every ejection at once
+        self.ejections = EjectionRegistry()
+        self.store = EjectionStore(ejection_path(listen_address), self.ejections)
+        self.store.refresh()
+        endpoints.banned = self.ejections.ejected  # one set: the decision module sees every ejection at once
 
     def set_ejected(self, host: str, ejected: bool) -> bool:
         """Eject an engine or let it back in; return False for an id that was never listed."""
         engine = self.ejections.find(host)
         if engine is None:
             return False
-        self._apply(self.store.say(engine, ejected, self.driver.now()))
+        self._apply(self.store.set_ejected(engine, ejected, self.driver.now()))
         return True
 
     def watch(self) -> None:
         """Poll the file from now on: the other of two processes in an upgrade may get a call."""
-        self._apply(self.store.look())
+        self._apply(self.store.refresh())
         asyncio.get_running_loop().call_later(POLL_INTERVAL_SECONDS, self.watch)
 
     def _apply(self, engines: Iterable[int]) -> None:
         for engine in engines:
             self.counters["bans_changed"] += 1
-            if engine in self.ejections.banned:
+            if engine in self.ejections.ejected:
                 self.pool.withdraw(engine)
             self.driver.post(self.endpoints.told_again(engine))
--- a/tests/test_control.py
+++ b/tests/test_admin.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 
 from applevale import api
-from applevale.admin import ejection_store as shared
-from applevale.admin import ejections as bans
+from applevale.admin import ejection_codec
+from applevale.admin.ejection_store import EjectionStore
+from applevale.admin.ejections import EjectionEntry, EjectionRegistry
 from applevale.admin.metrics import Figures
 from applevale.admin.routes import answer
 from applevale.admin.server import MOST_CALLS, Door
@@ -67,25 +68,25 @@
 
 
 def test_a_banned_engine_is_told_as_draining_whatever_the_feed_says_until_enabled():
-    held, ban = HeldList(), bans.Bans()
-    held.banned = ban.banned
+    held, registry = HeldList(), EjectionRegistry()
+    held.banned = registry.ejected
     first = Change(1, True, (member(1), member(2)))
-    ban.listed(first.members)
+    registry.add_endpoints(first.members)
     held.changed(first)
-    engine = ban.find("s-00000002")
-    assert engine == 2 and ban.find("127.0.0.1:7002") == 2 and ban.find("s-00000009") is None
-    assert ban.say(engine, True, 1.0) and not ban.say(engine, True, 2.0)
+    engine = registry.find("s-00000002")
+    assert engine == 2 and registry.find("127.0.0.1:7002") == 2 and registry.find("s-00000009") is None
+    assert registry.set_ejected(engine, True, 1.0) and not registry.set_ejected(engine, True, 2.0)
     assert held.told_again(engine).entries[0].state is api.State.DRAINING
     again = held.changed(Change(2, False, (member(2),)))  # the feed lists it as ready again
     assert again.entries[0].state is api.State.DRAINING
-    assert ban.say(engine, False, 3.0) and not ban.say(engine, False, 4.0)
+    assert registry.set_ejected(engine, False, 3.0) and not registry.set_ejected(engine, False, 4.0)
     assert held.told_again(engine).entries[0].state is api.State.READY
 
 
 def test_the_text_of_bans_is_read_back_whole_or_refused():
-    words = {1: bans.Word(5.25, True), 0xC41F7A: bans.Word(6.0, False)}
-    data = bans.encode(words)
-    assert bans.decode(data) == words
+    words = {1: EjectionEntry(5.25, True), 0xC41F7A: EjectionEntry(6.0, False)}
+    data = ejection_codec.encode(words)
+    assert ejection_codec.decode(data) == words
     foreign = [
         json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
         for body in (
@@ -97,8 +98,8 @@
         )
     ]
     for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff", *foreign):
-        with pytest.raises(bans.BanFileError):
-            bans.decode(torn)
+        with pytest.raises(ejection_codec.EjectionFileError):
+            ejection_codec.decode(torn)
 
 
 call = st.tuples(st.integers(0, 1), st.integers(1, 3), st.booleans(), st.integers(0, 5))
@@ -107,39 +108,41 @@
 @given(st.lists(call, max_size=12), st.lists(st.integers(0, 1), max_size=6))
 def test_two_processes_end_with_the_same_bans_whoever_writes_when(tmp_path_factory, calls, looks):
     path = str(tmp_path_factory.mktemp("bans") / "bans.json")
-    two = [shared.SharedBans(path, bans.Bans()) for _ in range(2)]
+    two = [EjectionStore(path, EjectionRegistry()) for _ in range(2)]
     last = {}
     for at, (process, engine, banned, clock) in enumerate(calls):  # their clocks may differ, and step back
-        two[process].say(engine, banned, float(clock))
+        two[process].set_ejected(engine, banned, float(clock))
         last[engine] = banned
         if at < len(looks):
-            two[looks[at]].look()
+            two[looks[at]].refresh()
     for process in two:
-        process.look()
-        assert process.bans.banned == {engine for engine, banned in last.items() if banned}
+        process.refresh()
+        assert process.registry.ejected == {engine for engine, banned in last.items() if banned}
 
 
 def test_a_ban_that_another_overwrote_unread_is_written_again(tmp_path):
     path = str(tmp_path / "bans.json")
-    one, other = (shared.SharedBans(path, bans.Bans()) for _ in range(2))
-    one.say(1, True, 10.0)
-    other.bans.say(2, True, 11.0)
-    other.write()  # as if it had looked just before the other wrote
-    assert one.look() == [2] and other.look() == [1]
-    assert one.bans.banned == other.bans.banned == {1, 2} and one.look() == other.look() == []
+    one, other = (EjectionStore(path, EjectionRegistry()) for _ in range(2))
+    one.set_ejected(1, True, 10.0)
+    other.registry.set_ejected(2, True, 11.0)
+    other.save()  # as if it had looked just before the other wrote
+    assert one.refresh() == [2] and other.refresh() == [1]
+    assert one.registry.ejected == other.registry.ejected == {1, 2} and one.refresh() == other.refresh() == []
 
 
 def test_a_torn_file_changes_no_ban_and_the_next_call_mends_it(tmp_path, capsys):
     path = tmp_path / "bans.json"
-    first = shared.SharedBans(str(path), bans.Bans())
-    first.say(7, True, 1.0)
+    first = EjectionStore(str(path), EjectionRegistry())
+    first.set_ejected(7, True, 1.0)
     path.write_bytes(path.read_bytes()[:20])
-    assert first.look() == [] and first.bans.banned == {7} and "bans: " in capsys.readouterr().err
-    assert shared.SharedBans(str(path), bans.Bans()).look() == []  # a start with no bans, not with wrong ones
-    first.say(8, True, 2.0)
-    after = shared.SharedBans(str(path), bans.Bans())
-    assert after.look() == [7, 8] and after.bans.find("s-00000007") == 7
-    assert after.say(7, False, 3.0) == [7] and after.bans.banned == {8}
+    assert first.refresh() == [] and first.registry.ejected == {7} and "bans: " in capsys.readouterr().err
+    assert (
+        EjectionStore(str(path), EjectionRegistry()).refresh() == []
+    )  # a start with no bans, not with wrong ones
+    first.set_ejected(8, True, 2.0)
+    after = EjectionStore(str(path), EjectionRegistry())
+    assert after.refresh() == [7, 8] and after.registry.find("s-00000007") == 7
+    assert after.set_ejected(7, False, 3.0) == [7] and after.registry.ejected == {8}
 
 
 def test_figures_are_counted_where_the_events_are_and_read_at_once():
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -14,8 +14,9 @@
 import pytest
 
 from applevale import api
-from applevale.admin import ejections as bans
+from applevale.admin import ejection_codec
 from applevale.admin import server as door
+from applevale.admin.ejections import EjectionEntry
 from applevale.admin.metrics import Figures
 from applevale.admin.routes import answer
 from applevale.discovery.endpoints import Names
@@ -38,9 +39,9 @@
 
 def ejections():
     return {
-        1: bans.Word(1764652800.25, True),
-        0xC41F7A: bans.Word(1764652801.5, False),
-        0xFFFFFFFF: bans.Word(0.1, True),
+        1: EjectionEntry(1764652800.25, True),
+        0xC41F7A: EjectionEntry(1764652801.5, False),
+        0xFFFFFFFF: EjectionEntry(0.1, True),
     }
 
 
@@ -164,8 +165,8 @@
 
 def test_the_file_of_ejections_is_read_and_written_as_before():
     stored = STORED["ejections"].encode()
-    assert bans.decode(stored) == ejections()
-    assert bans.encode(ejections()) == stored
+    assert ejection_codec.decode(stored) == ejections()
+    assert ejection_codec.encode(ejections()) == stored
 
 
 def test_a_registry_snapshot_is_written_as_before(tmp_path):
