Admin: server, HTTP codec, routes, metrics and drain state by standard names

Change: Door -> AdminServer with HttpExchange in http_codec.py; calls.answer -> routes.dispatch with a table of routes and InvalidRequestError; Operated -> AdminTarget; Answer -> AdminResponse; limits.py with units in the names, so that the start loads neither routes nor h11 for one bound. Figures -> Metrics with Gauges by constructor injection and ResponseOutcome for outcomes; Drain -> DrainState. Paths, JSON, counters and log kinds are unchanged.

--- a/applevale/admin/draining.py
+++ b/applevale/admin/draining.py
@@ -1,8 +1,8 @@
-"""How clients are sent away: what a drain does with new requests and with connections, by when it began.
+"""The state of a drain: which requests are rejected and which connections are closed while it lasts.
 
-Invariants: a drain never cuts off what is owed; it lasts until it is ended, however often it is begun, and
-the first time named for its end of taking requests holds; its answers depend on the given times alone. No
-I/O and no clock.
+A drain sends clients to other instances. It never interrupts work in progress, and lasts until it is ended,
+however often it is begun. The module does no I/O and reads no clock; all times are event loop times in
+seconds.
 """
 
 from __future__ import annotations
@@ -10,35 +10,50 @@
 from dataclasses import dataclass
 from math import inf
 
-# s from an operator's call on that requests are still taken. Guards the promise that 4 s after the call no
-# connection is held with a request of the last 2 s: one whose requests overlap is never owed nothing.
-TAKES = 1.75
-# s in which the first request of a new connection may still be on its way.
-CROSSING = 0.25
+# Requests are still accepted for this long after an operator's call. By 4 s after the call no connection may
+# be held that carried a request in the last 2 s; without this bound a client whose requests overlap would
+# never leave its connection idle.
+ACCEPT_SECONDS = 1.75
+# The first request of a new connection may be in transit for this long.
+FIRST_REQUEST_GRACE_SECONDS = 0.25
 
 
 @dataclass
-class Drain:
-    until: float = inf  # by the loop's clock: new requests are taken before that; inf: there is no drain
+class DrainState:
+    """Whether a drain is in progress, and what it closes and rejects.
+
+    Attributes:
+        reject_from: Time from which new requests are rejected; infinite while there is no drain.
+    """
+
+    reject_from: float = inf
 
     @property
-    def on(self) -> bool:
-        return self.until < inf
+    def is_active(self) -> bool:
+        """Whether a drain is in progress."""
+        return self.reject_from < inf
 
-    def begin(self, until: float) -> None:
-        self.until = min(self.until, until)
+    def begin(self, reject_from: float) -> None:
+        """Begin a drain; of several calls the earliest time holds."""
+        self.reject_from = min(self.reject_from, reject_from)
 
     def end(self) -> None:
-        self.until = inf
+        """End the drain, if there is one."""
+        self.reject_from = inf
+
+    def rejects_requests(self, now: float) -> bool:
+        """Return whether a request that arrives now is rejected at once."""
+        return now >= self.reject_from
 
-    def refuses(self, now: float) -> bool:
-        """Whether a request that comes now is turned away at once."""
-        return now >= self.until
+    def may_close(self, has_open_work: bool, has_unread_input: bool) -> bool:
+        """Return whether a connection is to be closed.
 
-    def closes(self, owed: bool, pending: bool) -> bool:
-        """Whether a connection is closed: never over what is owed on it or has begun to come."""
-        return self.on and not (owed or pending)
+        Args:
+            has_open_work: A response on the connection is not complete.
+            has_unread_input: The client has begun to send a request.
+        """
+        return self.is_active and not (has_open_work or has_unread_input)
 
-    def wait(self, accepted: float, now: float) -> float:
-        """s from now until a connection that has said nothing, accepted then, is looked at."""
-        return max(0.0, accepted + CROSSING - now)
+    def first_request_wait(self, accepted_at: float, now: float) -> float:
+        """Return the seconds that a connection without a request is still left open."""
+        return max(0.0, accepted_at + FIRST_REQUEST_GRACE_SECONDS - now)
--- /dev/null
+++ b/applevale/admin/http_codec.py
@@ -0,0 +1,129 @@
+"""One HTTP/1.1 request and its response, parsed and serialized by h11. No I/O."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+
+from .limits import MAX_BODY_BYTES, MAX_HEADER_BYTES
+from .routes import AdminResponse
+
+MAX_ERROR_CHARACTERS = 120
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A complete request."""
+
+    method: str
+    target: str
+    body: bytes
+
+
+class ClientDisconnectedError(Exception):
+    """The client closed the connection before its request was complete."""
+
+
+class MalformedRequestError(ValueError):
+    """A request that is not HTTP or exceeds a size limit.
+
+    Attributes:
+        status: The HTTP status of the response.
+        field: The part of the request at fault.
+        method: The method of the request; empty if it is not known.
+    """
+
+    def __init__(self, status: int, message: str, field: str, method: str = "") -> None:
+        """Create an error with its message and attributes."""
+        super().__init__(message)
+        self.status = status
+        self.field = field
+        self.method = method
+
+
+class HttpExchange:
+    """The server's side of one request and its response."""
+
+    def __init__(self) -> None:
+        """Create an exchange that has received nothing yet."""
+        self._codec = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+
+    def receive(self, data: bytes) -> None:
+        """Add received bytes; empty data is the end of the stream."""
+        self._codec.receive_data(data)
+
+    def next_request(self) -> HttpRequest | None:
+        """Return the request, or None if more data is needed.
+
+        Raises:
+            ClientDisconnectedError: The stream ended before a request.
+            MalformedRequestError: The data is not HTTP or exceeds a limit; it can be responded to once.
+        """
+        try:
+            while True:
+                event = self._codec.next_event()
+                if event is h11.NEED_DATA:
+                    return None
+                if isinstance(event, h11.EndOfMessage):
+                    return self._complete_request()
+                if isinstance(event, h11.ConnectionClosed):
+                    raise ClientDisconnectedError
+                self._add(event)
+        except h11.RemoteProtocolError as error:
+            raise _malformed(error) from None
+
+    def serialize(self, response: AdminResponse, method: str) -> bytes:
+        """Return the bytes of the response to a request with `method`; the exchange then is over.
+
+        A response to HEAD has no body.
+        """
+        body = json.dumps(response.body, separators=(",", ":")).encode()
+        headers = [
+            ("content-type", "application/json"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        ]
+        if "allow" in response.body:
+            headers.append(("allow", response.body["allow"]))
+        reason = HTTPStatus(response.status).phrase
+        events = [h11.Response(status_code=response.status, reason=reason, headers=headers)]
+        if method != "HEAD":
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        return b"".join(self._codec.send(event) or b"" for event in events)
+
+    def _add(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            self._head = event
+            self._check_body_size(_declared_body_size(event))
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            self._check_body_size(len(self._body))
+
+    def _check_body_size(self, size: int) -> None:
+        if size > MAX_BODY_BYTES:
+            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            method = self._head.method.decode("latin-1")
+            raise MalformedRequestError(status, f"body: over {MAX_BODY_BYTES} bytes", "body", method)
+
+    def _complete_request(self) -> HttpRequest:
+        method = self._head.method.decode("latin-1")
+        target = self._head.target.decode("latin-1")
+        return HttpRequest(method, target, bytes(self._body))
+
+
+def _declared_body_size(request: h11.Request) -> int:
+    """Return the content length of a request, 0 without one."""
+    declared = dict(request.headers).get(b"content-length", b"0")
+    return int(declared) if declared.isdigit() else 0
+
+
+def _malformed(error: h11.RemoteProtocolError) -> MalformedRequestError:
+    status = error.error_status_hint if error.error_status_hint >= 400 else 400
+    field = "head" if status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else "request"
+    return MalformedRequestError(status, f"request: {error}"[:MAX_ERROR_CHARACTERS], field)
--- a/applevale/admin/metrics.py
+++ b/applevale/admin/metrics.py
@@ -1,50 +1,99 @@
-"""The figures that operators read: counters kept where each event happens, read as one snapshot.
+"""The metrics that operators read: counters updated where each event happens, and gauges.
 
-Invariant: counts only grow, from the start of the process; a snapshot is made of counts and gauges as they
-are at one moment, never by walking the requests or the engines. No I/O and no clock.
+Counters only grow from the start of the process. A snapshot reads counters and gauges at one moment and
+never walks requests or engines. The module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
 
-OUTCOMES = ("success", "overload", "error")
 
+class ResponseOutcome(StrEnum):
+    """How a request ended, as it is named in a snapshot."""
 
-class Figures:
-    def __init__(self, classes: tuple[str, ...]) -> None:
-        self.classes = classes
-        self.replies: dict[str, Counter] = {name: Counter() for name in classes}
-        self.reloads: Counter = Counter()
-        # Gauges, read from whoever keeps them: requests taken and not ended, engines listed, engines avoided.
-        self.concurrent: Callable[[], int] = lambda: 0
-        self.targets: Callable[[], int] = lambda: 0
-        self.disabled: Callable[[], int] = lambda: 0
+    SUCCESS = "success"
+    OVERLOAD = "overload"
+    ERROR = "error"
 
-    def answered(self, cls: int, outcome: str) -> None:
-        self.replies[self.classes[cls]][outcome] += 1
 
-    def dispatched(self, lane: str) -> None:
-        """An attempt was written whole to an engine; `lane` is its class's name."""
-        counts = self.replies.get(lane)
-        if counts is not None:
-            counts["dispatches"] += 1
+def _zero() -> int:
+    return 0
 
-    def reloaded(self, good: bool) -> None:
-        self.reloads["success" if good else "failure"] += 1
+
+@dataclass(frozen=True)
+class Gauges:
+    """Functions that return present values.
+
+    Attributes:
+        open_requests: The requests accepted and not yet answered.
+        engines: The listed engines.
+        disabled_engines: The listed engines that get no work, by hand or after failures.
+    """
+
+    open_requests: Callable[[], int] = _zero
+    engines: Callable[[], int] = _zero
+    disabled_engines: Callable[[], int] = _zero
+
+
+@dataclass
+class ClassCounters:
+    """The counters of one request class."""
+
+    responses: dict[ResponseOutcome, int] = field(default_factory=lambda: dict.fromkeys(ResponseOutcome, 0))
+    dispatches: int = 0
+
+    def snapshot(self) -> dict[str, int]:
+        """Return the counters by their name in a snapshot."""
+        counts = {outcome.value: count for outcome, count in self.responses.items()}
+        counts["dispatches"] = self.dispatches
+        return counts
+
+
+class Metrics:
+    """The metrics of one instance."""
+
+    def __init__(self, class_names: tuple[str, ...], gauges: Gauges | None = None) -> None:
+        """Create metrics with all counters at zero.
+
+        Args:
+            class_names: The request classes, in the order of their index.
+            gauges: Where present values are read; without it they are zero.
+        """
+        self._class_names = class_names
+        self._gauges = gauges or Gauges()
+        self._classes = {name: ClassCounters() for name in class_names}
+        self._reload_successes = 0
+        self._reload_failures = 0
+
+    def record_response(self, class_index: int, outcome: ResponseOutcome) -> None:
+        """Count a response that was handed to its connection."""
+        self._classes[self._class_names[class_index]].responses[outcome] += 1
+
+    def record_dispatch(self, class_name: str) -> None:
+        """Count an attempt that was sent completely to an engine; an unknown class counts nowhere."""
+        counters = self._classes.get(class_name)
+        if counters is not None:
+            counters.dispatches += 1
+
+    def record_reload(self, succeeded: bool) -> None:
+        """Count a reload of the configuration."""
+        if succeeded:
+            self._reload_successes += 1
+        else:
+            self._reload_failures += 1
 
     def snapshot(self) -> dict:
-        replies = {
-            name: {key: counts[key] for key in (*OUTCOMES, "dispatches")}
-            for name, counts in self.replies.items()
-        }
+        """Return all metrics as the JSON object of `GET /metrics`."""
+        replies = {name: counters.snapshot() for name, counters in self._classes.items()}
         return {
             "replies": replies,
-            "dispatches": sum(one["dispatches"] for one in replies.values()),
-            "concurrent": self.concurrent(),
-            "targets": self.targets(),
-            "targets_disabled": self.disabled(),
-            "reload_success": self.reloads["success"],
-            "reload_failure": self.reloads["failure"],
+            "dispatches": sum(counters.dispatches for counters in self._classes.values()),
+            "concurrent": self._gauges.open_requests(),
+            "targets": self._gauges.engines(),
+            "targets_disabled": self._gauges.disabled_engines(),
+            "reload_success": self._reload_successes,
+            "reload_failure": self._reload_failures,
         }
--- a/applevale/admin/routes.py
+++ b/applevale/admin/routes.py
@@ -1,77 +1,161 @@
-"""What each call of the operators' door means, and its answer: status and JSON body. No I/O and no clock.
+"""The routes of the admin API: what each request does, and its response.
 
-Invariant: every call gets one answer; what cannot be used changes no state and names the field at fault.
+Every request gets one response. A request that is not valid changes no state, and its response names the
+field at fault. The module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
-MOST_CALLS = 64  # at a time: past that the oldest unfinished one is closed
+MAX_QUOTED_CHARACTERS = 80  # of a bad path or host, in an error
 
 
 @dataclass(frozen=True)
-class Answer:
+class AdminResponse:
+    """An HTTP status and a JSON object.
+
+    The member `allow` of an error, where there is one, is also sent as the header of that name.
+    """
+
     status: int
     body: dict
 
 
-class Operated(Protocol):
-    """What the door works on: the program, as operators see it."""
+class InvalidRequestError(ValueError):
+    """A request body that is not valid.
+
+    Attributes:
+        field: The name of the field at fault.
+    """
+
+    def __init__(self, message: str, field: str) -> None:
+        """Create an error with its message and the name of the field at fault."""
+        super().__init__(message)
+        self.field = field
+
+
+class AdminTarget(Protocol):
+    """What the admin API works on: the application, as operators see it."""
+
+    def ready(self) -> bool:
+        """Return whether new clients are accepted."""
+
+    def figures(self) -> dict:
+        """Return the metrics as a JSON object."""
+
+    def disable(self, host: str) -> bool:
+        """Eject an engine, named by id or HOST:PORT; return False for one that was never listed."""
+
+    def enable(self, host: str) -> bool:
+        """Let an engine back in; return False for one that was never listed."""
+
+    def drain(self) -> None:
+        """Begin a drain."""
+
+    def undrain(self) -> None:
+        """End a drain."""
+
+
+Handler = Callable[[AdminTarget, bytes], AdminResponse]  # the target and the request's body
+
+
+@dataclass(frozen=True)
+class Route:
+    """The method that a path takes, and its handler."""
+
+    method: str
+    handler: Handler
+
+
+def dispatch(target: AdminTarget, method: str, path: str, body: bytes) -> AdminResponse:
+    """Carry out one request on the target and return its response; a query string is ignored."""
+    path = path.split("?", 1)[0]
+    route = ROUTES.get(path)
+    if route is None:
+        return error_response(HTTPStatus.NOT_FOUND, f"no such call: {path[:MAX_QUOTED_CHARACTERS]}", "path")
+    if method != route.method:
+        error = {"error": f"{path} takes {route.method}", "field": "method", "allow": route.method}
+        return AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, error)
+    try:
+        return route.handler(target, body)
+    except InvalidRequestError as error:
+        return error_response(HTTPStatus.BAD_REQUEST, str(error), error.field)
+
+
+def error_response(status: int, message: str, field: str) -> AdminResponse:
+    """Return the response to a request with a field at fault."""
+    return AdminResponse(status, {"error": message, "field": field})
+
+
+def _ok(body: dict) -> AdminResponse:
+    return AdminResponse(HTTPStatus.OK, body)
 
-    def ready(self) -> bool: ...
 
-    def figures(self) -> dict: ...
+def _get_ready(target: AdminTarget, _body: bytes) -> AdminResponse:
+    ready = target.ready()
+    status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+    return AdminResponse(status, {"ready": ready})
 
-    def disable(self, host: str) -> bool: ...  # False: an id that was never listed
 
-    def enable(self, host: str) -> bool: ...
+def _get_metrics(target: AdminTarget, _body: bytes) -> AdminResponse:
+    return _ok(target.figures())
 
-    def drain(self) -> None: ...
 
-    def undrain(self) -> None: ...
+def _drain(target: AdminTarget, _body: bytes) -> AdminResponse:
+    target.drain()
+    return _ok({"draining": True})
 
 
-GETS = ("/ready", "/metrics")
-POSTS = ("/engines/disable", "/engines/enable", "/drain", "/undrain")
+def _undrain(target: AdminTarget, _body: bytes) -> AdminResponse:
+    target.undrain()
+    return _ok({"draining": False})
 
 
-def _host(body: bytes) -> str | Answer:
+def _disable_engine(target: AdminTarget, body: bytes) -> AdminResponse:
+    host = _read_host(body)
+    if not target.disable(host):
+        return _unknown_engine(host)
+    return _ok({"host": host, "disabled": True})
+
+
+def _enable_engine(target: AdminTarget, body: bytes) -> AdminResponse:
+    host = _read_host(body)
+    if not target.enable(host):
+        return _unknown_engine(host)
+    return _ok({"host": host, "disabled": False})
+
+
+def _unknown_engine(host: str) -> AdminResponse:
+    message = f"host: no engine {host[:MAX_QUOTED_CHARACTERS]!r} was listed"
+    return error_response(HTTPStatus.NOT_FOUND, message, "host")
+
+
+def _read_host(body: bytes) -> str:
+    """Return the engine that a request body names.
+
+    Raises:
+        InvalidRequestError: The body is not JSON or names no host.
+    """
     try:
         fields = json.loads(body or b"null")
     except (ValueError, RecursionError):
-        return Answer(400, {"error": "body: not JSON", "field": "body"})
+        raise InvalidRequestError("body: not JSON", "body") from None
     host = fields.get("host") if isinstance(fields, dict) else None
     if not isinstance(host, str) or not host:
-        return Answer(400, {"error": "host: a string is needed", "field": "host"})
+        raise InvalidRequestError("host: a string is needed", "host")
     return host
 
 
-def answer(operated: Operated, method: str, path: str, body: bytes) -> Answer:
-    path = path.split("?", 1)[0]
-    if path not in GETS + POSTS:
-        return Answer(404, {"error": f"no such call: {path[:80]}", "field": "path"})
-    wanted = "GET" if path in GETS else "POST"
-    if method != wanted:
-        return Answer(405, {"error": f"{path} takes {wanted}", "field": "method", "allow": wanted})
-    match path:
-        case "/ready":
-            ready = operated.ready()
-            return Answer(200 if ready else 503, {"ready": ready})
-        case "/metrics":
-            return Answer(200, operated.figures())
-        case "/drain":
-            operated.drain()
-            return Answer(200, {"draining": True})
-        case "/undrain":
-            operated.undrain()
-            return Answer(200, {"draining": False})
-    host = _host(body)
-    if isinstance(host, Answer):
-        return host
-    done = operated.disable(host) if path == "/engines/disable" else operated.enable(host)
-    if not done:
-        return Answer(404, {"error": f"host: no engine {host[:80]!r} was listed", "field": "host"})
-    return Answer(200, {"host": host, "disabled": path == "/engines/disable"})
+ROUTES = {
+    "/ready": Route("GET", _get_ready),
+    "/metrics": Route("GET", _get_metrics),
+    "/engines/disable": Route("POST", _disable_engine),
+    "/engines/enable": Route("POST", _enable_engine),
+    "/drain": Route("POST", _drain),
+    "/undrain": Route("POST", _undrain),
+}
--- a/applevale/admin/server.py
+++ b/applevale/admin/server.py
@@ -1,125 +1,123 @@
-"""The operators' door: HTTP/1.1 by h11 on the program's own loop, one call a connection.
+"""The HTTP server of the admin API: one request for each connection, on the application's event loop.
 
-Guards the loop against callers: each connection is one task under one timer, whatever it sends or does
-not send; a head or body over its bound, or what is no HTTP, is answered once and closed. Callers hold a
-bounded number of descriptors: in a flood the one that came first makes room. Nothing from a socket goes
-beyond its connection's task.
+Each connection is a task under one timeout, whatever the client sends. The number of connections is bounded:
+a new one closes the oldest. A request that is malformed or exceeds a limit is responded to once, and no
+failure of a connection goes beyond its task.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import socket
 from http import HTTPStatus
 
-import h11
-
 from ..observability.counters import Counters
 from ..observability.events import log_event
-from .routes import MOST_CALLS, Answer, Operated, answer
-
-CALL = 2.0  # s for a whole call, from the connection on: a silent or slow caller has this and no more
-HEAD_MOST = 8 * 1024  # bytes of the request's head
-BODY_MOST = 4 * 1024  # bytes of its body
-RECEIVE = 4096
-
-
-def encode(codec: h11.Connection, method: bytes, reply: Answer) -> bytes:
-    """The whole answer. A codec that has met what is no HTTP can still say so, once."""
-    body = json.dumps(reply.body, separators=(",", ":")).encode()
-    headers = [
-        ("content-type", "application/json"),
-        ("content-length", str(len(body))),
-        ("connection", "close"),
-    ]
-    if "allow" in reply.body:
-        headers.append(("allow", reply.body["allow"]))
-    phrase = HTTPStatus(reply.status).phrase
-    data = [] if method == b"HEAD" else [h11.Data(data=body)]
-    head = h11.Response(status_code=reply.status, reason=phrase, headers=headers)
-    return b"".join(codec.send(event) or b"" for event in (head, *data, h11.EndOfMessage()))
-
-
-class Door:
-    def __init__(self, operated: Operated, counters: Counters, most: int = MOST_CALLS) -> None:
-        self.operated, self.counters, self.most = operated, counters, most
-        self.calls: dict[asyncio.Task, socket.socket] = {}  # in the order in which they came
+from .http_codec import ClientDisconnectedError, HttpExchange, HttpRequest, MalformedRequestError
+from .limits import (
+    ACCEPT_RETRY_SECONDS,
+    MAX_CONCURRENT_REQUESTS,
+    RECEIVE_BUFFER_BYTES,
+    REQUEST_TIMEOUT_SECONDS,
+)
+from .routes import AdminResponse, AdminTarget, dispatch, error_response
+
+MAX_QUOTED_CHARACTERS = 80  # of a request's target, in a log line
+
+
+class AdminServer:
+    """Serves the admin API on a listener."""
+
+    def __init__(
+        self, target: AdminTarget, counters: Counters, max_requests: int = MAX_CONCURRENT_REQUESTS
+    ) -> None:
+        """Create a server.
+
+        Args:
+            target: What requests work on.
+            counters: Where requests and failures are counted.
+            max_requests: How many connections are open at a time.
+        """
+        self._target = target
+        self._counters = counters
+        self._max_requests = max_requests
+        self._connections: dict[asyncio.Task, socket.socket] = {}  # the oldest first
 
     async def serve(self, listener: socket.socket) -> None:
+        """Accept and serve connections until the task is cancelled; the listener is non-blocking."""
         loop = asyncio.get_running_loop()
         while True:
             try:
                 sock, _ = await loop.sock_accept(listener)
-            except OSError as error:  # a caller that has gone, or no descriptor free
+            except OSError as error:  # the client has disconnected, or no descriptor is free
                 log_event("door", str(error))
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            if len(self.calls) >= self.most:
-                self.counters["door_evicted"] += 1
-                next(iter(self.calls)).cancel()
-            while len(self.calls) >= self.most:
-                await asyncio.sleep(0)  # it ends before another is taken
-            task = asyncio.create_task(self._call(sock))
-            self.calls[task] = sock
-            task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task) -> None:
-        """Guards the descriptor of a call that was cancelled before its first step."""
-        self.calls.pop(task).close()
-
-    async def _call(self, sock: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        codec = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
-        self.counters["door_calls"] += 1
+            await self._make_room()
+            task = asyncio.create_task(self._handle_connection(sock))
+            self._connections[task] = sock
+            task.add_done_callback(self._close_socket)
+
+    async def _make_room(self) -> None:
+        """Close the oldest connection if as many as allowed are open."""
+        if len(self._connections) >= self._max_requests:
+            self._counters["door_evicted"] += 1
+            oldest = next(iter(self._connections))
+            oldest.cancel()
+        while len(self._connections) >= self._max_requests:
+            await asyncio.sleep(0)
+
+    def _close_socket(self, task: asyncio.Task) -> None:
+        # In a callback: a task that is cancelled before its first step runs no `finally`.
+        self._connections.pop(task).close()
+
+    async def _handle_connection(self, sock: socket.socket) -> None:
+        self._counters["door_calls"] += 1
         try:
             sock.setblocking(False)
-            async with asyncio.timeout(CALL):
-                answered = await self._read(sock, codec)
-                if answered is not None:
-                    await loop.sock_sendall(sock, encode(codec, *answered))
-                    sock.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+                await self._exchange(sock)
         except TimeoutError:
-            self.counters["door_timeouts"] += 1
+            self._counters["door_timeouts"] += 1
         except OSError:
-            self.counters["door_resets"] += 1
+            self._counters["door_resets"] += 1
 
-    async def _read(self, sock: socket.socket, codec: h11.Connection) -> tuple[bytes, Answer] | None:
-        """The call's method and answer; None for a caller that left before its call was whole."""
-        loop, buffer = asyncio.get_running_loop(), bytearray(RECEIVE)
-        request, body = None, bytearray()
+    async def _exchange(self, sock: socket.socket) -> None:
+        """Receive one request and send its response."""
+        exchange = HttpExchange()
         try:
-            while True:
-                event = codec.next_event()
-                if event is h11.NEED_DATA:
-                    size = await loop.sock_recv_into(sock, buffer)
-                    codec.receive_data(bytes(buffer[:size]))
-                elif isinstance(event, h11.Request | h11.Data):
-                    if isinstance(event, h11.Request):
-                        request = event
-                        told = dict(event.headers).get(b"content-length", b"0")
-                        size = int(told) if told.isdigit() else 0
-                    else:
-                        body += event.data
-                        size = len(body)
-                    if size > BODY_MOST:
-                        return request.method, self._bad(413, f"body: over {BODY_MOST} bytes", "body")
-                elif isinstance(event, h11.EndOfMessage):
-                    break
-                elif isinstance(event, h11.ConnectionClosed):
-                    return None
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint if error.error_status_hint >= 400 else 400
-            return b"", self._bad(status, f"request: {error}"[:120], "head" if status == 431 else "request")
-        reply = answer(
-            self.operated, request.method.decode("latin-1"), request.target.decode("latin-1"), bytes(body)
-        )
-        if reply.status >= 400 and reply.status != 503:  # not ready is no fault of the caller
-            self.counters["door_refused"] += 1
-            log_event("door", f"{reply.status} {request.method.decode('latin-1')} {request.target[:80]!r}")
-        return request.method, reply
-
-    def _bad(self, status: int, text: str, field: str) -> Answer:
-        self.counters["door_bad"] += 1
-        log_event("door", f"{status}: {text}")
-        return Answer(status, {"error": text, "field": field})
+            request = await _receive_request(sock, exchange)
+            method = request.method
+            response = self._dispatch(request)
+        except ClientDisconnectedError:
+            return
+        except MalformedRequestError as error:
+            method = error.method
+            response = self._reject(error)
+        data = exchange.serialize(response, method)
+        await asyncio.get_running_loop().sock_sendall(sock, data)
+        sock.shutdown(socket.SHUT_WR)
+
+    def _dispatch(self, request: HttpRequest) -> AdminResponse:
+        response = dispatch(self._target, request.method, request.target, request.body)
+        is_client_error = response.status >= 400 and response.status != HTTPStatus.SERVICE_UNAVAILABLE
+        if is_client_error:
+            self._counters["door_refused"] += 1
+            target = request.target[:MAX_QUOTED_CHARACTERS]
+            log_event("door", f"{response.status:d} {request.method} {target!r}")
+        return response
+
+    def _reject(self, error: MalformedRequestError) -> AdminResponse:
+        self._counters["door_bad"] += 1
+        log_event("door", f"{error.status:d}: {error}")
+        return error_response(error.status, str(error), error.field)
+
+
+async def _receive_request(sock: socket.socket, exchange: HttpExchange) -> HttpRequest:
+    """Return the request of a client; raises the errors of `HttpExchange.next_request`, and OSError."""
+    loop = asyncio.get_running_loop()
+    buffer = bytearray(RECEIVE_BUFFER_BYTES)
+    while (request := exchange.next_request()) is None:
+        size = await loop.sock_recv_into(sock, buffer)
+        exchange.receive(bytes(buffer[:size]))
+    return request
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from .. import api
-from ..admin.metrics import Figures
-from ..admin.routes import MOST_CALLS
+from ..admin.limits import MAX_CONCURRENT_REQUESTS
+from ..admin.metrics import Gauges, Metrics
 from ..config.model import Config
 from ..discovery.control_feed import Feed
 from ..discovery.endpoints import Change, Source
@@ -49,7 +49,7 @@
     def of(cls, config: Config) -> DescriptorBudget:
         """Return the shares for a configuration."""
         clients = config.sockets // 2
-        admin = 0 if config.control is None else min(config.sockets // 8, MOST_CALLS)
+        admin = 0 if config.control is None else min(config.sockets // 8, MAX_CONCURRENT_REQUESTS)
         engines = max(1, config.sockets - clients - RESERVED_DESCRIPTORS - admin)
         return cls(clients, admin, engines)
 
@@ -57,7 +57,7 @@
 class Application:
     """The parts of one workload manager, and what happens between them.
 
-    It is also the target of the operators' calls (`admin.routes.Operated`).
+    It is also the target of the operators' calls (`admin.routes.AdminTarget`).
     """
 
     def __init__(self, config: Config, listen_address: Address):
@@ -98,14 +98,16 @@
         settings = self.config.settings
         return Front(self.handler, self.driver, settings, self.descriptors.clients, memory, self.counters)
 
-    def _create_metrics(self) -> Figures:
+    def _create_metrics(self) -> Metrics:
         pool = self.pool
-        metrics = Figures(tuple(spec.name for spec in self.config.settings.classes))
-        self.server.figures = metrics
-        pool.dispatched = metrics.dispatched
-        metrics.concurrent = lambda: self.server.open
-        metrics.targets = lambda: len(pool.engines) - len(pool.gone)
-        metrics.disabled = self._count_disabled_engines
+        gauges = Gauges(
+            open_requests=lambda: self.server.open,
+            engines=lambda: len(pool.engines) - len(pool.gone),
+            disabled_engines=self._count_disabled_engines,
+        )
+        metrics = Metrics(tuple(spec.name for spec in self.config.settings.classes), gauges)
+        self.server.metrics = metrics
+        pool.dispatched = metrics.record_dispatch
         return metrics
 
     def _count_disabled_engines(self) -> int:
@@ -174,7 +176,7 @@
         """Return whether new clients should be accepted."""
         has_engines = self.config.registry is None or self.endpoints.usable()
         is_leaving = self.shutdown_requested.is_set()
-        return has_engines and not (is_leaving or self.endpoints.held or self.server.draining.on)
+        return has_engines and not (is_leaving or self.endpoints.held or self.server.draining.is_active)
 
     def update_readiness(self) -> None:
         """Report readiness to probes, operators and programs that follow the events, as it changes."""
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -74,9 +74,9 @@
 
 def _serve_operators(application: Application, listener: socket.socket) -> asyncio.Task:
     """Serve the operators' calls in a task of their own, and watch for ejections by another process."""
-    from ..admin.server import Door  # its library costs memory and time at every start
+    from ..admin.server import AdminServer  # its library costs memory and time at every start
 
-    server = Door(application, application.counters, application.descriptors.admin)
+    server = AdminServer(application, application.counters, application.descriptors.admin)
     task = asyncio.create_task(server.serve(listener))
     application.ejection_control.watch()
     return task
--- a/applevale/runtime/reload.py
+++ b/applevale/runtime/reload.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ..admin.metrics import Figures
+from ..admin.metrics import Metrics
 from ..config.loader import load_config
 from ..config.model import Config, ConfigError
 from ..discovery.control_feed import Feed, FeedError
@@ -28,7 +28,7 @@
         config: Config,
         source: Source,
         control_feed: Feed,
-        metrics: Figures,
+        metrics: Metrics,
         counters: Counters,
         load: Callable[[], Config] = load_config,
     ):
@@ -47,10 +47,10 @@
             self._check_identity(config)
         except ConfigError as error:
             log_event("reload", f"the old configuration stays: {error}")
-            self.metrics.reloaded(False)
+            self.metrics.record_reload(False)
             return
         self.counters["reloads"] += 1
-        self.metrics.reloaded(True)
+        self.metrics.record_reload(True)
         self.apply_known_endpoints(config.known)
         self._move_source(config)
         fixed = self._changed_keys(FIXED_KEYS, config)
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -13,8 +13,8 @@
 import msgpack
 
 from .. import api
-from ..admin.draining import CROSSING, TAKES, Drain
-from ..admin.metrics import Figures
+from ..admin.draining import ACCEPT_SECONDS, FIRST_REQUEST_GRACE_SECONDS, DrainState
+from ..admin.metrics import Metrics, ResponseOutcome
 from ..dispatch.arrival_order import Source
 from ..dispatch.event_loop_driver import Driver
 from ..net.write_queue import Outbox
@@ -38,7 +38,11 @@
 _UNPRINTABLE = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
-OUTCOME = {Served: "success", Refused: "overload", Failed: "error"}  # as the figures name them
+OUTCOMES = {
+    Served: ResponseOutcome.SUCCESS,
+    Refused: ResponseOutcome.OVERLOAD,
+    Failed: ResponseOutcome.ERROR,
+}
 
 
 class BadMessage(ValueError):
@@ -182,8 +186,8 @@
         self.source = Source()  # the listener's
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
-        self.draining = Drain()  # whether clients are sent elsewhere
-        self.figures: Figures | None = None
+        self.draining = DrainState()  # whether clients are sent elsewhere
+        self.metrics: Metrics | None = None
         driver.inlets.append(self.inlet)
 
     @property
@@ -231,7 +235,7 @@
         connection = Connection(self, sock, self.source.read(asked, self.driver.arrivals.polled, emptied))
         self.silent[connection] = now
         self.connections[connection] = asyncio.create_task(connection.run())
-        if self.draining.on:
+        if self.draining.is_active:
             self.close_silent(connection, now)
 
     def shut(self) -> None:
@@ -266,7 +270,7 @@
     def make_room(self, now: float) -> None:
         """Closes a connection that is owed nothing. Guards against clients that stay for good after one
         request, and against crowds that say nothing: behind them, requests of others were not even read."""
-        silent = [one for one, since in self.silent.items() if now - since >= CROSSING]
+        silent = [one for one, since in self.silent.items() if now - since >= FIRST_REQUEST_GRACE_SECONDS]
         owed_nothing = [*silent, *self.idle, *self.silent]
         # One whose next request lies unread goes last of all: its client would be reset.
         one = next((one for one in owed_nothing if not one.pending()), next(iter(owed_nothing), None))
@@ -282,7 +286,7 @@
             loop = asyncio.get_running_loop()
             self.idle[connection] = loop.time()
             self.room.set()
-            if self.draining.on:  # guards the drain: no client is held on an idle connection
+            if self.draining.is_active:  # guards the drain: no client is held on an idle connection
                 loop.call_soon(self.close_idle, connection)
 
     def close_idle(self, connection: Connection) -> None:
@@ -291,15 +295,15 @@
         if connection not in self.connections:
             return
         owed = bool(connection.calls or connection.outbox.size)
-        if self.draining.closes(owed, owed or connection.pending()):
+        if self.draining.may_close(owed, owed or connection.pending()):
             connection.stop("")
 
     def close_silent(self, connection: Connection, accepted: float) -> None:
         """Guards a client that connected before it could know of the drain: its request may be on its way."""
         loop = asyncio.get_running_loop()
-        loop.call_later(self.draining.wait(accepted, loop.time()), self.close_idle, connection)
+        loop.call_later(self.draining.first_request_wait(accepted, loop.time()), self.close_idle, connection)
 
-    def drain(self, takes: float = TAKES) -> None:
+    def drain(self, takes: float = ACCEPT_SECONDS) -> None:
         """Sends clients elsewhere; what is owed is answered, and what comes within `takes` s is taken."""
         self.counters["drains"] += 1
         self.draining.begin(asyncio.get_running_loop().time() + takes)
@@ -524,7 +528,7 @@
     async def serve(self, number: int, query: Query) -> None:
         front = self.front
         try:
-            if front.draining.refuses(asyncio.get_running_loop().time()):
+            if front.draining.rejects_requests(asyncio.get_running_loop().time()):
                 self.counters["drain_refused"] += 1
                 answer = front.broker.turn_away()
             else:
@@ -552,8 +556,8 @@
 
     def answer(self, number: int, answer: Served | Refused | Failed, query: Query) -> None:
         self.counters["answered_" + type(answer).__name__.lower()] += 1
-        if self.front.figures is not None:
-            self.front.figures.answered(query.cls, OUTCOME[type(answer)])
+        if self.front.metrics is not None:
+            self.front.metrics.record_response(query.cls, OUTCOMES[type(answer)])
         match answer:
             case Served(rows=rows):
                 self.send(reply(number, None, [rows, {}]), query)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The operators' door and what it works on: calls, bans and their file, figures, a silent caller."""
+"""The admin API: routes, manual ejections and their file, metrics, and the HTTP server."""
 
 import asyncio
 import hashlib
@@ -13,17 +13,22 @@
 from applevale.admin import ejection_codec
 from applevale.admin.ejection_store import EjectionStore
 from applevale.admin.ejections import EjectionEntry, EjectionRegistry
-from applevale.admin.metrics import Figures
-from applevale.admin.routes import answer
-from applevale.admin.server import MOST_CALLS, Door
+from applevale.admin.limits import MAX_CONCURRENT_REQUESTS
+from applevale.admin.metrics import Gauges, Metrics, ResponseOutcome
+from applevale.admin.routes import dispatch
+from applevale.admin.server import AdminServer
 from applevale.discovery.endpoints import Change, Member
 from applevale.discovery.gated_endpoints import HeldList
 from applevale.observability.counters import Counters
 
 
-class Operated:
+class FakeTarget:
+    """An application that only remembers what operators asked for."""
+
     def __init__(self):
-        self.banned, self.draining, self.listed = set(), False, {"s-00000001"}
+        self.ejected = set()
+        self.draining = False
+        self.listed = {"s-00000001"}
 
     def ready(self):
         return not self.draining
@@ -32,11 +37,11 @@
         return {"concurrent": 0}
 
     def disable(self, host):
-        self.banned |= {host} & self.listed
+        self.ejected |= {host} & self.listed
         return host in self.listed
 
     def enable(self, host):
-        self.banned.discard(host)
+        self.ejected.discard(host)
         return host in self.listed
 
     def drain(self):
@@ -47,20 +52,25 @@
 
 
 def test_each_call_has_its_answer_and_bad_ones_change_nothing():
-    op = Operated()
-    assert answer(op, "GET", "/ready", b"").status == 200
-    assert answer(op, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
-    assert answer(op, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200  # again: the same
-    assert op.banned == {"s-00000001"}
-    assert answer(op, "POST", "/engines/disable", b'{"host":"s-0000000f"}').status == 404
-    bad = answer(op, "POST", "/engines/disable", b'{"hots":"s-00000001"}')
+    target = FakeTarget()
+    assert dispatch(target, "GET", "/ready", b"").status == 200
+    assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
+    assert (
+        dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
+    )  # again: the same
+    assert target.ejected == {"s-00000001"}
+    assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-0000000f"}').status == 404
+    bad = dispatch(target, "POST", "/engines/disable", b'{"hots":"s-00000001"}')
     assert (bad.status, bad.body["field"]) == (400, "host")
-    assert answer(op, "POST", "/engines/enable", b"[").body["field"] == "body"
-    assert answer(op, "GET", "/drain", b"").status == 405 and not op.draining
-    assert answer(op, "POST", "/nowhere", b"").status == 404
-    assert answer(op, "POST", "/drain", b"").status == 200 and answer(op, "GET", "/ready", b"").status == 503
-    answer(op, "POST", "/engines/enable", b'{"host":"s-00000001"}')
-    assert op.banned == set()
+    assert dispatch(target, "POST", "/engines/enable", b"[").body["field"] == "body"
+    assert dispatch(target, "GET", "/drain", b"").status == 405 and not target.draining
+    assert dispatch(target, "POST", "/nowhere", b"").status == 404
+    assert (
+        dispatch(target, "POST", "/drain", b"").status == 200
+        and dispatch(target, "GET", "/ready", b"").status == 503
+    )
+    dispatch(target, "POST", "/engines/enable", b'{"host":"s-00000001"}')
+    assert target.ejected == set()
 
 
 def member(engine, state=api.State.READY):
@@ -146,15 +156,14 @@
 
 
 def test_figures_are_counted_where_the_events_are_and_read_at_once():
-    figures = Figures(("lookup", "load"))
-    open_now = [3]
-    figures.concurrent = lambda: open_now[0]
-    for outcome in ["success"] * 5 + ["overload"] * 2 + ["error"]:
-        figures.answered(0, outcome)
-    figures.dispatched("load")
-    figures.dispatched("nobody")  # an attempt of no class that is listed counts nowhere
-    figures.reloaded(False)
-    shot = figures.snapshot()
+    metrics = Metrics(("lookup", "load"), Gauges(open_requests=lambda: 3))
+    outcomes = [ResponseOutcome.SUCCESS] * 5 + [ResponseOutcome.OVERLOAD] * 2 + [ResponseOutcome.ERROR]
+    for outcome in outcomes:
+        metrics.record_response(0, outcome)
+    metrics.record_dispatch("load")
+    metrics.record_dispatch("nobody")  # an attempt of no class that is listed counts nowhere
+    metrics.record_reload(False)
+    shot = metrics.snapshot()
     assert shot["replies"]["lookup"] == {"success": 5, "overload": 2, "error": 1, "dispatches": 0}
     assert shot["replies"]["load"]["dispatches"] == 1 == shot["dispatches"]
     assert (shot["concurrent"], shot["reload_failure"], shot["reload_success"]) == (3, 1, 0)
@@ -164,7 +173,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     listener.setblocking(False)
     counters = Counters()
-    door = asyncio.create_task(Door(Operated(), counters).serve(listener))
+    door = asyncio.create_task(AdminServer(FakeTarget(), counters).serve(listener))
     loop = asyncio.get_running_loop()
     try:
         return [await calls(loop, listener.getsockname()), counters]
@@ -215,7 +224,7 @@
 
 def test_a_flood_of_silent_callers_leaves_room_for_a_call():
     async def calls(loop, at):
-        silent = [socket.create_connection(at) for _ in range(MOST_CALLS + 5)]
+        silent = [socket.create_connection(at) for _ in range(MAX_CONCURRENT_REQUESTS + 5)]
         ready = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
         for sock in silent:
             sock.close()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,7 +9,7 @@
 import uvloop
 from test_node import Client, Node, probed, until
 
-from applevale.admin.draining import CROSSING, TAKES, Drain
+from applevale.admin.draining import ACCEPT_SECONDS, FIRST_REQUEST_GRACE_SECONDS, DrainState
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.observability.counters import Counters
 from applevale.requests.handler import Refused, Served
@@ -17,16 +17,21 @@
 
 
 def test_a_drain_takes_requests_for_a_while_and_lasts_until_it_is_ended():
-    drain = Drain()
-    assert not drain.on and not drain.refuses(1e9) and not drain.closes(False, False)
+    drain = DrainState()
+    assert not drain.is_active and not drain.rejects_requests(1e9) and not drain.may_close(False, False)
     drain.begin(10.0)
     drain.begin(11.0)  # again: it is the same drain
-    assert drain.on and not drain.refuses(9.9) and drain.refuses(10.0)
-    assert drain.closes(owed=False, pending=False)
-    assert not drain.closes(owed=True, pending=False) and not drain.closes(owed=False, pending=True)
-    assert drain.wait(10.0, 10.0) == CROSSING and drain.wait(5.0, 10.0) == 0.0
+    assert drain.is_active and not drain.rejects_requests(9.9) and drain.rejects_requests(10.0)
+    assert drain.may_close(has_open_work=False, has_unread_input=False)
+    assert not drain.may_close(has_open_work=True, has_unread_input=False) and not drain.may_close(
+        has_open_work=False, has_unread_input=True
+    )
+    assert (
+        drain.first_request_wait(10.0, 10.0) == FIRST_REQUEST_GRACE_SECONDS
+        and drain.first_request_wait(5.0, 10.0) == 0.0
+    )
     drain.end()
-    assert not drain.on and not drain.refuses(1e9)
+    assert not drain.is_active and not drain.rejects_requests(1e9)
 
 
 class Answers:
@@ -117,7 +122,7 @@
         site.ask(1)
         await site.broker.came.wait()
         site.front.drain()
-        site.front.draining.until -= TAKES  # it has lasted that long
+        site.front.draining.reject_from -= ACCEPT_SECONDS  # it has lasted that long
         site.ask(2)
         refused = await site.read()
         assert refused[1] == 2 and refused[2] == ["Full", {"cooldown": "500"}]
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -8,17 +8,16 @@
 import json
 from pathlib import Path
 
-import h11
 import lmdb
 import msgspec
 import pytest
 
 from applevale import api
 from applevale.admin import ejection_codec
-from applevale.admin import server as door
 from applevale.admin.ejections import EjectionEntry
-from applevale.admin.metrics import Figures
-from applevale.admin.routes import answer
+from applevale.admin.http_codec import HttpExchange
+from applevale.admin.metrics import Gauges, Metrics, ResponseOutcome
+from applevale.admin.routes import dispatch
 from applevale.discovery.endpoints import Names
 from applevale.discovery.registry.records import read_record
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
@@ -105,15 +104,15 @@
 
 
 def metrics():
-    figures = Figures(("short", "long"))
-    figures.answered(0, "success")
-    figures.answered(1, "overload")
-    figures.answered(1, "error")
-    figures.dispatched("short")
-    figures.reloaded(True)
-    figures.reloaded(False)
-    figures.concurrent, figures.targets, figures.disabled = (lambda: 4), (lambda: 5), (lambda: 6)
-    return figures
+    gauges = Gauges(open_requests=lambda: 4, engines=lambda: 5, disabled_engines=lambda: 6)
+    metrics = Metrics(("short", "long"), gauges)
+    metrics.record_response(0, ResponseOutcome.SUCCESS)
+    metrics.record_response(1, ResponseOutcome.OVERLOAD)
+    metrics.record_response(1, ResponseOutcome.ERROR)
+    metrics.record_dispatch("short")
+    metrics.record_reload(True)
+    metrics.record_reload(False)
+    return metrics
 
 
 class Target:
@@ -150,12 +149,12 @@
 
 
 def http_reply(method, path, body):
-    codec = h11.Connection(h11.SERVER)
+    exchange = HttpExchange()
     head = f"{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
-    codec.receive_data(head.encode() + body)
-    while not isinstance(codec.next_event(), h11.EndOfMessage):
-        pass
-    return door.encode(codec, method.encode(), answer(Target(), method, path, body))
+    exchange.receive(head.encode() + body)
+    request = exchange.next_request()
+    response = dispatch(Target(), request.method, request.target, request.body)
+    return exchange.serialize(response, request.method)
 
 
 def raw_snapshot(folder):
