Startup: latency, backoff, staleness guard, connect schedule by standard names

Change: Latency -> LatencyEstimator, Line -> AdaptiveBackoff, Promise and Kept -> StalenessGuard and GuardState, Ramp -> ConnectSchedule; one method for each state change of the guard; constants with their unit; docstrings. Call sites in the registry watcher, the connect pacer and the runtime follow.

--- a/applevale/admin/http_codec.py
+++ b/applevale/admin/http_codec.py
@@ -124,6 +124,6 @@
 
 
 def _malformed(error: h11.RemoteProtocolError) -> MalformedRequestError:
-    status = error.error_status_hint if error.error_status_hint >= 400 else 400
+    status = max(error.error_status_hint, HTTPStatus.BAD_REQUEST)
     field = "head" if status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else "request"
     return MalformedRequestError(status, f"request: {error}"[:MAX_ERROR_CHARACTERS], field)
--- a/applevale/admin/server.py
+++ b/applevale/admin/server.py
@@ -100,7 +100,9 @@
 
     def _dispatch(self, request: HttpRequest) -> AdminResponse:
         response = dispatch(self._target, request.method, request.target, request.body)
-        is_client_error = response.status >= 400 and response.status != HTTPStatus.SERVICE_UNAVAILABLE
+        is_client_error = (
+            response.status >= HTTPStatus.BAD_REQUEST and response.status != HTTPStatus.SERVICE_UNAVAILABLE
+        )
         if is_client_error:
             self._counters["door_refused"] += 1
             target = request.target[:MAX_QUOTED_CHARACTERS]
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -11,7 +11,7 @@
 
 from ...observability.counters import Counters
 from ...observability.events import emit_event, log_event
-from ...startup.staleness_guard import Kept
+from ...startup.staleness_guard import GuardState
 from ..endpoints import Change, Names
 from . import watcher as f
 from .records import Ledger, digest
@@ -221,15 +221,16 @@
         """Once for each time that the promise is given up, with figures; and when it is kept again."""
         former, self.promise_was = self.promise_was, self.follower.promise.state
         pace, latency = self.follower.pace, self.follower.latency
-        if former is Kept.KEPT:
+        budget = self.follower.promise.response_budget
+        if former is GuardState.ACTIVE:
             log_event(
                 "promise",
                 f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
-                f"reads a second, answered within {self.follower.promise.room * 1000:.0f} ms; they take "
+                f"reads a second, answered within {budget * 1000:.0f} ms; they take "
                 f"{latency.mean * 1000:.0f} ms, {self.follower.figures.declined} were refused so far. "
                 f"on_stale is {self.settings.on_stale!r} until it can",
             )
-        elif self.promise_was is Kept.KEPT:
+        elif self.promise_was is GuardState.ACTIVE:
             log_event("promise", f"{pace.fresh:g} s is kept again")
 
     def _turn(self, fresh: bool, now: float) -> None:
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -11,7 +11,8 @@
 - Of one session (a connection to one member) nothing counts once a later one was begun.
 
 - In a session no question leaves while another is open there, and questions keep to the pace that the
-  promise needs; while it cannot be kept (startup.promise) they are few, and the list counts as not confirmed.
+  promise needs; while it cannot be kept (startup.staleness_guard) they are few, and the list counts as
+  not confirmed.
 - A session that works is never left because the service is slow for all. One that is silent for longer than
   it was wont to be gets a trial beside it, a session with the next member. If the trial answers at least
   twice as fast, the member was at fault, and the trial takes over; if not, all are slow: the session stays,
@@ -31,9 +32,9 @@
 from math import inf
 from random import Random
 
-from ...startup.adaptive_backoff import Line
-from ...startup.latency import Latency
-from ...startup.staleness_guard import Kept, Promise
+from ...startup.adaptive_backoff import AdaptiveBackoff
+from ...startup.latency import LatencyEstimator
+from ...startup.staleness_guard import GuardState, StalenessGuard
 from .records import Entry, Ledger
 
 # --- commands -----------------------------------------------------------------------------------------------
@@ -194,16 +195,16 @@
     cluster: int = 0  # whose revisions these are; 0: not told
     other: bool = False  # this session's member belongs to another, whose revisions start anew
     sessions: int = 0
-    line: Line = field(default_factory=Line)
-    latency: Latency = field(default_factory=Latency)
-    promise: Promise = field(init=False)
+    line: AdaptiveBackoff = field(default_factory=AdaptiveBackoff)
+    latency: LatencyEstimator = field(default_factory=LatencyEstimator)
+    promise: StalenessGuard = field(init=False)
     wary_until: float = -inf  # the loop stood still: silence counts from here
     latest: float = -inf  # when anything was told last
     late_looks: int = 0  # in a row
     lateness: float = 0.0  # s that looks come late here, lately: who is slow finds all others slow
 
     def __post_init__(self) -> None:
-        self.promise = Promise(room=self.pace.fresh * (1 - self.pace.ask[0]))
+        self.promise = StalenessGuard(response_budget=self.pace.fresh * (1 - self.pace.ask[0]))
 
     def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
         """A list that was kept: it is told, and the watch tried behind it; it is confirmed by no one yet."""
@@ -218,7 +219,7 @@
         return {one.number for one in (self.session, self.trial) if one is not None}
 
     def fresh(self, now: float) -> bool:
-        return self.promise.holds and now - self.confirmed <= self.pace.fresh
+        return self.promise.is_guaranteed and now - self.confirmed <= self.pace.fresh
 
     def next_look(self, now: float) -> float:
         """When `ticked` is due, at the latest."""
@@ -284,7 +285,7 @@
         session.answered, number = now, session.number
         session.held, session.held_until = None, inf
         self._took(now - asked)
-        self.promise.greeted(now - asked)
+        self.promise.record_handshake(now - asked)
         self.other = bool(cluster and self.cluster and cluster != self.cluster)
         self.cluster = self.cluster or cluster
         if self.other:
@@ -307,9 +308,9 @@
         session = self._of(number)
         if session is None:
             return []
-        self.line.refused()
-        self.promise.refused(now, self.random.random())
-        wait = now + self.line.wait(self.random.random(), after)
+        self.line.record_throttled()
+        self.promise.record_throttled(now, self.random.random())
+        wait = now + self.line.next_delay(self.random.random(), after)
         if self.state is State.WATCHING and watch:
             session.held, session.held_until = Watch(number, self.revision + 1), wait
             return []
@@ -348,7 +349,7 @@
         self.confirmed = max(self.confirmed, asked)
         session.progress = session.seen = revision
         session.answered, self.state = now, State.WATCHING
-        session.next_ask = self._ask_at(asked) if self.promise.proved else now
+        session.next_ask = self._ask_at(asked) if self.promise.proven else now
         self.failures = self.denials = 0
         tell = Tell(self.ledger.replace(records), whole=True)
         return [tell, Watch(number, revision + 1)]
@@ -413,11 +414,13 @@
             lapsed = (
                 self.session.confirmed
                 and age > self.pace.fresh
-                and (took > self.promise.room or age > 1.5 * self.pace.fresh)
+                and (took > self.promise.response_budget or age > 1.5 * self.pace.fresh)
             )
             former = self.promise.state
-            self.promise.answered(now, took, lapsed, self.random.random())
-            self.figures.given_up += former is Kept.KEPT and self.promise.state is Kept.GIVEN_UP
+            self.promise.record_response(now, took, lapsed, self.random.random())
+            self.figures.given_up += (
+                former is GuardState.ACTIVE and self.promise.state is GuardState.SUSPENDED
+            )
 
     def compacted(self, now: float, number: int) -> list[Command]:
         """What lies between the list and the watch is no longer there to be told."""
@@ -458,7 +461,7 @@
         session = self.session
         self.state = State.READING
         session.answered, session.unanswered, session.open = now, inf, inf
-        wait = self.line.wait(self.random.random())
+        wait = self.line.next_delay(self.random.random())
         if not wait:
             return [ReadAll(session.number)]
         session.held, session.held_until = ReadAll(session.number), now + wait
@@ -473,7 +476,7 @@
     def _ask_at(self, asked: float) -> float:
         """When the next question leaves, after one at `asked`."""
         pace, draw = self.pace, self.random.random()
-        seldom = self.promise.seldom()
+        seldom = self.promise.min_poll_interval()
         if seldom:
             return asked + seldom * (0.5 + draw)
         least, most = (share * pace.fresh for share in pace.ask)
@@ -484,9 +487,9 @@
         return asked + least + draw * (most - least)
 
     def _took(self, seconds: float) -> None:
-        self.latency.took(seconds)
-        self.line.answered(seconds)
-        self.quick = self.quick + 1 if seconds <= self.promise.room else 0
+        self.latency.record(seconds)
+        self.line.record_success(seconds)
+        self.quick = self.quick + 1 if seconds <= self.promise.response_budget else 0
         if self.quick >= QUICK:  # what was slow for all, or broke trials, has passed
             self.slow_trials = self.lost_trials = 0
             self.trials.clear()
@@ -502,13 +505,13 @@
 
     def _patience(self) -> float:
         pace = self.pace
-        if self.promise.state is Kept.GIVEN_UP:
+        if self.promise.state is GuardState.SUSPENDED:
             return pace.worse * pace.fresh
         waiting = self._waiting_since()
         if self.quick >= QUICK and waiting - self.confirmed < pace.fresh:
             least, most = pace.silence
             drawn = (least + self.session.draw * (most - least)) * pace.fresh
-            return max(drawn, 2 * self.latency.high())
+            return max(drawn, 2 * self.latency.upper_bound())
         return pace.patient + LATE_TIMES * self.lateness
 
     def _trial_at(self) -> float:
@@ -517,8 +520,8 @@
         most = max(1, self.members - 1)
         rest = min(self.pace.trial[1], self.pace.trial[0] * 2 ** min(self.slow_trials, 10))
         again = self.trials[-most] + rest if len(self.trials) >= most else -inf
-        if self.promise.state is Kept.GIVEN_UP:
-            again = max(again, self.promise.since + self.pace.given_up)
+        if self.promise.state is GuardState.SUSPENDED:
+            again = max(again, self.promise.state_since + self.pace.given_up)
         return max(self._waiting_since() + self._patience(), again, self.trial_due)
 
     def _trial_over(self) -> float:
@@ -529,7 +532,7 @@
         """When the session is held to be dead, trial or not."""
         if self.state is State.READING:
             return inf if self.session.held is not None else self.session.answered + self.pace.read
-        return self._waiting_since() + max(self.pace.silent, 4 * self.latency.high())
+        return self._waiting_since() + max(self.pace.silent, 4 * self.latency.upper_bound())
 
     def _try(self, now: float) -> list[Command]:
         self.figures.trials += 1
@@ -549,7 +552,7 @@
         self.figures.stalls += 1
         self.slow_trials = self.lost_trials = 0
         self.session, self.state = trial, State.CONNECTING
-        self.latency = Latency()  # it was the other's
+        self.latency = LatencyEstimator()  # it was the other's
         return self._greeted(now, asked, revision, cluster)
 
     def _lost_trial(self, now: float) -> None:
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -8,7 +8,7 @@
 
 from .. import api
 from ..discovery.gated_endpoints import HeldList
-from ..startup.connect_schedule import Ramp
+from ..startup.connect_schedule import ConnectSchedule
 from .connection import Fleet
 
 
@@ -18,7 +18,7 @@
 
     def __init__(
         self,
-        ramp: Ramp,
+        ramp: ConnectSchedule,
         fleet: Fleet,
         submit: Callable[[api.EngineList], None],
         held: HeldList,
@@ -33,14 +33,14 @@
         return asyncio.get_running_loop().time()
 
     def may(self, engine: int) -> bool:
-        return self.ramp.may(engine, self.now())
+        return self.ramp.may_connect(engine, self.now())
 
     def begun(self, engine: int) -> None:
-        self.ramp.begun(engine, self.now())
+        self.ramp.record_connect(engine, self.now())
 
     def parted(self, engine: int) -> None:
         """The last link to it broke, or its first never came up."""
-        self.ramp.parted(engine, self.now())
+        self.ramp.record_disconnect(engine, self.now())
         if self._hide(engine):
             self.submit(self.held.told_again(engine))
             self.turned()
@@ -49,7 +49,7 @@
     def listed(self) -> None:
         """Before the module hears of a list."""
         present = set(self.fleet.engines) - self.fleet.gone
-        self.ramp.listed(present, self.now())
+        self.ramp.set_engines(present, self.now())
         self.held.unopened &= present
         for engine in present:
             self._hide(engine)
@@ -65,7 +65,7 @@
     def _wait(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        due = min((self.ramp.next.get(engine, -inf) for engine in self.held.unopened), default=None)
+        due = min((self.ramp.allowed_from.get(engine, -inf) for engine in self.held.unopened), default=None)
         self.timer = None
         if due is not None:
             self.timer = asyncio.get_running_loop().call_at(due, self._open)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -212,7 +212,7 @@
         self.counters["share_of"] = size
         self.driver.post(api.FleetSize(size))
         if self.connect_pacer is not None:
-            self.connect_pacer.ramp.instances = size
+            self.connect_pacer.ramp.instance_count = size
 
     def dump_counters(self) -> None:
         """Log all counters."""
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -45,9 +45,10 @@
     """Return the pacer of connects to engines; None where the configuration names no rate."""
     if config.engine_connects is None:
         return None
-    from ..engines.connect_pacer import Openings, Ramp
+    from ..engines.connect_pacer import Openings
+    from ..startup.connect_schedule import ConnectSchedule
 
-    schedule = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
+    schedule = ConnectSchedule(config.engine_connects, config.settings.gateways, config.settings.me)
     return Openings(schedule, pool, driver.post, endpoints, on_readiness_change)
 
 
--- a/applevale/startup/__init__.py
+++ b/applevale/startup/__init__.py
@@ -1,1 +1,1 @@
-"""How an instance comes up among hundreds: its place in line, the promise it can keep, engines one by one."""
+"""How an instance starts and reconnects as one of hundreds, without overloading what all of them call."""
--- a/applevale/startup/adaptive_backoff.py
+++ b/applevale/startup/adaptive_backoff.py
@@ -1,42 +1,59 @@
-"""A place in line at a service that many call: full jitter in a window that learns. No I/O, no clock.
+"""Backoff towards a service that many instances call: full jitter over a window that adapts to its load.
 
-Nobody tells an instance how many others there are; what it sees are slow and refused answers. Invariants:
+An instance does not know how many others there are; it only sees slow and throttled responses. Invariants:
 
-- Alone at a quick service it never waits: the window is 0 until an answer was slow or refused.
-- Each wait is drawn anew over the whole window, so that what happened to all at once does not happen again.
-- What a refusal asks for (`Retry-After`) is waited at least, and the window comes on top of it: all were told
-  the same.
+- Towards a fast service there is no delay: the window is zero until a response was slow or throttled.
+- Each delay is drawn anew over the whole window, so that instances that were in step do not stay so.
+- The delay that a throttling response asks for (`Retry-After`) is a minimum with the jitter on top: all
+  instances were given the same value.
+
+The module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-SLOW = 0.1  # s from which an answer to a short read counts as slow
-IN_A_ROW = 2  # slow answers that widen the window: one may be a fault of the way there
-TIMES = 4.0  # the window over the latency of a slow answer
-LEAST, MOST = 0.25, 4.0  # s
+SLOW_RESPONSE_SECONDS = 0.1  # a response to a short read that takes longer is slow
+SLOW_RESPONSES_TO_WIDEN = 2  # in a row; a single one may be a fault of the network
+WINDOW_PER_LATENCY = 4.0  # the window, as a multiple of the duration of a slow response
+MIN_WINDOW_SECONDS = 0.25
+MAX_WINDOW_SECONDS = 4.0
 
 
 @dataclass
-class Line:
-    window: float = 0.0  # s
-    slow: int = 0  # answers in a row
-
-    def answered(self, took: float) -> None:
-        """An answer after `took` s."""
-        self.slow = self.slow + 1 if took > SLOW else 0
-        if self.slow >= IN_A_ROW:
-            self._widen(TIMES * took)
-        elif not self.slow:
-            self.window = self.window / 2 if self.window > LEAST else 0.0
-
-    def refused(self) -> None:
-        self._widen(LEAST)
-
-    def _widen(self, least: float) -> None:
-        self.window = min(MOST, max(2 * self.window, least))
-
-    def wait(self, draw: float, after: float = 0.0) -> float:
-        """s until the next call; `draw` is random from 0 to 1, `after` what the refusal asked for."""
-        return after + draw * self.window
+class AdaptiveBackoff:
+    """The backoff state of one instance.
+
+    Attributes:
+        window: The present length of the window in seconds; zero for no delay.
+        consecutive_slow: The slow responses in a row.
+    """
+
+    window: float = 0.0
+    consecutive_slow: int = 0
+
+    def record_success(self, duration: float) -> None:
+        """Adapt the window to a response that took `duration` seconds."""
+        is_slow = duration > SLOW_RESPONSE_SECONDS
+        self.consecutive_slow = self.consecutive_slow + 1 if is_slow else 0
+        if self.consecutive_slow >= SLOW_RESPONSES_TO_WIDEN:
+            self._widen(WINDOW_PER_LATENCY * duration)
+        elif not is_slow:
+            self.window = self.window / 2 if self.window > MIN_WINDOW_SECONDS else 0.0
+
+    def record_throttled(self) -> None:
+        """Widen the window after a request that was rejected for load."""
+        self._widen(MIN_WINDOW_SECONDS)
+
+    def next_delay(self, random_value: float, retry_after: float = 0.0) -> float:
+        """Return the seconds until the next request.
+
+        Args:
+            random_value: A random number from 0 to 1.
+            retry_after: The seconds that a throttling response asked for.
+        """
+        return retry_after + random_value * self.window
+
+    def _widen(self, minimum: float) -> None:
+        self.window = min(MAX_WINDOW_SECONDS, max(2 * self.window, minimum))
--- a/applevale/startup/connect_schedule.py
+++ b/applevale/startup/connect_schedule.py
@@ -1,68 +1,83 @@
-"""When this instance may open connections to each engine, so that all together stay within a rate.
+"""When an instance may connect to each engine, so that all instances together stay within a rate.
 
-No I/O, no clock.
+Hundreds of instances that start, or lose their connections, at the same moment know nothing of each other
+but their number and each its own index. The rate for each engine is shared out as slots of a round. A round
+lasts as long as all instances need one after the other, and each instance has one slot in it. The slots for
+different engines are shifted against each other, so that an instance gets its first engines soon.
 
-Hundreds that start, or lose their links, at the same moment know nothing of each other but how many they are
-and each its own number. The rate per engine is shared out as places in a round: a round lasts as long as all
-need one after the other, each has one place in it, and places for different engines are shifted against each
-other, so that an instance has its first engines soon. To let each begin with one at once was tried: it is one
-connection more for each of them in the first moment, half as many again as the rate.
+To let each instance begin with one connection at once was tried: in the first moment it adds one connection
+for each of them, which exceeds the rate by half.
 
 Invariants:
 
-- An instance begins at most one connection to an engine in a round, whatever came of the last one.
-- A break that all see at once begins a new round for that engine, in which each waits for its place.
-- With a rate that all may use up at once (a small fleet) nobody waits.
+- An instance begins at most one connection to an engine in a round, whatever became of the last one.
+- When its last connection to an engine breaks, an instance waits for its slot in a new round.
+- With a rate that all instances may use at once (a small fleet) none waits.
+
+The module does no I/O and reads no clock; times are in seconds.
 """
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import inf
 
-SHORT = 0.1  # s: a round as short as this makes no difference
-SPARE = 0.95  # of the rate that is shared out: starts are not in step to the millisecond
+MIN_ROUND_SECONDS = 0.1  # a shorter round makes no difference and is left out
+RATE_UTILIZATION = 0.95  # of the rate that is shared out: instances are not in step to the millisecond
 
 
 @dataclass
-class Ramp:
-    """`rate`: connections a second to one engine, over all `instances`; `me`: this one's number, from 0."""
+class ConnectSchedule:
+    """The slots of one instance.
+
+    Attributes:
+        rate: Connections a second to one engine, over all instances.
+        instance_count: The number of instances.
+        instance_index: The index of this instance, from 0.
+        allowed_from: For each engine, the time from which the next connection may begin.
+    """
 
     rate: float
-    instances: int
-    me: int
-    next: dict[int, float] = field(default_factory=dict)  # engine -> from when on it may be called
+    instance_count: int
+    instance_index: int
+    allowed_from: dict[int, float] = field(default_factory=dict)
 
     @property
-    def round(self) -> float:
-        """s; 0 where nobody has to wait."""
-        length = self.instances / (SPARE * self.rate)
-        return length if length > SHORT else 0.0
-
-    def place(self, engine: int) -> float:
-        """s into a round at which this instance's turn comes."""
-        if not self.round:
+    def round_seconds(self) -> float:
+        """The length of a round; zero if no instance has to wait."""
+        length = self.instance_count / (RATE_UTILIZATION * self.rate)
+        return length if length > MIN_ROUND_SECONDS else 0.0
+
+    def slot_offset(self, engine: int) -> float:
+        """Return the time within a round at which this instance has its slot for an engine."""
+        if not self.round_seconds:
             return 0.0
-        shift = int.from_bytes(blake2b(b"%d" % engine, digest_size=4).digest(), "big")
-        return (self.me + shift) % self.instances / (SPARE * self.rate)
-
-    def listed(self, engines: set[int], now: float) -> None:
-        """The engines there are. For those not known yet a round begins."""
-        for engine in [engine for engine in self.next if engine not in engines]:
-            del self.next[engine]
-        for engine in engines - self.next.keys():
-            self.next[engine] = now + self.place(engine)
-
-    def may(self, engine: int, now: float) -> bool:
-        return now >= self.next.get(engine, -inf)
-
-    def begun(self, engine: int, now: float) -> None:
-        """A connection is being opened."""
-        if self.round and engine in self.next:
-            self.next[engine] = now + self.round
-
-    def parted(self, engine: int, now: float) -> None:
-        """The last link to it broke: so it may have for all."""
-        if self.round and engine in self.next:
-            self.next[engine] = max(self.next[engine], now + self.place(engine))
+        digest = blake2b(b"%d" % engine, digest_size=4).digest()
+        shift = int.from_bytes(digest, "big")
+        slot = (self.instance_index + shift) % self.instance_count
+        return slot / (RATE_UTILIZATION * self.rate)
+
+    def set_engines(self, engines: Set[int], now: float) -> None:
+        """Replace the known engines; a round begins for each new one."""
+        removed = self.allowed_from.keys() - engines
+        for engine in removed:
+            del self.allowed_from[engine]
+        for engine in engines - self.allowed_from.keys():
+            self.allowed_from[engine] = now + self.slot_offset(engine)
+
+    def may_connect(self, engine: int, now: float) -> bool:
+        """Return whether a connection to an engine may begin; an unknown engine is not limited."""
+        return now >= self.allowed_from.get(engine, -inf)
+
+    def record_connect(self, engine: int, now: float) -> None:
+        """Record that a connection to an engine begins."""
+        if self.round_seconds and engine in self.allowed_from:
+            self.allowed_from[engine] = now + self.round_seconds
+
+    def record_disconnect(self, engine: int, now: float) -> None:
+        """Record that the last connection to an engine broke, as it may have for all instances."""
+        if self.round_seconds and engine in self.allowed_from:
+            slot = now + self.slot_offset(engine)
+            self.allowed_from[engine] = max(self.allowed_from[engine], slot)
--- a/applevale/startup/staleness_guard.py
+++ b/applevale/startup/staleness_guard.py
@@ -1,15 +1,17 @@
-"""Whether the promise of freshness can be kept at the pace and latency there is. No I/O, no clock.
-
-States: kept -> given up -> on trial -> kept. Invariants:
-
-- A single lapse gives nothing up: the next answer makes it good. Several in a short time do, and so do
-  answers that take so long that no pace keeps the promise.
-- Nothing is promised before one answer came in time: a start at a slow service does not turn to and fro, and
-  one on a busy machine, whose own loop is late, has more time to find out.
-- Once given up it is held to be broken without a break in between until a trial at full pace went through
-  without a lapse: no turning to and fro with each answer.
-- While it is given up questions are few, and a service that too many ask has room for those it can bear.
-- Each failed trial makes the rest before the next one longer, up to a bound; one that went through ends that.
+"""Decides whether a bound on staleness can be guaranteed at the polling rate and latency there is.
+
+The guard works like a circuit breaker with the states active -> suspended -> on trial -> active. Invariants:
+
+- A single violation of the bound suspends nothing: the next response ends it. Several within a short time
+  do, and so do responses that take too long for any polling rate.
+- Nothing is guaranteed before a first response came in time, so a start at a slow service does not flap; an
+  instance that is late itself has more time to find out.
+- Once suspended, the guarantee stays so without interruption until a trial at the full polling rate went
+  through without a violation.
+- While it is suspended polls are rare, which relieves a service that too many instances poll.
+- Each failed trial lengthens the delay before the next one, up to a bound; one that succeeds resets it.
+
+The module does no I/O and reads no clock; times are in seconds.
 """
 
 from __future__ import annotations
@@ -19,75 +21,130 @@
 from enum import Enum
 from math import inf
 
-SPAN = 6.0  # s
-MOST_LAPSES, MOST_SLOW = 4, 3  # lapses in that span, and slow answers in a row, that give it up
-TRIAL = 1.0  # s at full pace without a lapse
-SELDOM = (1.0, 4.0)  # s between two questions while it is given up: at first, and after failed trials
-REST = (0.5, 16.0)  # s until the next trial
+VIOLATION_WINDOW_SECONDS = 6.0
+MAX_VIOLATIONS = 4  # in that window, at which the guarantee is suspended
+MAX_CONSECUTIVE_SLOW = 3  # slow responses at which the guarantee is suspended
+UNPROVEN_SLOW_FACTOR = 3  # times as many before a first response came in time
+TRIAL_SECONDS = 1.0  # at the full polling rate without a violation
+MIN_POLL_INTERVAL_SECONDS = 1.0  # while suspended, at first
+MAX_POLL_INTERVAL_SECONDS = 4.0  # while suspended, after failed trials
+MIN_TRIAL_DELAY_SECONDS = 0.5
+MAX_TRIAL_DELAY_SECONDS = 16.0
+MAX_DOUBLINGS = 10
+
 
+class GuardState(Enum):
+    """Whether the bound is guaranteed."""
 
-class Kept(Enum):
-    KEPT = "kept"
-    GIVEN_UP = "given up"
+    ACTIVE = "active"
+    SUSPENDED = "suspended"
     ON_TRIAL = "on trial"
 
 
 @dataclass
-class Promise:
-    """`room`: s that an answer may take so that the next one still comes in time."""
-
-    room: float
-    state: Kept = Kept.KEPT
-    lapses: deque[float] = field(default_factory=lambda: deque(maxlen=MOST_LAPSES))
-    slow: int = 0  # answers in a row that took longer than the room
-    proved: bool = False  # an answer came in time
-    since: float = -inf  # of the state
-    failed: int = 0  # trials in a row
-    rest: float = 0.0  # s until the next trial
+class StalenessGuard:
+    """The state of one guarantee.
+
+    Attributes:
+        response_budget: The seconds a response may take so that the next poll still comes in time.
+        state: The present state.
+        violations: When the bound was violated lately.
+        consecutive_slow: The responses in a row that took longer than the budget.
+        proven: Whether any response came in time.
+        state_since: When the present state began.
+        failed_trials: The failed trials in a row.
+        trial_delay: The seconds from the suspension until the next trial.
+    """
+
+    response_budget: float
+    state: GuardState = GuardState.ACTIVE
+    violations: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_VIOLATIONS))
+    consecutive_slow: int = 0
+    proven: bool = False
+    state_since: float = -inf
+    failed_trials: int = 0
+    trial_delay: float = 0.0
 
     @property
-    def holds(self) -> bool:
-        return self.proved and self.state is Kept.KEPT
-
-    def greeted(self, took: float) -> None:
-        """The first answer of a session: it may be late for the connection's sake, and condemns no one."""
-        self.proved |= took <= self.room
-
-    def answered(self, now: float, took: float, lapsed: bool, draw: float) -> None:
-        """An answer after `took` s; `lapsed`: the promise was broken before it, or still is. `draw`: random
-        from 0 to 1."""
-        self.slow = self.slow + 1 if took > self.room else 0
-        first, self.proved = not (self.proved or self.slow), self.proved or not self.slow
-        if lapsed:
-            self.lapses.append(now)
-        if self.state is Kept.KEPT:
-            often = len(self.lapses) == MOST_LAPSES and now - self.lapses[0] <= SPAN
-            if often or self.slow >= (MOST_SLOW if self.proved else 3 * MOST_SLOW):
-                self._give_up(now, draw)
-        elif self.state is Kept.ON_TRIAL:
-            if lapsed or self.slow:
-                self.failed += 1
-                self._give_up(now, draw)
-            elif now - self.since >= TRIAL:
-                self.state, self.since, self.failed = Kept.KEPT, now, 0
-                self.lapses.clear()
-        elif first:  # nothing was promised before: no trial is owed
-            self.state, self.since = Kept.KEPT, now
-        elif not self.slow and now - self.since >= self.rest:
-            self.state, self.since = Kept.ON_TRIAL, now
-
-    def refused(self, now: float, draw: float) -> None:
-        """A question was refused: no trial goes through with that."""
-        if self.state is Kept.ON_TRIAL:
-            self.failed += 1
-            self._give_up(now, draw)
-
-    def _give_up(self, now: float, draw: float) -> None:
-        self.state, self.since = Kept.GIVEN_UP, now
-        self.rest = min(REST[1], REST[0] * 2 ** min(self.failed, 10)) * (0.5 + draw)
-
-    def seldom(self) -> float:
-        """s between two questions at the least; 0: as the promise needs."""
-        if self.state is not Kept.GIVEN_UP:
+    def is_guaranteed(self) -> bool:
+        """Whether the bound is guaranteed now."""
+        return self.proven and self.state is GuardState.ACTIVE
+
+    def record_handshake(self, duration: float) -> None:
+        """Record the first response of a session; a slow one may be due to the connection and is ignored."""
+        if duration <= self.response_budget:
+            self.proven = True
+
+    def record_response(self, now: float, duration: float, exceeded: bool, random_value: float) -> None:
+        """Record a response.
+
+        Args:
+            now: The present time.
+            duration: How long the response took.
+            exceeded: Whether the bound was violated before the response, or still is.
+            random_value: A random number from 0 to 1.
+        """
+        is_slow = duration > self.response_budget
+        is_first_proof = not (self.proven or is_slow)
+        self.consecutive_slow = self.consecutive_slow + 1 if is_slow else 0
+        self.proven = self.proven or not is_slow
+        if exceeded:
+            self.violations.append(now)
+        match self.state:
+            case GuardState.ACTIVE:
+                if self._must_suspend(now):
+                    self._suspend(now, random_value)
+            case GuardState.ON_TRIAL:
+                if exceeded or is_slow:
+                    self._fail_trial(now, random_value)
+                elif now - self.state_since >= TRIAL_SECONDS:
+                    self._pass_trial(now)
+            case GuardState.SUSPENDED:
+                if is_first_proof:  # nothing was guaranteed before: no trial is needed
+                    self._enter(GuardState.ACTIVE, now)
+                elif not is_slow and now - self.state_since >= self.trial_delay:
+                    self._enter(GuardState.ON_TRIAL, now)
+
+    def record_throttled(self, now: float, random_value: float) -> None:
+        """Record a poll that was rejected for load: it fails a trial.
+
+        Args:
+            now: The present time.
+            random_value: A random number from 0 to 1.
+        """
+        if self.state is GuardState.ON_TRIAL:
+            self._fail_trial(now, random_value)
+
+    def min_poll_interval(self) -> float:
+        """Return the least seconds between two polls; zero for as many as the bound needs."""
+        if self.state is not GuardState.SUSPENDED:
             return 0.0
-        return min(SELDOM[1], SELDOM[0] * 2 ** min(self.failed, 10))
+        return self._back_off(MIN_POLL_INTERVAL_SECONDS, MAX_POLL_INTERVAL_SECONDS)
+
+    def _must_suspend(self, now: float) -> bool:
+        if len(self.violations) == MAX_VIOLATIONS and now - self.violations[0] <= VIOLATION_WINDOW_SECONDS:
+            return True
+        factor = 1 if self.proven else UNPROVEN_SLOW_FACTOR
+        return self.consecutive_slow >= factor * MAX_CONSECUTIVE_SLOW
+
+    def _suspend(self, now: float, random_value: float) -> None:
+        self._enter(GuardState.SUSPENDED, now)
+        delay = self._back_off(MIN_TRIAL_DELAY_SECONDS, MAX_TRIAL_DELAY_SECONDS)
+        self.trial_delay = delay * (0.5 + random_value)
+
+    def _fail_trial(self, now: float, random_value: float) -> None:
+        self.failed_trials += 1
+        self._suspend(now, random_value)
+
+    def _pass_trial(self, now: float) -> None:
+        self._enter(GuardState.ACTIVE, now)
+        self.failed_trials = 0
+        self.violations.clear()
+
+    def _enter(self, state: GuardState, now: float) -> None:
+        self.state = state
+        self.state_since = now
+
+    def _back_off(self, minimum: float, maximum: float) -> float:
+        """Return `minimum` doubled for each failed trial, at most `maximum`."""
+        return min(maximum, minimum * 2 ** min(self.failed_trials, MAX_DOUBLINGS))
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -7,7 +7,7 @@
 from applevale.membership import messages
 from applevale.membership.protocol import KEEP_NEWS, Membership
 from applevale.runtime.application import Application
-from applevale.startup.staleness_guard import Promise
+from applevale.startup.staleness_guard import StalenessGuard
 
 
 def ignore_compaction(self, now, number):
@@ -115,7 +115,7 @@
     "on_top": lambda: setattr(Follower, "_ask", ask_on_top),
     "leaves": lambda: setattr(Follower, "_tried", leave_the_slow),
     "ready": lambda: setattr(Application, "is_serving", serving),
-    "thrash": lambda: setattr(Promise, "_give_up", never_give_up),
+    "thrash": lambda: setattr(StalenessGuard, "_suspend", never_give_up),
     "compaction": lambda: setattr(Follower, "compacted", ignore_compaction),
     "staleness": lambda: setattr(Follower, "fresh", lambda self, now: True),
 }
