Admin: target methods and test names in ordinary terms

Cause: AdminTarget still had figures() beside a metrics attribute, and the tests spoke of doors, bans and what was told.

--- a/applevale/admin/routes.py
+++ b/applevale/admin/routes.py
@@ -42,16 +42,16 @@
 class AdminTarget(Protocol):
     """What the admin API works on: the application, as operators see it."""
 
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Return whether new clients are accepted."""
 
-    def figures(self) -> dict:
+    def metrics_snapshot(self) -> dict:
         """Return the metrics as a JSON object."""
 
-    def disable(self, host: str) -> bool:
+    def disable_engine(self, host: str) -> bool:
         """Eject an engine, named by id or HOST:PORT; return False for one that was never listed."""
 
-    def enable(self, host: str) -> bool:
+    def enable_engine(self, host: str) -> bool:
         """Let an engine back in; return False for one that was never listed."""
 
     def drain(self) -> None:
@@ -97,13 +97,13 @@
 
 
 def _get_ready(target: AdminTarget, _body: bytes) -> AdminResponse:
-    ready = target.ready()
+    ready = target.is_ready()
     status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
     return AdminResponse(status, {"ready": ready})
 
 
 def _get_metrics(target: AdminTarget, _body: bytes) -> AdminResponse:
-    return _ok(target.figures())
+    return _ok(target.metrics_snapshot())
 
 
 def _drain(target: AdminTarget, _body: bytes) -> AdminResponse:
@@ -118,14 +118,14 @@
 
 def _disable_engine(target: AdminTarget, body: bytes) -> AdminResponse:
     host = _read_host(body)
-    if not target.disable(host):
+    if not target.disable_engine(host):
         return _unknown_engine(host)
     return _ok({"host": host, "disabled": True})
 
 
 def _enable_engine(target: AdminTarget, body: bytes) -> AdminResponse:
     host = _read_host(body)
-    if not target.enable(host):
+    if not target.enable_engine(host):
         return _unknown_engine(host)
     return _ok({"host": host, "disabled": False})
 
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -144,19 +144,19 @@
 
     # The target of the operators' calls.
 
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Return whether new clients are accepted."""
         return self.server.ready
 
-    def figures(self) -> dict:
+    def metrics_snapshot(self) -> dict:
         """Return the metrics as one snapshot."""
         return self.metrics.snapshot()
 
-    def disable(self, host: str) -> bool:
+    def disable_engine(self, host: str) -> bool:
         """Eject an engine; return False for an id that was never listed."""
         return self.ejection_control.set_ejected(host, True)
 
-    def enable(self, host: str) -> bool:
+    def enable_engine(self, host: str) -> bool:
         """Let an engine back in; return False for an id that was never listed."""
         return self.ejection_control.set_ejected(host, False)
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -30,17 +30,17 @@
         self.draining = False
         self.listed = {"s-00000001"}
 
-    def ready(self):
+    def is_ready(self):
         return not self.draining
 
-    def figures(self):
+    def metrics_snapshot(self):
         return {"concurrent": 0}
 
-    def disable(self, host):
+    def disable_engine(self, host):
         self.ejected |= {host} & self.listed
         return host in self.listed
 
-    def enable(self, host):
+    def enable_engine(self, host):
         self.ejected.discard(host)
         return host in self.listed
 
@@ -51,7 +51,7 @@
         self.draining = False
 
 
-def test_each_call_has_its_answer_and_bad_ones_change_nothing():
+def test_each_request_has_its_response_and_invalid_ones_change_nothing():
     target = FakeTarget()
     assert dispatch(target, "GET", "/ready", b"").status == 200
     assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
@@ -77,7 +77,7 @@
     return Member(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
 
 
-def test_a_banned_engine_is_told_as_draining_whatever_the_feed_says_until_enabled():
+def test_an_ejected_engine_is_reported_as_draining_whatever_the_feed_says_until_enabled():
     held, registry = HeldList(), EjectionRegistry()
     held.banned = registry.ejected
     first = Change(1, True, (member(1), member(2)))
@@ -93,10 +93,10 @@
     assert held.told_again(engine).entries[0].state is api.State.READY
 
 
-def test_the_text_of_bans_is_read_back_whole_or_refused():
-    words = {1: EjectionEntry(5.25, True), 0xC41F7A: EjectionEntry(6.0, False)}
-    data = ejection_codec.encode(words)
-    assert ejection_codec.decode(data) == words
+def test_a_file_of_ejections_is_decoded_completely_or_rejected():
+    entries = {1: EjectionEntry(5.25, True), 0xC41F7A: EjectionEntry(6.0, False)}
+    data = ejection_codec.encode(entries)
+    assert ejection_codec.decode(data) == entries
     foreign = [
         json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
         for body in (
@@ -116,22 +116,22 @@
 
 
 @given(st.lists(call, max_size=12), st.lists(st.integers(0, 1), max_size=6))
-def test_two_processes_end_with_the_same_bans_whoever_writes_when(tmp_path_factory, calls, looks):
-    path = str(tmp_path_factory.mktemp("bans") / "bans.json")
-    two = [EjectionStore(path, EjectionRegistry()) for _ in range(2)]
+def test_two_processes_converge_to_the_same_ejections_whoever_writes_when(tmp_path_factory, calls, looks):
+    path = str(tmp_path_factory.mktemp("ejections") / "ejections.json")
+    stores = [EjectionStore(path, EjectionRegistry()) for _ in range(2)]
     last = {}
-    for at, (process, engine, banned, clock) in enumerate(calls):  # their clocks may differ, and step back
-        two[process].set_ejected(engine, banned, float(clock))
-        last[engine] = banned
+    for at, (process, engine, ejected, clock) in enumerate(calls):  # their clocks may differ, and step back
+        stores[process].set_ejected(engine, ejected, float(clock))
+        last[engine] = ejected
         if at < len(looks):
-            two[looks[at]].refresh()
-    for process in two:
-        process.refresh()
-        assert process.registry.ejected == {engine for engine, banned in last.items() if banned}
+            stores[looks[at]].refresh()
+    for store in stores:
+        store.refresh()
+        assert store.registry.ejected == {engine for engine, ejected in last.items() if ejected}
 
 
-def test_a_ban_that_another_overwrote_unread_is_written_again(tmp_path):
-    path = str(tmp_path / "bans.json")
+def test_an_entry_that_another_process_overwrote_unread_is_written_again(tmp_path):
+    path = str(tmp_path / "ejections.json")
     one, other = (EjectionStore(path, EjectionRegistry()) for _ in range(2))
     one.set_ejected(1, True, 10.0)
     other.registry.set_ejected(2, True, 11.0)
@@ -140,22 +140,22 @@
     assert one.registry.ejected == other.registry.ejected == {1, 2} and one.refresh() == other.refresh() == []
 
 
-def test_a_torn_file_changes_no_ban_and_the_next_call_mends_it(tmp_path, capsys):
-    path = tmp_path / "bans.json"
+def test_a_truncated_file_changes_no_ejection_and_the_next_call_replaces_it(tmp_path, capsys):
+    path = tmp_path / "ejections.json"
     first = EjectionStore(str(path), EjectionRegistry())
     first.set_ejected(7, True, 1.0)
     path.write_bytes(path.read_bytes()[:20])
     assert first.refresh() == [] and first.registry.ejected == {7} and "bans: " in capsys.readouterr().err
     assert (
         EjectionStore(str(path), EjectionRegistry()).refresh() == []
-    )  # a start with no bans, not with wrong ones
+    )  # a start without ejections, not with wrong ones
     first.set_ejected(8, True, 2.0)
     after = EjectionStore(str(path), EjectionRegistry())
     assert after.refresh() == [7, 8] and after.registry.find("s-00000007") == 7
     assert after.set_ejected(7, False, 3.0) == [7] and after.registry.ejected == {8}
 
 
-def test_figures_are_counted_where_the_events_are_and_read_at_once():
+def test_metrics_are_counted_by_class_and_read_as_one_snapshot():
     metrics = Metrics(("lookup", "load"), Gauges(open_requests=lambda: 3))
     outcomes = [ResponseOutcome.SUCCESS] * 5 + [ResponseOutcome.OVERLOAD] * 2 + [ResponseOutcome.ERROR]
     for outcome in outcomes:
@@ -169,20 +169,20 @@
     assert (shot["concurrent"], shot["reload_failure"], shot["reload_success"]) == (3, 1, 0)
 
 
-async def _door_with(calls):
+async def _serve(calls):
     listener = socket.create_server(("127.0.0.1", 0))
     listener.setblocking(False)
     counters = Counters()
-    door = asyncio.create_task(AdminServer(FakeTarget(), counters).serve(listener))
+    server = asyncio.create_task(AdminServer(FakeTarget(), counters).serve(listener))
     loop = asyncio.get_running_loop()
     try:
         return [await calls(loop, listener.getsockname()), counters]
     finally:
-        door.cancel()
+        server.cancel()
         listener.close()
 
 
-async def _ask(loop, at, data):
+async def _exchange(loop, at, data):
     sock = socket.socket()
     sock.setblocking(False)
     await loop.sock_connect(sock, at)
@@ -194,51 +194,51 @@
     return got
 
 
-def test_a_silent_caller_costs_its_timer_and_others_are_answered_meanwhile():
+def test_a_silent_client_is_closed_at_its_timeout_and_others_are_served_meanwhile():
     async def calls(loop, at):
         silent = socket.socket()
         silent.setblocking(False)
         await loop.sock_connect(silent, at)
         await loop.sock_sendall(silent, b"GET /rea")  # half a head, then nothing
-        ready = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
-        closed = await loop.sock_recv(silent, 10)  # the door closes it at its timer
+        ready = await _exchange(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        closed = await loop.sock_recv(silent, 10)  # closed by the server at its timeout
         silent.close()
         return ready, closed
 
-    (ready, closed), counters = asyncio.run(_door_with(calls))
+    (ready, closed), counters = asyncio.run(_serve(calls))
     assert ready.startswith(b"HTTP/1.1 200") and json.loads(ready.split(b"\r\n\r\n")[1]) == {"ready": True}
     assert closed == b"" and counters["door_timeouts"] == 1
 
 
-def test_what_is_no_http_or_too_large_is_answered_once_with_its_fault():
+def test_malformed_and_oversized_requests_get_one_response_with_the_fault():
     async def calls(loop, at):
-        garbage = await _ask(loop, at, b"\x00\x01 nonsense\r\n\r\n")
-        head = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nx: " + b"y" * 20_000 + b"\r\n\r\n")
-        body = await _ask(loop, at, b"POST /drain HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n")
+        garbage = await _exchange(loop, at, b"\x00\x01 nonsense\r\n\r\n")
+        head = await _exchange(loop, at, b"GET /ready HTTP/1.1\r\nx: " + b"y" * 20_000 + b"\r\n\r\n")
+        body = await _exchange(loop, at, b"POST /drain HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n")
         return garbage, head, body
 
-    (garbage, head, body), _ = asyncio.run(_door_with(calls))
+    (garbage, head, body), _ = asyncio.run(_serve(calls))
     assert garbage.startswith(b"HTTP/1.1 400") and head.startswith(b"HTTP/1.1 431")
     assert body.startswith(b"HTTP/1.1 413")
 
 
-def test_a_flood_of_silent_callers_leaves_room_for_a_call():
+def test_a_flood_of_silent_clients_leaves_room_for_a_request():
     async def calls(loop, at):
         silent = [socket.create_connection(at) for _ in range(MAX_CONCURRENT_REQUESTS + 5)]
-        ready = await _ask(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        ready = await _exchange(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
         for sock in silent:
             sock.close()
         return ready
 
-    ready, counters = asyncio.run(_door_with(calls))
+    ready, counters = asyncio.run(_serve(calls))
     assert ready.startswith(b"HTTP/1.1 200") and counters["door_evicted"] == 6
     assert counters["door_timeouts"] == 0  # it did not wait for their timers
 
 
-def test_a_head_request_is_refused_without_a_body():
+def test_a_head_request_is_rejected_without_a_body():
     async def calls(loop, at):
-        return await _ask(loop, at, b"HEAD /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        return await _exchange(loop, at, b"HEAD /ready HTTP/1.1\r\nhost: x\r\n\r\n")
 
-    told, _ = asyncio.run(_door_with(calls))
-    head, _, body = told.partition(b"\r\n\r\n")
+    response, _ = asyncio.run(_serve(calls))
+    head, _, body = response.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 405 ") and b"allow: GET" in head and body == b""
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -118,16 +118,16 @@
 class Target:
     """What the operators' calls work on, as fixed values."""
 
-    def ready(self):
+    def is_ready(self):
         return True
 
-    def figures(self):
+    def metrics_snapshot(self):
         return metrics().snapshot()
 
-    def disable(self, host):
+    def disable_engine(self, host):
         return host == "s-00000001"
 
-    enable = disable
+    enable_engine = disable_engine
 
     def drain(self):
         pass
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -54,51 +54,53 @@
 
 
 def test_a_drain_answers_what_is_under_way_closes_idle_connections_and_undrains(tmp_path, monkeypatch):
-    control = ops.free_address()
-    monkeypatch.setenv("BALANCER_CONTROL", control)
+    address = ops.free_address()
+    monkeypatch.setenv("BALANCER_CONTROL", address)
     node = Node(tmp_path)
     try:
         idle, busy = Client(node), Client(node)
         idle.ask(1, "lookup", "1" * 16, "select * from air_1.x limit 1")
         assert idle.read()[2] is None
         busy.ask(1, "report", "2" * 16, "select * from air_1.x limit 900")
-        assert call(control, "POST", "/drain") == 200
-        assert call(control, "GET", "/ready") == 503
+        assert call(address, "POST", "/drain") == 200
+        assert call(address, "GET", "/ready") == 503
         assert idle.read() is None  # closed: nothing was owed on it
         answer = busy.read()
         assert answer[1] == 1 and answer[2] is None  # its request got its whole answer first
         assert busy.read() is None
-        assert call(control, "POST", "/undrain") == 200 and call(control, "GET", "/ready") == 200
+        assert call(address, "POST", "/undrain") == 200 and call(address, "GET", "/ready") == 200
         assert node.process.poll() is None
     finally:
         node.stop()
 
 
-def told(control, path, engine):
-    return asyncio.run(ops.call(control, "POST", path, {"host": engine}))[0]
+def post_engine(address, path, engine):
+    return asyncio.run(ops.call(address, "POST", path, {"host": engine}))[0]
 
 
-def out(control):
-    return asyncio.run(ops.call(control, "GET", "/metrics"))[1]["targets_disabled"]
+def disabled_engines(address):
+    return asyncio.run(ops.call(address, "GET", "/metrics"))[1]["targets_disabled"]
 
 
-def test_a_ban_told_to_either_process_holds_in_both_and_at_no_other_workload_manager(tmp_path, monkeypatch):
+def test_an_ejection_asked_of_either_process_holds_in_both_and_at_no_other_workload_manager(
+    tmp_path, monkeypatch
+):
     monkeypatch.setenv("TMPDIR", str(tmp_path))
-    doors = [ops.free_address() for _ in range(3)]
-    monkeypatch.setenv("BALANCER_CONTROL", doors[0])
+    addresses = [ops.free_address() for _ in range(3)]
+    monkeypatch.setenv("BALANCER_CONTROL", addresses[0])
     node = Node(tmp_path)
     second = another = None
     try:
-        monkeypatch.setenv("BALANCER_CONTROL", doors[1])
+        monkeypatch.setenv("BALANCER_CONTROL", addresses[1])
         second = beside(tmp_path, node, EXAMPLE)
         engine = json.loads(EXAMPLE)["known"]["events"][0]["members"]["instances"][0]["instanceId"]
-        assert told(doors[0], "/engines/disable", engine) == 200
-        until(lambda: out(doors[1]) == 1)
-        monkeypatch.setenv("BALANCER_CONTROL", doors[2])
+        assert post_engine(addresses[0], "/engines/disable", engine) == 200
+        until(lambda: disabled_engines(addresses[1]) == 1)
+        monkeypatch.setenv("BALANCER_CONTROL", addresses[2])
         another = Node(tmp_path)  # another customer's, in the same folder
-        assert out(doors[2]) == 0
-        assert told(doors[1], "/engines/enable", engine) == 200
-        until(lambda: out(doors[0]) == 0)
+        assert disabled_engines(addresses[2]) == 0
+        assert post_engine(addresses[1], "/engines/enable", engine) == 200
+        until(lambda: disabled_engines(addresses[0]) == 0)
     finally:
         if second is not None:
             second.send_signal(signal.SIGTERM)
