--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -14,7 +14,7 @@
 from applevale.startup.staleness_guard import GuardState, StalenessGuard
 
 
-def test_alone_at_a_quick_service_nobody_waits_and_refusals_widen_the_window_up_to_a_bound():
+def test_a_fast_service_has_no_delay_and_throttling_widens_the_window_up_to_a_bound():
     backoff = AdaptiveBackoff()
     backoff.record_success(0.005)
     assert backoff.next_delay(1.0) == 0.0
@@ -29,7 +29,7 @@
     assert backoff.next_delay(1.0) == 0.0
 
 
-def test_one_slow_answer_may_be_a_fault_of_the_way_two_are_the_service():
+def test_one_slow_response_leaves_the_window_and_a_second_one_widens_it():
     backoff = AdaptiveBackoff()
     backoff.record_success(0.5)
     assert backoff.window == 0.0
@@ -37,7 +37,7 @@
     assert backoff.window == 2.0
 
 
-def test_the_latency_follows_what_answers_take():
+def test_the_latency_estimate_follows_response_times():
     latency = LatencyEstimator()
     assert latency.upper_bound() == pytest.approx(0.25)
     for _ in range(60):
@@ -53,11 +53,11 @@
     assert not guard.is_guaranteed  # no answer yet
     guard.record_handshake(0.01)
     assert guard.is_guaranteed
-    turns, now = [], 0.0
+    guaranteed, now = [], 0.0
     for _ in range(40):  # too slow for any pace
         guard.record_response(now := now + 0.3, 0.3, True, 0.5)
-        turns.append(guard.is_guaranteed)
-    assert turns.count(True) == 2 and not any(turns[2:]) and guard.state is GuardState.SUSPENDED
+        guaranteed.append(guard.is_guaranteed)
+    assert guaranteed.count(True) == 2 and not any(guaranteed[2:]) and guard.state is GuardState.SUSPENDED
     seen = []
     for _ in range(30):
         guard.record_response(now := now + 0.2, 0.01, False, 0.5)
@@ -65,7 +65,7 @@
     assert seen.index(GuardState.ON_TRIAL) < seen.index(GuardState.ACTIVE) and guard.is_guaranteed
 
 
-def test_a_start_at_a_slow_service_is_given_up_later_and_owes_no_trial():
+def test_a_start_at_a_slow_service_is_suspended_later_and_needs_no_trial():
     guard, now = StalenessGuard(response_budget=0.15), 0.0
     for _ in range(8):
         guard.record_response(now := now + 0.3, 0.3, False, 0.5)
@@ -76,19 +76,19 @@
     assert guard.is_guaranteed
 
 
-def test_a_trial_that_meets_a_refusal_fails_and_the_next_rest_is_longer():
+def test_a_throttled_trial_fails_and_lengthens_the_delay_of_the_next():
     guard = StalenessGuard(response_budget=0.15, state=GuardState.ON_TRIAL, proven=True)
-    rests = []
+    delays = []
     for _ in range(8):
         guard.record_throttled(1.0, 0.5)
-        rests.append(guard.trial_delay)
+        delays.append(guard.trial_delay)
         guard.state = GuardState.ON_TRIAL
-    assert rests == sorted(rests) and rests[0] < rests[-1] == 16.0
+    assert delays == sorted(delays) and delays[0] < delays[-1] == 16.0
     assert guard.min_poll_interval() == 0.0
 
 
 @pytest.mark.parametrize("instances", [40, 100, 200])
-def test_all_together_keep_the_rate_of_connections_from_the_first_second_and_after_a_break(instances):
+def test_all_instances_keep_the_connect_rate_from_the_first_second_and_after_a_break(instances):
     engines, rate = set(range(1, 31)), 20.0
     schedules = [ConnectSchedule(rate, instances, me) for me in range(instances)]
     begun = {engine: [] for engine in engines}
@@ -113,7 +113,7 @@
     assert max(most_in(times, 1.0) for times in begun.values()) <= rate
 
 
-def test_a_small_fleet_waits_for_nothing():
+def test_a_small_fleet_connects_without_delay():
     schedule = ConnectSchedule(20.0, 1, 0)
     schedule.set_engines({1, 2, 3}, 5.0)
     schedule.record_connect(1, 5.0)
