--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -8,7 +8,7 @@
 
 from .. import api
 from ..discovery.gated_endpoints import HeldList
-from ..startup.connect_schedule import Ramp
+from ..startup.connect_schedule import ConnectSchedule
 from .pool import EnginePool
 
 
@@ -21,7 +21,7 @@
 
     def __init__(
         self,
-        schedule: Ramp,
+        schedule: ConnectSchedule,
         pool: EnginePool,
         submit: Callable[[api.EngineList], None],
         endpoints: HeldList,
@@ -39,15 +39,15 @@
 
     def may_connect(self, engine_id: int) -> bool:
         """Return whether a connection to the engine may be opened now."""
-        return self.schedule.may(engine_id, self._now())
+        return self.schedule.may_connect(engine_id, self._now())
 
     def record_connect(self, engine_id: int) -> None:
         """Note that a connection to the engine is being opened."""
-        self.schedule.begun(engine_id, self._now())
+        self.schedule.record_connect(engine_id, self._now())
 
     def record_disconnect(self, engine_id: int) -> None:
         """Note that the last connection to the engine ended, or the first was never established."""
-        self.schedule.parted(engine_id, self._now())
+        self.schedule.record_disconnect(engine_id, self._now())
         if self._hide_if_waiting(engine_id):
             self.submit(self.endpoints.told_again(engine_id))
             self.on_readiness_change()
@@ -56,7 +56,7 @@
     def on_list_change(self) -> None:
         """Apply a change of the engine list, before the policy is told of it."""
         present = set(self.pool.engines) - self.pool.departed
-        self.schedule.listed(present, self._now())
+        self.schedule.set_engines(present, self._now())
         self.endpoints.unopened &= present
         for engine_id in present:
             self._hide_if_waiting(engine_id)
@@ -77,7 +77,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        slots = (self.schedule.next.get(engine_id, -inf) for engine_id in self.endpoints.unopened)
+        slots = (self.schedule.allowed_from.get(engine_id, -inf) for engine_id in self.endpoints.unopened)
         due = min(slots, default=None)
         if due is not None:
             self._timer = asyncio.get_running_loop().call_at(due, self._show_due)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from .. import api
-from ..admin.metrics import Figures
-from ..admin.routes import MOST_CALLS
+from ..admin.limits import MAX_CONCURRENT_REQUESTS
+from ..admin.metrics import Gauges, Metrics
 from ..config.model import Config
 from ..discovery.control_feed import Feed
 from ..discovery.endpoints import Change, Source
@@ -49,7 +49,7 @@
     def of(cls, config: Config) -> DescriptorBudget:
         """Return the shares for a configuration."""
         clients = config.sockets // 2
-        admin = 0 if config.control is None else min(config.sockets // 8, MOST_CALLS)
+        admin = 0 if config.control is None else min(config.sockets // 8, MAX_CONCURRENT_REQUESTS)
         engines = max(1, config.sockets - clients - RESERVED_DESCRIPTORS - admin)
         return cls(clients, admin, engines)
 
@@ -57,7 +57,7 @@
 class Application:
     """The parts of one workload manager, and what happens between them.
 
-    It is also the target of the operators' calls (`admin.routes.Operated`).
+    It is also the target of the operators' calls (`admin.routes.AdminTarget`).
     """
 
     def __init__(self, config: Config, listen_address: Address):
@@ -108,19 +108,21 @@
             self.metrics,
         )
 
-    def _create_metrics(self) -> Figures:
+    def _create_metrics(self) -> Metrics:
         pool = self.pool
-        metrics = Figures(tuple(spec.name for spec in self.config.settings.classes))
-        pool.on_attempt_written = metrics.dispatched
-        metrics.concurrent = lambda: self.server.open_requests
-        metrics.targets = lambda: len(pool.engines) - len(pool.departed)
-        metrics.disabled = self._count_disabled_engines
+        gauges = Gauges(
+            open_requests=lambda: self.server.open_requests,
+            engines=lambda: len(pool.engines) - len(pool.departed),
+            disabled_engines=self._count_disabled_engines,
+        )
+        metrics = Metrics(tuple(spec.name for spec in self.config.settings.classes), gauges)
+        pool.on_attempt_written = metrics.record_dispatch
         return metrics
 
     def _count_disabled_engines(self) -> int:
         """Count listed engines that are ejected, by hand or by the decision module."""
         pool = self.pool
-        ejected = self.ejection_control.ejections.banned | self.driver.resting()
+        ejected = self.ejection_control.ejections.ejected | self.driver.resting()
         return sum(engine in pool.engines and engine not in pool.departed for engine in ejected)
 
     def _create_gossip(self, controller: AdmissionController) -> Peers | None:
@@ -151,19 +153,19 @@
 
     # The target of the operators' calls.
 
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Return whether new clients are accepted."""
         return self.server.is_ready
 
-    def figures(self) -> dict:
+    def metrics_snapshot(self) -> dict:
         """Return the metrics as one snapshot."""
         return self.metrics.snapshot()
 
-    def disable(self, host: str) -> bool:
+    def disable_engine(self, host: str) -> bool:
         """Eject an engine; return False for an id that was never listed."""
         return self.ejection_control.set_ejected(host, True)
 
-    def enable(self, host: str) -> bool:
+    def enable_engine(self, host: str) -> bool:
         """Let an engine back in; return False for an id that was never listed."""
         return self.ejection_control.set_ejected(host, False)
 
@@ -194,7 +196,7 @@
 
     def apply_update(self, update: Change) -> None:
         """Hand a change of the list to all that know engines; the decision module hears of it last."""
-        self.ejection_control.ejections.listed(update.members)
+        self.ejection_control.ejections.add_endpoints(update.members)
         self.pool.update(update)
         if self.gossip is not None:
             self.gossip.news.listed(self.pool.engines)
@@ -219,7 +221,7 @@
         self.counters["share_of"] = size
         self.driver.post(api.FleetSize(size))
         if self.connect_pacer is not None:
-            self.connect_pacer.schedule.instances = size
+            self.connect_pacer.schedule.instance_count = size
 
     def dump_counters(self) -> None:
         """Log all counters."""
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -46,9 +46,9 @@
     if config.engine_connects is None:
         return None
     from ..engines.connect_pacer import ConnectPacer
-    from ..startup.connect_schedule import Ramp
+    from ..startup.connect_schedule import ConnectSchedule
 
-    schedule = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
+    schedule = ConnectSchedule(config.engine_connects, config.settings.gateways, config.settings.me)
     return ConnectPacer(schedule, pool, driver.post, endpoints, on_readiness_change)
 
 
--- a/applevale/server/connection_table.py
+++ b/applevale/server/connection_table.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from ..admin.draining import CROSSING, Drain
+from ..admin.draining import FIRST_REQUEST_GRACE_SECONDS, DrainState
 from ..observability.counters import Counters
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
         self._counters = counters
         self._tasks: dict[ClientConnection, asyncio.Task] = {}
         self._capacity_changed = asyncio.Event()
-        self.drain_state = Drain()
+        self.drain_state = DrainState()
 
     def __iter__(self) -> Iterator[ClientConnection]:
         """Iterate over the connections in the order in which they were accepted."""
@@ -57,7 +57,7 @@
         """Add a connection that is served by `task`; `accepted_at` is by the event loop's clock."""
         self.silent[connection] = accepted_at
         self._tasks[connection] = task
-        if self.drain_state.on:
+        if self.drain_state.is_active:
             self._schedule_close_of_silent(connection, accepted_at)
 
     def detach(self, connection: ClientConnection) -> asyncio.Task | None:
@@ -79,7 +79,7 @@
             loop = asyncio.get_running_loop()
             self.idle[connection] = loop.time()
             self._capacity_changed.set()
-            if self.drain_state.on:
+            if self.drain_state.is_active:
                 # Later in this iteration: the response that ends a call is queued just after the call is
                 # released, and must not be lost with the connection.
                 loop.call_soon(self._close_if_unused, connection)
@@ -102,7 +102,9 @@
         message has begun to arrive is closed last of all: its client would be reset.
         """
         silent = [
-            connection for connection, accepted_at in self.silent.items() if now - accepted_at >= CROSSING
+            connection
+            for connection, accepted_at in self.silent.items()
+            if now - accepted_at >= FIRST_REQUEST_GRACE_SECONDS
         ]
         candidates = [*silent, *self.idle, *self.silent]
         unused = (connection for connection in candidates if not connection.has_pending_input())
@@ -126,11 +128,11 @@
     @property
     def is_draining(self) -> bool:
         """Whether clients are sent elsewhere."""
-        return self.drain_state.on
+        return self.drain_state.is_active
 
     def rejects_requests(self, now: float) -> bool:
         """Return whether a drain has lasted so long that new requests are rejected."""
-        return self.drain_state.refuses(now)
+        return self.drain_state.rejects_requests(now)
 
     def drain(self, accept_for: float) -> None:
         """Close each connection once it is unused; reject new requests after `accept_for` seconds."""
@@ -150,10 +152,12 @@
         if connection not in self._tasks:
             return
         is_busy = connection.is_busy
-        if self.drain_state.closes(is_busy, is_busy or connection.has_pending_input()):
+        if self.drain_state.may_close(is_busy, is_busy or connection.has_pending_input()):
             connection.stop("")
 
     def _schedule_close_of_silent(self, connection: ClientConnection, accepted_at: float) -> None:
         """Close a connection once the first request of its client would have arrived."""
         loop = asyncio.get_running_loop()
-        loop.call_later(self.drain_state.wait(accepted_at, loop.time()), self._close_if_unused, connection)
+        loop.call_later(
+            self.drain_state.first_request_wait(accepted_at, loop.time()), self._close_if_unused, connection
+        )
--- a/applevale/server/context.py
+++ b/applevale/server/context.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..admin.metrics import Figures
+from ..admin.metrics import Metrics
 from ..dispatch.event_loop_driver import Driver
 from ..observability.counters import Counters
 from ..requests.handler import RequestHandler
@@ -32,6 +32,6 @@
     schema: RequestSchema
     connections: ConnectionTable
     counters: Counters
-    metrics: Figures | None = None
+    metrics: Metrics | None = None
     is_ready: bool = False
     open_request_ids: set[bytes] = field(default_factory=set)
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -7,8 +7,8 @@
 import socket
 
 from .. import api
-from ..admin.draining import TAKES
-from ..admin.metrics import Figures
+from ..admin.draining import ACCEPT_SECONDS
+from ..admin.metrics import Metrics
 from ..dispatch.arrival_order import Source
 from ..dispatch.event_loop_driver import Driver
 from ..observability.counters import Counters
@@ -38,7 +38,7 @@
         max_connections: int,
         max_buffered_bytes: int,
         counters: Counters,
-        metrics: Figures | None = None,
+        metrics: Metrics | None = None,
     ):
         """Create a server that does not accept connections yet.
 
@@ -166,7 +166,7 @@
         """Whether clients are sent elsewhere."""
         return self.connections.is_draining
 
-    def drain(self, accept_for: float = TAKES) -> None:
+    def drain(self, accept_for: float = ACCEPT_SECONDS) -> None:
         """Send clients elsewhere: finish open calls, and accept requests for `accept_for` more seconds."""
         self.connections.drain(accept_for)
 
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -6,6 +6,7 @@
 import socket
 from dataclasses import replace
 
+from ..admin.metrics import ResponseOutcome
 from ..observability.events import log_event
 from ..requests.model import Completed, Failed, Rejected, Request, Response
 from .connection import ClientConnection, OpenCall
@@ -30,7 +31,11 @@
     Rejected: "answered_refused",
     Failed: "answered_failed",
 }
-METRIC_OUTCOMES = {Completed: "success", Rejected: "overload", Failed: "error"}
+METRIC_OUTCOMES = {
+    Completed: ResponseOutcome.SUCCESS,
+    Rejected: ResponseOutcome.OVERLOAD,
+    Failed: ResponseOutcome.ERROR,
+}
 
 
 class RpcConnection(ClientConnection):
@@ -151,7 +156,7 @@
     def _send_response(self, message_id: int, response: Response, request: Request) -> None:
         self._counters[RESPONSE_COUNTERS[type(response)]] += 1
         if self._context.metrics is not None:
-            self._context.metrics.answered(request.class_index, METRIC_OUTCOMES[type(response)])
+            self._context.metrics.record_response(request.class_index, METRIC_OUTCOMES[type(response)])
         self._send(encode_response(message_id, response), request)
 
     def _send(self, data: bytes, request: Request | None = None) -> None:
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,244 @@
+"""The admin API: routes, manual ejections and their file, metrics, and the HTTP server."""
+
+import asyncio
+import hashlib
+import json
+import socket
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from applevale import api
+from applevale.admin import ejection_codec
+from applevale.admin.ejection_store import EjectionStore
+from applevale.admin.ejections import EjectionEntry, EjectionRegistry
+from applevale.admin.limits import MAX_CONCURRENT_REQUESTS
+from applevale.admin.metrics import Gauges, Metrics, ResponseOutcome
+from applevale.admin.routes import dispatch
+from applevale.admin.server import AdminServer
+from applevale.discovery.endpoints import Change, Member
+from applevale.discovery.gated_endpoints import HeldList
+from applevale.observability.counters import Counters
+
+
+class FakeTarget:
+    """An application that only remembers what operators asked for."""
+
+    def __init__(self):
+        self.ejected = set()
+        self.draining = False
+        self.listed = {"s-00000001"}
+
+    def is_ready(self):
+        return not self.draining
+
+    def metrics_snapshot(self):
+        return {"concurrent": 0}
+
+    def disable_engine(self, host):
+        self.ejected |= {host} & self.listed
+        return host in self.listed
+
+    def enable_engine(self, host):
+        self.ejected.discard(host)
+        return host in self.listed
+
+    def drain(self):
+        self.draining = True
+
+    def undrain(self):
+        self.draining = False
+
+
+def test_each_request_has_its_response_and_invalid_ones_change_nothing():
+    target = FakeTarget()
+    assert dispatch(target, "GET", "/ready", b"").status == 200
+    assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
+    assert (
+        dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
+    )  # again: the same
+    assert target.ejected == {"s-00000001"}
+    assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-0000000f"}').status == 404
+    bad = dispatch(target, "POST", "/engines/disable", b'{"hots":"s-00000001"}')
+    assert (bad.status, bad.body["field"]) == (400, "host")
+    assert dispatch(target, "POST", "/engines/enable", b"[").body["field"] == "body"
+    assert dispatch(target, "GET", "/drain", b"").status == 405 and not target.draining
+    assert dispatch(target, "POST", "/nowhere", b"").status == 404
+    assert (
+        dispatch(target, "POST", "/drain", b"").status == 200
+        and dispatch(target, "GET", "/ready", b"").status == 503
+    )
+    dispatch(target, "POST", "/engines/enable", b'{"host":"s-00000001"}')
+    assert target.ejected == set()
+
+
+def member(engine, state=api.State.READY):
+    return Member(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
+
+
+def test_an_ejected_engine_is_reported_as_draining_whatever_the_feed_says_until_enabled():
+    held, registry = HeldList(), EjectionRegistry()
+    held.banned = registry.ejected
+    first = Change(1, True, (member(1), member(2)))
+    registry.add_endpoints(first.members)
+    held.changed(first)
+    engine = registry.find("s-00000002")
+    assert engine == 2 and registry.find("127.0.0.1:7002") == 2 and registry.find("s-00000009") is None
+    assert registry.set_ejected(engine, True, 1.0) and not registry.set_ejected(engine, True, 2.0)
+    assert held.told_again(engine).entries[0].state is api.State.DRAINING
+    again = held.changed(Change(2, False, (member(2),)))  # the feed lists it as ready again
+    assert again.entries[0].state is api.State.DRAINING
+    assert registry.set_ejected(engine, False, 3.0) and not registry.set_ejected(engine, False, 4.0)
+    assert held.told_again(engine).entries[0].state is api.State.READY
+
+
+def test_a_file_of_ejections_is_decoded_completely_or_rejected():
+    entries = {1: EjectionEntry(5.25, True), 0xC41F7A: EjectionEntry(6.0, False)}
+    data = ejection_codec.encode(entries)
+    assert ejection_codec.decode(data) == entries
+    foreign = [
+        json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
+        for body in (
+            '{"form":1,"banned":[]}',
+            '{"form":2,"words":{"s-1":[1e999,true]}}',
+            '{"form":2,"words":{"s-1":[1]}}',
+            '{"form":2,"words":{"s-1":[1,1]}}',
+            "[]",
+        )
+    ]
+    for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff", *foreign):
+        with pytest.raises(ejection_codec.EjectionFileError):
+            ejection_codec.decode(torn)
+
+
+call = st.tuples(st.integers(0, 1), st.integers(1, 3), st.booleans(), st.integers(0, 5))
+
+
+@given(st.lists(call, max_size=12), st.lists(st.integers(0, 1), max_size=6))
+def test_two_processes_converge_to_the_same_ejections_whoever_writes_when(tmp_path_factory, calls, looks):
+    path = str(tmp_path_factory.mktemp("ejections") / "ejections.json")
+    stores = [EjectionStore(path, EjectionRegistry()) for _ in range(2)]
+    last = {}
+    for at, (process, engine, ejected, clock) in enumerate(calls):  # their clocks may differ, and step back
+        stores[process].set_ejected(engine, ejected, float(clock))
+        last[engine] = ejected
+        if at < len(looks):
+            stores[looks[at]].refresh()
+    for store in stores:
+        store.refresh()
+        assert store.registry.ejected == {engine for engine, ejected in last.items() if ejected}
+
+
+def test_an_entry_that_another_process_overwrote_unread_is_written_again(tmp_path):
+    path = str(tmp_path / "ejections.json")
+    one, other = (EjectionStore(path, EjectionRegistry()) for _ in range(2))
+    one.set_ejected(1, True, 10.0)
+    other.registry.set_ejected(2, True, 11.0)
+    other.save()  # as if it had looked just before the other wrote
+    assert one.refresh() == [2] and other.refresh() == [1]
+    assert one.registry.ejected == other.registry.ejected == {1, 2} and one.refresh() == other.refresh() == []
+
+
+def test_a_truncated_file_changes_no_ejection_and_the_next_call_replaces_it(tmp_path, capsys):
+    path = tmp_path / "ejections.json"
+    first = EjectionStore(str(path), EjectionRegistry())
+    first.set_ejected(7, True, 1.0)
+    path.write_bytes(path.read_bytes()[:20])
+    assert first.refresh() == [] and first.registry.ejected == {7} and "bans: " in capsys.readouterr().err
+    assert (
+        EjectionStore(str(path), EjectionRegistry()).refresh() == []
+    )  # a start without ejections, not with wrong ones
+    first.set_ejected(8, True, 2.0)
+    after = EjectionStore(str(path), EjectionRegistry())
+    assert after.refresh() == [7, 8] and after.registry.find("s-00000007") == 7
+    assert after.set_ejected(7, False, 3.0) == [7] and after.registry.ejected == {8}
+
+
+def test_metrics_are_counted_by_class_and_read_as_one_snapshot():
+    metrics = Metrics(("lookup", "load"), Gauges(open_requests=lambda: 3))
+    outcomes = [ResponseOutcome.SUCCESS] * 5 + [ResponseOutcome.OVERLOAD] * 2 + [ResponseOutcome.ERROR]
+    for outcome in outcomes:
+        metrics.record_response(0, outcome)
+    metrics.record_dispatch("load")
+    metrics.record_dispatch("nobody")  # an attempt of no class that is listed counts nowhere
+    metrics.record_reload(False)
+    shot = metrics.snapshot()
+    assert shot["replies"]["lookup"] == {"success": 5, "overload": 2, "error": 1, "dispatches": 0}
+    assert shot["replies"]["load"]["dispatches"] == 1 == shot["dispatches"]
+    assert (shot["concurrent"], shot["reload_failure"], shot["reload_success"]) == (3, 1, 0)
+
+
+async def _serve(calls):
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    counters = Counters()
+    server = asyncio.create_task(AdminServer(FakeTarget(), counters).serve(listener))
+    loop = asyncio.get_running_loop()
+    try:
+        return [await calls(loop, listener.getsockname()), counters]
+    finally:
+        server.cancel()
+        listener.close()
+
+
+async def _exchange(loop, at, data):
+    sock = socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, at)
+    await loop.sock_sendall(sock, data)
+    got = b""
+    while chunk := await loop.sock_recv(sock, 4096):
+        got += chunk
+    sock.close()
+    return got
+
+
+def test_a_silent_client_is_closed_at_its_timeout_and_others_are_served_meanwhile():
+    async def calls(loop, at):
+        silent = socket.socket()
+        silent.setblocking(False)
+        await loop.sock_connect(silent, at)
+        await loop.sock_sendall(silent, b"GET /rea")  # half a head, then nothing
+        ready = await _exchange(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        closed = await loop.sock_recv(silent, 10)  # closed by the server at its timeout
+        silent.close()
+        return ready, closed
+
+    (ready, closed), counters = asyncio.run(_serve(calls))
+    assert ready.startswith(b"HTTP/1.1 200") and json.loads(ready.split(b"\r\n\r\n")[1]) == {"ready": True}
+    assert closed == b"" and counters["door_timeouts"] == 1
+
+
+def test_malformed_and_oversized_requests_get_one_response_with_the_fault():
+    async def calls(loop, at):
+        garbage = await _exchange(loop, at, b"\x00\x01 nonsense\r\n\r\n")
+        head = await _exchange(loop, at, b"GET /ready HTTP/1.1\r\nx: " + b"y" * 20_000 + b"\r\n\r\n")
+        body = await _exchange(loop, at, b"POST /drain HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n")
+        return garbage, head, body
+
+    (garbage, head, body), _ = asyncio.run(_serve(calls))
+    assert garbage.startswith(b"HTTP/1.1 400") and head.startswith(b"HTTP/1.1 431")
+    assert body.startswith(b"HTTP/1.1 413")
+
+
+def test_a_flood_of_silent_clients_leaves_room_for_a_request():
+    async def calls(loop, at):
+        silent = [socket.create_connection(at) for _ in range(MAX_CONCURRENT_REQUESTS + 5)]
+        ready = await _exchange(loop, at, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        for sock in silent:
+            sock.close()
+        return ready
+
+    ready, counters = asyncio.run(_serve(calls))
+    assert ready.startswith(b"HTTP/1.1 200") and counters["door_evicted"] == 6
+    assert counters["door_timeouts"] == 0  # it did not wait for their timers
+
+
+def test_a_head_request_is_rejected_without_a_body():
+    async def calls(loop, at):
+        return await _exchange(loop, at, b"HEAD /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+
+    response, _ = asyncio.run(_serve(calls))
+    head, _, body = response.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 405 ") and b"allow: GET" in head and body == b""
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -14,7 +14,7 @@
 from applevale.engines.pool import EnginePool
 from applevale.net.write_queue import QueuedMessage
 from applevale.observability.counters import Counters
-from applevale.startup.connect_schedule import Ramp
+from applevale.startup.connect_schedule import ConnectSchedule
 
 
 class ManualLoop(asyncio.SelectorEventLoop):
@@ -197,7 +197,7 @@
 def test_an_engine_is_shown_as_not_ready_until_a_connection_to_it_may_be_opened():
     async def test(loop):
         pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        schedule, endpoints = Ramp(20.0, 40, 3), HeldList()
+        schedule, endpoints = ConnectSchedule(20.0, 40, 3), HeldList()
         shown, changes = [], []
         pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
         change = Change(1, True, (Member(api.EngineEntry(1), ("127.0.0.1", 1)),))
@@ -218,7 +218,7 @@
 def test_an_engine_whose_last_connection_ended_waits_for_its_next_slot():
     async def test(loop):
         pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        schedule, endpoints = Ramp(20.0, 40, 3), HeldList()
+        schedule, endpoints = ConnectSchedule(20.0, 40, 3), HeldList()
         shown, changes = [], []
         pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
         change = Change(1, True, (Member(api.EngineEntry(1), ("127.0.0.1", 1)),))
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -8,16 +8,16 @@
 import json
 from pathlib import Path
 
-import h11
 import lmdb
 import msgspec
 import pytest
 
 from applevale import api
-from applevale.admin import ejections as bans
-from applevale.admin import server as door
-from applevale.admin.metrics import Figures
-from applevale.admin.routes import answer
+from applevale.admin import ejection_codec
+from applevale.admin.ejections import EjectionEntry
+from applevale.admin.http_codec import HttpExchange
+from applevale.admin.metrics import Gauges, Metrics, ResponseOutcome
+from applevale.admin.routes import dispatch
 from applevale.discovery.endpoints import Names
 from applevale.discovery.registry.records import read_record
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
@@ -38,9 +38,9 @@
 
 def ejections():
     return {
-        1: bans.Word(1764652800.25, True),
-        0xC41F7A: bans.Word(1764652801.5, False),
-        0xFFFFFFFF: bans.Word(0.1, True),
+        1: EjectionEntry(1764652800.25, True),
+        0xC41F7A: EjectionEntry(1764652801.5, False),
+        0xFFFFFFFF: EjectionEntry(0.1, True),
     }
 
 
@@ -104,30 +104,30 @@
 
 
 def metrics():
-    figures = Figures(("short", "long"))
-    figures.answered(0, "success")
-    figures.answered(1, "overload")
-    figures.answered(1, "error")
-    figures.dispatched("short")
-    figures.reloaded(True)
-    figures.reloaded(False)
-    figures.concurrent, figures.targets, figures.disabled = (lambda: 4), (lambda: 5), (lambda: 6)
-    return figures
+    gauges = Gauges(open_requests=lambda: 4, engines=lambda: 5, disabled_engines=lambda: 6)
+    metrics = Metrics(("short", "long"), gauges)
+    metrics.record_response(0, ResponseOutcome.SUCCESS)
+    metrics.record_response(1, ResponseOutcome.OVERLOAD)
+    metrics.record_response(1, ResponseOutcome.ERROR)
+    metrics.record_dispatch("short")
+    metrics.record_reload(True)
+    metrics.record_reload(False)
+    return metrics
 
 
 class Target:
     """What the operators' calls work on, as fixed values."""
 
-    def ready(self):
+    def is_ready(self):
         return True
 
-    def figures(self):
+    def metrics_snapshot(self):
         return metrics().snapshot()
 
-    def disable(self, host):
+    def disable_engine(self, host):
         return host == "s-00000001"
 
-    enable = disable
+    enable_engine = disable_engine
 
     def drain(self):
         pass
@@ -149,12 +149,12 @@
 
 
 def http_reply(method, path, body):
-    codec = h11.Connection(h11.SERVER)
+    exchange = HttpExchange()
     head = f"{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
-    codec.receive_data(head.encode() + body)
-    while not isinstance(codec.next_event(), h11.EndOfMessage):
-        pass
-    return door.encode(codec, method.encode(), answer(Target(), method, path, body))
+    exchange.receive(head.encode() + body)
+    request = exchange.next_request()
+    response = dispatch(Target(), request.method, request.target, request.body)
+    return exchange.serialize(response, request.method)
 
 
 def raw_snapshot(folder):
@@ -164,8 +164,8 @@
 
 def test_the_file_of_ejections_is_read_and_written_as_before():
     stored = STORED["ejections"].encode()
-    assert bans.decode(stored) == ejections()
-    assert bans.encode(ejections()) == stored
+    assert ejection_codec.decode(stored) == ejections()
+    assert ejection_codec.encode(ejections()) == stored
 
 
 def test_a_registry_snapshot_is_written_as_before(tmp_path):
