Logging: a line that is asked for within the write of another one follows it

In a JSON log structlog holds a threading.Lock around each write, so the process then waited for itself for ever; on the console the line came inside the other one's, or failed as a reentrant write.

Change. observability/events.py queues what is asked for while a line is written, and writes it behind that. Order, text, fields and limits of all other lines are as they were.

--- a/applevale/observability/events.py
+++ b/applevale/observability/events.py
@@ -5,6 +5,7 @@
 - Of one kind at most `MAX_LINES_PER_KIND` lines are written in a window of time, whatever the form, so that
   bad input cannot flood the log; the next line of that kind reports how many were left out.
 - `emit_event` is for programs that follow the state of an instance; the console prints none of its events.
+- A line that is asked for within the write of another one follows it.
 - The console needs no library; structlog is loaded by `use_json` only.
 """
 
@@ -12,6 +13,7 @@
 
 import sys
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -31,7 +33,19 @@
     line_count: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Line:
+    """A line to be written, in both forms."""
+
+    kind: str
+    text: str
+    fields: dict
+    console: str
+
+
 _windows: dict[str, _RateWindow] = {}
+_queue: deque[_Line] = deque()  # lines that are asked for while another one is written
+_is_writing = False
 _json_writer: Writer | None = None  # None: the console
 
 
@@ -96,14 +110,30 @@
 
 def log_unlimited(kind: str, line: str, **fields: object) -> None:
     """Write what was asked for, or comes once, without a limit; on the console `line` alone."""
-    if _json_writer is not None:
-        _json_writer(kind, "", fields)
-    else:
-        print(line, file=sys.stderr, flush=True)
+    _write(kind, "", fields, line)
+
 
+def _write(kind: str, text: str, fields: dict, console_line: str | None = None) -> None:
+    """Write a line, or queue it behind the one that is being written.
 
-def _write(kind: str, text: str, fields: dict) -> None:
+    A garbage collection may start within a write, and its callback logs: structlog's lock is not reentrant,
+    so the thread would wait for itself for ever, and the standard stream refuses a write within a write.
+    """
+    global _is_writing
+    console = f"{kind}: {text}" if console_line is None else console_line
+    _queue.append(_Line(kind, text, fields, console))
+    if _is_writing:
+        return
+    _is_writing = True
+    try:
+        while _queue:
+            _write_now(_queue.popleft())
+    finally:
+        _is_writing = False
+
+
+def _write_now(line: _Line) -> None:
     if _json_writer is None:
-        print(f"{kind}: {text}", file=sys.stderr, flush=True)
+        print(line.console, file=sys.stderr, flush=True)
     else:
-        _json_writer(kind, text, fields)
+        _json_writer(line.kind, line.text, line.fields)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,6 +1,8 @@
 """Events on standard error: plain lines, JSON lines, and the limit of each kind in both forms."""
 
+import io
 import json
+import threading
 
 import pytest
 
@@ -58,3 +60,30 @@
     monkeypatch.setattr("applevale.config.sections.find_spec", lambda name: None)
     with pytest.raises(ConfigError, match="^log: structlog is missing"):
         read_log_form({"log": "json"}, {})
+
+
+class ReentrantStream(io.StringIO):
+    """Standard error in whose first write a garbage collection starts, and its callback logs."""
+
+    collected = False
+
+    def write(self, text):
+        if not self.collected:
+            self.collected = True
+            events.log_event("loop", "collecting took long")
+        return super().write(text)
+
+
+@pytest.mark.parametrize("form", ["console", "json"])
+def test_a_line_that_is_asked_for_within_a_write_follows_it(clock, monkeypatch, form):
+    """The callback of a collection ran within a write, and waited for the lock that its own thread held."""
+    stream = ReentrantStream()
+    monkeypatch.setattr(events.sys, "stderr", stream)
+    if form == "json":
+        events.use_json("n")
+    writer = threading.Thread(target=events.log_event, args=("link", "lost"), daemon=True)
+    writer.start()
+    writer.join(10)
+    assert not writer.is_alive()
+    first, second = stream.getvalue().splitlines()
+    assert "lost" in first and "collecting took long" in second
