Event loop driver and arrival order: whole names, one step a line, docstrings

Driver -> EventLoopDriver with register, unregister, submit, submit_gossip, read_delay, answer_gap, outlier_engines, start, stop; Arrivals -> ArrivalOrder with on_tick, is_caught_up, finish_catching_up, is_in_order; Source.read -> record_read, clear -> read_up_to. The two lateness figures that decay are one class, DecayingLateness. Batches, order of events and actions, clocks and log lines are as they were; call sites follow.

--- a/applevale/dispatch/event_loop_driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -1,4 +1,7 @@
-"""Owns the decision module: its clock, its batches of events and its timers; routes actions to requests."""
+"""Runs the admission controller on the event loop: its clock, its batches of events and its timers.
+
+Events go to the controller in batches, and the actions that it returns go to the requests that they name.
+"""
 
 from __future__ import annotations
 
@@ -13,26 +16,35 @@
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from ..policy import AdmissionController
-from .arrival_order import TICK, Arrivals, Source
-
-# A pass over a long line costs the same for one event as for many, and must leave time for the sockets:
-PACE = 0.004  # s between the starts of two batches at least, and
-SHARE = 3.0  # times what the last one took
-LAG_SPAN = 3.0  # s over which a late loop is kept in mind
-STALLED = 0.03  # s late from which it is logged
-# A batch that runs later than that waits for so many turns, in which sockets are read: guards engines against
-# work for clients that have gone meanwhile, and drains that lie unread.
-UNREAD, TURNS = 0.06, 4
-LAG_MOST = 0.1  # s of it that are taken off a client's patience
-# From the write of an answer to the next attempt of its key: no less, no more, and how often lateness counts.
-GAP = (0.25, 1.0)  # s
-LATE_TIMES = 2.0
-
-ForRequest = api.Send | api.Terms | api.Reject | api.Fail | api.Cancel
-
-
-def one_list(events: list[api.Event]) -> list[api.Event]:
-    """All news of the list in a batch as one: the module goes through all its engines for each."""
+from .arrival_order import TICK_SECONDS, ArrivalOrder, Source
+
+# A batch over a long queue costs the same for one event as for many, and must leave time for the sockets.
+MIN_BATCH_INTERVAL_SECONDS = 0.004  # between the starts of two batches
+BATCH_INTERVAL_FACTOR = 3.0  # the interval in multiples of what the last batch took, where that is more
+
+LATENESS_DECAY_SECONDS = 3.0  # time constant with which a measured lateness loses weight
+LOGGED_LATENESS_SECONDS = 0.03  # of a batch
+MAX_READ_DELAY_SECONDS = 0.1  # that is assumed of a message, and taken off its request's timeout
+
+# A batch that is later than that first leaves some loop iterations to the sockets: else work is sent on for
+# clients that have disconnected meanwhile, and to engines whose drain is still unread.
+READ_FIRST_LATENESS_SECONDS = 0.06
+READ_FIRST_ITERATIONS = 4
+
+# From the write of an answer to the next attempt with its ordering key.
+MIN_ANSWER_GAP_SECONDS = 0.25
+MAX_ANSWER_GAP_SECONDS = 1.0
+ANSWER_GAP_LATENESS_FACTOR = 2.0  # weight of the lateness that is added to the least gap
+
+RequestAction = api.Send | api.Terms | api.Reject | api.Fail | api.Cancel
+ActionHandler = Callable[[RequestAction], None]
+
+
+def merge_list_updates(events: list[api.Event]) -> list[api.Event]:
+    """Merge all updates of the engine list in a batch into one, which comes first.
+
+    The controller goes through all its engines for each update.
+    """
     entries: dict[int, api.EngineEntry] = {}
     whole = False
     for event in events:
@@ -41,150 +53,224 @@
                 whole = True
                 entries.clear()
             entries.update((entry.engine, entry) for entry in event.entries)
-    rest = [event for event in events if not isinstance(event, api.EngineList)]
-    return [api.EngineList(tuple(entries.values()), whole), *rest]
+    others = [event for event in events if not isinstance(event, api.EngineList)]
+    return [api.EngineList(tuple(entries.values()), whole), *others]
+
 
+class DecayingLateness:
+    """The last large lateness that was measured, which loses weight exponentially with its age."""
 
-class Driver:
-    """All that is ready in one turn of the loop goes to the module as one batch, never re-entrantly."""
+    __slots__ = ("measured_at", "seconds")
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.seconds = 0.0
+        self.measured_at = 0.0
+
+    def record(self, seconds: float, now: float) -> None:
+        """Take a new measurement for the old one."""
+        self.seconds = seconds
+        self.measured_at = now
+
+    def weighted(self, now: float) -> float:
+        """Return what is left of it, in seconds."""
+        return self.seconds * exp((self.measured_at - now) / LATENESS_DECAY_SECONDS)
+
+
+class EventLoopDriver:
+    """Owns the admission controller, and is the only one that calls it.
+
+    What is submitted in one loop iteration goes to the controller as one batch, never re-entrantly.
+
+    Attributes:
+        action_handlers: For each open request, by its number, what takes the actions that name it.
+        order_known: Cleared by a stall of the loop, and set once all that accumulated has been read. Requests
+            with an ordering key wait for it.
+        source_listings: Functions that list sources of requests, each with whether it is readable.
+    """
 
     def __init__(
         self,
         controller: AdmissionController,
-        fleet: Fleet,
+        engine_pool: Fleet,
         counters: Counters,
         clock: Callable[[], float] = time.time,
     ):
-        self.controller, self.fleet, self.counters, self.clock = controller, fleet, counters, clock
-        self.routes: dict[int, Callable[[ForRequest], None]] = {}
-        self.waiting: list[api.Event] = []
-        self.lists = 0  # news of the engine list among them
-        self.news: dict[int, api.PeerLoadReport] = {}  # of each engine as one, for the next batch
-        self.latest = 0.0
-        self.numbers = 0
-        self.due = 0.0  # of the batch, by the loop's clock
-        self.pace = PACE
-        self.lag, self.lag_at = 0.0, 0.0  # how late batches ran lately
-        self.slow, self.slow_at = 0.0, 0.0  # how long peers took to answer a question lately
-        self.arrivals, self.current = Arrivals(), asyncio.Event()
-        self.current.set()
-        # The sockets that requests come by: each tells its source, and whether there is something to read.
-        self.inlets: list[Callable[[], list[tuple[Source, bool]]]] = []
-        self.ticker: asyncio.TimerHandle | None = None
+        """Create a driver that has no events yet.
+
+        Args:
+            controller: Decides on requests.
+            engine_pool: Carries out probes.
+            counters: Counts batches, probes and stalls.
+            clock: The system's Unix clock, in seconds.
+        """
+        self.controller = controller
+        self.engine_pool = engine_pool
+        self.counters = counters
+        self.clock = clock
+        self.latest_time = 0.0
+        self.action_handlers: dict[int, ActionHandler] = {}
+        self.last_request_number = 0
+        self.pending_events: list[api.Event] = []
+        self.pending_list_updates = 0  # among the pending events
+        self.pending_load_reports: dict[int, api.PeerLoadReport] = {}  # by engine, for the next batch
+        self.batch_due_at = 0.0  # by the loop's clock
+        self.batch_interval = MIN_BATCH_INTERVAL_SECONDS
+        self.batch_lateness = DecayingLateness()
+        self.probe_latency = DecayingLateness()
+        self.arrival_order = ArrivalOrder()
+        self.order_known = asyncio.Event()
+        self.order_known.set()
+        self.source_listings: list[Callable[[], list[tuple[Source, bool]]]] = []
+        self.tick_timer: asyncio.TimerHandle | None = None
 
     def now(self) -> float:
-        """The system's Unix clock, which engines' starts are told by; a step back is not passed on."""
-        self.latest = max(self.latest, self.clock())
-        return self.latest
-
-    def enter(self, take: Callable[[ForRequest], None]) -> int:
-        """A number for a new request, under which its actions go to `take`."""
-        self.numbers += 1
-        self.routes[self.numbers] = take
-        return self.numbers
-
-    def leave(self, number: int) -> None:
-        self.routes.pop(number, None)
-
-    def post(self, event: api.Event) -> None:
-        if not self.waiting:
-            loop = asyncio.get_running_loop()
-            now = loop.time()
-            self.due = max(now, self.due + self.pace)
-            if self.due == now:
-                loop.call_soon(self._flush)
-            else:
-                loop.call_at(self.due, self._flush)
-        self.waiting.append(event)
-        self.lists += isinstance(event, api.EngineList)
-
-    def heard(self, event: api.PeerLoadReport) -> None:
-        """A peer's news goes along with the next batch: it is no reason for one of its own."""
-        former = self.news.get(event.engine, event)
-        if former is not event:
-            event = api.PeerLoadReport(
-                event.engine, event.report or former.report, event.threads + former.threads
+        """Return the Unix time in seconds, as engines state their start times; it never goes back."""
+        self.latest_time = max(self.latest_time, self.clock())
+        return self.latest_time
+
+    def start(self) -> None:
+        """Begin to watch the loop for stalls."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Stop watching the loop."""
+        if self.tick_timer is not None:
+            self.tick_timer.cancel()
+
+    def register(self, handler: ActionHandler) -> int:
+        """Return the number of a new request, whose actions go to the handler."""
+        self.last_request_number += 1
+        self.action_handlers[self.last_request_number] = handler
+        return self.last_request_number
+
+    def unregister(self, number: int) -> None:
+        """Drop all further actions of a request."""
+        self.action_handlers.pop(number, None)
+
+    def submit(self, event: api.Event) -> None:
+        """Add an event to the next batch."""
+        if not self.pending_events:
+            self._schedule_batch()
+        self.pending_events.append(event)
+        self.pending_list_updates += isinstance(event, api.EngineList)
+
+    def submit_gossip(self, report: api.PeerLoadReport) -> None:
+        """Add a peer's load report to the next batch; it is no reason for a batch of its own."""
+        former = self.pending_load_reports.get(report.engine, report)
+        if former is not report:
+            report = api.PeerLoadReport(
+                report.engine, report.report or former.report, report.threads + former.threads
             )
-        self.news[event.engine] = event
+        self.pending_load_reports[report.engine] = report
+
+    def read_delay(self) -> float:
+        """Return for how many seconds a message may have waited unread: a loop that runs late reads late."""
+        return min(MAX_READ_DELAY_SECONDS, self.batch_lateness.weighted(self.latest_time))
+
+    def answer_gap(self) -> float:
+        """Return the seconds from the write of an answer until its client surely has it.
 
-    def delay(self) -> float:
-        """How long a message may have waited unread: a loop that runs late reads late."""
-        return min(LAG_MOST, self.lag * exp((self.lag_at - self.latest) / LAG_SPAN))
+        A client that shares the machine with a late loop, or with peers that answer late, may read as late.
+        """
+        lateness = max(self.read_delay(), self.probe_latency.weighted(self.latest_time))
+        return min(MAX_ANSWER_GAP_SECONDS, MIN_ANSWER_GAP_SECONDS + ANSWER_GAP_LATENESS_FACTOR * lateness)
 
-    def gap(self) -> float:
-        """s from the write of an answer until its client surely has it: who shares the machine with a loop
-        that runs late, or peers that answer late, may read as late."""
-        slow = self.slow * exp((self.slow_at - self.latest) / LAG_SPAN)
-        return min(GAP[1], GAP[0] + LATE_TIMES * max(self.delay(), slow))
+    def outlier_engines(self) -> set[int]:
+        """Return the engines that the controller avoids as outliers now.
 
-    def resting(self) -> set[int]:
-        """Engines that the module avoids by its own choice for now. A rest ends by the clock, with no event
-        to count, so this looks at each: once for a call of an operator."""
+        That state ends by the clock and without an event, so this looks at each engine: it is for calls of
+        operators.
+        """
         now = self.now()
         return {number for number, engine in self.controller.engines.items() if engine.rest_until > now}
 
-    def tick(self) -> None:
-        """Guards the order of keys: after a loop that stood still they wait until the rest is read."""
-        arrivals, now = self.arrivals, self.now()
-        self.ticker = asyncio.get_running_loop().call_later(TICK, self.tick)
-        if arrivals.ticked(now):
+    def _tick(self) -> None:
+        """Hold the requests with a key back, after a stall, until what accumulated has been read."""
+        order = self.arrival_order
+        now = self.now()
+        self.tick_timer = asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
+        if order.on_tick(now):
             self.counters["stood_still"] += 1
-            self.current.clear()
-        elif arrivals.behind and arrivals.caught_up(
-            all(arrivals.settled(*one) for inlet in self.inlets for one in inlet()), now
-        ):
-            self.current.set()
+            self.order_known.clear()
+        elif order.is_catching_up and order.finish_catching_up(self._all_caught_up(), now):
+            self.order_known.set()
 
-    def stop(self) -> None:
-        if self.ticker is not None:
-            self.ticker.cancel()
+    def _all_caught_up(self) -> bool:
+        order = self.arrival_order
+        return all(
+            order.is_caught_up(source, readable)
+            for list_sources in self.source_listings
+            for source, readable in list_sources()
+        )
 
-    def _read_first(self, turns: int) -> None:
-        if turns:
-            asyncio.get_running_loop().call_soon(self._read_first, turns - 1)
+    def _schedule_batch(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self.batch_due_at = max(now, self.batch_due_at + self.batch_interval)
+        if self.batch_due_at == now:
+            loop.call_soon(self._on_batch_due)
         else:
-            self._batch()
-
-    def _flush(self) -> None:
-        late = asyncio.get_running_loop().time() - self.due
-        self._read_first(TURNS if late > UNREAD else 0)
-
-    def _batch(self) -> None:
-        events, self.waiting = self.waiting, []
-        if self.lists > 1:
-            events = one_list(events)
-        self.lists = 0
-        if self.news:
-            events = [*self.news.values(), *events]
-            self.news.clear()
+            loop.call_at(self.batch_due_at, self._on_batch_due)
+
+    def _on_batch_due(self) -> None:
+        lateness = asyncio.get_running_loop().time() - self.batch_due_at
+        self._run_batch_after(READ_FIRST_ITERATIONS if lateness > READ_FIRST_LATENESS_SECONDS else 0)
+
+    def _run_batch_after(self, iterations: int) -> None:
+        """Run the batch once so many iterations of the loop have read sockets."""
+        if iterations:
+            asyncio.get_running_loop().call_soon(self._run_batch_after, iterations - 1)
+        else:
+            self._run_batch()
+
+    def _run_batch(self) -> None:
+        events = self._take_events()
         loop = asyncio.get_running_loop()
-        late = loop.time() - self.due
-        self.due += late
-        if late >= self.delay():
-            self.lag, self.lag_at = late, self.now()
-        if late > STALLED:
-            self.counters["stalls"] += 1
-            log_event("loop", f"a batch ran {late * 1000:.0f} ms late")
+        self._record_lateness(loop.time())
         self.counters["batches"] += 1
         try:
             actions = self.controller.handle(self.now(), events)
-        except Exception:  # guards the other requests; those of this batch end by the broker's own timer
+        except Exception:  # guards the other requests; those of this batch end by their own deadlines
             self.counters["module_errors"] += 1
             log_event("module", traceback.format_exc())
             return
         for action in actions:
-            self._act(action)
-        self.pace = max(PACE, SHARE * (loop.time() - self.due))
+            self._execute(action)
+        duration = loop.time() - self.batch_due_at
+        self.batch_interval = max(MIN_BATCH_INTERVAL_SECONDS, BATCH_INTERVAL_FACTOR * duration)
+
+    def _take_events(self) -> list[api.Event]:
+        """Return the events of a batch: load reports, then the engine list if there were several updates."""
+        events = self.pending_events
+        self.pending_events = []
+        if self.pending_list_updates > 1:
+            events = merge_list_updates(events)
+        self.pending_list_updates = 0
+        if self.pending_load_reports:
+            events = [*self.pending_load_reports.values(), *events]
+            self.pending_load_reports.clear()
+        return events
+
+    def _record_lateness(self, now: float) -> None:
+        """Note how late a batch starts, by the loop's clock, and that it was due now for all that follows."""
+        lateness = now - self.batch_due_at
+        self.batch_due_at += lateness
+        if lateness >= self.read_delay():
+            self.batch_lateness.record(lateness, self.now())
+        if lateness > LOGGED_LATENESS_SECONDS:
+            self.counters["stalls"] += 1
+            log_event("loop", f"a batch ran {lateness * 1000:.0f} ms late")
 
-    def _act(self, action: api.Action) -> None:
+    def _execute(self, action: api.Action) -> None:
         match action:
             case api.Send() | api.Terms() | api.Reject() | api.Fail() | api.Cancel():
-                take = self.routes.get(action.request)
-                if take is not None:  # else its client has gone, and its attempt was given up with it
-                    take(action)
+                handler = self.action_handlers.get(action.request)
+                if handler is not None:  # else its client has gone, and its attempt was cancelled with it
+                    handler(action)
             case api.SetTimer():
                 loop = asyncio.get_running_loop()
-                loop.call_later(action.after, self.post, api.Timer(action.token))
+                loop.call_later(action.after, self.submit, api.Timer(action.token))
             case api.Probe():
                 self._probe(action.engine)
             case api.Log():
@@ -193,13 +279,15 @@
                 self.counters["actions_without_use"] += 1
 
     def _probe(self, engine: int) -> None:
+        """Probe an engine, and submit the result."""
         self.counters["probes"] += 1
-        asked = self.now()
+        started_at = self.now()
 
-        def told(result: api.Result, report: tuple) -> None:
-            took = self.now() - asked
-            if result is api.Result.OK and took >= self.slow * exp((self.slow_at - self.latest) / LAG_SPAN):
-                self.slow, self.slow_at = took, self.latest
-            self.post(api.ProbeResult(engine, result, took, report))
+        def on_result(result: api.Result, report: tuple) -> None:
+            duration = self.now() - started_at
+            latency = self.probe_latency
+            if result is api.Result.OK and duration >= latency.weighted(self.latest_time):
+                latency.record(duration, self.latest_time)
+            self.submit(api.ProbeResult(engine, result, duration, report))
 
-        self.fleet.probe(engine, told)
+        self.engine_pool.probe(engine, on_result)
--- a/applevale/gossip/exchange.py
+++ b/applevale/gossip/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..net.datagrams import Datagrams
 from ..observability.counters import Counters
 from .load_reports import HOLD, VERSION, News, NewsError
@@ -13,7 +13,7 @@
 class Peers:
     """What fails here costs news and nothing else."""
 
-    def __init__(self, datagrams: Datagrams, news: News, driver: Driver, counters: Counters):
+    def __init__(self, datagrams: Datagrams, news: News, driver: EventLoopDriver, counters: Counters):
         self.datagrams, self.news, self.driver, self.counters = datagrams, news, driver, counters
         datagrams.takers[VERSION] = self._take
         self.timer: asyncio.TimerHandle | None = None  # of the next datagram
@@ -50,4 +50,4 @@
             return
         self.counters["news_heard"] += 1
         for event in events:
-            self.driver.heard(event)
+            self.driver.submit_gossip(event)
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -8,7 +8,7 @@
 from math import inf
 
 from .. import api
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.connection import Attempt, Done, Ending, Fleet, Link, Want
 from ..observability.counters import Counters
 from ..observability.events import log_event
@@ -64,7 +64,7 @@
 
 
 class Broker:
-    def __init__(self, driver: Driver, fleet: Fleet, settings: api.Settings, counters: Counters):
+    def __init__(self, driver: EventLoopDriver, fleet: Fleet, settings: api.Settings, counters: Counters):
         self.driver, self.fleet, self.settings, self.counters = driver, fleet, settings, counters
         self.lives: set[Life] = set()
         self.unread: dict[Query, int] = {}  # keyed requests and their numbers, until their answers have left
@@ -76,7 +76,7 @@
 
     def expire(self) -> None:
         """What is still open is answered now, also what waits for those before it of its key."""
-        self.driver.current.set()
+        self.driver.order_known.set()
         for life in self.lives:
             life.inbox.put_nowait(Overdue())
 
@@ -99,8 +99,8 @@
     async def serve(self, query: Query) -> Answer:
         """Query in, one answer out; cancelled when the client has gone."""
         if query.key:
-            await self.driver.current.wait()
-        if len(self.driver.routes) >= self.settings.max_open:
+            await self.driver.order_known.wait()
+        if len(self.driver.action_handlers) >= self.settings.max_open:
             return self.turn_away()
         if self.shut:
             self.counters["unconfirmed"] += 1
@@ -128,7 +128,7 @@
         """Each front tells this once for each query: its answer has left whole, or can reach no one."""
         number = self.unread.pop(query, None)
         if number is not None:
-            self.driver.post(api.AnswerSent(number, query.key, self.driver.gap()))
+            self.driver.submit(api.AnswerSent(number, query.key, self.driver.answer_gap()))
 
 
 class Life:
@@ -139,7 +139,7 @@
         self.counters = broker.counters
         self.spec = broker.settings.classes[query.cls]
         self.inbox: asyncio.Queue[api.Action | Ending | Overdue | Unconfirmed] = asyncio.Queue()
-        self.number = self.driver.enter(self.inbox.put_nowait)
+        self.number = self.driver.register(self.inbox.put_nowait)
         self.out: Attempt | None = None
         self.tries, self.urgency = 0, 1
         # What the attempts proved, settled where each ends: its ending may lie in the inbox behind an answer.
@@ -153,8 +153,8 @@
 
     async def run(self) -> Answer:
         query = self.query
-        patience = max(0.0, self.left() - SPARE - self.driver.delay())
-        self.driver.post(
+        patience = max(0.0, self.left() - SPARE - self.driver.read_delay())
+        self.driver.submit(
             api.Request(
                 self.number,
                 query.cls,
@@ -214,7 +214,7 @@
                 self.rows = ending.body
             if ending.result not in api.NEVER_RAN:
                 self.ran_at = min(self.ran_at, sent)
-            self.driver.post(
+            self.driver.submit(
                 api.Outcome(
                     self.number,
                     index,
@@ -265,13 +265,13 @@
 
     def close(self) -> None:
         """The answer is out, or no longer owed: what is still out is given up, and the module hears of it."""
-        self.driver.leave(self.number)
+        self.driver.unregister(self.number)
         if not self.answered:
-            self.driver.post(api.ClientGone(self.number))
+            self.driver.submit(api.ClientGone(self.number))
         while not self.inbox.empty():
             # Guards the module's counts: a send that is not carried out would be out for ever.
             if isinstance(send := self.inbox.get_nowait(), api.Send):
-                self.driver.post(api.Outcome(self.number, self.tries, send.engine, api.Result.MOOT))
+                self.driver.submit(api.Outcome(self.number, self.tries, send.engine, api.Result.MOOT))
                 self.tries += 1
         if self.out is not None:
             self.out.give_up(api.Result.CANCELLED)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -13,7 +13,7 @@
 from ..discovery.control_feed import Feed
 from ..discovery.endpoints import Change, Source
 from ..discovery.gated_endpoints import HeldList
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.connection import Fleet
 from ..net.addresses import Address
 from ..observability.counters import Counters
@@ -72,7 +72,7 @@
         self.pool.local = config.local
         router = optional_parts.create_router(config, self.counters)
         controller = AdmissionController(config.settings, config.seed, router)
-        self.driver = Driver(controller, self.pool, self.counters)
+        self.driver = EventLoopDriver(controller, self.pool, self.counters)
         self.handler = Broker(self.driver, self.pool, config.settings, self.counters)
         self.server = self._create_server()
         self.endpoints = HeldList()
@@ -111,7 +111,7 @@
     def _count_disabled_engines(self) -> int:
         """Count listed engines that are ejected, by hand or by the decision module."""
         pool = self.pool
-        ejected = self.ejection_control.ejections.banned | self.driver.resting()
+        ejected = self.ejection_control.ejections.banned | self.driver.outlier_engines()
         return sum(engine in pool.engines and engine not in pool.gone for engine in ejected)
 
     def _create_gossip(self, controller: AdmissionController) -> Peers | None:
@@ -191,14 +191,14 @@
             self.gossip.news.listed(self.pool.engines)
         if self.connect_pacer is not None:
             self.connect_pacer.listed()
-        self.driver.post(self.endpoints.changed(update))
+        self.driver.submit(self.endpoints.changed(update))
         self.update_readiness()
 
     def on_staleness_change(self, confirmed: bool) -> None:
         """React to the registry's list being confirmed from now on, or no longer."""
         if self.config.registry.on_stale == "serve":
             return
-        self.driver.post(self.endpoints.turned(confirmed))
+        self.driver.submit(self.endpoints.turned(confirmed))
         if not confirmed:
             for engine in self.pool.engines:
                 self.pool.withdraw(engine)
@@ -208,7 +208,7 @@
     def on_fleet_resize(self, size: int) -> None:
         """Share the fleet's budgets by `size` instances from now on."""
         self.counters["share_of"] = size
-        self.driver.post(api.FleetSize(size))
+        self.driver.submit(api.FleetSize(size))
         if self.connect_pacer is not None:
             self.connect_pacer.ramp.instances = size
 
@@ -229,7 +229,7 @@
         """Follow the list of engines and the other instances."""
         self.reloader.apply_known_endpoints(self.config.known)
         self.source.start()
-        self.driver.tick()
+        self.driver.start()
         if self.datagrams is not None:
             self.datagrams.start()
         if self.membership is not None:
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -12,7 +12,7 @@
 from ..admin.ejection_store import SharedBans
 from ..admin.ejections import Bans
 from ..discovery.gated_endpoints import HeldList
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.connection import Fleet
 from ..net.addresses import Address
 from ..observability.counters import Counters
@@ -36,7 +36,12 @@
     """
 
     def __init__(
-        self, listen_address: Address, endpoints: HeldList, pool: Fleet, driver: Driver, counters: Counters
+        self,
+        listen_address: Address,
+        endpoints: HeldList,
+        pool: Fleet,
+        driver: EventLoopDriver,
+        counters: Counters,
     ):
         """Take over what a former process left in its file."""
         self.endpoints = endpoints
@@ -66,4 +71,4 @@
             self.counters["bans_changed"] += 1
             if engine in self.ejections.banned:
                 self.pool.withdraw(engine)
-            self.driver.post(self.endpoints.told_again(engine))
+            self.driver.submit(self.endpoints.told_again(engine))
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -37,7 +37,7 @@
     admin_listener = None if config.control is None else listen(config.control, shared=False)
     host, port = listener.getsockname()
     application = Application(config, (host, port))
-    application.server.source.clear = started_at  # no one can have come before
+    application.server.source.read_up_to = started_at  # no one can have come before
     _install_signal_handlers(application)
     application.start()
     loop = asyncio.get_running_loop()
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -12,7 +12,7 @@
 from ..config.model import Config
 from ..discovery.endpoints import Change
 from ..discovery.gated_endpoints import HeldList
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.connection import Fleet
 from ..observability.counters import Counters
 from ..policy import AdmissionController
@@ -38,7 +38,7 @@
 def create_connect_pacer(
     config: Config,
     pool: Fleet,
-    driver: Driver,
+    driver: EventLoopDriver,
     endpoints: HeldList,
     on_readiness_change: Callable[[], None],
 ) -> Openings | None:
@@ -48,7 +48,7 @@
     from ..engines.connect_pacer import Openings, Ramp
 
     schedule = Ramp(config.engine_connects, config.settings.gateways, config.settings.me)
-    return Openings(schedule, pool, driver.post, endpoints, on_readiness_change)
+    return Openings(schedule, pool, driver.submit, endpoints, on_readiness_change)
 
 
 def needs_gossip(config: Config, controller: AdmissionController) -> bool:
@@ -68,7 +68,7 @@
 
 
 def create_gossip(
-    config: Config, datagrams: Datagrams, pool: Fleet, driver: Driver, counters: Counters
+    config: Config, datagrams: Datagrams, pool: Fleet, driver: EventLoopDriver, counters: Counters
 ) -> Peers:
     """Return the exchange of load reports, which hears of the pool's attempts and reports."""
     from ..gossip.exchange import Peers
--- a/applevale/runtime/shutdown.py
+++ b/applevale/runtime/shutdown.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ..api import Settings
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..requests.handler import Broker
 from ..server.connection import Front
 
@@ -23,7 +23,7 @@
 class GracefulShutdown:
     """Answers what comes until a moment after SIGTERM, and ends before the process would be killed."""
 
-    def __init__(self, server: Front, handler: Broker, driver: Driver, settings: Settings):
+    def __init__(self, server: Front, handler: Broker, driver: EventLoopDriver, settings: Settings):
         """Take the parts that are shut down; the settings have the longest deadline."""
         self.server = server
         self.handler = handler
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -16,7 +16,7 @@
 from ..admin.draining import CROSSING, TAKES, Drain
 from ..admin.metrics import Figures
 from ..dispatch.arrival_order import Source
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..net.write_queue import Outbox
 from ..observability.counters import Counters
 from ..observability.events import log_event
@@ -161,7 +161,7 @@
     def __init__(
         self,
         broker: Broker,
-        driver: Driver,
+        driver: EventLoopDriver,
         settings: api.Settings,
         most: int,
         most_held: int,
@@ -184,7 +184,7 @@
         self.accepting: asyncio.Task | None = None
         self.draining = Drain()  # whether clients are sent elsewhere
         self.figures: Figures | None = None
-        driver.inlets.append(self.inlet)
+        driver.source_listings.append(self.inlet)
 
     @property
     def open(self) -> int:
@@ -228,7 +228,9 @@
         now = asyncio.get_running_loop().time()
         if len(self.connections) >= self.most:
             self.make_room(now)
-        connection = Connection(self, sock, self.source.read(asked, self.driver.arrivals.polled, emptied))
+        connection = Connection(
+            self, sock, self.source.record_read(asked, self.driver.arrival_order.polled_at, emptied)
+        )
         self.silent[connection] = now
         self.connections[connection] = asyncio.create_task(connection.run())
         if self.draining.on:
@@ -440,7 +442,9 @@
             if not size:
                 return
             now = self.front.driver.now()
-            self.since = self.source.read(asked, self.front.driver.arrivals.polled, size < RECEIVE)
+            self.since = self.source.record_read(
+                asked, self.front.driver.arrival_order.polled_at, size < RECEIVE
+            )
             fed += size
             unpacker.feed(memoryview(buffer)[:size])
             buffer[0] = 0
@@ -510,7 +514,7 @@
             log_event("request", str(error))
             self.send(reply(number, ["Error", {}], None))
             return
-        if query.key and not front.driver.arrivals.sure(query.key, self.source, self.since, now):
+        if query.key and not front.driver.arrival_order.is_in_order(query.key, self.source, self.since, now):
             self.counters["unsure_order"] += 1
             query = replace(query, unsure=True)
         self.counters["taken_" + method] += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,11 +8,11 @@
 import hiredis
 import msgpack
 import pytest
-from test_driver import Module
+from test_event_loop_driver import Module
 
 from applevale import api
 from applevale.discovery import endpoints as members
-from applevale.dispatch.event_loop_driver import Driver
+from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines import connection as engine
 from applevale.engines.limits import ConnectionLimits
 from applevale.observability.counters import Counters
@@ -72,7 +72,7 @@
     def __init__(self, server, grace=0.2):
         self.server = server
         self.fleet = engine.Fleet(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
-        self.driver = Driver(Module(), self.fleet, self.fleet.counters)
+        self.driver = EventLoopDriver(Module(), self.fleet, self.fleet.counters)
         self.broker = broker.Broker(self.driver, self.fleet, SETTINGS, self.fleet.counters)
         self.ends = []
         self.list(api.State.READY)
@@ -290,7 +290,9 @@
         (life,) = scene.broker.lives
         life.inbox.put_nowait(api.Send(life.number, 1))
         await until(life.inbox.empty)
-        told = scene.driver.waiting + [event for batch in scene.driver.gateway.batches for event in batch]
+        told = scene.driver.pending_events + [
+            event for batch in scene.driver.controller.batches for event in batch
+        ]
         task.cancel()
         return life.out, [event.result for event in told if isinstance(event, api.Outcome)]
 
@@ -306,12 +308,12 @@
 
         async def read():
             await asyncio.get_running_loop().sock_recv(ours, 1)
-            scene.driver.post(api.ClientGone(7))
+            scene.driver.submit(api.ClientGone(7))
 
-        module, reading = scene.driver.gateway, asyncio.create_task(read())
-        scene.driver.post(api.Timer(1))
+        module, reading = scene.driver.controller, asyncio.create_task(read())
+        scene.driver.submit(api.Timer(1))
         await until(lambda: module.batches)
-        scene.driver.post(api.Timer(2))
+        scene.driver.submit(api.Timer(2))
         theirs.send(b"x")
         time.sleep(0.15)  # the loop stands still, and the batch falls due
         await until(lambda: len(module.batches) > 1)
@@ -490,7 +492,7 @@
 
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
-        scene.driver.current.clear()  # a loop that stood still reads the rest first
+        scene.driver.order_known.clear()  # a loop that stood still reads the rest first
         query = broker.Query(b"1", 1, b"x", scene.driver.now(), 30.0, key=7)
         task = asyncio.create_task(scene.broker.serve(query))
         await asyncio.sleep(0)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,7 +10,7 @@
 from test_node import Client, Node, probed, until
 
 from applevale.admin.draining import CROSSING, TAKES, Drain
-from applevale.dispatch.event_loop_driver import Driver
+from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.observability.counters import Counters
 from applevale.requests.handler import Refused, Served
 from applevale.server.connection import Front
@@ -55,7 +55,12 @@
         listener = socket.create_server(("127.0.0.1", 0))
         self.broker, self.counters, self.unpacker = Answers(), Counters(), msgpack.Unpacker()
         self.front = Front(
-            self.broker, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20, self.counters
+            self.broker,
+            EventLoopDriver(None, None, self.counters),
+            helpers.settings(),
+            8,
+            1 << 20,
+            self.counters,
         )
         self.client = socket.create_connection(listener.getsockname())
         theirs, _ = listener.accept()
--- a/tests/test_driver.py
+++ b/tests/test_event_loop_driver.py
@@ -5,7 +5,7 @@
 import helpers
 
 from applevale import api
-from applevale.dispatch.event_loop_driver import Driver
+from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines import connection as engine
 from applevale.observability.counters import Counters
 from applevale.policy import AdmissionController
@@ -34,7 +34,7 @@
 
 def drive(module, steps):
     async def main():
-        driver = Driver(module, engine.Fleet(None, (), 0, Counters()), Counters())
+        driver = EventLoopDriver(module, engine.Fleet(None, (), 0, Counters()), Counters())
         await steps(driver)
         return driver
 
@@ -47,10 +47,10 @@
     other = api.EngineEntry(2, state=api.State.GONE)
 
     async def steps(driver):
-        driver.post(api.EngineList((api.EngineEntry(9),)))
-        driver.post(api.EngineList((ready,), whole=True))
-        driver.post(api.Timer(3))
-        driver.post(api.EngineList((draining, other)))
+        driver.submit(api.EngineList((api.EngineEntry(9),)))
+        driver.submit(api.EngineList((ready,), whole=True))
+        driver.submit(api.Timer(3))
+        driver.submit(api.EngineList((draining, other)))
         await until(lambda: module.batches)
 
     drive(module, steps)
@@ -63,18 +63,18 @@
     entries = tuple(api.EngineEntry(number) for number in range(1, 5))
     failed = api.ProbeResult(3, api.Result.CONNECT_FAILED)
     controller.handle(now[0], (api.EngineList(entries, whole=True), failed))
-    driver = Driver(controller, None, Counters(), lambda: now[0])
-    assert driver.resting() == {3}
+    driver = EventLoopDriver(controller, None, Counters(), lambda: now[0])
+    assert driver.outlier_engines() == {3}
     now[0] += 30.0
-    assert driver.resting() == set()
+    assert driver.outlier_engines() == set()
 
 
 def test_one_turn_is_one_batch_and_a_timer_comes_in_a_later_one():
     module = Module([api.SetTimer(0.0, 7)])
 
     async def steps(driver):
-        driver.post(api.ClientGone(1))
-        driver.post(api.ClientGone(2))
+        driver.submit(api.ClientGone(1))
+        driver.submit(api.ClientGone(2))
         await until(lambda: len(module.batches) == 2)
 
     drive(module, steps)
@@ -85,9 +85,9 @@
     module = Module(ValueError("x"))
 
     async def steps(driver):
-        driver.post(api.Timer(1))
+        driver.submit(api.Timer(1))
         await until(lambda: module.batches)
-        driver.post(api.Timer(2))
+        driver.submit(api.Timer(2))
         await until(lambda: len(module.batches) == 2)
 
     assert drive(module, steps).counters["module_errors"] == 1
@@ -95,7 +95,7 @@
 
 def test_the_clock_never_goes_back():
     times = iter([5.0, 3.0, 6.0])
-    driver = Driver(Module(), None, Counters(), lambda: next(times))
+    driver = EventLoopDriver(Module(), None, Counters(), lambda: next(times))
     assert [driver.now() for _ in range(3)] == [5.0, 5.0, 6.0]
 
 
@@ -103,7 +103,7 @@
     module = Module([api.Probe(3)])
 
     async def steps(driver):
-        driver.post(api.Timer(1))
+        driver.submit(api.Timer(1))
         await until(lambda: len(module.batches) == 2)
 
     drive(module, steps)
@@ -116,12 +116,14 @@
 
     async def main():
         settings = api.Settings(classes=(api.ClassSpec("lookup"),), kinds=(api.KindSpec("k"),))
-        driver = Driver(Module(), None, Counters())
+        driver = EventLoopDriver(Module(), None, Counters())
         query = broker.Query(b"1", 0, b"", driver.now(), 0.1)
         return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
 
     answer, driver = asyncio.run(main())
-    assert isinstance(answer, broker.Refused) and driver.counters["overdue"] == 1 and not driver.routes
+    assert (
+        isinstance(answer, broker.Refused) and driver.counters["overdue"] == 1 and not driver.action_handlers
+    )
 
 
 class FakeLink:
@@ -183,9 +185,9 @@
 
     async def main():
         settings = api.Settings((api.ClassSpec("lookup"),), (api.KindSpec("k"),), retry_after=True)
-        driver = Driver(Module(), None, Counters())
+        driver = EventLoopDriver(Module(), None, Counters())
         query = broker.Query(b"1", 0, b"", driver.now(), 0.005)
         return await broker.Broker(driver, None, settings, driver.counters).serve(query), driver
 
     answer, driver = asyncio.run(main())
-    assert answer == broker.Refused(1.0) and not driver.waiting
+    assert answer == broker.Refused(1.0) and not driver.pending_events
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -12,7 +12,7 @@
 from applevale import api
 from applevale.config.model import ConfigError
 from applevale.config.sections import read_peers
-from applevale.dispatch.event_loop_driver import Driver
+from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines.connection import Fleet
 from applevale.gossip.exchange import Peers
 from applevale.gossip.load_reports import (
@@ -231,7 +231,7 @@
     async def main():
         one, two, stranger = free(), free(), free()
         module, counters = Silent(), Counters()
-        driver = Driver(module, Fleet(None, (), 0, counters), counters)
+        driver = EventLoopDriver(module, Fleet(None, (), 0, counters), counters)
         ours = Datagrams(PeerAddresses(one, (one, two), two), 0, Counters())
         theirs = Datagrams(PeerAddresses(two, (one, two), one), 1, counters)
         here, there = Peers(ours, news(), driver, Counters()), Peers(theirs, news(), driver, counters)
@@ -247,7 +247,7 @@
         async with asyncio.timeout(10):
             while counters["news_heard"] < 1 or counters["news_unreadable"] < 2:
                 await asyncio.sleep(0)
-            driver.post(api.Timer(5))  # news alone are no reason for a batch
+            driver.submit(api.Timer(5))  # news alone are no reason for a batch
             while not module.events:
                 await asyncio.sleep(0)
         for part in (here, there, ours, theirs):
