--- a/applevale/requests/context.py
+++ b/applevale/requests/context.py
@@ -8,7 +8,7 @@
 from math import inf
 
 from .. import api
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.attempt import Attempt, AttemptResult, AttemptSpec, AttemptSucceeded
 from ..engines.connection import EngineConnection
 from ..engines.pool import EnginePool
@@ -45,7 +45,7 @@
         shutdown_deadline: When the process stops, by the driver's clock.
     """
 
-    driver: Driver
+    driver: EventLoopDriver
     pool: EnginePool
     settings: api.Settings
     counters: Counters
@@ -97,7 +97,7 @@
         self.request = request
         self._spec = environment.settings.classes[request.class_index]
         self.inbox: asyncio.Queue[InboxEvent] = asyncio.Queue()
-        self.number = environment.driver.enter(self.inbox.put_nowait)
+        self.number = environment.driver.register(self.inbox.put_nowait)
         self.in_flight: Attempt | None = None
         self.attempt_count = 0
         self.used_connections: set[EngineConnection] = set()
@@ -123,7 +123,7 @@
 
     def _submit(self) -> None:
         request = self.request
-        time_to_live = self.time_remaining() - DEADLINE_MARGIN_SECONDS - self._driver.delay()
+        time_to_live = self.time_remaining() - DEADLINE_MARGIN_SECONDS - self._driver.read_delay()
         event = api.Request(
             self.number,
             request.class_index,
@@ -136,7 +136,7 @@
             request.is_client_retry,
             request.order_unknown,
         )
-        self._driver.post(event)
+        self._driver.submit(event)
 
     def _handle_event(self, event: InboxEvent) -> Response | None:
         """Handle one event of the inbox; return the response if the event decides it."""
@@ -237,7 +237,7 @@
             ending.memory_mb if succeeded else 0.0,
             ending.report,
         )
-        self._driver.post(outcome)
+        self._driver.submit(outcome)
         self.inbox.put_nowait(ending)
 
     def _completed_or(self, response: Response) -> Response:
@@ -256,15 +256,15 @@
 
     def close(self) -> None:
         """Unregister the request, and cancel the attempt in flight."""
-        self._driver.leave(self.number)
+        self._driver.unregister(self.number)
         if not self._is_decided:
-            self._driver.post(api.ClientGone(self.number))
+            self._driver.submit(api.ClientGone(self.number))
         while not self.inbox.empty():
             event = self.inbox.get_nowait()
             if isinstance(event, api.Send):
                 # The decision module counts an attempt as in flight until its outcome comes.
                 outcome = api.Outcome(self.number, self.attempt_count, event.engine, api.Result.MOOT)
-                self._driver.post(outcome)
+                self._driver.submit(outcome)
                 self.attempt_count += 1
         if self.in_flight is not None:
             self.in_flight.cancel(api.Result.CANCELLED)
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from .. import api
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..observability.counters import Counters
 from .context import (
@@ -29,7 +29,7 @@
         active: The requests without a response.
     """
 
-    def __init__(self, driver: Driver, pool: EnginePool, settings: api.Settings, counters: Counters):
+    def __init__(self, driver: EventLoopDriver, pool: EnginePool, settings: api.Settings, counters: Counters):
         """Handle requests with the decision module behind `driver` and the engines of `pool`."""
         self.active: set[RequestContext] = set()
         self._environment = RequestEnvironment(driver, pool, settings, counters)
@@ -43,7 +43,7 @@
     async def handle(self, request: Request) -> Response:
         """Return the response to a request; the task is cancelled when the client has gone."""
         if request.order_key:
-            await self._driver.current.wait()
+            await self._driver.order_known.wait()
         if not self._may_admit(request):
             return self.reject()
         context = RequestContext(self._environment, request)
@@ -64,7 +64,7 @@
 
     def _may_admit(self, request: Request) -> bool:
         """Return whether a request goes to the decision module, or is rejected at once."""
-        if len(self._driver.routes) >= self._environment.settings.max_open:
+        if len(self._driver.action_handlers) >= self._environment.settings.max_open:
             return False
         if self._is_rejecting:
             self._counters["unconfirmed"] += 1
@@ -86,7 +86,7 @@
         """
         number = self._undelivered.pop(request, None)
         if number is not None:
-            self._driver.post(api.AnswerSent(number, request.order_key, self._driver.gap()))
+            self._driver.submit(api.AnswerSent(number, request.order_key, self._driver.answer_gap()))
 
     def set_shutdown_deadline(self, deadline: float) -> None:
         """Set the time, by the driver's clock, at which the process stops; no request is given more."""
@@ -110,7 +110,7 @@
 
     def finish_all(self) -> None:
         """Respond to all active requests now, also to those that wait for the order of their key."""
-        self._driver.current.set()
+        self._driver.order_known.set()
         self._notify_active(DeadlineReached)
 
     def _notify_active(self, signal: type[InboxEvent]) -> None:
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -12,7 +12,7 @@
 from ..admin.ejection_store import EjectionStore
 from ..admin.ejections import EjectionRegistry
 from ..discovery.gated_endpoints import HeldList
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..net.addresses import Address
 from ..observability.counters import Counters
@@ -40,7 +40,7 @@
         listen_address: Address,
         endpoints: HeldList,
         pool: EnginePool,
-        driver: Driver,
+        driver: EventLoopDriver,
         counters: Counters,
     ):
         """Take over what a former process left in its file."""
@@ -71,4 +71,4 @@
             self.counters["bans_changed"] += 1
             if engine in self.ejections.ejected:
                 self.pool.withdraw_unsent(engine)
-            self.driver.post(self.endpoints.told_again(engine))
+            self.driver.submit(self.endpoints.told_again(engine))
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -12,7 +12,7 @@
 from ..config.model import Config
 from ..discovery.endpoints import Change
 from ..discovery.gated_endpoints import HeldList
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..observability.counters import Counters
 from ..policy import AdmissionController
@@ -38,7 +38,7 @@
 def create_connect_pacer(
     config: Config,
     pool: EnginePool,
-    driver: Driver,
+    driver: EventLoopDriver,
     endpoints: HeldList,
     on_readiness_change: Callable[[], None],
 ) -> ConnectPacer | None:
@@ -49,7 +49,7 @@
     from ..startup.connect_schedule import ConnectSchedule
 
     schedule = ConnectSchedule(config.engine_connects, config.settings.gateways, config.settings.me)
-    return ConnectPacer(schedule, pool, driver.post, endpoints, on_readiness_change)
+    return ConnectPacer(schedule, pool, driver.submit, endpoints, on_readiness_change)
 
 
 def needs_gossip(config: Config, controller: AdmissionController) -> bool:
@@ -69,7 +69,7 @@
 
 
 def create_gossip(
-    config: Config, datagrams: Datagrams, pool: EnginePool, driver: Driver, counters: Counters
+    config: Config, datagrams: Datagrams, pool: EnginePool, driver: EventLoopDriver, counters: Counters
 ) -> Peers:
     """Return the exchange of load reports, which hears of the pool's attempts and reports."""
     from ..gossip.exchange import Peers
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -11,7 +11,7 @@
 import msgpack
 
 from ..dispatch.arrival_order import Source
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..net.write_queue import WriteQueue
 from ..observability.counters import Counters
 from ..observability.events import log_event
@@ -54,7 +54,7 @@
         sock: socket.socket,
         arrived_since: float,
         table: ConnectionTable,
-        driver: Driver,
+        driver: EventLoopDriver,
         counters: Counters,
     ):
         """Create a connection for an accepted socket; `run` serves it.
@@ -193,7 +193,9 @@
         """
         received_at = self._driver.now()
         is_drained = size < RECEIVE_BUFFER_BYTES
-        self._arrived_since = self.source.read(read_started_at, self._driver.arrivals.polled, is_drained)
+        self._arrived_since = self.source.record_read(
+            read_started_at, self._driver.arrival_order.polled_at, is_drained
+        )
         is_any_complete = False
         for message in self._decoder.decode(size):
             is_any_complete = True
--- a/applevale/server/context.py
+++ b/applevale/server/context.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..admin.metrics import Metrics
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..observability.counters import Counters
 from ..requests.handler import RequestHandler
 from .connection_table import ConnectionTable
@@ -28,7 +28,7 @@
     """
 
     handler: RequestHandler
-    driver: Driver
+    driver: EventLoopDriver
     schema: RequestSchema
     connections: ConnectionTable
     counters: Counters
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -10,7 +10,7 @@
 from ..admin.draining import ACCEPT_SECONDS
 from ..admin.metrics import Metrics
 from ..dispatch.arrival_order import Source
-from ..dispatch.event_loop_driver import Driver
+from ..dispatch.event_loop_driver import EventLoopDriver
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from ..requests.handler import RequestHandler
@@ -33,7 +33,7 @@
     def __init__(
         self,
         handler: RequestHandler,
-        driver: Driver,
+        driver: EventLoopDriver,
         settings: api.Settings,
         max_connections: int,
         max_buffered_bytes: int,
@@ -60,7 +60,7 @@
         self._counters = counters
         self._listener: socket.socket | None = None
         self._accept_task: asyncio.Task | None = None
-        driver.inlets.append(self.readable_sources)
+        driver.source_listings.append(self.readable_sources)
 
     @property
     def open_requests(self) -> int:
@@ -124,8 +124,8 @@
         self._counters["connections"] += 1
         now = asyncio.get_running_loop().time()
         self.connections.make_room(now)
-        polled_at = self._driver.arrivals.polled
-        arrived_since = self.arrival_source.read(wait_started_at, polled_at, is_queue_empty)
+        polled_at = self._driver.arrival_order.polled_at
+        arrived_since = self.arrival_source.record_read(wait_started_at, polled_at, is_queue_empty)
         connection = RpcConnection(self._context, sock, arrived_since)
         self.connections.add(connection, asyncio.create_task(connection.run()), now)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,11 +8,11 @@
 import hiredis
 import msgpack
 import pytest
-from test_driver import Module
+from test_event_loop_driver import Module
 
 from applevale import api
 from applevale.discovery import endpoints as members
-from applevale.dispatch.event_loop_driver import Driver
+from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines.attempt import AttemptFailed, AttemptSpec, AttemptSucceeded, Progress
 from applevale.engines.limits import ConnectionLimits
 from applevale.engines.pool import EnginePool
@@ -74,7 +74,7 @@
     def __init__(self, server, grace=0.2):
         self.server = server
         self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
-        self.driver = Driver(Module(), self.pool, self.pool.counters)
+        self.driver = EventLoopDriver(Module(), self.pool, self.pool.counters)
         self.handler = handler.RequestHandler(self.driver, self.pool, SETTINGS, self.pool.counters)
         self.ends = []
         self.list(api.State.READY)
@@ -294,7 +294,9 @@
         (active,) = scene.handler.active
         active.inbox.put_nowait(api.Send(active.number, 1))
         await until(active.inbox.empty)
-        told = scene.driver.waiting + [event for batch in scene.driver.controller.batches for event in batch]
+        told = scene.driver.pending_events + [
+            event for batch in scene.driver.controller.batches for event in batch
+        ]
         task.cancel()
         return active.in_flight, [event.result for event in told if isinstance(event, api.Outcome)]
 
@@ -310,12 +312,12 @@
 
         async def read():
             await asyncio.get_running_loop().sock_recv(ours, 1)
-            scene.driver.post(api.ClientGone(7))
+            scene.driver.submit(api.ClientGone(7))
 
         module, reading = scene.driver.controller, asyncio.create_task(read())
-        scene.driver.post(api.Timer(1))
+        scene.driver.submit(api.Timer(1))
         await until(lambda: module.batches)
-        scene.driver.post(api.Timer(2))
+        scene.driver.submit(api.Timer(2))
         theirs.send(b"x")
         time.sleep(0.15)  # the loop stands still, and the batch falls due
         await until(lambda: len(module.batches) > 1)
@@ -494,7 +496,7 @@
 
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
-        scene.driver.current.clear()  # a loop that stood still reads the rest first
+        scene.driver.order_known.clear()  # a loop that stood still reads the rest first
         request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, order_key=7)
         task = asyncio.create_task(scene.handler.handle(request))
         await asyncio.sleep(0)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,7 +10,7 @@
 from test_node import Client, Node, probed, until
 
 from applevale.admin.draining import ACCEPT_SECONDS, FIRST_REQUEST_GRACE_SECONDS, DrainState
-from applevale.dispatch.event_loop_driver import Driver
+from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.observability.counters import Counters
 from applevale.requests.model import Completed, Rejected
 from applevale.server.listener import RpcServer
@@ -57,7 +57,12 @@
         listener = socket.create_server(("127.0.0.1", 0))
         self.handler, self.counters, self.unpacker = FakeHandler(), Counters(), msgpack.Unpacker()
         self.server = RpcServer(
-            self.handler, Driver(None, None, self.counters), helpers.settings(), 8, 1 << 20, self.counters
+            self.handler,
+            EventLoopDriver(None, None, self.counters),
+            helpers.settings(),
+            8,
+            1 << 20,
+            self.counters,
         )
         self.client = socket.create_connection(listener.getsockname())
         theirs, _ = listener.accept()
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -201,7 +201,7 @@
         shown, changes = [], []
         pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
         change = Change(1, True, (Member(api.EngineEntry(1), ("127.0.0.1", 1)),))
-        wait = schedule.place(1)
+        wait = schedule.slot_offset(1)
         pool.update(change)
         pacer.on_list_change()
         assert wait > 0.1 and not pool.may_connect(1)
@@ -225,12 +225,12 @@
         pool.update(change)
         pacer.on_list_change()
         endpoints.changed(change)
-        await advance(loop, schedule.place(1))
+        await advance(loop, schedule.slot_offset(1))
         pool.on_connect_started(1)
         shown.clear()
         pool.on_disconnected(1)
         assert [one.entries[0].state for one in shown] == [api.State.DRAINING] and not pool.may_connect(1)
-        await advance(loop, schedule.next[1] - loop.now)
+        await advance(loop, schedule.allowed_from[1] - loop.now)
         assert [one.entries[0].state for one in shown] == [api.State.DRAINING, api.State.READY]
 
     run(test)
