Endpoints, gated endpoints and the control feed by the names of the field

Cause: the types that every source of the list publishes, and the client of the control feed, had names of the project's own; the client and both forms of its updates were one file.

Change: Change, Member, Names, Source -> EndpointUpdate (is_full, endpoints), Endpoint, AttributeNames, EndpointSource (reconfigure, is_fresh); HeldList -> GatedEndpoints (is_stale, ejected, awaiting_connect_slot, apply_update, set_confirmed, present, has_usable_engine); Feed -> ControlFeed (apply, last_number). Frames -> FrameDecoder in feed_codec.py, beside the configuration's JSON events; records and kinds of frames are typed, constants have their unit. Behaviour is as before.

--- a/applevale/admin/ejections.py
+++ b/applevale/admin/ejections.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from math import inf, isfinite, nextafter
 
-from ..discovery.endpoints import Member
+from ..discovery.endpoints import Endpoint
 
 FORM = 2  # of the text
 
@@ -40,7 +40,7 @@
         self.banned: set[int] = set()  # by those words; one set for good: others look at it
         self.names: dict[str, int] = {}  # every id that the list ever named an engine by: instance, HOST:PORT
 
-    def listed(self, members: tuple[Member, ...]) -> None:
+    def listed(self, members: tuple[Endpoint, ...]) -> None:
         for member in members:
             engine = member.entry.engine
             host, port = member.address
--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -14,7 +14,7 @@
 from .exit_codes import exit_with, fail
 
 if TYPE_CHECKING:
-    from ..discovery.endpoints import Change
+    from ..discovery.endpoints import EndpointUpdate
     from ..discovery.registry.records import Entry
 
 registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
@@ -87,7 +87,7 @@
 
     confirmed = asyncio.Event()
 
-    def on_update(update: Change) -> None:
+    def on_update(update: EndpointUpdate) -> None:
         if is_watching:
             _print_update(update)
 
@@ -119,7 +119,7 @@
     return view
 
 
-def _print_update(update: Change) -> None:
-    for member in update.members:
+def _print_update(update: EndpointUpdate) -> None:
+    for member in update.endpoints:
         host, port = member.address
         typer.echo(f"s-{member.entry.engine:08x} {member.entry.state.value:9} {host}:{port}")
--- a/applevale/config/loader.py
+++ b/applevale/config/loader.py
@@ -7,8 +7,8 @@
 from collections.abc import Mapping
 
 from .. import api
-from ..discovery import control_feed
-from ..discovery.endpoints import Change, Names
+from ..discovery import feed_codec
+from ..discovery.endpoints import AttributeNames, EndpointUpdate
 from . import sections
 from .model import Config, ConfigError
 from .settings_lines import read_settings
@@ -76,14 +76,14 @@
     )
 
 
-def _read_names(raw_settings: Mapping, settings: api.Settings) -> Names:
+def _read_names(raw_settings: Mapping, settings: api.Settings) -> AttributeNames:
     zones = raw_settings.get("zones", [])
     zone_names = tuple(zones) if isinstance(zones, list) else (str(zones),)
-    return Names(zone_names, tuple(kind.name for kind in settings.kinds))
+    return AttributeNames(zone_names, tuple(kind.name for kind in settings.kinds))
 
 
-def _read_known_endpoints(raw: Mapping, names: Names) -> tuple[Change, ...]:
+def _read_known_endpoints(raw: Mapping, names: AttributeNames) -> tuple[EndpointUpdate, ...]:
     try:
-        return control_feed.parse_known(raw.get("known", {"n": 0, "events": []}), names)
-    except control_feed.FeedError as error:
+        return feed_codec.parse_known_updates(raw.get("known", {"n": 0, "events": []}), names)
+    except feed_codec.FeedError as error:
         raise ConfigError(f"known: {error}") from None
--- a/applevale/config/model.py
+++ b/applevale/config/model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .. import api
-from ..discovery.endpoints import Change, Names
+from ..discovery.endpoints import AttributeNames, EndpointUpdate
 from ..engines.limits import ConnectionLimits
 from ..net.addresses import Address, PeerAddresses
 
@@ -26,8 +26,8 @@
     memory: int  # bytes
     settings: api.Settings
     links: ConnectionLimits
-    names: Names  # of zones and machine kinds
-    known: tuple[Change, ...]  # of the list of engines so far
+    names: AttributeNames  # of zones and machine kinds
+    known: tuple[EndpointUpdate, ...]  # of the list of engines so far
     peers: PeerAddresses | None = None  # None: there are none to exchange datagrams with
     registry: object = None  # settings of a key-value registry; None: the list comes from the feed
     zones: object = None  # the zones file; None: zones make no difference
--- a/applevale/config/sections.py
+++ b/applevale/config/sections.py
@@ -10,7 +10,7 @@
 from importlib.util import find_spec
 
 from .. import api
-from ..discovery.endpoints import Names
+from ..discovery.endpoints import AttributeNames
 from ..engines.limits import ConnectionLimits
 from ..net.addresses import Address, PeerAddresses
 from ..simulator_wire.units import NANOSECONDS
@@ -74,7 +74,7 @@
         raise ConfigError(str(error)) from None
 
 
-def read_zones_file(raw: Mapping, names: Names, settings: api.Settings) -> object:
+def read_zones_file(raw: Mapping, names: AttributeNames, settings: api.Settings) -> object:
     """Return the file that `zones_file` names, if any; its library is imported only then."""
     path = raw.get("zones_file")
     if path is None:
--- a/applevale/discovery/__init__.py
+++ b/applevale/discovery/__init__.py
@@ -1,1 +1,1 @@
-"""Where the list of engines comes from, and which of them may be used."""
+"""Service discovery: sources of the list of engines, and the gates that engines pass before they get work."""
--- a/applevale/discovery/endpoints.py
+++ b/applevale/discovery/endpoints.py
@@ -1,4 +1,4 @@
-"""What every source of the engine list tells: its members, and how they have changed."""
+"""Endpoints, their updates, and the interface that every source of the list of engines implements."""
 
 from __future__ import annotations
 
@@ -9,36 +9,55 @@
 
 
 @dataclass(frozen=True)
-class Names:
-    """What positions in records mean."""
+class AttributeNames:
+    """The names of zones and machine kinds; an engine's attributes are positions among them."""
 
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
 
 
 @dataclass(frozen=True)
-class Member:
+class Endpoint:
+    """One engine as listed: its attributes, and the host and port that it listens on."""
+
     entry: api.EngineEntry
     address: tuple[str, int]
 
 
 @dataclass(frozen=True)
-class Change:
+class EndpointUpdate:
+    """A change of the list of engines.
+
+    Attributes:
+        number: The position in the source's sequence of updates.
+        is_full: Whether `endpoints` replaces the whole list; otherwise it has only engines that changed.
+        endpoints: The engines, in the order of the source.
+    """
+
     number: int
-    whole: bool
-    members: tuple[Member, ...]
+    is_full: bool
+    endpoints: tuple[Endpoint, ...]
 
 
-class Source(Protocol):
-    """Where the engine list comes from. Tells each `Change` once and in order, to whom it was made for; a
-    failure empties no list. `fresh` says whether what was told is still held to be true."""
+class EndpointSource(Protocol):
+    """A source of the list of engines.
+
+    It publishes each `EndpointUpdate` once and in order, to the callback that it was constructed with. A
+    failure of the source never empties the list.
+    """
 
     def start(self) -> None:
-        """Follows from now on."""
+        """Start to follow the source."""
+
+    def reconfigure(self, target: object) -> None:
+        """Follow the source elsewhere, from the last published update on.
 
-    def move(self, to: object) -> None:
-        """Follows it elsewhere, from the last change told; `to` is the source's own form of where."""
+        Args:
+            target: Where the source is from now on, in its own form: an address or its settings.
+        """
 
-    def fresh(self) -> bool: ...
+    def is_fresh(self) -> bool:
+        """Return whether the published list is known to be current."""
 
-    async def stop(self) -> None: ...
+    async def stop(self) -> None:
+        """Stop following and close all connections."""
--- /dev/null
+++ b/applevale/discovery/feed_codec.py
@@ -0,0 +1,155 @@
+"""The two forms of the control feed's updates: JSON events of the configuration, and binary frames."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+from enum import IntEnum
+from itertools import pairwise
+from math import isfinite
+from typing import NamedTuple
+
+from .. import api
+from .endpoints import AttributeNames, Endpoint, EndpointUpdate
+
+FRAME_HEADER = struct.Struct(">IQB")  # length of all that follows the length, update number, frame kind
+LENGTH_FIELD_BYTES = 4
+ENGINE_RECORD = struct.Struct(">IIHBBBHIQ")  # the fields of `EngineRecord`
+MAX_FRAME_BYTES = 1 << 20  # 38,000 engines
+
+_STATE_BY_CODE = {0: api.State.READY, 1: api.State.DRAINING, 2: api.State.GONE}
+_STATE_BY_LIFECYCLE = {
+    "in_service": api.State.READY,
+    "terminating": api.State.DRAINING,
+    "terminated": api.State.GONE,
+}
+
+
+class FeedError(ValueError):
+    """An update that can't be read, or that doesn't follow the one before it."""
+
+
+class FrameKind(IntEnum):
+    """What a frame holds."""
+
+    HEARTBEAT = 0
+    FULL_LIST = 1
+    CHANGED_ENGINES = 2
+
+
+class EngineRecord(NamedTuple):
+    """One engine in a frame."""
+
+    engine: int
+    host: int  # an IPv4 address
+    port: int
+    state: int
+    zone: int
+    kind: int
+    cell: int
+    weight: int  # thousandths
+    started: int  # Unix time, ms
+
+
+class FrameDecoder:
+    """An incremental decoder of frames; it buffers one incomplete frame at most."""
+
+    def __init__(self, names: AttributeNames):
+        self.names = names
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes | memoryview) -> list[EndpointUpdate]:
+        """Return the updates that `data` completes, in order.
+
+        Raises:
+            FeedError: A frame is malformed. The decoder is of no use after that.
+        """
+        self.buffer += data
+        updates = []
+        while (update := self._next_update()) is not None:
+            updates.append(update)
+        return updates
+
+    def _next_update(self) -> EndpointUpdate | None:
+        if len(self.buffer) < FRAME_HEADER.size:
+            return None
+        length, number, kind = FRAME_HEADER.unpack_from(self.buffer)
+        _check_frame_header(length, kind)
+        end = LENGTH_FIELD_BYTES + length
+        if len(self.buffer) < end:
+            return None
+        records = ENGINE_RECORD.iter_unpack(bytes(self.buffer[FRAME_HEADER.size : end]))
+        endpoints = tuple(self._read_record(EngineRecord._make(fields)) for fields in records)
+        del self.buffer[:end]
+        return EndpointUpdate(number, kind == FrameKind.FULL_LIST, endpoints)
+
+    def _read_record(self, record: EngineRecord) -> Endpoint:
+        is_known_zone = record.zone < max(1, len(self.names.zones))
+        is_known_kind = record.kind < len(self.names.kinds)
+        if record.state not in _STATE_BY_CODE or not is_known_zone or not is_known_kind:
+            attributes = f"state {record.state}, zone {record.zone}, kind {record.kind}"
+            raise FeedError(f"record of engine {record.engine:08x}: {attributes}")
+        entry = api.EngineEntry(
+            engine=record.engine,
+            zone=record.zone,
+            kind=record.kind,
+            cell=record.cell,
+            size=record.weight / 1000,
+            state=_STATE_BY_CODE[record.state],
+            started=record.started / 1000,
+        )
+        return Endpoint(entry, (str(ipaddress.ip_address(record.host)), record.port))
+
+
+def _check_frame_header(length: int, kind: int) -> None:
+    """Raise FeedError unless a frame can have this length and kind."""
+    body_bytes = LENGTH_FIELD_BYTES + length - FRAME_HEADER.size
+    has_bad_length = body_bytes < 0 or length > MAX_FRAME_BYTES or body_bytes % ENGINE_RECORD.size
+    is_unknown_kind = kind > FrameKind.CHANGED_ENGINES
+    has_records_in_heartbeat = body_bytes and kind == FrameKind.HEARTBEAT
+    if has_bad_length or is_unknown_kind or has_records_in_heartbeat:
+        raise FeedError(f"frame of length {length}, kind {kind}")
+
+
+def parse_known_updates(raw: object, names: AttributeNames) -> tuple[EndpointUpdate, ...]:
+    """Read the updates that are known at the start, as the configuration's JSON has them.
+
+    Raises:
+        FeedError: An event can't be read, or their numbers have a gap that no full list covers.
+    """
+    try:
+        updates = tuple(_parse_event(event, names) for event in raw["events"])
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise FeedError(f"{type(error).__name__}: {error}") from None
+    for previous, update in pairwise(updates):
+        has_gap = not update.is_full and update.number != previous.number + 1
+        if update.number <= previous.number or has_gap:
+            raise FeedError(f"events: {update.number} comes after {previous.number}")
+    return updates
+
+
+def _parse_event(event: dict, names: AttributeNames) -> EndpointUpdate:
+    members = event["members"]
+    number = int(event["n"])
+    # The first event has the whole list whether or not it is marked so.
+    is_full = bool(members.get("reset")) or number == 1
+    return EndpointUpdate(
+        number, is_full, tuple(_parse_instance(instance, names) for instance in members["instances"])
+    )
+
+
+def _parse_instance(instance: dict, names: AttributeNames) -> Endpoint:
+    host, _, port = instance["hostPort"].rpartition(":")
+    weight = float(instance.get("weight", 1))
+    if not isfinite(weight) or weight < 0:
+        raise FeedError(f"weight: {weight!r}")
+    entry = api.EngineEntry(
+        engine=int(instance["instanceId"].removeprefix("s-"), 16),
+        zone=names.zones.index(instance["zone"]) if "zone" in instance else 0,
+        kind=names.kinds.index(instance["machineType"]) if "machineType" in instance else 0,
+        cell=int(instance.get("cell", 0)),
+        size=weight,
+        state=_STATE_BY_LIFECYCLE[instance["lifecycle"]],
+        started=int(instance.get("startedAtMs", 0)) / 1000,
+    )
+    return Endpoint(entry, (str(ipaddress.ip_address(host)), int(port)))
--- a/applevale/discovery/gated_endpoints.py
+++ b/applevale/discovery/gated_endpoints.py
@@ -1,9 +1,9 @@
-"""What the module is told of the engine list while its source cannot confirm it, and of engines out by hand.
+"""The list of engines as the decision module sees it: engines that may not get new work are not ready.
 
-Invariant: while the list is held, no engine is told as ready, and what changed meanwhile is told with it at
-the end; so nothing new is sent, and what is under way goes on. An engine in `banned` is never told as ready,
-whatever its source says, until it is taken out of it; nor is one in `unopened`, to which no connection may be
-begun yet. No I/O and no clock.
+Invariants: while the list is stale, no engine is presented as ready, and what changes meanwhile is presented
+with its true state at the end; so nothing new is sent, and work in flight goes on. An engine in `ejected` is
+never presented as ready, whatever its source says, until it is removed from the set; nor is one in
+`awaiting_connect_slot`, to which no connection may be opened yet. No I/O and no clock.
 """
 
 from __future__ import annotations
@@ -11,44 +11,60 @@
 from dataclasses import replace
 
 from .. import api
-from .endpoints import Change
+from .endpoints import EndpointUpdate
 
 
-class HeldList:
+class GatedEndpoints:
+    """The listed engines, of which gated ones are presented as draining.
+
+    Attributes:
+        entries: The listed engines by id, as their source describes them.
+        is_stale: Whether the source can't confirm the list at present.
+        ejected: Engines that an operator took out of service; a set shared with its owner.
+        awaiting_connect_slot: Engines to which no connection may be opened yet.
+    """
+
     def __init__(self) -> None:
         self.entries: dict[int, api.EngineEntry] = {}
-        self.held = False
-        self.banned: set[int] = set()
-        self.unopened: set[int] = set()
+        self.is_stale = False
+        self.ejected: set[int] = set()
+        self.awaiting_connect_slot: set[int] = set()
 
-    def changed(self, change: Change) -> api.EngineList:
-        if change.whole:
+    def apply_update(self, update: EndpointUpdate) -> api.EngineList:
+        """Take in an update of the list and return it as the decision module is to see it."""
+        if update.is_full:
             self.entries.clear()
-        told = [member.entry for member in change.members]
-        for entry in told:
+        listed = [endpoint.entry for endpoint in update.endpoints]
+        for entry in listed:
             self.entries[entry.engine] = entry
             if entry.state is api.State.GONE:
                 del self.entries[entry.engine]
-        return api.EngineList(tuple(map(self._seen, told)), change.whole)
+        return api.EngineList(tuple(map(self._gated, listed)), update.is_full)
 
-    def turned(self, confirmed: bool) -> api.EngineList:
-        self.held = not confirmed
-        return api.EngineList(tuple(map(self._seen, self.entries.values())), whole=True)
+    def set_confirmed(self, confirmed: bool) -> api.EngineList:
+        """Mark the list as confirmed or stale, and return all of it."""
+        self.is_stale = not confirmed
+        return api.EngineList(tuple(map(self._gated, self.entries.values())), whole=True)
 
-    def told_again(self, engine: int) -> api.EngineList:
-        """What the module is told of one engine after it was banned or let back in."""
+    def present(self, engine: int) -> api.EngineList:
+        """Return one engine as it is seen now that its gates have changed; empty if it is not listed."""
         entry = self.entries.get(engine)
-        return api.EngineList(() if entry is None else (self._seen(entry),), whole=False)
-
-    def _seen(self, entry: api.EngineEntry) -> api.EngineEntry:
-        hidden = entry.state is api.State.READY and (self.held or self._out(entry.engine))
-        return replace(entry, state=api.State.DRAINING) if hidden else entry
+        if entry is None:
+            return api.EngineList((), whole=False)
+        return api.EngineList((self._gated(entry),), whole=False)
 
-    def _out(self, engine: int) -> bool:
-        return engine in self.banned or engine in self.unopened
-
-    def usable(self) -> bool:
-        """Whether there is an engine to send to, once the list is confirmed."""
+    def has_usable_engine(self) -> bool:
+        """Return whether there is an engine to send to, once the list is confirmed."""
         return any(
-            entry.state is api.State.READY and not self._out(entry.engine) for entry in self.entries.values()
+            entry.state is api.State.READY and not self._is_excluded(entry.engine)
+            for entry in self.entries.values()
         )
+
+    def _gated(self, entry: api.EngineEntry) -> api.EngineEntry:
+        is_ready = entry.state is api.State.READY
+        if is_ready and (self.is_stale or self._is_excluded(entry.engine)):
+            return replace(entry, state=api.State.DRAINING)
+        return entry
+
+    def _is_excluded(self, engine: int) -> bool:
+        return engine in self.ejected or engine in self.awaiting_connect_slot
--- a/applevale/discovery/registry/records.py
+++ b/applevale/discovery/registry/records.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ... import api
-from ..endpoints import Member, Names
+from ..endpoints import AttributeNames, Endpoint
 
 MOST_VALUE = 64 * 1024  # bytes of one record: more is no record, and is not parsed
 STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
@@ -47,7 +47,7 @@
 
     key: str
     revision: int
-    member: Member
+    member: Endpoint
     value: bytes  # that told it
 
 
@@ -59,7 +59,7 @@
     return names.index(name)
 
 
-def read_record(value: bytes, names: Names) -> Member:
+def read_record(value: bytes, names: AttributeNames) -> Endpoint:
     """The member that a value tells of. Raises RecordError."""
     if len(value) > MOST_VALUE:
         raise RecordError(f"a value of {len(value)} bytes, over {MOST_VALUE}")
@@ -79,7 +79,7 @@
         address = str(ipaddress.ip_address(host.strip("[]"))), int(port)
     except ValueError:
         raise RecordError(f"address: {record.address!r} is not IP:PORT") from None
-    return Member(
+    return Endpoint(
         api.EngineEntry(
             engine=int(record.id[2:], 16),
             zone=_position(record.zone, names.zones, "zone"),
@@ -93,7 +93,7 @@
     )
 
 
-def digest(members: Iterable[Member]) -> int:
+def digest(members: Iterable[Endpoint]) -> int:
     """A short figure of a list: equal for equal lists, in whatever order. To compare instances by."""
     lines = sorted(f"{one.entry.engine:08x} {one.entry.state.value} {one.address}" for one in members)
     return crc32("\n".join(lines).encode())
@@ -102,7 +102,7 @@
 class Ledger:
     """The engines by key, as last told."""
 
-    def __init__(self, names: Names):
+    def __init__(self, names: AttributeNames):
         self.names = names
         self.entries: dict[str, Entry] = {}
         self.keys: dict[int, str] = {}  # engine -> the key that tells of it
@@ -110,7 +110,7 @@
         self.bad: dict[str, str] = {}  # keys whose present value cannot be used, and why
         self.bad_seen = 0
 
-    def members(self) -> tuple[Member, ...]:
+    def members(self) -> tuple[Endpoint, ...]:
         return tuple(self.entries[key].member for key in self.keys.values())
 
     def put(self, key: str, revision: int, value: bytes | None) -> list[Entry]:
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -12,7 +12,7 @@
 from ...observability.counters import Counters
 from ...observability.events import emit_event, log_event
 from ...startup.staleness_guard import Kept
-from ..endpoints import Change, Names
+from ..endpoints import AttributeNames, EndpointUpdate
 from . import watcher as f
 from .records import Ledger, digest
 from .session import Session, context
@@ -40,9 +40,9 @@
     def __init__(
         self,
         settings: RegistrySettings,
-        names: Names,
+        names: AttributeNames,
         counters: Counters,
-        tell: Callable[[Change], None],
+        tell: Callable[[EndpointUpdate], None],
         turned: Callable[[bool], None],
         seed: int = 0,
         clock: Callable[[], float] = time.monotonic,
@@ -79,15 +79,15 @@
             self._open_snapshot()
         self._do(self.follower.ticked(now))
 
-    def fresh(self) -> bool:
+    def is_fresh(self) -> bool:
         """Asked before each attempt: also after a loop that stood still it is the truth."""
         return self.follower.fresh(self.clock())
 
     def allowed(self) -> bool:
         """Whether new work may go out."""
-        return self.settings.on_stale == "serve" or self.fresh()
+        return self.settings.on_stale == "serve" or self.is_fresh()
 
-    def move(self, to: RegistrySettings) -> None:
+    def reconfigure(self, to: RegistrySettings) -> None:
         """Other addresses and credentials; list, revision and promise stay. Raises SettingsError."""
         places, tls = to.places(), context(to.tls, PROTOCOLS[self.settings.kind])
         fixed = {key: getattr(self.settings, key) for key in ("kind", "prefix", "fresh", "snapshot")}
@@ -171,7 +171,7 @@
                 case f.Tell(entries=entries, whole=whole):
                     self.told += 1
                     self.dirty = True
-                    self.tell(Change(self.told, whole, tuple(entry.member for entry in entries)))
+                    self.tell(EndpointUpdate(self.told, whole, tuple(entry.member for entry in entries)))
         self._end_sessions(self.follower.open)
         self._look()
 
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from .. import api
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..startup.connect_schedule import Ramp
 from .connection import Fleet
 
@@ -21,7 +21,7 @@
         ramp: Ramp,
         fleet: Fleet,
         submit: Callable[[api.EngineList], None],
-        held: HeldList,
+        held: GatedEndpoints,
         turned: Callable[[], None],
     ):
         self.ramp, self.fleet, self.submit, self.held, self.turned = ramp, fleet, submit, held, turned
@@ -42,7 +42,7 @@
         """The last link to it broke, or its first never came up."""
         self.ramp.parted(engine, self.now())
         if self._hide(engine):
-            self.submit(self.held.told_again(engine))
+            self.submit(self.held.present(engine))
             self.turned()
         self._wait()
 
@@ -50,7 +50,7 @@
         """Before the module hears of a list."""
         present = set(self.fleet.engines) - self.fleet.gone
         self.ramp.listed(present, self.now())
-        self.held.unopened &= present
+        self.held.awaiting_connect_slot &= present
         for engine in present:
             self._hide(engine)
         self._wait()
@@ -59,20 +59,22 @@
         known = self.fleet.engines.get(engine)
         hidden = known is not None and not known.links and not self.may(engine)
         if hidden:
-            self.held.unopened.add(engine)
+            self.held.awaiting_connect_slot.add(engine)
         return hidden
 
     def _wait(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        due = min((self.ramp.next.get(engine, -inf) for engine in self.held.unopened), default=None)
+        due = min(
+            (self.ramp.next.get(engine, -inf) for engine in self.held.awaiting_connect_slot), default=None
+        )
         self.timer = None
         if due is not None:
             self.timer = asyncio.get_running_loop().call_at(due, self._open)
 
     def _open(self) -> None:
-        for engine in [engine for engine in self.held.unopened if self.may(engine)]:
-            self.held.unopened.discard(engine)
-            self.submit(self.held.told_again(engine))
+        for engine in [engine for engine in self.held.awaiting_connect_slot if self.may(engine)]:
+            self.held.awaiting_connect_slot.discard(engine)
+            self.submit(self.held.present(engine))
         self.turned()
         self._wait()
--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -14,7 +14,7 @@
 import hiredis
 
 from ..api import Result, State
-from ..discovery.endpoints import Change, Member
+from ..discovery.endpoints import Endpoint, EndpointUpdate
 from ..net.write_queue import Message, Outbox
 from ..observability.counters import Counters
 from ..observability.events import log_event
@@ -498,12 +498,12 @@
 class Engine:
     """One engine of the list, by its id: an address may go to another engine later."""
 
-    def __init__(self, fleet: Fleet, member: Member):
+    def __init__(self, fleet: Fleet, member: Endpoint):
         self.fleet, self.number, self.address = fleet, member.entry.engine, member.address
         self.state, self.started = member.entry.state, member.entry.started
         self.links: list[Link] = []
 
-    def update(self, member: Member) -> None:
+    def update(self, member: Endpoint) -> None:
         entry = member.entry
         if (entry.started, member.address) != (self.started, self.address) or entry.state is State.GONE:
             for link in self.links:  # they lead to the process before this one
@@ -590,9 +590,9 @@
     def count_links(self) -> int:
         return sum(len(engine.links) for engine in self.engines.values())
 
-    def update(self, change: Change) -> None:
+    def update(self, change: EndpointUpdate) -> None:
         seen, moved_in = set(), {}
-        for member in change.members:
+        for member in change.endpoints:
             seen.add(member.entry.engine)
             engine = self.engines.get(member.entry.engine)
             if engine is None:
@@ -601,11 +601,11 @@
             else:
                 engine.update(member)
         # All of a long list are looked at only where a change may concern any of them.
-        touched = self.engines if change.whole or moved_in else self.gone | seen
+        touched = self.engines if change.is_full or moved_in else self.gone | seen
         for number in [number for number in touched if number in self.engines]:
             engine = self.engines[number]
             # Who has the address of another shares nothing with it: that one has gone, told or not.
-            if (change.whole and number not in seen) or moved_in.get(engine.address, number) != number:
+            if (change.is_full and number not in seen) or moved_in.get(engine.address, number) != number:
                 engine.state = State.GONE
                 engine.withdraw()
                 for link in engine.links:
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -17,7 +17,7 @@
 from random import Random
 
 from ..api import State
-from ..discovery.endpoints import Names
+from ..discovery.endpoints import AttributeNames
 from ..discovery.registry.messages import range_end
 from ..discovery.registry.records import Ledger, RecordError, digest, read_record
 from ..fakes import consul, etcd
@@ -33,7 +33,7 @@
 PROMISE = 0.5  # s
 ROUND = 8.0  # s between two quiet points
 QUIET = 3.0  # s within which the list is the registry's once all failures have ended
-NAMES = Names(tuple(ZONES), tuple(KINDS))
+NAMES = AttributeNames(tuple(ZONES), tuple(KINDS))
 
 
 @dataclass
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -10,9 +10,9 @@
 from ..admin.metrics import Figures
 from ..admin.routes import MOST_CALLS
 from ..config.model import Config
-from ..discovery.control_feed import Feed
-from ..discovery.endpoints import Change, Source
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.control_feed import ControlFeed
+from ..discovery.endpoints import EndpointSource, EndpointUpdate
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import Driver
 from ..engines.connection import Fleet
 from ..net.addresses import Address
@@ -75,7 +75,7 @@
         self.driver = Driver(controller, self.pool, self.counters)
         self.handler = Broker(self.driver, self.pool, config.settings, self.counters)
         self.server = self._create_server()
-        self.endpoints = HeldList()
+        self.endpoints = GatedEndpoints()
         self.ejection_control = EjectionControl(
             listen_address, self.endpoints, self.pool, self.driver, self.counters
         )
@@ -88,8 +88,10 @@
         self.membership = self._create_membership()
         self.registry = self._create_registry_source()
         first_change = config.known[0].number - 1 if config.known else 0
-        self.control_feed = Feed(first_change, config.names, self.counters, self.apply_update, config.feed)
-        self.source: Source = self.registry or self.control_feed
+        self.control_feed = ControlFeed(
+            first_change, config.names, self.counters, self.apply_update, config.feed
+        )
+        self.source: EndpointSource = self.registry or self.control_feed
         self.reloader = ConfigReloader(config, self.source, self.control_feed, self.metrics, self.counters)
         self.shutdown = GracefulShutdown(self.server, self.handler, self.driver, config.settings)
 
@@ -172,9 +174,9 @@
 
     def is_serving(self) -> bool:
         """Return whether new clients should be accepted."""
-        has_engines = self.config.registry is None or self.endpoints.usable()
+        has_engines = self.config.registry is None or self.endpoints.has_usable_engine()
         is_leaving = self.shutdown_requested.is_set()
-        return has_engines and not (is_leaving or self.endpoints.held or self.server.draining.on)
+        return has_engines and not (is_leaving or self.endpoints.is_stale or self.server.draining.on)
 
     def update_readiness(self) -> None:
         """Report readiness to probes, operators and programs that follow the events, as it changes."""
@@ -183,22 +185,22 @@
             emit_event("ready", ready=ready)
         self.server.ready = ready
 
-    def apply_update(self, update: Change) -> None:
+    def apply_update(self, update: EndpointUpdate) -> None:
         """Hand a change of the list to all that know engines; the decision module hears of it last."""
-        self.ejection_control.ejections.listed(update.members)
+        self.ejection_control.ejections.listed(update.endpoints)
         self.pool.update(update)
         if self.gossip is not None:
             self.gossip.news.listed(self.pool.engines)
         if self.connect_pacer is not None:
             self.connect_pacer.listed()
-        self.driver.post(self.endpoints.changed(update))
+        self.driver.post(self.endpoints.apply_update(update))
         self.update_readiness()
 
     def on_staleness_change(self, confirmed: bool) -> None:
         """React to the registry's list being confirmed from now on, or no longer."""
         if self.config.registry.on_stale == "serve":
             return
-        self.driver.post(self.endpoints.turned(confirmed))
+        self.driver.post(self.endpoints.set_confirmed(confirmed))
         if not confirmed:
             for engine in self.pool.engines:
                 self.pool.withdraw(engine)
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -11,7 +11,7 @@
 
 from ..admin.ejection_store import SharedBans
 from ..admin.ejections import Bans
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import Driver
 from ..engines.connection import Fleet
 from ..net.addresses import Address
@@ -36,7 +36,12 @@
     """
 
     def __init__(
-        self, listen_address: Address, endpoints: HeldList, pool: Fleet, driver: Driver, counters: Counters
+        self,
+        listen_address: Address,
+        endpoints: GatedEndpoints,
+        pool: Fleet,
+        driver: Driver,
+        counters: Counters,
     ):
         """Take over what a former process left in its file."""
         self.endpoints = endpoints
@@ -46,7 +51,7 @@
         self.ejections = Bans()
         self.store = SharedBans(ejection_path(listen_address), self.ejections)
         self.store.look()
-        endpoints.banned = self.ejections.banned  # one set: the decision module sees every ejection at once
+        endpoints.ejected = self.ejections.banned  # one set: the decision module sees every ejection at once
 
     def set_ejected(self, host: str, ejected: bool) -> bool:
         """Eject an engine or let it back in; return False for an id that was never listed."""
@@ -66,4 +71,4 @@
             self.counters["bans_changed"] += 1
             if engine in self.ejections.banned:
                 self.pool.withdraw(engine)
-            self.driver.post(self.endpoints.told_again(engine))
+            self.driver.post(self.endpoints.present(engine))
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -10,8 +10,8 @@
 
 from .. import api
 from ..config.model import Config
-from ..discovery.endpoints import Change
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.endpoints import EndpointUpdate
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import Driver
 from ..engines.connection import Fleet
 from ..observability.counters import Counters
@@ -39,7 +39,7 @@
     config: Config,
     pool: Fleet,
     driver: Driver,
-    endpoints: HeldList,
+    endpoints: GatedEndpoints,
     on_readiness_change: Callable[[], None],
 ) -> Openings | None:
     """Return the pacer of connects to engines; None where the configuration names no rate."""
@@ -99,7 +99,7 @@
 def create_registry_source(
     config: Config,
     counters: Counters,
-    on_update: Callable[[Change], None],
+    on_update: Callable[[EndpointUpdate], None],
     on_staleness_change: Callable[[bool], None],
 ) -> RegistrySource | None:
     """Return the source of the list in a key-value registry; None where the control feed is followed."""
--- a/applevale/runtime/reload.py
+++ b/applevale/runtime/reload.py
@@ -7,8 +7,9 @@
 from ..admin.metrics import Figures
 from ..config.loader import load_config
 from ..config.model import Config, ConfigError
-from ..discovery.control_feed import Feed, FeedError
-from ..discovery.endpoints import Change, Source
+from ..discovery.control_feed import ControlFeed
+from ..discovery.endpoints import EndpointSource, EndpointUpdate
+from ..discovery.feed_codec import FeedError
 from ..observability.counters import Counters
 from ..observability.events import log_event
 
@@ -26,8 +27,8 @@
     def __init__(
         self,
         config: Config,
-        source: Source,
-        control_feed: Feed,
+        source: EndpointSource,
+        control_feed: ControlFeed,
         metrics: Figures,
         counters: Counters,
         load: Callable[[], Config] = load_config,
@@ -57,11 +58,11 @@
         if fixed:
             log_event("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
-    def apply_known_endpoints(self, known: tuple[Change, ...]) -> None:
+    def apply_known_endpoints(self, known: tuple[EndpointUpdate, ...]) -> None:
         """Apply what a configuration knows of the list, beyond what was applied already."""
         try:
             for change in known:
-                self.control_feed.take(change)
+                self.control_feed.apply(change)
         except FeedError as error:  # a gap: the feed will send what lies in it
             log_event("reload", f"known: {error}")
 
@@ -83,6 +84,6 @@
             log_event("reload", "takes effect at the next start only: registry")
             return
         try:
-            self.source.move(config.registry if uses_registry else config.feed)
+            self.source.reconfigure(config.registry if uses_registry else config.feed)
         except ValueError as error:
             log_event("reload", f"the list is followed as before: {error}")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,8 +15,8 @@
 from applevale.admin.metrics import Figures
 from applevale.admin.routes import answer
 from applevale.admin.server import MOST_CALLS, Door
-from applevale.discovery.endpoints import Change, Member
-from applevale.discovery.gated_endpoints import HeldList
+from applevale.discovery.endpoints import Endpoint, EndpointUpdate
+from applevale.discovery.gated_endpoints import GatedEndpoints
 from applevale.observability.counters import Counters
 
 
@@ -63,23 +63,23 @@
 
 
 def member(engine, state=api.State.READY):
-    return Member(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
+    return Endpoint(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
 
 
 def test_a_banned_engine_is_told_as_draining_whatever_the_feed_says_until_enabled():
-    held, ban = HeldList(), bans.Bans()
-    held.banned = ban.banned
-    first = Change(1, True, (member(1), member(2)))
-    ban.listed(first.members)
-    held.changed(first)
+    held, ban = GatedEndpoints(), bans.Bans()
+    held.ejected = ban.banned
+    first = EndpointUpdate(1, True, (member(1), member(2)))
+    ban.listed(first.endpoints)
+    held.apply_update(first)
     engine = ban.find("s-00000002")
     assert engine == 2 and ban.find("127.0.0.1:7002") == 2 and ban.find("s-00000009") is None
     assert ban.say(engine, True, 1.0) and not ban.say(engine, True, 2.0)
-    assert held.told_again(engine).entries[0].state is api.State.DRAINING
-    again = held.changed(Change(2, False, (member(2),)))  # the feed lists it as ready again
+    assert held.present(engine).entries[0].state is api.State.DRAINING
+    again = held.apply_update(EndpointUpdate(2, False, (member(2),)))  # the feed lists it as ready again
     assert again.entries[0].state is api.State.DRAINING
     assert ban.say(engine, False, 3.0) and not ban.say(engine, False, 4.0)
-    assert held.told_again(engine).entries[0].state is api.State.READY
+    assert held.present(engine).entries[0].state is api.State.READY
 
 
 def test_the_text_of_bans_is_read_back_whole_or_refused():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -79,7 +79,7 @@
 
     def list(self, state):
         entry = api.EngineEntry(1, state=state)
-        self.fleet.update(members.Change(1, True, (members.Member(entry, self.server.address),)))
+        self.fleet.update(members.EndpointUpdate(1, True, (members.Endpoint(entry, self.server.address),)))
 
     def want(self, ref, statement=b"x", until=30.0, by=30.0, gone=lambda: False):
         now = asyncio.get_running_loop().time()
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 
 from applevale import api
-from applevale.discovery.endpoints import Names
+from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry import watcher as f
 from applevale.discovery.registry.records import Ledger
 
-NAMES = Names(("a", "b"), ("std",))
+NAMES = AttributeNames(("a", "b"), ("std",))
 
 
 def record(number, state="ready", port=7000, **more):
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -4,8 +4,9 @@
 from helpers import Driver, of
 
 from applevale import api, policy
-from applevale.discovery.control_feed import Feed, FeedError
-from applevale.discovery.endpoints import Change, Member, Names
+from applevale.discovery.control_feed import ControlFeed
+from applevale.discovery.endpoints import AttributeNames, Endpoint, EndpointUpdate
+from applevale.discovery.feed_codec import FeedError
 from applevale.engines.connection import Fleet
 from applevale.observability.counters import Counters
 
@@ -70,19 +71,21 @@
 
 def test_an_event_told_twice_or_out_of_turn_changes_nothing():
     told = []
-    feed = Feed(0, Names(("z",), ("k",)), Counters(), told.append)
-    first = Change(1, True, (Member(api.EngineEntry(1), ("127.0.0.1", 1)),))
-    late = Change(3, False, (Member(api.EngineEntry(2), ("127.0.0.1", 2)),))
-    feed.take(first)
-    feed.take(first)
+    feed = ControlFeed(0, AttributeNames(("z",), ("k",)), Counters(), told.append)
+    first = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
+    late = EndpointUpdate(3, False, (Endpoint(api.EngineEntry(2), ("127.0.0.1", 2)),))
+    feed.apply(first)
+    feed.apply(first)
     with pytest.raises(FeedError, match="event 3 came after 1"):
-        feed.take(late)
-    assert told == [first] and feed.last == 1
+        feed.apply(late)
+    assert told == [first] and feed.last_number == 1
 
 
 def test_engines_that_swap_addresses_share_no_link_with_those_before():
     fleet = Fleet(None, (), 8, Counters())
-    fleet.update(Change(1, True, tuple(Member(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2))))
-    fleet.update(Change(2, False, (Member(api.EngineEntry(1), ("127.0.0.1", 2)),)))
-    fleet.update(Change(3, False, (Member(api.EngineEntry(3), ("127.0.0.1", 2)),)))
+    fleet.update(
+        EndpointUpdate(1, True, tuple(Endpoint(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2)))
+    )
+    fleet.update(EndpointUpdate(2, False, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 2)),)))
+    fleet.update(EndpointUpdate(3, False, (Endpoint(api.EngineEntry(3), ("127.0.0.1", 2)),)))
     assert set(fleet.engines) == {3} and fleet.engines[3].state is READY
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -14,21 +14,21 @@
 from applevale import api
 from applevale.config.loader import parse_config
 from applevale.config.model import ConfigError
-from applevale.discovery import control_feed as feed
+from applevale.discovery import control_feed, feed_codec
 from applevale.discovery import endpoints as members
 from applevale.engines import connection as engine
 from applevale.server import connection as front
 from applevale.server.statement import table_group
 
-NAMES = members.Names(("here",), ("a", "b"))
+NAMES = members.AttributeNames(("here",), ("a", "b"))
 EXAMPLE = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())
 SETTINGS = replace(parse_config(EXAMPLE, {}).settings, tenants=(api.TenantSpec("one"), api.TenantSpec("two")))
 NAMED = front.Names.of(SETTINGS)
 
 
 def frame(number, kind, *records):
-    body = b"".join(feed.RECORD.pack(*record) for record in records)
-    return feed.HEAD.pack(9 + len(body), number, kind) + body
+    body = b"".join(feed_codec.ENGINE_RECORD.pack(*record) for record in records)
+    return feed_codec.FRAME_HEADER.pack(9 + len(body), number, kind) + body
 
 
 ONE = (0xC41F7A, 0x0A010009, 7001, 1, 0, 1, 2, 4000, 1500)
@@ -37,34 +37,34 @@
 
 @given(st.lists(st.integers(0, len(STREAM))))
 def test_frames_in_any_cut_are_the_same(cuts):
-    frames, at = feed.Frames(NAMES), [0, *sorted(cuts), len(STREAM)]
+    frames, at = feed_codec.FrameDecoder(NAMES), [0, *sorted(cuts), len(STREAM)]
     found = [change for start, end in zip(at, at[1:]) for change in frames.feed(STREAM[start:end])]
-    told = [(c.number, c.whole, len(c.members)) for c in found]
+    told = [(c.number, c.is_full, len(c.endpoints)) for c in found]
     assert told == [(1, True, 1), (1, False, 0), (2, False, 2)]
-    member = found[0].members[0]
+    member = found[0].endpoints[0]
     assert member.address == ("10.1.0.9", 7001)
     assert member.entry == api.EngineEntry(0xC41F7A, 0, 1, 2, 4.0, api.State.DRAINING, 1.5)
 
 
 @given(st.binary(max_size=200))
 def test_a_garbled_feed_is_an_error_or_incomplete(data):
-    frames = feed.Frames(NAMES)
+    frames = feed_codec.FrameDecoder(NAMES)
     try:
         frames.feed(data)
-    except feed.FeedError:
+    except feed_codec.FeedError:
         return
-    assert len(frames.data) <= len(data)
+    assert len(frames.buffer) <= len(data)
 
 
 @pytest.mark.parametrize("bad", [frame(3, 2, ONE), frame(2, 0), b"\0\0\0\x08" + bytes(9), b"\xff" * 13])
 def test_a_gap_or_a_bad_frame_breaks_the_connection(bad):
     told = []
-    follower = feed.Feed(1, NAMES, front.Counters(), told.append)
-    with pytest.raises(feed.FeedError):
-        for change in feed.Frames(NAMES).feed(bad):
-            follower.take(change)
-    follower.take(members.Change(1, False, ()))
-    assert told == [] and follower.last == 1
+    follower = control_feed.ControlFeed(1, NAMES, front.Counters(), told.append)
+    with pytest.raises(feed_codec.FeedError):
+        for change in feed_codec.FrameDecoder(NAMES).feed(bad):
+            follower.apply(change)
+    follower.apply(members.EndpointUpdate(1, False, ()))
+    assert told == [] and follower.last_number == 1
 
 
 @given(st.text(alphabet="'\"`-/*#\\\n._ a9", max_size=60))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -92,7 +92,9 @@
     links = ConnectionLimits(32, 15.0, 0.25)
     fleet, ends, address = engine.Fleet(links, (), 8, Counters()), [], ("127.0.0.1", 1)
     for number in (1, 2):
-        fleet.update(members.Change(number, False, (members.Member(api.EngineEntry(number), address),)))
+        fleet.update(
+            members.EndpointUpdate(number, False, (members.Endpoint(api.EngineEntry(number), address),))
+        )
 
     async def start():
         fleet.start(1, engine.Want(b"1", "load", b"x", inf, inf), set(), ends.append)
@@ -116,7 +118,9 @@
 def test_links_are_shared_where_handshakes_are_charged(price, links):
     async def main():
         fleet = engine.Fleet(ConnectionLimits(32, 15.0, 0.25, price), (), 90, Counters())
-        fleet.update(members.Change(1, True, (members.Member(api.EngineEntry(1), ("127.0.0.1", 1)),)))
+        fleet.update(
+            members.EndpointUpdate(1, True, (members.Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
+        )
         one, ends = fleet.engines[1], []
         for ref in (b"1", b"2", b"3"):
             fleet.start(1, engine.Want(ref, "lookup", b"x", inf, inf), set(), ends.append)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -9,7 +9,7 @@
 import pytest
 import trustme
 
-from applevale.discovery.endpoints import Names
+from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry import settings as registry_settings
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
 from applevale.discovery.registry.source import RegistrySource
@@ -19,7 +19,7 @@
 from applevale.harness.registry import Site
 from applevale.observability.counters import Counters
 
-NAMES = Names(("a",), ("std",))
+NAMES = AttributeNames(("a",), ("std",))
 KINDS = ("etcd", "consul")
 PREFIX = "p/"
 BOUND = 20.0  # s: no test takes a part of it
@@ -43,9 +43,9 @@
         return self.store.put(f"{PREFIX}{number}".encode(), record(number, *state, **more))
 
     def told(self, change):
-        if change.whole:
+        if change.is_full:
             self.list.clear()
-        for member in change.members:
+        for member in change.endpoints:
             self.list[member.entry.engine] = member.entry.state.value
             if member.entry.state.value == "gone":
                 del self.list[member.entry.engine]
@@ -75,7 +75,9 @@
 
     async def agreed(self):
         """Until the list is confirmed at the registry's own revision."""
-        await self.until(lambda: self.source.fresh() and self.source.follower.revision == self.store.revision)
+        await self.until(
+            lambda: self.source.is_fresh() and self.source.follower.revision == self.store.revision
+        )
 
 
 @asynccontextmanager
@@ -116,7 +118,7 @@
         it.store.delete(b"p/1")
         it.put(2, "draining")
         it.store.compact()
-        await it.until(lambda: not it.source.fresh())
+        await it.until(lambda: not it.source.is_fresh())
         assert it.list == {1: "ready", 2: "ready"} and not it.source.allowed()
         for gate in it.gates:
             gate.set(Mode.PASS)
@@ -189,7 +191,7 @@
         for member in it.members:
             member.declining = 1
         it.store.wake()
-        await it.until(lambda: it.counters["registry_declined"] >= 2 and not it.source.fresh())
+        await it.until(lambda: it.counters["registry_declined"] >= 2 and not it.source.is_fresh())
         for member in it.members:
             member.declining = None
         it.put(1, "draining")
@@ -207,10 +209,10 @@
             member.deny = True
         for gate in it.gates:
             gate.cut()
-        await it.until(lambda: it.counters["registry_refused"] >= 2 and not it.source.fresh())
+        await it.until(lambda: it.counters["registry_refused"] >= 2 and not it.source.is_fresh())
         for member in it.members:
             member.deny = False
-        it.source.move(it.settings())
+        it.source.reconfigure(it.settings())
         it.put(1, "draining")
         await it.agreed()
         assert it.list[1] == "draining"
@@ -242,7 +244,7 @@
         it.begin()
         await it.until(lambda: it.counters["registry_breaks"] >= 2)
         assert it.list == {}
-        it.source.move(it.settings(tls={"ca": str(tmp_path / "ca.crt")} | paths["ours"]))
+        it.source.reconfigure(it.settings(tls={"ca": str(tmp_path / "ca.crt")} | paths["ours"]))
         await it.agreed()
         assert it.list == {1: "ready"}
         await it.source.stop()
@@ -276,7 +278,7 @@
     async def play(it):
         it.store.put(b"p/1", b"x" * 50_000_000)
         lost = ("registry_breaks", "registry_stalls")  # the stand-in shares the loop and is slow with it
-        await it.until(lambda: sum(it.counters[name] for name in lost) >= 2 and not it.source.fresh())
+        await it.until(lambda: sum(it.counters[name] for name in lost) >= 2 and not it.source.is_fresh())
         assert it.list == {1: "ready", 2: "ready"}
         it.put(1, "draining")
         it.store.compact()
@@ -294,7 +296,7 @@
                 it.put(number, state)
         await it.agreed()
         assert it.list == dict.fromkeys(range(1, 2501), "draining")
-        it.source.move(it.settings(gates=it.gates[1:]))
+        it.source.reconfigure(it.settings(gates=it.gates[1:]))
         it.store.compact()
         it.put(1)
         await it.agreed()
@@ -322,7 +324,7 @@
             for gate in it.gates:
                 gate.set(Mode.REFUSE)
             it.put(1, "draining")
-            it.source.move(it.settings(gates=[extra]))
+            it.source.reconfigure(it.settings(gates=[extra]))
             await it.agreed()
             assert it.list[1] == "draining"
             assert it.counters["registry_full_reads"] == 1
@@ -341,7 +343,7 @@
         for gate in it.gates:
             gate.set(Mode.STALL)
         it.begin()
-        assert it.list == {1: "draining", 2: "ready"} and not it.source.fresh()
+        assert it.list == {1: "draining", 2: "ready"} and not it.source.is_fresh()
         it.put(2, "draining")
         for gate in it.gates:
             gate.set(Mode.PASS)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -18,7 +18,7 @@
 from applevale.admin import server as door
 from applevale.admin.metrics import Figures
 from applevale.admin.routes import answer
-from applevale.discovery.endpoints import Names
+from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry.records import read_record
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
 from applevale.fault_injection import schedule as faults
@@ -195,7 +195,7 @@
 
 @pytest.mark.parametrize("form", ["json", "yaml"])
 def test_a_registry_record_is_read(form):
-    names = Names(("north", "south"), ("small", "large"))
+    names = AttributeNames(("north", "south"), ("small", "large"))
     member = read_record(STORED[f"registry_record_{form}"].encode(), names)
     wanted = api.EngineEntry(0xC41F7A, 1, 1, 3, 2.5, api.State.DRAINING, 1764652800.5)
     assert (member.entry, member.address) == (wanted, ("10.0.0.9", 7109))
