--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from ..discovery.endpoints import EndpointUpdate
-    from ..discovery.registry.records import Entry
+    from ..discovery.registry.endpoint_table import TableEntry
 
 registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
 
@@ -26,7 +26,7 @@
 
     revision: int
     digest: int
-    entries: list[Entry]
+    entries: list[TableEntry]
     unusable: dict[str, str]  # keys whose value is no record, and why
 
 
@@ -41,12 +41,12 @@
     """Print the engine list as JSON lines: key, revision, id, state, address."""
     view = _require_view(path, seconds)
     for entry in sorted(view.entries, key=lambda entry: entry.key):
-        host, port = entry.member.address
+        host, port = entry.endpoint.address
         record = {
             "key": entry.key,
             "revision": entry.revision,
-            "id": f"s-{entry.member.entry.engine:08x}",
-            "state": entry.member.entry.state.value,
+            "id": f"s-{entry.endpoint.entry.engine:08x}",
+            "state": entry.endpoint.entry.state.value,
             "address": f"{host}:{port}",
         }
         typer.echo(json.dumps(record))
@@ -108,12 +108,12 @@
         pass
     view = None
     if confirmed.is_set():
-        source.note()
+        source.update_list_counters()
         view = RegistryView(
-            revision=source.follower.revision,
+            revision=source.watcher.revision,
             digest=source.counters["registry_digest"],
-            entries=list(source.ledger.entries.values()),
-            unusable=dict(source.ledger.bad),
+            entries=list(source.table.entries.values()),
+            unusable=dict(source.table.invalid),
         )
     await source.stop()
     return view
--- a/applevale/config/sections.py
+++ b/applevale/config/sections.py
@@ -66,11 +66,11 @@
         from ..discovery.registry import settings, source
 
         registry = settings.read_settings(raw["registry"])
-        source.session_kind(registry.kind)  # all that it needs must be there
+        source.load_session_class(registry.kind)  # all that it needs must be there
         return registry
     except ImportError as error:
         raise ConfigError(f"registry: {error.name} is missing: install the extra 'registry'") from None
-    except settings.SettingsError as error:
+    except settings.RegistrySettingsError as error:
         raise ConfigError(str(error)) from None
 
 
--- a/applevale/discovery/registry/consul.py
+++ b/applevale/discovery/registry/consul.py
@@ -6,130 +6,187 @@
 import json
 import ssl
 from collections.abc import Callable
+from typing import NamedTuple
 
 import aiohttp
 
-from .session import MOST_ANSWER, Declined, Hear, Known, Refused, Session
+from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
+from .session import MAX_MESSAGE_BYTES, AuthenticationError, Session, SessionListener, ThrottledError
 from .settings import RegistrySettings
 
-WAIT = 30  # s that a blocking read may stay unanswered
+BLOCKING_READ_SECONDS = 30  # that a blocking read may stay unanswered
+MAX_RETRY_AFTER_SECONDS = 60.0
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404  # no key has the prefix
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_UNAVAILABLE = 503
+HTTP_AUTHENTICATION_FAILURES = (401, 403)
 
 
-def read_list(body: bytes) -> Known:
-    """Keys with their indexes and values. Raises ValueError on what is no such list."""
-    found: Known = {}
-    for one in json.loads(body):
-        if not isinstance(one, dict):
+class Response(NamedTuple):
+    """The store's index, and the body of a response."""
+
+    index: int
+    body: bytes
+
+
+def read_pairs(body: bytes) -> PairsByKey:
+    """Return the keys of a response with their indexes and values.
+
+    Raises:
+        ValueError: The body is not a list of keys.
+    """
+    pairs: PairsByKey = {}
+    for item in json.loads(body):
+        if not isinstance(item, dict):
             raise ValueError("not a list of keys")
-        value = base64.b64decode(one["Value"] or "", validate=True)
-        found[str(one["Key"])] = int(one["ModifyIndex"]), value
-    return found
+        value = base64.b64decode(item["Value"] or "", validate=True)
+        index = int(item["ModifyIndex"])
+        key = str(item["Key"])
+        pairs[key] = KeyValuePair(key, index, value)
+    return pairs
 
 
-def changes(former: Known, later: Known, index: int) -> list[tuple[str, int, bytes | None]]:
-    """What leads from one list to the next, by index; what was deleted is told as of the list's."""
-    events: list[tuple[str, int, bytes | None]] = [
-        (key, at, value) for key, (at, value) in later.items() if former.get(key, (0,))[0] != at
+def diff_pairs(former: PairsByKey, current: PairsByKey, index: int) -> list[KeyValueEvent]:
+    """Return what leads from one list to the next, by index; deletions come last, as of `index`."""
+    events = [
+        KeyValueEvent(*pair) for pair in current.values() if _index_of(former, pair.key) != pair.revision
     ]
-    events.sort(key=lambda event: event[1])
-    return events + [(key, index, None) for key in former if key not in later]
+    events.sort(key=lambda event: event.revision)
+    return events + [KeyValueEvent(key, index, None) for key in former if key not in current]
 
 
-def retry_after(text: str) -> float:
-    """s that a `Retry-After` in s asks for, 60 at most; its other form, a date, counts as none told."""
-    return min(60.0, float(text)) if text.isdecimal() else 0.0
+def _index_of(pairs: PairsByKey, key: str) -> int:
+    pair = pairs.get(key)
+    return 0 if pair is None else pair.revision
+
+
+def parse_retry_after(text: str) -> float:
+    """Return the delay of a `Retry-After` header in s, up to a limit; 0 for one that is a date."""
+    return min(MAX_RETRY_AFTER_SECONDS, float(text)) if text.isdecimal() else 0.0
 
 
 class ConsulSession(Session):
-    """A blocking read tells the whole list, so the changes are found here, against the list that was known
-    before, from this session's full read or from the one before it."""
+    """A session with a Consul agent.
+
+    A blocking read returns the whole list, so changes are found here: against the list of the last read in
+    this session, or the list that was known before it.
+    """
 
     def __init__(
         self,
-        number: int,
+        session_id: int,
         address: tuple[str, int],
         settings: RegistrySettings,
-        tls: ssl.SSLContext | None,
-        hear: Hear,
+        ssl_context: ssl.SSLContext | None,
+        listener: SessionListener,
         clock: Callable[[], float],
-        local: str = "",
+        local_address: str = "",
     ):
-        super().__init__(number, address, hear, clock)
-        self.local = local
-        scheme = "https" if tls else "http"
+        super().__init__(session_id, address, listener, clock)
+        self.local_address = local_address
+        scheme = "https" if ssl_context else "http"
         host = f"[{address[0]}]" if ":" in address[0] else address[0]
         self.url = f"{scheme}://{host}:{address[1]}/v1/kv/{settings.prefix}"
-        self.tls, self.token = tls, settings.token
+        self.ssl_context = ssl_context
+        self.token = settings.token
         self.http: aiohttp.ClientSession | None = None
-        self.known: Known = {}  # as of the last list read in this session
+        self.pairs: PairsByKey = {}  # as of the last list read in this session
 
-    async def _get(self, **query: str) -> tuple[int, bytes]:
-        """The index and the body. Raises Refused, ValueError and aiohttp's errors."""
-        headers = {"X-Consul-Token": self.token} if self.token else {}
-        async with self.http.get(self.url, params=query, headers=headers, ssl=self.tls or True) as answer:
-            if answer.status in (401, 403):
-                raise Refused(f"credentials refused: HTTP {answer.status}")
-            after = answer.headers.get("Retry-After", "")
-            if answer.status == 429 or (answer.status == 503 and after):
-                raise Declined(retry_after(after), watch="index" in query)
-            if answer.status not in (200, 404):  # 404: no key under the prefix
-                raise ConnectionError(f"HTTP {answer.status}")
-            index = int(answer.headers["X-Consul-Index"])
-            body = bytearray()
-            async for piece in answer.content.iter_any():
-                body += piece
-                if len(body) > MOST_ANSWER:
-                    raise ValueError(f"an answer of over {MOST_ANSWER} bytes")
-            return index, bytes(body) if answer.status == 200 else b"[]"
-
-    def open(self) -> None:
-        self.spawn(self._open())
-
-    async def _open(self) -> None:
-        if self.http is not None:  # the first word was declined, and is asked for again
-            await self.http.close()
-        connector = aiohttp.TCPConnector(local_addr=(self.local, 0)) if self.local else None
-        self.http = aiohttp.ClientSession(
-            connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False
-        )
-        asked = self.clock()
-        index, _ = await self._get(keys="", separator="/", consistent="")
-        self.hear.connected(self.number, asked, index)
+    def handshake(self) -> None:
+        """Connect and read the store's index."""
+        self.spawn(self._handshake())
 
     def read_all(self) -> None:
+        """Read all keys with their values."""
         self.spawn(self._read_all())
 
-    async def _read_all(self) -> None:
-        asked = self.clock()
-        index, body = await self._get(recurse="", consistent="")
-        self.known = read_list(body)
-        self.hear.whole(self.number, asked, index, [(key, *told) for key, told in self.known.items()])
+    def watch(self, start_revision: int, read_known: Callable[[], PairsByKey]) -> None:
+        """Watch by blocking reads that begin behind `start_revision`."""
+        self.pairs = self.pairs or read_known()
+        self.spawn(self._watch(start_revision - 1))
 
-    def watch(self, start: int, known: Callable[[], Known]) -> None:
-        self.known = self.known or known()
-        self.spawn(self._watch(start - 1))
+    def poll_revision(self, requested_at: float) -> None:
+        """Read the store's index."""
+        self.spawn(self._poll_revision(requested_at))
 
-    def progress(self) -> None:
-        """The blocking read tells at once what is new: there is nothing to ask for."""
+    def request_progress(self) -> None:
+        """Do nothing: a blocking read returns at once what is new."""
 
-    async def _watch(self, index: int) -> None:
-        while True:
-            last, (index, body) = (
-                index,
-                await self._get(recurse="", consistent="", index=str(max(1, index)), wait=f"{WAIT}s"),
-            )
-            if index < last:  # the index went back: a new store, or one restored
-                raise ConnectionError(f"the index went back from {last} to {index}")
-            former, self.known = self.known, read_list(body)
-            self.hear.events(self.number, index, changes(former, self.known, index))
+    async def close_connection(self) -> None:
+        """Close the HTTP connections."""
+        if self.http is not None:
+            await self.http.close()
 
-    def ask(self, asked: float) -> None:
-        self.spawn(self._ask(asked))
+    async def _handshake(self) -> None:
+        if self.http is not None:  # the first handshake was throttled
+            await self.http.close()
+        connector = aiohttp.TCPConnector(local_addr=(self.local_address, 0)) if self.local_address else None
+        self.http = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False
+        )
+        requested_at = self.clock()
+        response = await self._get(keys="", separator="/", consistent="")
+        self.listener.on_connected(self.session_id, requested_at, response.index)
 
-    async def _ask(self, asked: float) -> None:
-        index, _ = await self._get(keys="", separator="/", consistent="")
-        self.hear.answered(self.number, asked, index)
+    async def _read_all(self) -> None:
+        requested_at = self.clock()
+        response = await self._get(recurse="", consistent="")
+        self.pairs = read_pairs(response.body)
+        records = list(self.pairs.values())
+        self.listener.on_snapshot(self.session_id, requested_at, response.index, records)
 
-    async def hang_up(self) -> None:
-        if self.http is not None:
-            await self.http.close()
+    async def _watch(self, index: int) -> None:
+        while True:
+            response = await self._get(
+                recurse="", consistent="", index=str(max(1, index)), wait=f"{BLOCKING_READ_SECONDS}s"
+            )
+            if response.index < index:  # a new store, or one that was restored
+                raise ConnectionError(f"the index went back from {index} to {response.index}")
+            index = response.index
+            former = self.pairs
+            self.pairs = read_pairs(response.body)
+            events = diff_pairs(former, self.pairs, index)
+            self.listener.on_events(self.session_id, index, events)
+
+    async def _poll_revision(self, requested_at: float) -> None:
+        response = await self._get(keys="", separator="/", consistent="")
+        self.listener.on_revision(self.session_id, requested_at, response.index)
+
+    async def _get(self, **query: str) -> Response:
+        """Read keys under the prefix.
+
+        Raises:
+            AuthenticationError: The agent rejects the token.
+            ThrottledError: The agent is overloaded.
+            ValueError: The response is too long or malformed.
+            OSError: The request failed; aiohttp has other errors besides.
+        """
+        headers = {"X-Consul-Token": self.token} if self.token else {}
+        ssl_context = self.ssl_context or True
+        async with self.http.get(self.url, params=query, headers=headers, ssl=ssl_context) as response:
+            _check_status(response, is_watch="index" in query)
+            index = int(response.headers["X-Consul-Index"])
+            body = await _read_body(response)
+            return Response(index, body if response.status == HTTP_OK else b"[]")
+
+
+def _check_status(response: aiohttp.ClientResponse, is_watch: bool) -> None:
+    """Raise an error unless the response has a list of keys."""
+    status = response.status
+    if status in HTTP_AUTHENTICATION_FAILURES:
+        raise AuthenticationError(f"credentials refused: HTTP {status}")
+    retry_after = response.headers.get("Retry-After", "")
+    if status == HTTP_TOO_MANY_REQUESTS or (status == HTTP_UNAVAILABLE and retry_after):
+        raise ThrottledError(parse_retry_after(retry_after), is_watch)
+    if status not in (HTTP_OK, HTTP_NOT_FOUND):
+        raise ConnectionError(f"HTTP {status}")
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_MESSAGE_BYTES:
+            raise ValueError(f"an answer of over {MAX_MESSAGE_BYTES} bytes")
+    return bytes(body)
--- a/applevale/discovery/registry/etcd.py
+++ b/applevale/discovery/registry/etcd.py
@@ -5,195 +5,238 @@
 import asyncio
 import ssl
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from grpclib.client import Channel, Stream, StreamStreamMethod, UnaryUnaryMethod
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.protocol import H2Protocol
 
-from . import messages as m
-from .session import MOST_ANSWER, Declined, Hear, Known, Refused, Session
+from . import messages
+from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
+from .session import MAX_MESSAGE_BYTES, AuthenticationError, Session, SessionListener, ThrottledError
 from .settings import RegistrySettings
 
-PAGE = 1_000  # keys of one answer to a full read
-_DENIED = {Status.UNAUTHENTICATED, Status.PERMISSION_DENIED}
+PAGE_KEYS = 1_000  # of one response to a full read
+MAX_CANCEL_REASON_LENGTH = 60
+_AUTHENTICATION_FAILURES = {Status.UNAUTHENTICATED, Status.PERMISSION_DENIED}
 
 
-def _bounded(stream: Stream) -> Stream:
-    """Guards the memory: the library reads as much as a member announces, up to 4 GB a message."""
-    receive = stream._stream.recv_data
-
-    async def within(size: int) -> bytes:
-        if size > MOST_ANSWER:
-            raise ValueError(f"a message of {size} bytes")
-        return await receive(size)
-
-    stream._stream.recv_data = within
-    return stream
+@dataclass(frozen=True)
+class _Snapshot:
+    revision: int
+    records: list[KeyValuePair]
 
 
-class _Channel(Channel):
-    """One that may bind a local address."""
+class _LocalChannel(Channel):
+    """A channel that may bind a local address."""
 
-    local = ""
+    local_address = ""
 
     async def _create_connection(self) -> H2Protocol:
-        if not self.local:
+        if not self.local_address:
             return await super()._create_connection()
         _, protocol = await self._loop.create_connection(
-            self._protocol_factory, self._host, self._port, ssl=self._ssl, local_addr=(self.local, 0)
+            self._protocol_factory,
+            self._host,
+            self._port,
+            ssl=self._ssl,
+            local_addr=(self.local_address, 0),
         )
         return protocol
 
 
 class EtcdSession(Session):
+    """A session with a member of an etcd cluster."""
+
     def __init__(
         self,
-        number: int,
+        session_id: int,
         address: tuple[str, int],
         settings: RegistrySettings,
-        tls: ssl.SSLContext | None,
-        hear: Hear,
+        ssl_context: ssl.SSLContext | None,
+        listener: SessionListener,
         clock: Callable[[], float],
-        local: str = "",
+        local_address: str = "",
     ):
-        super().__init__(number, address, hear, clock)
+        super().__init__(session_id, address, listener, clock)
         self.settings = settings
-        self.channel = _Channel(*address, ssl=tls)
-        self.channel.local = local
+        self.channel = _LocalChannel(*address, ssl=ssl_context)
+        self.channel.local_address = local_address
         self.prefix = settings.prefix.encode()
-        self.end = m.range_end(self.prefix)
+        self.range_end = messages.range_end(self.prefix)
         self.metadata: dict[str, str] = {"token": settings.token} if settings.token else {}
-        self.stream: Stream | None = None
-        self.behind = False  # progress was asked for before there was a watch
+        self.watch_stream: Stream | None = None
+        self.is_progress_pending = False  # it was requested before there was a watch
 
-    async def _call(self, method: str, request: object, reply: type) -> object:
-        """One answer. Raises Refused, GRPCError and whatever breaks the connection."""
-        try:
-            call = UnaryUnaryMethod(self.channel, method, type(request), reply)
-            async with call.open(metadata=self.metadata) as stream:
-                await stream.send_message(request, end=True)
-                _bounded(stream)
-                answer = await stream.recv_message()
-        except GRPCError as error:
-            if error.status in _DENIED or method == m.AUTHENTICATE:
-                raise Refused(f"credentials refused: {error.message}") from None
-            if error.status is Status.RESOURCE_EXHAUSTED:
-                raise Declined from None
-            raise
-        if answer is None:
-            raise ConnectionError("no answer")
-        return answer
+    def handshake(self) -> None:
+        """Log in if there is a user, and read the cluster's revision."""
+        self.spawn(self._handshake())
 
-    async def _header(self) -> object:
-        """With the revision that all members together have committed: the read is not `serializable`."""
-        request = m.RangeRequest(key=self.prefix, range_end=self.end, count_only=True)
-        answer = await self._call(m.RANGE, request, m.RangeResponse)
-        return answer.header
+    def read_all(self) -> None:
+        """Read all keys with their values."""
+        self.spawn(self._read_all())
 
-    def open(self) -> None:
-        self.spawn(self._open())
+    def watch(self, start_revision: int, read_known: Callable[[], PairsByKey]) -> None:
+        """Watch all changes from `start_revision` on; what is known is of no use here."""
+        self.spawn(self._watch(start_revision))
 
-    async def _open(self) -> None:
-        if self.settings.user:
-            request = m.AuthenticateRequest(name=self.settings.user, password=self.settings.password)
-            answer = await self._call(m.AUTHENTICATE, request, m.AuthenticateResponse)
-            self.metadata = {"token": answer.token}
-        asked = self.clock()
-        header = await self._header()
-        self.hear.connected(self.number, asked, header.revision, header.cluster_id)
+    def poll_revision(self, requested_at: float) -> None:
+        """Read the cluster's present revision."""
+        self.spawn(self._poll_revision(requested_at))
 
-    def read_all(self) -> None:
-        self.spawn(self._read_all())
+    def request_progress(self) -> None:
+        """Ask the watch for a progress notification, which comes behind all events before it."""
+        self.spawn(self._request_progress())
+
+    async def close_connection(self) -> None:
+        """Close the channel."""
+        self.channel.close()
+        await asyncio.sleep(0)
+
+    async def _handshake(self) -> None:
+        if self.settings.user:
+            request = messages.AuthenticateRequest(name=self.settings.user, password=self.settings.password)
+            response = await self._call(messages.AUTHENTICATE, request, messages.AuthenticateResponse)
+            self.metadata = {"token": response.token}
+        requested_at = self.clock()
+        header = await self._read_header()
+        self.listener.on_connected(self.session_id, requested_at, header.revision, header.cluster_id)
+
+    async def _poll_revision(self, requested_at: float) -> None:
+        header = await self._read_header()
+        self.listener.on_revision(self.session_id, requested_at, header.revision)
+
+    async def _read_header(self) -> object:
+        """Return a header with the revision that the cluster has committed: the read is linearizable."""
+        request = messages.RangeRequest(key=self.prefix, range_end=self.range_end, count_only=True)
+        response = await self._call(messages.RANGE, request, messages.RangeResponse)
+        return response.header
 
     async def _read_all(self) -> None:
-        """Page by page, all as of the revision of the first; begun anew if that is compacted meanwhile."""
+        """Read all keys as of one revision, anew if that is compacted before the last page."""
+        snapshot = None
+        while snapshot is None:
+            requested_at = self.clock()
+            snapshot = await self._read_pages()
+        self.listener.on_snapshot(self.session_id, requested_at, snapshot.revision, snapshot.records)
+
+    async def _read_pages(self) -> _Snapshot | None:
+        """Return all keys as of the revision of the first page; None if it was compacted meanwhile."""
+        revision = 0
+        key = self.prefix
+        records: list[KeyValuePair] = []
         while True:
-            asked, revision, key, found = self.clock(), 0, self.prefix, []
+            request = messages.RangeRequest(
+                key=key, range_end=self.range_end, limit=PAGE_KEYS, revision=revision
+            )
             try:
-                while True:
-                    page = await self._call(
-                        m.RANGE,
-                        m.RangeRequest(key=key, range_end=self.end, limit=PAGE, revision=revision),
-                        m.RangeResponse,
-                    )
-                    revision = revision or page.header.revision
-                    found += ((kv.key.decode(errors="replace"), kv.mod_revision, kv.value) for kv in page.kvs)
-                    if not page.more or not page.kvs:
-                        self.hear.whole(self.number, asked, revision, found)
-                        return
-                    key = page.kvs[-1].key + b"\0"
+                page = await self._call(messages.RANGE, request, messages.RangeResponse)
             except GRPCError as error:
-                if error.status is not Status.OUT_OF_RANGE or not revision:
-                    raise
-
-    def watch(self, start: int, known: Callable[[], Known]) -> None:
-        self.spawn(self._watch(start))
+                if error.status is Status.OUT_OF_RANGE and revision:
+                    return None
+                raise
+            revision = revision or page.header.revision
+            records += (KeyValuePair(_key_of(kv), kv.mod_revision, kv.value) for kv in page.kvs)
+            if not page.more or not page.kvs:
+                return _Snapshot(revision, records)
+            key = page.kvs[-1].key + b"\0"
+
+    async def _call(self, method: str, request: object, response_type: type) -> object:
+        """Return the response to a unary call.
+
+        Raises:
+            AuthenticationError: The member rejects the credentials.
+            ThrottledError: The member is overloaded.
+            GRPCError: The call failed otherwise; a broken connection raises other errors besides.
+        """
+        try:
+            call = UnaryUnaryMethod(self.channel, method, type(request), response_type)
+            async with call.open(metadata=self.metadata) as stream:
+                await stream.send_message(request, end=True)
+                _limit_message_size(stream)
+                response = await stream.recv_message()
+        except GRPCError as error:
+            if error.status in _AUTHENTICATION_FAILURES or method == messages.AUTHENTICATE:
+                raise AuthenticationError(f"credentials refused: {error.message}") from None
+            if error.status is Status.RESOURCE_EXHAUSTED:
+                raise ThrottledError from None
+            raise
+        if response is None:
+            raise ConnectionError("no answer")
+        return response
 
-    async def _watch(self, start: int) -> None:
-        method = StreamStreamMethod(self.channel, m.WATCH, m.WatchRequest, m.WatchResponse)
-        create = m.WatchCreateRequest(key=self.prefix, range_end=self.end, start_revision=start)
+    async def _watch(self, start_revision: int) -> None:
+        method = StreamStreamMethod(
+            self.channel, messages.WATCH, messages.WatchRequest, messages.WatchResponse
+        )
+        create = messages.WatchCreateRequest(
+            key=self.prefix, range_end=self.range_end, start_revision=start_revision
+        )
         async with method.open(metadata=self.metadata) as stream:
-            await stream.send_message(m.WatchRequest(create_request=create))
-            _bounded(stream)
+            await stream.send_message(messages.WatchRequest(create_request=create))
+            _limit_message_size(stream)
             try:
-                while (answer := await stream.recv_message()) is not None:
-                    if answer.created:
-                        self.stream = stream
-                        if self.behind:
-                            await self._progress()
-                    if answer.canceled:
-                        await stream.cancel()
-                        self._canceled(answer)
-                        return
-                    if not answer.created:
-                        self._take(answer)
+                if await self._receive_watch(stream):
+                    return
             except GRPCError as error:
-                if error.status in _DENIED:
-                    raise Refused(f"credentials refused: {error.message}") from None
+                if error.status in _AUTHENTICATION_FAILURES:
+                    raise AuthenticationError(f"credentials refused: {error.message}") from None
                 if error.status is Status.RESOURCE_EXHAUSTED:
-                    raise Declined(watch=True) from None
+                    raise ThrottledError(is_watch=True) from None
                 raise
             finally:
-                self.stream = None
+                self.watch_stream = None
         raise ConnectionError("the watch ended")
 
-    def _canceled(self, answer: object) -> None:
-        if answer.compact_revision:
-            self.hear.compacted(self.number)
-        else:
-            raise ConnectionError(f"the watch was cancelled: {answer.cancel_reason[:60]}")
-
-    def _take(self, answer: object) -> None:
-        self.hear.events(
-            self.number,
-            answer.header.revision,
-            [
-                (
-                    event.kv.key.decode(errors="replace"),
-                    event.kv.mod_revision,
-                    None if event.type == m.DELETE else event.kv.value,
-                )
-                for event in answer.events
-            ],
-        )
+    async def _receive_watch(self, stream: Stream) -> bool:
+        """Report what the watch delivers; return whether it was cancelled for a compaction."""
+        while (response := await stream.recv_message()) is not None:
+            if response.created:
+                self.watch_stream = stream
+                if self.is_progress_pending:
+                    await self._request_progress()
+            if response.canceled:
+                await stream.cancel()
+                self._handle_cancellation(response)
+                return True
+            if not response.created:
+                self._report_events(response)
+        return False
+
+    def _handle_cancellation(self, response: object) -> None:
+        if not response.compact_revision:
+            reason = response.cancel_reason[:MAX_CANCEL_REASON_LENGTH]
+            raise ConnectionError(f"the watch was cancelled: {reason}")
+        self.listener.on_compacted(self.session_id)
+
+    def _report_events(self, response: object) -> None:
+        events = [_read_event(event) for event in response.events]
+        self.listener.on_events(self.session_id, response.header.revision, events)
+
+    async def _request_progress(self) -> None:
+        self.is_progress_pending = self.watch_stream is None
+        if self.watch_stream is not None:
+            request = messages.WatchRequest(progress_request=messages.WatchProgressRequest())
+            await self.watch_stream.send_message(request)
+
+
+def _limit_message_size(stream: Stream) -> None:
+    """Guard the memory: the library reads as much as a member announces, up to 4 GB a message."""
+    receive = stream._stream.recv_data
 
-    async def _progress(self) -> None:
-        """Asks how far the watch is; answered behind all events that came before."""
-        self.behind = self.stream is None
-        if self.stream is not None:
-            await self.stream.send_message(m.WatchRequest(progress_request=m.WatchProgressRequest()))
+    async def receive_limited(size: int) -> bytes:
+        if size > MAX_MESSAGE_BYTES:
+            raise ValueError(f"a message of {size} bytes")
+        return await receive(size)
 
-    def ask(self, asked: float) -> None:
-        self.spawn(self._ask(asked))
+    stream._stream.recv_data = receive_limited
 
-    async def _ask(self, asked: float) -> None:
-        header = await self._header()
-        self.hear.answered(self.number, asked, header.revision)
 
-    def progress(self) -> None:
-        self.spawn(self._progress())
+def _key_of(kv: object) -> str:
+    return kv.key.decode(errors="replace")
 
-    async def hang_up(self) -> None:
-        self.channel.close()
-        await asyncio.sleep(0)
+
+def _read_event(event: object) -> KeyValueEvent:
+    value = None if event.type == messages.DELETE else event.kv.value
+    return KeyValueEvent(_key_of(event.kv), event.kv.mod_revision, value)
--- a/applevale/discovery/registry/messages.py
+++ b/applevale/discovery/registry/messages.py
@@ -1,21 +1,21 @@
-"""The messages of the etcd v3 API that are used here, by their published names and field numbers."""
+"""The messages of the etcd v3 API that are in use here, by their published names and field numbers."""
 
 from __future__ import annotations
 
 from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
 
-_TYPES = descriptor_pb2.FieldDescriptorProto
-_SCALARS = {
-    "int64": _TYPES.TYPE_INT64,
-    "uint64": _TYPES.TYPE_UINT64,
-    "bool": _TYPES.TYPE_BOOL,
-    "bytes": _TYPES.TYPE_BYTES,
-    "string": _TYPES.TYPE_STRING,
-    "int32": _TYPES.TYPE_INT32,
+_FieldType = descriptor_pb2.FieldDescriptorProto
+_SCALAR_TYPES = {
+    "int64": _FieldType.TYPE_INT64,
+    "uint64": _FieldType.TYPE_UINT64,
+    "bool": _FieldType.TYPE_BOOL,
+    "bytes": _FieldType.TYPE_BYTES,
+    "string": _FieldType.TYPE_STRING,
+    "int32": _FieldType.TYPE_INT32,
 }
 
 # name: {field: (number, type)}; a type in [] is repeated. An enumeration travels as int32 does.
-_MESSAGES: dict[str, dict[str, tuple[int, str]]] = {
+_MESSAGE_FIELDS: dict[str, dict[str, tuple[int, str]]] = {
     "ResponseHeader": {
         "cluster_id": (1, "uint64"),
         "member_id": (2, "uint64"),
@@ -71,44 +71,55 @@
     "AuthenticateRequest": {"name": (1, "string"), "password": (2, "string")},
     "AuthenticateResponse": {"header": (1, "ResponseHeader"), "token": (2, "string")},
 }
-PUT, DELETE = 0, 1  # types of an Event
-RANGE, WATCH = "/etcdserverpb.KV/Range", "/etcdserverpb.Watch/Watch"
+# Types of an Event.
+PUT = 0
+DELETE = 1
+
+# Paths of the methods.
+RANGE = "/etcdserverpb.KV/Range"
+WATCH = "/etcdserverpb.Watch/Watch"
 AUTHENTICATE = "/etcdserverpb.Auth/Authenticate"
 
 
-def _file() -> descriptor_pb2.FileDescriptorProto:
+def _describe_file() -> descriptor_pb2.FileDescriptorProto:
     file = descriptor_pb2.FileDescriptorProto(name="etcd.proto", package="applevale", syntax="proto3")
-    for name, fields in _MESSAGES.items():
+    for name, fields in _MESSAGE_FIELDS.items():
         message = file.message_type.add(name=name)
         for field, (number, kind) in fields.items():
             inner = kind.strip("[]")
             entry = message.field.add(
                 name=field,
                 number=number,
-                label=_TYPES.LABEL_REPEATED if kind.startswith("[") else _TYPES.LABEL_OPTIONAL,
-                type=_SCALARS.get(inner, _TYPES.TYPE_MESSAGE),
+                label=_FieldType.LABEL_REPEATED if kind.startswith("[") else _FieldType.LABEL_OPTIONAL,
+                type=_SCALAR_TYPES.get(inner, _FieldType.TYPE_MESSAGE),
             )
-            if inner not in _SCALARS:
+            if inner not in _SCALAR_TYPES:
                 entry.type_name = f".applevale.{inner}"
     return file
 
 
 _POOL = descriptor_pool.DescriptorPool()
-_POOL.Add(_file())
+_POOL.Add(_describe_file())
 
 
-def _class(name: str) -> type:
+def _message_class(name: str) -> type:
     return message_factory.GetMessageClass(_POOL.FindMessageTypeByName(f"applevale.{name}"))
 
 
-RangeRequest, RangeResponse = _class("RangeRequest"), _class("RangeResponse")
-WatchRequest, WatchResponse = _class("WatchRequest"), _class("WatchResponse")
-WatchCreateRequest, WatchProgressRequest = _class("WatchCreateRequest"), _class("WatchProgressRequest")
-AuthenticateRequest, AuthenticateResponse = _class("AuthenticateRequest"), _class("AuthenticateResponse")
-KeyValue, Event, ResponseHeader = _class("KeyValue"), _class("Event"), _class("ResponseHeader")
+RangeRequest = _message_class("RangeRequest")
+RangeResponse = _message_class("RangeResponse")
+WatchRequest = _message_class("WatchRequest")
+WatchResponse = _message_class("WatchResponse")
+WatchCreateRequest = _message_class("WatchCreateRequest")
+WatchProgressRequest = _message_class("WatchProgressRequest")
+AuthenticateRequest = _message_class("AuthenticateRequest")
+AuthenticateResponse = _message_class("AuthenticateResponse")
+KeyValue = _message_class("KeyValue")
+Event = _message_class("Event")
+ResponseHeader = _message_class("ResponseHeader")
 
 
 def range_end(prefix: bytes) -> bytes:
-    """The first key behind all that begin with `prefix`."""
+    """Return the first key behind all that begin with `prefix`."""
     stem = prefix.rstrip(b"\xff")
     return stem[:-1] + bytes([stem[-1] + 1]) if stem else b"\0"
--- a/applevale/discovery/registry/session.py
+++ b/applevale/discovery/registry/session.py
@@ -1,112 +1,138 @@
-"""What a session with one member of a registry is to the source, whatever protocol it speaks."""
+"""A session with one member of a registry, as the source sees it whatever protocol it uses."""
 
 from __future__ import annotations
 
 import asyncio
-import ssl
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Protocol
 
-from .settings import SettingsError, Tls
+from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
 
-MOST_ANSWER = 8 << 20  # bytes of one message of a registry: more is not taken into memory
+MAX_MESSAGE_BYTES = 8 << 20  # of one message of a member: a larger one is not read into memory
+MAX_REASON_LENGTH = 80
 
 
-class Hear(Protocol):
-    """Who is told what comes. `number` is the session's; times are the source's clock."""
+class AuthenticationError(Exception):
+    """The member rejects the credentials."""
 
-    def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None: ...
-    def declined(self, number: int, after: float, watch: bool) -> None: ...
-    def lost(self, number: int, why: str, refused: bool = False) -> None: ...
-    def whole(
-        self, number: int, asked: float, revision: int, records: Iterable[tuple[str, int, bytes]]
-    ) -> None: ...
-    def events(self, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]) -> None: ...
-    def answered(self, number: int, asked: float, revision: int) -> None: ...
-    def compacted(self, number: int) -> None: ...
 
+class ThrottledError(Exception):
+    """The member rejects a request because of its load; the session remains usable.
 
-class Refused(Exception):
-    """The member does not take these credentials."""
+    Attributes:
+        retry_after: The delay that the member asks for, in s.
+        is_watch: Whether the request was the watch.
+    """
 
+    def __init__(self, retry_after: float = 0.0, is_watch: bool = False):
+        super().__init__("the member is throttling")
+        self.retry_after = retry_after
+        self.is_watch = is_watch
 
-class Declined(Exception):
-    """The member refuses a call for its load; the session goes on. `after`: s that it asks for; `watch`: the
-    call was the watch."""
 
-    def __init__(self, after: float = 0.0, watch: bool = False):
-        self.after, self.watch = after, watch
+class SessionListener(Protocol):
+    """Receives what happens in sessions.
 
+    `session_id` identifies the session; `requested_at` is when the request left that is answered, in s by the
+    clock that the session was constructed with.
+    """
 
-Known = dict[str, tuple[int, bytes]]  # keys with the revision and the value of each
+    def on_connected(self, session_id: int, requested_at: float, revision: int, cluster_id: int = 0) -> None:
+        """Handle the first response of a session; `cluster_id` is 0 if it is not known."""
 
+    def on_throttled(self, session_id: int, retry_after: float, is_watch: bool) -> None:
+        """Handle a request that was rejected because of the member's load."""
 
-class Session:
-    """The tasks of one session; the first that fails ends it, and is told once."""
+    def on_disconnected(self, session_id: int, reason: str, credentials_rejected: bool = False) -> None:
+        """Handle the end of a session, which is reported once."""
 
-    def __init__(self, number: int, address: tuple[str, int], hear: Hear, clock: Callable[[], float]):
-        self.number, self.address, self.hear, self.clock = number, address, hear, clock
+    def on_snapshot(
+        self, session_id: int, requested_at: float, revision: int, records: Iterable[KeyValuePair]
+    ) -> None:
+        """Handle all keys as of one revision."""
+
+    def on_events(self, session_id: int, revision: int, events: Iterable[KeyValueEvent]) -> None:
+        """Handle what the watch delivers; it has delivered all up to `revision`."""
+
+    def on_revision(self, session_id: int, requested_at: float, revision: int) -> None:
+        """Handle the response to a poll of the registry's revision."""
+
+    def on_compacted(self, session_id: int) -> None:
+        """Handle a watch whose next events are no longer stored."""
+
+
+class Session(ABC):
+    """The tasks of one session; the first that fails ends it, and is reported once.
+
+    Requests return at once; their responses go to the listener.
+    """
+
+    def __init__(
+        self,
+        session_id: int,
+        address: tuple[str, int],
+        listener: SessionListener,
+        clock: Callable[[], float],
+    ):
+        self.session_id = session_id
+        self.address = address
+        self.listener = listener
+        self.clock = clock
         self.tasks: set[asyncio.Task] = set()
-        self.closed = False
+        self.is_closed = False
 
     def spawn(self, work: Coroutine[object, object, None]) -> None:
+        """Run `work` as a task of this session."""
         task = asyncio.create_task(self._guard(work))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def _guard(self, work: Coroutine[object, object, None]) -> None:
-        """What goes wrong with a session stops here: whatever a library raises on what a member sent."""
+        """Stop all errors here, whatever a library raises on what a member sent."""
         try:
             await work
-        except Declined as error:
-            if not self.closed:
-                self.hear.declined(self.number, error.after, error.watch)
-        except Refused as error:
-            self._lost(str(error), refused=True)
+        except ThrottledError as error:
+            if not self.is_closed:
+                self.listener.on_throttled(self.session_id, error.retry_after, error.is_watch)
+        except AuthenticationError as error:
+            self._disconnect(str(error), credentials_rejected=True)
         except Exception as error:
-            self._lost(f"{type(error).__name__}: {str(error)[:80]}")
+            self._disconnect(f"{type(error).__name__}: {str(error)[:MAX_REASON_LENGTH]}")
 
-    def _lost(self, why: str, refused: bool = False) -> None:
-        if not self.closed:
-            self.hear.lost(self.number, why, refused)
+    def _disconnect(self, reason: str, credentials_rejected: bool = False) -> None:
+        if not self.is_closed:
+            self.listener.on_disconnected(self.session_id, reason, credentials_rejected)
 
     async def close(self) -> None:
-        self.closed = True
+        """End all tasks and the connection; the listener hears no more of this session."""
+        self.is_closed = True
         tasks = [task for task in self.tasks if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self.hang_up()
+        await self.close_connection()
 
-    async def hang_up(self) -> None:
-        raise NotImplementedError
+    @abstractmethod
+    async def close_connection(self) -> None:
+        """Close the connection to the member."""
 
-    def open(self) -> None:
-        raise NotImplementedError
+    @abstractmethod
+    def handshake(self) -> None:
+        """Connect, log in and read the registry's revision; may be repeated once it was throttled."""
 
+    @abstractmethod
     def read_all(self) -> None:
-        raise NotImplementedError
-
-    def watch(self, start: int, known: Callable[[], Known]) -> None:
-        """All changes from `start` on; `known`: the list that they change."""
-        raise NotImplementedError
-
-    def ask(self, asked: float) -> None:
-        raise NotImplementedError
-
-    def progress(self) -> None:
-        raise NotImplementedError
-
-
-def context(tls: Tls | None, protocol: str) -> ssl.SSLContext | None:
-    """Raises SettingsError if the files cannot be used."""
-    if tls is None:
-        return None
-    try:
-        made = ssl.create_default_context(cafile=tls.ca)
-        made.set_alpn_protocols([protocol])
-        if tls.cert:
-            made.load_cert_chain(tls.cert, tls.key)
-    except (OSError, ssl.SSLError) as error:
-        raise SettingsError(f"registry.tls: {error}") from None
-    return made
+        """Read all keys with their values."""
+
+    @abstractmethod
+    def watch(self, start_revision: int, read_known: Callable[[], PairsByKey]) -> None:
+        """Watch all changes from `start_revision` on; `read_known` returns the list that they change."""
+
+    @abstractmethod
+    def poll_revision(self, requested_at: float) -> None:
+        """Read the registry's present revision."""
+
+    @abstractmethod
+    def request_progress(self) -> None:
+        """Ask up to which revision the watch has delivered all events."""
--- a/applevale/discovery/registry/settings.py
+++ b/applevale/discovery/registry/settings.py
@@ -6,15 +6,26 @@
 
 import msgspec
 
-Positive = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+MAX_PORT = 65535
 
+HoldSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+FreshnessSeconds = Annotated[float, msgspec.Meta(ge=0.1, le=60)]
+AddressList = Annotated[list[str], msgspec.Meta(min_length=1, max_length=16)]
+KeyPrefix = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
-class SettingsError(ValueError):
-    """Something is missing or makes no sense; the text names its key."""
 
+class RegistrySettingsError(ValueError):
+    """A setting that is missing or makes no sense; the text begins with its key."""
 
-class Tls(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Paths of PEM files."""
+
+class TlsSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Paths of PEM files.
+
+    Attributes:
+        ca: Certificates of the authorities that are trusted.
+        cert: The client's certificate; empty for none.
+        key: The key of that certificate.
+    """
 
     ca: str
     cert: str = ""
@@ -22,39 +33,64 @@
 
 
 class RegistrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Where the registry is, how to log in, and how fresh its list has to be. Field names are the keys.
+
+    Attributes:
+        kind: The protocol.
+        addresses: HOST:PORT of each member, tried in turn.
+        prefix: The prefix of the keys that hold engines.
+        on_stale: Whether new work is held, or served, while the list is not confirmed.
+        hold: Time for which new work is held before it is rejected, in s.
+        fresh: Staleness up to which the list counts as confirmed, in s.
+        user: User of etcd; empty for none.
+        password: The user's password.
+        token: Token of Consul or etcd; empty for none.
+        tls: Files for TLS; None for plain TCP.
+        snapshot: Directory of the snapshot store; empty for none.
+    """
+
     kind: Literal["etcd", "consul"]
-    addresses: Annotated[list[str], msgspec.Meta(min_length=1, max_length=16)]  # HOST:PORT, tried in turn
-    prefix: Annotated[str, msgspec.Meta(min_length=1, max_length=200)] = "applevale/engines/"
+    addresses: AddressList
+    prefix: KeyPrefix = "applevale/engines/"
     on_stale: Literal["hold", "serve"] = "hold"
-    hold: Positive = 2.0  # s for which new work is held while the list is not confirmed; then it is refused
-    fresh: Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 0.35  # s: the promise
+    hold: HoldSeconds = 2.0
+    fresh: FreshnessSeconds = 0.35
     user: str = ""
     password: str = ""
     token: str = ""
-    tls: Tls | None = None
-    snapshot: str = ""  # folder of the embedded store; empty: none
+    tls: TlsSettings | None = None
+    snapshot: str = ""
 
-    def places(self) -> list[tuple[str, int]]:
-        """The addresses. Raises SettingsError."""
-        found = []
-        for at, text in enumerate(self.addresses):
-            host, _, port = text.rpartition(":")
-            if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-                raise SettingsError(f"registry.addresses[{at}]: HOST:PORT is needed, not {text[:60]!r}")
-            found.append((host.strip("[]"), int(port)))
-        return found
+    def member_addresses(self) -> list[tuple[str, int]]:
+        """Return host and port of each member.
+
+        Raises:
+            RegistrySettingsError: An address is not HOST:PORT.
+        """
+        return [_parse_address(index, text) for index, text in enumerate(self.addresses)]
+
+
+def _parse_address(index: int, text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise RegistrySettingsError(f"registry.addresses[{index}]: HOST:PORT is needed, not {text[:60]!r}")
+    return host.strip("[]"), int(port)
 
 
 def read_settings(raw: object) -> RegistrySettings:
-    """Raises SettingsError with the key that is wrong."""
+    """Return the settings of a `registry` section.
+
+    Raises:
+        RegistrySettingsError: A setting can't be used.
+    """
     try:
         settings = msgspec.convert(raw, RegistrySettings)
     except msgspec.ValidationError as error:
         text, _, place = str(error).partition(" - at `$")
-        raise SettingsError(f"registry{place.rstrip('`')}: {text}") from None
-    settings.places()
+        raise RegistrySettingsError(f"registry{place.rstrip('`')}: {text}") from None
+    settings.member_addresses()
     if bool(settings.user) != bool(settings.password):
-        raise SettingsError("registry.password: user and password go together")
+        raise RegistrySettingsError("registry.password: user and password go together")
     if settings.tls and bool(settings.tls.cert) != bool(settings.tls.key):
-        raise SettingsError("registry.tls.key: cert and key go together")
+        raise RegistrySettingsError("registry.tls.key: cert and key go together")
     return settings
--- a/applevale/discovery/registry/snapshot.py
+++ b/applevale/discovery/registry/snapshot.py
@@ -1,76 +1,145 @@
-"""The last list and its revision in an embedded store (LMDB), for a start while the registry is away."""
+"""The last list and its revision in an embedded store (LMDB), for a start while the registry is down."""
 
 from __future__ import annotations
 
 import hashlib
 import os
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import lmdb
 import msgspec
 
-FORM = 1
-SIZE = 64 << 20  # bytes that the store may grow to: 100,000 engines
+from ...observability.events import log_event
+from .key_values import KeyValuePair
+
+FORMAT_VERSION = 1
+MAX_STORE_BYTES = 64 << 20  # 100,000 engines
+DIGEST_BYTES = 16
+MIN_SAVE_INTERVAL_SECONDS = 1.0
+_KEY = b"list"
 
 
 class SnapshotError(ValueError):
-    """Torn, foreign or of another form: it is told and ignored."""
+    """A store that can't be used, or a snapshot that is torn, foreign or of another format."""
+
 
+class _Document(msgspec.Struct):
+    """The stored form."""
 
-class _Stored(msgspec.Struct):
-    form: int
-    registry: str  # of which registry and prefix
+    format_version: int = msgspec.field(name="form")
+    registry: str  # identifies the registry and the prefix
     revision: int
-    records: list[tuple[str, int, bytes]]
+    records: list[KeyValuePair]
 
 
 @dataclass(frozen=True)
-class Kept:
+class StoredSnapshot:
+    """A list as of a revision."""
+
     revision: int
-    records: list[tuple[str, int, bytes]]
+    records: list[KeyValuePair]
+
+
+class SnapshotStore:
+    """A store of one snapshot, which is replaced in one transaction; a digest detects a torn one."""
 
+    def __init__(self, directory: str, registry: str):
+        """Open the store.
 
-class Snapshot:
-    """One list, replaced as a whole in one transaction; a digest tells one that is torn."""
+        Args:
+            directory: Where the store's files are; created if need be.
+            registry: Identifies the registry; a snapshot of another one is not loaded.
 
-    def __init__(self, folder: str, registry: str):
-        """Raises SnapshotError if there can be no store in `folder`."""
+        Raises:
+            SnapshotError: There can be no store in `directory`.
+        """
         self.registry = registry
         try:
-            os.makedirs(folder, exist_ok=True)
-            self.store = lmdb.open(folder, map_size=SIZE, max_dbs=0, metasync=True)
+            os.makedirs(directory, exist_ok=True)
+            self.environment = lmdb.open(directory, map_size=MAX_STORE_BYTES, max_dbs=0, metasync=True)
         except (OSError, lmdb.Error) as error:
-            raise SnapshotError(f"{folder}: {error}") from None
+            raise SnapshotError(f"{directory}: {error}") from None
 
-    def keep(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> None:
-        """Raises SnapshotError if it cannot be written; the former one stays."""
-        body = msgspec.msgpack.encode(_Stored(FORM, self.registry, revision, list(records)))
+    def save(self, revision: int, records: Iterable[KeyValuePair]) -> None:
+        """Replace the snapshot.
+
+        Raises:
+            SnapshotError: It can't be written; the former one stays.
+        """
+        document = _Document(FORMAT_VERSION, self.registry, revision, list(records))
+        body = msgspec.msgpack.encode(document)
         try:
-            with self.store.begin(write=True) as transaction:
-                transaction.put(b"list", hashlib.blake2b(body, digest_size=16).digest() + body)
+            with self.environment.begin(write=True) as transaction:
+                transaction.put(_KEY, _digest(body) + body)
         except lmdb.Error as error:
             raise SnapshotError(str(error)) from None
 
-    def load(self) -> Kept | None:
-        """What was kept; None if nothing was. Raises SnapshotError."""
+    def load(self) -> StoredSnapshot | None:
+        """Return the snapshot; None if there is none.
+
+        Raises:
+            SnapshotError: The snapshot can't be trusted.
+        """
         try:
-            with self.store.begin() as transaction:
-                raw = transaction.get(b"list")
+            with self.environment.begin() as transaction:
+                raw = transaction.get(_KEY)
         except lmdb.Error as error:
             raise SnapshotError(str(error)) from None
         if raw is None:
             return None
-        digest, body = raw[:16], raw[16:]
-        if hashlib.blake2b(body, digest_size=16).digest() != digest:
-            raise SnapshotError("torn: its digest does not fit")
-        try:
-            stored = msgspec.msgpack.decode(body, type=_Stored)
-        except msgspec.MsgspecError as error:
-            raise SnapshotError(f"foreign: {error}") from None
-        if (stored.form, stored.registry) != (FORM, self.registry):
-            raise SnapshotError(f"of form {stored.form} and of {stored.registry!r}, not {self.registry!r}")
-        return Kept(stored.revision, stored.records)
+        document = _decode(raw)
+        if (document.format_version, document.registry) != (FORMAT_VERSION, self.registry):
+            raise SnapshotError(
+                f"of form {document.format_version} and of {document.registry!r}, not {self.registry!r}"
+            )
+        return StoredSnapshot(document.revision, document.records)
 
     def close(self) -> None:
-        self.store.close()
+        """Close the store."""
+        self.environment.close()
+
+
+def _digest(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
+
+
+def _decode(raw: bytes) -> _Document:
+    body = raw[DIGEST_BYTES:]
+    if _digest(body) != raw[:DIGEST_BYTES]:
+        raise SnapshotError("torn: its digest does not fit")
+    try:
+        return msgspec.msgpack.decode(body, type=_Document)
+    except msgspec.MsgspecError as error:
+        raise SnapshotError(f"foreign: {error}") from None
+
+
+class SnapshotWriter:
+    """Saves changed lists to a store, at a limited rate; a failure is logged."""
+
+    def __init__(self, store: SnapshotStore, read_records: Callable[[], list[KeyValuePair]]):
+        """`read_records` returns the list as it is now."""
+        self.store = store
+        self.read_records = read_records
+        self.has_changes = False
+        self.last_saved_at = -MIN_SAVE_INTERVAL_SECONDS
+
+    def mark_changed(self) -> None:
+        """Note that the list differs from the saved one."""
+        self.has_changes = True
+
+    def save_if_due(self, now: float, revision: int) -> None:
+        """Save a list that has changed, unless one was saved just before."""
+        if now - self.last_saved_at >= MIN_SAVE_INTERVAL_SECONDS:
+            self.save(now, revision)
+
+    def save(self, now: float, revision: int) -> None:
+        """Save a list that has changed and has a revision."""
+        if not self.has_changes or not revision:
+            return
+        self.last_saved_at = now
+        self.has_changes = False
+        try:
+            self.store.save(revision, self.read_records())
+        except SnapshotError as error:
+            log_event("registry", f"the snapshot was not written: {error}")
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -1,4 +1,4 @@
-"""The registry as a source of the engine list: carries out what the follower decides."""
+"""The registry as a source of the list of engines: carries out the commands of the watcher."""
 
 from __future__ import annotations
 
@@ -10,21 +10,27 @@
 import msgspec
 
 from ...observability.counters import Counters
-from ...observability.events import emit_event, log_event
-from ...startup.staleness_guard import Kept
+from ...observability.events import log_event
 from ..endpoints import AttributeNames, EndpointUpdate
 from . import watcher as f
-from .records import Ledger, digest
-from .session import Session, context
+from .endpoint_table import EndpointTable, TableEntry, endpoints_digest
+from .freshness import FreshnessReporter
+from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
+from .session import Session
 from .settings import RegistrySettings
-from .snapshot import Snapshot, SnapshotError
+from .snapshot import SnapshotError, SnapshotStore, SnapshotWriter
+from .tls import create_ssl_context
 
-KEEP_EVERY = 1.0  # s between two writes of the snapshot at least
-PROTOCOLS = {"etcd": "h2", "consul": "http/1.1"}  # as TLS names them
+ALPN_PROTOCOLS = {"etcd": "h2", "consul": "http/1.1"}
+FIXED_SETTINGS = ("kind", "prefix", "fresh", "snapshot")  # those that a reload can't change
+STALENESS_CHECK_MARGIN_SECONDS = 0.001  # behind the time at which the list turns stale
 
 
-def session_kind(kind: str) -> type[Session]:
-    """Loads one protocol's library only: the other's costs as much time and memory at a start."""
+def load_session_class(kind: str) -> type[Session]:
+    """Return the class for a kind of registry.
+
+    Only its own library is imported: each costs time and memory at the start.
+    """
     if kind == "etcd":
         from .etcd import EtcdSession
 
@@ -35,239 +41,254 @@
 
 
 class RegistrySource:
-    """Tells `tell` each change once and in order, and `turned` whether the list is confirmed as it turns."""
+    """An `EndpointSource` that watches a registry, and the listener of the sessions with its members.
+
+    Attributes:
+        table: The list as the registry has it.
+        watcher: The state machine that decides what to request.
+    """
 
     def __init__(
         self,
         settings: RegistrySettings,
         names: AttributeNames,
         counters: Counters,
-        tell: Callable[[EndpointUpdate], None],
-        turned: Callable[[bool], None],
+        publish: Callable[[EndpointUpdate], None],
+        on_freshness_change: Callable[[bool], None],
         seed: int = 0,
         clock: Callable[[], float] = time.monotonic,
-        local: str = "",
+        local_address: str = "",
     ):
-        """Raises SettingsError if the addresses or the TLS files cannot be used."""
-        self.settings, self.counters, self.clock = settings, counters, clock
-        self.tell, self.turned, self.local = tell, turned, local
-        self.places, self.tls = settings.places(), context(settings.tls, PROTOCOLS[settings.kind])
-        self.kind = session_kind(settings.kind)
-        self.ledger, random = Ledger(names), Random(seed)
-        self.follower = f.Follower(
-            len(self.places),
-            self.ledger,
+        """Build the source; nothing is requested before `start`.
+
+        Args:
+            settings: The registry's settings.
+            names: The names that records use for zones and kinds.
+            counters: Counts what happens.
+            publish: Called with each update, once and in order.
+            on_freshness_change: Called with whether the list is confirmed, when that has changed.
+            seed: Seeds all random delays.
+            clock: A monotonic clock, in s.
+            local_address: The address that connections bind; empty for the system's choice.
+
+        Raises:
+            RegistrySettingsError: The addresses or the TLS files can't be used.
+        """
+        self.settings = settings
+        self.counters = counters
+        self.publish = publish
+        self.clock = clock
+        self.local_address = local_address
+        self.addresses = settings.member_addresses()
+        self.ssl_context = create_ssl_context(settings.tls, ALPN_PROTOCOLS[settings.kind])
+        self.session_class = load_session_class(settings.kind)
+        self.table = EndpointTable(names)
+        random = Random(seed)
+        self.watcher = f.Follower(
+            len(self.addresses),
+            self.table,
             random=random,
             pace=f.Pace(fresh=settings.fresh),
-            place=random.randrange(len(self.places)),
-        )  # not all begin with the same member
+            place=random.randrange(len(self.addresses)),  # instances begin with different members
+        )
         self.sessions: dict[int, Session] = {}
-        self.ending: set[asyncio.Task] = set()
+        self.closing_tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
-        self.told = 0  # changes
-        self.was_fresh, self.stale_since = False, clock()
-        self.promise_was = self.follower.promise.state
-        self.snapshot: Snapshot | None = None
-        self.kept_at, self.dirty = -KEEP_EVERY, False
-        self.stopped = False
+        self.update_count = 0
+        self.freshness = FreshnessReporter(self.watcher, counters, on_freshness_change, clock())
+        self.snapshots: SnapshotWriter | None = None
+        self.is_stopped = False
 
-    # --- as a source ----------------------------------------------------------------------------------------
+    # --- The interface of a source ---
 
     def start(self) -> None:
-        now = self.stale_since = self.clock()
+        """Start from the snapshot, if there is one, and connect."""
+        now = self.clock()
+        self.freshness.start(now)
         if self.settings.snapshot:
-            self._open_snapshot()
-        self._do(self.follower.ticked(now))
+            self._load_snapshot()
+        self._execute(self.watcher.ticked(now))
 
     def is_fresh(self) -> bool:
-        """Asked before each attempt: also after a loop that stood still it is the truth."""
-        return self.follower.fresh(self.clock())
+        """Return whether the list is confirmed as of now; true also after an event loop that stood still."""
+        return self.watcher.fresh(self.clock())
 
-    def allowed(self) -> bool:
-        """Whether new work may go out."""
+    def may_start_work(self) -> bool:
+        """Return whether new work may be sent to listed engines."""
         return self.settings.on_stale == "serve" or self.is_fresh()
 
-    def reconfigure(self, to: RegistrySettings) -> None:
-        """Other addresses and credentials; list, revision and promise stay. Raises SettingsError."""
-        places, tls = to.places(), context(to.tls, PROTOCOLS[self.settings.kind])
-        fixed = {key: getattr(self.settings, key) for key in ("kind", "prefix", "fresh", "snapshot")}
-        changed = [key for key, value in fixed.items() if getattr(to, key) != value]
+    def reconfigure(self, target: RegistrySettings) -> None:
+        """Use other addresses and credentials; the list, its revision and its freshness stay.
+
+        Raises:
+            RegistrySettingsError: The addresses or the TLS files can't be used; nothing has changed.
+        """
+        addresses = target.member_addresses()
+        ssl_context = create_ssl_context(target.tls, ALPN_PROTOCOLS[self.settings.kind])
+        fixed = {key: getattr(self.settings, key) for key in FIXED_SETTINGS}
+        changed = [key for key, value in fixed.items() if getattr(target, key) != value]
         if changed:
             log_event("registry", f"takes effect at the next start only: {', '.join(changed)}")
-        self.settings = msgspec.structs.replace(to, **fixed)
-        self.places, self.tls = places, tls
-        self._do(self.follower.moved(self.clock(), len(places)))
-
-    def note(self) -> None:
-        """Figures of the list that are worked out only when they are asked for."""
-        members = self.ledger.members()
-        self.counters["registry_revision"] = self.follower.revision
-        self.counters["registry_members"] = len(members)
-        self.counters["registry_digest"] = digest(members)
+        self.settings = msgspec.structs.replace(target, **fixed)
+        self.addresses = addresses
+        self.ssl_context = ssl_context
+        self._execute(self.watcher.moved(self.clock(), len(addresses)))
+
+    def update_list_counters(self) -> None:
+        """Set the counters that describe the list, which are worked out only when they are wanted."""
+        endpoints = self.table.endpoints()
+        self.counters["registry_revision"] = self.watcher.revision
+        self.counters["registry_members"] = len(endpoints)
+        self.counters["registry_digest"] = endpoints_digest(endpoints)
 
     async def stop(self) -> None:
-        self.stopped = True
+        """Close all sessions and save the snapshot."""
+        self.is_stopped = True
         if self.timer is not None:
             self.timer.cancel()
-        self._end_sessions(set())
-        await asyncio.gather(*self.ending, return_exceptions=True)
-        if self.snapshot is not None:
-            self._keep(self.clock(), last=True)
-            self.snapshot.close()
+        self._close_sessions_except(set())
+        await asyncio.gather(*self.closing_tasks, return_exceptions=True)
+        if self.snapshots is not None:
+            self.snapshots.save(self.clock(), self.watcher.revision)
+            self.snapshots.store.close()
 
-    # --- what sessions tell ---------------------------------------------------------------------------------
+    # --- The listener of sessions ---
 
-    def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None:
-        self._do(self.follower.connected(self.clock(), number, asked, revision, cluster))
+    def on_connected(self, session_id: int, requested_at: float, revision: int, cluster_id: int = 0) -> None:
+        """Handle the first response of a session."""
+        now = self.clock()
+        self._execute(self.watcher.connected(now, session_id, requested_at, revision, cluster_id))
 
-    def declined(self, number: int, after: float, watch: bool) -> None:
-        self._do(self.follower.declined(self.clock(), number, after, watch))
+    def on_throttled(self, session_id: int, retry_after: float, is_watch: bool) -> None:
+        """Handle a request that was rejected because of the member's load."""
+        self._execute(self.watcher.declined(self.clock(), session_id, retry_after, is_watch))
 
-    def lost(self, number: int, why: str, refused: bool = False) -> None:
-        if number in self.sessions:
-            log_event("registry", f"{self._where(number)}: {why}")
-        self._do(self.follower.lost(self.clock(), number, refused))
+    def on_disconnected(self, session_id: int, reason: str, credentials_rejected: bool = False) -> None:
+        """Handle the end of a session."""
+        if session_id in self.sessions:
+            log_event("registry", f"{self._member_name(session_id)}: {reason}")
+        self._execute(self.watcher.lost(self.clock(), session_id, credentials_rejected))
 
-    def whole(
-        self, number: int, asked: float, revision: int, records: Iterable[tuple[str, int, bytes]]
+    def on_snapshot(
+        self, session_id: int, requested_at: float, revision: int, records: Iterable[KeyValuePair]
     ) -> None:
-        self._do(self.follower.whole(self.clock(), number, asked, revision, records))
+        """Handle all keys as of one revision."""
+        self._execute(self.watcher.whole(self.clock(), session_id, requested_at, revision, records))
 
-    def events(self, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]) -> None:
-        self._do(self.follower.events(self.clock(), number, revision, events))
+    def on_events(self, session_id: int, revision: int, events: Iterable[KeyValueEvent]) -> None:
+        """Handle what a watch delivers."""
+        self._execute(self.watcher.events(self.clock(), session_id, revision, events))
 
-    def answered(self, number: int, asked: float, revision: int) -> None:
-        self._do(self.follower.answered(self.clock(), number, asked, revision))
-
-    def compacted(self, number: int) -> None:
-        log_event(
-            "registry", f"{self._where(number)}: compacted behind {self.follower.revision}, all is read anew"
-        )
-        self._do(self.follower.compacted(self.clock(), number))
+    def on_revision(self, session_id: int, requested_at: float, revision: int) -> None:
+        """Handle the response to a poll."""
+        self._execute(self.watcher.answered(self.clock(), session_id, requested_at, revision))
 
-    # --- inside ---------------------------------------------------------------------------------------------
+    def on_compacted(self, session_id: int) -> None:
+        """Handle a watch whose next events are no longer stored."""
+        member = self._member_name(session_id)
+        log_event("registry", f"{member}: compacted behind {self.watcher.revision}, all is read anew")
+        self._execute(self.watcher.compacted(self.clock(), session_id))
 
-    def _where(self, number: int) -> str:
-        host, port = self.sessions[number].address
-        return f"{host}:{port}"
+    # --- Execution of the watcher's commands ---
 
-    def _do(self, commands: list[f.Command]) -> None:
-        if self.stopped:
+    def _execute(self, commands: list[f.Command]) -> None:
+        if self.is_stopped:
             return
         for command in commands:
-            match command:
-                case f.Connect(session=number, place=place):
-                    self._connect(number, place)
-                case f.Greet(session=number):
-                    self.sessions[number].open()
-                case f.ReadAll(session=number):
-                    self.sessions[number].read_all()
-                case f.Watch(session=number, start=start):
-                    self.sessions[number].watch(start, self._known)
-                case f.Ask(session=number, asked=asked):
-                    self.sessions[number].ask(asked)
-                case f.Progress(session=number):
-                    self.sessions[number].progress()
-                case f.Tell(entries=entries, whole=whole):
-                    self.told += 1
-                    self.dirty = True
-                    self.tell(EndpointUpdate(self.told, whole, tuple(entry.member for entry in entries)))
-        self._end_sessions(self.follower.open)
-        self._look()
-
-    def _known(self) -> dict[str, tuple[int, bytes]]:
-        """What was told so far, by key, with the revision and the value of each."""
-        return {key: (0, b"") for key in self.ledger.bad} | {
-            entry.key: (entry.revision, entry.value) for entry in self.ledger.entries.values()
-        }
-
-    def _connect(self, number: int, place: int) -> None:
-        session = self.sessions[number] = self.kind(
-            number, self.places[place], self.settings, self.tls, self, self.clock, self.local
+            self._execute_command(command)
+        self._close_sessions_except(self.watcher.open)
+        self._refresh()
+
+    def _execute_command(self, command: f.Command) -> None:
+        match command:
+            case f.Connect(session=session_id, place=member_index):
+                self._open_session(session_id, member_index)
+            case f.Greet(session=session_id):
+                self.sessions[session_id].handshake()
+            case f.ReadAll(session=session_id):
+                self.sessions[session_id].read_all()
+            case f.Watch(session=session_id, start=start_revision):
+                self.sessions[session_id].watch(start_revision, self._known_pairs)
+            case f.Ask(session=session_id, asked=requested_at):
+                self.sessions[session_id].poll_revision(requested_at)
+            case f.Progress(session=session_id):
+                self.sessions[session_id].request_progress()
+            case f.Tell(entries=entries, whole=is_full):
+                self._publish(entries, is_full)
+
+    def _publish(self, entries: tuple[TableEntry, ...], is_full: bool) -> None:
+        self.update_count += 1
+        if self.snapshots is not None:
+            self.snapshots.mark_changed()
+        endpoints = tuple(entry.endpoint for entry in entries)
+        self.publish(EndpointUpdate(self.update_count, is_full, endpoints))
+
+    def _known_pairs(self) -> PairsByKey:
+        """Return the published list by key; keys whose value can't be used have revision 0."""
+        pairs = {key: KeyValuePair(key, 0, b"") for key in self.table.invalid}
+        for pair in self.table.pairs():
+            pairs[pair.key] = pair
+        return pairs
+
+    def _open_session(self, session_id: int, member_index: int) -> None:
+        session = self.session_class(
+            session_id,
+            self.addresses[member_index],
+            self.settings,
+            self.ssl_context,
+            self,
+            self.clock,
+            self.local_address,
         )
-        session.open()
+        self.sessions[session_id] = session
+        session.handshake()
+
+    def _close_sessions_except(self, open_ids: set[int]) -> None:
+        for session_id in self.sessions.keys() - open_ids:
+            task = asyncio.create_task(self.sessions.pop(session_id).close())
+            self.closing_tasks.add(task)
+            task.add_done_callback(self.closing_tasks.discard)
 
-    def _end_sessions(self, but: set[int]) -> None:
-        for number in self.sessions.keys() - but:
-            task = asyncio.create_task(self.sessions.pop(number).close())
-            self.ending.add(task)
-            task.add_done_callback(self.ending.discard)
+    def _member_name(self, session_id: int) -> str:
+        host, port = self.sessions[session_id].address
+        return f"{host}:{port}"
 
-    def _look(self) -> None:
-        """Counts, the turn of the promise, the snapshot, and when to look again."""
+    def _refresh(self) -> None:
+        """Update counters, freshness and the snapshot after commands, and set the timer."""
         now = self.clock()
-        for name, count in vars(self.follower.figures).items():
+        for name, count in vars(self.watcher.figures).items():
             self.counters[f"registry_{name}"] = count
-        self.counters["registry_bad_records"] = self.ledger.bad_seen
-        fresh = self.follower.fresh(now)
-        if self.follower.promise.state is not self.promise_was:
-            self._say_promise()
-        if fresh != self.was_fresh:
-            self._turn(fresh, now)
-        if self.snapshot is not None and fresh:
-            self._keep(now)
-        due = self.follower.next_look(now)
-        if fresh:
-            due = min(due, self.follower.confirmed + self.settings.fresh + 0.001)
+        self.counters["registry_bad_records"] = self.table.invalid_count
+        is_fresh = self.freshness.update(now, self.settings.on_stale)
+        if self.snapshots is not None and is_fresh:
+            self.snapshots.save_if_due(now, self.watcher.revision)
+        self._set_timer(now, is_fresh)
+
+    def _set_timer(self, now: float, is_fresh: bool) -> None:
+        due_at = self.watcher.next_look(now)
+        if is_fresh:
+            stale_at = self.watcher.confirmed + self.settings.fresh
+            due_at = min(due_at, stale_at + STALENESS_CHECK_MARGIN_SECONDS)
         if self.timer is not None:
             self.timer.cancel()
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(max(0.0, due - now), self._tick)
-
-    def _tick(self) -> None:
-        self._do(self.follower.ticked(self.clock()))
-
-    def _say_promise(self) -> None:
-        """Once for each time that the promise is given up, with figures; and when it is kept again."""
-        former, self.promise_was = self.promise_was, self.follower.promise.state
-        pace, latency = self.follower.pace, self.follower.latency
-        if former is Kept.KEPT:
-            log_event(
-                "promise",
-                f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
-                f"reads a second, answered within {self.follower.promise.room * 1000:.0f} ms; they take "
-                f"{latency.mean * 1000:.0f} ms, {self.follower.figures.declined} were refused so far. "
-                f"on_stale is {self.settings.on_stale!r} until it can",
-            )
-        elif self.promise_was is Kept.KEPT:
-            log_event("promise", f"{pace.fresh:g} s is kept again")
-
-    def _turn(self, fresh: bool, now: float) -> None:
-        if fresh:
-            stale = now - self.stale_since
-            self.counters["registry_stale_ms"] += int(stale * 1000)
-            log_event("registry", f"confirmed at revision {self.follower.revision}, after {stale:.3f} s")
-            emit_event("list", confirmed=True, revision=self.follower.revision, stale=round(stale, 3))
-        else:
-            self.counters["registry_stale"] += 1
-            self.stale_since = now
-            log_event("registry", f"the list is not confirmed, on_stale is {self.settings.on_stale!r}")
-            emit_event("list", confirmed=False)
-        self.was_fresh = fresh
-        self.turned(fresh)
-
-    def _open_snapshot(self) -> None:
-        name = f"{self.settings.kind}:{self.settings.prefix}"
+        self.timer = loop.call_later(max(0.0, due_at - now), self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._execute(self.watcher.ticked(self.clock()))
+
+    def _load_snapshot(self) -> None:
+        """Publish the list of the snapshot, which is not confirmed."""
+        registry = f"{self.settings.kind}:{self.settings.prefix}"
         try:
-            self.snapshot = Snapshot(self.settings.snapshot, name)
-            kept = self.snapshot.load()
+            store = SnapshotStore(self.settings.snapshot, registry)
+            self.snapshots = SnapshotWriter(store, self.table.pairs)
+            stored = store.load()
         except SnapshotError as error:
             self.counters["registry_snapshot_bad"] += 1
             log_event("registry", f"the snapshot is ignored: {error}")
             return
-        if kept is not None:
+        if stored is not None:
             self.counters["registry_snapshot_used"] += 1
-            log_event("registry", f"starts from the snapshot of revision {kept.revision}, not confirmed")
-            self._do(self.follower.restore(kept.revision, kept.records))
-
-    def _keep(self, now: float, last: bool = False) -> None:
-        if not self.dirty or not self.follower.revision or (now - self.kept_at < KEEP_EVERY and not last):
-            return
-        self.kept_at, self.dirty = now, False
-        try:
-            self.snapshot.keep(
-                self.follower.revision,
-                [(entry.key, entry.revision, entry.value) for entry in self.ledger.entries.values()],
-            )
-        except SnapshotError as error:
-            log_event("registry", f"the snapshot was not written: {error}")
+            log_event("registry", f"starts from the snapshot of revision {stored.revision}, not confirmed")
+            self._execute(self.watcher.restore(stored.revision, stored.records))
--- /dev/null
+++ b/applevale/discovery/registry/tls.py
@@ -0,0 +1,25 @@
+"""TLS of the connections to a registry."""
+
+from __future__ import annotations
+
+import ssl
+
+from .settings import RegistrySettingsError, TlsSettings
+
+
+def create_ssl_context(tls: TlsSettings | None, alpn_protocol: str) -> ssl.SSLContext | None:
+    """Return the context for a client's connections; None for plain TCP.
+
+    Raises:
+        RegistrySettingsError: A file can't be used.
+    """
+    if tls is None:
+        return None
+    try:
+        context = ssl.create_default_context(cafile=tls.ca)
+        context.set_alpn_protocols([alpn_protocol])
+        if tls.cert:
+            context.load_cert_chain(tls.cert, tls.key)
+    except (OSError, ssl.SSLError) as error:
+        raise RegistrySettingsError(f"registry.tls: {error}") from None
+    return context
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -34,7 +34,7 @@
 from ...startup.adaptive_backoff import Line
 from ...startup.latency import Latency
 from ...startup.staleness_guard import Kept, Promise
-from .records import Entry, Ledger
+from .endpoint_table import EndpointTable, TableEntry
 
 # --- commands -----------------------------------------------------------------------------------------------
 
@@ -87,7 +87,7 @@
 class Tell:
     """What has changed in the list."""
 
-    entries: tuple[Entry, ...]
+    entries: tuple[TableEntry, ...]
     whole: bool
 
 
@@ -170,7 +170,7 @@
 @dataclass
 class Follower:
     members: int  # how many addresses there are
-    ledger: Ledger
+    ledger: EndpointTable
     resumable: bool = True  # whether a watch can go on behind a list of a former session
     pace: Pace = field(default_factory=Pace)
     random: Random = field(default_factory=lambda: Random(0))
@@ -441,7 +441,7 @@
         return self.session if self.session is not None and self.session.number == number else None
 
     @staticmethod
-    def _told_so_far(found: list[Entry]) -> list[Command]:
+    def _told_so_far(found: list[TableEntry]) -> list[Command]:
         return [Tell(tuple(found), whole=False)] if found else []
 
     def _begin(self, now: float) -> Session:
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -18,8 +18,10 @@
 
 from ..api import State
 from ..discovery.endpoints import AttributeNames
+from ..discovery.registry.endpoint_table import EndpointTable, endpoints_digest
+from ..discovery.registry.key_values import KeyValuePair
 from ..discovery.registry.messages import range_end
-from ..discovery.registry.records import Ledger, RecordError, digest, read_record
+from ..discovery.registry.records import RecordError, read_record
 from ..fakes import consul, etcd
 from ..fakes.clients import Clients
 from ..fakes.engine import StandinEngine
@@ -290,13 +292,13 @@
     async def quiet(self) -> None:
         """All failures end; the program's list must become the registry's, and is the next backup."""
         self.heal()
-        ledger = Ledger(NAMES)
+        table = EndpointTable(NAMES)
         start = PREFIX.encode()
-        ledger.replace(
-            (version.key.decode(), version.revision, version.value)
+        table.replace(
+            KeyValuePair(version.key.decode(), version.revision, version.value)
             for version in self.store.under(start, range_end(start))
         )
-        wanted = digest(ledger.members())
+        wanted = endpoints_digest(table.endpoints())
         loop = asyncio.get_running_loop()
         end = loop.time() + QUIET
         while (shown := await self.program.counters()).get("registry_digest") != wanted or not (
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -138,7 +138,7 @@
             self.config, self.counters, self.apply_update, self.on_staleness_change
         )
         if source is not None:
-            self.pool.allowed = source.allowed
+            self.pool.allowed = source.may_start_work
             self.on_staleness_change(False)
         return source
 
@@ -217,7 +217,7 @@
     def dump_counters(self) -> None:
         """Log all counters."""
         if self.registry is not None:
-            self.registry.note()
+            self.registry.update_list_counters()
         if self.membership is not None:
             self.membership.show()
         self.counters.dump()
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -114,5 +114,5 @@
         on_update,
         on_staleness_change,
         config.seed,
-        local=config.local,
+        local_address=config.local,
     )
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -12,7 +12,7 @@
 from applevale import api
 from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry import watcher as f
-from applevale.discovery.registry.records import Ledger
+from applevale.discovery.registry.endpoint_table import EndpointTable
 
 NAMES = AttributeNames(("a", "b"), ("std",))
 
@@ -33,7 +33,7 @@
     tells: int = 0
 
     def __post_init__(self):
-        self.it = f.Follower(self.members, Ledger(NAMES), resumable=self.resumable)
+        self.it = f.Follower(self.members, EndpointTable(NAMES), resumable=self.resumable)
 
     def do(self, commands):
         for tell in [one for one in commands if isinstance(one, f.Tell)]:
@@ -41,7 +41,7 @@
             if tell.whole:
                 self.engines.clear()
             for entry in tell.entries:
-                number, state = entry.member.entry.engine, entry.member.entry.state
+                number, state = entry.endpoint.entry.engine, entry.endpoint.entry.state
                 self.engines[number] = state.value
                 if state is api.State.GONE:
                     del self.engines[number]
@@ -446,9 +446,9 @@
 def test_a_value_that_cannot_be_used_leaves_the_last_good_record(value):
     play = watching()
     play.events(11, ("k1", 11, value), ("k3", 11, value))
-    assert play.engines == {1: "ready", 2: "ready"} and set(play.it.ledger.bad) == {"k1", "k3"}
+    assert play.engines == {1: "ready", 2: "ready"} and set(play.it.ledger.invalid) == {"k1", "k3"}
     play.events(12, ("k1", 12, record(1, "draining")))
-    assert play.engines[1] == "draining" and set(play.it.ledger.bad) == {"k3"}
+    assert play.engines[1] == "draining" and set(play.it.ledger.invalid) == {"k3"}
     play.do(play.it.compacted(play.now, play.number))
     play.whole(13, k1=value, k2=record(2))
     assert play.engines == {1: "draining", 2: "ready"}
@@ -457,7 +457,7 @@
 def test_yaml_is_read_and_unknown_fields_are_passed_over():
     play = watching()
     play.events(11, ("k1", 11, b"id: s-00000001\naddress: 10.0.0.1:7001\nstate: draining\nzone: b\nby: x\n"))
-    assert play.engines[1] == "draining" and play.it.ledger.entries["k1"].member.entry.zone == 1
+    assert play.engines[1] == "draining" and play.it.ledger.entries["k1"].endpoint.entry.zone == 1
 
 
 def test_one_engine_under_two_keys_is_the_later_and_outlives_the_loss_of_one():
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -11,7 +11,7 @@
 
 from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry import settings as registry_settings
-from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
+from applevale.discovery.registry.snapshot import SnapshotError, SnapshotStore
 from applevale.discovery.registry.source import RegistrySource
 from applevale.fakes import consul, etcd
 from applevale.fakes.gate import Gate, Mode
@@ -76,7 +76,7 @@
     async def agreed(self):
         """Until the list is confirmed at the registry's own revision."""
         await self.until(
-            lambda: self.source.is_fresh() and self.source.follower.revision == self.store.revision
+            lambda: self.source.is_fresh() and self.source.watcher.revision == self.store.revision
         )
 
 
@@ -119,7 +119,7 @@
         it.put(2, "draining")
         it.store.compact()
         await it.until(lambda: not it.source.is_fresh())
-        assert it.list == {1: "ready", 2: "ready"} and not it.source.allowed()
+        assert it.list == {1: "ready", 2: "ready"} and not it.source.may_start_work()
         for gate in it.gates:
             gate.set(Mode.PASS)
         await it.agreed()
@@ -146,7 +146,7 @@
 def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
     async def play(it):
         for member in it.members:
-            member.mute = it.source.follower.place == it.members.index(member)
+            member.mute = it.source.watcher.place == it.members.index(member)
         it.put(1, "draining")
         await it.agreed()
         assert it.list[1] == "draining" and it.counters["registry_stalls"] == 1
@@ -161,8 +161,8 @@
         old = it.store.copy()
         it.put(1, "draining")
         await it.agreed()
-        it.members[it.source.follower.place].lag = old
-        it.gates[it.source.follower.place].cut()
+        it.members[it.source.watcher.place].lag = old
+        it.gates[it.source.watcher.place].cut()
         it.put(2, "draining")
         await it.agreed()
         assert it.list == {1: "draining", 2: "draining"}
@@ -196,7 +196,7 @@
             member.declining = None
         it.put(1, "draining")
         await it.agreed()
-        assert it.list[1] == "draining" and it.source.follower.sessions == 1
+        assert it.list[1] == "draining" and it.source.watcher.sessions == 1
         assert it.counters["registry_full_reads"] == 1 and it.counters["registry_breaks"] == 0
 
     played(play, "consul")
@@ -356,21 +356,21 @@
 
 def test_a_torn_a_foreign_and_no_snapshot_are_told_apart(tmp_path):
     folder = str(tmp_path / "kept")
-    kept = Snapshot(folder, "etcd:p/")
+    kept = SnapshotStore(folder, "etcd:p/")
     assert kept.load() is None
-    kept.keep(5, [("p/1", 5, record(1))])
+    kept.save(5, [("p/1", 5, record(1))])
     assert kept.load().revision == 5
     kept.registry = "etcd:q/"
     with pytest.raises(SnapshotError, match="q/"):
         kept.load()
-    with kept.store.begin(write=True) as transaction:
+    with kept.environment.begin(write=True) as transaction:
         transaction.put(b"list", transaction.get(b"list")[:-1])
     with pytest.raises(SnapshotError, match="torn"):
         kept.load()
     kept.close()
     (tmp_path / "file").write_text("no folder")
     with pytest.raises(SnapshotError, match="file"):
-        Snapshot(str(tmp_path / "file"), "etcd:p/")
+        SnapshotStore(str(tmp_path / "file"), "etcd:p/")
 
 
 @pytest.mark.parametrize(
@@ -389,7 +389,7 @@
     ],
 )
 def test_settings_that_cannot_be_used_name_their_key(change, key):
-    with pytest.raises(registry_settings.SettingsError, match=key):
+    with pytest.raises(registry_settings.RegistrySettingsError, match=key):
         registry_settings.read_settings({"kind": "etcd", "addresses": ["h:1"]} | change)
 
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -7,7 +7,7 @@
 from applevale.checkers.history import most_in
 from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry import watcher as f
-from applevale.discovery.registry.records import Ledger
+from applevale.discovery.registry.endpoint_table import EndpointTable
 from applevale.startup.adaptive_backoff import Line
 from applevale.startup.connect_schedule import Ramp
 from applevale.startup.latency import Latency
@@ -126,7 +126,7 @@
     differs between them is their random numbers alone."""
     back, found = 100.0 + away, []
     for number in range(count):
-        it = f.Follower(3, Ledger(AttributeNames(("a",), ("std",))), random=random(number))
+        it = f.Follower(3, EndpointTable(AttributeNames(("a",), ("std",))), random=random(number))
         it.revision, it.promise.proved = 10, True
         now, commands = 100.0, it.ticked(100.0)
         for _ in range(1000):
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -20,7 +20,7 @@
 from applevale.admin.routes import answer
 from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry.records import read_record
-from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
+from applevale.discovery.registry.snapshot import SnapshotError, SnapshotStore
 from applevale.fault_injection import schedule as faults
 from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.gossip.load_reports import News
@@ -169,8 +169,8 @@
 
 
 def test_a_registry_snapshot_is_written_as_before(tmp_path):
-    store = Snapshot(str(tmp_path), REGISTRY)
-    store.keep(42, iter(REGISTRY_RECORDS))
+    store = SnapshotStore(str(tmp_path), REGISTRY)
+    store.save(42, iter(REGISTRY_RECORDS))
     store.close()
     assert raw_snapshot(tmp_path).hex() == STORED["registry_snapshot"]
 
@@ -178,7 +178,7 @@
 def test_a_stored_registry_snapshot_is_read(tmp_path):
     with lmdb.open(str(tmp_path)) as written, written.begin(write=True) as transaction:
         transaction.put(b"list", bytes.fromhex(STORED["registry_snapshot"]))
-    store = Snapshot(str(tmp_path), REGISTRY)
+    store = SnapshotStore(str(tmp_path), REGISTRY)
     kept = store.load()
     store.close()
     assert (kept.revision, [tuple(one) for one in kept.records]) == (42, REGISTRY_RECORDS)
@@ -187,7 +187,7 @@
 def test_a_stored_snapshot_of_another_registry_is_refused(tmp_path):
     with lmdb.open(str(tmp_path)) as written, written.begin(write=True) as transaction:
         transaction.put(b"list", bytes.fromhex(STORED["registry_snapshot"]))
-    store = Snapshot(str(tmp_path), REGISTRY + "other/")
+    store = SnapshotStore(str(tmp_path), REGISTRY + "other/")
     with pytest.raises(SnapshotError):
         store.load()
     store.close()
