--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -17,11 +17,10 @@
 from .freshness import FreshnessReporter
 from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
 from .session import Session
+from .session_pool import SessionPool
 from .settings import RegistrySettings
 from .snapshot import SnapshotError, SnapshotStore, SnapshotWriter
-from .tls import create_ssl_context
 
-ALPN_PROTOCOLS = {"etcd": "h2", "consul": "http/1.1"}
 FIXED_SETTINGS = ("kind", "prefix", "fresh", "snapshot")  # those that a reload can't change
 STALENESS_CHECK_MARGIN_SECONDS = 0.001  # behind the time at which the list turns stale
 
@@ -78,21 +77,18 @@
         self.counters = counters
         self.publish = publish
         self.clock = clock
-        self.local_address = local_address
-        self.addresses = settings.member_addresses()
-        self.ssl_context = create_ssl_context(settings.tls, ALPN_PROTOCOLS[settings.kind])
-        self.session_class = load_session_class(settings.kind)
+        session_class = load_session_class(settings.kind)
+        self.sessions = SessionPool(settings, session_class, self, clock, local_address)
         self.table = EndpointTable(names)
         random = Random(seed)
+        member_count = len(self.sessions.addresses)
         self.watcher = f.Follower(
-            len(self.addresses),
+            member_count,
             self.table,
             random=random,
             pace=f.Pace(fresh=settings.fresh),
-            place=random.randrange(len(self.addresses)),  # instances begin with different members
+            place=random.randrange(member_count),  # instances begin with different members
         )
-        self.sessions: dict[int, Session] = {}
-        self.closing_tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.update_count = 0
         self.freshness = FreshnessReporter(self.watcher, counters, on_freshness_change, clock())
@@ -123,16 +119,14 @@
         Raises:
             RegistrySettingsError: The addresses or the TLS files can't be used; nothing has changed.
         """
-        addresses = target.member_addresses()
-        ssl_context = create_ssl_context(target.tls, ALPN_PROTOCOLS[self.settings.kind])
         fixed = {key: getattr(self.settings, key) for key in FIXED_SETTINGS}
         changed = [key for key, value in fixed.items() if getattr(target, key) != value]
+        settings = msgspec.structs.replace(target, **fixed)
+        self.sessions.configure(settings)
+        self.settings = settings
         if changed:
             log_event("registry", f"takes effect at the next start only: {', '.join(changed)}")
-        self.settings = msgspec.structs.replace(target, **fixed)
-        self.addresses = addresses
-        self.ssl_context = ssl_context
-        self._execute(self.watcher.moved(self.clock(), len(addresses)))
+        self._execute(self.watcher.moved(self.clock(), len(self.sessions.addresses)))
 
     def update_list_counters(self) -> None:
         """Set the counters that describe the list, which are worked out only when they are wanted."""
@@ -146,8 +140,7 @@
         self.is_stopped = True
         if self.timer is not None:
             self.timer.cancel()
-        self._close_sessions_except(set())
-        await asyncio.gather(*self.closing_tasks, return_exceptions=True)
+        await self.sessions.close()
         if self.snapshots is not None:
             self.snapshots.save(self.clock(), self.watcher.revision)
             self.snapshots.store.close()
@@ -166,7 +159,7 @@
     def on_disconnected(self, session_id: int, reason: str, credentials_rejected: bool = False) -> None:
         """Handle the end of a session."""
         if session_id in self.sessions:
-            log_event("registry", f"{self._member_name(session_id)}: {reason}")
+            log_event("registry", f"{self.sessions.member_name(session_id)}: {reason}")
         self._execute(self.watcher.lost(self.clock(), session_id, credentials_rejected))
 
     def on_snapshot(
@@ -185,7 +178,7 @@
 
     def on_compacted(self, session_id: int) -> None:
         """Handle a watch whose next events are no longer stored."""
-        member = self._member_name(session_id)
+        member = self.sessions.member_name(session_id)
         log_event("registry", f"{member}: compacted behind {self.watcher.revision}, all is read anew")
         self._execute(self.watcher.compacted(self.clock(), session_id))
 
@@ -196,13 +189,13 @@
             return
         for command in commands:
             self._execute_command(command)
-        self._close_sessions_except(self.watcher.open)
+        self.sessions.close_except(self.watcher.open)
         self._refresh()
 
     def _execute_command(self, command: f.Command) -> None:
         match command:
             case f.Connect(session=session_id, place=member_index):
-                self._open_session(session_id, member_index)
+                self.sessions.open(session_id, member_index)
             case f.Greet(session=session_id):
                 self.sessions[session_id].handshake()
             case f.ReadAll(session=session_id):
@@ -230,29 +223,6 @@
             pairs[pair.key] = pair
         return pairs
 
-    def _open_session(self, session_id: int, member_index: int) -> None:
-        session = self.session_class(
-            session_id,
-            self.addresses[member_index],
-            self.settings,
-            self.ssl_context,
-            self,
-            self.clock,
-            self.local_address,
-        )
-        self.sessions[session_id] = session
-        session.handshake()
-
-    def _close_sessions_except(self, open_ids: set[int]) -> None:
-        for session_id in self.sessions.keys() - open_ids:
-            task = asyncio.create_task(self.sessions.pop(session_id).close())
-            self.closing_tasks.add(task)
-            task.add_done_callback(self.closing_tasks.discard)
-
-    def _member_name(self, session_id: int) -> str:
-        host, port = self.sessions[session_id].address
-        return f"{host}:{port}"
-
     def _refresh(self) -> None:
         """Update counters, freshness and the snapshot after commands, and set the timer."""
         now = self.clock()
