Discovery: docstrings of constructors; tests of the registry source by plain names

Cause: constructors of the package had no docstring; the tests' fixture had names of the earlier style.

Change: docstrings as ruff's D rules with the Google convention want them in all files of the package but watcher.py; Around, around, played, told, turned, until, agreed, begin -> RegistryEnvironment, running_environment, run_scenario, on_update, on_freshness_change, wait_until, wait_until_current, start_source. No case or assertion changed.

--- a/applevale/discovery/control_feed.py
+++ b/applevale/discovery/control_feed.py
@@ -40,6 +40,15 @@
         publish: Callable[[EndpointUpdate], None],
         address: tuple[str, int] | None = None,
     ):
+        """Build a client that `start` connects.
+
+        Args:
+            last_number: The number of the last update that is known already.
+            names: The names of zones and kinds, which records refer to by position.
+            counters: Counts frames, updates and breaks.
+            publish: Called with each update, once and in order.
+            address: Where the feed is; None for a list that doesn't change.
+        """
         self.last_number = last_number
         self.names = names
         self.counters = counters
--- a/applevale/discovery/feed_codec.py
+++ b/applevale/discovery/feed_codec.py
@@ -55,6 +55,7 @@
     """An incremental decoder of frames; it buffers one incomplete frame at most."""
 
     def __init__(self, names: AttributeNames):
+        """Build a decoder of one connection; records refer to `names` by position."""
         self.names = names
         self.buffer = bytearray()
 
--- a/applevale/discovery/gated_endpoints.py
+++ b/applevale/discovery/gated_endpoints.py
@@ -25,6 +25,7 @@
     """
 
     def __init__(self) -> None:
+        """Build an empty list, which is not stale."""
         self.entries: dict[int, api.EngineEntry] = {}
         self.is_stale = False
         self.ejected: set[int] = set()
--- a/applevale/discovery/registry/consul.py
+++ b/applevale/discovery/registry/consul.py
@@ -83,6 +83,17 @@
         clock: Callable[[], float],
         local_address: str = "",
     ):
+        """Build a session with an agent; see `Session` for the common parameters.
+
+        Args:
+            session_id: Identifies the session to the listener.
+            address: Host and port of the member.
+            settings: The registry's prefix and credentials.
+            ssl_context: The context for TLS; None for plain TCP.
+            listener: Receives all responses, and the end of the session.
+            clock: A monotonic clock, in s.
+            local_address: The address that connections bind; empty for the system's choice.
+        """
         super().__init__(session_id, address, listener, clock)
         self.local_address = local_address
         scheme = "https" if ssl_context else "http"
--- a/applevale/discovery/registry/endpoint_table.py
+++ b/applevale/discovery/registry/endpoint_table.py
@@ -46,6 +46,7 @@
     """
 
     def __init__(self, names: AttributeNames):
+        """Build an empty table; `names` are those that records use."""
         self.names = names
         self.entries: dict[str, TableEntry] = {}
         self.invalid: dict[str, str] = {}
--- a/applevale/discovery/registry/session.py
+++ b/applevale/discovery/registry/session.py
@@ -26,6 +26,7 @@
     """
 
     def __init__(self, retry_after: float = 0.0, is_watch: bool = False):
+        """Build the error of one request."""
         super().__init__("the member is throttling")
         self.retry_after = retry_after
         self.is_watch = is_watch
@@ -75,6 +76,14 @@
         listener: SessionListener,
         clock: Callable[[], float],
     ):
+        """Build a session that `handshake` connects.
+
+        Args:
+            session_id: Identifies the session to the listener.
+            address: Host and port of the member.
+            listener: Receives all responses, and the end of the session.
+            clock: A monotonic clock, in s.
+        """
         self.session_id = session_id
         self.address = address
         self.listener = listener
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -67,19 +67,19 @@
 
 
 def test_a_banned_engine_is_told_as_draining_whatever_the_feed_says_until_enabled():
-    held, ban = GatedEndpoints(), bans.Bans()
-    held.ejected = ban.banned
+    gated, ban = GatedEndpoints(), bans.Bans()
+    gated.ejected = ban.banned
     first = EndpointUpdate(1, True, (member(1), member(2)))
     ban.listed(first.endpoints)
-    held.apply_update(first)
+    gated.apply_update(first)
     engine = ban.find("s-00000002")
     assert engine == 2 and ban.find("127.0.0.1:7002") == 2 and ban.find("s-00000009") is None
     assert ban.say(engine, True, 1.0) and not ban.say(engine, True, 2.0)
-    assert held.present(engine).entries[0].state is api.State.DRAINING
-    again = held.apply_update(EndpointUpdate(2, False, (member(2),)))  # the feed lists it as ready again
+    assert gated.present(engine).entries[0].state is api.State.DRAINING
+    again = gated.apply_update(EndpointUpdate(2, False, (member(2),)))  # the feed lists it as ready again
     assert again.entries[0].state is api.State.DRAINING
     assert ban.say(engine, False, 3.0) and not ban.say(engine, False, 4.0)
-    assert held.present(engine).entries[0].state is api.State.READY
+    assert gated.present(engine).entries[0].state is api.State.READY
 
 
 def test_the_text_of_bans_is_read_back_whole_or_refused():
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -29,30 +29,30 @@
     return json.dumps({"id": f"s-{number:08x}", "address": f"127.0.0.1:{port}", "state": state}).encode()
 
 
-class Around:
-    """A source, its members behind gates, and the list that it has told."""
+class RegistryEnvironment:
+    """A registry source, its members behind proxies, and the list of engines that it has published."""
 
     def __init__(self, kind, **more):
         self.kind, self.store, self.more = kind, Store(), more
         self.members = [{"etcd": etcd, "consul": consul}[kind].Member(self.store) for _ in range(2)]
-        self.gates, self.counters, self.list, self.turns = [], Counters(), {}, []
+        self.gates, self.counters, self.engines, self.freshness_changes = [], Counters(), {}, []
         self.event = asyncio.Event()
         self.source = None
 
     def put(self, number, *state, **more):
         return self.store.put(f"{PREFIX}{number}".encode(), record(number, *state, **more))
 
-    def told(self, change):
-        if change.is_full:
-            self.list.clear()
-        for member in change.endpoints:
-            self.list[member.entry.engine] = member.entry.state.value
-            if member.entry.state.value == "gone":
-                del self.list[member.entry.engine]
+    def on_update(self, update):
+        if update.is_full:
+            self.engines.clear()
+        for endpoint in update.endpoints:
+            self.engines[endpoint.entry.engine] = endpoint.entry.state.value
+            if endpoint.entry.state.value == "gone":
+                del self.engines[endpoint.entry.engine]
         self.event.set()
 
-    def turned(self, fresh):
-        self.turns.append(fresh)
+    def on_freshness_change(self, is_fresh):
+        self.freshness_changes.append(is_fresh)
         self.event.set()
 
     def settings(self, gates=None, **more):
@@ -61,28 +61,30 @@
             {"kind": self.kind, "addresses": addresses, "prefix": PREFIX} | self.more | more
         )
 
-    def begin(self):
-        self.source = RegistrySource(self.settings(), NAMES, self.counters, self.told, self.turned, 1)
+    def start_source(self):
+        self.source = RegistrySource(
+            self.settings(), NAMES, self.counters, self.on_update, self.on_freshness_change, 1
+        )
         self.source.start()
 
-    async def until(self, true):
+    async def wait_until(self, condition):
         async with asyncio.timeout(BOUND):
-            while not true():
+            while not condition():
                 self.event.clear()
                 waiting = asyncio.create_task(self.event.wait())
                 await asyncio.wait({waiting}, timeout=0.02)
                 waiting.cancel()
 
-    async def agreed(self):
-        """Until the list is confirmed at the registry's own revision."""
-        await self.until(
+    async def wait_until_current(self):
+        """Wait until the list is confirmed at the registry's own revision."""
+        await self.wait_until(
             lambda: self.source.is_fresh() and self.source.watcher.revision == self.store.revision
         )
 
 
 @asynccontextmanager
-async def around(kind, **more):
-    it = Around(kind, **more)
+async def running_environment(kind, **more):
+    it = RegistryEnvironment(kind, **more)
     try:
         for member in it.members:
             await member.start()
@@ -91,8 +93,8 @@
             it.gates.append(gate)
         it.put(1)
         it.put(2)
-        it.begin()
-        await it.agreed()
+        it.start_source()
+        await it.wait_until_current()
         yield it
     finally:
         if it.source is not None:
@@ -101,9 +103,9 @@
             await part.stop()
 
 
-def played(play, kind, **more):
+def run_scenario(play, kind, **more):
     async def run():
-        async with around(kind, **more) as it:
+        async with running_environment(kind, **more) as it:
             await play(it)
 
     asyncio.run(run())
@@ -118,15 +120,15 @@
         it.store.delete(b"p/1")
         it.put(2, "draining")
         it.store.compact()
-        await it.until(lambda: not it.source.is_fresh())
-        assert it.list == {1: "ready", 2: "ready"} and not it.source.may_start_work()
+        await it.wait_until(lambda: not it.source.is_fresh())
+        assert it.engines == {1: "ready", 2: "ready"} and not it.source.may_start_work()
         for gate in it.gates:
             gate.set(Mode.PASS)
-        await it.agreed()
+        await it.wait_until_current()
         full = 2 if kind == "etcd" else 1  # a blocking read tells the whole list, against what is known
-        assert it.list == {2: "draining"} and it.counters["registry_full_reads"] == full
+        assert it.engines == {2: "draining"} and it.counters["registry_full_reads"] == full
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("mode", [Mode.HALF, Mode.GARBAGE])
@@ -136,11 +138,11 @@
         for gate in it.gates:
             gate.set(mode)
         it.put(1, "draining")
-        await it.until(lambda: it.counters["registry_breaks"] + it.counters["registry_stalls"] > 0)
-        await it.agreed()
-        assert it.list == {1: "draining", 2: "ready"}
+        await it.wait_until(lambda: it.counters["registry_breaks"] + it.counters["registry_stalls"] > 0)
+        await it.wait_until_current()
+        assert it.engines == {1: "draining", 2: "ready"}
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
@@ -148,11 +150,11 @@
         for member in it.members:
             member.mute = it.source.watcher.place == it.members.index(member)
         it.put(1, "draining")
-        await it.agreed()
-        assert it.list[1] == "draining" and it.counters["registry_stalls"] == 1
+        await it.wait_until_current()
+        assert it.engines[1] == "draining" and it.counters["registry_stalls"] == 1
         assert it.counters["registry_resumes"] == 1 and it.counters["registry_full_reads"] == 1
 
-    played(play, "etcd")
+    run_scenario(play, "etcd")
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -160,14 +162,14 @@
     async def play(it):
         old = it.store.copy()
         it.put(1, "draining")
-        await it.agreed()
+        await it.wait_until_current()
         it.members[it.source.watcher.place].lag = old
         it.gates[it.source.watcher.place].cut()
         it.put(2, "draining")
-        await it.agreed()
-        assert it.list == {1: "draining", 2: "draining"}
+        await it.wait_until_current()
+        assert it.engines == {1: "draining", 2: "draining"}
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("kind, cluster", [("etcd", 0), ("etcd", 7), ("consul", 0)])
@@ -176,14 +178,14 @@
         backup = it.store.copy()
         it.put(1, "draining")
         it.put(3)
-        await it.agreed()
+        await it.wait_until_current()
         it.store.restore(backup, cluster)
         for gate in it.gates:
             gate.cut()
-        await it.agreed()
-        assert it.list == {1: "ready", 2: "ready"} and it.counters["registry_restored"] == 1
+        await it.wait_until_current()
+        assert it.engines == {1: "ready", 2: "ready"} and it.counters["registry_restored"] == 1
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 def test_blocking_reads_refused_for_load_are_begun_anew_on_the_same_session():
@@ -191,15 +193,15 @@
         for member in it.members:
             member.declining = 1
         it.store.wake()
-        await it.until(lambda: it.counters["registry_declined"] >= 2 and not it.source.is_fresh())
+        await it.wait_until(lambda: it.counters["registry_declined"] >= 2 and not it.source.is_fresh())
         for member in it.members:
             member.declining = None
         it.put(1, "draining")
-        await it.agreed()
-        assert it.list[1] == "draining" and it.source.watcher.sessions == 1
+        await it.wait_until_current()
+        assert it.engines[1] == "draining" and it.source.watcher.sessions == 1
         assert it.counters["registry_full_reads"] == 1 and it.counters["registry_breaks"] == 0
 
-    played(play, "consul")
+    run_scenario(play, "consul")
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -209,15 +211,15 @@
             member.deny = True
         for gate in it.gates:
             gate.cut()
-        await it.until(lambda: it.counters["registry_refused"] >= 2 and not it.source.is_fresh())
+        await it.wait_until(lambda: it.counters["registry_refused"] >= 2 and not it.source.is_fresh())
         for member in it.members:
             member.deny = False
         it.source.reconfigure(it.settings())
         it.put(1, "draining")
-        await it.agreed()
-        assert it.list[1] == "draining"
+        await it.wait_until_current()
+        assert it.engines[1] == "draining"
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -237,16 +239,16 @@
     ours.issue_cert("127.0.0.1").configure_cert(server)
 
     async def run():
-        it = Around(kind, tls={"ca": str(tmp_path / "ca.crt")} | paths["other"])
+        it = RegistryEnvironment(kind, tls={"ca": str(tmp_path / "ca.crt")} | paths["other"])
         await it.members[0].start(server)
         it.gates = [it.members[0]]
         it.put(1)
-        it.begin()
-        await it.until(lambda: it.counters["registry_breaks"] >= 2)
-        assert it.list == {}
+        it.start_source()
+        await it.wait_until(lambda: it.counters["registry_breaks"] >= 2)
+        assert it.engines == {}
         it.source.reconfigure(it.settings(tls={"ca": str(tmp_path / "ca.crt")} | paths["ours"]))
-        await it.agreed()
-        assert it.list == {1: "ready"}
+        await it.wait_until_current()
+        assert it.engines == {1: "ready"}
         await it.source.stop()
         await it.members[0].stop()
 
@@ -255,7 +257,7 @@
 
 def test_user_and_password_fetch_a_token():
     async def run():
-        it = Around("etcd", user="ops", password="pw-ops")
+        it = RegistryEnvironment("etcd", user="ops", password="pw-ops")
         for member in it.members:
             member.users = {"ops": "token-1"}
             await member.start()
@@ -263,9 +265,9 @@
             await gate.start()
             it.gates.append(gate)
         it.put(1)
-        it.begin()
-        await it.agreed()
-        assert it.list == {1: "ready"}
+        it.start_source()
+        await it.wait_until_current()
+        assert it.engines == {1: "ready"}
         await it.source.stop()
         for part in (*it.gates, *it.members):
             await part.stop()
@@ -278,14 +280,14 @@
     async def play(it):
         it.store.put(b"p/1", b"x" * 50_000_000)
         lost = ("registry_breaks", "registry_stalls")  # the stand-in shares the loop and is slow with it
-        await it.until(lambda: sum(it.counters[name] for name in lost) >= 2 and not it.source.is_fresh())
-        assert it.list == {1: "ready", 2: "ready"}
+        await it.wait_until(lambda: sum(it.counters[name] for name in lost) >= 2 and not it.source.is_fresh())
+        assert it.engines == {1: "ready", 2: "ready"}
         it.put(1, "draining")
         it.store.compact()
-        await it.agreed()
-        assert it.list == {1: "draining", 2: "ready"}
+        await it.wait_until_current()
+        assert it.engines == {1: "draining", 2: "ready"}
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -294,25 +296,25 @@
         for number in range(1, 2501):
             for state in ("ready", "draining", "ready", "draining"):
                 it.put(number, state)
-        await it.agreed()
-        assert it.list == dict.fromkeys(range(1, 2501), "draining")
+        await it.wait_until_current()
+        assert it.engines == dict.fromkeys(range(1, 2501), "draining")
         it.source.reconfigure(it.settings(gates=it.gates[1:]))
         it.store.compact()
         it.put(1)
-        await it.agreed()
-        assert it.list[1] == "ready" and len(it.list) == 2500
+        await it.wait_until_current()
+        assert it.engines[1] == "ready" and len(it.engines) == 2500
 
-    played(play, kind, fresh=2.0)
+    run_scenario(play, kind, fresh=2.0)
 
 
 def test_a_lease_that_runs_out_takes_its_engine_away():
     async def play(it):
         it.store.put(b"p/3", record(3), lease=0.05)
-        await it.until(lambda: 3 in it.list)
-        await it.until(lambda: 3 not in it.list)
-        await it.agreed()
+        await it.wait_until(lambda: 3 in it.engines)
+        await it.wait_until(lambda: 3 not in it.engines)
+        await it.wait_until_current()
 
-    played(play, "etcd")
+    run_scenario(play, "etcd")
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -325,33 +327,33 @@
                 gate.set(Mode.REFUSE)
             it.put(1, "draining")
             it.source.reconfigure(it.settings(gates=[extra]))
-            await it.agreed()
-            assert it.list[1] == "draining"
+            await it.wait_until_current()
+            assert it.engines[1] == "draining"
             assert it.counters["registry_full_reads"] == 1
         finally:
             await extra.stop()
 
-    played(play, kind)
+    run_scenario(play, kind)
 
 
 def test_a_start_from_the_snapshot_serves_it_unconfirmed_and_resumes_without_a_full_read(tmp_path):
     async def play(it):
         it.put(1, "draining")
-        await it.agreed()
+        await it.wait_until_current()
         await it.source.stop()
-        it.list, it.counters = {}, Counters()
+        it.engines, it.counters = {}, Counters()
         for gate in it.gates:
             gate.set(Mode.STALL)
-        it.begin()
-        assert it.list == {1: "draining", 2: "ready"} and not it.source.is_fresh()
+        it.start_source()
+        assert it.engines == {1: "draining", 2: "ready"} and not it.source.is_fresh()
         it.put(2, "draining")
         for gate in it.gates:
             gate.set(Mode.PASS)
-        await it.agreed()
-        assert it.list == {1: "draining", 2: "draining"}
+        await it.wait_until_current()
+        assert it.engines == {1: "draining", 2: "draining"}
         assert it.counters["registry_full_reads"] == 0 and it.counters["registry_snapshot_used"] == 1
 
-    played(play, "etcd", snapshot=str(tmp_path / "kept"), on_stale="serve")
+    run_scenario(play, "etcd", snapshot=str(tmp_path / "kept"), on_stale="serve")
 
 
 def test_a_torn_a_foreign_and_no_snapshot_are_told_apart(tmp_path):
