--- a/applevale/admin/ejections.py
+++ b/applevale/admin/ejections.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from math import inf, nextafter
 
-from ..discovery.endpoints import Member
+from ..discovery.endpoints import Endpoint
 
 
 @dataclass(frozen=True, order=True)
@@ -51,7 +51,7 @@
         self.ejected: set[int] = set()
         self._engines_by_name: dict[str, int] = {}  # instance ids and HOST:PORT, also of former endpoints
 
-    def add_endpoints(self, endpoints: Iterable[Member]) -> None:
+    def add_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
         """Make endpoints known by their instance id and by their HOST:PORT."""
         for endpoint in endpoints:
             engine = endpoint.entry.engine
--- a/applevale/config/sections.py
+++ b/applevale/config/sections.py
@@ -10,7 +10,7 @@
 from importlib.util import find_spec
 
 from .. import api
-from ..discovery.endpoints import Names
+from ..discovery.endpoints import AttributeNames
 from ..engines.limits import ConnectionLimits
 from ..net.addresses import Address, PeerAddresses
 from ..simulator_wire.units import NANOSECONDS
@@ -66,15 +66,15 @@
         from ..discovery.registry import settings, source
 
         registry = settings.read_settings(raw["registry"])
-        source.session_kind(registry.kind)  # all that it needs must be there
+        source.load_session_class(registry.kind)  # all that it needs must be there
         return registry
     except ImportError as error:
         raise ConfigError(f"registry: {error.name} is missing: install the extra 'registry'") from None
-    except settings.SettingsError as error:
+    except settings.RegistrySettingsError as error:
         raise ConfigError(str(error)) from None
 
 
-def read_zones_file(raw: Mapping, names: Names, settings: api.Settings) -> object:
+def read_zones_file(raw: Mapping, names: AttributeNames, settings: api.Settings) -> object:
     """Return the file that `zones_file` names, if any; its library is imported only then."""
     path = raw.get("zones_file")
     if path is None:
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from .. import api
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..startup.connect_schedule import ConnectSchedule
 from .pool import EnginePool
 
@@ -24,7 +24,7 @@
         schedule: ConnectSchedule,
         pool: EnginePool,
         submit: Callable[[api.EngineList], None],
-        endpoints: HeldList,
+        endpoints: GatedEndpoints,
         on_readiness_change: Callable[[], None],
     ) -> None:
         self.schedule = schedule
@@ -49,7 +49,7 @@
         """Note that the last connection to the engine ended, or the first was never established."""
         self.schedule.record_disconnect(engine_id, self._now())
         if self._hide_if_waiting(engine_id):
-            self.submit(self.endpoints.told_again(engine_id))
+            self.submit(self.endpoints.present(engine_id))
             self.on_readiness_change()
         self._restart_timer()
 
@@ -57,7 +57,7 @@
         """Apply a change of the engine list, before the policy is told of it."""
         present = set(self.pool.engines) - self.pool.departed
         self.schedule.set_engines(present, self._now())
-        self.endpoints.unopened &= present
+        self.endpoints.awaiting_connect_slot &= present
         for engine_id in present:
             self._hide_if_waiting(engine_id)
         self._restart_timer()
@@ -70,21 +70,21 @@
         engine = self.pool.engines.get(engine_id)
         is_hidden = engine is not None and not engine.connections and not self.may_connect(engine_id)
         if is_hidden:
-            self.endpoints.unopened.add(engine_id)
+            self.endpoints.awaiting_connect_slot.add(engine_id)
         return is_hidden
 
     def _restart_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        slots = (self.schedule.allowed_from.get(engine_id, -inf) for engine_id in self.endpoints.unopened)
+        slots = (self.schedule.allowed_from.get(engine_id, -inf) for engine_id in self.endpoints.awaiting_connect_slot)
         due = min(slots, default=None)
         if due is not None:
             self._timer = asyncio.get_running_loop().call_at(due, self._show_due)
 
     def _show_due(self) -> None:
-        for engine_id in [engine_id for engine_id in self.endpoints.unopened if self.may_connect(engine_id)]:
-            self.endpoints.unopened.discard(engine_id)
-            self.submit(self.endpoints.told_again(engine_id))
+        for engine_id in [engine_id for engine_id in self.endpoints.awaiting_connect_slot if self.may_connect(engine_id)]:
+            self.endpoints.awaiting_connect_slot.discard(engine_id)
+            self.submit(self.endpoints.present(engine_id))
         self.on_readiness_change()
         self._restart_timer()
--- a/applevale/engines/engine.py
+++ b/applevale/engines/engine.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..api import State
-from ..discovery.endpoints import Member
+from ..discovery.endpoints import Endpoint
 from .connection import EngineConnection
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
         connections: All that are not ended, in the order in which they were opened.
     """
 
-    def __init__(self, pool: EnginePool, member: Member) -> None:
+    def __init__(self, pool: EnginePool, member: Endpoint) -> None:
         self.pool = pool
         self.engine_id = member.entry.engine
         self.address = member.address
@@ -28,7 +28,7 @@
         self.started = member.entry.started
         self.connections: list[EngineConnection] = []
 
-    def update(self, member: Member) -> None:
+    def update(self, member: Endpoint) -> None:
         """Apply what the list says of this engine."""
         entry = member.entry
         is_replaced = (entry.started, member.address) != (self.started, self.address)
--- a/applevale/engines/pool.py
+++ b/applevale/engines/pool.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Set
 
 from ..api import Result, State
-from ..discovery.endpoints import Change, Member
+from ..discovery.endpoints import EndpointUpdate, Endpoint
 from ..observability.counters import Counters
 from .attempt import Attempt, AttemptFailed, AttemptResult, AttemptSpec, Progress
 from .connection import EngineConnection, ProbeCallback
@@ -99,22 +99,22 @@
         """Return the number of connections to all engines."""
         return sum(len(engine.connections) for engine in self.engines.values())
 
-    def update(self, change: Change) -> None:
+    def update(self, change: EndpointUpdate) -> None:
         """Apply a change of the engine list."""
-        listed = {member.entry.engine for member in change.members}
-        new_owners = self._apply_members(change.members)
+        listed = {member.entry.engine for member in change.endpoints}
+        new_owners = self._apply_members(change.endpoints)
         # A long list is gone through as a whole only where a change may concern any engine.
-        concerned = self.engines if change.whole or new_owners else self.departed | listed
+        concerned = self.engines if change.is_full or new_owners else self.departed | listed
         for engine_id in [engine_id for engine_id in concerned if engine_id in self.engines]:
             engine = self.engines[engine_id]
-            is_unlisted = change.whole and engine_id not in listed
+            is_unlisted = change.is_full and engine_id not in listed
             # An engine whose address another one has taken is gone, whether the list says so or not.
             is_address_taken = new_owners.get(engine.address, engine_id) != engine_id
             if is_unlisted or is_address_taken:
                 engine.mark_gone()
             self._update_departed(engine)
 
-    def _apply_members(self, members: Iterable[Member]) -> dict[tuple[str, int], int]:
+    def _apply_members(self, members: Iterable[Endpoint]) -> dict[tuple[str, int], int]:
         """Update the engines; returns the addresses of the new ones, and whose they are."""
         new_owners: dict[tuple[str, int], int] = {}
         for member in members:
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -10,9 +10,9 @@
 from ..admin.limits import MAX_CONCURRENT_REQUESTS
 from ..admin.metrics import Gauges, Metrics
 from ..config.model import Config
-from ..discovery.control_feed import Feed
-from ..discovery.endpoints import Change, Source
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.control_feed import ControlFeed
+from ..discovery.endpoints import EndpointUpdate, EndpointSource
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..net.addresses import Address
@@ -79,7 +79,7 @@
         self.handler = RequestHandler(self.driver, self.pool, config.settings, self.counters)
         self.metrics = self._create_metrics()
         self.server = self._create_server()
-        self.endpoints = HeldList()
+        self.endpoints = GatedEndpoints()
         self.ejection_control = EjectionControl(
             listen_address, self.endpoints, self.pool, self.driver, self.counters
         )
@@ -91,8 +91,8 @@
         self.membership = self._create_membership()
         self.registry = self._create_registry_source()
         first_change = config.known[0].number - 1 if config.known else 0
-        self.control_feed = Feed(first_change, config.names, self.counters, self.apply_update, config.feed)
-        self.source: Source = self.registry or self.control_feed
+        self.control_feed = ControlFeed(first_change, config.names, self.counters, self.apply_update, config.feed)
+        self.source: EndpointSource = self.registry or self.control_feed
         self.reloader = ConfigReloader(config, self.source, self.control_feed, self.metrics, self.counters)
         self.shutdown = GracefulShutdown(self.server, self.handler, self.driver, config.settings)
 
@@ -147,7 +147,7 @@
             self.config, self.counters, self.apply_update, self.on_staleness_change
         )
         if source is not None:
-            self.pool.is_list_confirmed = source.allowed
+            self.pool.is_list_confirmed = source.may_start_work
             self.on_staleness_change(False)
         return source
 
@@ -183,9 +183,9 @@
 
     def is_serving(self) -> bool:
         """Return whether new clients should be accepted."""
-        has_engines = self.config.registry is None or self.endpoints.usable()
+        has_engines = self.config.registry is None or self.endpoints.has_usable_engine()
         is_leaving = self.shutdown_requested.is_set()
-        return has_engines and not (is_leaving or self.endpoints.held or self.server.is_draining)
+        return has_engines and not (is_leaving or self.endpoints.is_stale or self.server.is_draining)
 
     def update_readiness(self) -> None:
         """Report readiness to probes, operators and programs that follow the events, as it changes."""
@@ -194,22 +194,22 @@
             emit_event("ready", ready=ready)
         self.server.is_ready = ready
 
-    def apply_update(self, update: Change) -> None:
+    def apply_update(self, update: EndpointUpdate) -> None:
         """Hand a change of the list to all that know engines; the decision module hears of it last."""
-        self.ejection_control.ejections.add_endpoints(update.members)
+        self.ejection_control.ejections.add_endpoints(update.endpoints)
         self.pool.update(update)
         if self.gossip is not None:
             self.gossip.news.listed(self.pool.engines)
         if self.connect_pacer is not None:
             self.connect_pacer.on_list_change()
-        self.driver.submit(self.endpoints.changed(update))
+        self.driver.submit(self.endpoints.apply_update(update))
         self.update_readiness()
 
     def on_staleness_change(self, confirmed: bool) -> None:
         """React to the registry's list being confirmed from now on, or no longer."""
         if self.config.registry.on_stale == "serve":
             return
-        self.driver.submit(self.endpoints.turned(confirmed))
+        self.driver.submit(self.endpoints.set_confirmed(confirmed))
         if not confirmed:
             for engine in self.pool.engines:
                 self.pool.withdraw_unsent(engine)
@@ -226,7 +226,7 @@
     def dump_counters(self) -> None:
         """Log all counters."""
         if self.registry is not None:
-            self.registry.note()
+            self.registry.update_list_counters()
         if self.membership is not None:
             self.membership.show()
         self.counters.dump()
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -11,7 +11,7 @@
 
 from ..admin.ejection_store import EjectionStore
 from ..admin.ejections import EjectionRegistry
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..net.addresses import Address
@@ -38,7 +38,7 @@
     def __init__(
         self,
         listen_address: Address,
-        endpoints: HeldList,
+        endpoints: GatedEndpoints,
         pool: EnginePool,
         driver: EventLoopDriver,
         counters: Counters,
@@ -51,7 +51,7 @@
         self.ejections = EjectionRegistry()
         self.store = EjectionStore(ejection_path(listen_address), self.ejections)
         self.store.refresh()
-        endpoints.banned = self.ejections.ejected  # one set: the decision module sees every ejection at once
+        endpoints.ejected = self.ejections.ejected  # one set: the decision module sees every ejection at once
 
     def set_ejected(self, host: str, ejected: bool) -> bool:
         """Eject an engine or let it back in; return False for an id that was never listed."""
@@ -71,4 +71,4 @@
             self.counters["bans_changed"] += 1
             if engine in self.ejections.ejected:
                 self.pool.withdraw_unsent(engine)
-            self.driver.submit(self.endpoints.told_again(engine))
+            self.driver.submit(self.endpoints.present(engine))
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -10,8 +10,8 @@
 
 from .. import api
 from ..config.model import Config
-from ..discovery.endpoints import Change
-from ..discovery.gated_endpoints import HeldList
+from ..discovery.endpoints import EndpointUpdate
+from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..observability.counters import Counters
@@ -39,7 +39,7 @@
     config: Config,
     pool: EnginePool,
     driver: EventLoopDriver,
-    endpoints: HeldList,
+    endpoints: GatedEndpoints,
     on_readiness_change: Callable[[], None],
 ) -> ConnectPacer | None:
     """Return the pacer of connects to engines; None where the configuration names no rate."""
@@ -100,7 +100,7 @@
 def create_registry_source(
     config: Config,
     counters: Counters,
-    on_update: Callable[[Change], None],
+    on_update: Callable[[EndpointUpdate], None],
     on_staleness_change: Callable[[bool], None],
 ) -> RegistrySource | None:
     """Return the source of the list in a key-value registry; None where the control feed is followed."""
@@ -115,5 +115,5 @@
         on_update,
         on_staleness_change,
         config.seed,
-        local=config.local,
+        local_address=config.local,
     )
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -17,8 +17,8 @@
 from applevale.admin.metrics import Gauges, Metrics, ResponseOutcome
 from applevale.admin.routes import dispatch
 from applevale.admin.server import AdminServer
-from applevale.discovery.endpoints import Change, Member
-from applevale.discovery.gated_endpoints import HeldList
+from applevale.discovery.endpoints import EndpointUpdate, Endpoint
+from applevale.discovery.gated_endpoints import GatedEndpoints
 from applevale.observability.counters import Counters
 
 
@@ -74,23 +74,23 @@
 
 
 def member(engine, state=api.State.READY):
-    return Member(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
+    return Endpoint(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
 
 
 def test_an_ejected_engine_is_reported_as_draining_whatever_the_feed_says_until_enabled():
-    held, registry = HeldList(), EjectionRegistry()
-    held.banned = registry.ejected
-    first = Change(1, True, (member(1), member(2)))
-    registry.add_endpoints(first.members)
-    held.changed(first)
+    gated, registry = GatedEndpoints(), EjectionRegistry()
+    gated.ejected = registry.ejected
+    first = EndpointUpdate(1, True, (member(1), member(2)))
+    registry.add_endpoints(first.endpoints)
+    gated.apply_update(first)
     engine = registry.find("s-00000002")
     assert engine == 2 and registry.find("127.0.0.1:7002") == 2 and registry.find("s-00000009") is None
     assert registry.set_ejected(engine, True, 1.0) and not registry.set_ejected(engine, True, 2.0)
-    assert held.told_again(engine).entries[0].state is api.State.DRAINING
-    again = held.changed(Change(2, False, (member(2),)))  # the feed lists it as ready again
+    assert gated.present(engine).entries[0].state is api.State.DRAINING
+    again = gated.apply_update(EndpointUpdate(2, False, (member(2),)))  # the feed lists it as ready again
     assert again.entries[0].state is api.State.DRAINING
     assert registry.set_ejected(engine, False, 3.0) and not registry.set_ejected(engine, False, 4.0)
-    assert held.told_again(engine).entries[0].state is api.State.READY
+    assert gated.present(engine).entries[0].state is api.State.READY
 
 
 def test_a_file_of_ejections_is_decoded_completely_or_rejected():
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -5,8 +5,8 @@
 import pytest
 
 from applevale import api
-from applevale.discovery.endpoints import Change, Member
-from applevale.discovery.gated_endpoints import HeldList
+from applevale.discovery.endpoints import EndpointUpdate, Endpoint
+from applevale.discovery.gated_endpoints import GatedEndpoints
 from applevale.engines import attempt, resp
 from applevale.engines.connect_pacer import ConnectPacer
 from applevale.engines.limits import ConnectionLimits
@@ -197,15 +197,15 @@
 def test_an_engine_is_shown_as_not_ready_until_a_connection_to_it_may_be_opened():
     async def test(loop):
         pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        schedule, endpoints = ConnectSchedule(20.0, 40, 3), HeldList()
+        schedule, endpoints = ConnectSchedule(20.0, 40, 3), GatedEndpoints()
         shown, changes = [], []
         pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
-        change = Change(1, True, (Member(api.EngineEntry(1), ("127.0.0.1", 1)),))
+        change = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
         wait = schedule.slot_offset(1)
         pool.update(change)
         pacer.on_list_change()
         assert wait > 0.1 and not pool.may_connect(1)
-        assert endpoints.changed(change).entries[0].state is api.State.DRAINING
+        assert endpoints.apply_update(change).entries[0].state is api.State.DRAINING
         await advance(loop, wait / 2)
         assert not shown and not changes
         await advance(loop, wait / 2)
@@ -218,13 +218,13 @@
 def test_an_engine_whose_last_connection_ended_waits_for_its_next_slot():
     async def test(loop):
         pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        schedule, endpoints = ConnectSchedule(20.0, 40, 3), HeldList()
+        schedule, endpoints = ConnectSchedule(20.0, 40, 3), GatedEndpoints()
         shown, changes = [], []
         pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
-        change = Change(1, True, (Member(api.EngineEntry(1), ("127.0.0.1", 1)),))
+        change = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
         pool.update(change)
         pacer.on_list_change()
-        endpoints.changed(change)
+        endpoints.apply_update(change)
         await advance(loop, schedule.slot_offset(1))
         pool.on_connect_started(1)
         shown.clear()
