--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -110,7 +110,7 @@
     if confirmed.is_set():
         source.note()
         view = RegistryView(
-            revision=source.follower.revision,
+            revision=source.watcher.revision,
             digest=source.counters["registry_digest"],
             entries=list(source.ledger.entries.values()),
             unusable=dict(source.ledger.bad),
--- a/applevale/discovery/registry/__init__.py
+++ b/applevale/discovery/registry/__init__.py
@@ -1,1 +1,1 @@
-"""The engine list out of a key-value registry: records, the follower that decides, and two protocols."""
+"""The engine list out of a key-value registry: records, the watcher that decides, and two protocols."""
--- /dev/null
+++ b/applevale/discovery/registry/commands.py
@@ -0,0 +1,101 @@
+"""Commands that a registry watcher returns and its driver carries out.
+
+A session is a connection to one member of the registry. Sessions are identified by a number that is unique
+within one watcher. Times are in seconds on the driver's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .records import Entry
+
+
+@dataclass(frozen=True)
+class Connect:
+    """Open a session with one member.
+
+    Every session that is not in `RegistryWatcher.open_sessions` has ended and is to be closed.
+
+    Attributes:
+        session_id: Number of the new session.
+        member_index: Position of the member in the list of addresses.
+    """
+
+    session_id: int
+    member_index: int
+
+
+@dataclass(frozen=True)
+class Handshake:
+    """Repeat the first read of a session, which the member throttled.
+
+    Attributes:
+        session_id: Number of the session.
+    """
+
+    session_id: int
+
+
+@dataclass(frozen=True)
+class ReadAll:
+    """Read all keys with their values.
+
+    Attributes:
+        session_id: Number of the session.
+    """
+
+    session_id: int
+
+
+@dataclass(frozen=True)
+class Watch:
+    """Watch all changes from a revision on.
+
+    Attributes:
+        session_id: Number of the session.
+        start_revision: First revision whose changes are wanted.
+    """
+
+    session_id: int
+    start_revision: int
+
+
+@dataclass(frozen=True)
+class PollRevision:
+    """Read the registry's current revision.
+
+    Attributes:
+        session_id: Number of the session.
+        sent_at: Time of the request, to be returned with the response.
+    """
+
+    session_id: int
+    sent_at: float
+
+
+@dataclass(frozen=True)
+class RequestProgress:
+    """Request a progress notification: the watch is behind a revision that a poll has observed.
+
+    Attributes:
+        session_id: Number of the session.
+    """
+
+    session_id: int
+
+
+@dataclass(frozen=True)
+class Publish:
+    """Publish a change of the endpoint list.
+
+    Attributes:
+        entries: The changed entries, or all of them.
+        is_snapshot: Whether `entries` replaces the whole list.
+    """
+
+    entries: tuple[Entry, ...]
+    is_snapshot: bool
+
+
+Command = Connect | Handshake | ReadAll | Watch | PollRevision | RequestProgress | Publish
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -1,4 +1,4 @@
-"""The registry as a source of the engine list: carries out what the follower decides."""
+"""The registry as a source of the engine list: carries out the commands of the watcher."""
 
 from __future__ import annotations
 
@@ -13,11 +13,22 @@
 from ...observability.events import emit_event, log_event
 from ...startup.staleness_guard import Kept
 from ..endpoints import Change, Names
-from . import watcher as f
+from .commands import (
+    Command,
+    Connect,
+    Handshake,
+    PollRevision,
+    Publish,
+    ReadAll,
+    RequestProgress,
+    Watch,
+)
+from .pacing import WatcherConfig
 from .records import Ledger, digest
 from .session import Session, context
 from .settings import RegistrySettings
 from .snapshot import Snapshot, SnapshotError
+from .watcher import RegistryWatcher
 
 KEEP_EVERY = 1.0  # s between two writes of the snapshot at least
 PROTOCOLS = {"etcd": "h2", "consul": "http/1.1"}  # as TLS names them
@@ -54,19 +65,19 @@
         self.places, self.tls = settings.places(), context(settings.tls, PROTOCOLS[settings.kind])
         self.kind = session_kind(settings.kind)
         self.ledger, random = Ledger(names), Random(seed)
-        self.follower = f.Follower(
+        self.watcher = RegistryWatcher(
             len(self.places),
             self.ledger,
             random=random,
-            pace=f.Pace(fresh=settings.fresh),
-            place=random.randrange(len(self.places)),
+            config=WatcherConfig(max_staleness=settings.fresh),
+            last_member_index=random.randrange(len(self.places)),
         )  # not all begin with the same member
         self.sessions: dict[int, Session] = {}
         self.ending: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.told = 0  # changes
         self.was_fresh, self.stale_since = False, clock()
-        self.promise_was = self.follower.promise.state
+        self.promise_was = self.watcher.pacer.guard.state
         self.snapshot: Snapshot | None = None
         self.kept_at, self.dirty = -KEEP_EVERY, False
         self.stopped = False
@@ -77,11 +88,11 @@
         now = self.stale_since = self.clock()
         if self.settings.snapshot:
             self._open_snapshot()
-        self._do(self.follower.ticked(now))
+        self._do(self.watcher.on_tick(now))
 
     def fresh(self) -> bool:
         """Asked before each attempt: also after a loop that stood still it is the truth."""
-        return self.follower.fresh(self.clock())
+        return self.watcher.is_fresh(self.clock())
 
     def allowed(self) -> bool:
         """Whether new work may go out."""
@@ -96,12 +107,12 @@
             log_event("registry", f"takes effect at the next start only: {', '.join(changed)}")
         self.settings = msgspec.structs.replace(to, **fixed)
         self.places, self.tls = places, tls
-        self._do(self.follower.moved(self.clock(), len(places)))
+        self._do(self.watcher.replace_members(self.clock(), len(places)))
 
     def note(self) -> None:
         """Figures of the list that are worked out only when they are asked for."""
         members = self.ledger.members()
-        self.counters["registry_revision"] = self.follower.revision
+        self.counters["registry_revision"] = self.watcher.revision
         self.counters["registry_members"] = len(members)
         self.counters["registry_digest"] = digest(members)
 
@@ -118,32 +129,32 @@
     # --- what sessions tell ---------------------------------------------------------------------------------
 
     def connected(self, number: int, asked: float, revision: int, cluster: int = 0) -> None:
-        self._do(self.follower.connected(self.clock(), number, asked, revision, cluster))
+        self._do(self.watcher.on_connected(self.clock(), number, asked, revision, cluster))
 
     def declined(self, number: int, after: float, watch: bool) -> None:
-        self._do(self.follower.declined(self.clock(), number, after, watch))
+        self._do(self.watcher.on_throttled(self.clock(), number, after, watch))
 
     def lost(self, number: int, why: str, refused: bool = False) -> None:
         if number in self.sessions:
             log_event("registry", f"{self._where(number)}: {why}")
-        self._do(self.follower.lost(self.clock(), number, refused))
+        self._do(self.watcher.on_disconnected(self.clock(), number, refused))
 
     def whole(
         self, number: int, asked: float, revision: int, records: Iterable[tuple[str, int, bytes]]
     ) -> None:
-        self._do(self.follower.whole(self.clock(), number, asked, revision, records))
+        self._do(self.watcher.on_snapshot(self.clock(), number, asked, revision, records))
 
     def events(self, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]) -> None:
-        self._do(self.follower.events(self.clock(), number, revision, events))
+        self._do(self.watcher.on_events(self.clock(), number, revision, events))
 
     def answered(self, number: int, asked: float, revision: int) -> None:
-        self._do(self.follower.answered(self.clock(), number, asked, revision))
+        self._do(self.watcher.on_revision(self.clock(), number, asked, revision))
 
     def compacted(self, number: int) -> None:
         log_event(
-            "registry", f"{self._where(number)}: compacted behind {self.follower.revision}, all is read anew"
+            "registry", f"{self._where(number)}: compacted behind {self.watcher.revision}, all is read anew"
         )
-        self._do(self.follower.compacted(self.clock(), number))
+        self._do(self.watcher.on_compacted(self.clock(), number))
 
     # --- inside ---------------------------------------------------------------------------------------------
 
@@ -151,28 +162,28 @@
         host, port = self.sessions[number].address
         return f"{host}:{port}"
 
-    def _do(self, commands: list[f.Command]) -> None:
+    def _do(self, commands: list[Command]) -> None:
         if self.stopped:
             return
         for command in commands:
             match command:
-                case f.Connect(session=number, place=place):
+                case Connect(session_id=number, member_index=place):
                     self._connect(number, place)
-                case f.Greet(session=number):
+                case Handshake(session_id=number):
                     self.sessions[number].open()
-                case f.ReadAll(session=number):
+                case ReadAll(session_id=number):
                     self.sessions[number].read_all()
-                case f.Watch(session=number, start=start):
+                case Watch(session_id=number, start_revision=start):
                     self.sessions[number].watch(start, self._known)
-                case f.Ask(session=number, asked=asked):
+                case PollRevision(session_id=number, sent_at=asked):
                     self.sessions[number].ask(asked)
-                case f.Progress(session=number):
+                case RequestProgress(session_id=number):
                     self.sessions[number].progress()
-                case f.Tell(entries=entries, whole=whole):
+                case Publish(entries=entries, is_snapshot=whole):
                     self.told += 1
                     self.dirty = True
                     self.tell(Change(self.told, whole, tuple(entry.member for entry in entries)))
-        self._end_sessions(self.follower.open)
+        self._end_sessions(self.watcher.open_sessions)
         self._look()
 
     def _known(self) -> dict[str, tuple[int, bytes]]:
@@ -196,48 +207,49 @@
     def _look(self) -> None:
         """Counts, the turn of the promise, the snapshot, and when to look again."""
         now = self.clock()
-        for name, count in vars(self.follower.figures).items():
+        for name, count in vars(self.watcher.stats).items():
             self.counters[f"registry_{name}"] = count
         self.counters["registry_bad_records"] = self.ledger.bad_seen
-        fresh = self.follower.fresh(now)
-        if self.follower.promise.state is not self.promise_was:
+        fresh = self.watcher.is_fresh(now)
+        if self.watcher.pacer.guard.state is not self.promise_was:
             self._say_promise()
         if fresh != self.was_fresh:
             self._turn(fresh, now)
         if self.snapshot is not None and fresh:
             self._keep(now)
-        due = self.follower.next_look(now)
+        due = self.watcher.next_deadline()
         if fresh:
-            due = min(due, self.follower.confirmed + self.settings.fresh + 0.001)
+            due = min(due, self.watcher.confirmed_at + self.settings.fresh + 0.001)
         if self.timer is not None:
             self.timer.cancel()
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(max(0.0, due - now), self._tick)
 
     def _tick(self) -> None:
-        self._do(self.follower.ticked(self.clock()))
+        self._do(self.watcher.on_tick(self.clock()))
 
     def _say_promise(self) -> None:
         """Once for each time that the promise is given up, with figures; and when it is kept again."""
-        former, self.promise_was = self.promise_was, self.follower.promise.state
-        pace, latency = self.follower.pace, self.follower.latency
+        former, self.promise_was = self.promise_was, self.watcher.pacer.guard.state
+        config, latency = self.watcher.config, self.watcher.pacer.latency
         if former is Kept.KEPT:
+            poll_rate = 1 / (config.max_poll_interval_share * config.max_staleness)
             log_event(
                 "promise",
-                f"{pace.fresh:g} s cannot be kept: it needs {1 / (pace.ask[1] * pace.fresh):.1f} "
-                f"reads a second, answered within {self.follower.promise.room * 1000:.0f} ms; they take "
-                f"{latency.mean * 1000:.0f} ms, {self.follower.figures.declined} were refused so far. "
+                f"{config.max_staleness:g} s cannot be kept: it needs {poll_rate:.1f} "
+                f"reads a second, answered within {self.watcher.pacer.guard.room * 1000:.0f} ms; they take "
+                f"{latency.mean * 1000:.0f} ms, {self.watcher.stats.declined} were refused so far. "
                 f"on_stale is {self.settings.on_stale!r} until it can",
             )
         elif self.promise_was is Kept.KEPT:
-            log_event("promise", f"{pace.fresh:g} s is kept again")
+            log_event("promise", f"{config.max_staleness:g} s is kept again")
 
     def _turn(self, fresh: bool, now: float) -> None:
         if fresh:
             stale = now - self.stale_since
             self.counters["registry_stale_ms"] += int(stale * 1000)
-            log_event("registry", f"confirmed at revision {self.follower.revision}, after {stale:.3f} s")
-            emit_event("list", confirmed=True, revision=self.follower.revision, stale=round(stale, 3))
+            log_event("registry", f"confirmed at revision {self.watcher.revision}, after {stale:.3f} s")
+            emit_event("list", confirmed=True, revision=self.watcher.revision, stale=round(stale, 3))
         else:
             self.counters["registry_stale"] += 1
             self.stale_since = now
@@ -258,15 +270,15 @@
         if kept is not None:
             self.counters["registry_snapshot_used"] += 1
             log_event("registry", f"starts from the snapshot of revision {kept.revision}, not confirmed")
-            self._do(self.follower.restore(kept.revision, kept.records))
+            self._do(self.watcher.restore(kept.revision, kept.records))
 
     def _keep(self, now: float, last: bool = False) -> None:
-        if not self.dirty or not self.follower.revision or (now - self.kept_at < KEEP_EVERY and not last):
+        if not self.dirty or not self.watcher.revision or (now - self.kept_at < KEEP_EVERY and not last):
             return
         self.kept_at, self.dirty = now, False
         try:
             self.snapshot.keep(
-                self.follower.revision,
+                self.watcher.revision,
                 [(entry.key, entry.revision, entry.value) for entry in self.ledger.entries.values()],
             )
         except SnapshotError as error:
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -1,136 +1,63 @@
-"""Follows the revisions of a registry: what to ask, what to tell, and how fresh the list is.
-
-No I/O and no clock. Whoever drives it tells what came (`connected`, `lost`, `whole`, `events`, `answered`,
-`compacted`, `ticked`), each with the time, and carries out the commands that come back. Invariants:
-
-- A change is told once, in the order of revisions, and `revision` never goes back but by a full read that is
-  taken for a restored registry.
-- `confirmed` is the time at which a question was asked whose answer shows that the list held all that was
-  committed by then. It is never the time of the answer: that may have waited on its way.
-- A list that was told stays until a better one is there; no failure empties it.
-- Of one session (a connection to one member) nothing counts once a later one was begun.
-
-- In a session no question leaves while another is open there, and questions keep to the pace that the
-  promise needs; while it cannot be kept (startup.promise) they are few, and the list counts as not confirmed.
-- A session that works is never left because the service is slow for all. One that is silent for longer than
-  it was wont to be gets a trial beside it, a session with the next member. If the trial answers at least
-  twice as fast, the member was at fault, and the trial takes over; if not, all are slow: the session stays,
-  and the next trial waits longer. Trials are few at all times.
-- What a member refuses for its load (`declined`) is asked again on the same session, after a place in line.
-
-States: resting -> connecting -> reading -> watching; `lagging` is a member that answers an older state than
-one that was seen, and it is left. Only when each member has done so in a row is the registry held to be
-restored from a backup, and its list taken.
+"""State machine that watches a registry and keeps a list of endpoints up to date.
+
+No I/O and no clock. The driver reports what happened through the `on_...` methods, each with the time, and
+carries out the commands that they return. Invariants:
+
+- A change is published once, in the order of revisions. The revision decreases only with a snapshot that is
+  taken for that of a restored registry.
+- The list is confirmed as of the time at which a poll was sent whose response shows that the list was
+  complete. It is never confirmed as of the time of the response, which may have been delayed.
+- A published list remains until a better one is known; no failure empties it.
+- Responses of a session (a connection to one member) are ignored once another session has replaced it.
+- A session has at most one poll in flight. Polls are as frequent as the staleness bound requires; while the
+  bound cannot be guaranteed they are rare, and the list counts as not confirmed.
+- A working session is not abandoned because the service is slow for all clients. If it is silent for longer
+  than usual, a standby session is opened with the next member. If the standby responds at least twice as
+  fast, it takes over; otherwise all members are slow, the session stays, and the interval before the next
+  standby session grows.
+- A throttled request is repeated in the same session after a backoff.
+
+A session goes through the phases connecting, reading (unless it can resume) and watching. A member that
+returns an older state than one that was seen before is abandoned. Only when all members in a row have done
+so, the registry is considered restored from a backup, and its list is taken over.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass
 from math import inf
 from random import Random
 
-from ...startup.adaptive_backoff import Line
-from ...startup.latency import Latency
-from ...startup.staleness_guard import Kept, Promise
-from .records import Entry, Ledger
+from .commands import Command, Handshake, PollRevision, Publish, ReadAll, RequestProgress, Watch
+from .pacing import LoopLagMonitor, RequestPacer, StandbyLimiter, WatcherConfig
+from .records import Ledger
+from .revisions import RevisionedList
+from .sessions import MemberRotation, SessionPhase, SessionState, SessionSupervisor
 
-# --- commands -----------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True)
-class Connect:
-    """Begin a session with the member at this place of the addresses. All sessions but `Follower.open` are
-    over."""
-
-    session: int
-    place: int
-
-
-@dataclass(frozen=True)
-class Greet:
-    """Ask anew for the first word of a session, which was refused for the member's load."""
-
-    session: int
-
-
-@dataclass(frozen=True)
-class ReadAll:
-    session: int
-
-
-@dataclass(frozen=True)
-class Watch:
-    """Tell all changes from this revision on."""
-
-    session: int
-    start: int
-
-
-@dataclass(frozen=True)
-class Ask:
-    """A short read of the present revision."""
-
-    session: int
-    asked: float
-
-
-@dataclass(frozen=True)
-class Progress:
-    """Ask how far the watch is: it has not told all that a short read has shown."""
-
-    session: int
-
-
-@dataclass(frozen=True)
-class Tell:
-    """What has changed in the list."""
-
-    entries: tuple[Entry, ...]
-    whole: bool
-
-
-LATE_KEPT, LATE_TIMES = 0.8, 10.0  # of the lateness from look to look; patience for it, in times of it
-NARROW = 0.9  # of the time between two questions, the least that is drawn
-QUICK = 10  # answers in time in a row after which former trials no longer count
-
-Command = Connect | Greet | ReadAll | Watch | Ask | Progress | Tell
-
-
-class State(Enum):
-    RESTING = "resting"
-    CONNECTING = "connecting"
-    READING = "reading"
-    WATCHING = "watching"
-
-
-@dataclass(frozen=True)
-class Pace:
-    """Times in s. A question, the silence until a trial and the trial itself fit in `fresh`, as a rule: 0.63
-    and 0.33 of it, and a few ms. Where all three are long, a failover breaks the promise for 0.07 s at most:
-    asking more often or leaving sooner would burden a service that is slow for all."""
-
-    fresh: float = 0.35  # the promise: the list is confirmed as of at most this long ago
-    ask: tuple[float, float] = (0.56, 0.7)  # between two questions, as shares of `fresh`: the least, where
-    # answers take long, and the most; drawn anew each time, so that those who came in step fall out of it
-    silence: tuple[float, float] = (0.17, 0.5)  # without an answer, until a trial: shares of `fresh`, drawn
-    # anew, while the promise is kept and all answers were quick lately; a hiccup of the service meets few so
-    patient: float = 1.5  # s until a trial else: a service that all have just come to is slow for all
-    worse: float = 0.4  # the same while the promise is given up: share of `fresh`,
-    given_up: float = 3.0  # and s from then on: first fewer questions may help
-    silent: float = 2.0  # s, or 4 times what answers take at the most, until a session that says nothing ends
-    read: float = 5.0  # a full read may be long
-    rest: tuple[float, float] = (0.05, 2.0)  # after all members failed in a row: first, and the most
-    refused: float = 2.0  # after credentials were refused by all of them
-    trial: tuple[float, float] = (5.0, 60.0)  # in which no more trials begin than there are other members:
-    # at first, and after they showed that all are slow
-    late: float = 0.03  # a look that comes later than this finds answers unread: silence is no silence then
+STANDBY_SPEEDUP = 2  # a standby session takes over if it is faster by this factor
 
 
 @dataclass
-class Figures:
-    """What happened, for counters."""
+class WatcherStats:
+    """Numbers of events since the start. The field names are the ends of the counters `registry_...`.
+
+    Attributes:
+        full_reads: Snapshots that were taken over.
+        resumes: Sessions that continued an earlier session's list.
+        breaks: Sessions that broke or did not come up.
+        stalls: Sessions that ended because they were silent.
+        compactions: Watches that could not continue because their revisions were compacted.
+        lagging: Sessions that ended because the member returned an older state.
+        restored: Snapshots of a restored registry.
+        refused: Sessions that ended because credentials were rejected.
+        duplicates: Events that were delivered again.
+        gaps: Watches that delivered events out of order.
+        declined: Throttled requests.
+        trials: Standby sessions that were opened.
+        slow_for_all: Standby sessions that were no faster than the active one.
+        given_up: Suspensions of the staleness guarantee.
+    """
 
     full_reads: int = 0
     resumes: int = 0
@@ -142,470 +69,412 @@
     refused: int = 0
     duplicates: int = 0
     gaps: int = 0
-    declined: int = 0  # for the member's load
+    declined: int = 0
     trials: int = 0
-    slow_for_all: int = 0  # trials that were no faster
-    given_up: int = 0  # times that the promise could not be kept at the pace there is
-
-
-@dataclass
-class Session:
-    number: int
-    place: int
-    since: float
-    answered: float  # when it last said anything that moves it on
-    open: float = inf  # when the question left that is not answered yet
-    next_ask: float = inf
-    held: Command | None = None  # what waits for its place in line
-    held_until: float = inf
-    draw: float = 0.0  # random from 0 to 1, for the question that is open
-    unanswered: float = inf  # when the oldest question left that confirmed nothing yet
-    seen: int = 0  # the highest revision that one of its answers named
-    seen_asked: float = -inf  # when the question was asked that it answered
-    progress: int = 0  # up to here its watch has told all
-    resumed: bool = False
-    confirmed: bool = False
+    slow_for_all: int = 0
+    given_up: int = 0
+
+
+class RegistryWatcher:
+    """Watches a registry over one active session at a time.
+
+    Attributes:
+        config: Timing parameters.
+        resumable: Whether a watch can continue the list of an earlier session.
+        table: The watched list with its revision.
+        pacer: Polls, backoff and timeouts, with the staleness guard.
+        loop_lag: Lateness of the driver's event loop.
+        sessions: The active session and the standby session.
+        stats: Numbers of events.
+    """
+
+    def __init__(
+        self,
+        member_count: int,
+        ledger: Ledger,
+        *,
+        resumable: bool = True,
+        config: WatcherConfig | None = None,
+        random: Random | None = None,
+        last_member_index: int = -1,
+    ):
+        """Create a watcher that has no session yet; the first `on_tick` opens one.
+
+        Args:
+            member_count: Number of addresses of the registry.
+            ledger: The list that is kept up to date.
+            resumable: Whether a watch can continue the list of an earlier session.
+            config: Timing parameters.
+            random: Source of jitter.
+            last_member_index: Position of the member before the one that is tried first.
+        """
+        self.config = WatcherConfig() if config is None else config
+        self.resumable = resumable
+        self.table = RevisionedList(ledger)
+        self.pacer = RequestPacer(self.config, Random(0) if random is None else random)
+        self.loop_lag = LoopLagMonitor(self.config.late_tick_threshold)
+        self.sessions = SessionSupervisor(
+            MemberRotation(member_count, last_member_index),
+            self.pacer,
+            self.loop_lag,
+            StandbyLimiter(self.config),
+        )
+        self.stats = WatcherStats()
+
+    # --- state ----------------------------------------------------------------------------------------------
 
+    @property
+    def session(self) -> SessionState | None:
+        """The active session; None during a backoff."""
+        return self.sessions.active
 
-@dataclass
-class Follower:
-    members: int  # how many addresses there are
-    ledger: Ledger
-    resumable: bool = True  # whether a watch can go on behind a list of a former session
-    pace: Pace = field(default_factory=Pace)
-    random: Random = field(default_factory=lambda: Random(0))
-    revision: int = 0  # the list is whole up to here; 0: none is known
-    confirmed: float = -inf
-    state: State = State.RESTING
-    session: Session | None = None
-    figures: Figures = field(default_factory=Figures)
-    trial: Session | None = None
-    trials: list[float] = field(default_factory=list)  # when the last ones began
-    slow_trials: int = 0  # in a row that were no faster
-    lost_trials: int = 0  # in a row that showed nothing: broken, or with a member that is behind
-    trial_due: float = -inf
-    quick: int = 0  # answers in a row that came in time
-    failures: int = 0  # sessions in a row that failed
-    denials: int = 0  # the last of them, for refused credentials
-    older: set[int] = field(default_factory=set)  # members that answered an older state, since one was right
-    due: float = -inf  # when a rest ends
-    place: int = -1  # of the member that was tried last; the next one is tried next
-    must_read: bool = False  # the watch cannot be resumed
-    cluster: int = 0  # whose revisions these are; 0: not told
-    other: bool = False  # this session's member belongs to another, whose revisions start anew
-    sessions: int = 0
-    line: Line = field(default_factory=Line)
-    latency: Latency = field(default_factory=Latency)
-    promise: Promise = field(init=False)
-    wary_until: float = -inf  # the loop stood still: silence counts from here
-    latest: float = -inf  # when anything was told last
-    late_looks: int = 0  # in a row
-    lateness: float = 0.0  # s that looks come late here, lately: who is slow finds all others slow
-
-    def __post_init__(self) -> None:
-        self.promise = Promise(room=self.pace.fresh * (1 - self.pace.ask[0]))
+    @property
+    def standby_session(self) -> SessionState | None:
+        """The session that is tried beside the active one."""
+        return self.sessions.standby
 
-    def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
-        """A list that was kept: it is told, and the watch tried behind it; it is confirmed by no one yet."""
-        self.revision = revision
-        return [Tell(self.ledger.replace(records), whole=True)]
+    @property
+    def open_sessions(self) -> set[int]:
+        """Numbers of the sessions that have not ended."""
+        return self.sessions.open_ids
 
-    # --- what the driver asks -------------------------------------------------------------------------------
+    @property
+    def revision(self) -> int:
+        """Revision up to which the list is complete; 0 before the first snapshot."""
+        return self.table.revision
 
     @property
-    def open(self) -> set[int]:
-        """The sessions that are not over."""
-        return {one.number for one in (self.session, self.trial) if one is not None}
+    def confirmed_at(self) -> float:
+        """Time as of which the list was last confirmed."""
+        return self.table.confirmed_at
 
-    def fresh(self, now: float) -> bool:
-        return self.promise.holds and now - self.confirmed <= self.pace.fresh
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the staleness bound is guaranteed and the list was confirmed within it."""
+        return self.pacer.guard.holds and now - self.table.confirmed_at <= self.config.max_staleness
 
-    def next_look(self, now: float) -> float:
-        """When `ticked` is due, at the latest."""
-        session = self.session
-        if session is None:
-            return self.due
-        asks = session.next_ask if self.state is State.WATCHING and session.open == inf else inf
-        silent = max(self.wary_until, min(self._trial_at(), self._end_at()))
-        over = inf if self.trial is None else max(self.wary_until, self._trial_over())
-        return min(session.held_until, asks, silent, over)
+    def next_deadline(self) -> float:
+        """Return the time at which `on_tick` is due at the latest."""
+        return self.sessions.next_deadline(self.table.confirmed_at)
+
+    # --- events ---------------------------------------------------------------------------------------------
 
-    # --- what happens ---------------------------------------------------------------------------------------
+    def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
+        """Publish a stored list, which is not confirmed; a watch is tried from its revision."""
+        return [Publish(self.table.restore(revision, records), is_snapshot=True)]
 
-    def ticked(self, now: float) -> list[Command]:
+    def on_tick(self, now: float) -> list[Command]:
+        """Do what is due: polls, delayed requests, timeouts and reconnects."""
         session = self.session
         if session is None:
-            return self._connect(now) if now >= self.due else []
-        self._look_around(now)
-        self.latest = now
-        if now >= self.wary_until:
-            if now >= self._end_at():
-                return self._fail(now, "breaks" if self.state is State.CONNECTING else "stalls")
-            if self.trial is not None and now >= self._trial_over():
-                self.trial = None  # no one there is better
-                self._no_faster()
-        if now >= session.held_until:
-            command, session.held, session.held_until = session.held, None, inf
-            if isinstance(command, Watch):  # as of now, not as of the refusal
-                return [Watch(command.session, self.revision + 1)]
-            session.since = session.answered = now
-            return [command]
-        if self.state is State.WATCHING and session.open == inf and now >= session.next_ask:
-            return self._ask(now)
-        if now >= max(self.wary_until, self._trial_at()):
-            return self._try(now)
+            return self.sessions.connect(now) if now >= self.sessions.reconnect_at else []
+        self.loop_lag.record_tick(now, self.next_deadline())
+        is_silence_certain = now >= self.loop_lag.grace_until
+        if is_silence_certain and now >= self.sessions.active_expires_at():
+            return self._on_session_timeout(now, session)
+        if is_silence_certain:
+            self._check_standby_timeout(now)
+        if now >= session.delayed_until:
+            return [self._take_delayed_command(now, session)]
+        if session.can_poll and now >= session.next_poll_at:
+            return self._poll(now)
+        if is_silence_certain and now >= self.sessions.standby_start_at(self.table.confirmed_at):
+            self.stats.trials += 1
+            return self.sessions.open_standby(now)
         return []
 
-    def _look_around(self, now: float) -> None:
-        """Guards a session against a loop that stood still: its answers may lie in the socket, unread."""
-        lateness = now - max(self.next_look(now), self.latest)  # due before the last word is not late
-        self.lateness = max(lateness, LATE_KEPT * self.lateness)
-        late = lateness > self.pace.late
-        self.late_looks = self.late_looks + 1 if late else 0
-        if late and self.late_looks <= 3:
-            self.wary_until = now + self.pace.late
-
-    def connected(
-        self, now: float, number: int, asked: float, revision: int, cluster: int = 0
+    def on_connected(
+        self, now: float, session_id: int, requested_at: float, revision: int, cluster_id: int = 0
     ) -> list[Command]:
-        """The member has answered a short read asked for at `asked`: it is at `revision`. With a list known,
-        the watch goes on behind it; else all is read, as it is from a cluster with another id (0: not told),
-        for a backup may be restored under a new one."""
-        self.latest = now
-        trial = self.trial
-        if trial is not None and trial.number == number:
-            return self._tried(now, trial, asked, revision, cluster)
-        if self._of(number) is None or self.state is not State.CONNECTING:
+        """Handle the response to a session's first read.
+
+        With a known list the watch continues from its revision. Otherwise all is read; so it is from a
+        cluster with another identity, which may be a restored backup.
+
+        Args:
+            now: Time of the response.
+            session_id: Number of the session.
+            requested_at: Time at which the read was sent.
+            revision: The registry's revision.
+            cluster_id: Identity of the member's cluster; 0 if it is not known.
+        """
+        self.loop_lag.record_event(now)
+        if self.sessions.is_standby(session_id):
+            return self._on_standby_connected(now, self.standby_session, requested_at, revision, cluster_id)
+        session = self.sessions.find(session_id, SessionPhase.CONNECTING)
+        if session is None:
             return []
-        return self._greeted(now, asked, revision, cluster)
+        return self._begin_session(now, session, requested_at, revision, cluster_id)
 
-    def _greeted(self, now: float, asked: float, revision: int, cluster: int) -> list[Command]:
-        session = self.session
-        session.answered, number = now, session.number
-        session.held, session.held_until = None, inf
-        self._took(now - asked)
-        self.promise.greeted(now - asked)
-        self.other = bool(cluster and self.cluster and cluster != self.cluster)
-        self.cluster = self.cluster or cluster
-        if self.other:
-            self.must_read, self.cluster = True, cluster
-        if self.revision and self.resumable and not self.must_read:
-            session.resumed, session.progress = True, self.revision
-            self.state = State.WATCHING
-            return [Watch(number, self.revision + 1), *self._answered(now, asked, revision)]
-        return self._read(now)
-
-    def declined(self, now: float, number: int, after: float = 0.0, watch: bool = False) -> list[Command]:
-        """A call of this session was refused for the member's load; `after`: s that it asks for; `watch`: it
-        was the watch, which is over. The session works: what was asked for is asked again, in line."""
-        self.latest = now
-        self.figures.declined += self._of(number) is not None
-        if self.trial is not None and self.trial.number == number:
-            self.trial = None
-            self._no_faster()
+    def on_throttled(
+        self, now: float, session_id: int, retry_after: float = 0.0, is_watch: bool = False
+    ) -> list[Command]:
+        """Handle a request that the member refused because of its load; it is repeated after a backoff.
+
+        Args:
+            now: Time of the response.
+            session_id: Number of the session, which remains usable.
+            retry_after: Delay that the member asked for, in s.
+            is_watch: Whether the request was the watch, which has ended.
+        """
+        self.loop_lag.record_event(now)
+        if self.sessions.is_standby(session_id):
+            self._drop_slow_standby()
             return []
-        session = self._of(number)
+        session = self.sessions.find(session_id)
         if session is None:
             return []
-        self.line.refused()
-        self.promise.refused(now, self.random.random())
-        wait = now + self.line.wait(self.random.random(), after)
-        if self.state is State.WATCHING and watch:
-            session.held, session.held_until = Watch(number, self.revision + 1), wait
-            return []
-        if self.state is State.WATCHING:
-            session.open = session.unanswered = inf
-            session.next_ask = max(wait, self._ask_at(now))
-            return []
-        session.held = Greet(number) if self.state is State.CONNECTING else ReadAll(number)
-        session.held_until, session.answered = wait, now
+        self.stats.declined += 1
+        retry_at = self.pacer.record_throttled(now, retry_after)
+        if session.phase is not SessionPhase.WATCHING:
+            is_handshake = session.phase is SessionPhase.CONNECTING
+            session.delay(Handshake(session_id) if is_handshake else ReadAll(session_id), retry_at)
+            session.last_progress_at = now
+        elif is_watch:
+            session.delay(Watch(session_id, self.table.revision + 1), retry_at)
+        else:
+            session.cancel_poll()
+            session.next_poll_at = max(retry_at, self.pacer.next_poll_at(now))
         return []
 
-    def lost(self, now: float, number: int, refused: bool = False) -> list[Command]:
-        """The session broke, or never came up; `refused`: for its credentials."""
-        if self.trial is not None and self.trial.number == number:
-            self._lost_trial(now)
+    def on_disconnected(
+        self, now: float, session_id: int, credentials_rejected: bool = False
+    ) -> list[Command]:
+        """Handle a session that broke or did not come up."""
+        if self.sessions.is_standby(session_id):
+            self.sessions.fail_standby(now)
             return []
-        if self._of(number) is None:
+        if self.sessions.find(session_id) is None:
             return []
-        return self._fail(now, "refused" if refused else "breaks")
-
-    def whole(
-        self, now: float, number: int, asked: float, revision: int, records: Iterable[tuple[str, int, bytes]]
+        if credentials_rejected:
+            self.stats.refused += 1
+        else:
+            self.stats.breaks += 1
+        return self.sessions.fail_active(now, credentials_rejected)
+
+    def on_snapshot(
+        self,
+        now: float,
+        session_id: int,
+        requested_at: float,
+        revision: int,
+        records: Iterable[tuple[str, int, bytes]],
     ) -> list[Command]:
-        """A full read, asked for at `asked`: all keys, the revision of each, and its value."""
-        self.latest = now
-        session = self._of(number)
-        if session is None or self.state is not State.READING:
+        """Handle the response to a full read.
+
+        Args:
+            now: Time of the response.
+            session_id: Number of the session.
+            requested_at: Time at which the read was sent.
+            revision: Revision of the snapshot.
+            records: Key, revision and value of every record.
+        """
+        self.loop_lag.record_event(now)
+        session = self.sessions.find(session_id, SessionPhase.READING)
+        if session is None:
             return []
-        if revision < self.revision and not (self.other or self._all_are_older()):
-            return self._lag(now)
-        self.figures.restored += self.other or revision < self.revision
-        self.other = False
-        self.figures.full_reads += 1
-        self.older.clear()
-        self.must_read, self.revision = False, revision
-        self.confirmed = max(self.confirmed, asked)
-        session.progress = session.seen = revision
-        session.answered, self.state = now, State.WATCHING
-        session.next_ask = self._ask_at(asked) if self.promise.proved else now
-        self.failures = self.denials = 0
-        tell = Tell(self.ledger.replace(records), whole=True)
-        return [tell, Watch(number, revision + 1)]
-
-    def events(
-        self, now: float, number: int, revision: int, events: Iterable[tuple[str, int, bytes | None]]
+        is_older = revision < self.table.revision
+        if is_older and not self.table.cluster_changed and not self._all_members_lag(session):
+            return self._abandon_lagging_member(now, session)
+        if is_older or self.table.cluster_changed:
+            self.stats.restored += 1
+        self.stats.full_reads += 1
+        entries = self.table.replace(revision, requested_at, records)
+        self.sessions.rotation.record_success()
+        is_timely = self.pacer.guard.proved
+        next_poll_at = self.pacer.next_poll_at(requested_at) if is_timely else now
+        session.begin_watching(now, revision, next_poll_at)
+        return [Publish(entries, is_snapshot=True), Watch(session_id, revision + 1)]
+
+    def on_events(
+        self,
+        now: float,
+        session_id: int,
+        revision: int,
+        events: Iterable[tuple[str, int, bytes | None]],
     ) -> list[Command]:
-        """What the watch told: keys with the revision and the value of each, None for one that was deleted;
-        `revision`: the watch has told all up to there. No events: progress only."""
-        self.latest = now
-        session = self._of(number)
-        if session is None or self.state is not State.WATCHING:
+        """Handle events of the watch, or a progress notification if there are none.
+
+        Args:
+            now: Time of the notification.
+            session_id: Number of the session.
+            revision: Revision up to which the watch has delivered all events.
+            events: Key, revision and value of each change; the value of a deleted key is None.
+        """
+        self.loop_lag.record_event(now)
+        session = self.sessions.find(session_id, SessionPhase.WATCHING)
+        if session is None:
             return []
-        found, last = [], self.revision
-        for key, at, value in events:
-            if at <= self.revision:
-                self.figures.duplicates += 1
-                continue
-            if at < last:  # a watch never goes back: what it tells cannot be trusted
-                self.figures.gaps += 1
-                self.must_read = True
-                return [*self._told_so_far(found), *self._fail(now, "breaks")]
-            last = at
-            found += self.ledger.put(key, at, value)
-        if revision < self.revision and not found:
-            # The word of a member that is behind; its own watch may say so without having lost anything.
+        applied = self.table.apply(events)
+        self.stats.duplicates += applied.duplicates
+        commands: list[Command] = []
+        if applied.entries:
+            commands.append(Publish(tuple(applied.entries), is_snapshot=False))
+        if not applied.in_order:
+            self.stats.gaps += 1
+            self.stats.breaks += 1
+            self.table.snapshot_required = True
+            return commands + self.sessions.fail_active(now)
+        if revision < self.table.revision and not applied.entries:
+            return []  # a member that lags: its watch may report this without having lost an event
+        self.table.revision = max(self.table.revision, applied.last_revision, revision)
+        session.watch_revision = max(session.watch_revision, self.table.revision)
+        self._confirm_if_caught_up(now, session)
+        return commands
+
+    def on_revision(self, now: float, session_id: int, requested_at: float, revision: int) -> list[Command]:
+        """Handle the response to a poll.
+
+        Args:
+            now: Time of the response.
+            session_id: Number of the session.
+            requested_at: Time at which the poll was sent.
+            revision: The registry's revision.
+        """
+        self.loop_lag.record_event(now)
+        session = self.sessions.find(session_id, SessionPhase.WATCHING)
+        if session is None:
             return []
-        self.revision = max(self.revision, last, revision)
-        session.progress = max(session.progress, self.revision)
-        self._confirm(now)
-        return self._told_so_far(found)
-
-    def answered(self, now: float, number: int, asked: float, revision: int) -> list[Command]:
-        """The short read asked for at `asked`: the registry is at `revision`."""
-        self.latest = now
-        session = self._of(number)
-        if session is None or self.state is not State.WATCHING:
+        self._record_response(now - requested_at)
+        return self._observe_revision(now, session, requested_at, revision)
+
+    def on_compacted(self, now: float, session_id: int) -> list[Command]:
+        """Handle a watch that cannot continue because the events after its revision were compacted."""
+        self.loop_lag.record_event(now)
+        session = self.sessions.find(session_id, SessionPhase.WATCHING)
+        if session is None:
             return []
-        self._took(now - asked)
-        return self._answered(now, asked, revision)
+        self.stats.compactions += 1
+        self.table.snapshot_required = True
+        return self._read_snapshot(now, session)
 
-    def _answered(self, now: float, asked: float, revision: int) -> list[Command]:
-        session = self.session
-        if revision < self.revision:
-            return self._lag(now)
-        self._judge(now, asked)
-        session.open = inf
-        session.next_ask = self._ask_at(asked)
-        if asked > session.seen_asked:
-            session.seen, session.seen_asked = max(session.seen, revision), asked
-        self._confirm(now)
-        if session.progress < session.seen:
-            session.unanswered = min(session.unanswered, asked)
-            return [Progress(session.number)]
+    def replace_members(self, now: float, member_count: int) -> list[Command]:
+        """Connect to other members; the list and its revision stay."""
+        return self.sessions.replace_members(now, member_count)
+
+    # --- active session -------------------------------------------------------------------------------------
+
+    def _begin_session(
+        self, now: float, session: SessionState, requested_at: float, revision: int, cluster_id: int
+    ) -> list[Command]:
+        session.last_progress_at = now
+        session.take_delayed_command()
+        self._record_response(now - requested_at)
+        self.pacer.guard.greeted(now - requested_at)
+        self.table.record_cluster(cluster_id)
+        if not self.resumable or not self.table.can_resume:
+            return self._read_snapshot(now, session)
+        session.resume(self.table.revision)
+        watch = Watch(session.session_id, self.table.revision + 1)
+        return [watch, *self._observe_revision(now, session, requested_at, revision)]
+
+    def _read_snapshot(self, now: float, session: SessionState) -> list[Command]:
+        session.phase = SessionPhase.READING
+        session.last_progress_at = now
+        session.cancel_poll()
+        command = ReadAll(session.session_id)
+        delay = self.pacer.snapshot_delay()
+        if not delay:
+            return [command]
+        session.delay(command, now + delay)
         return []
 
-    def _judge(self, now: float, asked: float) -> None:
-        """Whether the promise can be held at this pace; an instance that is late itself judges no one. A
-        lapse counts where the answer was slow, or where so much is missing that questions were refused."""
-        took, age = now - asked, now - self.confirmed
-        if now - self.wary_until > self.pace.fresh and self.lateness <= self.pace.late:
-            lapsed = (
-                self.session.confirmed
-                and age > self.pace.fresh
-                and (took > self.promise.room or age > 1.5 * self.pace.fresh)
-            )
-            former = self.promise.state
-            self.promise.answered(now, took, lapsed, self.random.random())
-            self.figures.given_up += former is Kept.KEPT and self.promise.state is Kept.GIVEN_UP
-
-    def compacted(self, now: float, number: int) -> list[Command]:
-        """What lies between the list and the watch is no longer there to be told."""
-        self.latest = now
-        if self._of(number) is None or self.state is not State.WATCHING:
-            return []
-        self.figures.compactions += 1
-        self.must_read = True
-        return self._read(now)
+    def _take_delayed_command(self, now: float, session: SessionState) -> Command:
+        command = session.take_delayed_command()
+        if isinstance(command, Watch):  # the list may have advanced during the backoff
+            return Watch(command.session_id, self.table.revision + 1)
+        session.started_at = now
+        session.last_progress_at = now
+        return command
 
-    def moved(self, now: float, members: int) -> list[Command]:
-        """Other addresses from now on; the list and its revision stay."""
-        self.members, self.place, self.failures = members, -1, 0
-        self.session = self.trial = None
-        self.older.clear()
-        return self._connect(now)
+    def _poll(self, now: float) -> list[Command]:
+        session = self.session
+        session.record_poll(now, self.pacer.random.random())
+        return [PollRevision(session.session_id, now)]
 
-    # --- inside ---------------------------------------------------------------------------------------------
+    def _record_response(self, duration: float) -> None:
+        self.pacer.record_response(duration)
+        if self.pacer.is_service_fast:
+            self.sessions.standby_limiter.reset()
 
-    def _of(self, number: int) -> Session | None:
-        return self.session if self.session is not None and self.session.number == number else None
+    def _observe_revision(
+        self, now: float, session: SessionState, requested_at: float, revision: int
+    ) -> list[Command]:
+        if revision < self.table.revision:
+            return self._abandon_lagging_member(now, session)
+        self._judge_staleness(now, session, requested_at)
+        session.poll_sent_at = inf
+        session.next_poll_at = self.pacer.next_poll_at(requested_at)
+        session.observe_revision(requested_at, revision)
+        self._confirm_if_caught_up(now, session)
+        if session.watch_revision >= session.observed_revision:
+            return []
+        session.unconfirmed_since = min(session.unconfirmed_since, requested_at)
+        return [RequestProgress(session.session_id)]
+
+    def _judge_staleness(self, now: float, session: SessionState, requested_at: float) -> None:
+        """Let the guard judge the response, unless the own event loop may be the cause of its delay."""
+        if not self.loop_lag.is_punctual(now, self.config.max_staleness):
+            return
+        staleness = now - self.table.confirmed_at
+        self.stats.given_up += self.pacer.record_staleness(
+            now, now - requested_at, staleness, session.has_confirmed
+        )
+
+    def _confirm_if_caught_up(self, now: float, session: SessionState) -> None:
+        """Confirm the list once the watch has delivered all changes up to a revision that was polled."""
+        if not session.is_caught_up:
+            return
+        if session.is_resuming:
+            session.is_resuming = False
+            self.stats.resumes += 1
+        self.table.confirm(session.observed_revision_polled_at)
+        self.sessions.rotation.record_success()
+        session.record_confirmation(now)
+
+    def _on_session_timeout(self, now: float, session: SessionState) -> list[Command]:
+        if session.phase is SessionPhase.CONNECTING:
+            self.stats.breaks += 1
+        else:
+            self.stats.stalls += 1
+        return self.sessions.fail_active(now)
 
-    @staticmethod
-    def _told_so_far(found: list[Entry]) -> list[Command]:
-        return [Tell(tuple(found), whole=False)] if found else []
+    def _all_members_lag(self, session: SessionState) -> bool:
+        return self.sessions.rotation.record_lag(session.member_index)
 
-    def _begin(self, now: float) -> Session:
-        self.sessions += 1
-        self.place = (self.place + 1) % self.members
-        return Session(self.sessions, self.place, since=now, answered=now)
+    def _abandon_lagging_member(self, now: float, session: SessionState) -> list[Command]:
+        """End a session whose member is behind: changes it would deliver have been superseded.
 
-    def _connect(self, now: float) -> list[Command]:
-        self.session, self.state = self._begin(now), State.CONNECTING
-        return [Connect(self.session.number, self.session.place)]
+        If all members agree on an older state, it is read anew.
+        """
+        if self._all_members_lag(session):
+            self.table.snapshot_required = True
+        self.stats.lagging += 1
+        return self.sessions.fail_active(now)
 
-    def _read(self, now: float) -> list[Command]:
-        """A full read, after a place in line if the service is slow or has refused."""
-        session = self.session
-        self.state = State.READING
-        session.answered, session.unanswered, session.open = now, inf, inf
-        wait = self.line.wait(self.random.random())
-        if not wait:
-            return [ReadAll(session.number)]
-        session.held, session.held_until = ReadAll(session.number), now + wait
-        return []
+    # --- standby session ------------------------------------------------------------------------------------
 
-    def _ask(self, now: float) -> list[Command]:
-        session = self.session
-        session.open, session.draw = now, self.random.random()
-        session.unanswered = min(session.unanswered, now)
-        return [Ask(session.number, now)]
-
-    def _ask_at(self, asked: float) -> float:
-        """When the next question leaves, after one at `asked`."""
-        pace, draw = self.pace, self.random.random()
-        seldom = self.promise.seldom()
-        if seldom:
-            return asked + seldom * (0.5 + draw)
-        least, most = (share * pace.fresh for share in pace.ask)
-        # Where answers take long as a rule, the next one has to come before the last one is too old. Not so
-        # for a few late ones: whoever asks more often then makes a busy service slower.
-        most = max(least, min(most, pace.fresh * 0.9 - self.latency.mean))
-        least = max(least, NARROW * most)
-        return asked + least + draw * (most - least)
-
-    def _took(self, seconds: float) -> None:
-        self.latency.took(seconds)
-        self.line.answered(seconds)
-        self.quick = self.quick + 1 if seconds <= self.promise.room else 0
-        if self.quick >= QUICK:  # what was slow for all, or broke trials, has passed
-            self.slow_trials = self.lost_trials = 0
-            self.trials.clear()
-
-    # Trials: another session beside one that is silent.
-
-    def _waiting_since(self) -> float:
-        """Since when the session has said nothing that moves it on; inf: nothing is awaited."""
-        session = self.session
-        if session.held is not None:  # a watch that waits in line can confirm nothing: questions alone count
-            return session.open if self.state is State.WATCHING else inf
-        return session.since if self.state is State.CONNECTING else session.unanswered
-
-    def _patience(self) -> float:
-        pace = self.pace
-        if self.promise.state is Kept.GIVEN_UP:
-            return pace.worse * pace.fresh
-        waiting = self._waiting_since()
-        if self.quick >= QUICK and waiting - self.confirmed < pace.fresh:
-            least, most = pace.silence
-            drawn = (least + self.session.draw * (most - least)) * pace.fresh
-            return max(drawn, 2 * self.latency.high())
-        return pace.patient + LATE_TIMES * self.lateness
-
-    def _trial_at(self) -> float:
-        if self.trial is not None or self.state is State.READING:
-            return inf
-        most = max(1, self.members - 1)
-        rest = min(self.pace.trial[1], self.pace.trial[0] * 2 ** min(self.slow_trials, 10))
-        again = self.trials[-most] + rest if len(self.trials) >= most else -inf
-        if self.promise.state is Kept.GIVEN_UP:
-            again = max(again, self.promise.since + self.pace.given_up)
-        return max(self._waiting_since() + self._patience(), again, self.trial_due)
-
-    def _trial_over(self) -> float:
-        """When a trial that says nothing is no better than what it was begun for."""
-        return self.trial.since + max(2 * self._patience(), 0.4 * self.pace.fresh)
-
-    def _end_at(self) -> float:
-        """When the session is held to be dead, trial or not."""
-        if self.state is State.READING:
-            return inf if self.session.held is not None else self.session.answered + self.pace.read
-        return self._waiting_since() + max(self.pace.silent, 4 * self.latency.high())
-
-    def _try(self, now: float) -> list[Command]:
-        self.figures.trials += 1
-        self.trials = [*self.trials[-self.members :], now]
-        self.trial = self._begin(now)
-        return [Connect(self.trial.number, self.trial.place)]
-
-    def _tried(self, now: float, trial: Session, asked: float, revision: int, cluster: int) -> list[Command]:
-        """The trial answers: the other member was at fault if that has waited at least twice as long."""
-        if revision < self.revision and cluster in (0, self.cluster):
-            self._lost_trial(now)
-            return []
-        self.trial = None
-        if 2 * (now - trial.since) > now - self._waiting_since():
-            self._no_faster()
+    def _on_standby_connected(
+        self, now: float, standby: SessionState, requested_at: float, revision: int, cluster_id: int
+    ) -> list[Command]:
+        """Let the standby session take over if the active one has been silent for much longer."""
+        is_same_cluster = cluster_id in (0, self.table.cluster_id)
+        if revision < self.table.revision and is_same_cluster:
+            self.sessions.fail_standby(now)
             return []
-        self.figures.stalls += 1
-        self.slow_trials = self.lost_trials = 0
-        self.session, self.state = trial, State.CONNECTING
-        self.latency = Latency()  # it was the other's
-        return self._greeted(now, asked, revision, cluster)
-
-    def _lost_trial(self, now: float) -> None:
-        """It says nothing of how fast others are: the next member is tried soon."""
-        self.trial = None
-        if self.trials:
-            self.trials.pop()
-        self.trial_due = now + self._rest(self.lost_trials)
-        self.lost_trials += 1
-
-    def _rest(self, failed: int) -> float:
-        """Over the whole of a window that grows: all may have failed at once."""
-        return min(self.pace.rest[0] * 2 ** min(failed, 20), self.pace.rest[1]) * self.random.random()
-
-    def _no_faster(self) -> None:
-        self.slow_trials += 1
-        self.figures.slow_for_all += 1
-
-    def _confirm(self, now: float) -> None:
-        """The list is confirmed once the watch has told all up to what a short read has shown."""
-        session = self.session
-        if session.progress >= session.seen and session.seen_asked > -inf:
-            if session.resumed:
-                session.resumed = False
-                self.figures.resumes += 1
-            session.confirmed = True
-            self.confirmed = max(self.confirmed, session.seen_asked)
-            self.failures = self.denials = 0
-            self.older.clear()
-            session.answered = now
-            session.unanswered = session.open
-
-    def _all_are_older(self) -> bool:
-        """This session's member answers an older state, and so has each other one since one was right."""
-        self.older.add(self.session.place)
-        return len(self.older) >= self.members
-
-    def _lag(self, now: float) -> list[Command]:
-        """Guards the list against a member that is behind: what it would tell has been undone already."""
-        if self._all_are_older():
-            self.must_read = True  # what they agree on is read anew
-        return self._fail(now, "lagging")
-
-    def _fail(self, now: float, why: str) -> list[Command]:
-        setattr(self.figures, why, getattr(self.figures, why) + 1)
-        self.failures += 1
-        self.denials = self.denials + 1 if why == "refused" else 0
-        self.session, self.state = None, State.RESTING
-        if self.trial is not None:  # it is on its way already
-            self.session, self.trial, self.state = self.trial, None, State.CONNECTING
+        silence = now - self.session.waiting_since
+        if STANDBY_SPEEDUP * (now - standby.started_at) > silence:
+            self._drop_slow_standby()
             return []
-        rounds, place = divmod(self.failures, self.members)
-        if place:
-            return self._connect(now)  # a member that is up is found within the promise
-        if self.denials >= self.members:
-            self.due = now + self.pace.refused * (0.5 + self.random.random() / 2)
-        else:
-            self.due = now + self._rest(rounds - 1)
-        return []
+        self.stats.stalls += 1
+        self.sessions.promote_standby()
+        return self._begin_session(now, standby, requested_at, revision, cluster_id)
+
+    def _check_standby_timeout(self, now: float) -> None:
+        if self.standby_session is None:
+            return
+        if now >= self.sessions.standby_expires_at(self.table.confirmed_at):
+            self._drop_slow_standby()
+
+    def _drop_slow_standby(self) -> None:
+        self.sessions.drop_slow_standby()
+        self.stats.slow_for_all += 1
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -3,40 +3,44 @@
 import sys
 
 from applevale.__main__ import main
-from applevale.discovery.registry.watcher import Follower, Watch
+from applevale.discovery.registry.commands import Watch
+from applevale.discovery.registry.watcher import RegistryWatcher
 from applevale.membership import messages
 from applevale.membership.protocol import KEEP_NEWS, Membership
 from applevale.runtime.application import Application
 from applevale.startup.staleness_guard import Promise
 
 
-def ignore_compaction(self, now, number):
-    """Goes on from what the registry has now, as if nothing lay between."""
-    self.revision = self.session.progress = self.session.seen
-    return [Watch(number, self.revision + 1)]
+def ignore_compaction(self, now, session_id):
+    """Continues from the registry's current revision, as if no events had been lost."""
+    revision = self.session.observed_revision
+    self.table.revision = revision
+    self.session.watch_revision = revision
+    return [Watch(session_id, revision + 1)]
 
 
-answered, asks = Follower.answered, Follower._ask
-tried = Follower._tried
+on_revision = RegistryWatcher.on_revision
+send_poll = RegistryWatcher._poll
+on_standby_connected = RegistryWatcher._on_standby_connected
 
 
-def dated_by_arrival(self, now, number, asked, revision):
-    """Takes an answer for a word of the moment at which it came."""
-    return answered(self, now, number, now, revision)
+def confirm_as_of_response(self, now, session_id, requested_at, revision):
+    """Confirms the list as of the time of a response instead of its request."""
+    return on_revision(self, now, session_id, now, revision)
 
 
-def ask_on_top(self, now):
-    """Forgets that a question is open."""
-    commands = asks(self, now)
-    self.session.open = float("inf")
-    self.session.next_ask = self._ask_at(now)
+def poll_while_one_is_in_flight(self, now):
+    """Forgets the poll in flight."""
+    commands = send_poll(self, now)
+    self.session.poll_sent_at = float("inf")
+    self.session.next_poll_at = self.pacer.next_poll_at(now)
     return commands
 
 
-def leave_the_slow(self, now, trial, asked, revision, cluster):
-    """Takes whatever trial answers, however slow: as long as another member was silent for long."""
-    trial.since = now
-    return tried(self, now, trial, asked, revision, cluster)
+def promote_slow_standby(self, now, standby, requested_at, revision, cluster_id):
+    """Lets a standby session take over however slow its response was."""
+    standby.started_at = now
+    return on_standby_connected(self, now, standby, requested_at, revision, cluster_id)
 
 
 def serving(self):
@@ -111,13 +115,13 @@
 
 
 FAULTS = {fault: lambda fault=fault: planted_in_members(fault) for fault in MEMBERS} | {
-    "arrival": lambda: setattr(Follower, "answered", dated_by_arrival),
-    "on_top": lambda: setattr(Follower, "_ask", ask_on_top),
-    "leaves": lambda: setattr(Follower, "_tried", leave_the_slow),
+    "arrival": lambda: setattr(RegistryWatcher, "on_revision", confirm_as_of_response),
+    "on_top": lambda: setattr(RegistryWatcher, "_poll", poll_while_one_is_in_flight),
+    "leaves": lambda: setattr(RegistryWatcher, "_on_standby_connected", promote_slow_standby),
     "ready": lambda: setattr(Application, "is_serving", serving),
     "thrash": lambda: setattr(Promise, "_give_up", never_give_up),
-    "compaction": lambda: setattr(Follower, "compacted", ignore_compaction),
-    "staleness": lambda: setattr(Follower, "fresh", lambda self, now: True),
+    "compaction": lambda: setattr(RegistryWatcher, "on_compacted", ignore_compaction),
+    "staleness": lambda: setattr(RegistryWatcher, "is_fresh", lambda self, now: True),
 }
 
 if __name__ == "__main__":
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -75,7 +75,7 @@
 
     async def agreed(self):
         """Until the list is confirmed at the registry's own revision."""
-        await self.until(lambda: self.source.fresh() and self.source.follower.revision == self.store.revision)
+        await self.until(lambda: self.source.fresh() and self.source.watcher.revision == self.store.revision)
 
 
 @asynccontextmanager
@@ -144,7 +144,7 @@
 def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
     async def play(it):
         for member in it.members:
-            member.mute = it.source.follower.place == it.members.index(member)
+            member.mute = it.source.watcher.sessions.rotation.last_index == it.members.index(member)
         it.put(1, "draining")
         await it.agreed()
         assert it.list[1] == "draining" and it.counters["registry_stalls"] == 1
@@ -159,8 +159,8 @@
         old = it.store.copy()
         it.put(1, "draining")
         await it.agreed()
-        it.members[it.source.follower.place].lag = old
-        it.gates[it.source.follower.place].cut()
+        it.members[it.source.watcher.sessions.rotation.last_index].lag = old
+        it.gates[it.source.watcher.sessions.rotation.last_index].cut()
         it.put(2, "draining")
         await it.agreed()
         assert it.list == {1: "draining", 2: "draining"}
@@ -194,7 +194,7 @@
             member.declining = None
         it.put(1, "draining")
         await it.agreed()
-        assert it.list[1] == "draining" and it.source.follower.sessions == 1
+        assert it.list[1] == "draining" and it.source.watcher.sessions.opened_count == 1
         assert it.counters["registry_full_reads"] == 1 and it.counters["registry_breaks"] == 0
 
     played(play, "consul")
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -1,4 +1,4 @@
-"""How an instance comes up among hundreds: line, promise, ramp, and a fleet of followers in step."""
+"""How an instance comes up among hundreds: line, promise, ramp, and a fleet of registry watchers in step."""
 
 from random import Random
 
@@ -6,8 +6,8 @@
 
 from applevale.checkers.history import most_in
 from applevale.discovery.endpoints import Names
-from applevale.discovery.registry import watcher as f
 from applevale.discovery.registry.records import Ledger
+from applevale.discovery.registry.watcher import RegistryWatcher
 from applevale.startup.adaptive_backoff import Line
 from applevale.startup.connect_schedule import Ramp
 from applevale.startup.latency import Latency
@@ -122,21 +122,22 @@
 
 
 def fleet_after_a_break(random, count=100, away=1.0):
-    """Followers of one service that is away for a while; when their connections came after its return. What
+    """Watchers of one service that is away for a while; when their connections came after its return. What
     differs between them is their random numbers alone."""
     back, found = 100.0 + away, []
     for number in range(count):
-        it = f.Follower(3, Ledger(Names(("a",), ("std",))), random=random(number))
-        it.revision, it.promise.proved = 10, True
-        now, commands = 100.0, it.ticked(100.0)
+        it = RegistryWatcher(3, Ledger(Names(("a",), ("std",))), random=random(number))
+        it.table.revision = 10
+        it.pacer.guard.proved = True
+        now, commands = 100.0, it.on_tick(100.0)
         for _ in range(1000):
             if commands and now >= back:
                 found.append(now)
                 break
-            commands = it.lost(now, it.session.number) if it.session else []
+            commands = it.on_disconnected(now, it.session.session_id) if it.session else []
             if it.session is None:
-                now = it.due
-                commands = it.ticked(now)
+                now = it.sessions.reconnect_at
+                commands = it.on_tick(now)
         else:
             raise AssertionError("never came back")
     return found
--- a/tests/test_follower.py
+++ b/tests/test_watcher.py
@@ -1,4 +1,4 @@
-"""The follower of a registry, driven message by message: no sockets, no clock."""
+"""The registry watcher, driven message by message: no sockets, no clock."""
 
 import json
 from dataclasses import dataclass, field
@@ -11,8 +11,18 @@
 
 from applevale import api
 from applevale.discovery.endpoints import Names
-from applevale.discovery.registry import watcher as f
+from applevale.discovery.registry.commands import (
+    Connect,
+    PollRevision,
+    Publish,
+    ReadAll,
+    RequestProgress,
+    Watch,
+)
+from applevale.discovery.registry.pacing import FAST_RESPONSE_STREAK
 from applevale.discovery.registry.records import Ledger
+from applevale.discovery.registry.sessions import SessionPhase
+from applevale.discovery.registry.watcher import RegistryWatcher
 
 NAMES = Names(("a", "b"), ("std",))
 
@@ -24,7 +34,7 @@
 
 @dataclass
 class Play:
-    """A follower, its time, and the list that its changes make."""
+    """A watcher, its time, and the list that its changes make."""
 
     members: int = 2
     resumable: bool = True
@@ -33,40 +43,40 @@
     tells: int = 0
 
     def __post_init__(self):
-        self.it = f.Follower(self.members, Ledger(NAMES), resumable=self.resumable)
+        self.it = RegistryWatcher(self.members, Ledger(NAMES), resumable=self.resumable)
 
     def do(self, commands):
-        for tell in [one for one in commands if isinstance(one, f.Tell)]:
+        for tell in [one for one in commands if isinstance(one, Publish)]:
             self.tells += 1
-            if tell.whole:
+            if tell.is_snapshot:
                 self.engines.clear()
             for entry in tell.entries:
                 number, state = entry.member.entry.engine, entry.member.entry.state
                 self.engines[number] = state.value
                 if state is api.State.GONE:
                     del self.engines[number]
-        return [one for one in commands if not isinstance(one, f.Tell)]
+        return [one for one in commands if not isinstance(one, Publish)]
 
     def tick(self, after=0.0):
         self.now += after
-        return self.do(self.it.ticked(self.now))
+        return self.do(self.it.on_tick(self.now))
 
     @property
     def number(self):
-        return self.it.session.number
+        return self.it.session.session_id
 
     def up(self, cluster=0, revision=None, took=0.01):
         """The session's first answer; without a revision that of the list, so that it is confirmed."""
         if self.it.session is None:
-            self.now = max(self.now, self.it.due)
+            self.now = max(self.now, self.it.sessions.reconnect_at)
             self.tick()
         revision = self.it.revision if revision is None else revision
         asked, self.now = self.now, self.now + took
-        return self.do(self.it.connected(self.now, self.number, asked, revision, cluster))
+        return self.do(self.it.on_connected(self.now, self.number, asked, revision, cluster))
 
     def whole(self, revision, **records):
         return self.do(
-            self.it.whole(
+            self.it.on_snapshot(
                 self.now,
                 self.number,
                 self.now - 0.01,
@@ -76,29 +86,29 @@
         )
 
     def events(self, revision, *events):
-        return self.do(self.it.events(self.now, self.number, revision, events))
+        return self.do(self.it.on_events(self.now, self.number, revision, events))
 
     def ask(self):
         """Time goes on until the next question leaves."""
         for _ in range(20):
             asks = [
                 one
-                for one in self.tick(max(0.0, self.it.next_look(self.now) - self.now))
-                if isinstance(one, f.Ask)
+                for one in self.tick(max(0.0, self.it.next_deadline() - self.now))
+                if isinstance(one, PollRevision)
             ]
             if asks:
-                return asks[0].asked
+                return asks[0].sent_at
         raise AssertionError("no question left")
 
     def answer(self, revision, asked=None, took=0.0):
         if asked is None:
-            asked = self.it.session.open
+            asked = self.it.session.poll_sent_at
             asked = self.ask() if asked == inf else asked
         self.now += took
-        return self.do(self.it.answered(self.now, self.number, asked, revision))
+        return self.do(self.it.on_revision(self.now, self.number, asked, revision))
 
     def lose(self, **more):
-        return self.do(self.it.lost(self.now, self.number, **more))
+        return self.do(self.it.on_disconnected(self.now, self.number, **more))
 
 
 class Longest(Random):
@@ -121,41 +131,41 @@
 
 def test_a_start_reads_all_then_watches_behind_it_and_is_confirmed_by_two_reads():
     play = Play()
-    assert play.tick() == [f.Connect(1, 0)]
-    assert play.up() == [f.ReadAll(1)]
-    assert play.whole(10, k1=record(1)) == [f.Watch(1, 11)]
-    assert play.engines == {1: "ready"} and play.it.confirmed == play.now - 0.01
-    assert play.it.fresh(play.now)
+    assert play.tick() == [Connect(1, 0)]
+    assert play.up() == [ReadAll(1)]
+    assert play.whole(10, k1=record(1)) == [Watch(1, 11)]
+    assert play.engines == {1: "ready"} and play.it.confirmed_at == play.now - 0.01
+    assert play.it.is_fresh(play.now)
 
 
 def test_what_confirms_is_the_question_not_its_answer_and_only_with_the_watch_as_far():
     play = watching()
     asked = play.ask()
     play.now += 0.1
-    assert play.answer(12, asked) == [f.Progress(1)]
-    assert play.it.confirmed < asked  # the watch has not told 11 and 12
+    assert play.answer(12, asked) == [RequestProgress(1)]
+    assert play.it.confirmed_at < asked  # the watch has not told 11 and 12
     play.events(12, ("k1", 12, record(1, "draining")))
-    assert play.it.confirmed == asked and play.engines == {1: "draining", 2: "ready"}
-    assert play.it.fresh(asked + 0.35) and not play.it.fresh(asked + 0.36)
+    assert play.it.confirmed_at == asked and play.engines == {1: "draining", 2: "ready"}
+    assert play.it.is_fresh(asked + 0.35) and not play.it.is_fresh(asked + 0.36)
 
 
 def test_a_break_goes_on_behind_the_last_revision_at_the_next_member():
     play = watching()
-    assert play.lose() == [f.Connect(2, 1)]
-    assert play.up(revision=13) == [f.Watch(2, 11), f.Progress(2)]
+    assert play.lose() == [Connect(2, 1)]
+    assert play.up(revision=13) == [Watch(2, 11), RequestProgress(2)]
     play.events(13, ("k1", 11, record(1, "draining")), ("k1", 12, None), ("k2", 13, None))
-    assert play.engines == {} and play.it.figures.resumes == 1 and play.it.figures.full_reads == 1
-    assert play.it.fresh(play.now)
+    assert play.engines == {} and play.it.stats.resumes == 1 and play.it.stats.full_reads == 1
+    assert play.it.is_fresh(play.now)
 
 
 def test_compaction_during_a_break_reads_all_anew_and_misses_no_deletion():
     play = watching()
     play.lose()
-    before = play.it.confirmed
+    before = play.it.confirmed_at
     play.up(revision=20)
     play.now += 0.1
-    assert play.do(play.it.compacted(play.now, play.number)) == [f.ReadAll(2)]
-    assert play.it.confirmed == before
+    assert play.do(play.it.on_compacted(play.now, play.number)) == [ReadAll(2)]
+    assert play.it.confirmed_at == before
     assert kinds(play.whole(20, k2=record(2))) == ["Watch"]
     assert play.engines == {2: "ready"}
 
@@ -165,7 +175,7 @@
     play.tick()
     play.up()
     play.whole(10, k1=record(1))
-    assert play.do(play.it.compacted(play.now, 1)) == [f.ReadAll(1)]
+    assert play.do(play.it.on_compacted(play.now, 1)) == [ReadAll(1)]
     play.whole(15, k2=record(2))
     assert play.engines == {2: "ready"} and play.it.revision == 15
 
@@ -188,62 +198,67 @@
 
 def test_a_watch_that_goes_silent_while_reads_are_answered_is_left_within_the_promise():
     play = settled()
-    last = play.it.confirmed
+    last = play.it.confirmed_at
     play.answer(11)  # the registry has changed, the watch says nothing
-    trial = next(one for _, one in looks(play, 0.2) if isinstance(one, f.Connect))
-    assert trial == f.Connect(2, 1) and play.it.session.number == 1
-    assert kinds(play.do(play.it.connected(play.now, 2, play.now - 0.01, 11))) == ["Watch", "Progress"]
-    assert play.it.session.number == 2 and play.it.figures.stalls == 1
+    trial = next(one for _, one in looks(play, 0.2) if isinstance(one, Connect))
+    assert trial == Connect(2, 1) and play.it.session.session_id == 1
+    assert kinds(play.do(play.it.on_connected(play.now, 2, play.now - 0.01, 11))) == [
+        "Watch",
+        "RequestProgress",
+    ]
+    assert play.it.session.session_id == 2 and play.it.stats.stalls == 1
     play.events(11, ("k1", 11, record(1, "draining")))
-    assert play.now - last < play.it.pace.fresh and play.it.fresh(play.now)
+    assert play.now - last < play.it.config.max_staleness and play.it.is_fresh(play.now)
 
 
 def test_a_member_that_answers_nothing_is_left_within_the_promise_for_one_that_does():
     play = settled(members=3)
-    last = play.it.confirmed
+    last = play.it.confirmed_at
     play.ask()
-    trial = next((at, one) for at, one in looks(play, 0.2) if isinstance(one, f.Connect))
-    play.do(play.it.connected(play.now, 2, trial[0], 10))
-    assert play.it.session.number == 2 and play.it.open == {2}
-    assert play.it.fresh(play.now) and play.now - last < 0.35 + 0.15
+    trial = next((at, one) for at, one in looks(play, 0.2) if isinstance(one, Connect))
+    play.do(play.it.on_connected(play.now, 2, trial[0], 10))
+    assert play.it.session.session_id == 2 and play.it.open_sessions == {2}
+    assert play.it.is_fresh(play.now) and play.now - last < 0.35 + 0.15
 
 
 def test_a_session_is_not_left_because_the_service_is_slow_for_all():
     play = settled(members=3)
     began = []
     for _ in range(60):  # each answer takes 0.2 s, at every member
-        asked = play.ask() if play.it.session.open == inf else play.it.session.open
+        asked = play.ask() if play.it.session.poll_sent_at == inf else play.it.session.poll_sent_at
         while play.now < asked + 0.2:
             for command in play.tick(0.01):
-                if isinstance(command, f.Connect):
-                    began.append((play.now, command.session))
+                if isinstance(command, Connect):
+                    began.append((play.now, command.session_id))
             for at, number in began:
-                if number in play.it.open and number != 1 and play.now >= at + 0.2:
-                    play.do(play.it.connected(play.now, number, at, 10))
+                if number in play.it.open_sessions and number != 1 and play.now >= at + 0.2:
+                    play.do(play.it.on_connected(play.now, number, at, 10))
         play.answer(10, asked)
-        assert play.it.session.number == 1
-    assert 1 <= len(began) <= 4 and play.it.figures.slow_for_all == len(began)
-    assert play.it.figures.given_up == 1 and not play.it.fresh(play.now)  # 0.35 s cannot be kept there
+        assert play.it.session.session_id == 1
+    assert 1 <= len(began) <= 4 and play.it.stats.slow_for_all == len(began)
+    assert play.it.stats.given_up == 1 and not play.it.is_fresh(play.now)  # 0.35 s cannot be kept there
 
 
 def test_no_question_leaves_on_top_of_another_and_no_more_than_five_a_second():
     play = settled()
     began, asked = play.now, []
     while play.now < began + 20:
-        asked += [at for at, one in looks(play, 0.01) if isinstance(one, f.Ask)]
-        assert play.it.session.open == inf or not [one for one in play.tick() if isinstance(one, f.Ask)]
-        if play.it.session.open < play.now - 0.005:
+        asked += [at for at, one in looks(play, 0.01) if isinstance(one, PollRevision)]
+        assert play.it.session.poll_sent_at == inf or not [
+            one for one in play.tick() if isinstance(one, PollRevision)
+        ]
+        if play.it.session.poll_sent_at < play.now - 0.005:
             play.answer(10)
-            assert play.it.fresh(play.now)
+            assert play.it.is_fresh(play.now)
     assert 60 <= len(asked) <= 100
 
 
 def test_after_a_loop_that_stood_still_silence_is_counted_anew():
     play = settled()
     play.ask()
-    assert play.tick(2.0) == [] and play.it.figures.trials == 0  # the answer may lie in the socket
-    play.answer(10, play.it.session.open)
-    assert play.it.session.number == 1 and play.it.figures.given_up == 0
+    assert play.tick(2.0) == [] and play.it.stats.trials == 0  # the answer may lie in the socket
+    play.answer(10, play.it.session.poll_sent_at)
+    assert play.it.session.session_id == 1 and play.it.stats.given_up == 0
 
 
 def test_a_refusal_for_load_is_no_break_and_is_asked_again_in_line():
@@ -251,44 +266,48 @@
     waits = []
     for _ in range(6):
         now = play.ask()
-        assert play.do(play.it.declined(play.now, 1, after=1.0)) == []
-        waits.append(play.it.session.next_ask - now)
+        assert play.do(play.it.on_throttled(play.now, 1, retry_after=1.0)) == []
+        waits.append(play.it.session.next_poll_at - now)
     assert all(wait >= 1.0 for wait in waits) and max(waits) <= 1.0 + 4.0
-    assert play.it.session.number == 1 and play.it.line.window == 4.0 and play.it.figures.declined == 6
+    assert (
+        play.it.session.session_id == 1
+        and play.it.pacer.throttle_backoff.window == 4.0
+        and play.it.stats.declined == 6
+    )
     for _ in range(8):
         play.answer(10, took=0.005)
-    assert play.it.line.window == 0.0
+    assert play.it.pacer.throttle_backoff.window == 0.0
 
 
 def test_a_refused_first_word_and_a_refused_full_read_are_asked_again_on_the_same_session():
     play = Play()
     play.tick()
-    assert play.do(play.it.declined(play.now, 1)) == []
-    assert kinds(one for _, one in looks(play, 1.0)) == ["Greet"]
-    play.it.line.window = 2.0
+    assert play.do(play.it.on_throttled(play.now, 1)) == []
+    assert kinds(one for _, one in looks(play, 1.0)) == ["Handshake"]
+    play.it.pacer.throttle_backoff.window = 2.0
     assert play.up(took=0.2) == []  # the full read waits in line
     assert kinds(one for _, one in looks(play, 2.0)) == ["ReadAll"]
-    assert play.do(play.it.declined(play.now, 1)) == []
-    assert kinds(one for _, one in looks(play, 4.0)) == ["ReadAll"] and play.it.sessions == 1
+    assert play.do(play.it.on_throttled(play.now, 1)) == []
+    assert kinds(one for _, one in looks(play, 4.0)) == ["ReadAll"] and play.it.sessions.opened_count == 1
 
 
 def test_a_refused_watch_is_begun_anew_in_line_and_behind_what_is_known_then():
     play = settled()
-    assert play.do(play.it.declined(play.now, 1, after=1.0, watch=True)) == []
-    due = play.it.session.held_until
+    assert play.do(play.it.on_throttled(play.now, 1, retry_after=1.0, is_watch=True)) == []
+    due = play.it.session.delayed_until
     assert due >= play.now + 1.0
-    while play.it.next_look(play.now) < due:  # questions go on meanwhile, and none brings a second watch
+    while play.it.next_deadline() < due:  # questions go on meanwhile, and none brings a second watch
         play.answer(10, took=0.005)
     assert play.now > due - 0.3
-    begun = [one for _, one in looks(play, 0.1 + due - play.now) if isinstance(one, f.Watch)]
-    assert begun == [f.Watch(1, play.it.revision + 1)] and play.it.sessions == 1
+    begun = [one for _, one in looks(play, 0.1 + due - play.now) if isinstance(one, Watch)]
+    assert begun == [Watch(1, play.it.revision + 1)] and play.it.sessions.opened_count == 1
 
 
 def test_lost_trials_are_forgotten_once_answers_are_quick_again():
     play = settled()
-    play.it.lost_trials = 8
-    play.answer(f.QUICK, took=0.005)
-    assert play.it.lost_trials == 0
+    play.it.sessions.standby_limiter.failure_count = 8
+    play.answer(FAST_RESPONSE_STREAK, took=0.005)
+    assert play.it.sessions.standby_limiter.failure_count == 0
 
 
 def test_a_start_at_a_slow_service_is_not_ready_between_two_answers():
@@ -296,14 +315,14 @@
     play.tick()
     play.up(took=0.3)
     list(looks(play, 4.0))
-    play.do(play.it.whole(play.now, 1, play.now - 0.3, 10, [("k1", 9, record(1))]))
-    assert not play.it.fresh(play.now)
+    play.do(play.it.on_snapshot(play.now, 1, play.now - 0.3, 10, [("k1", 9, record(1))]))
+    assert not play.it.is_fresh(play.now)
     for _ in range(12):
         asked = play.ask()
         play.now += 0.3
         play.answer(10, asked)
-        assert not play.it.fresh(play.now)
-    assert play.it.figures.given_up == 1
+        assert not play.it.is_fresh(play.now)
+    assert play.it.stats.given_up == 1
 
 
 def test_a_promise_that_was_given_up_is_kept_again_once_a_trial_went_through():
@@ -312,12 +331,12 @@
         asked = play.ask()
         play.now += 0.2
         play.answer(10, asked)
-    assert play.it.figures.given_up == 1
+    assert play.it.stats.given_up == 1
     asked, since = [], play.now
-    while not play.it.fresh(play.now) and play.now < since + 20:
+    while not play.it.is_fresh(play.now) and play.now < since + 20:
         asked.append(play.ask())
         play.answer(10, took=0.005)
-    assert play.it.fresh(play.now) and 1.0 <= play.now - since <= 5.0
+    assert play.it.is_fresh(play.now) and 1.0 <= play.now - since <= 5.0
     # The first few are seldom, then those of the trial keep the pace.
     assert asked[0] - since >= 0.3 and asked[-1] - asked[-2] <= 0.25
 
@@ -326,12 +345,12 @@
     ends = set()
     for seed in range(20):
         play = watching(members=3)
-        play.it.random = Random(seed)
+        play.it.pacer.random = Random(seed)
         for _ in range(9):
             play.lose()
             if play.it.session is None:
-                rest = play.it.due - play.now
-                play.now = play.it.due
+                rest = play.it.sessions.reconnect_at - play.now
+                play.now = play.it.sessions.reconnect_at
                 play.tick()
         ends.add(round(rest, 4))
         assert rest <= 0.2
@@ -342,21 +361,21 @@
     play = watching(members=3)
     play.lose()
     assert kinds(play.up(revision=8)) == ["Watch", "Connect"] and play.engines == {1: "ready", 2: "ready"}
-    assert play.it.session.place == 2
+    assert play.it.session.member_index == 2
     play.up()  # one that is right ends the suspicion
     play.answer(8)
     for _ in range(2):
-        assert play.it.session is not None and not play.it.must_read
+        assert play.it.session is not None and not play.it.table.snapshot_required
         play.up(revision=8)
-    assert play.it.must_read
+    assert play.it.table.snapshot_required
     assert kinds(play.up()) == ["ReadAll"]
     play.whole(8, k1=record(1, "draining"))
-    assert play.engines == {1: "draining"} and play.it.revision == 8 and play.it.figures.restored == 1
+    assert play.engines == {1: "draining"} and play.it.revision == 8 and play.it.stats.restored == 1
 
 
 def test_a_full_read_of_a_member_that_is_behind_changes_nothing():
     play = watching()
-    play.do(play.it.compacted(play.now, play.number))
+    play.do(play.it.on_compacted(play.now, play.number))
     assert kinds(play.whole(9, k1=record(1))) == ["Connect"]
     assert play.engines == {1: "ready", 2: "ready"} and play.it.revision == 10
 
@@ -376,16 +395,19 @@
     play = watching()
     play.events(11, ("k1", 11, record(1, "draining")))
     play.events(11, ("k1", 11, record(1, "draining")))
-    assert play.it.figures.duplicates == 1 and play.tells == 2
+    assert play.it.stats.duplicates == 1 and play.tells == 2
     commands = play.events(14, ("k2", 14, None), ("k1", 13, None))
-    assert kinds(commands) == ["Connect"] and play.it.must_read
+    assert kinds(commands) == ["Connect"] and play.it.table.snapshot_required
 
 
 def test_nothing_counts_of_a_session_that_has_ended():
     play = watching()
     play.lose()
-    assert play.do(play.it.events(play.now, 1, 11, [("k1", 11, None)])) == []
-    assert play.do(play.it.lost(play.now, 1)) == [] and play.do(play.it.compacted(play.now, 1)) == []
+    assert play.do(play.it.on_events(play.now, 1, 11, [("k1", 11, None)])) == []
+    assert (
+        play.do(play.it.on_disconnected(play.now, 1)) == []
+        and play.do(play.it.on_compacted(play.now, 1)) == []
+    )
     assert play.engines == {1: "ready", 2: "ready"}
 
 
@@ -394,11 +416,11 @@
     for refused in (False, True):
         play = watching()
         waits[refused] = []
-        play.it.random = Longest()
+        play.it.pacer.random = Longest()
         for _ in range(16):
-            if play.lose(refused=refused) == []:
-                waits[refused].append(play.it.due - play.now)
-                play.now = play.it.due
+            if play.lose(credentials_rejected=refused) == []:
+                waits[refused].append(play.it.sessions.reconnect_at - play.now)
+                play.now = play.it.sessions.reconnect_at
                 play.tick()
     assert all(rest <= 2.0 for rest in waits[False]) and waits[False][-1] > 4 * waits[False][0]
     assert all(rest == 2.0 for rest in waits[True])
@@ -407,16 +429,16 @@
 def test_a_kept_list_is_told_but_confirmed_by_no_one_until_the_watch_has_gone_on():
     play = Play()
     play.do(play.it.restore(10, [("k1", 9, record(1))]))
-    assert play.engines == {1: "ready"} and not play.it.fresh(play.now)
+    assert play.engines == {1: "ready"} and not play.it.is_fresh(play.now)
     play.tick()
-    assert play.up() == [f.Watch(1, 11)]  # one short read that shows the same revision is enough
-    assert play.it.fresh(play.now) and play.it.figures.full_reads == 0
+    assert play.up() == [Watch(1, 11)]  # one short read that shows the same revision is enough
+    assert play.it.is_fresh(play.now) and play.it.stats.full_reads == 0
 
 
 def test_moved_to_other_members_it_goes_on_from_its_revision():
     play = watching()
-    assert kinds(play.do(play.it.moved(play.now, 5))) == ["Connect"]
-    assert play.up()[0] == f.Watch(2, 11) and play.engines == {1: "ready", 2: "ready"}
+    assert kinds(play.do(play.it.replace_members(play.now, 5))) == ["Connect"]
+    assert play.up()[0] == Watch(2, 11) and play.engines == {1: "ready", 2: "ready"}
 
 
 def test_without_resuming_each_session_reads_all():
@@ -446,10 +468,10 @@
 def test_a_value_that_cannot_be_used_leaves_the_last_good_record(value):
     play = watching()
     play.events(11, ("k1", 11, value), ("k3", 11, value))
-    assert play.engines == {1: "ready", 2: "ready"} and set(play.it.ledger.bad) == {"k1", "k3"}
+    assert play.engines == {1: "ready", 2: "ready"} and set(play.it.table.ledger.bad) == {"k1", "k3"}
     play.events(12, ("k1", 12, record(1, "draining")))
-    assert play.engines[1] == "draining" and set(play.it.ledger.bad) == {"k3"}
-    play.do(play.it.compacted(play.now, play.number))
+    assert play.engines[1] == "draining" and set(play.it.table.ledger.bad) == {"k3"}
+    play.do(play.it.on_compacted(play.now, play.number))
     play.whole(13, k1=value, k2=record(2))
     assert play.engines == {1: "draining", 2: "ready"}
 
@@ -457,7 +479,7 @@
 def test_yaml_is_read_and_unknown_fields_are_passed_over():
     play = watching()
     play.events(11, ("k1", 11, b"id: s-00000001\naddress: 10.0.0.1:7001\nstate: draining\nzone: b\nby: x\n"))
-    assert play.engines[1] == "draining" and play.it.ledger.entries["k1"].member.entry.zone == 1
+    assert play.engines[1] == "draining" and play.it.table.ledger.entries["k1"].member.entry.zone == 1
 
 
 def test_one_engine_under_two_keys_is_the_later_and_outlives_the_loss_of_one():
@@ -477,7 +499,7 @@
 
 @given(st.lists(STEP, max_size=40))
 def test_whatever_happens_the_list_is_the_registrys_once_it_is_confirmed(steps):
-    """A registry as a list of versions; the follower may be cut, compacted away or told things again."""
+    """A registry as a list of versions; the watcher may be cut, compacted away or told things again."""
     play, history, now, good = Play(), [], {}, {}
     for what, number in steps + [("put", 1)]:
         key = f"k{number}"
@@ -494,9 +516,9 @@
         elif what == "cut" and play.it.session is not None:
             play.lose()
         serve(play, history, now, what)
-    if not play.it.fresh(play.now):
+    if not play.it.is_fresh(play.now):
         serve(play, history, now, "")
-    assert play.it.fresh(play.now) and play.it.revision == len(history)
+    assert play.it.is_fresh(play.now) and play.it.revision == len(history)
     told = {f"k{number}": state for number, state in play.engines.items()}
     for key, (_, _, value) in now.items():
         if value == b"{":  # the last good one stays, if it was ever seen
@@ -514,15 +536,15 @@
     """What a member would answer; it ends with the watch as far as the registry."""
     for _ in range(6):
         if play.it.session is None:
-            play.now = max(play.now, play.it.due)
+            play.now = max(play.now, play.it.sessions.reconnect_at)
             play.tick()
-        if play.it.state is f.State.CONNECTING:
+        if play.it.sessions.active_phase is SessionPhase.CONNECTING:
             play.up()
-        if play.it.state is f.State.READING:
-            play.do(play.it.whole(play.now, play.number, play.now, len(history), list(now.values())))
+        if play.it.sessions.active_phase is SessionPhase.READING:
+            play.do(play.it.on_snapshot(play.now, play.number, play.now, len(history), list(now.values())))
         elif what == "compact":
             what = ""
-            play.do(play.it.compacted(play.now, play.number))
+            play.do(play.it.on_compacted(play.now, play.number))
         elif what == "lag" and play.it.revision:
             what = ""
             play.answer(play.it.revision - 1)
