Registry watcher: synchronization of the list and statistics apart

RegistryWatcher still held everything that happens over the active session, in a class of 400 lines. RegistryWatcher keeps the entry points, timeouts and the standby session.

--- /dev/null
+++ b/applevale/discovery/registry/synchronizer.py
@@ -0,0 +1,205 @@
+"""Synchronizes the watched list over the active session.
+
+No I/O and no clock: callers pass the time. Times and durations are in seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from math import inf
+
+from .commands import Command, PollRevision, Publish, ReadAll, RequestProgress, Watch
+from .pacing import LoopLagMonitor, RequestPacer
+from .revisions import RevisionedList
+from .sessions import SessionPhase, SessionState, SessionSupervisor
+from .stats import WatcherStats
+
+
+class ListSynchronizer:
+    """Brings the watched list up to date and confirms it, by what the active session returns.
+
+    Attributes:
+        table: The watched list with its revision.
+        sessions: The active session and the standby session.
+        pacer: Polls and backoff, with the staleness guard.
+        loop_lag: Lateness of the driver's event loop.
+        stats: Numbers of events.
+        resumable: Whether a watch can continue the list of an earlier session.
+    """
+
+    def __init__(
+        self,
+        table: RevisionedList,
+        sessions: SessionSupervisor,
+        pacer: RequestPacer,
+        loop_lag: LoopLagMonitor,
+        stats: WatcherStats,
+        resumable: bool,
+    ):
+        """Create a synchronizer of `table`; it shares the other objects with the watcher."""
+        self.table = table
+        self.sessions = sessions
+        self.pacer = pacer
+        self.loop_lag = loop_lag
+        self.stats = stats
+        self.resumable = resumable
+
+    def begin_session(
+        self, now: float, session: SessionState, requested_at: float, revision: int, cluster_id: int
+    ) -> list[Command]:
+        """Continue the list over a session whose handshake was answered, or read a snapshot.
+
+        Args:
+            now: Time of the response.
+            session: The active session.
+            requested_at: Time at which the handshake was sent.
+            revision: The registry's revision.
+            cluster_id: Identity of the member's cluster; 0 if it is not known.
+        """
+        session.last_progress_at = now
+        session.take_delayed_command()
+        self._record_response(now - requested_at)
+        self.pacer.guard.greeted(now - requested_at)
+        self.table.record_cluster(cluster_id)
+        if not self.resumable or not self.table.can_resume:
+            return self.read_snapshot(now, session)
+        session.resume(self.table.revision)
+        watch = Watch(session.session_id, self.table.revision + 1)
+        return [watch, *self._observe_revision(now, session, requested_at, revision)]
+
+    def read_snapshot(self, now: float, session: SessionState) -> list[Command]:
+        """Read all records, after a delay if the service is slow or throttles."""
+        session.phase = SessionPhase.READING
+        session.last_progress_at = now
+        session.cancel_poll()
+        command = ReadAll(session.session_id)
+        delay = self.pacer.snapshot_delay()
+        if not delay:
+            return [command]
+        session.delay(command, now + delay)
+        return []
+
+    def take_delayed_command(self, now: float, session: SessionState) -> Command:
+        """Return the delayed command of a session, whose backoff is over."""
+        command = session.take_delayed_command()
+        if isinstance(command, Watch):  # the list may have advanced during the backoff
+            return Watch(command.session_id, self.table.revision + 1)
+        session.started_at = now
+        session.last_progress_at = now
+        return command
+
+    def poll(self, now: float, session: SessionState) -> list[Command]:
+        """Poll the registry's revision."""
+        session.record_poll(now, self.pacer.random.random())
+        return [PollRevision(session.session_id, now)]
+
+    def handle_poll_response(
+        self, now: float, session: SessionState, requested_at: float, revision: int
+    ) -> list[Command]:
+        """Evaluate the response to a poll that was sent at `requested_at`."""
+        self._record_response(now - requested_at)
+        return self._observe_revision(now, session, requested_at, revision)
+
+    def apply_snapshot(
+        self,
+        now: float,
+        session: SessionState,
+        requested_at: float,
+        revision: int,
+        records: Iterable[tuple[str, int, bytes]],
+    ) -> list[Command]:
+        """Take over a snapshot and watch from its revision, unless the member lags."""
+        is_older = revision < self.table.revision
+        if is_older and not self.table.cluster_changed and not self._all_members_lag(session):
+            return self._abandon_lagging_member(now, session)
+        if is_older or self.table.cluster_changed:
+            self.stats.restored += 1
+        self.stats.full_reads += 1
+        entries = self.table.replace(revision, requested_at, records)
+        self.sessions.rotation.record_success()
+        is_timely = self.pacer.guard.proved
+        next_poll_at = self.pacer.next_poll_at(requested_at) if is_timely else now
+        session.begin_watching(now, revision, next_poll_at)
+        return [Publish(entries, is_snapshot=True), Watch(session.session_id, revision + 1)]
+
+    def apply_events(
+        self,
+        now: float,
+        session: SessionState,
+        revision: int,
+        events: Iterable[tuple[str, int, bytes | None]],
+    ) -> list[Command]:
+        """Apply events of the watch, which has delivered all up to `revision`.
+
+        A watch whose events are out of order cannot be trusted: its session ends, and a snapshot is required.
+        """
+        applied = self.table.apply(events)
+        self.stats.duplicates += applied.duplicates
+        commands: list[Command] = []
+        if applied.entries:
+            commands.append(Publish(tuple(applied.entries), is_snapshot=False))
+        if not applied.in_order:
+            self.stats.gaps += 1
+            self.stats.breaks += 1
+            self.table.snapshot_required = True
+            return commands + self.sessions.fail_active(now)
+        if revision < self.table.revision and not applied.entries:
+            return []  # a member that lags: its watch may report this without having lost an event
+        self.table.revision = max(self.table.revision, applied.last_revision, revision)
+        session.watch_revision = max(session.watch_revision, self.table.revision)
+        self._confirm_if_caught_up(now, session)
+        return commands
+
+    def _record_response(self, duration: float) -> None:
+        self.pacer.record_response(duration)
+        if self.pacer.is_service_fast:
+            self.sessions.standby_limiter.reset()
+
+    def _observe_revision(
+        self, now: float, session: SessionState, requested_at: float, revision: int
+    ) -> list[Command]:
+        """Evaluate the revision that a read requested at `requested_at` has returned."""
+        if revision < self.table.revision:
+            return self._abandon_lagging_member(now, session)
+        self._judge_staleness(now, session, requested_at)
+        session.poll_sent_at = inf
+        session.next_poll_at = self.pacer.next_poll_at(requested_at)
+        session.observe_revision(requested_at, revision)
+        self._confirm_if_caught_up(now, session)
+        if session.watch_revision >= session.observed_revision:
+            return []
+        session.unconfirmed_since = min(session.unconfirmed_since, requested_at)
+        return [RequestProgress(session.session_id)]
+
+    def _judge_staleness(self, now: float, session: SessionState, requested_at: float) -> None:
+        """Let the guard judge the response, unless the own event loop may be the cause of its delay."""
+        if not self.loop_lag.is_punctual(now, self.pacer.config.max_staleness):
+            return
+        staleness = now - self.table.confirmed_at
+        self.stats.given_up += self.pacer.record_staleness(
+            now, now - requested_at, staleness, session.has_confirmed
+        )
+
+    def _confirm_if_caught_up(self, now: float, session: SessionState) -> None:
+        """Confirm the list once the watch has delivered all changes up to a revision that was polled."""
+        if not session.is_caught_up:
+            return
+        if session.is_resuming:
+            session.is_resuming = False
+            self.stats.resumes += 1
+        self.table.confirm(session.observed_revision_polled_at)
+        self.sessions.rotation.record_success()
+        session.record_confirmation(now)
+
+    def _all_members_lag(self, session: SessionState) -> bool:
+        return self.sessions.rotation.record_lag(session.member_index)
+
+    def _abandon_lagging_member(self, now: float, session: SessionState) -> list[Command]:
+        """End a session whose member is behind: changes it would deliver have been superseded.
+
+        If all members agree on an older state, it is read anew.
+        """
+        if self._all_members_lag(session):
+            self.table.snapshot_required = True
+        self.stats.lagging += 1
+        return self.sessions.fail_active(now)
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -25,67 +25,30 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
-from math import inf
 from random import Random
 
-from .commands import Command, Handshake, PollRevision, Publish, ReadAll, RequestProgress, Watch
+from .commands import Command, Handshake, Publish, ReadAll, Watch
 from .pacing import LoopLagMonitor, RequestPacer, StandbyLimiter, WatcherConfig
 from .records import Ledger
 from .revisions import RevisionedList
 from .sessions import MemberRotation, SessionPhase, SessionState, SessionSupervisor
+from .stats import WatcherStats
+from .synchronizer import ListSynchronizer
 
 STANDBY_SPEEDUP = 2  # a standby session takes over if it is faster by this factor
 
 
-@dataclass
-class WatcherStats:
-    """Numbers of events since the start. The field names are the ends of the counters `registry_...`.
-
-    Attributes:
-        full_reads: Snapshots that were taken over.
-        resumes: Sessions that continued an earlier session's list.
-        breaks: Sessions that broke or did not come up.
-        stalls: Sessions that ended because they were silent.
-        compactions: Watches that could not continue because their revisions were compacted.
-        lagging: Sessions that ended because the member returned an older state.
-        restored: Snapshots of a restored registry.
-        refused: Sessions that ended because credentials were rejected.
-        duplicates: Events that were delivered again.
-        gaps: Watches that delivered events out of order.
-        declined: Throttled requests.
-        trials: Standby sessions that were opened.
-        slow_for_all: Standby sessions that were no faster than the active one.
-        given_up: Suspensions of the staleness guarantee.
-    """
-
-    full_reads: int = 0
-    resumes: int = 0
-    breaks: int = 0
-    stalls: int = 0
-    compactions: int = 0
-    lagging: int = 0
-    restored: int = 0
-    refused: int = 0
-    duplicates: int = 0
-    gaps: int = 0
-    declined: int = 0
-    trials: int = 0
-    slow_for_all: int = 0
-    given_up: int = 0
-
-
 class RegistryWatcher:
     """Watches a registry over one active session at a time.
 
     Attributes:
         config: Timing parameters.
-        resumable: Whether a watch can continue the list of an earlier session.
         table: The watched list with its revision.
         pacer: Polls, backoff and timeouts, with the staleness guard.
         loop_lag: Lateness of the driver's event loop.
         sessions: The active session and the standby session.
         stats: Numbers of events.
+        synchronizer: What keeps the list up to date over the active session.
     """
 
     def __init__(
@@ -109,7 +72,6 @@
             last_member_index: Position of the member before the one that is tried first.
         """
         self.config = WatcherConfig() if config is None else config
-        self.resumable = resumable
         self.table = RevisionedList(ledger)
         self.pacer = RequestPacer(self.config, Random(0) if random is None else random)
         self.loop_lag = LoopLagMonitor(self.config.late_tick_threshold)
@@ -120,6 +82,9 @@
             StandbyLimiter(self.config),
         )
         self.stats = WatcherStats()
+        self.synchronizer = ListSynchronizer(
+            self.table, self.sessions, self.pacer, self.loop_lag, self.stats, resumable
+        )
 
     # --- state ----------------------------------------------------------------------------------------------
 
@@ -174,9 +139,9 @@
         if is_silence_certain:
             self._check_standby_timeout(now)
         if now >= session.delayed_until:
-            return [self._take_delayed_command(now, session)]
+            return [self.synchronizer.take_delayed_command(now, session)]
         if session.can_poll and now >= session.next_poll_at:
-            return self._poll(now)
+            return self.synchronizer.poll(now, session)
         if is_silence_certain and now >= self.sessions.standby_start_at(self.table.confirmed_at):
             self.stats.trials += 1
             return self.sessions.open_standby(now)
@@ -203,7 +168,7 @@
         session = self.sessions.find(session_id, SessionPhase.CONNECTING)
         if session is None:
             return []
-        return self._begin_session(now, session, requested_at, revision, cluster_id)
+        return self.synchronizer.begin_session(now, session, requested_at, revision, cluster_id)
 
     def on_throttled(
         self, now: float, session_id: int, retry_after: float = 0.0, is_watch: bool = False
@@ -272,18 +237,7 @@
         session = self.sessions.find(session_id, SessionPhase.READING)
         if session is None:
             return []
-        is_older = revision < self.table.revision
-        if is_older and not self.table.cluster_changed and not self._all_members_lag(session):
-            return self._abandon_lagging_member(now, session)
-        if is_older or self.table.cluster_changed:
-            self.stats.restored += 1
-        self.stats.full_reads += 1
-        entries = self.table.replace(revision, requested_at, records)
-        self.sessions.rotation.record_success()
-        is_timely = self.pacer.guard.proved
-        next_poll_at = self.pacer.next_poll_at(requested_at) if is_timely else now
-        session.begin_watching(now, revision, next_poll_at)
-        return [Publish(entries, is_snapshot=True), Watch(session_id, revision + 1)]
+        return self.synchronizer.apply_snapshot(now, session, requested_at, revision, records)
 
     def on_events(
         self,
@@ -304,22 +258,7 @@
         session = self.sessions.find(session_id, SessionPhase.WATCHING)
         if session is None:
             return []
-        applied = self.table.apply(events)
-        self.stats.duplicates += applied.duplicates
-        commands: list[Command] = []
-        if applied.entries:
-            commands.append(Publish(tuple(applied.entries), is_snapshot=False))
-        if not applied.in_order:
-            self.stats.gaps += 1
-            self.stats.breaks += 1
-            self.table.snapshot_required = True
-            return commands + self.sessions.fail_active(now)
-        if revision < self.table.revision and not applied.entries:
-            return []  # a member that lags: its watch may report this without having lost an event
-        self.table.revision = max(self.table.revision, applied.last_revision, revision)
-        session.watch_revision = max(session.watch_revision, self.table.revision)
-        self._confirm_if_caught_up(now, session)
-        return commands
+        return self.synchronizer.apply_events(now, session, revision, events)
 
     def on_revision(self, now: float, session_id: int, requested_at: float, revision: int) -> list[Command]:
         """Handle the response to a poll.
@@ -334,8 +273,7 @@
         session = self.sessions.find(session_id, SessionPhase.WATCHING)
         if session is None:
             return []
-        self._record_response(now - requested_at)
-        return self._observe_revision(now, session, requested_at, revision)
+        return self.synchronizer.handle_poll_response(now, session, requested_at, revision)
 
     def on_compacted(self, now: float, session_id: int) -> list[Command]:
         """Handle a watch that cannot continue because the events after its revision were compacted."""
@@ -345,91 +283,14 @@
             return []
         self.stats.compactions += 1
         self.table.snapshot_required = True
-        return self._read_snapshot(now, session)
+        return self.synchronizer.read_snapshot(now, session)
 
     def replace_members(self, now: float, member_count: int) -> list[Command]:
         """Connect to other members; the list and its revision stay."""
         return self.sessions.replace_members(now, member_count)
 
-    # --- active session -------------------------------------------------------------------------------------
-
-    def _begin_session(
-        self, now: float, session: SessionState, requested_at: float, revision: int, cluster_id: int
-    ) -> list[Command]:
-        session.last_progress_at = now
-        session.take_delayed_command()
-        self._record_response(now - requested_at)
-        self.pacer.guard.greeted(now - requested_at)
-        self.table.record_cluster(cluster_id)
-        if not self.resumable or not self.table.can_resume:
-            return self._read_snapshot(now, session)
-        session.resume(self.table.revision)
-        watch = Watch(session.session_id, self.table.revision + 1)
-        return [watch, *self._observe_revision(now, session, requested_at, revision)]
-
-    def _read_snapshot(self, now: float, session: SessionState) -> list[Command]:
-        session.phase = SessionPhase.READING
-        session.last_progress_at = now
-        session.cancel_poll()
-        command = ReadAll(session.session_id)
-        delay = self.pacer.snapshot_delay()
-        if not delay:
-            return [command]
-        session.delay(command, now + delay)
-        return []
-
-    def _take_delayed_command(self, now: float, session: SessionState) -> Command:
-        command = session.take_delayed_command()
-        if isinstance(command, Watch):  # the list may have advanced during the backoff
-            return Watch(command.session_id, self.table.revision + 1)
-        session.started_at = now
-        session.last_progress_at = now
-        return command
-
-    def _poll(self, now: float) -> list[Command]:
-        session = self.session
-        session.record_poll(now, self.pacer.random.random())
-        return [PollRevision(session.session_id, now)]
-
-    def _record_response(self, duration: float) -> None:
-        self.pacer.record_response(duration)
-        if self.pacer.is_service_fast:
-            self.sessions.standby_limiter.reset()
-
-    def _observe_revision(
-        self, now: float, session: SessionState, requested_at: float, revision: int
-    ) -> list[Command]:
-        if revision < self.table.revision:
-            return self._abandon_lagging_member(now, session)
-        self._judge_staleness(now, session, requested_at)
-        session.poll_sent_at = inf
-        session.next_poll_at = self.pacer.next_poll_at(requested_at)
-        session.observe_revision(requested_at, revision)
-        self._confirm_if_caught_up(now, session)
-        if session.watch_revision >= session.observed_revision:
-            return []
-        session.unconfirmed_since = min(session.unconfirmed_since, requested_at)
-        return [RequestProgress(session.session_id)]
-
-    def _judge_staleness(self, now: float, session: SessionState, requested_at: float) -> None:
-        """Let the guard judge the response, unless the own event loop may be the cause of its delay."""
-        if not self.loop_lag.is_punctual(now, self.config.max_staleness):
-            return
-        staleness = now - self.table.confirmed_at
-        self.stats.given_up += self.pacer.record_staleness(
-            now, now - requested_at, staleness, session.has_confirmed
-        )
-
-    def _confirm_if_caught_up(self, now: float, session: SessionState) -> None:
-        """Confirm the list once the watch has delivered all changes up to a revision that was polled."""
-        if not session.is_caught_up:
-            return
-        if session.is_resuming:
-            session.is_resuming = False
-            self.stats.resumes += 1
-        self.table.confirm(session.observed_revision_polled_at)
-        self.sessions.rotation.record_success()
-        session.record_confirmation(now)
+    # --- timeouts and the standby session
+    # ------------------------------------------------------------------------------------
 
     def _on_session_timeout(self, now: float, session: SessionState) -> list[Command]:
         if session.phase is SessionPhase.CONNECTING:
@@ -438,21 +299,6 @@
             self.stats.stalls += 1
         return self.sessions.fail_active(now)
 
-    def _all_members_lag(self, session: SessionState) -> bool:
-        return self.sessions.rotation.record_lag(session.member_index)
-
-    def _abandon_lagging_member(self, now: float, session: SessionState) -> list[Command]:
-        """End a session whose member is behind: changes it would deliver have been superseded.
-
-        If all members agree on an older state, it is read anew.
-        """
-        if self._all_members_lag(session):
-            self.table.snapshot_required = True
-        self.stats.lagging += 1
-        return self.sessions.fail_active(now)
-
-    # --- standby session ------------------------------------------------------------------------------------
-
     def _on_standby_connected(
         self, now: float, standby: SessionState, requested_at: float, revision: int, cluster_id: int
     ) -> list[Command]:
@@ -467,7 +313,7 @@
             return []
         self.stats.stalls += 1
         self.sessions.promote_standby()
-        return self._begin_session(now, standby, requested_at, revision, cluster_id)
+        return self.synchronizer.begin_session(now, standby, requested_at, revision, cluster_id)
 
     def _check_standby_timeout(self, now: float) -> None:
         if self.standby_session is None:
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -4,6 +4,7 @@
 
 from applevale.__main__ import main
 from applevale.discovery.registry.commands import Watch
+from applevale.discovery.registry.synchronizer import ListSynchronizer
 from applevale.discovery.registry.watcher import RegistryWatcher
 from applevale.membership import messages
 from applevale.membership.protocol import KEEP_NEWS, Membership
@@ -20,7 +21,7 @@
 
 
 on_revision = RegistryWatcher.on_revision
-send_poll = RegistryWatcher._poll
+send_poll = ListSynchronizer.poll
 on_standby_connected = RegistryWatcher._on_standby_connected
 
 
@@ -29,11 +30,11 @@
     return on_revision(self, now, session_id, now, revision)
 
 
-def poll_while_one_is_in_flight(self, now):
+def poll_while_one_is_in_flight(self, now, session):
     """Forgets the poll in flight."""
-    commands = send_poll(self, now)
-    self.session.poll_sent_at = float("inf")
-    self.session.next_poll_at = self.pacer.next_poll_at(now)
+    commands = send_poll(self, now, session)
+    session.poll_sent_at = float("inf")
+    session.next_poll_at = self.pacer.next_poll_at(now)
     return commands
 
 
@@ -116,7 +117,7 @@
 
 FAULTS = {fault: lambda fault=fault: planted_in_members(fault) for fault in MEMBERS} | {
     "arrival": lambda: setattr(RegistryWatcher, "on_revision", confirm_as_of_response),
-    "on_top": lambda: setattr(RegistryWatcher, "_poll", poll_while_one_is_in_flight),
+    "on_top": lambda: setattr(ListSynchronizer, "poll", poll_while_one_is_in_flight),
     "leaves": lambda: setattr(RegistryWatcher, "_on_standby_connected", promote_slow_standby),
     "ready": lambda: setattr(Application, "is_serving", serving),
     "thrash": lambda: setattr(Promise, "_give_up", never_give_up),
