Registry watcher: WatchedList, and a synchronizer with fewer arguments

RevisionedList said how it is kept, not what it is, and the attribute `table` named a list: both are WatchedList and `watched_list` now (watched_list.py). ListSynchronizer takes pacing and loop lag from the sessions that own them.

--- a/applevale/discovery/registry/synchronizer.py
+++ b/applevale/discovery/registry/synchronizer.py
@@ -9,17 +9,16 @@
 from math import inf
 
 from .commands import Command, PollRevision, Publish, ReadAll, RequestProgress, Watch
-from .pacing import LoopLagMonitor, RequestPacer
-from .revisions import RevisionedList
 from .sessions import SessionPhase, SessionState, SessionSupervisor
 from .stats import WatcherStats
+from .watched_list import WatchedList
 
 
 class ListSynchronizer:
     """Brings the watched list up to date and confirms it, by what the active session returns.
 
     Attributes:
-        table: The watched list with its revision.
+        watched_list: The watched list with its revision.
         sessions: The active session and the standby session.
         pacer: Polls and backoff, with the staleness guard.
         loop_lag: Lateness of the driver's event loop.
@@ -29,18 +28,17 @@
 
     def __init__(
         self,
-        table: RevisionedList,
+        watched_list: WatchedList,
         sessions: SessionSupervisor,
-        pacer: RequestPacer,
-        loop_lag: LoopLagMonitor,
         stats: WatcherStats,
+        *,
         resumable: bool,
     ):
-        """Create a synchronizer of `table`; it shares the other objects with the watcher."""
-        self.table = table
+        """Create a synchronizer of `watched_list`; all objects are shared with the watcher."""
+        self.watched_list = watched_list
         self.sessions = sessions
-        self.pacer = pacer
-        self.loop_lag = loop_lag
+        self.pacer = sessions.pacer
+        self.loop_lag = sessions.loop_lag
         self.stats = stats
         self.resumable = resumable
 
@@ -60,11 +58,11 @@
         session.take_delayed_command()
         self._record_response(now - requested_at)
         self.pacer.guard.greeted(now - requested_at)
-        self.table.record_cluster(cluster_id)
-        if not self.resumable or not self.table.can_resume:
+        self.watched_list.record_cluster(cluster_id)
+        if not self.resumable or not self.watched_list.can_resume:
             return self.read_snapshot(now, session)
-        session.resume(self.table.revision)
-        watch = Watch(session.session_id, self.table.revision + 1)
+        session.resume(self.watched_list.revision)
+        watch = Watch(session.session_id, self.watched_list.revision + 1)
         return [watch, *self._observe_revision(now, session, requested_at, revision)]
 
     def read_snapshot(self, now: float, session: SessionState) -> list[Command]:
@@ -83,7 +81,7 @@
         """Return the delayed command of a session, whose backoff is over."""
         command = session.take_delayed_command()
         if isinstance(command, Watch):  # the list may have advanced during the backoff
-            return Watch(command.session_id, self.table.revision + 1)
+            return Watch(command.session_id, self.watched_list.revision + 1)
         session.started_at = now
         session.last_progress_at = now
         return command
@@ -109,13 +107,13 @@
         records: Iterable[tuple[str, int, bytes]],
     ) -> list[Command]:
         """Take over a snapshot and watch from its revision, unless the member lags."""
-        is_older = revision < self.table.revision
-        if is_older and not self.table.cluster_changed and not self._all_members_lag(session):
+        is_older = revision < self.watched_list.revision
+        if is_older and not self.watched_list.cluster_changed and not self._all_members_lag(session):
             return self._abandon_lagging_member(now, session)
-        if is_older or self.table.cluster_changed:
+        if is_older or self.watched_list.cluster_changed:
             self.stats.restored += 1
         self.stats.full_reads += 1
-        entries = self.table.replace(revision, requested_at, records)
+        entries = self.watched_list.replace(revision, requested_at, records)
         self.sessions.rotation.record_success()
         is_timely = self.pacer.guard.proved
         next_poll_at = self.pacer.next_poll_at(requested_at) if is_timely else now
@@ -133,7 +131,7 @@
 
         A watch whose events are out of order cannot be trusted: its session ends, and a snapshot is required.
         """
-        applied = self.table.apply(events)
+        applied = self.watched_list.apply(events)
         self.stats.duplicates += applied.duplicates
         commands: list[Command] = []
         if applied.entries:
@@ -141,12 +139,12 @@
         if not applied.in_order:
             self.stats.gaps += 1
             self.stats.breaks += 1
-            self.table.snapshot_required = True
+            self.watched_list.snapshot_required = True
             return commands + self.sessions.fail_active(now)
-        if revision < self.table.revision and not applied.entries:
+        if revision < self.watched_list.revision and not applied.entries:
             return []  # a member that lags: its watch may report this without having lost an event
-        self.table.revision = max(self.table.revision, applied.last_revision, revision)
-        session.watch_revision = max(session.watch_revision, self.table.revision)
+        self.watched_list.revision = max(self.watched_list.revision, applied.last_revision, revision)
+        session.watch_revision = max(session.watch_revision, self.watched_list.revision)
         self._confirm_if_caught_up(now, session)
         return commands
 
@@ -159,7 +157,7 @@
         self, now: float, session: SessionState, requested_at: float, revision: int
     ) -> list[Command]:
         """Evaluate the revision that a read requested at `requested_at` has returned."""
-        if revision < self.table.revision:
+        if revision < self.watched_list.revision:
             return self._abandon_lagging_member(now, session)
         self._judge_staleness(now, session, requested_at)
         session.poll_sent_at = inf
@@ -175,7 +173,7 @@
         """Let the guard judge the response, unless the own event loop may be the cause of its delay."""
         if not self.loop_lag.is_punctual(now, self.pacer.config.max_staleness):
             return
-        staleness = now - self.table.confirmed_at
+        staleness = now - self.watched_list.confirmed_at
         self.stats.given_up += self.pacer.record_staleness(
             now, now - requested_at, staleness, session.has_confirmed
         )
@@ -187,7 +185,7 @@
         if session.is_resuming:
             session.is_resuming = False
             self.stats.resumes += 1
-        self.table.confirm(session.observed_revision_polled_at)
+        self.watched_list.confirm(session.observed_revision_polled_at)
         self.sessions.rotation.record_success()
         session.record_confirmation(now)
 
@@ -200,6 +198,6 @@
         If all members agree on an older state, it is read anew.
         """
         if self._all_members_lag(session):
-            self.table.snapshot_required = True
+            self.watched_list.snapshot_required = True
         self.stats.lagging += 1
         return self.sessions.fail_active(now)
--- a/applevale/discovery/registry/revisions.py
+++ b/applevale/discovery/registry/watched_list.py
@@ -27,7 +27,7 @@
 
 
 @dataclass
-class RevisionedList:
+class WatchedList:
     """The entries of the registry as of one revision.
 
     The revision decreases only when a snapshot of a restored registry is taken over.
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -30,10 +30,10 @@
 from .commands import Command, Handshake, Publish, ReadAll, Watch
 from .pacing import LoopLagMonitor, RequestPacer, StandbyLimiter, WatcherConfig
 from .records import Ledger
-from .revisions import RevisionedList
 from .sessions import MemberRotation, SessionPhase, SessionState, SessionSupervisor
 from .stats import WatcherStats
 from .synchronizer import ListSynchronizer
+from .watched_list import WatchedList
 
 STANDBY_SPEEDUP = 2  # a standby session takes over if it is faster by this factor
 
@@ -43,7 +43,7 @@
 
     Attributes:
         config: Timing parameters.
-        table: The watched list with its revision.
+        watched_list: The watched list with its revision.
         pacer: Polls, backoff and timeouts, with the staleness guard.
         loop_lag: Lateness of the driver's event loop.
         sessions: The active session and the standby session.
@@ -72,7 +72,7 @@
             last_member_index: Position of the member before the one that is tried first.
         """
         self.config = WatcherConfig() if config is None else config
-        self.table = RevisionedList(ledger)
+        self.watched_list = WatchedList(ledger)
         self.pacer = RequestPacer(self.config, Random(0) if random is None else random)
         self.loop_lag = LoopLagMonitor(self.config.late_tick_threshold)
         self.sessions = SessionSupervisor(
@@ -83,7 +83,7 @@
         )
         self.stats = WatcherStats()
         self.synchronizer = ListSynchronizer(
-            self.table, self.sessions, self.pacer, self.loop_lag, self.stats, resumable
+            self.watched_list, self.sessions, self.stats, resumable=resumable
         )
 
     # --- state ----------------------------------------------------------------------------------------------
@@ -106,26 +106,26 @@
     @property
     def revision(self) -> int:
         """Revision up to which the list is complete; 0 before the first snapshot."""
-        return self.table.revision
+        return self.watched_list.revision
 
     @property
     def confirmed_at(self) -> float:
         """Time as of which the list was last confirmed."""
-        return self.table.confirmed_at
+        return self.watched_list.confirmed_at
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the staleness bound is guaranteed and the list was confirmed within it."""
-        return self.pacer.guard.holds and now - self.table.confirmed_at <= self.config.max_staleness
+        return self.pacer.guard.holds and now - self.watched_list.confirmed_at <= self.config.max_staleness
 
     def next_deadline(self) -> float:
         """Return the time at which `on_tick` is due at the latest."""
-        return self.sessions.next_deadline(self.table.confirmed_at)
+        return self.sessions.next_deadline(self.watched_list.confirmed_at)
 
     # --- events ---------------------------------------------------------------------------------------------
 
     def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
         """Publish a stored list, which is not confirmed; a watch is tried from its revision."""
-        return [Publish(self.table.restore(revision, records), is_snapshot=True)]
+        return [Publish(self.watched_list.restore(revision, records), is_snapshot=True)]
 
     def on_tick(self, now: float) -> list[Command]:
         """Do what is due: polls, delayed requests, timeouts and reconnects."""
@@ -142,7 +142,7 @@
             return [self.synchronizer.take_delayed_command(now, session)]
         if session.can_poll and now >= session.next_poll_at:
             return self.synchronizer.poll(now, session)
-        if is_silence_certain and now >= self.sessions.standby_start_at(self.table.confirmed_at):
+        if is_silence_certain and now >= self.sessions.standby_start_at(self.watched_list.confirmed_at):
             self.stats.trials += 1
             return self.sessions.open_standby(now)
         return []
@@ -195,7 +195,7 @@
             session.delay(Handshake(session_id) if is_handshake else ReadAll(session_id), retry_at)
             session.last_progress_at = now
         elif is_watch:
-            session.delay(Watch(session_id, self.table.revision + 1), retry_at)
+            session.delay(Watch(session_id, self.watched_list.revision + 1), retry_at)
         else:
             session.cancel_poll()
             session.next_poll_at = max(retry_at, self.pacer.next_poll_at(now))
@@ -282,7 +282,7 @@
         if session is None:
             return []
         self.stats.compactions += 1
-        self.table.snapshot_required = True
+        self.watched_list.snapshot_required = True
         return self.synchronizer.read_snapshot(now, session)
 
     def replace_members(self, now: float, member_count: int) -> list[Command]:
@@ -303,8 +303,8 @@
         self, now: float, standby: SessionState, requested_at: float, revision: int, cluster_id: int
     ) -> list[Command]:
         """Let the standby session take over if the active one has been silent for much longer."""
-        is_same_cluster = cluster_id in (0, self.table.cluster_id)
-        if revision < self.table.revision and is_same_cluster:
+        is_same_cluster = cluster_id in (0, self.watched_list.cluster_id)
+        if revision < self.watched_list.revision and is_same_cluster:
             self.sessions.fail_standby(now)
             return []
         silence = now - self.session.waiting_since
@@ -318,7 +318,7 @@
     def _check_standby_timeout(self, now: float) -> None:
         if self.standby_session is None:
             return
-        if now >= self.sessions.standby_expires_at(self.table.confirmed_at):
+        if now >= self.sessions.standby_expires_at(self.watched_list.confirmed_at):
             self._drop_slow_standby()
 
     def _drop_slow_standby(self) -> None:
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -15,7 +15,7 @@
 def ignore_compaction(self, now, session_id):
     """Continues from the registry's current revision, as if no events had been lost."""
     revision = self.session.observed_revision
-    self.table.revision = revision
+    self.watched_list.revision = revision
     self.session.watch_revision = revision
     return [Watch(session_id, revision + 1)]
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -127,7 +127,7 @@
     back, found = 100.0 + away, []
     for number in range(count):
         it = RegistryWatcher(3, Ledger(Names(("a",), ("std",))), random=random(number))
-        it.table.revision = 10
+        it.watched_list.revision = 10
         it.pacer.guard.proved = True
         now, commands = 100.0, it.on_tick(100.0)
         for _ in range(1000):
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -389,9 +389,9 @@
     harness.connect()  # one that is up to date ends the suspicion
     harness.answer_poll(8)
     for _ in range(2):
-        assert harness.watcher.session is not None and not harness.watcher.table.snapshot_required
+        assert harness.watcher.session is not None and not harness.watcher.watched_list.snapshot_required
         harness.connect(revision=8)
-    assert harness.watcher.table.snapshot_required
+    assert harness.watcher.watched_list.snapshot_required
     assert command_names(harness.connect()) == ["ReadAll"]
     harness.snapshot(8, k1=record(1, "draining"))
     assert harness.engines == {1: "draining"}
@@ -423,7 +423,7 @@
     harness.events(11, ("k1", 11, record(1, "draining")))
     assert harness.watcher.stats.duplicates == 1 and harness.publish_count == 2
     commands = harness.events(14, ("k2", 14, None), ("k1", 13, None))
-    assert command_names(commands) == ["Connect"] and harness.watcher.table.snapshot_required
+    assert command_names(commands) == ["Connect"] and harness.watcher.watched_list.snapshot_required
 
 
 def test_events_of_an_ended_session_are_ignored():
@@ -493,9 +493,9 @@
     harness = watching()
     harness.events(11, ("k1", 11, value), ("k3", 11, value))
     assert harness.engines == {1: "ready", 2: "ready"}
-    assert set(harness.watcher.table.ledger.bad) == {"k1", "k3"}
+    assert set(harness.watcher.watched_list.ledger.bad) == {"k1", "k3"}
     harness.events(12, ("k1", 12, record(1, "draining")))
-    assert harness.engines[1] == "draining" and set(harness.watcher.table.ledger.bad) == {"k3"}
+    assert harness.engines[1] == "draining" and set(harness.watcher.watched_list.ledger.bad) == {"k3"}
     harness.execute(harness.watcher.on_compacted(harness.now, harness.session_id))
     harness.snapshot(13, k1=value, k2=record(2))
     assert harness.engines == {1: "draining", 2: "ready"}
@@ -507,7 +507,7 @@
         11, ("k1", 11, b"id: s-00000001\naddress: 10.0.0.1:7001\nstate: draining\nzone: b\nby: x\n")
     )
     assert harness.engines[1] == "draining"
-    assert harness.watcher.table.ledger.entries["k1"].member.entry.zone == 1
+    assert harness.watcher.watched_list.ledger.entries["k1"].member.entry.zone == 1
 
 
 def test_engine_under_two_keys_has_the_later_record_and_survives_the_loss_of_one():
