--- a/applevale/discovery/registry/freshness.py
+++ b/applevale/discovery/registry/freshness.py
@@ -6,21 +6,23 @@
 
 from ...observability.counters import Counters
 from ...observability.events import emit_event, log_event
-from ...startup.staleness_guard import Kept
-from .watcher import Follower
+from ...startup.staleness_guard import GuardState
+from .watcher import RegistryWatcher
 
 
 class FreshnessReporter:
     """Compares the watcher's freshness with what was reported last, and reports each transition once."""
 
-    def __init__(self, watcher: Follower, counters: Counters, on_change: Callable[[bool], None], now: float):
+    def __init__(
+        self, watcher: RegistryWatcher, counters: Counters, on_change: Callable[[bool], None], now: float
+    ):
         """`on_change` is called with whether the list is fresh, when that has changed."""
         self.watcher = watcher
         self.counters = counters
         self.on_change = on_change
         self.was_fresh = False
         self.stale_since = now
-        self.reported_state = watcher.promise.state
+        self.reported_state = watcher.pacer.guard.state
 
     def start(self, now: float) -> None:
         """Count the time for which the list is stale from `now` on."""
@@ -33,8 +35,8 @@
             now: The time, in s.
             on_stale: The setting of this name, for the texts.
         """
-        is_fresh = self.watcher.fresh(now)
-        if self.watcher.promise.state is not self.reported_state:
+        is_fresh = self.watcher.is_fresh(now)
+        if self.watcher.pacer.guard.state is not self.reported_state:
             self._report_guarantee(on_stale)
         if is_fresh != self.was_fresh:
             if is_fresh:
@@ -49,18 +51,18 @@
         """Log with figures that the bound can't be kept, or that it is kept again."""
         watcher = self.watcher
         former_state = self.reported_state
-        self.reported_state = watcher.promise.state
-        bound = watcher.pace.fresh
-        if former_state is Kept.KEPT:
-            poll_rate = 1 / (watcher.pace.ask[1] * bound)
+        self.reported_state = watcher.pacer.guard.state
+        bound = watcher.config.max_staleness
+        if former_state is GuardState.ACTIVE:
+            poll_rate = 1 / (watcher.config.max_poll_interval_share * bound)
             log_event(
                 "promise",
                 f"{bound:g} s cannot be kept: it needs {poll_rate:.1f} reads a second, "
-                f"answered within {watcher.promise.room * 1000:.0f} ms; they take "
-                f"{watcher.latency.mean * 1000:.0f} ms, {watcher.figures.declined} were refused so far. "
+                f"answered within {watcher.pacer.guard.response_budget * 1000:.0f} ms; they take "
+                f"{watcher.pacer.latency.mean * 1000:.0f} ms, {watcher.stats.declined} were refused so far. "
                 f"on_stale is {on_stale!r} until it can",
             )
-        elif self.reported_state is Kept.KEPT:
+        elif self.reported_state is GuardState.ACTIVE:
             log_event("promise", f"{bound:g} s is kept again")
 
     def _report_fresh(self, now: float) -> None:
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -12,14 +12,25 @@
 from ...observability.counters import Counters
 from ...observability.events import log_event
 from ..endpoints import AttributeNames, EndpointUpdate
-from . import watcher as f
+from .commands import (
+    Command,
+    Connect,
+    Handshake,
+    PollRevision,
+    Publish,
+    ReadAll,
+    RequestProgress,
+    Watch,
+)
 from .endpoint_table import EndpointTable, TableEntry, endpoints_digest
 from .freshness import FreshnessReporter
 from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
+from .pacing import WatcherConfig
 from .session import Session
 from .session_pool import SessionPool
 from .settings import RegistrySettings
 from .snapshot import SnapshotError, SnapshotStore, SnapshotWriter
+from .watcher import RegistryWatcher
 
 FIXED_SETTINGS = ("kind", "prefix", "fresh", "snapshot")  # those that a reload can't change
 STALENESS_CHECK_MARGIN_SECONDS = 0.001  # behind the time at which the list turns stale
@@ -82,12 +93,12 @@
         self.table = EndpointTable(names)
         random = Random(seed)
         member_count = len(self.sessions.addresses)
-        self.watcher = f.Follower(
+        self.watcher = RegistryWatcher(
             member_count,
             self.table,
             random=random,
-            pace=f.Pace(fresh=settings.fresh),
-            place=random.randrange(member_count),  # instances begin with different members
+            config=WatcherConfig(max_staleness=settings.fresh),
+            last_member_index=random.randrange(member_count),  # instances begin with different members
         )
         self.timer: asyncio.TimerHandle | None = None
         self.update_count = 0
@@ -103,11 +114,11 @@
         self.freshness.start(now)
         if self.settings.snapshot:
             self._load_snapshot()
-        self._execute(self.watcher.ticked(now))
+        self._execute(self.watcher.on_tick(now))
 
     def is_fresh(self) -> bool:
         """Return whether the list is confirmed as of now; true also after an event loop that stood still."""
-        return self.watcher.fresh(self.clock())
+        return self.watcher.is_fresh(self.clock())
 
     def may_start_work(self) -> bool:
         """Return whether new work may be sent to listed engines."""
@@ -126,7 +137,7 @@
         self.settings = settings
         if changed:
             log_event("registry", f"takes effect at the next start only: {', '.join(changed)}")
-        self._execute(self.watcher.moved(self.clock(), len(self.sessions.addresses)))
+        self._execute(self.watcher.replace_members(self.clock(), len(self.sessions.addresses)))
 
     def update_list_counters(self) -> None:
         """Set the counters that describe the list, which are worked out only when they are wanted."""
@@ -150,63 +161,63 @@
     def on_connected(self, session_id: int, requested_at: float, revision: int, cluster_id: int = 0) -> None:
         """Handle the first response of a session."""
         now = self.clock()
-        self._execute(self.watcher.connected(now, session_id, requested_at, revision, cluster_id))
+        self._execute(self.watcher.on_connected(now, session_id, requested_at, revision, cluster_id))
 
     def on_throttled(self, session_id: int, retry_after: float, is_watch: bool) -> None:
         """Handle a request that was rejected because of the member's load."""
-        self._execute(self.watcher.declined(self.clock(), session_id, retry_after, is_watch))
+        self._execute(self.watcher.on_throttled(self.clock(), session_id, retry_after, is_watch))
 
     def on_disconnected(self, session_id: int, reason: str, credentials_rejected: bool = False) -> None:
         """Handle the end of a session."""
         if session_id in self.sessions:
             log_event("registry", f"{self.sessions.member_name(session_id)}: {reason}")
-        self._execute(self.watcher.lost(self.clock(), session_id, credentials_rejected))
+        self._execute(self.watcher.on_disconnected(self.clock(), session_id, credentials_rejected))
 
     def on_snapshot(
         self, session_id: int, requested_at: float, revision: int, records: Iterable[KeyValuePair]
     ) -> None:
         """Handle all keys as of one revision."""
-        self._execute(self.watcher.whole(self.clock(), session_id, requested_at, revision, records))
+        self._execute(self.watcher.on_snapshot(self.clock(), session_id, requested_at, revision, records))
 
     def on_events(self, session_id: int, revision: int, events: Iterable[KeyValueEvent]) -> None:
         """Handle what a watch delivers."""
-        self._execute(self.watcher.events(self.clock(), session_id, revision, events))
+        self._execute(self.watcher.on_events(self.clock(), session_id, revision, events))
 
     def on_revision(self, session_id: int, requested_at: float, revision: int) -> None:
         """Handle the response to a poll."""
-        self._execute(self.watcher.answered(self.clock(), session_id, requested_at, revision))
+        self._execute(self.watcher.on_revision(self.clock(), session_id, requested_at, revision))
 
     def on_compacted(self, session_id: int) -> None:
         """Handle a watch whose next events are no longer stored."""
         member = self.sessions.member_name(session_id)
         log_event("registry", f"{member}: compacted behind {self.watcher.revision}, all is read anew")
-        self._execute(self.watcher.compacted(self.clock(), session_id))
+        self._execute(self.watcher.on_compacted(self.clock(), session_id))
 
     # --- Execution of the watcher's commands ---
 
-    def _execute(self, commands: list[f.Command]) -> None:
+    def _execute(self, commands: list[Command]) -> None:
         if self.is_stopped:
             return
         for command in commands:
             self._execute_command(command)
-        self.sessions.close_except(self.watcher.open)
+        self.sessions.close_except(self.watcher.open_sessions)
         self._refresh()
 
-    def _execute_command(self, command: f.Command) -> None:
+    def _execute_command(self, command: Command) -> None:
         match command:
-            case f.Connect(session=session_id, place=member_index):
+            case Connect(session_id=session_id, member_index=member_index):
                 self.sessions.open(session_id, member_index)
-            case f.Greet(session=session_id):
+            case Handshake(session_id=session_id):
                 self.sessions[session_id].handshake()
-            case f.ReadAll(session=session_id):
+            case ReadAll(session_id=session_id):
                 self.sessions[session_id].read_all()
-            case f.Watch(session=session_id, start=start_revision):
+            case Watch(session_id=session_id, start_revision=start_revision):
                 self.sessions[session_id].watch(start_revision, self._known_pairs)
-            case f.Ask(session=session_id, asked=requested_at):
+            case PollRevision(session_id=session_id, sent_at=requested_at):
                 self.sessions[session_id].poll_revision(requested_at)
-            case f.Progress(session=session_id):
+            case RequestProgress(session_id=session_id):
                 self.sessions[session_id].request_progress()
-            case f.Tell(entries=entries, whole=is_full):
+            case Publish(entries=entries, is_snapshot=is_full):
                 self._publish(entries, is_full)
 
     def _publish(self, entries: tuple[TableEntry, ...], is_full: bool) -> None:
@@ -226,7 +237,7 @@
     def _refresh(self) -> None:
         """Update counters, freshness and the snapshot after commands, and set the timer."""
         now = self.clock()
-        for name, count in vars(self.watcher.figures).items():
+        for name, count in vars(self.watcher.stats).items():
             self.counters[f"registry_{name}"] = count
         self.counters["registry_bad_records"] = self.table.invalid_count
         is_fresh = self.freshness.update(now, self.settings.on_stale)
@@ -235,9 +246,9 @@
         self._set_timer(now, is_fresh)
 
     def _set_timer(self, now: float, is_fresh: bool) -> None:
-        due_at = self.watcher.next_look(now)
+        due_at = self.watcher.next_deadline()
         if is_fresh:
-            stale_at = self.watcher.confirmed + self.settings.fresh
+            stale_at = self.watcher.confirmed_at + self.settings.fresh
             due_at = min(due_at, stale_at + STALENESS_CHECK_MARGIN_SECONDS)
         if self.timer is not None:
             self.timer.cancel()
@@ -245,7 +256,7 @@
         self.timer = loop.call_later(max(0.0, due_at - now), self._on_timer)
 
     def _on_timer(self) -> None:
-        self._execute(self.watcher.ticked(self.clock()))
+        self._execute(self.watcher.on_tick(self.clock()))
 
     def _load_snapshot(self) -> None:
         """Publish the list of the snapshot, which is not confirmed."""
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -77,13 +77,18 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        slots = (self.schedule.allowed_from.get(engine_id, -inf) for engine_id in self.endpoints.awaiting_connect_slot)
+        slots = (
+            self.schedule.allowed_from.get(engine_id, -inf)
+            for engine_id in self.endpoints.awaiting_connect_slot
+        )
         due = min(slots, default=None)
         if due is not None:
             self._timer = asyncio.get_running_loop().call_at(due, self._show_due)
 
     def _show_due(self) -> None:
-        for engine_id in [engine_id for engine_id in self.endpoints.awaiting_connect_slot if self.may_connect(engine_id)]:
+        for engine_id in [
+            engine_id for engine_id in self.endpoints.awaiting_connect_slot if self.may_connect(engine_id)
+        ]:
             self.endpoints.awaiting_connect_slot.discard(engine_id)
             self.submit(self.endpoints.present(engine_id))
         self.on_readiness_change()
--- a/applevale/engines/pool.py
+++ b/applevale/engines/pool.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Set
 
 from ..api import Result, State
-from ..discovery.endpoints import EndpointUpdate, Endpoint
+from ..discovery.endpoints import Endpoint, EndpointUpdate
 from ..observability.counters import Counters
 from .attempt import Attempt, AttemptFailed, AttemptResult, AttemptSpec, Progress
 from .connection import EngineConnection, ProbeCallback
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -11,7 +11,7 @@
 from ..admin.metrics import Gauges, Metrics
 from ..config.model import Config
 from ..discovery.control_feed import ControlFeed
-from ..discovery.endpoints import EndpointUpdate, EndpointSource
+from ..discovery.endpoints import EndpointSource, EndpointUpdate
 from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
@@ -91,7 +91,9 @@
         self.membership = self._create_membership()
         self.registry = self._create_registry_source()
         first_change = config.known[0].number - 1 if config.known else 0
-        self.control_feed = ControlFeed(first_change, config.names, self.counters, self.apply_update, config.feed)
+        self.control_feed = ControlFeed(
+            first_change, config.names, self.counters, self.apply_update, config.feed
+        )
         self.source: EndpointSource = self.registry or self.control_feed
         self.reloader = ConfigReloader(config, self.source, self.control_feed, self.metrics, self.counters)
         self.shutdown = GracefulShutdown(self.server, self.handler, self.driver, config.settings)
--- a/applevale/runtime/reload.py
+++ b/applevale/runtime/reload.py
@@ -8,8 +8,8 @@
 from ..config.loader import load_config
 from ..config.model import Config, ConfigError
 from ..discovery.control_feed import ControlFeed
+from ..discovery.endpoints import EndpointSource, EndpointUpdate
 from ..discovery.feed_codec import FeedError
-from ..discovery.endpoints import EndpointUpdate, EndpointSource
 from ..observability.counters import Counters
 from ..observability.events import log_event
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -17,7 +17,7 @@
 from applevale.admin.metrics import Gauges, Metrics, ResponseOutcome
 from applevale.admin.routes import dispatch
 from applevale.admin.server import AdminServer
-from applevale.discovery.endpoints import EndpointUpdate, Endpoint
+from applevale.discovery.endpoints import Endpoint, EndpointUpdate
 from applevale.discovery.gated_endpoints import GatedEndpoints
 from applevale.observability.counters import Counters
 
--- a/tests/test_corrupt_replies.py
+++ b/tests/test_corrupt_replies.py
@@ -93,7 +93,9 @@
     limits = ConnectionLimits(32, 15.0, 0.25)
     pool, ends, address = EnginePool(limits, (), 8, Counters()), [], ("127.0.0.1", 1)
     for number in (1, 2):
-        pool.update(members.EndpointUpdate(number, False, (members.Endpoint(api.EngineEntry(number), address),)))
+        pool.update(
+            members.EndpointUpdate(number, False, (members.Endpoint(api.EngineEntry(number), address),))
+        )
 
     async def start():
         pool.start_attempt(1, AttemptSpec(b"1", "load", b"x", inf, inf), set(), ends.append)
@@ -117,7 +119,9 @@
 def test_connections_are_shared_where_handshakes_have_a_price(price, count):
     async def main():
         pool = EnginePool(ConnectionLimits(32, 15.0, 0.25, price), (), 90, Counters())
-        pool.update(members.EndpointUpdate(1, True, (members.Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),)))
+        pool.update(
+            members.EndpointUpdate(1, True, (members.Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
+        )
         engine, ends = pool.engines[1], []
         for ref in (b"1", b"2", b"3"):
             pool.start_attempt(1, AttemptSpec(ref, "lookup", b"x", inf, inf), set(), ends.append)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -5,7 +5,7 @@
 import pytest
 
 from applevale import api
-from applevale.discovery.endpoints import EndpointUpdate, Endpoint
+from applevale.discovery.endpoints import Endpoint, EndpointUpdate
 from applevale.discovery.gated_endpoints import GatedEndpoints
 from applevale.engines import attempt, resp
 from applevale.engines.connect_pacer import ConnectPacer
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -5,8 +5,8 @@
 
 from applevale import api, policy
 from applevale.discovery.control_feed import ControlFeed
+from applevale.discovery.endpoints import AttributeNames, Endpoint, EndpointUpdate
 from applevale.discovery.feed_codec import FeedError
-from applevale.discovery.endpoints import EndpointUpdate, Endpoint, AttributeNames
 from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
 
@@ -83,7 +83,9 @@
 
 def test_engines_that_swap_addresses_share_no_connection_with_those_before():
     pool = EnginePool(None, (), 8, Counters())
-    pool.update(EndpointUpdate(1, True, tuple(Endpoint(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2))))
+    pool.update(
+        EndpointUpdate(1, True, tuple(Endpoint(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2)))
+    )
     pool.update(EndpointUpdate(2, False, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 2)),)))
     pool.update(EndpointUpdate(3, False, (Endpoint(api.EngineEntry(3), ("127.0.0.1", 2)),)))
     assert set(pool.engines) == {3} and pool.engines[3].state is READY
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -148,7 +148,7 @@
 def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
     async def play(it):
         for member in it.members:
-            member.mute = it.source.watcher.place == it.members.index(member)
+            member.mute = it.source.watcher.sessions.rotation.last_index == it.members.index(member)
         it.put(1, "draining")
         await it.wait_until_current()
         assert it.engines[1] == "draining" and it.counters["registry_stalls"] == 1
@@ -163,8 +163,8 @@
         old = it.store.copy()
         it.put(1, "draining")
         await it.wait_until_current()
-        it.members[it.source.watcher.place].lag = old
-        it.gates[it.source.watcher.place].cut()
+        it.members[it.source.watcher.sessions.rotation.last_index].lag = old
+        it.gates[it.source.watcher.sessions.rotation.last_index].cut()
         it.put(2, "draining")
         await it.wait_until_current()
         assert it.engines == {1: "draining", 2: "draining"}
@@ -198,7 +198,7 @@
             member.declining = None
         it.put(1, "draining")
         await it.wait_until_current()
-        assert it.engines[1] == "draining" and it.source.watcher.sessions == 1
+        assert it.engines[1] == "draining" and it.source.watcher.sessions.opened_count == 1
         assert it.counters["registry_full_reads"] == 1 and it.counters["registry_breaks"] == 0
 
     run_scenario(play, "consul")
