Zones: ZoneRouter, ZoneRecovery, ZoneHealth, SlidingWindow and ZoneSettings by their names

Course, Phase, Health, Window, Zones, Spill and Return, and their methods (looked, answered, sign, listed), said nothing to a newcomer. They are ZoneRecovery with RecoveryPhase, ZoneHealth, SlidingWindow, ZoneSettings, SpillLimit and RecoverySettings; spill.py is sliding_window.py. The keys of the zones file stay by rename=, and a test holds the bytes of one that the former code reads and writes just so. read_zones is split by what it checks.

--- a/applevale/zones/__init__.py
+++ b/applevale/zones/__init__.py
@@ -1,1 +1,1 @@
-"""Preference among zones, bounded spill when one is lost, a ramped return. Without a zones file: unused."""
+"""Routing among zones: preference, bounded spill from a lost zone, ramped recovery."""
--- a/applevale/zones/health.py
+++ b/applevale/zones/health.py
@@ -1,7 +1,11 @@
-"""Whether a zone is lost, by what this instance sees of its engines. No I/O and no clock.
+"""Detection of lost zones from the results of attempts at their engines. No I/O and no clock.
 
-Invariants: a verdict rests on `ENGINES` engines at least (all of them, in a smaller zone) and `SIGNS` bad
-signs within `SPAN`; an engine counts as it showed last; and where every zone shows the same, none is lost.
+Invariants:
+
+- A zone is lost on the evidence of at least `MIN_FAILED_ENGINES` engines (all of them, in a smaller zone) and
+  `MIN_FAILURES` failures within `RESULT_WINDOW_SECONDS`.
+- An engine counts by its latest result.
+- Where all zones fail alike, the cause is common to them and none is lost.
 """
 
 from __future__ import annotations
@@ -10,68 +14,73 @@
 from dataclasses import dataclass, field
 from math import inf
 
-SPAN = 2.0  # s for which a sign counts
-SIGNS = 4  # bad signs that a verdict needs
-ENGINES = 2  # that they come from
-LOST = 0.6  # share of the engines with signs that are bad, from which a zone is lost
-SHARED = 0.5  # the same share in another zone, from which it is what they share
+RESULT_WINDOW_SECONDS = 2.0  # for which a result counts
+MIN_FAILURES = 4
+MIN_FAILED_ENGINES = 2
+LOST_FAILED_SHARE = 0.6  # of the engines with recent results: from this share on the zone is lost
+COMMON_FAILED_SHARE = 0.5  # the same share in all other zones, from which on the cause is common
 
 
 @dataclass
-class Seen:
-    """One engine."""
+class EngineHealth:
+    """Times of the latest results of one engine, in s."""
 
-    good: float = -inf  # when its last good sign came
-    bad: float = -inf
+    last_success: float = -inf
+    last_failure: float = -inf
 
-    def is_bad(self, now: float) -> bool:
-        return self.bad > self.good and now - self.bad <= SPAN
+    def is_failing(self, now: float) -> bool:
+        """Return whether the latest result is a recent failure."""
+        is_latest = self.last_failure > self.last_success
+        return is_latest and now - self.last_failure <= RESULT_WINDOW_SECONDS
 
-    def known(self, now: float) -> bool:
-        return now - max(self.good, self.bad) <= SPAN
+    def has_recent_result(self, now: float) -> bool:
+        """Return whether any result came within the window."""
+        return now - max(self.last_success, self.last_failure) <= RESULT_WINDOW_SECONDS
 
 
 @dataclass
-class Health:
-    """The engines of one zone."""
-
-    engines: dict[int, Seen] = field(default_factory=dict)
-    signs: deque[float] = field(default_factory=deque)  # times of the bad ones
-
-    def listed(self, numbers: set[int]) -> None:
-        for number in list(self.engines):
-            if number not in numbers:
-                del self.engines[number]
-        for number in numbers:
-            self.engines.setdefault(number, Seen())
-
-    def sign(self, now: float, engine: int, good: bool) -> None:
-        seen = self.engines.get(engine)
-        if seen is None:
+class ZoneHealth:
+    """Recent results of the engines of one zone."""
+
+    engines: dict[int, EngineHealth] = field(default_factory=dict)
+    failure_times: deque[float] = field(default_factory=deque)
+
+    def set_engines(self, engine_ids: set[int]) -> None:
+        """Replace the engines of the zone; those that stay keep their results."""
+        for engine_id in list(self.engines):
+            if engine_id not in engine_ids:
+                del self.engines[engine_id]
+        for engine_id in engine_ids:
+            self.engines.setdefault(engine_id, EngineHealth())
+
+    def record_result(self, now: float, engine_id: int, is_success: bool) -> None:
+        """Record the result of an attempt; results of unknown engines are ignored."""
+        engine = self.engines.get(engine_id)
+        if engine is None:
             return
-        if good:
-            seen.good = now
+        if is_success:
+            engine.last_success = now
         else:
-            seen.bad = now
-            self.signs.append(now)
-        while self.signs and self.signs[0] < now - SPAN:
-            self.signs.popleft()
-
-    def bad_share(self, now: float) -> float:
-        """Of the engines that showed anything lately; 0 with too little to go by."""
-        known = [seen for seen in self.engines.values() if seen.known(now)]
-        bad = sum(seen.is_bad(now) for seen in known)
-        signs = sum(at >= now - SPAN for at in self.signs)
-        if bad < min(ENGINES, len(self.engines)) or signs < SIGNS:
+            engine.last_failure = now
+            self.failure_times.append(now)
+        while self.failure_times and self.failure_times[0] < now - RESULT_WINDOW_SECONDS:
+            self.failure_times.popleft()
+
+    def failed_share(self, now: float) -> float:
+        """Return the share of failing engines among those with recent results; 0 without enough evidence."""
+        recent = [engine for engine in self.engines.values() if engine.has_recent_result(now)]
+        failing = sum(engine.is_failing(now) for engine in recent)
+        failures = sum(at >= now - RESULT_WINDOW_SECONDS for at in self.failure_times)
+        if failing < min(MIN_FAILED_ENGINES, len(self.engines)) or failures < MIN_FAILURES:
             return 0.0
-        return bad / len(known)
+        return failing / len(recent)
 
 
-def lost_zones(zones: dict[int, Health], now: float) -> set[int]:
-    """Zones whose engines fail together while another zone's do not."""
-    shares = {zone: health.bad_share(now) for zone, health in zones.items() if health.engines}
-    lost = {zone for zone, share in shares.items() if share >= LOST}
-    others = [share for zone, share in shares.items() if zone not in lost]
-    if len(shares) > 1 and (not others or min(others) >= SHARED):
+def find_lost_zones(zones: dict[int, ZoneHealth], now: float) -> set[int]:
+    """Return the zones whose engines fail together while those of another zone do not."""
+    shares = {zone: health.failed_share(now) for zone, health in zones.items() if health.engines}
+    lost = {zone for zone, share in shares.items() if share >= LOST_FAILED_SHARE}
+    other_shares = [share for zone, share in shares.items() if zone not in lost]
+    if len(shares) > 1 and (not other_shares or min(other_shares) >= COMMON_FAILED_SHARE):
         return set()
     return lost
--- a/applevale/zones/planner.py
+++ b/applevale/zones/planner.py
@@ -15,7 +15,7 @@
 import numpy as np
 from scipy.optimize import linprog
 
-from .settings import Return, Share, Spill, Zones, ZonesError
+from .settings import RecoverySettings, Share, SpillLimit, ZonesError, ZoneSettings
 
 UNPLACED = 1000.0  # price of work without room, against 1 a tier
 TIGHT = 1e-6  # cores
@@ -30,10 +30,10 @@
 class Plan(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     zones: dict[str, PlanZone]
     tiers: dict[str, list[list[str]]]
-    limits: list[Spill] = []  # the most that a pair may have; absent: the headroom alone
+    limits: list[SpillLimit] = []  # the most that a pair may have; absent: the headroom alone
     headroom: Share = 0.85
     stay: list[str] = []
-    back: Return = Return()
+    back: RecoverySettings = RecoverySettings()
 
 
 @dataclass(frozen=True)
@@ -59,7 +59,7 @@
             if name not in plan.zones:
                 raise ZonesError(f"tiers.{home}: {name!r} is not under zones")
     for at, one in enumerate(plan.limits):
-        for name in (one.home, one.to):
+        for name in (one.home, one.target):
             if name not in plan.zones:
                 raise ZonesError(f"limits[{at}]: {name!r} is not under zones")
     return plan
@@ -121,7 +121,7 @@
     )
 
 
-def zones_file(plan: Plan, found: list[Loss]) -> Zones:
+def zones_file(plan: Plan, found: list[Loss]) -> ZoneSettings:
     """The shares that serve the loss of any one zone, as the program reads them. Of the losses of two the
     file promises nothing beyond: a pair's share must never let more through than the headroom has."""
     shares: dict[tuple[str, str], float] = {}
@@ -129,30 +129,30 @@
         if len(loss.lost) == 1:
             for (home, to), flow in loss.flows.items():
                 shares[home, to] = max(shares.get((home, to), 0.0), flow / plan.zones[to].capacity)
-    return Zones(
+    return ZoneSettings(
         tiers=plan.tiers,
-        spill=[
-            Spill(home=home, to=to, share=min(1.0, round(share, 4)))
+        spill_limits=[
+            SpillLimit(home=home, target=to, share=min(1.0, round(share, 4)))
             for (home, to), share in sorted(shares.items())
         ],
         instances={name: zone.instances for name, zone in plan.zones.items()},
         capacity={name: zone.capacity for name, zone in plan.zones.items()},
-        stay=plan.stay,
-        back=plan.back,
+        pinned_classes=plan.stay,
+        recovery=plan.back,
     )
 
 
-def too_much(plan: Plan, zones: Zones) -> list[str]:
+def too_much(plan: Plan, zones: ZoneSettings) -> list[str]:
     """What a zones file allows beyond the headroom if any one zone is lost, in words. Empty: nothing."""
     found = []
     for lost in sorted(plan.zones):
-        for one in zones.spill:
+        for one in zones.spill_limits:
             if one.home == lost:
-                zone = plan.zones[one.to]
+                zone = plan.zones[one.target]
                 used = sum(zone.demand.values()) / zone.capacity + one.share
                 if used > plan.headroom + TIGHT:
                     found.append(
-                        f"the loss of {lost} may bring {one.to} to {used:.0%}, over {plan.headroom:.0%}"
+                        f"the loss of {lost} may bring {one.target} to {used:.0%}, over {plan.headroom:.0%}"
                     )
     return found
 
@@ -186,5 +186,5 @@
 
 def _most(plan: Plan, home: str, to: str) -> float:
     """Cores that a pair may have at most."""
-    share = next((one.share for one in plan.limits if (one.home, one.to) == (home, to)), 1.0)
+    share = next((one.share for one in plan.limits if (one.home, one.target) == (home, to)), 1.0)
     return share * plan.zones[to].capacity
--- a/applevale/zones/recovery.py
+++ b/applevale/zones/recovery.py
@@ -1,8 +1,11 @@
-"""The course of one zone: home, lost, on trial, coming back. No I/O and no clock.
+"""The recovery of one zone: healthy, lost, on trial, ramping up. No I/O and no clock.
 
-Invariants: a lost zone takes nothing before its rest is over; on trial it takes one attempt at a time; later
-a growing share of its capacity; and since each rest is `back.rest` at least and doubles when the
-zone fails soon after its return, the changes of phase in a minute are bounded (`most_changes`).
+Invariants:
+
+- A lost zone takes no work before its cooldown is over; on trial it takes one attempt at a time; while it
+  ramps up it takes a growing share of its capacity.
+- A cooldown lasts at least `min_cooldown`, and doubles when the zone fails soon after its return. So the
+  changes of phase within a time span are bounded (`max_phase_changes`).
 """
 
 from __future__ import annotations
@@ -11,71 +14,95 @@
 from enum import Enum
 from math import inf
 
-from .settings import Return
+from .settings import RecoverySettings
+
+TRIAL_SUCCESSES = 3  # consecutive successes that end a trial
+PHASES_PER_RECOVERY = 4  # lost, trial, ramping, healthy
 
-TRIED = 3  # good answers in a row that end a trial
 
+class RecoveryPhase(Enum):
+    """Phase of a zone between its loss and its full return."""
 
-class Phase(Enum):
-    HOME = "home"
+    HEALTHY = "healthy"
     LOST = "lost"
     TRIAL = "trial"
-    BACK = "back"
+    RAMPING = "ramping"
 
 
 @dataclass
-class Course:
-    back: Return
-    phase: Phase = Phase.HOME
-    since: float = -inf
-    rest: float = 0.0  # s, of the present or last loss
-    returned: float = -inf  # when the last ramp began
-    good: int = 0  # answers in a row on trial
-    changes: int = 0
-
-    def lost(self, now: float) -> None:
-        """Its engines fail, or none of them is ready any more."""
-        if self.phase is Phase.LOST:
+class ZoneRecovery:
+    """State machine of one zone's recovery. All times are in s.
+
+    Attributes:
+        settings: Cooldowns and the ramp, from the zones file.
+        phase: The present phase.
+        phase_started_at: When the present phase began.
+        cooldown: Length of the present or the latest cooldown.
+        ramp_started_at: When the latest ramp began.
+        trial_successes: Consecutive successes in the present or the latest trial.
+        phase_changes: Number of changes of phase so far.
+    """
+
+    settings: RecoverySettings
+    phase: RecoveryPhase = RecoveryPhase.HEALTHY
+    phase_started_at: float = -inf
+    cooldown: float = 0.0
+    ramp_started_at: float = -inf
+    trial_successes: int = 0
+    phase_changes: int = 0
+
+    def mark_lost(self, now: float) -> None:
+        """Start a cooldown: the engines of the zone fail, or none of them is ready any more."""
+        if self.phase is RecoveryPhase.LOST:
             return
-        soon = self.phase in (Phase.TRIAL, Phase.BACK) or now - self.returned <= self.back.again
-        self.rest = min(self.rest * 2, self.back.rest_most) if soon and self.rest else self.back.rest
-        self._go(now, Phase.LOST)
-
-    def looked(self, now: float) -> None:
-        """Time goes on."""
-        if self.phase is Phase.LOST and now - self.since >= self.rest:
-            self.good = 0
-            self._go(now, Phase.TRIAL)
-        elif self.phase is Phase.BACK and now - self.since >= self.back.over:
-            self._go(now, Phase.HOME)
-
-    def answered(self, now: float, good: bool) -> None:
-        """What came of an attempt there."""
-        if self.phase is not Phase.TRIAL:
+        if self._is_relapse(now) and self.cooldown:
+            self.cooldown = min(self.cooldown * 2, self.settings.max_cooldown)
+        else:
+            self.cooldown = self.settings.min_cooldown
+        self._enter(now, RecoveryPhase.LOST)
+
+    def advance(self, now: float) -> None:
+        """Make the change of phase that is due by time."""
+        elapsed = now - self.phase_started_at
+        if self.phase is RecoveryPhase.LOST and elapsed >= self.cooldown:
+            self.trial_successes = 0
+            self._enter(now, RecoveryPhase.TRIAL)
+        elif self.phase is RecoveryPhase.RAMPING and elapsed >= self.settings.ramp_duration:
+            self._enter(now, RecoveryPhase.HEALTHY)
+
+    def record_result(self, now: float, is_success: bool) -> None:
+        """Record the result of an attempt in the zone; it counts on trial only."""
+        if self.phase is not RecoveryPhase.TRIAL:
             return
-        if not good:
-            self.lost(now)
+        if not is_success:
+            self.mark_lost(now)
             return
-        self.good += 1
-        if self.good >= TRIED:
-            self.returned = now
-            self._go(now, Phase.BACK)
+        self.trial_successes += 1
+        if self.trial_successes >= TRIAL_SUCCESSES:
+            self.ramp_started_at = now
+            self._enter(now, RecoveryPhase.RAMPING)
 
-    def share(self, now: float) -> float:
-        """Of its capacity that may be used; on trial none beyond single attempts."""
+    def usable_share(self, now: float) -> float:
+        """Return the share of the zone's capacity that may be used; on trial 0 beyond single attempts."""
         match self.phase:
-            case Phase.HOME:
+            case RecoveryPhase.HEALTHY:
                 return 1.0
-            case Phase.BACK:
-                done = min(1.0, (now - self.since) / self.back.over)
-                return self.back.first + (1 - self.back.first) * done
+            case RecoveryPhase.RAMPING:
+                progress = min(1.0, (now - self.phase_started_at) / self.settings.ramp_duration)
+                return self.settings.initial_share + (1 - self.settings.initial_share) * progress
             case _:
                 return 0.0
 
-    def most_changes(self, span: float) -> float:
-        """The most changes of phase that can fall in so many s: each round is lost, trial, back, home."""
-        return 4 * (span / self.back.rest + 1)
+    def max_phase_changes(self, duration: float) -> float:
+        """Return the upper bound of the changes of phase within `duration` seconds."""
+        return PHASES_PER_RECOVERY * (duration / self.settings.min_cooldown + 1)
+
+    def _is_relapse(self, now: float) -> bool:
+        if self.phase in (RecoveryPhase.TRIAL, RecoveryPhase.RAMPING):
+            return True
+        return now - self.ramp_started_at <= self.settings.relapse_window
 
-    def _go(self, now: float, phase: Phase) -> None:
-        self.phase, self.since = phase, now
-        self.changes += 1
+    def _enter(self, now: float, phase: RecoveryPhase) -> None:
+        self.phase = phase
+        self.phase_started_at = now
+        self.phase_changes += 1
--- a/applevale/zones/settings.py
+++ b/applevale/zones/settings.py
@@ -1,79 +1,144 @@
-"""The zones file: tiers, limits on spill, and how a zone comes back."""
+"""The zones file: the order of zones, the limits on spill, and the recovery of a lost zone.
+
+`rename` maps the names of the fields to the keys of the file, which stay as they are.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Instances = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
-Positive = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Cores = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class ZonesError(ValueError):
-    """The file cannot be used; the text names the place."""
-
-
-class Spill(msgspec.Struct, forbid_unknown_fields=True, frozen=True, rename={"home": "from", "to": "to"}):
-    home: str
-    to: str
-    share: Share  # of the receiver's capacity, for all instances of the home zone together
-
+    """A zones file or a plan cannot be used; the text names the place."""
 
-class Return(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    first: Share = 0.1  # of its capacity, as the ramp begins
-    over: Positive = 15.0  # s until all of it
-    rest: Positive = 2.0  # s before a lost zone is tried
-    rest_most: Positive = 30.0  # s that the rest doubles to
-    again: Positive = 10.0  # s after the return within which a loss doubles the rest
 
+class SpillLimit(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, rename={"home": "from", "target": "to"}
+):
+    """Limit on the work that one zone may send to another.
 
-class Zones(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    tiers: dict[str, list[list[str]]]  # by home zone: first choice, second, ...
-    spill: list[Spill] = []
-    instances: dict[str, Instances] = {}  # by home zone; absent: 1
-    capacity: dict[str, Annotated[float, msgspec.Meta(ge=0)]] = {}  # cores; absent: of its ready engines
-    stay: list[str] = []  # classes that may not leave their zone
-    window: Positive = 1.0  # s over which spill is counted
-    back: Return = Return()
+    Attributes:
+        home: The zone that the work comes from.
+        target: The zone that receives it.
+        share: Share of the target's capacity, for all instances of the home zone together.
+    """
 
-    def limit(self, home: str, to: str) -> float:
-        """The share of `to` that one instance of `home` may take up."""
-        found = next((one.share for one in self.spill if (one.home, one.to) == (home, to)), 0.0)
-        return found / self.instances.get(home, 1)
-
-
-def read_zones(raw: bytes, names: tuple[str, ...], classes: tuple[str, ...]) -> Zones:
-    """Reads and checks it against the settings' zones and classes. Raises ZonesError."""
+    home: str
+    target: str
+    share: Share
+
+
+class RecoverySettings(
+    msgspec.Struct,
+    forbid_unknown_fields=True,
+    frozen=True,
+    rename={
+        "initial_share": "first",
+        "ramp_duration": "over",
+        "min_cooldown": "rest",
+        "max_cooldown": "rest_most",
+        "relapse_window": "again",
+    },
+):
+    """How a lost zone returns. All times are in s.
+
+    Attributes:
+        initial_share: Share of its capacity that may be used as the ramp begins.
+        ramp_duration: Time from the begin of the ramp to the full capacity.
+        min_cooldown: Time after a loss before the zone is tried again.
+        max_cooldown: Upper bound of the cooldown, which doubles with each relapse.
+        relapse_window: Time after the begin of a ramp within which a loss counts as a relapse.
+    """
+
+    initial_share: Share = 0.1
+    ramp_duration: Seconds = 15.0
+    min_cooldown: Seconds = 2.0
+    max_cooldown: Seconds = 30.0
+    relapse_window: Seconds = 10.0
+
+
+class ZoneSettings(
+    msgspec.Struct,
+    forbid_unknown_fields=True,
+    frozen=True,
+    rename={"spill_limits": "spill", "pinned_classes": "stay", "recovery": "back"},
+):
+    """The zones file.
+
+    Attributes:
+        tiers: For each home zone its choices in order; the first tier holds the home zone itself.
+        spill_limits: Limits by pair of zones; a pair that is absent may take nothing.
+        instances: Number of instances by home zone; 1 where absent.
+        capacity: Cores by zone; those of its ready engines where absent.
+        pinned_classes: Classes that may not leave their zone.
+        window: Time over which spill is counted, in s.
+        recovery: How a lost zone returns.
+    """
+
+    tiers: dict[str, list[list[str]]]
+    spill_limits: list[SpillLimit] = []
+    instances: dict[str, Instances] = {}
+    capacity: dict[str, Cores] = {}
+    pinned_classes: list[str] = []
+    window: Seconds = 1.0
+    recovery: RecoverySettings = RecoverySettings()
+
+    def instance_share(self, home: str, target: str) -> float:
+        """Return the share of the target's capacity that one instance of the home zone may use."""
+        shares = (limit.share for limit in self.spill_limits if (limit.home, limit.target) == (home, target))
+        return next(shares, 0.0) / self.instances.get(home, 1)
+
+
+def read_zones(raw: bytes, zone_names: tuple[str, ...], class_names: tuple[str, ...]) -> ZoneSettings:
+    """Decode a zones file and check it against the zones and classes of the settings.
+
+    Raises:
+        ZonesError: The file cannot be used.
+    """
     try:
-        zones = msgspec.json.decode(raw, type=Zones)
+        zones = msgspec.json.decode(raw, type=ZoneSettings)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise ZonesError(f"zones: {error}") from None
-    _known(zones.tiers, names, "tiers")
-    for home, tiers in zones.tiers.items():
-        flat = [name for tier in tiers for name in tier]
-        _known(flat, names, f"tiers.{home}")
-        if len(set(flat)) < len(flat):
-            raise ZonesError(f"tiers.{home}: a zone stands twice")
-        if not tiers or home not in tiers[0]:
-            raise ZonesError(f"tiers.{home}: its own zone must be in the first tier")
-    pairs = [(one.home, one.to) for one in zones.spill]
-    for at, (home, to) in enumerate(pairs):
-        _known((home, to), names, f"spill[{at}]")
-        if home == to or (home, to) in pairs[:at]:
-            raise ZonesError(f"spill[{at}]: {home} to {to} is its own zone, or stands twice")
-    _known(zones.instances, names, "instances")
-    _known(zones.capacity, names, "capacity")
-    for name in zones.stay:
-        if name not in classes:
+    _check_tiers(zones.tiers, zone_names)
+    _check_spill_limits(zones.spill_limits, zone_names)
+    _check_zone_names(zones.instances, zone_names, "instances")
+    _check_zone_names(zones.capacity, zone_names, "capacity")
+    for name in zones.pinned_classes:
+        if name not in class_names:
             raise ZonesError(f"stay: {name!r} is no class of the settings")
-    if zones.back.rest_most < zones.back.rest:
+    if zones.recovery.max_cooldown < zones.recovery.min_cooldown:
         raise ZonesError("back.rest_most: under back.rest")
     return zones
 
 
-def _known(given: object, names: tuple[str, ...], place: str) -> None:
+def _check_tiers(tiers_by_home: dict[str, list[list[str]]], zone_names: tuple[str, ...]) -> None:
+    _check_zone_names(tiers_by_home, zone_names, "tiers")
+    for home, tiers in tiers_by_home.items():
+        members = [name for tier in tiers for name in tier]
+        _check_zone_names(members, zone_names, f"tiers.{home}")
+        if len(set(members)) < len(members):
+            raise ZonesError(f"tiers.{home}: a zone stands twice")
+        if not tiers or home not in tiers[0]:
+            raise ZonesError(f"tiers.{home}: its own zone must be in the first tier")
+
+
+def _check_spill_limits(limits: list[SpillLimit], zone_names: tuple[str, ...]) -> None:
+    pairs = [(limit.home, limit.target) for limit in limits]
+    for index, (home, target) in enumerate(pairs):
+        _check_zone_names((home, target), zone_names, f"spill[{index}]")
+        if home == target or (home, target) in pairs[:index]:
+            raise ZonesError(f"spill[{index}]: {home} to {target} is its own zone, or stands twice")
+
+
+def _check_zone_names(given: Iterable[str], zone_names: tuple[str, ...], place: str) -> None:
     for name in given:
-        if name not in names:
+        if name not in zone_names:
             raise ZonesError(f"{place}: {name!r} is no zone of the settings")
--- /dev/null
+++ b/applevale/zones/sliding_window.py
@@ -0,0 +1,46 @@
+"""An exact account of the work that was sent to a zone over a sliding window. No I/O and no clock.
+
+Invariant: no window of the given length holds more work than the limit that each piece was checked against.
+A piece of work larger than a whole window's limit never fits.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+
+class WorkRecord(NamedTuple):
+    """A piece of work (core seconds) and the time when it was sent (s)."""
+
+    sent_at: float
+    work: float
+
+
+class SlidingWindow:
+    """Sum of the work that was sent within the last `length` seconds."""
+
+    def __init__(self, length: float):
+        """Create an empty window of `length` seconds."""
+        self.length = length
+        self.records: deque[WorkRecord] = deque()
+        self.total = 0.0
+
+    def used(self, now: float) -> float:
+        """Return the work in the window that ends now, after dropping older records."""
+        oldest = now - self.length
+        while self.records and self.records[0].sent_at <= oldest:
+            self.total -= self.records.popleft().work
+        if not self.records:
+            self.total = 0.0
+        return self.total
+
+    def fits(self, now: float, work: float, limit: float) -> bool:
+        """Return whether the work fits into a window that may hold `limit` core seconds."""
+        return self.used(now) + work <= limit
+
+    def add(self, now: float, work: float) -> None:
+        """Record work that was sent now."""
+        self.used(now)
+        self.records.append(WorkRecord(now, work))
+        self.total += work
--- a/applevale/zones/zone_router.py
+++ b/applevale/zones/zone_router.py
@@ -1,11 +1,11 @@
-"""What the decision module asks of zones. No I/O and no clock.
+"""Routing among zones, for one instance with a home zone. No I/O and no clock.
 
-It answers for one instance with a home zone: of which tier a zone is, whether it may take this work now, and
-how much work finds room in all. Invariants:
+Invariants:
 
-- Work for another zone passes that pair's window, and work for a zone that comes back passes the zone's ramp.
-- A class that stays goes to the home zone or nowhere.
-- A lost zone takes nothing; one on trial takes one attempt at a time.
+- Work for another zone counts against the spill window of that zone; work for a zone that ramps up counts
+  against the zone's ramp window.
+- Work of a pinned class goes to the home zone or nowhere.
+- A lost zone takes no work; a zone on trial takes one attempt at a time.
 """
 
 from __future__ import annotations
@@ -15,138 +15,174 @@
 from dataclasses import dataclass, field
 
 from .. import api
-from .health import Health, lost_zones
-from .recovery import Course, Phase
-from .settings import Zones
-from .spill import Window
+from .health import ZoneHealth, find_lost_zones
+from .recovery import RecoveryPhase, ZoneRecovery
+from .settings import ZoneSettings
+from .sliding_window import SlidingWindow
 
-GOOD = frozenset({api.Result.OK, api.Result.FULL})  # someone is there
-BAD = frozenset({api.Result.CONNECT_FAILED, api.Result.RESET, api.Result.TIMEOUT})
+SUCCESSES = frozenset({api.Result.OK, api.Result.FULL})  # the engine answered
+FAILURES = frozenset({api.Result.CONNECT_FAILED, api.Result.RESET, api.Result.TIMEOUT})
 
 
 @dataclass
-class Zone:
-    """One zone as this instance sees it."""
-
-    course: Course
-    spill: Window  # work that this instance sent there from its home zone
-    ramp: Window  # all its work there while it comes back
-    health: Health = field(default_factory=Health)
-    ready: float = 0.0  # cores of its ready engines
-    trying: int = 0  # attempts out on trial
+class ZoneState:
+    """One zone as seen by this instance.
+
+    Attributes:
+        recovery: The phase of the zone.
+        spill_window: Work that this instance sent there from its home zone.
+        ramp_window: All work that this instance sent there while the zone ramped up.
+        health: Recent results of its engines.
+        ready_cores: Cores of its ready engines.
+        trial_attempts: Attempts in flight that were sent while the zone was on trial.
+    """
+
+    recovery: ZoneRecovery
+    spill_window: SlidingWindow
+    ramp_window: SlidingWindow
+    health: ZoneHealth = field(default_factory=ZoneHealth)
+    ready_cores: float = 0.0
+    trial_attempts: int = 0
 
 
 class ZoneRouter(api.Router):
+    """A router that prefers the home zone and bounds the work for the others.
+
+    Zones and classes are indices into the names given. Work is in core seconds, times in s.
+    """
+
     def __init__(
         self,
-        zones: Zones,
-        names: tuple[str, ...],
-        classes: tuple[str, ...],
+        settings: ZoneSettings,
+        zone_names: tuple[str, ...],
+        class_names: tuple[str, ...],
         home: int,
         counters: Counter | None = None,
     ):
-        self.settings, self.names, self.home = zones, names, home
-        self.zones = {
-            number: Zone(Course(zones.back), Window(zones.window), Window(zones.window))
-            for number in range(len(names))
-        }
-        self.stay = {at for at, name in enumerate(classes) if name in zones.stay}
-        tiers = zones.tiers.get(names[home], [[names[home]]])
-        self.tiers = {names.index(name): at for at, tier in enumerate(tiers) for name in tier}
-        self.limits = {number: zones.limit(names[home], name) for number, name in enumerate(names)}
+        """Create the router of an instance in the zone `home`; all zones start healthy, without engines."""
+        home_name = zone_names[home]
+        tiers = settings.tiers.get(home_name, [[home_name]])
+        self.settings = settings
+        self.zone_names = zone_names
+        self.home = home
         self.counters = Counter() if counters is None else counters
+        self.zones = {zone: _new_zone_state(settings) for zone in range(len(zone_names))}
+        self.pinned_classes = {
+            index for index, name in enumerate(class_names) if name in settings.pinned_classes
+        }
+        self.tiers = {zone_names.index(name): index for index, tier in enumerate(tiers) for name in tier}
+        # Share of each zone's capacity that this instance may use from its home zone.
+        self.spill_shares = {
+            zone: settings.instance_share(home_name, name) for zone, name in enumerate(zone_names)
+        }
 
-    # --- what the module asks -------------------------------------------------------------------------------
-
-    def tier(self, cls: int, zone: int) -> int:
-        """0 is the first choice; a zone that is in no tier comes last, and takes nothing."""
+    def tier(self, request_class: int, zone: int) -> int:
+        """Return the tier of a zone, 0 for the first choice; a zone in no tier comes last."""
         return self.tiers.get(zone, len(self.tiers))
 
-    def may_take(self, now: float, cls: int, zone: int, work: float) -> bool:
-        """Whether so much work (core s) of a class may go to a zone now."""
-        one = self.zones[zone]
-        one.course.looked(now)
-        if zone not in self.tiers or (zone != self.home and cls in self.stay):
+    def may_take(self, now: float, request_class: int, zone: int, work: float) -> bool:
+        """Return whether a zone may take this much work of a class now."""
+        state = self.zones[zone]
+        state.recovery.advance(now)
+        phase = state.recovery.phase
+        if zone not in self.tiers or (zone != self.home and request_class in self.pinned_classes):
             return False
-        if one.course.phase is Phase.LOST or (one.course.phase is Phase.TRIAL and one.trying):
+        if phase is RecoveryPhase.LOST or (phase is RecoveryPhase.TRIAL and state.trial_attempts):
             return False
-        if zone != self.home and not one.spill.fits(now, work, self.spill_limit(zone)):
+        if zone != self.home and not state.spill_window.fits(now, work, self.spill_limit(zone)):
             return False
-        return one.course.phase is not Phase.BACK or one.ramp.fits(now, work, self.ramp_limit(now, zone))
+        return phase is not RecoveryPhase.RAMPING or state.ramp_window.fits(
+            now, work, self.ramp_limit(now, zone)
+        )
 
-    def is_saturated(self, now: float, cls: int, work: float) -> bool:
-        self.zones[self.home].course.looked(now)
-        if self.zones[self.home].course.phase is Phase.HOME:
+    def is_saturated(self, now: float, request_class: int, work: float) -> bool:
+        """Return whether the home zone is not healthy and no zone may take the work now."""
+        home_recovery = self.zones[self.home].recovery
+        home_recovery.advance(now)
+        if home_recovery.phase is RecoveryPhase.HEALTHY:
             return False
-        return not any(self.may_take(now, cls, zone, work) for zone in self.tiers)
+        return not any(self.may_take(now, request_class, zone, work) for zone in self.tiers)
 
     def available_rate(self, now: float, cores: float) -> float:
-        """Work a second (cores) that finds room for this instance; `cores` without zones."""
-        own = self.zones[self.home]
-        part = own.course.share(now) * self.capacity(self.home) / self.instances()
-        return part + sum(
-            self.limits[number] * self.capacity(number)
-            for number, one in self.zones.items()
-            if number != self.home and number in self.tiers and one.course.share(now) > 0
+        """Return the work a second (cores) that finds room for this instance; `cores` is not used."""
+        home_share = self.zones[self.home].recovery.usable_share(now)
+        home_rate = home_share * self.capacity(self.home) / self.home_instances()
+        return home_rate + sum(
+            self.spill_shares[zone] * self.capacity(zone)
+            for zone, state in self.zones.items()
+            if zone != self.home and zone in self.tiers and state.recovery.usable_share(now) > 0
         )
 
-    # --- what it is told ------------------------------------------------------------------------------------
-
     def on_engine_list(self, now: float, engines: Iterable[tuple[api.EngineEntry, float]]) -> None:
-        """The ready engines of the list and their cores."""
-        numbers: dict[int, set[int]] = {number: set() for number in self.zones}
-        ready = dict.fromkeys(self.zones, 0.0)
+        """Replace the ready engines and their cores; a zone that has none left is lost."""
+        engine_ids: dict[int, set[int]] = {zone: set() for zone in self.zones}
+        ready_cores = dict.fromkeys(self.zones, 0.0)
         for entry, cores in engines:
-            numbers[entry.zone].add(entry.engine)
-            ready[entry.zone] += cores
-        for number, one in self.zones.items():
-            if one.ready and not ready[number]:  # planned or not: it comes back cold
-                self._lose(now, one)
-            one.ready = ready[number]
-            one.health.listed(numbers[number])
+            engine_ids[entry.zone].add(entry.engine)
+            ready_cores[entry.zone] += cores
+        for zone, state in self.zones.items():
+            if state.ready_cores and not ready_cores[zone]:  # also after a planned drain: it returns cold
+                self._mark_lost(now, state)
+            state.ready_cores = ready_cores[zone]
+            state.health.set_engines(engine_ids[zone])
 
     def on_send(self, now: float, zone: int, work: float) -> None:
-        one = self.zones[zone]
+        """Count the work of an attempt that was sent to a zone."""
+        state = self.zones[zone]
         if zone != self.home:
-            one.spill.add(now, work)
+            state.spill_window.add(now, work)
             self.counters["spilled"] += 1
-        if one.course.phase is Phase.BACK:
-            one.ramp.add(now, work)
-        one.trying += one.course.phase is Phase.TRIAL
+        if state.recovery.phase is RecoveryPhase.RAMPING:
+            state.ramp_window.add(now, work)
+        if state.recovery.phase is RecoveryPhase.TRIAL:
+            state.trial_attempts += 1
 
     def on_result(self, now: float, entry: api.EngineEntry, result: api.Result) -> None:
-        """What came of an attempt or of a probe."""
-        one = self.zones[entry.zone]
-        one.trying = max(0, one.trying - 1)
-        if result not in GOOD and result not in BAD:
+        """Record the result of an attempt or a probe, and mark the zones that are lost by it."""
+        state = self.zones[entry.zone]
+        state.trial_attempts = max(0, state.trial_attempts - 1)
+        is_success = result in SUCCESSES
+        is_failure = result in FAILURES
+        if not is_success and not is_failure:
             return
-        one.health.sign(now, entry.engine, result in GOOD)
-        one.course.answered(now, result in GOOD)
-        if result in BAD:
-            for number in lost_zones({at: zone.health for at, zone in self.zones.items()}, now):
-                self._lose(now, self.zones[number])
-
-    # --- figures --------------------------------------------------------------------------------------------
+        state.health.record_result(now, entry.engine, is_success)
+        state.recovery.record_result(now, is_success)
+        if is_failure:
+            health_by_zone = {zone: other.health for zone, other in self.zones.items()}
+            for zone in find_lost_zones(health_by_zone, now):
+                self._mark_lost(now, self.zones[zone])
 
-    def instances(self) -> int:
-        return self.settings.instances.get(self.names[self.home], 1)
+    def home_instances(self) -> int:
+        """Return the number of instances that share the home zone."""
+        return self.settings.instances.get(self.zone_names[self.home], 1)
 
     def capacity(self, zone: int) -> float:
-        """Cores: as stated, but no more than its ready engines have."""
-        ready = self.zones[zone].ready
-        return min(self.settings.capacity.get(self.names[zone], ready), ready)
+        """Return the cores of a zone: as configured, but no more than its ready engines have."""
+        ready_cores = self.zones[zone].ready_cores
+        return min(self.settings.capacity.get(self.zone_names[zone], ready_cores), ready_cores)
 
     def spill_limit(self, zone: int) -> float:
-        """Core s that this instance may send there in one window."""
-        return self.limits[zone] * self.capacity(zone) * self.settings.window
+        """Return the work that this instance may send from its home zone to a zone in one window."""
+        return self.spill_shares[zone] * self.capacity(zone) * self.settings.window
 
     def ramp_limit(self, now: float, zone: int) -> float:
-        """Of a zone that comes back: this instance's part of what may go there in one window."""
-        share = self.zones[zone].course.share(now) * self.capacity(zone) * self.settings.window
-        return share / self.instances() if zone == self.home else share * self.limits[zone]
-
-    def _lose(self, now: float, one: Zone) -> None:
-        if one.course.phase is not Phase.LOST:
+        """Return the work that this instance may send in one window to a zone that ramps up."""
+        usable_share = self.zones[zone].recovery.usable_share(now)
+        usable_work = usable_share * self.capacity(zone) * self.settings.window
+        if zone == self.home:
+            return usable_work / self.home_instances()
+        return usable_work * self.spill_shares[zone]
+
+    def _mark_lost(self, now: float, state: ZoneState) -> None:
+        if state.recovery.phase is not RecoveryPhase.LOST:
             self.counters["zones_lost"] += 1
-        one.course.lost(now)
-        one.trying = 0
+        state.recovery.mark_lost(now)
+        state.trial_attempts = 0
+
+
+def _new_zone_state(settings: ZoneSettings) -> ZoneState:
+    return ZoneState(
+        recovery=ZoneRecovery(settings.recovery),
+        spill_window=SlidingWindow(settings.window),
+        ramp_window=SlidingWindow(settings.window),
+    )
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -74,10 +74,10 @@
     read, found = solved(plan(demand=20.0))
     made = planner.zones_file(read, list(found.values()))
     assert planner.too_much(read, made) == []
-    for one in made.spill:
-        flow = found[one.home,].flows[one.home, one.to]
+    for one in made.spill_limits:
+        flow = found[one.home,].flows[one.home, one.target]
         assert one.share * 48 == pytest.approx(flow, abs=0.01)
-    assert made.limit("east", "west") == pytest.approx(16 / 48 / 2, abs=1e-4)
+    assert made.instance_share("east", "west") == pytest.approx(16 / 48 / 2, abs=1e-4)
     larger = json.loads(planner.msgspec.json.encode(made))
     larger["spill"][0]["share"] = 0.9
     given = read_zones(json.dumps(larger).encode(), tuple(TIERS), ("lookup", "load"))
@@ -103,7 +103,7 @@
     path.write_bytes(plan(demand=20.0))
     done = CliRunner().invoke(app, ["zones", "plan", str(path), "--out", str(out)])
     assert done.exit_code == 1 and "find no room" in done.output  # two zones lost are too many here
-    assert read_zones(out.read_bytes(), tuple(TIERS), ("lookup", "load")).spill
+    assert read_zones(out.read_bytes(), tuple(TIERS), ("lookup", "load")).spill_limits
     assert CliRunner().invoke(app, ["zones", "check", str(path), str(out)]).exit_code == 0
     path.write_text("{")
     bad = CliRunner().invoke(app, ["zones", "plan", str(path)])
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 from helpers import LOOKUP, REPORT, Driver, of
 from hypothesis import given
@@ -9,29 +10,33 @@
 
 from applevale import api
 from applevale.policy import AdmissionController
-from applevale.zones.health import SPAN, Health, lost_zones
-from applevale.zones.recovery import Course, Phase
-from applevale.zones.settings import Return, Spill, Zones, ZonesError, read_zones
-from applevale.zones.spill import Window
+from applevale.zones.health import RESULT_WINDOW_SECONDS, ZoneHealth, find_lost_zones
+from applevale.zones.recovery import RecoveryPhase, ZoneRecovery
+from applevale.zones.settings import RecoverySettings, SpillLimit, ZonesError, ZoneSettings, read_zones
+from applevale.zones.sliding_window import SlidingWindow
 from applevale.zones.zone_router import ZoneRouter
 
 NAMES = ("east", "west", "north")
-ZONES = Zones(
+ZONES = ZoneSettings(
     tiers={"east": [["east"], ["west"], ["north"]], "west": [["west"], ["east"]]},
-    spill=[Spill("east", "west", 0.25), Spill("east", "north", 0.1), Spill("west", "east", 0.25)],
+    spill_limits=[
+        SpillLimit("east", "west", 0.25),
+        SpillLimit("east", "north", 0.1),
+        SpillLimit("west", "east", 0.25),
+    ],
     instances={"east": 2},
-    stay=["long"],
-    back=Return(first=0.1, over=10.0, rest=2.0, rest_most=16.0),
+    pinned_classes=["long"],
+    recovery=RecoverySettings(initial_share=0.1, ramp_duration=10.0, min_cooldown=2.0, max_cooldown=16.0),
 )
 CLASSES = ("short", "long")
 
 
 def seen(*signs, engines=3):
     """A zone's health after signs of (engine, good) at one time."""
-    health = Health()
-    health.listed(set(range(1, engines + 1)))
+    health = ZoneHealth()
+    health.set_engines(set(range(1, engines + 1)))
     for engine, good in signs:
-        health.sign(100.0, engine, good)
+        health.record_result(100.0, engine, good)
     return health
 
 
@@ -53,49 +58,49 @@
     ],
 )
 def test_a_zone_is_lost_when_its_engines_fail_together_and_others_do_not(zones, lost):
-    assert lost_zones(zones, 100.0) == lost
-    assert lost_zones(zones, 100.0 + SPAN * 1.01) == set()  # old signs count no more
+    assert find_lost_zones(zones, 100.0) == lost
+    assert find_lost_zones(zones, 100.0 + RESULT_WINDOW_SECONDS * 1.01) == set()  # old signs count no more
 
 
 def test_a_zone_comes_back_by_trial_and_ramp_and_rests_longer_if_it_fails_again():
-    course, now = Course(ZONES.back), 100.0
+    recovery, now = ZoneRecovery(ZONES.recovery), 100.0
     rests = []
     for _ in range(6):
-        course.lost(now)
-        assert course.share(now) == 0.0
-        rests.append(course.rest)
-        now += course.rest
-        course.looked(now - 0.01)
-        assert course.phase is Phase.LOST
-        course.looked(now)
-        assert course.phase is Phase.TRIAL and course.share(now) == 0.0
+        recovery.mark_lost(now)
+        assert recovery.usable_share(now) == 0.0
+        rests.append(recovery.cooldown)
+        now += recovery.cooldown
+        recovery.advance(now - 0.01)
+        assert recovery.phase is RecoveryPhase.LOST
+        recovery.advance(now)
+        assert recovery.phase is RecoveryPhase.TRIAL and recovery.usable_share(now) == 0.0
         for _ in range(3):
-            course.answered(now, True)
-        assert course.phase is Phase.BACK and course.share(now) == 0.1
+            recovery.record_result(now, True)
+        assert recovery.phase is RecoveryPhase.RAMPING and recovery.usable_share(now) == 0.1
         now += 5.0
-        course.looked(now)
-        assert course.share(now) == pytest.approx(0.55)
+        recovery.advance(now)
+        assert recovery.usable_share(now) == pytest.approx(0.55)
     assert rests == [2.0, 4.0, 8.0, 16.0, 16.0, 16.0]
     now += 20.0
-    course.looked(now)
-    assert course.phase is Phase.HOME and course.share(now) == 1.0
-    course.lost(now)
-    assert course.rest == 2.0  # it had stayed
+    recovery.advance(now)
+    assert recovery.phase is RecoveryPhase.HEALTHY and recovery.usable_share(now) == 1.0
+    recovery.mark_lost(now)
+    assert recovery.cooldown == 2.0  # it had stayed
 
 
 @given(st.lists(st.tuples(st.floats(0, 1.0), st.sampled_from(["lost", "good", "bad"])), max_size=300))
 def test_changes_of_phase_are_bounded_whatever_is_seen(steps):
-    course, now = Course(ZONES.back), 100.0
+    recovery, now = ZoneRecovery(ZONES.recovery), 100.0
     for after, what in steps:
         now += after
-        course.looked(now)
-        course.lost(now) if what == "lost" else course.answered(now, what == "good")
-    assert course.changes <= course.most_changes(now - 100.0)
+        recovery.advance(now)
+        recovery.mark_lost(now) if what == "lost" else recovery.record_result(now, what == "good")
+    assert recovery.phase_changes <= recovery.max_phase_changes(now - 100.0)
 
 
 @given(st.lists(st.tuples(st.floats(0, 0.4), st.floats(0.01, 3.0)), max_size=200))
 def test_no_window_of_a_second_holds_more_than_its_limit(pieces):
-    window, now, let = Window(1.0), 0.0, []
+    window, now, let = SlidingWindow(1.0), 0.0, []
     for after, work in pieces:
         now += after
         if window.fits(now, work, 2.0):
@@ -169,7 +174,10 @@
 
 def test_a_jump_that_finds_no_room_is_refused_at_once_and_worth_decides_who_goes():
     cheap = replace(LOOKUP, worth=0.1)
-    d = ZoneDriver(zones=Zones(tiers=ZONES.tiers, spill=ZONES.spill), classes=(LOOKUP, REPORT, cheap))
+    d = ZoneDriver(
+        zones=ZoneSettings(tiers=ZONES.tiers, spill_limits=ZONES.spill_limits),
+        classes=(LOOKUP, REPORT, cheap),
+    )
     d.lose(0)
     numbers = iter(range(10_000, 20_000))
     asks = [
@@ -194,8 +202,8 @@
         d.end(home)
         sends = [send for at in range(4) for send in of(api.Send, d.ask(tables=float(at))[1])]
         home = next((send for send in sends if d.zone(send) == 0), home)
-    course = d.router.zones[0].course
-    assert course.phase is Phase.BACK
+    recovery = d.router.zones[0].recovery
+    assert recovery.phase is RecoveryPhase.RAMPING
     begun, let = d.now, []
     while d.now < begun + 9.0:
         d.run(0.02)
@@ -215,14 +223,14 @@
     assert d.zone(send) == 0
     drained = tuple(replace(entry, state=api.State.DRAINING) for entry in d.entries if entry.zone == 0)
     d.give(api.EngineList(drained))
-    assert d.router.zones[0].course.phase is Phase.LOST
+    assert d.router.zones[0].recovery.phase is RecoveryPhase.LOST
     assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
     assert not of(api.Fail, d.end(send))  # what ran there goes on
     back = tuple(replace(entry, started=d.now) for entry in d.entries if entry.zone == 0)
     d.give(api.EngineList(back))
     assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
     d.run(2.1)
-    assert d.router.may_take(d.now, 0, 0, 0.2) and d.router.zones[0].course.phase is Phase.TRIAL
+    assert d.router.may_take(d.now, 0, 0, 0.2) and d.router.zones[0].recovery.phase is RecoveryPhase.TRIAL
 
 
 def test_the_loss_of_the_zone_that_took_the_spill_moves_it_on():
@@ -259,3 +267,24 @@
 def test_a_zones_file_that_cannot_be_used_names_the_place(change, place):
     with pytest.raises(ZonesError, match=place):
         read_zones(change, NAMES, CLASSES)
+
+
+STORED_ZONES = (  # written before the fields of the code were renamed
+    b'{"tiers":{"east":[["east"],["west"]]},"spill":[{"from":"east","to":"west","share":0.2}],'
+    b'"instances":{"east":2},"capacity":{"west":48.0},"stay":["long"],"window":2.0,'
+    b'"back":{"first":0.2,"over":15.0,"rest":3.0,"rest_most":31.0,"again":11.0}}'
+)
+
+
+def test_a_zones_file_is_read_and_written_as_before():
+    zones = ZoneSettings(
+        tiers={"east": [["east"], ["west"]]},
+        spill_limits=[SpillLimit("east", "west", 0.2)],
+        instances={"east": 2},
+        capacity={"west": 48.0},
+        pinned_classes=["long"],
+        window=2.0,
+        recovery=RecoverySettings(0.2, 15.0, 3.0, 31.0, 11.0),
+    )
+    assert read_zones(STORED_ZONES, NAMES, CLASSES) == zones
+    assert msgspec.json.encode(zones) == STORED_ZONES
