Zone planner split: plan file, linear program, reports; LossPlan, Overload and ZonePair

One module read the plan, solved it and wrote tables, with pairs as bare tuples and findings as strings. plan.py holds the file (ZonePlan, PlannedZone, ZonePair), planner.py the linear program with its equations in functions of their own (list_losses, solve, build_zone_settings), plan_report.py the table and the check (format_table, find_overloads). The keys of the plan file stay by rename=.

--- a/applevale/cli/zones.py
+++ b/applevale/cli/zones.py
@@ -22,20 +22,22 @@
         from ..zones import planner
     except ImportError as error:
         fail(f"zones plan: {error.name} is missing: install the extra 'planner'")
+    from ..zones.plan import read_plan
+    from ..zones.plan_report import format_table
     from ..zones.settings import ZonesError
 
     try:
         with open(path, "rb") as file:
-            wanted = planner.read_plan(file.read())
-        found = [planner.solve(wanted, lost) for lost in planner.losses(wanted)]
+            zone_plan = read_plan(file.read())
+        loss_plans = [planner.solve(zone_plan, lost) for lost in planner.list_losses(zone_plan)]
     except (OSError, ZonesError) as error:
         fail(str(error))
-    typer.echo(planner.table(found))
-    made = planner.zones_file(wanted, found)
+    typer.echo(format_table(loss_plans))
+    settings = planner.build_zone_settings(zone_plan, loss_plans)
     if out:
         with open(out, "wb") as file:
-            file.write(msgspec.json.format(msgspec.json.encode(made), indent=2))
-    exit_with(all(sum(loss.unplaced.values()) <= planner.TIGHT for loss in found))
+            file.write(msgspec.json.format(msgspec.json.encode(settings), indent=2))
+    exit_with(not any(loss.has_unplaced_work() for loss in loss_plans))
 
 
 @zones.command("check")
@@ -45,19 +47,20 @@
 ) -> None:
     """Whether a zones file keeps every zone under the plan's headroom at the loss of any one; exit code 1 if
     not, with a line for each that it does not."""
-    from ..zones import planner
+    from ..zones.plan import read_plan
+    from ..zones.plan_report import find_overloads
     from ..zones.settings import ZonesError, read_zones
 
     try:
         with open(path, "rb") as file:
-            wanted = planner.read_plan(file.read())
-        classes = {name for zone in wanted.zones.values() for name in zone.demand}
+            zone_plan = read_plan(file.read())
+        classes = {name for zone in zone_plan.zones.values() for name in zone.demand}
         with open(zones_path, "rb") as file:
-            given = read_zones(file.read(), tuple(wanted.zones), tuple(classes))
+            settings = read_zones(file.read(), tuple(zone_plan.zones), tuple(classes))
     except (OSError, ZonesError) as error:
         fail(str(error))
-    found = planner.too_much(wanted, given)
-    for line in found:
-        typer.echo(line)
-    typer.echo(f"{zones_path}: {'over the headroom' if found else 'good'}")
-    exit_with(not found)
+    overloads = find_overloads(zone_plan, settings)
+    for overload in overloads:
+        typer.echo(str(overload))
+    typer.echo(f"{zones_path}: {'over the headroom' if overloads else 'good'}")
+    exit_with(not overloads)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -2,11 +2,14 @@
 
 import json
 
+import msgspec
 import pytest
 from typer.testing import CliRunner
 
 from applevale.cli.main import app
 from applevale.zones import planner
+from applevale.zones.plan import read_plan
+from applevale.zones.plan_report import find_overloads, format_table
 from applevale.zones.settings import ZonesError, read_zones
 
 TIERS = {
@@ -33,8 +36,10 @@
 
 
 def solved(raw):
-    read = planner.read_plan(raw)
-    return read, {loss.lost: loss for loss in (planner.solve(read, lost) for lost in planner.losses(read))}
+    read = read_plan(raw)
+    return read, {
+        loss.lost: loss for loss in (planner.solve(read, lost) for lost in planner.list_losses(read))
+    }
 
 
 def test_work_goes_to_the_nearest_tier_while_it_has_room():
@@ -65,23 +70,23 @@
 
 def test_classes_that_stay_are_counted_and_not_moved():
     read, found = solved(plan(load=3.0))
-    assert found["east",].staying == {"east": 3.0}
+    assert found["east",].pinned == {"east": 3.0}
     assert sum(found["east",].flows.values()) == pytest.approx(10.0)
-    assert "classes that stay" in planner.table(list(found.values()))
+    assert "classes that stay" in format_table(list(found.values()))
 
 
 def test_the_zones_file_serves_any_one_loss_and_a_larger_share_is_shown():
     read, found = solved(plan(demand=20.0))
-    made = planner.zones_file(read, list(found.values()))
-    assert planner.too_much(read, made) == []
+    made = planner.build_zone_settings(read, list(found.values()))
+    assert find_overloads(read, made) == []
     for one in made.spill_limits:
         flow = found[one.home,].flows[one.home, one.target]
         assert one.share * 48 == pytest.approx(flow, abs=0.01)
     assert made.instance_share("east", "west") == pytest.approx(16 / 48 / 2, abs=1e-4)
-    larger = json.loads(planner.msgspec.json.encode(made))
+    larger = json.loads(msgspec.json.encode(made))
     larger["spill"][0]["share"] = 0.9
     given = read_zones(json.dumps(larger).encode(), tuple(TIERS), ("lookup", "load"))
-    assert len(planner.too_much(read, given)) == 1
+    assert len(find_overloads(read, given)) == 1
 
 
 @pytest.mark.parametrize(
@@ -95,7 +100,7 @@
 )
 def test_a_plan_that_cannot_be_used_names_the_place(change, place):
     with pytest.raises(ZonesError, match=place):
-        planner.read_plan(plan(**change))
+        read_plan(plan(**change))
 
 
 def test_the_command_writes_a_file_that_the_program_reads_and_checks(tmp_path):
