Load reports: LoadReports, their codec and GossipExchange by their names

News, Told, Peers, mark, told, heard and rooms said nothing to a newcomer. load_report_codec.py holds the form of the datagram with typed entries (Dispatch, EngineLoad, LoadDatagram, ColumnEncoding), load_reports.py what is sent, when and at which cost (LoadReports, SentReport), exchange.py the timer and the socket (GossipExchange). Constants carry their units, each test of an age is a line of its own. Counters and datagrams stay.

test_news.py, test_stored_formats.py, test_layers.py: 51 passed.

--- a/applevale/gossip/exchange.py
+++ b/applevale/gossip/exchange.py
@@ -1,4 +1,4 @@
-"""News of engines between workload managers: when they leave, and what is made of those that come."""
+"""The exchange of load reports with peers: when datagrams leave, and what received ones lead to."""
 
 from __future__ import annotations
 
@@ -7,46 +7,58 @@
 from ..dispatch.event_loop_driver import Driver
 from ..net.datagrams import Datagrams
 from ..observability.counters import Counters
-from .load_reports import HOLD, VERSION, News, NewsError
+from .load_report_codec import VERSION, LoadReportError
+from .load_reports import LoadReports
 
+# Reports wait this long for a dispatch to share its datagram; dispatches are of no use when that late.
+REPORT_DELAY_SECONDS = 0.2
 
-class Peers:
-    """What fails here costs news and nothing else."""
 
-    def __init__(self, datagrams: Datagrams, news: News, driver: Driver, counters: Counters):
-        self.datagrams, self.news, self.driver, self.counters = datagrams, news, driver, counters
-        datagrams.takers[VERSION] = self._take
+class GossipExchange:
+    """Sends load reports to all peers and passes received ones to the driver.
+
+    A failure costs load reports and nothing else. Counters: `news_told`, `news_bytes`, `news_heard`.
+    """
+
+    def __init__(self, datagrams: Datagrams, reports: LoadReports, driver: Driver, counters: Counters):
+        """Register for the load reports among the datagrams of the socket."""
+        self.datagrams = datagrams
+        self.reports = reports
+        self.driver = driver
+        self.counters = counters
         self.timer: asyncio.TimerHandle | None = None  # of the next datagram
+        datagrams.takers[VERSION] = self._receive
 
     def stop(self) -> None:
+        """Cancel the datagram that is pending."""
         if self.timer is not None:
             self.timer.cancel()
 
-    def reported(self, engine: int, report: tuple[float, ...]) -> None:
-        """An engine told its load in an answer or to a probe."""
-        self.news.answered(self.driver.now(), engine, report)
-        if self.timer is None and self.news.waiting():
-            self.timer = asyncio.get_running_loop().call_later(HOLD, self._tell)
+    def on_engine_report(self, engine: int, report: tuple[float, ...]) -> None:
+        """Share the load that an engine reported in an answer or to a probe."""
+        self.reports.record_report(self.driver.now(), engine, report)
+        if self.timer is None and self.reports.has_pending():
+            self.timer = asyncio.get_running_loop().call_later(REPORT_DELAY_SECONDS, self._send)
 
-    def sent(self, engine: int, threads: int) -> None:
-        """An attempt has left for an engine."""
-        if self.news.sent(engine, threads):
-            self._tell()
+    def on_dispatch(self, engine: int, threads: int) -> None:
+        """Share that an attempt was sent to an engine."""
+        if self.reports.record_dispatch(engine, threads):
+            self._send()
 
-    def _tell(self) -> None:
+    def _send(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        data = self.news.datagram()
+        data = self.reports.next_datagram()
         if data is not None and self.datagrams.send(data, self.datagrams.addresses.everyone):
             self.counters["news_told"] += 1
             self.counters["news_bytes"] += len(data)
 
-    def _take(self, number: int, data: bytes) -> None:
+    def _receive(self, sender: int, data: bytes) -> None:
         try:
-            events = self.news.heard(self.driver.now(), data)
-        except NewsError as error:
-            self.datagrams.unreadable(self.datagrams.addresses.each[number], str(error))
+            events = self.reports.receive(self.driver.now(), data)
+        except LoadReportError as error:
+            self.datagrams.unreadable(self.datagrams.addresses.each[sender], str(error))
             return
         self.counters["news_heard"] += 1
         for event in events:
--- a/applevale/gossip/load_reports.py
+++ b/applevale/gossip/load_reports.py
@@ -1,156 +1,163 @@
-"""What workload managers tell each other of engines. No I/O and no clock.
-
-Each meets most engines seldom, so what one hears from an engine is news to all. And all that know the same go
-to the same engine before its next report can show it, so each tells what it sends there. Invariants:
-
-- Only figures are told, never a verdict: a wrong or lying peer shifts a load, which fades within seconds and
-  is bounded in the module, and rests no engine.
-- A report is told on when the load has changed, or once no one told of the engine for a while; what a peer
-  told counts as told. So this traffic follows the engines, not the number of their clients.
-- What is told costs at most SPEND of the worth of the own requests.
-- A datagram that is no news, or of an engine that the list does not name, changes nothing.
+"""Load reports that instances exchange: what is sent, when, and at which cost. No I/O and no clock.
+
+An instance meets most engines seldom, so what one learns of an engine's load is new to its peers. And all
+that know the same would choose the same engine before its next report can show it, so each shares what it
+dispatches there. Invariants:
+
+- Only figures are shared, never a verdict: a wrong or lying peer shifts a load, which fades within seconds
+  and is bounded in the policy, and ejects no engine.
+- A report is sent when the load has changed, or when no one has reported the engine for a while; reports
+  received from peers count too. So this traffic follows the engines, not the number of instances.
+- The cost is at most `MAX_COST_SHARE` of the worth of the instance's own requests.
+- A datagram that is malformed, or of an engine that is not on the list, changes nothing.
 """
 
 from __future__ import annotations
 
-import struct
 from collections.abc import Iterable
-from dataclasses import dataclass
+from itertools import islice
 from random import Random
+from typing import NamedTuple
 
 from .. import api
+from .load_report_codec import (
+    DISPATCH_ENTRY,
+    HEADER,
+    MAX_DATAGRAM_BYTES,
+    MAX_DISPATCHES,
+    MAX_THREADS,
+    ColumnEncoding,
+    Dispatch,
+    EngineLoad,
+    decode,
+    encode,
+    engine_mark,
+)
+
+MAX_COST_SHARE = 0.03  # of a request's worth that its load reports may cost
+DISPATCH_COST_SHARE = 0.025  # the part of it for dispatches
+FULL_PRICE_BYTES = 256.0  # delivered for each request, at which the settings' price is due in full
+MIN_PRICE = 1e-9  # stands for a price of 0
+MAX_BUDGET_BYTES = 64.0  # that may be saved up
+MIN_CHARGED_BYTES = 16  # for each datagram, as measured, however short it is
+REFRESH_INTERVAL_SECONDS = 0.4  # after which an engine is reported though its load is the same
+MIN_INTERVAL_SECONDS = 0.1  # between two reports of an engine
+MIN_RELATIVE_CHANGE = 0.25  # of the latest value: a change is larger than this and than MIN_CHANGE_STEPS
+MIN_CHANGE_STEPS = 2.0  # a step is one query or 1% of a share
+
+
+class SentReport(NamedTuple):
+    """The latest report of an engine that was sent or received, and its time (s)."""
 
-SPEND = 0.03  # of a request's worth is the most that the news of it may cost, and
-SENDS_SPEND = 0.025  # the part of it for sends: where it does not suffice, a share is told for all of them
-FULL_BYTES = 256.0  # delivered for each request, at which the settings' price is due in full
-MOST_ROOM = 64.0  # bytes that may be saved up
-RENEW = 0.4  # s after which an engine is told of though its load is the same
-LEAST = 0.1  # s between two reports of an engine
-CHANGE = 0.25  # of the figure told last, and
-STEP = 2.0  # queries or 1% of a share: the least that counts as a change
-HOLD = 0.2  # s for which reports wait for a send to share its datagram: 0.2 s of a late send were too much
-LEAST_BYTES = 16  # that a datagram is charged for, as measured, however short it is
-MOST_BYTES = 64  # of a datagram; the protocol has 256
-HEAD = struct.Struct(">BB")  # VERSION, and how many sends follow; behind them come reports
-SENT = struct.Struct(">HB")  # an engine's mark, and the threads that were sent there
-MARK = struct.Struct(">H")  # of a report; then a byte for each figure
-VERSION = 2
-# What is told, and how often its unit goes into a byte; 255 stands for what is not told.
-BYTES = {"active": 1, "waiting": 1, "cpu": 100, "disk_busy": 100, "memory_used": 100}
-MOST, UNTOLD = 254, 255
-
-
-class NewsError(ValueError):
-    """A datagram that is no news."""
-
-
-@dataclass(frozen=True)
-class Told:
     at: float
-    figures: bytes
-
+    values: bytes
 
-def mark(engine: int) -> int:
-    """Two bytes for an engine; where two engines share one, what is told of either counts for both."""
-    return (engine ^ engine >> 16) & 0xFFFF
 
+class LoadReports:
+    """Decides which load reports and dispatches to send, and reads those of peers.
 
-class News:
-    """What was told lately, and what the own telling may still cost."""
+    Each answer of an engine adds to a budget in bytes, from which datagrams are paid. Where the budget does
+    not suffice for all dispatches, a random share of them is sent, each standing for several.
+    """
 
     def __init__(self, columns: tuple[str, ...], peers: int, price: float, seed: int = 0):
-        # Where the number of queries is told, the module goes by it and not by how busy the cores are.
-        wanted = ("active", "waiting", "memory_used") if "active" in columns else tuple(BYTES)
-        self.columns = columns
-        self.places = [at for at, name in enumerate(columns) if name in wanted and name in BYTES]
-        self.size = MARK.size + len(self.places)  # of a report
-        # Bytes for each answer, of which each is delivered to all peers.
-        bytes_for_all = FULL_BYTES / max(price, 1e-9) / max(1, peers)
-        self.earned, self.room = SPEND * bytes_for_all, MOST_ROOM
-        self.share = min(1.0, SENDS_SPEND * bytes_for_all / LEAST_BYTES)  # of the sends are told
+        """Create an empty state.
+
+        Args:
+            columns: The columns of engines' reports, in their order.
+            peers: Number of instances that each datagram is delivered to.
+            price: Share of a request's worth that `FULL_PRICE_BYTES` cost.
+            seed: Of the choice of the dispatches that are sent.
+        """
+        bytes_per_request = FULL_PRICE_BYTES / max(price, MIN_PRICE) / max(1, peers)
+        self.encoding = ColumnEncoding(columns)
+        self.budget_per_answer = MAX_COST_SHARE * bytes_per_request
+        self.budget = MAX_BUDGET_BYTES
+        self.dispatch_share = min(1.0, DISPATCH_COST_SHARE * bytes_per_request / MIN_CHARGED_BYTES)
         self.random = Random(seed)
-        self.told: dict[int, Told] = {}
-        self.marked: dict[int, list[int]] = {}
-        self.sends: dict[int, int] = {}  # threads by engine, and
-        self.reports: dict[int, bytes] = {}  # figures by engine, that wait for the next datagram
-
-    def listed(self, engines: Iterable[int]) -> None:
-        """The engines that the list names; of others nothing is kept."""
-        self.marked = {}
+        self.sent_reports: dict[int, SentReport] = {}
+        self.engines_by_mark: dict[int, list[int]] = {}
+        self.pending_threads: dict[int, int] = {}  # of dispatches, by engine
+        self.pending_reports: dict[int, bytes] = {}  # values by engine
+
+    def set_engines(self, engines: Iterable[int]) -> None:
+        """Replace the list of engines; nothing is kept of others."""
+        self.engines_by_mark = {}
         for engine in engines:
-            self.marked.setdefault(mark(engine), []).append(engine)
-        named = {engine for those in self.marked.values() for engine in those}
-        self.told = {engine: told for engine, told in self.told.items() if engine in named}
+            self.engines_by_mark.setdefault(engine_mark(engine), []).append(engine)
+        listed = {engine for sharing in self.engines_by_mark.values() for engine in sharing}
+        self.sent_reports = {engine: sent for engine, sent in self.sent_reports.items() if engine in listed}
 
-    def sent(self, engine: int, threads: int) -> bool:
-        """An attempt has left; returns whether that is to be told at once: of few, each counts for more."""
-        if self.random.random() >= self.share:
+    def record_dispatch(self, engine: int, threads: int) -> bool:
+        """Record an attempt that was sent to an engine; return whether to send a datagram at once."""
+        if self.random.random() >= self.dispatch_share:
             return False
-        self.sends[engine] = min(self.sends.get(engine, 0) + round(threads / self.share), 255)
+        pending = self.pending_threads.get(engine, 0) + round(threads / self.dispatch_share)
+        self.pending_threads[engine] = min(pending, MAX_THREADS)
         return True
 
-    def answered(self, now: float, engine: int, report: tuple[float, ...]) -> None:
-        """An engine has told its load, which may be news to the peers."""
-        self.room = min(self.room + self.earned, MOST_ROOM)
-        if len(report) != len(self.columns) or not self.places:
+    def record_report(self, now: float, engine: int, report: tuple[float, ...]) -> None:
+        """Record a report that an engine gave; it becomes pending if it is worth sending."""
+        self.budget = min(self.budget + self.budget_per_answer, MAX_BUDGET_BYTES)
+        if len(report) != len(self.encoding.columns) or not self.encoding.positions:
             return
-        figures = bytes(self._byte(at, report[at]) for at in self.places)
-        last = self.told.get(engine)
-        if last is not None:
-            since = now - last.at
-            if since < LEAST or (since < RENEW and not self._changed(last.figures, figures)):
-                return
-        self.told[engine] = Told(now, figures)
-        self.reports[engine] = figures
-
-    def waiting(self) -> int:
-        """Bytes of what waits to be told; 0: nothing does."""
-        return SENT.size * len(self.sends) + self.size * len(self.reports)
-
-    def datagram(self) -> bytes | None:
-        """All that waits, as far as one datagram holds it and where it can be paid; else it is dropped."""
-        sends = list(self.sends.items())[: (MOST_BYTES - HEAD.size) // SENT.size]
-        room = MOST_BYTES - HEAD.size - SENT.size * len(sends)
-        reports = list(self.reports.items())[: room // self.size]
-        self.sends, self.reports = {}, {}
-        data = HEAD.pack(VERSION, len(sends))
-        data += b"".join(SENT.pack(mark(engine), threads) for engine, threads in sends)
-        data += b"".join(MARK.pack(mark(engine)) + figures for engine, figures in reports)
-        cost = max(LEAST_BYTES, len(data))
-        if self.room < cost or len(data) == HEAD.size:
+        values = self.encoding.encode_report(report)
+        if not self._is_due(now, engine, values):
+            return
+        self.sent_reports[engine] = SentReport(now, values)
+        self.pending_reports[engine] = values
+
+    def has_pending(self) -> bool:
+        """Return whether a dispatch or a report waits to be sent."""
+        return bool(self.pending_threads or self.pending_reports)
+
+    def next_datagram(self) -> bytes | None:
+        """Return what is pending as one datagram, and forget all of it; None: nothing, or no budget."""
+        pending_threads = islice(self.pending_threads.items(), MAX_DISPATCHES)
+        dispatches = [Dispatch(engine_mark(engine), threads) for engine, threads in pending_threads]
+        room = MAX_DATAGRAM_BYTES - HEADER.size - DISPATCH_ENTRY.size * len(dispatches)
+        pending_reports = islice(self.pending_reports.items(), room // self.encoding.entry_size)
+        loads = [EngineLoad(engine_mark(engine), values) for engine, values in pending_reports]
+        self.pending_threads = {}
+        self.pending_reports = {}
+        data = encode(dispatches, loads)
+        cost = max(MIN_CHARGED_BYTES, len(data))
+        if self.budget < cost or len(data) == HEADER.size:
             return None
-        self.room -= cost
+        self.budget -= cost
         return data
 
-    def heard(self, now: float, data: bytes) -> list[api.PeerLoadReport]:
-        """A peer's datagram as events; raises NewsError."""
-        if len(data) < HEAD.size or data[0] != VERSION:
-            raise NewsError(f"{len(data)} bytes that are no news of engines")
-        middle = HEAD.size + SENT.size * data[1]
-        if middle > len(data) or (len(data) - middle) % self.size:
-            raise NewsError(f"{len(data)} bytes that do not fit {data[1]} sends")
-        sends = SENT.iter_unpack(data[HEAD.size : middle])
+    def receive(self, now: float, data: bytes) -> list[api.PeerLoadReport]:
+        """Return a peer's datagram as events.
+
+        Raises:
+            LoadReportError: The datagram is malformed; nothing was changed.
+        """
+        datagram = decode(data, self.encoding.entry_size)
         events = [
-            api.PeerLoadReport(engine, (), threads)
-            for which, threads in sends
-            for engine in self.marked.get(which, ())
+            api.PeerLoadReport(engine, (), dispatch.threads)
+            for dispatch in datagram.dispatches
+            for engine in self.engines_by_mark.get(dispatch.mark, ())
         ]
-        for at in range(middle, len(data), self.size):
-            engines = self.marked.get(MARK.unpack_from(data, at)[0], ())
-            figures = data[at + MARK.size : at + self.size]
-            self.told.update((engine, Told(now, figures)) for engine in engines)
-            events += [api.PeerLoadReport(engine, self._report(figures)) for engine in engines]
+        for load in datagram.loads:
+            report = self.encoding.decode_report(load.values)
+            for engine in self.engines_by_mark.get(load.mark, ()):
+                self.sent_reports[engine] = SentReport(now, load.values)
+                events.append(api.PeerLoadReport(engine, report))
         return events
 
-    def _report(self, figures: bytes) -> tuple[float, ...]:
-        report = [-1.0] * len(self.columns)
-        for at, byte in zip(self.places, figures):
-            report[at] = -1.0 if byte == UNTOLD else byte / BYTES[self.columns[at]]
-        return tuple(report)
+    def _is_due(self, now: float, engine: int, values: bytes) -> bool:
+        latest = self.sent_reports.get(engine)
+        if latest is None:
+            return True
+        age = now - latest.at
+        if age < MIN_INTERVAL_SECONDS:
+            return False
+        return age >= REFRESH_INTERVAL_SECONDS or _has_changed(latest.values, values)
 
-    def _byte(self, at: int, value: float) -> int:
-        return UNTOLD if value < 0 else min(MOST, round(value * BYTES[self.columns[at]]))
 
-    @staticmethod
-    def _changed(former: bytes, figures: bytes) -> bool:
-        return any(abs(a - b) > max(STEP, CHANGE * a) for a, b in zip(former, figures))
+def _has_changed(former: bytes, current: bytes) -> bool:
+    return any(
+        abs(before - after) > max(MIN_CHANGE_STEPS, MIN_RELATIVE_CHANGE * before)
+        for before, after in zip(former, current)
+    )
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
-    from ..gossip.exchange import Peers
+    from ..gossip.exchange import GossipExchange
     from ..membership.runner import Members
     from ..net.datagrams import Datagrams
 
@@ -114,7 +114,7 @@
         ejected = self.ejection_control.ejections.banned | self.driver.resting()
         return sum(engine in pool.engines and engine not in pool.gone for engine in ejected)
 
-    def _create_gossip(self, controller: AdmissionController) -> Peers | None:
+    def _create_gossip(self, controller: AdmissionController) -> GossipExchange | None:
         if not optional_parts.needs_gossip(self.config, controller):
             return None
         datagrams = self._open_datagrams()
@@ -188,7 +188,7 @@
         self.ejection_control.ejections.listed(update.members)
         self.pool.update(update)
         if self.gossip is not None:
-            self.gossip.news.listed(self.pool.engines)
+            self.gossip.reports.set_engines(self.pool.engines)
         if self.connect_pacer is not None:
             self.connect_pacer.listed()
         self.driver.post(self.endpoints.changed(update))
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
     from ..engines.connect_pacer import Openings
-    from ..gossip.exchange import Peers
+    from ..gossip.exchange import GossipExchange
     from ..membership.runner import Members
     from ..net.datagrams import Datagrams
 
@@ -69,16 +69,16 @@
 
 def create_gossip(
     config: Config, datagrams: Datagrams, pool: Fleet, driver: Driver, counters: Counters
-) -> Peers:
+) -> GossipExchange:
     """Return the exchange of load reports, which hears of the pool's attempts and reports."""
-    from ..gossip.exchange import Peers
-    from ..gossip.load_reports import News
+    from ..gossip.exchange import GossipExchange
+    from ..gossip.load_reports import LoadReports
 
     settings = config.settings
-    reports = News(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
-    gossip = Peers(datagrams, reports, driver, counters)
-    pool.reported = gossip.reported
-    pool.sent = gossip.sent
+    reports = LoadReports(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
+    gossip = GossipExchange(datagrams, reports, driver, counters)
+    pool.reported = gossip.on_engine_report
+    pool.sent = gossip.on_dispatch
     return gossip
 
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -14,16 +14,13 @@
 from applevale.config.sections import read_peers
 from applevale.dispatch.event_loop_driver import Driver
 from applevale.engines.connection import Fleet
-from applevale.gossip.exchange import Peers
+from applevale.gossip.exchange import GossipExchange
+from applevale.gossip.load_report_codec import HEADER, MAX_DATAGRAM_BYTES, LoadReportError, engine_mark
 from applevale.gossip.load_reports import (
-    HEAD,
-    LEAST_BYTES,
-    MOST_BYTES,
-    MOST_ROOM,
-    RENEW,
-    News,
-    NewsError,
-    mark,
+    MAX_BUDGET_BYTES,
+    MIN_CHARGED_BYTES,
+    REFRESH_INTERVAL_SECONDS,
+    LoadReports,
 )
 from applevale.net.addresses import PeerAddresses
 from applevale.net.datagrams import Datagrams
@@ -33,104 +30,106 @@
 
 
 def news(engines=(1, 2), peers=39, price=0.001, columns=COLUMNS):
-    made = News(columns, peers, price)
-    made.listed(engines)
+    made = LoadReports(columns, peers, price)
+    made.set_engines(engines)
     return made
 
 
 def told(one, now, engine, report):
     """The datagram that an engine's report leads to."""
-    one.answered(now, engine, report)
-    return one.datagram()
+    one.record_report(now, engine, report)
+    return one.next_datagram()
 
 
 def told_send(one, engine, threads):
-    one.sent(engine, threads)
-    return one.datagram()
+    one.record_dispatch(engine, threads)
+    return one.next_datagram()
 
 
 def test_reports_and_sends_share_a_datagram_and_arrive_as_they_were_told():
     here, there = news(), news()
-    here.answered(5.0, 1, (7.0, 0.5, 0.25))
-    here.sent(2, 3)
-    here.sent(2, 1)
-    assert here.waiting()
-    events = there.heard(5.0, here.datagram())
+    here.record_report(5.0, 1, (7.0, 0.5, 0.25))
+    here.record_dispatch(2, 3)
+    here.record_dispatch(2, 1)
+    assert here.has_pending()
+    events = there.receive(5.0, here.next_datagram())
     assert events == [api.PeerLoadReport(2, (), 4), api.PeerLoadReport(1, (7.0, -1.0, -1.0))]
-    assert not here.waiting() and here.datagram() is None
+    assert not here.has_pending() and here.next_datagram() is None
 
 
 def test_a_datagram_stays_within_its_bound_whatever_waits():
     one = news(range(1, 400), price=0.0)
     for engine in range(1, 400):
-        one.sent(engine, 300)
-        one.answered(0.0, engine, (1e9, 0.0, 0.0))
-    data = one.datagram()
-    assert len(data) <= MOST_BYTES and not one.waiting() and len(news(range(1, 400)).heard(0.0, data)) > 15
+        one.record_dispatch(engine, 300)
+        one.record_report(0.0, engine, (1e9, 0.0, 0.0))
+    data = one.next_datagram()
+    assert len(data) <= MAX_DATAGRAM_BYTES and not one.has_pending()
+    assert len(news(range(1, 400)).receive(0.0, data)) > 15
 
 
 def test_without_the_number_of_queries_how_busy_it_is_gets_told_and_what_is_unknown_stays_so():
     here, there = (news(columns=("cpu", "disk_busy", "avg_ms")) for _ in range(2))
-    assert there.heard(5.0, told(here, 5.0, 1, (0.5, -1.0, 12.0))) == [
+    assert there.receive(5.0, told(here, 5.0, 1, (0.5, -1.0, 12.0))) == [
         api.PeerLoadReport(1, (0.5, -1.0, -1.0))
     ]
 
 
 def test_what_a_peer_told_is_told_again_only_when_it_changed_or_grew_old():
     here, there = news(), news()
-    there.heard(5.0, told(here, 5.0, 1, (8.0, 0.5, 0.5)))
+    there.receive(5.0, told(here, 5.0, 1, (8.0, 0.5, 0.5)))
     for one in (here, there):
         assert told(one, 5.2, 1, (9.0, 0.5, 0.5)) is None  # hardly another figure
         assert told(one, 5.05, 1, (80.0, 0.5, 0.5)) is None  # too soon
         assert told(one, 5.2, 2, (8.0, 0.5, 0.5)) is not None  # of another engine
     assert told(here, 5.2, 1, (20.0, 0.5, 0.5)) is not None
-    assert told(there, 5.0 + RENEW, 1, (8.0, 0.5, 0.5)) is not None
+    assert told(there, 5.0 + REFRESH_INTERVAL_SECONDS, 1, (8.0, 0.5, 0.5)) is not None
 
 
 @pytest.mark.parametrize("price", [0.0, 0.01, 0.1])
 def test_telling_costs_no_more_than_its_share(price):
     one, charged, requests = news(price=price), 0, 2_000
     for at in range(requests):
-        one.sent(1, 1)
-        one.answered(at * 1.0, 1, (at % 90, 0.0, 0.0))
-        charged += max(LEAST_BYTES, len(data)) if (data := one.datagram()) else 0
-    assert 0 < charged <= MOST_ROOM + requests * (0.03 / price * 256 / 39 if price else 2 * LEAST_BYTES)
+        one.record_dispatch(1, 1)
+        one.record_report(at * 1.0, 1, (at % 90, 0.0, 0.0))
+        charged += max(MIN_CHARGED_BYTES, len(data)) if (data := one.next_datagram()) else 0
+    earned = requests * (0.03 / price * 256 / 39 if price else 2 * MIN_CHARGED_BYTES)
+    assert 0 < charged <= MAX_BUDGET_BYTES + earned
 
 
 def test_the_share_of_sends_that_is_told_stands_for_all_of_them():
     one, there, sends = news(price=0.05), news(), 3_000
     heard = 0
     for _ in range(sends):
-        if one.sent(1, 2):
-            one.room = MOST_ROOM
-            heard += sum(event.threads for event in there.heard(0.0, one.datagram()))
-    assert 0.1 < one.share < 0.5 and heard == pytest.approx(2 * sends, rel=0.1)
+        if one.record_dispatch(1, 2):
+            one.budget = MAX_BUDGET_BYTES
+            heard += sum(event.threads for event in there.receive(0.0, one.next_datagram()))
+    assert 0.1 < one.dispatch_share < 0.5 and heard == pytest.approx(2 * sends, rel=0.1)
 
 
 def test_a_mark_that_two_engines_share_counts_for_both_and_one_off_the_list_for_none():
     twin = 1 ^ 0x00070007
-    assert mark(twin) == mark(1)
+    assert engine_mark(twin) == engine_mark(1)
     one = news((1, twin))
     data = told_send(one, 1, 2)
-    assert [event.engine for event in one.heard(0.0, data)] == [1, twin]
+    assert [event.engine for event in one.receive(0.0, data)] == [1, twin]
     report = told(one, 0.0, 1, (5.0, 0.0, 0.0))
-    one.listed((twin,))
-    assert [event.engine for event in one.heard(0.0, data)] == [twin] and not one.told
-    one.listed(())
-    assert one.heard(0.0, data) == one.heard(0.0, report) == [] and not one.told
+    one.set_engines((twin,))
+    assert [event.engine for event in one.receive(0.0, data)] == [twin] and not one.sent_reports
+    one.set_engines(())
+    assert one.receive(0.0, data) == one.receive(0.0, report) == [] and not one.sent_reports
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(
     st.binary(max_size=300)
-    | st.builds(lambda n, rest: HEAD.pack(2, n) + rest, st.integers(0, 90), st.binary(max_size=300))
+    | st.builds(lambda n, rest: HEADER.pack(2, n) + rest, st.integers(0, 90), st.binary(max_size=300))
 )
 def test_garbage_is_refused_or_bounded(data):
     one = news()
     try:
-        events = one.heard(1.0, data)
-    except NewsError:
-        assert not one.told
+        events = one.receive(1.0, data)
+    except LoadReportError:
+        assert not one.sent_reports
         return
     assert all(event.engine in (1, 2) and 0 <= event.threads <= 255 for event in events)
     assert all(0 <= event.report[0] <= 254 or event.report[0] == -1 for event in events if event.report)
@@ -234,11 +233,12 @@
         driver = Driver(module, Fleet(None, (), 0, counters), counters)
         ours = Datagrams(PeerAddresses(one, (one, two), two), 0, Counters())
         theirs = Datagrams(PeerAddresses(two, (one, two), one), 1, counters)
-        here, there = Peers(ours, news(), driver, Counters()), Peers(theirs, news(), driver, counters)
+        here = GossipExchange(ours, news(), driver, Counters())
+        there = GossipExchange(theirs, news(), driver, counters)
         ours.start(), theirs.start()
-        here.reported(1, (7.0, 0.5, 0.25))
-        here.sent(2, 3)
-        here.sent(2, 1)
+        here.on_engine_report(1, (7.0, 0.5, 0.25))
+        here.on_dispatch(2, 3)
+        here.on_dispatch(2, 1)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
             other.bind(stranger)
             other.sendto(told_send(news(), 1, 9), two)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -23,7 +23,7 @@
 from applevale.discovery.registry.snapshot import Snapshot, SnapshotError
 from applevale.fault_injection import schedule as faults
 from applevale.fault_injection.link_conditions import LinkCondition
-from applevale.gossip.load_reports import News
+from applevale.gossip.load_reports import LoadReports
 from applevale.membership import messages
 from applevale.simulation.experiment import Experiment, read_experiment
 
@@ -46,11 +46,11 @@
 
 def load_reports():
     """A sender of load reports that has one send and two reports waiting."""
-    reports = News(("active", "waiting", "cpu", "disk_busy", "memory_used"), 3, 0.01, seed=7)
-    reports.listed([0x00000001, 0x00C41F7A])
-    reports.answered(10.0, 0x00000001, (3.0, 1.0, 0.5, 0.25, 0.75))
-    reports.answered(10.0, 0x00C41F7A, (300.0, 0.0, -1.0, 0.1, -1.0))
-    reports.sends[0x00000001] = 5
+    reports = LoadReports(("active", "waiting", "cpu", "disk_busy", "memory_used"), 3, 0.01, seed=7)
+    reports.set_engines([0x00000001, 0x00C41F7A])
+    reports.record_report(10.0, 0x00000001, (3.0, 1.0, 0.5, 0.25, 0.75))
+    reports.record_report(10.0, 0x00C41F7A, (300.0, 0.0, -1.0, 0.1, -1.0))
+    reports.pending_threads[0x00000001] = 5
     return reports
 
 
@@ -202,11 +202,11 @@
 
 
 def test_a_datagram_of_load_reports_is_written_as_before():
-    assert load_reports().datagram().hex() == STORED["load_reports"]
+    assert load_reports().next_datagram().hex() == STORED["load_reports"]
 
 
 def test_a_datagram_of_load_reports_is_read():
-    events = load_reports().heard(11.0, bytes.fromhex(STORED["load_reports"]))
+    events = load_reports().receive(11.0, bytes.fromhex(STORED["load_reports"]))
     assert [(event.engine, event.report, event.threads) for event in events] == [
         (0x00000001, (), 5),
         (0x00000001, (3.0, 1.0, -1.0, -1.0, 0.75), 0),
