Datagrams: DatagramSocket with handlers by protocol, peer numbers and reject

takers, numbers, own, unreadable and "for nobody" said little. The class is DatagramSocket with handlers, peer_numbers, own_address and reject; limits have whole names. Two free texts of the log kind `peers` are worded anew; counters and datagrams stay. Call sites in membership/runner.py and runtime/ follow.

--- a/applevale/gossip/exchange.py
+++ b/applevale/gossip/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ..dispatch.event_loop_driver import Driver
-from ..net.datagrams import Datagrams
+from ..net.datagrams import DatagramSocket
 from ..observability.counters import Counters
 from .load_report_codec import VERSION, LoadReportError
 from .load_reports import LoadReports
@@ -20,14 +20,14 @@
     A failure costs load reports and nothing else. Counters: `news_told`, `news_bytes`, `news_heard`.
     """
 
-    def __init__(self, datagrams: Datagrams, reports: LoadReports, driver: Driver, counters: Counters):
+    def __init__(self, datagrams: DatagramSocket, reports: LoadReports, driver: Driver, counters: Counters):
         """Register for the load reports among the datagrams of the socket."""
         self.datagrams = datagrams
         self.reports = reports
         self.driver = driver
         self.counters = counters
         self.timer: asyncio.TimerHandle | None = None  # of the next datagram
-        datagrams.takers[VERSION] = self._receive
+        datagrams.handlers[VERSION] = self._receive
 
     def stop(self) -> None:
         """Cancel the datagram that is pending."""
@@ -58,7 +58,7 @@
         try:
             events = self.reports.receive(self.driver.now(), data)
         except LoadReportError as error:
-            self.datagrams.unreadable(self.datagrams.addresses.each[sender], str(error))
+            self.datagrams.reject(self.datagrams.addresses.each[sender], str(error))
             return
         self.counters["news_heard"] += 1
         for event in events:
--- a/applevale/membership/runner.py
+++ b/applevale/membership/runner.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from ..net.datagrams import Datagrams
+from ..net.datagrams import DatagramSocket
 from ..observability.counters import Counters
 from ..observability.events import emit_event, log_event
 from . import messages
@@ -22,7 +22,7 @@
         self,
         machine: Membership,
         shares: Shares,
-        datagrams: Datagrams,
+        datagrams: DatagramSocket,
         counters: Counters,
         resized: Callable[[int], None],
     ):
@@ -30,7 +30,7 @@
         self.resized = resized  # called with the size that shares are reckoned by, when it turns
         self.timer: asyncio.TimerHandle | None = None
         self.stopped = False
-        datagrams.takers[messages.MARK] = self._take
+        datagrams.handlers[messages.MARK] = self._take
 
     @staticmethod
     def clock() -> float:
@@ -65,7 +65,7 @@
         try:
             message = messages.decode(data)
         except messages.MessageError as error:
-            self.datagrams.unreadable(self.datagrams.addresses.each[number], str(error))
+            self.datagrams.reject(self.datagrams.addresses.each[number], str(error))
             return
         self._do(self.machine.heard(self.clock(), number, message))
 
--- a/applevale/net/datagrams.py
+++ b/applevale/net/datagrams.py
@@ -1,4 +1,4 @@
-"""The socket of datagrams between workload managers: who sent one, and which part takes it."""
+"""The UDP socket between instances, shared by several protocols."""
 
 from __future__ import annotations
 
@@ -10,23 +10,43 @@
 from ..observability.events import log_event
 from .addresses import Address, PeerAddresses
 
-AT_ONCE = 64  # datagrams read in one turn of the loop, so that a flood leaves time for the rest
-MOST_BYTES = 256
+MAX_READS_PER_WAKEUP = 64  # so that a flood of datagrams leaves time for the rest
+MAX_DATAGRAM_BYTES = 256
 
-Take = Callable[[int, bytes], None]
+DatagramHandler = Callable[[int, bytes], None]  # number of the sender, data
 
 
-class Datagrams:
-    """Owns the socket. Only the others of the tier are heard, by the address that a datagram comes from; its
-    first byte tells which part takes it. What is foreign or nobody's costs a counter."""
+class DatagramSocket:
+    """Sends datagrams, and passes received ones to the handler of their protocol, by their first byte.
+
+    Only peers are heard, by the address that a datagram comes from. Datagrams of strangers and of unknown
+    protocols are logged and counted as `news_unreadable`.
+
+    Attributes:
+        addresses: The addresses of the instances.
+        handlers: The handler of each protocol, by the first byte of its datagrams.
+    """
 
     def __init__(self, addresses: PeerAddresses, me: int, counters: Counters, shared: bool = False):
-        """`shared`: a second process of the same name may bind the address too; it then hears all."""
-        self.addresses, self.counters = addresses, counters
-        # The own words may come back from the address of all.
-        self.own = addresses.each[me] if me < len(addresses.each) else addresses.listen
-        self.numbers = {one: at for at, one in enumerate(addresses.each) if one != self.own}
-        self.takers: dict[int, Take] = {}
+        """Bind the socket of the instance with the number `me`.
+
+        Args:
+            addresses: The addresses of all instances; the socket binds `listen`.
+            me: Index into `addresses.each`; an index past its end counts as an instance of its own.
+            counters: Where rejected datagrams are counted.
+            shared: Whether a second process of the same instance may bind the address too and receive all.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        self.addresses = addresses
+        self.counters = counters
+        self.handlers: dict[int, DatagramHandler] = {}
+        # The instance's own datagrams may come back from the address that reaches all.
+        self.own_address = addresses.each[me] if me < len(addresses.each) else addresses.listen
+        self.peer_numbers = {
+            address: number for number, address in enumerate(addresses.each) if address != self.own_address
+        }
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         if shared:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -34,45 +54,48 @@
         self.sock.bind(addresses.listen)
 
     def start(self) -> None:
-        asyncio.get_running_loop().add_reader(self.sock, self._readable)
+        """Start to receive, in the running loop."""
+        asyncio.get_running_loop().add_reader(self.sock, self._on_readable)
 
     def stop(self) -> None:
+        """Stop receiving and close the socket."""
         asyncio.get_running_loop().remove_reader(self.sock)
         self.sock.close()
 
     def send(self, data: bytes, target: Address) -> bool:
-        """False: there was no room in the socket, or no one there. It is not sent again."""
+        """Send a datagram; return False if the system refused it. It is not sent again."""
         try:
             self.sock.sendto(data, target)
         except OSError as error:
-            log_event("peers", f"not told: {error}")
+            log_event("peers", f"not sent: {error}")
             return False
         return True
 
-    def _readable(self) -> None:
-        for _ in range(AT_ONCE):
+    def reject(self, sender: Address, reason: str) -> None:
+        """Count and log a datagram that cannot be used."""
+        self.counters["news_unreadable"] += 1
+        log_event("peers", f"{sender[0]}:{sender[1]}: {reason}")
+
+    def _on_readable(self) -> None:
+        for _ in range(MAX_READS_PER_WAKEUP):
             try:
-                data, sender = self.sock.recvfrom(MOST_BYTES + 1)
+                data, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except (BlockingIOError, InterruptedError):
                 return
-            except OSError as error:  # word that an earlier datagram reached no one
+            except OSError as error:  # the system reports that an earlier datagram reached no one
                 log_event("peers", f"{type(error).__name__}: {error}")
                 return
-            self._take(data, sender)
+            self._dispatch(data, sender)
 
-    def _take(self, data: bytes, sender: Address) -> None:
-        if sender == self.own:
+    def _dispatch(self, data: bytes, sender: Address) -> None:
+        if sender == self.own_address:
             return
-        number = self.numbers.get(sender)
+        number = self.peer_numbers.get(sender)
         if number is None:
-            self.unreadable(sender, "not one of the peers")
+            self.reject(sender, "not one of the peers")
             return
-        take = self.takers.get(data[0]) if data else None
-        if take is None:
-            self.unreadable(sender, f"{len(data)} bytes for nobody")
+        handler = self.handlers.get(data[0]) if data else None
+        if handler is None:
+            self.reject(sender, f"{len(data)} bytes of an unknown protocol")
             return
-        take(number, data)
-
-    def unreadable(self, sender: Address, why: str) -> None:
-        self.counters["news_unreadable"] += 1
-        log_event("peers", f"{sender[0]}:{sender[1]}: {why}")
+        handler(number, data)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -30,7 +30,7 @@
     from ..discovery.registry.source import RegistrySource
     from ..gossip.exchange import GossipExchange
     from ..membership.runner import Members
-    from ..net.datagrams import Datagrams
+    from ..net.datagrams import DatagramSocket
 
 COUNTERS_INTERVAL_SECONDS = 5.0  # between two lines of counters: a killed process prints none at its end
 RESERVED_DESCRIPTORS = 32  # for the files, listeners, list and datagrams
@@ -83,7 +83,7 @@
         self.connect_pacer = optional_parts.create_connect_pacer(
             config, self.pool, self.driver, self.endpoints, self.update_readiness
         )
-        self.datagrams: Datagrams | None = None
+        self.datagrams: DatagramSocket | None = None
         self.gossip = self._create_gossip(controller)
         self.membership = self._create_membership()
         self.registry = self._create_registry_source()
@@ -126,7 +126,7 @@
         datagrams = self._open_datagrams()
         return optional_parts.create_membership(self.config, datagrams, self.counters, self.on_fleet_resize)
 
-    def _open_datagrams(self) -> Datagrams:
+    def _open_datagrams(self) -> DatagramSocket:
         if self.datagrams is None:
             self.datagrams = optional_parts.create_datagrams(self.config, self.counters)
         return self.datagrams
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -22,7 +22,7 @@
     from ..engines.connect_pacer import Openings
     from ..gossip.exchange import GossipExchange
     from ..membership.runner import Members
-    from ..net.datagrams import Datagrams
+    from ..net.datagrams import DatagramSocket
 
 
 def create_router(config: Config, counters: Counters) -> api.Router | None:
@@ -59,16 +59,16 @@
     return not controller.looks and settings.may_tell_peers and settings.gateways > 1
 
 
-def create_datagrams(config: Config, counters: Counters) -> Datagrams:
+def create_datagrams(config: Config, counters: Counters) -> DatagramSocket:
     """Return the one socket of all parts that exchange datagrams with other instances."""
-    from ..net.datagrams import Datagrams
+    from ..net.datagrams import DatagramSocket
 
     is_shared = config.membership is not None
-    return Datagrams(config.peers, config.settings.me, counters, shared=is_shared)
+    return DatagramSocket(config.peers, config.settings.me, counters, shared=is_shared)
 
 
 def create_gossip(
-    config: Config, datagrams: Datagrams, pool: Fleet, driver: Driver, counters: Counters
+    config: Config, datagrams: DatagramSocket, pool: Fleet, driver: Driver, counters: Counters
 ) -> GossipExchange:
     """Return the exchange of load reports, which hears of the pool's attempts and reports."""
     from ..gossip.exchange import GossipExchange
@@ -83,7 +83,7 @@
 
 
 def create_membership(
-    config: Config, datagrams: Datagrams, counters: Counters, on_resize: Callable[[int], None]
+    config: Config, datagrams: DatagramSocket, counters: Counters, on_resize: Callable[[int], None]
 ) -> Members:
     """Return the membership of this instance in the fleet."""
     from ..membership.protocol import Membership, Pace
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -23,7 +23,7 @@
 from applevale.membership.shares import SETTLED, Shares
 from applevale.membership.suspicion import LEAD, Suspicion, Times
 from applevale.net.addresses import PeerAddresses
-from applevale.net.datagrams import Datagrams
+from applevale.net.datagrams import DatagramSocket
 from applevale.observability.counters import Counters
 from applevale.simulation.membership import Fleet
 from tests.planted import MEMBERS
@@ -366,7 +366,7 @@
     async def main():
         here, peer = free(), free()
         counters, sizes = Counters(), []
-        datagrams = Datagrams(PeerAddresses(here, (here, peer), None), 0, counters, shared=True)
+        datagrams = DatagramSocket(PeerAddresses(here, (here, peer), None), 0, counters, shared=True)
         machine = Membership(0, 2, 7, Random(1))
         part = Members(machine, Shares(2), datagrams, counters, sizes.append)
         datagrams.start(), part.start()
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -23,7 +23,7 @@
     LoadReports,
 )
 from applevale.net.addresses import PeerAddresses
-from applevale.net.datagrams import Datagrams
+from applevale.net.datagrams import DatagramSocket
 from applevale.observability.counters import Counters
 
 COLUMNS = ("active", "cpu", "x1")
@@ -231,8 +231,8 @@
         one, two, stranger = free(), free(), free()
         module, counters = Silent(), Counters()
         driver = Driver(module, Fleet(None, (), 0, counters), counters)
-        ours = Datagrams(PeerAddresses(one, (one, two), two), 0, Counters())
-        theirs = Datagrams(PeerAddresses(two, (one, two), one), 1, counters)
+        ours = DatagramSocket(PeerAddresses(one, (one, two), two), 0, Counters())
+        theirs = DatagramSocket(PeerAddresses(two, (one, two), one), 1, counters)
         here = GossipExchange(ours, news(), driver, Counters())
         there = GossipExchange(theirs, news(), driver, counters)
         ours.start(), theirs.start()
