--- a/tests/test_news.py
+++ b/tests/test_load_reports.py
@@ -1,4 +1,4 @@
-"""What workload managers tell each other of engines: the figures, the traffic, and what is no news."""
+"""Load reports between instances: the values, the traffic, and datagrams that are malformed."""
 
 import asyncio
 import socket
@@ -29,25 +29,25 @@
 COLUMNS = ("active", "cpu", "x1")
 
 
-def news(engines=(1, 2), peers=39, price=0.001, columns=COLUMNS):
-    made = LoadReports(columns, peers, price)
-    made.set_engines(engines)
-    return made
+def load_reports(engines=(1, 2), peers=39, price=0.001, columns=COLUMNS):
+    reports = LoadReports(columns, peers, price)
+    reports.set_engines(engines)
+    return reports
 
 
-def told(one, now, engine, report):
+def report_datagram(one, now, engine, report):
     """The datagram that an engine's report leads to."""
     one.record_report(now, engine, report)
     return one.next_datagram()
 
 
-def told_send(one, engine, threads):
+def dispatch_datagram(one, engine, threads):
     one.record_dispatch(engine, threads)
     return one.next_datagram()
 
 
-def test_reports_and_sends_share_a_datagram_and_arrive_as_they_were_told():
-    here, there = news(), news()
+def test_reports_and_dispatches_share_a_datagram_and_arrive_as_they_were_sent():
+    here, there = load_reports(), load_reports()
     here.record_report(5.0, 1, (7.0, 0.5, 0.25))
     here.record_dispatch(2, 3)
     here.record_dispatch(2, 1)
@@ -57,37 +57,37 @@
     assert not here.has_pending() and here.next_datagram() is None
 
 
-def test_a_datagram_stays_within_its_bound_whatever_waits():
-    one = news(range(1, 400), price=0.0)
+def test_a_datagram_stays_within_its_bound_whatever_is_pending():
+    one = load_reports(range(1, 400), price=0.0)
     for engine in range(1, 400):
         one.record_dispatch(engine, 300)
         one.record_report(0.0, engine, (1e9, 0.0, 0.0))
     data = one.next_datagram()
     assert len(data) <= MAX_DATAGRAM_BYTES and not one.has_pending()
-    assert len(news(range(1, 400)).receive(0.0, data)) > 15
+    assert len(load_reports(range(1, 400)).receive(0.0, data)) > 15
 
 
-def test_without_the_number_of_queries_how_busy_it_is_gets_told_and_what_is_unknown_stays_so():
-    here, there = (news(columns=("cpu", "disk_busy", "avg_ms")) for _ in range(2))
-    assert there.receive(5.0, told(here, 5.0, 1, (0.5, -1.0, 12.0))) == [
+def test_without_the_number_of_queries_utilization_is_sent_and_unknown_figures_stay_unknown():
+    here, there = (load_reports(columns=("cpu", "disk_busy", "avg_ms")) for _ in range(2))
+    assert there.receive(5.0, report_datagram(here, 5.0, 1, (0.5, -1.0, 12.0))) == [
         api.PeerLoadReport(1, (0.5, -1.0, -1.0))
     ]
 
 
-def test_what_a_peer_told_is_told_again_only_when_it_changed_or_grew_old():
-    here, there = news(), news()
-    there.receive(5.0, told(here, 5.0, 1, (8.0, 0.5, 0.5)))
+def test_a_peers_report_is_repeated_only_when_it_changed_or_is_old():
+    here, there = load_reports(), load_reports()
+    there.receive(5.0, report_datagram(here, 5.0, 1, (8.0, 0.5, 0.5)))
     for one in (here, there):
-        assert told(one, 5.2, 1, (9.0, 0.5, 0.5)) is None  # hardly another figure
-        assert told(one, 5.05, 1, (80.0, 0.5, 0.5)) is None  # too soon
-        assert told(one, 5.2, 2, (8.0, 0.5, 0.5)) is not None  # of another engine
-    assert told(here, 5.2, 1, (20.0, 0.5, 0.5)) is not None
-    assert told(there, 5.0 + REFRESH_INTERVAL_SECONDS, 1, (8.0, 0.5, 0.5)) is not None
+        assert report_datagram(one, 5.2, 1, (9.0, 0.5, 0.5)) is None  # hardly another figure
+        assert report_datagram(one, 5.05, 1, (80.0, 0.5, 0.5)) is None  # too soon
+        assert report_datagram(one, 5.2, 2, (8.0, 0.5, 0.5)) is not None  # of another engine
+    assert report_datagram(here, 5.2, 1, (20.0, 0.5, 0.5)) is not None
+    assert report_datagram(there, 5.0 + REFRESH_INTERVAL_SECONDS, 1, (8.0, 0.5, 0.5)) is not None
 
 
 @pytest.mark.parametrize("price", [0.0, 0.01, 0.1])
-def test_telling_costs_no_more_than_its_share(price):
-    one, charged, requests = news(price=price), 0, 2_000
+def test_load_reports_cost_no_more_than_their_share(price):
+    one, charged, requests = load_reports(price=price), 0, 2_000
     for at in range(requests):
         one.record_dispatch(1, 1)
         one.record_report(at * 1.0, 1, (at % 90, 0.0, 0.0))
@@ -96,8 +96,8 @@
     assert 0 < charged <= MAX_BUDGET_BYTES + earned
 
 
-def test_the_share_of_sends_that_is_told_stands_for_all_of_them():
-    one, there, sends = news(price=0.05), news(), 3_000
+def test_the_share_of_dispatches_that_is_sent_stands_for_all_of_them():
+    one, there, sends = load_reports(price=0.05), load_reports(), 3_000
     heard = 0
     for _ in range(sends):
         if one.record_dispatch(1, 2):
@@ -109,10 +109,10 @@
 def test_a_mark_that_two_engines_share_counts_for_both_and_one_off_the_list_for_none():
     twin = 1 ^ 0x00070007
     assert engine_mark(twin) == engine_mark(1)
-    one = news((1, twin))
-    data = told_send(one, 1, 2)
+    one = load_reports((1, twin))
+    data = dispatch_datagram(one, 1, 2)
     assert [event.engine for event in one.receive(0.0, data)] == [1, twin]
-    report = told(one, 0.0, 1, (5.0, 0.0, 0.0))
+    report = report_datagram(one, 0.0, 1, (5.0, 0.0, 0.0))
     one.set_engines((twin,))
     assert [event.engine for event in one.receive(0.0, data)] == [twin] and not one.sent_reports
     one.set_engines(())
@@ -124,8 +124,8 @@
     st.binary(max_size=300)
     | st.builds(lambda n, rest: HEADER.pack(2, n) + rest, st.integers(0, 90), st.binary(max_size=300))
 )
-def test_garbage_is_refused_or_bounded(data):
-    one = news()
+def test_garbage_is_rejected_or_bounded(data):
+    one = load_reports()
     try:
         events = one.receive(1.0, data)
     except LoadReportError:
@@ -140,14 +140,14 @@
     return Clocked(**(settings | more))
 
 
-def test_a_peers_report_is_believed_like_an_own_one_and_one_of_a_stranger_is_passed_over():
+def test_a_peers_report_counts_like_an_own_one_and_one_of_an_unknown_engine_is_ignored():
     d = controlled()
     d.give(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
     loads = [d.controller.load(engine) for engine in d.controller.engines.values()]
     assert loads[0] > 1.5 * max(loads[1:]) and len(d.controller.engines) == 4
 
 
-def test_what_siblings_send_counts_before_any_report_shows_it():
+def test_dispatches_of_peers_count_before_any_report_shows_them():
     """All hear of the same idle engine, and would fill it in the time that its next report takes."""
     d = controlled()
     d.give(*(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,)))
@@ -170,7 +170,7 @@
     assert sent == 0
 
 
-def test_only_sends_that_draw_siblings_are_told():
+def test_only_sends_that_attract_peers_are_announced():
     d = controlled()
     d.give(*(api.PeerLoadReport(number, (4.0,)) for number in (1, 2, 3, 4)))
     assert not of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].announce  # there is room everywhere
@@ -190,7 +190,7 @@
     assert after == pytest.approx(before, abs=0.2)
 
 
-def test_a_liar_fills_no_more_than_the_bound_and_rests_no_engine():
+def test_a_lying_peer_adds_no_more_than_the_bound_and_ejects_no_engine():
     d = controlled()
     for _ in range(50):
         d.now += 0.02
@@ -200,7 +200,7 @@
     assert of(api.Send, d.ask(1, work=1.0, tables=1.0)[1])
 
 
-def test_gateways_with_the_same_news_do_not_all_take_the_same_spare_engine():
+def test_instances_with_the_same_reports_do_not_all_take_the_same_spare_engine():
     taken = set()
     for seed in range(12):
         d = controlled(engines=6, seed=seed)
@@ -210,7 +210,7 @@
 
 
 class Silent:
-    """A module that decides nothing and keeps what it is told."""
+    """A decision module that decides nothing and keeps its events."""
 
     def __init__(self):
         self.events = []
@@ -226,28 +226,30 @@
         return sock.getsockname()
 
 
-def test_news_cross_the_socket_and_only_peers_are_heard():
+def test_load_reports_cross_the_socket_and_only_peers_are_heard():
     async def main():
         one, two, stranger = free(), free(), free()
         module, counters = Silent(), Counters()
         driver = Driver(module, Fleet(None, (), 0, counters), counters)
         ours = DatagramSocket(PeerAddresses(one, (one, two), two), 0, Counters())
         theirs = DatagramSocket(PeerAddresses(two, (one, two), one), 1, counters)
-        here = GossipExchange(ours, news(), driver, Counters())
-        there = GossipExchange(theirs, news(), driver, counters)
+        here = GossipExchange(ours, load_reports(), driver, Counters())
+        there = GossipExchange(theirs, load_reports(), driver, counters)
         ours.start(), theirs.start()
         here.on_engine_report(1, (7.0, 0.5, 0.25))
         here.on_dispatch(2, 3)
         here.on_dispatch(2, 1)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
             other.bind(stranger)
-            other.sendto(told_send(news(), 1, 9), two)
+            other.sendto(dispatch_datagram(load_reports(), 1, 9), two)
         ours.sock.sendto(b"garbage", two)
-        theirs.sock.sendto(told_send(news(), 1, 9), two)  # its own word, back from the address of all
+        theirs.sock.sendto(
+            dispatch_datagram(load_reports(), 1, 9), two
+        )  # its own datagram, back from the address that reaches all
         async with asyncio.timeout(10):
             while counters["news_heard"] < 1 or counters["news_unreadable"] < 2:
                 await asyncio.sleep(0)
-            driver.post(api.Timer(5))  # news alone are no reason for a batch
+            driver.post(api.Timer(5))  # load reports alone do not start a batch
             while not module.events:
                 await asyncio.sleep(0)
         for part in (here, there, ours, theirs):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,4 +1,4 @@
-"""Spill shares by the solver, and the command that writes them."""
+"""Limits on spill by linear programming, and the commands that write and check them."""
 
 import json
 
@@ -49,7 +49,7 @@
     assert not found["east",].binding and found["east",].load["west"] == pytest.approx(20 / 48)
 
 
-def test_no_zone_passes_its_headroom_and_the_rest_goes_farther():
+def test_no_zone_exceeds_its_headroom_and_the_rest_goes_farther():
     _, found = solved(plan(demand=20.0))
     loss = found["east",]
     assert loss.flows["east", "west"] == pytest.approx(16.0)
@@ -58,7 +58,7 @@
         assert all(share <= 0.75 + 1e-6 for share in loss.load.values())
 
 
-def test_what_is_impossible_is_told_with_the_limit_and_by_how_much():
+def test_unplaced_work_is_reported_with_its_amount_and_the_binding_limit():
     limits = [{"from": "east", "to": "west", "share": 0.1}, {"from": "east", "to": "north", "share": 0.0}]
     _, found = solved(plan(limits=limits))
     assert found["east",].unplaced["east"] == pytest.approx(10 - 4.8)
@@ -68,14 +68,14 @@
     assert sum(pair.unplaced.values()) == pytest.approx(60 - 6) and pair.binding == ("headroom of north",)
 
 
-def test_classes_that_stay_are_counted_and_not_moved():
+def test_pinned_classes_are_counted_and_not_moved():
     read, found = solved(plan(load=3.0))
     assert found["east",].pinned == {"east": 3.0}
     assert sum(found["east",].flows.values()) == pytest.approx(10.0)
     assert "classes that stay" in format_table(list(found.values()))
 
 
-def test_the_zones_file_serves_any_one_loss_and_a_larger_share_is_shown():
+def test_the_zones_file_serves_any_one_loss_and_a_larger_share_is_an_overload():
     read, found = solved(plan(demand=20.0))
     made = planner.build_zone_settings(read, list(found.values()))
     assert find_overloads(read, made) == []
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,4 +1,4 @@
-"""Zones: verdicts, phases, windows, the router and the module with it; no sockets, no clock."""
+"""Zones: health, recovery, windows, the router, and the decision module with it; no sockets, no clock."""
 
 from dataclasses import replace
 
@@ -31,12 +31,12 @@
 CLASSES = ("short", "long")
 
 
-def seen(*signs, engines=3):
-    """A zone's health after signs of (engine, good) at one time."""
+def zone_health(*results, engines=3):
+    """A zone's health after results of (engine, is_success) at one time."""
     health = ZoneHealth()
     health.set_engines(set(range(1, engines + 1)))
-    for engine, good in signs:
-        health.record_result(100.0, engine, good)
+    for engine, is_success in results:
+        health.record_result(100.0, engine, is_success)
     return health
 
 
@@ -47,28 +47,34 @@
 @pytest.mark.parametrize(
     "zones, lost",
     [
-        ({0: seen(*BAD), 1: seen(*FINE)}, {0}),
-        ({0: seen(*[(1, False)] * 50, (2, True), (3, True)), 1: seen(*FINE)}, set()),  # one bad engine
-        ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*BAD)}, set()),  # what all share is no zone's fault
-        ({0: seen(*BAD), 1: seen(*BAD), 2: seen(*FINE)}, {0, 1}),
-        ({0: seen((1, False), (2, False)), 1: seen(*FINE)}, set()),  # too few signs
-        ({0: seen(*BAD, *FINE), 1: seen(*FINE)}, set()),  # good signs came behind the bad
-        ({0: seen(*[(1, False)] * 5, engines=1), 1: seen(*FINE)}, {0}),
-        ({0: seen(*BAD), 1: seen()}, {0}),  # nothing is known against the other
+        ({0: zone_health(*BAD), 1: zone_health(*FINE)}, {0}),
+        (
+            {0: zone_health(*[(1, False)] * 50, (2, True), (3, True)), 1: zone_health(*FINE)},
+            set(),
+        ),  # one bad engine
+        (
+            {0: zone_health(*BAD), 1: zone_health(*BAD), 2: zone_health(*BAD)},
+            set(),
+        ),  # what all share is no zone's fault
+        ({0: zone_health(*BAD), 1: zone_health(*BAD), 2: zone_health(*FINE)}, {0, 1}),
+        ({0: zone_health((1, False), (2, False)), 1: zone_health(*FINE)}, set()),  # too few failures
+        ({0: zone_health(*BAD, *FINE), 1: zone_health(*FINE)}, set()),  # successes came after the failures
+        ({0: zone_health(*[(1, False)] * 5, engines=1), 1: zone_health(*FINE)}, {0}),
+        ({0: zone_health(*BAD), 1: zone_health()}, {0}),  # nothing is known against the other
     ],
 )
 def test_a_zone_is_lost_when_its_engines_fail_together_and_others_do_not(zones, lost):
     assert find_lost_zones(zones, 100.0) == lost
-    assert find_lost_zones(zones, 100.0 + RESULT_WINDOW_SECONDS * 1.01) == set()  # old signs count no more
+    assert find_lost_zones(zones, 100.0 + RESULT_WINDOW_SECONDS * 1.01) == set()  # old results count no more
 
 
-def test_a_zone_comes_back_by_trial_and_ramp_and_rests_longer_if_it_fails_again():
+def test_a_zone_recovers_by_trial_and_ramp_and_its_cooldown_doubles_if_it_fails_again():
     recovery, now = ZoneRecovery(ZONES.recovery), 100.0
-    rests = []
+    cooldowns = []
     for _ in range(6):
         recovery.mark_lost(now)
         assert recovery.usable_share(now) == 0.0
-        rests.append(recovery.cooldown)
+        cooldowns.append(recovery.cooldown)
         now += recovery.cooldown
         recovery.advance(now - 0.01)
         assert recovery.phase is RecoveryPhase.LOST
@@ -80,7 +86,7 @@
         now += 5.0
         recovery.advance(now)
         assert recovery.usable_share(now) == pytest.approx(0.55)
-    assert rests == [2.0, 4.0, 8.0, 16.0, 16.0, 16.0]
+    assert cooldowns == [2.0, 4.0, 8.0, 16.0, 16.0, 16.0]
     now += 20.0
     recovery.advance(now)
     assert recovery.phase is RecoveryPhase.HEALTHY and recovery.usable_share(now) == 1.0
@@ -89,7 +95,7 @@
 
 
 @given(st.lists(st.tuples(st.floats(0, 1.0), st.sampled_from(["lost", "good", "bad"])), max_size=300))
-def test_changes_of_phase_are_bounded_whatever_is_seen(steps):
+def test_changes_of_phase_are_bounded_whatever_happens(steps):
     recovery, now = ZoneRecovery(ZONES.recovery), 100.0
     for after, what in steps:
         now += after
@@ -150,7 +156,7 @@
     d = ZoneDriver()
     d.lose(0)
     let = {1: [], 2: []}
-    for at in range(190):  # within its rest of 2 s
+    for at in range(190):  # within its cooldown of 2 s
         d.run(0.01)
         for send in of(api.Send, d.ask(tables=float(at), work=0.3)[1]):
             let[d.zone(send)].append((d.now, 0.3))
@@ -163,7 +169,7 @@
     assert work[1] > 0.25 / 2 * 32 * 0.7  # and is used
 
 
-def test_classes_that_stay_are_refused_at_once_with_advice_when_home_is_lost():
+def test_pinned_classes_are_rejected_at_once_with_retry_after_when_home_is_lost():
     d = ZoneDriver()
     d.lose(0)
     _, actions = d.ask(cls=1, work=30.0)
@@ -172,7 +178,7 @@
     assert answers and answers[0].retry_after > 0
 
 
-def test_a_jump_that_finds_no_room_is_refused_at_once_and_worth_decides_who_goes():
+def test_a_burst_without_room_is_rejected_at_once_and_worth_decides_who_is_sent():
     cheap = replace(LOOKUP, worth=0.1)
     d = ZoneDriver(
         zones=ZoneSettings(tiers=ZONES.tiers, spill_limits=ZONES.spill_limits),
@@ -233,7 +239,7 @@
     assert d.router.may_take(d.now, 0, 0, 0.2) and d.router.zones[0].recovery.phase is RecoveryPhase.TRIAL
 
 
-def test_the_loss_of_the_zone_that_took_the_spill_moves_it_on():
+def test_the_loss_of_the_zone_that_takes_the_spill_moves_it_to_the_next():
     d = ZoneDriver()
     d.lose(0)
     assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
