--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -28,9 +28,9 @@
 
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
-    from ..gossip.exchange import Peers
+    from ..gossip.exchange import GossipExchange
     from ..membership.runner import Members
-    from ..net.datagrams import Datagrams
+    from ..net.datagrams import DatagramSocket
 
 COUNTERS_INTERVAL_SECONDS = 5.0  # between two lines of counters: a killed process prints none at its end
 RESERVED_DESCRIPTORS = 32  # for the files, listeners, list and datagrams
@@ -86,7 +86,7 @@
         self.connect_pacer = optional_parts.create_connect_pacer(
             config, self.pool, self.driver, self.endpoints, self.update_readiness
         )
-        self.datagrams: Datagrams | None = None
+        self.datagrams: DatagramSocket | None = None
         self.gossip = self._create_gossip(controller)
         self.membership = self._create_membership()
         self.registry = self._create_registry_source()
@@ -127,7 +127,7 @@
         ejected = self.ejection_control.ejections.ejected | self.driver.outlier_engines()
         return sum(engine in pool.engines and engine not in pool.departed for engine in ejected)
 
-    def _create_gossip(self, controller: AdmissionController) -> Peers | None:
+    def _create_gossip(self, controller: AdmissionController) -> GossipExchange | None:
         if not optional_parts.needs_gossip(self.config, controller):
             return None
         datagrams = self._open_datagrams()
@@ -139,7 +139,7 @@
         datagrams = self._open_datagrams()
         return optional_parts.create_membership(self.config, datagrams, self.counters, self.on_fleet_resize)
 
-    def _open_datagrams(self) -> Datagrams:
+    def _open_datagrams(self) -> DatagramSocket:
         if self.datagrams is None:
             self.datagrams = optional_parts.create_datagrams(self.config, self.counters)
         return self.datagrams
@@ -201,7 +201,7 @@
         self.ejection_control.ejections.add_endpoints(update.endpoints)
         self.pool.update(update)
         if self.gossip is not None:
-            self.gossip.news.listed(self.pool.engines)
+            self.gossip.reports.set_engines(self.pool.engines)
         if self.connect_pacer is not None:
             self.connect_pacer.on_list_change()
         self.driver.submit(self.endpoints.apply_update(update))
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
     from ..engines.connect_pacer import ConnectPacer
-    from ..gossip.exchange import Peers
+    from ..gossip.exchange import GossipExchange
     from ..membership.runner import Members
-    from ..net.datagrams import Datagrams
+    from ..net.datagrams import DatagramSocket
 
 
 def create_router(config: Config, counters: Counters) -> api.Router | None:
@@ -60,31 +60,31 @@
     return not controller.looks and settings.may_tell_peers and settings.gateways > 1
 
 
-def create_datagrams(config: Config, counters: Counters) -> Datagrams:
+def create_datagrams(config: Config, counters: Counters) -> DatagramSocket:
     """Return the one socket of all parts that exchange datagrams with other instances."""
-    from ..net.datagrams import Datagrams
+    from ..net.datagrams import DatagramSocket
 
     is_shared = config.membership is not None
-    return Datagrams(config.peers, config.settings.me, counters, shared=is_shared)
+    return DatagramSocket(config.peers, config.settings.me, counters, shared=is_shared)
 
 
 def create_gossip(
-    config: Config, datagrams: Datagrams, pool: EnginePool, driver: EventLoopDriver, counters: Counters
-) -> Peers:
+    config: Config, datagrams: DatagramSocket, pool: EnginePool, driver: EventLoopDriver, counters: Counters
+) -> GossipExchange:
     """Return the exchange of load reports, which hears of the pool's attempts and reports."""
-    from ..gossip.exchange import Peers
-    from ..gossip.load_reports import News
+    from ..gossip.exchange import GossipExchange
+    from ..gossip.load_reports import LoadReports
 
     settings = config.settings
-    reports = News(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
-    gossip = Peers(datagrams, reports, driver, counters)
-    pool.on_load_report = gossip.reported
-    pool.announce_send = gossip.sent
+    reports = LoadReports(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
+    gossip = GossipExchange(datagrams, reports, driver, counters)
+    pool.on_load_report = gossip.on_engine_report
+    pool.announce_send = gossip.on_dispatch
     return gossip
 
 
 def create_membership(
-    config: Config, datagrams: Datagrams, counters: Counters, on_resize: Callable[[int], None]
+    config: Config, datagrams: DatagramSocket, counters: Counters, on_resize: Callable[[int], None]
 ) -> Members:
     """Return the membership of this instance in the fleet."""
     from ..membership.protocol import Membership, Pace
