--- a/applevale/membership/protocol.py
+++ b/applevale/membership/protocol.py
@@ -24,11 +24,11 @@
 from math import ceil, inf, log2
 from random import Random
 
-from . import messages as m
-from .bucket import Bucket
-from .messages import Kind, Message, News, Record, Status, Words
-from .records import Records
+from . import codec, messages
+from .messages import MemberRecord, MemberState, MemberUpdate, Message, MessageKind, SuspicionUpdate
+from .records import RecordTable
 from .suspicion import Suspicion, Times
+from .token_bucket import TokenBucket
 
 
 @dataclass(frozen=True)
@@ -157,15 +157,15 @@
     def __init__(self, me: int, count: int, life: int, random: Random, pace: Pace | None = None):
         self.me, self.count, self.life, self.random = me, count, life, random
         self.pace = pace or Pace()
-        self.records = Records(count)
-        self.bucket = Bucket()
+        self.records = RecordTable(count)
+        self.bucket = TokenBucket()
         self.figures = Figures()
         self.stand = Stand.JOINING
         self.incarnation = 0
         self.changes = 0  # of the view
         self.suspicions: dict[int, Suspicion] = {}
         self.graves: dict[int, Suspicion] = {}  # of members held dead: the words that they died by
-        self.claims: dict[int, tuple[Record, set[int]]] = {}  # of deaths and leaves, by who holds them
+        self.claims: dict[int, tuple[MemberRecord, set[int]]] = {}  # of deaths and leaves, by who holds them
         self.probes: dict[int, _Probe] = {}
         self.news: dict[int, int] = {}  # member -> how often its record or words are still passed on
         self.round: list[int] = []  # members that this round of probes has yet to come to
@@ -210,7 +210,7 @@
         self._turn_to(Stand.WELL)
         self.incarnation = 1
         for member, life in enumerate(lives):
-            self._put(member, Record(Status.ALIVE, 1, life), told=False)
+            self._put(member, MemberRecord(MemberState.ALIVE, 1, life), told=False)
         return self._done(now)
 
     def ticked(self, now: float) -> list[Command]:
@@ -238,34 +238,34 @@
         if self.stand is Stand.ALONE:  # what others said meanwhile was missed
             self._come_back(now)
         self.heard_at = now
-        self._about_me(now, message.yours)
+        self._about_me(now, message.receiver_record)
         self._from(now, sender, message)
-        for item in message.items:
-            if isinstance(item, News):
+        for item in message.updates:
+            if isinstance(item, MemberUpdate):
                 self._told(now, sender, item.member, item.record)
             else:
                 self._words(now, sender, item)
         match message.kind:
-            case Kind.PING:
-                self._send(now, sender, Kind.ACK, number=message.number)
-            case Kind.ACK:
+            case MessageKind.PING:
+                self._send(now, sender, MessageKind.ACK, number=message.sequence_number)
+            case MessageKind.ACK:
                 self._acked(now, sender, message)
-            case Kind.ASK:
+            case MessageKind.PING_REQUEST:
                 self._asked(now, sender, message)
-            case Kind.FOUND:
+            case MessageKind.PING_RESULT:
                 self._found(now, sender, message)
-            case Kind.SUMS:
-                self._compare(now, sender, message.sums)
-            case Kind.PART:
+            case MessageKind.SEGMENT_DIGESTS:
+                self._compare(now, sender, message.segment_digests)
+            case MessageKind.SEGMENT:
                 self._take_part(now, sender, message)
-        if message.digest != self.records.digest and message.kind in (Kind.PING, Kind.ACK):
+        if message.view_digest != self.records.digest and message.kind in (MessageKind.PING, MessageKind.ACK):
             self._repair(now, sender)
         return self._done(now)
 
     def leave(self, now: float) -> list[Command]:
         """A clean end. Nothing is said where a later process has the name."""
         if self.stand not in (Stand.JOINING, Stand.SUPERSEDED, Stand.GONE):
-            self._put(self.me, Record(Status.LEFT, self.incarnation, self.life))
+            self._put(self.me, MemberRecord(MemberState.LEFT, self.incarnation, self.life))
             self._burst(now, LEAVERS)
         self._turn_to(Stand.GONE)
         return self._done(now)
@@ -291,7 +291,7 @@
 
     def view(self) -> list[tuple[int, int]]:
         """Living members and their incarnations."""
-        return [(one, self.records.all[one].incarnation) for one in sorted({*self.living, self.me})]
+        return [(one, self.records.records[one].incarnation) for one in sorted({*self.living, self.me})]
 
     # --- itself ---------------------------------------------------------------------------------------------
 
@@ -373,47 +373,47 @@
         if now - self.raised_at < self.pace.raised and over < self.incarnation + 1:
             return
         self.raised_at = now
-        self.incarnation = min(m.MOST_INCARNATION, max(self.incarnation, over) + 1)
+        self.incarnation = min(messages.MAX_INCARNATION, max(self.incarnation, over) + 1)
         self.figures.raised += 1
-        self._put(self.me, Record(Status.ALIVE, self.incarnation, self.life))
+        self._put(self.me, MemberRecord(MemberState.ALIVE, self.incarnation, self.life))
         self._burst(now)
 
     def _burst(self, now: float, most: int = BURST) -> None:
         others = list(self.living) or [one for one in range(self.count) if one != self.me]
         for target in self.random.sample(others, min(most, len(others))):
-            self._send(now, target, Kind.NEWS)
+            self._send(now, target, MessageKind.GOSSIP)
 
-    def _about_me(self, now: float, told: Record) -> None:
+    def _about_me(self, now: float, told: MemberRecord) -> None:
         """What a sender holds of this one."""
-        if not told.known:
+        if not told.is_known:
             return
         self.told_me = max(self.told_me, told.incarnation)
         if self.stand is Stand.JOINING or told.incarnation < self.incarnation:
             return
-        mine = told.life == self.life
-        if not mine and told.living and told.incarnation > self.incarnation:
+        mine = told.process_id == self.life
+        if not mine and told.is_alive and told.incarnation > self.incarnation:
             self._turn_to(Stand.SUPERSEDED)  # a later process has the name, and lives
             self.probes.clear()
         elif self.stand is Stand.SUPERSEDED:
-            if not told.living:  # and has ended: the name is this one's again
+            if not told.is_alive:  # and has ended: the name is this one's again
                 self._turn_to(Stand.WELL)
                 self.heard_at = self.answered_at = self.due_probe = self.latest = self.due = now
                 self.quiet_until = now + self.pace.calm
                 self._raise(now, told.incarnation)
         elif (
-            told.status is not Status.ALIVE
+            told.state is not MemberState.ALIVE
             or told.incarnation > self.incarnation
-            or (not mine and self.life < told.life)
+            or (not mine and self.life < told.process_id)
         ):
             self._raise(now, told.incarnation)
 
     # --- others ---------------------------------------------------------------------------------------------
 
-    def _put(self, member: int, record: Record, told: bool = True) -> None:
+    def _put(self, member: int, record: MemberRecord, told: bool = True) -> None:
         """Holds a later word on a member; `told`: it is passed on."""
         self.records.put(member, record)
         words = self.suspicions.pop(member, None)
-        if record.status is Status.DEAD and words is not None and words.first < inf:
+        if record.state is MemberState.DEAD and words is not None and words.first < inf:
             self.graves[member] = words
         else:
             self.graves.pop(member, None)
@@ -421,7 +421,7 @@
         if told:
             self.news[member] = self._times(SPREAD_WORDS if member in self.graves else SPREAD)
         if member != self.me:
-            (self.living.add if record.living else self.living.discard)(member)
+            (self.living.add if record.is_alive else self.living.discard)(member)
 
     def _times(self, spread: float) -> int:
         """How often news are passed on."""
@@ -432,40 +432,42 @@
         if message.incarnation:
             if self.pace.heartbeats:
                 self.seen_at[sender] = now
-            if sender in self.missed and message.incarnation >= self.records.all[sender].incarnation:
+            if sender in self.missed and message.incarnation >= self.records.records[sender].incarnation:
                 del self.missed[sender]
                 self.wrong[sender] = now
                 self._reached(now, sender)
-            self._told(now, sender, sender, Record(Status.ALIVE, message.incarnation, message.life))
+            self._told(
+                now, sender, sender, MemberRecord(MemberState.ALIVE, message.incarnation, message.process_id)
+            )
 
-    def _told(self, now: float, sender: int, member: int, record: Record) -> None:
+    def _told(self, now: float, sender: int, member: int, record: MemberRecord) -> None:
         """A word on a member, from itself or passed on."""
-        if not 0 <= member < self.count or not record.known:
+        if not 0 <= member < self.count or not record.is_known:
             return
         if member == self.me:
             self._about_me(now, record)
             return
-        held = self.records.all[member]
-        if record.order <= held.order and held.known:
+        held = self.records.records[member]
+        if record.precedence <= held.precedence and held.is_known:
             return
-        if record.status is Status.ALIVE:
-            joined = not held.living
-            restarted = held.living and held.life != record.life
+        if record.state is MemberState.ALIVE:
+            joined = not held.is_alive
+            restarted = held.is_alive and held.process_id != record.process_id
             self._put(member, record)
             self.turned_at = now
             if joined or restarted:
                 self.pending[member] = Change.JOINED if joined else Change.RESTARTED
                 self.due_told = min(self.due_told, now + self.pace.gather)
-        elif record.status is Status.LEFT and member == sender:
+        elif record.state is MemberState.LEFT and member == sender:
             self._end(now, ((member, record),))
-        elif record.status in (Status.DEAD, Status.LEFT):
+        elif record.state in (MemberState.DEAD, MemberState.LEFT):
             self._claimed(now, sender, member, record)
 
-    def _claimed(self, now: float, sender: int, member: int, record: Record) -> None:
+    def _claimed(self, now: float, sender: int, member: int, record: MemberRecord) -> None:
         """Somebody holds a member dead or gone: it counts once enough distinct ones do."""
         former, who = self.claims.get(member, (record, set()))
         if former != record:
-            if record.order < former.order:
+            if record.precedence < former.precedence:
                 return
             who = set()
         who.add(sender)
@@ -473,11 +475,11 @@
         if len(who) >= self._need(member) and self._judges(now):
             self._end(now, ((member, record),))
 
-    def _end(self, now: float, ended: tuple[tuple[int, Record], ...]) -> None:
+    def _end(self, now: float, ended: tuple[tuple[int, MemberRecord], ...]) -> None:
         for member, record in ended:
-            if self.records.all[member].living:
-                self.pending[member] = Change.LEFT if record.status is Status.LEFT else Change.DIED
-                self.figures.died += record.status is Status.DEAD
+            if self.records.records[member].is_alive:
+                self.pending[member] = Change.LEFT if record.state is MemberState.LEFT else Change.DIED
+                self.figures.died += record.state is MemberState.DEAD
                 self.due_told = now
             self._put(member, record)
         self.turned_at = now
@@ -486,19 +488,27 @@
 
     # --- words and deaths -----------------------------------------------------------------------------------
 
-    def _words(self, now: float, sender: int, words: Words) -> None:
+    def _words(self, now: float, sender: int, words: SuspicionUpdate) -> None:
         member = words.member
         if not 0 <= member < self.count or not all(0 <= one < self.count for one in words.observers):
             return
-        held = self.records.all[member]
-        if held.known and (held.incarnation & m.LOW != words.incarnation or held.status is Status.LEFT):
-            self._send(now, sender, Kind.NEWS, KEEP_HELP, items=(News(member, held),))  # it may be behind
+        held = self.records.records[member]
+        if held.is_known and (
+            held.incarnation & messages.INCARNATION_LOW_MASK != words.incarnation
+            or held.state is MemberState.LEFT
+        ):
+            self._send(
+                now, sender, MessageKind.GOSSIP, KEEP_HELP, updates=(MemberUpdate(member, held),)
+            )  # it may be behind
             return
         need = self._need(member)
         observers = tuple(dict.fromkeys(one for one in words.observers if one not in (member, self.me)))
         if member == self.me:
-            if len(observers) >= need and words.incarnation == self.incarnation & m.LOW:
-                self._about_me(now, Record(Status.SUSPECT, self.incarnation, self.life))
+            if (
+                len(observers) >= need
+                and words.incarnation == self.incarnation & messages.INCARNATION_LOW_MASK
+            ):
+                self._about_me(now, MemberRecord(MemberState.SUSPECT, self.incarnation, self.life))
             return
         if len(observers) < min(self.pace.share, need):  # its own word, and not passed on
             observers = tuple(one for one in observers if one == sender)
@@ -507,8 +517,12 @@
     def _suspect(
         self, now: float, member: int, incarnation: int, observers: tuple[int, ...], age: float = 0.0
     ) -> None:
-        held = self.records.all[member]
-        if not observers or not held.living or incarnation & m.LOW != held.incarnation & m.LOW:
+        held = self.records.records[member]
+        if (
+            not observers
+            or not held.is_alive
+            or incarnation & messages.INCARNATION_LOW_MASK != held.incarnation & messages.INCARNATION_LOW_MASK
+        ):
             return
         suspicion = self.suspicions.get(member)
         if suspicion is None:
@@ -527,7 +541,9 @@
             if self._checks(member, held.incarnation):
                 suspicion.look = now
             elif self.me in suspicion.observers:
-                self._send(now, member, Kind.PING, KEEP_PROBE, number=self._number())  # it is told first
+                self._send(
+                    now, member, MessageKind.PING, KEEP_PROBE, number=self._number()
+                )  # it is told first
         self._look_at_graves()
 
     def _checks(self, member: int, incarnation: int) -> bool:
@@ -573,7 +589,7 @@
                 elif self.count > self.pace.few or self.me in one.observers:
                     continue
                 if self.me in one.observers:
-                    self._send(now, member, Kind.PING, KEEP_PROBE, number=self._number())
+                    self._send(now, member, MessageKind.PING, KEEP_PROBE, number=self._number())
                 else:
                     self._try(now, member, check=True)
 
@@ -595,7 +611,14 @@
             return
         self.bury_first = inf
         ended = [
-            (member, Record(Status.DEAD, self.suspicions[member].incarnation, self.records.all[member].life))
+            (
+                member,
+                MemberRecord(
+                    MemberState.DEAD,
+                    self.suspicions[member].incarnation,
+                    self.records.records[member].process_id,
+                ),
+            )
             for member in ready
         ]
         if ended:
@@ -614,7 +637,7 @@
         if self.stand is Stand.JOINING or not self.living:
             others = [one for one in range(self.count) if one != self.me]
             for target in self.random.sample(others, min(4, len(others))):
-                self._send(now, target, Kind.PING, KEEP_PROBE, number=self._number())
+                self._send(now, target, MessageKind.PING, KEEP_PROBE, number=self._number())
             if self.stand is not Stand.JOINING:
                 self.due_probe = now + 0.4  # the only one there is: who comes up asks by itself
             return
@@ -646,13 +669,13 @@
         slow = 1 + self.health if asker < 0 else 1.0
         own = self._number()
         ends = self.pace.tried if asker >= 0 or check else self.pace.end
-        if not self._send(now, subject, Kind.PING, KEEP_PROBE if asker < 0 else KEEP_HELP, number=own):
+        if not self._send(now, subject, MessageKind.PING, KEEP_PROBE if asker < 0 else KEEP_HELP, number=own):
             return
         self.figures.probes += 1
         pace, alone = self.pace, asker >= 0 or check
         self.probes[own] = _Probe(
             subject,
-            self.records.all[subject].incarnation,
+            self.records.records[subject].incarnation,
             now + pace.again * slow,
             inf if alone else now + pace.ask * slow,
             now + ends * slow,
@@ -671,7 +694,7 @@
                 self._ask_helpers(now, own, probe)
             elif now >= probe.again:
                 probe.again = inf
-                self._send(now, probe.subject, Kind.PING, KEEP_PROBE, number=own)
+                self._send(now, probe.subject, MessageKind.PING, KEEP_PROBE, number=own)
 
     def _ask_helpers(self, now: float, own: int, probe: _Probe) -> None:
         """One that reached it before, and others at random: fewer where others have failed already."""
@@ -687,7 +710,9 @@
         helpers = [via] if via in self.living else []
         helpers += self.random.sample(others, min(max(0, wanted), len(others)))
         for helper in helpers:
-            if self._send(now, helper, Kind.ASK, KEEP_HELP, number=own, subject=probe.subject):
+            if self._send(
+                now, helper, MessageKind.PING_REQUEST, KEEP_HELP, number=own, subject=probe.subject
+            ):
                 probe.helped += 1
 
     def _asked(self, now: float, sender: int, message: Message) -> None:
@@ -696,14 +721,21 @@
         if not 0 <= subject < self.count or subject == self.me or not self._judges(now):
             return
         if subject in self.graves:
-            self._send(now, sender, Kind.NEWS, KEEP_HELP, items=(self._item(now, subject),))
+            self._send(now, sender, MessageKind.GOSSIP, KEEP_HELP, updates=(self._item(now, subject),))
             return
-        self._suspect(now, subject, self.records.all[subject].incarnation, (sender,))
+        self._suspect(now, subject, self.records.records[subject].incarnation, (sender,))
         suspicion = self.suspicions.get(subject)
         if suspicion is not None and self.me in suspicion.observers:  # it has tried already
-            self._send(now, sender, Kind.FOUND, KEEP_HELP, number=message.number, subject=subject)
+            self._send(
+                now,
+                sender,
+                MessageKind.PING_RESULT,
+                KEEP_HELP,
+                number=message.sequence_number,
+                subject=subject,
+            )
         else:
-            self._try(now, subject, sender, message.number)
+            self._try(now, subject, sender, message.sequence_number)
 
     def _acked(self, now: float, sender: int, message: Message) -> None:
         if self.stand is Stand.JOINING:
@@ -713,15 +745,21 @@
         if self.stand is Stand.UNHEARD:
             self._turn_to(Stand.WELL)
             self.quiet_until = now + self.pace.calm
-        probe = self.probes.get(message.number)
+        probe = self.probes.get(message.sequence_number)
         if probe is None or probe.subject != sender or message.incarnation < probe.incarnation:
             return  # the answer of an earlier life is no answer
-        del self.probes[message.number]
+        del self.probes[message.sequence_number]
         self.health = max(0.0, self.health - 0.5)
         self._reached(now, sender)
         if probe.asker >= 0:
             self._send(
-                now, probe.asker, Kind.FOUND, KEEP_PROBE, number=probe.number, subject=sender, reached=True
+                now,
+                probe.asker,
+                MessageKind.PING_RESULT,
+                KEEP_PROBE,
+                number=probe.number,
+                subject=sender,
+                is_reachable=True,
             )
 
     def _reached(self, now: float, subject: int) -> None:
@@ -736,12 +774,12 @@
             self._look_at_graves()
 
     def _found(self, now: float, sender: int, message: Message) -> None:
-        probe = self.probes.get(message.number)
+        probe = self.probes.get(message.sequence_number)
         if probe is None or probe.asker >= 0 or probe.subject != message.subject:
             return
         self.answered_at = now
-        if message.reached:
-            del self.probes[message.number]
+        if message.is_reachable:
+            del self.probes[message.sequence_number]
             self.health = max(0.0, self.health - 0.5)
             if len(self.via) < MOST_VIA or probe.subject in self.via:
                 self.via[probe.subject] = sender
@@ -753,7 +791,12 @@
         if probe.asker >= 0:
             if self._judges(now):
                 self._send(
-                    now, probe.asker, Kind.FOUND, KEEP_HELP, number=probe.number, subject=probe.subject
+                    now,
+                    probe.asker,
+                    MessageKind.PING_RESULT,
+                    KEEP_HELP,
+                    number=probe.number,
+                    subject=probe.subject,
                 )
                 self._suspect(now, probe.subject, probe.incarnation, (self.me,))
             return
@@ -769,7 +812,7 @@
             return
         for target in range(self.count):
             if target != self.me:
-                self._send(now, target, Kind.NEWS, keep=-inf)
+                self._send(now, target, MessageKind.GOSSIP, keep=-inf)
         silent = [
             member for member in self.living if now - self.seen_at.get(member, now) > self.pace.times.least
         ]
@@ -779,8 +822,10 @@
                 tuple(
                     (
                         member,
-                        Record(
-                            Status.DEAD, self.records.all[member].incarnation, self.records.all[member].life
+                        MemberRecord(
+                            MemberState.DEAD,
+                            self.records.records[member].incarnation,
+                            self.records.records[member].process_id,
                         ),
                     )
                     for member in silent
@@ -799,39 +844,49 @@
         others = [one for one in range(self.count) if one != self.me and one not in self.living]
         self.due_knock = now + self._knock_rest() if others else inf
         if others:
-            self._send(now, self.random.choice(others), Kind.PING, KEEP_PROBE, number=self._number())
+            self._send(now, self.random.choice(others), MessageKind.PING, KEEP_PROBE, number=self._number())
 
     def _repair(self, now: float, sender: int) -> None:
         """Their digests differ, and not only because something is just being told."""
         last = now - self.repaired_at
         if last < self.pace.repair or (now - self.turned_at < self.pace.repair and last < MOST_CHURN):
             return
-        if self._send(now, sender, Kind.SUMS, KEEP_HELP, sums=tuple(self.records.sums)):
+        if self._send(
+            now,
+            sender,
+            MessageKind.SEGMENT_DIGESTS,
+            KEEP_HELP,
+            segment_digests=tuple(self.records.segment_digests),
+        ):
             self.repaired_at = now
             self.figures.repairs += 1
 
     def _compare(self, now: float, sender: int, sums: tuple[int, ...]) -> None:
         """The parts that differ, a few at a time."""
-        for which in self.records.differing(sums)[:3]:
-            members = self.records.part(which)
-            for first in range(members.start, members.stop, m.MOST_PART):
-                part = tuple(self.records.all[first : min(first + m.MOST_PART, members.stop)])
-                self._send(now, sender, Kind.PART, KEEP_HELP, first=first, part=part)
+        for which in self.records.differing_segments(sums)[:3]:
+            members = self.records.segment(which)
+            for first in range(members.start, members.stop, codec.MAX_SEGMENT_RECORDS):
+                part = tuple(
+                    self.records.records[first : min(first + codec.MAX_SEGMENT_RECORDS, members.stop)]
+                )
+                self._send(
+                    now, sender, MessageKind.SEGMENT, KEEP_HELP, first_member=first, segment_records=part
+                )
 
     def _take_part(self, now: float, sender: int, message: Message) -> None:
         """What the sender holds; what is later here is told back."""
         later = []
-        for member, record in enumerate(message.part, message.first):
+        for member, record in enumerate(message.segment_records, message.first_member):
             if member >= self.count:
                 break
-            held = self.records.all[member]
-            if record.known and record.order > held.order:
+            held = self.records.records[member]
+            if record.is_known and record.precedence > held.precedence:
                 self._told(now, sender, member, record)
-            elif held.known and held.order > record.order:
-                later.append(News(member, held))
-        room = (m.MOST_BYTES - m.HEAD.size) // m.NEWS_BYTES
+            elif held.is_known and held.precedence > record.precedence:
+                later.append(MemberUpdate(member, held))
+        room = (codec.MAX_DATAGRAM_BYTES - codec.HEADER.size) // codec.MEMBER_UPDATE.size
         if later:
-            self._send(now, sender, Kind.NEWS, KEEP_HELP, items=tuple(later[:room]))
+            self._send(now, sender, MessageKind.GOSSIP, KEEP_HELP, updates=tuple(later[:room]))
 
     # --- sending --------------------------------------------------------------------------------------------
 
@@ -845,15 +900,21 @@
         return flooded
 
     def _send(
-        self, now: float, target: int, kind: Kind, keep: float = 0.0, items: tuple = (), **fields: object
+        self,
+        now: float,
+        target: int,
+        kind: MessageKind,
+        keep: float = 0.0,
+        updates: tuple = (),
+        **fields: object,
     ) -> bool:
         """With news, as far as bytes and room allow. False: the bucket is empty."""
-        if kind is Kind.ACK and self.answers.get(target, 0) > MOST_ANSWERS:
+        if kind is MessageKind.ACK and self.answers.get(target, 0) > MOST_ANSWERS:
             self.figures.floods += 1
             return False
-        held = self.records.all[target]
+        held = self.records.records[target]
         if self._enough(target):
-            held = Record(Status.SUSPECT, held.incarnation, held.life)
+            held = MemberRecord(MemberState.SUSPECT, held.incarnation, held.process_id)
         message = Message(
             kind,
             fields.pop("number", 0),
@@ -861,44 +922,53 @@
             self.life,
             held,
             self.records.digest,
-            items=items,
+            updates=updates,
             **fields,
         )
-        size = m.size(message)
-        if keep != -inf and not self.bucket.take(now, size, keep):
+        size = codec.encoded_size(message)
+        if keep != -inf and not self.bucket.consume(now, size, keep):
             self.figures.held_back += 1
             return False
-        wasted = kind is Kind.PING and (target in self.suspicions or len(self.suspicions) > MANY_SUSPECTS)
-        if kind not in (Kind.SUMS, Kind.PART) and not items and self.news and not wasted:
-            told = self._news(now, m.MOST_BYTES - size)
+        wasted = kind is MessageKind.PING and (
+            target in self.suspicions or len(self.suspicions) > MANY_SUSPECTS
+        )
+        if (
+            kind not in (MessageKind.SEGMENT_DIGESTS, MessageKind.SEGMENT)
+            and not updates
+            and self.news
+            and not wasted
+        ):
+            told = self._news(now, codec.MAX_DATAGRAM_BYTES - size)
             if told:
                 message = Message(
                     kind,
-                    message.number,
+                    message.sequence_number,
                     self.incarnation,
                     self.life,
                     held,
                     self.records.digest,
                     message.subject,
-                    message.reached,
+                    message.is_reachable,
                     told,
                 )
         self.figures.sent += 1
-        self.figures.sent_bytes += m.size(message)
+        self.figures.sent_bytes += codec.encoded_size(message)
         self.out.append(Send(target, message))
         return True
 
-    def _news(self, now: float, room: int) -> tuple[m.Item, ...]:
+    def _news(self, now: float, room: int) -> tuple[messages.Update, ...]:
         """What waits to be passed on, least told first, as far as there is room."""
-        room = min(room, int(self.bucket.look(now) - KEEP_NEWS))
-        found: list[m.Item] = []
+        room = min(room, int(self.bucket.refill(now) - KEEP_NEWS))
+        found: list[messages.Update] = []
         taken = 0
-        for member in nlargest(m.MOST_BYTES // m.NEWS_BYTES, self.news, key=self.news.__getitem__):
+        for member in nlargest(
+            codec.MAX_DATAGRAM_BYTES // codec.MEMBER_UPDATE.size, self.news, key=self.news.__getitem__
+        ):
             item = self._item(now, member)
             if item is None:
                 del self.news[member]
                 continue
-            size = m.size_of(item)
+            size = codec.encoded_update_size(item)
             if taken + size > room:
                 break
             taken += size
@@ -906,23 +976,25 @@
             self.news[member] -= 1
             if not self.news[member]:
                 del self.news[member]
-        self.bucket.take(now, taken)
+        self.bucket.consume(now, taken)
         return tuple(found)
 
-    def _item(self, now: float, member: int) -> m.Item | None:
-        """Words where there are enough, else the record."""
+    def _item(self, now: float, member: int) -> messages.Update | None:
+        """SuspicionUpdate where there are enough, else the record."""
         suspicion = self.suspicions.get(member) or self.graves.get(member)
         if suspicion is not None:
             if len(suspicion.observers) < min(self.pace.share, self._need(member)):
                 return None
-            return Words(
+            return SuspicionUpdate(
                 member,
                 suspicion.incarnation,
                 max(0.0, now - min(now, suspicion.since)),
                 tuple(suspicion.observers),
             )
-        record = self.records.all[member]
-        return News(member, record) if record.known and record.status is not Status.DEAD else None
+        record = self.records.records[member]
+        return (
+            MemberUpdate(member, record) if record.is_known and record.state is not MemberState.DEAD else None
+        )
 
     def _done(self, now: float) -> list[Command]:
         if now >= self.due_told:
--- a/applevale/membership/records.py
+++ b/applevale/membership/records.py
@@ -1,10 +1,10 @@
-"""What one member holds of all, with digests to compare it by. No I/O, no clock.
+"""The records of all members, with digests by which two members compare them. No I/O, no clock.
 
 Invariants:
 
-- The later word on a member holds (`Record.order`); `put` is the only way in.
-- `digest` and `sums` are those of the records that are known, by number, incarnation and whether it lives:
-  equal ones mean equal views. A suspicion is no part of them: it passes by itself.
+- `put` is the only way in; the caller has decided by `MemberRecord.precedence` that the record is the later.
+- `digest` and `segment_digests` cover the known records by member, incarnation and whether it is alive: equal
+  digests mean equal views. A suspicion is no part of them: it passes by itself.
 """
 
 from __future__ import annotations
@@ -12,37 +12,43 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-from .messages import MOST_PART, MOST_SUMS, UNKNOWN, Record, Status
+from .codec import MAX_SEGMENT_RECORDS
+from .messages import MAX_SEGMENTS, UNKNOWN_RECORD, MemberRecord, MemberState
 
 
 @lru_cache(maxsize=1 << 14)
-def _sum(member: int, incarnation: int, status: int) -> int:
-    data = b"%d %d %d" % (member, incarnation, status)
+def _record_digest(member: int, incarnation: int, state: int) -> int:
+    data = b"%d %d %d" % (member, incarnation, state)
     return int.from_bytes(blake2b(data, digest_size=4).digest(), "big")
 
 
-class Records:
-    def __init__(self, count: int):
-        self.all: list[Record] = [UNKNOWN] * count
-        self.width = max(MOST_PART, -(-count // MOST_SUMS))  # members of one part
-        self.sums = [0] * (-(-count // self.width))
-        self.digest = 0
-
-    def put(self, member: int, record: Record) -> None:
-        for one in (self.all[member], record):
-            if one.known:
-                mark = _sum(member, one.incarnation, max(one.status, Status.SUSPECT))
-                self.sums[member // self.width] ^= mark
-                self.digest ^= mark
-        self.all[member] = record
+class RecordTable:
+    """The records of all members, divided into segments of equal width."""
 
-    def part(self, which: int) -> range:
-        return range(which * self.width, min(len(self.all), (which + 1) * self.width))
+    def __init__(self, member_count: int):
+        self.records: list[MemberRecord] = [UNKNOWN_RECORD] * member_count
+        self.segment_width = max(MAX_SEGMENT_RECORDS, -(-member_count // MAX_SEGMENTS))
+        self.segment_digests = [0] * (-(-member_count // self.segment_width))
+        self.digest = 0
 
-    def differing(self, sums: tuple[int, ...]) -> list[int]:
-        if len(sums) != len(self.sums):
+    def put(self, member: int, record: MemberRecord) -> None:
+        """Replace the record of a member."""
+        for changed in (self.records[member], record):
+            if changed.is_known:
+                state = max(changed.state, MemberState.SUSPECT)
+                digest = _record_digest(member, changed.incarnation, state)
+                self.segment_digests[member // self.segment_width] ^= digest
+                self.digest ^= digest
+        self.records[member] = record
+
+    def segment(self, index: int) -> range:
+        """Return the members of a segment."""
+        first = index * self.segment_width
+        return range(first, min(len(self.records), first + self.segment_width))
+
+    def differing_segments(self, digests: tuple[int, ...]) -> list[int]:
+        """Return the indexes of the segments whose digests differ; none if their number differs."""
+        if len(digests) != len(self.segment_digests):
             return []
-        return [at for at, (own, other) in enumerate(zip(self.sums, sums)) if own != other]
-
-    def living(self) -> list[int]:
-        return [member for member, record in enumerate(self.all) if record.living]
+        pairs = zip(self.segment_digests, digests)
+        return [index for index, (own, other) in enumerate(pairs) if own != other]
--- a/applevale/membership/runner.py
+++ b/applevale/membership/runner.py
@@ -10,9 +10,9 @@
 from ..net.datagrams import Datagrams
 from ..observability.counters import Counters
 from ..observability.events import emit_event, log_event
-from . import messages
+from . import codec
+from .fleet_size import EffectiveFleetSize
 from .protocol import Command, Membership, Send, Stand, Stood, Turned
-from .shares import Shares
 
 
 class Members:
@@ -21,7 +21,7 @@
     def __init__(
         self,
         machine: Membership,
-        shares: Shares,
+        shares: EffectiveFleetSize,
         datagrams: Datagrams,
         counters: Counters,
         resized: Callable[[int], None],
@@ -30,7 +30,7 @@
         self.resized = resized  # called with the size that shares are reckoned by, when it turns
         self.timer: asyncio.TimerHandle | None = None
         self.stopped = False
-        datagrams.takers[messages.MARK] = self._take
+        datagrams.takers[codec.MAGIC] = self._take
 
     @staticmethod
     def clock() -> float:
@@ -63,8 +63,8 @@
 
     def _take(self, number: int, data: bytes) -> None:
         try:
-            message = messages.decode(data)
-        except messages.MessageError as error:
+            message = codec.decode(data)
+        except codec.MessageError as error:
             self.datagrams.unreadable(self.datagrams.addresses.each[number], str(error))
             return
         self._do(self.machine.heard(self.clock(), number, message))
@@ -76,7 +76,7 @@
         for command in commands:
             match command:
                 case Send(target=target, message=message):
-                    self.datagrams.send(messages.encode(message), self.datagrams.addresses.each[target])
+                    self.datagrams.send(codec.encode(message), self.datagrams.addresses.each[target])
                 case Turned(changes=changes):
                     told = [(f"n{one}", change.value) for one, change in changes]
                     emit_event("view", changes=told, living=self.machine.size)
@@ -94,13 +94,13 @@
 
     def _look(self) -> None:
         now = self.clock()
-        former, size = self.shares.size, self.shares.look(now, self.machine.size, self.machine.well)
+        former, size = self.shares.size, self.shares.update(now, self.machine.size, self.machine.well)
         if size != former:
             self.resized(size)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        due = min(self.machine.next_look(now), self.shares.due)
+        due = min(self.machine.next_look(now), self.shares.next_deadline)
         if not self.stopped and due < float("inf"):
             self.timer = asyncio.get_running_loop().call_later(max(0.0, due - now), self._tick)
 
--- a/applevale/membership/suspicion.py
+++ b/applevale/membership/suspicion.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from math import inf, log
 
-from .messages import MOST_OBSERVERS
+from .messages import MAX_OBSERVERS
 
 LEAD = 0.8  # s
 KEPT = 3.0  # s for which words under the need are kept
@@ -59,7 +59,7 @@
         is new."""
         former = len(self.observers)
         for one in observers:
-            if len(self.observers) < MOST_OBSERVERS:
+            if len(self.observers) < MAX_OBSERVERS:
                 self.observers[one] = None
         new = len(self.observers) > former
         if new:
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -86,14 +86,14 @@
     config: Config, datagrams: Datagrams, counters: Counters, on_resize: Callable[[int], None]
 ) -> Members:
     """Return the membership of this instance in the fleet."""
+    from ..membership.fleet_size import EffectiveFleetSize
     from ..membership.protocol import Membership, Pace
     from ..membership.runner import Members, new_life
-    from ..membership.shares import Shares
 
     count = len(config.peers.each)
     timing = Pace(probe=config.membership)
     protocol = Membership(config.settings.me, count, new_life(), Random(config.seed), timing)
-    return Members(protocol, Shares(count), datagrams, counters, on_resize)
+    return Members(protocol, EffectiveFleetSize(count), datagrams, counters, on_resize)
 
 
 def create_registry_source(
--- a/applevale/simulation/membership.py
+++ b/applevale/simulation/membership.py
@@ -6,9 +6,9 @@
 from random import Random
 
 from ..fault_injection.scenarios import scenario_duration, scenario_steps
-from ..membership import messages
+from ..membership import codec, messages
+from ..membership.fleet_size import EffectiveFleetSize
 from ..membership.protocol import Command, Membership, Pace, Send, Stood, Turned
-from ..membership.shares import Shares
 from ..membership.suspicion import Times
 from .engine import World
 from .fault_player import Stage
@@ -45,7 +45,7 @@
         self.world = World(count, seed, self._make, self._route, self._seen, latency=latency)
         self.stage = Stage(self.world)
         self.lives = [self._life(number, 1) for number in range(count)]
-        self.shares: dict[tuple[int, int], Shares] = {}
+        self.shares: dict[tuple[int, int], EffectiveFleetSize] = {}
         self.buckets: dict[tuple[int, int], list[int]] = defaultdict(lambda: [0, 0, 0])  # bytes, most, count
         self.world.sent = self._sent
 
@@ -54,9 +54,9 @@
         total = 0.0
         for number, place in enumerate(self.world.places):
             if place.actor is not None:
-                shares = self.shares.setdefault((number, place.life), Shares(self.count))
+                shares = self.shares.setdefault((number, place.life), EffectiveFleetSize(self.count))
                 if self.world.now >= place.paused_until:
-                    shares.look(place.local(self.world.now), place.actor.size, place.actor.well)
+                    shares.update(place.local(self.world.now), place.actor.size, place.actor.well)
                 total += 1 / shares.size
         self.stage.note("shares", total=total)
         self.world.at(self.world.now + LOOKED, self._look_at_shares)
@@ -75,7 +75,7 @@
     @staticmethod
     def _route(command: Command) -> tuple[int, messages.Message, int] | None:
         if isinstance(command, Send):
-            return command.target, command.message, messages.size(command.message)
+            return command.target, command.message, codec.encoded_size(command.message)
         return None
 
     def _seen(self, now: float, number: int, command: Command) -> None:
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -53,9 +53,15 @@
 
 
 def dead_by_one_word(self, now, member, incarnation, observers, age=0.0):
-    held = self.records.all[member]
-    if held.living and incarnation & messages.LOW == held.incarnation & messages.LOW:
-        self._end(now, ((member, messages.Record(messages.Status.DEAD, held.incarnation, held.life)),))
+    held = self.records.records[member]
+    if (
+        held.is_alive
+        and incarnation & messages.INCARNATION_LOW_MASK == held.incarnation & messages.INCARNATION_LOW_MASK
+    ):
+        self._end(
+            now,
+            ((member, messages.MemberRecord(messages.MemberState.DEAD, held.incarnation, held.process_id)),),
+        )
 
 
 def notice_no_standstill(self, now):
@@ -67,7 +73,7 @@
 
 
 def heed_own_life_only(self, now, told):
-    if told.life == self.life:
+    if told.process_id == self.life:
         about_me(self, now, told)
 
 
@@ -87,11 +93,11 @@
     """In its own word, and in forged ones of others."""
     for target in list(self.living):
         others = [one for one in self.living if one != target]
-        items = tuple(
-            messages.Words(one, self.records.all[one].incarnation, 10.0, (self.me, *others[:2]))
+        updates = tuple(
+            messages.SuspicionUpdate(one, self.records.records[one].incarnation, 10.0, (self.me, *others[:2]))
             for one in others[:10]
         )
-        self._send(now, target, messages.Kind.NEWS, KEEP_NEWS, items=items)
+        self._send(now, target, messages.MessageKind.GOSSIP, KEEP_NEWS, updates=updates)
     return ticked(self, now)
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,13 +15,20 @@
 from applevale.checkers.history import History
 from applevale.config.loader import parse_config
 from applevale.config.model import ConfigError
-from applevale.membership import messages as m
-from applevale.membership.bucket import DEPTH, RATE, Bucket
-from applevale.membership.messages import Kind, Message, News, Record, Status, Words
+from applevale.membership import codec, messages
+from applevale.membership.fleet_size import SHRINK_DELAY_SECONDS, EffectiveFleetSize
+from applevale.membership.messages import (
+    MemberRecord,
+    MemberState,
+    MemberUpdate,
+    Message,
+    MessageKind,
+    SuspicionUpdate,
+)
 from applevale.membership.protocol import Membership, Pace, Send, Stand, Turned
 from applevale.membership.runner import Members
-from applevale.membership.shares import SETTLED, Shares
 from applevale.membership.suspicion import LEAD, Suspicion, Times
+from applevale.membership.token_bucket import BURST_BYTES, RATE_BYTES_PER_SECOND, TokenBucket
 from applevale.net.addresses import PeerAddresses
 from applevale.net.datagrams import Datagrams
 from applevale.observability.counters import Counters
@@ -29,16 +36,18 @@
 from tests.planted import MEMBERS
 
 numbers = st.integers(0, 65535)
-records = st.builds(Record, st.sampled_from(Status), st.integers(0, m.MOST_INCARNATION), numbers)
-items = st.lists(
+records = st.builds(
+    MemberRecord, st.sampled_from(MemberState), st.integers(0, messages.MAX_INCARNATION), numbers
+)
+updates = st.lists(
     st.one_of(
-        st.builds(News, numbers, records),
+        st.builds(MemberUpdate, numbers, records),
         st.builds(
-            Words,
+            SuspicionUpdate,
             numbers,
-            st.integers(0, m.LOW),
-            st.integers(0, 255).map(lambda one: one * m.AGE_UNIT),
-            st.lists(numbers, max_size=m.MOST_OBSERVERS).map(tuple),
+            st.integers(0, messages.INCARNATION_LOW_MASK),
+            st.integers(0, 255).map(lambda one: one * codec.AGE_UNIT_SECONDS),
+            st.lists(numbers, max_size=messages.MAX_OBSERVERS).map(tuple),
         ),
     ),
     max_size=5,
@@ -46,45 +55,69 @@
 
 
 @given(
-    st.sampled_from([Kind.PING, Kind.ACK, Kind.ASK, Kind.FOUND, Kind.NEWS]),
+    st.sampled_from(
+        [
+            MessageKind.PING,
+            MessageKind.ACK,
+            MessageKind.PING_REQUEST,
+            MessageKind.PING_RESULT,
+            MessageKind.GOSSIP,
+        ]
+    ),
     numbers,
     records,
-    items,
+    updates,
     st.booleans(),
 )
-def test_messages_come_back_as_they_were_and_their_size_is_known(kind, number, yours, told, reached):
-    about = kind in (Kind.ASK, Kind.FOUND)
-    message = Message(kind, number, 7, 9, yours, 0xFFFFFFFF, number if about else 0, about and reached, told)
-    data = m.encode(message)
-    assert m.decode(data) == message and len(data) == m.size(message) <= m.MOST_BYTES
+def test_messages_come_back_as_they_were_and_their_size_is_known(
+    kind, number, receiver_record, told, reached
+):
+    about = kind in (MessageKind.PING_REQUEST, MessageKind.PING_RESULT)
+    message = Message(
+        kind, number, 7, 9, receiver_record, 0xFFFFFFFF, number if about else 0, about and reached, told
+    )
+    data = codec.encode(message)
+    assert (
+        codec.decode(data) == message and len(data) == codec.encoded_size(message) <= codec.MAX_DATAGRAM_BYTES
+    )
 
 
 def test_sums_and_parts_come_back_and_a_full_part_fits():
-    part = Message(Kind.PART, 1, 2, 3, first=40, part=(Record(Status.DEAD, 5, 6),) * m.MOST_PART)
-    sums = Message(Kind.SUMS, 1, 2, 3, sums=tuple(range(m.MOST_SUMS)))
+    part = Message(
+        MessageKind.SEGMENT,
+        1,
+        2,
+        3,
+        first_member=40,
+        segment_records=(MemberRecord(MemberState.DEAD, 5, 6),) * codec.MAX_SEGMENT_RECORDS,
+    )
+    sums = Message(MessageKind.SEGMENT_DIGESTS, 1, 2, 3, segment_digests=tuple(range(messages.MAX_SEGMENTS)))
     for one in (part, sums):
-        assert m.decode(m.encode(one)) == one and m.size(one) == len(m.encode(one)) <= m.MOST_BYTES
+        assert (
+            codec.decode(codec.encode(one)) == one
+            and codec.encoded_size(one) == len(codec.encode(one)) <= codec.MAX_DATAGRAM_BYTES
+        )
 
 
 @given(st.binary(max_size=300))
 def test_garbage_is_refused_by_its_own_error(data):
-    for one in (data, bytes([m.MARK, 1]) + data, bytes([m.MARK, 7]) + data):
+    for one in (data, bytes([codec.MAGIC, 1]) + data, bytes([codec.MAGIC, 7]) + data):
         try:
-            m.decode(one)
-        except m.MessageError:
+            codec.decode(one)
+        except codec.MessageError:
             pass
 
 
 def test_no_second_sees_more_bytes_than_rate_and_depth():
-    bucket, sent = Bucket(), []
+    bucket, sent = TokenBucket(), []
     random = Random(1)
     for step in range(4000):
         now = 1000.0 + step * 0.002
         size = random.randint(20, 256)
-        if bucket.take(now, size):
+        if bucket.consume(now, size):
             sent.append((now, size))
     most = max(sum(size for at, size in sent if begin <= at < begin + 1) for begin, _ in sent[::20])
-    assert 0.9 * RATE < most <= RATE + DEPTH <= 2000
+    assert 0.9 * RATE_BYTES_PER_SECOND < most <= RATE_BYTES_PER_SECOND + BURST_BYTES <= 2000
 
 
 def test_words_need_distinct_observers_and_the_time_shrinks_as_they_agree():
@@ -113,11 +146,21 @@
         self.turned += [one.changes for one in commands if isinstance(one, Turned)]
         return found
 
-    def hear(self, sender, kind=Kind.PING, incarnation=1, life=None, yours=None, **fields):
-        yours = Record(Status.ALIVE, self.it.incarnation, 77) if yours is None else yours
-        fields = {"number": 1, "digest": self.it.records.digest} | fields
+    def hear(
+        self, sender, kind=MessageKind.PING, incarnation=1, process_id=None, receiver_record=None, **fields
+    ):
+        receiver_record = (
+            MemberRecord(MemberState.ALIVE, self.it.incarnation, 77)
+            if receiver_record is None
+            else receiver_record
+        )
+        fields = {"sequence_number": 1, "view_digest": self.it.records.digest} | fields
         message = Message(
-            kind, incarnation=incarnation, life=sender if life is None else life, yours=yours, **fields
+            kind,
+            incarnation=incarnation,
+            process_id=sender if process_id is None else process_id,
+            receiver_record=receiver_record,
+            **fields,
         )
         return self.did(self.it.heard(self.now, sender, message))
 
@@ -133,50 +176,52 @@
         while self.now < end:
             self.now += 0.02
             for send in self.did(self.it.ticked(self.now)):
-                if send.message.kind is Kind.PING and send.target in others:
+                if send.message.kind is MessageKind.PING and send.target in others:
                     self.hear(
                         send.target,
-                        Kind.ACK,
-                        number=send.message.number,
-                        incarnation=self.it.records.all[send.target].incarnation or 1,
+                        MessageKind.ACK,
+                        sequence_number=send.message.sequence_number,
+                        incarnation=self.it.records.records[send.target].incarnation or 1,
                     )
 
 
 def joined(**pace):
     lone = Lone(**pace)
     for sender in (1, 2, 3, 4):
-        lone.hear(sender, Kind.ACK, yours=m.UNKNOWN)
+        lone.hear(sender, MessageKind.ACK, receiver_record=messages.UNKNOWN_RECORD)
     lone.busy(1.5)
     assert lone.it.stand is Stand.WELL and lone.it.living == {1, 2, 3, 4}
     return lone
 
 
 def words(member, observers, age=5.0, incarnation=1):
-    return (Words(member, incarnation, age, observers),)
+    return (SuspicionUpdate(member, incarnation, age, observers),)
 
 
 def test_a_newcomer_takes_an_incarnation_above_what_others_know_of_its_name():
     lone = Lone()
     for sender, known in ((1, 3), (2, 9), (3, 4)):
-        lone.hear(sender, Kind.ACK, yours=Record(Status.DEAD, known, 5))
+        lone.hear(sender, MessageKind.ACK, receiver_record=MemberRecord(MemberState.DEAD, known, 5))
     assert lone.it.incarnation == 0
     lone.wait(0.1)
     assert lone.it.incarnation == 10 and lone.it.stand is Stand.WELL
-    assert any(send.message.kind is Kind.NEWS and send.message.incarnation == 10 for send in lone.sent)
+    assert any(
+        send.message.kind is MessageKind.GOSSIP and send.message.incarnation == 10 for send in lone.sent
+    )
 
 
 def test_one_word_holds_nobody_dead_and_is_not_passed_on():
     lone = joined()
     for _ in range(40):
-        lone.hear(1, items=words(2, (1,)))
+        lone.hear(1, updates=words(2, (1,)))
         lone.busy(0.2)
     assert 2 in lone.it.living and lone.turned[-1][-1][1].value != "died"
-    assert not any(isinstance(item, Words) for send in lone.sent for item in send.message.items)
+    assert not any(isinstance(item, SuspicionUpdate) for send in lone.sent for item in send.message.updates)
 
 
 def test_enough_distinct_words_hold_a_silent_member_dead_in_one_change_with_another():
     lone = joined()
-    lone.hear(1, items=words(2, (1, 3, 4)) + words(4, (1, 3, 2)))
+    lone.hear(1, updates=words(2, (1, 3, 4)) + words(4, (1, 3, 2)))
     lone.busy(0.8, others=(1, 3))
     assert {2, 4} <= lone.it.living  # however old the words said to be
     lone.busy(3.0, others=(1, 3))
@@ -186,26 +231,26 @@
 
 def test_a_suspect_is_told_first_and_its_higher_incarnation_ends_the_suspicion():
     lone = joined()
-    lone.hear(1, items=words(2, (1, 3, 4)))
+    lone.hear(1, updates=words(2, (1, 3, 4)))
     told = [send for send in lone.did(lone.it.ticked(lone.now)) if send.target == 2]
-    assert told and told[0].message.yours.status is Status.SUSPECT
-    lone.hear(3, items=(News(2, Record(Status.ALIVE, 2, 2)),))
+    assert told and told[0].message.receiver_record.state is MemberState.SUSPECT
+    lone.hear(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 2, 2)),))
     lone.busy(5.0, others=(1, 2, 3, 4))
     assert 2 in lone.it.living and not lone.it.suspicions
 
 
 def test_who_is_held_suspect_dead_or_gone_outdoes_it_and_says_so_to_all():
-    for status in (Status.SUSPECT, Status.DEAD, Status.LEFT):
+    for status in (MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT):
         lone = joined()
         former = lone.it.incarnation
-        sent = lone.hear(1, yours=Record(status, former, 77))
+        sent = lone.hear(1, receiver_record=MemberRecord(status, former, 77))
         assert lone.it.incarnation == former + 1
-        assert {send.target for send in sent if send.message.kind is Kind.NEWS} == {1, 2, 3, 4}
+        assert {send.target for send in sent if send.message.kind is MessageKind.GOSSIP} == {1, 2, 3, 4}
 
 
 def test_who_stood_still_gives_no_word_and_begins_its_clocks_anew():
     lone = joined()
-    lone.hear(1, items=words(2, (1, 3, 4)))
+    lone.hear(1, updates=words(2, (1, 3, 4)))
     former, lone.now = lone.it.incarnation, lone.now + 6.0
     lone.did(lone.it.ticked(lone.now))
     assert lone.it.stand is Stand.PAUSED and 2 in lone.it.living and lone.it.incarnation == former + 1
@@ -231,73 +276,82 @@
 
 def test_a_process_falls_silent_for_a_later_one_of_its_name_and_is_back_once_that_has_died():
     lone = joined()
-    lone.hear(1, yours=Record(Status.ALIVE, lone.it.incarnation + 1, 78))
+    lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, lone.it.incarnation + 1, 78))
     assert lone.it.stand is Stand.SUPERSEDED and lone.it.next_look(lone.now) == float("inf")
     assert lone.did(lone.it.leave(lone.now)) == []
     lone = joined()
-    lone.hear(1, yours=Record(Status.ALIVE, 5, 78))
-    lone.hear(2, yours=Record(Status.DEAD, 5, 78))
+    lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, 5, 78))
+    lone.hear(2, receiver_record=MemberRecord(MemberState.DEAD, 5, 78))
     assert lone.it.stand is Stand.WELL and lone.it.incarnation == 6
 
 
 def test_a_leave_counts_at_once_from_itself_and_only_by_enough_from_others():
     lone = joined()
-    left = (News(2, Record(Status.LEFT, 1, 2)),)
-    lone.hear(1, items=left)
-    lone.hear(1, items=left)
+    left = (MemberUpdate(2, MemberRecord(MemberState.LEFT, 1, 2)),)
+    lone.hear(1, updates=left)
+    lone.hear(1, updates=left)
     assert 2 in lone.it.living
-    lone.hear(2, items=left)
+    lone.hear(2, updates=left)
     assert 2 not in lone.it.living and lone.turned[-1] == ((2, lone.turned[-1][0][1]),)
 
 
 def test_an_answer_of_an_earlier_life_is_no_answer():
     lone = joined()
-    lone.hear(3, items=(News(2, Record(Status.ALIVE, 4, 9)),))
+    lone.hear(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 4, 9)),))
     probe = next(iter(lone.it.probes.values()), None)
     while probe is None or probe.subject != 2:
         lone.busy(0.02, others=(1, 3, 4))
         probe = next((one for one in lone.it.probes.values() if one.subject == 2), None)
     number = next(number for number, one in lone.it.probes.items() if one is probe)
-    lone.hear(2, Kind.ACK, number=number, incarnation=1)
+    lone.hear(2, MessageKind.ACK, sequence_number=number, incarnation=1)
     assert number in lone.it.probes
-    lone.hear(2, Kind.ACK, number=number, incarnation=4, life=9)
+    lone.hear(2, MessageKind.ACK, sequence_number=number, incarnation=4, process_id=9)
     assert number not in lone.it.probes
 
 
 def test_a_flood_from_one_sender_is_counted_and_answered_within_bounds():
     lone = joined()
     lone.busy(1.1)
-    before = sum(send.message.kind is Kind.ACK for send in lone.sent)
+    before = sum(send.message.kind is MessageKind.ACK for send in lone.sent)
     for _ in range(2000):
         lone.hear(1)
-    assert sum(send.message.kind is Kind.ACK for send in lone.sent) - before <= 40
+    assert sum(send.message.kind is MessageKind.ACK for send in lone.sent) - before <= 40
     assert lone.it.figures.floods > 1000
 
 
 def test_views_that_differ_are_mended_by_their_parts():
     one, other = joined(), joined()
-    other.it._put(2, Record(Status.ALIVE, 7, 2), told=False)
+    other.it._put(2, MemberRecord(MemberState.ALIVE, 7, 2), told=False)
     other.now = one.now = max(one.now, other.now) + 1.0
     one.it.latest = one.it.due = other.it.latest = other.it.due = one.now
-    sums = [send for send in one.hear(1, digest=1) if send.message.kind is Kind.SUMS]
+    sums = [send for send in one.hear(1, view_digest=1) if send.message.kind is MessageKind.SEGMENT_DIGESTS]
     parts = [
-        send for send in other.hear(1, Kind.SUMS, sums=sums[0].message.sums) if send.message.kind is Kind.PART
+        send
+        for send in other.hear(
+            1, MessageKind.SEGMENT_DIGESTS, segment_digests=sums[0].message.segment_digests
+        )
+        if send.message.kind is MessageKind.SEGMENT
     ]
     assert parts
     for part in parts:
-        one.hear(1, Kind.PART, first=part.message.first, part=part.message.part)
-    assert one.it.records.all[2].incarnation == 7
+        one.hear(
+            1,
+            MessageKind.SEGMENT,
+            first_member=part.message.first_member,
+            segment_records=part.message.segment_records,
+        )
+    assert one.it.records.records[2].incarnation == 7
 
 
 def test_shares_grow_only_once_all_know_and_never_over_twice_the_configured_one():
-    shares = Shares(10)
-    assert shares.look(0.0, 10, True) == 10
-    assert shares.look(1.0, 7, True) == 10 and shares.due == 1.0 + SETTLED
-    assert shares.look(3.0, 6, True) == 10  # it shrank further: the time begins anew
-    assert shares.look(3.0 + SETTLED, 6, True) == 6
-    assert shares.look(7.0, 9, True) == 9  # who came back counts at once
-    assert shares.look(8.0, 4, True) == 10 and shares.look(20.0, 4, True) == 10  # under half: cut off
-    assert shares.look(21.0, 9, False) == 10
+    shares = EffectiveFleetSize(10)
+    assert shares.update(0.0, 10, True) == 10
+    assert shares.update(1.0, 7, True) == 10 and shares.next_deadline == 1.0 + SHRINK_DELAY_SECONDS
+    assert shares.update(3.0, 6, True) == 10  # it shrank further: the time begins anew
+    assert shares.update(3.0 + SHRINK_DELAY_SECONDS, 6, True) == 6
+    assert shares.update(7.0, 9, True) == 9  # who came back counts at once
+    assert shares.update(8.0, 4, True) == 10 and shares.update(20.0, 4, True) == 10  # under half: cut off
+    assert shares.update(21.0, 9, False) == 10
 
 
 CASES = ["killed", "quarter-2", "loss-20", "pair", "mute", "again", "toggles", "stalls"]
@@ -306,7 +360,7 @@
 @pytest.mark.parametrize("name", CASES)
 def test_an_emulated_fleet_keeps_its_promises(name):
     found = verify.figures(History(Fleet(12, 1).run(name)))
-    assert verify.broken(found, {}) == [] and found["datagram_max"] <= m.MOST_BYTES
+    assert verify.broken(found, {}) == [] and found["datagram_max"] <= codec.MAX_DATAGRAM_BYTES
     assert found["killed"] == (name == "killed")
 
 
@@ -368,9 +422,9 @@
         counters, sizes = Counters(), []
         datagrams = Datagrams(PeerAddresses(here, (here, peer), None), 0, counters, shared=True)
         machine = Membership(0, 2, 7, Random(1))
-        part = Members(machine, Shares(2), datagrams, counters, sizes.append)
+        part = Members(machine, EffectiveFleetSize(2), datagrams, counters, sizes.append)
         datagrams.start(), part.start()
-        good = Message(Kind.PING, 1, 4, 9, digest=0)
+        good = Message(MessageKind.PING, 1, 4, 9, view_digest=0)
         with (
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
@@ -378,14 +432,14 @@
             one.bind(peer)
             stranger.bind(("127.0.0.1", 0))
             for sock, data in (
-                (stranger, m.encode(good)),
+                (stranger, codec.encode(good)),
                 (one, b""),
                 (one, b"\x01x"),
-                (one, bytes([m.MARK])),
-                (one, m.encode(good)[:-1]),
-                (one, m.encode(good) + b"\xff\xff"),
-                (one, m.encode(good) + b"x" * 250),
-                (one, m.encode(good)),
+                (one, bytes([codec.MAGIC])),
+                (one, codec.encode(good)[:-1]),
+                (one, codec.encode(good) + b"\xff\xff"),
+                (one, codec.encode(good) + b"x" * 250),
+                (one, codec.encode(good)),
             ):
                 sock.sendto(data, here)
             async with asyncio.timeout(10):
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -24,7 +24,7 @@
 from applevale.fault_injection import schedule as faults
 from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.gossip.load_reports import News
-from applevale.membership import messages
+from applevale.membership import codec, messages
 from applevale.simulation.experiment import Experiment, read_experiment
 
 FIXTURES = Path(__file__).parent / "fixtures"
@@ -55,25 +55,29 @@
 
 
 def membership_messages():
-    held = messages.Record(messages.Status.ALIVE, 3, 0x1234)
-    suspected = messages.Record(messages.Status.SUSPECT, 4, 0x2345)
-    dead = messages.Record(messages.Status.DEAD, (1 << 30) - 1, 0xFFFF)
-    left = messages.Record(messages.Status.LEFT, 9, 1)
-    items = (
-        messages.News(17, dead),
-        messages.Words(18, 0x1FF, 2.5, (1, 2, 300)),
-        messages.News(65535, left),
+    held = messages.MemberRecord(messages.MemberState.ALIVE, 3, 0x1234)
+    suspected = messages.MemberRecord(messages.MemberState.SUSPECT, 4, 0x2345)
+    dead = messages.MemberRecord(messages.MemberState.DEAD, (1 << 30) - 1, 0xFFFF)
+    left = messages.MemberRecord(messages.MemberState.LEFT, 9, 1)
+    updates = (
+        messages.MemberUpdate(17, dead),
+        messages.SuspicionUpdate(18, 0x1FF, 2.5, (1, 2, 300)),
+        messages.MemberUpdate(65535, left),
+    )
+    kind = messages.MessageKind
+    head = dict(
+        sequence_number=0xABCD, incarnation=5, process_id=0x4321, receiver_record=held, view_digest=0xDEADBEEF
     )
-    kind = messages.Kind
-    head = dict(number=0xABCD, incarnation=5, life=0x4321, yours=held, digest=0xDEADBEEF)
     return {
-        "ping": messages.Message(kind.PING, **head, items=items),
-        "ack": messages.Message(kind.ACK, **head | {"yours": suspected}),
-        "ask": messages.Message(kind.ASK, **head, subject=40),
-        "found": messages.Message(kind.FOUND, **head, subject=40, reached=True),
-        "news": messages.Message(kind.NEWS, **head, items=items[:1]),
-        "sums": messages.Message(kind.SUMS, **head, sums=(0, 1, 0xFFFFFFFF)),
-        "part": messages.Message(kind.PART, **head, first=20, part=(held, messages.UNKNOWN, dead)),
+        "ping": messages.Message(kind.PING, **head, updates=updates),
+        "ack": messages.Message(kind.ACK, **head | {"receiver_record": suspected}),
+        "ask": messages.Message(kind.PING_REQUEST, **head, subject=40),
+        "found": messages.Message(kind.PING_RESULT, **head, subject=40, is_reachable=True),
+        "news": messages.Message(kind.GOSSIP, **head, updates=updates[:1]),
+        "sums": messages.Message(kind.SEGMENT_DIGESTS, **head, segment_digests=(0, 1, 0xFFFFFFFF)),
+        "part": messages.Message(
+            kind.SEGMENT, **head, first_member=20, segment_records=(held, messages.UNKNOWN_RECORD, dead)
+        ),
     }
 
 
@@ -218,12 +222,12 @@
 def test_a_datagram_of_membership_is_read_and_written_as_before(name):
     stored = bytes.fromhex(STORED[f"membership_{name}"])
     message = membership_messages()[name]
-    assert messages.encode(message) == stored
-    assert messages.encode(messages.decode(stored)) == stored
+    assert codec.encode(message) == stored
+    assert codec.encode(codec.decode(stored)) == stored
 
 
 def test_every_kind_of_membership_datagram_has_a_case():
-    assert {message.kind for message in membership_messages().values()} == set(messages.Kind)
+    assert {message.kind for message in membership_messages().values()} == set(messages.MessageKind)
 
 
 def test_a_fault_schedule_is_read_and_written_as_before():
