--- a/applevale/membership/__init__.py
+++ b/applevale/membership/__init__.py
@@ -1,1 +1,4 @@
-"""Who of the workload managers lives: decisions without I/O and clock, and the form of their datagrams."""
+"""Group membership among instances: a SWIM protocol with Lifeguard's extensions and several observers.
+
+`protocol.py` has the entry points. All but `runner.py` work without I/O and clock.
+"""
--- /dev/null
+++ b/applevale/membership/context.py
@@ -0,0 +1,38 @@
+"""What all parts of the membership protocol share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from .commands import CommandQueue
+from .config import ProtocolConfig
+from .stats import Stats
+from .view import MembershipView
+
+
+@dataclass
+class LocalIdentity:
+    """Who this member is.
+
+    Attributes:
+        member: Its number among the configured members.
+        process_id: A random number of 16 bits drawn at each start of the process.
+        incarnation: SWIM's incarnation number; 0 while the member joins. `LocalMember` alone changes it.
+    """
+
+    member: int
+    process_id: int
+    incarnation: int = 0
+
+
+@dataclass(frozen=True)
+class ProtocolContext:
+    """The parameters, identity, view, random numbers, counts and commands of one protocol instance."""
+
+    config: ProtocolConfig
+    identity: LocalIdentity
+    view: MembershipView
+    random: Random
+    stats: Stats
+    commands: CommandQueue
--- /dev/null
+++ b/applevale/membership/failure_detector.py
@@ -0,0 +1,186 @@
+"""The failure detector: probes of members in random order, directly and by helpers (SWIM)."""
+
+from __future__ import annotations
+
+from math import inf
+
+from .commands import LocalStatus
+from .config import (
+    HELP_RESERVE_BYTES,
+    JOIN_FANOUT,
+    MAX_RELAYS,
+    SOLITARY_PROBE_INTERVAL_SECONDS,
+)
+from .context import ProtocolContext
+from .dissemination import BroadcastQueue
+from .local_health import LocalHealth
+from .local_member import LocalMember
+from .messages import Message
+from .probes import Probe, ProbeTable
+from .sender import MessageSender
+from .suspicion_monitor import SuspicionMonitor
+from .suspicion_table import SuspicionTable
+
+
+class FailureDetector:
+    """Probes one member after the other and reports those that do not answer."""
+
+    def __init__(
+        self,
+        context: ProtocolContext,
+        suspicions: SuspicionTable,
+        broadcasts: BroadcastQueue,
+        sender: MessageSender,
+        health: LocalHealth,
+        probes: ProbeTable,
+        local: LocalMember,
+        monitor: SuspicionMonitor,
+    ):
+        self._config = context.config
+        self._identity = context.identity
+        self._view = context.view
+        self._random = context.random
+        self._stats = context.stats
+        self._suspicions = suspicions
+        self._broadcasts = broadcasts
+        self._sender = sender
+        self._health = health
+        self._probes = probes
+        self._local = local
+        self._monitor = monitor
+        self._probe_round: list[int] = []  # members that this round has yet to probe
+        self._relays: dict[int, int] = {}  # member -> the helper that reached it last
+
+    def probe_next(self, now: float) -> None:
+        """Probe the next member of the round."""
+        interval = self._config.probe_interval
+        self._probes.next_probe_at = max(self._probes.next_probe_at + interval, now + interval / 2)
+        if self._health.status is LocalStatus.JOINING or not self._view.alive:
+            self._ping_unknown_members(now)
+            return
+        self._probes.start(now, self._next_subject())
+        if self._health.status is LocalStatus.ISOLATED:
+            self._probes.next_probe_at = now + 2 * interval
+        else:
+            self._suspicions.discard_lapsed(now)
+
+    def advance_probes(self, now: float) -> None:
+        """Retry probes, ask helpers and give up, as each probe is due."""
+        for sequence_number, probe in self._probes.snapshot():
+            if now >= probe.expires_at:
+                del self._probes.pending[sequence_number]
+                self._on_failure(now, probe)
+            elif now >= probe.indirect_at:
+                probe.retry_at = inf
+                probe.indirect_at = inf
+                self._ask_helpers(now, sequence_number, probe)
+            elif now >= probe.retry_at:
+                probe.retry_at = inf
+                self._sender.send_ping(now, probe.subject, sequence_number)
+
+    def on_ping_request(self, now: float, requester: int, message: Message) -> None:
+        """Probe a member for another one, whose request shows that it has no answer."""
+        subject = message.subject
+        if not self._view.contains(subject) or subject == self._identity.member:
+            return
+        if not self._health.may_judge(now):
+            return
+        if subject in self._suspicions.dead_members:
+            update = self._broadcasts.update_for(now, subject)
+            self._sender.send_gossip(now, requester, (update,), HELP_RESERVE_BYTES)
+            return
+        self._monitor.suspect(now, subject, self._view.table.records[subject].incarnation, (requester,))
+        suspicion = self._suspicions.active.get(subject)
+        if suspicion is not None and self._identity.member in suspicion.observers:  # it failed already
+            self._sender.send_ping_result(now, requester, message.sequence_number, subject, False)
+        else:
+            self._probes.start_for(now, subject, requester, message.sequence_number)
+
+    def on_ack(self, now: float, sender: int, message: Message) -> None:
+        """Handle the answer to a ping."""
+        if self._health.status is LocalStatus.JOINING:
+            self._local.record_join_answer(now, sender)
+        self._health.answered_at = now
+        if self._health.status is LocalStatus.UNANSWERED:
+            self._health.set_status(LocalStatus.HEALTHY)
+            self._health.start_quiet_period(now)
+        probe = self._probes.pending.get(message.sequence_number)
+        if probe is None or probe.subject != sender or message.incarnation < probe.incarnation:
+            return
+        del self._probes.pending[message.sequence_number]
+        self._health.improve()
+        self._suspicions.retract(now, sender, self._identity.member)
+        if probe.requester is not None:
+            self._sender.send_ping_result(now, probe.requester, probe.request_number, sender, True)
+
+    def on_ping_result(self, now: float, helper: int, message: Message) -> None:
+        """Handle a helper's answer."""
+        probe = self._probes.pending.get(message.sequence_number)
+        if probe is None or probe.requester is not None or probe.subject != message.subject:
+            return
+        self._health.answered_at = now
+        if message.is_reachable:
+            del self._probes.pending[message.sequence_number]
+            self._health.improve()
+            if len(self._relays) < MAX_RELAYS or probe.subject in self._relays:
+                self._relays[probe.subject] = helper
+        elif helper not in probe.failed_helpers:
+            probe.failed_helpers.append(helper)
+
+    def _ping_unknown_members(self, now: float) -> None:
+        """Ping configured members of which none is known to be alive."""
+        others = self._view.other_members()
+        for target in self._random.sample(others, min(JOIN_FANOUT, len(others))):
+            self._sender.send_ping(now, target, self._probes.next_sequence_number())
+        if self._health.status is not LocalStatus.JOINING:  # members that start announce themselves
+            self._probes.next_probe_at = now + SOLITARY_PROBE_INTERVAL_SECONDS
+
+    def _next_subject(self) -> int:
+        """Return the next member to probe, in rounds of random order."""
+        while True:
+            if not self._probe_round:
+                self._probe_round = list(self._view.alive)
+                self._random.shuffle(self._probe_round)
+            member = self._probe_round.pop()
+            suspicion = self._suspicions.active.get(member)
+            is_observed = suspicion is not None and self._identity.member in suspicion.observers
+            if member in self._view.alive and not (is_observed and self._probe_round):
+                return member
+
+    def _ask_helpers(self, now: float, sequence_number: int, probe: Probe) -> None:
+        """Ask the helper that reached the subject before, and random others; fewer if some failed already."""
+        relay = self._relays.get(probe.subject)
+        suspicion = self._suspicions.active.get(probe.subject)
+        wanted = 1 if relay is not None else self._config.helper_count
+        if suspicion is not None:
+            observer_count = len({*suspicion.observers, self._identity.member})
+            wanted = min(wanted, self._suspicions.quorum(probe.subject) - observer_count)
+        if not self._config.helper_count or (wanted <= 0 and relay is None):
+            return
+        candidates = [
+            member
+            for member in self._view.alive
+            if member not in (probe.subject, relay) and member not in self._suspicions.active
+        ]
+        helpers = [relay] if relay in self._view.alive else []
+        helpers += self._random.sample(candidates, min(max(0, wanted), len(candidates)))
+        for helper in helpers:
+            if self._sender.send_ping_request(now, helper, sequence_number, probe.subject):
+                probe.helper_count += 1
+
+    def _on_failure(self, now: float, probe: Probe) -> None:
+        self._stats.failed += 1
+        local_member = self._identity.member
+        if probe.requester is not None:
+            if self._health.may_judge(now):
+                self._sender.send_ping_result(
+                    now, probe.requester, probe.request_number, probe.subject, False
+                )
+                self._monitor.suspect(now, probe.subject, probe.incarnation, (local_member,))
+            return
+        if not probe.is_verification and probe.helper_count and not probe.failed_helpers:
+            self._health.worsen()  # helpers did not answer either
+        if self._health.may_judge(now):
+            self._health.record_unreachable(now, probe.subject)
+            observers = (local_member, *probe.failed_helpers)
+            self._monitor.suspect(now, probe.subject, probe.incarnation, observers)
--- /dev/null
+++ b/applevale/membership/heartbeat.py
@@ -0,0 +1,52 @@
+"""Heartbeats from all to all: a failure detector to compare the probes with."""
+
+from __future__ import annotations
+
+from .commands import LocalStatus
+from .context import ProtocolContext
+from .local_health import LocalHealth
+from .messages import MemberRecord, MemberState, MemberUpdate
+from .probes import ProbeTable
+from .sender import UNLIMITED, MessageSender
+from .updates import UpdateHandler
+
+
+class HeartbeatDetector:
+    """Sends heartbeats to all members, and declares dead who was not heard for long."""
+
+    def __init__(
+        self,
+        context: ProtocolContext,
+        sender: MessageSender,
+        health: LocalHealth,
+        probes: ProbeTable,
+        updates: UpdateHandler,
+    ):
+        self._config = context.config
+        self._view = context.view
+        self._sender = sender
+        self._health = health
+        self._probes = probes
+        self._updates = updates
+        self._heard_at: dict[int, float] = {}
+
+    def record_heartbeat(self, now: float, sender: int) -> None:
+        """Note that a member was heard."""
+        self._heard_at[sender] = now
+
+    def send_heartbeats(self, now: float) -> None:
+        """Send a heartbeat to all members, and declare the silent ones dead."""
+        interval = self._config.heartbeat_interval
+        self._probes.next_probe_at = max(self._probes.next_probe_at + interval, now + interval / 2)
+        if self._health.status is LocalStatus.JOINING:
+            return
+        for target in self._view.other_members():
+            self._sender.send_gossip(now, target, reserve=UNLIMITED)
+        timeout = self._config.timeouts.min_timeout
+        silent = [member for member in self._view.alive if now - self._heard_at.get(member, now) > timeout]
+        if silent:
+            self._updates.remove_members(now, tuple(self._death_of(member) for member in silent))
+
+    def _death_of(self, member: int) -> MemberUpdate:
+        record = self._view.table.records[member]
+        return MemberUpdate(member, MemberRecord(MemberState.DEAD, record.incarnation, record.process_id))
--- /dev/null
+++ b/applevale/membership/join_prober.py
@@ -0,0 +1,49 @@
+"""Probes of members that are dead or unknown, so that groups that were cut apart join again."""
+
+from __future__ import annotations
+
+from math import inf
+
+from .context import ProtocolContext
+from .probes import ProbeTable
+from .sender import MessageSender
+
+MIN_RATE_PER_SECOND = 0.001
+
+
+class JoinProber:
+    """Pings one member that is not alive at a time.
+
+    Attributes:
+        next_join_at: When the next ping is due, in seconds; infinite while all members are alive.
+    """
+
+    def __init__(self, context: ProtocolContext, sender: MessageSender, probes: ProbeTable):
+        self._config = context.config
+        self._view = context.view
+        self._random = context.random
+        self._sender = sender
+        self._probes = probes
+        self.next_join_at = inf
+
+    def schedule(self, now: float) -> None:
+        """Start to ping members that are not alive, unless that is under way."""
+        if self.next_join_at == inf:
+            self.next_join_at = now + self._interval()
+
+    def send_join(self, now: float) -> None:
+        """Ping one member that is not alive: it may be."""
+        candidates = [member for member in self._view.other_members() if member not in self._view.alive]
+        if not candidates:
+            self.next_join_at = inf
+            return
+        self.next_join_at = now + self._interval()
+        target = self._random.choice(candidates)
+        self._sender.send_ping(now, target, self._probes.next_sequence_number())
+
+    def _interval(self) -> float:
+        """Return the seconds until the next ping, such that all members together keep to the rate."""
+        alive_count = len(self._view.alive)
+        dead_count = self._view.member_count - 1 - alive_count
+        rate = min(self._config.max_join_rate, self._config.join_rate * dead_count / (1 + alive_count))
+        return (0.5 + self._random.random()) / max(rate, MIN_RATE_PER_SECOND)
--- a/applevale/membership/runner.py
+++ b/applevale/membership/runner.py
@@ -1,4 +1,4 @@
-"""Carries out what the membership decides: its datagrams, its timer, and who is told of the view."""
+"""Runs the membership protocol: its datagrams, its timer, and the announcements of its view."""
 
 from __future__ import annotations
 
@@ -6,105 +6,131 @@
 import os
 import time
 from collections.abc import Callable
+from math import inf
 
 from ..net.datagrams import Datagrams
 from ..observability.counters import Counters
 from ..observability.events import emit_event, log_event
 from . import codec
+from .commands import Command, LocalStatus, MemberChanged, SendMessage, StatusChanged, ViewChanged
 from .fleet_size import EffectiveFleetSize
-from .protocol import Command, Membership, Send, Stand, Stood, Turned
+from .protocol import MembershipProtocol
 
+MAX_LOGGED_CHANGES = 8  # in one line
 
-class Members:
-    """The clock is the steady one that counts the sleep of a suspended machine too."""
+
+class MembershipRunner:
+    """Carries out the protocol's commands.
+
+    Its clock is the monotonic one that also counts the time in which the machine is suspended.
+    """
 
     def __init__(
         self,
-        machine: Membership,
-        shares: EffectiveFleetSize,
+        protocol: MembershipProtocol,
+        fleet_size: EffectiveFleetSize,
         datagrams: Datagrams,
         counters: Counters,
-        resized: Callable[[int], None],
+        on_resize: Callable[[int], None],
     ):
-        self.machine, self.shares, self.datagrams, self.counters = machine, shares, datagrams, counters
-        self.resized = resized  # called with the size that shares are reckoned by, when it turns
-        self.timer: asyncio.TimerHandle | None = None
-        self.stopped = False
-        datagrams.takers[codec.MAGIC] = self._take
+        """Create a runner; `on_resize` is called with the new size by which shared limits are divided."""
+        self._protocol = protocol
+        self._fleet_size = fleet_size
+        self._datagrams = datagrams
+        self._counters = counters
+        self._on_resize = on_resize
+        self._timer: asyncio.TimerHandle | None = None
+        self._stopped = False
+        datagrams.takers[codec.MAGIC] = self._on_datagram
 
     @staticmethod
     def clock() -> float:
+        """Return the time in seconds since the machine was booted."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def start(self) -> None:
-        self._do(self.machine.begin(self.clock()))
+        """Start to join the fleet."""
+        self._execute(self._protocol.start(self.clock()))
 
     def leave(self) -> None:
-        """A clean end: all are told."""
-        self._do(self.machine.leave(self.clock()))
+        """End cleanly: inform other members."""
+        self._execute(self._protocol.leave(self.clock()))
 
     def stop(self) -> None:
-        self.stopped = True
-        if self.timer is not None:
-            self.timer.cancel()
-
-    def show(self) -> None:
-        for name, count in vars(self.machine.figures).items():
-            self.counters[f"members_{name}"] = count
-        self.counters["members_living"] = self.machine.size
-        self.counters["members_changes"] = self.machine.changes
+        """Stop the timer."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def dump_state(self) -> None:
+        """Update the counters and emit an event with the view."""
+        view = self._protocol.view
+        for name, count in vars(self._protocol.stats).items():
+            self._counters[f"members_{name}"] = count
+        self._counters["members_living"] = view.size
+        self._counters["members_changes"] = view.change_count
         emit_event(
             "members",
-            stand=self.machine.stand.value,
-            view=self.machine.view(),
-            digest=self.machine.records.digest,
-            share_of=self.shares.size,
+            stand=self._protocol.status.value,
+            view=[(alive.member, alive.incarnation) for alive in view.alive_members()],
+            digest=view.table.digest,
+            share_of=self._fleet_size.size,
         )
 
-    def _take(self, number: int, data: bytes) -> None:
+    def _on_datagram(self, sender: int, data: bytes) -> None:
         try:
             message = codec.decode(data)
         except codec.MessageError as error:
-            self.datagrams.unreadable(self.datagrams.addresses.each[number], str(error))
+            self._datagrams.unreadable(self._datagrams.addresses.each[sender], str(error))
             return
-        self._do(self.machine.heard(self.clock(), number, message))
+        self._execute(self._protocol.on_message(self.clock(), sender, message))
 
-    def _tick(self) -> None:
-        self._do(self.machine.ticked(self.clock()))
+    def _on_timer(self) -> None:
+        self._execute(self._protocol.on_tick(self.clock()))
 
-    def _do(self, commands: list[Command]) -> None:
+    def _execute(self, commands: list[Command]) -> None:
         for command in commands:
             match command:
-                case Send(target=target, message=message):
-                    self.datagrams.send(codec.encode(message), self.datagrams.addresses.each[target])
-                case Turned(changes=changes):
-                    told = [(f"n{one}", change.value) for one, change in changes]
-                    emit_event("view", changes=told, living=self.machine.size)
-                    log_event(
-                        "membership",
-                        f"{self.machine.size} live: "
-                        + ", ".join(f"{name} {change}" for name, change in told[:8])
-                        + (" …" if told[8:] else ""),
-                    )
-                case Stood(stand=stand):
-                    emit_event("stand", stand=stand.value)
-                    if stand is not Stand.PAUSED:
-                        log_event("membership", f"this one is {stand.value}, of {self.machine.size}")
-        self._look()
-
-    def _look(self) -> None:
+                case SendMessage(target=target, message=message):
+                    self._datagrams.send(codec.encode(message), self._datagrams.addresses.each[target])
+                case ViewChanged(changes=changes):
+                    self._announce_changes(changes)
+                case StatusChanged(status=status):
+                    self._announce_status(status)
         now = self.clock()
-        former, size = self.shares.size, self.shares.update(now, self.machine.size, self.machine.well)
-        if size != former:
-            self.resized(size)
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        due = min(self.machine.next_look(now), self.shares.next_deadline)
-        if not self.stopped and due < float("inf"):
-            self.timer = asyncio.get_running_loop().call_later(max(0.0, due - now), self._tick)
-
-
-def new_life() -> int:
-    """The mark of this process, which no former one of the name has had lately."""
+        self._update_fleet_size(now)
+        self._schedule_timer(now)
+
+    def _announce_changes(self, changes: tuple[MemberChanged, ...]) -> None:
+        alive_count = self._protocol.view.size
+        names = [(f"n{changed.member}", changed.change.value) for changed in changes]
+        emit_event("view", changes=names, living=alive_count)
+        listed = ", ".join(f"{name} {change}" for name, change in names[:MAX_LOGGED_CHANGES])
+        ellipsis = " …" if names[MAX_LOGGED_CHANGES:] else ""
+        log_event("membership", f"{alive_count} live: {listed}{ellipsis}")
+
+    def _announce_status(self, status: LocalStatus) -> None:
+        emit_event("stand", stand=status.value)
+        if status is not LocalStatus.PAUSED:
+            log_event("membership", f"this one is {status.value}, of {self._protocol.view.size}")
+
+    def _update_fleet_size(self, now: float) -> None:
+        former_size = self._fleet_size.size
+        protocol = self._protocol
+        size = self._fleet_size.update(now, protocol.view.size, protocol.is_view_reliable)
+        if size != former_size:
+            self._on_resize(size)
+
+    def _schedule_timer(self, now: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due = min(self._protocol.next_deadline(), self._fleet_size.next_deadline)
+        if not self._stopped and due < inf:
+            delay = max(0.0, due - now)
+            self._timer = asyncio.get_running_loop().call_later(delay, self._on_timer)
+
+
+def new_process_id() -> int:
+    """Return a random number of 16 bits that tells this process from former ones of the same member."""
     return int.from_bytes(os.urandom(2), "big")
--- /dev/null
+++ b/applevale/membership/self_monitor.py
@@ -0,0 +1,55 @@
+"""Recovery of this member after a pause of its process, or after it heard nobody."""
+
+from __future__ import annotations
+
+from .commands import LocalStatus
+from .context import ProtocolContext
+from .local_health import LocalHealth
+from .local_member import LocalMember
+from .probes import ProbeTable
+from .suspicion_table import SuspicionTable
+
+
+class SelfMonitor:
+    """Guards all judgement against a process that stood still."""
+
+    def __init__(
+        self,
+        context: ProtocolContext,
+        health: LocalHealth,
+        probes: ProbeTable,
+        suspicions: SuspicionTable,
+        local: LocalMember,
+    ):
+        self._config = context.config
+        self._identity = context.identity
+        self._stats = context.stats
+        self._health = health
+        self._probes = probes
+        self._suspicions = suspicions
+        self._local = local
+
+    def check_for_pause(self, now: float) -> None:
+        """Handle a late event; call it first at each event, whichever it is."""
+        delay = self._health.record_event(now)
+        if not self._config.monitors_itself or delay <= self._config.delay_threshold:
+            return
+        self._health.worsen()
+        if delay < self._config.pause_threshold:
+            self._probes.postpone(delay)
+            return
+        self._stats.paused += 1
+        if self._health.status in (LocalStatus.HEALTHY, LocalStatus.UNANSWERED, LocalStatus.PAUSED):
+            self._health.set_status(LocalStatus.PAUSED)
+            self.recover(now)
+
+    def recover(self, now: float) -> None:
+        """Start all judgement anew: messages were missed, and others may suspect this member."""
+        self._probes.clear()
+        self._health.start_quiet_period(now)
+        self._health.reset_contact(now)
+        self._suspicions.restart_all(now)
+        if self._health.status is LocalStatus.ISOLATED:
+            self._health.set_status(LocalStatus.HEALTHY)
+        if self._identity.incarnation:
+            self._local.refute(now, self._identity.incarnation)
--- /dev/null
+++ b/applevale/membership/suspicion_table.py
@@ -0,0 +1,110 @@
+"""What others say against members: suspicions, and claims that a member died or left."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+
+from .config import ProtocolConfig
+from .messages import MemberRecord, MemberState
+from .suspicion import Suspicion
+from .view import MembershipView
+
+
+@dataclass
+class Claim:
+    """A record of a death or leave, and the distinct members that hold it."""
+
+    record: MemberRecord
+    claimants: set[int] = field(default_factory=set)
+
+
+class SuspicionTable:
+    """The suspicions and claims of all members.
+
+    Attributes:
+        active: Suspicions by member.
+        dead_members: Members declared dead: the suspicion each died by.
+        pending_claims: Claims of deaths and leaves that too few members make.
+        next_deadline: When a suspicion has to be looked at next, in seconds.
+    """
+
+    def __init__(self, config: ProtocolConfig, view: MembershipView):
+        self._config = config
+        self._view = view
+        self.active: dict[int, Suspicion] = {}
+        self.dead_members: dict[int, Suspicion] = {}
+        self.pending_claims: dict[int, Claim] = {}
+        self.next_deadline = inf
+
+    def quorum(self, member: int) -> int:
+        """Return the distinct observers that are needed against a member."""
+        return self._config.timeouts.quorum(self._view.eligible_observers(member))
+
+    def has_quorum(self, member: int) -> bool:
+        """Return whether a member is suspected by enough observers."""
+        suspicion = self.active.get(member)
+        return suspicion is not None and len(suspicion.observers) >= self.quorum(member)
+
+    def expires_at(self, member: int, suspicion: Suspicion) -> float:
+        """Return when a suspected member is declared dead; infinite without a quorum."""
+        if not self.has_quorum(member):
+            return inf
+        observer_count = len(suspicion.observers)
+        eligible_count = self._view.eligible_observers(member)
+        return suspicion.started_at + self._config.timeouts.timeout(observer_count, eligible_count)
+
+    def resolve(self, member: int, record: MemberRecord) -> None:
+        """Drop what was said against a member on its former record; keep what it died by."""
+        suspicion = self.active.pop(member, None)
+        if record.state is MemberState.DEAD and suspicion is not None and suspicion.quorum_at < inf:
+            self.dead_members[member] = suspicion
+        else:
+            self.dead_members.pop(member, None)
+        self.pending_claims.pop(member, None)
+
+    def add_claim(self, member: int, record: MemberRecord, claimant: int) -> bool:
+        """Note that a member claims a death or leave; return whether enough distinct ones do."""
+        claim = self.pending_claims.get(member)
+        if claim is not None and claim.record != record:
+            if record.precedence < claim.record.precedence:
+                return False
+            claim = None
+        if claim is None:
+            claim = Claim(record)
+            self.pending_claims[member] = claim
+        claim.claimants.add(claimant)
+        return len(claim.claimants) >= self.quorum(member)
+
+    def retract(self, now: float, member: int, observer: int) -> None:
+        """Remove an observer that has reached the member after all."""
+        suspicion = self.active.get(member)
+        if suspicion is None:
+            return
+        suspicion.observers.pop(observer, None)
+        if self.has_quorum(member):
+            suspicion.restart(now)
+        else:
+            del self.active[member]
+        self.reschedule()
+
+    def restart_all(self, now: float) -> None:
+        """Start all timeouts anew."""
+        for suspicion in self.active.values():
+            suspicion.restart(now)
+        self.reschedule()
+
+    def discard_lapsed(self, now: float) -> None:
+        """Forget suspicions that never had a quorum."""
+        for member in [member for member, suspicion in self.active.items() if suspicion.has_lapsed(now)]:
+            del self.active[member]
+
+    def reschedule(self) -> None:
+        """Work out `next_deadline` anew: the next check, final check or death."""
+        self.next_deadline = inf
+        for member, suspicion in self.active.items():
+            expires_at = self.expires_at(member, suspicion)
+            final_check_at = inf
+            if not suspicion.final_check_started:
+                final_check_at = expires_at - self._config.final_check_lead
+            self.next_deadline = min(self.next_deadline, suspicion.next_check_at, final_check_at, expires_at)
--- /dev/null
+++ b/applevale/membership/updates.py
@@ -0,0 +1,86 @@
+"""Changes of other members' records."""
+
+from __future__ import annotations
+
+from .commands import MembershipChange
+from .context import ProtocolContext
+from .dissemination import MemberStore
+from .join_prober import JoinProber
+from .local_health import LocalHealth
+from .local_member import LocalMember
+from .messages import MemberRecord, MemberState, MemberUpdate, Message
+from .suspicion_table import SuspicionTable
+
+
+class UpdateHandler:
+    """Decides which records of others are taken into the view."""
+
+    def __init__(
+        self,
+        context: ProtocolContext,
+        store: MemberStore,
+        suspicions: SuspicionTable,
+        health: LocalHealth,
+        local: LocalMember,
+        join_prober: JoinProber,
+    ):
+        self._config = context.config
+        self._view = context.view
+        self._stats = context.stats
+        self._store = store
+        self._suspicions = suspicions
+        self._health = health
+        self._local = local
+        self._join_prober = join_prober
+
+    def on_sender_alive(self, now: float, sender: int, message: Message) -> None:
+        """Take from a message that its sender is alive at its incarnation; 0: the sender is joining."""
+        if not message.incarnation:
+            return
+        known_incarnation = self._view.table.records[sender].incarnation
+        if self._health.is_unreachable(sender) and message.incarnation >= known_incarnation:
+            self._health.record_false_suspicion(now, sender)
+            self._suspicions.retract(now, sender, self._view.local_member)
+        record = MemberRecord(MemberState.ALIVE, message.incarnation, message.process_id)
+        self.on_record(now, sender, sender, record)
+
+    def on_record(self, now: float, sender: int, member: int, record: MemberRecord) -> None:
+        """Handle a record of any member that `sender` holds."""
+        if not self._view.contains(member) or not record.is_known:
+            return
+        if member == self._view.local_member:
+            self._local.on_own_record(now, record)
+            return
+        known = self._view.table.records[member]
+        if known.is_known and record.precedence <= known.precedence:
+            return
+        if record.state is MemberState.ALIVE:
+            self._add_member(now, member, record)
+        elif record.state is MemberState.LEFT and member == sender:
+            self.remove_members(now, (MemberUpdate(member, record),))
+        elif record.state in (MemberState.DEAD, MemberState.LEFT):
+            is_confirmed = self._suspicions.add_claim(member, record, sender)
+            if is_confirmed and self._health.may_judge(now):
+                self.remove_members(now, (MemberUpdate(member, record),))
+
+    def remove_members(self, now: float, removals: tuple[MemberUpdate, ...]) -> None:
+        """Take members as dead or left, and announce that at once."""
+        for removal in removals:
+            has_left = removal.record.state is MemberState.LEFT
+            if self._view.table.records[removal.member].is_alive:
+                change = MembershipChange.LEFT if has_left else MembershipChange.DIED
+                self._view.add_change(removal.member, change, now)
+                self._stats.died += removal.record.state is MemberState.DEAD
+            self._store.apply(removal.member, removal.record)
+        self._view.changed_at = now
+        self._join_prober.schedule(now)
+
+    def _add_member(self, now: float, member: int, record: MemberRecord) -> None:
+        known = self._view.table.records[member]
+        self._store.apply(member, record)
+        self._view.changed_at = now
+        announcement_due = now + self._config.batch_window
+        if not known.is_alive:
+            self._view.add_change(member, MembershipChange.JOINED, announcement_due)
+        elif known.process_id != record.process_id:
+            self._view.add_change(member, MembershipChange.RESTARTED, announcement_due)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
     from ..gossip.exchange import Peers
-    from ..membership.runner import Members
+    from ..membership.runner import MembershipRunner
     from ..net.datagrams import Datagrams
 
 COUNTERS_INTERVAL_SECONDS = 5.0  # between two lines of counters: a killed process prints none at its end
@@ -120,7 +120,7 @@
         datagrams = self._open_datagrams()
         return optional_parts.create_gossip(self.config, datagrams, self.pool, self.driver, self.counters)
 
-    def _create_membership(self) -> Members | None:
+    def _create_membership(self) -> MembershipRunner | None:
         if self.config.membership is None:
             return None
         datagrams = self._open_datagrams()
@@ -217,7 +217,7 @@
         if self.registry is not None:
             self.registry.note()
         if self.membership is not None:
-            self.membership.show()
+            self.membership.dump_state()
         self.counters.dump()
 
     def dump_counters_regularly(self) -> None:
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -21,7 +21,7 @@
     from ..discovery.registry.source import RegistrySource
     from ..engines.connect_pacer import Openings
     from ..gossip.exchange import Peers
-    from ..membership.runner import Members
+    from ..membership.runner import MembershipRunner
     from ..net.datagrams import Datagrams
 
 
@@ -84,16 +84,17 @@
 
 def create_membership(
     config: Config, datagrams: Datagrams, counters: Counters, on_resize: Callable[[int], None]
-) -> Members:
+) -> MembershipRunner:
     """Return the membership of this instance in the fleet."""
+    from ..membership.config import ProtocolConfig
     from ..membership.fleet_size import EffectiveFleetSize
-    from ..membership.protocol import Membership, Pace
-    from ..membership.runner import Members, new_life
+    from ..membership.protocol import MembershipProtocol
+    from ..membership.runner import MembershipRunner, new_process_id
 
     count = len(config.peers.each)
-    timing = Pace(probe=config.membership)
-    protocol = Membership(config.settings.me, count, new_life(), Random(config.seed), timing)
-    return Members(protocol, EffectiveFleetSize(count), datagrams, counters, on_resize)
+    timing = ProtocolConfig(probe_interval=config.membership)
+    protocol = MembershipProtocol(config.settings.me, count, new_process_id(), Random(config.seed), timing)
+    return MembershipRunner(protocol, EffectiveFleetSize(count), datagrams, counters, on_resize)
 
 
 def create_registry_source(
--- a/applevale/simulation/engine.py
+++ b/applevale/simulation/engine.py
@@ -4,7 +4,8 @@
 Invariants:
 
 - The same seed and the same faults play the same course.
-- Each actor sees its own clock only, which runs at a rate of its own; so does its sleep until `next_look`.
+- Each actor sees its own clock only, which runs at a rate of its own; so does its sleep until
+  `next_deadline`.
 - What reaches an actor that stands still waits, up to the room of a socket, and comes when it goes on, some
   at a time, with its timer in between: as a loop reads its sockets.
 """
@@ -28,11 +29,11 @@
 class Actor(Protocol):
     """A machine: times in, commands out."""
 
-    def begin(self, now: float) -> list[Any]: ...
-    def heard(self, now: float, sender: int, message: Any) -> list[Any]: ...
-    def ticked(self, now: float) -> list[Any]: ...
+    def start(self, now: float) -> list[Any]: ...
+    def on_message(self, now: float, sender: int, message: Any) -> list[Any]: ...
+    def on_tick(self, now: float) -> list[Any]: ...
     def leave(self, now: float) -> list[Any]: ...
-    def next_look(self, now: float) -> float: ...
+    def next_deadline(self) -> float: ...
 
 
 @dataclass
@@ -93,7 +94,7 @@
         place.life += 1
         place.actor, place.paused_until = self.make(number, place.life), 0.0
         place.waiting.clear()
-        self._carry(number, place.actor.begin(place.local(self.now)))
+        self._carry(number, place.actor.start(place.local(self.now)))
 
     def kill(self, number: int) -> None:
         self.places[number].actor = None
@@ -148,13 +149,13 @@
 
     def _hear(self, number: int, sender: int, message: Any) -> None:
         place = self.places[number]
-        self._carry(number, place.actor.heard(place.local(self.now), sender, message))
+        self._carry(number, place.actor.on_message(place.local(self.now), sender, message))
 
     def _look(self, number: int, look: int) -> None:
         place = self.places[number]
         if place.actor is None or place.look != look or self.now < place.paused_until:
             return
-        self._carry(number, place.actor.ticked(place.local(self.now)))
+        self._carry(number, place.actor.on_tick(place.local(self.now)))
 
     def _carry(self, number: int, commands: list[Any]) -> None:
         place = self.places[number]
@@ -164,7 +165,7 @@
                 self.seen(self.now, number, command)
             else:
                 self._transmit(number, *routed)
-        due = place.actor.next_look(place.local(self.now))
+        due = place.actor.next_deadline()
         place.look += 1
         if due < inf:
             self._push(place.world(due), self._look, number, place.look)
--- a/applevale/simulation/runners.py
+++ b/applevale/simulation/runners.py
@@ -2,29 +2,68 @@
 
 from __future__ import annotations
 
-from dataclasses import fields, replace
+from dataclasses import replace
 
 from ..checkers import membership as verify
 from ..checkers.history import History
 from ..fault_injection.scenarios import SCENARIOS
-from ..membership.suspicion import Times
 from .experiment import ExperimentError
 from .membership import VERSIONS, Fleet
 
 KNOWN = 500  # members from which a fleet does not start first: what its start takes grows with the square
-_TIMES = tuple(one.name for one in fields(Times))
+# Keys of an experiment's settings, and the fields of ProtocolConfig and SuspicionTimeouts that they set.
+CONFIG_FIELDS = {
+    "probe": "probe_interval",
+    "again": "retry_after",
+    "ask": "indirect_probe_after",
+    "end": "probe_timeout",
+    "tried": "helper_probe_timeout",
+    "helpers": "helper_count",
+    "share": "min_relayed_observers",
+    "checkers": "verifier_count",
+    "look": "verification_interval",
+    "last": "final_check_lead",
+    "few": "max_final_check_fleet",
+    "join": "join_wait",
+    "join_alone": "join_timeout",
+    "paused": "pause_threshold",
+    "late": "delay_threshold",
+    "calm": "quiet_period",
+    "alone": "isolation_timeout",
+    "unheard": "unanswered_timeout",
+    "gather": "batch_window",
+    "knock": "join_rate",
+    "most_knocks": "max_join_rate",
+    "repair": "sync_interval",
+    "raised": "refutation_interval",
+    "heartbeats": "heartbeat_interval",
+    "doubt": "min_false_suspicions",
+    "self_look": "monitors_itself",
+}
+TIMEOUT_FIELDS = {
+    "need": "required_observers",
+    "many": "fast_observers",
+    "least": "min_timeout",
+    "most": "max_timeout",
+}
 
 
 def membership(version: str, settings: dict[str, float], size: int, case: str, seed: int) -> dict[str, float]:
-    """`settings`: fields of the machine's pace, and of its times."""
-    pace = VERSIONS[version.partition(":")[0]]
-    times = {name: value for name, value in settings.items() if name in _TIMES}
-    pace = replace(
-        pace,
-        times=replace(pace.times, **times),
-        **{name: value for name, value in settings.items() if name not in _TIMES},
-    )
-    found = verify.figures(History(Fleet(size, seed, pace, known=size >= KNOWN).run(case)))
+    """Play a scenario on a fleet and return its figures by name.
+
+    Args:
+        version: A key of `VERSIONS`, before a colon where one is in it.
+        settings: Parameters that differ from the version's, by the keys of `CONFIG_FIELDS` and
+            `TIMEOUT_FIELDS`.
+        size: Members.
+        case: The scenario.
+        seed: Seed of all random draws.
+    """
+    config = VERSIONS[version.partition(":")[0]]
+    changed_timeouts = {TIMEOUT_FIELDS[key]: settings[key] for key in settings if key in TIMEOUT_FIELDS}
+    changes = {CONFIG_FIELDS[key]: settings[key] for key in settings if key in CONFIG_FIELDS}
+    config = replace(config, timeouts=replace(config.timeouts, **changed_timeouts), **changes)
+    found = verify.figures(History(Fleet(size, seed, config, known=size >= KNOWN).run(case)))
     flat: dict[str, float] = {}
     for name, value in found.items():
         if isinstance(value, dict):
@@ -40,7 +79,7 @@
         if name.partition(":")[0] not in VERSIONS:
             raise ExperimentError(f"versions: {name!r} is none of {', '.join(VERSIONS)}")
         for one in settings:
-            if one not in _TIMES and one not in VERSIONS["fleet"].__dataclass_fields__:
+            if one not in TIMEOUT_FIELDS and one not in CONFIG_FIELDS:
                 raise ExperimentError(f"versions.{name}: {one!r} is no setting")
     for case in cases:
         if case not in SCENARIOS or case == "upgrade":
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -4,8 +4,22 @@
 
 from applevale.__main__ import main
 from applevale.discovery.registry.watcher import Follower, Watch
-from applevale.membership import messages
-from applevale.membership.protocol import KEEP_NEWS, Membership
+from applevale.membership.anti_entropy import AntiEntropy
+from applevale.membership.config import GOSSIP_RESERVE_BYTES
+from applevale.membership.failure_detector import FailureDetector
+from applevale.membership.join_prober import JoinProber
+from applevale.membership.local_health import LocalHealth
+from applevale.membership.local_member import LocalMember
+from applevale.membership.messages import (
+    INCARNATION_LOW_MASK,
+    MemberRecord,
+    MemberState,
+    MemberUpdate,
+    SuspicionUpdate,
+)
+from applevale.membership.protocol import MembershipProtocol
+from applevale.membership.self_monitor import SelfMonitor
+from applevale.membership.suspicion_monitor import SuspicionMonitor
 from applevale.runtime.application import Application
 from applevale.startup.staleness_guard import Promise
 
@@ -49,74 +63,81 @@
 
 # --- members
 
-ticked, about_me, raises = Membership.ticked, Membership._about_me, Membership._raise
+on_tick = MembershipProtocol.on_tick
+on_own_record = LocalMember.on_own_record
+refute = LocalMember.refute
 
 
-def dead_by_one_word(self, now, member, incarnation, observers, age=0.0):
-    held = self.records.records[member]
-    if (
-        held.is_alive
-        and incarnation & messages.INCARNATION_LOW_MASK == held.incarnation & messages.INCARNATION_LOW_MASK
-    ):
-        self._end(
-            now,
-            ((member, messages.MemberRecord(messages.MemberState.DEAD, held.incarnation, held.process_id)),),
-        )
+def dead_by_one_observer(self, now, member, incarnation, observers, age=0.0):
+    held = self._view.table.records[member]
+    if held.is_alive and incarnation & INCARNATION_LOW_MASK == held.incarnation & INCARNATION_LOW_MASK:
+        record = MemberRecord(MemberState.DEAD, held.incarnation, held.process_id)
+        self._updates.remove_members(now, (MemberUpdate(member, record),))
 
 
-def notice_no_standstill(self, now):
-    self.latest = now
+def notice_no_pause(self, now):
+    self._health.last_event_at = now
 
 
-def raise_from_the_first(self, now, over):
-    raises(self, now, over if self.incarnation else 0)
+def refute_from_the_first(self, now, reported):
+    refute(self, now, reported if self._identity.incarnation else 0)
 
 
-def heed_own_life_only(self, now, told):
-    if told.process_id == self.life:
-        about_me(self, now, told)
+def heed_own_process_only(self, now, record):
+    if record.process_id == self._identity.process_id:
+        on_own_record(self, now, record)
 
 
-def ask_no_one(self, now, own, probe):
+def ask_no_one(self, now, sequence_number, probe):
     pass
 
 
-def mend_nothing(self, now, sender):
+def sync_nothing(self, now, sender):
     pass
 
 
-def never_knock(self, now):
-    self.due_knock = float("inf")
+def never_send_join(self, now):
+    self.next_join_at = float("inf")
 
 
 def call_everyone_dead(self, now):
-    """In its own word, and in forged ones of others."""
-    for target in list(self.living):
-        others = [one for one in self.living if one != target]
+    """In its own name, and forged in those of others."""
+    for target in list(self.view.alive):
+        others = [one for one in self.view.alive if one != target]
         updates = tuple(
-            messages.SuspicionUpdate(one, self.records.records[one].incarnation, 10.0, (self.me, *others[:2]))
+            SuspicionUpdate(
+                one, self.view.table.records[one].incarnation, 10.0, (self.identity.member, *others[:2])
+            )
             for one in others[:10]
         )
-        self._send(now, target, messages.MessageKind.GOSSIP, KEEP_NEWS, updates=updates)
-    return ticked(self, now)
+        self.sender.send_gossip(now, target, updates, GOSSIP_RESERVE_BYTES)
+    return on_tick(self, now)
 
 
 MEMBERS = {
-    "one_word": {"_suspect": dead_by_one_word},
-    "no_look": {"_wake": notice_no_standstill, "_judges": lambda self, now: True},
-    "reset": {"_raise": raise_from_the_first, "_about_me": heed_own_life_only},
-    "no_help": {"_ask_helpers": ask_no_one},
-    "never_mended": {"_repair": mend_nothing, "_knock": never_knock},
-    "liar": {"ticked": call_everyone_dead},
+    "one_word": {SuspicionMonitor: {"suspect": dead_by_one_observer}},
+    "no_look": {
+        SelfMonitor: {"check_for_pause": notice_no_pause},
+        LocalHealth: {"may_judge": lambda self, now: True},
+    },
+    "reset": {LocalMember: {"refute": refute_from_the_first, "on_own_record": heed_own_process_only}},
+    "no_help": {FailureDetector: {"_ask_helpers": ask_no_one}},
+    "never_mended": {
+        AntiEntropy: {"request_sync": sync_nothing},
+        JoinProber: {"send_join": never_send_join},
+    },
+    "liar": {MembershipProtocol: {"on_tick": call_everyone_dead}},
 }
 
 
-def planted_in_members(fault):
-    for name, method in MEMBERS[fault].items():
-        setattr(Membership, name, method)
+def plant_in_members(fault, set_attribute=setattr):
+    for owner, methods in MEMBERS[fault].items():
+        for name, method in methods.items():
+            assert hasattr(owner, name)
+            set_attribute(owner, name, method)
 
 
-FAULTS = {fault: lambda fault=fault: planted_in_members(fault) for fault in MEMBERS} | {
+FAULTS = {fault: lambda fault=fault: plant_in_members(fault) for fault in MEMBERS} | {
     "arrival": lambda: setattr(Follower, "answered", dated_by_arrival),
     "on_top": lambda: setattr(Follower, "_ask", ask_on_top),
     "leaves": lambda: setattr(Follower, "_tried", leave_the_slow),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,6 +16,8 @@
 from applevale.config.loader import parse_config
 from applevale.config.model import ConfigError
 from applevale.membership import codec, messages
+from applevale.membership.commands import LocalStatus, MembershipChange, SendMessage, ViewChanged
+from applevale.membership.config import ProtocolConfig
 from applevale.membership.fleet_size import SHRINK_DELAY_SECONDS, EffectiveFleetSize
 from applevale.membership.messages import (
     MemberRecord,
@@ -25,15 +27,15 @@
     MessageKind,
     SuspicionUpdate,
 )
-from applevale.membership.protocol import Membership, Pace, Send, Stand, Turned
-from applevale.membership.runner import Members
-from applevale.membership.suspicion import LEAD, Suspicion, Times
+from applevale.membership.protocol import MembershipProtocol
+from applevale.membership.runner import MembershipRunner
+from applevale.membership.suspicion import MAX_REPORTED_AGE_SECONDS, Suspicion, SuspicionTimeouts
 from applevale.membership.token_bucket import BURST_BYTES, RATE_BYTES_PER_SECOND, TokenBucket
 from applevale.net.addresses import PeerAddresses
 from applevale.net.datagrams import Datagrams
 from applevale.observability.counters import Counters
 from applevale.simulation.membership import Fleet
-from tests.planted import MEMBERS
+from tests.planted import MEMBERS, plant_in_members
 
 numbers = st.integers(0, 65535)
 records = st.builds(
@@ -121,40 +123,47 @@
 
 
 def test_words_need_distinct_observers_and_the_time_shrinks_as_they_agree():
-    times = Times()
-    waits = [times.wait(count, 30) for count in (3, 4, 5, 9)]
-    assert waits[0] == times.most > waits[1] > waits[2] == waits[3] == times.least
-    assert times.of_others(1) == (2, 2) and times.of_others(2) == (2, 2) and times.of_others(9) == (3, 5)
+    timeouts = SuspicionTimeouts()
+    waits = [timeouts.timeout(count, 30) for count in (3, 4, 5, 9)]
+    assert waits[0] == timeouts.max_timeout > waits[1] > waits[2] == waits[3] == timeouts.min_timeout
+    quorums = [(timeouts.quorum(count), timeouts.fast_quorum(count)) for count in (1, 2, 9)]
+    assert quorums == [(2, 2), (2, 2), (3, 5)]
     one = Suspicion(1)
-    assert one.add(10.0, (4, 4), 9.0, 3) and not one.add(10.1, (4,), 9.0, 3) and one.first == float("inf")
-    assert one.add(10.5, (5, 6), 9.0, 3) and one.since == 10.5 - LEAD  # however old they say to be
-    one.begin_anew(12.0)
-    assert one.since == 12.0
+    assert (
+        one.add_observers(10.0, (4, 4), 9.0, 3)
+        and not one.add_observers(10.1, (4,), 9.0, 3)
+        and one.quorum_at == float("inf")
+    )
+    assert (
+        one.add_observers(10.5, (5, 6), 9.0, 3) and one.started_at == 10.5 - MAX_REPORTED_AGE_SECONDS
+    )  # however old they say to be
+    one.restart(12.0)
+    assert one.started_at == 12.0
 
 
 class Lone:
     """One machine of a fleet of five; what it sends is looked at."""
 
     def __init__(self, me=0, count=5, **pace):
-        self.it, self.now = Membership(me, count, 77, Random(1), Pace(**pace)), 50.0
-        self.sent, self.turned = [], []
-        self.did(self.it.begin(self.now))
+        self.protocol, self.now = MembershipProtocol(me, count, 77, Random(1), ProtocolConfig(**pace)), 50.0
+        self.sent, self.view_changes = [], []
+        self.did(self.protocol.start(self.now))
 
     def did(self, commands):
-        found = [one for one in commands if isinstance(one, Send)]
+        found = [one for one in commands if isinstance(one, SendMessage)]
         self.sent += found
-        self.turned += [one.changes for one in commands if isinstance(one, Turned)]
+        self.view_changes += [one.changes for one in commands if isinstance(one, ViewChanged)]
         return found
 
     def hear(
         self, sender, kind=MessageKind.PING, incarnation=1, process_id=None, receiver_record=None, **fields
     ):
         receiver_record = (
-            MemberRecord(MemberState.ALIVE, self.it.incarnation, 77)
+            MemberRecord(MemberState.ALIVE, self.protocol.identity.incarnation, 77)
             if receiver_record is None
             else receiver_record
         )
-        fields = {"sequence_number": 1, "view_digest": self.it.records.digest} | fields
+        fields = {"sequence_number": 1, "view_digest": self.protocol.view.table.digest} | fields
         message = Message(
             kind,
             incarnation=incarnation,
@@ -162,26 +171,26 @@
             receiver_record=receiver_record,
             **fields,
         )
-        return self.did(self.it.heard(self.now, sender, message))
+        return self.did(self.protocol.on_message(self.now, sender, message))
 
     def wait(self, span, step=0.02):
         end = self.now + span
         while self.now < end:
             self.now += step
-            self.did(self.it.ticked(self.now))
+            self.did(self.protocol.on_tick(self.now))
 
     def busy(self, span, others=(1, 2, 3, 4)):
         """Time goes on while others answer its probes."""
         end = self.now + span
         while self.now < end:
             self.now += 0.02
-            for send in self.did(self.it.ticked(self.now)):
+            for send in self.did(self.protocol.on_tick(self.now)):
                 if send.message.kind is MessageKind.PING and send.target in others:
                     self.hear(
                         send.target,
                         MessageKind.ACK,
                         sequence_number=send.message.sequence_number,
-                        incarnation=self.it.records.records[send.target].incarnation or 1,
+                        incarnation=self.protocol.view.table.records[send.target].incarnation or 1,
                     )
 
 
@@ -190,7 +199,7 @@
     for sender in (1, 2, 3, 4):
         lone.hear(sender, MessageKind.ACK, receiver_record=messages.UNKNOWN_RECORD)
     lone.busy(1.5)
-    assert lone.it.stand is Stand.WELL and lone.it.living == {1, 2, 3, 4}
+    assert lone.protocol.status is LocalStatus.HEALTHY and lone.protocol.view.alive == {1, 2, 3, 4}
     return lone
 
 
@@ -202,9 +211,9 @@
     lone = Lone()
     for sender, known in ((1, 3), (2, 9), (3, 4)):
         lone.hear(sender, MessageKind.ACK, receiver_record=MemberRecord(MemberState.DEAD, known, 5))
-    assert lone.it.incarnation == 0
+    assert lone.protocol.identity.incarnation == 0
     lone.wait(0.1)
-    assert lone.it.incarnation == 10 and lone.it.stand is Stand.WELL
+    assert lone.protocol.identity.incarnation == 10 and lone.protocol.status is LocalStatus.HEALTHY
     assert any(
         send.message.kind is MessageKind.GOSSIP and send.message.incarnation == 10 for send in lone.sent
     )
@@ -215,7 +224,7 @@
     for _ in range(40):
         lone.hear(1, updates=words(2, (1,)))
         lone.busy(0.2)
-    assert 2 in lone.it.living and lone.turned[-1][-1][1].value != "died"
+    assert 2 in lone.protocol.view.alive and lone.view_changes[-1][-1].change is not MembershipChange.DIED
     assert not any(isinstance(item, SuspicionUpdate) for send in lone.sent for item in send.message.updates)
 
 
@@ -223,47 +232,59 @@
     lone = joined()
     lone.hear(1, updates=words(2, (1, 3, 4)) + words(4, (1, 3, 2)))
     lone.busy(0.8, others=(1, 3))
-    assert {2, 4} <= lone.it.living  # however old the words said to be
+    assert {2, 4} <= lone.protocol.view.alive  # however old the words said to be
     lone.busy(3.0, others=(1, 3))
-    died = [changes for changes in lone.turned if any(change.value == "died" for _, change in changes)]
-    assert len(died) == 1 and {one for one, _ in died[0]} == {2, 4} and lone.it.living == {1, 3}
+    died = [
+        changes
+        for changes in lone.view_changes
+        if any(one.change is MembershipChange.DIED for one in changes)
+    ]
+    assert len(died) == 1 and {one.member for one in died[0]} == {2, 4} and lone.protocol.view.alive == {1, 3}
 
 
 def test_a_suspect_is_told_first_and_its_higher_incarnation_ends_the_suspicion():
     lone = joined()
     lone.hear(1, updates=words(2, (1, 3, 4)))
-    told = [send for send in lone.did(lone.it.ticked(lone.now)) if send.target == 2]
+    told = [send for send in lone.did(lone.protocol.on_tick(lone.now)) if send.target == 2]
     assert told and told[0].message.receiver_record.state is MemberState.SUSPECT
     lone.hear(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 2, 2)),))
     lone.busy(5.0, others=(1, 2, 3, 4))
-    assert 2 in lone.it.living and not lone.it.suspicions
+    assert 2 in lone.protocol.view.alive and not lone.protocol.suspicions.active
 
 
 def test_who_is_held_suspect_dead_or_gone_outdoes_it_and_says_so_to_all():
     for status in (MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT):
         lone = joined()
-        former = lone.it.incarnation
+        former = lone.protocol.identity.incarnation
         sent = lone.hear(1, receiver_record=MemberRecord(status, former, 77))
-        assert lone.it.incarnation == former + 1
+        assert lone.protocol.identity.incarnation == former + 1
         assert {send.target for send in sent if send.message.kind is MessageKind.GOSSIP} == {1, 2, 3, 4}
 
 
 def test_who_stood_still_gives_no_word_and_begins_its_clocks_anew():
     lone = joined()
     lone.hear(1, updates=words(2, (1, 3, 4)))
-    former, lone.now = lone.it.incarnation, lone.now + 6.0
-    lone.did(lone.it.ticked(lone.now))
-    assert lone.it.stand is Stand.PAUSED and 2 in lone.it.living and lone.it.incarnation == former + 1
+    former, lone.now = lone.protocol.identity.incarnation, lone.now + 6.0
+    lone.did(lone.protocol.on_tick(lone.now))
+    assert (
+        lone.protocol.status is LocalStatus.PAUSED
+        and 2 in lone.protocol.view.alive
+        and lone.protocol.identity.incarnation == former + 1
+    )
     lone.busy(0.3)
-    assert 2 in lone.it.living and lone.it.figures.paused == 1
+    assert 2 in lone.protocol.view.alive and lone.protocol.stats.paused == 1
 
 
 def test_who_hears_nobody_says_so_and_holds_nobody_dead():
     lone = joined()
     lone.wait(6.0)
-    assert lone.it.stand is Stand.ALONE and lone.it.living == {1, 2, 3, 4} and not lone.it.well
+    assert (
+        lone.protocol.status is LocalStatus.ISOLATED
+        and lone.protocol.view.alive == {1, 2, 3, 4}
+        and not lone.protocol.is_view_reliable
+    )
     lone.hear(1)
-    assert lone.it.stand is Stand.WELL
+    assert lone.protocol.status is LocalStatus.HEALTHY
 
 
 def test_who_is_answered_by_nobody_says_so_and_gives_no_word():
@@ -271,18 +292,18 @@
     for _ in range(100):
         lone.hear(1 + _ % 4)
         lone.wait(0.06)
-    assert lone.it.stand is Stand.UNHEARD and lone.it.living == {1, 2, 3, 4}
+    assert lone.protocol.status is LocalStatus.UNANSWERED and lone.protocol.view.alive == {1, 2, 3, 4}
 
 
 def test_a_process_falls_silent_for_a_later_one_of_its_name_and_is_back_once_that_has_died():
     lone = joined()
-    lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, lone.it.incarnation + 1, 78))
-    assert lone.it.stand is Stand.SUPERSEDED and lone.it.next_look(lone.now) == float("inf")
-    assert lone.did(lone.it.leave(lone.now)) == []
+    lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, lone.protocol.identity.incarnation + 1, 78))
+    assert lone.protocol.status is LocalStatus.SUPERSEDED and lone.protocol.next_deadline() == float("inf")
+    assert lone.did(lone.protocol.leave(lone.now)) == []
     lone = joined()
     lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, 5, 78))
     lone.hear(2, receiver_record=MemberRecord(MemberState.DEAD, 5, 78))
-    assert lone.it.stand is Stand.WELL and lone.it.incarnation == 6
+    assert lone.protocol.status is LocalStatus.HEALTHY and lone.protocol.identity.incarnation == 6
 
 
 def test_a_leave_counts_at_once_from_itself_and_only_by_enough_from_others():
@@ -290,23 +311,23 @@
     left = (MemberUpdate(2, MemberRecord(MemberState.LEFT, 1, 2)),)
     lone.hear(1, updates=left)
     lone.hear(1, updates=left)
-    assert 2 in lone.it.living
+    assert 2 in lone.protocol.view.alive
     lone.hear(2, updates=left)
-    assert 2 not in lone.it.living and lone.turned[-1] == ((2, lone.turned[-1][0][1]),)
+    assert 2 not in lone.protocol.view.alive and [one.member for one in lone.view_changes[-1]] == [2]
 
 
 def test_an_answer_of_an_earlier_life_is_no_answer():
     lone = joined()
     lone.hear(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 4, 9)),))
-    probe = next(iter(lone.it.probes.values()), None)
+    probe = next(iter(lone.protocol.probes.pending.values()), None)
     while probe is None or probe.subject != 2:
         lone.busy(0.02, others=(1, 3, 4))
-        probe = next((one for one in lone.it.probes.values() if one.subject == 2), None)
-    number = next(number for number, one in lone.it.probes.items() if one is probe)
+        probe = next((one for one in lone.protocol.probes.pending.values() if one.subject == 2), None)
+    number = next(number for number, one in lone.protocol.probes.pending.items() if one is probe)
     lone.hear(2, MessageKind.ACK, sequence_number=number, incarnation=1)
-    assert number in lone.it.probes
+    assert number in lone.protocol.probes.pending
     lone.hear(2, MessageKind.ACK, sequence_number=number, incarnation=4, process_id=9)
-    assert number not in lone.it.probes
+    assert number not in lone.protocol.probes.pending
 
 
 def test_a_flood_from_one_sender_is_counted_and_answered_within_bounds():
@@ -316,14 +337,16 @@
     for _ in range(2000):
         lone.hear(1)
     assert sum(send.message.kind is MessageKind.ACK for send in lone.sent) - before <= 40
-    assert lone.it.figures.floods > 1000
+    assert lone.protocol.stats.floods > 1000
 
 
 def test_views_that_differ_are_mended_by_their_parts():
     one, other = joined(), joined()
-    other.it._put(2, MemberRecord(MemberState.ALIVE, 7, 2), told=False)
+    other.protocol.store.apply(2, MemberRecord(MemberState.ALIVE, 7, 2), broadcast=False)
     other.now = one.now = max(one.now, other.now) + 1.0
-    one.it.latest = one.it.due = other.it.latest = other.it.due = one.now
+    for lone in (one, other):
+        lone.protocol.health.last_event_at = one.now
+        lone.protocol.health.expected_at = one.now
     sums = [send for send in one.hear(1, view_digest=1) if send.message.kind is MessageKind.SEGMENT_DIGESTS]
     parts = [
         send
@@ -340,7 +363,7 @@
             first_member=part.message.first_member,
             segment_records=part.message.segment_records,
         )
-    assert one.it.records.records[2].incarnation == 7
+    assert one.protocol.view.table.records[2].incarnation == 7
 
 
 def test_shares_grow_only_once_all_know_and_never_over_twice_the_configured_one():
@@ -378,16 +401,17 @@
 
 
 @pytest.mark.parametrize("fault,name,figure", CAUGHT, ids=[one[0] for one in CAUGHT])
-def test_a_planted_fault_is_caught_in_the_emulator(fault, name, figure):
-    machine = type("Planted", (Membership,), MEMBERS[fault])
-    found = verify.figures(History(Fleet(12, 1, machine=machine).run(name)))
+def test_a_planted_fault_is_caught_in_the_emulator(monkeypatch, fault, name, figure):
+    with monkeypatch.context() as patch:
+        plant_in_members(fault, patch.setattr)
+        found = verify.figures(History(Fleet(12, 1).run(name)))
     assert found[figure] > 0
     sound = verify.figures(History(Fleet(12, 1).run(name)))
     assert sound[figure] == 0
 
 
 def test_a_liar_that_calls_everyone_dead_kills_nobody():
-    liar = type("Liar", (Membership,), MEMBERS["liar"])
+    liar = type("Liar", (MembershipProtocol,), MEMBERS["liar"][MembershipProtocol])
     found = verify.figures(History(Fleet(12, 1, liar=liar).run("calm")))
     assert found["false_dead"] == 0 and found["wrong_views"] == 0
 
@@ -421,8 +445,8 @@
         here, peer = free(), free()
         counters, sizes = Counters(), []
         datagrams = Datagrams(PeerAddresses(here, (here, peer), None), 0, counters, shared=True)
-        machine = Membership(0, 2, 7, Random(1))
-        part = Members(machine, EffectiveFleetSize(2), datagrams, counters, sizes.append)
+        protocol = MembershipProtocol(0, 2, 7, Random(1))
+        part = MembershipRunner(protocol, EffectiveFleetSize(2), datagrams, counters, sizes.append)
         datagrams.start(), part.start()
         good = Message(MessageKind.PING, 1, 4, 9, view_digest=0)
         with (
@@ -443,9 +467,9 @@
             ):
                 sock.sendto(data, here)
             async with asyncio.timeout(10):
-                while not machine.figures.heard:
+                while not protocol.stats.heard:
                     await asyncio.sleep(0)
         part.stop(), datagrams.stop()
-        return counters["news_unreadable"], machine.figures.heard, machine.living
+        return counters["news_unreadable"], protocol.stats.heard, protocol.view.alive
 
     assert asyncio.run(main()) == (7, 1, {1})
