Membership: simulated fleet and tests in the terms of the protocol

Cause: the simulated fleet kept lists of three numbers and did all in one method; the tests kept words that the package no longer has. Change: SimulatedFleet (was Fleet) with SentBytes and a method for each step; named constants; tests renamed, assertions joined by `and` taken apart where the line had grown. No test is gone.

--- a/applevale/simulation/membership.py
+++ b/applevale/simulation/membership.py
@@ -1,8 +1,9 @@
-"""Membership in the emulator: a fleet that lives through a course of faults, and its history."""
+"""The membership protocol in simulated time: a fleet, a scenario of faults, and the history of both."""
 
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 from random import Random
 
 from ..fault_injection.scenarios import scenario_duration, scenario_steps
@@ -15,9 +16,12 @@
 from .engine import World
 from .fault_player import Stage
 
-JOIN = 4.0  # s for all to have joined
-SETTLE = 6.0  # s behind the last fault
-LOOKED = 0.1  # s between two looks at the sum of all shares
+JOIN_SECONDS = 4.0  # within which all members have joined
+SETTLE_SECONDS = 6.0  # after the last fault
+START_SPREAD_SECONDS = 1.0  # within which all members start
+KNOWN_START_SPREAD_SECONDS = 0.05  # the same where all know each other already
+SHARE_SAMPLE_INTERVAL_SECONDS = 0.1
+SENT_BUCKETS_PER_SECOND = 10
 
 VERSIONS = {
     "fleet": ProtocolConfig(),
@@ -33,8 +37,23 @@
 }
 
 
-class Fleet:
-    """A world of members."""
+@dataclass(slots=True)
+class SentBytes:
+    """What one member sent in a tenth of a second.
+
+    Attributes:
+        total: Bytes of all datagrams.
+        largest: Bytes of the largest datagram.
+        count: Datagrams.
+    """
+
+    total: int = 0
+    largest: int = 0
+    count: int = 0
+
+
+class SimulatedFleet:
+    """A fleet of members in simulated time."""
 
     def __init__(
         self,
@@ -55,33 +74,54 @@
             liar: Another class for the first member's protocol, with a planted fault.
             known: Whether all know each other from the first moment, without the traffic of their start.
         """
-        self.known = known
+        self.count = count
+        self.seed = seed
         self.config = config or ProtocolConfig()
         self.liar = liar
-        self.seed = seed
-        self.count = count
-        self.world = World(count, seed, self._make, self._route, self._seen, latency=latency)
+        self.known = known
+        self.world = World(
+            count, seed, self._create_protocol, self._route, self._on_announcement, latency=latency
+        )
         self.stage = Stage(self.world)
         self.process_ids = [self._process_id(number, 1) for number in range(count)]
-        self.shares: dict[tuple[int, int], EffectiveFleetSize] = {}
-        self.buckets: dict[tuple[int, int], list[int]] = defaultdict(lambda: [0, 0, 0])  # bytes, most, count
-        self.world.sent = self._sent
+        self.fleet_sizes: dict[tuple[int, int], EffectiveFleetSize] = {}  # by member and start
+        self.sent: dict[tuple[int, int], SentBytes] = defaultdict(SentBytes)  # by member and bucket of time
+        self.world.sent = self._on_sent
+
+    def run(self, scenario: str) -> list[dict]:
+        """Play a scenario from the start of all members until they are at rest; return its history."""
+        self._schedule_starts()
+        self.world.run(JOIN_SECONDS)
+        self.stage.note("mark", name="joined")
+        self._sample_shares()
+        steps = scenario_steps(scenario, self.count, self.seed)
+        self.stage.play(steps)
+        self.world.run(JOIN_SECONDS + scenario_duration(steps) + SETTLE_SECONDS)
+        self._note_final_views()
+        return self.stage.events + self._sent_events()
+
+    def _schedule_starts(self) -> None:
+        spread = KNOWN_START_SPREAD_SECONDS if self.known else START_SPREAD_SECONDS
+        for number in range(self.count):
+            start_at = spread * Random(f"{self.seed} {number}").random()
+            self.world.at(start_at, lambda number=number: self.stage.start(number))
 
-    def _look_at_shares(self) -> None:
-        """What all take together of what they share, as a part of the whole."""
+    def _sample_shares(self) -> None:
+        """Note what all members take together of a shared limit, as a part of the whole."""
         total = 0.0
         for number, place in enumerate(self.world.places):
-            if place.actor is not None:
-                shares = self.shares.setdefault((number, place.life), EffectiveFleetSize(self.count))
-                if self.world.now >= place.paused_until:
-                    shares.update(
-                        place.local(self.world.now), place.actor.view.size, place.actor.is_view_reliable
-                    )
-                total += 1 / shares.size
+            protocol = place.actor
+            if protocol is None:
+                continue
+            fleet_size = self.fleet_sizes.setdefault((number, place.life), EffectiveFleetSize(self.count))
+            if self.world.now >= place.paused_until:
+                now = place.local(self.world.now)
+                fleet_size.update(now, protocol.view.size, protocol.is_view_reliable)
+            total += 1 / fleet_size.size
         self.stage.note("shares", total=total)
-        self.world.at(self.world.now + LOOKED, self._look_at_shares)
+        self.world.at(self.world.now + SHARE_SAMPLE_INTERVAL_SECONDS, self._sample_shares)
 
-    def _make(self, number: int, start_count: int) -> MembershipProtocol:
+    def _create_protocol(self, number: int, start_count: int) -> MembershipProtocol:
         random = Random(f"{self.seed} {number} {start_count}")
         is_liar = self.liar is not None and number == 0
         protocol_class = self.liar if is_liar else MembershipProtocol
@@ -100,51 +140,38 @@
             return command.target, command.message, codec.encoded_size(command.message)
         return None
 
-    def _seen(self, now: float, number: int, command: Command) -> None:
+    def _on_announcement(self, now: float, number: int, command: Command) -> None:
         match command:
             case ViewChanged(changes=changes):
-                self.stage.note(
-                    "view",
-                    who=f"n{number}",
-                    changes=[(f"n{one.member}", one.change.value) for one in changes],
-                )
+                names = [(f"n{changed.member}", changed.change.value) for changed in changes]
+                self.stage.note("view", who=f"n{number}", changes=names)
             case StatusChanged(status=status):
                 self.stage.note("stand", who=f"n{number}", stand=status.value)
 
-    def _sent(self, now: float, number: int, size: int) -> None:
-        bucket = self.buckets[number, int(now * 10)]
-        bucket[0] += size
-        bucket[1] = max(bucket[1], size)
-        bucket[2] += 1
+    def _on_sent(self, now: float, number: int, size: int) -> None:
+        sent = self.sent[number, int(now * SENT_BUCKETS_PER_SECOND)]
+        sent.total += size
+        sent.largest = max(sent.largest, size)
+        sent.count += 1
 
-    def run(self, name: str) -> list[dict]:
-        """A course from the start of all, within a second, to rest; its history."""
-        world, stage = self.world, self.stage
-        over = 0.05 if self.known else 1.0
-        for number in range(self.count):
-            begin = over * Random(f"{self.seed} {number}").random()
-            world.at(begin, lambda number=number: stage.start(number))
-        world.run(JOIN)
-        stage.note("mark", name="joined")
-        self._look_at_shares()
-        steps = scenario_steps(name, self.count, self.seed)
-        stage.play(steps)
-        world.run(JOIN + scenario_duration(steps) + SETTLE)
-        views: dict[tuple[int, ...], list[str]] = {}  # equal ones once: of thousands they are large
-        for number, place in enumerate(world.places):
-            if place.actor is not None:
-                living = tuple(one.member for one in place.actor.view.alive_members())
-                view = views.setdefault(living, [f"n{one}" for one in living])
-                stage.note("held", who=f"n{number}", view=view)
-        sent = [
+    def _note_final_views(self) -> None:
+        names_by_view: dict[tuple[int, ...], list[str]] = {}  # equal views share one list: they are large
+        for number, place in enumerate(self.world.places):
+            if place.actor is None:
+                continue
+            members = tuple(alive.member for alive in place.actor.view.alive_members())
+            names = names_by_view.setdefault(members, [f"n{member}" for member in members])
+            self.stage.note("held", who=f"n{number}", view=names)
+
+    def _sent_events(self) -> list[dict]:
+        return [
             {
-                "at": tenth / 10,
+                "at": bucket / SENT_BUCKETS_PER_SECOND,
                 "event": "sent",
                 "who": f"n{number}",
-                "bytes": size,
-                "most": most,
-                "count": count,
+                "bytes": sent.total,
+                "most": sent.largest,
+                "count": sent.count,
             }
-            for (number, tenth), (size, most, count) in self.buckets.items()
+            for (number, bucket), sent in self.sent.items()
         ]
-        return stage.events + sent
--- a/applevale/simulation/runners.py
+++ b/applevale/simulation/runners.py
@@ -8,7 +8,7 @@
 from ..checkers.history import History
 from ..fault_injection.scenarios import SCENARIOS
 from .experiment import ExperimentError
-from .membership import VERSIONS, Fleet
+from .membership import VERSIONS, SimulatedFleet
 
 KNOWN = 500  # members from which a fleet does not start first: what its start takes grows with the square
 # Keys of an experiment's settings, and the fields of ProtocolConfig and SuspicionTimeouts that they set.
@@ -63,7 +63,7 @@
     changed_timeouts = {TIMEOUT_FIELDS[key]: settings[key] for key in settings if key in TIMEOUT_FIELDS}
     changes = {CONFIG_FIELDS[key]: settings[key] for key in settings if key in CONFIG_FIELDS}
     config = replace(config, timeouts=replace(config.timeouts, **changed_timeouts), **changes)
-    found = verify.figures(History(Fleet(size, seed, config, known=size >= KNOWN).run(case)))
+    found = verify.figures(History(SimulatedFleet(size, seed, config, known=size >= KNOWN).run(case)))
     flat: dict[str, float] = {}
     for name, value in found.items():
         if isinstance(value, dict):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Membership, message by message and in the emulator: no sockets, no clock."""
+"""The membership protocol, message by message and in simulated time."""
 
 import asyncio
 import json
@@ -34,7 +34,7 @@
 from applevale.net.addresses import PeerAddresses
 from applevale.net.datagrams import Datagrams
 from applevale.observability.counters import Counters
-from applevale.simulation.membership import Fleet
+from applevale.simulation.membership import SimulatedFleet
 from tests.planted import MEMBERS, plant_in_members
 
 numbers = st.integers(0, 65535)
@@ -71,9 +71,7 @@
     updates,
     st.booleans(),
 )
-def test_messages_come_back_as_they_were_and_their_size_is_known(
-    kind, number, receiver_record, told, reached
-):
+def test_messages_round_trip_and_their_size_is_known(kind, number, receiver_record, told, reached):
     about = kind in (MessageKind.PING_REQUEST, MessageKind.PING_RESULT)
     message = Message(
         kind, number, 7, 9, receiver_record, 0xFFFFFFFF, number if about else 0, about and reached, told
@@ -84,7 +82,7 @@
     )
 
 
-def test_sums_and_parts_come_back_and_a_full_part_fits():
+def test_segments_and_their_digests_round_trip_and_a_full_segment_fits():
     part = Message(
         MessageKind.SEGMENT,
         1,
@@ -102,7 +100,7 @@
 
 
 @given(st.binary(max_size=300))
-def test_garbage_is_refused_by_its_own_error(data):
+def test_invalid_datagrams_raise_message_error_only(data):
     for one in (data, bytes([codec.MAGIC, 1]) + data, bytes([codec.MAGIC, 7]) + data):
         try:
             codec.decode(one)
@@ -110,7 +108,7 @@
             pass
 
 
-def test_no_second_sees_more_bytes_than_rate_and_depth():
+def test_no_second_exceeds_rate_plus_burst():
     bucket, sent = TokenBucket(), []
     random = Random(1)
     for step in range(4000):
@@ -122,47 +120,43 @@
     assert 0.9 * RATE_BYTES_PER_SECOND < most <= RATE_BYTES_PER_SECOND + BURST_BYTES <= 2000
 
 
-def test_words_need_distinct_observers_and_the_time_shrinks_as_they_agree():
+def test_a_suspicion_counts_distinct_observers_and_its_timeout_shrinks_as_they_agree():
     timeouts = SuspicionTimeouts()
     waits = [timeouts.timeout(count, 30) for count in (3, 4, 5, 9)]
     assert waits[0] == timeouts.max_timeout > waits[1] > waits[2] == waits[3] == timeouts.min_timeout
     quorums = [(timeouts.quorum(count), timeouts.fast_quorum(count)) for count in (1, 2, 9)]
     assert quorums == [(2, 2), (2, 2), (3, 5)]
-    one = Suspicion(1)
-    assert (
-        one.add_observers(10.0, (4, 4), 9.0, 3)
-        and not one.add_observers(10.1, (4,), 9.0, 3)
-        and one.quorum_at == float("inf")
-    )
-    assert (
-        one.add_observers(10.5, (5, 6), 9.0, 3) and one.started_at == 10.5 - MAX_REPORTED_AGE_SECONDS
-    )  # however old they say to be
-    one.restart(12.0)
-    assert one.started_at == 12.0
-
-
-class Lone:
-    """One machine of a fleet of five; what it sends is looked at."""
-
-    def __init__(self, me=0, count=5, **pace):
-        self.protocol, self.now = MembershipProtocol(me, count, 77, Random(1), ProtocolConfig(**pace)), 50.0
-        self.sent, self.view_changes = [], []
-        self.did(self.protocol.start(self.now))
-
-    def did(self, commands):
+    suspicion = Suspicion(1)
+    assert suspicion.add_observers(10.0, (4, 4), 9.0, 3)
+    assert not suspicion.add_observers(10.1, (4,), 9.0, 3)
+    assert suspicion.quorum_at == float("inf")
+    assert suspicion.add_observers(10.5, (5, 6), 9.0, 3)
+    assert suspicion.started_at == 10.5 - MAX_REPORTED_AGE_SECONDS  # however old it is said to be
+    suspicion.restart(12.0)
+    assert suspicion.started_at == 12.0
+
+
+class SingleMember:
+    """The protocol of one member of a fleet of five; its commands are recorded."""
+
+    def __init__(self, me=0, count=5, **parameters):
+        self.protocol = MembershipProtocol(me, count, 77, Random(1), ProtocolConfig(**parameters))
+        self.now = 50.0
+        self.sent = []
+        self.view_changes = []
+        self.record(self.protocol.start(self.now))
+
+    def record(self, commands):
         found = [one for one in commands if isinstance(one, SendMessage)]
         self.sent += found
         self.view_changes += [one.changes for one in commands if isinstance(one, ViewChanged)]
         return found
 
-    def hear(
+    def receive(
         self, sender, kind=MessageKind.PING, incarnation=1, process_id=None, receiver_record=None, **fields
     ):
-        receiver_record = (
-            MemberRecord(MemberState.ALIVE, self.protocol.identity.incarnation, 77)
-            if receiver_record is None
-            else receiver_record
-        )
+        if receiver_record is None:
+            receiver_record = MemberRecord(MemberState.ALIVE, self.protocol.identity.incarnation, 77)
         fields = {"sequence_number": 1, "view_digest": self.protocol.view.table.digest} | fields
         message = Message(
             kind,
@@ -171,22 +165,22 @@
             receiver_record=receiver_record,
             **fields,
         )
-        return self.did(self.protocol.on_message(self.now, sender, message))
+        return self.record(self.protocol.on_message(self.now, sender, message))
 
-    def wait(self, span, step=0.02):
+    def run_unanswered(self, span, step=0.02):
         end = self.now + span
         while self.now < end:
             self.now += step
-            self.did(self.protocol.on_tick(self.now))
+            self.record(self.protocol.on_tick(self.now))
 
-    def busy(self, span, others=(1, 2, 3, 4)):
-        """Time goes on while others answer its probes."""
+    def run_answered(self, span, others=(1, 2, 3, 4)):
+        """Let time pass while others answer its probes."""
         end = self.now + span
         while self.now < end:
             self.now += 0.02
-            for send in self.did(self.protocol.on_tick(self.now)):
+            for send in self.record(self.protocol.on_tick(self.now)):
                 if send.message.kind is MessageKind.PING and send.target in others:
-                    self.hear(
+                    self.receive(
                         send.target,
                         MessageKind.ACK,
                         sequence_number=send.message.sequence_number,
@@ -194,170 +188,174 @@
                     )
 
 
-def joined(**pace):
-    lone = Lone(**pace)
+def joined_member(**parameters):
+    member = SingleMember(**parameters)
     for sender in (1, 2, 3, 4):
-        lone.hear(sender, MessageKind.ACK, receiver_record=messages.UNKNOWN_RECORD)
-    lone.busy(1.5)
-    assert lone.protocol.status is LocalStatus.HEALTHY and lone.protocol.view.alive == {1, 2, 3, 4}
-    return lone
+        member.receive(sender, MessageKind.ACK, receiver_record=messages.UNKNOWN_RECORD)
+    member.run_answered(1.5)
+    assert member.protocol.status is LocalStatus.HEALTHY and member.protocol.view.alive == {1, 2, 3, 4}
+    return member
 
 
-def words(member, observers, age=5.0, incarnation=1):
+def suspicion_updates(member, observers, age=5.0, incarnation=1):
     return (SuspicionUpdate(member, incarnation, age, observers),)
 
 
-def test_a_newcomer_takes_an_incarnation_above_what_others_know_of_its_name():
-    lone = Lone()
+def test_a_joining_member_takes_an_incarnation_above_all_reported_ones():
+    member = SingleMember()
     for sender, known in ((1, 3), (2, 9), (3, 4)):
-        lone.hear(sender, MessageKind.ACK, receiver_record=MemberRecord(MemberState.DEAD, known, 5))
-    assert lone.protocol.identity.incarnation == 0
-    lone.wait(0.1)
-    assert lone.protocol.identity.incarnation == 10 and lone.protocol.status is LocalStatus.HEALTHY
+        member.receive(sender, MessageKind.ACK, receiver_record=MemberRecord(MemberState.DEAD, known, 5))
+    assert member.protocol.identity.incarnation == 0
+    member.run_unanswered(0.1)
+    assert member.protocol.identity.incarnation == 10 and member.protocol.status is LocalStatus.HEALTHY
     assert any(
-        send.message.kind is MessageKind.GOSSIP and send.message.incarnation == 10 for send in lone.sent
+        send.message.kind is MessageKind.GOSSIP and send.message.incarnation == 10 for send in member.sent
     )
 
 
-def test_one_word_holds_nobody_dead_and_is_not_passed_on():
-    lone = joined()
+def test_a_single_observer_declares_nobody_dead_and_is_not_relayed():
+    member = joined_member()
     for _ in range(40):
-        lone.hear(1, updates=words(2, (1,)))
-        lone.busy(0.2)
-    assert 2 in lone.protocol.view.alive and lone.view_changes[-1][-1].change is not MembershipChange.DIED
-    assert not any(isinstance(item, SuspicionUpdate) for send in lone.sent for item in send.message.updates)
-
-
-def test_enough_distinct_words_hold_a_silent_member_dead_in_one_change_with_another():
-    lone = joined()
-    lone.hear(1, updates=words(2, (1, 3, 4)) + words(4, (1, 3, 2)))
-    lone.busy(0.8, others=(1, 3))
-    assert {2, 4} <= lone.protocol.view.alive  # however old the words said to be
-    lone.busy(3.0, others=(1, 3))
+        member.receive(1, updates=suspicion_updates(2, (1,)))
+        member.run_answered(0.2)
+    assert 2 in member.protocol.view.alive and member.view_changes[-1][-1].change is not MembershipChange.DIED
+    assert not any(isinstance(item, SuspicionUpdate) for send in member.sent for item in send.message.updates)
+
+
+def test_a_quorum_declares_two_silent_members_dead_in_one_change():
+    member = joined_member()
+    member.receive(1, updates=suspicion_updates(2, (1, 3, 4)) + suspicion_updates(4, (1, 3, 2)))
+    member.run_answered(0.8, others=(1, 3))
+    assert {2, 4} <= member.protocol.view.alive  # however old the suspicion is said to be
+    member.run_answered(3.0, others=(1, 3))
     died = [
         changes
-        for changes in lone.view_changes
+        for changes in member.view_changes
         if any(one.change is MembershipChange.DIED for one in changes)
     ]
-    assert len(died) == 1 and {one.member for one in died[0]} == {2, 4} and lone.protocol.view.alive == {1, 3}
+    assert (
+        len(died) == 1 and {one.member for one in died[0]} == {2, 4} and member.protocol.view.alive == {1, 3}
+    )
 
 
-def test_a_suspect_is_told_first_and_its_higher_incarnation_ends_the_suspicion():
-    lone = joined()
-    lone.hear(1, updates=words(2, (1, 3, 4)))
-    told = [send for send in lone.did(lone.protocol.on_tick(lone.now)) if send.target == 2]
+def test_a_suspect_is_informed_first_and_its_higher_incarnation_ends_the_suspicion():
+    member = joined_member()
+    member.receive(1, updates=suspicion_updates(2, (1, 3, 4)))
+    told = [send for send in member.record(member.protocol.on_tick(member.now)) if send.target == 2]
     assert told and told[0].message.receiver_record.state is MemberState.SUSPECT
-    lone.hear(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 2, 2)),))
-    lone.busy(5.0, others=(1, 2, 3, 4))
-    assert 2 in lone.protocol.view.alive and not lone.protocol.suspicions.active
+    member.receive(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 2, 2)),))
+    member.run_answered(5.0, others=(1, 2, 3, 4))
+    assert 2 in member.protocol.view.alive and not member.protocol.suspicions.active
 
 
-def test_who_is_held_suspect_dead_or_gone_outdoes_it_and_says_so_to_all():
+def test_a_member_held_suspect_dead_or_left_refutes_that_to_all():
     for status in (MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT):
-        lone = joined()
-        former = lone.protocol.identity.incarnation
-        sent = lone.hear(1, receiver_record=MemberRecord(status, former, 77))
-        assert lone.protocol.identity.incarnation == former + 1
+        member = joined_member()
+        former = member.protocol.identity.incarnation
+        sent = member.receive(1, receiver_record=MemberRecord(status, former, 77))
+        assert member.protocol.identity.incarnation == former + 1
         assert {send.target for send in sent if send.message.kind is MessageKind.GOSSIP} == {1, 2, 3, 4}
 
 
-def test_who_stood_still_gives_no_word_and_begins_its_clocks_anew():
-    lone = joined()
-    lone.hear(1, updates=words(2, (1, 3, 4)))
-    former, lone.now = lone.protocol.identity.incarnation, lone.now + 6.0
-    lone.did(lone.protocol.on_tick(lone.now))
-    assert (
-        lone.protocol.status is LocalStatus.PAUSED
-        and 2 in lone.protocol.view.alive
-        and lone.protocol.identity.incarnation == former + 1
-    )
-    lone.busy(0.3)
-    assert 2 in lone.protocol.view.alive and lone.protocol.stats.paused == 1
+def test_a_paused_member_does_not_judge_and_restarts_its_timeouts():
+    member = joined_member()
+    member.receive(1, updates=suspicion_updates(2, (1, 3, 4)))
+    former, member.now = member.protocol.identity.incarnation, member.now + 6.0
+    member.record(member.protocol.on_tick(member.now))
+    assert member.protocol.status is LocalStatus.PAUSED
+    assert 2 in member.protocol.view.alive
+    assert member.protocol.identity.incarnation == former + 1
+    member.run_answered(0.3)
+    assert 2 in member.protocol.view.alive and member.protocol.stats.paused == 1
 
 
-def test_who_hears_nobody_says_so_and_holds_nobody_dead():
-    lone = joined()
-    lone.wait(6.0)
-    assert (
-        lone.protocol.status is LocalStatus.ISOLATED
-        and lone.protocol.view.alive == {1, 2, 3, 4}
-        and not lone.protocol.is_view_reliable
-    )
-    lone.hear(1)
-    assert lone.protocol.status is LocalStatus.HEALTHY
+def test_an_isolated_member_says_so_and_declares_nobody_dead():
+    member = joined_member()
+    member.run_unanswered(6.0)
+    assert member.protocol.status is LocalStatus.ISOLATED
+    assert member.protocol.view.alive == {1, 2, 3, 4}
+    assert not member.protocol.is_view_reliable
+    member.receive(1)
+    assert member.protocol.status is LocalStatus.HEALTHY
 
 
-def test_who_is_answered_by_nobody_says_so_and_gives_no_word():
-    lone = joined()
+def test_an_unanswered_member_says_so_and_declares_nobody_dead():
+    member = joined_member()
     for _ in range(100):
-        lone.hear(1 + _ % 4)
-        lone.wait(0.06)
-    assert lone.protocol.status is LocalStatus.UNANSWERED and lone.protocol.view.alive == {1, 2, 3, 4}
+        member.receive(1 + _ % 4)
+        member.run_unanswered(0.06)
+    assert member.protocol.status is LocalStatus.UNANSWERED and member.protocol.view.alive == {1, 2, 3, 4}
 
 
-def test_a_process_falls_silent_for_a_later_one_of_its_name_and_is_back_once_that_has_died():
-    lone = joined()
-    lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, lone.protocol.identity.incarnation + 1, 78))
-    assert lone.protocol.status is LocalStatus.SUPERSEDED and lone.protocol.next_deadline() == float("inf")
-    assert lone.did(lone.protocol.leave(lone.now)) == []
-    lone = joined()
-    lone.hear(1, receiver_record=MemberRecord(MemberState.ALIVE, 5, 78))
-    lone.hear(2, receiver_record=MemberRecord(MemberState.DEAD, 5, 78))
-    assert lone.protocol.status is LocalStatus.HEALTHY and lone.protocol.identity.incarnation == 6
+def test_a_process_is_superseded_by_a_later_one_and_returns_once_that_has_died():
+    member = joined_member()
+    member.receive(
+        1, receiver_record=MemberRecord(MemberState.ALIVE, member.protocol.identity.incarnation + 1, 78)
+    )
+    assert member.protocol.status is LocalStatus.SUPERSEDED and member.protocol.next_deadline() == float(
+        "inf"
+    )
+    assert member.record(member.protocol.leave(member.now)) == []
+    member = joined_member()
+    member.receive(1, receiver_record=MemberRecord(MemberState.ALIVE, 5, 78))
+    member.receive(2, receiver_record=MemberRecord(MemberState.DEAD, 5, 78))
+    assert member.protocol.status is LocalStatus.HEALTHY and member.protocol.identity.incarnation == 6
 
 
-def test_a_leave_counts_at_once_from_itself_and_only_by_enough_from_others():
-    lone = joined()
+def test_a_leave_counts_from_the_member_itself_and_else_by_a_quorum_only():
+    member = joined_member()
     left = (MemberUpdate(2, MemberRecord(MemberState.LEFT, 1, 2)),)
-    lone.hear(1, updates=left)
-    lone.hear(1, updates=left)
-    assert 2 in lone.protocol.view.alive
-    lone.hear(2, updates=left)
-    assert 2 not in lone.protocol.view.alive and [one.member for one in lone.view_changes[-1]] == [2]
+    member.receive(1, updates=left)
+    member.receive(1, updates=left)
+    assert 2 in member.protocol.view.alive
+    member.receive(2, updates=left)
+    assert 2 not in member.protocol.view.alive and [one.member for one in member.view_changes[-1]] == [2]
 
 
-def test_an_answer_of_an_earlier_life_is_no_answer():
-    lone = joined()
-    lone.hear(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 4, 9)),))
-    probe = next(iter(lone.protocol.probes.pending.values()), None)
+def test_an_ack_of_an_earlier_incarnation_is_ignored():
+    member = joined_member()
+    member.receive(3, updates=(MemberUpdate(2, MemberRecord(MemberState.ALIVE, 4, 9)),))
+    probe = next(iter(member.protocol.probes.pending.values()), None)
     while probe is None or probe.subject != 2:
-        lone.busy(0.02, others=(1, 3, 4))
-        probe = next((one for one in lone.protocol.probes.pending.values() if one.subject == 2), None)
-    number = next(number for number, one in lone.protocol.probes.pending.items() if one is probe)
-    lone.hear(2, MessageKind.ACK, sequence_number=number, incarnation=1)
-    assert number in lone.protocol.probes.pending
-    lone.hear(2, MessageKind.ACK, sequence_number=number, incarnation=4, process_id=9)
-    assert number not in lone.protocol.probes.pending
+        member.run_answered(0.02, others=(1, 3, 4))
+        probe = next((one for one in member.protocol.probes.pending.values() if one.subject == 2), None)
+    number = next(number for number, one in member.protocol.probes.pending.items() if one is probe)
+    member.receive(2, MessageKind.ACK, sequence_number=number, incarnation=1)
+    assert number in member.protocol.probes.pending
+    member.receive(2, MessageKind.ACK, sequence_number=number, incarnation=4, process_id=9)
+    assert number not in member.protocol.probes.pending
 
 
 def test_a_flood_from_one_sender_is_counted_and_answered_within_bounds():
-    lone = joined()
-    lone.busy(1.1)
-    before = sum(send.message.kind is MessageKind.ACK for send in lone.sent)
+    member = joined_member()
+    member.run_answered(1.1)
+    before = sum(send.message.kind is MessageKind.ACK for send in member.sent)
     for _ in range(2000):
-        lone.hear(1)
-    assert sum(send.message.kind is MessageKind.ACK for send in lone.sent) - before <= 40
-    assert lone.protocol.stats.floods > 1000
+        member.receive(1)
+    assert sum(send.message.kind is MessageKind.ACK for send in member.sent) - before <= 40
+    assert member.protocol.stats.floods > 1000
 
 
-def test_views_that_differ_are_mended_by_their_parts():
-    one, other = joined(), joined()
+def test_differing_views_are_synced_by_their_segments():
+    one, other = joined_member(), joined_member()
     other.protocol.store.apply(2, MemberRecord(MemberState.ALIVE, 7, 2), broadcast=False)
     other.now = one.now = max(one.now, other.now) + 1.0
-    for lone in (one, other):
-        lone.protocol.health.last_event_at = one.now
-        lone.protocol.health.expected_at = one.now
-    sums = [send for send in one.hear(1, view_digest=1) if send.message.kind is MessageKind.SEGMENT_DIGESTS]
+    for member in (one, other):
+        member.protocol.health.last_event_at = one.now
+        member.protocol.health.expected_at = one.now
+    sums = [
+        send for send in one.receive(1, view_digest=1) if send.message.kind is MessageKind.SEGMENT_DIGESTS
+    ]
     parts = [
         send
-        for send in other.hear(
+        for send in other.receive(
             1, MessageKind.SEGMENT_DIGESTS, segment_digests=sums[0].message.segment_digests
         )
         if send.message.kind is MessageKind.SEGMENT
     ]
     assert parts
     for part in parts:
-        one.hear(
+        one.receive(
             1,
             MessageKind.SEGMENT,
             first_member=part.message.first_member,
@@ -366,7 +364,7 @@
     assert one.protocol.view.table.records[2].incarnation == 7
 
 
-def test_shares_grow_only_once_all_know_and_never_over_twice_the_configured_one():
+def test_shares_grow_after_a_delay_and_never_beyond_twice_the_configured_one():
     shares = EffectiveFleetSize(10)
     assert shares.update(0.0, 10, True) == 10
     assert shares.update(1.0, 7, True) == 10 and shares.next_deadline == 1.0 + SHRINK_DELAY_SECONDS
@@ -381,14 +379,18 @@
 
 
 @pytest.mark.parametrize("name", CASES)
-def test_an_emulated_fleet_keeps_its_promises(name):
-    found = verify.figures(History(Fleet(12, 1).run(name)))
+def test_a_simulated_fleet_keeps_its_guarantees(name):
+    found = verify.figures(History(SimulatedFleet(12, 1).run(name)))
     assert verify.broken(found, {}) == [] and found["datagram_max"] <= codec.MAX_DATAGRAM_BYTES
     assert found["killed"] == (name == "killed")
 
 
-def test_the_same_seed_plays_the_same_course():
-    assert Fleet(8, 3).run("loss-20") == Fleet(8, 3).run("loss-20") != Fleet(8, 4).run("loss-20")
+def test_the_same_seed_gives_the_same_history():
+    assert (
+        SimulatedFleet(8, 3).run("loss-20")
+        == SimulatedFleet(8, 3).run("loss-20")
+        != SimulatedFleet(8, 4).run("loss-20")
+    )
 
 
 CAUGHT = [
@@ -401,18 +403,18 @@
 
 
 @pytest.mark.parametrize("fault,name,figure", CAUGHT, ids=[one[0] for one in CAUGHT])
-def test_a_planted_fault_is_caught_in_the_emulator(monkeypatch, fault, name, figure):
+def test_a_planted_fault_is_caught_in_the_simulation(monkeypatch, fault, name, figure):
     with monkeypatch.context() as patch:
         plant_in_members(fault, patch.setattr)
-        found = verify.figures(History(Fleet(12, 1).run(name)))
+        found = verify.figures(History(SimulatedFleet(12, 1).run(name)))
     assert found[figure] > 0
-    sound = verify.figures(History(Fleet(12, 1).run(name)))
+    sound = verify.figures(History(SimulatedFleet(12, 1).run(name)))
     assert sound[figure] == 0
 
 
-def test_a_liar_that_calls_everyone_dead_kills_nobody():
+def test_a_member_that_forges_suspicions_kills_nobody():
     liar = type("Liar", (MembershipProtocol,), MEMBERS["liar"][MembershipProtocol])
-    found = verify.figures(History(Fleet(12, 1, liar=liar).run("calm")))
+    found = verify.figures(History(SimulatedFleet(12, 1, liar=liar).run("calm")))
     assert found["false_dead"] == 0 and found["wrong_views"] == 0
 
 
@@ -435,7 +437,7 @@
         parse_config(raw | change | {"settings": settings}, {})
 
 
-def test_datagrams_of_strangers_and_garbage_cost_a_counter_and_nothing_else():
+def test_datagrams_of_strangers_and_invalid_ones_cost_a_counter_only():
     def free():
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.bind(("127.0.0.1", 0))
