Membership: a datagram's body decoded by kind, a docstring on each constructor

Cause: one function of 38 lines decoded all kinds; constructors had no docstring. Change: the fields that a kind determines are decoded apart from the header.

--- a/applevale/membership/anti_entropy.py
+++ b/applevale/membership/anti_entropy.py
@@ -18,6 +18,7 @@
     """Compares records by digests of their segments, and sends the segments that differ."""
 
     def __init__(self, context: ProtocolContext, sender: MessageSender, updates: UpdateHandler):
+        """Create it with no comparison made yet."""
         self._config = context.config
         self._view = context.view
         self._stats = context.stats
--- a/applevale/membership/codec.py
+++ b/applevale/membership/codec.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import struct
+from typing import Any
 
 from .messages import (
     INCARNATION_LOW_MASK,
@@ -139,37 +140,31 @@
     if magic != MAGIC or incarnation > MAX_INCARNATION:
         raise MessageError("no header")
     kind = MessageKind(kind)
-    body = data[HEADER.size :]
-    subject = is_reachable = 0
-    if kind in _KINDS_WITH_SUBJECT:
-        subject, is_reachable = SUBJECT.unpack_from(body)
-        body = body[SUBJECT.size :]
-    updates: tuple[Update, ...] = ()
-    segment_digests: tuple[int, ...] = ()
-    first_member = 0
-    segment_records: tuple[MemberRecord, ...] = ()
-    if kind is MessageKind.SEGMENT_DIGESTS:
-        segment_digests = struct.unpack(f">{len(body) // DIGEST_BYTES}I", body)
-    elif kind is MessageKind.SEGMENT:
-        first_member, segment_records = _decode_segment(body)
-    else:
-        updates = _decode_updates(body)
     return Message(
-        kind=kind,
-        sequence_number=sequence_number,
-        incarnation=incarnation,
-        process_id=process_id,
-        receiver_record=_unpack_record(packed_receiver, receiver_process_id),
-        view_digest=digest,
-        subject=subject,
-        is_reachable=bool(is_reachable),
-        updates=updates,
-        segment_digests=segment_digests,
-        first_member=first_member,
-        segment_records=segment_records,
+        kind,
+        sequence_number,
+        incarnation,
+        process_id,
+        _unpack_record(packed_receiver, receiver_process_id),
+        digest,
+        **_decode_body(kind, data[HEADER.size :]),
     )
 
 
+def _decode_body(kind: MessageKind, body: bytes) -> dict[str, Any]:
+    """Return the fields of a message that its kind determines, by the names in `Message`."""
+    if kind is MessageKind.SEGMENT_DIGESTS:
+        return {"segment_digests": struct.unpack(f">{len(body) // DIGEST_BYTES}I", body)}
+    if kind is MessageKind.SEGMENT:
+        first_member, records = _decode_segment(body)
+        return {"first_member": first_member, "segment_records": records}
+    if kind in _KINDS_WITH_SUBJECT:
+        subject, is_reachable = SUBJECT.unpack_from(body)
+        updates = _decode_updates(body[SUBJECT.size :])
+        return {"subject": subject, "is_reachable": bool(is_reachable), "updates": updates}
+    return {"updates": _decode_updates(body)}
+
+
 def _decode_segment(body: bytes) -> tuple[int, tuple[MemberRecord, ...]]:
     """Return the first member and the records."""
     first_member, count = SEGMENT_HEADER.unpack_from(body)
--- a/applevale/membership/commands.py
+++ b/applevale/membership/commands.py
@@ -66,6 +66,7 @@
     """The commands of one event, in the order in which they were given."""
 
     def __init__(self) -> None:
+        """Create an empty queue."""
         self._commands: list[Command] = []
 
     def add(self, command: Command) -> None:
--- a/applevale/membership/dissemination.py
+++ b/applevale/membership/dissemination.py
@@ -18,6 +18,7 @@
     """Members whose record or suspicion is still to be transmitted, and how many times."""
 
     def __init__(self, config: ProtocolConfig, view: MembershipView, suspicions: SuspicionTable):
+        """Create an empty queue."""
         self._config = config
         self._view = view
         self._suspicions = suspicions
@@ -82,6 +83,7 @@
     """Applies a record to the view, the suspicions and the broadcast queue, all at once."""
 
     def __init__(self, view: MembershipView, suspicions: SuspicionTable, broadcasts: BroadcastQueue):
+        """Create a store that writes to these parts."""
         self._view = view
         self._suspicions = suspicions
         self._broadcasts = broadcasts
--- a/applevale/membership/failure_detector.py
+++ b/applevale/membership/failure_detector.py
@@ -36,6 +36,7 @@
         local: LocalMember,
         monitor: SuspicionMonitor,
     ):
+        """Create a detector whose first round has yet to be drawn."""
         self._config = context.config
         self._identity = context.identity
         self._view = context.view
--- a/applevale/membership/fleet_size.py
+++ b/applevale/membership/fleet_size.py
@@ -34,6 +34,7 @@
     next_deadline: float = inf
 
     def __post_init__(self) -> None:
+        """Start at the configured size."""
         self.size = self.configured
 
     def update(self, now: float, alive_count: int, is_view_reliable: bool) -> int:
--- a/applevale/membership/heartbeat.py
+++ b/applevale/membership/heartbeat.py
@@ -22,6 +22,7 @@
         probes: ProbeTable,
         updates: UpdateHandler,
     ):
+        """Create a detector that has heard nobody."""
         self._config = context.config
         self._view = context.view
         self._sender = sender
--- a/applevale/membership/join_prober.py
+++ b/applevale/membership/join_prober.py
@@ -19,6 +19,7 @@
     """
 
     def __init__(self, context: ProtocolContext, sender: MessageSender, probes: ProbeTable):
+        """Create a prober that waits to be scheduled."""
         self._config = context.config
         self._view = context.view
         self._random = context.random
--- a/applevale/membership/local_health.py
+++ b/applevale/membership/local_health.py
@@ -23,6 +23,7 @@
     """
 
     def __init__(self, context: ProtocolContext):
+        """Create the health of a joining member."""
         self._config = context.config
         self._commands = context.commands
         self.status = LocalStatus.JOINING
--- a/applevale/membership/local_member.py
+++ b/applevale/membership/local_member.py
@@ -25,6 +25,7 @@
         health: LocalHealth,
         probes: ProbeTable,
     ):
+        """Create the record of a member that knows no incarnation of its own."""
         self._config = context.config
         self._identity = context.identity
         self._view = context.view
--- a/applevale/membership/probes.py
+++ b/applevale/membership/probes.py
@@ -52,6 +52,7 @@
     """
 
     def __init__(self, context: ProtocolContext, sender: MessageSender, health: LocalHealth):
+        """Create an empty table."""
         self._config = context.config
         self._view = context.view
         self._stats = context.stats
--- a/applevale/membership/rate_limiter.py
+++ b/applevale/membership/rate_limiter.py
@@ -14,6 +14,7 @@
     """Counts messages by sender, in windows of a second."""
 
     def __init__(self, stats: Stats):
+        """Create a limiter that counts what it rejects in `stats`."""
         self._stats = stats
         self._window_start = -inf
         self._message_counts: dict[int, int] = {}
--- a/applevale/membership/records.py
+++ b/applevale/membership/records.py
@@ -26,6 +26,7 @@
     """The records of all members, divided into segments of equal width."""
 
     def __init__(self, member_count: int):
+        """Create a table of `member_count` unknown members."""
         self.records: list[MemberRecord] = [UNKNOWN_RECORD] * member_count
         self.segment_width = max(MAX_SEGMENT_RECORDS, -(-member_count // MAX_SEGMENTS))
         self.segment_digests = [0] * (-(-member_count // self.segment_width))
--- a/applevale/membership/self_monitor.py
+++ b/applevale/membership/self_monitor.py
@@ -21,6 +21,7 @@
         suspicions: SuspicionTable,
         local: LocalMember,
     ):
+        """Create a monitor of these parts."""
         self._config = context.config
         self._identity = context.identity
         self._stats = context.stats
--- a/applevale/membership/sender.py
+++ b/applevale/membership/sender.py
@@ -37,6 +37,7 @@
         broadcasts: BroadcastQueue,
         rate_limiter: SenderRateLimiter,
     ):
+        """Create a sender with a new token bucket."""
         self._identity = context.identity
         self._view = context.view
         self._stats = context.stats
--- a/applevale/membership/suspicion_monitor.py
+++ b/applevale/membership/suspicion_monitor.py
@@ -40,6 +40,7 @@
         local: LocalMember,
         updates: UpdateHandler,
     ):
+        """Create a monitor of the suspicions in a table."""
         self._config = context.config
         self._identity = context.identity
         self._view = context.view
--- a/applevale/membership/suspicion_table.py
+++ b/applevale/membership/suspicion_table.py
@@ -30,6 +30,7 @@
     """
 
     def __init__(self, config: ProtocolConfig, view: MembershipView):
+        """Create an empty table."""
         self._config = config
         self._view = view
         self.active: dict[int, Suspicion] = {}
--- a/applevale/membership/updates.py
+++ b/applevale/membership/updates.py
@@ -24,6 +24,7 @@
         local: LocalMember,
         join_prober: JoinProber,
     ):
+        """Create a handler that writes to these parts."""
         self._config = context.config
         self._view = context.view
         self._stats = context.stats
--- a/applevale/membership/view.py
+++ b/applevale/membership/view.py
@@ -31,6 +31,7 @@
     """
 
     def __init__(self, local_member: int, member_count: int):
+        """Create a view in which all `member_count` members are unknown."""
         self.local_member = local_member
         self.member_count = member_count
         self.table = RecordTable(member_count)
