Membership's checker: the truth of a run apart from its figures, typed

Cause: one module worked out who lived and judged what members said, with bare tuples between the two. Change: checkers/membership_truth.py has GroundTruth (was Truth) with Interval, Cut, ProcessStart, ProcessEnd and Return; checkers/membership.py the figures, with ObservedChange, FalseDeath and DetectionTimes, and constants with their unit. The figures keep their names and order.

--- a/applevale/checkers/membership.py
+++ b/applevale/checkers/membership.py
@@ -1,195 +1,208 @@
-"""What is promised of membership, read off a history: who was held dead, when, and whether it was so.
+"""Checks the guarantees of membership on a history: who was held dead, when, and whether that was true.
 
-The truth is worked out from what the rig did (`launched`, `ended`, `fault`), never from what members say;
-what members held is read from their `view` events, and at the end from `held`. A member counts as reachable
-at a time if for `GRACE` before it ran, did not stand still, and was cut off in neither direction from most of
-the others that ran: news of a return have to travel.
+What members held is read from their `view` events, and at the end from `held`. A member counts as reachable
+at a time if for `GRACE_SECONDS` before it ran, was not paused, and was cut off in neither direction from most
+of the others that ran: the news of a return have to spread.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_right
 from collections import defaultdict
-from fnmatch import fnmatchcase
+from dataclasses import dataclass, field
+from math import inf
 
 from .history import History, most_in, quantile
+from .membership_truth import GroundTruth
 
-GRACE = 1.0  # s
-KNOWN = 5.0  # s after an end without a return within which others must know of it
-Span = tuple[float, float]
-INF = float("inf")
-
-
-def _matches(name: str, patterns: list[str]) -> bool:
-    return any(fnmatchcase(name, pattern) for pattern in patterns)
-
-
-def _overlaps(spans: list[Span], since: float, until: float) -> bool:
-    return any(begin < until and end > since for begin, end in spans)
-
-
-class Truth:
-    """When each member ran, stood still, and which pairs were cut."""
-
-    def __init__(self, history: History):
-        self.names = sorted({event["who"] for event in history.of("launched")})
-        self.running: dict[str, list[Span]] = defaultdict(list)
-        self.still: dict[str, list[Span]] = defaultdict(list)
-        self.cuts: list[tuple[Span, set[str], set[str]]] = []
-        self.ends: list[tuple[float, str, str, float]] = []  # when, who, how, when it was launched again
-        self.starts: list[tuple[float, str]] = []
-        begun: dict[str, float] = {}
-        for event in history.of("launched", "ended"):
-            who = event["who"]
-            if event["event"] == "launched":
-                begun[who] = event["at"]
-                self.starts.append((event["at"], who))
-                self.ends = [
-                    (at, name, how, event["at"] if name == who and back == INF else back)
-                    for at, name, how, back in self.ends
-                ]
-            elif who in begun:
-                self.running[who].append((begun.pop(who), event["at"]))
-                self.ends.append((event["at"], who, event["how"], INF))
-        for who, at in begun.items():
-            self.running[who].append((at, INF))
-        for event in history.of("fault"):
-            self._fault(event)
-
-    def _fault(self, event: dict) -> None:
-        at = event["at"]
-        if event["do"] in ("stop", "stall"):
-            for name in self.names:
-                if _matches(name, event["who"]):
-                    for turn in range(event.get("times", 1)):
-                        begin = at + turn * event.get("apart", 0.0)
-                        self.still[name].append((begin, begin + event["span"]))
-        elif event["do"] == "link" and event["fate"].get("cut"):
-            self.cuts.append(
-                (
-                    (at, at + event["span"]),
-                    {name for name in self.names if _matches(name, event["sources"])},
-                    {name for name in self.names if _matches(name, event["targets"])},
-                )
-            )
+GRACE_SECONDS = 1.0
+KNOWN_SECONDS = 5.0  # after an end without a return, within which others must know of it
+SAME_CHANGE_SECONDS = 0.5  # within which changes of the truth are taken as one
+RATE_WINDOW_SECONDS = 0.95  # any second, of buckets that hold a tenth of one
+MAX_AGREEMENT_SECONDS = 3.0  # 99th percentile
 
-    def ran(self, name: str, since: float, until: float) -> bool:
-        """Without an end or a standstill of any length in between."""
-        whole = any(begin <= since and until <= end for begin, end in self.running[name])
-        return whole and not _overlaps(self.still[name], since, until)
-
-    def reachable(self, name: str, since: float, until: float) -> bool:
-        if not self.ran(name, since, until):
-            return False
-        others = [one for one in self.names if one != name and self.ran(one, since, until)]
-        cuts = [(sources, targets) for span, sources, targets in self.cuts if _overlaps([span], since, until)]
-        apart = {
-            one
-            for one in others
-            for sources, targets in cuts
-            if (one in sources and name in targets) or (name in sources and one in targets)
-        }
-        return 2 * len(apart) < len(others)
-
-    def living(self, at: float) -> set[str]:
-        return {name for name in self.names if any(begin <= at < end for begin, end in self.running[name])}
-
-    def returns(self) -> list[tuple[float, str]]:
-        """When members could be reached again, after a new start, a standstill or a cut."""
-        found = list(self.starts)
-        for name in self.names:
-            found += [(end, name) for _, end in self.still[name]]
-        for (_, end), sources, targets in self.cuts:
-            found += [(end, name) for name in sources | targets]
-        return sorted(found)
-
-
-def _words(history: History) -> dict[str, list[tuple[float, str, str]]]:
-    """What each member said of its view: when, of whom, what."""
-    found: dict[str, list[tuple[float, str, str]]] = defaultdict(list)
-    for event in history.of("view"):
-        found[event["who"]] += [(event["at"], name, change) for name, change in event["changes"]]
-    return found
+# The most that a figure may be, in each run.
+ALWAYS = {
+    "false_dead": 0,
+    "missed": 0,
+    "wrong_views": 0,
+    "share_sum_max": 2,
+    "bytes_s_max": 2000,
+    "datagram_max": 256,
+}
+
+
+@dataclass(frozen=True)
+class ObservedChange:
+    """A change that a member announced: when, of whom, and how (`joined`, `restarted`, `died`, `left`)."""
+
+    at: float
+    name: str
+    change: str
+
+
+@dataclass(frozen=True)
+class FalseDeath:
+    """A reachable member that an observer held dead or left."""
+
+    at: float
+    observer: str
+    name: str
 
 
-def false_deaths(history: History, truth: Truth) -> list[tuple[float, str, str]]:
-    """A member that ran and could be reached by most, held dead or gone: when, by whom, who."""
-    left = {(who, at) for at, who, how, _ in truth.ends if how == "term"}
+@dataclass
+class DetectionTimes:
+    """How soon others knew of members that were killed and stayed away.
+
+    Attributes:
+        first: Seconds until the first other knew, for each end.
+        last: Seconds until the last other knew, for each end.
+        missed: Pairs of a reachable member and an ended one of which the former never knew.
+    """
+
+    first: list[float] = field(default_factory=list)
+    last: list[float] = field(default_factory=list)
+    missed: int = 0
+
+
+def figures(history: History) -> dict:
+    """Return the figures of a run, by the names under which the harness prints them."""
+    truth = GroundTruth(history)
+    joined_at = history.mark("joined") or 0.0
+    end = max((event["at"] for event in history.events), default=0.0)
+    detection = detection_times(history, truth, end)
+    false = false_deaths(history, truth)
+    shares = [event["total"] for event in history.of("shares")]
+    share_figures = {"share_sum_max": round(max(shares), 3)} if shares else {}
+    return share_figures | {
+        "members": len(truth.names),
+        "false_dead": len(false),
+        "false_dead_members": len({death.name for death in false}),
+        "missed": detection.missed,
+        "killed": len(detection.first),
+        "detect_s": _summary(detection.first),
+        "agree_s": _summary(detection.last),
+        "view_changes": _most_view_changes(history, truth, joined_at),
+        "view_changes_needed": _needed_changes(truth, joined_at),
+        "rejoin_s": _summary(rejoin_times(history, truth)),
+        "wrong_views": wrong_views(history, truth),
+        "bytes_s_max": _most_bytes_per_second(history),
+        "datagram_max": max((event["most"] for event in history.of("sent")), default=0),
+        "datagrams_s_max": _most_datagrams_per_second(history),
+    }
+
+
+def broken(found: dict, limits: dict[str, float]) -> list[str]:
+    """Return a line for each limit that the figures of a run exceed; `limits` are added to `ALWAYS`."""
+    exceeded = [
+        f"{name}: {found[name]}, over {limit:g}"
+        for name, limit in (ALWAYS | limits).items()
+        if found.get(name, 0) > limit
+    ]
+    if found["agree_s"]["p99"] > MAX_AGREEMENT_SECONDS:
+        exceeded.append(f"agree_s: p99 {found['agree_s']['p99']}")
+    return exceeded
+
+
+def false_deaths(history: History, truth: GroundTruth) -> list[FalseDeath]:
+    """Return the announcements by which a reachable member was held dead or left."""
+    clean_ends = [end for end in truth.ends if end.how == "term"]
     found = []
-    for observer, words in _words(history).items():
-        for at, name, change in words:
-            if change == "left" and any(who == name and end - 5.0 <= at <= end + KNOWN for who, end in left):
-                continue  # said before its process has ended
-            if change in ("died", "left") and truth.reachable(name, at - GRACE, at):
-                found.append((at, observer, name))
+    for observer, changes in _changes_by_observer(history).items():
+        for observed in changes:
+            is_leave = observed.change == "left" and any(
+                end.name == observed.name and end.at - KNOWN_SECONDS <= observed.at <= end.at + KNOWN_SECONDS
+                for end in clean_ends
+            )
+            if is_leave or observed.change not in ("died", "left"):  # a leave is announced before the end
+                continue
+            if truth.is_reachable(observed.name, observed.at - GRACE_SECONDS, observed.at):
+                found.append(FalseDeath(observed.at, observer, observed.name))
     return found
 
 
-def ends_known(history: History, truth: Truth, end: float) -> tuple[list[float], list[float], int]:
-    """For each member that was killed and stayed away: s until the first and until the last other knew, and
-    how many pairs of one that lived and one that had ended never came to know."""
-    first, last, missed = [], [], 0
-    words = _words(history)
-    for at, name, how, back in truth.ends:
-        until = min(back, end)
-        if how != "kill" or until - at < KNOWN:
+def detection_times(history: History, truth: GroundTruth, end: float) -> DetectionTimes:
+    """Return how soon others knew of members that were killed and stayed away."""
+    times = DetectionTimes()
+    changes = _changes_by_observer(history)
+    for process_end in truth.ends:
+        until = min(process_end.restarted_at, end)
+        if process_end.how != "kill" or until - process_end.at < KNOWN_SECONDS:
             continue
-        known = []
+        delays = []
         for observer in truth.names:
-            if observer == name or not truth.reachable(observer, at, until):
+            if observer == process_end.name or not truth.is_reachable(observer, process_end.at, until):
                 continue
-            heard = [
-                when - at
-                for when, who, change in words[observer]
-                if who == name and change == "died" and at <= when <= until
-            ]
-            if heard:
-                known.append(heard[0])
+            deaths = (
+                observed.at - process_end.at
+                for observed in changes[observer]
+                if observed.name == process_end.name
+                and observed.change == "died"
+                and process_end.at <= observed.at <= until
+            )
+            delay = next(deaths, None)
+            if delay is None:
+                times.missed += 1
             else:
-                missed += 1
-        if known:
-            first.append(min(known))
-            last.append(max(known))
-    return first, last, missed
-
-
-def returns_known(history: History, truth: Truth) -> list[float]:
-    """For each pair in which one held the other dead, and it could be reached again: s until it was held to
-    live."""
-    returns: dict[str, list[float]] = defaultdict(list)
-    for at, name in truth.returns():
-        returns[name].append(at)
+                delays.append(delay)
+        if delays:
+            times.first.append(min(delays))
+            times.last.append(max(delays))
+    return times
+
+
+def rejoin_times(history: History, truth: GroundTruth) -> list[float]:
+    """Return the seconds until a member held dead was held alive again, from when it could be reached."""
+    returned_at: dict[str, list[float]] = defaultdict(list)
+    for one in truth.returns():
+        returned_at[one.name].append(one.at)
     found = []
-    for words in _words(history).values():
-        held: dict[str, float] = {}
-        for at, name, change in words:
-            if change in ("died", "left"):
-                held[name] = at
-            elif name in held:
-                since = held.pop(name)
-                place = bisect_right(returns[name], at)
-                if place:
-                    found.append(at - max(since, returns[name][place - 1]))
+    for changes in _changes_by_observer(history).values():
+        dead_since: dict[str, float] = {}
+        for observed in changes:
+            if observed.change in ("died", "left"):
+                dead_since[observed.name] = observed.at
+            elif observed.name in dead_since:
+                since = dead_since.pop(observed.name)
+                index = bisect_right(returned_at[observed.name], observed.at)
+                if index:
+                    found.append(observed.at - max(since, returned_at[observed.name][index - 1]))
     return found
 
 
-def wrong_views(history: History, truth: Truth) -> int:
-    """Members whose last view is not what lives."""
-    last = {event["who"]: event for event in history.of("held")}
+def wrong_views(history: History, truth: GroundTruth) -> int:
+    """Return how many members' last view differs from who is alive."""
+    last_views = {event["who"]: event for event in history.of("held")}
     return sum(
-        event["view"] is None or set(event["view"]) != truth.living(event["at"])
-        for who, event in last.items()
-        if who in truth.living(event["at"])
+        event["view"] is None or set(event["view"]) != truth.alive(event["at"])
+        for name, event in last_views.items()
+        if name in truth.alive(event["at"])
     )
 
 
-def _needed(truth: Truth, since: float) -> int:
-    """Changes of what lives, those within half a second taken as one."""
-    times = sorted([at for at, *_ in truth.ends if at > since] + [at for at, _ in truth.starts if at > since])
-    return sum(1 for at, before in zip(times, [-INF, *times]) if at - before > 0.5)
+def _changes_by_observer(history: History) -> dict[str, list[ObservedChange]]:
+    found: dict[str, list[ObservedChange]] = defaultdict(list)
+    for event in history.of("view"):
+        found[event["who"]] += [
+            ObservedChange(event["at"], name, change) for name, change in event["changes"]
+        ]
+    return found
+
+
+def _most_view_changes(history: History, truth: GroundTruth, since: float) -> int:
+    counts = dict.fromkeys(truth.names, 0)
+    for event in history.of("view", since=since):
+        counts[event["who"]] += 1
+    return max(counts.values(), default=0)
+
 
+def _needed_changes(truth: GroundTruth, since: float) -> int:
+    """Return the changes of who is alive, those close together taken as one."""
+    times = sorted(change.at for change in (*truth.ends, *truth.starts) if change.at > since)
+    return sum(1 for at, before in zip(times, [-inf, *times]) if at - before > SAME_CHANGE_SECONDS)
 
-def _three(values: list[float]) -> dict[str, float]:
+
+def _summary(values: list[float]) -> dict[str, float]:
     return {
         "p50": round(quantile(values, 0.5), 2),
         "p99": round(quantile(values, 0.99), 2),
@@ -197,71 +210,26 @@
     }
 
 
-def figures(history: History) -> dict:
-    truth = Truth(history)
-    joined = history.mark("joined") or 0.0
-    end = max((event["at"] for event in history.events), default=0.0)
-    first, last, missed = ends_known(history, truth, end)
-    changes: dict[str, int] = {name: 0 for name in truth.names}
-    for event in history.of("view", since=joined):
-        changes[event["who"]] += 1
-    sent = defaultdict(list)
-    for event in history.of("sent"):
-        sent[event["who"]].append((event["at"], event["bytes"]))
-    false = false_deaths(history, truth)
-    shares = [event["total"] for event in history.of("shares")]
-    return ({"share_sum_max": round(max(shares), 3)} if shares else {}) | {
-        "members": len(truth.names),
-        "false_dead": len(false),
-        "false_dead_members": len({name for _, _, name in false}),
-        "missed": missed,
-        "killed": len(first),
-        "detect_s": _three(first),
-        "agree_s": _three(last),
-        "view_changes": max(changes.values(), default=0),
-        "view_changes_needed": _needed(truth, joined),
-        "rejoin_s": _three(returns_known(history, truth)),
-        "wrong_views": wrong_views(history, truth),
-        "bytes_s_max": max((_most_bytes(times) for times in sent.values()), default=0),
-        "datagram_max": max((event["most"] for event in history.of("sent")), default=0),
-        "datagrams_s_max": max(
-            (
-                most_in([event["at"] for event in one for _ in range(event["count"])], 0.95)
-                for one in history.whose("sent").values()
-            ),
-            default=0,
-        ),
-    }
+def _most_bytes_per_second(history: History) -> int:
+    """Return the most bytes that any member sent in any second."""
+    return max((_most_bytes(events) for events in history.whose("sent").values()), default=0)
 
 
-def _most_bytes(buckets: list[tuple[float, int]]) -> int:
-    """In any second; each bucket holds a tenth of one."""
+def _most_bytes(events: list[dict]) -> int:
     most = total = first = 0
-    for at, size in buckets:
-        total += size
-        while buckets[first][0] <= at - 0.95:
-            total -= buckets[first][1]
+    for event in events:
+        total += event["bytes"]
+        while events[first]["at"] <= event["at"] - RATE_WINDOW_SECONDS:
+            total -= events[first]["bytes"]
             first += 1
         most = max(most, total)
     return most
 
 
-ALWAYS = {
-    "false_dead": 0,
-    "missed": 0,
-    "wrong_views": 0,
-    "share_sum_max": 2,
-    "bytes_s_max": 2000,
-    "datagram_max": 256,
-}
-
-
-def broken(found: dict, most: dict[str, float]) -> list[str]:
-    """Bars that were missed, in words."""
-    bars = ALWAYS | most
-    missed = [
-        f"{name}: {found[name]}, over {bar:g}" for name, bar in bars.items() if found.get(name, 0) > bar
-    ]
-    if found["agree_s"]["p99"] > 3.0:
-        missed.append(f"agree_s: p99 {found['agree_s']['p99']}")
-    return missed
+def _most_datagrams_per_second(history: History) -> int:
+    """Return the most datagrams that any member sent in any second."""
+    times_by_member = (
+        [event["at"] for event in events for _ in range(event["count"])]
+        for events in history.whose("sent").values()
+    )
+    return max((most_in(times, RATE_WINDOW_SECONDS) for times in times_by_member), default=0)
