Experiments: each parameter of membership has one key, checked

Cause: the keys of an experiment file are no longer the names of the fields they set. Change: a test that the table of keys covers all fields of ProtocolConfig and SuspicionTimeouts once; docstrings and a named constant in simulation/runners.py.

--- a/applevale/simulation/runners.py
+++ b/applevale/simulation/runners.py
@@ -1,4 +1,4 @@
-"""What an experiment may play, by the name of its machine."""
+"""The runners of experiments, by the name under which an experiment file asks for them."""
 
 from __future__ import annotations
 
@@ -10,7 +10,9 @@
 from .experiment import ExperimentError
 from .membership import VERSIONS, SimulatedFleet
 
-KNOWN = 500  # members from which a fleet does not start first: what its start takes grows with the square
+# Members from which all know each other from the start: the cost of a real start grows with the square.
+MIN_KNOWN_FLEET = 500
+
 # Keys of an experiment's settings, and the fields of ProtocolConfig and SuspicionTimeouts that they set.
 CONFIG_FIELDS = {
     "probe": "probe_interval",
@@ -63,7 +65,9 @@
     changed_timeouts = {TIMEOUT_FIELDS[key]: settings[key] for key in settings if key in TIMEOUT_FIELDS}
     changes = {CONFIG_FIELDS[key]: settings[key] for key in settings if key in CONFIG_FIELDS}
     config = replace(config, timeouts=replace(config.timeouts, **changed_timeouts), **changes)
-    found = verify.figures(History(SimulatedFleet(size, seed, config, known=size >= KNOWN).run(case)))
+    found = verify.figures(
+        History(SimulatedFleet(size, seed, config, known=size >= MIN_KNOWN_FLEET).run(case))
+    )
     flat: dict[str, float] = {}
     for name, value in found.items():
         if isinstance(value, dict):
@@ -74,7 +78,11 @@
 
 
 def check_membership(versions: dict[str, dict[str, float]], cases: list[str]) -> None:
-    """Raises ExperimentError."""
+    """Check the versions and scenarios that an experiment names.
+
+    Raises:
+        ExperimentError: One of them, or a setting, does not exist.
+    """
     for name, settings in versions.items():
         if name.partition(":")[0] not in VERSIONS:
             raise ExperimentError(f"versions: {name!r} is none of {', '.join(VERSIONS)}")
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -1,11 +1,15 @@
 """Experiments: a grid is played, resumed and compared; what cannot be used is named."""
 
 import json
+from dataclasses import fields
 
 from typer.testing import CliRunner
 
 from applevale.cli.main import app
+from applevale.membership.config import ProtocolConfig
+from applevale.membership.suspicion import SuspicionTimeouts
 from applevale.simulation import experiment as grid
+from applevale.simulation import runners
 
 GRID = {
     "machine": "membership",
@@ -89,3 +93,12 @@
     empty = tmp_path / "empty"
     empty.write_text("{}\n")
     assert run("members", str(empty)).exit_code == 2
+
+
+def test_each_parameter_of_membership_has_one_key_in_an_experiment():
+    keys = [field.name for field in fields(ProtocolConfig) if field.name != "timeouts"]
+    assert sorted(runners.CONFIG_FIELDS.values()) == sorted(keys)
+    assert sorted(runners.TIMEOUT_FIELDS.values()) == sorted(
+        field.name for field in fields(SuspicionTimeouts)
+    )
+    assert not runners.CONFIG_FIELDS.keys() & runners.TIMEOUT_FIELDS.keys()
