--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
     from ..gossip.exchange import GossipExchange
-    from ..membership.runner import Members
+    from ..membership.runner import MembershipRunner
     from ..net.datagrams import DatagramSocket
 
 COUNTERS_INTERVAL_SECONDS = 5.0  # between two lines of counters: a killed process prints none at its end
@@ -133,7 +133,7 @@
         datagrams = self._open_datagrams()
         return optional_parts.create_gossip(self.config, datagrams, self.pool, self.driver, self.counters)
 
-    def _create_membership(self) -> Members | None:
+    def _create_membership(self) -> MembershipRunner | None:
         if self.config.membership is None:
             return None
         datagrams = self._open_datagrams()
@@ -230,7 +230,7 @@
         if self.registry is not None:
             self.registry.update_list_counters()
         if self.membership is not None:
-            self.membership.show()
+            self.membership.dump_state()
         self.counters.dump()
 
     def dump_counters_regularly(self) -> None:
