--- a/applevale/discovery/registry/pacing.py
+++ b/applevale/discovery/registry/pacing.py
@@ -37,26 +37,35 @@
     s at most; to poll more often or to switch sooner would burden a service that is slow for all of its
     clients.
 
-        Attributes: max_staleness: Age up to which a confirmation of the list counts as fresh, in s.
-        min_poll_interval_share: Shortest interval between polls, used where responses take long, as a share
-        of `max_staleness`. Intervals are random, so that instances that started together drift apart.
+    Attributes:
+        max_staleness: Age up to which a confirmation of the list counts as fresh, in s.
+        min_poll_interval_share: Shortest interval between polls, used where responses take long, as
+            a share of `max_staleness`. Intervals are random, so that instances that started
+            together drift apart.
         max_poll_interval_share: Longest interval between polls, as a share of `max_staleness`.
-        min_silence_share: Shortest time without a response before a standby session is opened, as a share
-        of `max_staleness`. It is random, so that a short stall of the service triggers few instances, and
-        holds while staleness is bounded and all recent responses were fast. max_silence_share: Longest such
-        time, as a share of `max_staleness`. slow_service_patience: Time without a response before a standby
-        session is opened, in s, while recent responses were slow: a service to which all clients have just
-        connected is slow for all of them. degraded_patience_share: The same while the staleness guarantee
-        is suspended, as a share of `max_staleness`. degraded_standby_delay: Time after the suspension in
-        which no standby session is opened, in s: the lower poll rate may be enough. session_timeout: Time
-        without a response after which a session has failed, in s, unless responses are slow.
-        snapshot_timeout: Time after which a full read has failed, in s. initial_backoff: Upper bound of the
-        first backoff after every member has failed, in s. max_backoff: Upper bound of every backoff, in s.
+        min_silence_share: Shortest time without a response before a standby session is opened, as a
+            share of `max_staleness`. It is random, so that a short stall of the service triggers
+            few instances, and holds while staleness is bounded and all recent responses were fast.
+        max_silence_share: Longest such time, as a share of `max_staleness`.
+        slow_service_patience: Time without a response before a standby session is opened, in s,
+            while recent responses were slow: a service to which all clients have just connected is
+            slow for all of them.
+        degraded_patience_share: The same while the staleness guarantee is suspended, as a share of
+            `max_staleness`.
+        degraded_standby_delay: Time after the suspension in which no standby session is opened, in
+            s: the lower poll rate may be enough.
+        session_timeout: Time without a response after which a session has failed, in s, unless
+            responses are slow.
+        snapshot_timeout: Time after which a full read has failed, in s.
+        initial_backoff: Upper bound of the first backoff after every member has failed, in s.
+        max_backoff: Upper bound of every backoff, in s.
         credentials_backoff: Backoff after every member has rejected the credentials, in s.
-        initial_standby_interval: Interval in which at most one standby session per other member is opened,
-        in s. max_standby_interval: Upper bound of that interval, which grows while standby sessions are no
-        faster. late_tick_threshold: Delay of a tick, in s, from which responses may lie unread in the
-        socket, so that silence proves nothing about the member.
+        initial_standby_interval: Interval in which at most one standby session per other member is
+            opened, in s.
+        max_standby_interval: Upper bound of that interval, which grows while standby sessions are
+            no faster.
+        late_tick_threshold: Delay of a tick, in s, from which responses may lie unread in the
+            socket, so that silence proves nothing about the member.
     """
 
     max_staleness: float = 0.35
--- a/applevale/discovery/registry/watched_list.py
+++ b/applevale/discovery/registry/watched_list.py
@@ -32,12 +32,15 @@
 
     The revision decreases only when a snapshot of a restored registry is taken over.
 
-        Attributes: table: The entries by key. revision: Revision up to which the list is complete; 0
-        before the first snapshot. confirmed_at: Time of a request whose response showed that the list was
-        complete. It is never the time of the response, which may have been delayed. cluster_id: Identity of
-        the cluster that the revisions belong to; 0 if unknown. cluster_changed: Whether the active
-        session's member belongs to another cluster, with revisions of its own. snapshot_required: Whether a
-        watch cannot continue from `revision`.
+    Attributes:
+        table: The entries by key.
+        revision: Revision up to which the list is complete; 0 before the first snapshot.
+        confirmed_at: Time of a request whose response showed that the list was complete. It is
+            never the time of the response, which may have been delayed.
+        cluster_id: Identity of the cluster that the revisions belong to; 0 if unknown.
+        cluster_changed: Whether the active session's member belongs to another cluster, with
+            revisions of its own.
+        snapshot_required: Whether a watch cannot continue from `revision`.
     """
 
     table: EndpointTable
