Fakes: FakeEngine, ColdEngine and ServiceCapacity with typed arrivals

The engine stand-ins had short names of their own, tuples for connections and functions that did several things. StandinEngine is FakeEngine, Arrival is AttemptArrival, connections are ConnectionArrival, Capacity is ServiceCapacity; cold.py and capacity.py are cold_engine.py and service_capacity.py. Constants have names and units. Bytes, order of effects and random draws are the same.

--- a/applevale/fakes/__init__.py
+++ b/applevale/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Scripted stand-ins for the systems round the program: for tests and rigs, on loopback only."""
+"""Scripted fakes of the systems around the program, for tests and rigs. They listen on loopback only."""
--- a/applevale/fakes/engine.py
+++ b/applevale/fakes/engine.py
@@ -1,4 +1,4 @@
-"""A stand-in engine: answers wants after a while, and keeps what arrived and when."""
+"""A fake engine: it answers attempts after a random time, and records what arrived and when."""
 
 from __future__ import annotations
 
@@ -12,95 +12,144 @@
 
 from ..engines.resp import encode_array
 
-ROWS = b"1\tstation\t2.5\n2\tstation\t3.5\n"
-MOST_BYTES = 65536
+CMD_EXECUTE = b"want"
+CMD_CANCEL = b"never_mind"
+PROBE_COMMANDS = (b"there", b"busy")
+RESULT_ROWS = b"1\tstation\t2.5\n2\tstation\t3.5\n"
+READ_SIZE_BYTES = 65536
 
 
 @dataclass(frozen=True)
-class Arrival:
-    at: float  # Unix time, s
-    ref: bytes
-    lane: bytes
-    caller: str = ""  # the address that it came from
+class AttemptArrival:
+    """An attempt as the engine received it.
 
+    Attributes:
+        received_at: By the engine's clock, in seconds.
+        request_id: The id that the request has in all its attempts.
+        class_name: The class of its request.
+        caller: The IP address that it came from.
+    """
 
-class StandinEngine:
-    """`took`: the range of s that a want takes; `toil`: the ms of work that it is told to have been; `out`:
-    the ids that run now."""
+    received_at: float
+    request_id: bytes
+    class_name: bytes
+    caller: str = ""
+
+
+@dataclass(frozen=True)
+class ConnectionArrival:
+    """A connection as the engine accepted it: when, by its clock, and from which IP address."""
+
+    accepted_at: float
+    caller: str
+
+
+class FakeEngine:
+    """An engine that executes every attempt within a range of durations.
+
+    Attributes:
+        arrivals: The attempts received, in their order.
+        connects: The connections accepted, in their order.
+        running: The ids of the attempts that are being executed.
+    """
 
     def __init__(
         self,
         random: Random,
-        took: tuple[float, float] = (0.01, 0.06),
+        duration_range: tuple[float, float] = (0.01, 0.06),
         clock: Callable[[], float] = time.time,
-        toil: int = 12,
+        reported_work_ms: int = 12,
     ):
-        self.random, self.took, self.clock, self.toil = random, took, clock, toil
-        self.arrivals: list[Arrival] = []
-        self.connects: list[tuple[float, str]] = []  # when, and the address of the caller
-        self.out: set[bytes] = set()
+        """Prepare an engine on a free port.
+
+        Args:
+            random: Draws the durations.
+            duration_range: The least and the greatest duration of an attempt, in seconds.
+            clock: Gives the times of what is recorded, in seconds.
+            reported_work_ms: The work that each answer reports.
+        """
+        self.random = random
+        self.duration_range = duration_range
+        self.clock = clock
+        self.reported_work_ms = reported_work_ms
+        self.arrivals: list[AttemptArrival] = []
+        self.connects: list[ConnectionArrival] = []
+        self.running: set[bytes] = set()
         self.tasks: set[asyncio.Task] = set()
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, *self.address)
+        """Listen; `address` holds the port from then on."""
+        self.server = await asyncio.start_server(self._serve_connection, *self.address)
         self.address = self.server.sockets[0].getsockname()[:2]
 
     async def stop(self) -> None:
+        """Close the listener, abort all connections and cancel what runs."""
         self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        self._abort_connections()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _abort_connections(self) -> None:
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = hiredis.Reader()
-        running: dict[bytes, asyncio.Task] = {}
+        executions: dict[bytes, asyncio.Task] = {}
         self.writers.add(writer)
         caller = (writer.get_extra_info("peername") or ("",))[0]
-        self.connects.append((self.clock(), caller))
+        self.connects.append(ConnectionArrival(self.clock(), caller))
         try:
-            while data := await reader.read(MOST_BYTES):
+            while data := await reader.read(READ_SIZE_BYTES):
                 parser.feed(data)
                 while (command := parser.gets()) is not False:
-                    self._take(command, writer, running, caller)
+                    self._handle_command(command, writer, executions, caller)
         except OSError:
             pass
         finally:
-            for ref, task in running.items():
+            for request_id, task in executions.items():
                 task.cancel()
-                self.out.discard(ref)
+                self.running.discard(request_id)
             self.writers.discard(writer)
             writer.transport.abort()
 
-    def _take(self, command: list[bytes], writer: asyncio.StreamWriter, running: dict, caller: str) -> None:
-        word, tag, *rest = command
-        if word == b"want":
-            lane = rest[0].partition(b"lane=")[2].partition(b",")[0]
-            self.arrivals.append(Arrival(self.clock(), tag, lane, caller))
-            self.out.add(tag)
-            task = asyncio.create_task(self._run(tag, writer))
-            running[tag] = task
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-            task.add_done_callback(lambda _: running.pop(tag, None))
-        elif word == b"never_mind" and tag in running:
-            running[tag].cancel()
-            self.out.discard(tag)
-        elif word in (b"there", b"busy"):
-            writer.write(encode_array(tag, b"PONG", b"rep=inflight:%d;util:0.2;x1:0.1" % len(self.out), b""))
-
-    async def _run(self, tag: bytes, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(self.random.uniform(*self.took))
-        self.out.discard(tag)
-        writer.write(
-            encode_array(
-                tag,
-                b"HIT",
-                b"sheets=1,toil=%d,room=4,rep=inflight:%d;util:0.2;x1:0.1" % (self.toil, len(self.out)),
-                ROWS,
-            )
-        )
+    def _handle_command(
+        self,
+        command: list[bytes],
+        writer: asyncio.StreamWriter,
+        executions: dict[bytes, asyncio.Task],
+        caller: str,
+    ) -> None:
+        name, request_id, *arguments = command
+        if name == CMD_EXECUTE:
+            class_name = arguments[0].partition(b"lane=")[2].partition(b",")[0]
+            self.arrivals.append(AttemptArrival(self.clock(), request_id, class_name, caller))
+            self._start_execution(request_id, writer, executions)
+        elif name == CMD_CANCEL and request_id in executions:
+            executions[request_id].cancel()
+            self.running.discard(request_id)
+        elif name in PROBE_COMMANDS:
+            writer.write(encode_array(request_id, b"PONG", b"rep=%s" % self._load_report(), b""))
+
+    def _start_execution(
+        self, request_id: bytes, writer: asyncio.StreamWriter, executions: dict[bytes, asyncio.Task]
+    ) -> None:
+        self.running.add(request_id)
+        task = asyncio.create_task(self._execute(request_id, writer))
+        executions[request_id] = task
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(lambda _: executions.pop(request_id, None))
+
+    async def _execute(self, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(self.random.uniform(*self.duration_range))
+        self.running.discard(request_id)
+        header = b"sheets=1,toil=%d,room=4,rep=%s" % (self.reported_work_ms, self._load_report())
+        writer.write(encode_array(request_id, b"HIT", header, RESULT_ROWS))
+
+    def _load_report(self) -> bytes:
+        return b"inflight:%d;util:0.2;x1:0.1" % len(self.running)
--- a/applevale/fakes/etcd.py
+++ b/applevale/fakes/etcd.py
@@ -13,7 +13,7 @@
 from grpclib.server import Server, Stream
 
 from ..discovery.registry import messages as m
-from .capacity import Capacity
+from .service_capacity import ServiceCapacity
 from .store import Compacted, Store, Version
 
 MOST_EVENTS = 500  # of one message
@@ -74,13 +74,15 @@
     a full read takes; `late`: s that each call takes besides; `mute`: its watches say nothing, while reads go
     on; `twice`: each event is told again. `capacity` is that of the service, shared by its members."""
 
-    def __init__(self, store: Store, users: dict[str, str] | None = None, capacity: Capacity | None = None):
+    def __init__(
+        self, store: Store, users: dict[str, str] | None = None, capacity: ServiceCapacity | None = None
+    ):
         self.store, self.users = store, users or {}
         self.lag: Store | None = None
         self.deny = self.mute = self.twice = False
         self.slow = self.late = 0.0
         self.reads = self.watches = 0
-        self.capacity = capacity or Capacity()
+        self.capacity = capacity or ServiceCapacity()
         self.seen: Callable[[ReadSeen], None] = lambda read: None
         self.transports: dict[asyncio.Transport, str] = {}  # connections, and whose they are
         self.turned: Callable[[str, bool], None] = lambda caller, opened: None
@@ -139,7 +141,7 @@
             self.seen(read)
 
     async def _serve_read(self, stream: Stream, request: object, read: ReadSeen) -> None:
-        wait = self.capacity.turn(time.monotonic())
+        wait = self.capacity.reserve(time.monotonic())
         if wait is None:
             raise GRPCError(Status.RESOURCE_EXHAUSTED, "etcdserver: too many requests")
         wait += self.late + (self.slow if read.whole else 0.0)
--- a/applevale/fakes/listhost.py
+++ b/applevale/fakes/listhost.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from . import etcd
-from .capacity import Capacity
+from .service_capacity import ServiceCapacity
 from .store import Store
 
 MEMBERS = 3
@@ -27,7 +27,7 @@
 
 class Host:
     def __init__(self) -> None:
-        self.store, self.capacity = Store(time.monotonic), Capacity()
+        self.store, self.capacity = Store(time.monotonic), ServiceCapacity()
         self.members = [etcd.Member(self.store, capacity=self.capacity) for _ in range(MEMBERS)]
         self.backup: Store | None = None
         self.told = 0  # commits
@@ -74,7 +74,7 @@
             case "delete":
                 self.store.delete(values["key"].encode())
             case "capacity":
-                self.capacity.rate, self.capacity.most = values.get("rate", inf), values.get("most", inf)
+                self.capacity.rate, self.capacity.max_wait = values.get("rate", inf), values.get("most", inf)
             case "late":
                 for member in which:
                     member.late = values["seconds"]
--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -24,7 +24,7 @@
 
 from ..checkers.history import History
 from ..fakes.clients import Clients
-from ..fakes.cold import ColdEngine
+from ..fakes.cold_engine import ColdEngine
 from ..fault_injection import schedule as f
 from ..fault_injection.link_conditions import LinkConditions, matches_any
 from ..fault_injection.tcp_proxy import TcpProxy, source_address, source_number
@@ -232,22 +232,22 @@
         for engine, address in zip(self.engines, self.places):
             name = place(address)
             seen += [
-                {"at": at, "event": "connect", "who": self._who(caller), "engine": name}
-                for at, caller in engine.connects
+                {"at": one.accepted_at, "event": "connect", "who": self._who(one.caller), "engine": name}
+                for one in engine.connects
             ]
             seen += [
                 {
-                    "at": one.at,
+                    "at": one.received_at,
                     "event": "arrival",
                     "who": self._who(one.caller),
                     "engine": name,
-                    "ref": one.ref.decode(errors="replace"),
-                    "lane": one.lane.decode(errors="replace"),
+                    "ref": one.request_id.decode(errors="replace"),
+                    "lane": one.class_name.decode(errors="replace"),
                 }
                 for one in engine.arrivals
             ]
-            if engine.fell is not None:
-                seen.append({"at": engine.fell, "event": "fell", "engine": name})
+            if engine.failed_at is not None:
+                seen.append({"at": engine.failed_at, "event": "fell", "engine": name})
         seen += [
             {"at": tenth / 10, "event": "sent", "who": name, "bytes": size, "most": most, "count": count}
             for (name, tenth), (size, most, count) in self.sent.items()
@@ -277,7 +277,7 @@
             self.places.append(await self._place(f"e{at}", engine.address))
         for at in range(plan.engines):
             if at < plan.cold:
-                self.engines[at].started = time.monotonic()
+                self.engines[at].started_at = time.monotonic()
             await self.list_engine(at, "ready")
         port = self._free_port()
         if plan.members:
@@ -459,7 +459,7 @@
     def _record(self, at: int, state: str) -> dict:
         started = 0.0
         if at < self.plan.cold:
-            started = time.time() - (time.monotonic() - self.engines[at].started)
+            started = time.time() - (time.monotonic() - self.engines[at].started_at)
         return {
             "id": f"s-{at + 1:08x}",
             "address": place(self.places[at]),
@@ -520,7 +520,7 @@
             order = sorted(
                 range(self.plan.engines),
                 reverse=True,
-                key=lambda at: sum(one.at >= lately for one in self.engines[at].arrivals[-100:]),
+                key=lambda at: sum(one.received_at >= lately for one in self.engines[at].arrivals[-100:]),
             )
             busy = order[: max(1, min(self.plan.engines // 10, 300 // self.plan.nodes))]
             for at in busy:
--- a/applevale/harness/managed_process.py
+++ b/applevale/harness/managed_process.py
@@ -13,7 +13,7 @@
 from math import inf
 
 from ..fakes.clients import Clients
-from ..fakes.engine import StandinEngine
+from ..fakes.engine import FakeEngine
 
 NS = 1_000_000_000
 ZONES, KINDS = ["east", "west"], ["std"]
@@ -199,7 +199,7 @@
 
 
 def broken_rules(
-    clients: Clients, engines: Iterable[StandinEngine], apart: tuple[float, float] = (inf, -inf)
+    clients: Clients, engines: Iterable[FakeEngine], apart: tuple[float, float] = (inf, -inf)
 ) -> Counter:
     """What the rules on requests say of a run: loads that arrived twice, loads of a key out of order.
 
@@ -209,8 +209,8 @@
     loads: dict[str, list[float]] = defaultdict(list)
     for engine in engines:
         for arrival in engine.arrivals:
-            if arrival.lane == b"load":
-                loads[arrival.ref.decode()].append(arrival.at)
+            if arrival.class_name == b"load":
+                loads[arrival.request_id.decode()].append(arrival.received_at)
     found["loads_twice"] = sum(len(times) > 1 for times in loads.values())
     by_key: dict[tuple[int, bool], list[float]] = defaultdict(list)
     for sent in clients.sent:
--- a/applevale/harness/ops.py
+++ b/applevale/harness/ops.py
@@ -20,7 +20,7 @@
 from random import Random
 
 from ..fakes.clients import Clients
-from ..fakes.engine import StandinEngine
+from ..fakes.engine import FakeEngine
 from .managed_process import Program, broken_rules
 
 ENGINES = 3
@@ -55,7 +55,7 @@
     return int(head.split()[1]), json.loads(rest or b"{}")
 
 
-def known(engines: list[StandinEngine]) -> dict:
+def known(engines: list[FakeEngine]) -> dict:
     instances = [
         {
             "instanceId": f"s-{at + 1:08x}",
@@ -94,7 +94,7 @@
     random = Random(seed)
     loop = asyncio.get_running_loop()
     step = max(seconds / 6, 1.0)
-    engines = [StandinEngine(Random(random.random())) for _ in range(ENGINES)]
+    engines = [FakeEngine(Random(random.random())) for _ in range(ENGINES)]
     for engine in engines:
         await engine.start()
     shared = tempfile.TemporaryDirectory(prefix="applevale-ops-")
@@ -144,10 +144,10 @@
         await asyncio.sleep(BACK_IN)
         load.cancel()
         await clients.settle()
-        found["to_banned"] = sum(banned_at < one.at < enabled_at for one in banned.arrivals)
-        found["to_late_banned"] = sum(late_from < one.at < enabled_at for one in late.arrivals)
-        found["after_enable"] = sum(one.at > enabled_at for one in banned.arrivals)
-        ran = {one.ref.decode() for engine in engines for one in engine.arrivals}
+        found["to_banned"] = sum(banned_at < one.received_at < enabled_at for one in banned.arrivals)
+        found["to_late_banned"] = sum(late_from < one.received_at < enabled_at for one in late.arrivals)
+        found["after_enable"] = sum(one.received_at > enabled_at for one in banned.arrivals)
+        ran = {one.request_id.decode() for engine in engines for one in engine.arrivals}
         found["cut_after_run"] = sum(sent.cut and sent.ref in ran for sent in clients.sent)
         rules = broken_rules(clients, engines, (both_from, both_until))
         answers = clients.figures()
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -24,7 +24,7 @@
 from ..discovery.registry.records import RecordError, read_record
 from ..fakes import consul, etcd
 from ..fakes.clients import Clients
-from ..fakes.engine import StandinEngine
+from ..fakes.engine import FakeEngine
 from ..fakes.gate import Gate, Mode
 from ..fakes.store import Store
 from .managed_process import KINDS, ZONES, Program, broken_rules
@@ -43,7 +43,7 @@
     """One engine as the script last wrote it."""
 
     number: int
-    engine: StandinEngine
+    engine: FakeEngine
     state: str = "ready"
 
     @property
@@ -72,9 +72,9 @@
         members = etcd if kind == "etcd" else consul
         self.members = [members.Member(self.store) for _ in range(MEMBERS)]
         self.gates: list[Gate] = []
-        self.engines = [StandinEngine(Random(random.random())) for _ in range(ENGINES + SPARES)]
+        self.engines = [FakeEngine(Random(random.random())) for _ in range(ENGINES + SPARES)]
         self.listed: list[Listed] = []
-        self.spare: list[StandinEngine] = []
+        self.spare: list[FakeEngine] = []
         self.backup: Store | None = None
         self.later: set[asyncio.TimerHandle] = set()
         self.figures: Counter = Counter()
@@ -329,7 +329,7 @@
         """For each drain or deletion: when it was committed, and when the last new work behind that arrived
         whole at the engine before it was ready again. By one clock: the stand-ins share it."""
         found = []
-        arrivals = {engine.address: [one.at for one in engine.arrivals] for engine in self.engines}
+        arrivals = {engine.address: [one.received_at for one in engine.arrivals] for engine in self.engines}
         ready: dict[bytes, tuple[str, int]] = {}  # key -> address that was last listed as ready
         open_drains: dict[tuple[str, int], float] = {}
 
--- a/applevale/harness/scenarios.py
+++ b/applevale/harness/scenarios.py
@@ -414,7 +414,7 @@
         )
     }
     found["wrong_lists"] = fleet.figures["wrong_lists"]
-    found["pushed_most"] = round(max(engine.pushed for engine in fleet.engines), 2)
+    found["pushed_most"] = round(max(engine.peak_overload for engine in fleet.engines), 2)
     found["import_s"] = {
         name: round(quantile(fleet.import_s, share), 2)
         for name, share in (("p50", 0.5), ("p99", 0.99), ("max", 1.0))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,7 +88,7 @@
     async def script(fleet):
         await up(fleet)
         await asyncio.sleep(6.0)
-        pushed.extend(engine.pushed for engine in fleet.engines)
+        pushed.extend(engine.peak_overload for engine in fleet.engines)
 
     found, _ = played(script, nodes=6, engines=2, cold=2, clients=15.0)
     assert found["engines_fallen"] == 0 and all(0.2 < one <= 1 for one in pushed)
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -7,7 +7,7 @@
 import pytest
 
 from applevale.fakes.clients import Sent
-from applevale.fakes.engine import Arrival
+from applevale.fakes.engine import AttemptArrival
 from applevale.harness import ops
 from applevale.harness.managed_process import broken_rules
 
@@ -50,7 +50,7 @@
     """An engine that only tells what reached it, and when."""
 
     def __init__(self, *refs):
-        self.arrivals = [Arrival(float(at), ref.encode(), b"load") for at, ref in enumerate(refs)]
+        self.arrivals = [AttemptArrival(float(at), ref.encode(), b"load") for at, ref in enumerate(refs)]
 
 
 class Asked:
