Fakes: ClientPool, SentRequest and FaultyProxy replace Clients, Sent and Gate

Names of parameters say what they are; counts and bytes are unchanged.

FaultyProxy stays apart from fault_injection's TcpProxy: that one delays by link conditions and knows no cut or garbled answers.

--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -23,7 +23,7 @@
 import msgspec
 
 from ..checkers.history import History
-from ..fakes.clients import Clients
+from ..fakes.client_pool import ClientPool
 from ..fakes.cold_engine import ColdEngine
 from ..fault_injection import schedule as f
 from ..fault_injection.link_conditions import LinkConditions, matches_any
@@ -70,7 +70,7 @@
 
     def __init__(self, number: int, name: str, program: Program):
         self.number, self.name, self.program = number, name, program
-        self.clients: Clients | None = None
+        self.clients: ClientPool | None = None
         self.load: asyncio.Task | None = None
         self.ready = self.confirmed = False
         self.stand = ""  # among the members
@@ -395,14 +395,14 @@
     async def _serve(self, instance: Instance) -> None:
         """Clients of one instance, from its first listening on until the run ends."""
         plan = self.plan
-        instance.clients = Clients(
+        instance.clients = ClientPool(
             instance.program.address,
             Random(self.random.random()),
             plan.clients,
-            connections=1,
-            again=True,
-            effort=400.0,
-            repeat=plan.eager,
+            connection_count=1,
+            reconnect=True,
+            effort_ms=400.0,
+            repeat_rejected=plan.eager,
         )
         await instance.clients.start()
         await instance.clients.run(inf)
@@ -422,21 +422,21 @@
                 continue
             ends = instance.killed
             for sent in instance.clients.sent:
-                if sent.cut and any(sent.at <= end + 0.5 for end in ends):
+                if sent.disconnected_at and any(sent.sent_at <= end + 0.5 for end in ends):
                     found["cut_by_ends"] += 1
                 elif sent.answers == ["late"] and any(
-                    begin < sent.due and sent.due - LAST_WORD < end for begin, end in instance.still
+                    begin < sent.deadline and sent.deadline - LAST_WORD < end for begin, end in instance.still
                 ):
                     found["late_by_standstill"] += 1  # no process answers while it stands still
                 elif not sent.answers or "late" in sent.answers:
                     self.note(
                         "lost",
-                        sent.at,
+                        sent.sent_at,
                         who=instance.name,
-                        ref=sent.ref,
+                        ref=sent.request_id,
                         lane=sent.method,
                         answers=sent.answers,
-                        cut=round(sent.cut - sent.at, 3) if sent.cut else None,
+                        cut=round(sent.disconnected_at - sent.sent_at, 3) if sent.disconnected_at else None,
                     )
             apart = (min(ends), inf) if ends else (inf, -inf)
             found += broken_rules(instance.clients, self.engines, apart)
--- a/applevale/harness/managed_process.py
+++ b/applevale/harness/managed_process.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from math import inf
 
-from ..fakes.clients import Clients
+from ..fakes.client_pool import ClientPool
 from ..fakes.engine import FakeEngine
 
 NS = 1_000_000_000
@@ -199,7 +199,7 @@
 
 
 def broken_rules(
-    clients: Clients, engines: Iterable[FakeEngine], apart: tuple[float, float] = (inf, -inf)
+    clients: ClientPool, engines: Iterable[FakeEngine], apart: tuple[float, float] = (inf, -inf)
 ) -> Counter:
     """What the rules on requests say of a run: loads that arrived twice, loads of a key out of order.
 
@@ -214,12 +214,12 @@
     found["loads_twice"] = sum(len(times) > 1 for times in loads.values())
     by_key: dict[tuple[int, bool], list[float]] = defaultdict(list)
     for sent in clients.sent:
-        if sent.key and sent.ref in loads and not apart[0] <= sent.at <= apart[1]:
-            by_key[sent.key, sent.at > apart[1]].append(loads[sent.ref][0])
+        if sent.key and sent.request_id in loads and not apart[0] <= sent.sent_at <= apart[1]:
+            by_key[sent.key, sent.sent_at > apart[1]].append(loads[sent.request_id][0])
     found["order_breaks"] = sum(
         later < former for times in by_key.values() for former, later in zip(times, times[1:])
     )
-    answers = clients.figures()
+    answers = clients.stats()
     found["lost_requests"] = answers["lost"]
     found["answered_twice"] = answers["twice"]
     return found
--- a/applevale/harness/ops.py
+++ b/applevale/harness/ops.py
@@ -19,7 +19,7 @@
 import tempfile
 from random import Random
 
-from ..fakes.clients import Clients
+from ..fakes.client_pool import ClientPool
 from ..fakes.engine import FakeEngine
 from .managed_process import Program, broken_rules
 
@@ -107,7 +107,7 @@
     try:
         await first.start(env=env)
         found["first_ready"] = await until_ready(doors[0], READY_IN)
-        clients = Clients(first.address, Random(random.random()), RATE, again=True)
+        clients = ClientPool(first.address, Random(random.random()), RATE, reconnect=True)
         await clients.start()
         load = asyncio.create_task(clients.run(loop.time() + 3600))  # until it is cancelled
         await asyncio.sleep(step)
@@ -132,12 +132,12 @@
         # An engine taken out at the new door while both run: the old one must let it be, too.
         status, _ = await call(doors[1], "POST", "/engines/disable", {"host": "s-00000003"})
         found["late_ban_yes"], late_from = status == 200, late.clock() + GRACE
-        cut_before = sum(sent.cut for sent in clients.sent)
+        cut_before = sum(sent.disconnected_at for sent in clients.sent)
         first_counters = await first.stop()
         both_until = loop.time()
         found["first_exit"] = first.process.returncode
         await asyncio.sleep(step)
-        found["cut_in_upgrade"] = sum(sent.cut for sent in clients.sent) - cut_before
+        found["cut_in_upgrade"] = sum(sent.disconnected_at for sent in clients.sent) - cut_before
         found["ban_crossed"] = (await call(doors[1], "POST", "/engines/enable", {"host": "s-00000002"}))[0]
         await call(doors[1], "POST", "/engines/enable", {"host": "s-00000003"})
         enabled_at = banned.clock()
@@ -148,9 +148,9 @@
         found["to_late_banned"] = sum(late_from < one.received_at < enabled_at for one in late.arrivals)
         found["after_enable"] = sum(one.received_at > enabled_at for one in banned.arrivals)
         ran = {one.request_id.decode() for engine in engines for one in engine.arrivals}
-        found["cut_after_run"] = sum(sent.cut and sent.ref in ran for sent in clients.sent)
+        found["cut_after_run"] = sum(sent.disconnected_at and sent.request_id in ran for sent in clients.sent)
         rules = broken_rules(clients, engines, (both_from, both_until))
-        answers = clients.figures()
+        answers = clients.stats()
         await clients.stop()
         second_counters = await second.stop()
     finally:
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -23,9 +23,9 @@
 from ..discovery.registry.messages import range_end
 from ..discovery.registry.records import RecordError, read_record
 from ..fakes import consul, etcd
-from ..fakes.clients import Clients
+from ..fakes.client_pool import ClientPool
 from ..fakes.engine import FakeEngine
-from ..fakes.gate import Gate, Mode
+from ..fakes.faulty_proxy import FaultyProxy, ProxyMode
 from ..fakes.store import Store
 from .managed_process import KINDS, ZONES, Program, broken_rules
 
@@ -71,7 +71,7 @@
         self.store = Store()
         members = etcd if kind == "etcd" else consul
         self.members = [members.Member(self.store) for _ in range(MEMBERS)]
-        self.gates: list[Gate] = []
+        self.gates: list[FaultyProxy] = []
         self.engines = [FakeEngine(Random(random.random())) for _ in range(ENGINES + SPARES)]
         self.listed: list[Listed] = []
         self.spare: list[FakeEngine] = []
@@ -80,12 +80,12 @@
         self.figures: Counter = Counter()
         self.script: list[tuple[float, str]] = []  # what was caused, by the store's clock
         self.program: Program | None = None
-        self.clients: Clients | None = None
+        self.clients: ClientPool | None = None
 
     async def start(self) -> None:
         for member in self.members:
             await member.start()
-            gate = Gate(member.address, Random(self.random.random()))
+            gate = FaultyProxy(member.address, Random(self.random.random()))
             await gate.start()
             self.gates.append(gate)
         for engine in self.engines:
@@ -97,10 +97,10 @@
         self.program = Program(self.config(self.gates), f"rig-{self.kind}")
         await self.program.start(*self.entry)
         await self.quiet()
-        self.clients = Clients(self.program.address, Random(self.random.random()), RATE)
+        self.clients = ClientPool(self.program.address, Random(self.random.random()), RATE)
         await self.clients.start()
 
-    def config(self, gates: list[Gate]) -> dict:
+    def config(self, gates: list[FaultyProxy]) -> dict:
         addresses = [f"{host}:{port}" for host, port in (gate.address for gate in gates)]
         return {"registry": {"kind": self.kind, "addresses": addresses, "prefix": PREFIX}}
 
@@ -192,18 +192,18 @@
         self.note(f"{what} of member {at} for {span:.2f} s")
         match what:
             case "cut":
-                gate.cut()
+                gate.abort_connections()
             case "refuse" | "stall" | "half" | "garbage":
-                gate.set(Mode(what))
+                gate.set_mode(ProxyMode(what))
                 if what == "refuse":
-                    gate.cut()
-                self.soon(span, gate.set, Mode.PASS)
+                    gate.abort_connections()
+                self.soon(span, gate.set_mode, ProxyMode.PASS)
             case "compact":
                 self.store.compact()
             case "mute" | "deny" | "twice":
                 setattr(member, what, True)
                 if what == "deny":
-                    gate.cut()
+                    gate.abort_connections()
                 self.soon(span, setattr, member, what, False)
                 self.soon(span, self.store.wake)
             case "slow":
@@ -214,12 +214,12 @@
                 alone = not any(other.lag for other in self.members)  # a majority of members is never behind
                 if alone and shown["registry_revision"] > self.backup.revision:
                     member.lag = self.backup
-                    gate.cut()
+                    gate.abort_connections()
                     self.soon(span, setattr, member, "lag", None)
             case "all":
                 for other in self.gates:
-                    other.set(Mode.STALL)
-                    self.soon(span, other.set, Mode.PASS)
+                    other.set_mode(ProxyMode.STALL)
+                    self.soon(span, other.set_mode, ProxyMode.PASS)
                 self.soon(span / 2, self.store.compact)
             case "burst":
                 for number in range(1000, 1200):
@@ -250,7 +250,7 @@
         again = self.kind == "etcd" and self.random.random() < 0.5
         if again:  # a new id: what is connected is cut, as by a new start of all members
             for gate in self.gates:
-                gate.cut()
+                gate.abort_connections()
         self.store.restore(self.backup.copy(), self.store.cluster + 1 if again else 0)
         by_address = {engine.address: engine for engine in self.engines}
         self.spare = list(self.engines)
@@ -284,7 +284,7 @@
             handle.cancel()
         self.later.clear()
         for gate, member in zip(self.gates, self.members):
-            gate.set(Mode.PASS)
+            gate.set_mode(ProxyMode.PASS)
             member.lag, member.slow = None, 0.0
             member.deny = member.mute = member.twice = False
         self.store.wake()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -14,7 +14,7 @@
 from applevale.discovery.registry.snapshot import SnapshotError, SnapshotStore
 from applevale.discovery.registry.source import RegistrySource
 from applevale.fakes import consul, etcd
-from applevale.fakes.gate import Gate, Mode
+from applevale.fakes.faulty_proxy import FaultyProxy, ProxyMode
 from applevale.fakes.store import Store
 from applevale.harness.registry import Site
 from applevale.observability.counters import Counters
@@ -88,7 +88,7 @@
     try:
         for member in it.members:
             await member.start()
-            gate = Gate(member.address, Random(1))
+            gate = FaultyProxy(member.address, Random(1))
             await gate.start()
             it.gates.append(gate)
         it.put(1)
@@ -115,7 +115,7 @@
 def test_a_drain_and_a_deletion_within_a_break_with_compaction(kind):
     async def play(it):
         for gate in it.gates:
-            gate.set(Mode.STALL)
+            gate.set_mode(ProxyMode.STALL)
         it.put(1, "draining")
         it.store.delete(b"p/1")
         it.put(2, "draining")
@@ -123,7 +123,7 @@
         await it.wait_until(lambda: not it.source.is_fresh())
         assert it.engines == {1: "ready", 2: "ready"} and not it.source.may_start_work()
         for gate in it.gates:
-            gate.set(Mode.PASS)
+            gate.set_mode(ProxyMode.PASS)
         await it.wait_until_current()
         full = 2 if kind == "etcd" else 1  # a blocking read tells the whole list, against what is known
         assert it.engines == {2: "draining"} and it.counters["registry_full_reads"] == full
@@ -131,12 +131,12 @@
     run_scenario(play, kind)
 
 
-@pytest.mark.parametrize("mode", [Mode.HALF, Mode.GARBAGE])
+@pytest.mark.parametrize("mode", [ProxyMode.HALF, ProxyMode.GARBAGE])
 @pytest.mark.parametrize("kind", KINDS)
 def test_half_an_answer_and_garbage_cost_a_session_and_no_change(kind, mode):
     async def play(it):
         for gate in it.gates:
-            gate.set(mode)
+            gate.set_mode(mode)
         it.put(1, "draining")
         await it.wait_until(lambda: it.counters["registry_breaks"] + it.counters["registry_stalls"] > 0)
         await it.wait_until_current()
@@ -164,7 +164,7 @@
         it.put(1, "draining")
         await it.wait_until_current()
         it.members[it.source.watcher.sessions.rotation.last_index].lag = old
-        it.gates[it.source.watcher.sessions.rotation.last_index].cut()
+        it.gates[it.source.watcher.sessions.rotation.last_index].abort_connections()
         it.put(2, "draining")
         await it.wait_until_current()
         assert it.engines == {1: "draining", 2: "draining"}
@@ -181,7 +181,7 @@
         await it.wait_until_current()
         it.store.restore(backup, cluster)
         for gate in it.gates:
-            gate.cut()
+            gate.abort_connections()
         await it.wait_until_current()
         assert it.engines == {1: "ready", 2: "ready"} and it.counters["registry_restored"] == 1
 
@@ -210,7 +210,7 @@
         for member in it.members:
             member.deny = True
         for gate in it.gates:
-            gate.cut()
+            gate.abort_connections()
         await it.wait_until(lambda: it.counters["registry_refused"] >= 2 and not it.source.is_fresh())
         for member in it.members:
             member.deny = False
@@ -261,7 +261,7 @@
         for member in it.members:
             member.users = {"ops": "token-1"}
             await member.start()
-            gate = Gate(member.address, Random(1))
+            gate = FaultyProxy(member.address, Random(1))
             await gate.start()
             it.gates.append(gate)
         it.put(1)
@@ -320,11 +320,11 @@
 @pytest.mark.parametrize("kind", KINDS)
 def test_other_members_are_followed_from_the_same_revision(kind):
     async def play(it):
-        extra = Gate(it.members[1].address, Random(2))
+        extra = FaultyProxy(it.members[1].address, Random(2))
         await extra.start()
         try:
             for gate in it.gates:
-                gate.set(Mode.REFUSE)
+                gate.set_mode(ProxyMode.REFUSE)
             it.put(1, "draining")
             it.source.reconfigure(it.settings(gates=[extra]))
             await it.wait_until_current()
@@ -343,12 +343,12 @@
         await it.source.stop()
         it.engines, it.counters = {}, Counters()
         for gate in it.gates:
-            gate.set(Mode.STALL)
+            gate.set_mode(ProxyMode.STALL)
         it.start_source()
         assert it.engines == {1: "draining", 2: "ready"} and not it.source.is_fresh()
         it.put(2, "draining")
         for gate in it.gates:
-            gate.set(Mode.PASS)
+            gate.set_mode(ProxyMode.PASS)
         await it.wait_until_current()
         assert it.engines == {1: "draining", 2: "draining"}
         assert it.counters["registry_full_reads"] == 0 and it.counters["registry_snapshot_used"] == 1
@@ -406,7 +406,7 @@
             load = asyncio.create_task(site.clients.run(loop.time() + 3.0))
             await asyncio.sleep(0.3)
             for gate in site.gates:
-                gate.set(Mode.STALL)
+                gate.set_mode(ProxyMode.STALL)
             for one in site.listed[:3]:
                 one.state = "draining"
                 site.store.put(one.key, one.record())
@@ -417,7 +417,7 @@
             await load
         finally:
             await site.stop()
-        return max(site.drain_lags()), site.figures["wrong_lists"], site.clients.figures()
+        return max(site.drain_lags()), site.figures["wrong_lists"], site.clients.stats()
 
     return asyncio.run(run())
 
@@ -445,7 +445,7 @@
         try:
             await site.start()
             for gate in site.gates:
-                gate.set(Mode.STALL)
+                gate.set_mode(ProxyMode.STALL)
             async with asyncio.timeout(BOUND):
                 while not (await site.program.counters()).get("unconfirmed"):
                     site.clients.send("lookup")
@@ -460,6 +460,6 @@
         finally:
             await site.stop()
         assert late.answers == ["Full"]
-        assert site.clients.figures()["lost"] == 0
+        assert site.clients.stats()["lost"] == 0
 
     asyncio.run(run())
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from applevale.fakes.clients import Sent
+from applevale.fakes.client_pool import SentRequest
 from applevale.fakes.engine import AttemptArrival
 from applevale.harness import ops
 from applevale.harness.managed_process import broken_rules
@@ -57,9 +57,9 @@
     """Clients that only tell what they sent: (ref, when) of one key."""
 
     def __init__(self, *sent):
-        self.sent = [Sent(ref, "load", 7, at, at + 3.0, False, ["served"]) for ref, at in sent]
+        self.sent = [SentRequest(ref, "load", 7, at, at + 3.0, False, ["served"]) for ref, at in sent]
 
-    def figures(self):
+    def stats(self):
         return Counter()
 
 
