Fakes: KeyValueStore, registry host and members with named faults and records

The registry fakes had one-word switches, lists and tuples between functions, and an order dispatch of 40 lines. Store is KeyValueStore with KeyVersion, Commit and CompactedError; listhost.py is registry_host.py, with a method for each order; members name their faults (stale_store, rejects_credentials, silences_watches, duplicates_events, full_read_delay, call_delay, retry_after), and watches keep a WatchProgress. Orders and events keep their keys.

--- a/applevale/fakes/etcd.py
+++ b/applevale/fakes/etcd.py
@@ -1,4 +1,4 @@
-"""An etcd-like member: Range, Watch and Authenticate over gRPC, on a store that members may share."""
+"""A fake etcd member: Range, Watch and Authenticate over gRPC, on a store that members may share."""
 
 from __future__ import annotations
 
@@ -13,21 +13,46 @@
 from grpclib.server import Server, Stream
 
 from ..discovery.registry import messages as m
+from .key_value_store import CompactedError, KeyValueStore, KeyVersion
 from .service_capacity import ServiceCapacity
-from .store import Compacted, Store, Version
 
-MOST_EVENTS = 500  # of one message
+MAX_EVENTS_PER_MESSAGE = 500
 
 
 @dataclass
-class ReadSeen:
-    """One read as the service saw it; times by the steady clock, s."""
+class ReadRecord:
+    """A read as the member saw it. Times are of the monotonic clock, in seconds.
 
-    at: float
-    caller: str  # IP:PORT
-    whole: bool  # a full read; else a short one
-    out: float = 0.0  # when it was answered, refused or broken off
-    answered: bool = False
+    Attributes:
+        began_at: When it arrived.
+        caller: The caller's address, IP:PORT.
+        is_full: Whether it asked for the keys, and not only for their number.
+        ended_at: When it was answered, rejected or broken off.
+        is_answered: Whether it was answered.
+    """
+
+    began_at: float
+    caller: str
+    is_full: bool
+    ended_at: float = 0.0
+    is_answered: bool = False
+
+
+@dataclass
+class WatchProgress:
+    """Where a watch stands.
+
+    Attributes:
+        key: The first key watched.
+        range_end: The key behind the last one.
+        next_revision: The first revision that has not been sent.
+        lock: Held while messages are sent.
+    """
+
+    key: bytes
+    range_end: bytes
+    next_revision: int
+    lock: asyncio.Lock
 
 
 class _Server(Server):
@@ -43,8 +68,11 @@
         super().close()
 
     def _protocol_factory(self) -> asyncio.Protocol:
-        protocol, member = super()._protocol_factory(), self.member
-        made, lost, held = protocol.connection_made, protocol.connection_lost, []
+        protocol = super()._protocol_factory()
+        member = self.member
+        grpc_connection_made = protocol.connection_made
+        grpc_connection_lost = protocol.connection_lost
+        transports = []
 
         def connection_made(transport: asyncio.Transport) -> None:
             # The event loop may have accepted it before `close` and report it only now: `Member.stop` could
@@ -53,47 +81,70 @@
                 transport.abort()
                 return
             host, port = transport.get_extra_info("peername")[:2]
-            held.append(transport)
-            member.transports[transport] = f"{host}:{port}"
-            member.turned(member.transports[transport], True)
-            made(transport)
+            transports.append(transport)
+            member.connections[transport] = f"{host}:{port}"
+            member.on_session_change(member.connections[transport], True)
+            grpc_connection_made(transport)
 
         def connection_lost(error: Exception | None) -> None:
-            if not held:
+            if not transports:
                 return
-            caller = member.transports.pop(held[0], "")
-            member.turned(caller, False)
-            lost(error)
+            caller = member.connections.pop(transports[0], "")
+            member.on_session_change(caller, False)
+            grpc_connection_lost(error)
 
-        protocol.connection_made, protocol.connection_lost = connection_made, connection_lost
+        protocol.connection_made = connection_made
+        protocol.connection_lost = connection_lost
         return protocol
 
 
 class Member:
-    """One member. `lag`: a frozen store that it answers from; `deny`: refuses all credentials; `slow`: s that
-    a full read takes; `late`: s that each call takes besides; `mute`: its watches say nothing, while reads go
-    on; `twice`: each event is told again. `capacity` is that of the service, shared by its members."""
+    """One member of the cluster, with faults that can be switched on.
+
+    Attributes:
+        stale_store: A frozen store that it answers from in place of the common one.
+        rejects_credentials: Whether it rejects all credentials.
+        silences_watches: Whether its watches send nothing, while reads go on.
+        duplicates_events: Whether each event is sent twice.
+        full_read_delay: Seconds that a full read takes.
+        call_delay: Seconds that each call takes besides.
+        capacity: That of the service; members may share it.
+        on_read: Called with each read when it has ended.
+        on_session_change: Called with the caller's address and whether its connection opened or closed.
+        connections: The open connections, and the address of the caller of each.
+    """
 
     def __init__(
-        self, store: Store, users: dict[str, str] | None = None, capacity: ServiceCapacity | None = None
+        self,
+        store: KeyValueStore,
+        users: dict[str, str] | None = None,
+        capacity: ServiceCapacity | None = None,
     ):
-        self.store, self.users = store, users or {}
-        self.lag: Store | None = None
-        self.deny = self.mute = self.twice = False
-        self.slow = self.late = 0.0
-        self.reads = self.watches = 0
+        """Prepare a member on a free port; `users` are the names and tokens it accepts, by default all."""
+        self.store = store
+        self.users = users or {}
+        self.stale_store: KeyValueStore | None = None
+        self.rejects_credentials = False
+        self.silences_watches = False
+        self.duplicates_events = False
+        self.full_read_delay = 0.0
+        self.call_delay = 0.0
+        self.read_count = 0
+        self.watch_count = 0
         self.capacity = capacity or ServiceCapacity()
-        self.seen: Callable[[ReadSeen], None] = lambda read: None
-        self.transports: dict[asyncio.Transport, str] = {}  # connections, and whose they are
-        self.turned: Callable[[str, bool], None] = lambda caller, opened: None
+        self.on_read: Callable[[ReadRecord], None] = lambda read: None
+        self.on_session_change: Callable[[str, bool], None] = lambda caller, is_open: None
+        self.connections: dict[asyncio.Transport, str] = {}
         self.server: Server | None = None
         self.address = ("127.0.0.1", 0)
 
     @property
-    def view(self) -> Store:
-        return self.lag or self.store
+    def visible_store(self) -> KeyValueStore:
+        """The store that it answers from."""
+        return self.stale_store or self.store
 
     async def start(self, tls: ssl.SSLContext | None = None) -> None:
+        """Listen; `address` holds the port from then on."""
         self.server = _Server([self], member=self)
         await self.server.start(*self.address, ssl=tls)
         self.address = self.server._server.sockets[0].getsockname()[:2]
@@ -101,11 +152,16 @@
     async def stop(self) -> None:
         """Close the listener and all connections; no call is answered once this returns."""
         self.server.close()
-        for transport in list(self.transports):
-            transport.abort()
+        self.abort_connections()
         await self.server.wait_closed()
 
+    def abort_connections(self) -> None:
+        """Abort all connections; the listener stays open."""
+        for transport in list(self.connections):
+            transport.abort()
+
     def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers of the calls, as grpclib asks for them."""
         return {
             m.RANGE: Handler(self._range, Cardinality.UNARY_UNARY, m.RangeRequest, m.RangeResponse),
             m.WATCH: Handler(self._watch, Cardinality.STREAM_STREAM, m.WatchRequest, m.WatchResponse),
@@ -115,124 +171,139 @@
         }
 
     def _header(self) -> object:
-        return m.ResponseHeader(cluster_id=self.store.cluster, member_id=1, revision=self.view.revision)
+        revision = self.visible_store.revision
+        return m.ResponseHeader(cluster_id=self.store.cluster_id, member_id=1, revision=revision)
 
-    def _check(self, stream: Stream) -> None:
-        if self.deny or (self.users and stream.metadata.get("token") not in self.users.values()):
+    def _check_token(self, stream: Stream) -> None:
+        has_token = not self.users or stream.metadata.get("token") in self.users.values()
+        if self.rejects_credentials or not has_token:
             raise GRPCError(Status.UNAUTHENTICATED, "etcdserver: invalid auth token")
 
     async def _authenticate(self, stream: Stream) -> None:
         request = await stream.recv_message()
-        if self.deny or request.name not in self.users or request.password != f"pw-{request.name}":
+        is_known = request.name in self.users and request.password == f"pw-{request.name}"
+        if self.rejects_credentials or not is_known:
             raise GRPCError(Status.INVALID_ARGUMENT, "etcdserver: authentication failed")
         token = self.users[request.name]
         await stream.send_message(m.AuthenticateResponse(header=self._header(), token=token))
 
     async def _range(self, stream: Stream) -> None:
         request = await stream.recv_message()
-        self._check(stream)
-        self.reads += 1
-        caller = f"{stream.peer.addr()[0]}:{stream.peer.addr()[1]}"
-        read = ReadSeen(time.monotonic(), caller, not request.count_only)
+        self._check_token(stream)
+        self.read_count += 1
+        host, port = stream.peer.addr()[:2]
+        read = ReadRecord(time.monotonic(), f"{host}:{port}", not request.count_only)
         try:
             await self._serve_read(stream, request, read)
         finally:
-            read.out = time.monotonic()
-            self.seen(read)
+            read.ended_at = time.monotonic()
+            self.on_read(read)
 
-    async def _serve_read(self, stream: Stream, request: object, read: ReadSeen) -> None:
-        wait = self.capacity.reserve(time.monotonic())
-        if wait is None:
+    async def _serve_read(self, stream: Stream, request: object, read: ReadRecord) -> None:
+        delay = self.capacity.reserve(time.monotonic())
+        if delay is None:
             raise GRPCError(Status.RESOURCE_EXHAUSTED, "etcdserver: too many requests")
-        wait += self.late + (self.slow if read.whole else 0.0)
-        if wait:
-            await asyncio.sleep(wait)
+        delay += self.call_delay + (self.full_read_delay if read.is_full else 0.0)
+        if delay:
+            await asyncio.sleep(delay)
         try:
-            found = self.view.under(request.key, request.range_end, request.revision)
-        except Compacted:
+            versions = self.visible_store.read_range(request.key, request.range_end, request.revision)
+        except CompactedError:
             raise GRPCError(
                 Status.OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"
             ) from None
-        answer = m.RangeResponse(header=self._header(), count=len(found))
+        answer = m.RangeResponse(header=self._header(), count=len(versions))
         if not request.count_only:
-            some = found[: request.limit or len(found)]
-            answer.more = len(some) < len(found)
-            answer.kvs.extend(_key_value(version) for version in some)
+            page = versions[: request.limit or len(versions)]
+            answer.more = len(page) < len(versions)
+            answer.kvs.extend(_key_value(version) for version in page)
         await stream.send_message(answer)
-        read.answered = True
+        read.is_answered = True
 
     async def _watch(self, stream: Stream) -> None:
         request = await stream.recv_message()
-        self._check(stream)
-        self.watches += 1
+        self._check_token(stream)
+        self.watch_count += 1
         create = request.create_request
         changed = asyncio.Event()
-        lock = asyncio.Lock()
-        told = [create.start_revision]  # the next revision to tell
+        progress = WatchProgress(create.key, create.range_end, create.start_revision, asyncio.Lock())
         await stream.send_message(m.WatchResponse(header=self._header(), created=True))
-        self.view.changed.add(changed)
-        answering = asyncio.create_task(self._progress(stream, create, told, lock))
+        self.visible_store.changed.add(changed)
+        answering = asyncio.create_task(self._answer_progress_requests(stream, progress))
         try:
-            while not answering.done():
-                if not await self._events(stream, create, told, lock):
-                    return
-                waiting = asyncio.create_task(changed.wait())
-                try:
-                    await asyncio.wait({waiting, answering}, return_when=asyncio.FIRST_COMPLETED)
-                finally:
-                    waiting.cancel()
-                changed.clear()
+            await self._send_changes(stream, progress, changed, answering)
         except (StreamTerminatedError, ConnectionError):
             pass
         finally:
             answering.cancel()
-            for store in (self.store, self.view):
+            for store in (self.store, self.visible_store):
                 store.changed.discard(changed)
 
-    async def _progress(self, stream: Stream, create: object, told: list[int], lock: asyncio.Lock) -> None:
+    async def _send_changes(
+        self, stream: Stream, progress: WatchProgress, changed: asyncio.Event, answering: asyncio.Task
+    ) -> None:
+        """Send events as they come, until the watch is cancelled or its client has closed it."""
+        while not answering.done():
+            if not await self._send_due_events(stream, progress):
+                return
+            waiting = asyncio.create_task(changed.wait())
+            try:
+                await asyncio.wait({waiting, answering}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                waiting.cancel()
+            changed.clear()
+
+    async def _answer_progress_requests(self, stream: Stream, progress: WatchProgress) -> None:
         try:
             while (request := await stream.recv_message()) is not None:
-                if request.HasField("progress_request") and not self.mute:
-                    await self._events(stream, create, told, lock)
-                    async with lock:
+                if request.HasField("progress_request") and not self.silences_watches:
+                    await self._send_due_events(stream, progress)
+                    async with progress.lock:
                         await stream.send_message(m.WatchResponse(header=self._header(), watch_id=-1))
         except (StreamTerminatedError, ConnectionError):
             pass
 
-    async def _events(self, stream: Stream, create: object, told: list[int], lock: asyncio.Lock) -> bool:
-        """All that is due; false once the watch was cancelled."""
-        async with lock:
-            while not self.mute:
+    async def _send_due_events(self, stream: Stream, progress: WatchProgress) -> bool:
+        """Send all events that are due; return False once the watch was cancelled."""
+        async with progress.lock:
+            while not self.silences_watches:
+                store = self.visible_store
                 try:
-                    due = self.view.since(told[0], create.key, create.range_end)[:MOST_EVENTS]
-                except Compacted:
-                    await stream.send_message(
-                        m.WatchResponse(
-                            header=self._header(),
-                            canceled=True,
-                            compact_revision=self.view.compacted,
-                            cancel_reason="required revision has been compacted",
-                        )
-                    )
+                    due = store.changes_since(progress.next_revision, progress.key, progress.range_end)
+                except CompactedError:
+                    await stream.send_message(self._cancellation())
                     return False
                 if not due:
                     break
-                header = self._header()
-                header.revision = due[-1].revision
-                for _ in range(1 + self.twice):
-                    await stream.send_message(m.WatchResponse(header=header, events=[_event(v) for v in due]))
-                told[0] = due[-1].revision + 1
+                await self._send_events(stream, progress, due[:MAX_EVENTS_PER_MESSAGE])
         return True
 
-
-def _key_value(version: Version) -> object:
+    async def _send_events(self, stream: Stream, progress: WatchProgress, versions: list[KeyVersion]) -> None:
+        header = self._header()
+        header.revision = versions[-1].revision
+        for _ in range(2 if self.duplicates_events else 1):
+            await stream.send_message(
+                m.WatchResponse(header=header, events=[_event(one) for one in versions])
+            )
+        progress.next_revision = versions[-1].revision + 1
+
+    def _cancellation(self) -> object:
+        return m.WatchResponse(
+            header=self._header(),
+            canceled=True,
+            compact_revision=self.visible_store.compacted_revision,
+            cancel_reason="required revision has been compacted",
+        )
+
+
+def _key_value(version: KeyVersion) -> object:
     return m.KeyValue(
         key=version.key,
-        create_revision=version.created,
+        create_revision=version.create_revision,
         mod_revision=version.revision,
         value=version.value or b"",
     )
 
 
-def _event(version: Version) -> object:
+def _event(version: KeyVersion) -> object:
     return m.Event(type=m.DELETE if version.value is None else m.PUT, kv=_key_value(version))
--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -93,7 +93,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "applevale.fakes.listhost",
+            "applevale.fakes.registry_host",
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             limit=1 << 24,
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -26,10 +26,15 @@
 from ..fakes.client_pool import ClientPool
 from ..fakes.engine import FakeEngine
 from ..fakes.faulty_proxy import FaultyProxy, ProxyMode
-from ..fakes.store import Store
+from ..fakes.key_value_store import KeyValueStore
 from .managed_process import KINDS, ZONES, Program, broken_rules
 
 PREFIX = "applevale/engines/"
+MEMBER_FAULTS = {  # kind of failure -> attribute of the fake member that switches it on
+    "mute": "silences_watches",
+    "deny": "rejects_credentials",
+    "twice": "duplicates_events",
+}
 MEMBERS, ENGINES, SPARES = 3, 6, 3
 RATE = 40.0  # requests a second
 PROMISE = 0.5  # s
@@ -68,14 +73,14 @@
 
     def __init__(self, kind: str, random: Random, entry: tuple[str, ...] = ()):
         self.kind, self.random, self.entry = kind, random, entry
-        self.store = Store()
+        self.store = KeyValueStore()
         members = etcd if kind == "etcd" else consul
         self.members = [members.Member(self.store) for _ in range(MEMBERS)]
         self.gates: list[FaultyProxy] = []
         self.engines = [FakeEngine(Random(random.random())) for _ in range(ENGINES + SPARES)]
         self.listed: list[Listed] = []
         self.spare: list[FakeEngine] = []
-        self.backup: Store | None = None
+        self.backup: KeyValueStore | None = None
         self.later: set[asyncio.TimerHandle] = set()
         self.figures: Counter = Counter()
         self.script: list[tuple[float, str]] = []  # what was caused, by the store's clock
@@ -201,21 +206,22 @@
             case "compact":
                 self.store.compact()
             case "mute" | "deny" | "twice":
-                setattr(member, what, True)
+                setattr(member, MEMBER_FAULTS[what], True)
                 if what == "deny":
                     gate.abort_connections()
-                self.soon(span, setattr, member, what, False)
-                self.soon(span, self.store.wake)
+                self.soon(span, setattr, member, MEMBER_FAULTS[what], False)
+                self.soon(span, self.store.notify)
             case "slow":
-                member.slow = 0.3
-                self.soon(span, setattr, member, "slow", 0.0)
+                member.full_read_delay = 0.3
+                self.soon(span, setattr, member, "full_read_delay", 0.0)
             case "lag":
                 shown = await self.program.counters()
-                alone = not any(other.lag for other in self.members)  # a majority of members is never behind
+                # A majority of members is never behind.
+                alone = not any(other.stale_store for other in self.members)
                 if alone and shown["registry_revision"] > self.backup.revision:
-                    member.lag = self.backup
+                    member.stale_store = self.backup
                     gate.abort_connections()
-                    self.soon(span, setattr, member, "lag", None)
+                    self.soon(span, setattr, member, "stale_store", None)
             case "all":
                 for other in self.gates:
                     other.set_mode(ProxyMode.STALL)
@@ -251,11 +257,11 @@
         if again:  # a new id: what is connected is cut, as by a new start of all members
             for gate in self.gates:
                 gate.abort_connections()
-        self.store.restore(self.backup.copy(), self.store.cluster + 1 if again else 0)
+        self.store.restore(self.backup.copy(), self.store.cluster_id + 1 if again else 0)
         by_address = {engine.address: engine for engine in self.engines}
         self.spare = list(self.engines)
         for one in self.listed:
-            version = self.store.now.get(one.key)
+            version = self.store.current.get(one.key)
             one.state = "deleted"
             if version is not None:
                 member = read_record(version.value, NAMES)
@@ -273,9 +279,12 @@
         """What was caused and committed in that time, and what the program said, for a promise that broke."""
         lines = [(at, what) for at, what in self.script if since <= at <= until]
         lines += [
-            (at, f"commit {version.revision} {version.key} {version.value or 'deleted'}")
-            for at, version in self.store.commits
-            if since <= at <= until
+            (
+                commit.committed_at,
+                f"commit {commit.version.revision} {commit.version.key} {commit.version.value or 'deleted'}",
+            )
+            for commit in self.store.commits
+            if since <= commit.committed_at <= until
         ]
         return [f"{self.kind} {at:.3f} {what[:140]}" for at, what in sorted(lines)]
 
@@ -285,9 +294,9 @@
         self.later.clear()
         for gate, member in zip(self.gates, self.members):
             gate.set_mode(ProxyMode.PASS)
-            member.lag, member.slow = None, 0.0
-            member.deny = member.mute = member.twice = False
-        self.store.wake()
+            member.stale_store, member.full_read_delay = None, 0.0
+            member.rejects_credentials = member.silences_watches = member.duplicates_events = False
+        self.store.notify()
 
     async def quiet(self) -> None:
         """All failures end; the program's list must become the registry's, and is the next backup."""
@@ -296,7 +305,7 @@
         start = PREFIX.encode()
         table.replace(
             KeyValuePair(version.key.decode(), version.revision, version.value)
-            for version in self.store.under(start, range_end(start))
+            for version in self.store.read_range(start, range_end(start))
         )
         wanted = endpoints_digest(table.endpoints())
         loop = asyncio.get_running_loop()
@@ -340,7 +349,9 @@
                 last = bisect_right(times, until) - 1
                 found.append((since, max(since, times[last]) if last >= 0 else since))
 
-        for at, version in self.store.commits:
+        for commit in self.store.commits:
+            at = commit.committed_at
+            version = commit.version
             address = None
             if version.value is not None:
                 try:
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -14,7 +14,7 @@
 import time
 
 from applevale.fakes import consul, etcd
-from applevale.fakes.store import Store
+from applevale.fakes.key_value_store import KeyValueStore
 from applevale.harness.managed_process import KINDS, ZONES, Program
 
 PREFIX = "applevale/engines/"
@@ -46,7 +46,7 @@
 
 
 async def measure(kind: str, engines: int, rate: int) -> str:
-    store = Store()
+    store = KeyValueStore()
     member = {"etcd": etcd, "consul": consul}[kind].Member(store)
     await member.start()
     for number in range(1, engines + 1):
--- a/tests/test_fake_etcd.py
+++ b/tests/test_fake_etcd.py
@@ -9,7 +9,7 @@
 
 from applevale.discovery.registry import messages as m
 from applevale.fakes import etcd
-from applevale.fakes.store import Store
+from applevale.fakes.key_value_store import KeyValueStore
 
 
 async def read_revision(address):
@@ -35,8 +35,8 @@
         return protocol
 
     async def main():
-        member = etcd.Member(Store())
-        member.turned = lambda caller, opened: sessions.append(opened)
+        member = etcd.Member(KeyValueStore())
+        member.on_session_change = lambda caller, is_open: sessions.append(is_open)
         monkeypatch.setattr(etcd._Server, "_protocol_factory", stop_first)
         await member.start()
         with pytest.raises((StreamTerminatedError, OSError)):
@@ -46,14 +46,14 @@
         return member
 
     member = run(main())
-    assert member.reads == 0 and member.transports == {} and sessions == []
+    assert member.read_count == 0 and member.connections == {} and sessions == []
 
 
 @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
 def test_a_stop_returns_after_the_end_of_each_session(run):
     async def main():
-        member, sessions = etcd.Member(Store()), []
-        member.turned = lambda caller, opened: sessions.append(opened)
+        member, sessions = etcd.Member(KeyValueStore()), []
+        member.on_session_change = lambda caller, is_open: sessions.append(is_open)
         await member.start()
         channels = [Channel(*member.address) for _ in range(3)]
         for channel in channels:
@@ -61,7 +61,7 @@
         read = UnaryUnaryMethod(channels[0], m.RANGE, m.RangeRequest, m.RangeResponse)
         await read(m.RangeRequest(key=b"a", range_end=b"b", count_only=True))
         async with asyncio.timeout(20):
-            while len(member.transports) < len(channels):
+            while len(member.connections) < len(channels):
                 await asyncio.sleep(0)
         await member.stop()
         known_at_return = list(sessions)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -15,7 +15,7 @@
 from applevale.discovery.registry.source import RegistrySource
 from applevale.fakes import consul, etcd
 from applevale.fakes.faulty_proxy import FaultyProxy, ProxyMode
-from applevale.fakes.store import Store
+from applevale.fakes.key_value_store import KeyValueStore
 from applevale.harness.registry import Site
 from applevale.observability.counters import Counters
 
@@ -33,7 +33,7 @@
     """A registry source, its members behind proxies, and the list of engines that it has published."""
 
     def __init__(self, kind, **more):
-        self.kind, self.store, self.more = kind, Store(), more
+        self.kind, self.store, self.more = kind, KeyValueStore(), more
         self.members = [{"etcd": etcd, "consul": consul}[kind].Member(self.store) for _ in range(2)]
         self.gates, self.counters, self.engines, self.freshness_changes = [], Counters(), {}, []
         self.event = asyncio.Event()
@@ -148,7 +148,8 @@
 def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
     async def play(it):
         for member in it.members:
-            member.mute = it.source.watcher.sessions.rotation.last_index == it.members.index(member)
+            last_index = it.source.watcher.sessions.rotation.last_index
+            member.silences_watches = last_index == it.members.index(member)
         it.put(1, "draining")
         await it.wait_until_current()
         assert it.engines[1] == "draining" and it.counters["registry_stalls"] == 1
@@ -163,7 +164,7 @@
         old = it.store.copy()
         it.put(1, "draining")
         await it.wait_until_current()
-        it.members[it.source.watcher.sessions.rotation.last_index].lag = old
+        it.members[it.source.watcher.sessions.rotation.last_index].stale_store = old
         it.gates[it.source.watcher.sessions.rotation.last_index].abort_connections()
         it.put(2, "draining")
         await it.wait_until_current()
@@ -191,11 +192,11 @@
 def test_blocking_reads_refused_for_load_are_begun_anew_on_the_same_session():
     async def play(it):
         for member in it.members:
-            member.declining = 1
-        it.store.wake()
+            member.retry_after = 1
+        it.store.notify()
         await it.wait_until(lambda: it.counters["registry_declined"] >= 2 and not it.source.is_fresh())
         for member in it.members:
-            member.declining = None
+            member.retry_after = None
         it.put(1, "draining")
         await it.wait_until_current()
         assert it.engines[1] == "draining" and it.source.watcher.sessions.opened_count == 1
@@ -208,12 +209,12 @@
 def test_refused_credentials_are_told_and_taken_once_they_are_right(kind):
     async def play(it):
         for member in it.members:
-            member.deny = True
+            member.rejects_credentials = True
         for gate in it.gates:
             gate.abort_connections()
         await it.wait_until(lambda: it.counters["registry_refused"] >= 2 and not it.source.is_fresh())
         for member in it.members:
-            member.deny = False
+            member.rejects_credentials = False
         it.source.reconfigure(it.settings())
         it.put(1, "draining")
         await it.wait_until_current()
@@ -309,7 +310,7 @@
 
 def test_a_lease_that_runs_out_takes_its_engine_away():
     async def play(it):
-        it.store.put(b"p/3", record(3), lease=0.05)
+        it.store.put(b"p/3", record(3), lease_seconds=0.05)
         await it.wait_until(lambda: 3 in it.engines)
         await it.wait_until(lambda: 3 not in it.engines)
         await it.wait_until_current()
