--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -23,8 +23,8 @@
 import msgspec
 
 from ..checkers.history import History
-from ..fakes.clients import Clients
-from ..fakes.cold import ColdEngine
+from ..fakes.client_pool import ClientPool
+from ..fakes.cold_engine import ColdEngine
 from ..fault_injection import schedule as f
 from ..fault_injection.link_conditions import LinkConditions, matches_any
 from ..fault_injection.tcp_proxy import TcpProxy, source_address, source_number
@@ -70,7 +70,7 @@
 
     def __init__(self, number: int, name: str, program: Program):
         self.number, self.name, self.program = number, name, program
-        self.clients: Clients | None = None
+        self.clients: ClientPool | None = None
         self.load: asyncio.Task | None = None
         self.ready = self.confirmed = False
         self.stand = ""  # among the members
@@ -93,7 +93,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "applevale.fakes.listhost",
+            "applevale.fakes.registry_host",
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             limit=1 << 24,
@@ -232,22 +232,22 @@
         for engine, address in zip(self.engines, self.places):
             name = place(address)
             seen += [
-                {"at": at, "event": "connect", "who": self._who(caller), "engine": name}
-                for at, caller in engine.connects
+                {"at": one.accepted_at, "event": "connect", "who": self._who(one.caller), "engine": name}
+                for one in engine.connects
             ]
             seen += [
                 {
-                    "at": one.at,
+                    "at": one.received_at,
                     "event": "arrival",
                     "who": self._who(one.caller),
                     "engine": name,
-                    "ref": one.ref.decode(errors="replace"),
-                    "lane": one.lane.decode(errors="replace"),
+                    "ref": one.request_id.decode(errors="replace"),
+                    "lane": one.class_name.decode(errors="replace"),
                 }
                 for one in engine.arrivals
             ]
-            if engine.fell is not None:
-                seen.append({"at": engine.fell, "event": "fell", "engine": name})
+            if engine.failed_at is not None:
+                seen.append({"at": engine.failed_at, "event": "fell", "engine": name})
         seen += [
             {"at": tenth / 10, "event": "sent", "who": name, "bytes": size, "most": most, "count": count}
             for (name, tenth), (size, most, count) in self.sent.items()
@@ -277,7 +277,7 @@
             self.places.append(await self._place(f"e{at}", engine.address))
         for at in range(plan.engines):
             if at < plan.cold:
-                self.engines[at].started = time.monotonic()
+                self.engines[at].started_at = time.monotonic()
             await self.list_engine(at, "ready")
         port = self._free_port()
         if plan.members:
@@ -395,14 +395,14 @@
     async def _serve(self, instance: Instance) -> None:
         """Clients of one instance, from its first listening on until the run ends."""
         plan = self.plan
-        instance.clients = Clients(
+        instance.clients = ClientPool(
             instance.program.address,
             Random(self.random.random()),
             plan.clients,
-            connections=1,
-            again=True,
-            effort=400.0,
-            repeat=plan.eager,
+            connection_count=1,
+            reconnect=True,
+            effort_ms=400.0,
+            repeat_rejected=plan.eager,
         )
         await instance.clients.start()
         await instance.clients.run(inf)
@@ -422,21 +422,21 @@
                 continue
             ends = instance.killed
             for sent in instance.clients.sent:
-                if sent.cut and any(sent.at <= end + 0.5 for end in ends):
+                if sent.disconnected_at and any(sent.sent_at <= end + 0.5 for end in ends):
                     found["cut_by_ends"] += 1
                 elif sent.answers == ["late"] and any(
-                    begin < sent.due and sent.due - LAST_WORD < end for begin, end in instance.still
+                    begin < sent.deadline and sent.deadline - LAST_WORD < end for begin, end in instance.still
                 ):
                     found["late_by_standstill"] += 1  # no process answers while it stands still
                 elif not sent.answers or "late" in sent.answers:
                     self.note(
                         "lost",
-                        sent.at,
+                        sent.sent_at,
                         who=instance.name,
-                        ref=sent.ref,
+                        ref=sent.request_id,
                         lane=sent.method,
                         answers=sent.answers,
-                        cut=round(sent.cut - sent.at, 3) if sent.cut else None,
+                        cut=round(sent.disconnected_at - sent.sent_at, 3) if sent.disconnected_at else None,
                     )
             apart = (min(ends), inf) if ends else (inf, -inf)
             found += broken_rules(instance.clients, self.engines, apart)
@@ -459,7 +459,7 @@
     def _record(self, at: int, state: str) -> dict:
         started = 0.0
         if at < self.plan.cold:
-            started = time.time() - (time.monotonic() - self.engines[at].started)
+            started = time.time() - (time.monotonic() - self.engines[at].started_at)
         return {
             "id": f"s-{at + 1:08x}",
             "address": place(self.places[at]),
@@ -520,7 +520,7 @@
             order = sorted(
                 range(self.plan.engines),
                 reverse=True,
-                key=lambda at: sum(one.at >= lately for one in self.engines[at].arrivals[-100:]),
+                key=lambda at: sum(one.received_at >= lately for one in self.engines[at].arrivals[-100:]),
             )
             busy = order[: max(1, min(self.plan.engines // 10, 300 // self.plan.nodes))]
             for at in busy:
--- a/applevale/harness/ops.py
+++ b/applevale/harness/ops.py
@@ -19,8 +19,8 @@
 import tempfile
 from random import Random
 
-from ..fakes.clients import Clients
-from ..fakes.engine import StandinEngine
+from ..fakes.client_pool import ClientPool
+from ..fakes.engine import FakeEngine
 from .managed_process import Program, broken_rules
 
 ENGINES = 3
@@ -55,7 +55,7 @@
     return int(head.split()[1]), json.loads(rest or b"{}")
 
 
-def known(engines: list[StandinEngine]) -> dict:
+def known(engines: list[FakeEngine]) -> dict:
     instances = [
         {
             "instanceId": f"s-{at + 1:08x}",
@@ -94,7 +94,7 @@
     random = Random(seed)
     loop = asyncio.get_running_loop()
     step = max(seconds / 6, 1.0)
-    engines = [StandinEngine(Random(random.random())) for _ in range(ENGINES)]
+    engines = [FakeEngine(Random(random.random())) for _ in range(ENGINES)]
     for engine in engines:
         await engine.start()
     shared = tempfile.TemporaryDirectory(prefix="applevale-ops-")
@@ -107,7 +107,7 @@
     try:
         await first.start(env=env)
         found["first_ready"] = await until_ready(doors[0], READY_IN)
-        clients = Clients(first.address, Random(random.random()), RATE, again=True)
+        clients = ClientPool(first.address, Random(random.random()), RATE, reconnect=True)
         await clients.start()
         load = asyncio.create_task(clients.run(loop.time() + 3600))  # until it is cancelled
         await asyncio.sleep(step)
@@ -132,25 +132,25 @@
         # An engine taken out at the new door while both run: the old one must let it be, too.
         status, _ = await call(doors[1], "POST", "/engines/disable", {"host": "s-00000003"})
         found["late_ban_yes"], late_from = status == 200, late.clock() + GRACE
-        cut_before = sum(sent.cut for sent in clients.sent)
+        cut_before = sum(sent.disconnected_at for sent in clients.sent)
         first_counters = await first.stop()
         both_until = loop.time()
         found["first_exit"] = first.process.returncode
         await asyncio.sleep(step)
-        found["cut_in_upgrade"] = sum(sent.cut for sent in clients.sent) - cut_before
+        found["cut_in_upgrade"] = sum(sent.disconnected_at for sent in clients.sent) - cut_before
         found["ban_crossed"] = (await call(doors[1], "POST", "/engines/enable", {"host": "s-00000002"}))[0]
         await call(doors[1], "POST", "/engines/enable", {"host": "s-00000003"})
         enabled_at = banned.clock()
         await asyncio.sleep(BACK_IN)
         load.cancel()
         await clients.settle()
-        found["to_banned"] = sum(banned_at < one.at < enabled_at for one in banned.arrivals)
-        found["to_late_banned"] = sum(late_from < one.at < enabled_at for one in late.arrivals)
-        found["after_enable"] = sum(one.at > enabled_at for one in banned.arrivals)
-        ran = {one.ref.decode() for engine in engines for one in engine.arrivals}
-        found["cut_after_run"] = sum(sent.cut and sent.ref in ran for sent in clients.sent)
+        found["to_banned"] = sum(banned_at < one.received_at < enabled_at for one in banned.arrivals)
+        found["to_late_banned"] = sum(late_from < one.received_at < enabled_at for one in late.arrivals)
+        found["after_enable"] = sum(one.received_at > enabled_at for one in banned.arrivals)
+        ran = {one.request_id.decode() for engine in engines for one in engine.arrivals}
+        found["cut_after_run"] = sum(sent.disconnected_at and sent.request_id in ran for sent in clients.sent)
         rules = broken_rules(clients, engines, (both_from, both_until))
-        answers = clients.figures()
+        answers = clients.stats()
         await clients.stop()
         second_counters = await second.stop()
     finally:
