Simulation: Simulation, SimulatedProcess and FaultPlayer by the terms of the field

Cause: names of the engine of simulated time (World, Place, life, look, carry) said nothing to a reader from outside, and public methods had no docstrings.

Change: World -> Simulation, Place -> SimulatedProcess, Stage -> FaultPlayer, at -> call_at, places -> processes, and whole names within; the observer of sent bytes is passed to the constructor; one function for each kind of fault that takes several steps.

--- a/applevale/simulation/fault_player.py
+++ b/applevale/simulation/fault_player.py
@@ -1,73 +1,98 @@
-"""Plays a schedule of faults on a world, and keeps the history that checkers read."""
+"""Playback of a fault schedule on a simulation, and the history that checkers read."""
 
 from __future__ import annotations
 
 import msgspec
 
-from ..fault_injection import schedule as f
+from ..fault_injection import schedule
 from ..fault_injection.link_conditions import matches_any
-from .engine import World
+from .engine import Simulation
 
 
-class Stage:
-    """Steps of fault_injection/schedule.py; those to a list service have no meaning here."""
+class FaultPlayer:
+    """Executes the steps of a fault schedule and records the events of the run.
 
-    def __init__(self, world: World):
-        self.world = world
+    Steps that act on a registry or upgrade a process have no meaning in a simulation.
+    """
+
+    def __init__(self, simulation: Simulation):
+        """Create a player with an empty history.
+
+        Args:
+            simulation: Where the faults take place.
+        """
+        self.simulation = simulation
         self.events: list[dict] = []
 
     def note(self, event: str, **fields: object) -> None:
-        self.events.append({"at": self.world.now, "event": event, **fields})
+        """Append an event of the present time to the history."""
+        self.events.append({"at": self.simulation.now, "event": event, **fields})
 
-    def play(self, steps: list[f.Step]) -> None:
-        """From now on, as time goes."""
-        begin = self.world.now
+    def play(self, steps: list[schedule.Step]) -> None:
+        """Schedule all steps, with times that count from now."""
+        started_at = self.simulation.now
         for step in steps:
-            self.world.at(begin + step.at, lambda step=step: self._do(step))
-
-    def _do(self, step: f.Step) -> None:
-        told = msgspec.to_builtins(step)
-        told.pop("at")
-        self.note("fault", **told)
-        match step:
-            case f.ApplyLinkCondition():
-                number = self.world.link_conditions.apply(
-                    tuple(step.sources), tuple(step.targets), step.condition
-                )
-                self.world.at(
-                    self.world.now + step.duration, lambda: self.world.link_conditions.remove(number)
-                )
-            case f.KillProcess():
-                for number in self._named(step.processes):
-                    self.end(number, "kill", step.restart_after)
-            case f.TerminateProcess():
-                for number in self._named(step.processes):
-                    self.end(number, "term", step.restart_after)
-            case f.PauseProcess():
-                for number in self._named(step.processes):
-                    self.world.pause(number, step.duration)
-            case f.PauseRepeatedly():
-                for turn in range(step.count):
-                    for number in self._named(step.processes):
-                        self.world.at(
-                            self.world.now + turn * step.interval,
-                            lambda number=number: self.world.pause(number, step.duration),
-                        )
-            case f.OrderRegistry() | f.UpgradeProcess():
-                raise ValueError(f"{told['do']}: no part of this world")
-
-    def _named(self, patterns: list[str]) -> list[int]:
-        return [at for at, place in enumerate(self.world.places) if matches_any(place.name, tuple(patterns))]
+            self.simulation.call_at(started_at + step.at, lambda step=step: self._execute(step))
 
     def start(self, number: int) -> None:
+        """Start a process and record it."""
         self.note("launched", who=f"n{number}", how="start")
-        self.world.start(number)
+        self.simulation.start(number)
+
+    def end(self, number: int, how: str, restart_after: float | None) -> None:
+        """End a process and record it.
 
-    def end(self, number: int, how: str, back: float | None) -> None:
+        Args:
+            number: The process.
+            how: `term` for an orderly shutdown, `kill` for an end without notice.
+            restart_after: Seconds until it starts again; None: never.
+        """
         if how == "term":
-            self.world.leave(number)
+            self.simulation.leave(number)
         else:
-            self.world.kill(number)
+            self.simulation.kill(number)
         self.note("ended", who=f"n{number}", how=how)
-        if back is not None:
-            self.world.at(self.world.now + back, lambda: self.start(number))
+        if restart_after is not None:
+            self.simulation.call_at(self.simulation.now + restart_after, lambda: self.start(number))
+
+    def _execute(self, step: schedule.Step) -> None:
+        fields = msgspec.to_builtins(step)
+        fields.pop("at")
+        self.note("fault", **fields)
+        match step:
+            case schedule.ApplyLinkCondition():
+                self._apply_link_condition(step)
+            case schedule.KillProcess():
+                for number in self._matching_processes(step.processes):
+                    self.end(number, "kill", step.restart_after)
+            case schedule.TerminateProcess():
+                for number in self._matching_processes(step.processes):
+                    self.end(number, "term", step.restart_after)
+            case schedule.PauseProcess():
+                for number in self._matching_processes(step.processes):
+                    self.simulation.pause(number, step.duration)
+            case schedule.PauseRepeatedly():
+                self._pause_repeatedly(step)
+            case schedule.OrderRegistry() | schedule.UpgradeProcess():
+                raise ValueError(f"{fields['do']}: not supported by the simulation")
+
+    def _apply_link_condition(self, step: schedule.ApplyLinkCondition) -> None:
+        conditions = self.simulation.link_conditions
+        number = conditions.apply(tuple(step.sources), tuple(step.targets), step.condition)
+        self.simulation.call_at(self.simulation.now + step.duration, lambda: conditions.remove(number))
+
+    def _pause_repeatedly(self, step: schedule.PauseRepeatedly) -> None:
+        for turn in range(step.count):
+            pause_at = self.simulation.now + turn * step.interval
+            for number in self._matching_processes(step.processes):
+                self.simulation.call_at(
+                    pause_at, lambda number=number: self.simulation.pause(number, step.duration)
+                )
+
+    def _matching_processes(self, patterns: list[str]) -> list[int]:
+        wanted = tuple(patterns)
+        return [
+            number
+            for number, process in enumerate(self.simulation.processes)
+            if matches_any(process.name, wanted)
+        ]
--- a/applevale/simulation/membership.py
+++ b/applevale/simulation/membership.py
@@ -13,8 +13,8 @@
 from ..membership.fleet_size import EffectiveFleetSize
 from ..membership.protocol import MembershipProtocol
 from ..membership.suspicion import SuspicionTimeouts
-from .engine import World
-from .fault_player import Stage
+from .engine import Simulation
+from .fault_player import FaultPlayer
 
 JOIN_SECONDS = 4.0  # within which all members have joined
 SETTLE_SECONDS = 6.0  # after the last fault
@@ -79,47 +79,54 @@
         self.config = config or ProtocolConfig()
         self.liar = liar
         self.known = known
-        self.world = World(
-            count, seed, self._create_protocol, self._route, self._on_announcement, latency=latency
+        self.simulation = Simulation(
+            count,
+            seed,
+            self._create_protocol,
+            self._route,
+            self._on_announcement,
+            latency=latency,
+            on_sent=self._on_sent,
         )
-        self.stage = Stage(self.world)
+        self.fault_player = FaultPlayer(self.simulation)
         self.process_ids = [self._process_id(number, 1) for number in range(count)]
         self.fleet_sizes: dict[tuple[int, int], EffectiveFleetSize] = {}  # by member and start
         self.sent: dict[tuple[int, int], SentBytes] = defaultdict(SentBytes)  # by member and bucket of time
-        self.world.sent = self._on_sent
 
     def run(self, scenario: str) -> list[dict]:
         """Play a scenario from the start of all members until they are at rest; return its history."""
         self._schedule_starts()
-        self.world.run(JOIN_SECONDS)
-        self.stage.note("mark", name="joined")
+        self.simulation.run(JOIN_SECONDS)
+        self.fault_player.note("mark", name="joined")
         self._sample_shares()
         steps = scenario_steps(scenario, self.count, self.seed)
-        self.stage.play(steps)
-        self.world.run(JOIN_SECONDS + scenario_duration(steps) + SETTLE_SECONDS)
+        self.fault_player.play(steps)
+        self.simulation.run(JOIN_SECONDS + scenario_duration(steps) + SETTLE_SECONDS)
         self._note_final_views()
-        return self.stage.events + self._sent_events()
+        return self.fault_player.events + self._sent_events()
 
     def _schedule_starts(self) -> None:
         spread = KNOWN_START_SPREAD_SECONDS if self.known else START_SPREAD_SECONDS
         for number in range(self.count):
             start_at = spread * Random(f"{self.seed} {number}").random()
-            self.world.at(start_at, lambda number=number: self.stage.start(number))
+            self.simulation.call_at(start_at, lambda number=number: self.fault_player.start(number))
 
     def _sample_shares(self) -> None:
         """Note what all members take together of a shared limit, as a part of the whole."""
         total = 0.0
-        for number, place in enumerate(self.world.places):
-            protocol = place.actor
+        for number, process in enumerate(self.simulation.processes):
+            protocol = process.actor
             if protocol is None:
                 continue
-            fleet_size = self.fleet_sizes.setdefault((number, place.life), EffectiveFleetSize(self.count))
-            if self.world.now >= place.paused_until:
-                now = place.local(self.world.now)
+            fleet_size = self.fleet_sizes.setdefault(
+                (number, process.start_count), EffectiveFleetSize(self.count)
+            )
+            if self.simulation.now >= process.paused_until:
+                now = process.local_time(self.simulation.now)
                 fleet_size.update(now, protocol.view.size, protocol.is_view_reliable)
             total += 1 / fleet_size.size
-        self.stage.note("shares", total=total)
-        self.world.at(self.world.now + SHARE_SAMPLE_INTERVAL_SECONDS, self._sample_shares)
+        self.fault_player.note("shares", total=total)
+        self.simulation.call_at(self.simulation.now + SHARE_SAMPLE_INTERVAL_SECONDS, self._sample_shares)
 
     def _create_protocol(self, number: int, start_count: int) -> MembershipProtocol:
         random = Random(f"{self.seed} {number} {start_count}")
@@ -144,9 +151,9 @@
         match command:
             case ViewChanged(changes=changes):
                 names = [(f"n{changed.member}", changed.change.value) for changed in changes]
-                self.stage.note("view", who=f"n{number}", changes=names)
+                self.fault_player.note("view", who=f"n{number}", changes=names)
             case StatusChanged(status=status):
-                self.stage.note("stand", who=f"n{number}", stand=status.value)
+                self.fault_player.note("stand", who=f"n{number}", stand=status.value)
 
     def _on_sent(self, now: float, number: int, size: int) -> None:
         sent = self.sent[number, int(now * SENT_BUCKETS_PER_SECOND)]
@@ -156,12 +163,12 @@
 
     def _note_final_views(self) -> None:
         names_by_view: dict[tuple[int, ...], list[str]] = {}  # equal views share one list: they are large
-        for number, place in enumerate(self.world.places):
-            if place.actor is None:
+        for number, process in enumerate(self.simulation.processes):
+            if process.actor is None:
                 continue
-            members = tuple(alive.member for alive in place.actor.view.alive_members())
+            members = tuple(alive.member for alive in process.actor.view.alive_members())
             names = names_by_view.setdefault(members, [f"n{member}" for member in members])
-            self.stage.note("held", who=f"n{number}", view=names)
+            self.fault_player.note("held", who=f"n{number}", view=names)
 
     def _sent_events(self) -> list[dict]:
         return [
