Experiments: results, comparison and chart in a module of their own, typed

Cause: jobs, comparisons and what a run returned were bare tuples, and one module read experiment files, ran grids, read results, compared and drew them.

A case that the simulation does not have is refused as 'no scenario of the simulation'; the text of the message alone differs. test_experiment reads the fields of Comparison, which were the elements of a tuple.

--- a/applevale/cli/experiments.py
+++ b/applevale/cli/experiments.py
@@ -1,4 +1,4 @@
-"""`applevale experiment`: grids of emulated runs."""
+"""`applevale experiment`: grids of simulated runs."""
 
 from __future__ import annotations
 
@@ -32,25 +32,26 @@
     from tqdm import tqdm
 
     from ..simulation import experiment as grid
-    from ..simulation.runners import PLAYERS
+    from ..simulation.results import ExperimentError
+    from ..simulation.runners import RUNNERS
 
     try:
         with open(path, "rb") as file:
             wanted = grid.read_experiment(file.read())
-        if wanted.machine not in PLAYERS:
-            raise grid.ExperimentError(f"machine: {wanted.machine!r} is none of {', '.join(PLAYERS)}")
-        player, check_it = PLAYERS[wanted.machine]
-        check_it(wanted.versions, wanted.cases)
-        played, known = grid.run(
+        if wanted.machine not in RUNNERS:
+            raise ExperimentError(f"machine: {wanted.machine!r} is none of {', '.join(RUNNERS)}")
+        machine = RUNNERS[wanted.machine]
+        machine.check(wanted.versions, wanted.cases)
+        counts = grid.run(
             wanted,
-            player,
+            machine.run,
             Path(folder),
             jobs or None,
             lambda done, total: tqdm(done, total=total, unit="run", smoothing=0.05),
         )
-    except (OSError, grid.ExperimentError) as error:
+    except (OSError, ExperimentError) as error:
         fail(str(error))
-    typer.echo(f"{folder}: {played} runs played, {known} were there")
+    typer.echo(f"{folder}: {counts.played} runs played, {counts.known} were there")
 
 
 @experiment.command("compare")
@@ -61,19 +62,20 @@
 ) -> None:
     """Set two folders' results side by side, seed by seed: mean difference and its 95% bounds."""
     require_extra("scipy")
-    from ..simulation import experiment as grid
+    from ..simulation import results
 
     try:
-        first, second = (grid.read_results(Path(folder) / "results.csv") for folder in (one, other))
-        unknown = set(figure) - set(grid.figures(first))
+        first, second = (results.read_results(Path(folder) / "results.csv") for folder in (one, other))
+        unknown = set(figure) - set(results.figures(first))
         if unknown:
-            raise grid.ExperimentError(f"--figure: {', '.join(sorted(unknown))}: not in {one}")
-    except grid.ExperimentError as error:
+            raise results.ExperimentError(f"--figure: {', '.join(sorted(unknown))}: not in {one}")
+    except results.ExperimentError as error:
         fail(str(error))
-    names = figure or grid.figures(first)
-    for case, size, name, count, mean, low, high in grid.compare(first, second, names):
+    names = figure or results.figures(first)
+    for row in results.compare(first, second, names):
         typer.echo(
-            f"{case:14} {size:>6} {name:22} {count:4} pairs  {mean:+10.3f}  {low:+10.3f} to {high:+10.3f}"
+            f"{row.case:14} {row.size:>6} {row.figure:22} {row.pair_count:4} pairs  "
+            f"{row.mean:+10.3f}  {row.low:+10.3f} to {row.high:+10.3f}"
         )
 
 
@@ -85,12 +87,12 @@
 ) -> None:
     """Draw a figure over the sizes, a line for each version and case."""
     require_extra("matplotlib")
-    from ..simulation import experiment as grid
+    from ..simulation import results
 
     try:
-        rows = grid.read_results(Path(folder) / "results.csv")
-        if figure not in grid.figures(rows):
-            raise grid.ExperimentError(f"{figure}: not in {folder}")
-        grid.chart(rows, figure, Path(out))
-    except (OSError, grid.ExperimentError) as error:
+        rows = results.read_results(Path(folder) / "results.csv")
+        if figure not in results.figures(rows):
+            raise results.ExperimentError(f"{figure}: not in {folder}")
+        results.chart(rows, figure, Path(out))
+    except (OSError, results.ExperimentError) as error:
         fail(str(error))
--- a/applevale/simulation/runners.py
+++ b/applevale/simulation/runners.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
-from ..checkers import membership as verify
+from ..checkers import membership as membership_checker
 from ..checkers.history import History
 from ..fault_injection.scenarios import SCENARIOS
-from .experiment import ExperimentError
+from .experiment import Runner
 from .membership import VERSIONS, SimulatedFleet
+from .results import ExperimentError
 
 # Members from which all know each other from the start: the cost of a real start grows with the square.
 MIN_KNOWN_FLEET = 500
@@ -65,13 +67,15 @@
     changed_timeouts = {TIMEOUT_FIELDS[key]: settings[key] for key in settings if key in TIMEOUT_FIELDS}
     changes = {CONFIG_FIELDS[key]: settings[key] for key in settings if key in CONFIG_FIELDS}
     config = replace(config, timeouts=replace(config.timeouts, **changed_timeouts), **changes)
-    found = verify.figures(
-        History(SimulatedFleet(size, seed, config, known=size >= MIN_KNOWN_FLEET).run(case))
-    )
+    fleet = SimulatedFleet(size, seed, config, known=size >= MIN_KNOWN_FLEET)
+    return _flatten(membership_checker.figures(History(fleet.run(case))))
+
+
+def _flatten(figures: dict) -> dict[str, float]:
     flat: dict[str, float] = {}
-    for name, value in found.items():
+    for name, value in figures.items():
         if isinstance(value, dict):
-            flat |= {f"{name}_{part}": one for part, one in value.items()}
+            flat |= {f"{name}_{part}": part_value for part, part_value in value.items()}
         else:
             flat[name] = value
     return flat
@@ -86,12 +90,25 @@
     for name, settings in versions.items():
         if name.partition(":")[0] not in VERSIONS:
             raise ExperimentError(f"versions: {name!r} is none of {', '.join(VERSIONS)}")
-        for one in settings:
-            if one not in TIMEOUT_FIELDS and one not in CONFIG_FIELDS:
-                raise ExperimentError(f"versions.{name}: {one!r} is no setting")
+        for key in settings:
+            if key not in TIMEOUT_FIELDS and key not in CONFIG_FIELDS:
+                raise ExperimentError(f"versions.{name}: {key!r} is no setting")
     for case in cases:
         if case not in SCENARIOS or case == "upgrade":
-            raise ExperimentError(f"cases: {case!r} is no course of the emulator's")
+            raise ExperimentError(f"cases: {case!r} is no scenario of the simulation")
+
+
+@dataclass(frozen=True)
+class Machine:
+    """A state machine that experiments can run.
+
+    Attributes:
+        run: Plays one run and returns its figures.
+        check: Checks versions and cases; raises `ExperimentError`.
+    """
+
+    run: Runner
+    check: Callable[[dict[str, dict[str, float]], list[str]], None]
 
 
-PLAYERS = {"membership": (membership, check_membership)}
+RUNNERS = {"membership": Machine(membership, check_membership)}
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -8,8 +8,7 @@
 from applevale.cli.main import app
 from applevale.membership.config import ProtocolConfig
 from applevale.membership.suspicion import SuspicionTimeouts
-from applevale.simulation import experiment as grid
-from applevale.simulation import runners
+from applevale.simulation import results, runners
 
 GRID = {
     "machine": "membership",
@@ -34,13 +33,13 @@
     path, folder = write(tmp_path), str(tmp_path / "out")
     first = run("experiment", "run", path, folder, "--jobs", "2")
     assert first.exit_code == 0 and "4 runs played, 0 were there" in first.output
-    rows = grid.read_results(tmp_path / "out" / "results.csv")
+    rows = results.read_results(tmp_path / "out" / "results.csv")
     assert {(row["version"], row["seed"]) for row in rows} == {
         (version, seed) for version in ("fleet", "swim") for seed in "12"
     }
     assert all(float(row["missed"]) == 0 and float(row["agree_s_max"]) > 0 for row in rows)
-    results = tmp_path / "out" / "results.csv"
-    results.write_text("\n".join(results.read_text().splitlines()[:-1]) + "\n")  # stopped before the last
+    stored = tmp_path / "out" / "results.csv"
+    stored.write_text("\n".join(stored.read_text().splitlines()[:-1]) + "\n")  # stopped before the last
     again = run("experiment", "run", path, folder)
     assert "1 runs played, 3 were there" in again.output
     picture = tmp_path / "agree.png"
@@ -55,10 +54,12 @@
             for seed, value in enumerate(values)
         ]
 
-    ((case, size, name, count, mean, low, high),) = grid.compare(rows([1, 2, 3, 9]), rows([2, 4, 4]), ["x"])
-    assert (case, size, name, count) == ("c", "5", "x", 3)
-    assert round(mean, 6) == 1.333333 and round(low, 3) == -0.101 and round(high, 3) == 2.768
-    assert grid.compare(rows([1, 2]), rows([2, 3]), ["x"])[0][4:] == (1.0, 1.0, 1.0)
+    (found,) = results.compare(rows([1, 2, 3, 9]), rows([2, 4, 4]), ["x"])
+    assert (found.case, found.size, found.figure, found.pair_count) == ("c", "5", "x", 3)
+    assert round(found.mean, 6) == 1.333333
+    assert round(found.low, 3) == -0.101 and round(found.high, 3) == 2.768
+    same = results.compare(rows([1, 2]), rows([2, 3]), ["x"])[0]
+    assert (same.mean, same.low, same.high) == (1.0, 1.0, 1.0)
 
 
 def test_a_bad_experiment_is_one_line_that_names_the_place(tmp_path):
