Checkers: History.select, by_process and mark_time, and ReportedView

Cause: History.of, whose and mark said little, most_in was no usual name, and views.py kept three dictionaries side by side.

--- a/applevale/checkers/coldstart.py
+++ b/applevale/checkers/coldstart.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from .history import History, most_in, quantile
+from .history import History, max_in_window, quantile
 
 PROMISE = 0.5  # s from a drain's commit to the last new work at that engine
 AFTER = 8.0  # s behind a break in which sessions are counted
@@ -15,7 +15,7 @@
     """For each drain or deletion: its commit, the last new work behind it that came to that engine before it
     was listed as ready again, and the engine."""
     arrivals = defaultdict(list)
-    for event in history.of("arrival"):
+    for event in history.select("arrival"):
         arrivals[event["engine"]].append(event["at"])
     listed: dict[str, str] = {}  # key -> address, while it is ready
     waiting: dict[str, float] = {}
@@ -27,7 +27,7 @@
             last = [at for at in arrivals[address] if since < at <= until]
             found.append((since, max(last, default=since), address))
 
-    for event in history.of("commit"):
+    for event in history.select("commit"):
         former = listed.pop(event["key"], None)
         ready = event["address"] if event["state"] == "ready" else None
         if former is not None and former != ready and former not in listed.values():
@@ -43,7 +43,7 @@
 def on_top(history: History) -> int:
     """Short reads that were sent while another was open on the same connection."""
     found, busy = 0, {}
-    for event in history.of("read"):
+    for event in history.select("read"):
         if event["whole"]:
             continue
         found += event["at"] < busy.get(event["caller"], 0.0) - ON_TOP
@@ -55,7 +55,7 @@
     """Instances that called themselves ready before the list service had answered them anything since their
     start: neither a whole list, nor a short read that shows that the one they kept still holds."""
     found = 0
-    for who, events in history.whose("launched", "ready", "read").items():
+    for who, events in history.by_process("launched", "ready", "read").items():
         answered = [event["out"] for event in events if event["event"] == "read" and event["answered"]]
         launched = 0.0
         for event in events:
@@ -70,7 +70,7 @@
 def full_reads(history: History, until: float) -> list[int]:
     """Full reads that were answered, of each start of each instance."""
     found = []
-    for events in history.whose("launched", "read", until=until).values():
+    for events in history.by_process("launched", "read", until=until).values():
         count = 0
         for event in events:
             if event["event"] == "launched":
@@ -86,7 +86,7 @@
     """Times that an instance lost the promise within the stretch, or had lost it before."""
     state: dict[str, bool] = {}
     found = 0
-    for event in history.of("list", "ended", until=until):
+    for event in history.select("list", "ended", until=until):
         if event["event"] == "ended":
             state.pop(event["who"], None)
         elif event["at"] < since:
@@ -99,7 +99,7 @@
 def stale(history: History) -> float:
     """s, over all instances, without the promise after it was first kept."""
     found, lost = 0.0, {}
-    for event in history.of("list", "ended"):
+    for event in history.select("list", "ended"):
         since = lost.pop(event["who"], None)
         if since is not None:
             found += event["at"] - since
@@ -111,15 +111,15 @@
 def sessions_left(history: History, since: float, until: float) -> int:
     """Sessions that were open at `since`, and that their instances had ended by `until`."""
     open_then = set()
-    for event in history.of("session", "session_end", until=since):
+    for event in history.select("session", "session_end", until=since):
         (open_then.add if event["event"] == "session" else open_then.discard)(event["caller"])
-    ended = {event["caller"] for event in history.of("session_end", since=since, until=until)}
+    ended = {event["caller"] for event in history.select("session_end", since=since, until=until)}
     return len(open_then & ended)
 
 
 def most_connections(history: History) -> int:
     open_now = most = 0
-    for event in history.of("session", "session_end"):
+    for event in history.select("session", "session_end"):
         open_now += 1 if event["event"] == "session" else -1
         most = max(most, open_now)
     return most
@@ -127,18 +127,18 @@
 
 def figures(history: History, nodes: int) -> dict:
     """The figures of the last line of a run."""
-    launched = history.mark("launched") or 0.0
-    rest, rest_end = history.mark("rest"), history.mark("rest_end")
-    slow, slow_end = history.mark("slow"), history.mark("slow_end")
-    broke, healed = history.mark("break"), history.mark("break_end")
-    reads = [event["at"] for event in history.of("read")]
+    launched = history.mark_time("launched") or 0.0
+    rest, rest_end = history.mark_time("rest"), history.mark_time("rest_end")
+    slow, slow_end = history.mark_time("slow"), history.mark_time("slow_end")
+    broke, healed = history.mark_time("break"), history.mark_time("break_end")
+    reads = [event["at"] for event in history.select("read")]
     ready = {}
-    for event in history.of("ready", "list"):
-        if event.get("ready") or (event.get("confirmed") and not any(history.of("ready"))):
+    for event in history.select("ready", "list"):
+        if event.get("ready") or (event.get("confirmed") and not any(history.select("ready"))):
             ready.setdefault(event["who"], event["at"] - launched)
     lags = [last - since for since, last, _ in drains(history)]
     connects = defaultdict(list)
-    for event in history.of("connect"):
+    for event in history.select("connect"):
         connects[event["engine"]].append(event["at"])
     full = full_reads(history, broke or float("inf"))
     until_rest = rest or float("inf")
@@ -156,12 +156,14 @@
         "full_reads": sum(full),
         "full_reads_most": max(full, default=0),
         "reads_until_rest": sum(at < until_rest for at in reads),
-        "sessions": sum(1 for _ in history.of("session", until=until_rest)),
-        "list_reads_s_max": most_in(reads, 1.0),
+        "sessions": sum(1 for _ in history.select("session", until=until_rest)),
+        "list_reads_s_max": max_in_window(reads, 1.0),
         "list_connections_max": most_connections(history),
         "questions_on_top": on_top(history),
-        "connects_per_engine_s_max": max((most_in(times, 1.0) for times in connects.values()), default=0),
-        "engines_fallen": sum(1 for _ in history.of("fell")),
+        "connects_per_engine_s_max": max(
+            (max_in_window(times, 1.0) for times in connects.values()), default=0
+        ),
+        "engines_fallen": sum(1 for _ in history.select("fell")),
         "drains": len(lags),
         "drain_lag_ms": {
             "p50": round(quantile(lags, 0.5) * 1000, 1),
@@ -179,7 +181,7 @@
     if broke is not None and healed is not None:
         found["reads_after_break"] = sum(healed <= at < healed + 1 for at in reads)
         found["sessions_after_break"] = sum(
-            1 for _ in history.of("session", since=healed, until=healed + AFTER)
+            1 for _ in history.select("session", since=healed, until=healed + AFTER)
         )
     return found
 
--- a/applevale/checkers/membership.py
+++ b/applevale/checkers/membership.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from .history import History, most_in, quantile
+from .history import History, max_in_window, quantile
 from .membership_truth import GroundTruth
 
 GRACE_SECONDS = 1.0
@@ -68,11 +68,11 @@
 def figures(history: History) -> dict:
     """Return the figures of a run, by the names under which the harness prints them."""
     truth = GroundTruth(history)
-    joined_at = history.mark("joined") or 0.0
+    joined_at = history.mark_time("joined") or 0.0
     end = max((event["at"] for event in history.events), default=0.0)
     detection = detection_times(history, truth, end)
     false = false_deaths(history, truth)
-    shares = [event["total"] for event in history.of("shares")]
+    shares = [event["total"] for event in history.select("shares")]
     share_figures = {"share_sum_max": round(max(shares), 3)} if shares else {}
     return share_figures | {
         "members": len(truth.names),
@@ -87,7 +87,7 @@
         "rejoin_s": _summary(rejoin_times(history, truth)),
         "wrong_views": wrong_views(history, truth),
         "bytes_s_max": _most_bytes_per_second(history),
-        "datagram_max": max((event["most"] for event in history.of("sent")), default=0),
+        "datagram_max": max((event["most"] for event in history.select("sent")), default=0),
         "datagrams_s_max": _most_datagrams_per_second(history),
     }
 
@@ -172,7 +172,7 @@
 
 def wrong_views(history: History, truth: GroundTruth) -> int:
     """Return how many members' last view differs from who is alive."""
-    last_views = {event["who"]: event for event in history.of("held")}
+    last_views = {event["who"]: event for event in history.select("held")}
     return sum(
         event["view"] is None or set(event["view"]) != truth.alive(event["at"])
         for name, event in last_views.items()
@@ -182,7 +182,7 @@
 
 def _changes_by_observer(history: History) -> dict[str, list[ObservedChange]]:
     found: dict[str, list[ObservedChange]] = defaultdict(list)
-    for event in history.of("view"):
+    for event in history.select("view"):
         found[event["who"]] += [
             ObservedChange(event["at"], name, change) for name, change in event["changes"]
         ]
@@ -191,7 +191,7 @@
 
 def _most_view_changes(history: History, truth: GroundTruth, since: float) -> int:
     counts = dict.fromkeys(truth.names, 0)
-    for event in history.of("view", since=since):
+    for event in history.select("view", since=since):
         counts[event["who"]] += 1
     return max(counts.values(), default=0)
 
@@ -212,7 +212,7 @@
 
 def _most_bytes_per_second(history: History) -> int:
     """Return the most bytes that any member sent in any second."""
-    return max((_most_bytes(events) for events in history.whose("sent").values()), default=0)
+    return max((_most_bytes(events) for events in history.by_process("sent").values()), default=0)
 
 
 def _most_bytes(events: list[dict]) -> int:
@@ -230,6 +230,6 @@
     """Return the most datagrams that any member sent in any second."""
     times_by_member = (
         [event["at"] for event in events for _ in range(event["count"])]
-        for events in history.whose("sent").values()
+        for events in history.by_process("sent").values()
     )
-    return max((most_in(times, RATE_WINDOW_SECONDS) for times in times_by_member), default=0)
+    return max((max_in_window(times, RATE_WINDOW_SECONDS) for times in times_by_member), default=0)
--- a/applevale/checkers/membership_truth.py
+++ b/applevale/checkers/membership_truth.py
@@ -81,14 +81,14 @@
 
     def __init__(self, history: History):
         """Read the truth from the events `launched`, `ended` and `fault`."""
-        self.names = sorted({event["who"] for event in history.of("launched")})
+        self.names = sorted({event["who"] for event in history.select("launched")})
         self.starts: list[ProcessStart] = []
         self.ends: list[ProcessEnd] = []
         self._running: dict[str, list[Interval]] = defaultdict(list)
         self._paused: dict[str, list[Interval]] = defaultdict(list)
         self._cuts: list[Cut] = []
         self._read_processes(history)
-        for event in history.of("fault"):
+        for event in history.select("fault"):
             self._read_fault(event)
 
     def ran(self, name: str, since: float, until: float) -> bool:
@@ -120,7 +120,7 @@
 
     def _read_processes(self, history: History) -> None:
         started_at: dict[str, float] = {}
-        for event in history.of("launched", "ended"):
+        for event in history.select("launched", "ended"):
             name = event["who"]
             if event["event"] == "launched":
                 started_at[name] = event["at"]
--- a/applevale/checkers/views.py
+++ b/applevale/checkers/views.py
@@ -1,14 +1,44 @@
-"""What instances last said of who lives, read off a history or off the events that they write."""
+"""The last reported views of members, read from a history or from the events that instances write."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 import msgspec
 
+MAX_PRINTED_CHANGES = 6
+
+
+@dataclass
+class ReportedView:
+    """What an instance last reported.
+
+    Attributes:
+        status: Its own status, empty where its view came without one; None: neither was reported.
+        members: Names of the members that it holds alive; None: never reported.
+        changed_at: Time of its last change, in seconds.
+        changes: Its last changes, as text; empty: none.
+    """
+
+    status: str | None = None
+    members: list[str] | None = None
+    changed_at: float = 0.0
+    changes: str = ""
+
+    def describe(self, name: str) -> str:
+        """Return the view as one row of text."""
+        if self.members is None:
+            living = "its view was not asked for"
+        else:
+            living = f"{len(self.members)} live: {' '.join(self.members)}"
+        status = "?" if self.status is None else self.status
+        last = f"; at {self.changed_at:.2f}: {self.changes}" if self.changes else ""
+        return f"{name:6} {status:10} {living}{last}"
+
 
 def read_lines(lines: Iterable[bytes]) -> Iterator[dict]:
-    """Events as JSON lines; what is none is passed over: a log has other lines too."""
+    """Iterate over the events among JSON lines; anything else in a log is skipped."""
     for line in lines:
         try:
             event = msgspec.json.decode(line)
@@ -19,27 +49,24 @@
 
 
 def last_views(events: Iterable[dict]) -> list[str]:
-    """A line for each instance: what it thinks of itself, whom it holds to live, what it told last."""
-    stands: dict[str, str] = {}
-    views: dict[str, list[str]] = {}
-    turns: dict[str, tuple[float, str]] = {}
+    """Return a row of text for each instance: its own status, whom it holds alive, its last changes."""
+    views: dict[str, ReportedView] = {}
     for event in events:
-        who = str(event.get("who") or event.get("instance") or "")
-        match event["event"]:
-            case "stand":
-                stands[who] = str(event["stand"])
-            case "held" | "members":
-                view = event.get("view") or []
-                views[who] = [one if isinstance(one, str) else f"n{one[0]}" for one in view]
-                stands[who] = str(event.get("stand", stands.get(who, "")))
-            case "view":
-                words = ", ".join(f"{name} {change}" for name, change in event["changes"][:6])
-                turns[who] = float(event["at"]), words
-    found = []
-    for who in sorted(stands.keys() | views.keys() | turns.keys(), key=lambda name: (len(name), name)):
-        view = views.get(who)
-        living = f"{len(view)} live: {' '.join(view)}" if view is not None else "its view was not asked for"
-        at, words = turns.get(who, (0.0, ""))
-        last = f"; at {at:.2f}: {words}" if words else ""
-        found.append(f"{who:6} {stands.get(who, '?'):10} {living}{last}")
-    return found
+        if event["event"] in ("stand", "held", "members", "view"):
+            name = str(event.get("who") or event.get("instance") or "")
+            _apply(event, views.setdefault(name, ReportedView()))
+    return [views[name].describe(name) for name in sorted(views, key=lambda name: (len(name), name))]
+
+
+def _apply(event: dict, view: ReportedView) -> None:
+    match event["event"]:
+        case "stand":
+            view.status = str(event["stand"])
+        case "held" | "members":
+            members = event.get("view") or []
+            view.members = [member if isinstance(member, str) else f"n{member[0]}" for member in members]
+            view.status = str(event.get("stand", view.status or ""))
+        case "view":
+            changes = event["changes"][:MAX_PRINTED_CHANGES]
+            view.changes = ", ".join(f"{name} {change}" for name, change in changes)
+            view.changed_at = float(event["at"])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 import pytest
 
 from applevale.checkers import coldstart as verify
-from applevale.checkers.history import History, most_in, read_history
+from applevale.checkers.history import History, max_in_window, read_history
 from applevale.discovery.registry.settings import RegistrySettings
 from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.fault_injection.schedule import ApplyLinkCondition, KillProcess, PauseProcess
@@ -76,7 +76,7 @@
     assert verify.broken(found, 6, {"full_reads_most": 1, "sessions": 6}) == []
     assert found["drains"] == 1 and found["fault_kill"] == 1 and found["served"] > 20
     assert "turns_left_out" not in found
-    assert {event["who"] for event in history.of("read")} == {f"n{number}" for number in range(6)}
+    assert {event["who"] for event in history.select("read")} == {f"n{number}" for number in range(6)}
     history.write(str(tmp_path / "h.jsonl"))
     again = read_history(str(tmp_path / "h.jsonl"))
     assert again.events == history.events and verify.figures(again, 6) == verify.figures(history, 6)
@@ -134,11 +134,11 @@
 
 def turns(history):
     """Turns of the list in the time in which the promise cannot be kept, but for its first seconds."""
-    slow = history.mark("slow")
+    slow = history.mark_time("slow")
     return (
         0
         if slow is None
-        else sum(1 for _ in history.of("list", since=slow + 2.0, until=history.mark("slow_end")))
+        else sum(1 for _ in history.select("list", since=slow + 2.0, until=history.mark_time("slow_end")))
     )
 
 
@@ -158,7 +158,7 @@
     assert not any(found.get(figure, 0) for _, _, _, figure in CAUGHT) and turns(history) == 0
     assert not found["engines_fallen"] and found["ready"] == 2
     if script is slow:  # it says once that it cannot keep the promise, and with which figures
-        said = [event["text"] for event in history.of("said") if "cannot be kept" in event["text"]]
+        said = [event["text"] for event in history.select("said") if "cannot be kept" in event["text"]]
         assert len(said) == 2 and all("needs 4.1 reads a second" in text for text in said)
 
 
@@ -232,7 +232,7 @@
 
 
 def test_the_most_within_a_second_and_lines_of_an_older_version():
-    assert most_in([0.0, 0.5, 0.9, 1.0, 1.4, 3.0], 1.0) == 4
+    assert max_in_window([0.0, 0.5, 0.9, 1.0, 1.4, 3.0], 1.0) == 4
     told = event_of("n3 listens on 127.0.0.1:7001")
     assert told == {"event": "listening", "host": "127.0.0.1", "port": 7001}
     assert event_of("registry: the list is not confirmed, on_stale is 'hold'")["confirmed"] is False
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -84,9 +84,9 @@
     found, history = played(bad_day)
     assert verify.broken(found, {}) == []
     assert found["killed"] == 1 and found["lost_requests"] == 0 and found["served"] > 10
-    said = {event["stand"] for event in history.of("stand")}
+    said = {event["stand"] for event in history.select("stand")}
     assert {"joining", "well", "paused", "alone", "gone"} <= said  # alone: the older of two processes
-    assert any(change == "restarted" for event in history.of("view") for _, change in event["changes"])
+    assert any(change == "restarted" for event in history.select("view") for _, change in event["changes"])
 
 
 async def loss(fleet):
@@ -164,7 +164,7 @@
 def test_one_program_that_calls_all_others_dead_harms_no_one():
     found, history = played(calm, clients=0.0, entry=("tests.planted", "liar"), entry_of="n0")
     assert verify.broken(found, {}) == []
-    assert sum(1 for _ in history.of("view", since=history.mark("joined"))) == 0
+    assert sum(1 for _ in history.select("view", since=history.mark_time("joined"))) == 0
 
 
 def test_the_checker_tells_false_deaths_from_true_ones():
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from applevale.checkers.history import most_in
+from applevale.checkers.history import max_in_window
 from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry.endpoint_table import EndpointTable
 from applevale.discovery.registry.watcher import RegistryWatcher
@@ -110,7 +110,7 @@
         for engine in engines:
             schedule.record_disconnect(engine, 1000.0)
     open_all(1000.0)
-    assert max(most_in(times, 1.0) for times in begun.values()) <= rate
+    assert max(max_in_window(times, 1.0) for times in begun.values()) <= rate
 
 
 def test_a_small_fleet_connects_without_delay():
@@ -151,5 +151,5 @@
 
 
 def test_after_a_break_all_come_back_spread_out_and_without_jitter_the_check_fails():
-    assert most_in(fleet_after_a_break(Random), 0.1) <= 35
-    assert most_in(fleet_after_a_break(lambda number: Same()), 0.1) == 100
+    assert max_in_window(fleet_after_a_break(Random), 0.1) <= 35
+    assert max_in_window(fleet_after_a_break(lambda number: Same()), 0.1) == 100
