Cold start's checker: Drain, limits with their unit, figures by concern

Cause: figures() was 70 lines, drains were bare triples, and constants had no unit.

Change: drains() returns Drain (committed_at, last_arrival, address); PROMISE, AFTER, ON_TOP -> MAX_DRAIN_LAG_SECONDS, SESSIONS_AFTER_BREAK_SECONDS, MIN_OVERLAP_SECONDS; on_top, stale, most_connections -> overlapping_reads, stale_seconds, max_open_sessions. The figures of the start, of drains and of outages have a function each. test_fleet compares Drain instead of a triple.

--- a/applevale/checkers/coldstart.py
+++ b/applevale/checkers/coldstart.py
@@ -1,60 +1,99 @@
-"""What is promised of hundreds that come up at once, read off a history."""
+"""Checks of a fleet that starts cold, or loses the registry, read from a history."""
 
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
+from math import inf
 
 from .history import History, max_in_window, quantile
 
-PROMISE = 0.5  # s from a drain's commit to the last new work at that engine
-AFTER = 8.0  # s behind a break in which sessions are counted
-ON_TOP = 0.001  # s by which two questions must overlap to be seen as such
+MAX_DRAIN_LAG_SECONDS = 0.5  # from a drain's commit to the last new request at that engine
+SESSIONS_AFTER_BREAK_SECONDS = 8.0  # after an outage, within which new sessions are counted
+MIN_OVERLAP_SECONDS = 0.001  # of two reads, to be seen as such
 
+# Figures that must be 0 in each run, whatever the scenario.
+ALWAYS = (
+    "ready_early",
+    "questions_on_top",
+    "engines_fallen",
+    "missed_drains",
+    "wrong_lists",
+    "lost_requests",
+    "answered_twice",
+    "loads_twice",
+    "order_breaks",
+)
+
+
+@dataclass(frozen=True)
+class Drain:
+    """A drain or deletion of an engine.
+
+    Attributes:
+        committed_at: Time of its commit, in seconds.
+        last_arrival: The last new request after it that reached the engine before it was listed as ready
+            again; where there was none, `committed_at`.
+        address: The engine.
+    """
 
-def drains(history: History) -> list[tuple[float, float, str]]:
-    """For each drain or deletion: its commit, the last new work behind it that came to that engine before it
-    was listed as ready again, and the engine."""
+    committed_at: float
+    last_arrival: float
+    address: str
+
+    @property
+    def lag(self) -> float:
+        """Seconds for which new requests still arrived."""
+        return self.last_arrival - self.committed_at
+
+
+def drains(history: History) -> list[Drain]:
+    """Return all drains and deletions, in the order in which they ended."""
     arrivals = defaultdict(list)
     for event in history.select("arrival"):
         arrivals[event["engine"]].append(event["at"])
-    listed: dict[str, str] = {}  # key -> address, while it is ready
-    waiting: dict[str, float] = {}
-    found = []
+    ready_addresses: dict[str, str] = {}  # by key
+    committed: dict[str, float] = {}  # by address
+    ended: list[Drain] = []
 
-    def close(address: str, until: float) -> None:
-        since = waiting.pop(address, None)
+    def end_drain(address: str, until: float) -> None:
+        since = committed.pop(address, None)
         if since is not None:
-            last = [at for at in arrivals[address] if since < at <= until]
-            found.append((since, max(last, default=since), address))
+            late = [at for at in arrivals[address] if since < at <= until]
+            ended.append(Drain(since, max(late, default=since), address))
 
     for event in history.select("commit"):
-        former = listed.pop(event["key"], None)
+        former = ready_addresses.pop(event["key"], None)
         ready = event["address"] if event["state"] == "ready" else None
-        if former is not None and former != ready and former not in listed.values():
-            waiting.setdefault(former, event["at"])
+        if former is not None and former != ready and former not in ready_addresses.values():
+            committed.setdefault(former, event["at"])
         if ready is not None:
-            close(ready, event["at"])
-            listed[event["key"]] = ready
-    for address in list(waiting):
-        close(address, float("inf"))
-    return found
+            end_drain(ready, event["at"])
+            ready_addresses[event["key"]] = ready
+    for address in list(committed):
+        end_drain(address, inf)
+    return ended
 
 
-def on_top(history: History) -> int:
-    """Short reads that were sent while another was open on the same connection."""
-    found, busy = 0, {}
+def overlapping_reads(history: History) -> int:
+    """Count the short reads that were sent while another was open on the same connection."""
+    count = 0
+    busy_until: dict[object, float] = {}
     for event in history.select("read"):
         if event["whole"]:
             continue
-        found += event["at"] < busy.get(event["caller"], 0.0) - ON_TOP
-        busy[event["caller"]] = max(busy.get(event["caller"], 0.0), event["out"])
-    return found
+        former = busy_until.get(event["caller"], 0.0)
+        count += event["at"] < former - MIN_OVERLAP_SECONDS
+        busy_until[event["caller"]] = max(former, event["out"])
+    return count
 
 
 def ready_early(history: History) -> int:
-    """Instances that called themselves ready before the list service had answered them anything since their
-    start: neither a whole list, nor a short read that shows that the one they kept still holds."""
-    found = 0
+    """Count the instances that were ready before the registry had answered a read since their start.
+
+    Either a full read counts, or a short one that confirms the stored list.
+    """
+    count = 0
     for who, events in history.by_process("launched", "ready", "read").items():
         answered = [event["out"] for event in events if event["event"] == "read" and event["answered"]]
         launched = 0.0
@@ -62,152 +101,176 @@
             if event["event"] == "launched":
                 launched = event["at"]
             elif event["event"] == "ready" and event["ready"] and who != "other":
-                found += not any(launched <= out <= event["at"] for out in answered)
+                count += not any(launched <= out <= event["at"] for out in answered)
                 launched = -1e18  # only the first one after a start
-    return found
+    return count
 
 
 def full_reads(history: History, until: float) -> list[int]:
-    """Full reads that were answered, of each start of each instance."""
-    found = []
+    """Return the number of full reads that were answered, for each start of each instance."""
+    counts = []
     for events in history.by_process("launched", "read", until=until).values():
         count = 0
         for event in events:
             if event["event"] == "launched":
-                found.append(count)
+                counts.append(count)
                 count = 0
             else:
                 count += event["whole"] and event["answered"]
-        found.append(count)
-    return found
+        counts.append(count)
+    return counts
 
 
 def unconfirmed(history: History, since: float, until: float) -> int:
-    """Times that an instance lost the promise within the stretch, or had lost it before."""
-    state: dict[str, bool] = {}
-    found = 0
+    """Count how often a list became unconfirmed within the time, and the lists that were so before."""
+    confirmed_before: dict[str, bool] = {}
+    count = 0
     for event in history.select("list", "ended", until=until):
         if event["event"] == "ended":
-            state.pop(event["who"], None)
+            confirmed_before.pop(event["who"], None)
         elif event["at"] < since:
-            state[event["who"]] = event["confirmed"]
+            confirmed_before[event["who"]] = event["confirmed"]
         else:
-            found += not event["confirmed"]
-    return found + sum(not confirmed for confirmed in state.values())
+            count += not event["confirmed"]
+    return count + sum(not confirmed for confirmed in confirmed_before.values())
 
 
-def stale(history: History) -> float:
-    """s, over all instances, without the promise after it was first kept."""
-    found, lost = 0.0, {}
+def stale_seconds(history: History) -> float:
+    """Return the seconds, over all instances, for which a list was unconfirmed."""
+    total = 0.0
+    unconfirmed_since: dict[str, float] = {}
     for event in history.select("list", "ended"):
-        since = lost.pop(event["who"], None)
+        since = unconfirmed_since.pop(event["who"], None)
         if since is not None:
-            found += event["at"] - since
+            total += event["at"] - since
         if event["event"] == "list" and not event["confirmed"]:
-            lost[event["who"]] = event["at"]
-    return found
+            unconfirmed_since[event["who"]] = event["at"]
+    return total
 
 
 def sessions_left(history: History, since: float, until: float) -> int:
-    """Sessions that were open at `since`, and that their instances had ended by `until`."""
-    open_then = set()
+    """Count the sessions that were open at `since` and that their instances had ended by `until`."""
+    open_sessions = set()
     for event in history.select("session", "session_end", until=since):
-        (open_then.add if event["event"] == "session" else open_then.discard)(event["caller"])
+        if event["event"] == "session":
+            open_sessions.add(event["caller"])
+        else:
+            open_sessions.discard(event["caller"])
     ended = {event["caller"] for event in history.select("session_end", since=since, until=until)}
-    return len(open_then & ended)
+    return len(open_sessions & ended)
 
 
-def most_connections(history: History) -> int:
-    open_now = most = 0
+def max_open_sessions(history: History) -> int:
+    """Return the greatest number of sessions that were open at once."""
+    open_now = 0
+    greatest = 0
     for event in history.select("session", "session_end"):
         open_now += 1 if event["event"] == "session" else -1
-        most = max(most, open_now)
-    return most
+        greatest = max(greatest, open_now)
+    return greatest
 
 
 def figures(history: History, nodes: int) -> dict:
-    """The figures of the last line of a run."""
-    launched = history.mark_time("launched") or 0.0
-    rest, rest_end = history.mark_time("rest"), history.mark_time("rest_end")
-    slow, slow_end = history.mark_time("slow"), history.mark_time("slow_end")
-    broke, healed = history.mark_time("break"), history.mark_time("break_end")
-    reads = [event["at"] for event in history.select("read")]
-    ready = {}
-    for event in history.select("ready", "list"):
-        if event.get("ready") or (event.get("confirmed") and not any(history.select("ready"))):
-            ready.setdefault(event["who"], event["at"] - launched)
-    lags = [last - since for since, last, _ in drains(history)]
+    """Return the figures of the last line of a run."""
+    return _start_figures(history) | _drain_figures(history) | _outage_figures(history)
+
+
+def _start_figures(history: History) -> dict:
+    break_at = history.mark_time("break")
+    rest_at = history.mark_time("rest") or inf
+    read_times = [event["at"] for event in history.select("read")]
+    ready = _ready_seconds(history)
     connects = defaultdict(list)
     for event in history.select("connect"):
         connects[event["engine"]].append(event["at"])
-    full = full_reads(history, broke or float("inf"))
-    until_rest = rest or float("inf")
-    found = {
+    full = full_reads(history, break_at or inf)
+    return {
         "ready": len(ready),
         "ready_s": {
-            name: round(value, 2)
-            for name, value in (
-                ("p50", quantile(list(ready.values()), 0.5)),
-                ("p99", quantile(list(ready.values()), 0.99)),
-                ("max", max(ready.values(), default=0.0)),
-            )
+            "p50": round(quantile(ready, 0.5), 2),
+            "p99": round(quantile(ready, 0.99), 2),
+            "max": round(max(ready, default=0.0), 2),
         },
         "ready_early": ready_early(history),
         "full_reads": sum(full),
         "full_reads_most": max(full, default=0),
-        "reads_until_rest": sum(at < until_rest for at in reads),
-        "sessions": sum(1 for _ in history.select("session", until=until_rest)),
-        "list_reads_s_max": max_in_window(reads, 1.0),
-        "list_connections_max": most_connections(history),
-        "questions_on_top": on_top(history),
+        "reads_until_rest": sum(at < rest_at for at in read_times),
+        "sessions": sum(1 for _ in history.select("session", until=rest_at)),
+        "list_reads_s_max": max_in_window(read_times, 1.0),
+        "list_connections_max": max_open_sessions(history),
+        "questions_on_top": overlapping_reads(history),
         "connects_per_engine_s_max": max(
             (max_in_window(times, 1.0) for times in connects.values()), default=0
         ),
         "engines_fallen": sum(1 for _ in history.select("fell")),
+    }
+
+
+def _ready_seconds(history: History) -> list[float]:
+    """Return how long after the launch each instance was first ready.
+
+    Where no instance reports readiness, its first confirmed list counts.
+    """
+    launched = history.mark_time("launched") or 0.0
+    has_ready_events = any(history.select("ready"))
+    ready: dict[str, float] = {}
+    for event in history.select("ready", "list"):
+        if event.get("ready") or (event.get("confirmed") and not has_ready_events):
+            ready.setdefault(event["who"], event["at"] - launched)
+    return list(ready.values())
+
+
+def _drain_figures(history: History) -> dict:
+    lags = [drain.lag for drain in drains(history)]
+    return {
         "drains": len(lags),
         "drain_lag_ms": {
             "p50": round(quantile(lags, 0.5) * 1000, 1),
             "max": round(max(lags, default=0.0) * 1000, 1),
         },
-        "missed_drains": sum(lag > PROMISE for lag in lags),
-        "stale_s": round(stale(history), 2),
+        "missed_drains": sum(lag > MAX_DRAIN_LAG_SECONDS for lag in lags),
+        "stale_s": round(stale_seconds(history), 2),
     }
-    if rest is not None and rest_end is not None:
-        steady = sum(rest <= at < rest_end for at in reads) / (rest_end - rest)
+
+
+def _outage_figures(history: History) -> dict:
+    """Return the figures between the marks that the script reached."""
+    rest_at, rest_end = history.mark_time("rest"), history.mark_time("rest_end")
+    slow_at, slow_end = history.mark_time("slow"), history.mark_time("slow_end")
+    break_at, break_end = history.mark_time("break"), history.mark_time("break_end")
+    read_times = [event["at"] for event in history.select("read")]
+    found = {}
+    if rest_at is not None and rest_end is not None:
+        steady = sum(rest_at <= at < rest_end for at in read_times) / (rest_end - rest_at)
         found["list_reads_s_steady"] = round(steady, 1)
-        found["unconfirmed_at_rest"] = unconfirmed(history, rest, rest_end)
-    if slow is not None and slow_end is not None:
-        found["sessions_left"] = sessions_left(history, slow, slow_end)
-    if broke is not None and healed is not None:
-        found["reads_after_break"] = sum(healed <= at < healed + 1 for at in reads)
-        found["sessions_after_break"] = sum(
-            1 for _ in history.select("session", since=healed, until=healed + AFTER)
-        )
+        found["unconfirmed_at_rest"] = unconfirmed(history, rest_at, rest_end)
+    if slow_at is not None and slow_end is not None:
+        found["sessions_left"] = sessions_left(history, slow_at, slow_end)
+    if break_at is not None and break_end is not None:
+        counted_until = break_end + SESSIONS_AFTER_BREAK_SECONDS
+        sessions = history.select("session", since=break_end, until=counted_until)
+        found["reads_after_break"] = sum(break_end <= at < break_end + 1 for at in read_times)
+        found["sessions_after_break"] = sum(1 for _ in sessions)
     return found
 
 
-# What a run must show, whatever its case; each is 0 in a sound one.
-ALWAYS = (
-    "ready_early",
-    "questions_on_top",
-    "engines_fallen",
-    "missed_drains",
-    "wrong_lists",
-    "lost_requests",
-    "answered_twice",
-    "loads_twice",
-    "order_breaks",
-)
+def broken(found: dict, nodes: int, bars: dict[str, float]) -> list[str]:
+    """Describe the limits that a run missed.
 
+    Args:
+        found: What `figures` returned.
+        nodes: Instances that must be ready.
+        bars: The most that each figure may be, beside those of `ALWAYS`.
 
-def broken(found: dict, nodes: int, bars: dict[str, float]) -> list[str]:
-    """The bars that were missed, in words. `bars`: figure -> the most that it may be."""
+    Returns:
+        One text for each limit; empty for a sound run.
+    """
     missed = [f"{name}: {found[name]}" for name in ALWAYS if found.get(name, 0)]
-    for name, most in bars.items():
+    for name, limit in bars.items():
         if name not in found:
             missed.append(f"{name}: not measured")
-        elif found[name] > most:
-            missed.append(f"{name}: {found[name]}, over {most:g}")
+        elif found[name] > limit:
+            missed.append(f"{name}: {found[name]}, over {limit:g}")
     if found["ready"] < nodes:
         missed.append(f"ready: {found['ready']} of {nodes}")
     return missed
--- a/applevale/harness/scenarios.py
+++ b/applevale/harness/scenarios.py
@@ -46,7 +46,7 @@
     end()
 
 
-async def _break(fleet: Fleet, span: float, after: float = verify.AFTER) -> None:
+async def _break(fleet: Fleet, span: float, after: float = verify.SESSIONS_AFTER_BREAK_SECONDS) -> None:
     """The list service is away for `span` s, for all at once."""
     fleet.mark("break")
     await fleet.service.order("down")
@@ -163,7 +163,7 @@
     await fleet.service.order("restore")
     fleet.states = kept
     fleet.mark("break_end")
-    await asyncio.sleep(verify.AFTER)
+    await asyncio.sleep(verify.SESSIONS_AFTER_BREAK_SECONDS)
     await fleet.drain(2)
     await fleet.quiet()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -195,10 +195,10 @@
         commit(5.0, "ready"),
         arrival(6.0),
     ]
-    assert verify.drains(History(late)) == [(2.0, 2.7, "10.0.0.1:1")]
+    assert verify.drains(History(late)) == [verify.Drain(2.0, 2.7, "10.0.0.1:1")]
     assert verify.figures(History(late), 1)["missed_drains"] == 1
     gone = [commit(1.0, "ready"), commit(2.0, "gone", address=""), arrival(2.3)]
-    assert verify.drains(History(gone)) == [(2.0, 2.3, "10.0.0.1:1")]
+    assert verify.drains(History(gone)) == [verify.Drain(2.0, 2.3, "10.0.0.1:1")]
 
 
 def test_the_checker_counts_full_reads_by_start_and_overlaps_by_connection():
