Tests of experiments and of cold shares: whole names, one step a line

Cause: told, asks, words and several assignments in a line.

Change: settings, requests, arguments; constants a line each. Assertions are as before. The package docstrings of simulation and checkers are in the terms of the field.

--- a/applevale/checkers/__init__.py
+++ b/applevale/checkers/__init__.py
@@ -1,1 +1,1 @@
-"""Checkers: they read the history that a rig wrote, and share no code with what they check."""
+"""Checkers: they read the history of a run, and share no code with what they check."""
--- a/applevale/simulation/__init__.py
+++ b/applevale/simulation/__init__.py
@@ -1,1 +1,1 @@
-"""State machines by the thousand in simulated time, on the simulated links of fault_injection."""
+"""Discrete-event simulation of thousands of state machines, on the simulated links of fault_injection."""
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -8,44 +8,48 @@
 from applevale import api
 from applevale.policy import AdmissionController
 
-WORK, CORES, STEP = 0.2, 8.0, 0.05
+WORK = 0.2
+CORES = 8.0
+STEP = 0.05
 
 
 @pytest.mark.parametrize("count", [1, 20, 30])
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_the_shares_of_all_stay_within_the_budget_of_a_cold_engine(count, seed):
     """N is what the settings allow in a window; all together send N and 2 x root of N + 2 at the most."""
-    told = helpers.settings(gateways=count, cold_share=0.33, warm_up=15.0, fall=1.5, fall_multiple=4.0)
+    settings = helpers.settings(gateways=count, cold_share=0.33, warm_up=15.0, fall=1.5, fall_multiple=4.0)
     entry = api.EngineEntry(1, started=100.0)
-    fleet = [AdmissionController(told, 100 * seed + at) for at in range(count)]
-    sent, number, now = [], 0, 100.0
+    fleet = [AdmissionController(settings, 100 * seed + at) for at in range(count)]
+    sent = []
+    number = 0
+    now = 100.0
     for controller in fleet:
         controller.handle(now, (api.EngineList((entry,), whole=True),))
     while now < 110.0:
         for controller in fleet:
-            asks = []
+            requests = []
             for _ in range(max(1, 40 // count)):
                 number += 1
-                asks.append(api.Request(number, 0, ttl=4.0, work=WORK, memory_mb=10.0))
-            for action in controller.handle(now, tuple(asks)):
+                requests.append(api.Request(number, 0, ttl=4.0, work=WORK, memory_mb=10.0))
+            for action in controller.handle(now, tuple(requests)):
                 if isinstance(action, api.Send):
                     sent.append(now)
-                    done = api.Outcome(action.request, 0, 1, api.Result.OK, 0.1, True, WORK, 10.0)
-                    controller.handle(now, (done,))
+                    outcome = api.Outcome(action.request, 0, 1, api.Result.OK, 0.1, True, WORK, 10.0)
+                    controller.handle(now, (outcome,))
         now += STEP
     assert len(sent) > 50
     for start in sent:
-        share = told.cold_share + (1 - told.cold_share) * (start - 100.0) / told.warm_up
-        allowed = told.fall_multiple * share * CORES * 0.85 * told.fall / WORK
-        window = sum(start <= at < start + told.fall for at in sent)
+        share = settings.cold_share + (1 - settings.cold_share) * (start - 100.0) / settings.warm_up
+        allowed = settings.fall_multiple * share * CORES * 0.85 * settings.fall / WORK
+        window = sum(start <= at < start + settings.fall for at in sent)
         assert window <= allowed + 2 * sqrt(allowed) + 2
 
 
 @pytest.mark.parametrize("count", [20, 30])
 def test_the_shares_add_up_to_the_budget_whatever_the_fleets_size(count):
     def levels(size):
-        told = helpers.settings(gateways=size)
-        fleet = [AdmissionController(told, at) for at in range(size)]
+        settings = helpers.settings(gateways=size)
+        fleet = [AdmissionController(settings, at) for at in range(size)]
         for controller in fleet:
             controller.handle(100.0, (api.EngineList((api.EngineEntry(1, started=100.0),), whole=True),))
         engines = [controller.engines[1] for controller in fleet]
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -19,8 +19,8 @@
 }
 
 
-def run(*words):
-    return CliRunner().invoke(app, list(words))
+def run(*arguments):
+    return CliRunner().invoke(app, list(arguments))
 
 
 def write(tmp_path, **changes):
@@ -63,7 +63,7 @@
 
 
 def test_a_bad_experiment_is_one_line_that_names_the_place(tmp_path):
-    for change, word in (
+    for change, named in (
         ({"sizes": [0]}, "$.sizes[0]"),
         ({"machine": "kettle"}, "kettle"),
         ({"cases": ["nap"]}, "nap"),
@@ -71,7 +71,7 @@
         ({"versions": {"raft": {}}}, "raft"),
     ):
         found = run("experiment", "run", write(tmp_path, **change), str(tmp_path / "no"))
-        assert found.exit_code == 2 and word in found.output and found.output.count("\n") == 1
+        assert found.exit_code == 2 and named in found.output and found.output.count("\n") == 1
     found = run("experiment", "compare", str(tmp_path), str(tmp_path))
     assert found.exit_code == 2 and "results.csv" in found.output
 
