Harness: ManagedProcess, RegistryScenario, and rule checks, log parser, settings apart

Cause: one module held the child process, its settings, the parser of its log lines and the check of requests, under names that said little, and quantile stood twice. Change: default_settings, log_events, request_rules and managed_process; Program -> ManagedProcess, Site -> RegistryScenario, Listed -> ListedEngine, event_of -> parse_event, broken_rules -> count_violations; quantile is that of the checkers' history.

--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -29,7 +29,9 @@
 from ..fault_injection.link_conditions import LinkConditions, matches_any
 from ..fault_injection.tcp_proxy import TcpProxy, source_address, source_number
 from ..fault_injection.udp_proxy import UdpProxy
-from .managed_process import KINDS, SETTINGS, ZONES, Program, broken_rules
+from .default_settings import MACHINE_KINDS, SETTINGS, ZONES
+from .managed_process import ManagedProcess
+from .request_rules import count_violations
 
 PREFIX = "applevale/engines/"
 IMPORTS = (
@@ -68,7 +70,7 @@
 class Instance:
     """One program, its clients, and its process's states."""
 
-    def __init__(self, number: int, name: str, program: Program):
+    def __init__(self, number: int, name: str, program: ManagedProcess):
         self.number, self.name, self.program = number, name, program
         self.clients: Clients | None = None
         self.load: asyncio.Task | None = None
@@ -328,7 +330,7 @@
             }
         if plan.connects:
             config["startup"] = {"engine_connects": plan.connects}
-        program = Program(config, name, plan.checkout)
+        program = ManagedProcess(config, name, plan.checkout)
         if plan.snapshot:  # kept in the folder that all lives of this instance share
             config["registry"]["snapshot"] = os.path.join(program.folder.name, "snapshot")
         instance = Instance(number, name, program)
@@ -439,7 +441,7 @@
                         cut=round(sent.cut - sent.at, 3) if sent.cut else None,
                     )
             apart = (min(ends), inf) if ends else (inf, -inf)
-            found += broken_rules(instance.clients, self.engines, apart)
+            found += count_violations(instance.clients, self.engines, apart)
             found["requests"] += len(instance.clients.sent)
             found["served"] += sum("served" in sent.answers for sent in instance.clients.sent)
         found["lost_requests"] -= found["cut_by_ends"] + found["late_by_standstill"]
@@ -465,7 +467,7 @@
             "address": place(self.places[at]),
             "state": state,
             "zone": ZONES[at % len(ZONES)],
-            "kind": KINDS[0],
+            "kind": MACHINE_KINDS[0],
             "started": started,
         }
 
@@ -494,10 +496,10 @@
         runs the timers that are due.
 
         Raises:
-            ProgramError: An instance has ended.
+            ManagedProcessError: An instance has ended.
         """
 
-        async def run_event_loop(program: Program) -> None:
+        async def run_event_loop(program: ManagedProcess) -> None:
             for _ in range(2):
                 asked_at = time.monotonic()
                 await program.counters()
--- a/applevale/harness/ops.py
+++ b/applevale/harness/ops.py
@@ -21,7 +21,8 @@
 
 from ..fakes.clients import Clients
 from ..fakes.engine import StandinEngine
-from .managed_process import Program, broken_rules
+from .managed_process import ManagedProcess
+from .request_rules import count_violations
 
 ENGINES = 3
 RATE = 60.0  # requests a second
@@ -100,8 +101,8 @@
     shared = tempfile.TemporaryDirectory(prefix="applevale-ops-")
     env = {"TMPDIR": shared.name}
     listen, doors = free_address(), (free_address(), free_address())
-    first = Program({"known": known(engines), "listen": listen, "control": doors[0]}, "ops-1")
-    second = Program({"known": known(engines), "listen": listen, "control": doors[1]}, "ops-2")
+    first = ManagedProcess({"known": known(engines), "listen": listen, "control": doors[0]}, "ops-1")
+    second = ManagedProcess({"known": known(engines), "listen": listen, "control": doors[1]}, "ops-2")
     found: dict = {}
     banned, late = engines[1], engines[2]
     try:
@@ -149,7 +150,7 @@
         found["after_enable"] = sum(one.at > enabled_at for one in banned.arrivals)
         ran = {one.ref.decode() for engine in engines for one in engine.arrivals}
         found["cut_after_run"] = sum(sent.cut and sent.ref in ran for sent in clients.sent)
-        rules = broken_rules(clients, engines, (both_from, both_until))
+        rules = count_violations(clients, engines, (both_from, both_until))
         answers = clients.figures()
         await clients.stop()
         second_counters = await second.stop()
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -17,6 +17,7 @@
 from random import Random
 
 from ..api import State
+from ..checkers.history import quantile
 from ..discovery.endpoints import AttributeNames
 from ..discovery.registry.endpoint_table import EndpointTable, endpoints_digest
 from ..discovery.registry.key_values import KeyValuePair
@@ -27,7 +28,9 @@
 from ..fakes.engine import StandinEngine
 from ..fakes.gate import Gate, Mode
 from ..fakes.store import Store
-from .managed_process import KINDS, ZONES, Program, broken_rules
+from .default_settings import MACHINE_KINDS, ZONES
+from .managed_process import ManagedProcess
+from .request_rules import count_violations
 
 PREFIX = "applevale/engines/"
 MEMBERS, ENGINES, SPARES = 3, 6, 3
@@ -35,11 +38,11 @@
 PROMISE = 0.5  # s
 ROUND = 8.0  # s between two quiet points
 QUIET = 3.0  # s within which the list is the registry's once all failures have ended
-NAMES = AttributeNames(tuple(ZONES), tuple(KINDS))
+NAMES = AttributeNames(tuple(ZONES), tuple(MACHINE_KINDS))
 
 
 @dataclass
-class Listed:
+class ListedEngine:
     """One engine as the script last wrote it."""
 
     number: int
@@ -58,12 +61,12 @@
                 "address": f"{host}:{port}",
                 "state": self.state,
                 "zone": ZONES[self.number % len(ZONES)],
-                "kind": KINDS[0],
+                "kind": MACHINE_KINDS[0],
             }
         ).encode()
 
 
-class Site:
+class RegistryScenario:
     """All that one program needs, and the script that it meets."""
 
     def __init__(self, kind: str, random: Random, entry: tuple[str, ...] = ()):
@@ -73,13 +76,13 @@
         self.members = [members.Member(self.store) for _ in range(MEMBERS)]
         self.gates: list[Gate] = []
         self.engines = [StandinEngine(Random(random.random())) for _ in range(ENGINES + SPARES)]
-        self.listed: list[Listed] = []
+        self.listed: list[ListedEngine] = []
         self.spare: list[StandinEngine] = []
         self.backup: Store | None = None
         self.later: set[asyncio.TimerHandle] = set()
         self.figures: Counter = Counter()
         self.script: list[tuple[float, str]] = []  # what was caused, by the store's clock
-        self.program: Program | None = None
+        self.program: ManagedProcess | None = None
         self.clients: Clients | None = None
 
     async def start(self) -> None:
@@ -90,11 +93,11 @@
             self.gates.append(gate)
         for engine in self.engines:
             await engine.start()
-        self.listed = [Listed(at + 1, engine) for at, engine in enumerate(self.engines[:ENGINES])]
+        self.listed = [ListedEngine(at + 1, engine) for at, engine in enumerate(self.engines[:ENGINES])]
         self.spare = self.engines[ENGINES:]
         for one in self.listed:
             self.store.put(one.key, one.record())
-        self.program = Program(self.config(self.gates), f"rig-{self.kind}")
+        self.program = ManagedProcess(self.config(self.gates), f"rig-{self.kind}")
         await self.program.start(*self.entry)
         await self.quiet()
         self.clients = Clients(self.program.address, Random(self.random.random()), RATE)
@@ -359,27 +362,23 @@
         return found
 
 
-def quantile(values: list[float], share: float) -> float:
-    return sorted(values)[min(len(values) - 1, int(share * len(values)))] if values else 0.0
-
-
 async def run(seed: int, seconds: float, entry: tuple[str, ...] = ()) -> dict:
     """One run; the figures, with `ok`. `entry`: another module to run as the program (for planted faults)."""
     random = Random(seed)
-    sites = [Site(kind, Random(random.random()), entry) for kind in ("etcd", "consul")]
+    scenarios = [RegistryScenario(kind, Random(random.random()), entry) for kind in ("etcd", "consul")]
     shown: list[dict] = []
     try:
-        await asyncio.gather(*(site.start() for site in sites))
+        await asyncio.gather(*(scenario.start() for scenario in scenarios))
         until = asyncio.get_running_loop().time() + seconds
-        await asyncio.gather(*(site.play(until) for site in sites))
+        await asyncio.gather(*(scenario.play(until) for scenario in scenarios))
     finally:
-        shown = await asyncio.gather(*(site.stop() for site in sites))
-    lags = [lag for site in sites for lag in site.drain_lags()]
+        shown = await asyncio.gather(*(scenario.stop() for scenario in scenarios))
+    lags = [lag for scenario in scenarios for lag in scenario.drain_lags()]
     rules: Counter = Counter()
     total: Counter = Counter()
-    for site, counters in zip(sites, shown):
-        rules += broken_rules(site.clients, site.engines)
-        total += site.figures
+    for scenario, counters in zip(scenarios, shown):
+        rules += count_violations(scenario.clients, scenario.engines)
+        total += scenario.figures
         total.update({name: count for name, count in counters.items() if isinstance(count, int)})
     figures = {
         "drains": len(lags),
@@ -397,7 +396,7 @@
         "answered_twice": rules["answered_twice"],
         "loads_twice": rules["loads_twice"],
         "order_breaks": rules["order_breaks"],
-        "requests": sum(len(site.clients.sent) for site in sites),
+        "requests": sum(len(scenario.clients.sent) for scenario in scenarios),
         "served": total["answered_served"],
         "held": total["unconfirmed"],
         "failures": total["failures"],
@@ -429,6 +428,6 @@
     )
     ok = bool(lags) and not any(figures[name] for name in broken)
     if not ok:
-        for site in sites:
-            site.explain()
+        for scenario in scenarios:
+            scenario.explain()
     return {"rig": "registry", "ok": ok, "seed": seed, "seconds": seconds, **figures}
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -15,7 +15,8 @@
 
 from applevale.fakes import consul, etcd
 from applevale.fakes.store import Store
-from applevale.harness.managed_process import KINDS, ZONES, Program
+from applevale.harness.default_settings import MACHINE_KINDS, ZONES
+from applevale.harness.managed_process import ManagedProcess
 
 PREFIX = "applevale/engines/"
 SECONDS = 5.0
@@ -28,7 +29,7 @@
             "address": f"127.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7001",
             "state": state,
             "zone": ZONES[0],
-            "kind": KINDS[0],
+            "kind": MACHINE_KINDS[0],
         }
     ).encode()
 
@@ -53,7 +54,7 @@
         store.put(f"{PREFIX}{number}".encode(), record(number, "ready"))
     address = f"{member.address[0]}:{member.address[1]}"
     registry = {"kind": kind, "addresses": [address], "prefix": PREFIX, "fresh": 5.0}
-    program = Program({"registry": registry}, "bench")
+    program = ManagedProcess({"registry": registry}, "bench")
     await program.start()
     try:
         while (await program.counters()).get("registry_revision") != store.revision:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,7 @@
 from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.fault_injection.schedule import ApplyLinkCondition, KillProcess, PauseProcess
 from applevale.harness.fleet import Fleet, Plan
-from applevale.harness.managed_process import event_of
+from applevale.harness.log_events import parse_event
 from applevale.harness.scenarios import CASES
 
 # One after the other: many programs at once would slow each other, and the tests beside them.
@@ -233,11 +233,11 @@
 
 def test_the_most_within_a_second_and_lines_of_an_older_version():
     assert most_in([0.0, 0.5, 0.9, 1.0, 1.4, 3.0], 1.0) == 4
-    told = event_of("n3 listens on 127.0.0.1:7001")
+    told = parse_event("n3 listens on 127.0.0.1:7001")
     assert told == {"event": "listening", "host": "127.0.0.1", "port": 7001}
-    assert event_of("registry: the list is not confirmed, on_stale is 'hold'")["confirmed"] is False
-    assert event_of('{"event": "list", "confirmed": true}')["confirmed"] is True
-    assert event_of("{broken")["event"] == "line"
+    assert parse_event("registry: the list is not confirmed, on_stale is 'hold'")["confirmed"] is False
+    assert parse_event('{"event": "list", "confirmed": true}')["confirmed"] is True
+    assert parse_event("{broken")["event"] == "line"
 
 
 def test_every_case_says_what_happens():
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -16,7 +16,7 @@
 from applevale.fakes import consul, etcd
 from applevale.fakes.gate import Gate, Mode
 from applevale.fakes.store import Store
-from applevale.harness.registry import Site
+from applevale.harness.registry import RegistryScenario
 from applevale.observability.counters import Counters
 
 NAMES = AttributeNames(("a",), ("std",))
@@ -399,25 +399,25 @@
     """A drain that falls into a silence of all members, with compaction behind it, under the real program."""
 
     async def run():
-        site = Site(kind, Random(3), ("tests.planted", *fault) if fault else ())
+        scenario = RegistryScenario(kind, Random(3), ("tests.planted", *fault) if fault else ())
         try:
-            await site.start()
+            await scenario.start()
             loop = asyncio.get_running_loop()
-            load = asyncio.create_task(site.clients.run(loop.time() + 3.0))
+            load = asyncio.create_task(scenario.clients.run(loop.time() + 3.0))
             await asyncio.sleep(0.3)
-            for gate in site.gates:
+            for gate in scenario.gates:
                 gate.set(Mode.STALL)
-            for one in site.listed[:3]:
+            for one in scenario.listed[:3]:
                 one.state = "draining"
-                site.store.put(one.key, one.record())
-            site.store.put(b"applevale/engines/900", b"{}")
-            site.store.compact()
+                scenario.store.put(one.key, one.record())
+            scenario.store.put(b"applevale/engines/900", b"{}")
+            scenario.store.compact()
             await asyncio.sleep(1.2)
-            await site.quiet()
+            await scenario.quiet()
             await load
         finally:
-            await site.stop()
-        return max(site.drain_lags()), site.figures["wrong_lists"], site.clients.figures()
+            await scenario.stop()
+        return max(scenario.drain_lags()), scenario.figures["wrong_lists"], scenario.clients.figures()
 
     return asyncio.run(run())
 
@@ -441,25 +441,25 @@
 
 def test_past_the_deadline_of_hold_new_work_is_refused_at_once_until_the_list_is_confirmed():
     async def run():
-        site = Site("etcd", Random(5))
+        scenario = RegistryScenario("etcd", Random(5))
         try:
-            await site.start()
-            for gate in site.gates:
+            await scenario.start()
+            for gate in scenario.gates:
                 gate.set(Mode.STALL)
             async with asyncio.timeout(BOUND):
-                while not (await site.program.counters()).get("unconfirmed"):
-                    site.clients.send("lookup")
+                while not (await scenario.program.counters()).get("unconfirmed"):
+                    scenario.clients.send("lookup")
                     await asyncio.sleep(0.1)
-            late = site.clients.send("lookup")
-            await site.clients.settle()
-            await site.quiet()
+            late = scenario.clients.send("lookup")
+            await scenario.clients.settle()
+            await scenario.quiet()
             async with asyncio.timeout(BOUND):
-                while site.clients.sent[-1].answers != ["served"]:
-                    site.clients.send("lookup")
-                    await site.clients.settle()
+                while scenario.clients.sent[-1].answers != ["served"]:
+                    scenario.clients.send("lookup")
+                    await scenario.clients.settle()
         finally:
-            await site.stop()
+            await scenario.stop()
         assert late.answers == ["Full"]
-        assert site.clients.figures()["lost"] == 0
+        assert scenario.clients.figures()["lost"] == 0
 
     asyncio.run(run())
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -9,7 +9,7 @@
 from applevale.fakes.clients import Sent
 from applevale.fakes.engine import Arrival
 from applevale.harness import ops
-from applevale.harness.managed_process import broken_rules
+from applevale.harness.request_rules import count_violations
 
 
 def test_ban_drain_and_upgrade_keep_their_promises():
@@ -31,7 +31,7 @@
 def test_a_fault_of_the_rig_leaves_no_process_behind(monkeypatch):
     started = []
 
-    class Noted(ops.Program):
+    class Noted(ops.ManagedProcess):
         async def start(self, *entry, env=None):
             await super().start(*entry, env=env)
             started.append(self.process)
@@ -39,7 +39,7 @@
     def faulty(door, within):
         raise RuntimeError("planted")
 
-    monkeypatch.setattr(ops, "Program", Noted)
+    monkeypatch.setattr(ops, "ManagedProcess", Noted)
     monkeypatch.setattr(ops, "until_ready", faulty)
     with pytest.raises(RuntimeError, match="planted"):
         asyncio.run(ops.run(seed=5, seconds=6.0))
@@ -65,9 +65,15 @@
 
 def test_a_key_out_of_order_is_found_but_across_two_processes_none_is_promised():
     swapped = Ran("b", "a", "c")
-    assert broken_rules(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped])["order_breaks"] == 1
-    assert broken_rules(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (5.0, 6.0))["order_breaks"] == 1
+    assert count_violations(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped])["order_breaks"] == 1
+    assert (
+        count_violations(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (5.0, 6.0))["order_breaks"]
+        == 1
+    )
     # b was sent while both ran, and may have come to the other one; c goes to the one that is left
-    assert broken_rules(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (1.5, 6.0))["order_breaks"] == 0
+    assert (
+        count_violations(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (1.5, 6.0))["order_breaks"]
+        == 0
+    )
     late = Asked(("a", 7.0), ("b", 8.0), ("c", 9.0))  # the second alone: it counts again
-    assert broken_rules(late, [swapped], (1.5, 6.0))["order_breaks"] == 1
+    assert count_violations(late, [swapped], (1.5, 6.0))["order_breaks"] == 1
