Fleet harness: instances, registry process, history, faults, usage apart

Cause: fleet.py was 700 lines with one class of 451, and its figures, tuples and states were untyped. Change: fleet_plan, fleet_instance, registry_process, history_recorder, fault_executor, resource_usage beside fleet; Plan -> FleetPlan, Instance -> FleetInstance, Service -> RegistryProcess, stand/confirmed/ready -> member_status/is_confirmed/is_ready. Events, figures and the order of random draws stay.

--- a/applevale/cli/rig.py
+++ b/applevale/cli/rig.py
@@ -55,13 +55,13 @@
     import uvloop
 
     from ..harness import scenarios as cases
-    from ..harness.fleet import Plan
+    from ..harness.fleet_plan import FleetPlan
 
     if case not in cases.CASES:
         fail(f"--case: no case is called {case!r}; there are: {', '.join(cases.CASES)}")
     if baseline and not os.path.isfile(os.path.join(baseline, "applevale", "__main__.py")):
         fail(f"--baseline: {baseline}: no checkout of the program")
-    plan = Plan(nodes, seed, schedule=_read_steps(schedule) if schedule else ())
+    plan = FleetPlan(nodes, seed, schedule=_read_steps(schedule) if schedule else ())
     if not as_json:
         typer.echo(f"rig fleet: case {case}, {nodes} programs, seed {seed}", err=True)
     before = None
--- /dev/null
+++ b/applevale/harness/history_recorder.py
@@ -0,0 +1,168 @@
+"""Recording of what happens in a fleet, as a history for the checkers."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..checkers.history import History
+from ..fakes.cold import ColdEngine
+from ..fault_injection.tcp_proxy import source_number
+from .fleet_instance import FleetInstance
+
+DATAGRAM_BUCKETS_PER_SECOND = 10
+
+
+@dataclass
+class DatagramTotals:
+    """Datagrams that one instance sent within a tenth of a second."""
+
+    total_bytes: int = 0
+    largest_bytes: int = 0
+    count: int = 0
+
+
+def caller_name(caller: str) -> str:
+    """Return the instance that connects from the address `caller` (IP or IP:PORT), or `other`."""
+    number = source_number(caller.partition(":")[0])
+    return "other" if number is None else f"n{number}"
+
+
+class HistoryRecorder:
+    """The events of one run, in the form that the checkers read."""
+
+    def __init__(self, stats: Counter):
+        """Count into `stats` the reports that instances left out."""
+        self.events: list[dict] = []
+        self.stats = stats
+        self.datagrams: dict[tuple[str, int], DatagramTotals] = defaultdict(DatagramTotals)
+
+    def record(self, event: str, at: float | None = None, **fields: object) -> None:
+        """Record an event, at the monotonic time `at` or now."""
+        self.events.append({"at": time.monotonic() if at is None else at, "event": event, **fields})
+
+    def record_registry_event(self, event: dict) -> None:
+        """Record what the fake registry reports: reads, commits and sessions."""
+        match event["event"]:
+            case "reads":
+                self._record_reads(event["reads"])
+            case "commit":
+                self._record_commit(event)
+            case "session" | "session_end" as name:
+                caller = event["caller"]
+                self.record(name, event["at"], who=caller_name(caller), member=event["member"], caller=caller)
+
+    def _record_reads(self, reads: list[list]) -> None:
+        for at, out, caller, member, whole, answered in reads:
+            self.record(
+                "read",
+                at,
+                who=caller_name(caller),
+                out=out,
+                member=member,
+                whole=whole,
+                answered=answered,
+                caller=caller,
+            )
+
+    def _record_commit(self, event: dict) -> None:
+        record = json.loads(event["value"]) if event["value"] else {}
+        self.record(
+            "commit",
+            event["committed"],
+            key=event["key"],
+            engine=record.get("id", ""),
+            address=record.get("address", ""),
+            state=record.get("state", "gone"),
+        )
+
+    def record_instance_event(self, instance: FleetInstance, event: dict) -> None:
+        """Record what an instance reports, and take over its state."""
+        match event["event"]:
+            case "promise":
+                self.record("said", event.get("at"), who=instance.name, text=event.get("text", ""))
+            case "view" | "stand" | "members":
+                self._record_membership(instance, event)
+            case "listening" | "ready" | "list":
+                self._record_readiness(instance, event)
+
+    def _record_membership(self, instance: FleetInstance, event: dict) -> None:
+        name = event["event"]
+        reported = {key: event[key] for key in ("changes", "stand") if key in event}
+        if name == "members":
+            if "view" not in event:  # a rate-limited log: this stands for reports that were left out
+                self.stats["turns_left_out"] += 1
+                return
+            reported["view"] = [f"n{number}" for number, _ in event["view"]]
+            name = "held"
+        self.record(name, event.get("at"), who=instance.name, **reported)
+        instance.member_status = event.get("stand", instance.member_status)
+
+    def _record_readiness(self, instance: FleetInstance, event: dict) -> None:
+        reported = {key: event[key] for key in ("ready", "confirmed") if key in event}
+        if event["event"] != "listening" and not reported:  # stands for reports that were left out
+            self.stats["turns_left_out"] += 1
+            return
+        self.record(event["event"], event.get("at"), who=instance.name, **reported)
+        instance.is_ready = reported.get("ready", instance.is_ready)
+        instance.is_confirmed = reported.get("confirmed", instance.is_confirmed)
+
+    def record_datagram(self, source: str, target: str, size: int) -> None:
+        """Count a datagram of `size` bytes from the instance `source`."""
+        totals = self.datagrams[source, int(time.monotonic() * DATAGRAM_BUCKETS_PER_SECOND)]
+        totals.total_bytes += size
+        totals.largest_bytes = max(totals.largest_bytes, size)
+        totals.count += 1
+
+    def open_sessions(self) -> set[str]:
+        """Return the connections (IP:PORT) that members of the registry serve, as it reports."""
+        found: set[str] = set()
+        for event in self.events:
+            if event["event"] == "session":
+                found.add(event["caller"])
+            elif event["event"] == "session_end":
+                found.discard(event["caller"])
+        return found
+
+    def history(self, engines: Iterable[tuple[ColdEngine, str]]) -> History:
+        """Return the history, with what each engine (and its IP:PORT) saw, in the order of times."""
+        events = list(self.events)
+        for engine, address in engines:
+            events += _engine_events(engine, address)
+        events += [
+            {
+                "at": bucket / DATAGRAM_BUCKETS_PER_SECOND,
+                "event": "sent",
+                "who": name,
+                "bytes": totals.total_bytes,
+                "most": totals.largest_bytes,
+                "count": totals.count,
+            }
+            for (name, bucket), totals in self.datagrams.items()
+        ]
+        return History(events)
+
+
+def _engine_events(engine: ColdEngine, address: str) -> list[dict]:
+    """Return the connections, the requests and the overload that one engine saw."""
+    events: list[dict] = [
+        {"at": at, "event": "connect", "who": caller_name(caller), "engine": address}
+        for at, caller in engine.connects
+    ]
+    events += [
+        {
+            "at": arrival.at,
+            "event": "arrival",
+            "who": caller_name(arrival.caller),
+            "engine": address,
+            "ref": arrival.ref.decode(errors="replace"),
+            "lane": arrival.lane.decode(errors="replace"),
+        }
+        for arrival in engine.arrivals
+    ]
+    if engine.fell is not None:
+        events.append({"at": engine.fell, "event": "fell", "engine": address})
+    return events
--- /dev/null
+++ b/applevale/harness/registry_process.py
@@ -0,0 +1,70 @@
+"""The fake registry as a child process of the fleet harness."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Callable
+
+ORDER_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 5.0
+MAX_EVENT_BYTES = 1 << 24
+
+
+class RegistryProcess:
+    """The process of the fake registry: orders to it, and the events that it reports."""
+
+    def __init__(self, on_event: Callable[[dict], None]):
+        """Report each event of the registry to `on_event`."""
+        self.on_event = on_event
+        self.process: asyncio.subprocess.Process | None = None
+        self.replies: asyncio.Queue[dict] = asyncio.Queue()
+        self.addresses: list[tuple[str, int]] = []
+        self.reader_task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start the process and return once its members serve on `addresses`."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "applevale.fakes.listhost",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=MAX_EVENT_BYTES,
+        )
+        self.reader_task = asyncio.create_task(self._read_events())
+        serving = await self.replies.get()
+        self.addresses = [tuple(address) for address in serving["addresses"]]
+
+    async def _read_events(self) -> None:
+        while line := await self.process.stdout.readline():
+            event = json.loads(line)
+            if event["event"] in ("serving", "done"):
+                self.replies.put_nowait(event)
+            else:
+                self.on_event(event)
+
+    async def order(self, order: str, **values: object) -> None:
+        """Send an order and return once it is carried out.
+
+        Raises:
+            TimeoutError: It was not carried out within 30 s.
+        """
+        self.process.stdin.write(json.dumps({"order": order, **values}).encode() + b"\n")
+        async with asyncio.timeout(ORDER_TIMEOUT_SECONDS):
+            await self.replies.get()
+
+    async def stop(self) -> None:
+        """End the process, by force if it does not end by itself."""
+        if self.process is None:
+            return
+        if self.process.returncode is None:
+            self.process.stdin.close()
+            try:
+                async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
+                    await self.process.wait()
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+        await self.reader_task
--- a/applevale/harness/scenarios.py
+++ b/applevale/harness/scenarios.py
@@ -12,7 +12,8 @@
 from ..fault_injection.link_conditions import LinkCondition
 from ..fault_injection.scenarios import SCENARIOS, scenario_steps
 from ..fault_injection.schedule import ApplyLinkCondition, KillProcess, TerminateProcess, draw_schedule
-from .fleet import Fleet, Plan
+from .fleet import Fleet
+from .fleet_plan import FleetPlan
 
 UP = 60.0  # s within which all are ready, with the machine's share
 REST = 5.0
@@ -298,7 +299,7 @@
 def _members(name: str) -> Play:
     async def play(fleet: Fleet) -> None:
         await _up(fleet)
-        await fleet.until(lambda: all(one.stand == "well" for one in fleet.instances), UP)
+        await fleet.until(lambda: all(one.member_status == "well" for one in fleet.instances), UP)
         await asyncio.sleep(3.0)
         fleet.mark("joined")
         steps = scenario_steps(name, fleet.plan.nodes, fleet.plan.seed)
@@ -367,7 +368,7 @@
 }
 
 
-async def run(plan: Plan, case: str, history: str = "") -> dict:
+async def run(plan: FleetPlan, case: str, history: str = "") -> dict:
     """One run; the figures, with `ok` and what was `broken`. `history`: where to write it."""
     chosen = CASES[case]
     fleet = Fleet(replace(plan, **chosen.plan))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,7 +11,8 @@
 from applevale.discovery.registry.settings import RegistrySettings
 from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.fault_injection.schedule import ApplyLinkCondition, KillProcess, PauseProcess
-from applevale.harness.fleet import Fleet, Plan
+from applevale.harness.fleet import Fleet
+from applevale.harness.fleet_plan import FleetPlan
 from applevale.harness.log_events import parse_event
 from applevale.harness.scenarios import CASES
 
@@ -26,7 +27,7 @@
     """A script on a fleet; the figures of its history. All processes have ended then."""
 
     async def run():
-        fleet = Fleet(Plan(**({"nodes": 2, "engines": 8} | plan)))
+        fleet = Fleet(FleetPlan(**({"nodes": 2, "engines": 8} | plan)))
         try:
             async with asyncio.timeout(60):
                 await fleet.start()
@@ -59,7 +60,7 @@
         assert not fleet.open_sessions()
         await asyncio.sleep(FRESH + MARGIN)  # no speed of the machine: the promise ends by then
         await fleet.run_event_loops()
-        assert not any(one.confirmed for one in fleet.instances)
+        assert not any(one.is_confirmed for one in fleet.instances)
         await fleet.service.order("up")
         fleet.mark("break_end")
         assert await fleet.all_ready(20)
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -14,7 +14,8 @@
     TerminateProcess,
     UpgradeProcess,
 )
-from applevale.harness.fleet import Fleet, Plan
+from applevale.harness.fleet import Fleet
+from applevale.harness.fleet_plan import FleetPlan
 
 # Never beside another fleet on the same machine.
 pytestmark = pytest.mark.xdist_group("fleet")
@@ -25,13 +26,15 @@
     """A script on a fleet whose members all know each other; its figures and its history."""
 
     async def run():
-        fleet = Fleet(Plan(**({"nodes": 6, "engines": 4, "clients": 2.0, "members": True} | plan)))
+        fleet = Fleet(FleetPlan(**({"nodes": 6, "engines": 4, "clients": 2.0, "members": True} | plan)))
         try:
             async with asyncio.timeout(90):
                 await fleet.start()
                 await fleet.launch_all()
                 assert await fleet.all_ready(30)
-                assert await fleet.until(lambda: all(one.stand == "well" for one in fleet.instances), 20)
+                assert await fleet.until(
+                    lambda: all(one.member_status == "well" for one in fleet.instances), 20
+                )
                 await asyncio.sleep(1.0)
                 fleet.mark("joined")
                 await script(fleet)
@@ -67,7 +70,7 @@
     assert await fleet.until(lambda: died(fleet, "n1") == others, 20)
     await fleet.play([PauseProcess(at=0, processes=["n2"], duration=1.5)])
     await fleet.play([TerminateProcess(at=0, processes=["n3"], restart_after=0.1)])
-    assert await fleet.until(lambda: fleet.instances[3].stand == "well" and not died(fleet, "n3"), 20)
+    assert await fleet.until(lambda: fleet.instances[3].member_status == "well" and not died(fleet, "n3"), 20)
     await fleet.play(
         [
             UpgradeProcess(at=0, processes=["n4"], overlap=2.0),
@@ -75,7 +78,7 @@
         ]
     )
     assert await fleet.until(
-        lambda: all(one.stand == "well" for one in fleet.instances if one.name != "n1"), 20
+        lambda: all(one.member_status == "well" for one in fleet.instances if one.name != "n1"), 20
     )
     await asyncio.sleep(3.0)
 
@@ -116,7 +119,7 @@
     await fleet.play([KillProcess(at=0, processes=["n1"])])
     await fleet.until(lambda: died(fleet, "n1") == others, 10)
     await fleet.launch(fleet.instances[1])
-    assert await fleet.until(lambda: fleet.instances[1].stand == "well", 20)
+    assert await fleet.until(lambda: fleet.instances[1].member_status == "well", 20)
     await asyncio.sleep(4.0)
 
 
