--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,8 +11,9 @@
 from applevale.discovery.registry.settings import RegistrySettings
 from applevale.fault_injection.link_conditions import LinkCondition
 from applevale.fault_injection.schedule import ApplyLinkCondition, KillProcess, PauseProcess
-from applevale.harness.fleet import Fleet, Plan
-from applevale.harness.managed_process import event_of
+from applevale.harness.fleet import Fleet
+from applevale.harness.fleet_plan import FleetPlan
+from applevale.harness.log_events import parse_event
 from applevale.harness.scenarios import CASES
 
 # One after the other: many programs at once would slow each other, and the tests beside them.
@@ -26,7 +27,7 @@
     """A script on a fleet; the figures of its history. All processes have ended then."""
 
     async def run():
-        fleet = Fleet(Plan(**({"nodes": 2, "engines": 8} | plan)))
+        fleet = Fleet(FleetPlan(**({"nodes": 2, "engines": 8} | plan)))
         try:
             async with asyncio.timeout(60):
                 await fleet.start()
@@ -59,7 +60,7 @@
         assert not fleet.open_sessions()
         await asyncio.sleep(FRESH + MARGIN)  # no speed of the machine: the promise ends by then
         await fleet.run_event_loops()
-        assert not any(one.confirmed for one in fleet.instances)
+        assert not any(one.is_confirmed for one in fleet.instances)
         await fleet.service.order("up")
         fleet.mark("break_end")
         assert await fleet.all_ready(20)
@@ -233,11 +234,11 @@
 
 def test_the_most_within_a_second_and_lines_of_an_older_version():
     assert max_in_window([0.0, 0.5, 0.9, 1.0, 1.4, 3.0], 1.0) == 4
-    told = event_of("n3 listens on 127.0.0.1:7001")
+    told = parse_event("n3 listens on 127.0.0.1:7001")
     assert told == {"event": "listening", "host": "127.0.0.1", "port": 7001}
-    assert event_of("registry: the list is not confirmed, on_stale is 'hold'")["confirmed"] is False
-    assert event_of('{"event": "list", "confirmed": true}')["confirmed"] is True
-    assert event_of("{broken")["event"] == "line"
+    assert parse_event("registry: the list is not confirmed, on_stale is 'hold'")["confirmed"] is False
+    assert parse_event('{"event": "list", "confirmed": true}')["confirmed"] is True
+    assert parse_event("{broken")["event"] == "line"
 
 
 def test_every_case_says_what_happens():
