--- a/applevale/engines/attempt.py
+++ b/applevale/engines/attempt.py
@@ -109,6 +109,7 @@
     """
 
     def __init__(self, spec: AttemptSpec, on_result: Callable[[AttemptResult], None]) -> None:
+        """Prepare an attempt; `on_result` is called once with its result."""
         self.spec = spec
         self.connection: EngineConnection | None = None
         self.message: QueuedMessage | None = None
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -27,6 +27,7 @@
         endpoints: GatedEndpoints,
         on_readiness_change: Callable[[], None],
     ) -> None:
+        """Hook into the pool; `on_readiness_change` is called when an engine was hidden or shown."""
         self.schedule = schedule
         self.pool = pool
         self.submit = submit
--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -45,6 +45,7 @@
     """
 
     def __init__(self, engine: Engine) -> None:
+        """Begin to connect to an engine."""
         self.engine = engine
         self.pool = engine.pool
         self.attempts: dict[bytes, Attempt] = {}
--- a/applevale/engines/engine.py
+++ b/applevale/engines/engine.py
@@ -21,6 +21,7 @@
     """
 
     def __init__(self, pool: EnginePool, member: Endpoint) -> None:
+        """Hold an engine that the list names, without a connection."""
         self.pool = pool
         self.engine_id = member.entry.engine
         self.address = member.address
--- a/applevale/engines/liveness.py
+++ b/applevale/engines/liveness.py
@@ -25,6 +25,7 @@
     """
 
     def __init__(self, connection: EngineConnection) -> None:
+        """Watch over one connection."""
         self.last_active_at = 0.0
         self.ping_tag: bytes | None = None
         self._connection: EngineConnection | None = connection
--- a/applevale/engines/pool.py
+++ b/applevale/engines/pool.py
@@ -48,6 +48,7 @@
         counters: Counters,
         local_address: str = "",
     ) -> None:
+        """Start without engines; `max_connections` bounds those to all engines together."""
         self.limits = limits
         self.report_columns = report_columns
         self.max_connections = max_connections
--- a/applevale/engines/resp.py
+++ b/applevale/engines/resp.py
@@ -107,6 +107,7 @@
     """Splits the bytes of one connection into replies."""
 
     def __init__(self) -> None:
+        """Start with an empty buffer."""
         self.unparsed = bytearray()  # received, and not yet a whole reply
         self._reader = hiredis.Reader()
 
--- a/applevale/fakes/client_pool.py
+++ b/applevale/fakes/client_pool.py
@@ -54,6 +54,7 @@
     """One connection of the pool: its writer, and the requests sent on it by their message number."""
 
     def __init__(self, writer: asyncio.StreamWriter):
+        """Send on `writer`, without any request yet."""
         self.writer = writer
         self.requests: dict[int, SentRequest] = {}
         self.last_number = 0
--- a/applevale/fault_injection/tcp_proxy.py
+++ b/applevale/fault_injection/tcp_proxy.py
@@ -1,5 +1,6 @@
-"""TCP proxies before servers. The caller is known by the local address that it bound: one for each
-instance.
+"""TCP proxies before servers.
+
+The caller is known by the local address that it bound: one for each instance.
 """
 
 from __future__ import annotations
@@ -78,9 +79,9 @@
             _, data = self.buffer.popleft()
             self.buffered_bytes -= len(data)
             self.writer.write(data)
-        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
-            if self.reader is not None and not self.reader.is_closing():
-                self.reader.resume_reading()
+        can_read = self.reader is not None and not self.reader.is_closing()
+        if can_read and self.buffered_bytes <= MAX_BUFFERED_BYTES:
+            self.reader.resume_reading()
         if self.buffer:
             self.timer = loop.call_later(self.buffer[0][0] - now, self.flush)
         elif self.is_ending:
--- a/applevale/fault_injection/udp_proxy.py
+++ b/applevale/fault_injection/udp_proxy.py
@@ -1,9 +1,8 @@
-"""A proxy for datagrams between instances: each has a proxy socket, which is its address in everyone's
-`peers`.
+"""A proxy for datagrams between instances.
 
-The proxy socket that a datagram reaches tells its receiver, its source address tells its sender; it leaves
-from the sender's proxy socket, so the receiver sees the address that it knows. One process carries them
-all.
+Each instance has a proxy socket, which is its address in everyone's `peers`. The proxy socket that a
+datagram reaches tells its receiver, its source address tells its sender; it leaves from the sender's proxy
+socket, so the receiver sees the address that it knows. One process carries them all.
 """
 
 from __future__ import annotations
--- a/applevale/harness/managed_process.py
+++ b/applevale/harness/managed_process.py
@@ -20,8 +20,11 @@
 
 
 class ManagedProcess:
-    """One process, or one after another under the same name. Counters are asked for by SIGUSR1; the log is
-    kept, and each line of it is told to `heard` as an event, whichever form the program writes."""
+    """One process of the program, or one after another under the same name.
+
+    Counters are requested by SIGUSR1. The log is kept, and each line of it is passed to `heard` as an event,
+    whichever form the program writes.
+    """
 
     def __init__(self, config: dict, name: str, checkout: str | None = None):
         """`checkout`: a folder whose program is run, where it is not this one's."""
@@ -55,6 +58,7 @@
             raise ManagedProcessError(f"did not start: {' | '.join(self.log[-3:])}")
 
     async def launch(self, *entry: str, env: dict[str, str] | None = None) -> None:
+        """Start the process and return at once; the arguments are those of `start`."""
         self.write(self.config)
         self.listening.clear()
         env = os.environ | (env or {}) | {"BALANCER_CONFIG": self.path}
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -314,8 +314,8 @@
         wanted = endpoints_digest(table.endpoints())
         loop = asyncio.get_running_loop()
         end = loop.time() + QUIET
-        while (shown := await self.program.counters()).get("registry_digest") != wanted or not (
-            shown["registry_revision"] == self.store.revision
+        while (shown := await self.program.counters()).get("registry_digest") != wanted or (
+            shown["registry_revision"] != self.store.revision
         ):
             if loop.time() > end:
                 self.figures["wrong_lists"] += 1
--- a/applevale/harness/request_rules.py
+++ b/applevale/harness/request_rules.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from itertools import pairwise
 from math import inf
 
 from ..fakes.client_pool import ClientPool
@@ -54,6 +55,4 @@
     for sent in clients.sent:
         if sent.key and sent.request_id in loads and not overlap_start <= sent.sent_at <= overlap_end:
             arrivals_by_key[sent.key, sent.sent_at > overlap_end].append(loads[sent.request_id][0])
-    return sum(
-        later < former for times in arrivals_by_key.values() for former, later in zip(times, times[1:])
-    )
+    return sum(later < former for times in arrivals_by_key.values() for former, later in pairwise(times))
--- a/applevale/runtime/ejection_control.py
+++ b/applevale/runtime/ejection_control.py
@@ -1,6 +1,4 @@
-"""Carries out manual ejections of engines: from the operators' calls, and from another process of an
-upgrade.
-"""
+"""Carries out manual ejections of engines, by operators' calls or by another process of an upgrade."""
 
 from __future__ import annotations
 
@@ -31,9 +29,7 @@
 
 
 class EjectionControl:
-    """Owns the manual ejections of this process and applies each change to the pool and the decision
-    module.
-    """
+    """Owns the manual ejections of this process, and applies each change to pool and decision module."""
 
     def __init__(
         self,
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -1,5 +1,6 @@
-"""Parts that only some configurations have. Their modules and libraries are imported only where they are
-used: each costs memory and time at every start.
+"""Parts that only some configurations have.
+
+Their modules and libraries are imported only where they are used: each costs memory and time at every start.
 """
 
 from __future__ import annotations
