--- a/applevale/admin/ejection_codec.py
+++ b/applevale/admin/ejection_codec.py
@@ -10,7 +10,8 @@
 from collections.abc import Mapping
 from math import isfinite
 
-from .ejections import EjectionEntry, instance_id
+from ..discovery.endpoints import format_instance_id, parse_instance_id
+from .ejections import EjectionEntry
 
 FORMAT_VERSION = 2
 MAX_QUOTED_CHARACTERS = 40  # of a bad value, in an error
@@ -23,7 +24,8 @@
 def encode(entries: Mapping[int, EjectionEntry]) -> bytes:
     """Return the stored form of the entries."""
     words = {
-        instance_id(engine): [entry.updated_at, entry.ejected] for engine, entry in sorted(entries.items())
+        format_instance_id(engine): [entry.updated_at, entry.ejected]
+        for engine, entry in sorted(entries.items())
     }
     body = json.dumps({"form": FORMAT_VERSION, "words": words}, separators=(",", ":"))
     return json.dumps({"body": body, "sha256": _checksum(body)}).encode() + b"\n"
@@ -56,7 +58,7 @@
         raise EjectionFileError(f"form: {content['form']!r} is not {FORMAT_VERSION}")
     entries = {}
     for name, fields in content["words"].items():
-        engine = int(name.removeprefix("s-"), 16)
+        engine = parse_instance_id(name)
         entries[engine] = _decode_entry(*fields)
     return entries
 
--- a/applevale/admin/ejections.py
+++ b/applevale/admin/ejections.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from math import inf, nextafter
 
-from ..discovery.endpoints import Endpoint
+from ..discovery.endpoints import Endpoint, format_instance_id
 
 
 @dataclass(frozen=True, order=True)
@@ -29,11 +29,6 @@
     ejected: bool
 
 
-def instance_id(engine: int) -> str:
-    """Return the id by which operators and the discovery feed name an engine."""
-    return f"s-{engine:08x}"
-
-
 class EjectionRegistry:
     """The entries of all engines, and the ejected engines that follow from them.
 
@@ -56,7 +51,7 @@
         for endpoint in endpoints:
             engine = endpoint.entry.engine
             host, port = endpoint.address
-            self._engines_by_name[instance_id(engine)] = engine
+            self._engines_by_name[format_instance_id(engine)] = engine
             self._engines_by_name[f"{host}:{port}"] = engine
 
     def find(self, name: str) -> int | None:
@@ -97,7 +92,9 @@
 
     def _apply(self, engine: int, entry: EjectionEntry) -> bool:
         self.entries[engine] = entry
-        self._engines_by_name.setdefault(instance_id(engine), engine)  # the other process had it listed
+        self._engines_by_name.setdefault(
+            format_instance_id(engine), engine
+        )  # the other process had it listed
         was_ejected = engine in self.ejected
         if entry.ejected:
             self.ejected.add(engine)
--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -10,6 +10,7 @@
 import typer
 
 from ..config.model import Config
+from ..discovery.endpoints import format_instance_id
 from .arguments import ConfigPath, Seconds, read_config
 from .exit_codes import exit_with, fail
 
@@ -45,7 +46,7 @@
         record = {
             "key": entry.key,
             "revision": entry.revision,
-            "id": f"s-{entry.endpoint.entry.engine:08x}",
+            "id": format_instance_id(entry.endpoint.entry.engine),
             "state": entry.endpoint.entry.state.value,
             "address": f"{host}:{port}",
         }
@@ -122,4 +123,5 @@
 def _print_update(update: EndpointUpdate) -> None:
     for member in update.endpoints:
         host, port = member.address
-        typer.echo(f"s-{member.entry.engine:08x} {member.entry.state.value:9} {host}:{port}")
+        engine_id = format_instance_id(member.entry.engine)
+        typer.echo(f"{engine_id} {member.entry.state.value:9} {host}:{port}")
--- a/applevale/discovery/endpoints.py
+++ b/applevale/discovery/endpoints.py
@@ -7,6 +7,18 @@
 
 from .. import api
 
+INSTANCE_ID_PREFIX = "s-"
+
+
+def format_instance_id(engine: int) -> str:
+    """Return the id by which operators and lists name an engine."""
+    return f"{INSTANCE_ID_PREFIX}{engine:08x}"
+
+
+def parse_instance_id(text: str) -> int:
+    """Return the engine that an instance id names; raises ValueError for what is none."""
+    return int(text.removeprefix(INSTANCE_ID_PREFIX), 16)
+
 
 @dataclass(frozen=True)
 class AttributeNames:
--- a/applevale/discovery/feed_codec.py
+++ b/applevale/discovery/feed_codec.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from .. import api
-from .endpoints import AttributeNames, Endpoint, EndpointUpdate
+from .endpoints import AttributeNames, Endpoint, EndpointUpdate, parse_instance_id
 
 FRAME_HEADER = struct.Struct(">IQB")  # length of all that follows the length, update number, frame kind
 LENGTH_FIELD_BYTES = 4
@@ -145,7 +145,7 @@
     if not isfinite(weight) or weight < 0:
         raise FeedError(f"weight: {weight!r}")
     entry = api.EngineEntry(
-        engine=int(instance["instanceId"].removeprefix("s-"), 16),
+        engine=parse_instance_id(instance["instanceId"]),
         zone=names.zones.index(instance["zone"]) if "zone" in instance else 0,
         kind=names.kinds.index(instance["machineType"]) if "machineType" in instance else 0,
         cell=int(instance.get("cell", 0)),
--- a/applevale/discovery/registry/records.py
+++ b/applevale/discovery/registry/records.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ... import api
-from ..endpoints import AttributeNames, Endpoint
+from ..endpoints import AttributeNames, Endpoint, parse_instance_id
 
 MAX_VALUE_BYTES = 64 * 1024  # a larger value is not parsed
 MAX_PORT = 65535
@@ -41,7 +41,7 @@
     record = _decode(value)
     address = _parse_address(record.address)
     entry = api.EngineEntry(
-        engine=int(record.id[2:], 16),
+        engine=parse_instance_id(record.id),
         zone=_position(record.zone, names.zones, "zone"),
         kind=_position(record.kind, names.kinds, "kind"),
         cell=record.cell,
