--- a/applevale/admin/ejections.py
+++ b/applevale/admin/ejections.py
@@ -14,6 +14,7 @@
 from math import inf, nextafter
 
 from ..discovery.endpoints import Endpoint, format_instance_id
+from ..net.addresses import format_address
 
 
 @dataclass(frozen=True, order=True)
@@ -50,9 +51,8 @@
         """Make endpoints known by their instance id and by their HOST:PORT."""
         for endpoint in endpoints:
             engine = endpoint.entry.engine
-            host, port = endpoint.address
             self._engines_by_name[format_instance_id(engine)] = engine
-            self._engines_by_name[f"{host}:{port}"] = engine
+            self._engines_by_name[format_address(endpoint.address)] = engine
 
     def find(self, name: str) -> int | None:
         """Return the engine with an instance id or HOST:PORT, or None for one that was never listed."""
--- a/applevale/checkers/coldstart.py
+++ b/applevale/checkers/coldstart.py
@@ -12,6 +12,8 @@
 SESSIONS_AFTER_BREAK_SECONDS = 8.0  # after an outage, within which new sessions are counted
 MIN_OVERLAP_SECONDS = 0.001  # of two reads, to be seen as such
 
+# The rules on requests: figures that must be 0 in each run.
+REQUEST_RULES = ("lost_requests", "answered_twice", "loads_twice", "order_breaks")
 # Figures that must be 0 in each run, whatever the scenario.
 ALWAYS = (
     "ready_early",
@@ -19,10 +21,7 @@
     "engines_fallen",
     "missed_drains",
     "wrong_lists",
-    "lost_requests",
-    "answered_twice",
-    "loads_twice",
-    "order_breaks",
+    *REQUEST_RULES,
 )
 
 
--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -11,6 +11,7 @@
 
 from ..config.model import Config
 from ..discovery.endpoints import format_instance_id
+from ..net.addresses import format_address
 from .arguments import ConfigPath, Seconds, read_config
 from .exit_codes import exit_with, fail
 
@@ -42,13 +43,12 @@
     """Print the engine list as JSON lines: key, revision, id, state, address."""
     view = _require_view(path, seconds)
     for entry in sorted(view.entries, key=lambda entry: entry.key):
-        host, port = entry.endpoint.address
         record = {
             "key": entry.key,
             "revision": entry.revision,
             "id": format_instance_id(entry.endpoint.entry.engine),
             "state": entry.endpoint.entry.state.value,
-            "address": f"{host}:{port}",
+            "address": format_address(entry.endpoint.address),
         }
         typer.echo(json.dumps(record))
 
@@ -122,6 +122,5 @@
 
 def _print_update(update: EndpointUpdate) -> None:
     for member in update.endpoints:
-        host, port = member.address
         engine_id = format_instance_id(member.entry.engine)
-        typer.echo(f"{engine_id} {member.entry.state.value:9} {host}:{port}")
+        typer.echo(f"{engine_id} {member.entry.state.value:9} {format_address(member.address)}")
--- a/applevale/discovery/registry/consul.py
+++ b/applevale/discovery/registry/consul.py
@@ -4,15 +4,20 @@
 
 import base64
 import json
-import ssl
 from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
 
 from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
-from .session import MAX_MESSAGE_BYTES, AuthenticationError, Session, SessionListener, ThrottledError
-from .settings import RegistrySettings
+from .session import (
+    MAX_MESSAGE_BYTES,
+    AuthenticationError,
+    Session,
+    SessionListener,
+    SessionTarget,
+    ThrottledError,
+)
 
 BLOCKING_READ_SECONDS = 30  # that a blocking read may stay unanswered
 MAX_RETRY_AFTER_SECONDS = 60.0
@@ -76,31 +81,16 @@
     def __init__(
         self,
         session_id: int,
-        address: tuple[str, int],
-        settings: RegistrySettings,
-        ssl_context: ssl.SSLContext | None,
+        target: SessionTarget,
         listener: SessionListener,
         clock: Callable[[], float],
-        local_address: str = "",
     ):
-        """Build a session with an agent; see `Session` for the common parameters.
-
-        Args:
-            session_id: Identifies the session to the listener.
-            address: Host and port of the member.
-            settings: The registry's prefix and credentials.
-            ssl_context: The context for TLS; None for plain TCP.
-            listener: Receives all responses, and the end of the session.
-            clock: A monotonic clock, in s.
-            local_address: The address that connections bind; empty for the system's choice.
-        """
-        super().__init__(session_id, address, listener, clock)
-        self.local_address = local_address
-        scheme = "https" if ssl_context else "http"
-        host = f"[{address[0]}]" if ":" in address[0] else address[0]
-        self.url = f"{scheme}://{host}:{address[1]}/v1/kv/{settings.prefix}"
-        self.ssl_context = ssl_context
-        self.token = settings.token
+        """Build a session with an agent; see `Session`."""
+        super().__init__(session_id, target, listener, clock)
+        host, port = target.address
+        scheme = "https" if target.ssl_context else "http"
+        url_host = f"[{host}]" if ":" in host else host
+        self.url = f"{scheme}://{url_host}:{port}/v1/kv/{target.settings.prefix}"
         self.http: aiohttp.ClientSession | None = None
         self.pairs: PairsByKey = {}  # as of the last list read in this session
 
@@ -132,7 +122,8 @@
     async def _handshake(self) -> None:
         if self.http is not None:  # the first handshake was throttled
             await self.http.close()
-        connector = aiohttp.TCPConnector(local_addr=(self.local_address, 0)) if self.local_address else None
+        local_address = self.target.local_address
+        connector = aiohttp.TCPConnector(local_addr=(local_address, 0)) if local_address else None
         self.http = aiohttp.ClientSession(
             connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False
         )
@@ -173,8 +164,8 @@
             ValueError: The response is too long or malformed.
             OSError: The request failed; aiohttp has other errors besides.
         """
-        headers = {"X-Consul-Token": self.token} if self.token else {}
-        ssl_context = self.ssl_context or True
+        headers = {"X-Consul-Token": self.target.settings.token} if self.target.settings.token else {}
+        ssl_context = self.target.ssl_context or True
         async with self.http.get(self.url, params=query, headers=headers, ssl=ssl_context) as response:
             _check_status(response, is_watch="index" in query)
             index = int(response.headers["X-Consul-Index"])
--- a/applevale/discovery/registry/etcd.py
+++ b/applevale/discovery/registry/etcd.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,8 +13,14 @@
 
 from . import messages
 from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
-from .session import MAX_MESSAGE_BYTES, AuthenticationError, Session, SessionListener, ThrottledError
-from .settings import RegistrySettings
+from .session import (
+    MAX_MESSAGE_BYTES,
+    AuthenticationError,
+    Session,
+    SessionListener,
+    SessionTarget,
+    ThrottledError,
+)
 
 PAGE_KEYS = 1_000  # of one response to a full read
 MAX_CANCEL_REASON_LENGTH = 60
@@ -52,28 +57,15 @@
     def __init__(
         self,
         session_id: int,
-        address: tuple[str, int],
-        settings: RegistrySettings,
-        ssl_context: ssl.SSLContext | None,
+        target: SessionTarget,
         listener: SessionListener,
         clock: Callable[[], float],
-        local_address: str = "",
     ):
-        """Build a session with a member; see `Session` for the common parameters.
-
-        Args:
-            session_id: Identifies the session to the listener.
-            address: Host and port of the member.
-            settings: The registry's prefix and credentials.
-            ssl_context: The context for TLS; None for plain TCP.
-            listener: Receives all responses, and the end of the session.
-            clock: A monotonic clock, in s.
-            local_address: The address that connections bind; empty for the system's choice.
-        """
-        super().__init__(session_id, address, listener, clock)
-        self.settings = settings
-        self.channel = _LocalChannel(*address, ssl=ssl_context)
-        self.channel.local_address = local_address
+        """Build a session with a member; see `Session`."""
+        super().__init__(session_id, target, listener, clock)
+        settings = target.settings
+        self.channel = _LocalChannel(*target.address, ssl=target.ssl_context)
+        self.channel.local_address = target.local_address
         self.prefix = settings.prefix.encode()
         self.range_end = messages.range_end(self.prefix)
         self.metadata: dict[str, str] = {"token": settings.token} if settings.token else {}
@@ -106,8 +98,9 @@
         await asyncio.sleep(0)
 
     async def _handshake(self) -> None:
-        if self.settings.user:
-            request = messages.AuthenticateRequest(name=self.settings.user, password=self.settings.password)
+        settings = self.target.settings
+        if settings.user:
+            request = messages.AuthenticateRequest(name=settings.user, password=settings.password)
             response = await self._call(messages.AUTHENTICATE, request, messages.AuthenticateResponse)
             self.metadata = {"token": response.token}
         requested_at = self.clock()
--- a/applevale/discovery/registry/session.py
+++ b/applevale/discovery/registry/session.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
+from ...net.addresses import Address
 from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
+from .settings import RegistrySettings
 
 MAX_MESSAGE_BYTES = 8 << 20  # of one message of a member: a larger one is not read into memory
 MAX_REASON_LENGTH = 80
@@ -63,6 +67,23 @@
         """Handle a watch whose next events are no longer stored."""
 
 
+@dataclass(frozen=True)
+class SessionTarget:
+    """The member that a session connects to, and how.
+
+    Attributes:
+        address: Host and port of the member.
+        settings: The registry's prefix and credentials.
+        ssl_context: The context for TLS; None for plain TCP.
+        local_address: The address that connections bind; empty for the system's choice.
+    """
+
+    address: Address
+    settings: RegistrySettings
+    ssl_context: ssl.SSLContext | None
+    local_address: str = ""
+
+
 class Session(ABC):
     """The tasks of one session; the first that fails ends it, and is reported once.
 
@@ -72,7 +93,7 @@
     def __init__(
         self,
         session_id: int,
-        address: tuple[str, int],
+        target: SessionTarget,
         listener: SessionListener,
         clock: Callable[[], float],
     ):
@@ -80,12 +101,12 @@
 
         Args:
             session_id: Identifies the session to the listener.
-            address: Host and port of the member.
+            target: The member to connect to.
             listener: Receives all responses, and the end of the session.
             clock: A monotonic clock, in s.
         """
         self.session_id = session_id
-        self.address = address
+        self.target = target
         self.listener = listener
         self.clock = clock
         self.tasks: set[asyncio.Task] = set()
--- a/applevale/discovery/registry/session_pool.py
+++ b/applevale/discovery/registry/session_pool.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
-from .session import Session, SessionListener
+from ...net.addresses import format_address
+from .session import Session, SessionListener, SessionTarget
 from .settings import RegistrySettings
 from .tls import create_ssl_context
 
@@ -59,15 +60,9 @@
 
     def open(self, session_id: int, member_index: int) -> None:
         """Open a session with one of the members and begin its handshake."""
-        session = self.session_class(
-            session_id,
-            self.addresses[member_index],
-            self.settings,
-            self.ssl_context,
-            self.listener,
-            self.clock,
-            self.local_address,
-        )
+        address = self.addresses[member_index]
+        target = SessionTarget(address, self.settings, self.ssl_context, self.local_address)
+        session = self.session_class(session_id, target, self.listener, self.clock)
         self._sessions[session_id] = session
         session.handshake()
 
@@ -85,5 +80,4 @@
 
     def member_name(self, session_id: int) -> str:
         """Return HOST:PORT of an open session's member."""
-        host, port = self._sessions[session_id].address
-        return f"{host}:{port}"
+        return format_address(self._sessions[session_id].target.address)
--- a/applevale/fault_injection/tcp_proxy.py
+++ b/applevale/fault_injection/tcp_proxy.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import deque
 
+from ..net.addresses import Address
 from .link_conditions import LinkConditions
 
 MAX_BUFFERED_BYTES = 1 << 18  # in one direction of a connection; beyond, its sender is not read from
@@ -16,8 +17,6 @@
 BACKLOG = 1024
 ADDRESSES_PER_BLOCK = 250
 
-Address = tuple[str, int]
-
 
 def source_address(number: int) -> str:
     """Return the local address of an instance; there are 60,000 of them."""
--- a/applevale/fault_injection/udp_proxy.py
+++ b/applevale/fault_injection/udp_proxy.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from ..net.addresses import Address
 from .link_conditions import LinkConditions
 
 MAX_READS_AT_ONCE = 256  # from one socket in one turn of the loop
@@ -20,8 +21,6 @@
 MIN_DELAY_SECONDS = 0.0005  # a shorter delay is none
 RECEIVE_BUFFER_BYTES = 1 << 20
 
-Address = tuple[str, int]
-
 
 def _ignore_datagram(source: str, target: str, size: int) -> None:
     pass
--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -10,7 +10,6 @@
 import json
 import os
 import signal
-import socket
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -27,6 +26,7 @@
 from ..fault_injection.schedule import Step, play_schedule
 from ..fault_injection.tcp_proxy import TcpProxy, source_address
 from ..fault_injection.udp_proxy import UdpProxy
+from ..net.addresses import format_address
 from . import resource_usage
 from .default_settings import MACHINE_KINDS, SETTINGS, ZONES
 from .fault_executor import FaultExecutor, FaultTargets
@@ -34,6 +34,7 @@
 from .fleet_plan import FleetPlan
 from .history_recorder import HistoryRecorder
 from .managed_process import ManagedProcess
+from .ports import free_port
 from .registry_process import RegistryProcess
 from .request_rules import NO_OVERLAP, count_violations
 
@@ -49,18 +50,6 @@
 MAX_DRAINED_MESSAGES = 300  # messages that the registry can send to all instances in a moment
 
 
-def format_address(address: tuple[str, int]) -> str:
-    """Return the address as HOST:PORT."""
-    return f"{address[0]}:{address[1]}"
-
-
-def free_port() -> int:
-    """Return a TCP port of the loopback interface that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def instance_host(number: int) -> str:
     """Return the loopback address on which an instance listens."""
     return source_address(number).replace("127.1.", "127.2.", 1)
--- a/applevale/harness/ops.py
+++ b/applevale/harness/ops.py
@@ -18,7 +18,6 @@
 
 import asyncio
 import json
-import socket
 import tempfile
 from collections import Counter
 from dataclasses import dataclass, field
@@ -27,6 +26,7 @@
 from ..fakes.client_pool import ClientPool
 from ..fakes.engine import FakeEngine
 from .managed_process import ManagedProcess
+from .ports import free_address
 from .request_rules import count_violations
 
 ENGINE_COUNT = 3
@@ -45,13 +45,6 @@
 METRICS_TOLERANCE_REQUESTS = 3
 
 
-def free_address() -> str:
-    """Return a loopback address, as HOST:PORT, whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 async def call(address: str, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
     """Return status and body of an admin call; (0, {}) if it could not be made."""
     host, _, port = address.rpartition(":")
--- a/applevale/harness/registry.py
+++ b/applevale/harness/registry.py
@@ -17,6 +17,7 @@
 from random import Random
 
 from ..api import State
+from ..checkers.coldstart import REQUEST_RULES
 from ..checkers.history import quantile
 from ..discovery.endpoints import AttributeNames
 from ..discovery.registry.endpoint_table import EndpointTable, endpoints_digest
@@ -28,6 +29,7 @@
 from ..fakes.engine import FakeEngine
 from ..fakes.faulty_proxy import FaultyProxy, ProxyMode
 from ..fakes.key_value_store import KeyValueStore
+from ..net.addresses import format_address
 from .default_settings import MACHINE_KINDS, ZONES
 from .managed_process import ManagedProcess
 from .request_rules import count_violations
@@ -59,11 +61,10 @@
         return f"{PREFIX}{self.number}".encode()
 
     def record(self) -> bytes:
-        host, port = self.engine.address
         return json.dumps(
             {
                 "id": f"s-{self.number:08x}",
-                "address": f"{host}:{port}",
+                "address": format_address(self.engine.address),
                 "state": self.state,
                 "zone": ZONES[self.number % len(ZONES)],
                 "kind": MACHINE_KINDS[0],
@@ -109,7 +110,7 @@
         await self.clients.start()
 
     def config(self, gates: list[FaultyProxy]) -> dict:
-        addresses = [f"{host}:{port}" for host, port in (gate.address for gate in gates)]
+        addresses = [format_address(gate.address) for gate in gates]
         return {"registry": {"kind": self.kind, "addresses": addresses, "prefix": PREFIX}}
 
     async def stop(self) -> dict:
@@ -404,10 +405,7 @@
         },
         "missed_drains": sum(lag > PROMISE for lag in lags),
         "wrong_lists": total["wrong_lists"],
-        "lost_requests": rules["lost_requests"],
-        "answered_twice": rules["answered_twice"],
-        "loads_twice": rules["loads_twice"],
-        "order_breaks": rules["order_breaks"],
+        **{name: rules[name] for name in REQUEST_RULES},
         "requests": sum(len(scenario.clients.sent) for scenario in scenarios),
         "served": total["answered_served"],
         "held": total["unconfirmed"],
@@ -433,10 +431,7 @@
     broken = (
         "missed_drains",
         "wrong_lists",
-        "lost_requests",
-        "answered_twice",
-        "loads_twice",
-        "order_breaks",
+        *REQUEST_RULES,
     )
     ok = bool(lags) and not any(figures[name] for name in broken)
     if not ok:
--- a/applevale/harness/scenarios.py
+++ b/applevale/harness/scenarios.py
@@ -404,10 +404,7 @@
     found |= {
         name: rules[name]
         for name in (
-            "lost_requests",
-            "answered_twice",
-            "loads_twice",
-            "order_breaks",
+            *verify.REQUEST_RULES,
             "requests",
             "served",
             "cut_by_ends",
--- a/applevale/net/addresses.py
+++ b/applevale/net/addresses.py
@@ -7,6 +7,12 @@
 Address = tuple[str, int]  # host, port
 
 
+def format_address(address: Address) -> str:
+    """Return an address as HOST:PORT."""
+    host, port = address
+    return f"{host}:{port}"
+
+
 @dataclass(frozen=True)
 class PeerAddresses:
     """The addresses for datagrams between instances."""
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -23,6 +23,8 @@
 
 import msgpack
 
+from applevale.harness.ports import free_port
+
 ROOT = Path(__file__).parent.parent
 REQUESTS = 6000
 OPEN = 16
@@ -38,13 +40,6 @@
     memory_mb: float
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def cpu_seconds(process: int) -> float:
     """Return the CPU time of a process."""
     fields = Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()
