--- a/applevale/checkers/coldstart.py
+++ b/applevale/checkers/coldstart.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
 from math import inf
 
+from .drains import MAX_DRAIN_LAG_SECONDS, Drain, ListingChange, find_drains
 from .history import History, max_in_window, quantile
 
-MAX_DRAIN_LAG_SECONDS = 0.5  # from a drain's commit to the last new request at that engine
 SESSIONS_AFTER_BREAK_SECONDS = 8.0  # after an outage, within which new sessions are counted
 MIN_OVERLAP_SECONDS = 0.001  # of two reads, to be seen as such
 
@@ -25,53 +24,16 @@
 )
 
 
-@dataclass(frozen=True)
-class Drain:
-    """A drain or deletion of an engine.
-
-    Attributes:
-        committed_at: Time of its commit, in seconds.
-        last_arrival: The last new request after it that reached the engine before it was listed as ready
-            again; where there was none, `committed_at`.
-        address: The engine.
-    """
-
-    committed_at: float
-    last_arrival: float
-    address: str
-
-    @property
-    def lag(self) -> float:
-        """Seconds for which new requests still arrived."""
-        return self.last_arrival - self.committed_at
-
-
 def drains(history: History) -> list[Drain]:
     """Return all drains and deletions, in the order in which they ended."""
     arrivals = defaultdict(list)
     for event in history.select("arrival"):
         arrivals[event["engine"]].append(event["at"])
-    ready_addresses: dict[str, str] = {}  # by key
-    committed: dict[str, float] = {}  # by address
-    ended: list[Drain] = []
-
-    def end_drain(address: str, until: float) -> None:
-        since = committed.pop(address, None)
-        if since is not None:
-            late = [at for at in arrivals[address] if since < at <= until]
-            ended.append(Drain(since, max(late, default=since), address))
-
-    for event in history.select("commit"):
-        former = ready_addresses.pop(event["key"], None)
-        ready = event["address"] if event["state"] == "ready" else None
-        if former is not None and former != ready and former not in ready_addresses.values():
-            committed.setdefault(former, event["at"])
-        if ready is not None:
-            end_drain(ready, event["at"])
-            ready_addresses[event["key"]] = ready
-    for address in list(committed):
-        end_drain(address, inf)
-    return ended
+    changes = (
+        ListingChange(event["at"], event["key"], event["address"] if event["state"] == "ready" else None)
+        for event in history.select("commit")
+    )
+    return find_drains(changes, arrivals)
 
 
 def overlapping_reads(history: History) -> int:
--- a/applevale/cli/rig.py
+++ b/applevale/cli/rig.py
@@ -41,11 +41,12 @@
 
 
 def _play_script(name: str, seed: int, seconds: float, as_json: bool) -> dict:
-    from ..harness import ops, registry
+    from ..harness import ops
+    from ..harness.registry import runner
 
     if not as_json:
         typer.echo(f"rig {name}: seed {seed}, {seconds:g} s", err=True)
-    script = ops if name == "ops" else registry
+    script = ops if name == "ops" else runner
     return asyncio.run(script.run(seed, seconds))
 
 
@@ -54,11 +55,12 @@
 ) -> dict:
     import uvloop
 
-    from ..harness import scenarios as cases
     from ..harness.fleet_plan import FleetPlan
+    from ..harness.scenarios.cases import CASES
+    from ..harness.scenarios.runner import run
 
-    if case not in cases.CASES:
-        fail(f"--case: no case is called {case!r}; there are: {', '.join(cases.CASES)}")
+    if case not in CASES:
+        fail(f"--case: no case is called {case!r}; there are: {', '.join(CASES)}")
     if baseline and not os.path.isfile(os.path.join(baseline, "applevale", "__main__.py")):
         fail(f"--baseline: {baseline}: no checkout of the program")
     plan = FleetPlan(nodes, seed, schedule=_read_steps(schedule) if schedule else ())
@@ -66,8 +68,8 @@
         typer.echo(f"rig fleet: case {case}, {nodes} programs, seed {seed}", err=True)
     before = None
     if baseline:
-        before = uvloop.run(cases.run(replace(plan, checkout=os.path.abspath(baseline)), case))
-    result = uvloop.run(cases.run(plan, case, history))
+        before = uvloop.run(run(replace(plan, checkout=os.path.abspath(baseline)), case))
+    result = uvloop.run(run(plan, case, history))
     if before is not None:
         result["baseline"] = before
     return result
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -292,8 +292,7 @@
         """Connect to other members; the list and its revision stay."""
         return self.sessions.replace_members(now, member_count)
 
-    # --- timeouts and the standby session
-    # ------------------------------------------------------------------------------------
+    # --- timeouts and the standby session -------------------------------------------------------------------
 
     def _on_session_timeout(self, now: float, session: SessionState) -> list[Command]:
         if session.phase is SessionPhase.CONNECTING:
--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -7,56 +7,52 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import time
 from collections import Counter
 from collections.abc import Callable
-from math import inf
 from random import Random
-from zlib import crc32
 
 import msgspec
 
 from ..checkers.history import History
-from ..fakes.client_pool import ClientPool, SentRequest
-from ..fakes.cold_engine import ColdEngine
 from ..fault_injection.link_conditions import LinkConditions
 from ..fault_injection.schedule import Step, play_schedule
-from ..fault_injection.tcp_proxy import TcpProxy, source_address
+from ..fault_injection.tcp_proxy import TcpProxy
 from ..fault_injection.udp_proxy import UdpProxy
-from ..net.addresses import format_address
+from ..net.addresses import Address, format_address
 from . import resource_usage
-from .default_settings import MACHINE_KINDS, SETTINGS, ZONES
 from .fault_executor import FaultExecutor, FaultTargets
+from .fleet_clients import FleetClients
+from .fleet_config import FleetNetwork, instance_config, instance_host
+from .fleet_engines import FleetEngines
 from .fleet_instance import FleetInstance
 from .fleet_plan import FleetPlan
 from .history_recorder import HistoryRecorder
 from .managed_process import ManagedProcess
 from .ports import free_port
 from .registry_process import RegistryProcess
-from .request_rules import NO_OVERLAP, count_violations
 
-ENGINE_KEY_PREFIX = "applevale/engines/"
-FINAL_ANSWER_MARGIN_SECONDS = 0.3  # before a client's deadline, when an undecided request is answered
-END_GRACE_SECONDS = 0.5  # after the end of a process in which a connection may still be cut by it
 CONVERGENCE_TIMEOUT_SECONDS = 8.0  # within which every list of engines is the registry's
 POLL_INTERVAL_SECONDS = 0.02
 CONVERGENCE_POLL_INTERVAL_SECONDS = 0.2
-RECENT_SECONDS = 2.0
-RECENT_ARRIVALS = 100
-CLIENT_EFFORT = 400.0
-MAX_DRAINED_MESSAGES = 300  # messages that the registry can send to all instances in a moment
-
-
-def instance_host(number: int) -> str:
-    """Return the loopback address on which an instance listens."""
-    return source_address(number).replace("127.1.", "127.2.", 1)
+INSTANCE_SEED_BITS = 48
 
 
 class Fleet:
-    """The processes of a scenario: instances `n0`..., registry members `list0`..., engines `e0`..."""
+    """The processes of a scenario: instances `n0`..., registry members `list0`..., engines `e0`...
+
+    Attributes:
+        registry: The registry.
+        engines: The engines, and the list of them in the registry.
+        instances: The instances, once `start` has returned.
+        clients: The clients of the instances.
+        figures: What is counted in the run.
+        relay: The proxy that datagrams between instances pass; None without membership.
+        import_s: Seconds that processes which only import the application took; see `measure_imports`.
+        idle: The figures of the last `measure_idle`.
+    """
 
     def __init__(self, plan: FleetPlan):
         """Prepare what `plan` describes; nothing is started yet."""
@@ -66,20 +62,17 @@
         self.figures: Counter = Counter()
         self.recorder = HistoryRecorder(self.figures)
         self.link_conditions = LinkConditions(plan.seed)
-        self.service = RegistryProcess(self.recorder.record_registry_event)
+        self.registry = RegistryProcess(self.recorder.record_registry_event)
         self.proxies: list[TcpProxy] = []
-        self.registry_addresses: list[tuple[str, int]] = []
-        self.engines: list[ColdEngine] = []
-        self.engine_addresses: list[tuple[str, int]] = []  # as instances know them
-        self.states: dict[int, str] = {}  # engine -> as last written
+        self.engines = FleetEngines(plan, self.registry, self.random)
         self.instances: list[FleetInstance] = []
+        self.clients = FleetClients(plan, self.instances, self.recorder, self.random)
+        self.relay: UdpProxy | None = None
         self.import_s: list[float] = []
         self.idle: dict[str, float] = {}
-        self.relay: UdpProxy | None = None
-        self.datagram_addresses: dict[str, tuple[str, int]] = {}  # instance -> its own, behind the relay
         self.fault_executor = FaultExecutor(
             FaultTargets(
-                self.instances, self.proxies, self.link_conditions, self.service, self.launch, plan.entry
+                self.instances, self.proxies, self.link_conditions, self.registry, self.launch, plan.entry
             ),
             self.recorder,
             self.figures,
@@ -96,47 +89,29 @@
 
     def history(self) -> History:
         """Return the history of the run, with what the engines saw."""
-        addresses = map(format_address, self.engine_addresses)
-        return self.recorder.history(zip(self.engines, addresses))
+        addresses = map(format_address, self.engines.addresses)
+        return self.recorder.history(zip(self.engines.fakes, addresses))
+
+    def violations(self) -> Counter:
+        """Return the violations of the rules on requests, and the requests that faults excuse."""
+        return self.clients.violations(self.engines.fakes)
 
     # --- start and end --------------------------------------------------------------------------------------
 
     async def start(self) -> None:
         """Start all but the instances."""
-        plan = self.plan
-        await self.service.start()
-        await self.service.order("capacity", rate=plan.capacity)
-        self.registry_addresses = [
-            await self._proxied(f"list{number}", address)
-            for number, address in enumerate(self.service.addresses)
+        await self.registry.start()
+        await self.registry.order("capacity", rate=self.plan.capacity)
+        registry_addresses = [
+            await self._expose(f"list{number}", address)
+            for number, address in enumerate(self.registry.addresses)
         ]
-        await self._start_engines()
-        port = free_port()
-        if plan.members:
-            self.datagram_addresses = {
-                f"n{number}": (instance_host(number), port) for number in range(plan.nodes)
-            }
-            self.relay = UdpProxy(
-                list(self.datagram_addresses),
-                self.datagram_addresses,
-                self.link_conditions,
-                self.recorder.record_datagram,
-            )
-        for number in range(plan.nodes):
-            self.instances.append(self._create_instance(number, port))
-
-    async def _start_engines(self) -> None:
-        for number in range(self.plan.engines):
-            engine = ColdEngine(Random(self.random.random()))
-            await engine.start()
-            self.engines.append(engine)
-            self.engine_addresses.append(await self._proxied(f"e{number}", engine.address))
-        for number in range(self.plan.engines):
-            if number < self.plan.cold:
-                self.engines[number].started_at = time.monotonic()
-            await self.list_engine(number, "ready")
-
-    async def _proxied(self, name: str, address: tuple[str, int]) -> tuple[str, int]:
+        await self.engines.start(self._expose)
+        network = self._create_network(registry_addresses)
+        for number in range(self.plan.nodes):
+            self.instances.append(self._create_instance(number, network))
+
+    async def _expose(self, name: str, address: Address) -> Address:
         """Return where instances reach a server: itself, or a new proxy before it."""
         if not self.plan.gates:
             return address
@@ -145,43 +120,28 @@
         self.proxies.append(proxy)
         return proxy.address
 
-    def _create_instance(self, number: int, port: int) -> FleetInstance:
+    def _create_network(self, registry_addresses: list[Address]) -> FleetNetwork:
+        port = free_port()
+        if not self.plan.members:
+            return FleetNetwork(port, registry_addresses)
+        datagrams = {f"n{number}": (instance_host(number), port) for number in range(self.plan.nodes)}
+        self.relay = UdpProxy(list(datagrams), datagrams, self.link_conditions, self.recorder.record_datagram)
+        return FleetNetwork(port, registry_addresses, datagrams, self.relay)
+
+    def _create_instance(self, number: int, network: FleetNetwork) -> FleetInstance:
         name = f"n{number}"
-        config = self._instance_config(number, port)
+        config = instance_config(self.plan, network, number, self.random.getrandbits(INSTANCE_SEED_BITS))
         program = ManagedProcess(config, name, self.plan.checkout)
         if self.plan.snapshot:  # in the folder that all processes of this instance share
             config["registry"]["snapshot"] = os.path.join(program.folder.name, "snapshot")
         instance = FleetInstance(number, name, program)
-        program.heard = lambda event: self._on_instance_event(instance, event)
+        program.on_event = lambda event: self._on_instance_event(instance, event)
         return instance
 
-    def _instance_config(self, number: int, port: int) -> dict:
-        config: dict = {
-            "listen": f"{instance_host(number)}:{port}",
-            "local_address": source_address(number),
-            "log": "json",
-            "seed": f"{self.random.getrandbits(48):x}",
-            "settings": SETTINGS | {"me": number, "fleet_size": self.plan.nodes},
-            "registry": {
-                "kind": "etcd",
-                "prefix": ENGINE_KEY_PREFIX,
-                "addresses": [format_address(address) for address in self.registry_addresses],
-            },
-        }
-        if self.relay is not None:
-            config |= {
-                "peer_listen": format_address(self.datagram_addresses[f"n{number}"]),
-                "membership": {},
-                "peers": [format_address(self.relay.addresses[name]) for name in self.datagram_addresses],
-            }
-        if self.plan.connects:
-            config["startup"] = {"engine_connects": self.plan.connects}
-        return config
-
     def _on_instance_event(self, instance: FleetInstance, event: dict) -> None:
         self.recorder.record_instance_event(instance, event)
-        if event["event"] == "listening" and self.plan.clients and instance.client_task is None:
-            instance.client_task = asyncio.create_task(self._run_clients(instance))
+        if event["event"] == "listening":
+            self.clients.start(instance)
 
     async def launch(self, instance: FleetInstance) -> None:
         """Start the process of an instance, without waiting until it listens."""
@@ -202,106 +162,20 @@
     async def stop(self) -> None:
         """End all that was started, also after a failure."""
         for instance in self.instances:
-            instance.program.heard = lambda event: None  # the end of all is no part of the history
-            if instance.client_task is not None:
-                instance.client_task.cancel()
-            if instance.clients is not None:
-                await instance.clients.stop()
+            instance.program.on_event = lambda event: None  # the end of all is no part of the history
+            await self.clients.stop(instance)
             if instance.is_running:
                 instance.program.process.send_signal(signal.SIGCONT)
         await asyncio.gather(*(one.terminate() for one in self.instances), return_exceptions=True)
         if self.relay is not None:
             self.relay.stop()
-        for part in (*self.proxies, *self.engines):
-            await part.stop()
-        await self.service.stop()
-
-    # --- clients --------------------------------------------------------------------------------------------
-
-    async def _run_clients(self, instance: FleetInstance) -> None:
-        """Run the clients of one instance, from when it first listens until the run ends."""
-        instance.clients = ClientPool(
-            instance.program.address,
-            Random(self.random.random()),
-            self.plan.clients,
-            connection_count=1,
-            reconnect=True,
-            effort_ms=CLIENT_EFFORT,
-            repeat_rejected=self.plan.eager,
-        )
-        await instance.clients.start()
-        await instance.clients.run(inf)
-
-    async def settle(self) -> None:
-        """Send no new requests, and wait for the answers of those that are open."""
-        for instance in self.instances:
-            if instance.client_task is not None:
-                instance.client_task.cancel()
-        await asyncio.gather(*(one.clients.settle() for one in self.instances if one.clients is not None))
-
-    def rules(self) -> Counter:
-        """Return the violations of the rules on requests, over all instances.
-
-        Requests that were cut by the end of a process, or that became late while it was paused, are not
-        lost: they are counted apart.
-        """
-        found: Counter = Counter()
-        for instance in self.instances:
-            if instance.clients is None:
-                continue
-            for sent in instance.clients.sent:
-                self._classify_request(instance, sent, found)
-            overlap = (min(instance.ended_at), inf) if instance.ended_at else NO_OVERLAP
-            found += count_violations(instance.clients, self.engines, overlap)
-            found["requests"] += len(instance.clients.sent)
-            found["served"] += sum("served" in sent.answers for sent in instance.clients.sent)
-        found["lost_requests"] -= found["cut_by_ends"] + found["late_by_standstill"]
-        return found
-
-    def _classify_request(self, instance: FleetInstance, sent: SentRequest, found: Counter) -> None:
-        """Count a request that a fault excuses; record one that was lost."""
-        if sent.disconnected_at and any(sent.sent_at <= end + END_GRACE_SECONDS for end in instance.ended_at):
-            found["cut_by_ends"] += 1
-        elif sent.answers == ["late"] and any(
-            begin < sent.deadline and sent.deadline - FINAL_ANSWER_MARGIN_SECONDS < end
-            for begin, end in instance.pauses
-        ):
-            found["late_by_standstill"] += 1
-        elif not sent.answers or "late" in sent.answers:
-            self.recorder.record(
-                "lost",
-                sent.sent_at,
-                who=instance.name,
-                ref=sent.request_id,
-                lane=sent.method,
-                answers=sent.answers,
-                cut=round(sent.disconnected_at - sent.sent_at, 3) if sent.disconnected_at else None,
-            )
+        for proxy in self.proxies:
+            await proxy.stop()
+        await self.engines.stop()
+        await self.registry.stop()
 
     # --- what scenarios do ----------------------------------------------------------------------------------
 
-    async def list_engine(self, number: int, state: str) -> None:
-        """Write one engine into the registry; the state `gone` deletes it."""
-        key = f"{ENGINE_KEY_PREFIX}{number}"
-        self.states[number] = state
-        if state == "gone":
-            await self.service.order("delete", key=key)
-            return
-        await self.service.order("put", key=key, value=json.dumps(self._record(number, state)))
-
-    def _record(self, number: int, state: str) -> dict:
-        started = 0.0
-        if number < self.plan.cold:
-            started = time.time() - (time.monotonic() - self.engines[number].started_at)
-        return {
-            "id": f"s-{number + 1:08x}",
-            "address": format_address(self.engine_addresses[number]),
-            "state": state,
-            "zone": ZONES[number % len(ZONES)],
-            "kind": MACHINE_KINDS[0],
-            "started": started,
-        }
-
     async def until(self, condition: Callable[[], bool], within: float) -> bool:
         """Wait until `condition` holds; return whether it did within that many seconds."""
         end = self.loop.time() + within
@@ -315,6 +189,10 @@
         """Return the connections (IP:PORT) that members of the registry serve, as it reports."""
         return self.recorder.open_sessions()
 
+    def all_listening(self) -> bool:
+        """Return whether each instance has listened since its last start."""
+        return all(one.program.listening.is_set() for one in self.instances)
+
     async def run_event_loops(self) -> None:
         """Return once the event loop of each instance has run its timers that are due by now.
 
@@ -342,42 +220,9 @@
 
         return await self.until(lambda: all(map(has_started, self.instances)), within)
 
-    async def drain(self, count: int) -> None:
-        """Drain the busiest engines, some at a time, and bring them back; `count` times.
-
-        They are no more than the fake registry can report to all instances in a moment, as each change is a
-        message to each of them.
-        """
-        for _ in range(count):
-            busiest = self._busiest_engines()
-            for number in busiest:
-                await self.list_engine(number, "draining")
-            await asyncio.sleep(1.0)
-            for number in busiest:
-                await self.list_engine(number, "ready")
-            await asyncio.sleep(0.5)
-
-    def _busiest_engines(self) -> list[int]:
-        since = time.monotonic() - RECENT_SECONDS
-
-        def recent_arrivals(number: int) -> int:
-            return sum(one.received_at >= since for one in self.engines[number].arrivals[-RECENT_ARRIVALS:])
-
-        order = sorted(range(self.plan.engines), reverse=True, key=recent_arrivals)
-        return order[: max(1, min(self.plan.engines // 10, MAX_DRAINED_MESSAGES // self.plan.nodes))]
-
-    def _digest(self) -> int:
-        """Return the digest of the list as it was written, without use of the application's code."""
-        lines = sorted(
-            f"{number + 1:08x} {state} {self.engine_addresses[number]}"
-            for number, state in self.states.items()
-            if state != "gone"
-        )
-        return crc32("\n".join(lines).encode())
-
     async def quiet(self) -> None:
         """Wait until every running instance has the list as written; count those that do not get it."""
-        expected = self._digest()
+        expected = self.engines.digest()
         end = self.loop.time() + CONVERGENCE_TIMEOUT_SECONDS
         waiting = [one for one in self.instances if one.program.process.returncode is None]
         while waiting and self.loop.time() < end:
@@ -390,7 +235,7 @@
 
     def measure_idle(self) -> Callable[[], None]:
         """Measure processor time and memory from now until the function returned is called."""
-        meter = resource_usage.UsageMeter(self._process_ids(), self.service.process.pid)
+        meter = resource_usage.UsageMeter(self._process_ids(), self.registry.process.pid)
 
         def finish() -> None:
             self.idle = meter.finish(self._process_ids())
--- a/applevale/harness/fleet_instance.py
+++ b/applevale/harness/fleet_instance.py
@@ -48,5 +48,5 @@
                 async with asyncio.timeout(10.0):
                     await process.wait()
         finally:
-            await self.program.end()
+            await self.program.kill()
             self.program.folder.cleanup()
--- a/applevale/harness/ops.py
+++ b/applevale/harness/ops.py
@@ -221,7 +221,7 @@
     async def end(self) -> None:
         """End both processes at once, if they still run."""
         for process in (self.first, self.second):
-            await process.end()
+            await process.kill()
 
     async def _start_first(self) -> None:
         await self.first.start(env=self.environment)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -194,43 +194,57 @@
     run(test)
 
 
+class PacedEngine:
+    """A pool with one engine whose connections are paced, and what is shown of the engine."""
+
+    def __init__(self, loop):
+        self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
+        self.schedule, self.endpoints = ConnectSchedule(20.0, 40, 3), GatedEndpoints()
+        self.shown, self.changed_at = [], []
+        self.pacer = ConnectPacer(
+            self.schedule,
+            self.pool,
+            self.shown.append,
+            self.endpoints,
+            lambda: self.changed_at.append(loop.now),
+        )
+        self.update = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
+
+    def list_engine(self):
+        self.pool.update(self.update)
+        self.pacer.on_list_change()
+
+    def shown_states(self):
+        return [one.entries[0].state for one in self.shown]
+
+
 def test_an_engine_is_shown_as_not_ready_until_a_connection_to_it_may_be_opened():
     async def test(loop):
-        pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        schedule, endpoints = ConnectSchedule(20.0, 40, 3), GatedEndpoints()
-        shown, changes = [], []
-        pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
-        change = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
-        wait = schedule.slot_offset(1)
-        pool.update(change)
-        pacer.on_list_change()
-        assert wait > 0.1 and not pool.may_connect(1)
-        assert endpoints.apply_update(change).entries[0].state is api.State.DRAINING
+        paced = PacedEngine(loop)
+        wait = paced.schedule.slot_offset(1)
+        paced.list_engine()
+        assert wait > 0.1 and not paced.pool.may_connect(1)
+        assert paced.endpoints.apply_update(paced.update).entries[0].state is api.State.DRAINING
         await advance(loop, wait / 2)
-        assert not shown and not changes
+        assert not paced.shown and not paced.changed_at
         await advance(loop, wait / 2)
-        assert [one.entries[0].state for one in shown] == [api.State.READY]
-        assert changes == [loop.now] and pool.may_connect(1)
+        assert paced.shown_states() == [api.State.READY]
+        assert paced.changed_at == [loop.now] and paced.pool.may_connect(1)
 
     run(test)
 
 
 def test_an_engine_whose_last_connection_ended_waits_for_its_next_slot():
     async def test(loop):
-        pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        schedule, endpoints = ConnectSchedule(20.0, 40, 3), GatedEndpoints()
-        shown, changes = [], []
-        pacer = ConnectPacer(schedule, pool, shown.append, endpoints, lambda: changes.append(loop.now))
-        change = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
-        pool.update(change)
-        pacer.on_list_change()
-        endpoints.apply_update(change)
-        await advance(loop, schedule.slot_offset(1))
-        pool.on_connect_started(1)
-        shown.clear()
-        pool.on_disconnected(1)
-        assert [one.entries[0].state for one in shown] == [api.State.DRAINING] and not pool.may_connect(1)
-        await advance(loop, schedule.allowed_from[1] - loop.now)
-        assert [one.entries[0].state for one in shown] == [api.State.DRAINING, api.State.READY]
+        paced = PacedEngine(loop)
+        paced.list_engine()
+        paced.endpoints.apply_update(paced.update)
+        await advance(loop, paced.schedule.slot_offset(1))
+        paced.pool.on_connect_started(1)
+        paced.shown.clear()
+        paced.pool.on_disconnected(1)
+        assert paced.shown_states() == [api.State.DRAINING] and not paced.pool.may_connect(1)
+        await advance(loop, paced.schedule.allowed_from[1] - loop.now)
+        assert paced.shown_states() == [api.State.DRAINING, api.State.READY]
 
     run(test)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from applevale.api import State
 from applevale.checkers import coldstart as verify
 from applevale.checkers.history import History, max_in_window, read_history
 from applevale.discovery.registry.settings import RegistrySettings
@@ -14,7 +15,7 @@
 from applevale.harness.fleet import Fleet
 from applevale.harness.fleet_plan import FleetPlan
 from applevale.harness.log_events import parse_event
-from applevale.harness.scenarios import CASES
+from applevale.harness.scenarios.cases import CASES
 
 # One after the other: many programs at once would slow each other, and the tests beside them.
 pytestmark = pytest.mark.xdist_group("fleet")
@@ -32,13 +33,13 @@
             async with asyncio.timeout(60):
                 await fleet.start()
                 await script(fleet)
-                await fleet.settle()
+                await fleet.clients.settle()
         finally:
             await fleet.stop()
         started = [one.program.process for one in fleet.instances if one.program.process is not None]
-        assert all(process.returncode is not None for process in [*started, fleet.service.process])
+        assert all(process.returncode is not None for process in [*started, fleet.registry.process])
         history = fleet.history()
-        return verify.figures(history, fleet.plan.nodes) | dict(fleet.figures) | fleet.rules(), history
+        return verify.figures(history, fleet.plan.nodes) | dict(fleet.figures) | fleet.violations(), history
 
     return asyncio.run(run())
 
@@ -54,14 +55,14 @@
         fleet.mark("rest")
         await asyncio.sleep(2.0)
         fleet.mark("rest_end")
-        await fleet.drain(1)
+        await fleet.engines.drain(1)
         fleet.mark("break")
-        await fleet.service.order("down")
+        await fleet.registry.order("down")
         assert not fleet.open_sessions()
         await asyncio.sleep(FRESH + MARGIN)  # no speed of the machine: the promise ends by then
         await fleet.run_event_loops()
         assert not any(one.is_confirmed for one in fleet.instances)
-        await fleet.service.order("up")
+        await fleet.registry.order("up")
         fleet.mark("break_end")
         assert await fleet.all_ready(20)
         await fleet.play(
@@ -89,7 +90,7 @@
     async def script(fleet):
         await up(fleet)
         await asyncio.sleep(6.0)
-        pushed.extend(engine.peak_overload for engine in fleet.engines)
+        pushed.extend(engine.peak_overload for engine in fleet.engines.fakes)
 
     found, _ = played(script, nodes=6, engines=2, cold=2, clients=15.0)
     assert found["engines_fallen"] == 0 and all(0.2 < one <= 1 for one in pushed)
@@ -100,18 +101,18 @@
     await up(fleet)
     await asyncio.sleep(3.0)  # until answers were quick for long enough to judge by
     fleet.mark("slow")
-    await fleet.service.order("late", seconds=0.25)
+    await fleet.registry.order("late", seconds=0.25)
     await asyncio.sleep(6.0)
     fleet.mark("slow_end")
-    await fleet.service.order("late", seconds=0.0)
+    await fleet.registry.order("late", seconds=0.0)
 
 
 async def never_served(fleet):
-    await fleet.service.order("down")
+    await fleet.registry.order("down")
     await fleet.launch_all()
     assert await fleet.until(lambda: all(one.program.listening.is_set() for one in fleet.instances), 30)
     await asyncio.sleep(0.5)
-    await fleet.service.order("up")
+    await fleet.registry.order("up")
     assert await fleet.all_ready(20)
 
 
@@ -128,7 +129,7 @@
         )
     )
     await asyncio.sleep(1.5)
-    await fleet.list_engine(0, "draining")
+    await fleet.engines.set_state(0, State.DRAINING)
     await asyncio.sleep(1.5)
     await late
 
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -38,7 +38,7 @@
                 await asyncio.sleep(1.0)
                 fleet.mark("joined")
                 await script(fleet)
-                await fleet.settle()
+                await fleet.clients.settle()
                 await asyncio.gather(
                     *(
                         one.program.counters()
@@ -49,7 +49,7 @@
         finally:
             await fleet.stop()
         history = fleet.history()
-        return verify.figures(history) | dict(fleet.rules()), history
+        return verify.figures(history) | dict(fleet.violations()), history
 
     return asyncio.run(run())
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -9,6 +9,7 @@
 import pytest
 import trustme
 
+from applevale.api import State
 from applevale.discovery.endpoints import AttributeNames
 from applevale.discovery.registry import settings as registry_settings
 from applevale.discovery.registry.snapshot import SnapshotError, SnapshotStore
@@ -16,7 +17,8 @@
 from applevale.fakes import consul, etcd
 from applevale.fakes.faulty_proxy import FaultyProxy, ProxyMode
 from applevale.fakes.key_value_store import KeyValueStore
-from applevale.harness.registry import RegistryScenario
+from applevale.harness.registry.environment import ScenarioEnvironment
+from applevale.harness.registry.evaluation import environment_drains
 from applevale.observability.counters import Counters
 
 NAMES = AttributeNames(("a",), ("std",))
@@ -400,25 +402,25 @@
     """A drain that falls into a silence of all members, with compaction behind it, under the real program."""
 
     async def run():
-        scenario = RegistryScenario(kind, Random(3), ("tests.planted", *fault) if fault else ())
+        environment = ScenarioEnvironment(kind, Random(3), ("tests.planted", *fault) if fault else ())
         try:
-            await scenario.start()
+            await environment.start()
             loop = asyncio.get_running_loop()
-            load = asyncio.create_task(scenario.clients.run(loop.time() + 3.0))
+            load = asyncio.create_task(environment.clients.run(loop.time() + 3.0))
             await asyncio.sleep(0.3)
-            for gate in scenario.gates:
-                gate.set_mode(ProxyMode.STALL)
-            for one in scenario.listed[:3]:
-                one.state = "draining"
-                scenario.store.put(one.key, one.record())
-            scenario.store.put(b"applevale/engines/900", b"{}")
-            scenario.store.compact()
+            for proxy in environment.proxies:
+                proxy.set_mode(ProxyMode.STALL)
+            for listed in environment.engine_list.listed[:3]:
+                environment.engine_list.set_state(listed, State.DRAINING)
+            environment.store.put(b"applevale/engines/900", b"{}")
+            environment.store.compact()
             await asyncio.sleep(1.2)
-            await scenario.quiet()
+            await environment.reach_quiet_point()
             await load
         finally:
-            await scenario.stop()
-        return max(scenario.drain_lags()), scenario.figures["wrong_lists"], scenario.clients.stats()
+            await environment.stop()
+        lag = max(drain.lag for drain in environment_drains(environment))
+        return lag, environment.figures["wrong_lists"], environment.clients.stats()
 
     return asyncio.run(run())
 
@@ -442,25 +444,25 @@
 
 def test_past_the_deadline_of_hold_new_work_is_refused_at_once_until_the_list_is_confirmed():
     async def run():
-        scenario = RegistryScenario("etcd", Random(5))
+        environment = ScenarioEnvironment("etcd", Random(5))
         try:
-            await scenario.start()
-            for gate in scenario.gates:
-                gate.set_mode(ProxyMode.STALL)
+            await environment.start()
+            for proxy in environment.proxies:
+                proxy.set_mode(ProxyMode.STALL)
             async with asyncio.timeout(BOUND):
-                while not (await scenario.program.counters()).get("unconfirmed"):
-                    scenario.clients.send("lookup")
+                while not (await environment.program.counters()).get("unconfirmed"):
+                    environment.clients.send("lookup")
                     await asyncio.sleep(0.1)
-            late = scenario.clients.send("lookup")
-            await scenario.clients.settle()
-            await scenario.quiet()
+            late = environment.clients.send("lookup")
+            await environment.clients.settle()
+            await environment.reach_quiet_point()
             async with asyncio.timeout(BOUND):
-                while scenario.clients.sent[-1].answers != ["served"]:
-                    scenario.clients.send("lookup")
-                    await scenario.clients.settle()
+                while environment.clients.sent[-1].answers != ["served"]:
+                    environment.clients.send("lookup")
+                    await environment.clients.settle()
         finally:
-            await scenario.stop()
+            await environment.stop()
         assert late.answers == ["Full"]
-        assert scenario.clients.stats()["lost"] == 0
+        assert environment.clients.stats()["lost"] == 0
 
     asyncio.run(run())
