--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -56,7 +56,7 @@
         _, errors = self.process.communicate(timeout=30)
         self.engine.shutdown()
         self.engine.server_close()
-        return json.loads(re.search(r"counters (.*)", errors)[1])
+        return json.loads(re.findall(r"counters (.*)", errors)[-1])
 
     def words(self, ref):
         return [command[0] for command in self.engine.seen if command[1] == ref.encode()]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -139,6 +139,13 @@
     assert node.process.wait(15) == 0
 
 
+def next_log_line(process):
+    """Return the next log line but for those of a busy machine, on a late event loop."""
+    while (line := process.stderr.readline()).startswith("loop: "):
+        pass
+    return line
+
+
 class ToyFeed:
     """Tells nothing, and keeps what it was asked from, and until when."""
 
@@ -166,7 +173,7 @@
     for text, line in (("{", "the old configuration stays"), (bad, "feed: HOST:PORT")):
         config.write_text(text)
         node.process.send_signal(signal.SIGHUP)
-        assert line in node.process.stderr.readline()
+        assert line in next_log_line(node.process)
     config.write_text(json.dumps(raw | {"feed": new.address}))
     found = []
     asking = threading.Thread(target=lambda: found.append(new.asked()))
@@ -217,7 +224,7 @@
     told |= change if "name" in change else {"settings": raw["settings"] | change}
     (tmp_path / "config.json").write_text(json.dumps(told))
     node.process.send_signal(signal.SIGHUP)
-    assert "the old configuration stays: another one's" in node.process.stderr.readline()
+    assert "the old configuration stays: another one's" in next_log_line(node.process)
     assert probed(node)
     first.setblocking(False)
     with pytest.raises(BlockingIOError):  # the list is followed as before
