The engine pool is given its connect policy and observer; no callback is set from outside

EnginePool had seven callbacks that ConnectPacer, GossipExchange and Application assigned after its construction, so what was wired depended on the order of statements in three files.

The pool now takes a ConnectPolicy, an EngineObserver and the check of the list in its constructor. ConnectPacer no longer knows the pool: the application hands it the listed and the connected engines with each change of the list. GossipExchange is split into LoadReportSender, which needs the clock only, and LoadReportReceiver, which needs the driver; the clock is an object of its own (UnixClock). Attempts that other instances hear of are announced by the request handler's dispatch listener. The application creates its parts in the order of their dependencies; the operators' target, the descriptor budget and the engine activity are modules of their own.

The tests of pacing and of load reports build the parts by the new constructors, with the same assertions.

--- a/applevale/dispatch/event_loop_driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import traceback
 from collections.abc import Callable
 from math import exp
@@ -17,6 +16,7 @@
 from ..observability.events import log_event
 from ..policy import AdmissionController
 from .arrival_order import TICK_SECONDS, ArrivalOrder, Source
+from .clock import UnixClock
 
 # A batch over a long queue costs the same for one event as for many, and must leave time for the sockets.
 MIN_BATCH_INTERVAL_SECONDS = 0.004  # between the starts of two batches
@@ -94,7 +94,7 @@
         controller: AdmissionController,
         engine_pool: EnginePool,
         counters: Counters,
-        clock: Callable[[], float] = time.time,
+        clock: UnixClock | None = None,
     ):
         """Create a driver that has no events yet.
 
@@ -102,13 +102,12 @@
             controller: Decides on requests.
             engine_pool: Carries out probes.
             counters: Counts batches, probes and stalls.
-            clock: The system's Unix clock, in seconds.
+            clock: The clock of all decisions; None for one of its own.
         """
         self.controller = controller
         self.engine_pool = engine_pool
         self.counters = counters
-        self.clock = clock
-        self.latest_time = 0.0
+        self.clock = clock or UnixClock()
         self.action_handlers: dict[int, ActionHandler] = {}
         self.last_request_number = 0
         self.pending_events: list[api.Event] = []
@@ -126,8 +125,7 @@
 
     def now(self) -> float:
         """Return the Unix time in seconds, as engines state their start times; it never goes back."""
-        self.latest_time = max(self.latest_time, self.clock())
-        return self.latest_time
+        return self.clock.now()
 
     def start(self) -> None:
         """Begin to watch the loop for stalls."""
@@ -166,14 +164,14 @@
 
     def read_delay(self) -> float:
         """Return for how many seconds a message may have waited unread: a loop that runs late reads late."""
-        return min(MAX_READ_DELAY_SECONDS, self.batch_lateness.weighted(self.latest_time))
+        return min(MAX_READ_DELAY_SECONDS, self.batch_lateness.weighted(self.clock.latest))
 
     def answer_gap(self) -> float:
         """Return the seconds from the write of an answer until its client surely has it.
 
         A client that shares the machine with a late loop, or with peers that answer late, may read as late.
         """
-        lateness = max(self.read_delay(), self.probe_latency.weighted(self.latest_time))
+        lateness = max(self.read_delay(), self.probe_latency.weighted(self.clock.latest))
         return min(MAX_ANSWER_GAP_SECONDS, MIN_ANSWER_GAP_SECONDS + ANSWER_GAP_LATENESS_FACTOR * lateness)
 
     def outlier_engines(self) -> set[int]:
@@ -286,8 +284,8 @@
         def on_result(result: api.Result, report: tuple) -> None:
             duration = self.now() - started_at
             latency = self.probe_latency
-            if result is api.Result.OK and duration >= latency.weighted(self.latest_time):
-                latency.record(duration, self.latest_time)
+            if result is api.Result.OK and duration >= latency.weighted(self.clock.latest):
+                latency.record(duration, self.clock.latest)
             self.submit(api.ProbeResult(engine, result, duration, report))
 
         self.engine_pool.probe(engine, on_result)
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from math import inf
 
 from .. import api
 from ..discovery.gated_endpoints import GatedEndpoints
 from ..startup.connect_schedule import ConnectSchedule
-from .pool import EnginePool
 
 
 class ConnectPacer:
-    """Carries out the connect schedule.
+    """The connect policy that carries out a connect schedule.
 
     Invariant: an engine without a connection, to which none may be opened yet, is shown to the policy as not
     ready; as soon as one may be opened, it is shown as it is listed.
@@ -22,21 +21,23 @@
     def __init__(
         self,
         schedule: ConnectSchedule,
-        pool: EnginePool,
-        submit: Callable[[api.EngineList], None],
         endpoints: GatedEndpoints,
+        submit: Callable[[api.EngineList], None],
         on_readiness_change: Callable[[], None],
     ) -> None:
-        """Hook into the pool; `on_readiness_change` is called when an engine was hidden or shown."""
+        """Pace the connections to engines.
+
+        Args:
+            schedule: Says when a connection may be opened.
+            endpoints: The engines as the policy sees them.
+            submit: Is given each engine that was hidden or is shown again, before `on_readiness_change`.
+            on_readiness_change: Is called after engines were hidden or shown.
+        """
         self.schedule = schedule
-        self.pool = pool
-        self.submit = submit
         self.endpoints = endpoints
+        self.submit = submit
         self.on_readiness_change = on_readiness_change
         self._timer: asyncio.TimerHandle | None = None
-        pool.may_connect = self.may_connect
-        pool.on_connect_started = self.record_connect
-        pool.on_disconnected = self.record_disconnect
 
     def may_connect(self, engine_id: int) -> bool:
         """Return whether a connection to the engine may be opened now."""
@@ -49,31 +50,34 @@
     def record_disconnect(self, engine_id: int) -> None:
         """Note that the last connection to the engine ended, or the first was never established."""
         self.schedule.record_disconnect(engine_id, self._now())
-        if self._hide_if_waiting(engine_id):
+        if not self.may_connect(engine_id):
+            self.endpoints.awaiting_connect_slot.add(engine_id)
             self.submit(self.endpoints.present(engine_id))
             self.on_readiness_change()
         self._restart_timer()
 
-    def on_list_change(self) -> None:
-        """Apply a change of the engine list, before the policy is told of it."""
-        present = set(self.pool.engines) - self.pool.departed
-        self.schedule.set_engines(present, self._now())
-        self.endpoints.awaiting_connect_slot &= present
-        for engine_id in present:
-            self._hide_if_waiting(engine_id)
+    def on_list_change(self, listed: Set[int], connected: Set[int]) -> None:
+        """Apply a change of the engine list, before the policy is told of it.
+
+        Args:
+            listed: The ids of the engines that the list names.
+            connected: The ids of the engines to which there is a connection.
+        """
+        self.schedule.set_engines(listed, self._now())
+        self.endpoints.awaiting_connect_slot &= listed
+        for engine_id in listed - connected:
+            if not self.may_connect(engine_id):
+                self.endpoints.awaiting_connect_slot.add(engine_id)
         self._restart_timer()
 
+    def set_instance_count(self, count: int) -> None:
+        """Share the rate of connections by `count` instances from now on."""
+        self.schedule.instance_count = count
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
 
-    def _hide_if_waiting(self, engine_id: int) -> bool:
-        engine = self.pool.engines.get(engine_id)
-        is_hidden = engine is not None and not engine.connections and not self.may_connect(engine_id)
-        if is_hidden:
-            self.endpoints.awaiting_connect_slot.add(engine_id)
-        return is_hidden
-
     def _restart_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -190,7 +190,7 @@
             spec.request_id,
             fields,
             spec.statement,
-            on_written=lambda: self.pool.on_attempt_written(spec.class_name),
+            on_written=lambda: self.pool.observer.on_attempt_written(spec.class_name),
         )
 
     async def _run(self) -> None:
@@ -216,7 +216,7 @@
     def _leave_pool(self) -> None:
         self.engine.connections.remove(self)
         if not self.engine.connections:
-            self.pool.on_disconnected(self.engine.engine_id)
+            self.pool.connect_policy.record_disconnect(self.engine.engine_id)
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         self.liveness.close()
@@ -251,7 +251,7 @@
         self.liveness.last_active_at = asyncio.get_running_loop().time()
         report = resp.parse_load_report(reply.fields, self.pool.report_columns)
         if report:
-            self.pool.on_load_report(self.engine.engine_id, report)
+            self.pool.observer.on_load_report(self.engine.engine_id, report)
         self.pool.counters[REPLY_COUNTERS[reply.status]] += 1
         if reply.tag in self.probes:
             self.finish_probe(reply.tag, PROBE_RESULTS.get(reply.status, Result.ERROR), report)
--- a/applevale/engines/engine.py
+++ b/applevale/engines/engine.py
@@ -85,11 +85,11 @@
         return (
             (len(self.connections) < share or not has_other)
             and pool.connection_count() < pool.max_connections
-            and pool.may_connect(self.engine_id)
+            and pool.connect_policy.may_connect(self.engine_id)
         )
 
     def _open_connection(self) -> EngineConnection:
-        self.pool.on_connect_started(self.engine_id)
+        self.pool.connect_policy.record_connect(self.engine_id)
         connection = EngineConnection(self)
         self.connections.append(connection)
         return connection
--- a/applevale/engines/pool.py
+++ b/applevale/engines/pool.py
@@ -12,7 +12,7 @@
 from .connection import EngineConnection, ProbeCallback
 from .engine import Engine
 from .limits import ConnectionLimits
-from .resp import LoadReport
+from .observer import ConnectPolicy, EngineObserver, UnlimitedConnects
 
 PROBE_TIMEOUT_SECONDS = 0.25  # by the site
 CORRUPTION_MEMORY_SECONDS = 20.0  # for which a corrupt reply is kept in mind
@@ -22,22 +22,19 @@
 CHEAP_PROBE_PRICE = 0.02  # points for a probe a request, up to which pings are sent as often as that
 
 
+def _always_confirmed() -> bool:
+    return True
+
+
 class EnginePool:
     """All engines that the list has named, and the connections to them.
 
-    The callbacks are set by the parts that they concern; by default nothing is limited and nobody listens.
-
     Attributes:
         engines: By their ids; one that has left the list stays until its connections have ended.
         departed: Ids of those that have left the list.
         local_address: The address that connections bind; empty: the system's choice.
-        may_connect: Whether a connection to an engine may be opened now.
-        on_connect_started: A connection to an engine is being opened.
-        on_disconnected: The last connection to an engine ended.
-        is_list_confirmed: Whether the list is held to be true now.
-        on_load_report: An engine reported its load.
-        announce_send: An attempt with so many threads was sent that other instances are to hear of.
-        on_attempt_written: The command of an attempt of a class was written whole.
+        connect_policy: Says when a connection to an engine may be opened.
+        observer: Is told of load reports and written attempts.
     """
 
     def __init__(
@@ -47,8 +44,23 @@
         max_connections: int,
         counters: Counters,
         local_address: str = "",
+        *,
+        connect_policy: ConnectPolicy | None = None,
+        observer: EngineObserver | None = None,
+        is_list_confirmed: Callable[[], bool] | None = None,
     ) -> None:
-        """Start without engines; `max_connections` bounds those to all engines together."""
+        """Start without engines.
+
+        Args:
+            limits: What the settings say of connections.
+            report_columns: The columns of engines' load reports, in their order.
+            max_connections: Bounds the connections to all engines together.
+            counters: Counts of connections and replies.
+            local_address: The address that connections bind; empty: the system's choice.
+            connect_policy: Says when a connection may be opened; None for no limit.
+            observer: Is told of load reports and written attempts, if anyone is.
+            is_list_confirmed: Returns whether the engine list is held to be true now; None if it always is.
+        """
         self.limits = limits
         self.report_columns = report_columns
         self.max_connections = max_connections
@@ -56,13 +68,9 @@
         self.local_address = local_address
         self.engines: dict[int, Engine] = {}
         self.departed: set[int] = set()
-        self.may_connect: Callable[[int], bool] = lambda engine_id: True
-        self.on_connect_started: Callable[[int], None] = lambda engine_id: None
-        self.on_disconnected: Callable[[int], None] = lambda engine_id: None
-        self.is_list_confirmed: Callable[[], bool] = lambda: True
-        self.on_load_report: Callable[[int, LoadReport], None] = lambda engine_id, report: None
-        self.announce_send: Callable[[int, int], None] = lambda engine_id, threads: None
-        self.on_attempt_written: Callable[[str], None] = lambda class_name: None
+        self.connect_policy = connect_policy or UnlimitedConnects()
+        self.observer = observer or EngineObserver()
+        self._is_list_confirmed = is_list_confirmed or _always_confirmed
         self._tag_count = 0
         self._corrupted_at = -CORRUPTION_MEMORY_SECONDS  # by the event loop's clock
 
@@ -100,6 +108,14 @@
         """Return the number of connections to all engines."""
         return sum(len(engine.connections) for engine in self.engines.values())
 
+    def listed_engines(self) -> set[int]:
+        """Return the ids of the engines that the list names."""
+        return set(self.engines) - self.departed
+
+    def connected_engines(self) -> set[int]:
+        """Return the ids of the engines to which there is a connection, or one is being opened."""
+        return {engine_id for engine_id, engine in self.engines.items() if engine.connections}
+
     def update(self, change: EndpointUpdate) -> None:
         """Apply a change of the engine list."""
         listed = {member.entry.engine for member in change.endpoints}
@@ -151,7 +167,7 @@
         if spec.is_client_gone():
             self.counters["gone_unread"] += 1
             return False
-        is_ready = engine is not None and engine.state is State.READY and self.is_list_confirmed()
+        is_ready = engine is not None and engine.state is State.READY and self._is_list_confirmed()
         return is_ready and asyncio.get_running_loop().time() < spec.start_before
 
     def start_attempt(
@@ -178,7 +194,7 @@
         connection = engine.pick_connection(spec.request_id, excluded, spec.exclusive)
         if connection is None:
             # Not allowed to connect proves nothing about the engine; too many open connections do.
-            result = Result.CONNECT_FAILED if self.may_connect(engine_id) else Result.MOOT
+            result = Result.CONNECT_FAILED if self.connect_policy.may_connect(engine_id) else Result.MOOT
             attempt.finish(AttemptFailed(Progress.NOT_SENT, result))
         else:
             connection.send_attempt(attempt)
--- a/applevale/gossip/exchange.py
+++ b/applevale/gossip/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ..dispatch.clock import UnixClock
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..net.datagrams import DatagramSocket
 from ..observability.counters import Counters
@@ -14,22 +15,19 @@
 REPORT_DELAY_SECONDS = 0.2
 
 
-class GossipExchange:
-    """Sends load reports to all peers and passes received ones to the driver.
+class LoadReportSender:
+    """Sends load reports to all peers.
 
-    A failure costs load reports and nothing else. Counters: `news_told`, `news_bytes`, `news_heard`.
+    A failure costs load reports and nothing else. Counters: `news_told`, `news_bytes`.
     """
 
-    def __init__(
-        self, datagrams: DatagramSocket, reports: LoadReports, driver: EventLoopDriver, counters: Counters
-    ):
-        """Register for the load reports among the datagrams of the socket."""
+    def __init__(self, datagrams: DatagramSocket, reports: LoadReports, clock: UnixClock, counters: Counters):
+        """Send what `reports` decides on, by the socket of all datagrams."""
         self.datagrams = datagrams
         self.reports = reports
-        self.driver = driver
+        self.clock = clock
         self.counters = counters
         self.timer: asyncio.TimerHandle | None = None  # of the next datagram
-        datagrams.handlers[VERSION] = self._receive
 
     def stop(self) -> None:
         """Cancel the datagram that is pending."""
@@ -38,7 +36,7 @@
 
     def on_engine_report(self, engine: int, report: tuple[float, ...]) -> None:
         """Share the load that an engine reported in an answer or to a probe."""
-        self.reports.record_report(self.driver.now(), engine, report)
+        self.reports.record_report(self.clock.now(), engine, report)
         if self.timer is None and self.reports.has_pending():
             self.timer = asyncio.get_running_loop().call_later(REPORT_DELAY_SECONDS, self._send)
 
@@ -56,6 +54,20 @@
             self.counters["news_told"] += 1
             self.counters["news_bytes"] += len(data)
 
+
+class LoadReportReceiver:
+    """Passes the load reports of peers to the driver. Counter: `news_heard`."""
+
+    def __init__(
+        self, datagrams: DatagramSocket, reports: LoadReports, driver: EventLoopDriver, counters: Counters
+    ):
+        """Register for the load reports among the datagrams of the socket."""
+        self.datagrams = datagrams
+        self.reports = reports
+        self.driver = driver
+        self.counters = counters
+        datagrams.handlers[VERSION] = self._receive
+
     def _receive(self, sender: int, data: bytes) -> None:
         try:
             events = self.reports.receive(self.driver.now(), data)
--- a/applevale/requests/context.py
+++ b/applevale/requests/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from math import inf
@@ -31,6 +32,11 @@
 
 
 InboxEvent = api.Action | AttemptResult | DeadlineReached | DiscoveryStale
+DispatchListener = Callable[[int, int], None]  # engine id, threads of the attempt
+
+
+def ignore_dispatch(engine: int, threads: int) -> None:
+    """Do nothing: a dispatch listener for instances without peers."""
 
 
 @dataclass
@@ -42,6 +48,7 @@
         pool: The engines.
         settings: The settings of the deployment.
         counters: Counts of outcomes.
+        on_dispatch: Is told the engine and the threads of each attempt that other instances are to hear of.
         shutdown_deadline: When the process stops, by the driver's clock.
     """
 
@@ -49,6 +56,7 @@
     pool: EnginePool
     settings: api.Settings
     counters: Counters
+    on_dispatch: DispatchListener = ignore_dispatch
     shutdown_deadline: float = inf
 
     def time_remaining(self, request: Request) -> float:
@@ -188,7 +196,7 @@
             self.used_connections.add(attempt.connection)
         if not attempt.is_finished:
             if send.announce:
-                pool.announce_send(send.engine, self._spec.threads)
+                self._environment.on_dispatch(send.engine, self._spec.threads)
             self.in_flight = attempt
             record.timeout_timer = loop.call_later(max(0.0, timeout), attempt.cancel, api.Result.TIMEOUT)
 
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -12,9 +12,11 @@
     DEADLINE_MARGIN_SECONDS,
     DeadlineReached,
     DiscoveryStale,
+    DispatchListener,
     InboxEvent,
     RequestContext,
     RequestEnvironment,
+    ignore_dispatch,
 )
 from .model import Rejected, Request, Response
 
@@ -29,10 +31,25 @@
         active: The requests without a response.
     """
 
-    def __init__(self, driver: EventLoopDriver, pool: EnginePool, settings: api.Settings, counters: Counters):
-        """Handle requests with the decision module behind `driver` and the engines of `pool`."""
+    def __init__(
+        self,
+        driver: EventLoopDriver,
+        pool: EnginePool,
+        settings: api.Settings,
+        counters: Counters,
+        on_dispatch: DispatchListener = ignore_dispatch,
+    ):
+        """Handle requests with the decision module behind `driver` and the engines of `pool`.
+
+        Args:
+            driver: Takes events to the decision module, and has the clock.
+            pool: The engines.
+            settings: The settings of the deployment.
+            counters: Counts of outcomes.
+            on_dispatch: Is told of the attempts that other instances are to hear of.
+        """
         self.active: set[RequestContext] = set()
-        self._environment = RequestEnvironment(driver, pool, settings, counters)
+        self._environment = RequestEnvironment(driver, pool, settings, counters, on_dispatch)
         self._driver = driver
         self._counters = counters
         # Requests with an order key, and their numbers, until their responses are delivered.
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -3,135 +3,134 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .. import api
-from ..admin.limits import MAX_CONCURRENT_REQUESTS
 from ..admin.metrics import Gauges, Metrics
 from ..config.model import Config
 from ..discovery.control_feed import ControlFeed
 from ..discovery.endpoints import EndpointSource, EndpointUpdate
 from ..discovery.gated_endpoints import GatedEndpoints
+from ..dispatch.clock import UnixClock
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..net.addresses import Address
 from ..observability.counters import Counters
 from ..observability.events import emit_event
 from ..policy import AdmissionController
+from ..requests.context import ignore_dispatch
 from ..requests.handler import RequestHandler
 from ..server.listener import RpcServer
 from . import optional_parts
+from .descriptor_budget import DescriptorBudget
 from .ejection_control import EjectionControl
+from .engine_activity import EngineActivity
+from .operator_target import OperatorTarget
 from .reload import ConfigReloader
 from .shutdown import GracefulShutdown
 
 if TYPE_CHECKING:
-    from ..discovery.registry.source import RegistrySource
-    from ..gossip.exchange import GossipExchange
+    from ..gossip.exchange import LoadReportSender
     from ..membership.runner import MembershipRunner
     from ..net.datagrams import DatagramSocket
 
 COUNTERS_INTERVAL_SECONDS = 5.0  # between two lines of counters: a killed process prints none at its end
-RESERVED_DESCRIPTORS = 32  # for the files, listeners, list and datagrams
 CLIENT_MEMORY_SHARE = 0.125  # of the memory, for messages and answers of clients
 
 
-@dataclass(frozen=True)
-class DescriptorBudget:
-    """How the file descriptors of the process are shared out."""
-
-    clients: int  # half; one client may hold a third of them
-    admin: int  # connections of operators
-    engines: int  # what is left beside the reserve
-
-    @classmethod
-    def of(cls, config: Config) -> DescriptorBudget:
-        """Return the shares for a configuration."""
-        clients = config.sockets // 2
-        admin = 0 if config.control is None else min(config.sockets // 8, MAX_CONCURRENT_REQUESTS)
-        engines = max(1, config.sockets - clients - RESERVED_DESCRIPTORS - admin)
-        return cls(clients, admin, engines)
-
-
 class Application:
     """The parts of one workload manager, and what happens between them.
 
-    It is also the target of the operators' calls (`admin.routes.AdminTarget`).
+    The parts are created in the order in which they depend on each other. What one of them causes in a part
+    that is created after it goes through a method of this class.
     """
 
     def __init__(self, config: Config, listen_address: Address):
         """Build all parts; `listen_address` is the real one, where the configuration leaves the port open."""
         self.config = config
         self.counters = Counters()
+        self.clock = UnixClock()
         self.shutdown_requested = asyncio.Event()
         self.descriptors = DescriptorBudget.of(config)
-        self.pool = EnginePool(
-            config.links,
-            config.settings.report_columns,
-            self.descriptors.engines,
-            self.counters,
-            local_address=config.local,
-        )
+        self.endpoints = GatedEndpoints()
         router = optional_parts.create_router(config, self.counters)
         controller = AdmissionController(config.settings, config.seed, router)
-        self.driver = EventLoopDriver(controller, self.pool, self.counters)
-        self.handler = RequestHandler(self.driver, self.pool, config.settings, self.counters)
         self.metrics = self._create_metrics()
+        self.datagrams: DatagramSocket | None = None
+        self.load_report_sender = self._create_load_report_sender(controller)
+        self.connect_pacer = optional_parts.create_connect_pacer(
+            config, self.endpoints, self.submit_engine_list, self.update_readiness
+        )
+        self.registry = optional_parts.create_registry_source(
+            config, self.counters, self.apply_update, self.on_staleness_change
+        )
+        self.pool = self._create_pool()
+        self.driver = EventLoopDriver(controller, self.pool, self.counters, self.clock)
+        if self.load_report_sender is not None:
+            optional_parts.create_load_report_receiver(self.load_report_sender, self.driver, self.counters)
+        self.handler = self._create_handler()
         self.server = self._create_server()
-        self.endpoints = GatedEndpoints()
         self.ejection_control = EjectionControl(
             listen_address, self.endpoints, self.pool, self.driver, self.counters
         )
-        self.connect_pacer = optional_parts.create_connect_pacer(
-            config, self.pool, self.driver, self.endpoints, self.update_readiness
+        self.operator_target = OperatorTarget(
+            self.server, self.metrics, self.ejection_control, self.update_readiness
         )
-        self.datagrams: DatagramSocket | None = None
-        self.gossip = self._create_gossip(controller)
         self.membership = self._create_membership()
-        self.registry = self._create_registry_source()
-        first_change = config.known[0].number - 1 if config.known else 0
-        self.control_feed = ControlFeed(
-            first_change, config.names, self.counters, self.apply_update, config.feed
-        )
+        self.control_feed = self._create_control_feed()
         self.source: EndpointSource = self.registry or self.control_feed
         self.reloader = ConfigReloader(config, self.source, self.control_feed, self.metrics, self.counters)
         self.shutdown = GracefulShutdown(self.server, self.handler, self.driver, config.settings)
-
-    def _create_server(self) -> RpcServer:
-        memory = int(self.config.memory * CLIENT_MEMORY_SHARE)
-        return RpcServer(
-            self.handler,
-            self.driver,
-            self.config.settings,
-            self.descriptors.clients,
-            memory,
-            self.counters,
-            self.metrics,
-        )
+        if self.registry is not None:
+            self.on_staleness_change(False)
 
     def _create_metrics(self) -> Metrics:
-        pool = self.pool
         gauges = Gauges(
             open_requests=lambda: self.server.open_requests,
-            engines=lambda: len(pool.engines) - len(pool.departed),
+            engines=lambda: len(self.pool.listed_engines()),
             disabled_engines=self._count_disabled_engines,
         )
-        metrics = Metrics(tuple(spec.name for spec in self.config.settings.classes), gauges)
-        pool.on_attempt_written = metrics.record_dispatch
-        return metrics
+        return Metrics(tuple(spec.name for spec in self.config.settings.classes), gauges)
 
     def _count_disabled_engines(self) -> int:
         """Count listed engines that are ejected, by hand or by the decision module."""
-        pool = self.pool
         ejected = self.ejection_control.ejections.ejected | self.driver.outlier_engines()
-        return sum(engine in pool.engines and engine not in pool.departed for engine in ejected)
+        return len(ejected & self.pool.listed_engines())
 
-    def _create_gossip(self, controller: AdmissionController) -> GossipExchange | None:
+    def _create_load_report_sender(self, controller: AdmissionController) -> LoadReportSender | None:
         if not optional_parts.needs_gossip(self.config, controller):
             return None
         datagrams = self._open_datagrams()
-        return optional_parts.create_gossip(self.config, datagrams, self.pool, self.driver, self.counters)
+        return optional_parts.create_load_report_sender(self.config, datagrams, self.clock, self.counters)
+
+    def _create_pool(self) -> EnginePool:
+        return EnginePool(
+            self.config.links,
+            self.config.settings.report_columns,
+            self.descriptors.engines,
+            self.counters,
+            local_address=self.config.local,
+            connect_policy=self.connect_pacer,
+            observer=EngineActivity(self.metrics, self.load_report_sender),
+            is_list_confirmed=None if self.registry is None else self.registry.may_start_work,
+        )
+
+    def _create_handler(self) -> RequestHandler:
+        sender = self.load_report_sender
+        on_dispatch = ignore_dispatch if sender is None else sender.on_dispatch
+        return RequestHandler(self.driver, self.pool, self.config.settings, self.counters, on_dispatch)
+
+    def _create_server(self) -> RpcServer:
+        memory = int(self.config.memory * CLIENT_MEMORY_SHARE)
+        return RpcServer(
+            self.handler,
+            self.driver,
+            self.config.settings,
+            self.descriptors.clients,
+            memory,
+            self.counters,
+            self.metrics,
+        )
 
     def _create_membership(self) -> MembershipRunner | None:
         if self.config.membership is None:
@@ -139,48 +138,16 @@
         datagrams = self._open_datagrams()
         return optional_parts.create_membership(self.config, datagrams, self.counters, self.on_fleet_resize)
 
+    def _create_control_feed(self) -> ControlFeed:
+        config = self.config
+        last_number = config.known[0].number - 1 if config.known else 0
+        return ControlFeed(last_number, config.names, self.counters, self.apply_update, config.feed)
+
     def _open_datagrams(self) -> DatagramSocket:
         if self.datagrams is None:
             self.datagrams = optional_parts.create_datagrams(self.config, self.counters)
         return self.datagrams
 
-    def _create_registry_source(self) -> RegistrySource | None:
-        source = optional_parts.create_registry_source(
-            self.config, self.counters, self.apply_update, self.on_staleness_change
-        )
-        if source is not None:
-            self.pool.is_list_confirmed = source.may_start_work
-            self.on_staleness_change(False)
-        return source
-
-    # The target of the operators' calls.
-
-    def is_ready(self) -> bool:
-        """Return whether new clients are accepted."""
-        return self.server.is_ready
-
-    def metrics_snapshot(self) -> dict:
-        """Return the metrics as one snapshot."""
-        return self.metrics.snapshot()
-
-    def disable_engine(self, host: str) -> bool:
-        """Eject an engine; return False for an id that was never listed."""
-        return self.ejection_control.set_ejected(host, True)
-
-    def enable_engine(self, host: str) -> bool:
-        """Let an engine back in; return False for an id that was never listed."""
-        return self.ejection_control.set_ejected(host, False)
-
-    def drain(self) -> None:
-        """Begin a drain."""
-        self.server.drain()
-        self.update_readiness()
-
-    def undrain(self) -> None:
-        """End a drain."""
-        self.server.undrain()
-        self.update_readiness()
-
     # Changes that one part hands on to others.
 
     def is_serving(self) -> bool:
@@ -200,13 +167,17 @@
         """Hand a change of the list to all that know engines; the decision module hears of it last."""
         self.ejection_control.ejections.add_endpoints(update.endpoints)
         self.pool.update(update)
-        if self.gossip is not None:
-            self.gossip.reports.set_engines(self.pool.engines)
+        if self.load_report_sender is not None:
+            self.load_report_sender.reports.set_engines(self.pool.engines)
         if self.connect_pacer is not None:
-            self.connect_pacer.on_list_change()
+            self.connect_pacer.on_list_change(self.pool.listed_engines(), self.pool.connected_engines())
         self.driver.submit(self.endpoints.apply_update(update))
         self.update_readiness()
 
+    def submit_engine_list(self, update: api.EngineList) -> None:
+        """Tell the decision module of engines that are presented otherwise than before."""
+        self.driver.submit(update)
+
     def on_staleness_change(self, confirmed: bool) -> None:
         """React to the registry's list being confirmed from now on, or no longer."""
         if self.config.registry.on_stale == "serve":
@@ -223,7 +194,7 @@
         self.counters["share_of"] = size
         self.driver.submit(api.FleetSize(size))
         if self.connect_pacer is not None:
-            self.connect_pacer.schedule.instance_count = size
+            self.connect_pacer.set_instance_count(size)
 
     def dump_counters(self) -> None:
         """Log all counters."""
@@ -257,7 +228,7 @@
     async def stop(self) -> None:
         """Stop all parts; nothing is owed to a client any more."""
         self.driver.stop()
-        for part in (self.gossip, self.membership, self.datagrams):
+        for part in (self.load_report_sender, self.membership, self.datagrams):
             if part is not None:
                 part.stop()
         await self.source.stop()
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -76,7 +76,7 @@
     """Serve the operators' calls in a task of their own, and watch for ejections by another process."""
     from ..admin.server import AdminServer  # its library costs memory and time at every start
 
-    server = AdminServer(application, application.counters, application.descriptors.admin)
+    server = AdminServer(application.operator_target, application.counters, application.descriptors.admin)
     task = asyncio.create_task(server.serve(listener))
     application.ejection_control.watch()
     return task
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -13,15 +13,15 @@
 from ..config.model import Config
 from ..discovery.endpoints import EndpointUpdate
 from ..discovery.gated_endpoints import GatedEndpoints
+from ..dispatch.clock import UnixClock
 from ..dispatch.event_loop_driver import EventLoopDriver
-from ..engines.pool import EnginePool
 from ..observability.counters import Counters
 from ..policy import AdmissionController
 
 if TYPE_CHECKING:
     from ..discovery.registry.source import RegistrySource
     from ..engines.connect_pacer import ConnectPacer
-    from ..gossip.exchange import GossipExchange
+    from ..gossip.exchange import LoadReportReceiver, LoadReportSender
     from ..membership.runner import MembershipRunner
     from ..net.datagrams import DatagramSocket
 
@@ -38,9 +38,8 @@
 
 def create_connect_pacer(
     config: Config,
-    pool: EnginePool,
-    driver: EventLoopDriver,
     endpoints: GatedEndpoints,
+    submit: Callable[[api.EngineList], None],
     on_readiness_change: Callable[[], None],
 ) -> ConnectPacer | None:
     """Return the pacer of connects to engines; None where the configuration names no rate."""
@@ -50,7 +49,7 @@
     from ..startup.connect_schedule import ConnectSchedule
 
     schedule = ConnectSchedule(config.engine_connects, config.settings.gateways, config.settings.me)
-    return ConnectPacer(schedule, pool, driver.submit, endpoints, on_readiness_change)
+    return ConnectPacer(schedule, endpoints, submit, on_readiness_change)
 
 
 def needs_gossip(config: Config, controller: AdmissionController) -> bool:
@@ -69,19 +68,25 @@
     return DatagramSocket(config.peers, config.settings.me, counters, shared=is_shared)
 
 
-def create_gossip(
-    config: Config, datagrams: DatagramSocket, pool: EnginePool, driver: EventLoopDriver, counters: Counters
-) -> GossipExchange:
-    """Return the exchange of load reports, which hears of the pool's attempts and reports."""
-    from ..gossip.exchange import GossipExchange
+def create_load_report_sender(
+    config: Config, datagrams: DatagramSocket, clock: UnixClock, counters: Counters
+) -> LoadReportSender:
+    """Return the sender of load reports to the other instances."""
+    from ..gossip.exchange import LoadReportSender
     from ..gossip.load_reports import LoadReports
 
     settings = config.settings
     reports = LoadReports(settings.report_columns, settings.gateways - 1, settings.peer_price, config.seed)
-    gossip = GossipExchange(datagrams, reports, driver, counters)
-    pool.on_load_report = gossip.on_engine_report
-    pool.announce_send = gossip.on_dispatch
-    return gossip
+    return LoadReportSender(datagrams, reports, clock, counters)
+
+
+def create_load_report_receiver(
+    sender: LoadReportSender, driver: EventLoopDriver, counters: Counters
+) -> LoadReportReceiver:
+    """Return the receiver of the other instances' load reports, on the socket of the sender."""
+    from ..gossip.exchange import LoadReportReceiver
+
+    return LoadReportReceiver(sender.datagrams, sender.reports, driver, counters)
 
 
 def create_membership(
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -198,21 +198,22 @@
     """A pool with one engine whose connections are paced, and what is shown of the engine."""
 
     def __init__(self, loop):
-        self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0), (), 8, Counters())
-        self.schedule, self.endpoints = ConnectSchedule(20.0, 40, 3), GatedEndpoints()
+        self.schedule = ConnectSchedule(20.0, 40, 3)
+        self.endpoints = GatedEndpoints()
         self.shown, self.changed_at = [], []
         self.pacer = ConnectPacer(
             self.schedule,
-            self.pool,
-            self.shown.append,
             self.endpoints,
+            self.shown.append,
             lambda: self.changed_at.append(loop.now),
         )
+        limits = ConnectionLimits(32, 15.0, 5.0)
+        self.pool = EnginePool(limits, (), 8, Counters(), connect_policy=self.pacer)
         self.update = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
 
     def list_engine(self):
         self.pool.update(self.update)
-        self.pacer.on_list_change()
+        self.pacer.on_list_change(self.pool.listed_engines(), self.pool.connected_engines())
 
     def shown_states(self):
         return [one.entries[0].state for one in self.shown]
@@ -223,13 +224,13 @@
         paced = PacedEngine(loop)
         wait = paced.schedule.slot_offset(1)
         paced.list_engine()
-        assert wait > 0.1 and not paced.pool.may_connect(1)
+        assert wait > 0.1 and not paced.pool.connect_policy.may_connect(1)
         assert paced.endpoints.apply_update(paced.update).entries[0].state is api.State.DRAINING
         await advance(loop, wait / 2)
         assert not paced.shown and not paced.changed_at
         await advance(loop, wait / 2)
         assert paced.shown_states() == [api.State.READY]
-        assert paced.changed_at == [loop.now] and paced.pool.may_connect(1)
+        assert paced.changed_at == [loop.now] and paced.pool.connect_policy.may_connect(1)
 
     run(test)
 
@@ -240,10 +241,10 @@
         paced.list_engine()
         paced.endpoints.apply_update(paced.update)
         await advance(loop, paced.schedule.slot_offset(1))
-        paced.pool.on_connect_started(1)
+        paced.pool.connect_policy.record_connect(1)
         paced.shown.clear()
-        paced.pool.on_disconnected(1)
-        assert paced.shown_states() == [api.State.DRAINING] and not paced.pool.may_connect(1)
+        paced.pool.connect_policy.record_disconnect(1)
+        assert paced.shown_states() == [api.State.DRAINING] and not paced.pool.connect_policy.may_connect(1)
         await advance(loop, paced.schedule.allowed_from[1] - loop.now)
         assert paced.shown_states() == [api.State.DRAINING, api.State.READY]
 
--- a/tests/test_event_loop_driver.py
+++ b/tests/test_event_loop_driver.py
@@ -5,6 +5,7 @@
 import helpers
 
 from applevale import api
+from applevale.dispatch.clock import UnixClock
 from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines.attempt import Attempt, AttemptFailed, AttemptSpec, Progress
 from applevale.engines.pool import EnginePool
@@ -65,7 +66,7 @@
     entries = tuple(api.EngineEntry(number) for number in range(1, 5))
     failed = api.ProbeResult(3, api.Result.CONNECT_FAILED)
     controller.handle(now[0], (api.EngineList(entries, whole=True), failed))
-    driver = EventLoopDriver(controller, None, Counters(), lambda: now[0])
+    driver = EventLoopDriver(controller, None, Counters(), UnixClock(lambda: now[0]))
     assert driver.outlier_engines() == {3}
     now[0] += 30.0
     assert driver.outlier_engines() == set()
@@ -97,7 +98,7 @@
 
 def test_the_clock_never_goes_back():
     times = iter([5.0, 3.0, 6.0])
-    driver = EventLoopDriver(Module(), None, Counters(), lambda: next(times))
+    driver = EventLoopDriver(Module(), None, Counters(), UnixClock(lambda: next(times)))
     assert [driver.now() for _ in range(3)] == [5.0, 5.0, 6.0]
 
 
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -14,7 +14,7 @@
 from applevale.config.sections import read_peers
 from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines.pool import EnginePool
-from applevale.gossip.exchange import GossipExchange
+from applevale.gossip.exchange import LoadReportReceiver, LoadReportSender
 from applevale.gossip.load_report_codec import HEADER, MAX_DATAGRAM_BYTES, LoadReportError, engine_mark
 from applevale.gossip.load_reports import (
     MAX_BUDGET_BYTES,
@@ -233,8 +233,10 @@
         driver = EventLoopDriver(module, EnginePool(None, (), 0, counters), counters)
         ours = DatagramSocket(PeerAddresses(one, (one, two), two), 0, Counters())
         theirs = DatagramSocket(PeerAddresses(two, (one, two), one), 1, counters)
-        here = GossipExchange(ours, load_reports(), driver, Counters())
-        there = GossipExchange(theirs, load_reports(), driver, counters)
+        here = LoadReportSender(ours, load_reports(), driver.clock, Counters())
+        there = LoadReportSender(theirs, load_reports(), driver.clock, counters)
+        LoadReportReceiver(ours, here.reports, driver, Counters())
+        LoadReportReceiver(theirs, there.reports, driver, counters)
         ours.start(), theirs.start()
         here.on_engine_report(1, (7.0, 0.5, 0.25))
         here.on_dispatch(2, 3)
