Driver: event queue, prober, stall monitor and lateness are parts of their own

Tests of the driver, crossings, load reports, layers and drain pass; they read the queue and the stall monitor where they are now.

--- /dev/null
+++ b/applevale/dispatch/prober.py
@@ -0,0 +1,50 @@
+"""Carries out the probes of engines that the admission controller asks for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .. import api
+from ..engines.pool import EnginePool
+from ..observability.counters import Counters
+from .clock import UnixClock
+from .lateness import DecayingLateness
+
+
+class EngineProber:
+    """Probes engines and submits the results.
+
+    Attributes:
+        latency: How long probes took lately.
+    """
+
+    def __init__(
+        self,
+        engine_pool: EnginePool,
+        clock: UnixClock,
+        submit: Callable[[api.ProbeResult], None],
+        counters: Counters,
+    ) -> None:
+        """Probe the engines of a pool; `submit` is given each result."""
+        self.latency = DecayingLateness()
+        self._engine_pool = engine_pool
+        self._clock = clock
+        self._submit = submit
+        self._counters = counters
+
+    def probe(self, engine: int) -> None:
+        """Probe an engine."""
+        self._counters["probes"] += 1
+        started_at = self._clock.now()
+
+        def on_result(result: api.Result, report: tuple[float, ...]) -> None:
+            duration = self._clock.now() - started_at
+            self._record_latency(result, duration)
+            self._submit(api.ProbeResult(engine, result, duration, report))
+
+        self._engine_pool.probe(engine, on_result)
+
+    def _record_latency(self, result: api.Result, duration: float) -> None:
+        now = self._clock.latest
+        if result is api.Result.OK and duration >= self.latency.weighted(now):
+            self.latency.record(duration, now)
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -60,7 +60,7 @@
     async def handle(self, request: Request) -> Response:
         """Return the response to a request; the task is cancelled when the client has gone."""
         if request.order_key:
-            await self._driver.order_known.wait()
+            await self._driver.stall_monitor.order_known.wait()
         if not self._may_admit(request):
             return self.reject()
         context = RequestContext(self._environment, request)
@@ -127,7 +127,7 @@
 
     def finish_all(self) -> None:
         """Respond to all active requests now, also to those that wait for the order of their key."""
-        self._driver.order_known.set()
+        self._driver.stall_monitor.order_known.set()
         self._notify_active(DeadlineReached)
 
     def _notify_active(self, signal: type[InboxEvent]) -> None:
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -194,7 +194,7 @@
         received_at = self._driver.now()
         is_drained = size < RECEIVE_BUFFER_BYTES
         self._arrived_since = self.source.record_read(
-            read_started_at, self._driver.arrival_order.polled_at, is_drained
+            read_started_at, self._driver.stall_monitor.arrival_order.polled_at, is_drained
         )
         is_any_complete = False
         for message in self._decoder.decode(size):
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -60,7 +60,7 @@
         self._counters = counters
         self._listener: socket.socket | None = None
         self._accept_task: asyncio.Task | None = None
-        driver.source_listings.append(self.readable_sources)
+        driver.stall_monitor.source_listings.append(self.readable_sources)
 
     @property
     def open_requests(self) -> int:
@@ -124,7 +124,7 @@
         self._counters["connections"] += 1
         now = asyncio.get_running_loop().time()
         self.connections.make_room(now)
-        polled_at = self._driver.arrival_order.polled_at
+        polled_at = self._driver.stall_monitor.arrival_order.polled_at
         arrived_since = self.arrival_source.record_read(wait_started_at, polled_at, is_queue_empty)
         connection = RpcConnection(self._context, sock, arrived_since)
         self.connections.add(connection, asyncio.create_task(connection.run()), now)
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -111,7 +111,7 @@
         request = parse_request(context.schema, call, received_at, self.is_client_gone)
         if request.request_id in context.open_request_ids:  # engines would take it for a repetition
             raise InvalidRequestError("ref: of an open request")
-        if request.order_key and not self._driver.arrival_order.is_in_order(
+        if request.order_key and not self._driver.stall_monitor.arrival_order.is_in_order(
             request.order_key, self.source, self._arrived_since, received_at
         ):
             self._counters["unsure_order"] += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -294,7 +294,7 @@
         (active,) = scene.handler.active
         active.inbox.put_nowait(api.Send(active.number, 1))
         await until(active.inbox.empty)
-        told = scene.driver.pending_events + [
+        told = scene.driver.event_queue.events + [
             event for batch in scene.driver.controller.batches for event in batch
         ]
         task.cancel()
@@ -496,7 +496,7 @@
 
 def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
     async def steps(scene):
-        scene.driver.order_known.clear()  # a loop that stood still reads the rest first
+        scene.driver.stall_monitor.order_known.clear()  # a loop that stood still reads the rest first
         request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, order_key=7)
         task = asyncio.create_task(scene.handler.handle(request))
         await asyncio.sleep(0)
--- a/tests/test_event_loop_driver.py
+++ b/tests/test_event_loop_driver.py
@@ -193,4 +193,4 @@
         return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
     answer, driver = asyncio.run(main())
-    assert answer == model.Rejected(1.0) and not driver.pending_events
+    assert answer == model.Rejected(1.0) and not driver.event_queue.events
