Server limits and socket status are types; parsing a request and the start are shorter

RpcServer took seven positional arguments, ConfigReloader six: the limits are a frozen dataclass, the rest is keyword-only. What the kernel knows of a client's socket is SocketStatus. parse_request had 44 lines, now 32 with its docstring; it checks the fields in the same order. lifecycle.run ends the start in a step of its own.

Tests of crossings, parsers, layers, drain, service and admin pass; those that build an RpcServer pass ServerLimits.

--- /dev/null
+++ b/applevale/net/socket_status.py
@@ -0,0 +1,33 @@
+"""What the kernel knows of a socket, without reading it."""
+
+from __future__ import annotations
+
+import select
+import socket
+
+_HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class SocketStatus:
+    """Events of one connected socket, whether the program has read them or not."""
+
+    __slots__ = ("_poll", "_sock")
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Watch a socket that is open."""
+        self._sock = sock
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN | select.POLLRDHUP)
+
+    def _events(self) -> int:
+        if self._sock.fileno() < 0:  # closed: its number may be another one's
+            return select.POLLHUP
+        return sum(event for _, event in self._poll.poll(0))
+
+    def has_events(self) -> bool:
+        """Return whether there is something to read, or the peer has hung up, or the socket is closed."""
+        return bool(self._events())
+
+    def is_hung_up(self) -> bool:
+        """Return whether the peer has hung up, or the socket is closed."""
+        return bool(self._events() & _HANG_UP_EVENTS)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -20,6 +20,7 @@
 from ..policy import AdmissionController
 from ..requests.context import ignore_dispatch
 from ..requests.handler import RequestHandler
+from ..server.limits import ServerLimits
 from ..server.listener import RpcServer
 from . import optional_parts
 from .descriptor_budget import DescriptorBudget
@@ -79,7 +80,9 @@
         self.membership = self._create_membership()
         self.control_feed = self._create_control_feed()
         self.source: EndpointSource = self.registry or self.control_feed
-        self.reloader = ConfigReloader(config, self.source, self.control_feed, self.metrics, self.counters)
+        self.reloader = ConfigReloader(
+            config, self.source, self.control_feed, metrics=self.metrics, counters=self.counters
+        )
         self.shutdown = GracefulShutdown(self.server, self.handler, self.driver, config.settings)
         if self.registry is not None:
             self.on_staleness_change(False)
@@ -126,10 +129,9 @@
             self.handler,
             self.driver,
             self.config.settings,
-            self.descriptors.clients,
-            memory,
+            ServerLimits(self.descriptors.clients, memory),
             self.counters,
-            self.metrics,
+            metrics=self.metrics,
         )
 
     def _create_membership(self) -> MembershipRunner | None:
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -43,13 +43,8 @@
     loop = asyncio.get_running_loop()
     loop.call_later(COUNTERS_INTERVAL_SECONDS, application.dump_counters_regularly)
     application.server.start(listener)
-    admin_task = None
-    if admin_listener is not None:
-        admin_task = _serve_operators(application, admin_listener)
-    tune_garbage_collector()
-    _record_start(application.counters, start)
-    if signal.SIGHUP in start.early_signals:
-        application.reloader.reload()
+    admin_task = None if admin_listener is None else _serve_operators(application, admin_listener)
+    _finish_start(application, start)
     line = f"{config.name} listens on {host}:{port}"
     log_unlimited("listening", line, host=host, port=port, pid=os.getpid())
     try:
@@ -82,6 +77,14 @@
     return task
 
 
+def _finish_start(application: Application, start: StartRecord) -> None:
+    """Tune the collector for the running process, and handle a reload that was asked for meanwhile."""
+    tune_garbage_collector()
+    _record_start(application.counters, start)
+    if signal.SIGHUP in start.early_signals:
+        application.reloader.reload()
+
+
 def _record_start(counters: Counters, start: StartRecord) -> None:
     """Count the CPU of the start by part; on a share of a core the wall clock could be any multiple of it."""
     now = time.process_time()
--- a/applevale/runtime/reload.py
+++ b/applevale/runtime/reload.py
@@ -29,11 +29,21 @@
         config: Config,
         source: EndpointSource,
         control_feed: ControlFeed,
+        *,
         metrics: Metrics,
         counters: Counters,
         load: Callable[[], Config] = load_config,
     ):
-        """Compare new configurations with `config`, the one of the start."""
+        """Compare new configurations with `config`, the one of the start.
+
+        Args:
+            config: The configuration of the start.
+            source: Where the list of engines comes from.
+            control_feed: Takes what a configuration knows of the list.
+            metrics: Counts reloads for operators.
+            counters: Counts reloads.
+            load: Reads the configuration again.
+        """
         self.config = config
         self.source = source
         self.control_feed = control_feed
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
@@ -12,6 +11,7 @@
 
 from ..dispatch.arrival_order import Source
 from ..dispatch.event_loop_driver import EventLoopDriver
+from ..net.socket_status import SocketStatus
 from ..net.write_queue import WriteQueue
 from ..observability.counters import Counters
 from ..observability.events import log_event
@@ -26,7 +26,6 @@
 # For each invalid request, a pause before the connection is read again.
 MIN_ERROR_BACKOFF_SECONDS = 0.05
 MAX_ERROR_BACKOFF_SECONDS = 1.0
-_HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 @dataclass(slots=True)
@@ -78,8 +77,7 @@
         self._counters = counters
         self._decoder = MessageDecoder()
         self._is_message_overdue = False
-        self._poll = select.poll()
-        self._poll.register(sock, select.POLLIN | select.POLLRDHUP)
+        self._status = SocketStatus(sock)
 
     @abstractmethod
     def handle_message(self, message: object, received_at: float) -> None:
@@ -103,25 +101,19 @@
         """Bytes held for the connection that its client could take or complete."""
         return self.write_queue.pending_bytes + self.unread_bytes
 
-    def _socket_events(self) -> int:
-        """Return the kernel's events of the socket, whether read or not."""
-        if self.sock.fileno() < 0:  # closed: its number may be another one's
-            return select.POLLHUP
-        return sum(event for _, event in self._poll.poll(0))
-
     def has_pending_input(self) -> bool:
         """Return whether the client has begun a message that is not handled yet.
 
         Closed then, the connection would take a request with it that never gets a response.
         """
-        return bool(self.unread_bytes or self._decoder.buffer[0] or self._socket_events())
+        return bool(self.unread_bytes or self._decoder.buffer[0]) or self._status.has_events()
 
     def is_client_gone(self) -> bool:
         """Return whether the client has hung up, even if that is not read yet.
 
         The end of a connection may be unread while the event loop is late, or during an error backoff.
         """
-        return bool(self._socket_events() & _HANG_UP_EVENTS)
+        return self._status.is_hung_up()
 
     def error_backoff(self) -> float:
         """Return the seconds for which nothing is read after invalid requests.
@@ -214,7 +206,7 @@
 
         If the rest has arrived in this iteration, or while the event loop was late, it is read first.
         """
-        if not (self._decoder.buffer[0] or self._socket_events()):
+        if not (self._decoder.buffer[0] or self._status.has_events()):
             self._is_message_overdue = True
             reader.cancel()
 
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -16,6 +16,7 @@
 from ..requests.handler import RequestHandler
 from .connection_table import ConnectionTable
 from .context import ServerContext
+from .limits import ServerLimits
 from .request_parser import RequestSchema
 from .rpc_connection import RpcConnection
 
@@ -35,9 +36,9 @@
         handler: RequestHandler,
         driver: EventLoopDriver,
         settings: api.Settings,
-        max_connections: int,
-        max_buffered_bytes: int,
+        limits: ServerLimits,
         counters: Counters,
+        *,
         metrics: Metrics | None = None,
     ):
         """Create a server that does not accept connections yet.
@@ -46,12 +47,11 @@
             handler: Returns the response to each request.
             driver: Has the clock, and the order of arrivals.
             settings: The classes and tenants that requests may name.
-            max_connections: Number of connections at a time.
-            max_buffered_bytes: Bytes of messages, statements and responses, over all connections.
+            limits: What is held at a time, over all connections.
             counters: Counts of what comes in and goes out.
             metrics: Counts of responses for operators.
         """
-        self.connections = ConnectionTable(max_connections, max_buffered_bytes, counters)
+        self.connections = ConnectionTable(limits.max_connections, limits.max_buffered_bytes, counters)
         self.arrival_source = Source()
         self._context = ServerContext(
             handler, driver, RequestSchema.from_settings(settings), self.connections, counters, metrics
--- a/applevale/server/request_parser.py
+++ b/applevale/server/request_parser.py
@@ -66,35 +66,33 @@
     Raises:
         InvalidRequestError: A field is missing or invalid; the text names it.
     """
-    method = call.method
-    if method not in schema.classes:
-        raise InvalidRequestError(f"unknown class {method[:40]!r}")
+    class_index = _parse_class(call.method, schema)
     fields, statement = _split_params(call.params)
-    class_index = schema.classes[method]
     spec = schema.specs[class_index]
-    request_id = _parse_request_id(fields)
-    timeout = _parse_number(fields, "allow", spec.deadline * MAX_TIMEOUT_FACTOR * 1000) / 1000
-    estimated_work = _parse_number(fields, "effort", MAX_ESTIMATED_WORK_MS, 0.0) / 1000
-    estimated_memory_mb = _parse_number(fields, "space", MAX_ESTIMATED_MEMORY_MB, 0.0)
-    order_key = _parse_order_key(fields) if spec.ordered else 0
-    _check_statement(statement)
     return Request(
-        request_id,
-        class_index,
-        statement,
-        received_at,
-        timeout,
-        _parse_tenant(fields, schema),
-        order_key,
-        estimated_work,
-        estimated_memory_mb,
-        table_group(statement),
-        fields.get("dup") == "1",
-        is_client_gone=is_client_gone,
+        class_index=class_index,
+        request_id=_parse_request_id(fields),
+        timeout=_parse_number(fields, "allow", spec.deadline * MAX_TIMEOUT_FACTOR * 1000) / 1000,
+        estimated_work=_parse_number(fields, "effort", MAX_ESTIMATED_WORK_MS, 0.0) / 1000,
+        estimated_memory_mb=_parse_number(fields, "space", MAX_ESTIMATED_MEMORY_MB, 0.0),
+        order_key=_parse_order_key(fields) if spec.ordered else 0,
+        statement=_check_statement(statement),
+        tenant_index=_parse_tenant(fields, schema),
+        table_group=table_group(statement),
+        is_client_retry=fields.get("dup") == "1",
         idempotency_key=_parse_idempotency_key(fields),
+        received_at=received_at,
+        is_client_gone=is_client_gone,
     )
 
 
+def _parse_class(method: str, schema: RequestSchema) -> int:
+    """Return the index of the class that a method names."""
+    if method not in schema.classes:
+        raise InvalidRequestError(f"unknown class {method[:40]!r}")
+    return schema.classes[method]
+
+
 def _split_params(params: list) -> tuple[dict, bytes]:
     """Return the fields and the statement of a call."""
     match params:
@@ -150,11 +148,12 @@
     return schema.tenants[name]
 
 
-def _check_statement(statement: bytes) -> None:
-    """Check that engines can read a statement: one that cannot closes a connection that requests share."""
+def _check_statement(statement: bytes) -> bytes:
+    """Return the statement if engines can read it: else they close a connection that requests share."""
     try:
         text = statement.decode()
     except UnicodeDecodeError:
         raise InvalidRequestError("the statement is not text") from None
     if not text.strip() or _CONTROL_CHARACTERS.search(text):
         raise InvalidRequestError("the statement is not text")
+    return statement
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,7 @@
 from applevale.observability.counters import Counters
 from applevale.requests import context, handler, model
 from applevale.server import connection
+from applevale.server.limits import ServerLimits
 from applevale.server.listener import RpcServer
 
 SAFE = api.ClassSpec("read", deadline=30.0)
@@ -332,7 +333,9 @@
 def pair(scene):
     """A connection of the server, and its client's end."""
     if not hasattr(scene, "rpc_server"):
-        scene.rpc_server = RpcServer(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
+        scene.rpc_server = RpcServer(
+            scene.handler, scene.driver, SETTINGS, ServerLimits(2, 1 << 20), scene.pool.counters
+        )
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname())
         ours, _ = listener.accept()
@@ -374,7 +377,9 @@
 
     async def steps(scene):
         loop = asyncio.get_running_loop()
-        scene.rpc_server = RpcServer(scene.handler, scene.driver, SETTINGS, 2, 1 << 20, scene.pool.counters)
+        scene.rpc_server = RpcServer(
+            scene.handler, scene.driver, SETTINGS, ServerLimits(2, 1 << 20), scene.pool.counters
+        )
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         scene.rpc_server.start(listener)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -13,6 +13,7 @@
 from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.observability.counters import Counters
 from applevale.requests.model import Completed, Rejected
+from applevale.server.limits import ServerLimits
 from applevale.server.listener import RpcServer
 
 
@@ -60,8 +61,7 @@
             self.handler,
             EventLoopDriver(None, None, self.counters),
             helpers.settings(),
-            8,
-            1 << 20,
+            ServerLimits(8, 1 << 20),
             self.counters,
         )
         self.client = socket.create_connection(listener.getsockname())
