What an engine connection carries is a table of its own

EngineConnection kept attempts, probes and the exclusive mark among its socket, timers and end. StreamTable holds them now.

--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -14,6 +14,7 @@
 from . import resp
 from .attempt import CANCEL_SETTLE_SECONDS, Attempt, AttemptFailed, Progress
 from .liveness import LivenessMonitor
+from .streams import ProbeCallback, StreamTable, ignore_probe_result
 from .transport import EngineTransport
 
 if TYPE_CHECKING:
@@ -25,8 +26,6 @@
 REPLY_COUNTERS = {status: f"engine_{status.decode()}" for status in resp.REPLY_STATUSES}
 PROBE_RESULTS = {resp.REPLY_PONG: Result.OK, resp.REPLY_REJECTED: Result.FULL}
 
-ProbeCallback = Callable[[Result, resp.LoadReport], None]
-
 
 class EngineConnection:
     """A connection to one engine.
@@ -35,21 +34,18 @@
     carries gets its result.
 
     Attributes:
-        attempts: The attempts that it carries by their request ids, in order.
-        probes: Callbacks of the probes and pings without a reply, by their tags.
+        streams: The attempts and probes that it carries.
         is_connected: It was established.
         was_connected: The engine was reached: it was established, or reset while that went on.
         is_closed: Its end has begun; nothing may be added to it.
         is_draining: It takes no further attempt or probe.
-        is_exclusive: It carries an attempt that must not execute twice, and takes nothing beside it.
     """
 
     def __init__(self, engine: Engine) -> None:
         """Begin to connect to an engine."""
         self.engine = engine
         self.pool = engine.pool
-        self.attempts: dict[bytes, Attempt] = {}
-        self.probes: dict[bytes, ProbeCallback] = {}
+        self.streams = StreamTable()
         self.transport = EngineTransport(self.close)
         self.write_queue = self.transport.write_queue
         self.liveness = LivenessMonitor(self)
@@ -57,22 +53,22 @@
         self.was_connected = False
         self.is_closed = False
         self.is_draining = False
-        self.is_exclusive = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task | None = asyncio.create_task(self._run())
 
     @property
     def stream_count(self) -> int:
         """Number of attempts and probes that it carries."""
-        return len(self.attempts) + len(self.probes)
+        return len(self.streams)
 
     def accepts(self, request_id: bytes) -> bool:
         """Return whether one more attempt may be added; an empty `request_id` stands for a probe."""
+        streams = self.streams
         return (
-            not (self.is_closed or self.is_draining or self.is_exclusive)
-            and self.liveness.ping_tag not in self.probes
-            and self.stream_count < self.pool.limits.max_attempts
-            and request_id not in self.attempts
+            not (self.is_closed or self.is_draining or streams.is_exclusive)
+            and self.liveness.ping_tag not in streams.probes
+            and len(streams) < self.pool.limits.max_attempts
+            and request_id not in streams.attempts
         )
 
     def is_reusable(self) -> bool:
@@ -90,22 +86,19 @@
     def send_attempt(self, attempt: Attempt) -> None:
         """Carry an attempt; its command is written at once, or when the connection is established."""
         attempt.connection = self
-        self.attempts[attempt.spec.request_id] = attempt
-        self.is_exclusive |= attempt.spec.exclusive
+        self.streams.add_attempt(attempt)
         self._mark_busy()
         if self.is_connected:
             self._send_execute(attempt)
 
     def remove_attempt(self, attempt: Attempt) -> None:
         """Carry an attempt no longer: it has its result."""
-        if self.attempts.get(attempt.spec.request_id) is attempt:
-            del self.attempts[attempt.spec.request_id]
-        self.is_exclusive = self.is_exclusive and bool(self.attempts)
+        self.streams.remove_attempt(attempt)
         self._start_idle_timer()
 
     def probe(self, tag: bytes, on_result: ProbeCallback) -> None:
         """Ask the engine for its load; `on_result` is called once."""
-        self.probes[tag] = on_result
+        self.streams.probes[tag] = on_result
         self._mark_busy()
         if self.is_connected:
             self.send_command(resp.CMD_REPORT_LOAD, tag)
@@ -113,14 +106,12 @@
     def ping(self, tag: bytes) -> None:
         """Ask the engine whether it still replies on this connection."""
         self.pool.counters["links_checked"] += 1
-        self.probes[tag] = lambda result, report: None
+        self.streams.probes[tag] = ignore_probe_result
         self.send_command(resp.CMD_PING, tag)
 
     def finish_probe(self, tag: bytes, result: Result, report: resp.LoadReport = ()) -> None:
         """Give a probe or ping its result, unless it had one before."""
-        on_result = self.probes.pop(tag, None)
-        if on_result is not None:
-            on_result(result, report)
+        if self.streams.finish_probe(tag, result, report):
             self._start_idle_timer()
 
     def withdraw_unsent(self) -> None:
@@ -129,7 +120,7 @@
         Guards the grace period of a drain against commands that wait for the connection or behind a full
         socket: what was begun leaves soon, or the connection is closed.
         """
-        for attempt in list(self.attempts.values()):
+        for attempt in list(self.streams.attempts.values()):
             if attempt.is_cancelled:
                 continue
             if attempt.message is None or self.write_queue.withdraw(attempt.message):
@@ -222,12 +213,14 @@
         self.liveness.close()
 
     async def _finish_streams(self) -> None:
-        if self.is_connected and self.attempts:  # the engine hears of the end before anyone tries again
+        if (
+            self.is_connected and self.streams.attempts
+        ):  # the engine hears of the end before anyone tries again
             await asyncio.sleep(CANCEL_SETTLE_SECONDS)
-        for attempt in list(self.attempts.values()):
+        for attempt in list(self.streams.attempts.values()):
             attempt.finish(attempt.result_after_disconnect())
         result = Result.RESET if self.was_connected else Result.CONNECT_FAILED
-        for tag in list(self.probes):
+        for tag in list(self.streams.probes):
             self.finish_probe(tag, result)
 
     async def _connect(self) -> None:
@@ -240,9 +233,9 @@
         self.is_connected = True
         self.was_connected = True
         self.pool.counters["links_opened"] += 1
-        for attempt in list(self.attempts.values()):
+        for attempt in list(self.streams.attempts.values()):
             self._send_execute(attempt)
-        for tag in self.probes:
+        for tag in self.streams.probes:
             self.send_command(resp.CMD_REPORT_LOAD, tag)
         self._start_idle_timer()
 
@@ -253,10 +246,10 @@
         if report:
             self.pool.observer.on_load_report(self.engine.engine_id, report)
         self.pool.counters[REPLY_COUNTERS[reply.status]] += 1
-        if reply.tag in self.probes:
+        if reply.tag in self.streams.probes:
             self.finish_probe(reply.tag, PROBE_RESULTS.get(reply.status, Result.ERROR), report)
             return
-        attempt = self.attempts.get(reply.tag)
+        attempt = self.streams.attempts.get(reply.tag)
         if attempt is not None and attempt.message is not None and not attempt.is_cancelled:
             attempt.handle_reply(reply, report)
         # Else it crossed the cancel command, or is a copy, or of no request.
--- a/applevale/engines/pool.py
+++ b/applevale/engines/pool.py
@@ -9,10 +9,11 @@
 from ..discovery.endpoints import Endpoint, EndpointUpdate
 from ..observability.counters import Counters
 from .attempt import Attempt, AttemptFailed, AttemptResult, AttemptSpec, Progress
-from .connection import EngineConnection, ProbeCallback
+from .connection import EngineConnection
 from .engine import Engine
 from .limits import ConnectionLimits
 from .observer import ConnectPolicy, EngineObserver, UnlimitedConnects
+from .streams import ProbeCallback
 
 PROBE_TIMEOUT_SECONDS = 0.25  # by the site
 CORRUPTION_MEMORY_SECONDS = 20.0  # for which a corrupt reply is kept in mind
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -263,7 +263,7 @@
             scene.want(b"%d" % number, b"x" * 800_000)
             await asyncio.sleep(0.002)
         engine_connection = scene.pool.engines[1].connections[0]
-        begun = {ref for ref, one in engine_connection.attempts.items() if one.message.write_started}
+        begun = {ref for ref, one in engine_connection.streams.attempts.items() if one.message.write_started}
         scene.list(api.State.DRAINING)
         back = {ref for ref, ending in scene.ends if ending.result is api.Result.MOOT}
         told = time.monotonic()
@@ -471,7 +471,7 @@
         scene.want(b"1")
         await until(scene.server.refs)
         (former,) = scene.pool.engines[1].connections
-        former.attempts[b"1"].finish(FULL)
+        former.streams.attempts[b"1"].finish(FULL)
         scene.server.writers[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)  # the loop reads nothing
         former.send_command = None  # nothing may be written there
         scene.want(b"2")
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -12,6 +12,7 @@
 from applevale.engines.limits import ConnectionLimits
 from applevale.engines.liveness import MAX_TIMER_LATENESS_SECONDS, LivenessMonitor
 from applevale.engines.pool import EnginePool
+from applevale.engines.streams import StreamTable
 from applevale.net.write_queue import QueuedMessage
 from applevale.observability.counters import Counters
 from applevale.startup.connect_schedule import ConnectSchedule
@@ -50,7 +51,7 @@
         self.is_closed = False
         self.is_connected = True
         self.stream_count = 1
-        self.probes = {}
+        self.streams = StreamTable()
         self.pool = self
         self.commands = []
         self.closed = []
@@ -66,7 +67,7 @@
         self.corrupt_count += 1
 
     def ping(self, tag):
-        self.probes[tag] = None
+        self.streams.probes[tag] = None
 
     def close(self, reason):
         self.closed.append(reason)
@@ -140,7 +141,7 @@
         monitor = LivenessMonitor(connection)
         monitor.start()
         await advance(loop, 3.0)
-        assert list(connection.probes) == [b"p1"] and not connection.closed
+        assert list(connection.streams.probes) == [b"p1"] and not connection.closed
         await advance(loop, 0.4)
         assert connection.closed == ["no reply to a ping"] and connection.corrupt_count == 1
 
@@ -155,13 +156,13 @@
         loop.now += 2.0
         monitor.last_active_at = loop.now
         await advance(loop, 1.0)
-        assert not connection.probes
+        assert not connection.streams.probes
         await advance(loop, 2.0)
-        assert list(connection.probes) == [b"p1"]
-        connection.probes.clear()
+        assert list(connection.streams.probes) == [b"p1"]
+        connection.streams.probes.clear()
         monitor.last_active_at = loop.now
         await advance(loop, 0.4)
-        assert not connection.closed and not connection.probes
+        assert not connection.closed and not connection.streams.probes
 
     run(test)
 
@@ -172,9 +173,9 @@
         monitor = LivenessMonitor(connection)
         monitor.start()
         await advance(loop, 3.0 + 2 * MAX_TIMER_LATENESS_SECONDS)
-        assert not connection.probes
+        assert not connection.streams.probes
         await advance(loop, 0.4)
-        assert list(connection.probes) == [b"p1"] and not connection.closed
+        assert list(connection.streams.probes) == [b"p1"] and not connection.closed
 
     run(test)
 
@@ -187,7 +188,7 @@
         loop.now += 2.9
         monitor.stop()
         await advance(loop, 1.0)
-        assert not connection.probes
+        assert not connection.streams.probes
         monitor.start()
         assert monitor.last_active_at == loop.now
 
