Configuration fields, engines and reload: whole names; docstrings in plain terms

Config.links, control, local and memory are connection_limits, admin_address, local_address and memory_bytes; the keys of the file and the names in the log stay. Endpoints are called endpoints in the pool, and docstrings of engines, gossip, datagrams and wiring say what a thing is.

--- a/applevale/config/loader.py
+++ b/applevale/config/loader.py
@@ -60,19 +60,19 @@
         listen=read_address(environ.get("BALANCER_LISTEN") or raw.get("listen"), "listen"),
         feed=read_address(raw["feed"], "feed") if raw.get("feed") else None,
         sockets=int(read_number(limits, "sockets", DEFAULT_SOCKETS, MIN_SOCKETS)),
-        memory=int(read_number(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB) * BYTES_PER_MB),
+        memory_bytes=int(read_number(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB) * BYTES_PER_MB),
         settings=settings,
-        links=sections.read_connection_limits(raw_settings, settings),
+        connection_limits=sections.read_connection_limits(raw_settings, settings),
         names=names,
         known=known,
         peers=peers,
         registry=registry,
         zones=zones,
-        control=sections.read_control(raw, environ),
+        admin_address=sections.read_control(raw, environ),
         json_log=sections.read_log_form(raw, environ),
         engine_connects=sections.read_engine_connects(raw),
         membership=sections.read_membership(raw, peers, settings.me),
-        local=sections.read_local_address(raw),
+        local_address=sections.read_local_address(raw),
     )
 
 
--- a/applevale/config/model.py
+++ b/applevale/config/model.py
@@ -23,16 +23,16 @@
     feed: Address | None  # of the control feed; None: the list stays as in `known`
     seed: int
     sockets: int  # file descriptors that the process may hold
-    memory: int  # bytes
+    memory_bytes: int
     settings: api.Settings
-    links: ConnectionLimits
+    connection_limits: ConnectionLimits  # to engines
     names: AttributeNames  # of zones and machine kinds
     known: tuple[EndpointUpdate, ...]  # of the list of engines so far
     peers: PeerAddresses | None = None  # None: there are none to exchange datagrams with
     registry: object = None  # settings of a key-value registry; None: the list comes from the feed
     zones: object = None  # the zones file; None: zones make no difference
-    control: Address | None = None  # of the operators' API; None: there is none
+    admin_address: Address | None = None  # of the operators' API; None: there is none
     json_log: bool = False  # events as JSON lines in place of plain ones
     engine_connects: float | None = None  # connects a second to one engine, over the fleet; None: no limit
     membership: float | None = None  # seconds between two probes of members; None: there is no membership
-    local: str = ""  # the local address that outgoing connections bind; empty: the system's choice
+    local_address: str = ""  # the local address that outgoing connections bind; empty: the system's choice
--- a/applevale/engines/attempt.py
+++ b/applevale/engines/attempt.py
@@ -144,7 +144,7 @@
         return AttemptFailed(Progress.NOT_SENT, result)
 
     def set_priority(self, priority: int) -> None:
-        """EndpointUpdate the priority on the engine, if the attempt may still be executing there."""
+        """Change the priority on the engine, if the attempt may still be executing there."""
         if self.is_finished or self.is_cancelled or self.page_count or self.message is None:
             return
         self.connection.send_command(resp.CMD_SET_PRIORITY, self.spec.request_id, b"%d" % priority)
--- a/applevale/engines/connect_pacer.py
+++ b/applevale/engines/connect_pacer.py
@@ -57,7 +57,7 @@
         self._restart_timer()
 
     def on_list_change(self, listed: Set[int], connected: Set[int]) -> None:
-        """Apply a change of the engine list, before the policy is told of it.
+        """Apply a change of the engine list, before the policy sees it.
 
         Args:
             listed: The ids of the engines that the list names.
--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -37,7 +37,7 @@
         streams: The attempts and probes that it carries.
         is_connected: It was established.
         was_connected: The engine was reached: it was established, or reset while that went on.
-        is_closed: Its end has begun; nothing may be added to it.
+        is_closed: It is being closed; nothing may be added to it.
         is_draining: It takes no further attempt or probe.
     """
 
@@ -92,7 +92,7 @@
             self._send_execute(attempt)
 
     def remove_attempt(self, attempt: Attempt) -> None:
-        """Carry an attempt no longer: it has its result."""
+        """Stop carrying an attempt that has its result."""
         self.streams.remove_attempt(attempt)
         self._start_idle_timer()
 
@@ -115,10 +115,10 @@
             self._start_idle_timer()
 
     def withdraw_unsent(self) -> None:
-        """Fail the attempts whose commands were not begun: the engine takes nothing new.
+        """Fail the attempts whose commands are not being written yet: the engine takes nothing new.
 
         Guards the grace period of a drain against commands that wait for the connection or behind a full
-        socket: what was begun leaves soon, or the connection is closed.
+        socket: a command that is being written leaves soon, or the connection is closed.
         """
         for attempt in list(self.streams.attempts.values()):
             if attempt.is_cancelled:
@@ -137,7 +137,7 @@
         self._start_idle_timer()
 
     def close(self, reason: str) -> None:
-        """Begin the connection's end; what it carries gets its results shortly after."""
+        """Begin to close the connection; what it carries gets its results shortly after."""
         if self.is_closed:
             return
         self.is_closed = True
@@ -213,9 +213,8 @@
         self.liveness.close()
 
     async def _finish_streams(self) -> None:
-        if (
-            self.is_connected and self.streams.attempts
-        ):  # the engine hears of the end before anyone tries again
+        if self.is_connected and self.streams.attempts:
+            # A retry on another connection must not overtake the end of this one.
             await asyncio.sleep(CANCEL_SETTLE_SECONDS)
         for attempt in list(self.streams.attempts.values()):
             attempt.finish(attempt.result_after_disconnect())
@@ -240,7 +239,11 @@
         self._start_idle_timer()
 
     def _handle_reply(self, reply: resp.Reply) -> None:
-        """Pass a reply on to whom it belongs; raises CorruptReplyError, which ends the connection."""
+        """Pass a reply on to the attempt or probe that it answers.
+
+        Raises:
+            CorruptReplyError: The reply is not valid, which ends the connection.
+        """
         self.liveness.last_active_at = asyncio.get_running_loop().time()
         report = resp.parse_load_report(reply.fields, self.pool.report_columns)
         if report:
--- a/applevale/engines/engine.py
+++ b/applevale/engines/engine.py
@@ -20,24 +20,24 @@
         connections: All that are not ended, in the order in which they were opened.
     """
 
-    def __init__(self, pool: EnginePool, member: Endpoint) -> None:
+    def __init__(self, pool: EnginePool, endpoint: Endpoint) -> None:
         """Hold an engine that the list names, without a connection."""
         self.pool = pool
-        self.engine_id = member.entry.engine
-        self.address = member.address
-        self.state = member.entry.state
-        self.started = member.entry.started
+        self.engine_id = endpoint.entry.engine
+        self.address = endpoint.address
+        self.state = endpoint.entry.state
+        self.started = endpoint.entry.started
         self.connections: list[EngineConnection] = []
 
-    def update(self, member: Endpoint) -> None:
+    def update(self, endpoint: Endpoint) -> None:
         """Apply what the list says of this engine."""
-        entry = member.entry
-        is_replaced = (entry.started, member.address) != (self.started, self.address)
+        entry = endpoint.entry
+        is_replaced = (entry.started, endpoint.address) != (self.started, self.address)
         if is_replaced or entry.state is State.GONE:
             self._drain_connections()  # they lead to the process before this one
         self.state = entry.state
         self.started = entry.started
-        self.address = member.address
+        self.address = endpoint.address
         if self.state is not State.READY:
             self.withdraw_unsent()
 
@@ -48,7 +48,7 @@
         self._drain_connections()
 
     def withdraw_unsent(self) -> None:
-        """Fail the attempts that have not begun to leave: nothing new may reach the engine."""
+        """Fail the attempts whose commands are not being written yet: nothing new may reach the engine."""
         for connection in list(self.connections):
             connection.withdraw_unsent()
 
--- a/applevale/engines/limits.py
+++ b/applevale/engines/limits.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True)
 class ConnectionLimits:
-    """What the settings say of connections to engines; durations in seconds."""
+    """The settings' limits of connections to engines; durations in seconds."""
 
     max_attempts: int  # attempts that one connection carries at a time
     idle_timeout: float  # after which an engine closes a connection that carries nothing
--- a/applevale/engines/observer.py
+++ b/applevale/engines/observer.py
@@ -1,4 +1,4 @@
-"""What a pool of engines asks before it connects, and whom it tells of what engines send."""
+"""What a pool of engines asks before it connects, and to whom it reports what engines send."""
 
 from __future__ import annotations
 
@@ -35,10 +35,10 @@
 
 
 class EngineObserver:
-    """Is told of the traffic with engines; this base class ignores all of it."""
+    """Receives the traffic with engines; this base class ignores all of it."""
 
     def on_load_report(self, engine_id: int, report: LoadReport) -> None:
         """Handle the load that an engine reported with a reply, before the reply itself is handled."""
 
     def on_attempt_written(self, class_name: str) -> None:
-        """Handle that the command of an attempt of a class was written whole."""
+        """Handle the event that the command of an attempt of a class was written whole."""
--- a/applevale/engines/pool.py
+++ b/applevale/engines/pool.py
@@ -15,8 +15,8 @@
 from .observer import ConnectPolicy, EngineObserver, UnlimitedConnects
 from .streams import ProbeCallback
 
-PROBE_TIMEOUT_SECONDS = 0.25  # by the site
-CORRUPTION_MEMORY_SECONDS = 20.0  # for which a corrupt reply is kept in mind
+PROBE_TIMEOUT_SECONDS = 0.25  # set by the site
+CORRUPTION_MEMORY_SECONDS = 20.0  # for which a corrupt reply counts as recent
 # Silence after which a busy connection is pinged: while corruption is suspected, and else.
 SUSPICIOUS_LIVENESS_INTERVAL_SECONDS = 1.0
 LIVENESS_INTERVAL_SECONDS = 3.0
@@ -35,7 +35,7 @@
         departed: Ids of those that have left the list.
         local_address: The address that connections bind; empty: the system's choice.
         connect_policy: Says when a connection to an engine may be opened.
-        observer: Is told of load reports and written attempts.
+        observer: Receives load reports and written attempts.
     """
 
     def __init__(
@@ -53,13 +53,13 @@
         """Start without engines.
 
         Args:
-            limits: What the settings say of connections.
+            limits: The settings' limits of connections.
             report_columns: The columns of engines' load reports, in their order.
             max_connections: Bounds the connections to all engines together.
             counters: Counts of connections and replies.
             local_address: The address that connections bind; empty: the system's choice.
             connect_policy: Says when a connection may be opened; None for no limit.
-            observer: Is told of load reports and written attempts, if anyone is.
+            observer: Receives load reports and written attempts; None to ignore them.
             is_list_confirmed: Returns whether the engine list is held to be true now; None if it always is.
         """
         self.limits = limits
@@ -117,32 +117,32 @@
         """Return the ids of the engines to which there is a connection, or one is being opened."""
         return {engine_id for engine_id, engine in self.engines.items() if engine.connections}
 
-    def update(self, change: EndpointUpdate) -> None:
+    def update(self, update: EndpointUpdate) -> None:
         """Apply a change of the engine list."""
-        listed = {member.entry.engine for member in change.endpoints}
-        new_owners = self._apply_members(change.endpoints)
-        # A long list is gone through as a whole only where a change may concern any engine.
-        concerned = self.engines if change.is_full or new_owners else self.departed | listed
-        for engine_id in [engine_id for engine_id in concerned if engine_id in self.engines]:
+        listed = {endpoint.entry.engine for endpoint in update.endpoints}
+        new_owners = self._apply_endpoints(update.endpoints)
+        # A long list is walked as a whole only where an update may concern any engine.
+        affected = self.engines if update.is_full or new_owners else self.departed | listed
+        for engine_id in [engine_id for engine_id in affected if engine_id in self.engines]:
             engine = self.engines[engine_id]
-            is_unlisted = change.is_full and engine_id not in listed
-            # An engine whose address another one has taken is gone, whether the list says so or not.
+            is_unlisted = update.is_full and engine_id not in listed
+            # An engine whose address another one has taken is gone, even if it is still listed.
             is_address_taken = new_owners.get(engine.address, engine_id) != engine_id
             if is_unlisted or is_address_taken:
                 engine.mark_gone()
             self._update_departed(engine)
 
-    def _apply_members(self, members: Iterable[Endpoint]) -> dict[tuple[str, int], int]:
-        """Update the engines; returns the addresses of the new ones, and whose they are."""
+    def _apply_endpoints(self, endpoints: Iterable[Endpoint]) -> dict[tuple[str, int], int]:
+        """Update the engines; return the id of each new one by its address."""
         new_owners: dict[tuple[str, int], int] = {}
-        for member in members:
-            engine_id = member.entry.engine
+        for endpoint in endpoints:
+            engine_id = endpoint.entry.engine
             engine = self.engines.get(engine_id)
             if engine is None:
-                self.engines[engine_id] = Engine(self, member)
-                new_owners[member.address] = engine_id
+                self.engines[engine_id] = Engine(self, endpoint)
+                new_owners[endpoint.address] = engine_id
             else:
-                engine.update(member)
+                engine.update(endpoint)
         return new_owners
 
     def _update_departed(self, engine: Engine) -> None:
@@ -155,7 +155,7 @@
             del self.engines[engine.engine_id]
 
     def withdraw_unsent(self, engine_id: int) -> None:
-        """Fail the attempts at an engine that have not begun to leave, whatever the list says of it."""
+        """Fail the attempts at an engine whose commands are not being written yet, also at a ready one."""
         if engine_id in self.engines:
             self.engines[engine_id].withdraw_unsent()
 
@@ -163,7 +163,7 @@
         """Return whether an attempt may be sent now; what held before a wait is checked again after it.
 
         Guards the grace period of a drain, the time in which repeats are recognized, and engines against
-        work for no one.
+        work that no client waits for.
         """
         if spec.is_client_gone():
             self.counters["gone_unread"] += 1
--- a/applevale/engines/transport.py
+++ b/applevale/engines/transport.py
@@ -23,7 +23,7 @@
     """A stream socket that writes commands in order and splits what it receives into replies."""
 
     def __init__(self, on_broken: Callable[[str], None]) -> None:
-        """Create the socket; `on_broken` is told why writing has failed, until `close`."""
+        """Create the socket; `on_broken` is called with the reason when a write fails, until `close`."""
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.write_queue = WriteQueue(self.sock, WRITE_STALL_SECONDS, on_broken)
         self.parser = resp.ReplyParser()
--- a/applevale/gossip/load_report_codec.py
+++ b/applevale/gossip/load_report_codec.py
@@ -56,11 +56,11 @@
 
     def __init__(self, columns: tuple[str, ...]):
         """Choose the columns to share among `columns`, those of an engine's report in their order."""
-        # With the number of queries, the policy does not go by how busy the cores and disks are.
-        wanted = ("active", "waiting", "memory_used") if "active" in columns else tuple(STEPS_PER_UNIT)
+        # With the number of queries, the policy ignores how busy the cores and disks are.
+        shared = ("active", "waiting", "memory_used") if "active" in columns else tuple(STEPS_PER_UNIT)
         self.columns = columns
         self.positions = [
-            position for position, name in enumerate(columns) if name in wanted and name in STEPS_PER_UNIT
+            position for position, name in enumerate(columns) if name in shared and name in STEPS_PER_UNIT
         ]
         self.entry_size = ENGINE_MARK.size + len(self.positions)
 
--- a/applevale/gossip/load_reports.py
+++ b/applevale/gossip/load_reports.py
@@ -4,7 +4,7 @@
 that know the same would choose the same engine before its next report can show it, so each shares what it
 dispatches there. Invariants:
 
-- Only figures are shared, never a verdict: a wrong or lying peer shifts a load, which fades within seconds
+- Only figures are shared, never a judgement: a faulty peer shifts a load, which fades within seconds
   and is bounded in the policy, and ejects no engine.
 - A report is sent when the load has changed, or when no one has reported the engine for a while; reports
   received from peers count too. So this traffic follows the engines, not the number of instances.
--- a/applevale/net/addresses.py
+++ b/applevale/net/addresses.py
@@ -1,4 +1,4 @@
-"""Addresses of sockets, and where the instances of a tier hear each other."""
+"""Addresses of sockets, and those at which instances exchange datagrams."""
 
 from __future__ import annotations
 
--- a/applevale/net/datagrams.py
+++ b/applevale/net/datagrams.py
@@ -19,8 +19,8 @@
 class DatagramSocket:
     """Sends datagrams, and passes received ones to the handler of their protocol, by their first byte.
 
-    Only peers are heard, by the address that a datagram comes from. Datagrams of strangers and of unknown
-    protocols are logged and counted as `news_unreadable`.
+    Only datagrams from the addresses of peers are accepted. Those of other senders and of unknown protocols
+    are logged and counted as `news_unreadable`.
 
     Attributes:
         addresses: The addresses of the instances.
--- a/applevale/net/socket_status.py
+++ b/applevale/net/socket_status.py
@@ -20,7 +20,7 @@
         self._poll.register(sock, select.POLLIN | select.POLLRDHUP)
 
     def _events(self) -> int:
-        if self._sock.fileno() < 0:  # closed: its number may be another one's
+        if self._sock.fileno() < 0:  # closed: its descriptor may belong to another socket
             return select.POLLHUP
         return sum(event for _, event in self._poll.poll(0))
 
--- a/applevale/requests/context.py
+++ b/applevale/requests/context.py
@@ -48,7 +48,7 @@
         pool: The engines.
         settings: The settings of the deployment.
         counters: Counts of outcomes.
-        on_dispatch: Is told the engine and the threads of each attempt that other instances are to hear of.
+        on_dispatch: Called with the engine and the threads of each attempt to share with other instances.
         shutdown_deadline: When the process stops, by the driver's clock.
     """
 
@@ -224,29 +224,29 @@
             request.idempotency_key,
         )
 
-    def _on_attempt_end(self, record: AttemptRecord, ending: AttemptResult) -> None:
+    def _on_attempt_end(self, record: AttemptRecord, result: AttemptResult) -> None:
         """Record what an attempt proved and report it; it may end while it is being started."""
         self.in_flight = None
         if record.timeout_timer is not None:
             record.timeout_timer.cancel()
-        succeeded = isinstance(ending, AttemptSucceeded)
+        succeeded = isinstance(result, AttemptSucceeded)
         if succeeded:
-            self._rows = ending.rows
-        if ending.result not in api.NEVER_RAN:
+            self._rows = result.rows
+        if result.result not in api.NEVER_RAN:
             self._possibly_executed_at = min(self._possibly_executed_at, record.sent_at)
         outcome = api.Outcome(
             self.number,
             record.index,
             record.engine,
-            ending.result,
+            result.result,
             self._driver.now() - record.sent_at,
             succeeded,
-            ending.work_seconds if succeeded else 0.0,
-            ending.memory_mb if succeeded else 0.0,
-            ending.report,
+            result.work_seconds if succeeded else 0.0,
+            result.memory_mb if succeeded else 0.0,
+            result.report,
         )
         self._driver.submit(outcome)
-        self.inbox.put_nowait(ending)
+        self.inbox.put_nowait(result)
 
     def _completed_or(self, response: Response) -> Response:
         """Return the result if an attempt has succeeded meanwhile, and `response` otherwise."""
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -46,7 +46,7 @@
             pool: The engines.
             settings: The settings of the deployment.
             counters: Counts of outcomes.
-            on_dispatch: Is told of the attempts that other instances are to hear of.
+            on_dispatch: Called with the attempts to share with other instances.
         """
         self.active: set[RequestContext] = set()
         self._environment = RequestEnvironment(driver, pool, settings, counters, on_dispatch)
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -108,11 +108,11 @@
 
     def _create_pool(self) -> EnginePool:
         return EnginePool(
-            self.config.links,
+            self.config.connection_limits,
             self.config.settings.report_columns,
             self.descriptors.engines,
             self.counters,
-            local_address=self.config.local,
+            local_address=self.config.local_address,
             connect_policy=self.connect_pacer,
             observer=EngineActivity(self.metrics, self.load_report_sender),
             is_list_confirmed=None if self.registry is None else self.registry.may_start_work,
@@ -124,7 +124,7 @@
         return RequestHandler(self.driver, self.pool, self.config.settings, self.counters, on_dispatch)
 
     def _create_server(self) -> RpcServer:
-        memory = int(self.config.memory * CLIENT_MEMORY_SHARE)
+        memory = int(self.config.memory_bytes * CLIENT_MEMORY_SHARE)
         return RpcServer(
             self.handler,
             self.driver,
@@ -150,7 +150,7 @@
             self.datagrams = optional_parts.create_datagrams(self.config, self.counters)
         return self.datagrams
 
-    # Changes that one part hands on to others.
+    # Changes in one part that others must follow.
 
     def is_serving(self) -> bool:
         """Return whether new clients should be accepted."""
@@ -166,7 +166,7 @@
         self.server.is_ready = ready
 
     def apply_update(self, update: EndpointUpdate) -> None:
-        """Hand a change of the list to all that know engines; the decision module hears of it last."""
+        """Pass an update of the list to all parts that know engines, the decision module last."""
         self.ejection_control.ejections.add_endpoints(update.endpoints)
         self.pool.update(update)
         if self.load_report_sender is not None:
@@ -177,7 +177,7 @@
         self.update_readiness()
 
     def submit_engine_list(self, update: api.EngineList) -> None:
-        """Tell the decision module of engines that are presented otherwise than before."""
+        """Submit engines whose presented state has changed to the decision module."""
         self.driver.submit(update)
 
     def on_staleness_change(self, confirmed: bool) -> None:
--- a/applevale/runtime/descriptor_budget.py
+++ b/applevale/runtime/descriptor_budget.py
@@ -28,6 +28,6 @@
     def of(cls, config: Config) -> DescriptorBudget:
         """Return the shares for a configuration."""
         clients = config.sockets // 2
-        admin = 0 if config.control is None else min(config.sockets // 8, MAX_CONCURRENT_REQUESTS)
+        admin = 0 if config.admin_address is None else min(config.sockets // 8, MAX_CONCURRENT_REQUESTS)
         engines = max(1, config.sockets - clients - RESERVED_DESCRIPTORS - admin)
         return cls(clients, admin, engines)
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -34,7 +34,7 @@
     """
     started_at = time.time()
     listener = listen(config.listen, shared=True)
-    admin_listener = None if config.control is None else listen(config.control, shared=False)
+    admin_listener = None if config.admin_address is None else listen(config.admin_address, shared=False)
     host, port = listener.getsockname()
     application = Application(config, (host, port))
     application.server.arrival_source.read_up_to = started_at  # no one can have come before
--- a/applevale/runtime/optional_parts.py
+++ b/applevale/runtime/optional_parts.py
@@ -122,5 +122,5 @@
         on_update,
         on_staleness_change,
         config.seed,
-        local_address=config.local,
+        local_address=config.local_address,
     )
--- a/applevale/runtime/reload.py
+++ b/applevale/runtime/reload.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..admin.metrics import Metrics
 from ..config.loader import load_config
@@ -13,15 +13,24 @@
 from ..observability.counters import Counters
 from ..observability.events import log_event
 
-FIXED_KEYS = ("listen", "sockets", "memory", "settings", "links", "zones")
-IDENTITY_KEYS = ("name", "names")
+# Fields of `Config` that a running process keeps, and the names under which the log has them.
+FIXED_FIELDS = {
+    "listen": "listen",
+    "sockets": "sockets",
+    "memory_bytes": "memory",
+    "settings": "settings",
+    "connection_limits": "links",
+    "zones": "zones",
+}
+# Fields that must be the same, for a configuration of the same instance.
+IDENTITY_FIELDS = {"name": "name", "names": "names"}
 
 
 class ConfigReloader:
     """Takes over a new configuration, or keeps the old one as it is.
 
     Only where the list of engines comes from, and what is known of it, changes in a running process. The
-    other keys take effect at the next start, and a line says so.
+    other keys take effect at the next start, which a line in the log states.
     """
 
     def __init__(
@@ -64,7 +73,7 @@
         self.metrics.record_reload(True)
         self.apply_known_endpoints(config.known)
         self._move_source(config)
-        fixed = self._changed_keys(FIXED_KEYS, config)
+        fixed = self._changed_names(FIXED_FIELDS, config)
         if fixed:
             log_event("reload", f"takes effect at the next start only: {', '.join(fixed)}")
 
@@ -81,12 +90,15 @@
 
         Known engines and the new source refer to zones and kinds by their positions.
         """
-        others = self._changed_keys(IDENTITY_KEYS, config)
-        if others:
-            raise ConfigError(f"another one's {', '.join(others)}")
+        changed = self._changed_names(IDENTITY_FIELDS, config)
+        if changed:
+            raise ConfigError(f"another one's {', '.join(changed)}")
 
-    def _changed_keys(self, keys: tuple[str, ...], config: Config) -> list[str]:
-        return [key for key in keys if getattr(config, key) != getattr(self.config, key)]
+    def _changed_names(self, fields: Mapping[str, str], config: Config) -> list[str]:
+        """Return the log's names of those fields that differ from the configuration of the start."""
+        return [
+            name for field, name in fields.items() if getattr(config, field) != getattr(self.config, field)
+        ]
 
     def _move_source(self, config: Config) -> None:
         uses_registry = self.config.registry is not None
