--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,4 @@
-"""Two events that cross, on real sockets and in a forced order (docs/crossings.md)."""
+"""Races of two events, on real sockets and in a forced order (docs/crossings.md)."""
 
 import asyncio
 import gc
@@ -13,43 +13,46 @@
 from applevale import api
 from applevale.discovery import endpoints as members
 from applevale.dispatch.event_loop_driver import EventLoopDriver
+from applevale.engines import resp
 from applevale.engines.attempt import AttemptFailed, AttemptSpec, AttemptSucceeded, Progress
 from applevale.engines.limits import ConnectionLimits
 from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
 from applevale.requests import context, handler, model
-from applevale.server import connection
+from applevale.server import connection as server_connection
 from applevale.server.limits import ServerLimits
 from applevale.server.listener import RpcServer
 
 SAFE = api.ClassSpec("read", deadline=30.0)
-ONCE = api.ClassSpec("write", deadline=30.0, repeat=api.Repeat.UNSAFE)
+UNSAFE = api.ClassSpec("write", deadline=30.0, repeat=api.Repeat.UNSAFE)
 KEYED = api.ClassSpec("merge", deadline=30.0, repeat=api.Repeat.KEYED, repeat_window=0.2)
-SETTINGS = api.Settings((SAFE, ONCE, KEYED), (api.KindSpec("k"),))
+SETTINGS = api.Settings((SAFE, UNSAFE, KEYED), (api.KindSpec("k"),))
 RESET = AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.RESET)
 FULL = AttemptFailed(Progress.SENT_NOT_EXECUTED, api.Result.FULL)
-DONE = AttemptSucceeded(b"r")
+SUCCEEDED = AttemptSucceeded(b"r")
 
 
-class HeldLoop(asyncio.SelectorEventLoop):
-    """Connects only when it is let."""
+class GatedConnectLoop(asyncio.SelectorEventLoop):
+    """An event loop that connects sockets only while `may_connect` is set."""
 
     def __init__(self):
         super().__init__()
-        self.let = asyncio.Event()
-        self.let.set()
+        self.may_connect = asyncio.Event()
+        self.may_connect.set()
 
     async def sock_connect(self, sock, address):
-        await self.let.wait()
+        await self.may_connect.wait()
         return await super().sock_connect(sock, address)
 
 
-class Engine:
-    """Keeps what it was told; answers nothing, and reads only when it is let."""
+class SilentEngine:
+    """An engine that records commands, replies to none, and reads only while `may_read` is set."""
 
     def __init__(self):
-        self.seen, self.let, self.writers = [], asyncio.Event(), []
-        self.let.set()
+        self.commands = []
+        self.writers = []
+        self.may_read = asyncio.Event()
+        self.may_read.set()
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=4096)
@@ -59,69 +62,90 @@
     async def _serve(self, reader, writer):
         parser = hiredis.Reader()
         self.writers.append(writer)
-        await self.let.wait()
+        await self.may_read.wait()
         while data := await reader.read(65536):
             parser.feed(data)
             while (command := parser.gets()) is not False:
-                self.seen.append(command)
+                self.commands.append(command)
 
-    def refs(self, word=b"want"):
-        return [command[1] for command in self.seen if command[0] == word]
+    def request_ids(self):
+        """Return the ids of the execute commands that were read."""
+        return [command[1] for command in self.commands if command[0] == resp.CMD_EXECUTE]
 
 
-class Scene:
-    """A request handler on a pool of one engine, and a module that says what it is told to say."""
+class OneEngineSetup:
+    """A request handler on a pool of one engine; the decision module decides nothing by itself."""
 
-    def __init__(self, server, grace=0.2):
-        self.server = server
-        self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0, drain_grace=grace), (), 8, Counters())
+    def __init__(self, engine, drain_grace=0.2):
+        self.engine = engine
+        self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0, drain_grace=drain_grace), (), 8, Counters())
         self.driver = EventLoopDriver(Module(), self.pool, self.pool.counters)
         self.handler = handler.RequestHandler(self.driver, self.pool, SETTINGS, self.pool.counters)
-        self.ends = []
-        self.list(api.State.READY)
+        self.results = []
+        self.set_engine_state(api.State.READY)
 
-    def list(self, state):
+    def set_engine_state(self, state):
         entry = api.EngineEntry(1, state=state)
-        self.pool.update(members.EndpointUpdate(1, True, (members.Endpoint(entry, self.server.address),)))
+        self.pool.update(members.EndpointUpdate(1, True, (members.Endpoint(entry, self.engine.address),)))
 
-    def want(self, ref, statement=b"x", until=30.0, by=30.0, gone=lambda: False):
+    def start_attempt(
+        self, request_id, statement=b"x", timeout=30.0, start_window=30.0, is_client_gone=lambda: False
+    ):
         now = asyncio.get_running_loop().time()
-        want = AttemptSpec(ref, "read", statement, now + until, now + by, is_client_gone=gone)
-        return self.pool.start_attempt(1, want, set(), lambda ending: self.ends.append((ref, ending)))
+        spec = AttemptSpec(
+            request_id,
+            "read",
+            statement,
+            now + timeout,
+            now + start_window,
+            is_client_gone=is_client_gone,
+        )
+        return self.pool.start_attempt(
+            1, spec, set(), lambda result: self.results.append((request_id, result))
+        )
 
-    def serve(self, cls, gone=lambda: False):
-        request = model.Request(b"%016x" % cls, cls, b"x", self.driver.now(), 30.0, is_client_gone=gone)
-        task = asyncio.create_task(self.handler.handle(request))
-        return task
+    def handle(self, class_index, is_client_gone=lambda: False):
+        """Return a task that handles a request of a class."""
+        request = model.Request(
+            b"%016x" % class_index,
+            class_index,
+            b"x",
+            self.driver.now(),
+            30.0,
+            is_client_gone=is_client_gone,
+        )
+        return asyncio.create_task(self.handler.handle(request))
 
-    async def out(self, cls):
-        """A request with an attempt that has reached the engine."""
-        task = self.serve(cls)
-        await until(lambda: self.handler.active)
-        (active,) = self.handler.active
-        active.inbox.put_nowait(api.Send(active.number, 1))
-        await until(lambda: self.server.refs())
-        return task, active
+    async def handle_with_attempt(self, class_index):
+        """Handle a request; return its task and its context once an attempt has reached the engine."""
+        task = self.handle(class_index)
+        await wait_until(lambda: self.handler.active)
+        (request,) = self.handler.active
+        request.inbox.put_nowait(api.Send(request.number, 1))
+        await wait_until(lambda: self.engine.request_ids())
+        return task, request
 
 
-async def until(condition):
+async def wait_until(condition):
     async with asyncio.timeout(20):
         while not condition():
             await asyncio.sleep(0.001)
 
 
-def play(steps, *more):
+def run_steps(steps):
+    """Return the result of `steps` on a setup with one engine."""
+
     async def main():
-        server = Engine()
-        await server.start()
+        engine = SilentEngine()
+        await engine.start()
         try:
-            return await steps(Scene(server), *more)
+            return await steps(OneEngineSetup(engine))
         finally:
-            for writer in server.writers:
+            for writer in engine.writers:
                 writer.transport.abort()
-            server.server.close()
+            engine.server.close()
 
-    loop = HeldLoop()
+    loop = GatedConnectLoop()
     try:
         return loop.run_until_complete(main())
     finally:
@@ -131,382 +155,399 @@
         loop.close()
 
 
-@pytest.mark.parametrize("ends_first", [False, True])
-@pytest.mark.parametrize("word", [context.DeadlineReached, context.DiscoveryStale])
+@pytest.mark.parametrize("attempt_ends_first", [False, True])
+@pytest.mark.parametrize("signal", [context.DeadlineReached, context.DiscoveryStale])
 @pytest.mark.parametrize(
-    "cls,ending,answer",
+    "class_index,result,response",
     [
         (0, RESET, model.Rejected(0.0)),
         (0, FULL, model.Rejected(0.0)),
-        (0, DONE, model.Completed(b"r")),
+        (0, SUCCEEDED, model.Completed(b"r")),
         (1, RESET, model.Failed()),
         (1, FULL, model.Rejected(0.0)),
-        (1, DONE, model.Completed(b"r")),
+        (1, SUCCEEDED, model.Completed(b"r")),
         (2, RESET, model.Failed()),
         (2, FULL, model.Rejected(0.0)),
-        (2, DONE, model.Completed(b"r")),
+        (2, SUCCEEDED, model.Completed(b"r")),
     ],
 )
-def test_the_end_of_an_attempt_and_the_last_answer_in_one_turn(cls, ending, answer, word, ends_first):
-    """Read in the inbox's order, a load that may have run was refused, and a good end was thrown away."""
-
-    async def steps(scene):
-        task, active = await scene.out(cls)
-        crossing = [lambda: active.inbox.put_nowait(word()), lambda: active.in_flight.finish(ending)]
-        for event in reversed(crossing) if ends_first else crossing:
+def test_the_end_of_an_attempt_and_the_final_response_in_one_iteration(
+    class_index, result, response, signal, attempt_ends_first
+):
+    """In the order of the inbox, a possibly executed load would be rejected, and a result would be lost."""
+
+    async def steps(setup):
+        task, request = await setup.handle_with_attempt(class_index)
+        crossing = [lambda: request.inbox.put_nowait(signal()), lambda: request.in_flight.finish(result)]
+        for event in reversed(crossing) if attempt_ends_first else crossing:
             event()
         return await task
 
-    assert play(steps) == answer
+    assert run_steps(steps) == response
 
 
-@pytest.mark.parametrize("said", [api.Reject(1), api.Fail(1)])
-def test_a_good_end_behind_the_modules_answer_is_the_answer(said):
-    async def steps(scene):
-        task, active = await scene.out(0)
-        active.inbox.put_nowait(said)
-        active.in_flight.finish(AttemptSucceeded(b"r"))
+@pytest.mark.parametrize("decision", [api.Reject(1), api.Fail(1)])
+def test_a_success_behind_the_decision_is_the_response(decision):
+    async def steps(setup):
+        task, request = await setup.handle_with_attempt(0)
+        request.inbox.put_nowait(decision)
+        request.in_flight.finish(AttemptSucceeded(b"r"))
         return await task
 
-    assert play(steps) == model.Completed(b"r")
+    assert run_steps(steps) == model.Completed(b"r")
 
 
-@pytest.mark.parametrize("connects,answer", [(False, model.Rejected(0.0)), (True, model.Failed())])
-def test_the_last_answer_while_an_attempt_is_on_its_way(connects, answer):
-    """What waits for its connection has not run; what is out may have."""
+@pytest.mark.parametrize("connects,response", [(False, model.Rejected(0.0)), (True, model.Failed())])
+def test_the_final_response_while_an_attempt_is_in_flight(connects, response):
+    """An attempt that waits for its connection was not executed; one that was sent may have been."""
 
-    async def steps(scene):
+    async def steps(setup):
         loop = asyncio.get_running_loop()
         if connects:
-            task, active = await scene.out(1)
+            task, request = await setup.handle_with_attempt(1)
         else:
-            loop.let.clear()
-            task = scene.serve(1)
-            await until(lambda: scene.handler.active)
-            (active,) = scene.handler.active
-            active.inbox.put_nowait(api.Send(active.number, 1))
-            await until(lambda: active.in_flight)
-        scene.handler.finish_all()
-        answer = await task
-        loop.let.set()
-        engine = scene.pool.engines[1]
-        await until(lambda: not engine.connections or engine.connections[0].is_connected)
-        return answer, scene.server.refs()
-
-    assert play(steps) == (answer, [b"%016x" % 1] if connects else [])
-
-
-def test_the_engine_is_told_the_time_that_is_left_behind_a_slow_connect():
-    async def steps(scene):
+            loop.may_connect.clear()
+            task = setup.handle(1)
+            await wait_until(lambda: setup.handler.active)
+            (request,) = setup.handler.active
+            request.inbox.put_nowait(api.Send(request.number, 1))
+            await wait_until(lambda: request.in_flight)
+        setup.handler.finish_all()
+        actual = await task
+        loop.may_connect.set()
+        engine = setup.pool.engines[1]
+        await wait_until(lambda: not engine.connections or engine.connections[0].is_connected)
+        return actual, setup.engine.request_ids()
+
+    assert run_steps(steps) == (response, [b"%016x" % 1] if connects else [])
+
+
+def test_the_engine_gets_the_time_that_remains_after_a_slow_connect():
+    async def steps(setup):
         loop = asyncio.get_running_loop()
-        loop.let.clear()
-        scene.want(b"1", until=2.0)
+        loop.may_connect.clear()
+        setup.start_attempt(b"1", timeout=2.0)
         await asyncio.sleep(0.3)
-        loop.let.set()
-        await until(scene.server.refs)
-        return int(scene.server.seen[0][2].partition(b"ttl=")[2])
+        loop.may_connect.set()
+        await wait_until(setup.engine.request_ids)
+        return int(setup.engine.commands[0][2].partition(b"ttl=")[2])
 
-    assert play(steps) <= 1700
+    assert run_steps(steps) <= 1700
 
 
-@pytest.mark.parametrize("crossing", ["window", "drain", "gone", "given up", "hung up"])
-def test_what_changed_behind_a_slow_connect_holds(crossing):
-    async def steps(scene):
-        loop, away = asyncio.get_running_loop(), []
-        loop.let.clear()
-        attempt = scene.want(b"1", by=0.0 if crossing == "window" else 30.0, gone=lambda: bool(away))
+@pytest.mark.parametrize("crossing", ["window", "drain", "engine gone", "cancelled", "client gone"])
+def test_a_change_during_a_slow_connect_holds(crossing):
+    async def steps(setup):
+        loop = asyncio.get_running_loop()
+        has_hung_up = False
+        loop.may_connect.clear()
+        attempt = setup.start_attempt(
+            b"1", start_window=0.0 if crossing == "window" else 30.0, is_client_gone=lambda: has_hung_up
+        )
         if crossing == "window":
-            attempt = scene.want(b"2", by=0.05)
+            attempt = setup.start_attempt(b"2", start_window=0.05)
             await asyncio.sleep(0.06)
         elif crossing == "drain":
-            scene.list(api.State.DRAINING)
-        elif crossing == "gone":
-            scene.list(api.State.GONE)
-        elif crossing == "hung up":  # and its leaving is not read yet
-            away.append(True)
+            setup.set_engine_state(api.State.DRAINING)
+        elif crossing == "engine gone":
+            setup.set_engine_state(api.State.GONE)
+        elif crossing == "client gone":  # and its hang-up is not read yet
+            has_hung_up = True
         else:
             attempt.cancel(api.Result.TIMEOUT)
-        loop.let.set()
-        await until(lambda: attempt.is_finished)
-        scene.list(api.State.READY)
-        scene.want(b"9")
-        await until(scene.server.refs)
-        return scene.server.refs(), {ending.result for ref, ending in scene.ends if ref != b"9"}
-
-    assert play(steps) == ([b"9"], {api.Result.MOOT})
-
-
-def test_a_further_attempt_begins_within_the_window_of_repeats_only():
-    async def steps(scene):
-        task, active = await scene.out(2)
-        active.in_flight.finish(RESET)
-        asyncio.get_running_loop().let.clear()
-        active.inbox.put_nowait(api.Send(active.number, 1))
-        await until(lambda: active.in_flight)
+        loop.may_connect.set()
+        await wait_until(lambda: attempt.is_finished)
+        setup.set_engine_state(api.State.READY)
+        setup.start_attempt(b"9")
+        await wait_until(setup.engine.request_ids)
+        return setup.engine.request_ids(), {
+            result.result for request_id, result in setup.results if request_id != b"9"
+        }
+
+    assert run_steps(steps) == ([b"9"], {api.Result.MOOT})
+
+
+def test_a_retry_begins_within_the_repeat_window_only():
+    async def steps(setup):
+        task, request = await setup.handle_with_attempt(2)
+        request.in_flight.finish(RESET)
+        asyncio.get_running_loop().may_connect.clear()
+        request.inbox.put_nowait(api.Send(request.number, 1))
+        await wait_until(lambda: request.in_flight)
         await asyncio.sleep(KEYED.repeat_window)
-        asyncio.get_running_loop().let.set()
-        await until(lambda: not active.in_flight)
+        asyncio.get_running_loop().may_connect.set()
+        await wait_until(lambda: not request.in_flight)
         task.cancel()
-        return len(scene.server.refs())
+        return len(setup.engine.request_ids())
 
-    assert play(steps) == 1
+    assert run_steps(steps) == 1
 
 
-def test_a_drain_takes_back_what_waits_behind_a_full_socket():
-    """Up to a second later it reached the engine; the grace of a drain is half of that."""
+def test_a_drain_withdraws_what_waits_behind_a_full_socket():
+    """It could reach the engine up to a second later, which is twice the grace period of a drain."""
 
-    async def steps(scene):
-        scene.server.let.clear()
+    async def steps(setup):
+        setup.engine.may_read.clear()
         # With a price for handshakes there is one connection.
-        scene.pool.limits = ConnectionLimits(32, 15.0, 5.0, handshake_price=1.0, drain_grace=0.2)
+        setup.pool.limits = ConnectionLimits(32, 15.0, 5.0, handshake_price=1.0, drain_grace=0.2)
         for number in range(30):
-            scene.want(b"%d" % number, b"x" * 800_000)
+            setup.start_attempt(b"%d" % number, b"x" * 800_000)
             await asyncio.sleep(0.002)
-        engine_connection = scene.pool.engines[1].connections[0]
-        begun = {ref for ref, one in engine_connection.streams.attempts.items() if one.message.write_started}
-        scene.list(api.State.DRAINING)
-        back = {ref for ref, ending in scene.ends if ending.result is api.Result.MOOT}
-        told = time.monotonic()
-        await until(lambda: len(scene.ends) == 30)
-        took = time.monotonic() - told
-        scene.server.let.set()
+        engine_connection = setup.pool.engines[1].connections[0]
+        attempts = engine_connection.streams.attempts
+        started = {request_id for request_id, attempt in attempts.items() if attempt.message.write_started}
+        setup.set_engine_state(api.State.DRAINING)
+        withdrawn = {request_id for request_id, result in setup.results if result.result is api.Result.MOOT}
+        drained_at = time.monotonic()
+        await wait_until(lambda: len(setup.results) == 30)
+        duration = time.monotonic() - drained_at
+        setup.engine.may_read.set()
         await asyncio.sleep(0.05)
-        return begun, back, took, set(scene.server.refs())
+        return started, withdrawn, duration, set(setup.engine.request_ids())
 
-    begun, back, took, seen = play(steps)
-    assert back and begun and not begun & back and not seen & back and took < 0.5
+    started, withdrawn, duration, received = run_steps(steps)
+    assert withdrawn and started
+    assert not started & withdrawn
+    assert not received & withdrawn
+    assert duration < 0.5
 
 
-def test_a_ban_takes_back_what_waits_for_its_connection():
-    async def steps(scene):
-        asyncio.get_running_loop().let.clear()
-        attempt = scene.want(b"1")
+def test_an_ejection_withdraws_what_waits_for_its_connection():
+    async def steps(setup):
+        asyncio.get_running_loop().may_connect.clear()
+        attempt = setup.start_attempt(b"1")
         await asyncio.sleep(0)
-        scene.pool.withdraw_unsent(1)
-        return attempt.is_finished, scene.ends
+        setup.pool.withdraw_unsent(1)
+        return attempt.is_finished, setup.results
 
-    assert play(steps) == (True, [(b"1", AttemptFailed(Progress.NOT_SENT, api.Result.MOOT))])
+    assert run_steps(steps) == (True, [(b"1", AttemptFailed(Progress.NOT_SENT, api.Result.MOOT))])
 
 
-def test_nothing_is_sent_for_a_client_that_has_hung_up_unread():
-    async def steps(scene):
-        task = scene.serve(0, lambda: True)
-        await until(lambda: scene.handler.active)
-        (active,) = scene.handler.active
-        active.inbox.put_nowait(api.Send(active.number, 1))
-        await until(active.inbox.empty)
-        told = scene.driver.event_queue.events + [
-            event for batch in scene.driver.controller.batches for event in batch
+def test_nothing_is_sent_for_a_client_whose_hang_up_is_unread():
+    async def steps(setup):
+        task = setup.handle(0, lambda: True)
+        await wait_until(lambda: setup.handler.active)
+        (request,) = setup.handler.active
+        request.inbox.put_nowait(api.Send(request.number, 1))
+        await wait_until(request.inbox.empty)
+        submitted = setup.driver.event_queue.events + [
+            event for batch in setup.driver.controller.batches for event in batch
         ]
         task.cancel()
-        return active.in_flight, [event.result for event in told if isinstance(event, api.Outcome)]
+        return request.in_flight, [event.result for event in submitted if isinstance(event, api.Outcome)]
 
-    assert play(steps) == (None, [api.Result.MOOT])
+    assert run_steps(steps) == (None, [api.Result.MOOT])
 
 
-def test_after_a_standstill_sockets_are_read_before_a_batch_decides():
-    """A batch went first, and sent work on for clients whose leaving lay unread."""
+def test_after_a_stall_sockets_are_read_before_a_batch_decides():
+    """A batch that runs first sends work on for clients whose hang-up is unread."""
 
-    async def steps(scene):
-        ours, theirs = socket.socketpair()
-        ours.setblocking(False)
+    async def steps(setup):
+        server_socket, client_socket = socket.socketpair()
+        server_socket.setblocking(False)
 
         async def read():
-            await asyncio.get_running_loop().sock_recv(ours, 1)
-            scene.driver.submit(api.ClientGone(7))
-
-        module, reading = scene.driver.controller, asyncio.create_task(read())
-        scene.driver.submit(api.Timer(1))
-        await until(lambda: module.batches)
-        scene.driver.submit(api.Timer(2))
-        theirs.send(b"x")
-        time.sleep(0.15)  # the loop stands still, and the batch falls due
-        await until(lambda: len(module.batches) > 1)
-        await reading
-        ours.close()
-        theirs.close()
+            await asyncio.get_running_loop().sock_recv(server_socket, 1)
+            setup.driver.submit(api.ClientGone(7))
+
+        module = setup.driver.controller
+        read_task = asyncio.create_task(read())
+        setup.driver.submit(api.Timer(1))
+        await wait_until(lambda: module.batches)
+        setup.driver.submit(api.Timer(2))
+        client_socket.send(b"x")
+        time.sleep(0.15)  # the loop is stalled, and the batch falls due
+        await wait_until(lambda: len(module.batches) > 1)
+        await read_task
+        server_socket.close()
+        client_socket.close()
         return module.batches[1]
 
-    assert play(steps) == [api.Timer(2), api.ClientGone(7)]
+    assert run_steps(steps) == [api.Timer(2), api.ClientGone(7)]
 
 
-def pair(scene):
-    """A connection of the server, and its client's end."""
-    if not hasattr(scene, "rpc_server"):
-        scene.rpc_server = RpcServer(
-            scene.handler, scene.driver, SETTINGS, ServerLimits(2, 1 << 20), scene.pool.counters
+def open_client_connection(setup):
+    """Return a connection of the server, and the socket of its client."""
+    if not hasattr(setup, "rpc_server"):
+        setup.rpc_server = RpcServer(
+            setup.handler, setup.driver, SETTINGS, ServerLimits(2, 1 << 20), setup.pool.counters
         )
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        theirs = socket.create_connection(listener.getsockname())
-        ours, _ = listener.accept()
-    ours.setblocking(False)
-    scene.rpc_server.accept_connection(ours, scene.driver.now(), True)
-    return list(scene.rpc_server.connections)[-1], theirs
-
-
-@pytest.mark.parametrize("before", [b"", b"junk"])
-def test_a_client_has_gone_though_the_end_lies_unread(before):
-    async def steps(scene):
-        one, theirs = pair(scene)
-        here = one.is_client_gone()
-        theirs.sendall(before)
-        said = one.is_client_gone()
-        theirs.close()
-        return here, said, one.is_client_gone()
-
-    assert play(steps) == (False, False, True)
-
-
-def test_bad_requests_do_not_hide_the_clients_leaving_while_work_is_open():
-    async def steps(scene):
-        one, theirs = pair(scene)
-        one.invalid_requests = 40
-        alone = one.error_backoff()
-        one.calls[1] = None
-        busy = one.error_backoff()
-        one.calls.clear()
-        theirs.close()
-        return alone, busy
-
-    alone, busy = play(steps)
-    assert alone == connection.MAX_ERROR_BACKOFF_SECONDS and busy <= 0.05
-
-
-def test_a_connection_that_is_accepted_in_the_turn_of_the_shutdown_is_served():
-    """Its accept was cancelled with the connection in hand: the client was reset."""
-
-    async def steps(scene):
+        client_socket = socket.create_connection(listener.getsockname())
+        server_socket, _ = listener.accept()
+    server_socket.setblocking(False)
+    setup.rpc_server.accept_connection(server_socket, setup.driver.now(), True)
+    return list(setup.rpc_server.connections)[-1], client_socket
+
+
+@pytest.mark.parametrize("unread_data", [b"", b"junk"])
+def test_a_client_is_gone_though_its_hang_up_is_unread(unread_data):
+    async def steps(setup):
+        connection, client_socket = open_client_connection(setup)
+        gone_at_first = connection.is_client_gone()
+        client_socket.sendall(unread_data)
+        gone_after_data = connection.is_client_gone()
+        client_socket.close()
+        return gone_at_first, gone_after_data, connection.is_client_gone()
+
+    assert run_steps(steps) == (False, False, True)
+
+
+def test_invalid_requests_do_not_hide_a_hang_up_while_calls_are_open():
+    async def steps(setup):
+        connection, client_socket = open_client_connection(setup)
+        connection.invalid_requests = 40
+        idle_backoff = connection.error_backoff()
+        connection.calls[1] = None
+        busy_backoff = connection.error_backoff()
+        connection.calls.clear()
+        client_socket.close()
+        return idle_backoff, busy_backoff
+
+    idle_backoff, busy_backoff = run_steps(steps)
+    assert idle_backoff == server_connection.MAX_ERROR_BACKOFF_SECONDS
+    assert busy_backoff <= 0.05
+
+
+def test_a_connection_that_is_accepted_in_the_iteration_of_the_shutdown_is_served():
+    """A cancelled accept that already has the connection would reset the client."""
+
+    async def steps(setup):
         loop = asyncio.get_running_loop()
-        scene.rpc_server = RpcServer(
-            scene.handler, scene.driver, SETTINGS, ServerLimits(2, 1 << 20), scene.pool.counters
+        setup.rpc_server = RpcServer(
+            setup.handler, setup.driver, SETTINGS, ServerLimits(2, 1 << 20), setup.pool.counters
         )
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        scene.rpc_server.start(listener)
+        setup.rpc_server.start(listener)
         await asyncio.sleep(0)
-        theirs = socket.create_connection(listener.getsockname())
-        # Behind the turn that finds the caller waiting, and ahead of the task that waits for it.
-        loop.call_soon(lambda: loop.call_soon(scene.rpc_server.stop_accepting))
-        theirs.sendall(msgpack.packb([0, 1, "probe", [{}]]))
-        theirs.setblocking(False)
+        client_socket = socket.create_connection(listener.getsockname())
+        # After the iteration that finds the listener readable, and before the task that waits for that.
+        loop.call_soon(lambda: loop.call_soon(setup.rpc_server.stop_accepting))
+        client_socket.sendall(msgpack.packb([0, 1, "probe", [{}]]))
+        client_socket.setblocking(False)
         async with asyncio.timeout(20):
-            answer = await loop.sock_recv(theirs, 100)
-        theirs.close()
-        return answer
+            response = await loop.sock_recv(client_socket, 100)
+        client_socket.close()
+        return response
 
-    assert play(steps) == msgpack.packb([1, 1, None, [False, {}]])
+    assert run_steps(steps) == msgpack.packb([1, 1, None, [False, {}]])
 
 
-@pytest.mark.parametrize("end", [b"", msgpack.packb([0, 1, "probe", [{}]])[5:]])
-def test_a_message_that_ends_while_its_time_runs_out_is_read(end, monkeypatch):
-    """Both lay there behind a loop that stood still: its end was read, and thrown away."""
-    monkeypatch.setattr(connection, "MESSAGE_TIMEOUT_SECONDS", 0.05)
+@pytest.mark.parametrize("rest", [b"", msgpack.packb([0, 1, "probe", [{}]])[5:]])
+def test_a_message_that_is_completed_as_its_timeout_expires_is_read(rest, monkeypatch):
+    """After a stall both are due; the rest of the message must not be read and dropped."""
+    monkeypatch.setattr(server_connection, "MESSAGE_TIMEOUT_SECONDS", 0.05)
     message = msgpack.packb([0, 1, "probe", [{}]])
 
-    async def steps(scene):
+    async def steps(setup):
         loop = asyncio.get_running_loop()
-        one, theirs = pair(scene)
-        theirs.sendall(message[:5])
-        await until(lambda: one.unread_bytes)
-        theirs.sendall(end)
+        connection, client_socket = open_client_connection(setup)
+        client_socket.sendall(message[:5])
+        await wait_until(lambda: connection.unread_bytes)
+        client_socket.sendall(rest)
         time.sleep(0.1)
-        theirs.setblocking(False)
+        client_socket.setblocking(False)
         async with asyncio.timeout(20):
-            answer = await loop.sock_recv(theirs, 100)
-        theirs.close()
-        return answer, scene.pool.counters["unfinished_messages"]
+            response = await loop.sock_recv(client_socket, 100)
+        client_socket.close()
+        return response, setup.pool.counters["unfinished_messages"]
 
-    whole = msgpack.packb([1, 1, None, [False, {}]])
-    assert play(steps) == ((whole, 0) if end else (b"", 1))
+    reply = msgpack.packb([1, 1, None, [False, {}]])
+    assert run_steps(steps) == ((reply, 0) if rest else (b"", 1))
 
 
-def test_who_has_begun_to_ask_is_not_closed_for_another():
-    async def steps(scene):
-        asks, rests = pair(scene), pair(scene)
+def test_a_connection_with_a_begun_message_is_not_evicted():
+    async def steps(setup):
+        begun_connection, begun_client = open_client_connection(setup)
+        idle_connection, idle_client = open_client_connection(setup)
         await asyncio.sleep(0)
-        for one, _ in (asks, rests):
-            scene.rpc_server.connections.mark_idle(one)
-        asks[1].sendall(b"\x94")
-        new = pair(scene)
-        left = [one in scene.rpc_server.connections for one, _ in (asks, rests, new)]
-        for _, theirs in (asks, rests, new):
-            theirs.close()
-        return left
-
-    assert play(steps) == [True, False, True]
-
-
-def test_connections_leave_nothing_for_the_collector():
-    """Each was a cycle that the collector never came to: a soak of 45 minutes ran out of memory."""
-
-    async def steps(scene):
-        one, theirs = pair(scene)
-        scene.want(b"1")
-        await until(scene.server.refs)
-        engine_connection = scene.pool.engines[1].connections[0]
-        kinds = {type(one), type(engine_connection), type(one.write_queue)}
+        for connection in (begun_connection, idle_connection):
+            setup.rpc_server.connections.mark_idle(connection)
+        begun_client.sendall(b"\x94")
+        new_connection, new_client = open_client_connection(setup)
+        connections = (begun_connection, idle_connection, new_connection)
+        are_open = [connection in setup.rpc_server.connections for connection in connections]
+        for client_socket in (begun_client, idle_client, new_client):
+            client_socket.close()
+        return are_open
+
+    assert run_steps(steps) == [True, False, True]
+
+
+def test_connections_leave_nothing_for_the_garbage_collector():
+    """A reference cycle for each connection exhausts the memory before it is collected."""
+
+    async def steps(setup):
+        connection, client_socket = open_client_connection(setup)
+        setup.start_attempt(b"1")
+        await wait_until(setup.engine.request_ids)
+        engine_connection = setup.pool.engines[1].connections[0]
+        types = {type(connection), type(engine_connection), type(connection.write_queue)}
         gc.collect()
         gc.disable()
         try:
             gc.set_debug(gc.DEBUG_SAVEALL)
-            theirs.close()
+            client_socket.close()
             engine_connection.close("it ends")
-            await until(lambda: not scene.rpc_server.connections and not scene.pool.engines[1].connections)
-            del one, engine_connection
+            await wait_until(
+                lambda: not setup.rpc_server.connections and not setup.pool.engines[1].connections
+            )
+            del connection, engine_connection
             await asyncio.sleep(0.05)
             gc.collect()
-            return [kind for kind in map(type, gc.garbage) if kind in kinds]
+            return [garbage_type for garbage_type in map(type, gc.garbage) if garbage_type in types]
         finally:
             gc.set_debug(0)
             gc.garbage.clear()
             gc.enable()
 
-    assert play(steps) == []
+    assert run_steps(steps) == []
 
 
 def test_an_idle_connection_that_the_engine_has_closed_unread_is_not_used():
-    """A `want` behind the close could not be told from one that ran: a load failed that never left."""
+    """A command behind the close looks like an executed one: a load that was never sent would fail."""
 
-    async def steps(scene):
-        scene.want(b"1")
-        await until(scene.server.refs)
-        (former,) = scene.pool.engines[1].connections
+    async def steps(setup):
+        setup.start_attempt(b"1")
+        await wait_until(setup.engine.request_ids)
+        (former,) = setup.pool.engines[1].connections
         former.streams.attempts[b"1"].finish(FULL)
-        scene.server.writers[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)  # the loop reads nothing
+        setup.engine.writers[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)  # the loop reads nothing
         former.send_command = None  # nothing may be written there
-        scene.want(b"2")
-        await until(lambda: b"2" in scene.server.refs())
-        return len(scene.server.writers)
+        setup.start_attempt(b"2")
+        await wait_until(lambda: b"2" in setup.engine.request_ids())
+        return len(setup.engine.writers)
 
-    assert play(steps) == 2
+    assert run_steps(steps) == 2
 
 
-def test_a_connection_on_which_an_answer_stopped_short_is_not_used_again():
-    """The next answer there was spoilt by what was missing, and a load that had run well failed."""
+def test_a_connection_with_a_truncated_reply_is_not_used_again():
+    """The rest of it would corrupt the next reply there, and a load that succeeded would fail."""
 
-    async def steps(scene):
-        attempt = scene.want(b"1")
-        await until(scene.server.refs)
-        scene.server.writers[0].write(b"*4\r\n$1\r\n1\r\n$3\r\nHI")
-        (former,) = scene.pool.engines[1].connections
-        await until(lambda: former.transport.parser.unparsed)
+    async def steps(setup):
+        attempt = setup.start_attempt(b"1")
+        await wait_until(setup.engine.request_ids)
+        setup.engine.writers[0].write(b"*4\r\n$1\r\n1\r\n$3\r\nHI")
+        (former,) = setup.pool.engines[1].connections
+        await wait_until(lambda: former.transport.parser.unparsed)
         attempt.cancel(api.Result.CANCELLED)
-        await until(lambda: attempt.is_finished)
-        scene.want(b"2")
-        await until(lambda: b"2" in scene.server.refs())
-        return len(scene.server.writers)
+        await wait_until(lambda: attempt.is_finished)
+        setup.start_attempt(b"2")
+        await wait_until(lambda: b"2" in setup.engine.request_ids())
+        return len(setup.engine.writers)
 
-    assert play(steps) == 2
+    assert run_steps(steps) == 2
 
 
-def test_at_the_end_what_waits_for_the_order_of_its_key_is_answered():
-    async def steps(scene):
-        scene.driver.stall_monitor.order_known.clear()  # a loop that stood still reads the rest first
-        request = model.Request(b"1", 1, b"x", scene.driver.now(), 30.0, order_key=7)
-        task = asyncio.create_task(scene.handler.handle(request))
+def test_at_the_exit_a_request_that_waits_for_the_order_of_its_key_is_answered():
+    async def steps(setup):
+        setup.driver.stall_monitor.order_known.clear()  # after a stall the rest is read first
+        request = model.Request(b"1", 1, b"x", setup.driver.now(), 30.0, order_key=7)
+        task = asyncio.create_task(setup.handler.handle(request))
         await asyncio.sleep(0)
-        scene.handler.set_shutdown_deadline(scene.driver.now())
-        scene.handler.finish_all()
+        setup.handler.set_shutdown_deadline(setup.driver.now())
+        setup.handler.finish_all()
         return await asyncio.wait_for(task, 5)
 
-    assert play(steps) == model.Rejected(0.0)
+    assert run_steps(steps) == model.Rejected(0.0)
