--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -23,7 +23,7 @@
 
 
 class FakeTarget:
-    """An application that only remembers what operators asked for."""
+    """A target that only records what operators asked for."""
 
     def __init__(self):
         self.ejected = set()
@@ -55,13 +55,12 @@
     target = FakeTarget()
     assert dispatch(target, "GET", "/ready", b"").status == 200
     assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
-    assert (
-        dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
-    )  # again: the same
+    # A second call has no further effect.
+    assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-00000001"}').status == 200
     assert target.ejected == {"s-00000001"}
     assert dispatch(target, "POST", "/engines/disable", b'{"host":"s-0000000f"}').status == 404
-    bad = dispatch(target, "POST", "/engines/disable", b'{"hots":"s-00000001"}')
-    assert (bad.status, bad.body["field"]) == (400, "host")
+    invalid = dispatch(target, "POST", "/engines/disable", b'{"hots":"s-00000001"}')
+    assert (invalid.status, invalid.body["field"]) == (400, "host")
     assert dispatch(target, "POST", "/engines/enable", b"[").body["field"] == "body"
     assert dispatch(target, "GET", "/drain", b"").status == 405 and not target.draining
     assert dispatch(target, "POST", "/nowhere", b"").status == 404
@@ -73,21 +72,21 @@
     assert target.ejected == set()
 
 
-def member(engine, state=api.State.READY):
+def endpoint(engine, state=api.State.READY):
     return Endpoint(api.EngineEntry(engine, state=state), ("127.0.0.1", 7000 + engine))
 
 
 def test_an_ejected_engine_is_reported_as_draining_whatever_the_feed_says_until_enabled():
     gated, registry = GatedEndpoints(), EjectionRegistry()
     gated.ejected = registry.ejected
-    first = EndpointUpdate(1, True, (member(1), member(2)))
+    first = EndpointUpdate(1, True, (endpoint(1), endpoint(2)))
     registry.add_endpoints(first.endpoints)
     gated.apply_update(first)
     engine = registry.find("s-00000002")
     assert engine == 2 and registry.find("127.0.0.1:7002") == 2 and registry.find("s-00000009") is None
     assert registry.set_ejected(engine, True, 1.0) and not registry.set_ejected(engine, True, 2.0)
     assert gated.present(engine).entries[0].state is api.State.DRAINING
-    again = gated.apply_update(EndpointUpdate(2, False, (member(2),)))  # the feed lists it as ready again
+    again = gated.apply_update(EndpointUpdate(2, False, (endpoint(2),)))  # the feed lists it as ready again
     assert again.entries[0].state is api.State.DRAINING
     assert registry.set_ejected(engine, False, 3.0) and not registry.set_ejected(engine, False, 4.0)
     assert gated.present(engine).entries[0].state is api.State.READY
@@ -97,7 +96,7 @@
     entries = {1: EjectionEntry(5.25, True), 0xC41F7A: EjectionEntry(6.0, False)}
     data = ejection_codec.encode(entries)
     assert ejection_codec.decode(data) == entries
-    foreign = [
+    of_other_forms = [
         json.dumps({"body": body, "sha256": hashlib.sha256(body.encode()).hexdigest()}).encode()
         for body in (
             '{"form":1,"banned":[]}',
@@ -107,24 +106,31 @@
             "[]",
         )
     ]
-    for torn in (data[: len(data) // 2], data.replace(b"00000001", b"00000002"), b"{}", b"\xff", *foreign):
+    for invalid in (
+        data[: len(data) // 2],
+        data.replace(b"00000001", b"00000002"),
+        b"{}",
+        b"\xff",
+        *of_other_forms,
+    ):
         with pytest.raises(ejection_codec.EjectionFileError):
-            ejection_codec.decode(torn)
+            ejection_codec.decode(invalid)
 
 
 call = st.tuples(st.integers(0, 1), st.integers(1, 3), st.booleans(), st.integers(0, 5))
 
 
 @given(st.lists(call, max_size=12), st.lists(st.integers(0, 1), max_size=6))
-def test_two_processes_converge_to_the_same_ejections_whoever_writes_when(tmp_path_factory, calls, looks):
+def test_two_processes_converge_to_the_same_ejections_whoever_writes_when(tmp_path_factory, calls, refreshes):
     path = str(tmp_path_factory.mktemp("ejections") / "ejections.json")
     stores = [EjectionStore(path, EjectionRegistry()) for _ in range(2)]
     last = {}
-    for at, (process, engine, ejected, clock) in enumerate(calls):  # their clocks may differ, and step back
+    # The clocks of the processes may differ, and step back.
+    for index, (process, engine, ejected, clock) in enumerate(calls):
         stores[process].set_ejected(engine, ejected, float(clock))
         last[engine] = ejected
-        if at < len(looks):
-            stores[looks[at]].refresh()
+        if index < len(refreshes):
+            stores[refreshes[index]].refresh()
     for store in stores:
         store.refresh()
         assert store.registry.ejected == {engine for engine, ejected in last.items() if ejected}
@@ -135,7 +141,7 @@
     one, other = (EjectionStore(path, EjectionRegistry()) for _ in range(2))
     one.set_ejected(1, True, 10.0)
     other.registry.set_ejected(2, True, 11.0)
-    other.save()  # as if it had looked just before the other wrote
+    other.save()  # as if it had read the file just before the other wrote
     assert one.refresh() == [2] and other.refresh() == [1]
     assert one.registry.ejected == other.registry.ejected == {1, 2} and one.refresh() == other.refresh() == []
 
@@ -161,12 +167,12 @@
     for outcome in outcomes:
         metrics.record_response(0, outcome)
     metrics.record_dispatch("load")
-    metrics.record_dispatch("nobody")  # an attempt of no class that is listed counts nowhere
+    metrics.record_dispatch("unknown")  # an attempt of no class that is listed counts nowhere
     metrics.record_reload(False)
-    shot = metrics.snapshot()
-    assert shot["replies"]["lookup"] == {"success": 5, "overload": 2, "error": 1, "dispatches": 0}
-    assert shot["replies"]["load"]["dispatches"] == 1 == shot["dispatches"]
-    assert (shot["concurrent"], shot["reload_failure"], shot["reload_success"]) == (3, 1, 0)
+    snapshot = metrics.snapshot()
+    assert snapshot["replies"]["lookup"] == {"success": 5, "overload": 2, "error": 1, "dispatches": 0}
+    assert snapshot["replies"]["load"]["dispatches"] == 1 == snapshot["dispatches"]
+    assert (snapshot["concurrent"], snapshot["reload_failure"], snapshot["reload_success"]) == (3, 1, 0)
 
 
 async def _serve(calls):
--- a/tests/test_corrupt_replies.py
+++ b/tests/test_corrupt_replies.py
@@ -1,4 +1,4 @@
-"""Corrupt replies of engines, on sockets: none is passed on, and other requests lose little by them."""
+"""Corrupt replies of engines, on sockets: none is passed on, and other requests are hardly affected."""
 
 import asyncio
 from math import inf
@@ -91,26 +91,29 @@
 
 def test_a_new_engine_at_an_old_address_shares_nothing_with_the_old_one():
     limits = ConnectionLimits(32, 15.0, 0.25)
-    pool, ends, address = EnginePool(limits, (), 8, Counters()), [], ("127.0.0.1", 1)
+    pool = EnginePool(limits, (), 8, Counters())
+    results = []
+    address = ("127.0.0.1", 1)
     for number in (1, 2):
         pool.update(
             members.EndpointUpdate(number, False, (members.Endpoint(api.EngineEntry(number), address),))
         )
 
     async def start():
-        pool.start_attempt(1, AttemptSpec(b"1", "load", b"x", inf, inf), set(), ends.append)
+        pool.start_attempt(1, AttemptSpec(b"1", "load", b"x", inf, inf), set(), results.append)
 
     asyncio.run(start())
-    assert ends == [AttemptFailed(Progress.NOT_SENT, api.Result.MOOT)] and list(pool.engines) == [2]
+    assert results == [AttemptFailed(Progress.NOT_SENT, api.Result.MOOT)]
+    assert list(pool.engines) == [2]
 
 
 @pytest.mark.parametrize("price,interval", [(0.0, 3.0), (0.011, 3.0), (0.08, 12.0)])
 def test_pings_are_rare_where_probes_are_expensive_but_not_while_corruption_is_suspected(price, interval):
     async def main():
         pool = EnginePool(ConnectionLimits(32, 15.0, 0.25, probe_price=price), (), 8, Counters())
-        calm = pool.liveness_interval()
+        usual = pool.liveness_interval()
         pool.record_corrupt_response()
-        return calm, pool.liveness_interval()
+        return usual, pool.liveness_interval()
 
     assert asyncio.run(main()) == (interval, 1.0)
 
@@ -122,14 +125,17 @@
         pool.update(
             members.EndpointUpdate(1, True, (members.Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
         )
-        engine, ends = pool.engines[1], []
-        for ref in (b"1", b"2", b"3"):
-            pool.start_attempt(1, AttemptSpec(ref, "lookup", b"x", inf, inf), set(), ends.append)
+        engine = pool.engines[1]
+        results = []
+        for request_id in (b"1", b"2", b"3"):
+            pool.start_attempt(1, AttemptSpec(request_id, "lookup", b"x", inf, inf), set(), results.append)
         shared = len(engine.connections)
-        pool.start_attempt(1, AttemptSpec(b"4", "load", b"x", inf, inf, exclusive=True), set(), ends.append)
+        pool.start_attempt(
+            1, AttemptSpec(b"4", "load", b"x", inf, inf, exclusive=True), set(), results.append
+        )
         exclusive = len(engine.connections)
         pool.record_corrupt_response()  # a reply to one could now end all on its connection
-        pool.start_attempt(1, AttemptSpec(b"5", "lookup", b"x", inf, inf), set(), ends.append)
+        pool.start_attempt(1, AttemptSpec(b"5", "lookup", b"x", inf, inf), set(), results.append)
         suspected = len(engine.connections)
         while engine.connections:
             await asyncio.sleep(0)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 import hiredis
 import msgpack
 import pytest
-from test_event_loop_driver import Module
+from test_event_loop_driver import FakeController
 
 from applevale import api
 from applevale.discovery import endpoints as members
@@ -79,7 +79,7 @@
     def __init__(self, engine, drain_grace=0.2):
         self.engine = engine
         self.pool = EnginePool(ConnectionLimits(32, 15.0, 5.0, drain_grace=drain_grace), (), 8, Counters())
-        self.driver = EventLoopDriver(Module(), self.pool, self.pool.counters)
+        self.driver = EventLoopDriver(FakeController(), self.pool, self.pool.counters)
         self.handler = handler.RequestHandler(self.driver, self.pool, SETTINGS, self.pool.counters)
         self.results = []
         self.set_engine_state(api.State.READY)
@@ -350,18 +350,18 @@
             await asyncio.get_running_loop().sock_recv(server_socket, 1)
             setup.driver.submit(api.ClientGone(7))
 
-        module = setup.driver.controller
+        controller = setup.driver.controller
         read_task = asyncio.create_task(read())
         setup.driver.submit(api.Timer(1))
-        await wait_until(lambda: module.batches)
+        await wait_until(lambda: controller.batches)
         setup.driver.submit(api.Timer(2))
         client_socket.send(b"x")
         time.sleep(0.15)  # the loop is stalled, and the batch falls due
-        await wait_until(lambda: len(module.batches) > 1)
+        await wait_until(lambda: len(controller.batches) > 1)
         await read_task
         server_socket.close()
         client_socket.close()
-        return module.batches[1]
+        return controller.batches[1]
 
     assert run_steps(steps) == [api.Timer(2), api.ClientGone(7)]
 
--- a/tests/test_event_loop_driver.py
+++ b/tests/test_event_loop_driver.py
@@ -1,4 +1,4 @@
-"""How the module is driven, and how attempts end, without sockets."""
+"""The event loop driver, and how attempts end, without sockets."""
 
 import asyncio
 
@@ -15,37 +15,40 @@
 from applevale.requests import handler, model
 
 
-class Module:
-    """Stands in for the AdmissionController: keeps the batches, and answers them with what it was given."""
+class FakeController:
+    """An admission controller that records batches, and returns prepared actions or raises an error."""
 
-    def __init__(self, *replies):
-        self.batches, self.replies = [], list(replies)
+    def __init__(self, *results):
+        self.batches = []
+        self.results = list(results)
 
     def handle(self, now, events):
         self.batches.append(list(events))
-        reply = self.replies.pop(0) if self.replies else []
-        if isinstance(reply, Exception):
-            raise reply
-        return reply
+        result = self.results.pop(0) if self.results else []
+        if isinstance(result, Exception):
+            raise result
+        return result
 
 
-async def until(condition):
+async def wait_until(condition):
     async with asyncio.timeout(10):
         while not condition():
             await asyncio.sleep(0)
 
 
-def drive(module, steps):
+def run_driver(controller, steps):
+    """Run `steps` with a driver, and return the driver."""
+
     async def main():
-        driver = EventLoopDriver(module, EnginePool(None, (), 0, Counters()), Counters())
+        driver = EventLoopDriver(controller, EnginePool(None, (), 0, Counters()), Counters())
         await steps(driver)
         return driver
 
     return asyncio.run(main())
 
 
-def test_news_of_the_list_in_one_batch_are_told_as_one():
-    module = Module()
+def test_list_updates_in_one_batch_are_merged_into_one():
+    controller = FakeController()
     ready, draining = api.EngineEntry(1), api.EngineEntry(1, state=api.State.DRAINING)
     other = api.EngineEntry(2, state=api.State.GONE)
 
@@ -54,13 +57,13 @@
         driver.submit(api.EngineList((ready,), whole=True))
         driver.submit(api.Timer(3))
         driver.submit(api.EngineList((draining, other)))
-        await until(lambda: module.batches)
+        await wait_until(lambda: controller.batches)
 
-    drive(module, steps)
-    assert module.batches == [[api.EngineList((draining, other), whole=True), api.Timer(3)]]
+    run_driver(controller, steps)
+    assert controller.batches == [[api.EngineList((draining, other), whole=True), api.Timer(3)]]
 
 
-def test_an_engine_that_rests_is_told_as_avoided_until_its_rest_is_over():
+def test_an_ejected_engine_is_reported_as_outlier_until_its_ejection_is_over():
     now = [100.0]
     controller = AdmissionController(helpers.settings(), 1)
     entries = tuple(api.EngineEntry(number) for number in range(1, 5))
@@ -72,125 +75,135 @@
     assert driver.outlier_engines() == set()
 
 
-def test_one_turn_is_one_batch_and_a_timer_comes_in_a_later_one():
-    module = Module([api.SetTimer(0.0, 7)])
+def test_one_loop_iteration_is_one_batch_and_a_timer_comes_in_a_later_one():
+    controller = FakeController([api.SetTimer(0.0, 7)])
 
     async def steps(driver):
         driver.submit(api.ClientGone(1))
         driver.submit(api.ClientGone(2))
-        await until(lambda: len(module.batches) == 2)
+        await wait_until(lambda: len(controller.batches) == 2)
 
-    drive(module, steps)
-    assert module.batches == [[api.ClientGone(1), api.ClientGone(2)], [api.Timer(7)]]
+    run_driver(controller, steps)
+    assert controller.batches == [[api.ClientGone(1), api.ClientGone(2)], [api.Timer(7)]]
 
 
-def test_a_fault_of_the_module_stops_nothing():
-    module = Module(ValueError("x"))
+def test_an_error_of_the_controller_stops_nothing():
+    controller = FakeController(ValueError("x"))
 
     async def steps(driver):
         driver.submit(api.Timer(1))
-        await until(lambda: module.batches)
+        await wait_until(lambda: controller.batches)
         driver.submit(api.Timer(2))
-        await until(lambda: len(module.batches) == 2)
+        await wait_until(lambda: len(controller.batches) == 2)
 
-    assert drive(module, steps).counters["module_errors"] == 1
+    assert run_driver(controller, steps).counters["module_errors"] == 1
 
 
 def test_the_clock_never_goes_back():
     times = iter([5.0, 3.0, 6.0])
-    driver = EventLoopDriver(Module(), None, Counters(), UnixClock(lambda: next(times)))
+    driver = EventLoopDriver(FakeController(), None, Counters(), UnixClock(lambda: next(times)))
     assert [driver.now() for _ in range(3)] == [5.0, 5.0, 6.0]
 
 
-def test_a_probe_of_an_engine_that_is_not_named_fails():
-    module = Module([api.Probe(3)])
+def test_a_probe_of_an_engine_that_is_not_listed_fails():
+    controller = FakeController([api.Probe(3)])
 
     async def steps(driver):
         driver.submit(api.Timer(1))
-        await until(lambda: len(module.batches) == 2)
+        await wait_until(lambda: len(controller.batches) == 2)
 
-    drive(module, steps)
-    (event,) = module.batches[1]
+    run_driver(controller, steps)
+    (event,) = controller.batches[1]
     assert event.engine == 3 and event.result is api.Result.CONNECT_FAILED
 
 
-def test_without_a_decision_the_client_still_gets_its_answer():
-    """A module that is silent must not cost the client its one answer."""
+def test_without_a_decision_the_client_still_gets_a_response():
+    """A controller that decides nothing must not cost the client its one response."""
 
     async def main():
         settings = api.Settings(classes=(api.ClassSpec("lookup"),), kinds=(api.KindSpec("k"),))
-        driver = EventLoopDriver(Module(), None, Counters())
+        driver = EventLoopDriver(FakeController(), None, Counters())
         request = model.Request(b"1", 0, b"", driver.now(), 0.1)
         return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
-    answer, driver = asyncio.run(main())
-    assert (
-        isinstance(answer, model.Rejected) and driver.counters["overdue"] == 1 and not driver.action_handlers
-    )
+    response, driver = asyncio.run(main())
+    assert isinstance(response, model.Rejected)
+    assert driver.counters["overdue"] == 1
+    assert not driver.action_handlers
 
 
 class FakeConnection:
+    """An engine connection that records commands; it is its own write queue."""
+
     def __init__(self):
-        self.said, self.written, self.write_queue, self.was_connected = [], [], self, True
+        self.commands = []
+        self.write_callbacks = []
+        self.write_queue = self
+        self.was_connected = True
 
     def withdraw(self, message):
         return not message.write_started
 
     def send_command(self, *parts, on_written=None):
-        self.said.append(parts[0])
-        self.written.append(on_written)
+        self.commands.append(parts[0])
+        self.write_callbacks.append(on_written)
 
     def remove_attempt(self, attempt):
         pass
 
 
-def attempt(begun):
-    ends = []
-    one = Attempt(AttemptSpec(b"1", "load", b"", 1.0, 1.0), ends.append)
-    one.connection, one.message = FakeConnection(), QueuedMessage(b"", write_started=begun)
-    return one, ends
+def attempt_on_connection(write_started):
+    """Return an attempt, and the list to which its result is added."""
+    results = []
+    attempt = Attempt(AttemptSpec(b"1", "load", b"", 1.0, 1.0), results.append)
+    attempt.connection = FakeConnection()
+    attempt.message = QueuedMessage(b"", write_started=write_started)
+    return attempt, results
 
 
-def test_a_given_up_attempt_ends_only_after_never_mind_was_written():
-    """Else the next `want`, on another connection, could arrive first: a second copy."""
+def test_a_cancelled_attempt_ends_only_after_the_cancel_command_was_written():
+    """Else the next execute command, on another connection, could arrive first: a second copy."""
 
     async def main():
-        one, ends = attempt(begun=True)
-        one.cancel(api.Result.CANCELLED)
-        one.cancel(api.Result.CANCELLED)
-        assert one.connection.said == [b"never_mind"] and ends == []
-        one.connection.written[0]()
-        assert ends == []
-        await until(lambda: ends)
-        one.finish(one.result_after_disconnect())
-        return ends
-
-    ending = AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.CANCELLED)
-    assert asyncio.run(main()) == [ending]
-
-
-def test_what_was_never_written_never_ran():
-    one, ends = attempt(begun=False)
-    assert one.result_after_disconnect().result in api.NEVER_RAN
-    one.cancel(api.Result.CANCELLED)
-    assert ends == [AttemptFailed(Progress.NOT_SENT, api.Result.MOOT)] and one.connection.said == []
+        attempt, results = attempt_on_connection(write_started=True)
+        attempt.cancel(api.Result.CANCELLED)
+        attempt.cancel(api.Result.CANCELLED)
+        assert attempt.connection.commands == [b"never_mind"] and results == []
+        attempt.connection.write_callbacks[0]()
+        assert results == []
+        await wait_until(lambda: results)
+        attempt.finish(attempt.result_after_disconnect())
+        return results
+
+    failed = AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.CANCELLED)
+    assert asyncio.run(main()) == [failed]
+
+
+def test_an_attempt_that_was_never_written_was_never_executed():
+    attempt, results = attempt_on_connection(write_started=False)
+    assert attempt.result_after_disconnect().result in api.NEVER_RAN
+    attempt.cancel(api.Result.CANCELLED)
+    assert (
+        results == [AttemptFailed(Progress.NOT_SENT, api.Result.MOOT)] and attempt.connection.commands == []
+    )
 
 
-def test_an_engine_that_dies_between_pages_ran():
-    one, _ = attempt(begun=True)
-    assert one.result_after_disconnect() == AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.RESET)
-    one.page_count = 2
-    assert one.result_after_disconnect().progress is Progress.EXECUTED
+def test_an_attempt_whose_engine_dies_between_pages_was_executed():
+    attempt, _ = attempt_on_connection(write_started=True)
+    assert attempt.result_after_disconnect() == AttemptFailed(Progress.POSSIBLY_EXECUTED, api.Result.RESET)
+    attempt.page_count = 2
+    assert attempt.result_after_disconnect().progress is Progress.EXECUTED
 
 
-def test_a_call_with_no_patience_left_is_refused_without_waiting_for_a_batch():
-    """A client's retry may come with a few milliseconds; its answer must not wait behind a busy module."""
+def test_a_request_without_time_left_is_rejected_without_waiting_for_a_batch():
+    """A retry may come with a few milliseconds left; its response must not wait for a busy controller."""
 
     async def main():
         settings = api.Settings((api.ClassSpec("lookup"),), (api.KindSpec("k"),), retry_after=True)
-        driver = EventLoopDriver(Module(), None, Counters())
+        driver = EventLoopDriver(FakeController(), None, Counters())
         request = model.Request(b"1", 0, b"", driver.now(), 0.005)
         return await handler.RequestHandler(driver, None, settings, driver.counters).handle(request), driver
 
-    answer, driver = asyncio.run(main())
-    assert answer == model.Rejected(1.0) and not driver.event_queue.events
+    response, driver = asyncio.run(main())
+    assert response == model.Rejected(1.0)
+    assert not driver.event_queue.events
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -13,10 +13,10 @@
 
 @pytest.fixture
 def clock(monkeypatch):
-    at = [100.0]
+    now = [100.0]
     monkeypatch.setattr(events, "_windows", {})
-    monkeypatch.setattr(events.time, "monotonic", lambda: at[0])
-    yield at
+    monkeypatch.setattr(events.time, "monotonic", lambda: now[0])
+    yield now
     events.use_console()
 
 
@@ -27,7 +27,7 @@
     assert capsys.readouterr().err == "link: lost\nx listens\n"
 
 
-def test_json_lines_hold_the_fields_the_steady_time_and_the_instance(clock, capsys):
+def test_json_lines_hold_the_fields_the_monotonic_time_and_the_instance(clock, capsys):
     events.use_json("n3")
     events.log_event("link", "lost", engine=3)
     events.emit_event("ready", ready=True)
@@ -39,12 +39,13 @@
 
 
 @pytest.mark.parametrize("form", ["console", "json"])
-def test_a_kind_leaves_five_lines_in_a_span_and_then_how_many_were_left_out(clock, capsys, form):
+def test_a_kind_has_five_lines_in_a_window_and_then_the_number_left_out(clock, capsys, form):
     if form == "json":
         events.use_json("n")
-    for at in range(12):
-        events.log_event("flood", f"line {at}")
-        events.log_event("other", "one") if at == 0 else None
+    events.log_event("flood", "line 0")
+    events.log_event("other", "one")
+    for number in range(1, 12):
+        events.log_event("flood", f"line {number}")
     assert len(capsys.readouterr().err.splitlines()) == events.MAX_LINES_PER_KIND + 1
     clock[0] += events.RATE_WINDOW_SECONDS
     events.log_event("flood", "later")
@@ -52,7 +53,7 @@
     assert "7 more lines were left out" in left_out and "later" in later
 
 
-def test_the_form_is_named_or_refused(monkeypatch):
+def test_the_form_is_read_or_rejected(monkeypatch):
     assert not read_log_form({}, {})
     assert read_log_form({"log": "json"}, {}) and read_log_form({"log": "console"}, {"BALANCER_LOG": "json"})
     with pytest.raises(ConfigError, match="^log: console or json is needed, not 'yaml'$"):
@@ -65,18 +66,18 @@
 class ReentrantStream(io.StringIO):
     """Standard error in whose first write a garbage collection starts, and its callback logs."""
 
-    collected = False
+    has_collected = False
 
     def write(self, text):
-        if not self.collected:
-            self.collected = True
+        if not self.has_collected:
+            self.has_collected = True
             events.log_event("loop", "collecting took long")
         return super().write(text)
 
 
 @pytest.mark.parametrize("form", ["console", "json"])
-def test_a_line_that_is_asked_for_within_a_write_follows_it(clock, monkeypatch, form):
-    """The callback of a collection ran within a write, and waited for the lock that its own thread held."""
+def test_a_line_that_is_logged_within_a_write_follows_it(clock, monkeypatch, form):
+    """The callback of a collection may run within a write, and must not wait for its own thread's lock."""
     stream = ReentrantStream()
     monkeypatch.setattr(events.sys, "stderr", stream)
     if form == "json":
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -1,4 +1,4 @@
-"""Load reports between instances: the values, the traffic, and datagrams that are malformed."""
+"""Load reports between instances: values, traffic, malformed datagrams, and what decisions make of them."""
 
 import asyncio
 import socket
@@ -35,19 +35,21 @@
     return reports
 
 
-def report_datagram(one, now, engine, report):
-    """The datagram that an engine's report leads to."""
-    one.record_report(now, engine, report)
-    return one.next_datagram()
+def report_datagram(reports, now, engine, report):
+    """Return the datagram that an engine's report leads to, if any."""
+    reports.record_report(now, engine, report)
+    return reports.next_datagram()
 
 
-def dispatch_datagram(one, engine, threads):
-    one.record_dispatch(engine, threads)
-    return one.next_datagram()
+def dispatch_datagram(reports, engine, threads):
+    """Return the datagram that an attempt sent to an engine leads to, if any."""
+    reports.record_dispatch(engine, threads)
+    return reports.next_datagram()
 
 
 def test_reports_and_dispatches_share_a_datagram_and_arrive_as_they_were_sent():
-    here, there = load_reports(), load_reports()
+    here = load_reports()
+    there = load_reports()
     here.record_report(5.0, 1, (7.0, 0.5, 0.25))
     here.record_dispatch(2, 3)
     here.record_dispatch(2, 1)
@@ -58,12 +60,13 @@
 
 
 def test_a_datagram_stays_within_its_bound_whatever_is_pending():
-    one = load_reports(range(1, 400), price=0.0)
+    reports = load_reports(range(1, 400), price=0.0)
     for engine in range(1, 400):
-        one.record_dispatch(engine, 300)
-        one.record_report(0.0, engine, (1e9, 0.0, 0.0))
-    data = one.next_datagram()
-    assert len(data) <= MAX_DATAGRAM_BYTES and not one.has_pending()
+        reports.record_dispatch(engine, 300)
+        reports.record_report(0.0, engine, (1e9, 0.0, 0.0))
+    data = reports.next_datagram()
+    assert len(data) <= MAX_DATAGRAM_BYTES
+    assert not reports.has_pending()
     assert len(load_reports(range(1, 400)).receive(0.0, data)) > 15
 
 
@@ -75,48 +78,59 @@
 
 
 def test_a_peers_report_is_repeated_only_when_it_changed_or_is_old():
-    here, there = load_reports(), load_reports()
+    here = load_reports()
+    there = load_reports()
     there.receive(5.0, report_datagram(here, 5.0, 1, (8.0, 0.5, 0.5)))
-    for one in (here, there):
-        assert report_datagram(one, 5.2, 1, (9.0, 0.5, 0.5)) is None  # hardly another figure
-        assert report_datagram(one, 5.05, 1, (80.0, 0.5, 0.5)) is None  # too soon
-        assert report_datagram(one, 5.2, 2, (8.0, 0.5, 0.5)) is not None  # of another engine
+    for reports in (here, there):
+        assert report_datagram(reports, 5.2, 1, (9.0, 0.5, 0.5)) is None  # nearly the same figure
+        assert report_datagram(reports, 5.05, 1, (80.0, 0.5, 0.5)) is None  # too soon
+        assert report_datagram(reports, 5.2, 2, (8.0, 0.5, 0.5)) is not None  # of another engine
     assert report_datagram(here, 5.2, 1, (20.0, 0.5, 0.5)) is not None
     assert report_datagram(there, 5.0 + REFRESH_INTERVAL_SECONDS, 1, (8.0, 0.5, 0.5)) is not None
 
 
 @pytest.mark.parametrize("price", [0.0, 0.01, 0.1])
 def test_load_reports_cost_no_more_than_their_share(price):
-    one, charged, requests = load_reports(price=price), 0, 2_000
-    for at in range(requests):
-        one.record_dispatch(1, 1)
-        one.record_report(at * 1.0, 1, (at % 90, 0.0, 0.0))
-        charged += max(MIN_CHARGED_BYTES, len(data)) if (data := one.next_datagram()) else 0
+    reports = load_reports(price=price)
+    charged = 0
+    requests = 2_000
+    for number in range(requests):
+        reports.record_dispatch(1, 1)
+        reports.record_report(float(number), 1, (number % 90, 0.0, 0.0))
+        data = reports.next_datagram()
+        if data:
+            charged += max(MIN_CHARGED_BYTES, len(data))
     earned = requests * (0.03 / price * 256 / 39 if price else 2 * MIN_CHARGED_BYTES)
     assert 0 < charged <= MAX_BUDGET_BYTES + earned
 
 
 def test_the_share_of_dispatches_that_is_sent_stands_for_all_of_them():
-    one, there, sends = load_reports(price=0.05), load_reports(), 3_000
-    heard = 0
-    for _ in range(sends):
-        if one.record_dispatch(1, 2):
-            one.budget = MAX_BUDGET_BYTES
-            heard += sum(event.threads for event in there.receive(0.0, one.next_datagram()))
-    assert 0.1 < one.dispatch_share < 0.5 and heard == pytest.approx(2 * sends, rel=0.1)
-
-
-def test_a_mark_that_two_engines_share_counts_for_both_and_one_off_the_list_for_none():
-    twin = 1 ^ 0x00070007
-    assert engine_mark(twin) == engine_mark(1)
-    one = load_reports((1, twin))
-    data = dispatch_datagram(one, 1, 2)
-    assert [event.engine for event in one.receive(0.0, data)] == [1, twin]
-    report = report_datagram(one, 0.0, 1, (5.0, 0.0, 0.0))
-    one.set_engines((twin,))
-    assert [event.engine for event in one.receive(0.0, data)] == [twin] and not one.sent_reports
-    one.set_engines(())
-    assert one.receive(0.0, data) == one.receive(0.0, report) == [] and not one.sent_reports
+    here = load_reports(price=0.05)
+    there = load_reports()
+    dispatch_count = 3_000
+    received_threads = 0
+    for _ in range(dispatch_count):
+        if here.record_dispatch(1, 2):
+            here.budget = MAX_BUDGET_BYTES
+            received_threads += sum(event.threads for event in there.receive(0.0, here.next_datagram()))
+    assert 0.1 < here.dispatch_share < 0.5
+    assert received_threads == pytest.approx(2 * dispatch_count, rel=0.1)
+
+
+def test_a_mark_that_two_engines_share_counts_for_both_and_an_unlisted_one_for_none():
+    same_mark = 1 ^ 0x00070007
+    assert engine_mark(same_mark) == engine_mark(1)
+    reports = load_reports((1, same_mark))
+    dispatch = dispatch_datagram(reports, 1, 2)
+    assert [event.engine for event in reports.receive(0.0, dispatch)] == [1, same_mark]
+    report = report_datagram(reports, 0.0, 1, (5.0, 0.0, 0.0))
+    reports.set_engines((same_mark,))
+    assert [event.engine for event in reports.receive(0.0, dispatch)] == [same_mark]
+    assert not reports.sent_reports
+    reports.set_engines(())
+    assert reports.receive(0.0, dispatch) == []
+    assert reports.receive(0.0, report) == []
+    assert not reports.sent_reports
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
@@ -125,11 +139,11 @@
     | st.builds(lambda n, rest: HEADER.pack(2, n) + rest, st.integers(0, 90), st.binary(max_size=300))
 )
 def test_garbage_is_rejected_or_bounded(data):
-    one = load_reports()
+    reports = load_reports()
     try:
-        events = one.receive(1.0, data)
+        events = reports.receive(1.0, data)
     except LoadReportError:
-        assert not one.sent_reports
+        assert not reports.sent_reports
         return
     assert all(event.engine in (1, 2) and 0 <= event.threads <= 255 for event in events)
     assert all(0 <= event.report[0] <= 254 or event.report[0] == -1 for event in events if event.report)
@@ -140,7 +154,7 @@
     return Clocked(**(settings | more))
 
 
-def test_a_peers_report_counts_like_an_own_one_and_one_of_an_unknown_engine_is_ignored():
+def test_a_peers_report_counts_like_an_own_one_and_is_ignored_for_an_unknown_engine():
     d = controlled()
     d.give(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
     loads = [d.controller.load(engine) for engine in d.controller.engines.values()]
@@ -148,7 +162,7 @@
 
 
 def test_dispatches_of_peers_count_before_any_report_shows_them():
-    """All hear of the same idle engine, and would fill it in the time that its next report takes."""
+    """All instances see the same idle engine, and would fill it before its next report."""
     d = controlled()
     d.give(*(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,)))
     before = d.controller.load(d.controller.engines[1])
@@ -160,14 +174,14 @@
     assert d.controller.load(d.controller.engines[1]) < 1.0
 
 
-def test_a_new_engine_is_not_sent_at_once_what_all_had_earned_since_it_started():
-    """Forty that hear of it 3 s after its start would each have a first send free."""
-    sent = 0
+def test_a_new_engine_gets_no_burst_for_the_time_since_its_start():
+    """Each of forty instances that learn of it 3 s after its start could send a first request."""
+    send_count = 0
     for seed in range(40):
-        entry = api.EngineEntry(1, started=97.0)  # 3 s before the list tells of it
+        entry = api.EngineEntry(1, started=97.0)  # 3 s before it is listed
         d = controlled(entries=(entry,), seed=seed)
-        sent += len(of(api.Send, d.ask(0, work=0.3, tables=1.0)[1]))
-    assert sent == 0
+        send_count += len(of(api.Send, d.ask(0, work=0.3, tables=1.0)[1]))
+    assert send_count == 0
 
 
 def test_only_sends_that_attract_peers_are_announced():
@@ -178,7 +192,7 @@
         d.now += 0.1
         d.give(api.PeerLoadReport(1, (2.0,)), *(api.PeerLoadReport(number, (24.0,)) for number in (2, 3, 4)))
     sends = [of(api.Send, d.ask(0, work=0.1, tables=float(group))[1]) for group in range(12)]
-    assert {send.engine: send.announce for one in sends for send in one}[1]
+    assert {send.engine: send.announce for actions in sends for send in actions}[1]
 
 
 def test_an_even_stream_of_sends_makes_no_engine_look_fuller():
@@ -190,13 +204,13 @@
     assert after == pytest.approx(before, abs=0.2)
 
 
-def test_a_lying_peer_adds_no_more_than_the_bound_and_ejects_no_engine():
+def test_a_faulty_peer_adds_no_more_than_the_bound_and_ejects_no_engine():
     d = controlled()
     for _ in range(50):
         d.now += 0.02
         d.give(*(api.PeerLoadReport(1, (254.0,), 255) for _ in range(20)))
     assert d.controller.load(d.controller.engines[1]) <= 9.1
-    assert not any(e.trial or e.rest_until > d.now for e in d.controller.engines.values())
+    assert not any(engine.trial or engine.rest_until > d.now for engine in d.controller.engines.values())
     assert of(api.Send, d.ask(1, work=1.0, tables=1.0)[1])
 
 
@@ -209,8 +223,8 @@
     assert len(taken) > 1
 
 
-class Silent:
-    """A decision module that decides nothing and keeps its events."""
+class RecordingController:
+    """An admission controller that decides nothing and records its events."""
 
     def __init__(self):
         self.events = []
@@ -220,43 +234,47 @@
         return []
 
 
-def free():
+def free_address():
+    """Return an address on which a datagram socket can be bound."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()
 
 
-def test_load_reports_cross_the_socket_and_only_peers_are_heard():
+def test_load_reports_cross_the_socket_and_only_those_of_peers_are_accepted():
     async def main():
-        one, two, stranger = free(), free(), free()
-        module, counters = Silent(), Counters()
-        driver = EventLoopDriver(module, EnginePool(None, (), 0, counters), counters)
+        one = free_address()
+        two = free_address()
+        unknown = free_address()
+        controller = RecordingController()
+        counters = Counters()
+        driver = EventLoopDriver(controller, EnginePool(None, (), 0, counters), counters)
         ours = DatagramSocket(PeerAddresses(one, (one, two), two), 0, Counters())
         theirs = DatagramSocket(PeerAddresses(two, (one, two), one), 1, counters)
         here = LoadReportSender(ours, load_reports(), driver.clock, Counters())
         there = LoadReportSender(theirs, load_reports(), driver.clock, counters)
         LoadReportReceiver(ours, here.reports, driver, Counters())
         LoadReportReceiver(theirs, there.reports, driver, counters)
-        ours.start(), theirs.start()
+        ours.start()
+        theirs.start()
         here.on_engine_report(1, (7.0, 0.5, 0.25))
         here.on_dispatch(2, 3)
         here.on_dispatch(2, 1)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
-            other.bind(stranger)
+            other.bind(unknown)
             other.sendto(dispatch_datagram(load_reports(), 1, 9), two)
         ours.sock.sendto(b"garbage", two)
-        theirs.sock.sendto(
-            dispatch_datagram(load_reports(), 1, 9), two
-        )  # its own datagram, back from the address that reaches all
+        # Its own datagram comes back from the address that reaches all.
+        theirs.sock.sendto(dispatch_datagram(load_reports(), 1, 9), two)
         async with asyncio.timeout(10):
             while counters["news_heard"] < 1 or counters["news_unreadable"] < 2:
                 await asyncio.sleep(0)
             driver.submit(api.Timer(5))  # load reports alone do not start a batch
-            while not module.events:
+            while not controller.events:
                 await asyncio.sleep(0)
         for part in (here, there, ours, theirs):
             part.stop()
-        return module.events
+        return controller.events
 
     events = asyncio.run(main())
     assert events == [api.PeerLoadReport(2, (), 4), api.PeerLoadReport(1, (7.0, -1.0, -1.0)), api.Timer(5)]
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -1,4 +1,4 @@
-"""A list of a thousand engines, and what may happen to it: no error, no lost request, bounded work each."""
+"""A list of a thousand engines and its updates: no lost request, and bounded work for each request."""
 
 import pytest
 from helpers import Driver, of
@@ -13,9 +13,9 @@
 READY, GONE = api.State.READY, api.State.GONE
 
 
-def many(count=1000, **more):
+def driver_with_engines(count=1000, **more):
     return Driver(
-        entries=tuple(api.EngineEntry(n) for n in range(1, count + 1)),
+        entries=tuple(api.EngineEntry(engine) for engine in range(1, count + 1)),
         gateways=40,
         probe_price=0.08,
         may_probe=True,
@@ -24,10 +24,10 @@
     )
 
 
-def test_work_a_request_does_not_grow_with_the_list(monkeypatch):
-    looked = {}
+def test_the_work_for_a_request_does_not_grow_with_the_list(monkeypatch):
+    load_calls = {}
     for count in (8, 60, 1000):
-        d, calls = many(count), [0]
+        d, calls = driver_with_engines(count), [0]
         load = policy.AdmissionController.load
 
         def counted(self, engine, calls=calls, load=load):
@@ -38,12 +38,12 @@
         sends = [send for group in range(20) for send in of(api.Send, d.ask(0, tables=float(group))[1])]
         monkeypatch.setattr(policy.AdmissionController, "load", load)
         assert len(sends) == 20
-        looked[count] = calls[0]
-    assert looked[1000] <= 2 * looked[8]
+        load_calls[count] = calls[0]
+    assert load_calls[1000] <= 2 * load_calls[8]
 
 
-def test_a_list_emptied_and_filled_again_loses_no_request():
-    d = many()
+def test_no_request_is_lost_when_the_list_is_emptied_and_filled_again():
+    d = driver_with_engines()
     first = of(api.Send, d.ask(0, tables=1.0)[1])[0]
     d.give(api.EngineList((), whole=True))
     waiting, actions = d.ask(0, tables=1.0)
@@ -56,32 +56,32 @@
     assert not d.controller.held and len(d.controller.engines) == 1000
 
 
-def test_an_engine_that_comes_back_under_its_id_starts_anew_and_cold():
-    d = many(3)
+def test_an_engine_that_is_listed_again_starts_cold_and_without_history():
+    d = driver_with_engines(3)
     d.give(api.PeerLoadReport(1, (40.0,), 8))
     assert d.controller.load(d.controller.engines[1]) > 2
     d.now += 5.0
     d.give(api.EngineList((api.EngineEntry(1, state=GONE),)))
-    d.give(api.PeerLoadReport(1, (40.0,), 8))  # a peer whose list is older
+    d.give(api.PeerLoadReport(1, (40.0,), 8))  # from a peer with an older list
     assert 1 not in d.controller.engines
     d.give(api.EngineList((api.EngineEntry(1, started=d.now - 0.5),)))
     d.controller.siblings.clear()
     assert d.controller.load(d.controller.engines[1]) < 2 and d.controller.engines[1].warmth(d.now) < 0.5
 
 
-def test_an_event_told_twice_or_out_of_turn_changes_nothing():
-    told = []
-    feed = ControlFeed(0, AttributeNames(("z",), ("k",)), Counters(), told.append)
+def test_an_update_that_is_repeated_or_out_of_order_changes_nothing():
+    updates = []
+    feed = ControlFeed(0, AttributeNames(("z",), ("k",)), Counters(), updates.append)
     first = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
     late = EndpointUpdate(3, False, (Endpoint(api.EngineEntry(2), ("127.0.0.1", 2)),))
     feed.apply(first)
     feed.apply(first)
     with pytest.raises(FeedError, match="event 3 came after 1"):
         feed.apply(late)
-    assert told == [first] and feed.last_number == 1
+    assert updates == [first] and feed.last_number == 1
 
 
-def test_engines_that_swap_addresses_share_no_connection_with_those_before():
+def test_an_engine_at_the_address_of_a_former_one_replaces_it():
     pool = EnginePool(None, (), 8, Counters())
     pool.update(
         EndpointUpdate(1, True, tuple(Endpoint(api.EngineEntry(n), ("127.0.0.1", n)) for n in (1, 2)))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -1,4 +1,4 @@
-"""Random cuts of valid messages, and random garbage, against each parser."""
+"""Each parser, with valid messages split at random and with random garbage."""
 
 import json
 import struct
@@ -34,40 +34,46 @@
     return feed_codec.FRAME_HEADER.pack(9 + len(body), number, kind) + body
 
 
-ONE = (0xC41F7A, 0x0A010009, 7001, 1, 0, 1, 2, 4000, 1500)
-STREAM = frame(1, 1, ONE) + frame(1, 0) + frame(2, 2, ONE, (9, 1, 1, 2, 0, 0, 0, 0, 0))
+RECORD = (0xC41F7A, 0x0A010009, 7001, 1, 0, 1, 2, 4000, 1500)
+STREAM = frame(1, 1, RECORD) + frame(1, 0) + frame(2, 2, RECORD, (9, 1, 1, 2, 0, 0, 0, 0, 0))
 
 
 @given(st.lists(st.integers(0, len(STREAM))))
-def test_frames_in_any_cut_are_the_same(cuts):
-    frames, at = feed_codec.FrameDecoder(NAMES), [0, *sorted(cuts), len(STREAM)]
-    found = [change for start, end in zip(at, at[1:]) for change in frames.feed(STREAM[start:end])]
-    told = [(c.number, c.is_full, len(c.endpoints)) for c in found]
-    assert told == [(1, True, 1), (1, False, 0), (2, False, 2)]
-    member = found[0].endpoints[0]
-    assert member.address == ("10.1.0.9", 7001)
-    assert member.entry == api.EngineEntry(0xC41F7A, 0, 1, 2, 4.0, api.State.DRAINING, 1.5)
+def test_frames_are_the_same_however_the_stream_is_split(cuts):
+    decoder = feed_codec.FrameDecoder(NAMES)
+    bounds = [0, *sorted(cuts), len(STREAM)]
+    updates = [update for start, end in zip(bounds, bounds[1:]) for update in decoder.feed(STREAM[start:end])]
+    assert [(update.number, update.is_full, len(update.endpoints)) for update in updates] == [
+        (1, True, 1),
+        (1, False, 0),
+        (2, False, 2),
+    ]
+    endpoint = updates[0].endpoints[0]
+    assert endpoint.address == ("10.1.0.9", 7001)
+    assert endpoint.entry == api.EngineEntry(0xC41F7A, 0, 1, 2, 4.0, api.State.DRAINING, 1.5)
 
 
 @given(st.binary(max_size=200))
-def test_a_garbled_feed_is_an_error_or_incomplete(data):
-    frames = feed_codec.FrameDecoder(NAMES)
+def test_a_corrupt_feed_is_an_error_or_incomplete(data):
+    decoder = feed_codec.FrameDecoder(NAMES)
     try:
-        frames.feed(data)
+        decoder.feed(data)
     except feed_codec.FeedError:
         return
-    assert len(frames.buffer) <= len(data)
+    assert len(decoder.buffer) <= len(data)
 
 
-@pytest.mark.parametrize("bad", [frame(3, 2, ONE), frame(2, 0), b"\0\0\0\x08" + bytes(9), b"\xff" * 13])
-def test_a_gap_or_a_bad_frame_breaks_the_connection(bad):
-    told = []
-    follower = control_feed.ControlFeed(1, NAMES, Counters(), told.append)
+@pytest.mark.parametrize(
+    "invalid", [frame(3, 2, RECORD), frame(2, 0), b"\0\0\0\x08" + bytes(9), b"\xff" * 13]
+)
+def test_a_gap_or_a_bad_frame_breaks_the_connection(invalid):
+    updates = []
+    feed = control_feed.ControlFeed(1, NAMES, Counters(), updates.append)
     with pytest.raises(feed_codec.FeedError):
-        for change in feed_codec.FrameDecoder(NAMES).feed(bad):
-            follower.apply(change)
-    follower.apply(members.EndpointUpdate(1, False, ()))
-    assert told == [] and follower.last_number == 1
+        for update in feed_codec.FrameDecoder(NAMES).feed(invalid):
+            feed.apply(update)
+    feed.apply(members.EndpointUpdate(1, False, ()))
+    assert updates == [] and feed.last_number == 1
 
 
 @given(st.text(alphabet="'\"`-/*#\\\n._ a9", max_size=60))
@@ -85,7 +91,7 @@
         ("select 'it_1.x", 0),
     ],
 )
-def test_only_schemas_name_the_group(text, group):
+def test_only_schemas_determine_the_group(text, group):
     assert table_group(text.encode()) == group
 
 
@@ -96,20 +102,18 @@
 
 
 @given(st.sampled_from([*SCHEMA.classes, "other"]), st.lists(FIELDS | VALUES, max_size=3))
-def test_any_call_is_a_usable_request_or_a_named_fault(method, params):
+def test_any_call_is_a_valid_request_or_an_error_that_names_the_field(method, params):
     try:
         request = parse_request(SCHEMA, rpc.RequestCall(1, method, params), 1.0)
     except InvalidRequestError as error:
         assert str(error)
         return
-    assert (
-        0 <= request.timeout < float("inf")
-        and 0 <= request.order_key < 2**64
-        and 0 <= request.estimated_work < float("inf")
-    )
+    assert 0 <= request.timeout < float("inf")
+    assert 0 <= request.order_key < 2**64
+    assert 0 <= request.estimated_work < float("inf")
 
 
-def test_a_request_is_read_with_its_units():
+def test_a_request_is_parsed_with_its_units():
     fields = {
         "ref": "9b1f03aa5c7e2d41",
         "allow": "1500",
@@ -143,7 +147,7 @@
         ("project", 1),
     ],
 )
-def test_what_an_engine_would_misread_or_no_one_is_named_by_is_a_named_fault(field, value):
+def test_a_field_that_engines_would_misread_or_an_unknown_project_is_a_named_error(field, value):
     fields = {"ref": "9b1f03aa5c7e2d41", "allow": "1500", field: value}
     with pytest.raises(InvalidRequestError, match=field):
         parse_request(SCHEMA, rpc.RequestCall(1, "lookup", [fields, b"select 1 from air_4.x"]), 9.0)
@@ -159,7 +163,7 @@
         (Failed(), b"\x94\x01\x07\x92\xa5Error\x80\xc0"),
     ],
 )
-def test_each_response_has_its_bytes(response, data):
+def test_each_response_is_encoded_to_its_bytes(response, data):
     assert rpc.encode_response(7, response) == data
 
 
@@ -191,7 +195,7 @@
         rpc.check_message_id(message_id, last)
 
 
-ANSWERS = b"".join(
+REPLIES = b"".join(
     (
         resp.encode_array(b"a", b"HIT", b"sheets=1", b"x\ty\tz\n"),
         resp.encode_array(b"b", b"SHED", b"-", b""),
@@ -199,27 +203,30 @@
 )
 
 
-@given(st.lists(st.integers(0, len(ANSWERS))))
-def test_answers_in_any_cut_end_where_they_end(cuts):
-    data, ends, at = bytearray(), [], [0, *sorted(cuts), len(ANSWERS)]
-    for start, stop in zip(at, at[1:]):
-        data += ANSWERS[start:stop]
+@given(st.lists(st.integers(0, len(REPLIES))))
+def test_the_end_of_a_reply_is_found_however_the_stream_is_split(cuts):
+    data = bytearray()
+    found = []
+    bounds = [0, *sorted(cuts), len(REPLIES)]
+    for start, stop in zip(bounds, bounds[1:]):
+        data += REPLIES[start:stop]
         while end := resp.find_reply_end(data):
-            ends.append(bytes(data[:end]))
+            found.append(bytes(data[:end]))
             del data[:end]
-    assert b"".join(ends) == ANSWERS and len(ends) == 2
+    assert b"".join(found) == REPLIES
+    assert len(found) == 2
 
 
-@given(st.integers(0, len(ANSWERS) - 1), st.binary(min_size=1, max_size=30))
-def test_a_garbled_answer_is_an_error_or_not_whole_or_one_that_the_parser_reads(at, noise):
-    data = bytearray(ANSWERS[:at] + noise + ANSWERS[at:])
+@given(st.integers(0, len(REPLIES) - 1), st.binary(min_size=1, max_size=30))
+def test_a_corrupt_reply_is_an_error_or_incomplete_or_valid(position, noise):
+    data = bytearray(REPLIES[:position] + noise + REPLIES[position:])
     try:
         end = resp.find_reply_end(data)
     except ValueError:
         return
     reader = hiredis.Reader()
     reader.feed(bytes(data[:end]))
-    assert not end or [type(word) for word in reader.gets()] == [bytes] * 4
+    assert not end or [type(part) for part in reader.gets()] == [bytes] * 4
 
 
 @given(st.binary(max_size=80))
@@ -229,12 +236,12 @@
     assert len(report) in (0, 2) and all(value >= 0 or value == -1 for value in report)
 
 
-def test_a_report_is_read_by_either_name():
+def test_a_column_of_a_report_is_read_by_either_of_its_names():
     fields = resp.parse_fields(b"toil=3,rep=inflight:7;cpu:0.61")
     assert resp.parse_load_report(fields, ("active", "cpu", "x1")) == (7.0, 0.61, -1.0)
 
 
-def test_a_message_without_end_is_refused():
+def test_a_message_with_too_many_items_is_rejected():
     unpacker = msgpack.Unpacker(max_array_len=64)
     unpacker.feed(struct.pack(">BI", 0xDD, 2**32 - 1))
     with pytest.raises(ValueError):
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -91,16 +91,16 @@
 def test_all_instances_keep_the_connect_rate_from_the_first_second_and_after_a_break(instances):
     engines, rate = set(range(1, 31)), 20.0
     schedules = [ConnectSchedule(rate, instances, me) for me in range(instances)]
-    begun = {engine: [] for engine in engines}
+    connected_at = {engine: [] for engine in engines}
 
     def open_all(start):
-        """Each opens what it may as soon as it may, for two rounds."""
+        """Let each instance connect to all engines as early as it may, for two rounds."""
         for schedule in schedules:
             for engine in engines:
                 for _ in range(2):
                     at = max(start, schedule.allowed_from[engine])
                     assert schedule.may_connect(engine, at)
-                    begun[engine].append(at)
+                    connected_at[engine].append(at)
                     schedule.record_connect(engine, at)
 
     for schedule in schedules:
@@ -110,7 +110,7 @@
         for engine in engines:
             schedule.record_disconnect(engine, 1000.0)
     open_all(1000.0)
-    assert max(max_in_window(times, 1.0) for times in begun.values()) <= rate
+    assert max(max_in_window(times, 1.0) for times in connected_at.values()) <= rate
 
 
 def test_a_small_fleet_connects_without_delay():
@@ -122,34 +122,37 @@
 
 
 def fleet_after_a_break(random, count=100, away=1.0):
-    """Watchers of one service that is away for a while; when their connections came after its return. What
-    differs between them is their random numbers alone."""
-    back, found = 100.0 + away, []
+    """Return when each of many watchers reconnects to a service that is unavailable for `away` seconds.
+
+    The watchers differ in their random numbers only.
+    """
+    available_at = 100.0 + away
+    reconnected_at = []
     for number in range(count):
-        it = RegistryWatcher(3, EndpointTable(AttributeNames(("a",), ("std",))), random=random(number))
-        it.watched_list.revision = 10
-        it.pacer.guard.proven = True
-        now, commands = 100.0, it.on_tick(100.0)
+        watcher = RegistryWatcher(3, EndpointTable(AttributeNames(("a",), ("std",))), random=random(number))
+        watcher.watched_list.revision = 10
+        watcher.pacer.guard.proven = True
+        now, commands = 100.0, watcher.on_tick(100.0)
         for _ in range(1000):
-            if commands and now >= back:
-                found.append(now)
+            if commands and now >= available_at:
+                reconnected_at.append(now)
                 break
-            commands = it.on_disconnected(now, it.session.session_id) if it.session else []
-            if it.session is None:
-                now = it.sessions.reconnect_at
-                commands = it.on_tick(now)
+            commands = watcher.on_disconnected(now, watcher.session.session_id) if watcher.session else []
+            if watcher.session is None:
+                now = watcher.sessions.reconnect_at
+                commands = watcher.on_tick(now)
         else:
-            raise AssertionError("never came back")
-    return found
+            raise AssertionError("never reconnected")
+    return reconnected_at
 
 
-class Same(Random):
-    """The planted fault: no jitter."""
+class ConstantRandom(Random):
+    """A random source without jitter, as a planted fault."""
 
     def random(self):
         return 0.7
 
 
-def test_after_a_break_all_come_back_spread_out_and_without_jitter_the_check_fails():
+def test_after_a_break_all_reconnect_spread_out_and_without_jitter_the_check_fails():
     assert max_in_window(fleet_after_a_break(Random), 0.1) <= 35
-    assert max_in_window(fleet_after_a_break(lambda number: Same()), 0.1) == 100
+    assert max_in_window(fleet_after_a_break(lambda number: ConstantRandom()), 0.1) == 100
