--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -74,9 +74,7 @@
         self.ejection_control = EjectionControl(
             listen_address, self.endpoints, self.pool, self.driver, self.counters
         )
-        self.operator_target = OperatorTarget(
-            self.server, self.metrics, self.ejection_control, self.update_readiness
-        )
+        self.operator_target = self._create_operator_target()
         self.membership = self._create_membership()
         self.control_feed = self._create_control_feed()
         self.source: EndpointSource = self.registry or self.control_feed
@@ -134,6 +132,9 @@
             metrics=self.metrics,
         )
 
+    def _create_operator_target(self) -> OperatorTarget:
+        return OperatorTarget(self.server, self.metrics, self.ejection_control, self.update_readiness)
+
     def _create_membership(self) -> MembershipRunner | None:
         if self.config.membership is None:
             return None
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -37,12 +37,11 @@
     admin_listener = None if config.admin_address is None else listen(config.admin_address, shared=False)
     host, port = listener.getsockname()
     application = Application(config, (host, port))
-    application.server.arrival_source.read_up_to = started_at  # no one can have come before
     _install_signal_handlers(application)
     application.start()
     loop = asyncio.get_running_loop()
     loop.call_later(COUNTERS_INTERVAL_SECONDS, application.dump_counters_regularly)
-    application.server.start(listener)
+    application.server.start(listener, started_at)
     admin_task = None if admin_listener is None else _serve_operators(application, admin_listener)
     _finish_start(application, start)
     line = f"{config.name} listens on {host}:{port}"
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+from math import inf
 
 from .. import api
 from ..admin.draining import ACCEPT_SECONDS
@@ -76,8 +77,14 @@
     def is_ready(self, is_ready: bool) -> None:
         self._context.is_ready = is_ready
 
-    def start(self, listener: socket.socket) -> None:
-        """Accept the connections of a non-blocking listening socket, which the server closes."""
+    def start(self, listener: socket.socket, listening_since: float = -inf) -> None:
+        """Accept the connections of a non-blocking listening socket, which the server closes.
+
+        Args:
+            listener: The listening socket.
+            listening_since: No connection can have arrived before this time, by the driver's clock.
+        """
+        self.arrival_source.read_up_to = listening_since
         self._accept_task = asyncio.create_task(self._accept_connections(listener))
 
     async def _accept_connections(self, listener: socket.socket) -> None:
