--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -120,11 +120,7 @@
         Guards the grace period of a drain against commands that wait for the connection or behind a full
         socket: a command that is being written leaves soon, or the connection is closed.
         """
-        for attempt in list(self.streams.attempts.values()):
-            if attempt.is_cancelled:
-                continue
-            if attempt.message is None or self.write_queue.withdraw(attempt.message):
-                attempt.finish(AttemptFailed(Progress.NOT_SENT, Result.MOOT))
+        self.streams.withdraw_unsent(self.write_queue)
         if self.write_queue.pending_bytes:
             loop = asyncio.get_running_loop()
             wait = self.pool.limits.drain_grace / 2
@@ -216,11 +212,7 @@
         if self.is_connected and self.streams.attempts:
             # A retry on another connection must not overtake the end of this one.
             await asyncio.sleep(CANCEL_SETTLE_SECONDS)
-        for attempt in list(self.streams.attempts.values()):
-            attempt.finish(attempt.result_after_disconnect())
-        result = Result.RESET if self.was_connected else Result.CONNECT_FAILED
-        for tag in list(self.streams.probes):
-            self.finish_probe(tag, result)
+        self.streams.finish_all(Result.RESET if self.was_connected else Result.CONNECT_FAILED)
 
     async def _connect(self) -> None:
         timeout = self.pool.limits.connect_timeout
--- a/applevale/engines/streams.py
+++ b/applevale/engines/streams.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from ..api import Result
+from ..net.write_queue import WriteQueue
 from . import resp
-from .attempt import Attempt
+from .attempt import Attempt, AttemptFailed, Progress
 
 ProbeCallback = Callable[[Result, resp.LoadReport], None]
 
@@ -47,10 +48,25 @@
             del self.attempts[attempt.spec.request_id]
         self.is_exclusive = self.is_exclusive and bool(self.attempts)
 
-    def finish_probe(self, tag: bytes, result: Result, report: resp.LoadReport) -> bool:
+    def finish_probe(self, tag: bytes, result: Result, report: resp.LoadReport = ()) -> bool:
         """Give a probe or ping its result; return False if it had one before."""
         on_result = self.probes.pop(tag, None)
         if on_result is None:
             return False
         on_result(result, report)
         return True
+
+    def withdraw_unsent(self, write_queue: WriteQueue) -> None:
+        """Fail the attempts whose commands are not being written yet, and take these from the queue."""
+        for attempt in list(self.attempts.values()):
+            if attempt.is_cancelled:
+                continue
+            if attempt.message is None or write_queue.withdraw(attempt.message):
+                attempt.finish(AttemptFailed(Progress.NOT_SENT, Result.MOOT))
+
+    def finish_all(self, probe_result: Result) -> None:
+        """End all attempts by what the end of their connection proves, and all probes with `probe_result`."""
+        for attempt in list(self.attempts.values()):
+            attempt.finish(attempt.result_after_disconnect())
+        for tag in list(self.probes):
+            self.finish_probe(tag, probe_result)
