--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -106,33 +106,37 @@
     assert resp.encode_execute_fields(*arguments) == fields
 
 
-def test_a_result_of_several_pages_is_fetched_at_once_and_put_together_in_order():
+def test_a_result_of_several_pages_is_fetched_at_once_and_assembled_in_order():
     results = []
-    one = attempt.Attempt(attempt.AttemptSpec(b"7", "read", b"", 1.0, 1.0), results.append)
-    one.connection, one.message = FakeConnection(), QueuedMessage(b"", write_started=True)
+    running = attempt.Attempt(attempt.AttemptSpec(b"7", "read", b"", 1.0, 1.0), results.append)
+    running.connection = FakeConnection()
+    running.message = QueuedMessage(b"", write_started=True)
     fields = {"sheets": "3", "toil": "1500", "room": "4"}
-    one.handle_reply(resp.Reply(b"7", resp.REPLY_RESULT, fields, b"a\tb\tc\n"), (2.0,))
-    assert one.connection.commands == [(b"turn", b"7", b"1"), (b"turn", b"7", b"2")]
+    running.handle_reply(resp.Reply(b"7", resp.REPLY_RESULT, fields, b"a\tb\tc\n"), (2.0,))
+    assert running.connection.commands == [(b"turn", b"7", b"1"), (b"turn", b"7", b"2")]
     for page in (2, 1, 1):
         rows = b"%d\tb\tc\n" % page
-        one.handle_reply(resp.Reply(b"7", resp.REPLY_PAGE, {"sheet": str(page)}, rows), ())
+        running.handle_reply(resp.Reply(b"7", resp.REPLY_PAGE, {"sheet": str(page)}, rows), ())
     expected = attempt.AttemptSucceeded(b"a\tb\tc\n1\tb\tc\n2\tb\tc\n", 1.5, 4.0, (2.0,))
     assert results == [expected]
 
 
 def test_a_result_beyond_the_bound_is_released_and_fails():
     results = []
-    one = attempt.Attempt(attempt.AttemptSpec(b"7", "read", b"", 1.0, 1.0), results.append)
-    one.connection, one.message = FakeConnection(), QueuedMessage(b"", write_started=True)
-    one.connection.write_queue = one.connection
-    one.connection.withdraw = lambda message: False
+    running = attempt.Attempt(attempt.AttemptSpec(b"7", "read", b"", 1.0, 1.0), results.append)
+    running.connection = FakeConnection()
+    running.message = QueuedMessage(b"", write_started=True)
+    running.connection.write_queue = running.connection
+    running.connection.withdraw = lambda message: False
     rows = b"a\tb\tc\n" * (attempt.MAX_RESULT_BYTES // 6 + 1)
 
     async def test(loop):
-        one.handle_reply(resp.Reply(b"7", resp.REPLY_RESULT, {"sheets": "1"}, rows), ())
+        running.handle_reply(resp.Reply(b"7", resp.REPLY_RESULT, {"sheets": "1"}, rows), ())
 
     run(test)
-    assert one.is_cancelled and one.connection.commands == [(b"shut", b"7")] and results == []
+    assert running.is_cancelled
+    assert running.connection.commands == [(b"shut", b"7")]
+    assert results == []
 
 
 def test_a_silent_connection_is_pinged_and_closed_without_a_reply():
@@ -167,7 +171,7 @@
     run(test)
 
 
-def test_a_loop_that_stood_still_proves_nothing_about_a_connection():
+def test_a_stalled_loop_proves_nothing_about_a_connection():
     async def test(loop):
         connection = FakeConnection()
         monitor = LivenessMonitor(connection)
@@ -196,16 +200,17 @@
 
 
 class PacedEngine:
-    """A pool with one engine whose connections are paced, and what is shown of the engine."""
+    """A pool with one engine whose connections are paced, and the updates that the policy gets."""
 
     def __init__(self, loop):
         self.schedule = ConnectSchedule(20.0, 40, 3)
         self.endpoints = GatedEndpoints()
-        self.shown, self.changed_at = [], []
+        self.submitted = []
+        self.changed_at = []
         self.pacer = ConnectPacer(
             self.schedule,
             self.endpoints,
-            self.shown.append,
+            self.submitted.append,
             lambda: self.changed_at.append(loop.now),
         )
         limits = ConnectionLimits(32, 15.0, 5.0)
@@ -217,7 +222,7 @@
         self.pacer.on_list_change(self.pool.listed_engines(), self.pool.connected_engines())
 
     def shown_states(self):
-        return [one.entries[0].state for one in self.shown]
+        return [update.entries[0].state for update in self.submitted]
 
 
 def test_an_engine_is_shown_as_not_ready_until_a_connection_to_it_may_be_opened():
@@ -228,7 +233,7 @@
         assert wait > 0.1 and not paced.pool.connect_policy.may_connect(1)
         assert paced.endpoints.apply_update(paced.update).entries[0].state is api.State.DRAINING
         await advance(loop, wait / 2)
-        assert not paced.shown and not paced.changed_at
+        assert not paced.submitted and not paced.changed_at
         await advance(loop, wait / 2)
         assert paced.shown_states() == [api.State.READY]
         assert paced.changed_at == [loop.now] and paced.pool.connect_policy.may_connect(1)
@@ -243,7 +248,7 @@
         paced.endpoints.apply_update(paced.update)
         await advance(loop, paced.schedule.slot_offset(1))
         paced.pool.connect_policy.record_connect(1)
-        paced.shown.clear()
+        paced.submitted.clear()
         paced.pool.connect_policy.record_disconnect(1)
         assert paced.shown_states() == [api.State.DRAINING] and not paced.pool.connect_policy.may_connect(1)
         await advance(loop, paced.schedule.allowed_from[1] - loop.now)
