--- a/applevale/engines/connection.py
+++ b/applevale/engines/connection.py
@@ -14,6 +14,7 @@
 from . import resp
 from .attempt import CANCEL_SETTLE_SECONDS, Attempt, AttemptFailed, Progress
 from .liveness import LivenessMonitor
+from .streams import ProbeCallback, StreamTable, ignore_probe_result
 from .transport import EngineTransport
 
 if TYPE_CHECKING:
@@ -25,8 +26,6 @@
 REPLY_COUNTERS = {status: f"engine_{status.decode()}" for status in resp.REPLY_STATUSES}
 PROBE_RESULTS = {resp.REPLY_PONG: Result.OK, resp.REPLY_REJECTED: Result.FULL}
 
-ProbeCallback = Callable[[Result, resp.LoadReport], None]
-
 
 class EngineConnection:
     """A connection to one engine.
@@ -35,21 +34,18 @@
     carries gets its result.
 
     Attributes:
-        attempts: The attempts that it carries by their request ids, in order.
-        probes: Callbacks of the probes and pings without a reply, by their tags.
+        streams: The attempts and probes that it carries.
         is_connected: It was established.
         was_connected: The engine was reached: it was established, or reset while that went on.
-        is_closed: Its end has begun; nothing may be added to it.
+        is_closed: It is being closed; nothing may be added to it.
         is_draining: It takes no further attempt or probe.
-        is_exclusive: It carries an attempt that must not execute twice, and takes nothing beside it.
     """
 
     def __init__(self, engine: Engine) -> None:
         """Begin to connect to an engine."""
         self.engine = engine
         self.pool = engine.pool
-        self.attempts: dict[bytes, Attempt] = {}
-        self.probes: dict[bytes, ProbeCallback] = {}
+        self.streams = StreamTable()
         self.transport = EngineTransport(self.close)
         self.write_queue = self.transport.write_queue
         self.liveness = LivenessMonitor(self)
@@ -57,22 +53,22 @@
         self.was_connected = False
         self.is_closed = False
         self.is_draining = False
-        self.is_exclusive = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task | None = asyncio.create_task(self._run())
 
     @property
     def stream_count(self) -> int:
         """Number of attempts and probes that it carries."""
-        return len(self.attempts) + len(self.probes)
+        return len(self.streams)
 
     def accepts(self, request_id: bytes) -> bool:
         """Return whether one more attempt may be added; an empty `request_id` stands for a probe."""
+        streams = self.streams
         return (
-            not (self.is_closed or self.is_draining or self.is_exclusive)
-            and self.liveness.ping_tag not in self.probes
-            and self.stream_count < self.pool.limits.max_attempts
-            and request_id not in self.attempts
+            not (self.is_closed or self.is_draining or streams.is_exclusive)
+            and self.liveness.ping_tag not in streams.probes
+            and len(streams) < self.pool.limits.max_attempts
+            and request_id not in streams.attempts
         )
 
     def is_reusable(self) -> bool:
@@ -90,22 +86,19 @@
     def send_attempt(self, attempt: Attempt) -> None:
         """Carry an attempt; its command is written at once, or when the connection is established."""
         attempt.connection = self
-        self.attempts[attempt.spec.request_id] = attempt
-        self.is_exclusive |= attempt.spec.exclusive
+        self.streams.add_attempt(attempt)
         self._mark_busy()
         if self.is_connected:
             self._send_execute(attempt)
 
     def remove_attempt(self, attempt: Attempt) -> None:
-        """Carry an attempt no longer: it has its result."""
-        if self.attempts.get(attempt.spec.request_id) is attempt:
-            del self.attempts[attempt.spec.request_id]
-        self.is_exclusive = self.is_exclusive and bool(self.attempts)
+        """Stop carrying an attempt that has its result."""
+        self.streams.remove_attempt(attempt)
         self._start_idle_timer()
 
     def probe(self, tag: bytes, on_result: ProbeCallback) -> None:
         """Ask the engine for its load; `on_result` is called once."""
-        self.probes[tag] = on_result
+        self.streams.probes[tag] = on_result
         self._mark_busy()
         if self.is_connected:
             self.send_command(resp.CMD_REPORT_LOAD, tag)
@@ -113,27 +106,21 @@
     def ping(self, tag: bytes) -> None:
         """Ask the engine whether it still replies on this connection."""
         self.pool.counters["links_checked"] += 1
-        self.probes[tag] = lambda result, report: None
+        self.streams.probes[tag] = ignore_probe_result
         self.send_command(resp.CMD_PING, tag)
 
     def finish_probe(self, tag: bytes, result: Result, report: resp.LoadReport = ()) -> None:
         """Give a probe or ping its result, unless it had one before."""
-        on_result = self.probes.pop(tag, None)
-        if on_result is not None:
-            on_result(result, report)
+        if self.streams.finish_probe(tag, result, report):
             self._start_idle_timer()
 
     def withdraw_unsent(self) -> None:
-        """Fail the attempts whose commands were not begun: the engine takes nothing new.
+        """Fail the attempts whose commands are not being written yet: the engine takes nothing new.
 
         Guards the grace period of a drain against commands that wait for the connection or behind a full
-        socket: what was begun leaves soon, or the connection is closed.
+        socket: a command that is being written leaves soon, or the connection is closed.
         """
-        for attempt in list(self.attempts.values()):
-            if attempt.is_cancelled:
-                continue
-            if attempt.message is None or self.write_queue.withdraw(attempt.message):
-                attempt.finish(AttemptFailed(Progress.NOT_SENT, Result.MOOT))
+        self.streams.withdraw_unsent(self.write_queue)
         if self.write_queue.pending_bytes:
             loop = asyncio.get_running_loop()
             wait = self.pool.limits.drain_grace / 2
@@ -146,7 +133,7 @@
         self._start_idle_timer()
 
     def close(self, reason: str) -> None:
-        """Begin the connection's end; what it carries gets its results shortly after."""
+        """Begin to close the connection; what it carries gets its results shortly after."""
         if self.is_closed:
             return
         self.is_closed = True
@@ -190,7 +177,7 @@
             spec.request_id,
             fields,
             spec.statement,
-            on_written=lambda: self.pool.on_attempt_written(spec.class_name),
+            on_written=lambda: self.pool.observer.on_attempt_written(spec.class_name),
         )
 
     async def _run(self) -> None:
@@ -216,19 +203,16 @@
     def _leave_pool(self) -> None:
         self.engine.connections.remove(self)
         if not self.engine.connections:
-            self.pool.on_disconnected(self.engine.engine_id)
+            self.pool.connect_policy.record_disconnect(self.engine.engine_id)
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         self.liveness.close()
 
     async def _finish_streams(self) -> None:
-        if self.is_connected and self.attempts:  # the engine hears of the end before anyone tries again
+        if self.is_connected and self.streams.attempts:
+            # A retry on another connection must not overtake the end of this one.
             await asyncio.sleep(CANCEL_SETTLE_SECONDS)
-        for attempt in list(self.attempts.values()):
-            attempt.finish(attempt.result_after_disconnect())
-        result = Result.RESET if self.was_connected else Result.CONNECT_FAILED
-        for tag in list(self.probes):
-            self.finish_probe(tag, result)
+        self.streams.finish_all(Result.RESET if self.was_connected else Result.CONNECT_FAILED)
 
     async def _connect(self) -> None:
         timeout = self.pool.limits.connect_timeout
@@ -240,23 +224,27 @@
         self.is_connected = True
         self.was_connected = True
         self.pool.counters["links_opened"] += 1
-        for attempt in list(self.attempts.values()):
+        for attempt in list(self.streams.attempts.values()):
             self._send_execute(attempt)
-        for tag in self.probes:
+        for tag in self.streams.probes:
             self.send_command(resp.CMD_REPORT_LOAD, tag)
         self._start_idle_timer()
 
     def _handle_reply(self, reply: resp.Reply) -> None:
-        """Pass a reply on to whom it belongs; raises CorruptReplyError, which ends the connection."""
+        """Pass a reply on to the attempt or probe that it answers.
+
+        Raises:
+            CorruptReplyError: The reply is not valid, which ends the connection.
+        """
         self.liveness.last_active_at = asyncio.get_running_loop().time()
         report = resp.parse_load_report(reply.fields, self.pool.report_columns)
         if report:
-            self.pool.on_load_report(self.engine.engine_id, report)
+            self.pool.observer.on_load_report(self.engine.engine_id, report)
         self.pool.counters[REPLY_COUNTERS[reply.status]] += 1
-        if reply.tag in self.probes:
+        if reply.tag in self.streams.probes:
             self.finish_probe(reply.tag, PROBE_RESULTS.get(reply.status, Result.ERROR), report)
             return
-        attempt = self.attempts.get(reply.tag)
+        attempt = self.streams.attempts.get(reply.tag)
         if attempt is not None and attempt.message is not None and not attempt.is_cancelled:
             attempt.handle_reply(reply, report)
         # Else it crossed the cancel command, or is a copy, or of no request.
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -12,9 +12,11 @@
     DEADLINE_MARGIN_SECONDS,
     DeadlineReached,
     DiscoveryStale,
+    DispatchListener,
     InboxEvent,
     RequestContext,
     RequestEnvironment,
+    ignore_dispatch,
 )
 from .model import Rejected, Request, Response
 
@@ -29,10 +31,25 @@
         active: The requests without a response.
     """
 
-    def __init__(self, driver: EventLoopDriver, pool: EnginePool, settings: api.Settings, counters: Counters):
-        """Handle requests with the decision module behind `driver` and the engines of `pool`."""
+    def __init__(
+        self,
+        driver: EventLoopDriver,
+        pool: EnginePool,
+        settings: api.Settings,
+        counters: Counters,
+        on_dispatch: DispatchListener = ignore_dispatch,
+    ):
+        """Handle requests with the decision module behind `driver` and the engines of `pool`.
+
+        Args:
+            driver: Takes events to the decision module, and has the clock.
+            pool: The engines.
+            settings: The settings of the deployment.
+            counters: Counts of outcomes.
+            on_dispatch: Called with the attempts to share with other instances.
+        """
         self.active: set[RequestContext] = set()
-        self._environment = RequestEnvironment(driver, pool, settings, counters)
+        self._environment = RequestEnvironment(driver, pool, settings, counters, on_dispatch)
         self._driver = driver
         self._counters = counters
         # Requests with an order key, and their numbers, until their responses are delivered.
@@ -43,7 +60,7 @@
     async def handle(self, request: Request) -> Response:
         """Return the response to a request; the task is cancelled when the client has gone."""
         if request.order_key:
-            await self._driver.order_known.wait()
+            await self._driver.stall_monitor.order_known.wait()
         if not self._may_admit(request):
             return self.reject()
         context = RequestContext(self._environment, request)
@@ -110,7 +127,7 @@
 
     def finish_all(self) -> None:
         """Respond to all active requests now, also to those that wait for the order of their key."""
-        self._driver.order_known.set()
+        self._driver.stall_monitor.order_known.set()
         self._notify_active(DeadlineReached)
 
     def _notify_active(self, signal: type[InboxEvent]) -> None:
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -34,22 +34,16 @@
     """
     started_at = time.time()
     listener = listen(config.listen, shared=True)
-    admin_listener = None if config.control is None else listen(config.control, shared=False)
+    admin_listener = None if config.admin_address is None else listen(config.admin_address, shared=False)
     host, port = listener.getsockname()
     application = Application(config, (host, port))
-    application.server.arrival_source.read_up_to = started_at  # no one can have come before
     _install_signal_handlers(application)
     application.start()
     loop = asyncio.get_running_loop()
     loop.call_later(COUNTERS_INTERVAL_SECONDS, application.dump_counters_regularly)
-    application.server.start(listener)
-    admin_task = None
-    if admin_listener is not None:
-        admin_task = _serve_operators(application, admin_listener)
-    tune_garbage_collector()
-    _record_start(application.counters, start)
-    if signal.SIGHUP in start.early_signals:
-        application.reloader.reload()
+    application.server.start(listener, started_at)
+    admin_task = None if admin_listener is None else _serve_operators(application, admin_listener)
+    _finish_start(application, start)
     line = f"{config.name} listens on {host}:{port}"
     log_unlimited("listening", line, host=host, port=port, pid=os.getpid())
     try:
@@ -76,12 +70,20 @@
     """Serve the operators' calls in a task of their own, and watch for ejections by another process."""
     from ..admin.server import AdminServer  # its library costs memory and time at every start
 
-    server = AdminServer(application, application.counters, application.descriptors.admin)
+    server = AdminServer(application.operator_target, application.counters, application.descriptors.admin)
     task = asyncio.create_task(server.serve(listener))
     application.ejection_control.watch()
     return task
 
 
+def _finish_start(application: Application, start: StartRecord) -> None:
+    """Tune the collector for the running process, and handle a reload that was asked for meanwhile."""
+    tune_garbage_collector()
+    _record_start(application.counters, start)
+    if signal.SIGHUP in start.early_signals:
+        application.reloader.reload()
+
+
 def _record_start(counters: Counters, start: StartRecord) -> None:
     """Count the CPU of the start by part; on a share of a core the wall clock could be any multiple of it."""
     now = time.process_time()
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+from math import inf
 
 from .. import api
 from ..admin.draining import ACCEPT_SECONDS
@@ -16,6 +17,7 @@
 from ..requests.handler import RequestHandler
 from .connection_table import ConnectionTable
 from .context import ServerContext
+from .limits import ServerLimits
 from .request_parser import RequestSchema
 from .rpc_connection import RpcConnection
 
@@ -35,9 +37,9 @@
         handler: RequestHandler,
         driver: EventLoopDriver,
         settings: api.Settings,
-        max_connections: int,
-        max_buffered_bytes: int,
+        limits: ServerLimits,
         counters: Counters,
+        *,
         metrics: Metrics | None = None,
     ):
         """Create a server that does not accept connections yet.
@@ -46,12 +48,11 @@
             handler: Returns the response to each request.
             driver: Has the clock, and the order of arrivals.
             settings: The classes and tenants that requests may name.
-            max_connections: Number of connections at a time.
-            max_buffered_bytes: Bytes of messages, statements and responses, over all connections.
+            limits: What is held at a time, over all connections.
             counters: Counts of what comes in and goes out.
             metrics: Counts of responses for operators.
         """
-        self.connections = ConnectionTable(max_connections, max_buffered_bytes, counters)
+        self.connections = ConnectionTable(limits.max_connections, limits.max_buffered_bytes, counters)
         self.arrival_source = Source()
         self._context = ServerContext(
             handler, driver, RequestSchema.from_settings(settings), self.connections, counters, metrics
@@ -60,7 +61,7 @@
         self._counters = counters
         self._listener: socket.socket | None = None
         self._accept_task: asyncio.Task | None = None
-        driver.source_listings.append(self.readable_sources)
+        driver.stall_monitor.source_listings.append(self.readable_sources)
 
     @property
     def open_requests(self) -> int:
@@ -76,8 +77,14 @@
     def is_ready(self, is_ready: bool) -> None:
         self._context.is_ready = is_ready
 
-    def start(self, listener: socket.socket) -> None:
-        """Accept the connections of a non-blocking listening socket, which the server closes."""
+    def start(self, listener: socket.socket, listening_since: float = -inf) -> None:
+        """Accept the connections of a non-blocking listening socket, which the server closes.
+
+        Args:
+            listener: The listening socket.
+            listening_since: No connection can have arrived before this time, by the driver's clock.
+        """
+        self.arrival_source.read_up_to = listening_since
         self._accept_task = asyncio.create_task(self._accept_connections(listener))
 
     async def _accept_connections(self, listener: socket.socket) -> None:
@@ -124,7 +131,7 @@
         self._counters["connections"] += 1
         now = asyncio.get_running_loop().time()
         self.connections.make_room(now)
-        polled_at = self._driver.arrival_order.polled_at
+        polled_at = self._driver.stall_monitor.arrival_order.polled_at
         arrived_since = self.arrival_source.record_read(wait_started_at, polled_at, is_queue_empty)
         connection = RpcConnection(self._context, sock, arrived_since)
         self.connections.add(connection, asyncio.create_task(connection.run()), now)
