Registry watcher: failover, request scheduling and session state in modules of their own

The watcher was one class of 288 lines that also decided timeouts, takeovers and repetitions of throttled requests; sessions.py and pacing.py held three or four concerns each.

FailoverController ends sessions and compares the standby session, RequestScheduler sends and repeats requests, ListSynchronizer keeps the list. sessions.py is session_state.py, member_rotation.py and session_supervisor.py; pacing.py keeps RequestPacer, with watcher_config.py, loop_lag.py and standby_limiter.py beside it. Parameters that all events share are described once, in the class. The planted faults patch the same decisions at their new places.

--- /dev/null
+++ b/applevale/discovery/registry/loop_lag.py
@@ -0,0 +1,49 @@
+"""Detection of an event loop that runs late.
+
+No I/O and no clock: callers pass the time. Times and durations are in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+
+LATENESS_DECAY = 0.8  # factor from one tick to the next
+MAX_GRACE_TICKS = 3  # consecutive late ticks that are each followed by a grace period
+
+
+@dataclass
+class LoopLagMonitor:
+    """Detects an event loop that stalled or runs late, so that unread responses are not taken for silence.
+
+    Attributes:
+        threshold: Delay of a tick that counts as late, in s.
+        grace_until: Time before which silence of a session has no effect.
+        last_event_at: Time of the last event of any kind.
+        late_ticks: Consecutive late ticks.
+        lateness: Recent delay of ticks, decaying, in s.
+    """
+
+    threshold: float
+    grace_until: float = -inf
+    last_event_at: float = -inf
+    late_ticks: int = 0
+    lateness: float = 0.0
+
+    def record_event(self, now: float) -> None:
+        """Record that the driver delivered an event."""
+        self.last_event_at = now
+
+    def record_tick(self, now: float, deadline: float) -> None:
+        """Record a tick that was due at `deadline`. A deadline before the last event is not late."""
+        lateness = now - max(deadline, self.last_event_at)
+        self.lateness = max(lateness, LATENESS_DECAY * self.lateness)
+        is_late = lateness > self.threshold
+        self.late_ticks = self.late_ticks + 1 if is_late else 0
+        if is_late and self.late_ticks <= MAX_GRACE_TICKS:
+            self.grace_until = now + self.threshold
+        self.last_event_at = now
+
+    def is_punctual(self, now: float, period: float) -> bool:
+        """Return whether the loop is on time and the last grace period ended over `period` seconds ago."""
+        return now - self.grace_until > period and self.lateness <= self.threshold
--- a/applevale/discovery/registry/pacing.py
+++ b/applevale/discovery/registry/pacing.py
@@ -1,4 +1,4 @@
-"""Timing of a registry watcher: polls, backoff, timeouts and the detection of a late event loop.
+"""Timing of the requests of a registry watcher: polls, backoff and timeouts.
 
 No I/O and no clock: callers pass the time. Times and durations are in seconds.
 """
@@ -6,17 +6,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import inf
 from random import Random
 
 from ...startup.adaptive_backoff import AdaptiveBackoff
 from ...startup.latency import LatencyEstimator
 from ...startup.staleness_guard import GuardState, StalenessGuard
+from .watcher_config import WatcherConfig
 
 FAST_RESPONSE_STREAK = 10  # consecutive fast responses after which earlier standby sessions no longer count
-LATENESS_DECAY = 0.8  # factor from one tick to the next
 LATENESS_PATIENCE_FACTOR = 10.0  # additional patience with a session, as a multiple of the lateness
-MAX_GRACE_TICKS = 3  # consecutive late ticks that are each followed by a grace period
 MIN_POLL_INTERVAL_RATIO = 0.9  # shortest poll interval that is drawn, as a share of the longest
 POLL_DEADLINE_SHARE = 0.9  # of `max_staleness`: a poll's response is expected by then
 SEVERE_LAPSE_FACTOR = 1.5  # multiple of `max_staleness` that counts as a lapse however fast the response was
@@ -25,156 +23,6 @@
 STANDBY_TIMEOUT_FACTOR = 2  # multiple of the patience with the active session
 MIN_STANDBY_TIMEOUT_SHARE = 0.4  # of `max_staleness`
 MAX_BACKOFF_DOUBLINGS = 20
-MAX_STANDBY_DOUBLINGS = 10
-
-
-@dataclass(frozen=True)
-class WatcherConfig:
-    """Timing parameters of a registry watcher.
-
-    A poll, the silence before a standby session and its handshake together fit in `max_staleness` as a
-    rule: 0.63 and 0.33 of it, and a few ms. Where all three take long, a failover exceeds the bound by 0.07
-    s at most; to poll more often or to switch sooner would burden a service that is slow for all of its
-    clients.
-
-    Attributes:
-        max_staleness: Age up to which a confirmation of the list counts as fresh, in s.
-        min_poll_interval_share: Shortest interval between polls, used where responses take long, as
-            a share of `max_staleness`. Intervals are random, so that instances that started
-            together drift apart.
-        max_poll_interval_share: Longest interval between polls, as a share of `max_staleness`.
-        min_silence_share: Shortest time without a response before a standby session is opened, as a
-            share of `max_staleness`. It is random, so that a short stall of the service triggers
-            few instances, and holds while staleness is bounded and all recent responses were fast.
-        max_silence_share: Longest such time, as a share of `max_staleness`.
-        slow_service_patience: Time without a response before a standby session is opened, in s,
-            while recent responses were slow: a service to which all clients have just connected is
-            slow for all of them.
-        degraded_patience_share: The same while the staleness guarantee is suspended, as a share of
-            `max_staleness`.
-        degraded_standby_delay: Time after the suspension in which no standby session is opened, in
-            s: the lower poll rate may be enough.
-        session_timeout: Time without a response after which a session has failed, in s, unless
-            responses are slow.
-        snapshot_timeout: Time after which a full read has failed, in s.
-        initial_backoff: Upper bound of the first backoff after every member has failed, in s.
-        max_backoff: Upper bound of every backoff, in s.
-        credentials_backoff: Backoff after every member has rejected the credentials, in s.
-        initial_standby_interval: Interval in which at most one standby session per other member is
-            opened, in s.
-        max_standby_interval: Upper bound of that interval, which grows while standby sessions are
-            no faster.
-        late_tick_threshold: Delay of a tick, in s, from which responses may lie unread in the
-            socket, so that silence proves nothing about the member.
-    """
-
-    max_staleness: float = 0.35
-    min_poll_interval_share: float = 0.56
-    max_poll_interval_share: float = 0.7
-    min_silence_share: float = 0.17
-    max_silence_share: float = 0.5
-    slow_service_patience: float = 1.5
-    degraded_patience_share: float = 0.4
-    degraded_standby_delay: float = 3.0
-    session_timeout: float = 2.0
-    snapshot_timeout: float = 5.0
-    initial_backoff: float = 0.05
-    max_backoff: float = 2.0
-    credentials_backoff: float = 2.0
-    initial_standby_interval: float = 5.0
-    max_standby_interval: float = 60.0
-    late_tick_threshold: float = 0.03
-
-
-@dataclass
-class LoopLagMonitor:
-    """Detects an event loop that stalled or runs late, so that unread responses are not taken for silence.
-
-    Attributes:
-        threshold: Delay of a tick that counts as late, in s.
-        grace_until: Time before which silence of a session has no effect.
-        last_event_at: Time of the last event of any kind.
-        late_ticks: Consecutive late ticks.
-        lateness: Recent delay of ticks, decaying, in s.
-    """
-
-    threshold: float
-    grace_until: float = -inf
-    last_event_at: float = -inf
-    late_ticks: int = 0
-    lateness: float = 0.0
-
-    def record_event(self, now: float) -> None:
-        """Record that the driver delivered an event."""
-        self.last_event_at = now
-
-    def record_tick(self, now: float, deadline: float) -> None:
-        """Record a tick that was due at `deadline`. A deadline before the last event is not late."""
-        lateness = now - max(deadline, self.last_event_at)
-        self.lateness = max(lateness, LATENESS_DECAY * self.lateness)
-        is_late = lateness > self.threshold
-        self.late_ticks = self.late_ticks + 1 if is_late else 0
-        if is_late and self.late_ticks <= MAX_GRACE_TICKS:
-            self.grace_until = now + self.threshold
-        self.last_event_at = now
-
-    def is_punctual(self, now: float, period: float) -> bool:
-        """Return whether the loop is on time and the last grace period ended over `period` seconds ago."""
-        return now - self.grace_until > period and self.lateness <= self.threshold
-
-
-@dataclass
-class StandbyLimiter:
-    """Limits how often standby sessions are opened.
-
-    Attributes:
-        config: Timing parameters.
-        started_at: Times at which the last standby sessions were opened.
-        not_faster_count: Consecutive standby sessions that were no faster than the active one.
-        failure_count: Consecutive standby sessions that failed and so gave no comparison.
-        not_before: End of the backoff after a failed standby session.
-    """
-
-    config: WatcherConfig
-    started_at: list[float] = field(default_factory=list)
-    not_faster_count: int = 0
-    failure_count: int = 0
-    not_before: float = -inf
-
-    def earliest_start(self, member_count: int) -> float:
-        """Return the time from which the next standby session may be opened."""
-        config = self.config
-        limit = max(1, member_count - 1)
-        if len(self.started_at) < limit:
-            return self.not_before
-        doublings = min(self.not_faster_count, MAX_STANDBY_DOUBLINGS)
-        interval = min(config.max_standby_interval, config.initial_standby_interval * 2**doublings)
-        return max(self.started_at[-limit] + interval, self.not_before)
-
-    def record_start(self, now: float, member_count: int) -> None:
-        """Record that a standby session is being opened."""
-        self.started_at = [*self.started_at[-member_count:], now]
-
-    def record_not_faster(self) -> None:
-        """Record a standby session that was no faster: the service is slow, not one member."""
-        self.not_faster_count += 1
-
-    def record_failure(self, now: float, backoff: float) -> None:
-        """Record a standby session that failed. It says nothing about speed and does not count as opened."""
-        if self.started_at:
-            self.started_at.pop()
-        self.not_before = now + backoff
-        self.failure_count += 1
-
-    def record_takeover(self) -> None:
-        """Record a standby session that was faster and has become the active one."""
-        self.not_faster_count = 0
-        self.failure_count = 0
-
-    def reset(self) -> None:
-        """Forget the past: what made sessions slow, or standby sessions fail, is over."""
-        self.record_takeover()
-        self.started_at.clear()
 
 
 @dataclass
--- /dev/null
+++ b/applevale/discovery/registry/request_scheduler.py
@@ -0,0 +1,83 @@
+"""Requests of a registry watcher's active session: when each is sent, and when it is repeated.
+
+No I/O and no clock: callers pass the time. Times and durations are in seconds.
+"""
+
+from __future__ import annotations
+
+from .commands import Command, Handshake, PollRevision, ReadAll, Watch
+from .pacing import RequestPacer
+from .session_state import SessionPhase, SessionState
+from .stats import WatcherStats
+from .watched_list import WatchedList
+
+
+class RequestScheduler:
+    """Sends requests over the active session, after a backoff where the service is slow or throttles.
+
+    Attributes:
+        watched_list: The watched list with its revision; read only.
+        pacer: Polls and backoff.
+        stats: Numbers of events.
+    """
+
+    def __init__(self, watched_list: WatchedList, pacer: RequestPacer, stats: WatcherStats):
+        """Create a scheduler; all objects are shared with the watcher."""
+        self.watched_list = watched_list
+        self.pacer = pacer
+        self.stats = stats
+
+    def poll(self, now: float, session: SessionState) -> list[Command]:
+        """Poll the registry's revision."""
+        session.record_poll(now, self.pacer.random.random())
+        return [PollRevision(session.session_id, now)]
+
+    def read_snapshot(self, now: float, session: SessionState) -> list[Command]:
+        """Read all records, after a delay if the service is slow or throttles."""
+        session.phase = SessionPhase.READING
+        session.last_progress_at = now
+        session.cancel_poll()
+        command = ReadAll(session.session_id)
+        delay = self.pacer.snapshot_delay()
+        if not delay:
+            return [command]
+        session.delay(command, now + delay)
+        return []
+
+    def take_delayed_command(self, now: float, session: SessionState) -> Command:
+        """Return the delayed command of a session, whose backoff is over."""
+        command = session.take_delayed_command()
+        if isinstance(command, Watch):  # the list may have advanced during the backoff
+            return self._watch(session)
+        session.started_at = now
+        session.last_progress_at = now
+        return command
+
+    def repeat_throttled(self, now: float, session: SessionState, retry_after: float, is_watch: bool) -> None:
+        """Schedule a request anew that the member throttled.
+
+        Args:
+            now: Time of the response.
+            session: The active session, which remains usable.
+            retry_after: Delay that the member asked for, in s.
+            is_watch: Whether the request was the watch, which has ended.
+        """
+        self.stats.declined += 1
+        retry_at = self.pacer.record_throttled(now, retry_after)
+        if session.phase is not SessionPhase.WATCHING:
+            session.delay(self._opening_request(session), retry_at)
+            session.last_progress_at = now
+        elif is_watch:
+            session.delay(self._watch(session), retry_at)
+        else:
+            session.cancel_poll()
+            session.next_poll_at = max(retry_at, self.pacer.next_poll_at(now))
+
+    def _watch(self, session: SessionState) -> Watch:
+        return Watch(session.session_id, self.watched_list.revision + 1)
+
+    def _opening_request(self, session: SessionState) -> Command:
+        """Return the request whose response a session needs before it can watch."""
+        if session.phase is SessionPhase.CONNECTING:
+            return Handshake(session.session_id)
+        return ReadAll(session.session_id)
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -25,12 +25,12 @@
 from .endpoint_table import EndpointTable, TableEntry, endpoints_digest
 from .freshness import FreshnessReporter
 from .key_values import KeyValueEvent, KeyValuePair, PairsByKey
-from .pacing import WatcherConfig
 from .session import Session
 from .session_pool import SessionPool
 from .settings import RegistrySettings
 from .snapshot import SnapshotError, SnapshotStore, SnapshotWriter
 from .watcher import RegistryWatcher
+from .watcher_config import WatcherConfig
 
 FIXED_SETTINGS = ("kind", "prefix", "fresh", "snapshot")  # those that a reload can't change
 STALENESS_CHECK_MARGIN_SECONDS = 0.001  # behind the time at which the list turns stale
--- a/applevale/discovery/registry/synchronizer.py
+++ b/applevale/discovery/registry/synchronizer.py
@@ -8,8 +8,10 @@
 from collections.abc import Iterable
 from math import inf
 
-from .commands import Command, PollRevision, Publish, ReadAll, RequestProgress, Watch
-from .sessions import SessionPhase, SessionState, SessionSupervisor
+from .commands import Command, Publish, RequestProgress, Watch
+from .request_scheduler import RequestScheduler
+from .session_state import SessionState
+from .session_supervisor import SessionSupervisor
 from .stats import WatcherStats
 from .watched_list import WatchedList
 
@@ -22,6 +24,7 @@
         sessions: The active session and the standby session.
         pacer: Polls and backoff, with the staleness guard.
         loop_lag: Lateness of the driver's event loop.
+        requests: Requests of the active session.
         stats: Numbers of events.
         resumable: Whether a watch can continue the list of an earlier session.
     """
@@ -30,6 +33,7 @@
         self,
         watched_list: WatchedList,
         sessions: SessionSupervisor,
+        requests: RequestScheduler,
         stats: WatcherStats,
         *,
         resumable: bool,
@@ -37,6 +41,7 @@
         """Create a synchronizer of `watched_list`; all objects are shared with the watcher."""
         self.watched_list = watched_list
         self.sessions = sessions
+        self.requests = requests
         self.pacer = sessions.pacer
         self.loop_lag = sessions.loop_lag
         self.stats = stats
@@ -60,37 +65,11 @@
         self.pacer.guard.record_handshake(now - requested_at)
         self.watched_list.record_cluster(cluster_id)
         if not self.resumable or not self.watched_list.can_resume:
-            return self.read_snapshot(now, session)
+            return self.requests.read_snapshot(now, session)
         session.resume(self.watched_list.revision)
         watch = Watch(session.session_id, self.watched_list.revision + 1)
         return [watch, *self._observe_revision(now, session, requested_at, revision)]
 
-    def read_snapshot(self, now: float, session: SessionState) -> list[Command]:
-        """Read all records, after a delay if the service is slow or throttles."""
-        session.phase = SessionPhase.READING
-        session.last_progress_at = now
-        session.cancel_poll()
-        command = ReadAll(session.session_id)
-        delay = self.pacer.snapshot_delay()
-        if not delay:
-            return [command]
-        session.delay(command, now + delay)
-        return []
-
-    def take_delayed_command(self, now: float, session: SessionState) -> Command:
-        """Return the delayed command of a session, whose backoff is over."""
-        command = session.take_delayed_command()
-        if isinstance(command, Watch):  # the list may have advanced during the backoff
-            return Watch(command.session_id, self.watched_list.revision + 1)
-        session.started_at = now
-        session.last_progress_at = now
-        return command
-
-    def poll(self, now: float, session: SessionState) -> list[Command]:
-        """Poll the registry's revision."""
-        session.record_poll(now, self.pacer.random.random())
-        return [PollRevision(session.session_id, now)]
-
     def handle_poll_response(
         self, now: float, session: SessionState, requested_at: float, revision: int
     ) -> list[Command]:
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -27,20 +27,29 @@
 from collections.abc import Iterable
 from random import Random
 
-from .commands import Command, Handshake, Publish, ReadAll, Watch
+from .commands import Command, Publish
 from .endpoint_table import EndpointTable
-from .pacing import LoopLagMonitor, RequestPacer, StandbyLimiter, WatcherConfig
-from .sessions import MemberRotation, SessionPhase, SessionState, SessionSupervisor
+from .failover import FailoverController
+from .loop_lag import LoopLagMonitor
+from .member_rotation import MemberRotation
+from .pacing import RequestPacer
+from .request_scheduler import RequestScheduler
+from .session_state import SessionPhase, SessionState
+from .session_supervisor import SessionSupervisor
+from .standby_limiter import StandbyLimiter
 from .stats import WatcherStats
 from .synchronizer import ListSynchronizer
 from .watched_list import WatchedList
-
-STANDBY_SPEEDUP = 2  # a standby session takes over if it is faster by this factor
+from .watcher_config import WatcherConfig
 
 
 class RegistryWatcher:
     """Watches a registry over one active session at a time.
 
+    The `on_...` methods return the commands to carry out. Their parameters are `now`, the time of the event,
+    `session_id`, the number of the session, and for a response `requested_at`, the time at which the request
+    was sent that it answers.
+
     Attributes:
         config: Timing parameters.
         watched_list: The watched list with its revision.
@@ -48,6 +57,8 @@
         loop_lag: Lateness of the driver's event loop.
         sessions: The active session and the standby session.
         stats: Numbers of events.
+        requests: Requests of the active session, and their repetition.
+        failover: Timeouts of sessions, and the takeover by the standby session.
         synchronizer: What keeps the list up to date over the active session.
     """
 
@@ -72,18 +83,17 @@
             last_member_index: Position of the member before the one that is tried first.
         """
         self.config = WatcherConfig() if config is None else config
+        self.stats = WatcherStats()
         self.watched_list = WatchedList(table)
         self.pacer = RequestPacer(self.config, Random(0) if random is None else random)
         self.loop_lag = LoopLagMonitor(self.config.late_tick_threshold)
-        self.sessions = SessionSupervisor(
-            MemberRotation(member_count, last_member_index),
-            self.pacer,
-            self.loop_lag,
-            StandbyLimiter(self.config),
-        )
-        self.stats = WatcherStats()
+        rotation = MemberRotation(member_count, last_member_index)
+        standby_limiter = StandbyLimiter(self.config)
+        self.sessions = SessionSupervisor(rotation, self.pacer, self.loop_lag, standby_limiter)
+        self.requests = RequestScheduler(self.watched_list, self.pacer, self.stats)
+        self.failover = FailoverController(self.watched_list, self.sessions, self.stats)
         self.synchronizer = ListSynchronizer(
-            self.watched_list, self.sessions, self.stats, resumable=resumable
+            self.watched_list, self.sessions, self.requests, self.stats, resumable=resumable
         )
 
     # --- state ----------------------------------------------------------------------------------------------
@@ -93,11 +103,6 @@
         """The active session; None during a backoff."""
         return self.sessions.active
 
-    @property
-    def standby_session(self) -> SessionState | None:
-        """The session that is tried beside the active one."""
-        return self.sessions.standby
-
     @property
     def open_sessions(self) -> set[int]:
         """Numbers of the sessions that have not ended."""
@@ -138,16 +143,15 @@
         self.loop_lag.record_tick(now, self.next_deadline())
         is_silence_certain = now >= self.loop_lag.grace_until
         if is_silence_certain and now >= self.sessions.active_expires_at():
-            return self._on_session_timeout(now, session)
+            return self.failover.end_silent_session(now, session)
         if is_silence_certain:
-            self._check_standby_timeout(now)
+            self.failover.check_standby_timeout(now)
         if now >= session.delayed_until:
-            return [self.synchronizer.take_delayed_command(now, session)]
+            return [self.requests.take_delayed_command(now, session)]
         if session.can_poll and now >= session.next_poll_at:
-            return self.synchronizer.poll(now, session)
-        if is_silence_certain and now >= self.sessions.standby_start_at(self.watched_list.confirmed_at):
-            self.stats.trials += 1
-            return self.sessions.open_standby(now)
+            return self.requests.poll(now, session)
+        if is_silence_certain and self.failover.is_standby_due(now):
+            return self.failover.open_standby(now)
         return []
 
     def on_connected(
@@ -156,19 +160,15 @@
         """Handle the response to a session's first read.
 
         With a known list the watch continues from its revision. Otherwise all is read; so it is from a
-        cluster with another identity, which may be a restored backup.
-
-        Args:
-            now: Time of the response.
-            session_id: Number of the session.
-            requested_at: Time at which the read was sent.
-            revision: The registry's revision.
-            cluster_id: Identity of the member's cluster; 0 if it is not known.
+        cluster with another identity, which may be a restored backup. `cluster_id` is 0 if the identity is
+        not known.
         """
         self.loop_lag.record_event(now)
-        if self.sessions.is_standby(session_id):
-            return self._on_standby_connected(now, self.standby_session, requested_at, revision, cluster_id)
         session = self.sessions.find(session_id, SessionPhase.CONNECTING)
+        if self.sessions.is_standby(session_id):
+            standby = self.sessions.standby
+            is_promoted = self.failover.replace_by_faster_standby(now, standby, revision, cluster_id)
+            session = standby if is_promoted else None
         if session is None:
             return []
         return self.synchronizer.begin_session(now, session, requested_at, revision, cluster_id)
@@ -178,46 +178,23 @@
     ) -> list[Command]:
         """Handle a request that the member refused because of its load; it is repeated after a backoff.
 
-        Args:
-            now: Time of the response.
-            session_id: Number of the session, which remains usable.
-            retry_after: Delay that the member asked for, in s.
-            is_watch: Whether the request was the watch, which has ended.
+        The member asked for a delay of `retry_after` seconds. If the request was the watch, that has ended;
+        the session remains usable.
         """
         self.loop_lag.record_event(now)
         if self.sessions.is_standby(session_id):
-            self._drop_slow_standby()
+            self.failover.drop_slow_standby()
             return []
         session = self.sessions.find(session_id)
-        if session is None:
-            return []
-        self.stats.declined += 1
-        retry_at = self.pacer.record_throttled(now, retry_after)
-        if session.phase is not SessionPhase.WATCHING:
-            is_handshake = session.phase is SessionPhase.CONNECTING
-            session.delay(Handshake(session_id) if is_handshake else ReadAll(session_id), retry_at)
-            session.last_progress_at = now
-        elif is_watch:
-            session.delay(Watch(session_id, self.watched_list.revision + 1), retry_at)
-        else:
-            session.cancel_poll()
-            session.next_poll_at = max(retry_at, self.pacer.next_poll_at(now))
+        if session is not None:
+            self.requests.repeat_throttled(now, session, retry_after, is_watch)
         return []
 
     def on_disconnected(
         self, now: float, session_id: int, credentials_rejected: bool = False
     ) -> list[Command]:
         """Handle a session that broke or did not come up."""
-        if self.sessions.is_standby(session_id):
-            self.sessions.fail_standby(now)
-            return []
-        if self.sessions.find(session_id) is None:
-            return []
-        if credentials_rejected:
-            self.stats.refused += 1
-        else:
-            self.stats.breaks += 1
-        return self.sessions.fail_active(now, credentials_rejected)
+        return self.failover.on_disconnected(now, session_id, credentials_rejected)
 
     def on_snapshot(
         self,
@@ -227,15 +204,7 @@
         revision: int,
         records: Iterable[tuple[str, int, bytes]],
     ) -> list[Command]:
-        """Handle the response to a full read.
-
-        Args:
-            now: Time of the response.
-            session_id: Number of the session.
-            requested_at: Time at which the read was sent.
-            revision: Revision of the snapshot.
-            records: Key, revision and value of every record.
-        """
+        """Handle the response to a full read: key, revision and value of every record as of `revision`."""
         self.loop_lag.record_event(now)
         session = self.sessions.find(session_id, SessionPhase.READING)
         if session is None:
@@ -251,11 +220,8 @@
     ) -> list[Command]:
         """Handle events of the watch, or a progress notification if there are none.
 
-        Args:
-            now: Time of the notification.
-            session_id: Number of the session.
-            revision: Revision up to which the watch has delivered all events.
-            events: Key, revision and value of each change; the value of a deleted key is None.
+        Events are key, revision and value of each change; the value of a deleted key is None. The watch has
+        delivered all events up to `revision`.
         """
         self.loop_lag.record_event(now)
         session = self.sessions.find(session_id, SessionPhase.WATCHING)
@@ -264,14 +230,7 @@
         return self.synchronizer.apply_events(now, session, revision, events)
 
     def on_revision(self, now: float, session_id: int, requested_at: float, revision: int) -> list[Command]:
-        """Handle the response to a poll.
-
-        Args:
-            now: Time of the response.
-            session_id: Number of the session.
-            requested_at: Time at which the poll was sent.
-            revision: The registry's revision.
-        """
+        """Handle the response to a poll, which is the registry's revision."""
         self.loop_lag.record_event(now)
         session = self.sessions.find(session_id, SessionPhase.WATCHING)
         if session is None:
@@ -286,43 +245,8 @@
             return []
         self.stats.compactions += 1
         self.watched_list.snapshot_required = True
-        return self.synchronizer.read_snapshot(now, session)
+        return self.requests.read_snapshot(now, session)
 
     def replace_members(self, now: float, member_count: int) -> list[Command]:
         """Connect to other members; the list and its revision stay."""
         return self.sessions.replace_members(now, member_count)
-
-    # --- timeouts and the standby session -------------------------------------------------------------------
-
-    def _on_session_timeout(self, now: float, session: SessionState) -> list[Command]:
-        if session.phase is SessionPhase.CONNECTING:
-            self.stats.breaks += 1
-        else:
-            self.stats.stalls += 1
-        return self.sessions.fail_active(now)
-
-    def _on_standby_connected(
-        self, now: float, standby: SessionState, requested_at: float, revision: int, cluster_id: int
-    ) -> list[Command]:
-        """Let the standby session take over if the active one has been silent for much longer."""
-        is_same_cluster = cluster_id in (0, self.watched_list.cluster_id)
-        if revision < self.watched_list.revision and is_same_cluster:
-            self.sessions.fail_standby(now)
-            return []
-        silence = now - self.session.waiting_since
-        if STANDBY_SPEEDUP * (now - standby.started_at) > silence:
-            self._drop_slow_standby()
-            return []
-        self.stats.stalls += 1
-        self.sessions.promote_standby()
-        return self.synchronizer.begin_session(now, standby, requested_at, revision, cluster_id)
-
-    def _check_standby_timeout(self, now: float) -> None:
-        if self.standby_session is None:
-            return
-        if now >= self.sessions.standby_expires_at(self.watched_list.confirmed_at):
-            self._drop_slow_standby()
-
-    def _drop_slow_standby(self) -> None:
-        self.sessions.drop_slow_standby()
-        self.stats.slow_for_all += 1
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -4,7 +4,8 @@
 
 from applevale.__main__ import main
 from applevale.discovery.registry.commands import Watch
-from applevale.discovery.registry.synchronizer import ListSynchronizer
+from applevale.discovery.registry.failover import FailoverController
+from applevale.discovery.registry.request_scheduler import RequestScheduler
 from applevale.discovery.registry.watcher import RegistryWatcher
 from applevale.membership.anti_entropy import AntiEntropy
 from applevale.membership.config import GOSSIP_RESERVE_BYTES
@@ -35,8 +36,8 @@
 
 
 on_revision = RegistryWatcher.on_revision
-send_poll = ListSynchronizer.poll
-on_standby_connected = RegistryWatcher._on_standby_connected
+send_poll = RequestScheduler.poll
+replace_by_faster_standby = FailoverController.replace_by_faster_standby
 
 
 def confirm_as_of_response(self, now, session_id, requested_at, revision):
@@ -52,10 +53,10 @@
     return commands
 
 
-def promote_slow_standby(self, now, standby, requested_at, revision, cluster_id):
+def promote_slow_standby(self, now, standby, revision, cluster_id):
     """Lets a standby session take over however slow its response was."""
     standby.started_at = now
-    return on_standby_connected(self, now, standby, requested_at, revision, cluster_id)
+    return replace_by_faster_standby(self, now, standby, revision, cluster_id)
 
 
 def serving(self):
@@ -144,8 +145,8 @@
 
 FAULTS = {fault: lambda fault=fault: plant_in_members(fault) for fault in MEMBERS} | {
     "arrival": lambda: setattr(RegistryWatcher, "on_revision", confirm_as_of_response),
-    "on_top": lambda: setattr(ListSynchronizer, "poll", poll_while_one_is_in_flight),
-    "leaves": lambda: setattr(RegistryWatcher, "_on_standby_connected", promote_slow_standby),
+    "on_top": lambda: setattr(RequestScheduler, "poll", poll_while_one_is_in_flight),
+    "leaves": lambda: setattr(FailoverController, "replace_by_faster_standby", promote_slow_standby),
     "ready": lambda: setattr(Application, "is_serving", serving),
     "thrash": lambda: setattr(StalenessGuard, "_suspend", never_give_up),
     "compaction": lambda: setattr(RegistryWatcher, "on_compacted", ignore_compaction),
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -20,7 +20,7 @@
     Watch,
 )
 from applevale.discovery.registry.endpoint_table import EndpointTable
-from applevale.discovery.registry.sessions import SessionPhase
+from applevale.discovery.registry.session_state import SessionPhase
 from applevale.discovery.registry.watcher import RegistryWatcher
 
 NAMES = AttributeNames(("a", "b"), ("std",))
