--- a/applevale/discovery/registry/endpoint_table.py
+++ b/applevale/discovery/registry/endpoint_table.py
@@ -15,7 +15,7 @@
 
 from ... import api
 from ..endpoints import AttributeNames, Endpoint
-from .key_values import KeyValuePair
+from .key_values import KeyValuePair, PairsByKey
 from .records import RecordError, read_record
 
 
@@ -62,6 +62,13 @@
         """Return all keys with their last good record."""
         return [KeyValuePair(entry.key, entry.revision, entry.value) for entry in self.entries.values()]
 
+    def known_pairs(self) -> PairsByKey:
+        """Return the list by key; keys whose value can't be used have revision 0 and no value."""
+        pairs = {key: KeyValuePair(key, 0, b"") for key in self.invalid}
+        for pair in self.pairs():
+            pairs[pair.key] = pair
+        return pairs
+
     def put(self, key: str, revision: int, value: bytes | None) -> list[TableEntry]:
         """Change one key as of `revision`, or delete it if `value` is None.
 
