Membership: shared parts are built in one place, suspicions are verified by a class of their own

MembershipProtocol's constructor wired 17 parts in 59 lines; SuspicionMonitor and FailureDetector took eight parameters each, the same ones.

SharedParts groups the state and the sender that all detectors act on; create_shared_parts builds them.

--- a/applevale/membership/failure_detector.py
+++ b/applevale/membership/failure_detector.py
@@ -12,42 +12,28 @@
     SOLITARY_PROBE_INTERVAL_SECONDS,
 )
 from .context import ProtocolContext
-from .dissemination import BroadcastQueue
-from .local_health import LocalHealth
-from .local_member import LocalMember
 from .messages import Message
-from .probes import Probe, ProbeTable
-from .sender import MessageSender
+from .parts import SharedParts
+from .probes import Probe
 from .suspicion_monitor import SuspicionMonitor
-from .suspicion_table import SuspicionTable
 
 
 class FailureDetector:
     """Probes one member after the other and reports those that do not answer."""
 
-    def __init__(
-        self,
-        context: ProtocolContext,
-        suspicions: SuspicionTable,
-        broadcasts: BroadcastQueue,
-        sender: MessageSender,
-        health: LocalHealth,
-        probes: ProbeTable,
-        local: LocalMember,
-        monitor: SuspicionMonitor,
-    ):
+    def __init__(self, context: ProtocolContext, parts: SharedParts, monitor: SuspicionMonitor):
         """Create a detector whose first round has yet to be drawn."""
         self._config = context.config
         self._identity = context.identity
         self._view = context.view
         self._random = context.random
         self._stats = context.stats
-        self._suspicions = suspicions
-        self._broadcasts = broadcasts
-        self._sender = sender
-        self._health = health
-        self._probes = probes
-        self._local = local
+        self._suspicions = parts.suspicions
+        self._broadcasts = parts.broadcasts
+        self._sender = parts.sender
+        self._health = parts.health
+        self._probes = parts.probes
+        self._local = parts.local
         self._monitor = monitor
         self._probe_round: list[int] = []  # members that this round has yet to probe
         self._relays: dict[int, int] = {}  # member -> the helper that reached it last
--- a/applevale/membership/heartbeat.py
+++ b/applevale/membership/heartbeat.py
@@ -4,30 +4,22 @@
 
 from .commands import LocalStatus
 from .context import ProtocolContext
-from .local_health import LocalHealth
 from .messages import MemberRecord, MemberState, MemberUpdate
-from .probes import ProbeTable
-from .sender import UNLIMITED, MessageSender
+from .parts import SharedParts
+from .sender import UNLIMITED
 from .updates import UpdateHandler
 
 
 class HeartbeatDetector:
     """Sends heartbeats to all members, and declares dead who was not heard for long."""
 
-    def __init__(
-        self,
-        context: ProtocolContext,
-        sender: MessageSender,
-        health: LocalHealth,
-        probes: ProbeTable,
-        updates: UpdateHandler,
-    ):
+    def __init__(self, context: ProtocolContext, parts: SharedParts, updates: UpdateHandler):
         """Create a detector that has heard nobody."""
         self._config = context.config
         self._view = context.view
-        self._sender = sender
-        self._health = health
-        self._probes = probes
+        self._sender = parts.sender
+        self._health = parts.health
+        self._probes = parts.probes
         self._updates = updates
         self._heard_at: dict[int, float] = {}
 
--- a/applevale/membership/join_prober.py
+++ b/applevale/membership/join_prober.py
@@ -5,8 +5,7 @@
 from math import inf
 
 from .context import ProtocolContext
-from .probes import ProbeTable
-from .sender import MessageSender
+from .parts import SharedParts
 
 MIN_RATE_PER_SECOND = 0.001
 
@@ -18,13 +17,13 @@
         next_join_at: When the next ping is due, in seconds; infinite while all members are alive.
     """
 
-    def __init__(self, context: ProtocolContext, sender: MessageSender, probes: ProbeTable):
+    def __init__(self, context: ProtocolContext, parts: SharedParts):
         """Create a prober that waits to be scheduled."""
         self._config = context.config
         self._view = context.view
         self._random = context.random
-        self._sender = sender
-        self._probes = probes
+        self._sender = parts.sender
+        self._probes = parts.probes
         self.next_join_at = inf
 
     def schedule(self, now: float) -> None:
--- a/applevale/membership/protocol.py
+++ b/applevale/membership/protocol.py
@@ -24,20 +24,16 @@
 from .commands import Command, CommandQueue, LocalStatus, StatusChanged
 from .config import ProtocolConfig
 from .context import LocalIdentity, ProtocolContext
-from .dissemination import BroadcastQueue, MemberStore
 from .failure_detector import FailureDetector
 from .heartbeat import HeartbeatDetector
 from .join_prober import JoinProber
-from .local_health import LocalHealth
-from .local_member import LocalMember
 from .messages import MemberUpdate, Message, MessageKind
-from .probes import ProbeTable
+from .parts import create_shared_parts
 from .rate_limiter import SenderRateLimiter
 from .self_monitor import SelfMonitor
-from .sender import MessageSender
 from .stats import Stats
 from .suspicion_monitor import SuspicionMonitor
-from .suspicion_table import SuspicionTable
+from .suspicion_verifier import SuspicionVerifier
 from .updates import UpdateHandler
 from .view import MembershipView
 
@@ -69,41 +65,22 @@
         self.commands = CommandQueue()
         context = ProtocolContext(self.config, self.identity, self.view, random, self.stats, self.commands)
         self._random = random
-        self.suspicions = SuspicionTable(self.config, self.view)
-        self.broadcasts = BroadcastQueue(self.config, self.view, self.suspicions)
-        self.store = MemberStore(self.view, self.suspicions, self.broadcasts)
         self.rate_limiter = SenderRateLimiter(self.stats)
-        self.sender = MessageSender(context, self.suspicions, self.broadcasts, self.rate_limiter)
-        self.health = LocalHealth(context)
-        self.probes = ProbeTable(context, self.sender, self.health)
-        self.local = LocalMember(context, self.store, self.sender, self.health, self.probes)
-        self.self_monitor = SelfMonitor(context, self.health, self.probes, self.suspicions, self.local)
-        self.join_prober = JoinProber(context, self.sender, self.probes)
-        self.updates = UpdateHandler(
-            context, self.store, self.suspicions, self.health, self.local, self.join_prober
-        )
-        self.suspicion_monitor = SuspicionMonitor(
-            context,
-            self.suspicions,
-            self.broadcasts,
-            self.sender,
-            self.health,
-            self.probes,
-            self.local,
-            self.updates,
-        )
-        self.failure_detector = FailureDetector(
-            context,
-            self.suspicions,
-            self.broadcasts,
-            self.sender,
-            self.health,
-            self.probes,
-            self.local,
-            self.suspicion_monitor,
-        )
-        self.heartbeats = HeartbeatDetector(context, self.sender, self.health, self.probes, self.updates)
-        self.anti_entropy = AntiEntropy(context, self.sender, self.updates)
+        parts = create_shared_parts(context, self.rate_limiter)
+        self.suspicions = parts.suspicions
+        self.store = parts.store
+        self.sender = parts.sender
+        self.health = parts.health
+        self.probes = parts.probes
+        self.local = parts.local
+        self.self_monitor = SelfMonitor(context, parts)
+        self.join_prober = JoinProber(context, parts)
+        self.updates = UpdateHandler(context, parts, self.join_prober)
+        verifier = SuspicionVerifier(context, parts)
+        self.suspicion_monitor = SuspicionMonitor(context, parts, self.updates, verifier)
+        self.failure_detector = FailureDetector(context, parts, self.suspicion_monitor)
+        self.heartbeats = HeartbeatDetector(context, parts, self.updates)
+        self.anti_entropy = AntiEntropy(context, parts.sender, self.updates)
 
     @property
     def status(self) -> LocalStatus:
--- a/applevale/membership/self_monitor.py
+++ b/applevale/membership/self_monitor.py
@@ -4,31 +4,21 @@
 
 from .commands import LocalStatus
 from .context import ProtocolContext
-from .local_health import LocalHealth
-from .local_member import LocalMember
-from .probes import ProbeTable
-from .suspicion_table import SuspicionTable
+from .parts import SharedParts
 
 
 class SelfMonitor:
     """Guards all judgement against a process that stood still."""
 
-    def __init__(
-        self,
-        context: ProtocolContext,
-        health: LocalHealth,
-        probes: ProbeTable,
-        suspicions: SuspicionTable,
-        local: LocalMember,
-    ):
+    def __init__(self, context: ProtocolContext, parts: SharedParts):
         """Create a monitor of these parts."""
         self._config = context.config
         self._identity = context.identity
         self._stats = context.stats
-        self._health = health
-        self._probes = probes
-        self._suspicions = suspicions
-        self._local = local
+        self._health = parts.health
+        self._probes = parts.probes
+        self._suspicions = parts.suspicions
+        self._local = parts.local
 
     def check_for_pause(self, now: float) -> None:
         """Handle a late event; call it first at each event, whichever it is."""
--- a/applevale/membership/suspicion_monitor.py
+++ b/applevale/membership/suspicion_monitor.py
@@ -1,24 +1,15 @@
-"""Suspicions: how they are raised, verified, and end in a death."""
+"""Suspicions: how they are raised, and end in a death."""
 
 from __future__ import annotations
 
-from hashlib import blake2b
 from math import inf
 
-from .config import (
-    FINAL_CHECK_TRANSMITS,
-    HELP_RESERVE_BYTES,
-    MAX_PIGGYBACK_SUSPICIONS,
-)
+from .config import HELP_RESERVE_BYTES
 from .context import ProtocolContext
-from .dissemination import BroadcastQueue
-from .local_health import LocalHealth
-from .local_member import LocalMember
 from .messages import INCARNATION_LOW_MASK, MemberRecord, MemberState, MemberUpdate, SuspicionUpdate
-from .probes import ProbeTable
-from .sender import MessageSender
+from .parts import SharedParts
 from .suspicion import Suspicion
-from .suspicion_table import SuspicionTable
+from .suspicion_verifier import SuspicionVerifier
 from .updates import UpdateHandler
 
 
@@ -32,26 +23,21 @@
     def __init__(
         self,
         context: ProtocolContext,
-        suspicions: SuspicionTable,
-        broadcasts: BroadcastQueue,
-        sender: MessageSender,
-        health: LocalHealth,
-        probes: ProbeTable,
-        local: LocalMember,
+        parts: SharedParts,
         updates: UpdateHandler,
+        verifier: SuspicionVerifier,
     ):
         """Create a monitor of the suspicions in a table."""
         self._config = context.config
         self._identity = context.identity
         self._view = context.view
-        self._stats = context.stats
-        self._suspicions = suspicions
-        self._broadcasts = broadcasts
-        self._sender = sender
-        self._health = health
-        self._probes = probes
-        self._local = local
+        self._suspicions = parts.suspicions
+        self._broadcasts = parts.broadcasts
+        self._sender = parts.sender
+        self._health = parts.health
+        self._local = parts.local
         self._updates = updates
+        self._verifier = verifier
         self._batch_started_at = inf  # when the first death of the present batch was due
 
     def on_update(self, now: float, sender: int, update: SuspicionUpdate) -> None:
@@ -103,7 +89,7 @@
         if len(suspicion.observers) < quorum:
             return
         if former_count < quorum:
-            self._on_quorum(now, member, suspicion)
+            self._verifier.on_quorum(now, member, suspicion)
         self._suspicions.reschedule()
 
     def remove_expired(self, now: float) -> None:
@@ -118,7 +104,7 @@
         if not self._health.may_judge(now):
             suspicions.next_deadline = now + window
             return
-        self._verify_suspects(now)
+        self._verifier.verify_suspects(now)
         expiries = {
             one: suspicions.expires_at(one, suspicion) for one, suspicion in suspicions.active.items()
         }
@@ -149,57 +135,6 @@
             suspicion.relayed_count = count
             self._broadcasts.add_suspicion(member)
 
-    def _on_quorum(self, now: float, member: int, suspicion: Suspicion) -> None:
-        self._stats.suspected += 1
-        if self._is_verifier(member, suspicion.incarnation):
-            suspicion.next_check_at = now
-        elif self._identity.member in suspicion.observers:
-            self._ping_suspect(now, member)  # which informs it
-
-    def _is_verifier(self, member: int, incarnation: int) -> bool:
-        """Return whether this member verifies the suspicion; each member draws for itself."""
-        member_count = self._view.member_count
-        if member_count <= self._config.verifier_count + 2:
-            return True
-        key = b"%d %d %d" % (self._identity.member, member, incarnation)
-        draw = int.from_bytes(blake2b(key, digest_size=4).digest(), "big")
-        return draw * member_count < self._config.verifier_count * 2**32
-
-    def _verify_suspects(self, now: float) -> None:
-        """Ping or probe suspects that are due; in a small fleet, all once more before their death."""
-        local_member = self._identity.member
-        active = self._suspicions.active
-        for member, suspicion in active.items():
-            is_final = self._is_final_check_due(now, member, suspicion)
-            if now < suspicion.next_check_at and not is_final:
-                continue
-            if is_final:
-                suspicion.final_check_started = True
-                self._broadcasts.ensure_transmits(member, FINAL_CHECK_TRANSMITS)  # who knows better answers
-            if suspicion.next_check_at < inf:
-                crowding = max(
-                    1, len(active) / MAX_PIGGYBACK_SUSPICIONS
-                )  # bytes are scarce with many suspects
-                suspicion.next_check_at = now + self._config.verification_interval * crowding
-            elif (
-                self._view.member_count > self._config.max_final_check_fleet
-                or local_member in suspicion.observers
-            ):
-                continue
-            if local_member in suspicion.observers:
-                self._ping_suspect(now, member)
-            else:
-                self._probes.start_verification(now, member)
-
-    def _is_final_check_due(self, now: float, member: int, suspicion: Suspicion) -> bool:
-        if suspicion.final_check_started:
-            return False
-        return now >= self._suspicions.expires_at(member, suspicion) - self._config.final_check_lead
-
-    def _ping_suspect(self, now: float, member: int) -> None:
-        """Inform a suspect of the suspicion."""
-        self._sender.send_ping(now, member, self._probes.next_sequence_number())
-
     def _wait_for_batch(self, now: float, upcoming: list[float]) -> None:
         suspicions = self._suspicions
         suspicions.reschedule()
--- a/applevale/membership/updates.py
+++ b/applevale/membership/updates.py
@@ -4,34 +4,23 @@
 
 from .commands import MembershipChange
 from .context import ProtocolContext
-from .dissemination import MemberStore
 from .join_prober import JoinProber
-from .local_health import LocalHealth
-from .local_member import LocalMember
 from .messages import MemberRecord, MemberState, MemberUpdate, Message
-from .suspicion_table import SuspicionTable
+from .parts import SharedParts
 
 
 class UpdateHandler:
     """Decides which records of others are taken into the view."""
 
-    def __init__(
-        self,
-        context: ProtocolContext,
-        store: MemberStore,
-        suspicions: SuspicionTable,
-        health: LocalHealth,
-        local: LocalMember,
-        join_prober: JoinProber,
-    ):
+    def __init__(self, context: ProtocolContext, parts: SharedParts, join_prober: JoinProber):
         """Create a handler that writes to these parts."""
         self._config = context.config
         self._view = context.view
         self._stats = context.stats
-        self._store = store
-        self._suspicions = suspicions
-        self._health = health
-        self._local = local
+        self._store = parts.store
+        self._suspicions = parts.suspicions
+        self._health = parts.health
+        self._local = parts.local
         self._join_prober = join_prober
 
     def on_sender_alive(self, now: float, sender: int, message: Message) -> None:
