Errors of zones, registry settings, records and the feed carry their place as a field

ZonesError, RegistrySettingsError, RecordError and FeedError crossed packages as text alone.

ZonesError has place and reason, RegistrySettingsError key and reason, RecordError key and reason, FeedError the number of the update. Lengths of quoted texts in records are named constants. Tests assert the fields beside the text.

--- a/applevale/discovery/control_feed.py
+++ b/applevale/discovery/control_feed.py
@@ -90,9 +90,10 @@
         if update.number <= self.last_number:
             return
         if not update.endpoints and not update.is_full:  # a heartbeat behind an update that never came
-            raise FeedError(f"at {update.number}, though {self.last_number} was the last one told")
+            text = f"at {update.number}, though {self.last_number} was the last one told"
+            raise FeedError(text, update.number)
         if not update.is_full and update.number != self.last_number + 1:
-            raise FeedError(f"event {update.number} came after {self.last_number}")
+            raise FeedError(f"event {update.number} came after {self.last_number}", update.number)
         self.last_number = update.number
         self.counters["feed_events"] += 1
         self.publish(update)
--- a/applevale/discovery/feed_codec.py
+++ b/applevale/discovery/feed_codec.py
@@ -26,7 +26,16 @@
 
 
 class FeedError(ValueError):
-    """An update that can't be read, or that doesn't follow the one before it."""
+    """An update that can't be read, or that doesn't follow the one before it.
+
+    Attributes:
+        update_number: The number of the update; None if it is not known, or the connection failed.
+    """
+
+    def __init__(self, text: str, update_number: int | None = None):
+        """Build the error of one update."""
+        super().__init__(text)
+        self.update_number = update_number
 
 
 class FrameKind(IntEnum):
@@ -75,21 +84,21 @@
         if len(self.buffer) < FRAME_HEADER.size:
             return None
         length, number, kind = FRAME_HEADER.unpack_from(self.buffer)
-        _check_frame_header(length, kind)
+        _check_frame_header(length, number, kind)
         end = LENGTH_FIELD_BYTES + length
         if len(self.buffer) < end:
             return None
         records = ENGINE_RECORD.iter_unpack(bytes(self.buffer[FRAME_HEADER.size : end]))
-        endpoints = tuple(self._read_record(EngineRecord._make(fields)) for fields in records)
+        endpoints = tuple(self._read_record(number, EngineRecord._make(fields)) for fields in records)
         del self.buffer[:end]
         return EndpointUpdate(number, kind == FrameKind.FULL_LIST, endpoints)
 
-    def _read_record(self, record: EngineRecord) -> Endpoint:
+    def _read_record(self, number: int, record: EngineRecord) -> Endpoint:
         is_known_zone = record.zone < max(1, len(self.names.zones))
         is_known_kind = record.kind < len(self.names.kinds)
         if record.state not in _STATE_BY_CODE or not is_known_zone or not is_known_kind:
             attributes = f"state {record.state}, zone {record.zone}, kind {record.kind}"
-            raise FeedError(f"record of engine {record.engine:08x}: {attributes}")
+            raise FeedError(f"record of engine {record.engine:08x}: {attributes}", number)
         entry = api.EngineEntry(
             engine=record.engine,
             zone=record.zone,
@@ -102,14 +111,14 @@
         return Endpoint(entry, (str(ipaddress.ip_address(record.host)), record.port))
 
 
-def _check_frame_header(length: int, kind: int) -> None:
+def _check_frame_header(length: int, number: int, kind: int) -> None:
     """Raise FeedError unless a frame can have this length and kind."""
     body_bytes = LENGTH_FIELD_BYTES + length - FRAME_HEADER.size
     has_bad_length = body_bytes < 0 or length > MAX_FRAME_BYTES or body_bytes % ENGINE_RECORD.size
     is_unknown_kind = kind > FrameKind.CHANGED_ENGINES
     has_records_in_heartbeat = body_bytes and kind == FrameKind.HEARTBEAT
     if has_bad_length or is_unknown_kind or has_records_in_heartbeat:
-        raise FeedError(f"frame of length {length}, kind {kind}")
+        raise FeedError(f"frame of length {length}, kind {kind}", number)
 
 
 def parse_known_updates(raw: object, names: AttributeNames) -> tuple[EndpointUpdate, ...]:
@@ -125,7 +134,7 @@
     for previous, update in pairwise(updates):
         has_gap = not update.is_full and update.number != previous.number + 1
         if update.number <= previous.number or has_gap:
-            raise FeedError(f"events: {update.number} comes after {previous.number}")
+            raise FeedError(f"events: {update.number} comes after {previous.number}", update.number)
     return updates
 
 
--- a/applevale/discovery/registry/records.py
+++ b/applevale/discovery/registry/records.py
@@ -12,6 +12,9 @@
 
 MAX_VALUE_BYTES = 64 * 1024  # a larger value is not parsed
 MAX_PORT = 65535
+MAX_QUOTED_LENGTH = 40  # of a name in an error
+MAX_REASON_LENGTH = 120  # of the JSON or YAML decoder's text
+MAX_PARSER_REASON_LENGTH = 80  # of the YAML parser's own text
 _STATE_BY_NAME = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
 
 
@@ -29,7 +32,22 @@
 
 
 class RecordError(ValueError):
-    """A value that is not a record; the text says what is wrong."""
+    """A value that is not a record.
+
+    Attributes:
+        key: The field of the record that is wrong; empty where the value as a whole is.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, reason: str, key: str = ""):
+        """Build the error of one value."""
+        super().__init__(reason, key)
+        self.reason = reason
+        self.key = key
+
+    def __str__(self) -> str:
+        """Return both in one line."""
+        return f"{self.key}: {self.reason}" if self.key else self.reason
 
 
 def read_record(value: bytes, names: AttributeNames) -> Endpoint:
@@ -60,24 +78,26 @@
             return msgspec.json.decode(value, type=EngineRecord)
         return msgspec.yaml.decode(value, type=EngineRecord)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, ValueError) as error:
-        raise RecordError(str(error).replace("\n", " ")[:120]) from None
+        raise RecordError(str(error).replace("\n", " ")[:MAX_REASON_LENGTH]) from None
     except Exception as error:  # the YAML parser's own errors, and what it raises on deep nesting
-        raise RecordError(f"{type(error).__name__}: {str(error)[:80]}".replace("\n", " ")) from None
+        raise RecordError(
+            f"{type(error).__name__}: {str(error)[:MAX_PARSER_REASON_LENGTH]}".replace("\n", " ")
+        ) from None
 
 
 def _parse_address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-        raise RecordError(f"address: {text!r} is not IP:PORT")
+        raise RecordError(f"{text!r} is not IP:PORT", "address")
     try:
         return str(ipaddress.ip_address(host.strip("[]"))), int(port)
     except ValueError:
-        raise RecordError(f"address: {text!r} is not IP:PORT") from None
+        raise RecordError(f"{text!r} is not IP:PORT", "address") from None
 
 
 def _position(name: str, names: tuple[str, ...], key: str) -> int:
     if not name:
         return 0
     if name not in names:
-        raise RecordError(f"{key}: {name[:40]!r} is not one of the settings' {key}s")
+        raise RecordError(f"{name[:MAX_QUOTED_LENGTH]!r} is not one of the settings' {key}s", key)
     return names.index(name)
--- a/applevale/discovery/registry/settings.py
+++ b/applevale/discovery/registry/settings.py
@@ -15,7 +15,22 @@
 
 
 class RegistrySettingsError(ValueError):
-    """A setting that is missing or makes no sense; the text begins with its key."""
+    """A setting that is missing or makes no sense.
+
+    Attributes:
+        key: The setting's key, with those of the sections around it.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, key: str, reason: str):
+        """Build the error of one setting."""
+        super().__init__(key, reason)
+        self.key = key
+        self.reason = reason
+
+    def __str__(self) -> str:
+        """Return both in one line."""
+        return f"{self.key}: {self.reason}"
 
 
 class TlsSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -73,7 +88,7 @@
 def _parse_address(index: int, text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-        raise RegistrySettingsError(f"registry.addresses[{index}]: HOST:PORT is needed, not {text[:60]!r}")
+        raise RegistrySettingsError(f"registry.addresses[{index}]", f"HOST:PORT is needed, not {text[:60]!r}")
     return host.strip("[]"), int(port)
 
 
@@ -87,10 +102,10 @@
         settings = msgspec.convert(raw, RegistrySettings)
     except msgspec.ValidationError as error:
         text, _, place = str(error).partition(" - at `$")
-        raise RegistrySettingsError(f"registry{place.rstrip('`')}: {text}") from None
+        raise RegistrySettingsError(f"registry{place.rstrip('`')}", text) from None
     settings.member_addresses()
     if bool(settings.user) != bool(settings.password):
-        raise RegistrySettingsError("registry.password: user and password go together")
+        raise RegistrySettingsError("registry.password", "user and password go together")
     if settings.tls and bool(settings.tls.cert) != bool(settings.tls.key):
-        raise RegistrySettingsError("registry.tls.key: cert and key go together")
+        raise RegistrySettingsError("registry.tls.key", "cert and key go together")
     return settings
--- a/applevale/discovery/registry/tls.py
+++ b/applevale/discovery/registry/tls.py
@@ -21,5 +21,5 @@
         if tls.cert:
             context.load_cert_chain(tls.cert, tls.key)
     except (OSError, ssl.SSLError) as error:
-        raise RegistrySettingsError(f"registry.tls: {error}") from None
+        raise RegistrySettingsError("registry.tls", str(error)) from None
     return context
--- a/applevale/zones/plan.py
+++ b/applevale/zones/plan.py
@@ -88,12 +88,12 @@
     """Decode a plan and check that it names known zones only.
 
     Raises:
-        ZonesError: The plan cannot be used; the text names the place.
+        ZonesError: The plan cannot be used.
     """
     try:
         plan = msgspec.json.decode(raw, type=ZonePlan)
     except (msgspec.MsgspecError, RecursionError) as error:
-        raise ZonesError(f"plan: {error}") from None
+        raise ZonesError("plan", str(error)) from None
     for home, tiers in plan.tiers.items():
         _check_zone_names(plan, [home], f"tiers.{home}")
         for tier in tiers:
@@ -106,4 +106,4 @@
 def _check_zone_names(plan: ZonePlan, names: list[str], place: str) -> None:
     for name in names:
         if name not in plan.zones:
-            raise ZonesError(f"{place}: {name!r} is not under zones")
+            raise ZonesError(place, f"{name!r} is not under zones")
--- a/applevale/zones/planner.py
+++ b/applevale/zones/planner.py
@@ -31,7 +31,7 @@
         unplaced: Movable work that finds no room, by home zone.
         pinned: Work that may not leave, by home zone.
         load: Used share of the capacity of each remaining zone.
-        binding: The limits that bind, in words; empty where all movable work finds room.
+        binding: Descriptions of the limits that bind; empty where all movable work finds room.
     """
 
     lost: tuple[str, ...]
@@ -149,7 +149,7 @@
         method="highs",
     )
     if not result.success:
-        raise ZonesError(f"plan: no solution for the loss of {', '.join(lost)}: {result.message}")
+        raise ZonesError("plan", f"no solution for the loss of {', '.join(lost)}: {result.message}")
     return result.x
 
 
@@ -174,7 +174,7 @@
 def _find_binding_limits(
     problem: _SpillProblem, flows: dict[ZonePair, float], received: dict[str, float]
 ) -> tuple[str, ...]:
-    """Return the limits that leave no room for more work, in words."""
+    """Return descriptions of the limits that leave no room for more work."""
     plan = problem.plan
     binding = [
         f"headroom of {name}"
--- a/applevale/zones/settings.py
+++ b/applevale/zones/settings.py
@@ -17,7 +17,22 @@
 
 
 class ZonesError(ValueError):
-    """A zones file or a plan cannot be used; the text names the place."""
+    """A zones file or a plan cannot be used.
+
+    Attributes:
+        place: The key at fault, or the file itself: `zones` or `plan`.
+        reason: What is wrong there.
+    """
+
+    def __init__(self, place: str, reason: str):
+        """Build the error of one place in a file."""
+        super().__init__(place, reason)
+        self.place = place
+        self.reason = reason
+
+    def __str__(self) -> str:
+        """Return both in one line."""
+        return f"{self.place}: {self.reason}"
 
 
 class SpillLimit(
@@ -106,16 +121,16 @@
     try:
         zones = msgspec.json.decode(raw, type=ZoneSettings)
     except (msgspec.MsgspecError, RecursionError) as error:
-        raise ZonesError(f"zones: {error}") from None
+        raise ZonesError("zones", str(error)) from None
     _check_tiers(zones.tiers, zone_names)
     _check_spill_limits(zones.spill_limits, zone_names)
     _check_zone_names(zones.instances, zone_names, "instances")
     _check_zone_names(zones.capacity, zone_names, "capacity")
     for name in zones.pinned_classes:
         if name not in class_names:
-            raise ZonesError(f"stay: {name!r} is no class of the settings")
+            raise ZonesError("stay", f"{name!r} is no class of the settings")
     if zones.recovery.max_cooldown < zones.recovery.min_cooldown:
-        raise ZonesError("back.rest_most: under back.rest")
+        raise ZonesError("back.rest_most", "under back.rest")
     return zones
 
 
@@ -125,9 +140,9 @@
         members = [name for tier in tiers for name in tier]
         _check_zone_names(members, zone_names, f"tiers.{home}")
         if len(set(members)) < len(members):
-            raise ZonesError(f"tiers.{home}: a zone stands twice")
+            raise ZonesError(f"tiers.{home}", "a zone stands twice")
         if not tiers or home not in tiers[0]:
-            raise ZonesError(f"tiers.{home}: its own zone must be in the first tier")
+            raise ZonesError(f"tiers.{home}", "its own zone must be in the first tier")
 
 
 def _check_spill_limits(limits: list[SpillLimit], zone_names: tuple[str, ...]) -> None:
@@ -135,10 +150,10 @@
     for index, (home, target) in enumerate(pairs):
         _check_zone_names((home, target), zone_names, f"spill[{index}]")
         if home == target or (home, target) in pairs[:index]:
-            raise ZonesError(f"spill[{index}]: {home} to {target} is its own zone, or stands twice")
+            raise ZonesError(f"spill[{index}]", f"{home} to {target} is its own zone, or stands twice")
 
 
 def _check_zone_names(given: Iterable[str], zone_names: tuple[str, ...], place: str) -> None:
     for name in given:
         if name not in zone_names:
-            raise ZonesError(f"{place}: {name!r} is no zone of the settings")
+            raise ZonesError(place, f"{name!r} is no zone of the settings")
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -99,8 +99,9 @@
     ],
 )
 def test_a_plan_that_cannot_be_used_names_the_place(change, place):
-    with pytest.raises(ZonesError, match=place):
+    with pytest.raises(ZonesError, match=place) as caught:
         read_plan(plan(**change))
+    assert str(caught.value) == f"{caught.value.place}: {caught.value.reason}"
 
 
 def test_the_command_writes_a_file_that_the_program_reads_and_checks(tmp_path):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -394,8 +394,10 @@
     ],
 )
 def test_settings_that_cannot_be_used_name_their_key(change, key):
-    with pytest.raises(registry_settings.RegistrySettingsError, match=key):
+    with pytest.raises(registry_settings.RegistrySettingsError, match=key) as caught:
         registry_settings.read_settings({"kind": "etcd", "addresses": ["h:1"]} | change)
+    assert caught.value.key.startswith("registry")
+    assert str(caught.value) == f"{caught.value.key}: {caught.value.reason}"
 
 
 def stalled(kind, *fault):
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -20,6 +20,7 @@
     Watch,
 )
 from applevale.discovery.registry.endpoint_table import EndpointTable
+from applevale.discovery.registry.records import RecordError, read_record
 from applevale.discovery.registry.session_state import SessionPhase
 from applevale.discovery.registry.watcher import RegistryWatcher
 
@@ -501,6 +502,20 @@
     assert harness.engines == {1: "draining", 2: "ready"}
 
 
+@pytest.mark.parametrize(
+    "value, key, text",
+    [
+        (record(1, zone="c"), "zone", "zone: 'c' is not one of the settings' zones"),
+        (record(1, port=0), "address", "address: '10.0.0.1:0' is not IP:PORT"),
+        (b"x" * 70_000, "", "a value of 70000 bytes, over 65536"),
+    ],
+)
+def test_error_of_an_invalid_value_has_the_field_beside_the_text(value, key, text):
+    with pytest.raises(RecordError) as caught:
+        read_record(value, NAMES)
+    assert caught.value.key == key and str(caught.value) == text
+
+
 def test_yaml_is_accepted_and_unknown_fields_are_ignored():
     harness = watching()
     harness.events(
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -271,8 +271,9 @@
     ],
 )
 def test_a_zones_file_that_cannot_be_used_names_the_place(change, place):
-    with pytest.raises(ZonesError, match=place):
+    with pytest.raises(ZonesError, match=place) as caught:
         read_zones(change, NAMES, CLASSES)
+    assert str(caught.value) == f"{caught.value.place}: {caught.value.reason}"
 
 
 STORED_ZONES = (  # written before the fields of the code were renamed
