Membership, zones and discovery: standard terms in names, docstrings and tests

Names and docstrings spoke of members that are heard, told and said; tests of the registry called their environment 'it' and its proxies gates.

Times are last_received_at, last_answered_at and last_heartbeat_at; seven registry tests are renamed (told, tells, hear, rig), all assertions and cases stay.

--- a/applevale/discovery/gated_endpoints.py
+++ b/applevale/discovery/gated_endpoints.py
@@ -2,7 +2,7 @@
 
 Invariants: while the list is stale, no engine is presented as ready, and what changes meanwhile is presented
 with its true state at the end; so nothing new is sent, and work in flight goes on. An engine in `ejected` is
-never presented as ready, whatever its source says, until it is removed from the set; nor is one in
+never presented as ready, whatever its source reports, until it is removed from the set; nor is one in
 `awaiting_connect_slot`, to which no connection may be opened yet. No I/O and no clock.
 """
 
--- a/applevale/discovery/registry/session.py
+++ b/applevale/discovery/registry/session.py
@@ -135,7 +135,7 @@
             self.listener.on_disconnected(self.session_id, reason, credentials_rejected)
 
     async def close(self) -> None:
-        """End all tasks and the connection; the listener hears no more of this session."""
+        """End all tasks and the connection; the listener is not called again for this session."""
         self.is_closed = True
         tasks = [task for task in self.tasks if task is not asyncio.current_task()]
         for task in tasks:
--- a/applevale/discovery/registry/standby_limiter.py
+++ b/applevale/discovery/registry/standby_limiter.py
@@ -50,7 +50,7 @@
         self.not_faster_count += 1
 
     def record_failure(self, now: float, backoff: float) -> None:
-        """Record a standby session that failed. It says nothing about speed and does not count as opened."""
+        """Record a standby session that failed. It gave no comparison and does not count as opened."""
         if self.started_at:
             self.started_at.pop()
         self.not_before = now + backoff
--- a/applevale/membership/commands.py
+++ b/applevale/membership/commands.py
@@ -46,8 +46,8 @@
     JOINING = "joining"
     HEALTHY = "well"
     PAUSED = "paused"  # its process stood still, and has to catch up
-    ISOLATED = "alone"  # it hears nobody
-    UNANSWERED = "unheard"  # it hears others, but nobody answers it
+    ISOLATED = "alone"  # it receives nothing
+    UNANSWERED = "unheard"  # it receives messages, but no answers
     SUPERSEDED = "superseded"  # a later process has its place
     LEFT = "gone"
 
--- a/applevale/membership/config.py
+++ b/applevale/membership/config.py
@@ -23,9 +23,8 @@
 FINAL_CHECK_TRANSMITS = 2  # of a suspicion, when its final check starts
 RECORD_TRANSMIT_FACTOR = 1.2  # transmits of a record, over the logarithm of the fleet size
 SUSPICION_TRANSMIT_FACTOR = 0.9  # transmits of a suspicion, each time it has enough new observers
-MAX_PIGGYBACK_SUSPICIONS = (
-    3  # with more, pings carry no gossip: many go to dead members, and bytes are scarce
-)
+# With more suspicions pings carry no gossip: many go to dead members, and bytes are scarce.
+MAX_PIGGYBACK_SUSPICIONS = 3
 
 MAX_RELAYS = 1024  # members for which the helper that reached them is remembered
 DOUBT_WINDOW_SECONDS = 5.0  # for which members that could not be reached are remembered
@@ -64,7 +63,7 @@
         sync_interval: Between two comparisons of records.
         refutation_interval: Between two rises of the own incarnation.
         heartbeat_interval: Between heartbeats to all, in place of probes (a baseline); 0: probes.
-        min_false_suspicions: Unreachable members that were heard after all, from which on this
+        min_false_suspicions: Unreachable members that turned out alive, from which on this
             member doubts itself.
         monitors_itself: Whether pauses, isolation and doubt suspend judgement of others.
         timeouts: Of suspicions.
--- a/applevale/membership/failure_detector.py
+++ b/applevale/membership/failure_detector.py
@@ -87,7 +87,7 @@
         """Handle the answer to a ping."""
         if self._health.status is LocalStatus.JOINING:
             self._local.record_join_answer(now, sender)
-        self._health.answered_at = now
+        self._health.last_answered_at = now
         if self._health.status is LocalStatus.UNANSWERED:
             self._health.set_status(LocalStatus.HEALTHY)
             self._health.start_quiet_period(now)
@@ -105,7 +105,7 @@
         probe = self._probes.pending.get(message.sequence_number)
         if probe is None or probe.requester is not None or probe.subject != message.subject:
             return
-        self._health.answered_at = now
+        self._health.last_answered_at = now
         if message.is_reachable:
             del self._probes.pending[message.sequence_number]
             self._health.improve()
--- a/applevale/membership/heartbeat.py
+++ b/applevale/membership/heartbeat.py
@@ -11,21 +11,21 @@
 
 
 class HeartbeatDetector:
-    """Sends heartbeats to all members, and declares dead who was not heard for long."""
+    """Sends heartbeats to all members, and declares dead those whose heartbeats are missing."""
 
     def __init__(self, context: ProtocolContext, parts: SharedParts, updates: UpdateHandler):
-        """Create a detector that has heard nobody."""
+        """Create a detector that has received no heartbeat."""
         self._config = context.config
         self._view = context.view
         self._sender = parts.sender
         self._health = parts.health
         self._probes = parts.probes
         self._updates = updates
-        self._heard_at: dict[int, float] = {}
+        self._last_heartbeat_at: dict[int, float] = {}
 
     def record_heartbeat(self, now: float, sender: int) -> None:
-        """Note that a member was heard."""
-        self._heard_at[sender] = now
+        """Record that a message of a member has arrived."""
+        self._last_heartbeat_at[sender] = now
 
     def send_heartbeats(self, now: float) -> None:
         """Send a heartbeat to all members, and declare the silent ones dead."""
@@ -36,7 +36,9 @@
         for target in self._view.other_members():
             self._sender.send_gossip(now, target, reserve=UNLIMITED)
         timeout = self._config.timeouts.min_timeout
-        silent = [member for member in self._view.alive if now - self._heard_at.get(member, now) > timeout]
+        silent = [
+            member for member in self._view.alive if now - self._last_heartbeat_at.get(member, now) > timeout
+        ]
         if silent:
             self._updates.remove_members(now, tuple(self._death_of(member) for member in silent))
 
--- a/applevale/membership/local_health.py
+++ b/applevale/membership/local_health.py
@@ -1,4 +1,4 @@
-"""Local health: whether this member hears and is heard, and may judge others (Lifeguard)."""
+"""Local health: whether this member exchanges messages with others, and may judge them (Lifeguard)."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
         last_event_at: When the last event came, in seconds.
         expected_at: When the next one was due at the latest.
         quiet_until: Until when this member does not judge others.
-        heard_at: When any message came last.
-        answered_at: When any answer came last.
+        last_received_at: When any message came last.
+        last_answered_at: When any answer came last.
     """
 
     def __init__(self, context: ProtocolContext):
@@ -31,10 +31,10 @@
         self.last_event_at = -inf
         self.expected_at = -inf
         self.quiet_until = -inf
-        self.heard_at = -inf
-        self.answered_at = -inf
+        self.last_received_at = -inf
+        self.last_answered_at = -inf
         self._unreachable: dict[int, float] = {}  # members that could not be reached, and when
-        self._false_suspicions: dict[int, float] = {}  # those of them that were heard after all, and when
+        self._false_suspicions: dict[int, float] = {}  # those of them that turned out to be alive, and when
 
     @property
     def slowdown(self) -> float:
@@ -52,15 +52,15 @@
         return self.status in (LocalStatus.LEFT, LocalStatus.SUPERSEDED)
 
     def reset_clocks(self, now: float) -> None:
-        """Take everything as heard, answered and in time now."""
+        """Restart all clocks: events are in time and others in contact as of now."""
         self.last_event_at = now
         self.expected_at = now
         self.reset_contact(now)
 
     def reset_contact(self, now: float) -> None:
-        """Take others as heard and answering now."""
-        self.heard_at = now
-        self.answered_at = now
+        """Restart the clocks of contact: others send and answer as of now."""
+        self.last_received_at = now
+        self.last_answered_at = now
 
     def set_status(self, status: LocalStatus) -> None:
         """Change the status and announce it."""
@@ -73,15 +73,15 @@
         self.quiet_until = now + self._config.quiet_period
 
     def improve(self) -> None:
-        """Note that a probe was answered."""
+        """Record that a probe was answered."""
         self.score = max(0.0, self.score - 0.5)
 
     def worsen(self) -> None:
-        """Note a sign that this member, not another one, is slow."""
+        """Record evidence that this member, not another one, is slow."""
         self.score = min(MAX_LOCAL_HEALTH_SCORE, self.score + 1)
 
     def record_event(self, now: float) -> float:
-        """Note that an event is handled; return the seconds by which it is late."""
+        """Record that an event is handled; return the seconds by which it is late."""
         if self.last_event_at == -inf:
             return 0.0
         delay = now - max(self.expected_at, self.last_event_at)
@@ -89,15 +89,15 @@
         return delay
 
     def record_unreachable(self, now: float, member: int) -> None:
-        """Note that a member could not be reached."""
+        """Record that a member could not be reached."""
         self._unreachable[member] = now
 
     def is_unreachable(self, member: int) -> bool:
-        """Return whether a member could not be reached lately and was not heard since."""
+        """Return whether a member could not be reached lately and has sent nothing since."""
         return member in self._unreachable
 
     def record_false_suspicion(self, now: float, member: int) -> None:
-        """Note that an unreachable member was heard after all."""
+        """Record that a member taken as unreachable is alive after all."""
         del self._unreachable[member]
         self._false_suspicions[member] = now
 
@@ -110,21 +110,21 @@
         return not self._doubts_itself(now)
 
     def check_contact(self, now: float, has_peers: bool) -> None:
-        """Work out the status from when others were heard and answered last."""
+        """Derive the status from the times of the last message and the last answer."""
         config = self._config
         if self.status is LocalStatus.PAUSED and now >= self.quiet_until:
             self.set_status(LocalStatus.HEALTHY)
         if not has_peers or not config.monitors_itself or config.heartbeat_interval:
             return
         is_in_contact = self.status in (LocalStatus.HEALTHY, LocalStatus.UNANSWERED)
-        if is_in_contact and now - self.heard_at > config.isolation_timeout:
+        if is_in_contact and now - self.last_received_at > config.isolation_timeout:
             self.set_status(LocalStatus.ISOLATED)
         unanswered_timeout = config.unanswered_timeout * (1 + self.score / 3)
-        if self.status is LocalStatus.HEALTHY and now - self.answered_at > unanswered_timeout:
+        if self.status is LocalStatus.HEALTHY and now - self.last_answered_at > unanswered_timeout:
             self.set_status(LocalStatus.UNANSWERED)
 
     def _doubts_itself(self, now: float) -> bool:
-        """Return whether several unreachable members were heard after all, more than were not."""
+        """Return whether several members taken as unreachable are alive, more than are not."""
         minimum = self._config.min_false_suspicions
         if len(self._false_suspicions) < minimum:
             return False
--- a/applevale/membership/local_member.py
+++ b/applevale/membership/local_member.py
@@ -58,7 +58,7 @@
             self._store.apply(member, record, broadcast=False)
 
     def record_join_answer(self, now: float, sender: int) -> None:
-        """Note that a member answered while this one joins."""
+        """Record that a member answered while this one joins."""
         self._join_deadline = min(self._join_deadline, now + self._config.join_wait)
         self._join_answers.add(sender)
 
@@ -68,7 +68,7 @@
             return
         self._health.set_status(LocalStatus.HEALTHY)
         self._health.start_quiet_period(now)
-        self._health.answered_at = now
+        self._health.last_answered_at = now
         self.refute(now, self._highest_reported)
 
     def refute(self, now: float, reported: int) -> None:
--- a/applevale/membership/messages.py
+++ b/applevale/membership/messages.py
@@ -102,7 +102,7 @@
     """A message from one member to another.
 
     Attributes:
-        kind: What the message asks or answers.
+        kind: Kind of the request or response.
         sequence_number: Matches an answer to its request.
         incarnation: The sender's incarnation; 0 while it joins.
         process_id: The sender's process.
--- a/applevale/membership/parts.py
+++ b/applevale/membership/parts.py
@@ -19,7 +19,7 @@
     """The state and the sender of one protocol instance.
 
     Attributes:
-        suspicions: What others say against members.
+        suspicions: Suspicions and claims of all members.
         broadcasts: Updates that are still to be transmitted.
         store: Applies records to the view, the suspicions and the broadcasts.
         sender: Sends messages within the bounds on bytes.
--- a/applevale/membership/protocol.py
+++ b/applevale/membership/protocol.py
@@ -5,7 +5,7 @@
 
 - A member is declared dead only by enough distinct observers at its present incarnation (suspicion.py), or by
   as many distinct members that hold it dead; never by one.
-- A member that was paused, hears nobody or is answered by nobody does not judge others, and its timeouts for
+- A member that was paused, receives no messages or no answers does not judge others, and its timeouts for
   them start anew once that is over.
 - A member that finds most of those it could not reach to be alive doubts itself in the same way.
 - A member that is held suspect, dead or left while it is alive refutes that with a higher incarnation. An
@@ -84,7 +84,7 @@
 
     @property
     def status(self) -> LocalStatus:
-        """What this member thinks of itself."""
+        """The status of this member."""
         return self.health.status
 
     @property
@@ -135,7 +135,7 @@
         self.stats.heard += 1
         if self.status is LocalStatus.ISOLATED:
             self.self_monitor.recover(now)
-        self.health.heard_at = now
+        self.health.last_received_at = now
         self._apply_records(now, sender, message)
         self._dispatch(now, sender, message)
         is_compared = message.kind in (MessageKind.PING, MessageKind.ACK)
@@ -166,7 +166,7 @@
         self.probes.next_probe_at = now + self._random.random() * self.config.probe_interval
 
     def _apply_records(self, now: float, sender: int, message: Message) -> None:
-        """Handle what a message says of this member, its sender and others."""
+        """Handle the records and updates that a message carries."""
         self.local.on_own_record(now, message.receiver_record)
         if message.incarnation and self.config.heartbeat_interval:
             self.heartbeats.record_heartbeat(now, sender)
@@ -193,7 +193,7 @@
                 self.anti_entropy.on_segment(now, sender, message)
 
     def _finish(self, now: float) -> list[Command]:
-        """Add the announcement that is due, note when the next event is, and return all commands."""
+        """Add the announcement that is due, set the next deadline, and return all commands."""
         announcement = self.view.take_announcement(now)
         if announcement is not None:
             self.commands.add(announcement)
--- a/applevale/membership/runner.py
+++ b/applevale/membership/runner.py
@@ -132,5 +132,5 @@
 
 
 def new_process_id() -> int:
-    """Return a random number of 16 bits that tells this process from former ones of the same member."""
+    """Return a random number of 16 bits that distinguishes this process from the member's former ones."""
     return int.from_bytes(os.urandom(2), "big")
--- a/applevale/membership/self_monitor.py
+++ b/applevale/membership/self_monitor.py
@@ -1,4 +1,4 @@
-"""Recovery of this member after a pause of its process, or after it heard nobody."""
+"""Recovery of this member after a pause of its process, or after a time without messages."""
 
 from __future__ import annotations
 
--- a/applevale/membership/sender.py
+++ b/applevale/membership/sender.py
@@ -21,7 +21,7 @@
 from .suspicion_table import SuspicionTable
 from .token_bucket import TokenBucket
 
-UNLIMITED = -inf  # as a reserve: the token bucket is not asked
+UNLIMITED = -inf  # as a reserve: the token bucket does not limit the message
 
 
 class MessageSender:
--- a/applevale/membership/suspicion_table.py
+++ b/applevale/membership/suspicion_table.py
@@ -1,4 +1,4 @@
-"""What others say against members: suspicions, and claims that a member died or left."""
+"""The suspicions of all members, and the claims that a member died or left."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
         return suspicion.started_at + self._config.timeouts.timeout(observer_count, eligible_count)
 
     def resolve(self, member: int, record: MemberRecord) -> None:
-        """Drop what was said against a member on its former record; keep what it died by."""
+        """Drop suspicion and claims of a member's former record; keep the suspicion that it died by."""
         suspicion = self.active.pop(member, None)
         if record.state is MemberState.DEAD and suspicion is not None and suspicion.quorum_at < inf:
             self.dead_members[member] = suspicion
@@ -65,7 +65,7 @@
         self.pending_claims.pop(member, None)
 
     def add_claim(self, member: int, record: MemberRecord, claimant: int) -> bool:
-        """Note that a member claims a death or leave; return whether enough distinct ones do."""
+        """Record a member's claim of a death or leave; return whether enough distinct members make it."""
         claim = self.pending_claims.get(member)
         if claim is not None and claim.record != record:
             if record.precedence < claim.record.precedence:
--- a/applevale/membership/suspicion_verifier.py
+++ b/applevale/membership/suspicion_verifier.py
@@ -41,7 +41,9 @@
                 continue
             if is_final:
                 suspicion.final_check_started = True
-                self._broadcasts.ensure_transmits(member, FINAL_CHECK_TRANSMITS)  # who knows better answers
+                self._broadcasts.ensure_transmits(
+                    member, FINAL_CHECK_TRANSMITS
+                )  # a member with a later record answers
             if suspicion.next_check_at < inf:
                 suspicion.next_check_at = now + self._check_interval()
             elif not self._takes_part_in_final_check(suspicion):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -71,10 +71,18 @@
     updates,
     st.booleans(),
 )
-def test_messages_round_trip_and_their_size_is_known(kind, number, receiver_record, told, reached):
-    about = kind in (MessageKind.PING_REQUEST, MessageKind.PING_RESULT)
+def test_messages_round_trip_and_their_size_is_known(kind, number, receiver_record, piggybacked, reached):
+    has_subject = kind in (MessageKind.PING_REQUEST, MessageKind.PING_RESULT)
     message = Message(
-        kind, number, 7, 9, receiver_record, 0xFFFFFFFF, number if about else 0, about and reached, told
+        kind,
+        number,
+        7,
+        9,
+        receiver_record,
+        0xFFFFFFFF,
+        number if has_subject else 0,
+        has_subject and reached,
+        piggybacked,
     )
     data = codec.encode(message)
     assert (
@@ -139,8 +147,8 @@
 class SingleMember:
     """The protocol of one member of a fleet of five; its commands are recorded."""
 
-    def __init__(self, me=0, count=5, **parameters):
-        self.protocol = MembershipProtocol(me, count, 77, Random(1), ProtocolConfig(**parameters))
+    def __init__(self, member=0, count=5, **parameters):
+        self.protocol = MembershipProtocol(member, count, 77, Random(1), ProtocolConfig(**parameters))
         self.now = 50.0
         self.sent = []
         self.view_changes = []
@@ -167,15 +175,15 @@
         )
         return self.record(self.protocol.on_message(self.now, sender, message))
 
-    def run_unanswered(self, span, step=0.02):
-        end = self.now + span
+    def run_unanswered(self, duration, step=0.02):
+        end = self.now + duration
         while self.now < end:
             self.now += step
             self.record(self.protocol.on_tick(self.now))
 
-    def run_answered(self, span, others=(1, 2, 3, 4)):
+    def run_answered(self, duration, others=(1, 2, 3, 4)):
         """Let time pass while others answer its probes."""
-        end = self.now + span
+        end = self.now + duration
         while self.now < end:
             self.now += 0.02
             for send in self.record(self.protocol.on_tick(self.now)):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -37,7 +37,7 @@
     def __init__(self, kind, **more):
         self.kind, self.store, self.more = kind, KeyValueStore(), more
         self.members = [{"etcd": etcd, "consul": consul}[kind].Member(self.store) for _ in range(2)]
-        self.gates, self.counters, self.engines, self.freshness_changes = [], Counters(), {}, []
+        self.proxies, self.counters, self.engines, self.freshness_changes = [], Counters(), {}, []
         self.event = asyncio.Event()
         self.source = None
 
@@ -57,8 +57,8 @@
         self.freshness_changes.append(is_fresh)
         self.event.set()
 
-    def settings(self, gates=None, **more):
-        addresses = [f"{gate.address[0]}:{gate.address[1]}" for gate in gates or self.gates]
+    def settings(self, proxies=None, **more):
+        addresses = [f"{proxy.address[0]}:{proxy.address[1]}" for proxy in proxies or self.proxies]
         return registry_settings.read_settings(
             {"kind": self.kind, "addresses": addresses, "prefix": PREFIX} | self.more | more
         )
@@ -86,141 +86,153 @@
 
 @asynccontextmanager
 async def running_environment(kind, **more):
-    it = RegistryEnvironment(kind, **more)
+    environment = RegistryEnvironment(kind, **more)
     try:
-        for member in it.members:
+        for member in environment.members:
             await member.start()
-            gate = FaultyProxy(member.address, Random(1))
-            await gate.start()
-            it.gates.append(gate)
-        it.put(1)
-        it.put(2)
-        it.start_source()
-        await it.wait_until_current()
-        yield it
+            proxy = FaultyProxy(member.address, Random(1))
+            await proxy.start()
+            environment.proxies.append(proxy)
+        environment.put(1)
+        environment.put(2)
+        environment.start_source()
+        await environment.wait_until_current()
+        yield environment
     finally:
-        if it.source is not None:
-            await it.source.stop()
-        for part in (*it.gates, *it.members):
+        if environment.source is not None:
+            await environment.source.stop()
+        for part in (*environment.proxies, *environment.members):
             await part.stop()
 
 
 def run_scenario(play, kind, **more):
     async def run():
-        async with running_environment(kind, **more) as it:
-            await play(it)
+        async with running_environment(kind, **more) as environment:
+            await play(environment)
 
     asyncio.run(run())
 
 
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_drain_and_a_deletion_within_a_break_with_compaction(kind):
-    async def play(it):
-        for gate in it.gates:
-            gate.set_mode(ProxyMode.STALL)
-        it.put(1, "draining")
-        it.store.delete(b"p/1")
-        it.put(2, "draining")
-        it.store.compact()
-        await it.wait_until(lambda: not it.source.is_fresh())
-        assert it.engines == {1: "ready", 2: "ready"} and not it.source.may_start_work()
-        for gate in it.gates:
-            gate.set_mode(ProxyMode.PASS)
-        await it.wait_until_current()
+    async def play(environment):
+        for proxy in environment.proxies:
+            proxy.set_mode(ProxyMode.STALL)
+        environment.put(1, "draining")
+        environment.store.delete(b"p/1")
+        environment.put(2, "draining")
+        environment.store.compact()
+        await environment.wait_until(lambda: not environment.source.is_fresh())
+        assert environment.engines == {1: "ready", 2: "ready"} and not environment.source.may_start_work()
+        for proxy in environment.proxies:
+            proxy.set_mode(ProxyMode.PASS)
+        await environment.wait_until_current()
         full = 2 if kind == "etcd" else 1  # a blocking read tells the whole list, against what is known
-        assert it.engines == {2: "draining"} and it.counters["registry_full_reads"] == full
+        assert environment.engines == {2: "draining"} and environment.counters["registry_full_reads"] == full
 
     run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("mode", [ProxyMode.HALF, ProxyMode.GARBAGE])
 @pytest.mark.parametrize("kind", KINDS)
-def test_half_an_answer_and_garbage_cost_a_session_and_no_change(kind, mode):
-    async def play(it):
-        for gate in it.gates:
-            gate.set_mode(mode)
-        it.put(1, "draining")
-        await it.wait_until(lambda: it.counters["registry_breaks"] + it.counters["registry_stalls"] > 0)
-        await it.wait_until_current()
-        assert it.engines == {1: "draining", 2: "ready"}
+def test_half_a_response_and_garbage_end_a_session_and_change_nothing(kind, mode):
+    async def play(environment):
+        for proxy in environment.proxies:
+            proxy.set_mode(mode)
+        environment.put(1, "draining")
+        await environment.wait_until(
+            lambda: environment.counters["registry_breaks"] + environment.counters["registry_stalls"] > 0
+        )
+        await environment.wait_until_current()
+        assert environment.engines == {1: "draining", 2: "ready"}
 
     run_scenario(play, kind)
 
 
-def test_a_watch_that_goes_silent_is_left_and_the_other_member_tells():
-    async def play(it):
-        for member in it.members:
-            last_index = it.source.watcher.sessions.rotation.last_index
-            member.silences_watches = last_index == it.members.index(member)
-        it.put(1, "draining")
-        await it.wait_until_current()
-        assert it.engines[1] == "draining" and it.counters["registry_stalls"] == 1
-        assert it.counters["registry_resumes"] == 1 and it.counters["registry_full_reads"] == 1
+def test_a_watch_that_goes_silent_is_left_for_the_other_member():
+    async def play(environment):
+        for member in environment.members:
+            last_index = environment.source.watcher.sessions.rotation.last_index
+            member.silences_watches = last_index == environment.members.index(member)
+        environment.put(1, "draining")
+        await environment.wait_until_current()
+        assert environment.engines[1] == "draining" and environment.counters["registry_stalls"] == 1
+        assert (
+            environment.counters["registry_resumes"] == 1 and environment.counters["registry_full_reads"] == 1
+        )
 
     run_scenario(play, "etcd")
 
 
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_member_that_is_behind_is_left(kind):
-    async def play(it):
-        old = it.store.copy()
-        it.put(1, "draining")
-        await it.wait_until_current()
-        it.members[it.source.watcher.sessions.rotation.last_index].stale_store = old
-        it.gates[it.source.watcher.sessions.rotation.last_index].abort_connections()
-        it.put(2, "draining")
-        await it.wait_until_current()
-        assert it.engines == {1: "draining", 2: "draining"}
+    async def play(environment):
+        old = environment.store.copy()
+        environment.put(1, "draining")
+        await environment.wait_until_current()
+        environment.members[environment.source.watcher.sessions.rotation.last_index].stale_store = old
+        environment.proxies[environment.source.watcher.sessions.rotation.last_index].abort_connections()
+        environment.put(2, "draining")
+        await environment.wait_until_current()
+        assert environment.engines == {1: "draining", 2: "draining"}
 
     run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("kind, cluster", [("etcd", 0), ("etcd", 7), ("consul", 0)])
 def test_a_registry_restored_from_a_backup_is_taken(kind, cluster):
-    async def play(it):
-        backup = it.store.copy()
-        it.put(1, "draining")
-        it.put(3)
-        await it.wait_until_current()
-        it.store.restore(backup, cluster)
-        for gate in it.gates:
-            gate.abort_connections()
-        await it.wait_until_current()
-        assert it.engines == {1: "ready", 2: "ready"} and it.counters["registry_restored"] == 1
+    async def play(environment):
+        backup = environment.store.copy()
+        environment.put(1, "draining")
+        environment.put(3)
+        await environment.wait_until_current()
+        environment.store.restore(backup, cluster)
+        for proxy in environment.proxies:
+            proxy.abort_connections()
+        await environment.wait_until_current()
+        assert (
+            environment.engines == {1: "ready", 2: "ready"} and environment.counters["registry_restored"] == 1
+        )
 
     run_scenario(play, kind)
 
 
 def test_blocking_reads_refused_for_load_are_begun_anew_on_the_same_session():
-    async def play(it):
-        for member in it.members:
+    async def play(environment):
+        for member in environment.members:
             member.retry_after = 1
-        it.store.notify()
-        await it.wait_until(lambda: it.counters["registry_declined"] >= 2 and not it.source.is_fresh())
-        for member in it.members:
+        environment.store.notify()
+        await environment.wait_until(
+            lambda: environment.counters["registry_declined"] >= 2 and not environment.source.is_fresh()
+        )
+        for member in environment.members:
             member.retry_after = None
-        it.put(1, "draining")
-        await it.wait_until_current()
-        assert it.engines[1] == "draining" and it.source.watcher.sessions.opened_count == 1
-        assert it.counters["registry_full_reads"] == 1 and it.counters["registry_breaks"] == 0
+        environment.put(1, "draining")
+        await environment.wait_until_current()
+        assert environment.engines[1] == "draining" and environment.source.watcher.sessions.opened_count == 1
+        assert (
+            environment.counters["registry_full_reads"] == 1 and environment.counters["registry_breaks"] == 0
+        )
 
     run_scenario(play, "consul")
 
 
 @pytest.mark.parametrize("kind", KINDS)
-def test_refused_credentials_are_told_and_taken_once_they_are_right(kind):
-    async def play(it):
-        for member in it.members:
+def test_refused_credentials_are_logged_and_accepted_once_they_are_right(kind):
+    async def play(environment):
+        for member in environment.members:
             member.rejects_credentials = True
-        for gate in it.gates:
-            gate.abort_connections()
-        await it.wait_until(lambda: it.counters["registry_refused"] >= 2 and not it.source.is_fresh())
-        for member in it.members:
+        for proxy in environment.proxies:
+            proxy.abort_connections()
+        await environment.wait_until(
+            lambda: environment.counters["registry_refused"] >= 2 and not environment.source.is_fresh()
+        )
+        for member in environment.members:
             member.rejects_credentials = False
-        it.source.reconfigure(it.settings())
-        it.put(1, "draining")
-        await it.wait_until_current()
-        assert it.engines[1] == "draining"
+        environment.source.reconfigure(environment.settings())
+        environment.put(1, "draining")
+        await environment.wait_until_current()
+        assert environment.engines[1] == "draining"
 
     run_scenario(play, kind)
 
@@ -242,37 +254,39 @@
     ours.issue_cert("127.0.0.1").configure_cert(server)
 
     async def run():
-        it = RegistryEnvironment(kind, tls={"ca": str(tmp_path / "ca.crt")} | paths["other"])
-        await it.members[0].start(server)
-        it.gates = [it.members[0]]
-        it.put(1)
-        it.start_source()
-        await it.wait_until(lambda: it.counters["registry_breaks"] >= 2)
-        assert it.engines == {}
-        it.source.reconfigure(it.settings(tls={"ca": str(tmp_path / "ca.crt")} | paths["ours"]))
-        await it.wait_until_current()
-        assert it.engines == {1: "ready"}
-        await it.source.stop()
-        await it.members[0].stop()
+        environment = RegistryEnvironment(kind, tls={"ca": str(tmp_path / "ca.crt")} | paths["other"])
+        await environment.members[0].start(server)
+        environment.proxies = [environment.members[0]]
+        environment.put(1)
+        environment.start_source()
+        await environment.wait_until(lambda: environment.counters["registry_breaks"] >= 2)
+        assert environment.engines == {}
+        environment.source.reconfigure(
+            environment.settings(tls={"ca": str(tmp_path / "ca.crt")} | paths["ours"])
+        )
+        await environment.wait_until_current()
+        assert environment.engines == {1: "ready"}
+        await environment.source.stop()
+        await environment.members[0].stop()
 
     asyncio.run(run())
 
 
 def test_user_and_password_fetch_a_token():
     async def run():
-        it = RegistryEnvironment("etcd", user="ops", password="pw-ops")
-        for member in it.members:
+        environment = RegistryEnvironment("etcd", user="ops", password="pw-ops")
+        for member in environment.members:
             member.users = {"ops": "token-1"}
             await member.start()
-            gate = FaultyProxy(member.address, Random(1))
-            await gate.start()
-            it.gates.append(gate)
-        it.put(1)
-        it.start_source()
-        await it.wait_until_current()
-        assert it.engines == {1: "ready"}
-        await it.source.stop()
-        for part in (*it.gates, *it.members):
+            proxy = FaultyProxy(member.address, Random(1))
+            await proxy.start()
+            environment.proxies.append(proxy)
+        environment.put(1)
+        environment.start_source()
+        await environment.wait_until_current()
+        assert environment.engines == {1: "ready"}
+        await environment.source.stop()
+        for part in (*environment.proxies, *environment.members):
             await part.stop()
 
     asyncio.run(run())
@@ -280,59 +294,63 @@
 
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_value_of_50_mb_is_not_taken_into_memory_and_ends_with_it(kind):
-    async def play(it):
-        it.store.put(b"p/1", b"x" * 50_000_000)
+    async def play(environment):
+        environment.store.put(b"p/1", b"x" * 50_000_000)
         lost = ("registry_breaks", "registry_stalls")  # the stand-in shares the loop and is slow with it
-        await it.wait_until(lambda: sum(it.counters[name] for name in lost) >= 2 and not it.source.is_fresh())
-        assert it.engines == {1: "ready", 2: "ready"}
-        it.put(1, "draining")
-        it.store.compact()
-        await it.wait_until_current()
-        assert it.engines == {1: "draining", 2: "ready"}
+        await environment.wait_until(
+            lambda: (
+                sum(environment.counters[name] for name in lost) >= 2 and not environment.source.is_fresh()
+            )
+        )
+        assert environment.engines == {1: "ready", 2: "ready"}
+        environment.put(1, "draining")
+        environment.store.compact()
+        await environment.wait_until_current()
+        assert environment.engines == {1: "draining", 2: "ready"}
 
     run_scenario(play, kind)
 
 
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_burst_of_10_000_changes_and_a_list_read_in_pages(kind):
-    async def play(it):
+    async def play(environment):
         for number in range(1, 2501):
             for state in ("ready", "draining", "ready", "draining"):
-                it.put(number, state)
-        await it.wait_until_current()
-        assert it.engines == dict.fromkeys(range(1, 2501), "draining")
-        it.source.reconfigure(it.settings(gates=it.gates[1:]))
-        it.store.compact()
-        it.put(1)
-        await it.wait_until_current()
-        assert it.engines[1] == "ready" and len(it.engines) == 2500
+                environment.put(number, state)
+        await environment.wait_until_current()
+        assert environment.engines == dict.fromkeys(range(1, 2501), "draining")
+        environment.source.reconfigure(environment.settings(proxies=environment.proxies[1:]))
+        environment.store.compact()
+        environment.put(1)
+        await environment.wait_until_current()
+        assert environment.engines[1] == "ready" and len(environment.engines) == 2500
 
     run_scenario(play, kind, fresh=2.0)
 
 
 def test_a_lease_that_runs_out_takes_its_engine_away():
-    async def play(it):
-        it.store.put(b"p/3", record(3), lease_seconds=0.05)
-        await it.wait_until(lambda: 3 in it.engines)
-        await it.wait_until(lambda: 3 not in it.engines)
-        await it.wait_until_current()
+    async def play(environment):
+        environment.store.put(b"p/3", record(3), lease_seconds=0.05)
+        await environment.wait_until(lambda: 3 in environment.engines)
+        await environment.wait_until(lambda: 3 not in environment.engines)
+        await environment.wait_until_current()
 
     run_scenario(play, "etcd")
 
 
 @pytest.mark.parametrize("kind", KINDS)
 def test_other_members_are_followed_from_the_same_revision(kind):
-    async def play(it):
-        extra = FaultyProxy(it.members[1].address, Random(2))
+    async def play(environment):
+        extra = FaultyProxy(environment.members[1].address, Random(2))
         await extra.start()
         try:
-            for gate in it.gates:
-                gate.set_mode(ProxyMode.REFUSE)
-            it.put(1, "draining")
-            it.source.reconfigure(it.settings(gates=[extra]))
-            await it.wait_until_current()
-            assert it.engines[1] == "draining"
-            assert it.counters["registry_full_reads"] == 1
+            for proxy in environment.proxies:
+                proxy.set_mode(ProxyMode.REFUSE)
+            environment.put(1, "draining")
+            environment.source.reconfigure(environment.settings(proxies=[extra]))
+            await environment.wait_until_current()
+            assert environment.engines[1] == "draining"
+            assert environment.counters["registry_full_reads"] == 1
         finally:
             await extra.stop()
 
@@ -340,26 +358,29 @@
 
 
 def test_a_start_from_the_snapshot_serves_it_unconfirmed_and_resumes_without_a_full_read(tmp_path):
-    async def play(it):
-        it.put(1, "draining")
-        await it.wait_until_current()
-        await it.source.stop()
-        it.engines, it.counters = {}, Counters()
-        for gate in it.gates:
-            gate.set_mode(ProxyMode.STALL)
-        it.start_source()
-        assert it.engines == {1: "draining", 2: "ready"} and not it.source.is_fresh()
-        it.put(2, "draining")
-        for gate in it.gates:
-            gate.set_mode(ProxyMode.PASS)
-        await it.wait_until_current()
-        assert it.engines == {1: "draining", 2: "draining"}
-        assert it.counters["registry_full_reads"] == 0 and it.counters["registry_snapshot_used"] == 1
+    async def play(environment):
+        environment.put(1, "draining")
+        await environment.wait_until_current()
+        await environment.source.stop()
+        environment.engines, environment.counters = {}, Counters()
+        for proxy in environment.proxies:
+            proxy.set_mode(ProxyMode.STALL)
+        environment.start_source()
+        assert environment.engines == {1: "draining", 2: "ready"} and not environment.source.is_fresh()
+        environment.put(2, "draining")
+        for proxy in environment.proxies:
+            proxy.set_mode(ProxyMode.PASS)
+        await environment.wait_until_current()
+        assert environment.engines == {1: "draining", 2: "draining"}
+        assert (
+            environment.counters["registry_full_reads"] == 0
+            and environment.counters["registry_snapshot_used"] == 1
+        )
 
     run_scenario(play, "etcd", snapshot=str(tmp_path / "kept"), on_stale="serve")
 
 
-def test_a_torn_a_foreign_and_no_snapshot_are_told_apart(tmp_path):
+def test_a_torn_a_foreign_and_no_snapshot_are_distinguished(tmp_path):
     folder = str(tmp_path / "kept")
     kept = SnapshotStore(folder, "etcd:p/")
     assert kept.load() is None
@@ -400,7 +421,7 @@
     assert str(caught.value) == f"{caught.value.key}: {caught.value.reason}"
 
 
-def stalled(kind, *fault):
+def run_drain_behind_stalled_members(kind, *fault):
     """A drain that falls into a silence of all members, with compaction behind it, under the real program."""
 
     async def run():
@@ -428,19 +449,19 @@
 
 
 @pytest.mark.parametrize("kind", KINDS)
-def test_the_program_sends_nothing_new_to_a_drain_that_it_could_not_hear_of(kind):
-    lag, wrong, answers = stalled(kind)
+def test_the_program_sends_nothing_new_to_a_drain_that_it_could_not_learn_of(kind):
+    lag, wrong, answers = run_drain_behind_stalled_members(kind)
     assert lag <= 0.5 and wrong == 0
     assert answers["lost"] == answers["twice"] == 0 and answers["served"] > 30
 
 
-def test_the_rig_shows_a_program_that_does_not_watch_staleness():
-    lag, _, _ = stalled("etcd", "staleness")
+def test_the_harness_detects_a_program_that_does_not_watch_staleness():
+    lag, _, _ = run_drain_behind_stalled_members("etcd", "staleness")
     assert lag > 0.5
 
 
-def test_the_rig_shows_a_program_that_ignores_compaction():
-    _, wrong, _ = stalled("etcd", "compaction")
+def test_the_harness_detects_a_program_that_ignores_compaction():
+    _, wrong, _ = run_drain_behind_stalled_members("etcd", "compaction")
     assert wrong == 1
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -276,7 +276,7 @@
     assert str(caught.value) == f"{caught.value.place}: {caught.value.reason}"
 
 
-STORED_ZONES = (  # written before the fields of the code were renamed
+STORED_ZONES = (  # in the form that operators have stored
     b'{"tiers":{"east":[["east"],["west"]]},"spill":[{"from":"east","to":"west","share":0.2}],'
     b'"instances":{"east":2},"capacity":{"west":48.0},"stay":["long"],"window":2.0,'
     b'"back":{"first":0.2,"over":15.0,"rest":3.0,"rest_most":31.0,"again":11.0}}'
