Registry watcher: records and events are typed as KeyValuePair and KeyValueEvent

The watcher, its synchronizer and the watched list still declared bare tuples for them. Commands of 50 random event streams are equal to those before.

--- a/applevale/discovery/registry/synchronizer.py
+++ b/applevale/discovery/registry/synchronizer.py
@@ -9,6 +9,7 @@
 from math import inf
 
 from .commands import Command, Publish, RequestProgress, Watch
+from .key_values import KeyValueEvent, KeyValuePair
 from .request_scheduler import RequestScheduler
 from .session_state import SessionState
 from .session_supervisor import SessionSupervisor
@@ -83,7 +84,7 @@
         session: SessionState,
         requested_at: float,
         revision: int,
-        records: Iterable[tuple[str, int, bytes]],
+        records: Iterable[KeyValuePair],
     ) -> list[Command]:
         """Take over a snapshot and watch from its revision, unless the member lags."""
         is_older = revision < self.watched_list.revision
@@ -104,7 +105,7 @@
         now: float,
         session: SessionState,
         revision: int,
-        events: Iterable[tuple[str, int, bytes | None]],
+        events: Iterable[KeyValueEvent],
     ) -> list[Command]:
         """Apply events of the watch, which has delivered all up to `revision`.
 
--- a/applevale/discovery/registry/watched_list.py
+++ b/applevale/discovery/registry/watched_list.py
@@ -7,6 +7,7 @@
 from math import inf
 
 from .endpoint_table import EndpointTable, TableEntry
+from .key_values import KeyValueEvent, KeyValuePair
 
 
 @dataclass
@@ -55,13 +56,13 @@
         """Whether a watch can continue from `revision`."""
         return bool(self.revision) and not self.snapshot_required
 
-    def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> tuple[TableEntry, ...]:
+    def restore(self, revision: int, records: Iterable[KeyValuePair]) -> tuple[TableEntry, ...]:
         """Take over a stored list, which is not confirmed; return its entries."""
         self.revision = revision
         return self.table.replace(records)
 
     def replace(
-        self, revision: int, requested_at: float, records: Iterable[tuple[str, int, bytes]]
+        self, revision: int, requested_at: float, records: Iterable[KeyValuePair]
     ) -> tuple[TableEntry, ...]:
         """Take over a snapshot requested at `requested_at`; return its entries."""
         self.cluster_changed = False
@@ -70,7 +71,7 @@
         self.confirm(requested_at)
         return self.table.replace(records)
 
-    def apply(self, events: Iterable[tuple[str, int, bytes | None]]) -> AppliedEvents:
+    def apply(self, events: Iterable[KeyValueEvent]) -> AppliedEvents:
         """Apply the events of a watch up to the first that is out of order. `revision` stays as it is."""
         applied = AppliedEvents(self.revision)
         for key, revision, value in events:
--- a/applevale/discovery/registry/watcher.py
+++ b/applevale/discovery/registry/watcher.py
@@ -30,6 +30,7 @@
 from .commands import Command, Publish
 from .endpoint_table import EndpointTable
 from .failover import FailoverController
+from .key_values import KeyValueEvent, KeyValuePair
 from .loop_lag import LoopLagMonitor
 from .member_rotation import MemberRotation
 from .pacing import RequestPacer
@@ -131,7 +132,7 @@
 
     # --- events ---------------------------------------------------------------------------------------------
 
-    def restore(self, revision: int, records: Iterable[tuple[str, int, bytes]]) -> list[Command]:
+    def restore(self, revision: int, records: Iterable[KeyValuePair]) -> list[Command]:
         """Publish a stored list, which is not confirmed; a watch is tried from its revision."""
         return [Publish(self.watched_list.restore(revision, records), is_snapshot=True)]
 
@@ -202,7 +203,7 @@
         session_id: int,
         requested_at: float,
         revision: int,
-        records: Iterable[tuple[str, int, bytes]],
+        records: Iterable[KeyValuePair],
     ) -> list[Command]:
         """Handle the response to a full read: key, revision and value of every record as of `revision`."""
         self.loop_lag.record_event(now)
@@ -216,7 +217,7 @@
         now: float,
         session_id: int,
         revision: int,
-        events: Iterable[tuple[str, int, bytes | None]],
+        events: Iterable[KeyValueEvent],
     ) -> list[Command]:
         """Handle events of the watch, or a progress notification if there are none.
 
