Membership and zones: records of a state and shares of a pair are made in one place

The own record in a state was spelled out three times, a record in another state twice, the lookup of a pair's share twice.

LocalIdentity.record, MemberRecord.with_state and find_share hold them.

--- a/applevale/membership/context.py
+++ b/applevale/membership/context.py
@@ -7,13 +7,14 @@
 
 from .commands import CommandQueue
 from .config import ProtocolConfig
+from .messages import MemberRecord, MemberState
 from .stats import Stats
 from .view import MembershipView
 
 
 @dataclass
 class LocalIdentity:
-    """Who this member is.
+    """The identity of this member.
 
     Attributes:
         member: Its number among the configured members.
@@ -25,6 +26,10 @@
     process_id: int
     incarnation: int = 0
 
+    def record(self, state: MemberState) -> MemberRecord:
+        """Return the own record in a state."""
+        return MemberRecord(state, self.incarnation, self.process_id)
+
 
 @dataclass(frozen=True)
 class ProtocolContext:
--- a/applevale/membership/heartbeat.py
+++ b/applevale/membership/heartbeat.py
@@ -4,7 +4,7 @@
 
 from .commands import LocalStatus
 from .context import ProtocolContext
-from .messages import MemberRecord, MemberState, MemberUpdate
+from .messages import MemberState, MemberUpdate
 from .parts import SharedParts
 from .sender import UNLIMITED
 from .updates import UpdateHandler
@@ -44,4 +44,4 @@
 
     def _death_of(self, member: int) -> MemberUpdate:
         record = self._view.table.records[member]
-        return MemberUpdate(member, MemberRecord(MemberState.DEAD, record.incarnation, record.process_id))
+        return MemberUpdate(member, record.with_state(MemberState.DEAD))
--- a/applevale/membership/local_member.py
+++ b/applevale/membership/local_member.py
@@ -77,12 +77,10 @@
         if is_recent and reported < self._identity.incarnation + 1:
             return
         self._refuted_at = now
-        incarnation = min(MAX_INCARNATION, max(self._identity.incarnation, reported) + 1)
-        self._identity.incarnation = incarnation
+        highest = max(self._identity.incarnation, reported)
+        self._identity.incarnation = min(MAX_INCARNATION, highest + 1)
         self._stats.raised += 1
-        self._store.apply(
-            self._identity.member, MemberRecord(MemberState.ALIVE, incarnation, self._identity.process_id)
-        )
+        self._store.apply(self._identity.member, self._identity.record(MemberState.ALIVE))
         self._announce(now, REFUTATION_FANOUT)
 
     def on_own_record(self, now: float, record: MemberRecord) -> None:
@@ -107,9 +105,7 @@
     def leave(self, now: float) -> None:
         """Inform others of a clean end, unless a later process has this member's place."""
         if self._health.status not in (LocalStatus.JOINING, LocalStatus.SUPERSEDED, LocalStatus.LEFT):
-            identity = self._identity
-            record = MemberRecord(MemberState.LEFT, identity.incarnation, identity.process_id)
-            self._store.apply(identity.member, record)
+            self._store.apply(self._identity.member, self._identity.record(MemberState.LEFT))
             self._announce(now, LEAVE_FANOUT)
         self._health.set_status(LocalStatus.LEFT)
 
--- a/applevale/membership/messages.py
+++ b/applevale/membership/messages.py
@@ -65,6 +65,10 @@
         """The sort key by which the greater of two records overrides the other."""
         return self.incarnation, max(self.state, MemberState.SUSPECT)
 
+    def with_state(self, state: MemberState) -> MemberRecord:
+        """Return the record of the same process and incarnation in another state."""
+        return MemberRecord(state, self.incarnation, self.process_id)
+
 
 UNKNOWN_RECORD = MemberRecord()
 
--- a/applevale/membership/sender.py
+++ b/applevale/membership/sender.py
@@ -98,9 +98,7 @@
     def _build(self, kind: MessageKind, target: int, sequence_number: int = 0, **fields: Any) -> Message:
         receiver_record = self._view.table.records[target]
         if self._suspicions.has_quorum(target):  # the suspect is informed by each message it gets
-            receiver_record = MemberRecord(
-                MemberState.SUSPECT, receiver_record.incarnation, receiver_record.process_id
-            )
+            receiver_record = receiver_record.with_state(MemberState.SUSPECT)
         return Message(
             kind,
             sequence_number,
--- a/applevale/membership/suspicion_monitor.py
+++ b/applevale/membership/suspicion_monitor.py
@@ -122,8 +122,7 @@
     def _on_own_suspicion(self, now: float, update: SuspicionUpdate, has_quorum: bool) -> None:
         identity = self._identity
         if has_quorum and update.incarnation == identity.incarnation & INCARNATION_LOW_MASK:
-            record = MemberRecord(MemberState.SUSPECT, identity.incarnation, identity.process_id)
-            self._local.on_own_record(now, record)
+            self._local.on_own_record(now, identity.record(MemberState.SUSPECT))
 
     def _relay(self, member: int, suspicion: Suspicion, former_count: int) -> None:
         """Disseminate a suspicion with a new observer, where that makes a difference to others."""
--- a/applevale/zones/plan.py
+++ b/applevale/zones/plan.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .settings import RecoverySettings, Share, SpillLimit, ZonesError
+from .settings import RecoverySettings, Share, SpillLimit, ZonesError, find_share
 
 
 class ZonePair(NamedTuple):
@@ -70,8 +70,8 @@
 
     def max_flow(self, pair: ZonePair) -> float:
         """Return the upper limit on the cores that a pair may use of the target."""
-        shares = (limit.share for limit in self.spill_limits if (limit.home, limit.target) == pair)
-        return next(shares, 1.0) * self.zones[pair.target].capacity
+        share = find_share(self.spill_limits, pair.home, pair.target, default=1.0)
+        return share * self.zones[pair.target].capacity
 
     def movable_demand(self, zone: str) -> float:
         """Return the cores of a zone's classes that may leave it."""
--- a/applevale/zones/settings.py
+++ b/applevale/zones/settings.py
@@ -108,8 +108,15 @@
 
     def instance_share(self, home: str, target: str) -> float:
         """Return the share of the target's capacity that one instance of the home zone may use."""
-        shares = (limit.share for limit in self.spill_limits if (limit.home, limit.target) == (home, target))
-        return next(shares, 0.0) / self.instances.get(home, 1)
+        return find_share(self.spill_limits, home, target, default=0.0) / self.instances.get(home, 1)
+
+
+def find_share(limits: Iterable[SpillLimit], home: str, target: str, default: float) -> float:
+    """Return the limited share of a pair of zones; `default` if no limit names the pair."""
+    for limit in limits:
+        if limit.home == home and limit.target == target:
+            return limit.share
+    return default
 
 
 def read_zones(raw: bytes, zone_names: tuple[str, ...], class_names: tuple[str, ...]) -> ZoneSettings:
