--- a/applevale/membership/messages.py
+++ b/applevale/membership/messages.py
@@ -65,6 +65,10 @@
         """The sort key by which the greater of two records overrides the other."""
         return self.incarnation, max(self.state, MemberState.SUSPECT)
 
+    def with_state(self, state: MemberState) -> MemberRecord:
+        """Return the record of the same process and incarnation in another state."""
+        return MemberRecord(state, self.incarnation, self.process_id)
+
 
 UNKNOWN_RECORD = MemberRecord()
 
@@ -102,7 +106,7 @@
     """A message from one member to another.
 
     Attributes:
-        kind: What the message asks or answers.
+        kind: Kind of the request or response.
         sequence_number: Matches an answer to its request.
         incarnation: The sender's incarnation; 0 while it joins.
         process_id: The sender's process.
--- a/applevale/membership/protocol.py
+++ b/applevale/membership/protocol.py
@@ -5,7 +5,7 @@
 
 - A member is declared dead only by enough distinct observers at its present incarnation (suspicion.py), or by
   as many distinct members that hold it dead; never by one.
-- A member that was paused, hears nobody or is answered by nobody does not judge others, and its timeouts for
+- A member that was paused, receives no messages or no answers does not judge others, and its timeouts for
   them start anew once that is over.
 - A member that finds most of those it could not reach to be alive doubts itself in the same way.
 - A member that is held suspect, dead or left while it is alive refutes that with a higher incarnation. An
@@ -24,20 +24,16 @@
 from .commands import Command, CommandQueue, LocalStatus, StatusChanged
 from .config import ProtocolConfig
 from .context import LocalIdentity, ProtocolContext
-from .dissemination import BroadcastQueue, MemberStore
 from .failure_detector import FailureDetector
 from .heartbeat import HeartbeatDetector
 from .join_prober import JoinProber
-from .local_health import LocalHealth
-from .local_member import LocalMember
 from .messages import MemberUpdate, Message, MessageKind
-from .probes import ProbeTable
+from .parts import create_shared_parts
 from .rate_limiter import SenderRateLimiter
 from .self_monitor import SelfMonitor
-from .sender import MessageSender
 from .stats import Stats
 from .suspicion_monitor import SuspicionMonitor
-from .suspicion_table import SuspicionTable
+from .suspicion_verifier import SuspicionVerifier
 from .updates import UpdateHandler
 from .view import MembershipView
 
@@ -69,45 +65,26 @@
         self.commands = CommandQueue()
         context = ProtocolContext(self.config, self.identity, self.view, random, self.stats, self.commands)
         self._random = random
-        self.suspicions = SuspicionTable(self.config, self.view)
-        self.broadcasts = BroadcastQueue(self.config, self.view, self.suspicions)
-        self.store = MemberStore(self.view, self.suspicions, self.broadcasts)
         self.rate_limiter = SenderRateLimiter(self.stats)
-        self.sender = MessageSender(context, self.suspicions, self.broadcasts, self.rate_limiter)
-        self.health = LocalHealth(context)
-        self.probes = ProbeTable(context, self.sender, self.health)
-        self.local = LocalMember(context, self.store, self.sender, self.health, self.probes)
-        self.self_monitor = SelfMonitor(context, self.health, self.probes, self.suspicions, self.local)
-        self.join_prober = JoinProber(context, self.sender, self.probes)
-        self.updates = UpdateHandler(
-            context, self.store, self.suspicions, self.health, self.local, self.join_prober
-        )
-        self.suspicion_monitor = SuspicionMonitor(
-            context,
-            self.suspicions,
-            self.broadcasts,
-            self.sender,
-            self.health,
-            self.probes,
-            self.local,
-            self.updates,
-        )
-        self.failure_detector = FailureDetector(
-            context,
-            self.suspicions,
-            self.broadcasts,
-            self.sender,
-            self.health,
-            self.probes,
-            self.local,
-            self.suspicion_monitor,
-        )
-        self.heartbeats = HeartbeatDetector(context, self.sender, self.health, self.probes, self.updates)
-        self.anti_entropy = AntiEntropy(context, self.sender, self.updates)
+        parts = create_shared_parts(context, self.rate_limiter)
+        self.suspicions = parts.suspicions
+        self.store = parts.store
+        self.sender = parts.sender
+        self.health = parts.health
+        self.probes = parts.probes
+        self.local = parts.local
+        self.self_monitor = SelfMonitor(context, parts)
+        self.join_prober = JoinProber(context, parts)
+        self.updates = UpdateHandler(context, parts, self.join_prober)
+        verifier = SuspicionVerifier(context, parts)
+        self.suspicion_monitor = SuspicionMonitor(context, parts, self.updates, verifier)
+        self.failure_detector = FailureDetector(context, parts, self.suspicion_monitor)
+        self.heartbeats = HeartbeatDetector(context, parts, self.updates)
+        self.anti_entropy = AntiEntropy(context, parts.sender, self.updates)
 
     @property
     def status(self) -> LocalStatus:
-        """What this member thinks of itself."""
+        """The status of this member."""
         return self.health.status
 
     @property
@@ -158,7 +135,7 @@
         self.stats.heard += 1
         if self.status is LocalStatus.ISOLATED:
             self.self_monitor.recover(now)
-        self.health.heard_at = now
+        self.health.last_received_at = now
         self._apply_records(now, sender, message)
         self._dispatch(now, sender, message)
         is_compared = message.kind in (MessageKind.PING, MessageKind.ACK)
@@ -189,7 +166,7 @@
         self.probes.next_probe_at = now + self._random.random() * self.config.probe_interval
 
     def _apply_records(self, now: float, sender: int, message: Message) -> None:
-        """Handle what a message says of this member, its sender and others."""
+        """Handle the records and updates that a message carries."""
         self.local.on_own_record(now, message.receiver_record)
         if message.incarnation and self.config.heartbeat_interval:
             self.heartbeats.record_heartbeat(now, sender)
@@ -216,7 +193,7 @@
                 self.anti_entropy.on_segment(now, sender, message)
 
     def _finish(self, now: float) -> list[Command]:
-        """Add the announcement that is due, note when the next event is, and return all commands."""
+        """Add the announcement that is due, set the next deadline, and return all commands."""
         announcement = self.view.take_announcement(now)
         if announcement is not None:
             self.commands.add(announcement)
--- a/applevale/zones/plan.py
+++ b/applevale/zones/plan.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .settings import RecoverySettings, Share, SpillLimit, ZonesError
+from .settings import RecoverySettings, Share, SpillLimit, ZonesError, find_share
 
 
 class ZonePair(NamedTuple):
@@ -70,8 +70,8 @@
 
     def max_flow(self, pair: ZonePair) -> float:
         """Return the upper limit on the cores that a pair may use of the target."""
-        shares = (limit.share for limit in self.spill_limits if (limit.home, limit.target) == pair)
-        return next(shares, 1.0) * self.zones[pair.target].capacity
+        share = find_share(self.spill_limits, pair.home, pair.target, default=1.0)
+        return share * self.zones[pair.target].capacity
 
     def movable_demand(self, zone: str) -> float:
         """Return the cores of a zone's classes that may leave it."""
@@ -88,12 +88,12 @@
     """Decode a plan and check that it names known zones only.
 
     Raises:
-        ZonesError: The plan cannot be used; the text names the place.
+        ZonesError: The plan cannot be used.
     """
     try:
         plan = msgspec.json.decode(raw, type=ZonePlan)
     except (msgspec.MsgspecError, RecursionError) as error:
-        raise ZonesError(f"plan: {error}") from None
+        raise ZonesError("plan", str(error)) from None
     for home, tiers in plan.tiers.items():
         _check_zone_names(plan, [home], f"tiers.{home}")
         for tier in tiers:
@@ -106,4 +106,4 @@
 def _check_zone_names(plan: ZonePlan, names: list[str], place: str) -> None:
     for name in names:
         if name not in plan.zones:
-            raise ZonesError(f"{place}: {name!r} is not under zones")
+            raise ZonesError(place, f"{name!r} is not under zones")
