--- /dev/null
+++ b/tests/process.py
@@ -0,0 +1,205 @@
+"""Real processes of the program on loopback addresses, with the toy engine of the examples behind them."""
+
+from __future__ import annotations
+
+import atexit
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "examples"))
+from toy_engine import Handler, ToyEngine  # noqa: E402
+
+EXAMPLE_CONFIG = (ROOT / "examples" / "config.json").read_text()
+EXAMPLE_ENGINE_PORT = ":7101"  # as the example configuration has it
+LOOPBACK = "127.0.0.1"
+ANY_PORT = f"{LOOPBACK}:0"
+
+# Commands to engines, as they are on the wire.
+EXECUTE = b"want"
+CANCEL = b"never_mind"
+
+EVENT_TIMEOUT_SECONDS = 20.0
+EXIT_TIMEOUT_SECONDS = 30.0
+POLL_INTERVAL_SECONDS = 0.002
+REPLY_PIECE_BYTES = 701  # divides no page of a reply
+
+
+def wait_until(condition: Callable[[], object]) -> None:
+    """Return when `condition` is true; fail after EVENT_TIMEOUT_SECONDS."""
+    deadline = time.monotonic() + EVENT_TIMEOUT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, "the condition did not become true in time"
+        time.sleep(POLL_INTERVAL_SECONDS)
+
+
+def reserve_port() -> socket.socket:
+    """Return a socket that is bound to a free loopback port and does not listen.
+
+    Connections to the port are refused until someone listens on it: the program, whose listeners set
+    SO_REUSEADDR, or the socket itself. While the socket is open the kernel gives the port to no one else.
+    """
+    reserved = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((LOOPBACK, 0))
+    return reserved
+
+
+def format_address(address: tuple[str, int]) -> str:
+    """Return `address` as HOST:PORT."""
+    host, port = address
+    return f"{host}:{port}"
+
+
+class ProgramProcess:
+    """A process of the program, started at once.
+
+    A thread reads its log as it is written, so that the process never blocks on a full pipe.
+    """
+
+    def __init__(self, config_path: Path, listen: str = ANY_PORT):
+        environment = os.environ | {"BALANCER_CONFIG": str(config_path), "BALANCER_LISTEN": listen}
+        command = [sys.executable, "-m", "applevale"]
+        self.popen = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
+        atexit.register(self.popen.kill)  # a failed test may leave the process running
+        self._lines: list[str] = []
+        self._lines_consumed = 0
+        self._log_ended = False
+        self._log_changed = threading.Condition()
+        self._log_reader = threading.Thread(target=self._read_log, daemon=True)
+        self._log_reader.start()
+
+    def _read_log(self) -> None:
+        for line in self.popen.stderr:
+            with self._log_changed:
+                self._lines.append(line)
+                self._log_changed.notify_all()
+        with self._log_changed:
+            self._log_ended = True
+            self._log_changed.notify_all()
+
+    @property
+    def log(self) -> str:
+        """What the process has logged up to now."""
+        with self._log_changed:
+            return "".join(self._lines)
+
+    def wait_for_log_line(self, pattern: str) -> re.Match:
+        """Return the match of the next line in which `pattern` is found.
+
+        Lines before it are skipped, and a later call continues behind it.
+        """
+        deadline = time.monotonic() + EVENT_TIMEOUT_SECONDS
+        with self._log_changed:
+            while True:
+                while self._lines_consumed < len(self._lines):
+                    line = self._lines[self._lines_consumed]
+                    self._lines_consumed += 1
+                    if match := re.search(pattern, line):
+                        return match
+                time_left = deadline - time.monotonic()
+                is_possible = not self._log_ended and time_left > 0
+                assert is_possible, f"no line of the log matches {pattern!r}: {self._lines}"
+                self._log_changed.wait(time_left)
+
+    def wait_for_address(self) -> tuple[str, int]:
+        """Return the address on which the program serves clients, when it listens there."""
+        match = self.wait_for_log_line(r"listens on (.+):(\d+)$")
+        return match[1], int(match[2])
+
+    def send_signal(self, signal_number: int) -> None:
+        """Send a signal to the process."""
+        self.popen.send_signal(signal_number)
+
+    def suspend(self) -> None:
+        """Stop the process, and return when the kernel has stopped it."""
+        self.popen.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.popen.pid, os.WSTOPPED)
+
+    def resume(self) -> None:
+        """Let a suspended process continue."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not exited."""
+        return self.popen.poll() is None
+
+    def wait(self) -> int:
+        """Return the exit status, when the process has exited and its log is read to the end."""
+        status = self.popen.wait(EXIT_TIMEOUT_SECONDS)
+        self._log_reader.join(EXIT_TIMEOUT_SECONDS)
+        assert not self._log_reader.is_alive(), "the log was not read to its end"
+        return status
+
+    def terminate(self) -> int:
+        """Send SIGTERM, unless the process has exited, and return the exit status."""
+        if self.is_running:
+            self.send_signal(signal.SIGTERM)
+        return self.wait()
+
+    def logged_counters(self) -> dict[str, float]:
+        """Return the counters as they were logged last."""
+        return json.loads(re.findall(r"counters (.*)", self.log)[-1])
+
+
+class SplittingHandler(Handler):
+    """Sends each reply of the engine in many small pieces."""
+
+    def say(self, data: bytes) -> None:
+        for start in range(0, len(data), REPLY_PIECE_BYTES):
+            self.request.sendall(data[start : start + REPLY_PIECE_BYTES])
+
+
+class Instance:
+    """An instance of the program that listens, with a toy engine of its own.
+
+    Attributes:
+        config_path: The configuration file of the process.
+        engine: The engine, at the place of the one in the example configuration.
+        process: The process.
+        address: Where it serves clients.
+    """
+
+    def __init__(
+        self, directory: Path, config_text: str = EXAMPLE_CONFIG, handler: type[Handler] = SplittingHandler
+    ):
+        self.engine = ToyEngine((LOOPBACK, 0), handler)
+        threading.Thread(target=self.engine.serve_forever, daemon=True).start()
+        self.config_path = directory / "config.json"
+        self.config_path.write_text(config_text.replace(EXAMPLE_ENGINE_PORT, f":{self.engine_port}"))
+        self.process = ProgramProcess(self.config_path)
+        self.address = self.process.wait_for_address()
+
+    @property
+    def engine_port(self) -> int:
+        """The port of the toy engine."""
+        return self.engine.server_address[1]
+
+    def engine_commands(self, request_id: str) -> list[bytes]:
+        """Return the names of the commands that the engine got for a request, in order."""
+        return [command[0] for command in self.engine.seen if command[1] == request_id.encode()]
+
+    def executed_request_ids(self) -> list[bytes]:
+        """Return the request ids of all commands to execute that the engine got, in order."""
+        return [command[1] for command in self.engine.seen if command[0] == EXECUTE]
+
+    def stop(self) -> dict[str, float]:
+        """End the process and the engine; return the counters that the process logged last."""
+        self.close()
+        return self.process.logged_counters()
+
+    def close(self) -> None:
+        """End the process, if it still runs, and the engine."""
+        self.process.terminate()
+        self.engine.shutdown()
+        self.engine.server_close()
--- a/tests/test_corrupt_replies.py
+++ b/tests/test_corrupt_replies.py
@@ -4,7 +4,8 @@
 from math import inf
 
 import pytest
-from test_node import EXAMPLE, Client, Handler, Node
+from process import EXAMPLE_CONFIG, Handler, Instance
+from rpc_client import FAILED, Response, RpcClient
 from toy_engine import answer, rows
 
 from applevale import api
@@ -59,34 +60,38 @@
 
 @pytest.fixture(scope="module")
 def node(tmp_path_factory):
-    node = Node(tmp_path_factory.mktemp("corrupt_replies"), EXAMPLE, CorruptingHandler)
+    node = Instance(tmp_path_factory.mktemp("corrupt_replies"), EXAMPLE_CONFIG, CorruptingHandler)
     yield node
     node.stop()
 
 
 def ask(node, kind, method, **more):
-    client, ref = Client(node), f"{[*CORRUPT, *ADDED].index(kind) + 64 * len(method):016x}"
-    client.ask(1, method, ref, f"select * from air_1.x -- {kind}", lookup=f"{len(ref + kind)}", **more)
-    return client.read(), node.words(ref)
+    client, ref = RpcClient(node.address), f"{[*CORRUPT, *ADDED].index(kind) + 64 * len(method):016x}"
+    client.send_request(
+        1, method, ref, f"select * from air_1.x -- {kind}", lookup=f"{len(ref + kind)}", **more
+    )
+    return client.read_response(), node.engine_commands(ref)
 
 
 @pytest.mark.parametrize("kind", CORRUPT)
 def test_a_request_with_a_corrupt_reply_is_sent_again(node, kind):
     found, words = ask(node, kind, "lookup")
-    assert found == [1, 1, None, [GOOD, {}]] and words.count(b"want") == 2
+    assert found == Response(1, None, [GOOD, {}]) and words.count(b"want") == 2
 
 
 @pytest.mark.parametrize("kind", CORRUPT)
 def test_a_load_with_a_corrupt_reply_fails_and_is_not_sent_again(node, kind):
     found, words = ask(node, kind, "load")
-    assert found == [1, 1, ["Error", {}], None] and words.count(b"want") == 1
+    assert found == Response(1, FAILED, None) and words.count(b"want") == 1
 
 
 @pytest.mark.parametrize("kind", ADDED)
 def test_what_comes_beside_a_valid_reply_is_ignored(node, kind):
     # Long work, by its estimate: what seems overdue on a machine that stands still is sent anew, rightly.
     found, words = ask(node, kind, "report", effort="9000")
-    assert found == [1, 1, None, [GOOD * (2 if kind == "pages" else 1), {}]] and words.count(b"want") == 1
+    assert (
+        found == Response(1, None, [GOOD * (2 if kind == "pages" else 1), {}]) and words.count(b"want") == 1
+    )
 
 
 def test_a_new_engine_at_an_old_address_shares_nothing_with_the_old_one():
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -4,10 +4,11 @@
 import signal
 import socket
 
-import helpers
 import msgpack
 import uvloop
-from test_node import Client, Node, probed, until
+from policy_driver import make_settings
+from process import Instance, wait_until
+from rpc_client import REJECTED, Response, RpcClient, pack_request, probe
 
 from applevale.admin.draining import ACCEPT_SECONDS, FIRST_REQUEST_GRACE_SECONDS, DrainState
 from applevale.dispatch.event_loop_driver import EventLoopDriver
@@ -16,27 +17,33 @@
 from applevale.server.listener import RpcServer
 
 
-def test_a_drain_takes_requests_for_a_while_and_lasts_until_it_is_ended():
+def test_a_drain_accepts_requests_for_a_while_and_is_active_until_it_is_ended():
     drain = DrainState()
-    assert not drain.is_active and not drain.rejects_requests(1e9) and not drain.may_close(False, False)
+    assert not drain.is_active
+    assert not drain.rejects_requests(1e9)
+    assert not drain.may_close(False, False)
     drain.begin(10.0)
-    drain.begin(11.0)  # again: it is the same drain
-    assert drain.is_active and not drain.rejects_requests(9.9) and drain.rejects_requests(10.0)
+    drain.begin(11.0)  # the same drain: the second call has no effect
+    assert drain.is_active
+    assert not drain.rejects_requests(9.9)
+    assert drain.rejects_requests(10.0)
     assert drain.may_close(has_open_work=False, has_unread_input=False)
     assert not drain.may_close(has_open_work=True, has_unread_input=False)
     assert not drain.may_close(has_open_work=False, has_unread_input=True)
     assert drain.first_request_wait(10.0, 10.0) == FIRST_REQUEST_GRACE_SECONDS
     assert drain.first_request_wait(5.0, 10.0) == 0.0
     drain.end()
-    assert not drain.is_active and not drain.rejects_requests(1e9)
+    assert not drain.is_active
+    assert not drain.rejects_requests(1e9)
 
 
-class FakeHandler:
-    """A request handler that answers when it is let."""
+class FakeRequestHandler:
+    """A request handler that completes each request as soon as `may_complete` is set."""
 
     def __init__(self):
-        self.came, self.let = asyncio.Event(), asyncio.Event()
-        self.let.set()
+        self.request_received = asyncio.Event()
+        self.may_complete = asyncio.Event()
+        self.may_complete.set()
 
     def reject(self):
         return Rejected(0.5)
@@ -45,152 +52,164 @@
         pass
 
     async def handle(self, request):
-        self.came.set()
-        await self.let.wait()
+        self.request_received.set()
+        await self.may_complete.wait()
         return Completed(b"row")
 
 
-class Site:
-    """A server with one client, on the loop that the program uses."""
+class ServerWithClient:
+    """A server with the connection of one client, on the running event loop."""
 
     def __init__(self):
-        listener = socket.create_server(("127.0.0.1", 0))
-        self.handler, self.counters, self.unpacker = FakeHandler(), Counters(), msgpack.Unpacker()
+        self.handler = FakeRequestHandler()
+        self.counters = Counters()
         self.server = RpcServer(
             self.handler,
             EventLoopDriver(None, None, self.counters),
-            helpers.settings(),
+            make_settings(),
             8,
             1 << 20,
             self.counters,
         )
-        self.client = socket.create_connection(listener.getsockname())
-        theirs, _ = listener.accept()
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.client_socket = socket.create_connection(listener.getsockname())
+        server_socket, _ = listener.accept()
         listener.close()
-        for sock in (self.client, theirs):
-            sock.setblocking(False)
-        self.server.accept_connection(theirs, 0.0, True)
+        self.client_socket.setblocking(False)
+        server_socket.setblocking(False)
+        self._unpacker = msgpack.Unpacker()
+        self.server.accept_connection(server_socket, 0.0, True)
 
-    def ask(self, number):
+    def send_request(self, number):
         fields = {"ref": f"{number:016x}", "allow": "3000"}
-        self.client.send(msgpack.packb([0, number, "short", [fields, b"select 1 from air_1.x"]]))
+        self.client_socket.send(pack_request(number, "short", fields, b"select 1 from air_1.x"))
 
-    async def read(self):
-        """The next answer; None at the connection's end."""
+    async def read_response(self):
+        """Return the next response; None at the end of the connection."""
         while True:
-            for message in self.unpacker:
-                return message
+            for message in self._unpacker:
+                _, number, error, result = message
+                return Response(number, error, result)
             async with asyncio.timeout(10):
-                data = await asyncio.get_running_loop().sock_recv(self.client, 65536)
+                data = await asyncio.get_running_loop().sock_recv(self.client_socket, 65536)
             if not data:
                 return None
-            self.unpacker.feed(data)
+            self._unpacker.feed(data)
+
+    def close(self):
+        for connection in list(self.server.connections):
+            connection.stop("")
+        self.client_socket.close()
+
 
+def run_scenario(scenario):
+    """Run a coroutine function on a new server with one client, on the event loop that the program uses."""
 
-def played(script):
-    async def play():
-        site = Site()
+    async def run():
+        site = ServerWithClient()
         try:
-            await script(site)
+            await scenario(site)
         finally:
-            for connection in list(site.server.connections):
-                connection.stop("")
-            site.client.close()
+            site.close()
 
-    uvloop.run(play())
+    uvloop.run(run())
 
 
-def test_a_request_that_is_read_but_not_yet_taken_keeps_its_connection():
-    async def script(site):
-        site.ask(1)
-        assert (await site.read())[1] == 1
+def test_a_connection_with_an_unprocessed_request_stays_open_in_a_drain():
+    async def scenario(site):
+        site.send_request(1)
+        assert (await site.read_response()).number == 1
         loop = asyncio.get_running_loop()
 
-        def crossing():  # the loop reads it after this turn, and the drain begins before its task has run
-            site.ask(2)
+        def send_and_drain():
+            # The loop reads the request after this iteration; the drain begins before its task has run.
+            site.send_request(2)
             loop.call_soon(site.server.drain)
 
-        loop.call_soon(crossing)
-        answer = await site.read()
-        assert answer is not None and answer[1] == 2 and answer[2] is None
-        assert await site.read() is None  # then nothing is owed
+        loop.call_soon(send_and_drain)
+        response = await site.read_response()
+        assert response is not None
+        assert response.number == 2
+        assert response.error is None
+        assert await site.read_response() is None  # nothing else was open
 
-    played(script)
+    run_scenario(scenario)
 
 
-def test_a_client_that_never_falls_idle_is_turned_away_and_then_closed():
-    async def script(site):
-        site.handler.let.clear()
-        site.ask(1)
-        await site.handler.came.wait()
+def test_a_client_that_is_never_idle_is_rejected_and_then_disconnected():
+    async def scenario(site):
+        site.handler.may_complete.clear()
+        site.send_request(1)
+        await site.handler.request_received.wait()
         site.server.drain()
-        site.server.connections.drain_state.reject_from -= ACCEPT_SECONDS  # it has lasted that long
-        site.ask(2)
-        refused = await site.read()
-        assert refused[1] == 2 and refused[2] == ["Full", {"cooldown": "500"}]
-        site.handler.let.set()
-        assert (await site.read())[1] == 1
-        assert await site.read() is None
+        site.server.connections.drain_state.reject_from -= ACCEPT_SECONDS  # as if it had lasted that long
+        site.send_request(2)
+        response = await site.read_response()
+        assert response.number == 2
+        assert response.error == [REJECTED, {"cooldown": "500"}]
+        site.handler.may_complete.set()
+        assert (await site.read_response()).number == 1
+        assert await site.read_response() is None
 
-    played(script)
+    run_scenario(scenario)
 
 
-def test_a_silent_connection_is_closed_soon_but_its_first_request_is_awaited():
-    async def script(site):
+def test_a_drain_waits_for_the_first_request_of_a_connection_and_closes_it_if_none_comes():
+    async def request_during_drain(site):
         site.server.drain()
         assert site.server.connections
-        site.ask(1)  # it was on its way
-        assert (await site.read())[1] == 1
-        assert await site.read() is None
+        site.send_request(1)
+        assert (await site.read_response()).number == 1
+        assert await site.read_response() is None
 
-    async def silent(site):
+    async def no_request(site):
         site.server.drain()
-        assert await site.read() is None
-        assert not site.counters["unfinished_messages"]  # closed by the drain, not by the bound on silence
+        assert await site.read_response() is None
+        assert not site.counters["unfinished_messages"]  # closed by the drain, not for its silence
 
-    played(script)
-    played(silent)
+    run_scenario(request_during_drain)
+    run_scenario(no_request)
 
 
-def test_a_drain_that_is_over_closes_nothing():
-    async def script(site):
-        site.ask(1)
-        await site.read()
+def test_a_drain_that_was_ended_closes_no_connection():
+    async def scenario(site):
+        site.send_request(1)
+        await site.read_response()
         site.server.connections.drain_state.begin(0.0)
         connection = next(iter(site.server.connections))
-        site.server.connections.mark_idle(connection)  # to be looked at in the next turn
+        site.server.connections.mark_idle(connection)  # the drain looks at it in the next loop iteration
         site.server.undrain()
-        site.ask(2)
-        assert (await site.read())[1] == 2 and connection in site.server.connections.idle
+        site.send_request(2)
+        assert (await site.read_response()).number == 2
+        assert connection in site.server.connections.idle
 
-    played(script)
-
-
-def test_an_exit_waits_for_a_message_that_was_begun(tmp_path):
-    node = Node(tmp_path)
-    try:
-        client = Client(node)
-        fields = {"ref": "1" * 16, "allow": "2500", "effort": "10", "space": "4"}
-        data = msgpack.packb([0, 1, "lookup", [fields, b"select * from air_1.x limit 2"]])
-        client.sock.sendall(data[:40])
-        assert probed(node)  # so connections that came before have been taken
-        node.process.send_signal(signal.SIGTERM)
-        until(lambda: _refused(node))  # the moment in which clients may still come is over
-        client.sock.sendall(data[40:])
-        answer = client.read()
-        assert answer is not None and answer[1] == 1 and answer[2] is None
-        assert client.read() is None and node.process.wait(15) == 0
-    finally:
-        if node.process.poll() is None:
-            node.process.kill()
-            node.process.wait(15)
-        node.engine.shutdown()
-        node.engine.server_close()
+    run_scenario(scenario)
 
 
-def _refused(node):
+def is_connection_refused(address):
     try:
-        socket.create_connection(node.address, timeout=5).close()
+        socket.create_connection(address, timeout=5).close()
     except OSError:
         return True
     return False
+
+
+def test_an_exit_waits_for_the_rest_of_a_message(tmp_path):
+    instance = Instance(tmp_path)
+    try:
+        client = RpcClient(instance.address)
+        fields = {"ref": "1" * 16, "allow": "2500", "effort": "10", "space": "4"}
+        data = pack_request(1, "lookup", fields, b"select * from air_1.x limit 2")
+        client.send_bytes(data[:40])
+        assert probe(instance.address)  # so connections that came before it have been accepted
+        instance.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: is_connection_refused(instance.address))
+        client.send_bytes(data[40:])
+        response = client.read_response()
+        assert response is not None
+        assert response.number == 1
+        assert response.error is None
+        assert client.read_response() is None
+        assert instance.process.wait() == 0
+    finally:
+        instance.close()
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -1,4 +1,4 @@
-"""Another customer's settings: nothing of one deployment lies in the program."""
+"""Settings of another customer: the program contains no name of one deployment."""
 
 import ast
 import json
@@ -8,17 +8,18 @@
 import tomllib
 
 import pytest
-from test_node import EXAMPLE, ROOT, Client, Node, until
+from process import EXAMPLE_CONFIG, EXECUTE, ROOT, Instance, ProgramProcess, format_address, reserve_port
+from rpc_client import FAILED, REJECTED, RpcClient
 
 NS = 10**9
-PROGRAM = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["node"]
-FIELDS = {"lookup"}  # of the protocol, that happen to be a class's name
+PROGRAM_FILES = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["node"]
+PROTOCOL_FIELDS = {"lookup"}  # that happen to be the name of a class
 
 
-def settings(**changes):
-    """Other names, places and effects; nothing optional."""
-    raw = json.loads(EXAMPLE)
-    raw["settings"] = {
+def make_config(**changes):
+    """Return a configuration with other names, zones and effects, and nothing optional."""
+    config = json.loads(EXAMPLE_CONFIG)
+    config["settings"] = {
         "az": 1,
         "me": 4,
         "fleet_size": 9,
@@ -48,36 +49,45 @@
         "limits": {"try_limit": 2},
         "guarantees": {"drain_grace": NS // 5},
     } | changes
-    raw["known"]["events"][0]["members"]["instances"][0] |= {"zone": "quay", "machineType": "rack"}
-    return raw
+    config["known"]["events"][0]["members"]["instances"][0] |= {"zone": "quay", "machineType": "rack"}
+    return config
 
 
-def test_every_class_of_foreign_settings_is_served_under_its_own_rule(tmp_path):
-    node = Node(tmp_path, json.dumps(settings()))
-    client, numbers = Client(node), iter(range(1, 99))
+def test_every_class_of_foreign_settings_is_executed_under_its_own_rules(tmp_path):
+    instance = Instance(tmp_path, json.dumps(make_config()))
+    client = RpcClient(instance.address)
+    numbers = iter(range(1, 99))
 
-    def ask(method, statement):
+    def send_request(method, statement):
+        """Return the error of the response, and how often the request was sent to an engine."""
         number = next(numbers)
-        ref = f"{number:016x}"
-        client.ask(number, method, ref, statement, allow="900", lookup=f"{number}")
-        answer = client.read()
-        return answer[2], node.words(ref).count(b"want")
+        request_id = f"{number:016x}"
+        client.send_request(number, method, request_id, statement, allow="900", lookup=f"{number}")
+        response = client.read_response()
+        return response.error, instance.engine_commands(request_id).count(EXECUTE)
 
     for method in ("gauge", "post", "peek at"):
-        assert ask(method, "select * from a_1.x limit 2") == (None, 1)
-    client.ask(next(numbers), "post", "a" * 16, "select * from a_1.x limit 2", allow="900", replay="b2ec")
-    assert client.read()[2] is None  # engines know a repeat by what its client named it
-    wants = {command[1]: command[2] for command in node.engine.seen if command[0] == b"want"}
-    assert wants[b"a" * 16].endswith(b",dedupe=b2ec") and b"dedupe" not in wants[b"%016x" % 2]
-    assert ask("gauge", "insert into a_1.x -- die") == (["Error", {}], 1)
-    error, wants = ask("peek at", "select hang from a_1.x")
-    assert error == ["Full", {}] and wants >= 1  # no advice: the settings do not allow it
-    assert ask("load", "select 1 from a_1.x")[0] == ["Error", {}]  # another deployment's class
-    assert node.stop()["answered_served"] == 4
+        assert send_request(method, "select * from a_1.x limit 2") == (None, 1)
+    named_id = "a" * 16
+    statement = "select * from a_1.x limit 2"
+    client.send_request(next(numbers), "post", named_id, statement, allow="900", replay="b2ec")
+    assert client.read_response().error is None
+    commands = {command[1]: command for command in instance.engine.seen if command[0] == EXECUTE}
+    options_of_named = commands[named_id.encode()][2]
+    options_of_unnamed = commands[b"%016x" % 2][2]
+    assert options_of_named.endswith(b",dedupe=b2ec")  # the idempotency key of the client
+    assert b"dedupe" not in options_of_unnamed
+    assert send_request("gauge", "insert into a_1.x -- die") == (FAILED, 1)
+    error, attempt_count = send_request("peek at", "select hang from a_1.x")
+    assert error == [REJECTED, {}]  # without retry_after: the settings do not allow it
+    assert attempt_count >= 1
+    error_of_unknown_class, _ = send_request("load", "select 1 from a_1.x")
+    assert error_of_unknown_class == FAILED
+    assert instance.stop()["answered_served"] == 4
 
 
 @pytest.mark.parametrize(
-    "change,key",
+    "change, key",
     [
         ({"classes": [{"name": "gauge", "aim": "x", "deadline": NS}]}, "settings.classes"),
         ({"classes": [{"name": "gauge", "aim": NS, "deadline": -1}]}, "settings.classes"),
@@ -92,74 +102,106 @@
         ({"zones": ["dock"]}, "known"),
     ],
 )
-def test_settings_that_cannot_be_used_are_one_line_that_names_the_key(tmp_path, change, key):
-    import test_node
-
-    process = test_node.start(tmp_path, json.dumps(settings(**change)))
-    _, errors = process.communicate(timeout=30)
-    assert process.returncode == 2 and errors.count("\n") == 1 and key in errors
-
-
-def test_no_name_of_a_deployment_lies_in_the_program():
-    names = {spec["name"] for spec in json.loads(EXAMPLE)["settings"]["classes"]}
-    for site in (ROOT / "deploy" / "sites").glob("*.toml"):
-        told = tomllib.loads(site.read_text())
-        names |= {told["name"], *told["net"]["zones"]}
-        names |= {one["name"] for kind in ("class", "tier") for one in told[kind]}
-        names |= {kind["name"] for tier in told["tier"] for kind in tier["kind"]}
-    files = [
-        file
-        for part in PROGRAM
-        for file in ((ROOT / part).rglob("*.py") if (ROOT / part).is_dir() else [ROOT / part])
-    ]
-    files.append(ROOT / "applevale" / "policy.py")
+def test_invalid_settings_end_the_start_with_one_line_that_names_the_key(tmp_path, change, key):
+    config_path = tmp_path / "config.json"
+    config_path.write_text(json.dumps(make_config(**change)))
+    process = ProgramProcess(config_path)
+    assert process.wait() == 2
+    assert process.log.count("\n") == 1
+    assert key in process.log
+
+
+def names_of_deployments():
+    """Return the names of classes, tiers, kinds, zones and sites of all deployments in the repository."""
+    names = {spec["name"] for spec in json.loads(EXAMPLE_CONFIG)["settings"]["classes"]}
+    for path in (ROOT / "deploy" / "sites").glob("*.toml"):
+        site = tomllib.loads(path.read_text())
+        names |= {site["name"], *site["net"]["zones"]}
+        names |= {spec["name"] for kind in ("class", "tier") for spec in site[kind]}
+        names |= {kind["name"] for tier in site["tier"] for kind in tier["kind"]}
+    return names
+
+
+def program_files():
+    """Return all source files of the program."""
+    files = [ROOT / "applevale" / "policy.py"]
+    for part in PROGRAM_FILES:
+        path = ROOT / part
+        if path.is_dir():
+            files.extend(path.rglob("*.py"))
+        else:
+            files.append(path)
+    return files
+
+
+def test_the_program_contains_no_name_of_a_deployment():
+    names = names_of_deployments() - PROTOCOL_FIELDS
+    files = program_files()
     found = {
         (file.name, node.value)
         for file in files
         for node in ast.walk(ast.parse(file.read_text()))
-        if isinstance(node, ast.Constant) and node.value in names - FIELDS
+        if isinstance(node, ast.Constant) and node.value in names
     }
-    assert len(files) > 20 and found == set()
-
-
-def test_clients_that_fill_every_place_take_no_descriptor_of_the_list_engines_or_operators(tmp_path):
-    """While the list service is away idle clients fill all they may; what comes back must find room."""
-    gone = socket.create_server(("127.0.0.1", 0))
-    feed, port = gone.getsockname(), socket.create_server(("127.0.0.1", 0))
-    door = port.getsockname()
-    gone.close()
-    port.close()
-    raw = json.loads(EXAMPLE) | {"feed": f"127.0.0.1:{feed[1]}", "control": f"127.0.0.1:{door[1]}"}
-    raw["limits"]["sockets"] = 128
-    soft = resource.getrlimit(resource.RLIMIT_NOFILE)
+    assert len(files) > 20
+    assert found == set()
+
+
+def start_instance_with_descriptor_limit(directory, config, limit):
+    """Start an instance whose process may have `limit` open files, as a platform would."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     try:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (128, soft[1]))  # the program's own, as a platform would
-        node = Node(tmp_path, json.dumps(raw))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+        return Instance(directory, json.dumps(config))
     finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, soft)
-    crowd = [Client(node) for _ in range(100)]
-    for one in crowd:
-        one.send(0, 1, "probe", [{}])
-    callers = [socket.create_connection(door) for _ in range(40)]
-    with socket.create_server(("127.0.0.1", feed[1])) as listener:
-        listener.settimeout(20)
-        sock, _ = listener.accept()
-        assert struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL)) == (1,)
-        host = struct.unpack(">I", socket.inet_aton("127.0.0.1"))[0]
-        record = struct.pack(">IIHBBBHIQ", 9, host, node.engine.server_address[1], 0, 0, 0, 0, 1000, 0)
-        sock.sendall(struct.pack(">IQB", 9 + 27, 2, 2) + record)
-        call = socket.create_connection(door, timeout=20)
-        call.sendall(b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n")
-        answer = b""
-        while data := call.recv(4096):
-            answer += data
-        assert answer.startswith(b"HTTP/1.1 200")
-        client = Client(node)
-        for first in (1, 5):  # the toy engine's own queue has five places for connections
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def send_engine_list(feed_connection, engine_port):
+    """Answer a subscription with a list that has one engine."""
+    assert struct.unpack(">Q", feed_connection.recv(8, socket.MSG_WAITALL)) == (1,)
+    (host,) = struct.unpack(">I", socket.inet_aton("127.0.0.1"))
+    record = struct.pack(">IIHBBBHIQ", 9, host, engine_port, 0, 0, 0, 0, 1000, 0)
+    feed_connection.sendall(struct.pack(">IQB", 9 + 27, 2, 2) + record)
+
+
+def read_metrics_response(admin_address):
+    """Return the raw response to a call of `GET /metrics`."""
+    connection = socket.create_connection(admin_address, timeout=20)
+    connection.sendall(b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n")
+    response = b""
+    while data := connection.recv(4096):
+        response += data
+    return response
+
+
+def test_clients_at_their_limit_leave_descriptors_for_the_feed_engines_and_the_admin_api(tmp_path):
+    """While the feed is unreachable, idle clients open as many connections as they may."""
+    feed_listener = reserve_port()  # refuses connections until it listens
+    admin_port = reserve_port()
+    admin_address = admin_port.getsockname()
+    config = json.loads(EXAMPLE_CONFIG)
+    config["feed"] = format_address(feed_listener.getsockname())
+    config["control"] = format_address(admin_address)
+    config["limits"]["sockets"] = 128
+    instance = start_instance_with_descriptor_limit(tmp_path, config, 128)
+    idle_clients = [RpcClient(instance.address) for _ in range(100)]
+    for idle_client in idle_clients:
+        idle_client.send_probe(1)
+    admin_connections = [socket.create_connection(admin_address) for _ in range(40)]
+    with feed_listener:
+        feed_listener.listen()
+        feed_listener.settimeout(20)
+        feed_connection, _ = feed_listener.accept()
+        send_engine_list(feed_connection, instance.engine_port)
+        assert read_metrics_response(admin_address).startswith(b"HTTP/1.1 200")
+        client = RpcClient(instance.address)
+        for first in (1, 5):  # the listener of the toy engine has a backlog of five connections
             for number in range(first, first + 4):
-                client.ask(number, "lookup", f"{number:016x}", "select * from air_1.x limit 1")
-            assert [client.read()[2] for _ in range(4)] == [None] * 4
-        until(lambda: node.engine.seen)
-    for one in callers:
-        one.close()
-    assert node.stop()["answered_served"] == 8
+                client.send_request(number, "lookup", f"{number:016x}", "select * from air_1.x limit 1")
+            assert [response.error for response in client.read_responses(4)] == [None] * 4
+        assert instance.engine.seen
+    for connection in admin_connections:
+        connection.close()
+    admin_port.close()
+    assert instance.stop()["answered_served"] == 8
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,246 +1,191 @@
 """Starts the program and speaks to it over sockets, with the toy engine of the examples behind it."""
 
-import atexit
-import json
-import os
-import re
 import signal
 import socket
-import subprocess
-import sys
-import threading
 import time
-from pathlib import Path
 
-import msgpack
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-
-ROOT = Path(__file__).parent.parent
-sys.path.insert(0, str(ROOT / "examples"))
-from toy_engine import Handler, ToyEngine, rows  # noqa: E402
-
-EXAMPLE = (ROOT / "examples" / "config.json").read_text()
-
-
-class InPieces(Handler):
-    """Cuts its answers anywhere."""
-
-    def say(self, data):
-        for at in range(0, len(data), 701):
-            self.request.sendall(data[at : at + 701])
-
-
-def start(tmp_path, text):
-    path = tmp_path / "config.json"
-    path.write_text(text)
-    env = os.environ | {"BALANCER_CONFIG": str(path), "BALANCER_LISTEN": "127.0.0.1:0"}
-    command = [sys.executable, "-m", "applevale"]
-    process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
-    atexit.register(process.kill)  # guards the machine against what a failed test leaves
-    return process
-
-
-class Node:
-    def __init__(self, tmp_path, text=EXAMPLE, handler=InPieces):
-        self.engine = ToyEngine(("127.0.0.1", 0), handler)
-        threading.Thread(target=self.engine.serve_forever, daemon=True).start()
-        port = self.engine.server_address[1]
-        self.process = start(tmp_path, text.replace(":7101", f":{port}"))
-        line = self.process.stderr.readline()
-        self.address = ("127.0.0.1", int(re.search(r":(\d+)$", line)[1]))
-
-    def stop(self):
-        self.process.send_signal(signal.SIGTERM)
-        _, errors = self.process.communicate(timeout=30)
-        self.engine.shutdown()
-        self.engine.server_close()
-        return json.loads(re.findall(r"counters (.*)", errors)[-1])
-
-    def words(self, ref):
-        return [command[0] for command in self.engine.seen if command[1] == ref.encode()]
-
-
-def until(true):
-    """Waits for what must come; a test that waited for ever told nothing."""
-    end = time.monotonic() + 20
-    while not true():
-        assert time.monotonic() < end, "it did not come"
-        time.sleep(0.002)
-
-
-class Client:
-    def __init__(self, node):
-        self.sock = socket.create_connection(node.address, timeout=30)
-        self.unpacker = msgpack.Unpacker()
-
-    def send(self, *message, cuts=()):
-        data = msgpack.packb(message)
-        at = [0, *sorted(cut % len(data) for cut in cuts), len(data)]
-        for start, end in zip(at, at[1:]):
-            self.sock.sendall(data[start:end])
-
-    def ask(self, number, method, ref, statement, cuts=(), **more):
-        fields = {"ref": ref, "allow": "5000", "effort": "10", "space": "4", "lookup": "7"} | more
-        self.send(0, number, method, [fields, statement.encode()], cuts=cuts)
-
-    def read(self):
-        """The next message; None at the connection's end."""
-        while True:
-            for message in self.unpacker:
-                return message
-            data = self.sock.recv(65536)
-            if not data:
-                return None
-            self.unpacker.feed(data)
-
-
-def probed(node):
-    """Whether a probe says that new clients are welcome."""
-    client = Client(node)
-    client.send(0, 1, "probe", [{}])
-    try:
-        return client.read()[3][0]
-    finally:
-        client.sock.close()
+from process import CANCEL, EXAMPLE_CONFIG, EXECUTE, Instance, ProgramProcess, wait_until
+from rpc_client import (
+    FAILED,
+    PROBE_ACCEPTED,
+    REJECTED,
+    Response,
+    RpcClient,
+    pack_cancellation,
+    pack_request,
+    probe,
+)
+from toy_engine import rows
+
+TIME_BETWEEN_REQUESTS_OF_ONE_KEY = 0.07  # seconds, as clients leave
 
 
 @pytest.fixture(scope="module")
-def node(tmp_path_factory):
-    node = Node(tmp_path_factory.mktemp("node"))
-    yield node
-    node.stop()
+def instance(tmp_path_factory):
+    instance = Instance(tmp_path_factory.mktemp("instance"))
+    yield instance
+    instance.stop()
 
 
 @settings(max_examples=20)
 @given(st.lists(st.integers(0, 200), max_size=6), st.integers(0, 1500))
-def test_a_result_is_whole_whatever_the_cuts(node, cuts, count):
-    client = Client(node)
-    client.ask(1, "lookup", f"{count:016x}", f"select * from air_17.x limit {count}", cuts)
-    assert client.read() == [1, 1, None, [b"".join(rows(count)), {}]]
+def test_a_result_is_complete_wherever_the_request_is_cut(instance, cuts, row_count):
+    client = RpcClient(instance.address)
+    statement = f"select * from air_17.x limit {row_count}"
+    client.send_request(1, "lookup", f"{row_count:016x}", statement, cuts)
+    assert client.read_response() == Response(1, None, [b"".join(rows(row_count)), {}])
 
 
-def test_many_calls_share_one_connection_and_each_gets_its_own(node):
-    client = Client(node)
+def test_many_requests_share_one_connection_and_each_gets_its_own_result(instance):
+    client = RpcClient(instance.address)
     for number in range(1, 31):
-        client.ask(number, "lookup", f"a{number:015x}", f"select * from air_3.x limit {number * 20}")
-    found = {answer[1]: answer[3][0] for answer in (client.read() for _ in range(30))}
-    assert found == {number: b"".join(rows(number * 20)) for number in range(1, 31)}
+        statement = f"select * from air_3.x limit {number * 20}"
+        client.send_request(number, "lookup", f"a{number:015x}", statement)
+    results = {response.number: response.result[0] for response in client.read_responses(30)}
+    assert results == {number: b"".join(rows(number * 20)) for number in range(1, 31)}
 
 
-def test_probe_unknown_class_and_bad_fields(node):
-    client = Client(node)
-    client.send(0, 1, "probe", [{}])
-    assert client.read() == [1, 1, None, [True, {}]]
-    client.ask(2, "nothing", "1" * 16, "x")
-    client.ask(3, "lookup", "2" * 16, "x", allow="nan")
-    client.ask(4, "load", "3" * 16, "x", lookup="")
-    client.send(0, 5, "lookup", [{}, b"x"])
-    assert [client.read() for _ in range(4)] == [[1, at, ["Error", {}], None] for at in (2, 3, 4, 5)]
+def test_a_probe_is_accepted_and_unknown_classes_and_invalid_fields_fail(instance):
+    client = RpcClient(instance.address)
+    client.send_probe(1)
+    assert client.read_response() == Response(1, None, PROBE_ACCEPTED)
+    client.send_request(2, "nothing", "1" * 16, "x")
+    client.send_request(3, "lookup", "2" * 16, "x", allow="nan")
+    client.send_request(4, "load", "3" * 16, "x", lookup="")
+    client.send_bytes(pack_request(5, "lookup", {}, b"x"))
+    assert client.read_responses(4) == [Response(number, FAILED, None) for number in (2, 3, 4, 5)]
 
 
 @settings(max_examples=40)
 @given(st.binary(min_size=1, max_size=60))
-def test_garbage_costs_only_its_own_connection(node, data):
-    bad = Client(node)
-    bad.sock.sendall(data)
-    bad.sock.shutdown(socket.SHUT_WR)
+def test_invalid_bytes_end_only_their_own_connection(instance, data):
+    invalid_client = RpcClient(instance.address)
+    invalid_client.send_bytes(data)
+    invalid_client.socket.shutdown(socket.SHUT_WR)
     try:
-        while bad.sock.recv(4096):
+        while invalid_client.socket.recv(4096):
             pass
     except ConnectionResetError:
         pass
-    good = Client(node)
-    good.send(0, 1, "probe", [{}])
-    assert good.read() == [1, 1, None, [True, {}]]
-
-
-def test_a_load_that_may_have_run_fails_and_is_not_sent_again(node):
-    client = Client(node)
-    client.ask(1, "load", "d" * 16, "insert into air_2.x -- die")
-    assert client.read() == [1, 1, ["Error", {}], None]
-    assert node.words("d" * 16) == [b"want"]
-
-
-def test_loads_of_one_key_run_in_order(node):
-    first, second = Client(node), Client(node)
-    first.ask(1, "load", "e" * 15 + "1", "insert hang into air_2.x", allow="700", lookup="e")
-    until(lambda: node.words("e" * 15 + "1"))
+    valid_client = RpcClient(instance.address)
+    valid_client.send_probe(1)
+    assert valid_client.read_response() == Response(1, None, PROBE_ACCEPTED)
+
+
+def test_a_load_that_may_have_been_executed_fails_and_is_not_sent_again(instance):
+    client = RpcClient(instance.address)
+    client.send_request(1, "load", "d" * 16, "insert into air_2.x -- die")
+    assert client.read_response() == Response(1, FAILED, None)
+    assert instance.engine_commands("d" * 16) == [EXECUTE]
+
+
+def test_loads_of_one_key_are_executed_in_order(instance):
+    first_client = RpcClient(instance.address)
+    second_client = RpcClient(instance.address)
+    first_id = "e" * 15 + "1"
+    second_id = "e" * 15 + "2"
+    first_client.send_request(1, "load", first_id, "insert hang into air_2.x", allow="700", lookup="e")
+    wait_until(lambda: instance.engine_commands(first_id))
+    # After an interruption of the event loop what cannot be put in order is rejected, and sent again here.
     for number in range(1, 50):
-        second.ask(number, "load", "e" * 15 + "2", "insert into air_2.x", lookup="e")
-        answer = second.read()
-        if (answer[2] or [""])[0] != "Full":
-            break  # else the loop had stood still, and it refused what it could not put in order
-    assert first.read()[2] == ["Error", {}] and answer[2] is None
-    seen = [(c[0], c[1][-1:]) for c in node.engine.seen if c[1].startswith(b"e" * 15)]
-    assert seen == [(b"want", b"1"), (b"never_mind", b"1"), (b"want", b"2")]
-
-
-def test_after_a_standstill_requests_of_one_key_leave_in_their_order_or_not_at_all(node):
-    """Read connection by connection, the later one left first."""
-    early, late = Client(node), Client(node)
-    for client in (early, late):
-        client.ask(1, "lookup", f"{9:016x}", "select * from air_4.x")
-        assert client.read()[2] is None
-    before = len(node.engine.seen)
-    node.process.send_signal(signal.SIGSTOP)
-    late.ask(2, "lookup", "b" * 15 + "0", "select * from air_4.x")  # its connection is read first
-    time.sleep(0.07)  # as clients do between two requests of a key
-    early.ask(2, "load", "b" * 15 + "1", "insert into air_4.x", lookup="44")
-    time.sleep(0.07)
-    late.ask(3, "load", "b" * 15 + "2", "insert into air_4.x", lookup="44")
-    node.process.send_signal(signal.SIGCONT)
-    answers = {"1": early.read(), "2": next(one for one in (late.read(), late.read()) if one[1] == 3)}
-    sent = [c[1][-1:] for c in node.engine.seen[before:] if c[0] == b"want" and c[1][-1:] in b"12"]
-    assert sent in ([b"1"], [b"2"], [b"1", b"2"])
-    refused = [answers[ref][2] for ref in "12" if ref.encode() not in sent]
-    assert all(error[0] == "Full" for error in refused)
-
-
-@pytest.mark.parametrize("hang_up", [False, True])
-def test_giving_up_reaches_the_engine_and_is_not_answered(node, hang_up):
-    ref = f"{'f' * 15}{hang_up:x}"
-    client = Client(node)
-    client.ask(1, "lookup", ref, "select hang from air_2.x")
-    until(lambda: node.words(ref))
-    if hang_up:
-        client.sock.close()
+        second_client.send_request(number, "load", second_id, "insert into air_2.x", lookup="e")
+        second_response = second_client.read_response()
+        if second_response.error is None or second_response.error[0] != REJECTED:
+            break
+    assert first_client.read_response().error == FAILED
+    assert second_response.error is None
+    ids = (first_id.encode(), second_id.encode())
+    commands = [(command[0], command[1]) for command in instance.engine.seen if command[1] in ids]
+    assert commands == [(EXECUTE, ids[0]), (CANCEL, ids[0]), (EXECUTE, ids[1])]
+
+
+def test_requests_of_one_key_are_sent_in_order_or_rejected_after_the_process_was_suspended(instance):
+    """The connection of the later request is read before that of the earlier one."""
+    early_client = RpcClient(instance.address)
+    late_client = RpcClient(instance.address)
+    early_id = "b" * 15 + "1"
+    late_id = "b" * 15 + "2"
+    for client in (early_client, late_client):
+        client.send_request(1, "lookup", f"{9:016x}", "select * from air_4.x")
+        assert client.read_response().error is None
+    sent_before = len(instance.executed_request_ids())
+    instance.process.suspend()
+    # With something to read since before the early request came, this connection is read first.
+    late_client.send_request(2, "lookup", "b" * 15 + "0", "select * from air_4.x")
+    time.sleep(TIME_BETWEEN_REQUESTS_OF_ONE_KEY)
+    early_client.send_request(2, "load", early_id, "insert into air_4.x", lookup="44")
+    time.sleep(TIME_BETWEEN_REQUESTS_OF_ONE_KEY)
+    late_client.send_request(3, "load", late_id, "insert into air_4.x", lookup="44")
+    instance.process.resume()
+    early_response = early_client.read_response()
+    late_responses = {response.number: response for response in late_client.read_responses(2)}
+    responses = {early_id: early_response, late_id: late_responses[3]}
+    sent_ids = [request_id.decode() for request_id in instance.executed_request_ids()[sent_before:]]
+    sent_loads = [request_id for request_id in sent_ids if request_id in responses]
+    assert sent_loads in ([early_id], [late_id], [early_id, late_id])
+    errors_of_unsent = [response.error for key, response in responses.items() if key not in sent_loads]
+    assert all(error[0] == REJECTED for error in errors_of_unsent)
+
+
+@pytest.mark.parametrize("disconnects", [False, True])
+def test_a_cancelled_request_is_cancelled_at_the_engine_and_not_answered(instance, disconnects):
+    request_id = f"{'f' * 15}{disconnects:x}"
+    client = RpcClient(instance.address)
+    client.send_request(1, "lookup", request_id, "select hang from air_2.x")
+    wait_until(lambda: instance.engine_commands(request_id))
+    if disconnects:
+        client.close()
     else:
-        client.send(2, "giveUp", [1])
-    until(lambda: b"never_mind" in node.words(ref))
-    if not hang_up:
-        client.send(0, 2, "probe", [{}])
-        assert client.read()[1] == 2
-
-
-def test_an_engine_that_never_answers_costs_a_refusal_with_advice(node):
-    client = Client(node)
-    client.ask(1, "lookup", "c" * 16, "select hang from air_2.x", allow="300")
-    _, _, (word, fields), result = client.read()
-    assert word == "Full" and result is None and int(fields["cooldown"]) > 0
-
-
-def test_sigterm_ends_it_after_its_last_answer_and_counts(tmp_path):
-    node = Node(tmp_path)
-    client = Client(node)
-    client.ask(1, "lookup", "a" * 16, "select * from air_2.x")
-    assert client.read()[2] is None
-    node.process.send_signal(signal.SIGUSR1)
-    until(lambda: "counters" in node.process.stderr.readline())  # behind what a slow machine logs
-    client.ask(2, "lookup", "b" * 16, "select hang from air_2.x", allow="1500")
-    until(lambda: node.words("b" * 16))
-    node.process.send_signal(signal.SIGTERM)
-    until(lambda: not probed(node))  # the signal has come
-    assert client.read()[2][0] == "Full"
-    counted = node.stop()
-    assert node.process.returncode == 0
-    assert counted["taken_lookup"] == 2 and counted["answered_served"] == counted["answered_refused"] == 1
-
-
-@pytest.mark.parametrize("old, key", [('"seed"', "BALANCER_CONFIG"), ('"settings"', "classes.count")])
-def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path, old, key):
-    text = EXAMPLE.replace(old, '"other"', 1) if old == '"settings"' else EXAMPLE[:40]
-    process = start(tmp_path, text)
-    _, errors = process.communicate(timeout=30)
-    assert process.returncode == 2 and errors.count("\n") == 1 and key in errors
+        client.send_bytes(pack_cancellation(1))
+    wait_until(lambda: CANCEL in instance.engine_commands(request_id))
+    if not disconnects:
+        client.send_probe(2)
+        assert client.read_response().number == 2
+
+
+def test_a_request_is_rejected_with_retry_after_if_the_engine_never_replies(instance):
+    client = RpcClient(instance.address)
+    client.send_request(1, "lookup", "c" * 16, "select hang from air_2.x", allow="300")
+    response = client.read_response()
+    name, fields = response.error
+    assert name == REJECTED
+    assert int(fields["cooldown"]) > 0
+    assert response.result is None
+
+
+def test_sigterm_ends_the_process_after_its_last_response_and_the_counters_are_logged(tmp_path):
+    instance = Instance(tmp_path)
+    client = RpcClient(instance.address)
+    client.send_request(1, "lookup", "a" * 16, "select * from air_2.x")
+    assert client.read_response().error is None
+    instance.process.send_signal(signal.SIGUSR1)
+    instance.process.wait_for_log_line("counters")
+    client.send_request(2, "lookup", "b" * 16, "select hang from air_2.x", allow="1500")
+    wait_until(lambda: instance.engine_commands("b" * 16))
+    instance.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not probe(instance.address))  # the process has handled the signal
+    assert client.read_response().error[0] == REJECTED
+    counters = instance.stop()
+    assert instance.process.wait() == 0
+    assert counters["taken_lookup"] == 2
+    assert counters["answered_served"] == 1
+    assert counters["answered_refused"] == 1
+
+
+CUT_CONFIG = EXAMPLE_CONFIG[:40]
+CONFIG_WITHOUT_SETTINGS = EXAMPLE_CONFIG.replace('"settings"', '"other"', 1)
+
+
+@pytest.mark.parametrize(
+    "config_text, key", [(CUT_CONFIG, "BALANCER_CONFIG"), (CONFIG_WITHOUT_SETTINGS, "classes.count")]
+)
+def test_an_invalid_configuration_is_one_log_line_and_exit_code_2(tmp_path, config_text, key):
+    config_path = tmp_path / "config.json"
+    config_path.write_text(config_text)
+    process = ProgramProcess(config_path)
+    assert process.wait() == 2
+    assert process.log.count("\n") == 1
+    assert key in process.log
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,109 +2,118 @@
 
 import asyncio
 import json
-import os
-import re
 import signal
-import subprocess
-import sys
 
-from test_node import EXAMPLE, ROOT, Client, Node, until
+import pytest
+from process import EXAMPLE_CONFIG, Instance, ProgramProcess, format_address, reserve_port, wait_until
+from rpc_client import RpcClient
 
 from applevale.harness import ops
 
 
-def beside(tmp_path, node, text):
-    """A second `run` on the address of `node`, as the platform starts it for an upgrade."""
-    path = tmp_path / "second.json"
-    path.write_text(text)
-    env = os.environ | {"BALANCER_CONFIG": str(path), "BALANCER_LISTEN": "{}:{}".format(*node.address)}
-    command = [sys.executable, "-m", "applevale"]
-    process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
-    assert re.search(r"listens on", process.stderr.readline())
+@pytest.fixture
+def admin_addresses():
+    """Three addresses that no other process can take."""
+    reserved_ports = [reserve_port() for _ in range(3)]
+    yield [format_address(reserved.getsockname()) for reserved in reserved_ports]
+    for reserved in reserved_ports:
+        reserved.close()
+
+
+def start_second_process(directory, instance, config_text):
+    """Start a second process on the clients' address of `instance`, as an upgrade does."""
+    path = directory / "second.json"
+    path.write_text(config_text)
+    process = ProgramProcess(path, format_address(instance.address))
+    process.wait_for_address()
     return process
 
 
-def test_a_second_process_binds_the_same_address_and_serves_when_the_first_has_left(tmp_path):
-    node = Node(tmp_path)
-    port = node.engine.server_address[1]
-    second = None
-    try:
-        second = beside(tmp_path, node, EXAMPLE.replace(":7101", f":{port}"))
-        held = Client(node)  # a request in flight on the old process when it is told to go
-        held.ask(1, "lookup", "1" * 16, "select * from air_1.x limit 3")
-        node.process.send_signal(signal.SIGTERM)
-        assert held.read()[2] is None
-        assert node.process.wait(15) == 0
-        for at in range(20):  # the old one has closed its listener: every new connection is the second's
-            client = Client(node)
-            client.ask(1, "lookup", f"{at + 2:016x}", "select * from air_1.x limit 1")
-            assert client.read()[2] is None
-    finally:  # guards the machine against processes that a failed test would leave running
-        for process in (node.process, second):
-            if process is not None and process.poll() is None:
-                process.send_signal(signal.SIGTERM)
-                process.wait(15)
-        node.engine.shutdown()
-        node.engine.server_close()
-    assert second.returncode == 0
-
-
-def call(address, method, path):
-    return asyncio.run(ops.call(address, method, path))[0]
-
-
-def test_a_drain_answers_what_is_under_way_closes_idle_connections_and_undrains(tmp_path, monkeypatch):
-    address = ops.free_address()
-    monkeypatch.setenv("BALANCER_CONTROL", address)
-    node = Node(tmp_path)
+def test_a_second_process_binds_the_same_address_and_serves_when_the_first_has_exited(tmp_path):
+    instance = Instance(tmp_path)
+    second_process = None
     try:
-        idle, busy = Client(node), Client(node)
-        idle.ask(1, "lookup", "1" * 16, "select * from air_1.x limit 1")
-        assert idle.read()[2] is None
-        busy.ask(1, "report", "2" * 16, "select * from air_1.x limit 900")
-        assert call(address, "POST", "/drain") == 200
-        assert call(address, "GET", "/ready") == 503
-        assert idle.read() is None  # closed: nothing was owed on it
-        answer = busy.read()
-        assert answer[1] == 1 and answer[2] is None  # its request got its whole answer first
-        assert busy.read() is None
-        assert call(address, "POST", "/undrain") == 200 and call(address, "GET", "/ready") == 200
-        assert node.process.poll() is None
+        client_of_first = RpcClient(instance.address)  # while there is no other process to accept it
+        config_text = instance.config_path.read_text()
+        second_process = start_second_process(tmp_path, instance, config_text)
+        client_of_first.send_request(1, "lookup", "1" * 16, "select * from air_1.x limit 3")
+        instance.process.send_signal(signal.SIGTERM)
+        assert client_of_first.read_response().error is None
+        assert instance.process.wait() == 0
+        for index in range(20):  # the first listener is closed: the second process accepts each connection
+            client = RpcClient(instance.address)
+            client.send_request(1, "lookup", f"{index + 2:016x}", "select * from air_1.x limit 1")
+            assert client.read_response().error is None
     finally:
-        node.stop()
+        if second_process is not None:
+            second_process.terminate()
+        instance.close()
+    assert second_process.wait() == 0
+
+
+def call_admin(address, method, path, body=None):
+    """Return status and body of the response to a call of the admin API."""
+    return asyncio.run(ops.call(address, method, path, body))
 
 
-def post_engine(address, path, engine):
-    return asyncio.run(ops.call(address, "POST", path, {"host": engine}))[0]
+def admin_status(address, method, path, body=None):
+    return call_admin(address, method, path, body)[0]
 
 
-def disabled_engines(address):
-    return asyncio.run(ops.call(address, "GET", "/metrics"))[1]["targets_disabled"]
+def ejected_engine_count(address):
+    _, metrics = call_admin(address, "GET", "/metrics")
+    return metrics["targets_disabled"]
+
+
+def test_a_drain_completes_requests_in_flight_and_closes_idle_connections(
+    tmp_path, monkeypatch, admin_addresses
+):
+    admin_address = admin_addresses[0]
+    monkeypatch.setenv("BALANCER_CONTROL", admin_address)
+    instance = Instance(tmp_path)
+    try:
+        idle_client = RpcClient(instance.address)
+        busy_client = RpcClient(instance.address)
+        idle_client.send_request(1, "lookup", "1" * 16, "select * from air_1.x limit 1")
+        assert idle_client.read_response().error is None
+        busy_client.send_request(1, "report", "2" * 16, "select * from air_1.x limit 900")
+        assert admin_status(admin_address, "POST", "/drain") == 200
+        assert admin_status(admin_address, "GET", "/ready") == 503
+        assert idle_client.read_response() is None
+        response = busy_client.read_response()
+        assert response.number == 1
+        assert response.error is None
+        assert busy_client.read_response() is None
+        assert admin_status(admin_address, "POST", "/undrain") == 200
+        assert admin_status(admin_address, "GET", "/ready") == 200
+        assert instance.process.is_running
+    finally:
+        instance.stop()
 
 
-def test_an_ejection_asked_of_either_process_holds_in_both_and_at_no_other_workload_manager(
-    tmp_path, monkeypatch
+def test_a_manual_ejection_holds_in_both_processes_of_an_address_and_in_no_other_instance(
+    tmp_path, monkeypatch, admin_addresses
 ):
+    first_admin, second_admin, other_admin = admin_addresses
     monkeypatch.setenv("TMPDIR", str(tmp_path))
-    addresses = [ops.free_address() for _ in range(3)]
-    monkeypatch.setenv("BALANCER_CONTROL", addresses[0])
-    node = Node(tmp_path)
-    second = another = None
+    monkeypatch.setenv("BALANCER_CONTROL", first_admin)
+    instance = Instance(tmp_path)
+    second_process = None
+    other_instance = None
     try:
-        monkeypatch.setenv("BALANCER_CONTROL", addresses[1])
-        second = beside(tmp_path, node, EXAMPLE)
-        engine = json.loads(EXAMPLE)["known"]["events"][0]["members"]["instances"][0]["instanceId"]
-        assert post_engine(addresses[0], "/engines/disable", engine) == 200
-        until(lambda: disabled_engines(addresses[1]) == 1)
-        monkeypatch.setenv("BALANCER_CONTROL", addresses[2])
-        another = Node(tmp_path)  # another customer's, in the same folder
-        assert disabled_engines(addresses[2]) == 0
-        assert post_engine(addresses[1], "/engines/enable", engine) == 200
-        until(lambda: disabled_engines(addresses[0]) == 0)
+        monkeypatch.setenv("BALANCER_CONTROL", second_admin)
+        second_process = start_second_process(tmp_path, instance, EXAMPLE_CONFIG)
+        engine_id = json.loads(EXAMPLE_CONFIG)["known"]["events"][0]["members"]["instances"][0]["instanceId"]
+        assert admin_status(first_admin, "POST", "/engines/disable", {"host": engine_id}) == 200
+        wait_until(lambda: ejected_engine_count(second_admin) == 1)
+        monkeypatch.setenv("BALANCER_CONTROL", other_admin)
+        other_instance = Instance(tmp_path)  # it keeps its ejections in the same folder
+        assert ejected_engine_count(other_admin) == 0
+        assert admin_status(second_admin, "POST", "/engines/enable", {"host": engine_id}) == 200
+        wait_until(lambda: ejected_engine_count(first_admin) == 0)
     finally:
-        if second is not None:
-            second.send_signal(signal.SIGTERM)
-            second.wait(15)
-        for one in (node, another):
-            if one is not None:
-                one.stop()
+        if second_process is not None:
+            second_process.terminate()
+        if other_instance is not None:
+            other_instance.stop()
+        instance.stop()
