Tests of the simulator wire and of known failures in ordinary terms

Names, docstrings and one assertion a line; the list of known failures has a typed entry with its file. Cases and what is asserted are unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixed seeds and no time limits: the same verdict every time. What KNOWN-RED.txt lists must fail."""
+"""Fixed random seeds and no time limits, so that each run has the same verdict; known failures must fail."""
 
 from pathlib import Path
 
@@ -11,26 +11,36 @@
 
 
 def pytest_configure(config):
+    """Read the list of known failures."""
     path = Path(config.rootpath) / "KNOWN-RED.txt"
+    config.known_failures = ()
+    if not path.exists():
+        return
     try:
-        config.known_red = known_red.read(path.read_text()) if path.exists() else ()
+        config.known_failures = known_red.parse_known_failures(path.read_text())
     except known_red.KnownRedError as error:
         raise pytest.UsageError(str(error)) from None
 
 
 def pytest_report_header(config):
-    return [f"known red: {red.test}: {red.cause} (issue {red.issue})" for red in config.known_red]
+    """Print the known failures."""
+    return [
+        f"known red: {failure.test}: {failure.cause} (issue {failure.issue})"
+        for failure in config.known_failures
+    ]
 
 
 @pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config, items):
-    found = {item.nodeid for item in items}
-    files = {one.partition("::")[0] for one in found}
-    for red in config.known_red:
-        whole = red.test.partition("::")[0] in files and not any("::" in arg for arg in config.args)
-        if whole and red.test not in found:
-            raise pytest.UsageError(f"KNOWN-RED.txt: there is no test {red.test}")
+    """Expect each known failure to fail, and refuse a list that names a test which does not exist."""
+    collected_tests = {item.nodeid for item in items}
+    collected_files = {item.nodeid.partition("::")[0] for item in items}
+    selects_single_tests = any("::" in argument for argument in config.args)
+    for failure in config.known_failures:
+        is_file_complete = failure.file in collected_files and not selects_single_tests
+        if is_file_complete and failure.test not in collected_tests:
+            raise pytest.UsageError(f"KNOWN-RED.txt: there is no test {failure.test}")
     for item in items:
-        for red in config.known_red:
-            if item.nodeid == red.test:
-                item.add_marker(pytest.mark.xfail(reason=f"known red: {red.cause}", strict=True))
+        for failure in config.known_failures:
+            if item.nodeid == failure.test:
+                item.add_marker(pytest.mark.xfail(reason=f"known red: {failure.cause}", strict=True))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -7,36 +7,39 @@
 
 import pytest
 
-HERE = Path(__file__).parent
-TESTS = "def test_bad():\n    assert 1 == 2\n\ndef test_good():\n    assert 1 == 1\n"
+TESTS_DIRECTORY = Path(__file__).parent
+COPIED_FILES = ("conftest.py", "known_red.py")
+TEST_MODULE = "def test_bad():\n    assert 1 == 2\n\ndef test_good():\n    assert 1 == 1\n"
 
 
 @pytest.fixture
-def run(tmp_path):
-    for name in ("conftest.py", "known_red.py"):
-        (tmp_path / name).write_text((HERE / name).read_text())
-    (tmp_path / "test_it.py").write_text(TESTS)
+def run_pytest(tmp_path):
+    """Return a function that runs pytest with the given lines in KNOWN-RED.txt: exit status and output."""
+    for name in COPIED_FILES:
+        (tmp_path / name).write_text((TESTS_DIRECTORY / name).read_text())
+    (tmp_path / "test_it.py").write_text(TEST_MODULE)
     (tmp_path / "pytest.ini").write_text("[pytest]\n")
 
     def run(lines):
         (tmp_path / "KNOWN-RED.txt").write_text("".join(line + "\n" for line in lines))
-        env = {key: value for key, value in os.environ.items() if not key.startswith("PYTEST")}
+        environment = {key: value for key, value in os.environ.items() if not key.startswith("PYTEST")}
         command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider"]
-        done = subprocess.run(command, cwd=tmp_path, env=env, capture_output=True, text=True)
-        return done.returncode, done.stdout + done.stderr
+        completed = subprocess.run(command, cwd=tmp_path, env=environment, capture_output=True, text=True)
+        return completed.returncode, completed.stdout + completed.stderr
 
     return run
 
 
-def test_a_listed_test_may_fail_and_is_printed(run):
-    code, text = run(["test_it.py::test_bad, a cause, 29"])
-    assert code == 0 and "known red: test_it.py::test_bad: a cause (issue 29)" in text
+def test_a_listed_test_may_fail_and_is_printed(run_pytest):
+    status, output = run_pytest(["test_it.py::test_bad, a cause, 29"])
+    assert status == 0
+    assert "known red: test_it.py::test_bad: a cause (issue 29)" in output
 
 
 @pytest.mark.parametrize(
-    "lines, said",
+    "lines, message",
     [
-        ([], "test_bad"),  # what is not listed fails as ever
+        ([], "test_bad"),  # a test that is not listed fails as ever
         (["test_it.py::test_bad, a cause, 29", "test_it.py::test_good, mended, 29"], "XPASS(strict)"),
         (["test_it.py::test_bad, a cause, 29"] * 4, "KNOWN-RED.txt: 4 lines, 3 at most"),
         (["test_it.py::test_bad, 29"], "KNOWN-RED.txt line 1"),
@@ -45,6 +48,7 @@
         (["test_bad, a cause, 29"], "KNOWN-RED.txt line 1"),
     ],
 )
-def test_else_the_run_fails_and_says_why(run, lines, said):
-    code, text = run(lines)
-    assert code != 0 and said in text
+def test_a_run_with_an_unlisted_failure_or_an_invalid_list_fails_with_a_message(run_pytest, lines, message):
+    status, output = run_pytest(lines)
+    assert status != 0
+    assert message in output
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""The codec against the bytes of the wire's description, and what it does with malformed input."""
+"""The codec against the bytes of the description of the simulator wire, and malformed input."""
 
 import io
 import struct
@@ -9,6 +9,7 @@
 from applevale.simulator_wire import adapter, codec
 from applevale.simulator_wire.settings import read_settings
 
+RECORD_HEAD_BYTES = 5
 SETTINGS = """az=0
 classes.count=2
 classes.0.aim=800000000
@@ -32,35 +33,44 @@
 
 
 def decode(text):
-    """The events of the records in `text`, hex."""
+    """Return the events of the records in `text`, which is hexadecimal."""
     body = bytes.fromhex(text)
-    count, at = 0, 0
-    while at < len(body):
-        at += 5 + struct.unpack_from("<I", body, at + 1)[0]
+    count = 0
+    position = 0
+    while position < len(body):
+        (record_size,) = struct.unpack_from("<I", body, position + 1)
+        position += RECORD_HEAD_BYTES + record_size
         count += 1
     return [event for _, event in codec.Decoder().batch(count, body)]
 
 
-def test_request():
+def test_a_request_is_decoded():
     (event,) = decode(
         "82020000000300 1e30000000 c4913a5d92aa0c00 0000 00000000 640ad2557c3bf091 001c4e0e00000000"
         "001bb70000000000 0000c043 00003041 0100"
     )
-    assert event.cls == 0 and event.key == 0x91F03B7C55D20A64 and event.memory_mb == 384.0
-    assert event.ttl == pytest.approx(0.24) and event.work == pytest.approx(0.012) and event.tables == 11.0
+    assert event.cls == 0
+    assert event.key == 0x91F03B7C55D20A64
+    assert event.memory_mb == 384.0
+    assert event.ttl == pytest.approx(0.24)
+    assert event.work == pytest.approx(0.012)
+    assert event.tables == 11.0
 
 
-def test_verdict():
+def test_the_outcome_of_an_attempt_is_decoded():
     (event,) = decode(
         "82020000000300 322d000000 c4913a5d92aa0c00 00 074a1203 6400 a0491a0100000000 01 60100100"
         "04 0000404052b81e3f0000a03fcdcccc3e"
     )
-    assert event.result is api.Result.OK and event.final and event.engine == 0x03124A07
-    assert event.work == pytest.approx(0.017) and event.memory_mb == 0x60 * 4
+    assert event.result is api.Result.OK
+    assert event.final
+    assert event.engine == 0x03124A07
+    assert event.work == pytest.approx(0.017)
+    assert event.memory_mb == 0x60 * 4
     assert event.report == pytest.approx((3.0, 0.62, 1.25, 0.4))
 
 
-def test_list_note_probe_and_the_small_ones():
+def test_a_list_a_note_a_probe_result_and_the_smaller_events_are_decoded():
     events = decode(
         "82020000000300 7836000000 00000000 02000000"
         "0000 0000000000000000 02 0000 0000803f 0000 074a1203"
@@ -71,17 +81,23 @@
         "4608000000 4d00000000000000 3c08000000 192b6f0e310e0300 5a0a000000 02000000 0400 68692037"
         "6400000000"
     )
-    listing, note, probe, timer, gone, memo, down = events
-    assert listing.whole and [e.engine for e in listing.entries] == [0x03124A07, 0x2C9011F2]
-    assert listing.entries[1].size == 1.5 and listing.entries[1].started == pytest.approx(6.1)
-    assert note.kind is api.NoteKind.PROGRESS and note.value == 0.5
-    assert probe.engine == 0x2C9011F2 and len(probe.report) == 4
-    assert timer.token == 77 and gone.request == 0x030E310E6F2B19
-    assert memo == api.PeerMessage(2, b"hi 7") and isinstance(down, codec.Shutdown)
+    listing, note, probe, timer, client_gone, peer_message, shutdown = events
+    assert listing.whole
+    assert [entry.engine for entry in listing.entries] == [0x03124A07, 0x2C9011F2]
+    assert listing.entries[1].size == 1.5
+    assert listing.entries[1].started == pytest.approx(6.1)
+    assert note.kind is api.NoteKind.PROGRESS
+    assert note.value == 0.5
+    assert probe.engine == 0x2C9011F2
+    assert len(probe.report) == 4
+    assert timer.token == 77
+    assert client_gone.request == 0x030E310E6F2B19
+    assert peer_message == api.PeerMessage(2, b"hi 7")
+    assert isinstance(shutdown, codec.Shutdown)
 
 
 @pytest.mark.parametrize(
-    "item, text",
+    "action, text",
     [
         (
             api.Send(0x0CAA925D3A91C4, 0x03124A07, 0.08),
@@ -98,46 +114,56 @@
         (api.Terms(0x0CAA925D3A91C4, 2, 640.0), "820d000000 c4913a5d92aa0c00 00002044 02"),
     ],
 )
-def test_actions(item, text):
-    assert codec.encode_action(item) == bytes.fromhex(text)
+def test_an_action_is_encoded(action, text):
+    assert codec.encode_action(action) == bytes.fromhex(text)
 
 
-def test_settings_are_read_and_unknown_ones_skipped():
-    read = read_settings(SETTINGS)
-    assert read.classes[1].kinds == frozenset({0}) and read.classes[0].kinds is None
-    assert read.classes[1].ordered and read.classes[1].threads == 3 and read.kinds[1].cores == 12
-    assert read.budget_share == 0.1 and read.report_columns == ("waiting", "cpu", "x1", "memory_used")
-    assert read.probe_price == 0.0 and read_settings(SETTINGS + "\nprices.probe=0.08").probe_price == 0.08
+def test_settings_are_read_and_unknown_keys_are_ignored():
+    settings = read_settings(SETTINGS)
+    assert settings.classes[0].kinds is None
+    assert settings.classes[1].kinds == frozenset({0})
+    assert settings.classes[1].ordered
+    assert settings.classes[1].threads == 3
+    assert settings.kinds[1].cores == 12
+    assert settings.budget_share == 0.1
+    assert settings.report_columns == ("waiting", "cpu", "x1", "memory_used")
+    assert settings.probe_price == 0.0
+    assert read_settings(SETTINGS + "\nprices.probe=0.08").probe_price == 0.08
 
 
 @pytest.mark.parametrize("key", ["classes.0.aim", "classes.1.repeat", "classes.count"])
-def test_a_missing_setting_is_named(key):
+def test_an_error_names_the_missing_setting(key):
     text = "\n".join(line for line in SETTINGS.splitlines() if not line.startswith(key + "="))
     with pytest.raises(api.SettingsError, match=key):
         read_settings(text)
 
 
-def batch(body, count):
+def make_batch(body, count):
     return codec.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
 
 
-def test_unknown_event_is_skipped_and_the_end_is_silent(capsys):
-    out = io.BytesIO()
-    assert adapter.serve(io.BytesIO(batch(bytes.fromhex("82020000000300fe03000000010203"), 2)), out) == 0
-    assert out.getvalue() == bytes(8) and capsys.readouterr().err == ""
+def test_an_unknown_event_is_ignored_and_the_end_of_input_logs_nothing(capsys):
+    data = make_batch(bytes.fromhex("82020000000300fe03000000010203"), 2)
+    output = io.BytesIO()
+    assert adapter.serve(io.BytesIO(data), output) == 0
+    assert output.getvalue() == bytes(8)
+    assert capsys.readouterr().err == ""
 
 
 @pytest.mark.parametrize(
-    "data", [b"\0" * 7, batch(b"\x1e\x30\0\0\0", 1), batch(b"", 1), batch(b"ab", 0)[:-1]]
+    "data",
+    [b"\0" * 7, make_batch(b"\x1e\x30\0\0\0", 1), make_batch(b"", 1), make_batch(b"ab", 0)[:-1]],
 )
-def test_malformed_input_ends_with_one_line(data, capsys):
+def test_malformed_input_ends_the_adapter_with_one_line(data, capsys):
     assert adapter.serve(io.BytesIO(data), io.BytesIO()) == 2
     assert capsys.readouterr().err.count("\n") == 1
 
 
 def test_an_exception_is_reported_on_the_wire(capsys):
-    boot = struct.pack("<QI", 1, 4) + b"me=x"
-    body = bytes.fromhex("82020000000300") + codec.RECORD_HEAD.pack(10, len(boot)) + boot
-    out = io.BytesIO()
-    assert adapter.serve(io.BytesIO(batch(body, 2)), out) == 0
-    assert out.getvalue()[8] == 100 and "Traceback" in capsys.readouterr().err
+    invalid_settings = struct.pack("<QI", 1, 4) + b"me=x"
+    head = codec.RECORD_HEAD.pack(10, len(invalid_settings))
+    body = bytes.fromhex("82020000000300") + head + invalid_settings
+    output = io.BytesIO()
+    assert adapter.serve(io.BytesIO(make_batch(body, 2)), output) == 0
+    assert output.getvalue()[8] == 100
+    assert "Traceback" in capsys.readouterr().err
