--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -1,14 +1,16 @@
-"""Random legal days against an independent checker of the rules that one instance can see."""
+"""Random legal sequences of events against an independent checker of the rules that one instance can see."""
 
+from dataclasses import dataclass
 from random import Random
 
 import pytest
-from helpers import KINDS, LOOKUP, REPORT, Driver
+from policy_driver import KINDS, LOOKUP, REPORT, PolicyDriver
 
 from applevale import api
 
-R = api.Result
-NEVER = {R.FULL, R.CONNECT_FAILED, R.MOOT}
+Result = api.Result
+NEVER_EXECUTED = {Result.FULL, Result.CONNECT_FAILED, Result.MOOT}
+POSSIBLY_RUNNING = {Result.TIMEOUT, Result.RESET, Result.CANCELLED}
 CLASSES = (
     LOOKUP,
     REPORT,
@@ -18,96 +20,7 @@
     api.ClassSpec("keyed", aim=1.0, deadline=4.0, repeat=api.Repeat.KEYED, group="zone", repeat_window=1.5),
     api.ClassSpec("bound", aim=1.0, deadline=4.0, kinds=frozenset({1}), zones=frozenset({0, 1})),
 )
-
-
-class Checker:
-    """Keeps its own books from events and actions; knows nothing of the module's."""
-
-    def __init__(self, settings):
-        self.s, self.engines, self.told, self.asks, self.tries = settings, {}, {}, {}, {}
-        self.ended, self.arrivals, self.further, self.rest, self.line = {}, [], [], {}, []
-        self.gap = (0.0, 0.0)  # the last time that the instance stood still
-
-    def entry(self, now, entry):
-        self.engines[entry.engine] = entry
-        if entry.state is api.State.READY:
-            self.told.pop(entry.engine, None)
-        else:
-            self.told.setdefault(entry.engine, now)
-
-    def ask(self, now, ask):
-        self.asks[ask.request], self.tries[ask.request] = (now, ask), []
-        self.arrivals.append(now)
-        if self.s.classes[ask.cls].ordered and ask.key:
-            self.line.append(ask)
-
-    def outcome(self, now, event):
-        self.tries[event.request][event.attempt][2] = event.result
-        ask = self.asks[event.request][1]
-        if self.s.classes[ask.cls].ordered and event.result in (R.TIMEOUT, R.RESET, R.CANCELLED):
-            self.rest[ask.key] = now + self.s.order_pause
-        if event.final:
-            self.end(now, event.request)
-
-    def end(self, now, request):
-        assert request not in self.ended, "a second final answer"
-        self.ended[request] = now
-
-    def action(self, now, a):
-        if isinstance(a, api.Cancel):
-            assert self.s.may_cancel and a.attempt < len(self.tries[a.request])
-        elif isinstance(a, api.Probe):
-            assert self.s.may_probe
-        elif isinstance(a, api.SendPeerMessage):
-            assert self.s.may_tell_peers
-        elif isinstance(a, (api.Reject, api.Fail)):
-            at, ask = self.asks[a.request]
-            due = at + ask.ttl + self.s.answer_slack
-            stood_still = self.gap[0] <= due and now == self.gap[1]
-            assert now <= due or stood_still, "too late an answer"
-            spec = self.s.classes[ask.cls]
-            if isinstance(a, api.Reject) and spec.repeat is not api.Repeat.SAFE and spec.group != "all":
-                assert all(t[2] in NEVER for t in self.tries[a.request]), "refused though it may have run"
-            if isinstance(a, api.Reject) and spec.repeat is api.Repeat.UNSAFE:
-                assert all(t[2] in NEVER for t in self.tries[a.request]), "refused though it may have run"
-            self.end(now, a.request)
-        elif isinstance(a, api.Send):
-            self.send(now, a)
-
-    def send(self, now, a):
-        assert a.request not in self.ended, "sent after its end"
-        _, ask = self.asks[a.request]
-        spec, entry, tries = self.s.classes[ask.cls], self.engines[a.engine], self.tries[a.request]
-        assert now <= self.told.get(a.engine, now) + self.s.drain_grace, "sent to a draining engine"
-        assert spec.kinds is None or entry.kind in spec.kinds, "placement: kind"
-        assert spec.zones is None or entry.zone in spec.zones, "placement: zone"
-        assert len(tries) < self.s.try_limit, "too many attempts"
-        assert self.s.parallel_tries or all(t[2] for t in tries), "two at once"
-        maybe = [t for t in tries if t[2] not in NEVER]
-        if spec.repeat is api.Repeat.UNSAFE:
-            assert not maybe, "unsafe sent again"
-        if spec.repeat is api.Repeat.KEYED and maybe:
-            assert entry.zone == maybe[0][3] and now <= maybe[0][0] + spec.repeat_window, (
-                "keyed group or window"
-            )
-        if spec.ordered and ask.key:
-            assert self.rest.get(ask.key, 0) <= now, "the key rests"
-            for other in self.line:
-                if other is ask:
-                    break
-                assert other.key != ask.key or (
-                    other.request in self.ended and all(t[2] for t in self.tries[other.request])
-                ), "out of turn"
-        if tries:
-            self.further.append(now)
-            if self.s.budget_share is not None:
-                span = now - self.s.budget_span
-                most = self.s.budget_free + self.s.budget_share * sum(t > span for t in self.arrivals)
-                assert sum(t > span for t in self.further) <= most, "budget"
-        tries.append([now, a.engine, None, entry.zone])
-
-
-SITES = (
+SETTINGS = (
     dict(),
     dict(may_cancel=False, try_limit=3, when_short="wait", report_columns=("cpu",), report_how="probe"),
     dict(budget_share=0.1, budget_free=3.0, parallel_tries=True, progress=0.5, order_pause=0.3),
@@ -123,101 +36,338 @@
     dict(gateways=60, may_probe=True, may_cancel=False, budget_share=0.0, budget_free=2.0),
 )
 
+STEP_SECONDS = 0.01
+LOADED_STEPS = 1500
+LAST_REQUEST_STEP = 1100
+FINAL_STEPS = 3000  # until all that is in flight has ended
+STALL_STEPS = 400  # between two stalls of the instance
+STALL_SECONDS = 1.2
+CANCEL_SECONDS = 0.005  # until a cancelled attempt ends
+
+
+@dataclass
+class AttemptRecord:
+    """An attempt as the checker knows it; `result` is None while it is in flight."""
+
+    sent_at: float
+    zone: int
+    result: api.Result | None = None
+
+    @property
+    def is_possibly_executed(self):
+        return self.result not in NEVER_EXECUTED
+
+
+class RuleChecker:
+    """Keeps records of its own of events and actions, and asserts the rules on each action."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.engines = {}
+        self.unready_since = {}  # by engine
+        self.requests = {}  # time of arrival and request, by id
+        self.attempts = {}  # by request id
+        self.ended_at = {}  # by request id
+        self.arrivals = []
+        self.retries = []
+        self.paused_until = {}  # by order key
+        self.ordered_requests = []
+        self.stall_start = 0.0  # of the last time in which the instance did not run
+        self.stall_end = 0.0
+
+    def on_entry(self, now, entry):
+        self.engines[entry.engine] = entry
+        if entry.state is api.State.READY:
+            self.unready_since.pop(entry.engine, None)
+        else:
+            self.unready_since.setdefault(entry.engine, now)
+
+    def on_request(self, now, request):
+        self.requests[request.request] = (now, request)
+        self.attempts[request.request] = []
+        self.arrivals.append(now)
+        if self.settings.classes[request.cls].ordered and request.key:
+            self.ordered_requests.append(request)
+
+    def on_outcome(self, now, outcome):
+        self.attempts[outcome.request][outcome.attempt].result = outcome.result
+        _, request = self.requests[outcome.request]
+        if self.settings.classes[request.cls].ordered and outcome.result in POSSIBLY_RUNNING:
+            self.paused_until[request.key] = now + self.settings.order_pause
+        if outcome.final:
+            self.on_end(now, outcome.request)
+
+    def on_end(self, now, request_id):
+        assert request_id not in self.ended_at, "a second final answer"
+        self.ended_at[request_id] = now
+
+    def on_action(self, now, action):
+        if isinstance(action, api.Cancel):
+            assert self.settings.may_cancel
+            assert action.attempt < len(self.attempts[action.request])
+        elif isinstance(action, api.Probe):
+            assert self.settings.may_probe
+        elif isinstance(action, api.SendPeerMessage):
+            assert self.settings.may_tell_peers
+        elif isinstance(action, (api.Reject, api.Fail)):
+            self._check_answer(now, action)
+            self.on_end(now, action.request)
+        elif isinstance(action, api.Send):
+            self._check_send(now, action)
+            zone = self.engines[action.engine].zone
+            self.attempts[action.request].append(AttemptRecord(now, zone))
+
+    def _check_answer(self, now, action):
+        arrived_at, request = self.requests[action.request]
+        due = arrived_at + request.ttl + self.settings.answer_slack
+        is_after_stall = self.stall_start <= due and now == self.stall_end
+        assert now <= due or is_after_stall, "answered too late"
+        spec = self.settings.classes[request.cls]
+        is_repeatable = spec.repeat is api.Repeat.SAFE
+        is_repeatable |= spec.repeat is not api.Repeat.UNSAFE and spec.group == "all"
+        if isinstance(action, api.Reject) and not is_repeatable:
+            results = [attempt.result for attempt in self.attempts[action.request]]
+            assert all(result in NEVER_EXECUTED for result in results), "rejected though possibly executed"
+
+    def _check_send(self, now, send):
+        assert send.request not in self.ended_at, "sent after its end"
+        _, request = self.requests[send.request]
+        spec = self.settings.classes[request.cls]
+        entry = self.engines[send.engine]
+        unready_since = self.unready_since.get(send.engine, now)
+        assert now <= unready_since + self.settings.drain_grace, "sent to a draining engine"
+        assert spec.kinds is None or entry.kind in spec.kinds, "placement: kind"
+        assert spec.zones is None or entry.zone in spec.zones, "placement: zone"
+        attempts = self.attempts[send.request]
+        assert len(attempts) < self.settings.try_limit, "too many attempts"
+        is_alone = all(attempt.result for attempt in attempts)
+        assert self.settings.parallel_tries or is_alone, "two attempts at once"
+        self._check_repetition(now, spec, entry, attempts)
+        if spec.ordered and request.key:
+            self._check_order(now, request)
+        if attempts:
+            self._check_retry_budget(now)
+
+    def _check_repetition(self, now, spec, entry, attempts):
+        possibly_executed = [attempt for attempt in attempts if attempt.is_possibly_executed]
+        if not possibly_executed:
+            return
+        first = possibly_executed[0]
+        assert spec.repeat is not api.Repeat.UNSAFE, "an unsafe request was sent again"
+        if spec.repeat is api.Repeat.KEYED:
+            assert entry.zone == first.zone, "sent again outside its group"
+            assert now <= first.sent_at + spec.repeat_window, "sent again after its window"
+
+    def _check_order(self, now, request):
+        assert self.paused_until.get(request.key, 0) <= now, "the order key is paused"
+        for other in self.ordered_requests:
+            if other is request:
+                break
+            if other.key == request.key:
+                assert other.request in self.ended_at, "sent before an earlier request of its key ended"
+                attempts = self.attempts[other.request]
+                assert all(attempt.result for attempt in attempts), "an earlier request is in flight"
+
+    def _check_retry_budget(self, now):
+        self.retries.append(now)
+        if self.settings.budget_share is None:
+            return
+        window_start = now - self.settings.budget_span
+        arrival_count = sum(arrival > window_start for arrival in self.arrivals)
+        retry_count = sum(retry > window_start for retry in self.retries)
+        budget = self.settings.budget_free + self.settings.budget_share * arrival_count
+        assert retry_count <= budget, "retry budget"
+
+
+@dataclass
+class AttemptInFlight:
+    """An attempt that ends at `ends_at`; without a result it is drawn at its end."""
+
+    ends_at: float
+    send: api.Send
+    attempt: int
+    result: api.Result | None
+
+
+@dataclass(frozen=True)
+class ProbeInFlight:
+    """A probe that is answered at `ends_at`."""
+
+    ends_at: float
+    engine: int
+
+
+class RandomScenario:
+    """Random requests, failures, list changes, stalls and reports on a checked controller."""
+
+    def __init__(self, seed):
+        settings = SETTINGS[seed % len(SETTINGS)]
+        self.random = Random(seed)
+        self.has_stalls = seed % 3 == 0
+        self.driver = PolicyDriver(entries=(), seed=seed, classes=CLASSES, kinds=KINDS, **settings)
+        self.checker = RuleChecker(self.driver.settings)
+        self.attempts = []
+        self.probes = []
+        self.request_ids = []
+        self.entries = [
+            api.EngineEntry(engine, zone=engine % 3, kind=engine % 2, cell=engine % 2)
+            for engine in range(1, 9)
+        ]
+        self.handle(api.EngineList(tuple(self.entries), whole=True))
+
+    def handle(self, event):
+        """Hand in an event, and check the actions."""
+        now = self.driver.now
+        if isinstance(event, api.EngineList):
+            for entry in event.entries:
+                self.checker.on_entry(now, entry)
+        elif isinstance(event, api.Request):
+            self.checker.on_request(now, event)
+        elif isinstance(event, api.Outcome):
+            self.checker.on_outcome(now, event)
+        start = len(self.driver.log)
+        self.driver.handle(event)
+        self._execute(start)
+
+    def fire_timers(self):
+        """Fire the timers that are due, and check the actions."""
+        start = len(self.driver.log)
+        self.driver.run(0.0)
+        self._execute(start)
+
+    def _execute(self, start):
+        """Check the actions from position `start` of the log on, and execute them."""
+        for now, action in self.driver.log[start:]:
+            self.checker.on_action(now, action)
+            if isinstance(action, api.Probe) and self.random.random() < 0.9:  # some are never answered
+                delay = self.random.choice([0.005, 0.02, 0.25])
+                self.probes.append(ProbeInFlight(now + delay, action.engine))
+            if isinstance(action, api.Send):
+                self._begin_attempt(now, action)
+            elif isinstance(action, api.Cancel):
+                self._cancel_attempt(now, action)
+
+    def _begin_attempt(self, now, send):
+        arrived_at, request = self.checker.requests[send.request]
+        limit = min(now + (send.timeout or 99.0), arrived_at + request.ttl)
+        duration = self.random.expovariate(3.0) * (100.0 if self.random.random() < 0.08 else 1.0)
+        ends_at = now + duration
+        attempt = len(self.checker.attempts[send.request]) - 1
+        result = None if ends_at < limit else Result.TIMEOUT
+        self.attempts.append(AttemptInFlight(min(ends_at, limit), send, attempt, result))
+
+    def _cancel_attempt(self, now, cancel):
+        for attempt in self.attempts:
+            if attempt.send.request == cancel.request and attempt.attempt == cancel.attempt:
+                attempt.ends_at = now + CANCEL_SECONDS
+                attempt.result = Result.CANCELLED
+
+    def take_due(self, items):
+        """Yield the items that end by now, each after its removal from the list."""
+        for item in [item for item in items if item.ends_at <= self.driver.now]:
+            items.remove(item)
+            yield item
+
+    def end_attempts(self, weight_of_ok):
+        """End the attempts that are due; `weight_of_ok` is the weight of a completion among the results."""
+        for item in self.take_due(self.attempts):
+            result = item.result or self._draw_result(weight_of_ok)
+            request_id = item.send.request
+            final = request_id in self.checker.ended_at or result is Result.OK
+            self.checker.ended_at.pop(request_id, None)
+            report = tuple(self.random.choice([0.5, -1.0, 1e9]) for _ in self.driver.settings.report_columns)
+            engine = item.send.engine
+            self.handle(api.Outcome(request_id, item.attempt, engine, result, 0.2, final, 0.2, 60.0, report))
+
+    def _draw_result(self, weight_of_ok):
+        results = [Result.OK, Result.ERROR, Result.FULL, Result.CONNECT_FAILED, Result.RESET]
+        return self.random.choices(results, [weight_of_ok, 1, 0.5, 0.5, 0.5])[0]
+
+    def end_probes(self):
+        """Answer the probes that are due, some with values that are absurd or too few."""
+        for item in self.take_due(self.probes):
+            columns = self.driver.settings.report_columns
+            values = tuple(self.random.choice([0.5, 3.0, -1.0, 1e9]) for _ in columns)
+            result = self.random.choice(
+                [Result.OK, Result.OK, Result.OK, Result.FULL, Result.TIMEOUT, Result.ERROR]
+            )
+            report = values if self.random.random() < 0.9 else values[1:]
+            self.handle(api.ProbeResult(item.engine, result, 0.01, report))
+
+    def send_peer_message(self):
+        sender = self.random.randrange(400)
+        self.handle(api.PeerMessage(sender, bytes(self.random.randrange(256) for _ in range(9))))
+
+    def disconnect_client(self):
+        request_id = self.random.choice(self.request_ids[-20:])
+        if request_id not in self.checker.ended_at:
+            self.checker.on_end(self.driver.now, request_id)
+            self.handle(api.ClientGone(request_id))
+
+    def submit_request(self, request_id):
+        cls = self.random.randrange(len(CLASSES))
+        timeout = self.random.choice([CLASSES[cls].deadline, 0.5, 0.03, 0.0])
+        self.request_ids.append(request_id)
+        self.handle(
+            api.Request(
+                request_id,
+                cls,
+                key=self.random.randrange(3),
+                ttl=timeout,
+                work=self.random.expovariate(2.0),
+                memory_mb=self.random.expovariate(0.002),
+                tables=float(self.random.randrange(12)),
+            )
+        )
+
+    def change_entry(self):
+        entry = self.random.choice(self.entries)
+        state = self.random.choice([api.State.READY, api.State.READY, api.State.DRAINING, api.State.GONE])
+        started = self.driver.now - 0.5 * self.random.random()
+        changed = api.EngineEntry(entry.engine, entry.zone, entry.kind, entry.cell, 1.0, state, started)
+        self.handle(api.EngineList((changed,)))
+
+    def run_loaded_step(self, step):
+        """Let one step pass under load."""
+        self.driver.now += STEP_SECONDS
+        if step and step % STALL_STEPS == 0 and self.has_stalls:
+            self.driver.now = self.checker.stall_end
+        self.fire_timers()
+        self.end_attempts(1 if step % 500 < 100 else 20)
+        self.end_probes()
+        if self.random.random() < 0.02:
+            self.send_peer_message()
+        if self.random.random() < 0.02 and self.request_ids:
+            self.disconnect_client()
+        if step % STALL_STEPS == STALL_STEPS - 1 and self.has_stalls:
+            # Nothing runs until the end of the stall; what came meanwhile comes at once.
+            self.checker.stall_start = self.driver.now
+            self.checker.stall_end = self.driver.now + STALL_SECONDS
+        if step < LAST_REQUEST_STEP and self.random.random() < 0.6:
+            self.submit_request(1000 + step)
+        if self.random.random() < 0.03:
+            self.change_entry()
 
-def pick_result(random, health):
-    return random.choices([R.OK, R.ERROR, R.FULL, R.CONNECT_FAILED, R.RESET], [health, 1, 0.5, 0.5, 0.5])[0]
+    def run_final_step(self):
+        """Let one step pass in which attempts only end."""
+        self.driver.now += STEP_SECONDS
+        self.fire_timers()
+        for item in self.take_due(self.attempts):
+            request_id = item.send.request
+            final = request_id in self.checker.ended_at
+            self.checker.ended_at.pop(request_id, None)
+            result = item.result or Result.TIMEOUT
+            self.handle(api.Outcome(request_id, item.attempt, item.send.engine, result, 0.2, final))
 
 
 @pytest.mark.parametrize("seed", range(18))
-def test_rules_hold_on_random_days(seed):
-    random = Random(seed)
-    d = Driver(entries=(), seed=seed, classes=CLASSES, kinds=KINDS, **SITES[seed % len(SITES)])
-    check, flying, clients, probes = Checker(d.settings), [], [], []
-
-    def give(*events):
-        for event in events:
-            if isinstance(event, api.EngineList):
-                for entry in event.entries:
-                    check.entry(d.now, entry)
-            elif isinstance(event, api.Request):
-                check.ask(d.now, event)
-            elif isinstance(event, api.Outcome):
-                check.outcome(d.now, event)
-        start = len(d.log)
-        d.give(*events)
-        books(start)
-
-    def books(start):
-        for at, a in d.log[start:]:
-            check.action(at, a)
-            if isinstance(a, api.Probe) and random.random() < 0.9:  # some are never answered
-                probes.append((at + random.choice([0.005, 0.02, 0.25]), a.engine))
-            if isinstance(a, api.Send):
-                asked, ask = check.asks[a.request]
-                limit = min(at + (a.timeout or 99.0), asked + ask.ttl)
-                done = at + random.expovariate(3.0) * (100.0 if random.random() < 0.08 else 1.0)
-                n = len(check.tries[a.request]) - 1
-                flying.append([min(done, limit), a, n, None if done < limit else R.TIMEOUT])
-            elif isinstance(a, api.Cancel):
-                for item in flying:
-                    if item[1].request == a.request and item[2] == a.attempt:
-                        item[0], item[3] = at + 0.005, R.CANCELLED
-
-    entries = [api.EngineEntry(n, zone=n % 3, kind=n % 2, cell=n % 2) for n in range(1, 9)]
-    give(api.EngineList(tuple(entries), whole=True))
-    for step in range(1500):
-        d.now += 0.01
-        if step and step % 400 == 0 and seed % 3 == 0:
-            d.now = check.gap[1]
-        start = len(d.log)
-        d.run(0.0)
-        books(start)
-        due = [item for item in flying if item[0] <= d.now]
-        for item in due:
-            flying.remove(item)
-            _, send, attempt, result = item
-            result = result or pick_result(random, 1 if step % 500 < 100 else 20)
-            final = send.request in check.ended or result is R.OK
-            check.ended.pop(send.request, None) if send.request in check.ended else None
-            report = tuple(random.choice([0.5, -1.0, 1e9]) for _ in d.settings.report_columns)
-            give(api.Outcome(send.request, attempt, send.engine, result, 0.2, final, 0.2, 60.0, report))
-        for item in [item for item in probes if item[0] <= d.now]:
-            probes.remove(item)
-            values = tuple(random.choice([0.5, 3.0, -1.0, 1e9]) for _ in d.settings.report_columns)
-            result = random.choice([R.OK, R.OK, R.OK, R.FULL, R.TIMEOUT, R.ERROR])
-            give(api.ProbeResult(item[1], result, 0.01, values if random.random() < 0.9 else values[1:]))
-        if random.random() < 0.02:
-            give(api.PeerMessage(random.randrange(400), bytes(random.randrange(256) for _ in range(9))))
-        if random.random() < 0.02 and clients:
-            leaver = random.choice(clients[-20:])
-            if leaver not in check.ended:
-                check.end(d.now, leaver)
-                give(api.ClientGone(leaver))
-        if step % 400 == 399 and seed % 3 == 0:  # it stands still; all that came meanwhile comes at once
-            check.gap = (d.now, d.now + 1.2)
-        if step < 1100 and random.random() < 0.6:
-            cls = random.randrange(len(CLASSES))
-            ttl = random.choice([CLASSES[cls].deadline, 0.5, 0.03, 0.0])
-            number = 1000 + step
-            clients.append(number)
-            give(
-                api.Request(number, cls, key=random.randrange(3), ttl=ttl, work=random.expovariate(2.0),
-                            memory_mb=random.expovariate(0.002), tables=float(random.randrange(12)))
-            )  # fmt: skip
-        if random.random() < 0.03:
-            entry = random.choice(entries)
-            state = random.choice([api.State.READY, api.State.READY, api.State.DRAINING, api.State.GONE])
-            give(api.EngineList((api.EngineEntry(entry.engine, entry.zone, entry.kind, entry.cell, 1.0, state,
-                                                 d.now - 0.5 * random.random()),)))  # fmt: skip
-    for _ in range(3000):
-        d.now += 0.01
-        start = len(d.log)
-        d.run(0.0)
-        books(start)
-        for item in [item for item in flying if item[0] <= d.now]:
-            flying.remove(item)
-            final = item[1].request in check.ended
-            check.ended.pop(item[1].request, None)
-            give(api.Outcome(item[1].request, item[2], item[1].engine, item[3] or R.TIMEOUT, 0.2, final))
-    assert len(clients) > 400 and set(check.ended) == set(clients)
-    assert not d.controller.held and not d.controller.line and not d.controller.turns
+def test_the_rules_hold_in_random_scenarios(seed):
+    scenario = RandomScenario(seed)
+    for step in range(LOADED_STEPS):
+        scenario.run_loaded_step(step)
+    for _ in range(FINAL_STEPS):
+        scenario.run_final_step()
+    assert len(scenario.request_ids) > 400
+    assert set(scenario.checker.ended_at) == set(scenario.request_ids)
+    controller = scenario.driver.controller
+    assert not controller.held and not controller.line and not controller.turns
