Tests of the decision module are split by concern

Names, docstrings and steps are in ordinary terms; what reads the controller's internals for a test (a pending request, an engine, a load report, ejection) is mostly in PolicyDriver, one place.

--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -83,6 +83,11 @@
         request = api.Request(request_id, cls, ttl=timeout, work=work, memory_mb=memory, **fields)
         return request_id, self.handle(request)
 
+    def send_request(self, *arguments, **fields) -> api.Send:
+        """Submit a request as `submit` does, which must be sent at once; return the action that sends it."""
+        _, actions = self.submit(*arguments, **fields)
+        return actions_of(api.Send, actions)[0]
+
     def finish(
         self,
         send: api.Send,
@@ -131,6 +136,27 @@
         self.now = end
         return actions
 
+    def logged(self, kind: type) -> list:
+        """Return all actions of type `kind` up to now."""
+        return actions_of(kind, [action for _, action in self.log])
+
+    def report_load(self, engine: int, memory_used: float = 0.0, cpu: float = 0.0) -> None:
+        """Let an engine report its load, as shares of what it has, in a batch of its own."""
+        self.controller.take_report(self.engine(engine), (0.0, cpu, 0.0, memory_used))
+        self.controller.siblings.clear()  # as at the start of a batch
+
+    def pending_request(self, request_id: int):
+        """Return what the controller keeps of a request that has no final answer."""
+        return self.controller.held[request_id]
+
+    def engine(self, engine_id: int):
+        """Return what the controller keeps of an engine."""
+        return self.controller.engines[engine_id]
+
+    def is_ejected(self, engine_id: int) -> bool:
+        """Return whether an engine gets no attempts for a while."""
+        return self.engine(engine_id).rest_until > self.now
+
 
 def actions_of(kind: type, actions: Iterable) -> list:
     """Return those of `actions` that are of type `kind`."""
--- /dev/null
+++ b/tests/test_policy_retry.py
@@ -0,0 +1,131 @@
+"""Retries: what may be sent again, where, how often, and when an attempt is cut off."""
+
+from dataclasses import replace
+
+import pytest
+from policy_driver import LOOKUP, PolicyDriver, actions_of
+
+from applevale import api
+
+Result = api.Result
+UNSAFE = replace(LOOKUP, repeat=api.Repeat.UNSAFE)
+
+
+def test_an_unsafe_request_that_was_possibly_executed_fails_and_is_not_sent_again():
+    for result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
+        driver = PolicyDriver(classes=(UNSAFE,))
+        actions = driver.finish(driver.send_request(), result)
+        assert actions_of(api.Fail, actions)
+        assert not actions_of(api.Send, actions)
+        assert not actions_of(api.Reject, actions)
+
+
+def test_an_unsafe_request_that_was_never_executed_is_sent_to_another_engine():
+    driver = PolicyDriver(classes=(UNSAFE,))
+    first = driver.send_request()
+    retries = actions_of(api.Send, driver.finish(first, Result.CONNECT_FAILED))
+    assert retries
+    assert retries[0].engine != first.engine
+
+
+@pytest.mark.parametrize("group", ["zone", "cell"])
+def test_a_keyed_request_is_sent_again_only_in_its_group_and_window(group):
+    keyed = replace(LOOKUP, repeat=api.Repeat.KEYED, group=group, repeat_window=1.0)
+    entries = tuple(api.EngineEntry(engine, zone=engine % 2, cell=engine % 2) for engine in range(1, 7))
+    driver = PolicyDriver(classes=(keyed,), entries=entries)
+    first = driver.send_request()
+    driver.now += 0.3
+    retries = actions_of(api.Send, driver.finish(first, Result.RESET))
+    assert retries
+    assert retries[0].engine % 2 == first.engine % 2
+    driver.now += 0.8
+    actions = driver.finish(retries[0], Result.RESET, attempt=1)
+    assert not actions_of(api.Send, actions)
+    assert not actions_of(api.Reject, actions)
+    assert actions_of(api.Fail, actions + driver.run(5.0))
+
+
+@pytest.mark.parametrize("group, answer", [("all", api.Reject), ("cell", api.Fail)])
+def test_a_request_whose_repeat_window_is_over_is_answered_at_once(group, answer):
+    """It must not wait until its deadline."""
+    keyed = api.ClassSpec(
+        "post", aim=3.0, deadline=20.0, repeat=api.Repeat.KEYED, group=group, repeat_window=0.5
+    )
+    ready = (api.EngineEntry(1, cell=1), api.EngineEntry(2, cell=2))
+    draining = tuple(replace(entry, state=api.State.DRAINING) for entry in ready)
+    driver = PolicyDriver(entries=ready, classes=(keyed,))
+    _, actions = driver.submit()
+    (send,) = actions_of(api.Send, actions)
+    driver.handle(api.EngineList(draining))
+    assert not actions_of(answer, driver.finish(send, Result.RESET))
+    later_actions = driver.run(0.6)
+    assert actions_of(answer, later_actions)
+    assert not actions_of(api.Send, later_actions)
+
+
+def test_retries_stay_within_the_budget():
+    driver = PolicyDriver(engines=6, budget_share=0.1, budget_free=1.0, budget_span=5.0, try_limit=5)
+    sends = [driver.send_request(tables=float(group)) for group in range(10)]
+    retry_count = sum(len(actions_of(api.Send, driver.finish(send, Result.ERROR))) for send in sends)
+    assert 1 <= retry_count <= 2
+
+
+def test_attempts_are_made_one_at_a_time_and_never_more_than_the_limit():
+    driver = PolicyDriver(engines=5, try_limit=2)
+    first = driver.send_request()
+    retries = actions_of(api.Send, driver.finish(first, Result.ERROR))
+    assert len(retries) == 1
+    actions = driver.finish(retries[0], Result.ERROR, attempt=1)
+    assert actions_of(api.Reject, actions)
+    assert not actions_of(api.Send, actions)
+
+
+def test_a_lost_answer_is_cut_off_within_the_aim_at_any_scale_of_aims():
+    """A fixed minimum before a cut would be longer than a small aim."""
+    for scale in (1.0, 0.3):
+        driver = PolicyDriver(classes=(replace(LOOKUP, aim=scale, deadline=5 * scale),))
+        for _ in range(60):
+            send = driver.send_request(work=0.1 * scale)
+            driver.run(0.1 * scale)
+            driver.finish(send, work=0.1 * scale)
+        lost = driver.send_request(work=0.1 * scale)
+        cancels = actions_of(api.Cancel, driver.run(0.75 * scale))
+        assert [cancel.request for cancel in cancels] == [lost.request]
+
+
+def test_attempts_on_a_silent_engine_are_cut_off_and_sent_to_another():
+    driver = PolicyDriver(engines=3)
+    silent = driver.send_request(tables=1.0)
+    cancels = []
+    for step in range(40):
+        driver.now += 0.1
+        _, actions = driver.submit(tables=float(step % 5))
+        for send in actions_of(api.Send, actions):
+            if send.engine != silent.engine:
+                driver.finish(send)
+        cancels += actions_of(api.Cancel, driver.run(0.0))
+    assert (silent.request, 0) in [(cancel.request, cancel.attempt) for cancel in cancels]
+    retries = actions_of(api.Send, driver.finish(silent, Result.CANCELLED))
+    assert all(retry.engine != silent.engine for retry in retries)
+
+
+def test_attempts_are_cut_off_later_where_durations_scatter_and_with_each_attempt():
+    driver = PolicyDriver()
+    request_id, _ = driver.submit(1, work=3.0)
+    attempt = driver.pending_request(request_id).tries[0]
+    overdue_at_first = driver.controller.overdue(attempt)
+    driver.controller.stats[1].scatter.value = 1.0
+    overdue_with_scatter = driver.controller.overdue(attempt)
+    attempt.index = 1
+    assert overdue_at_first < overdue_with_scatter
+    assert driver.controller.overdue(attempt) == pytest.approx(2 * overdue_with_scatter)
+
+
+def test_an_attempt_with_little_progress_is_cut_off_before_it_is_overdue():
+    driver = PolicyDriver(progress=0.5)
+    request_id, _ = driver.submit(1, work=3.0)
+    engine = driver.pending_request(request_id).tries[0].entry.engine
+    driver.run(0.7)
+    assert not driver.handle(api.Note(request_id, 0, engine, api.NoteKind.PROGRESS, 0.5))
+    actions = driver.handle(api.Note(request_id, 0, engine, api.NoteKind.PROGRESS, 0.01))
+    assert actions_of(api.Cancel, actions)
--- /dev/null
+++ b/tests/test_policy_routing.py
@@ -0,0 +1,105 @@
+"""Routing: which engine gets a request, by affinity, placement, state and load."""
+
+from dataclasses import replace
+
+from policy_driver import LOOKUP, REPORT, PolicyDriver, actions_of
+
+from applevale import api
+
+
+def test_requests_of_one_table_group_go_to_one_engine_and_instances_agree_on_it():
+    engines_by_seed = []
+    for seed in (1, 2):
+        driver = PolicyDriver(engines=7, seed=seed)
+        engines_by_seed.append([driver.send_request(tables=float(group)).engine for group in range(20)])
+        assert len({driver.send_request(tables=3.0).engine for _ in range(3)}) == 1
+    assert engines_by_seed[0] == engines_by_seed[1]
+    assert len(set(engines_by_seed[0])) > 3
+
+
+def test_the_loss_of_an_engine_moves_only_its_own_table_groups():
+    before = PolicyDriver(engines=7)
+    after = PolicyDriver(entries=tuple(api.EngineEntry(engine) for engine in range(1, 7)))
+    for group in range(30):
+        send_before = before.send_request(tables=float(group))
+        send_after = after.send_request(tables=float(group))
+        before.finish(send_before)
+        after.finish(send_after)
+        assert send_before.engine == send_after.engine or send_before.engine == 7
+
+
+def test_a_draining_engine_gets_no_new_requests():
+    driver = PolicyDriver(engines=2)
+    driver.handle(api.EngineList((api.EngineEntry(1, state=api.State.DRAINING),)))
+    for group in range(20):
+        assert driver.send_request(tables=float(group), work=0.05).engine == 2
+
+
+def test_placement_holds_even_when_the_only_engine_fails():
+    bound = replace(REPORT, kinds=frozenset({1}))
+    entries = (api.EngineEntry(1, kind=0), api.EngineEntry(2, kind=1))
+    driver = PolicyDriver(entries=entries, classes=(LOOKUP, bound))
+    send = driver.send_request(1, work=1.0)
+    assert send.engine == 2
+    later_actions = driver.finish(send, api.Result.ERROR) + driver.run(3.0)
+    assert all(send.engine == 2 for send in actions_of(api.Send, later_actions))
+
+
+def test_the_least_loaded_engine_is_taken_if_all_threads_of_the_preferred_one_are_busy():
+    driver = PolicyDriver(engines=3, gateways=100)
+    request_id, _ = driver.submit(tables=2.0)
+    preferred = driver.controller.order(driver.pending_request(request_id))[0].entry.engine
+    for engine in (1, 2, 3):
+        driver.report_load(engine, cpu=0.85 if engine == preferred else 0.3)
+    assert driver.send_request(tables=2.0).engine != preferred
+
+
+def test_loads_avoid_the_engines_of_their_readers_and_have_no_low_priority():
+    load = replace(REPORT, repeat=api.Repeat.UNSAFE, load=True, worth=0.1)
+    engines_of_readers = set()
+    engines_of_loads = set()
+    priorities = set()
+    for seed in range(30):
+        classes = (replace(LOOKUP, yields=True), load)
+        driver = PolicyDriver(engines=9, seed=seed, gateways=100, classes=classes)
+        _, actions = driver.submit(0, tables=4.0, work=0.05)
+        engines_of_readers |= {send.engine for send in actions_of(api.Send, actions)}
+        request_id, actions = driver.submit(1, tables=4.0, work=3.0)
+        engines_of_loads |= {send.engine for send in actions_of(api.Send, actions)}
+        priorities |= {terms.priority for terms in driver.logged(api.Terms) if terms.request == request_id}
+    assert len(engines_of_readers) == 3
+    assert len(engines_of_loads) > 3
+    assert not engines_of_readers & engines_of_loads
+    assert min(priorities) >= 2
+
+
+def test_a_report_shows_the_load_of_other_instances_and_own_attempts_are_counted_once():
+    driver = PolicyDriver(engines=3, gateways=200)
+    engine = driver.engine(1)
+    assert driver.controller.load(engine) < 0.5  # one own request does not stand for those of 200 instances
+    driver.report_load(1, cpu=1.0)
+    reported_load = driver.controller.load(engine)
+    assert reported_load > 1.5
+    assert driver.controller.load(driver.engine(2)) < reported_load
+    only_instance = PolicyDriver(engines=3, gateways=1)
+    only_instance.report_load(1, cpu=1.0)
+    assert only_instance.controller.load(only_instance.engine(1)) == 0.0
+
+
+def test_the_work_for_a_request_does_not_grow_with_the_number_of_engines():
+    load_reads = []
+    for engines in (10, 400):
+        driver = PolicyDriver(engines=engines, gateways=300)
+        for engine in range(1, engines + 1):
+            driver.report_load(engine, cpu=1.0)
+        read_engines = []
+        load = driver.controller.load
+
+        def counted_load(engine, read_engines=read_engines, load=load):
+            read_engines.append(engine)
+            return load(engine)
+
+        driver.controller.load = counted_load
+        driver.submit(1, work=3.0)
+        load_reads.append(len(read_engines))
+    assert 0 < load_reads[0] == load_reads[1] < 10
