--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,10 +12,13 @@
     """A driver with the earlier names of its methods."""
 
     def give(self, *events):
+        """Call `handle`."""
         return self.handle(*events)
 
     def ask(self, *arguments, **fields):
+        """Call `submit`."""
         return self.submit(*arguments, **fields)
 
     def end(self, *arguments, **fields):
+        """Call `finish`."""
         return self.finish(*arguments, **fields)
--- a/tests/process.py
+++ b/tests/process.py
@@ -156,6 +156,7 @@
     """Sends each reply of the engine in many small pieces."""
 
     def say(self, data: bytes) -> None:
+        """Send a reply in pieces."""
         for start in range(0, len(data), REPLY_PIECE_BYTES):
             self.request.sendall(data[start : start + REPLY_PIECE_BYTES])
 
--- a/tests/rpc_client.py
+++ b/tests/rpc_client.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import pairwise
 
 import msgpack
 
@@ -49,7 +50,7 @@
     def send_bytes(self, data: bytes, cuts: Iterable[int] = ()) -> None:
         """Send `data`, in one piece for each part between two positions of `cuts`, modulo its length."""
         boundaries = [0, *sorted(cut % len(data) for cut in cuts), len(data)]
-        for start, end in zip(boundaries, boundaries[1:]):
+        for start, end in pairwise(boundaries):
             self.socket.sendall(data[start:end])
 
     def send_probe(self, number: int) -> None:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -46,12 +46,14 @@
         self.may_complete.set()
 
     def reject(self):
+        """Return the response to a request in a drain."""
         return Rejected(0.5)
 
     def on_response_delivered(self, request):
-        pass
+        """Do nothing."""
 
     async def handle(self, request):
+        """Complete a request, as soon as that is allowed."""
         self.request_received.set()
         await self.may_complete.wait()
         return Completed(b"row")
@@ -81,6 +83,7 @@
         self.server.accept_connection(server_socket, 0.0, True)
 
     def send_request(self, number):
+        """Send a request from the client."""
         fields = {"ref": f"{number:016x}", "allow": "3000"}
         self.client_socket.send(pack_request(number, "short", fields, b"select 1 from air_1.x"))
 
@@ -97,6 +100,7 @@
             self._unpacker.feed(data)
 
     def close(self):
+        """End all connections."""
         for connection in list(self.server.connections):
             connection.stop("")
         self.client_socket.close()
@@ -187,6 +191,7 @@
 
 
 def is_connection_refused(address):
+    """Return whether no process accepts connections at `address`."""
     try:
         socket.create_connection(address, timeout=5).close()
     except OSError:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -25,6 +25,7 @@
 
 @pytest.fixture(scope="module")
 def instance(tmp_path_factory):
+    """Return an instance with the example configuration, which the tests of this file share."""
     instance = Instance(tmp_path_factory.mktemp("instance"))
     yield instance
     instance.stop()
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -55,6 +55,7 @@
 
     @property
     def is_possibly_executed(self):
+        """Whether nothing shows that the engine did not execute it."""
         return self.result not in NEVER_EXECUTED
 
 
@@ -76,6 +77,7 @@
         self.stall_end = 0.0
 
     def on_entry(self, now, entry):
+        """Record an entry of the list of engines."""
         self.engines[entry.engine] = entry
         if entry.state is api.State.READY:
             self.unready_since.pop(entry.engine, None)
@@ -83,6 +85,7 @@
             self.unready_since.setdefault(entry.engine, now)
 
     def on_request(self, now, request):
+        """Record a new request."""
         self.requests[request.request] = (now, request)
         self.attempts[request.request] = []
         self.arrivals.append(now)
@@ -90,6 +93,7 @@
             self.ordered_requests.append(request)
 
     def on_outcome(self, now, outcome):
+        """Record the end of an attempt."""
         self.attempts[outcome.request][outcome.attempt].result = outcome.result
         _, request = self.requests[outcome.request]
         if self.settings.classes[request.cls].ordered and outcome.result in POSSIBLY_RUNNING:
@@ -98,10 +102,12 @@
             self.on_end(now, outcome.request)
 
     def on_end(self, now, request_id):
+        """Record the final answer to a request, or that its client has left."""
         assert request_id not in self.ended_at, "a second final answer"
         self.ended_at[request_id] = now
 
     def on_action(self, now, action):
+        """Check an action, and record it."""
         if isinstance(action, api.Cancel):
             assert self.settings.may_cancel
             assert action.attempt < len(self.attempts[action.request])
@@ -295,16 +301,19 @@
             self.handle(api.ProbeResult(item.engine, result, 0.01, report))
 
     def send_peer_message(self):
+        """Hand in a message of random bytes from another instance."""
         sender = self.random.randrange(400)
         self.handle(api.PeerMessage(sender, bytes(self.random.randrange(256) for _ in range(9))))
 
     def disconnect_client(self):
+        """Let the client of one of the latest requests leave, if it has no answer yet."""
         request_id = self.random.choice(self.request_ids[-20:])
         if request_id not in self.checker.ended_at:
             self.checker.on_end(self.driver.now, request_id)
             self.handle(api.ClientGone(request_id))
 
     def submit_request(self, request_id):
+        """Submit a random request."""
         cls = self.random.randrange(len(CLASSES))
         timeout = self.random.choice([CLASSES[cls].deadline, 0.5, 0.03, 0.0])
         self.request_ids.append(request_id)
@@ -321,6 +330,7 @@
         )
 
     def change_entry(self):
+        """Change the state of a random engine."""
         entry = self.random.choice(self.entries)
         state = self.random.choice([api.State.READY, api.State.READY, api.State.DRAINING, api.State.GONE])
         started = self.driver.now - 0.5 * self.random.random()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -34,6 +34,7 @@
 
 @pytest.fixture
 def instance(tmp_path):
+    """Return an instance that takes MAX_CLIENTS clients."""
     config = json.loads(EXAMPLE_CONFIG)
     config["limits"]["sockets"] = 2 * MAX_CLIENTS
     instance = Instance(tmp_path, json.dumps(config))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,7 +6,7 @@
 
 import pytest
 from process import EXAMPLE_CONFIG, Instance, ProgramProcess, format_address, reserve_port, wait_until
-from rpc_client import RpcClient
+from rpc_client import PROBE_ACCEPTED, Response, RpcClient
 
 from applevale.harness import ops
 
@@ -34,11 +34,15 @@
     second_process = None
     try:
         client_of_first = RpcClient(instance.address)  # while there is no other process to accept it
+        client_of_first.send_probe(1)  # a connection on which nothing comes would be closed
+        assert client_of_first.read_response() == Response(1, None, PROBE_ACCEPTED)
         config_text = instance.config_path.read_text()
         second_process = start_second_process(tmp_path, instance, config_text)
-        client_of_first.send_request(1, "lookup", "1" * 16, "select * from air_1.x limit 3")
+        client_of_first.send_request(2, "lookup", "1" * 16, "select * from air_1.x limit 3")
         instance.process.send_signal(signal.SIGTERM)
-        assert client_of_first.read_response().error is None
+        response = client_of_first.read_response()
+        assert response.number == 2
+        assert response.error is None
         assert instance.process.wait() == 0
         for index in range(20):  # the first listener is closed: the second process accepts each connection
             client = RpcClient(instance.address)
@@ -57,10 +61,12 @@
 
 
 def admin_status(address, method, path, body=None):
+    """Return the status of the response to a call of the admin API."""
     return call_admin(address, method, path, body)[0]
 
 
 def ejected_engine_count(address):
+    """Return how many engines are ejected by hand, by the metrics of a process."""
     _, metrics = call_admin(address, "GET", "/metrics")
     return metrics["targets_disabled"]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -139,6 +139,7 @@
 
 
 def make_batch(body, count):
+    """Return a batch of `count` records, as the simulator sends it."""
     return codec.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
 
 
