--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -5,12 +5,11 @@
 
 import pytest
 from policy_driver import KINDS, LOOKUP, REPORT, PolicyDriver
+from rule_checker import RuleChecker
 
 from applevale import api
 
 Result = api.Result
-NEVER_EXECUTED = {Result.FULL, Result.CONNECT_FAILED, Result.MOOT}
-POSSIBLY_RUNNING = {Result.TIMEOUT, Result.RESET, Result.CANCELLED}
 CLASSES = (
     LOOKUP,
     REPORT,
@@ -45,146 +44,6 @@
 CANCEL_SECONDS = 0.005  # until a cancelled attempt ends
 
 
-@dataclass
-class AttemptRecord:
-    """An attempt as the checker knows it; `result` is None while it is in flight."""
-
-    sent_at: float
-    zone: int
-    result: api.Result | None = None
-
-    @property
-    def is_possibly_executed(self):
-        """Whether nothing shows that the engine did not execute it."""
-        return self.result not in NEVER_EXECUTED
-
-
-class RuleChecker:
-    """Keeps records of its own of events and actions, and asserts the rules on each action."""
-
-    def __init__(self, settings):
-        self.settings = settings
-        self.engines = {}
-        self.unready_since = {}  # by engine
-        self.requests = {}  # time of arrival and request, by id
-        self.attempts = {}  # by request id
-        self.ended_at = {}  # by request id
-        self.arrivals = []
-        self.retries = []
-        self.paused_until = {}  # by order key
-        self.ordered_requests = []
-        self.stall_start = 0.0  # of the last time in which the instance did not run
-        self.stall_end = 0.0
-
-    def on_entry(self, now, entry):
-        """Record an entry of the list of engines."""
-        self.engines[entry.engine] = entry
-        if entry.state is api.State.READY:
-            self.unready_since.pop(entry.engine, None)
-        else:
-            self.unready_since.setdefault(entry.engine, now)
-
-    def on_request(self, now, request):
-        """Record a new request."""
-        self.requests[request.request] = (now, request)
-        self.attempts[request.request] = []
-        self.arrivals.append(now)
-        if self.settings.classes[request.cls].ordered and request.key:
-            self.ordered_requests.append(request)
-
-    def on_outcome(self, now, outcome):
-        """Record the end of an attempt."""
-        self.attempts[outcome.request][outcome.attempt].result = outcome.result
-        _, request = self.requests[outcome.request]
-        if self.settings.classes[request.cls].ordered and outcome.result in POSSIBLY_RUNNING:
-            self.paused_until[request.key] = now + self.settings.order_pause
-        if outcome.final:
-            self.on_end(now, outcome.request)
-
-    def on_end(self, now, request_id):
-        """Record the final answer to a request, or that its client has left."""
-        assert request_id not in self.ended_at, "a second final answer"
-        self.ended_at[request_id] = now
-
-    def on_action(self, now, action):
-        """Check an action, and record it."""
-        if isinstance(action, api.Cancel):
-            assert self.settings.may_cancel
-            assert action.attempt < len(self.attempts[action.request])
-        elif isinstance(action, api.Probe):
-            assert self.settings.may_probe
-        elif isinstance(action, api.SendPeerMessage):
-            assert self.settings.may_tell_peers
-        elif isinstance(action, (api.Reject, api.Fail)):
-            self._check_answer(now, action)
-            self.on_end(now, action.request)
-        elif isinstance(action, api.Send):
-            self._check_send(now, action)
-            zone = self.engines[action.engine].zone
-            self.attempts[action.request].append(AttemptRecord(now, zone))
-
-    def _check_answer(self, now, action):
-        arrived_at, request = self.requests[action.request]
-        due = arrived_at + request.ttl + self.settings.answer_slack
-        is_after_stall = self.stall_start <= due and now == self.stall_end
-        assert now <= due or is_after_stall, "answered too late"
-        spec = self.settings.classes[request.cls]
-        is_repeatable = spec.repeat is api.Repeat.SAFE
-        is_repeatable |= spec.repeat is not api.Repeat.UNSAFE and spec.group == "all"
-        if isinstance(action, api.Reject) and not is_repeatable:
-            results = [attempt.result for attempt in self.attempts[action.request]]
-            assert all(result in NEVER_EXECUTED for result in results), "rejected though possibly executed"
-
-    def _check_send(self, now, send):
-        assert send.request not in self.ended_at, "sent after its end"
-        _, request = self.requests[send.request]
-        spec = self.settings.classes[request.cls]
-        entry = self.engines[send.engine]
-        unready_since = self.unready_since.get(send.engine, now)
-        assert now <= unready_since + self.settings.drain_grace, "sent to a draining engine"
-        assert spec.kinds is None or entry.kind in spec.kinds, "placement: kind"
-        assert spec.zones is None or entry.zone in spec.zones, "placement: zone"
-        attempts = self.attempts[send.request]
-        assert len(attempts) < self.settings.try_limit, "too many attempts"
-        is_alone = all(attempt.result for attempt in attempts)
-        assert self.settings.parallel_tries or is_alone, "two attempts at once"
-        self._check_repetition(now, spec, entry, attempts)
-        if spec.ordered and request.key:
-            self._check_order(now, request)
-        if attempts:
-            self._check_retry_budget(now)
-
-    def _check_repetition(self, now, spec, entry, attempts):
-        possibly_executed = [attempt for attempt in attempts if attempt.is_possibly_executed]
-        if not possibly_executed:
-            return
-        first = possibly_executed[0]
-        assert spec.repeat is not api.Repeat.UNSAFE, "an unsafe request was sent again"
-        if spec.repeat is api.Repeat.KEYED:
-            assert entry.zone == first.zone, "sent again outside its group"
-            assert now <= first.sent_at + spec.repeat_window, "sent again after its window"
-
-    def _check_order(self, now, request):
-        assert self.paused_until.get(request.key, 0) <= now, "the order key is paused"
-        for other in self.ordered_requests:
-            if other is request:
-                break
-            if other.key == request.key:
-                assert other.request in self.ended_at, "sent before an earlier request of its key ended"
-                attempts = self.attempts[other.request]
-                assert all(attempt.result for attempt in attempts), "an earlier request is in flight"
-
-    def _check_retry_budget(self, now):
-        self.retries.append(now)
-        if self.settings.budget_share is None:
-            return
-        window_start = now - self.settings.budget_span
-        arrival_count = sum(arrival > window_start for arrival in self.arrivals)
-        retry_count = sum(retry > window_start for retry in self.retries)
-        budget = self.settings.budget_free + self.settings.budget_share * arrival_count
-        assert retry_count <= budget, "retry budget"
-
-
 @dataclass
 class AttemptInFlight:
     """An attempt that ends at `ends_at`; without a result it is drawn at its end."""
