--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -2,8 +2,8 @@
 
 from math import sqrt
 
-import helpers
 import pytest
+from policy_driver import make_settings
 
 from applevale import api
 from applevale.policy import AdmissionController
@@ -17,7 +17,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_the_shares_of_all_stay_within_the_budget_of_a_cold_engine(count, seed):
     """N is what the settings allow in a window; all together send N and 2 x root of N + 2 at the most."""
-    settings = helpers.settings(gateways=count, cold_share=0.33, warm_up=15.0, fall=1.5, fall_multiple=4.0)
+    settings = make_settings(gateways=count, cold_share=0.33, warm_up=15.0, fall=1.5, fall_multiple=4.0)
     entry = api.EngineEntry(1, started=100.0)
     fleet = [AdmissionController(settings, 100 * seed + at) for at in range(count)]
     sent = []
@@ -48,7 +48,7 @@
 @pytest.mark.parametrize("count", [20, 30])
 def test_the_shares_add_up_to_the_budget_whatever_the_fleets_size(count):
     def levels(size):
-        settings = helpers.settings(gateways=size)
+        settings = make_settings(gateways=size)
         fleet = [AdmissionController(settings, at) for at in range(size)]
         for controller in fleet:
             controller.handle(100.0, (api.EngineList((api.EngineEntry(1, started=100.0),), whole=True),))
--- a/tests/test_event_loop_driver.py
+++ b/tests/test_event_loop_driver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-import helpers
+from policy_driver import make_settings
 
 from applevale import api
 from applevale.dispatch.clock import UnixClock
@@ -65,7 +65,7 @@
 
 def test_an_ejected_engine_is_reported_as_outlier_until_its_ejection_is_over():
     now = [100.0]
-    controller = AdmissionController(helpers.settings(), 1)
+    controller = AdmissionController(make_settings(), 1)
     entries = tuple(api.EngineEntry(number) for number in range(1, 5))
     failed = api.ProbeResult(3, api.Result.CONNECT_FAILED)
     controller.handle(now[0], (api.EngineList(entries, whole=True), failed))
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -4,10 +4,9 @@
 import socket
 
 import pytest
-from helpers import Driver as Clocked
-from helpers import of
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from policy_driver import PolicyDriver, actions_of
 
 from applevale import api
 from applevale.config.model import ConfigError
@@ -151,27 +150,29 @@
 
 def controlled(**more):
     settings = dict(engines=4, gateways=40, report_columns=("active",), probe_price=0.08, may_probe=True)
-    return Clocked(**(settings | more))
+    return PolicyDriver(**(settings | more))
 
 
 def test_a_peers_report_counts_like_an_own_one_and_is_ignored_for_an_unknown_engine():
-    d = controlled()
-    d.give(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
-    loads = [d.controller.load(engine) for engine in d.controller.engines.values()]
-    assert loads[0] > 1.5 * max(loads[1:]) and len(d.controller.engines) == 4
+    driver = controlled()
+    driver.handle(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
+    loads = [driver.controller.load(engine) for engine in driver.controller.engines.values()]
+    assert loads[0] > 1.5 * max(loads[1:]) and len(driver.controller.engines) == 4
 
 
 def test_dispatches_of_peers_count_before_any_report_shows_them():
     """All instances see the same idle engine, and would fill it before its next report."""
-    d = controlled()
-    d.give(*(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,)))
-    before = d.controller.load(d.controller.engines[1])
-    d.give(*(api.PeerLoadReport(1, (), 1) for _ in range(24)))
-    after = d.controller.load(d.controller.engines[1])
+    driver = controlled()
+    driver.handle(
+        *(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,))
+    )
+    before = driver.controller.load(driver.controller.engines[1])
+    driver.handle(*(api.PeerLoadReport(1, (), 1) for _ in range(24)))
+    after = driver.controller.load(driver.controller.engines[1])
     assert before < 1.0 < 2.0 < after
-    d.now += 6.0  # reports have shown it since
-    d.give(api.PeerLoadReport(1, (0.0,)))
-    assert d.controller.load(d.controller.engines[1]) < 1.0
+    driver.now += 6.0  # reports have shown it since
+    driver.handle(api.PeerLoadReport(1, (0.0,)))
+    assert driver.controller.load(driver.controller.engines[1]) < 1.0
 
 
 def test_a_new_engine_gets_no_burst_for_the_time_since_its_start():
@@ -179,47 +180,51 @@
     send_count = 0
     for seed in range(40):
         entry = api.EngineEntry(1, started=97.0)  # 3 s before it is listed
-        d = controlled(entries=(entry,), seed=seed)
-        send_count += len(of(api.Send, d.ask(0, work=0.3, tables=1.0)[1]))
+        driver = controlled(entries=(entry,), seed=seed)
+        send_count += len(actions_of(api.Send, driver.submit(0, work=0.3, tables=1.0)[1]))
     assert send_count == 0
 
 
 def test_only_sends_that_attract_peers_are_announced():
-    d = controlled()
-    d.give(*(api.PeerLoadReport(number, (4.0,)) for number in (1, 2, 3, 4)))
-    assert not of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].announce  # there is room everywhere
+    driver = controlled()
+    driver.handle(*(api.PeerLoadReport(number, (4.0,)) for number in (1, 2, 3, 4)))
+    assert not driver.send_request(0, work=0.1, tables=1.0).announce  # there is room everywhere
     for _ in range(40):
-        d.now += 0.1
-        d.give(api.PeerLoadReport(1, (2.0,)), *(api.PeerLoadReport(number, (24.0,)) for number in (2, 3, 4)))
-    sends = [of(api.Send, d.ask(0, work=0.1, tables=float(group))[1]) for group in range(12)]
+        driver.now += 0.1
+        driver.handle(
+            api.PeerLoadReport(1, (2.0,)), *(api.PeerLoadReport(number, (24.0,)) for number in (2, 3, 4))
+        )
+    sends = [actions_of(api.Send, driver.submit(0, work=0.1, tables=float(group))[1]) for group in range(12)]
     assert {send.engine: send.announce for actions in sends for send in actions}[1]
 
 
 def test_an_even_stream_of_sends_makes_no_engine_look_fuller():
-    d = controlled()
-    d.give(*(api.PeerLoadReport(number, (8.0,)) for number in (1, 2, 3, 4)))
-    before = [d.controller.load(engine) for engine in d.controller.engines.values()]
-    d.give(*(api.PeerLoadReport(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
-    after = [d.controller.load(engine) for engine in d.controller.engines.values()]
+    driver = controlled()
+    driver.handle(*(api.PeerLoadReport(number, (8.0,)) for number in (1, 2, 3, 4)))
+    before = [driver.controller.load(engine) for engine in driver.controller.engines.values()]
+    driver.handle(*(api.PeerLoadReport(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
+    after = [driver.controller.load(engine) for engine in driver.controller.engines.values()]
     assert after == pytest.approx(before, abs=0.2)
 
 
 def test_a_faulty_peer_adds_no_more_than_the_bound_and_ejects_no_engine():
-    d = controlled()
+    driver = controlled()
     for _ in range(50):
-        d.now += 0.02
-        d.give(*(api.PeerLoadReport(1, (254.0,), 255) for _ in range(20)))
-    assert d.controller.load(d.controller.engines[1]) <= 9.1
-    assert not any(engine.trial or engine.rest_until > d.now for engine in d.controller.engines.values())
-    assert of(api.Send, d.ask(1, work=1.0, tables=1.0)[1])
+        driver.now += 0.02
+        driver.handle(*(api.PeerLoadReport(1, (254.0,), 255) for _ in range(20)))
+    assert driver.controller.load(driver.controller.engines[1]) <= 9.1
+    assert not any(
+        engine.trial or engine.rest_until > driver.now for engine in driver.controller.engines.values()
+    )
+    assert actions_of(api.Send, driver.submit(1, work=1.0, tables=1.0)[1])
 
 
 def test_instances_with_the_same_reports_do_not_all_take_the_same_spare_engine():
     taken = set()
     for seed in range(12):
-        d = controlled(engines=6, seed=seed)
-        d.give(*(api.PeerLoadReport(number, (8.0 + number / 4,)) for number in range(1, 7)))
-        taken.add(of(api.Send, d.ask(0, work=0.1, tables=1.0)[1])[0].engine)
+        driver = controlled(engines=6, seed=seed)
+        driver.handle(*(api.PeerLoadReport(number, (8.0 + number / 4,)) for number in range(1, 7)))
+        taken.add(actions_of(api.Send, driver.submit(0, work=0.1, tables=1.0)[1])[0].engine)
     assert len(taken) > 1
 
 
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -1,7 +1,7 @@
 """A list of a thousand engines and its updates: no lost request, and bounded work for each request."""
 
 import pytest
-from helpers import Driver, of
+from policy_driver import PolicyDriver, actions_of
 
 from applevale import api, policy
 from applevale.discovery.control_feed import ControlFeed
@@ -14,7 +14,7 @@
 
 
 def driver_with_engines(count=1000, **more):
-    return Driver(
+    return PolicyDriver(
         entries=tuple(api.EngineEntry(engine) for engine in range(1, count + 1)),
         gateways=40,
         probe_price=0.08,
@@ -27,7 +27,8 @@
 def test_the_work_for_a_request_does_not_grow_with_the_list(monkeypatch):
     load_calls = {}
     for count in (8, 60, 1000):
-        d, calls = driver_with_engines(count), [0]
+        driver = driver_with_engines(count)
+        calls = [0]
         load = policy.AdmissionController.load
 
         def counted(self, engine, calls=calls, load=load):
@@ -35,7 +36,11 @@
             return load(self, engine)
 
         monkeypatch.setattr(policy.AdmissionController, "load", counted)
-        sends = [send for group in range(20) for send in of(api.Send, d.ask(0, tables=float(group))[1])]
+        sends = [
+            send
+            for group in range(20)
+            for send in actions_of(api.Send, driver.submit(0, tables=float(group))[1])
+        ]
         monkeypatch.setattr(policy.AdmissionController, "load", load)
         assert len(sends) == 20
         load_calls[count] = calls[0]
@@ -43,30 +48,33 @@
 
 
 def test_no_request_is_lost_when_the_list_is_emptied_and_filled_again():
-    d = driver_with_engines()
-    first = of(api.Send, d.ask(0, tables=1.0)[1])[0]
-    d.give(api.EngineList((), whole=True))
-    waiting, actions = d.ask(0, tables=1.0)
-    assert not of(api.Send, actions)
-    d.now += 0.1
-    actions = d.give(api.EngineList(tuple(api.EngineEntry(n) for n in range(1, 1001)), whole=True))
-    assert [send.request for send in of(api.Send, actions)] == [waiting]
-    d.end(first)
-    d.end(of(api.Send, actions)[0])
-    assert not d.controller.held and len(d.controller.engines) == 1000
+    driver = driver_with_engines()
+    first = actions_of(api.Send, driver.submit(0, tables=1.0)[1])[0]
+    driver.handle(api.EngineList((), whole=True))
+    waiting, actions = driver.submit(0, tables=1.0)
+    assert not actions_of(api.Send, actions)
+    driver.now += 0.1
+    actions = driver.handle(api.EngineList(tuple(api.EngineEntry(n) for n in range(1, 1001)), whole=True))
+    assert [send.request for send in actions_of(api.Send, actions)] == [waiting]
+    driver.finish(first)
+    driver.finish(actions_of(api.Send, actions)[0])
+    assert not driver.controller.held and len(driver.controller.engines) == 1000
 
 
 def test_an_engine_that_is_listed_again_starts_cold_and_without_history():
-    d = driver_with_engines(3)
-    d.give(api.PeerLoadReport(1, (40.0,), 8))
-    assert d.controller.load(d.controller.engines[1]) > 2
-    d.now += 5.0
-    d.give(api.EngineList((api.EngineEntry(1, state=GONE),)))
-    d.give(api.PeerLoadReport(1, (40.0,), 8))  # from a peer with an older list
-    assert 1 not in d.controller.engines
-    d.give(api.EngineList((api.EngineEntry(1, started=d.now - 0.5),)))
-    d.controller.siblings.clear()
-    assert d.controller.load(d.controller.engines[1]) < 2 and d.controller.engines[1].warmth(d.now) < 0.5
+    driver = driver_with_engines(3)
+    driver.handle(api.PeerLoadReport(1, (40.0,), 8))
+    assert driver.controller.load(driver.controller.engines[1]) > 2
+    driver.now += 5.0
+    driver.handle(api.EngineList((api.EngineEntry(1, state=GONE),)))
+    driver.handle(api.PeerLoadReport(1, (40.0,), 8))  # from a peer with an older list
+    assert 1 not in driver.controller.engines
+    driver.handle(api.EngineList((api.EngineEntry(1, started=driver.now - 0.5),)))
+    driver.controller.siblings.clear()
+    assert (
+        driver.controller.load(driver.controller.engines[1]) < 2
+        and driver.controller.engines[1].warmth(driver.now) < 0.5
+    )
 
 
 def test_an_update_that_is_repeated_or_out_of_order_changes_nothing():
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -4,9 +4,9 @@
 
 import msgspec
 import pytest
-from helpers import LOOKUP, REPORT, Driver, of
 from hypothesis import given
 from hypothesis import strategies as st
+from policy_driver import LOOKUP, REPORT, PolicyDriver, actions_of
 
 from applevale import api
 from applevale.policy import AdmissionController
@@ -125,7 +125,7 @@
     )
 
 
-class ZoneDriver(Driver):
+class ZoneDriver(PolicyDriver):
     """The module with a router, home in the east; each engine has 8 cores."""
 
     def __init__(self, zones=ZONES, home=0, listed=None, **changes):
@@ -133,7 +133,7 @@
         self.router = ZoneRouter(zones, NAMES, CLASSES, home)
         self.controller = AdmissionController(self.settings, 1, self.router)
         self.entries = listed or entries()
-        self.give(api.EngineList(self.entries, whole=True))
+        self.handle(api.EngineList(self.entries, whole=True))
 
     def zone(self, send):
         return next(entry.zone for entry in self.entries if entry.engine == send.engine)
@@ -145,22 +145,22 @@
 
 
 def test_work_stays_at_home_while_home_has_room():
-    d = ZoneDriver()
+    driver = ZoneDriver()
     for group in range(40):
-        for send in of(api.Send, d.ask(tables=float(group))[1]):
-            assert d.zone(send) == 0
-            d.end(send)
+        for send in actions_of(api.Send, driver.submit(tables=float(group))[1]):
+            assert driver.zone(send) == 0
+            driver.finish(send)
 
 
 def test_a_lost_zone_takes_nothing_and_spill_stays_under_its_share():
-    d = ZoneDriver()
-    d.lose(0)
+    driver = ZoneDriver()
+    driver.lose(0)
     let = {1: [], 2: []}
     for at in range(190):  # within its cooldown of 2 s
-        d.run(0.01)
-        for send in of(api.Send, d.ask(tables=float(at), work=0.3)[1]):
-            let[d.zone(send)].append((d.now, 0.3))
-            d.end(send, work=0.3)
+        driver.run(0.01)
+        for send in actions_of(api.Send, driver.submit(tables=float(at), work=0.3)[1]):
+            let[driver.zone(send)].append((driver.now, 0.3))
+            driver.finish(send, work=0.3)
     work = {
         zone: max(sum(w for at, w in sent if start <= at < start + 1.0) for start, _ in sent)
         for zone, sent in let.items()
@@ -170,53 +170,53 @@
 
 
 def test_pinned_classes_are_rejected_at_once_with_retry_after_when_home_is_lost():
-    d = ZoneDriver()
-    d.lose(0)
-    _, actions = d.ask(cls=1, work=30.0)
-    assert not of(api.Send, actions)
-    answers = of(api.Reject, actions + d.run(4.0))
+    driver = ZoneDriver()
+    driver.lose(0)
+    _, actions = driver.submit(cls=1, work=30.0)
+    assert not actions_of(api.Send, actions)
+    answers = actions_of(api.Reject, actions + driver.run(4.0))
     assert answers and answers[0].retry_after > 0
 
 
 def test_a_burst_without_room_is_rejected_at_once_and_worth_decides_who_is_sent():
     cheap = replace(LOOKUP, worth=0.1)
-    d = ZoneDriver(
+    driver = ZoneDriver(
         zones=ZoneSettings(tiers=ZONES.tiers, spill_limits=ZONES.spill_limits),
         classes=(LOOKUP, REPORT, cheap),
     )
-    d.lose(0)
+    driver.lose(0)
     numbers = iter(range(10_000, 20_000))
     asks = [
         api.Request(next(numbers), cls=at % 2 * 2, ttl=4.0, work=1.0, tables=float(at)) for at in range(200)
     ]
-    actions = d.give(*asks)
-    sent = [send.request for send in of(api.Send, actions)]
-    refused = of(api.Reject, actions)
+    actions = driver.handle(*asks)
+    sent = [send.request for send in actions_of(api.Send, actions)]
+    refused = actions_of(api.Reject, actions)
     classes = {ask.request: ask.cls for ask in asks}
     assert sent and all(classes[number] == 0 for number in sent)
     assert len(refused) > 100 and all(answer.retry_after > 0 for answer in refused)
 
 
 def test_one_attempt_at_a_time_on_trial_then_a_ramp_over_all_instances():
-    d = ZoneDriver()
-    d.lose(0)
-    d.run(2.1)
-    trial = [send for at in range(10) for send in of(api.Send, d.ask(tables=float(at))[1])]
-    assert sum(d.zone(send) == 0 for send in trial) == 1
-    home = next(send for send in trial if d.zone(send) == 0)
+    driver = ZoneDriver()
+    driver.lose(0)
+    driver.run(2.1)
+    trial = [send for at in range(10) for send in actions_of(api.Send, driver.submit(tables=float(at))[1])]
+    assert sum(driver.zone(send) == 0 for send in trial) == 1
+    home = next(send for send in trial if driver.zone(send) == 0)
     for _ in range(3):
-        d.end(home)
-        sends = [send for at in range(4) for send in of(api.Send, d.ask(tables=float(at))[1])]
-        home = next((send for send in sends if d.zone(send) == 0), home)
-    recovery = d.router.zones[0].recovery
+        driver.finish(home)
+        sends = [send for at in range(4) for send in actions_of(api.Send, driver.submit(tables=float(at))[1])]
+        home = next((send for send in sends if driver.zone(send) == 0), home)
+    recovery = driver.router.zones[0].recovery
     assert recovery.phase is RecoveryPhase.RAMPING
-    begun, let = d.now, []
-    while d.now < begun + 9.0:
-        d.run(0.02)
-        for send in of(api.Send, d.ask(tables=d.now, work=0.4)[1]):
-            if d.zone(send) == 0:
-                let.append((d.now, 0.4))
-            d.end(send, work=0.4)
+    begun, let = driver.now, []
+    while driver.now < begun + 9.0:
+        driver.run(0.02)
+        for send in actions_of(api.Send, driver.submit(tables=driver.now, work=0.4)[1]):
+            if driver.zone(send) == 0:
+                let.append((driver.now, 0.4))
+            driver.finish(send, work=0.4)
     for start, _ in let:
         share = 0.1 + 0.9 * min(1.0, (start + 1.0 - begun) / 10.0)
         assert sum(work for at, work in let if start <= at < start + 1.0) <= share * 32 / 2 * 1.05
@@ -224,27 +224,30 @@
 
 
 def test_a_planned_drain_of_a_zone_ends_in_a_ramp_and_loses_nothing():
-    d = ZoneDriver()
-    send = of(api.Send, d.ask()[1])[0]
-    assert d.zone(send) == 0
-    drained = tuple(replace(entry, state=api.State.DRAINING) for entry in d.entries if entry.zone == 0)
-    d.give(api.EngineList(drained))
-    assert d.router.zones[0].recovery.phase is RecoveryPhase.LOST
-    assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
-    assert not of(api.Fail, d.end(send))  # what ran there goes on
-    back = tuple(replace(entry, started=d.now) for entry in d.entries if entry.zone == 0)
-    d.give(api.EngineList(back))
-    assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
-    d.run(2.1)
-    assert d.router.may_take(d.now, 0, 0, 0.2) and d.router.zones[0].recovery.phase is RecoveryPhase.TRIAL
+    driver = ZoneDriver()
+    send = actions_of(api.Send, driver.submit()[1])[0]
+    assert driver.zone(send) == 0
+    drained = tuple(replace(entry, state=api.State.DRAINING) for entry in driver.entries if entry.zone == 0)
+    driver.handle(api.EngineList(drained))
+    assert driver.router.zones[0].recovery.phase is RecoveryPhase.LOST
+    assert driver.zone(actions_of(api.Send, driver.submit()[1])[0]) == 1
+    assert not actions_of(api.Fail, driver.finish(send))  # what ran there goes on
+    back = tuple(replace(entry, started=driver.now) for entry in driver.entries if entry.zone == 0)
+    driver.handle(api.EngineList(back))
+    assert driver.zone(actions_of(api.Send, driver.submit()[1])[0]) == 1
+    driver.run(2.1)
+    assert (
+        driver.router.may_take(driver.now, 0, 0, 0.2)
+        and driver.router.zones[0].recovery.phase is RecoveryPhase.TRIAL
+    )
 
 
 def test_the_loss_of_the_zone_that_takes_the_spill_moves_it_to_the_next():
-    d = ZoneDriver()
-    d.lose(0)
-    assert d.zone(of(api.Send, d.ask()[1])[0]) == 1
-    d.lose(1)
-    assert d.zone(of(api.Send, d.ask()[1])[0]) == 2
+    driver = ZoneDriver()
+    driver.lose(0)
+    assert driver.zone(actions_of(api.Send, driver.submit()[1])[0]) == 1
+    driver.lose(1)
+    assert driver.zone(actions_of(api.Send, driver.submit()[1])[0]) == 2
 
 
 def test_without_zones_the_module_has_a_router_that_allows_all():
