--- /dev/null
+++ b/applevale/fault_injection/tcp_relay.py
@@ -0,0 +1,237 @@
+"""A TCP relay before one server. What happens to connections and bytes is up to a behavior that plugs in."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import Protocol
+
+from ..net.addresses import Address
+
+BACKLOG = 1024
+LOOPBACK = "127.0.0.1"
+
+
+class RelayStream(ABC):
+    """One direction of a relayed connection; a subclass decides what of its bytes leaves, and when.
+
+    Attributes:
+        reader: The transport that the bytes come from; None before it is connected.
+        writer: The transport that they leave by; None before it is connected.
+        is_writing_paused: Whether the receiver's buffer is full; what follows from it is up to the subclass.
+    """
+
+    def __init__(self) -> None:
+        """Start without transports; the relay sets them."""
+        self.reader: asyncio.Transport | None = None
+        self.writer: asyncio.Transport | None = None
+        self.is_writing_paused = False
+
+    @property
+    def can_write(self) -> bool:
+        """Whether the receiver's connection is open."""
+        return self.writer is not None and not self.writer.is_closing()
+
+    @abstractmethod
+    def put(self, data: bytes) -> None:
+        """Take data from the sender."""
+
+    @abstractmethod
+    def flush(self) -> None:
+        """Write what may leave now; called when the receiver is connected."""
+
+    @abstractmethod
+    def end(self) -> None:
+        """Note that the sender has closed its direction."""
+
+    @abstractmethod
+    def on_sender_lost(self) -> None:
+        """Note that the sender's connection is closed while the receiver's is open."""
+
+    @abstractmethod
+    def cancel_timer(self) -> None:
+        """Cancel the next flush, if one is scheduled."""
+
+    def pause_writing(self) -> None:
+        """Note that the receiver's buffer is full."""
+        self.is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Note that the receiver's buffer has room again."""
+        self.is_writing_paused = False
+
+
+class RelayBehavior(Protocol):
+    """What a relay does with its callers."""
+
+    def accepts(self, caller: Address) -> bool:
+        """Return whether a caller at this address is served; else its connection is aborted."""
+        ...
+
+    async def wait_until_connectable(self, caller: Address) -> None:
+        """Return once the server may be connected to for this caller."""
+        ...
+
+    def create_request_stream(self, connection: RelayConnection) -> RelayStream:
+        """Return the stream from the caller to the server."""
+        ...
+
+    def create_answer_stream(self, connection: RelayConnection) -> RelayStream:
+        """Return the stream from the server to the caller."""
+        ...
+
+
+class _Endpoint(asyncio.Protocol):
+    """One of the two TCP connections of a relayed connection.
+
+    Attributes:
+        incoming: The stream of bytes that come from it; None where it is not served.
+        outgoing: The stream of bytes that leave by it; None where it is not served.
+    """
+
+    def __init__(self, connection: RelayConnection):
+        self.connection = connection
+        self.transport: asyncio.Transport | None = None
+        self.incoming: RelayStream | None = None
+        self.outgoing: RelayStream | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.connection.on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.incoming is not None:
+            self.incoming.put(data)
+
+    def eof_received(self) -> bool:
+        if self.incoming is not None:
+            self.incoming.end()
+        return True
+
+    def pause_writing(self) -> None:
+        if self.outgoing is not None:
+            self.outgoing.pause_writing()
+
+    def resume_writing(self) -> None:
+        if self.outgoing is not None:
+            self.outgoing.resume_writing()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.connection.on_disconnected(self)
+
+
+class RelayConnection:
+    """A caller's connection and the one to the server behind it.
+
+    Attributes:
+        caller_address: The local address that the caller bound.
+        requests: The stream from the caller; None where it is not served.
+        answers: The stream to the caller; None where it is not served.
+    """
+
+    def __init__(self, relay: TcpRelay):
+        """Wait for a caller of this relay."""
+        self.relay = relay
+        self.caller_address: Address = ("", 0)
+        self.caller = _Endpoint(self)
+        self.server = _Endpoint(self)
+        self.requests: RelayStream | None = None
+        self.answers: RelayStream | None = None
+        self.connect_task: asyncio.Task | None = None
+
+    @property
+    def is_established(self) -> bool:
+        """Whether the server behind is connected."""
+        return self.server.transport is not None
+
+    def on_connected(self, endpoint: _Endpoint) -> None:
+        """Serve a caller that has connected, or begin to pass on its bytes once the server has."""
+        if endpoint is self.caller:
+            self._on_caller_connected()
+            return
+        self.answers.reader = endpoint.transport
+        self.requests.writer = endpoint.transport
+        self.requests.flush()
+
+    def _on_caller_connected(self) -> None:
+        transport = self.caller.transport
+        self.caller_address = transport.get_extra_info("peername")[:2]
+        behavior = self.relay.behavior
+        if not behavior.accepts(self.caller_address):
+            transport.abort()
+            return
+        self.relay.connections[self] = None
+        self.requests = self.caller.incoming = self.server.outgoing = behavior.create_request_stream(self)
+        self.answers = self.server.incoming = self.caller.outgoing = behavior.create_answer_stream(self)
+        self.requests.reader = transport
+        self.answers.writer = transport
+        self.connect_task = self.relay.loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        relay = self.relay
+        host = self.caller_address[0]
+        local_address = (host, 0) if host != LOOPBACK else None
+        try:
+            await relay.behavior.wait_until_connectable(self.caller_address)
+            await relay.loop.create_connection(lambda: self.server, *relay.target, local_addr=local_address)
+        except OSError:
+            self.abort()
+
+    def on_disconnected(self, endpoint: _Endpoint) -> None:
+        """Let the other connection follow one that is closed."""
+        stream = endpoint.incoming
+        if stream is None:
+            return
+        stream.cancel_timer()
+        if stream.can_write:
+            stream.on_sender_lost()
+        else:
+            self.relay.connections.pop(self, None)
+        if endpoint is self.caller and not self.is_established:
+            self.abort()
+
+    def abort(self) -> None:
+        """End both connections at once."""
+        if self.connect_task is not None and self.connect_task is not asyncio.current_task():
+            self.connect_task.cancel()
+        for endpoint in (self.caller, self.server):
+            if endpoint.transport is not None:
+                endpoint.incoming.cancel_timer()
+                endpoint.transport.abort()
+        self.relay.connections.pop(self, None)
+
+
+class TcpRelay:
+    """Listens on loopback before one server, and connects to it for each caller.
+
+    The server sees the caller's own local address, unless that is 127.0.0.1.
+
+    Attributes:
+        address: Where it listens, once it has started.
+        connections: The connections that are open, in the order in which they came.
+    """
+
+    def __init__(self, target: Address, behavior: RelayBehavior):
+        """Relay to the server at `target` as `behavior` says; nothing is started yet."""
+        self.target = target
+        self.behavior = behavior
+        self.address: Address = (LOOPBACK, 0)
+        self.connections: dict[RelayConnection, None] = {}
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen; `address` holds the port from then on."""
+        self.loop = asyncio.get_running_loop()
+        self.server = await self.loop.create_server(self._accept, *self.address, backlog=BACKLOG)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def _accept(self) -> _Endpoint:
+        return RelayConnection(self).caller
+
+    async def stop(self) -> None:
+        """Close the listener and end all connections."""
+        self.server.close()
+        for connection in list(self.connections):
+            connection.abort()
+        await asyncio.sleep(0)
