Operations harness is a package: admin client, environment, script, evaluation, runner

Each is a module of its own now; what is drawn, done and reported stays. The figure cut_after_run is an integer in every run.

test_rig_ops, test_upgrade, test_layers and test_cli pass; the tests of planted faults replace until_ready and ManagedProcess in the modules that use them.

--- /dev/null
+++ b/applevale/harness/ops/admin_client.py
@@ -0,0 +1,39 @@
+"""A client of the application's admin API."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+CALL_TIMEOUT_SECONDS = 2.0
+READY_POLL_INTERVAL_SECONDS = 0.05
+STATUS_OK = 200
+
+
+async def call(address: str, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
+    """Return status and body of an admin call; (0, {}) if it could not be made."""
+    host, _, port = address.rpartition(":")
+    data = b"" if body is None else json.dumps(body).encode()
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            head = f"{method} {path} HTTP/1.1\r\nhost: rig\r\ncontent-length: {len(data)}\r\n\r\n"
+            writer.write(head.encode() + data)
+            answer = await reader.read()
+            writer.close()
+    except (OSError, TimeoutError):
+        return 0, {}
+    head, _, rest = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(rest or b"{}")
+
+
+async def until_ready(address: str, within: float) -> bool:
+    """Return whether the process with this admin address becomes ready within so many seconds."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + within
+    while loop.time() < end:
+        status, _ = await call(address, "GET", "/ready")
+        if status == STATUS_OK:
+            return True
+        await asyncio.sleep(READY_POLL_INTERVAL_SECONDS)
+    return False
--- /dev/null
+++ b/applevale/harness/ops/environment.py
@@ -0,0 +1,104 @@
+"""What one run of the operations harness consists of: two processes on one address, engines and clients."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from random import Random
+
+from ...discovery.endpoints import format_instance_id
+from ...fakes.client_pool import ClientPool
+from ...fakes.engine import FakeEngine
+from ...net.addresses import format_address
+from ..managed_process import ManagedProcess
+from ..ports import free_address
+
+ENGINE_COUNT = 3
+REQUESTS_PER_SECOND = 60.0
+CLIENT_RUN_SECONDS = 3600  # the clients are cancelled long before
+
+
+def engine_list(engines: list[FakeEngine]) -> dict:
+    """Return the setting `known` that lists these engines."""
+    instances = [
+        {
+            "instanceId": format_instance_id(number),
+            "hostPort": format_address(engine.address),
+            "zone": "east",
+            "machineType": "std",
+            "cell": 0,
+            "lifecycle": "in_service",
+            "weight": 1,
+            "startedAtMs": 0,
+        }
+        for number, engine in enumerate(engines, 1)
+    ]
+    return {"n": 1, "events": [{"n": 1, "members": {"generation": 1, "reset": True, "instances": instances}}]}
+
+
+class OperationsEnvironment:
+    """Two processes of the application that share the clients' address and $TMPDIR.
+
+    Attributes:
+        engines: The engines that both list.
+        first_admin: The admin address of the first process.
+        second_admin: The admin address of the second process.
+        first: The process that runs from the start.
+        second: The process that takes over from it.
+        clients: The clients, once they have started.
+    """
+
+    def __init__(self, random: Random):
+        """Prepare all parts, with all draws from `random`; nothing is started yet."""
+        self.random = random
+        self.engines = [FakeEngine(Random(random.random())) for _ in range(ENGINE_COUNT)]
+        self.folder = tempfile.TemporaryDirectory(prefix="applevale-ops-")
+        self.listen_address = free_address()
+        self.first_admin = free_address()
+        self.second_admin = free_address()
+        self.first: ManagedProcess | None = None
+        self.second: ManagedProcess | None = None
+        self.clients: ClientPool | None = None
+        self.client_task: asyncio.Task | None = None
+
+    async def start_engines(self) -> None:
+        """Start the engines, and prepare both processes to use them."""
+        for engine in self.engines:
+            await engine.start()
+        self.first = self._create_process("ops-1", self.first_admin)
+        self.second = self._create_process("ops-2", self.second_admin)
+
+    def _create_process(self, name: str, admin_address: str) -> ManagedProcess:
+        config = {
+            "known": engine_list(self.engines),
+            "listen": self.listen_address,
+            "control": admin_address,
+        }
+        return ManagedProcess(config, name)
+
+    async def start_process(self, process: ManagedProcess) -> None:
+        """Start one of the processes; return once it listens."""
+        await process.start(env={"TMPDIR": self.folder.name})
+
+    async def start_clients(self) -> None:
+        """Start the clients, which come back when their connections are closed."""
+        self.clients = ClientPool(
+            self.first.address, Random(self.random.random()), REQUESTS_PER_SECOND, reconnect=True
+        )
+        await self.clients.start()
+        end = asyncio.get_running_loop().time() + CLIENT_RUN_SECONDS
+        self.client_task = asyncio.create_task(self.clients.run(end))
+
+    async def end_requests(self) -> None:
+        """Let the clients send nothing more, and wait for the answers."""
+        self.client_task.cancel()
+        await self.clients.settle()
+
+    async def stop(self) -> None:
+        """End all that was started, also after a failure."""
+        for process in (self.first, self.second):
+            if process is not None:
+                await process.kill()
+        for engine in self.engines:
+            await engine.stop()
+        self.folder.cleanup()
--- /dev/null
+++ b/applevale/harness/ops/evaluation.py
@@ -0,0 +1,148 @@
+"""What one run of the operations harness saw, and the checks of it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ...fakes.client_pool import ANSWER_SERVED, METHOD_LOOKUP, SentRequest
+from ...fakes.engine import AttemptArrival
+from ..request_rules import count_violations
+from .environment import OperationsEnvironment
+
+MAX_CUT_REQUESTS = 2  # requests that may meet a closed connection in an upgrade
+METRICS_TOLERANCE = 0.01
+METRICS_TOLERANCE_REQUESTS = 3
+
+
+def answered_all(counters: dict) -> bool:
+    """Return whether a process answered every request that it accepted, by its own counters.
+
+    A request that crossed the close of an idle connection was never accepted; its client sends it again.
+    """
+    accepted = sum(count for name, count in counters.items() if name.startswith("taken_"))
+    answered = sum(count for name, count in counters.items() if name.startswith("answered_"))
+    return accepted == answered and not counters.get("clients_gone")
+
+
+def cut_requests(sent_requests: Iterable[SentRequest]) -> float:
+    """Return how many requests met a closed connection."""
+    return sum(sent.disconnected_at for sent in sent_requests)
+
+
+def served_lookups(sent_requests: Iterable[SentRequest]) -> int:
+    """Return how many lookups were served."""
+    return sum(sent.answers == [ANSWER_SERVED] and sent.method == METHOD_LOOKUP for sent in sent_requests)
+
+
+@dataclass
+class Observations:
+    """What the script saw.
+
+    Times are in seconds: start and end of the overlap by the event loop's clock, all others by the engines'.
+    """
+
+    first_ready: bool = False
+    ejection_confirmed: bool = False
+    ejected_from: float = 0.0
+    unknown_engine_status: int = 0
+    ready_status_in_drain: int = 0
+    undrained: bool = False
+    metrics_served: int = 0
+    clients_served: int = 0
+    overlap_start: float = 0.0
+    overlap_end: float = 0.0
+    second_ready: bool = False
+    late_ejection_confirmed: bool = False
+    late_ejected_from: float = 0.0
+    first_exit_code: int | None = None
+    cut_in_upgrade: float = 0
+    enabled_at: float = 0.0
+    to_ejected: int = 0
+    to_late_ejected: int = 0
+    after_enable: int = 0
+    cut_after_execution: int = 0
+    first_counters: dict = field(default_factory=dict)
+    second_counters: dict = field(default_factory=dict)
+    violations: Counter = field(default_factory=Counter)
+    client_figures: Counter = field(default_factory=Counter)
+
+    @property
+    def unanswered(self) -> int:
+        """Requests without an answer whose connection was not cut."""
+        return self.client_figures["lost"] - self.client_figures["cut"]
+
+    @property
+    def are_metrics_true(self) -> bool:
+        """Whether the metrics agree with the clients' count, within the tolerance."""
+        tolerance = max(METRICS_TOLERANCE_REQUESTS, METRICS_TOLERANCE * self.clients_served)
+        return abs(self.metrics_served - self.clients_served) <= tolerance
+
+    def add_requests(self, environment: OperationsEnvironment, ejected: int, late_ejected: int) -> None:
+        """Add what engines and clients saw in the whole run.
+
+        Args:
+            environment: The engines and the clients.
+            ejected: Index of the engine that was ejected first.
+            late_ejected: Index of the engine that was ejected in the upgrade.
+        """
+        engines = environment.engines
+        clients = environment.clients
+        arrivals = engines[ejected].arrivals
+        self.to_ejected = self._arrivals_while_ejected(arrivals, self.ejected_from)
+        self.to_late_ejected = self._arrivals_while_ejected(
+            engines[late_ejected].arrivals, self.late_ejected_from
+        )
+        self.after_enable = sum(arrival.received_at > self.enabled_at for arrival in arrivals)
+        executed = {arrival.request_id.decode() for engine in engines for arrival in engine.arrivals}
+        self.cut_after_execution = sum(
+            sent.disconnected_at > 0 and sent.request_id in executed for sent in clients.sent
+        )
+        overlap = (self.overlap_start, self.overlap_end)
+        self.violations = count_violations(clients, engines, overlap)
+        self.client_figures = clients.stats()
+
+    def _arrivals_while_ejected(self, arrivals: Iterable[AttemptArrival], ejected_from: float) -> int:
+        return sum(ejected_from < arrival.received_at < self.enabled_at for arrival in arrivals)
+
+    def checks(self) -> dict[str, bool]:
+        """Return each check by its name in the result, with whether it holds."""
+        return {
+            "first_ready": self.first_ready,
+            "ban_yes": self.ejection_confirmed,
+            "unknown_refused": self.unknown_engine_status == 404,
+            "ready_no_in_drain": self.ready_status_in_drain == 503,
+            "undrained_in_2s": self.undrained,
+            "second_ready_in_6s": self.second_ready,
+            "first_exit_0": self.first_exit_code == 0,
+            "nothing_to_banned": self.to_ejected == 0,
+            "nothing_to_banned_in_both": self.late_ejection_confirmed and self.to_late_ejected == 0,
+            "figures_true": self.are_metrics_true,
+            "no_request_held": self.unanswered == 0,
+            "cut_at_most_2": self.cut_in_upgrade <= MAX_CUT_REQUESTS,
+            "every_taken_answered": all(map(answered_all, (self.first_counters, self.second_counters))),
+            "none_cut_after_it_ran": self.cut_after_execution == 0,
+            "answered_once": self.violations["answered_twice"] == 0,
+            "back_after_enable": self.after_enable > 0,
+            "loads_once": self.violations["loads_twice"] == 0,
+            "keys_in_order": self.violations["order_breaks"] == 0,
+        }
+
+    def figures(self) -> dict[str, float]:
+        """Return the figures of the result."""
+        return {
+            "requests": self.client_figures["requests"],
+            "served": self.client_figures["served"],
+            "cut": self.client_figures["cut"],
+            "held": self.unanswered,
+            "figures_served": self.metrics_served,
+            "clients_served": self.clients_served,
+            "to_banned": self.to_ejected,
+            "to_late_banned": self.to_late_ejected,
+            "after_enable": self.after_enable,
+            "cut_in_upgrade": self.cut_in_upgrade,
+            "cut_after_run": self.cut_after_execution,
+            "first_door_calls": self.first_counters.get("door_calls", 0),
+            "second_served": self.second_counters.get("answered_served", 0),
+        }
--- /dev/null
+++ b/applevale/harness/ops/script.py
@@ -0,0 +1,120 @@
+"""The script of the operations harness: what an operator does, phase after phase."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ...discovery.endpoints import format_instance_id
+from .admin_client import STATUS_OK, call, until_ready
+from .environment import OperationsEnvironment
+from .evaluation import Observations, cut_requests, served_lookups
+
+EJECTION_GRACE_SECONDS = 0.5  # after an ejection is confirmed, from which nothing new may reach the engine
+READY_TIMEOUT_SECONDS = 6.0  # for a new process to become ready
+UNDRAIN_TIMEOUT_SECONDS = 2.0  # to become ready after /undrain
+REENABLE_TIMEOUT_SECONDS = 5.0  # within which an enabled engine that was in use gets work again
+EJECTED = 1  # index of the engine that is ejected first
+LATE_EJECTED = 2  # index of the engine that is ejected in the upgrade
+UNKNOWN_ENGINE_ID = format_instance_id(0xFFFF)
+
+
+async def _disable(admin_address: str, engine_id: str) -> int:
+    """Eject an engine; return the status of the call."""
+    status, _ = await call(admin_address, "POST", "/engines/disable", {"host": engine_id})
+    return status
+
+
+async def _enable(admin_address: str, engine_id: str) -> None:
+    await call(admin_address, "POST", "/engines/enable", {"host": engine_id})
+
+
+def _engine_id(index: int) -> str:
+    return format_instance_id(index + 1)
+
+
+class OperationsScenario:
+    """The phases of the script, and what they saw."""
+
+    def __init__(self, environment: OperationsEnvironment, phase_seconds: float):
+        """Prepare the script on engines that are started; each phase takes about `phase_seconds`."""
+        self.environment = environment
+        self.phase_seconds = phase_seconds
+        self.loop = asyncio.get_running_loop()
+        self.observed = Observations()
+
+    async def run(self) -> Observations:
+        """Run all phases in turn; return what was seen."""
+        await self._start_first()
+        await self._eject()
+        await self._drain()
+        await self._compare_metrics()
+        await self._upgrade()
+        await self._enable_engines()
+        await self._finish()
+        return self.observed
+
+    async def _start_first(self) -> None:
+        environment = self.environment
+        await environment.start_process(environment.first)
+        self.observed.first_ready = await until_ready(environment.first_admin, READY_TIMEOUT_SECONDS)
+        await environment.start_clients()
+        await asyncio.sleep(self.phase_seconds)
+
+    async def _eject(self) -> None:
+        admin = self.environment.first_admin
+        self.observed.ejection_confirmed = await _disable(admin, _engine_id(EJECTED)) == STATUS_OK
+        self.observed.ejected_from = self._engine_time(EJECTED) + EJECTION_GRACE_SECONDS
+        self.observed.unknown_engine_status = await _disable(admin, UNKNOWN_ENGINE_ID)
+        await asyncio.sleep(self.phase_seconds)
+
+    async def _drain(self) -> None:
+        admin = self.environment.first_admin
+        await call(admin, "POST", "/drain")
+        status, _ = await call(admin, "GET", "/ready")
+        self.observed.ready_status_in_drain = status
+        await asyncio.sleep(self.phase_seconds)
+        await call(admin, "POST", "/undrain")
+        self.observed.undrained = await until_ready(admin, UNDRAIN_TIMEOUT_SECONDS)
+        await asyncio.sleep(self.phase_seconds / 2)
+
+    async def _compare_metrics(self) -> None:
+        _, metrics = await call(self.environment.first_admin, "GET", "/metrics")
+        self.observed.clients_served = served_lookups(self.environment.clients.sent)
+        self.observed.metrics_served = metrics.get("replies", {}).get("lookup", {}).get("success", -1)
+
+    async def _upgrade(self) -> None:
+        """Start the second process beside the first, and terminate the first."""
+        observed = self.observed
+        environment = self.environment
+        observed.overlap_start = self.loop.time()
+        await environment.start_process(environment.second)
+        observed.second_ready = await until_ready(environment.second_admin, READY_TIMEOUT_SECONDS)
+        # Ejected at the second process while both run: the first must stop using the engine, too.
+        status = await _disable(environment.second_admin, _engine_id(LATE_EJECTED))
+        observed.late_ejection_confirmed = status == STATUS_OK
+        observed.late_ejected_from = self._engine_time(LATE_EJECTED) + EJECTION_GRACE_SECONDS
+        cut_before = cut_requests(environment.clients.sent)
+        observed.first_counters = await environment.first.stop()
+        observed.overlap_end = self.loop.time()
+        observed.first_exit_code = environment.first.process.returncode
+        await asyncio.sleep(self.phase_seconds)
+        observed.cut_in_upgrade = cut_requests(environment.clients.sent) - cut_before
+
+    async def _enable_engines(self) -> None:
+        admin = self.environment.second_admin
+        await _enable(admin, _engine_id(EJECTED))
+        await _enable(admin, _engine_id(LATE_EJECTED))
+        self.observed.enabled_at = self._engine_time(EJECTED)
+        await asyncio.sleep(REENABLE_TIMEOUT_SECONDS)
+
+    def _engine_time(self, index: int) -> float:
+        """Return the time by the clock of an engine, with which it records arrivals."""
+        return self.environment.engines[index].clock()
+
+    async def _finish(self) -> None:
+        """Let open requests end, evaluate what engines and clients saw, and stop the second process."""
+        environment = self.environment
+        await environment.end_requests()
+        self.observed.add_requests(environment, EJECTED, LATE_EJECTED)
+        await environment.clients.stop()
+        self.observed.second_counters = await environment.second.stop()
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -9,6 +9,7 @@
 from applevale.fakes.client_pool import SentRequest
 from applevale.fakes.engine import AttemptArrival
 from applevale.harness import ops
+from applevale.harness.ops import environment, script
 from applevale.harness.request_rules import count_violations
 
 
@@ -22,7 +23,7 @@
     async def never(door, within):
         return False
 
-    monkeypatch.setattr(ops, "until_ready", never)
+    monkeypatch.setattr(script, "until_ready", never)
     result = asyncio.run(ops.run(seed=5, seconds=6.0))
     told = {"first_ready", "second_ready_in_6s", "undrained_in_2s"}
     assert not result["ok"] and told <= set(result["broken"])
@@ -31,7 +32,7 @@
 def test_a_fault_of_the_rig_leaves_no_process_behind(monkeypatch):
     started = []
 
-    class Noted(ops.ManagedProcess):
+    class Noted(environment.ManagedProcess):
         async def start(self, *entry, env=None):
             await super().start(*entry, env=env)
             started.append(self.process)
@@ -39,8 +40,8 @@
     def faulty(door, within):
         raise RuntimeError("planted")
 
-    monkeypatch.setattr(ops, "ManagedProcess", Noted)
-    monkeypatch.setattr(ops, "until_ready", faulty)
+    monkeypatch.setattr(environment, "ManagedProcess", Noted)
+    monkeypatch.setattr(script, "until_ready", faulty)
     with pytest.raises(RuntimeError, match="planted"):
         asyncio.run(ops.run(seed=5, seconds=6.0))
     assert len(started) == 1 and started[0].returncode is not None
