--- a/applevale/harness/fault_executor.py
+++ b/applevale/harness/fault_executor.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import signal
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from ..fault_injection import schedule
 from ..fault_injection.link_conditions import LinkConditions, matches_any
 from ..fault_injection.tcp_proxy import TcpProxy
@@ -41,13 +44,23 @@
     """Carries out the steps of a schedule; steps may overlap."""
 
     def __init__(self, targets: FaultTargets, recorder: HistoryRecorder, stats: Counter):
-        """Record ended processes with `recorder`, and count bad exit codes in `stats`."""
+        """Record faults and ended processes with `recorder`; count faults and bad exit codes in `stats`."""
         self.targets = targets
         self.recorder = recorder
         self.stats = stats
         self.loop = asyncio.get_running_loop()
         self.open_outages = 0  # `down` orders to the registry without their `up`
 
+    async def play(self, steps: list[schedule.Step]) -> None:
+        """Carry out the steps of a schedule, each at its time; return when all are over."""
+        await schedule.play_schedule(steps, self, self._record_fault, time.monotonic)
+
+    def _record_fault(self, at: float, step: schedule.Step) -> None:
+        fields = msgspec.to_builtins(step)
+        fields.pop("at")
+        self.recorder.record("fault", at, **fields)
+        self.stats["fault_" + fields["do"]] += 1
+
     async def execute(self, step: schedule.Step) -> None:
         """Carry out one step; return when it is over."""
         match step:
--- a/applevale/harness/fleet.py
+++ b/applevale/harness/fleet.py
@@ -14,24 +14,19 @@
 from collections.abc import Callable
 from random import Random
 
-import msgspec
-
 from ..checkers.history import History
-from ..fault_injection.link_conditions import LinkConditions
-from ..fault_injection.schedule import Step, play_schedule
-from ..fault_injection.tcp_proxy import TcpProxy
-from ..fault_injection.udp_proxy import UdpProxy
-from ..net.addresses import Address, format_address
+from ..fault_injection.schedule import Step
+from ..net.addresses import format_address
 from . import resource_usage
 from .fault_executor import FaultExecutor, FaultTargets
 from .fleet_clients import FleetClients
-from .fleet_config import FleetNetwork, instance_config, instance_host
+from .fleet_config import FleetNetwork, instance_config
 from .fleet_engines import FleetEngines
 from .fleet_instance import FleetInstance
+from .fleet_links import FleetLinks
 from .fleet_plan import FleetPlan
 from .history_recorder import HistoryRecorder
 from .managed_process import ManagedProcess
-from .ports import free_port
 from .registry_process import RegistryProcess
 
 CONVERGENCE_TIMEOUT_SECONDS = 8.0  # within which every list of engines is the registry's
@@ -49,7 +44,7 @@
         instances: The instances, once `start` has returned.
         clients: The clients of the instances.
         figures: What is counted in the run.
-        relay: The proxy that datagrams between instances pass; None without membership.
+        links: The network between all parts, with its faults.
         import_s: Seconds that processes which only import the application took; see `measure_imports`.
         idle: The figures of the last `measure_idle`.
     """
@@ -61,18 +56,21 @@
         self.loop = asyncio.get_running_loop()
         self.figures: Counter = Counter()
         self.recorder = HistoryRecorder(self.figures)
-        self.link_conditions = LinkConditions(plan.seed)
+        self.links = FleetLinks(plan, self.recorder)
         self.registry = RegistryProcess(self.recorder.record_registry_event)
-        self.proxies: list[TcpProxy] = []
         self.engines = FleetEngines(plan, self.registry, self.random)
         self.instances: list[FleetInstance] = []
         self.clients = FleetClients(plan, self.instances, self.recorder, self.random)
-        self.relay: UdpProxy | None = None
         self.import_s: list[float] = []
         self.idle: dict[str, float] = {}
         self.fault_executor = FaultExecutor(
             FaultTargets(
-                self.instances, self.proxies, self.link_conditions, self.registry, self.launch, plan.entry
+                self.instances,
+                self.links.proxies,
+                self.links.conditions,
+                self.registry,
+                self.launch,
+                plan.entry,
             ),
             self.recorder,
             self.figures,
@@ -103,31 +101,14 @@
         await self.registry.start()
         await self.registry.order("capacity", rate=self.plan.capacity)
         registry_addresses = [
-            await self._expose(f"list{number}", address)
+            await self.links.expose(f"list{number}", address)
             for number, address in enumerate(self.registry.addresses)
         ]
-        await self.engines.start(self._expose)
-        network = self._create_network(registry_addresses)
+        await self.engines.start(self.links.expose)
+        network = self.links.create_network(registry_addresses)
         for number in range(self.plan.nodes):
             self.instances.append(self._create_instance(number, network))
 
-    async def _expose(self, name: str, address: Address) -> Address:
-        """Return where instances reach a server: itself, or a new proxy before it."""
-        if not self.plan.gates:
-            return address
-        proxy = TcpProxy(name, address, self.link_conditions)
-        await proxy.start()
-        self.proxies.append(proxy)
-        return proxy.address
-
-    def _create_network(self, registry_addresses: list[Address]) -> FleetNetwork:
-        port = free_port()
-        if not self.plan.members:
-            return FleetNetwork(port, registry_addresses)
-        datagrams = {f"n{number}": (instance_host(number), port) for number in range(self.plan.nodes)}
-        self.relay = UdpProxy(list(datagrams), datagrams, self.link_conditions, self.recorder.record_datagram)
-        return FleetNetwork(port, registry_addresses, datagrams, self.relay)
-
     def _create_instance(self, number: int, network: FleetNetwork) -> FleetInstance:
         name = f"n{number}"
         config = instance_config(self.plan, network, number, self.random.getrandbits(INSTANCE_SEED_BITS))
@@ -166,11 +147,8 @@
             await self.clients.stop(instance)
             if instance.is_running:
                 instance.program.process.send_signal(signal.SIGCONT)
-        await asyncio.gather(*(one.terminate() for one in self.instances), return_exceptions=True)
-        if self.relay is not None:
-            self.relay.stop()
-        for proxy in self.proxies:
-            await proxy.stop()
+        await asyncio.gather(*(instance.terminate() for instance in self.instances), return_exceptions=True)
+        await self.links.stop()
         await self.engines.stop()
         await self.registry.stop()
 
@@ -191,7 +169,7 @@
 
     def all_listening(self) -> bool:
         """Return whether each instance has listened since its last start."""
-        return all(one.program.listening.is_set() for one in self.instances)
+        return all(instance.program.listening.is_set() for instance in self.instances)
 
     async def run_event_loops(self) -> None:
         """Return once the event loop of each instance has run its timers that are due by now.
@@ -205,12 +183,12 @@
 
         async def run_event_loop(program: ManagedProcess) -> None:
             for _ in range(2):
-                asked_at = time.monotonic()
+                requested_at = time.monotonic()
                 await program.counters()
-                while program.counters_at < asked_at:  # written by itself, and read only now
+                while program.counters_at < requested_at:  # written by itself, and read only now
                     await program.counters()
 
-        await asyncio.gather(*(run_event_loop(one.program) for one in self.instances))
+        await asyncio.gather(*(run_event_loop(instance.program) for instance in self.instances))
 
     async def all_ready(self, within: float) -> bool:
         """Wait until all instances are ready; return whether they were within that many seconds."""
@@ -224,11 +202,13 @@
         """Wait until every running instance has the list as written; count those that do not get it."""
         expected = self.engines.digest()
         end = self.loop.time() + CONVERGENCE_TIMEOUT_SECONDS
-        waiting = [one for one in self.instances if one.program.process.returncode is None]
+        waiting = [instance for instance in self.instances if instance.is_running]
         while waiting and self.loop.time() < end:
-            dumps = await asyncio.gather(*(one.program.counters() for one in waiting))
+            dumps = await asyncio.gather(*(instance.program.counters() for instance in waiting))
             waiting = [
-                one for one, counters in zip(waiting, dumps) if counters.get("registry_digest") != expected
+                instance
+                for instance, counters in zip(waiting, dumps)
+                if counters.get("registry_digest") != expected
             ]
             await asyncio.sleep(CONVERGENCE_POLL_INTERVAL_SECONDS)
         self.figures["wrong_lists"] += len(waiting)
@@ -243,7 +223,7 @@
         return finish
 
     def _process_ids(self) -> list[int]:
-        return [one.program.process.pid for one in self.instances]
+        return [instance.program.process.pid for instance in self.instances]
 
     async def measure_imports(self) -> None:
         """Measure the machine's own part of a start of this many processes."""
@@ -251,10 +231,4 @@
 
     async def play(self, steps: list[Step]) -> None:
         """Carry out the steps of a fault schedule; return when all are over."""
-        await play_schedule(steps, self.fault_executor, self._log_fault, time.monotonic)
-
-    def _log_fault(self, at: float, step: Step) -> None:
-        fields = msgspec.to_builtins(step)
-        fields.pop("at")
-        self.recorder.record("fault", at, **fields)
-        self.figures["fault_" + fields["do"]] += 1
+        await self.fault_executor.play(steps)
--- a/applevale/harness/scenarios/runner.py
+++ b/applevale/harness/scenarios/runner.py
@@ -64,7 +64,7 @@
     if fleet.plan.members:
         among_members = membership_checker.figures(history)
         broken += membership_checker.broken(among_members, {})
-        found |= among_members | {"datagrams": dict(fleet.relay.stats)}
+        found |= among_members | {"datagrams": dict(fleet.links.relay.stats)}
     if fleet.figures["bad_exits"]:
         broken.append(f"exits with another code than 0: {fleet.figures['bad_exits']}")
     if case.play is coldstart:
