Operations harness counts the requests cut in an upgrade, and no longer adds up their times

cut_in_upgrade was the sum of the times at which connections were closed, by the monotonic clock, and was held against a bar of 2 requests: on a machine that has been up for some time one cut request broke the check, and soon after its start any number passed.

New tests of the count and of the bar; three of the four failed before.

--- a/applevale/harness/ops/evaluation.py
+++ b/applevale/harness/ops/evaluation.py
@@ -26,9 +26,9 @@
     return accepted == answered and not counters.get("clients_gone")
 
 
-def cut_requests(sent_requests: Iterable[SentRequest]) -> float:
+def cut_requests(sent_requests: Iterable[SentRequest]) -> int:
     """Return how many requests met a closed connection."""
-    return sum(sent.disconnected_at for sent in sent_requests)
+    return sum(sent.disconnected_at > 0 for sent in sent_requests)
 
 
 def served_lookups(sent_requests: Iterable[SentRequest]) -> int:
@@ -57,7 +57,7 @@
     late_ejection_confirmed: bool = False
     late_ejected_from: float = 0.0
     first_exit_code: int | None = None
-    cut_in_upgrade: float = 0
+    cut_in_upgrade: int = 0
     enabled_at: float = 0.0
     to_ejected: int = 0
     to_late_ejected: int = 0
@@ -96,9 +96,7 @@
         )
         self.after_enable = sum(arrival.received_at > self.enabled_at for arrival in arrivals)
         executed = {arrival.request_id.decode() for engine in engines for arrival in engine.arrivals}
-        self.cut_after_execution = sum(
-            sent.disconnected_at > 0 and sent.request_id in executed for sent in clients.sent
-        )
+        self.cut_after_execution = cut_requests(sent for sent in clients.sent if sent.request_id in executed)
         overlap = (self.overlap_start, self.overlap_end)
         self.violations = count_violations(clients, engines, overlap)
         self.client_figures = clients.stats()
@@ -129,7 +127,7 @@
             "keys_in_order": self.violations["order_breaks"] == 0,
         }
 
-    def figures(self) -> dict[str, float]:
+    def figures(self) -> dict[str, int]:
         """Return the figures of the result."""
         return {
             "requests": self.client_figures["requests"],
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -10,6 +10,7 @@
 from applevale.fakes.engine import AttemptArrival
 from applevale.harness import ops
 from applevale.harness.ops import environment, script
+from applevale.harness.ops.evaluation import MAX_CUT_REQUESTS, Observations, cut_requests
 from applevale.harness.request_rules import count_violations
 
 
@@ -47,6 +48,32 @@
     assert len(started) == 1 and started[0].returncode is not None
 
 
+def requests_cut_at(*times):
+    """Requests that met a closed connection at these times; 0: that did not."""
+    return [
+        SentRequest(str(number), "lookup", 0, 1.0, 4.0, False, disconnected_at=at)
+        for number, at in enumerate(times)
+    ]
+
+
+def test_cut_requests_are_counted_whenever_they_were_cut():
+    assert cut_requests(requests_cut_at(0.0, 0.0)) == 0
+    assert cut_requests(requests_cut_at(0.25, 0.0, 70_000.5)) == 2
+
+
+@pytest.mark.parametrize("extra", (0, 1))
+def test_two_cut_requests_pass_in_an_upgrade_and_a_third_does_not(extra):
+    times = [70_000.0 + number for number in range(MAX_CUT_REQUESTS + extra)]
+    observed = Observations(cut_in_upgrade=cut_requests(requests_cut_at(*times)))
+    assert MAX_CUT_REQUESTS == 2
+    assert observed.checks()["cut_at_most_2"] is (extra == 0)
+
+
+def test_cuts_in_the_first_moments_of_the_clock_are_still_too_many():
+    observed = Observations(cut_in_upgrade=cut_requests(requests_cut_at(0.1, 0.2, 0.3, 0.4)))
+    assert not observed.checks()["cut_at_most_2"]
+
+
 class Ran:
     """An engine that only tells what reached it, and when."""
 
