Client profiles, actor hosts, drain tracker: shorter constructors and functions in harness and CLI

ClientPool took ten parameters and Simulation four callbacks: a ClientProfile and the protocol ActorHost stand for them. find_drains, registry follow, experiment run and its command are split by what they do; a digested package that does not exist is gone from the list.

Histories of 13 simulated runs and all scenario schedules are byte for byte the same. test_experiment, test_cli, test_rig_ops, test_membership, test_crossings, test_layers and test_faults pass.

--- a/applevale/checkers/drains.py
+++ b/applevale/checkers/drains.py
@@ -46,6 +46,36 @@
         return self.last_arrival - self.committed_at
 
 
+class _DrainTracker:
+    """Follows the changes of a list of engines, and collects the drains that have ended."""
+
+    def __init__(self, arrivals: Mapping[str, Sequence[float]]):
+        self.arrivals = arrivals
+        self.ready_addresses: dict[str, str] = {}  # by key
+        self.open_drains: dict[str, float] = {}  # times of the commits, by address
+        self.ended: list[Drain] = []
+
+    def apply(self, change: ListingChange) -> None:
+        """Begin and end drains as a change says."""
+        former = self.ready_addresses.pop(change.key, None)
+        is_drain = former is not None and former != change.ready_address
+        if is_drain and former not in self.ready_addresses.values():
+            self.open_drains.setdefault(former, change.committed_at)
+        if change.ready_address is not None:
+            self.end_drain(change.ready_address, change.committed_at)
+            self.ready_addresses[change.key] = change.ready_address
+
+    def end_drain(self, address: str, until: float) -> None:
+        """End the drain of an engine, if there is one, and look for the last arrival up to `until`."""
+        committed_at = self.open_drains.pop(address, None)
+        if committed_at is None:
+            return
+        times = self.arrivals.get(address, ())
+        count = bisect_right(times, until)
+        last_arrival = times[count - 1] if count else committed_at
+        self.ended.append(Drain(committed_at, max(committed_at, last_arrival), address))
+
+
 def find_drains(changes: Iterable[ListingChange], arrivals: Mapping[str, Sequence[float]]) -> list[Drain]:
     """Return all drains and deletions, in the order in which they ended.
 
@@ -54,27 +84,9 @@
         arrivals: The ascending times at which requests reached each engine, by its address, in seconds of the
             same clock.
     """
-    ready_addresses: dict[str, str] = {}  # by key
-    committed: dict[str, float] = {}  # by address
-    ended: list[Drain] = []
-
-    def end_drain(address: str, until: float) -> None:
-        committed_at = committed.pop(address, None)
-        if committed_at is None:
-            return
-        times = arrivals.get(address, ())
-        count = bisect_right(times, until)
-        last_arrival = times[count - 1] if count else committed_at
-        ended.append(Drain(committed_at, max(committed_at, last_arrival), address))
-
+    tracker = _DrainTracker(arrivals)
     for change in changes:
-        former = ready_addresses.pop(change.key, None)
-        is_drain = former is not None and former != change.ready_address
-        if is_drain and former not in ready_addresses.values():
-            committed.setdefault(former, change.committed_at)
-        if change.ready_address is not None:
-            end_drain(change.ready_address, change.committed_at)
-            ready_addresses[change.key] = change.ready_address
-    for address in list(committed):
-        end_drain(address, inf)
-    return ended
+        tracker.apply(change)
+    for address in list(tracker.open_drains):
+        tracker.end_drain(address, inf)
+    return tracker.ended
--- a/applevale/cli/experiments.py
+++ b/applevale/cli/experiments.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from importlib.util import find_spec
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
 from .exit_codes import fail
 
+if TYPE_CHECKING:
+    from ..simulation.experiment import Experiment
+    from ..simulation.runners import Machine
+
 experiment = typer.Typer(no_args_is_help=True, help="Play state machines in simulated time, over a grid.")
 
 Folder = Annotated[str, typer.Argument(help="Folder of the results.")]
@@ -33,25 +38,36 @@
 
     from ..simulation import experiment as grid
     from ..simulation.results import ExperimentError
-    from ..simulation.runners import RUNNERS
+
+    def show_progress(finished: Iterable, total: int) -> Iterable:
+        return tqdm(finished, total=total, unit="run", smoothing=0.05)
 
     try:
-        with open(path, "rb") as file:
-            wanted = grid.read_experiment(file.read())
-        if wanted.machine not in RUNNERS:
-            raise ExperimentError(f"machine: {wanted.machine!r} is none of {', '.join(RUNNERS)}")
-        machine = RUNNERS[wanted.machine]
-        machine.check(wanted.versions, wanted.cases)
-        counts = grid.run(
-            wanted,
-            machine.run,
-            Path(folder),
-            jobs or None,
-            lambda done, total: tqdm(done, total=total, unit="run", smoothing=0.05),
-        )
+        specification, machine = _read_experiment(path)
+        counts = grid.run(specification, machine.run, Path(folder), jobs or None, show_progress)
     except (OSError, ExperimentError) as error:
         fail(str(error))
-    typer.echo(f"{folder}: {counts.played} runs played, {counts.known} were there")
+    typer.echo(f"{folder}: {counts.completed} runs played, {counts.known} were there")
+
+
+def _read_experiment(path: str) -> tuple[Experiment, Machine]:
+    """Return the experiment of a file, checked, and the state machine that it runs.
+
+    Raises:
+        ExperimentError: It cannot be used.
+        OSError: The file cannot be read.
+    """
+    from ..simulation.experiment import read_experiment
+    from ..simulation.results import ExperimentError
+    from ..simulation.runners import RUNNERS
+
+    with open(path, "rb") as file:
+        specification = read_experiment(file.read())
+    if specification.machine not in RUNNERS:
+        raise ExperimentError(f"machine: {specification.machine!r} is none of {', '.join(RUNNERS)}")
+    machine = RUNNERS[specification.machine]
+    machine.check(specification.versions, specification.cases)
+    return specification, machine
 
 
 @experiment.command("compare")
--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from ..discovery.endpoints import EndpointUpdate
     from ..discovery.registry.endpoint_table import TableEntry
+    from ..discovery.registry.source import RegistrySource
 
 registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
 
@@ -86,41 +87,63 @@
     from ..discovery.registry.source import RegistrySource
     from ..observability.counters import Counters
 
-    confirmed = asyncio.Event()
-
-    def on_update(update: EndpointUpdate) -> None:
-        if is_watching:
-            _print_update(update)
-
-    def on_staleness_change(is_fresh: bool) -> None:
-        if is_watching:
-            typer.echo("confirmed" if is_fresh else "not confirmed")
-        if is_fresh:
-            confirmed.set()
-
+    observer = _RegistryObserver(is_watching)
     source = RegistrySource(
-        config.registry, config.names, Counters(), on_update, on_staleness_change, config.seed
+        config.registry,
+        config.names,
+        Counters(),
+        observer.on_update,
+        observer.on_staleness_change,
+        config.seed,
     )
     source.start()
     try:
         async with asyncio.timeout(seconds):
-            await (asyncio.Event() if is_watching else confirmed).wait()
+            await observer.done.wait()
     except TimeoutError:
         pass
-    view = None
-    if confirmed.is_set():
-        source.update_list_counters()
-        view = RegistryView(
-            revision=source.watcher.revision,
-            digest=source.counters["registry_digest"],
-            entries=list(source.table.entries.values()),
-            unusable=dict(source.table.invalid),
-        )
+    view = _read_view(source) if observer.is_confirmed else None
     await source.stop()
     return view
 
 
+class _RegistryObserver:
+    """Takes note of what a registry source reports, and prints it to one who watches.
+
+    Attributes:
+        done: Set once there is nothing to wait for; never for one who watches.
+        is_confirmed: Whether the list was confirmed.
+    """
+
+    def __init__(self, is_watching: bool):
+        self.is_watching = is_watching
+        self.done = asyncio.Event()
+        self.is_confirmed = False
+
+    def on_update(self, update: EndpointUpdate) -> None:
+        if self.is_watching:
+            _print_update(update)
+
+    def on_staleness_change(self, is_fresh: bool) -> None:
+        if self.is_watching:
+            typer.echo("confirmed" if is_fresh else "not confirmed")
+        if is_fresh:
+            self.is_confirmed = True
+            if not self.is_watching:
+                self.done.set()
+
+
+def _read_view(source: RegistrySource) -> RegistryView:
+    source.update_list_counters()
+    return RegistryView(
+        revision=source.watcher.revision,
+        digest=source.counters["registry_digest"],
+        entries=list(source.table.entries.values()),
+        unusable=dict(source.table.invalid),
+    )
+
+
 def _print_update(update: EndpointUpdate) -> None:
-    for member in update.endpoints:
-        engine_id = format_instance_id(member.entry.engine)
-        typer.echo(f"{engine_id} {member.entry.state.value:9} {format_address(member.address)}")
+    for endpoint in update.endpoints:
+        engine_id = format_instance_id(endpoint.entry.engine)
+        typer.echo(f"{engine_id} {endpoint.entry.state.value:9} {format_address(endpoint.address)}")
--- a/applevale/fakes/client_pool.py
+++ b/applevale/fakes/client_pool.py
@@ -9,6 +9,8 @@
 
 import msgpack
 
+from ..net.addresses import Address
+
 KEY_INTERVAL_SECONDS = 0.06  # between two requests of a key
 NEW_CONNECTION_KEY_INTERVAL_SECONDS = 0.25  # behind the first request of a connection
 MAX_REPEATS = 500  # of one pool: an immediate repeat of an immediate rejection has no other end
@@ -50,6 +52,31 @@
     disconnected_at: float = 0.0
 
 
+@dataclass(frozen=True)
+class ClientProfile:
+    """What the clients of a pool send, and how they behave.
+
+    Attributes:
+        rate: Requests a second, over all connections.
+        connection_count: How many connections there are.
+        timeout: Seconds that a request may take.
+        load_share: The share of loads among the requests.
+        key_count: How many keys the loads have.
+        reconnect: Whether a closed connection is opened again, as a client of the platform does.
+        effort_ms: The work that each request is declared to be.
+        repeat_rejected: Whether a rejected request is sent again at once, whatever the program advises.
+    """
+
+    rate: float
+    connection_count: int = 4
+    timeout: float = 3.0
+    load_share: float = 0.2
+    key_count: int = 5
+    reconnect: bool = False
+    effort_ms: float = 20.0
+    repeat_rejected: bool = False
+
+
 class ClientConnection:
     """One connection of the pool: its writer, and the requests sent on it by their message number."""
 
@@ -88,43 +115,18 @@
         lost_connections: Connections that the program closed.
     """
 
-    def __init__(
-        self,
-        address: tuple[str, int],
-        random: Random,
-        rate: float,
-        connection_count: int = 4,
-        timeout: float = 3.0,
-        load_share: float = 0.2,
-        key_count: int = 5,
-        reconnect: bool = False,
-        effort_ms: float = 20.0,
-        repeat_rejected: bool = False,
-    ):
+    def __init__(self, address: Address, random: Random, profile: ClientProfile):
         """Prepare the pool; `start` opens its connections.
 
         Args:
             address: Where the program listens.
             random: Draws the times, kinds, keys and connections of the requests.
-            rate: Requests a second, over all connections.
-            connection_count: How many connections there are.
-            timeout: Seconds that a request may take.
-            load_share: The share of loads among the requests.
-            key_count: How many keys the loads have.
-            reconnect: Whether a closed connection is opened again, as a client of the platform does.
-            effort_ms: The work that each request is declared to be.
-            repeat_rejected: Whether a rejected request is sent again at once, whatever the program advises.
+            profile: What the clients send, and how they behave.
         """
         self.address = address
         self.random = random
-        self.rate = rate
-        self.connection_count = connection_count
-        self.timeout = timeout
-        self.load_share = load_share
-        self.key_count = key_count
-        self.reconnect = reconnect
-        self.effort_ms = effort_ms
-        self.repeat_limit = MAX_REPEATS if repeat_rejected else 0
+        self.profile = profile
+        self.repeat_limit = MAX_REPEATS if profile.repeat_rejected else 0
         self.repeat_count = 0
         self.sent: list[SentRequest] = []
         self.lost_connections = 0
@@ -133,7 +135,7 @@
 
     async def start(self) -> None:
         """Open all connections and begin to read answers."""
-        for _ in range(self.connection_count):
+        for _ in range(self.profile.connection_count):
             reader, writer = await asyncio.open_connection(*self.address)
             connection = ClientConnection(writer)
             self.connections.append(connection)
@@ -144,9 +146,9 @@
         loop = asyncio.get_running_loop()
         earliest_by_key: dict[int, float] = {}
         while loop.time() < until:
-            await asyncio.sleep(self.random.expovariate(self.rate))
-            is_load = self.random.random() < self.load_share
-            key = self.random.randint(1, self.key_count) if is_load else 0
+            await asyncio.sleep(self.random.expovariate(self.profile.rate))
+            is_load = self.random.random() < self.profile.load_share
+            key = self.random.randint(1, self.profile.key_count) if is_load else 0
             if is_load and loop.time() < earliest_by_key.get(key, 0.0):
                 continue
             request = self.send(METHOD_LOAD if is_load else METHOD_LOOKUP, key)
@@ -156,14 +158,16 @@
 
     def send(self, method: str, key: int = 0) -> SentRequest | None:
         """Write a request to a random connection; return None if none is open."""
-        open_connections = [one for one in self.connections if not one.writer.is_closing()]
+        open_connections = [
+            connection for connection in self.connections if not connection.writer.is_closing()
+        ]
         if not open_connections:
             return None
         connection = self.random.choice(open_connections)
         number = connection.next_number()
         request_id = f"{self.random.getrandbits(64):016x}"
         now = asyncio.get_running_loop().time()
-        request = SentRequest(request_id, method, key, now, now + self.timeout, number == 1)
+        request = SentRequest(request_id, method, key, now, now + self.profile.timeout, number == 1)
         parameters = [self._fields(request_id, key), self._statement(key)]
         connection.requests[number] = request
         self.sent.append(request)
@@ -173,8 +177,8 @@
     def _fields(self, request_id: str, key: int) -> dict[str, str]:
         fields = {
             "ref": request_id,
-            "allow": f"{self.timeout * 1000:.0f}",
-            "effort": f"{self.effort_ms:.0f}",
+            "allow": f"{self.profile.timeout * 1000:.0f}",
+            "effort": f"{self.profile.effort_ms:.0f}",
             "space": "4",
         }
         if key:
@@ -192,7 +196,7 @@
             await self._read_answers(reader, connection)
             self.lost_connections += 1
             connection.record_disconnect(loop.time())
-            if not self.reconnect:
+            if not self.profile.reconnect:
                 return
             reader, writer = await self._open_again()
             connection.replace_writer(writer)
--- a/applevale/harness/fleet_clients.py
+++ b/applevale/harness/fleet_clients.py
@@ -8,7 +8,7 @@
 from math import inf
 from random import Random
 
-from ..fakes.client_pool import ANSWER_LATE, ANSWER_SERVED, ClientPool, SentRequest
+from ..fakes.client_pool import ANSWER_LATE, ANSWER_SERVED, ClientPool, ClientProfile, SentRequest
 from ..fakes.cold_engine import ColdEngine
 from .fleet_instance import FleetInstance
 from .fleet_plan import FleetPlan
@@ -45,15 +45,14 @@
             instance.client_task = asyncio.create_task(self._run(instance))
 
     async def _run(self, instance: FleetInstance) -> None:
-        instance.clients = ClientPool(
-            instance.program.address,
-            Random(self.random.random()),
-            self.plan.clients,
+        profile = ClientProfile(
+            rate=self.plan.clients,
             connection_count=1,
             reconnect=True,
             effort_ms=CLIENT_EFFORT_MS,
             repeat_rejected=self.plan.eager,
         )
+        instance.clients = ClientPool(instance.program.address, Random(self.random.random()), profile)
         await instance.clients.start()
         await instance.clients.run(inf)
 
@@ -62,7 +61,9 @@
         for instance in self.instances:
             if instance.client_task is not None:
                 instance.client_task.cancel()
-        await asyncio.gather(*(one.clients.settle() for one in self.instances if one.clients is not None))
+        await asyncio.gather(
+            *(instance.clients.settle() for instance in self.instances if instance.clients is not None)
+        )
 
     async def stop(self, instance: FleetInstance) -> None:
         """Send no new requests to an instance, and close all connections to it."""
@@ -80,29 +81,29 @@
         Args:
             engines: All engines, with what they received.
         """
-        found: Counter = Counter()
+        violations: Counter = Counter()
         for instance in self.instances:
             if instance.clients is None:
                 continue
             sent_requests = instance.clients.sent
             for sent in sent_requests:
-                self._classify(instance, sent, found)
+                self._classify(instance, sent, violations)
             overlap = (min(instance.ended_at), inf) if instance.ended_at else NO_OVERLAP
-            found += count_violations(instance.clients, engines, overlap)
-            found["requests"] += len(sent_requests)
-            found["served"] += sum(ANSWER_SERVED in sent.answers for sent in sent_requests)
-        found["lost_requests"] -= found["cut_by_ends"] + found["late_by_standstill"]
-        return found
+            violations += count_violations(instance.clients, engines, overlap)
+            violations["requests"] += len(sent_requests)
+            violations["served"] += sum(ANSWER_SERVED in sent.answers for sent in sent_requests)
+        violations["lost_requests"] -= violations["cut_by_ends"] + violations["late_by_standstill"]
+        return violations
 
-    def _classify(self, instance: FleetInstance, sent: SentRequest, found: Counter) -> None:
+    def _classify(self, instance: FleetInstance, sent: SentRequest, violations: Counter) -> None:
         """Count a request that a fault excuses; record one that was lost."""
         if sent.disconnected_at and any(sent.sent_at <= end + END_GRACE_SECONDS for end in instance.ended_at):
-            found["cut_by_ends"] += 1
+            violations["cut_by_ends"] += 1
         elif sent.answers == [ANSWER_LATE] and any(
             begin < sent.deadline and sent.deadline - FINAL_ANSWER_MARGIN_SECONDS < end
             for begin, end in instance.pauses
         ):
-            found["late_by_standstill"] += 1
+            violations["late_by_standstill"] += 1
         elif not sent.answers or ANSWER_LATE in sent.answers:
             self._record_lost(instance, sent)
 
--- a/applevale/harness/ops/environment.py
+++ b/applevale/harness/ops/environment.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from ...discovery.endpoints import format_instance_id
-from ...fakes.client_pool import ClientPool
+from ...fakes.client_pool import ClientPool, ClientProfile
 from ...fakes.engine import FakeEngine
 from ...net.addresses import format_address
 from ..managed_process import ManagedProcess
@@ -82,9 +82,8 @@
 
     async def start_clients(self) -> None:
         """Start the clients, which come back when their connections are closed."""
-        self.clients = ClientPool(
-            self.first.address, Random(self.random.random()), REQUESTS_PER_SECOND, reconnect=True
-        )
+        profile = ClientProfile(REQUESTS_PER_SECOND, reconnect=True)
+        self.clients = ClientPool(self.first.address, Random(self.random.random()), profile)
         await self.clients.start()
         end = asyncio.get_running_loop().time() + CLIENT_RUN_SECONDS
         self.client_task = asyncio.create_task(self.clients.run(end))
--- a/applevale/harness/registry/environment.py
+++ b/applevale/harness/registry/environment.py
@@ -12,7 +12,7 @@
 from ...discovery.registry.key_values import KeyValuePair
 from ...discovery.registry.messages import range_end
 from ...fakes import consul, etcd
-from ...fakes.client_pool import ClientPool
+from ...fakes.client_pool import ClientPool, ClientProfile
 from ...fakes.engine import FakeEngine
 from ...fakes.faulty_proxy import FaultyProxy, ProxyMode
 from ...fakes.key_value_store import KeyValueStore
@@ -86,7 +86,9 @@
         self.program = ManagedProcess(self._config(self.proxies), f"rig-{self.kind}")
         await self.program.start(*self.entry)
         await self.reach_quiet_point()
-        self.clients = ClientPool(self.program.address, Random(self.random.random()), REQUESTS_PER_SECOND)
+        self.clients = ClientPool(
+            self.program.address, Random(self.random.random()), ClientProfile(REQUESTS_PER_SECOND)
+        )
         await self.clients.start()
 
     def _config(self, proxies: list[FaultyProxy]) -> dict:
--- a/applevale/simulation/engine.py
+++ b/applevale/simulation/engine.py
@@ -88,8 +88,24 @@
         return (local_time - self.clock_offset) / self.clock_rate
 
 
-def _ignore_sent(now: float, number: int, size: int) -> None:
-    pass
+class ActorHost(Protocol):
+    """Creates the actors of a simulation and interprets their commands."""
+
+    def create_actor(self, number: int, start_count: int) -> Actor:
+        """Return a new actor, for a process's number and the count of its starts."""
+        ...
+
+    def route(self, command: Any) -> tuple[int, Any, int] | None:
+        """Return target, message and its size in bytes of a command that sends; None for any other."""
+        ...
+
+    def on_command(self, now: float, number: int, command: Any) -> None:
+        """Handle a command of a process that does not send."""
+        ...
+
+    def on_sent(self, now: float, number: int, size: int) -> None:
+        """Take note that a process has sent a message of this size in bytes."""
+        ...
 
 
 class Simulation:
@@ -99,32 +115,22 @@
         self,
         count: int,
         seed: int,
-        create_actor: Callable[[int, int], Actor],
-        route: Callable[[Any], tuple[int, Any, int] | None],
-        on_command: Callable[[float, int, Any], None],
+        host: ActorHost,
         drift: float = 1e-4,
         latency: tuple[float, float] = (0.0003, 0.003),
-        on_sent: Callable[[float, int, int], None] = _ignore_sent,
     ):
         """Create processes that have not started yet.
 
         Args:
             count: Processes.
             seed: Seed of all random draws.
-            create_actor: Creates an actor, for a process's number and the count of its starts.
-            route: Returns the target, the message and its size in bytes of a command that sends; None for any
-                other command.
-            on_command: Called with the time, the process's number and each command that does not send.
+            host: Creates the actors and interprets their commands.
             drift: The greatest deviation of a clock's rate from 1.
             latency: The least and the greatest latency of a message, in seconds.
-            on_sent: Called with the time, the sender's number and the bytes of each message.
         """
         self.random = Random(seed)
         self.link_conditions = LinkConditions(seed)
-        self.create_actor = create_actor
-        self.route = route
-        self.on_command = on_command
-        self.on_sent = on_sent
+        self.host = host
         self.latency = latency
         self.now = 0.0
         self.processes = [self._create_process(number, drift) for number in range(count)]
@@ -145,7 +151,7 @@
         """Start a process with a new actor."""
         process = self.processes[number]
         process.start_count += 1
-        process.actor = self.create_actor(number, process.start_count)
+        process.actor = self.host.create_actor(number, process.start_count)
         process.paused_until = 0.0
         process.receive_queue.clear()
         self._execute(number, process.actor.start(process.local_time(self.now)))
@@ -216,9 +222,9 @@
     def _execute(self, number: int, commands: list[Any]) -> None:
         process = self.processes[number]
         for command in commands:
-            routed = self.route(command)
+            routed = self.host.route(command)
             if routed is None:
-                self.on_command(self.now, number, command)
+                self.host.on_command(self.now, number, command)
             else:
                 self._send(number, *routed)
         deadline = process.actor.next_deadline()
@@ -227,7 +233,7 @@
             self._schedule(process.simulated_time(deadline), self._tick, number, process.timer_id)
 
     def _send(self, number: int, target: int, message: Any, size: int) -> None:
-        self.on_sent(self.now, number, size)
+        self.host.on_sent(self.now, number, size)
         self.message_count += 1
         min_latency, max_latency = self.latency
         for delay in self.link_conditions.datagram_delays(
--- a/applevale/simulation/experiment.py
+++ b/applevale/simulation/experiment.py
@@ -21,8 +21,10 @@
 from .results import INPUTS, ExperimentError, Row, read_results
 
 # Packages that a run may depend on.
-DIGESTED_PACKAGES = ("membership", "startup", "leases", "simulation", "fault_injection", "checkers")
+DIGESTED_PACKAGES = ("membership", "startup", "simulation", "fault_injection", "checkers")
 CODE_DIGEST_BYTES = 6
+RESULTS_FILE = "results.csv"
+EXPERIMENT_FILE = "experiment.json"
 
 Runner = Callable[[str, dict[str, float], int, str, int], dict[str, float]]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
@@ -57,11 +59,11 @@
     """What a call of `run` did.
 
     Attributes:
-        played: Runs played now.
+        completed: Runs played now.
         known: Results that the folder held before.
     """
 
-    played: int
+    completed: int
     known: int
 
 
@@ -134,23 +136,25 @@
         ExperimentError: The folder's results cannot be read.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    path = folder / "results.csv"
+    path = folder / RESULTS_FILE
     code = code_digest()
     known = {_key(row) for row in read_results(path)} if path.exists() else set()
-    wanted = [job for job in experiment.jobs() if _key(job.inputs(code)) not in known]
-    # The longest first: the last ones to end should not be those that take long.
-    wanted.sort(key=lambda job: -job.size)
-    (folder / "experiment.json").write_bytes(msgspec.json.format(msgspec.json.encode(experiment), indent=1))
+    pending = _pending_jobs(experiment, code, known)
+    (folder / EXPERIMENT_FILE).write_bytes(msgspec.json.format(msgspec.json.encode(experiment), indent=1))
     with (
         ProcessPoolExecutor(process_count or os.cpu_count()) as pool,
         open(path, "a", newline="", encoding="utf-8") as file,
     ):
-        running = {_submit(pool, runner, job): job for job in wanted}
-        rows = (
-            running[done].inputs(code) | done.result() for done in watch(as_completed(running), len(running))
-        )
-        _append_rows(file, rows)
-    return RunCounts(len(wanted), len(known))
+        running = {_submit(pool, runner, job): job for job in pending}
+        finished = watch(as_completed(running), len(running))
+        _append_rows(file, (running[future].inputs(code) | future.result() for future in finished))
+    return RunCounts(len(pending), len(known))
+
+
+def _pending_jobs(experiment: Experiment, code: str, known: set[tuple[str, ...]]) -> list[Job]:
+    """Return the runs without a result, the largest first: the last to end should not take long."""
+    pending = [job for job in experiment.jobs() if _key(job.inputs(code)) not in known]
+    return sorted(pending, key=lambda job: -job.size)
 
 
 def _key(row: Row) -> tuple[str, ...]:
--- a/applevale/simulation/membership.py
+++ b/applevale/simulation/membership.py
@@ -60,7 +60,6 @@
         count: int,
         seed: int,
         config: ProtocolConfig | None = None,
-        latency: tuple[float, float] = (0.0003, 0.003),
         liar: type[MembershipProtocol] | None = None,
         known: bool = False,
     ):
@@ -70,7 +69,6 @@
             count: Members.
             seed: Seed of all random draws.
             config: Parameters of the protocol; None: the defaults.
-            latency: The least and the greatest latency of a datagram, in seconds.
             liar: Another class for the first member's protocol, with a planted fault.
             known: Whether all know each other from the first moment, without the traffic of their start.
         """
@@ -79,15 +77,7 @@
         self.config = config or ProtocolConfig()
         self.liar = liar
         self.known = known
-        self.simulation = Simulation(
-            count,
-            seed,
-            self._create_protocol,
-            self._route,
-            self._on_announcement,
-            latency=latency,
-            on_sent=self._on_sent,
-        )
+        self.simulation = Simulation(count, seed, self)
         self.fault_player = FaultPlayer(self.simulation)
         self.process_ids = [self._process_id(number, 1) for number in range(count)]
         self.fleet_sizes: dict[tuple[int, int], EffectiveFleetSize] = {}  # by member and start
@@ -128,7 +118,8 @@
         self.fault_player.note("shares", total=total)
         self.simulation.call_at(self.simulation.now + SHARE_SAMPLE_INTERVAL_SECONDS, self._sample_shares)
 
-    def _create_protocol(self, number: int, start_count: int) -> MembershipProtocol:
+    def create_actor(self, number: int, start_count: int) -> MembershipProtocol:
+        """Return the protocol of a member, or of the liar."""
         random = Random(f"{self.seed} {number} {start_count}")
         is_liar = self.liar is not None and number == 0
         protocol_class = self.liar if is_liar else MembershipProtocol
@@ -142,12 +133,14 @@
         return Random(f"life {self.seed} {number} {start_count}").getrandbits(16)
 
     @staticmethod
-    def _route(command: Command) -> tuple[int, messages.Message, int] | None:
+    def route(command: Command) -> tuple[int, messages.Message, int] | None:
+        """Return target, message and its size in bytes of a command that sends; None for any other."""
         if isinstance(command, SendMessage):
             return command.target, command.message, codec.encoded_size(command.message)
         return None
 
-    def _on_announcement(self, now: float, number: int, command: Command) -> None:
+    def on_command(self, now: float, number: int, command: Command) -> None:
+        """Record what a member reports of its view and of itself."""
         match command:
             case ViewChanged(changes=changes):
                 names = [(f"n{changed.member}", changed.change.value) for changed in changes]
@@ -155,7 +148,8 @@
             case StatusChanged(status=status):
                 self.fault_player.note("stand", who=f"n{number}", stand=status.value)
 
-    def _on_sent(self, now: float, number: int, size: int) -> None:
+    def on_sent(self, now: float, number: int, size: int) -> None:
+        """Count a datagram that a member has sent."""
         sent = self.sent[number, int(now * SENT_BUCKETS_PER_SECOND)]
         sent.total += size
         sent.largest = max(sent.largest, size)
