Simulator wire: layout, decoder and encoder in modules of their own

simulator_wire/codec.py held 377 lines of structs, decoding and encoding.

test_wire, test_layers, test_property, test_size and test_service pass; test_wire names the new modules.

--- a/applevale/simulator_wire/adapter.py
+++ b/applevale/simulator_wire/adapter.py
@@ -12,7 +12,7 @@
 
 from .. import api
 from ..policy import AdmissionController
-from . import codec
+from . import decoder, encoder, layout
 from .settings import read_settings
 from .units import NANOSECONDS
 
@@ -24,7 +24,7 @@
 
     def __init__(self) -> None:
         """Start without any instance."""
-        self.decoder = codec.Decoder()
+        self.decoder = decoder.Decoder()
         self.controllers: dict[int, AdmissionController] = {}
 
     def answer(self, clock_ns: int, count: int, body: bytes) -> bytes:
@@ -35,12 +35,12 @@
         """
         waiting: dict[int, list[api.Event]] = {}
         for instance, event in self.decoder.batch(count, body):
-            if isinstance(event, codec.Boot):
+            if isinstance(event, decoder.Boot):
                 waiting.pop(instance, None)  # what came before its start is not for it
                 settings = read_settings(event.settings)
                 self.controllers[instance] = AdmissionController(settings, event.seed)
                 waiting[instance] = []
-            elif isinstance(event, codec.Shutdown):
+            elif isinstance(event, decoder.Shutdown):
                 waiting.pop(instance, None)
                 self.controllers.pop(instance, None)
             else:
@@ -48,14 +48,14 @@
         records: list[bytes] = []
         for instance, events in waiting.items():
             records += self._handle(instance, clock_ns / NANOSECONDS, events)
-        return codec.encode_reply(records)
+        return encoder.encode_reply(records)
 
     def _handle(self, instance: int, now: float, events: list[api.Event]) -> list[bytes]:
         controller = self.controllers.get(instance)
         actions = controller.handle(now, events) if controller is not None else ()
         if not actions:
             return []
-        return [codec.encode_instance(instance), *map(codec.encode_action, actions)]
+        return [encoder.encode_instance(instance), *map(encoder.encode_action, actions)]
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
@@ -64,22 +64,22 @@
     position = 0
     gc.freeze()
     while True:
-        head = source.read(codec.BATCH_HEAD.size)
+        head = source.read(layout.BATCH_HEAD.size)
         if not head:
             return 0
         try:
-            if len(head) != codec.BATCH_HEAD.size:
-                wanted = codec.BATCH_HEAD.size
-                raise codec.WireError(f"header: {wanted} bytes expected, {len(head)} came")
-            size, clock_ns, count = codec.BATCH_HEAD.unpack(head)
+            if len(head) != layout.BATCH_HEAD.size:
+                wanted = layout.BATCH_HEAD.size
+                raise layout.WireError(f"header: {wanted} bytes expected, {len(head)} came")
+            size, clock_ns, count = layout.BATCH_HEAD.unpack(head)
             reply = adapter.answer(clock_ns, count, _read_body(source, size))
-        except codec.WireError as error:
+        except layout.WireError as error:
             print(f"applevale: malformed input in the batch at byte {position}: {error}", file=sys.stderr)
             return EXIT_MALFORMED_INPUT
         except Exception as error:  # reported on the wire, which ends the run
             traceback.print_exc(file=sys.stderr)
-            reply = codec.encode_reply([codec.encode_exception(f"{type(error).__name__}: {error}")])
-        position += codec.BATCH_HEAD.size + size
+            reply = encoder.encode_reply([encoder.encode_exception(f"{type(error).__name__}: {error}")])
+        position += layout.BATCH_HEAD.size + size
         sink.write(reply)
         sink.flush()
 
@@ -87,7 +87,7 @@
 def _read_body(source: BinaryIO, size: int) -> bytes:
     data = source.read(size)
     if len(data) != size:
-        raise codec.WireError(f"body: {size} bytes expected, {len(data)} came before the end of input")
+        raise layout.WireError(f"body: {size} bytes expected, {len(data)} came before the end of input")
     return data
 
 
--- a/applevale/simulator_wire/codec.py
+++ b/applevale/simulator_wire/decoder.py
@@ -1,108 +1,42 @@
-"""Codec of the simulator's wire: batches of records to events, actions to records. It decides nothing.
-
-All is little-endian. A batch is a head, then records; a record is its code, its size and its fields.
-"""
+"""Decoder of the simulator's wire: batches of records to events. It decides nothing."""
 
 from __future__ import annotations
 
 import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from enum import IntEnum
 from math import isfinite
 
 from .. import api
+from .layout import (
+    ENGINE_ID,
+    HAS_WORK_ESTIMATE,
+    INSTANCE_ID,
+    IS_CLIENT_RETRY,
+    LIST_CALL_FAILED,
+    LIST_CHANGE,
+    LIST_ENTRY,
+    LIST_PAGE_HEAD,
+    MEMORY_MASK,
+    MEMORY_UNIT_MB,
+    MS_PER_SECOND,
+    NOTE,
+    NOTE_KINDS,
+    OUTCOME,
+    PROBE_RESULT,
+    RECORD_HEAD,
+    REQUEST,
+    REQUEST_ID,
+    RESULTS,
+    STARTED,
+    STATES,
+    WHOLE_LIST_KINDS,
+    WORK_SHIFT,
+    EventCode,
+    WireError,
+)
 from .units import NANOSECONDS
 
-BATCH_HEAD = struct.Struct("<IQI")  # size, clock, number of records
-RECORD_HEAD = struct.Struct("<BI")  # code, size
-REPLY_HEAD = struct.Struct("<II")  # size, number of records
-REQUEST = struct.Struct("<QHIQQQffH")
-OUTCOME = struct.Struct("<QBIHQBI")
-NOTE = struct.Struct("<QIBfB")
-PROBE_RESULT = struct.Struct("<IHQ")
-LIST_PAGE_HEAD = struct.Struct("<II")  # number of the page, number of its entries
-LIST_ENTRY = struct.Struct("<HQBHfHI")
-LIST_CHANGE = struct.Struct("<BQI")  # kind, revision, page
-REQUEST_ID = struct.Struct("<Q")
-ATTEMPT_ID = struct.Struct("<QB")
-STARTED = struct.Struct("<QBI")
-INSTANCE_ID = struct.Struct("<H")
-ENGINE_ID = struct.Struct("<I")
-SEND = struct.Struct("<QQI")
-TERMS = struct.Struct("<QfB")
-TWO_NUMBERS = struct.Struct("<QQ")
-PEER_MESSAGE_HEAD = struct.Struct("<IH")
-FLAG = struct.Struct("<B")
-TEXT_HEAD = struct.Struct("<H")
-
-ALL_PEERS = 0xFFFFFFFF
-MAX_TEXT_BYTES = 1000
-MAX_PEER_MESSAGE_BYTES = 256
-
-HAS_WORK_ESTIMATE = 1  # bits of a request's options
-IS_CLIENT_RETRY = 2
-LIST_CALL_FAILED = 1  # kinds of a list change
-WHOLE_LIST_KINDS = (0, 2)
-# An outcome's note: the work in ms above the lowest 12 bits, the memory in units of 4 MB in them.
-WORK_SHIFT = 12
-MEMORY_MASK = 0xFFF
-MEMORY_UNIT_MB = 4.0
-MS_PER_SECOND = 1000
-
-RESULTS = {
-    100: api.Result.OK,
-    301: api.Result.ERROR,
-    302: api.Result.FULL,
-    303: api.Result.TIMEOUT,
-    304: api.Result.CONNECT_FAILED,
-    305: api.Result.RESET,
-    306: api.Result.CANCELLED,
-    307: api.Result.MOOT,
-}
-STATES = {0: api.State.DRAINING, 2: api.State.READY, 3: api.State.GONE}
-NOTE_KINDS = {kind.value for kind in api.NoteKind}
-
-
-class EventCode(IntEnum):
-    """Codes of records in a batch."""
-
-    BOOT = 10
-    LIST_CHANGE = 20
-    REQUEST = 30
-    STARTED = 40
-    OUTCOME = 50
-    CLIENT_GONE = 60
-    TIMER = 70
-    PROBE_RESULT = 80
-    PEER_MESSAGE = 90
-    SHUTDOWN = 100
-    NOTE = 110
-    LIST_PAGE = 120
-    INSTANCE = 130
-
-
-class ActionCode(IntEnum):
-    """Codes of records in a reply."""
-
-    SEND = 10
-    REJECT = 20
-    FAIL = 30
-    CANCEL = 40
-    SET_TIMER = 50
-    PROBE = 60
-    PEER_MESSAGE = 80
-    LOG = 90
-    EXCEPTION = 100
-    SUBSCRIBE = 110
-    FETCH_LIST = 120
-    TERMS = 130
-    INSTANCE = 140
-
-
-class WireError(ValueError):
-    """A frame or record that cannot be read; the text says what and where."""
-
 
 @dataclass(frozen=True)
 class Boot:
@@ -306,72 +240,3 @@
     EventCode.SHUTDOWN: _shutdown,
     EventCode.NOTE: _note,
 }
-
-
-def _record(code: int, fields: bytes = b"") -> bytes:
-    return RECORD_HEAD.pack(code, len(fields)) + fields
-
-
-def _text(code: int, text: str) -> bytes:
-    data = text.encode()[:MAX_TEXT_BYTES]
-    return _record(code, TEXT_HEAD.pack(len(data)) + data)
-
-
-def _to_ns(seconds: float) -> int:
-    return max(0, round(seconds * NANOSECONDS))
-
-
-def encode_instance(instance: int) -> bytes:
-    """Return the record that names the instance of those behind it."""
-    return _record(ActionCode.INSTANCE, INSTANCE_ID.pack(instance))
-
-
-def encode_exception(text: str) -> bytes:
-    """Return the record that reports a fault of an instance."""
-    return _text(ActionCode.EXCEPTION, text)
-
-
-def encode_action(action: api.Action) -> bytes:
-    """Return the record of an action.
-
-    Raises:
-        TypeError: It is none.
-    """
-    match action:
-        case api.Send():
-            fields = SEND.pack(action.request, _to_ns(action.timeout), action.engine)
-            return _record(ActionCode.SEND, fields)
-        case api.Terms():
-            return _record(ActionCode.TERMS, TERMS.pack(action.request, action.memory_mb, action.priority))
-        case api.Reject():
-            fields = TWO_NUMBERS.pack(action.request, _to_ns(action.retry_after))
-            return _record(ActionCode.REJECT, fields)
-        case api.Fail():
-            return _record(ActionCode.FAIL, REQUEST_ID.pack(action.request))
-        case api.Cancel():
-            return _record(ActionCode.CANCEL, ATTEMPT_ID.pack(action.request, action.attempt))
-        case api.Probe():
-            return _record(ActionCode.PROBE, ENGINE_ID.pack(action.engine))
-        case api.SetTimer():
-            return _record(ActionCode.SET_TIMER, TWO_NUMBERS.pack(_to_ns(action.after), action.token))
-        case api.Log():
-            return _text(ActionCode.LOG, action.text)
-        case api.Subscribe():
-            return _record(ActionCode.SUBSCRIBE, FLAG.pack(action.active))
-        case api.FetchList():
-            return _record(ActionCode.FETCH_LIST)
-        case api.SendPeerMessage():
-            return _encode_peer_message(action)
-    raise TypeError(f"not an action: {action!r}")
-
-
-def _encode_peer_message(action: api.SendPeerMessage) -> bytes:
-    body = action.body[:MAX_PEER_MESSAGE_BYTES]
-    receiver = ALL_PEERS if action.peer is None else action.peer
-    return _record(ActionCode.PEER_MESSAGE, PEER_MESSAGE_HEAD.pack(receiver, len(body)) + body)
-
-
-def encode_reply(records: list[bytes]) -> bytes:
-    """Return the reply to one batch."""
-    body = b"".join(records)
-    return REPLY_HEAD.pack(len(body), len(records)) + body
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,7 +6,7 @@
 import pytest
 
 from applevale import api
-from applevale.simulator_wire import adapter, codec
+from applevale.simulator_wire import adapter, decoder, encoder, layout
 from applevale.simulator_wire.settings import read_settings
 
 SETTINGS = """az=0
@@ -38,7 +38,7 @@
     while at < len(body):
         at += 5 + struct.unpack_from("<I", body, at + 1)[0]
         count += 1
-    return [event for _, event in codec.Decoder().batch(count, body)]
+    return [event for _, event in decoder.Decoder().batch(count, body)]
 
 
 def test_request():
@@ -77,7 +77,7 @@
     assert note.kind is api.NoteKind.PROGRESS and note.value == 0.5
     assert probe.engine == 0x2C9011F2 and len(probe.report) == 4
     assert timer.token == 77 and gone.request == 0x030E310E6F2B19
-    assert memo == api.PeerMessage(2, b"hi 7") and isinstance(down, codec.Shutdown)
+    assert memo == api.PeerMessage(2, b"hi 7") and isinstance(down, decoder.Shutdown)
 
 
 @pytest.mark.parametrize(
@@ -99,7 +99,7 @@
     ],
 )
 def test_actions(item, text):
-    assert codec.encode_action(item) == bytes.fromhex(text)
+    assert encoder.encode_action(item) == bytes.fromhex(text)
 
 
 def test_settings_are_read_and_unknown_ones_skipped():
@@ -118,7 +118,7 @@
 
 
 def batch(body, count):
-    return codec.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
+    return layout.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
 
 
 def test_unknown_event_is_skipped_and_the_end_is_silent(capsys):
@@ -137,7 +137,7 @@
 
 def test_an_exception_is_reported_on_the_wire(capsys):
     boot = struct.pack("<QI", 1, 4) + b"me=x"
-    body = bytes.fromhex("82020000000300") + codec.RECORD_HEAD.pack(10, len(boot)) + boot
+    body = bytes.fromhex("82020000000300") + layout.RECORD_HEAD.pack(10, len(boot)) + boot
     out = io.BytesIO()
     assert adapter.serve(io.BytesIO(batch(body, 2)), out) == 0
     assert out.getvalue()[8] == 100 and "Traceback" in capsys.readouterr().err
