Fake etcd: a watch is a class of its own

Member held reads, credentials and, passed from method to method, the state of each watch. What is sent and when stays.

test_fake_etcd, test_registry, test_watcher and test_layers pass.

--- a/applevale/fakes/etcd.py
+++ b/applevale/fakes/etcd.py
@@ -9,15 +9,14 @@
 from dataclasses import dataclass
 
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
 from ..discovery.registry import messages as m
-from .key_value_store import CompactedError, KeyValueStore, KeyVersion
+from .etcd_watch import WatchStream, key_value
+from .key_value_store import CompactedError, KeyValueStore
 from .service_capacity import ServiceCapacity
 
-MAX_EVENTS_PER_MESSAGE = 500
-
 
 @dataclass
 class ReadRecord:
@@ -38,23 +37,6 @@
     is_answered: bool = False
 
 
-@dataclass
-class WatchProgress:
-    """Where a watch stands.
-
-    Attributes:
-        key: The first key watched.
-        range_end: The key behind the last one.
-        next_revision: The first revision that has not been sent.
-        lock: Held while messages are sent.
-    """
-
-    key: bytes
-    range_end: bytes
-    next_revision: int
-    lock: asyncio.Lock
-
-
 class _Server(Server):
     """A gRPC server that knows its connections, and serves none that is established after `close`."""
 
@@ -170,7 +152,8 @@
             ),
         }
 
-    def _header(self) -> object:
+    def header(self) -> object:
+        """Return the header of an answer as of now."""
         revision = self.visible_store.revision
         return m.ResponseHeader(cluster_id=self.store.cluster_id, member_id=1, revision=revision)
 
@@ -185,7 +168,7 @@
         if self.rejects_credentials or not is_known:
             raise GRPCError(Status.INVALID_ARGUMENT, "etcdserver: authentication failed")
         token = self.users[request.name]
-        await stream.send_message(m.AuthenticateResponse(header=self._header(), token=token))
+        await stream.send_message(m.AuthenticateResponse(header=self.header(), token=token))
 
     async def _range(self, stream: Stream) -> None:
         request = await stream.recv_message()
@@ -212,11 +195,11 @@
             raise GRPCError(
                 Status.OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"
             ) from None
-        answer = m.RangeResponse(header=self._header(), count=len(versions))
+        answer = m.RangeResponse(header=self.header(), count=len(versions))
         if not request.count_only:
             page = versions[: request.limit or len(versions)]
             answer.more = len(page) < len(versions)
-            answer.kvs.extend(_key_value(version) for version in page)
+            answer.kvs.extend(key_value(version) for version in page)
         await stream.send_message(answer)
         read.is_answered = True
 
@@ -224,86 +207,4 @@
         request = await stream.recv_message()
         self._check_token(stream)
         self.watch_count += 1
-        create = request.create_request
-        changed = asyncio.Event()
-        progress = WatchProgress(create.key, create.range_end, create.start_revision, asyncio.Lock())
-        await stream.send_message(m.WatchResponse(header=self._header(), created=True))
-        self.visible_store.changed.add(changed)
-        answering = asyncio.create_task(self._answer_progress_requests(stream, progress))
-        try:
-            await self._send_changes(stream, progress, changed, answering)
-        except (StreamTerminatedError, ConnectionError):
-            pass
-        finally:
-            answering.cancel()
-            for store in (self.store, self.visible_store):
-                store.changed.discard(changed)
-
-    async def _send_changes(
-        self, stream: Stream, progress: WatchProgress, changed: asyncio.Event, answering: asyncio.Task
-    ) -> None:
-        """Send events as they come, until the watch is cancelled or its client has closed it."""
-        while not answering.done():
-            if not await self._send_due_events(stream, progress):
-                return
-            waiting = asyncio.create_task(changed.wait())
-            try:
-                await asyncio.wait({waiting, answering}, return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                waiting.cancel()
-            changed.clear()
-
-    async def _answer_progress_requests(self, stream: Stream, progress: WatchProgress) -> None:
-        try:
-            while (request := await stream.recv_message()) is not None:
-                if request.HasField("progress_request") and not self.silences_watches:
-                    await self._send_due_events(stream, progress)
-                    async with progress.lock:
-                        await stream.send_message(m.WatchResponse(header=self._header(), watch_id=-1))
-        except (StreamTerminatedError, ConnectionError):
-            pass
-
-    async def _send_due_events(self, stream: Stream, progress: WatchProgress) -> bool:
-        """Send all events that are due; return False once the watch was cancelled."""
-        async with progress.lock:
-            while not self.silences_watches:
-                store = self.visible_store
-                try:
-                    due = store.changes_since(progress.next_revision, progress.key, progress.range_end)
-                except CompactedError:
-                    await stream.send_message(self._cancellation())
-                    return False
-                if not due:
-                    break
-                await self._send_events(stream, progress, due[:MAX_EVENTS_PER_MESSAGE])
-        return True
-
-    async def _send_events(self, stream: Stream, progress: WatchProgress, versions: list[KeyVersion]) -> None:
-        header = self._header()
-        header.revision = versions[-1].revision
-        for _ in range(2 if self.duplicates_events else 1):
-            await stream.send_message(
-                m.WatchResponse(header=header, events=[_event(one) for one in versions])
-            )
-        progress.next_revision = versions[-1].revision + 1
-
-    def _cancellation(self) -> object:
-        return m.WatchResponse(
-            header=self._header(),
-            canceled=True,
-            compact_revision=self.visible_store.compacted_revision,
-            cancel_reason="required revision has been compacted",
-        )
-
-
-def _key_value(version: KeyVersion) -> object:
-    return m.KeyValue(
-        key=version.key,
-        create_revision=version.create_revision,
-        mod_revision=version.revision,
-        value=version.value or b"",
-    )
-
-
-def _event(version: KeyVersion) -> object:
-    return m.Event(type=m.DELETE if version.value is None else m.PUT, kv=_key_value(version))
+        await WatchStream(self, stream, request.create_request).serve()
--- /dev/null
+++ b/applevale/fakes/etcd_watch.py
@@ -0,0 +1,125 @@
+"""A watch of a fake etcd member: the events of one stream, from the store that the member answers from."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Stream
+
+from ..discovery.registry import messages as m
+from .key_value_store import CompactedError, KeyVersion
+
+if TYPE_CHECKING:
+    from .etcd import Member
+
+MAX_EVENTS_PER_MESSAGE = 500
+PROGRESS_WATCH_ID = -1  # of an answer to a progress request, which holds for all watches of a stream
+
+
+class WatchStream:
+    """Sends the events of a range of keys until the watch is cancelled or its client has closed it.
+
+    Attributes:
+        next_revision: The first revision that has not been sent.
+    """
+
+    def __init__(self, member: Member, stream: Stream, create_request: object):
+        """Prepare to serve `stream` as its request to create a watch says."""
+        self.member = member
+        self.stream = stream
+        self.key: bytes = create_request.key
+        self.range_end: bytes = create_request.range_end
+        self.next_revision: int = create_request.start_revision
+        self._sending = asyncio.Lock()
+        self._changed = asyncio.Event()
+
+    async def serve(self) -> None:
+        """Confirm the watch, and send events as they come; return when it has ended."""
+        member = self.member
+        await self.stream.send_message(m.WatchResponse(header=member.header(), created=True))
+        member.visible_store.changed.add(self._changed)
+        answering = asyncio.create_task(self._answer_progress_requests())
+        try:
+            await self._send_changes(answering)
+        except (StreamTerminatedError, ConnectionError):
+            pass
+        finally:
+            answering.cancel()
+            for store in (member.store, member.visible_store):
+                store.changed.discard(self._changed)
+
+    async def _send_changes(self, answering: asyncio.Task) -> None:
+        """Send events as they come, until the watch is cancelled or `answering` is done."""
+        while not answering.done():
+            if not await self._send_due_events():
+                return
+            waiting = asyncio.create_task(self._changed.wait())
+            try:
+                await asyncio.wait({waiting, answering}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                waiting.cancel()
+            self._changed.clear()
+
+    async def _answer_progress_requests(self) -> None:
+        """Answer requests for the progress until the client closes the stream."""
+        try:
+            while (request := await self.stream.recv_message()) is not None:
+                if request.HasField("progress_request") and not self.member.silences_watches:
+                    await self._send_due_events()
+                    await self._send_progress()
+        except (StreamTerminatedError, ConnectionError):
+            pass
+
+    async def _send_progress(self) -> None:
+        async with self._sending:
+            await self.stream.send_message(
+                m.WatchResponse(header=self.member.header(), watch_id=PROGRESS_WATCH_ID)
+            )
+
+    async def _send_due_events(self) -> bool:
+        """Send all events that are due; return False once the watch was cancelled."""
+        async with self._sending:
+            while not self.member.silences_watches:
+                store = self.member.visible_store
+                try:
+                    due = store.changes_since(self.next_revision, self.key, self.range_end)
+                except CompactedError:
+                    await self.stream.send_message(self._cancellation())
+                    return False
+                if not due:
+                    break
+                await self._send_events(due[:MAX_EVENTS_PER_MESSAGE])
+        return True
+
+    async def _send_events(self, versions: list[KeyVersion]) -> None:
+        header = self.member.header()
+        header.revision = versions[-1].revision
+        for _ in range(2 if self.member.duplicates_events else 1):
+            await self.stream.send_message(
+                m.WatchResponse(header=header, events=[_event(version) for version in versions])
+            )
+        self.next_revision = versions[-1].revision + 1
+
+    def _cancellation(self) -> object:
+        return m.WatchResponse(
+            header=self.member.header(),
+            canceled=True,
+            compact_revision=self.member.visible_store.compacted_revision,
+            cancel_reason="required revision has been compacted",
+        )
+
+
+def key_value(version: KeyVersion) -> object:
+    """Return the message of a key's version."""
+    return m.KeyValue(
+        key=version.key,
+        create_revision=version.create_revision,
+        mod_revision=version.revision,
+        value=version.value or b"",
+    )
+
+
+def _event(version: KeyVersion) -> object:
+    return m.Event(type=m.DELETE if version.value is None else m.PUT, kv=key_value(version))
