Examples and CLI: docstrings on all public items, named commands in the toy engine

The toy engine's handler splits its commands and names them; a connection's method is handle_command, its writer send.

test_corrupt_replies, test_node, test_service, test_foreign and test_cli pass, with the two renamed overrides.

--- a/applevale/cli/registry.py
+++ b/applevale/cli/registry.py
@@ -20,6 +20,11 @@
     from ..discovery.registry.endpoint_table import TableEntry
     from ..discovery.registry.source import RegistrySource
 
+VERIFY_HELP = (
+    "Check every record, and print the revision and the digest to compare with a program's counters; exit\n"
+    "code 1 if a record cannot be used."
+)
+
 registry = typer.Typer(no_args_is_help=True, help="Look into the registry that a configuration names.")
 
 
@@ -54,10 +59,9 @@
         typer.echo(json.dumps(record))
 
 
-@registry.command()
+@registry.command(help=VERIFY_HELP)
 def verify(path: ConfigPath, seconds: Seconds = 5.0) -> None:
-    """Check every record, and print the revision and the digest to compare with a program's counters; exit
-    code 1 if a record cannot be used."""
+    """Check every record of the registry, and print the revision and the digest of its list."""
     view = _require_view(path, seconds)
     for key, reason in sorted(view.unusable.items()):
         typer.echo(f"{key}: {reason}")
--- a/applevale/cli/zones.py
+++ b/applevale/cli/zones.py
@@ -9,6 +9,11 @@
 
 from .exit_codes import exit_with, fail
 
+CHECK_HELP = (
+    "Whether a zones file keeps every zone under the plan's headroom at the loss of any one; exit code 1 if\n"
+    "not, with a line for each that it does not."
+)
+
 zones = typer.Typer(no_args_is_help=True, help="Plan how work leaves a zone that is lost.")
 
 
@@ -40,13 +45,12 @@
     exit_with(not any(loss.has_unplaced_work() for loss in loss_plans))
 
 
-@zones.command("check")
+@zones.command("check", help=CHECK_HELP)
 def check_zones(
     path: Annotated[str, typer.Argument(help="Path of the plan.")],
     zones_path: Annotated[str, typer.Argument(help="Path of the zones file.")],
 ) -> None:
-    """Whether a zones file keeps every zone under the plan's headroom at the loss of any one; exit code 1 if
-    not, with a line for each that it does not."""
+    """Check that a zones file keeps every zone under the plan's headroom at the loss of any one."""
     from ..zones.plan import read_plan
     from ..zones.plan_report import find_overloads
     from ..zones.settings import ZonesError, read_zones
--- a/examples/ask.py
+++ b/examples/ask.py
@@ -1,4 +1,4 @@
-"""Sends one query to a workload manager and prints the answer.
+"""Send one request to a workload manager and print the answer.
 
 python examples/ask.py 127.0.0.1:7001 lookup "select * from air_17.readings limit 5"
 """
@@ -9,14 +9,27 @@
 
 import msgpack
 
+READ_SIZE_BYTES = 65536
+REQUEST_NUMBER = 1
+
 
 def ask(address: str, method: str, statement: str) -> list:
+    """Send a request on a connection of its own, and return the whole answer message.
+
+    Args:
+        address: The workload manager, as HOST:PORT.
+        method: The class of the request.
+        statement: What is to be executed.
+
+    Raises:
+        ConnectionError: The connection was closed before the answer.
+    """
     host, port = address.split(":")
     fields = {"ref": secrets.token_hex(8), "allow": "5000", "effort": "100", "space": "16", "lookup": "7"}
     with socket.create_connection((host, int(port))) as sock:
-        sock.sendall(msgpack.packb([0, 1, method, [fields, statement.encode()]]))
+        sock.sendall(msgpack.packb([0, REQUEST_NUMBER, method, [fields, statement.encode()]]))
         unpacker = msgpack.Unpacker()
-        while data := sock.recv(65536):
+        while data := sock.recv(READ_SIZE_BYTES):
             unpacker.feed(data)
             for message in unpacker:
                 return message
--- a/examples/toy_engine.py
+++ b/examples/toy_engine.py
@@ -1,4 +1,4 @@
-"""A toy engine: answers every query with made-up rows, so that applevale can be tried by hand.
+"""A toy engine: answers every request with made-up rows, so that applevale can be tried by hand.
 
     python examples/toy_engine.py 127.0.0.1:7101
 
@@ -12,69 +12,101 @@
 
 import hiredis
 
-PAGE = 6000  # bytes
+MAX_PAGE_BYTES = 6000
+READ_SIZE_BYTES = 65536
+DEFAULT_ROW_COUNT = 3
+LOAD_REPORT = b"rep=inflight:1;util:0.1;x1:0.1"
+
+CMD_EXECUTE = b"want"
+CMD_FETCH_PAGE = b"turn"
+CMD_PING = b"there"
+CMD_REPORT_LOAD = b"busy"
 
 
 def rows(count: int) -> list[bytes]:
-    return [b"%d\tstation-%d\t%d.5\n" % (at, at % 7, at * 3) for at in range(count)]
+    """Return the rows of a result."""
+    return [b"%d\tstation-%d\t%d.5\n" % (number, number % 7, number * 3) for number in range(count)]
 
 
 def pages(count: int) -> list[bytes]:
-    found = [b""]
+    """Return the pages of a result with so many rows; there is at least one."""
+    result = [b""]
     for row in rows(count):
-        if len(found[-1]) + len(row) > PAGE:
-            found.append(b"")
-        found[-1] += row
-    return found
+        if len(result[-1]) + len(row) > MAX_PAGE_BYTES:
+            result.append(b"")
+        result[-1] += row
+    return result
 
 
 def answer(*words: bytes) -> bytes:
+    """Return the RESP array of these words."""
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
 
 
 class Handler(socketserver.BaseRequestHandler):
+    """One connection, with the results whose pages may still be fetched."""
+
     def handle(self) -> None:
-        reader, self.results = hiredis.Reader(), {}
+        """Answer commands until the connection ends."""
+        reader = hiredis.Reader()
+        self.results: dict[bytes, list[bytes]] = {}
         try:
-            while data := self.request.recv(65536):
+            while data := self.request.recv(READ_SIZE_BYTES):
                 reader.feed(data)
                 while (command := reader.gets()) is not False:
                     self.server.seen.append(command)
-                    if not self.take(*command):
+                    if not self.handle_command(*command):
                         return
         except ConnectionError:
             pass
 
-    def take(self, word: bytes, tag: bytes, *rest: bytes) -> bool:
-        """False ends the connection."""
-        if word == b"want" and b"die" in rest[1]:
+    def handle_command(self, name: bytes, tag: bytes, *arguments: bytes) -> bool:
+        """Answer a command; return False to end the connection."""
+        if name == CMD_EXECUTE:
+            return self._execute(tag, arguments[1])
+        if name == CMD_FETCH_PAGE:
+            self._send_page(tag, int(arguments[0]))
+        elif name in (CMD_PING, CMD_REPORT_LOAD):
+            self.send(answer(tag, b"PONG", LOAD_REPORT, b""))
+        return True
+
+    def _execute(self, tag: bytes, statement: bytes) -> bool:
+        if b"die" in statement:
             return False
-        if word == b"want" and b"hang" not in rest[1]:
-            limit = re.search(rb"limit (\d+)", rest[1])
-            self.results[tag] = pages(int(limit[1]) if limit else 3)
-            fields = b"sheets=%d,toil=12,room=4,rep=inflight:1;util:0.1;x1:0.1" % len(self.results[tag])
-            self.say(answer(tag, b"HIT", fields, self.results[tag][0]))
-        elif word == b"turn":
-            found = self.results.get(tag)
-            page = int(rest[0])
-            if found and page < len(found):
-                self.say(answer(tag, b"PART", b"sheet=%d" % page, found[page]))
-            else:
-                self.say(answer(tag, b"FAULT", b"-", b""))
-        elif word in (b"there", b"busy"):
-            self.say(answer(tag, b"PONG", b"rep=inflight:1;util:0.1;x1:0.1", b""))
+        if b"hang" not in statement:
+            limit = re.search(rb"limit (\d+)", statement)
+            result = pages(int(limit[1]) if limit else DEFAULT_ROW_COUNT)
+            self.results[tag] = result
+            fields = b"sheets=%d,toil=12,room=4,%b" % (len(result), LOAD_REPORT)
+            self.send(answer(tag, b"HIT", fields, result[0]))
         return True
 
-    def say(self, data: bytes) -> None:
+    def _send_page(self, tag: bytes, number: int) -> None:
+        result = self.results.get(tag)
+        if result and number < len(result):
+            self.send(answer(tag, b"PART", b"sheet=%d" % number, result[number]))
+        else:
+            self.send(answer(tag, b"FAULT", b"-", b""))
+
+    def send(self, data: bytes) -> None:
+        """Write an answer."""
         self.request.sendall(data)
 
 
 class ToyEngine(socketserver.ThreadingTCPServer):
-    allow_reuse_address = daemon_threads = True
+    """A server of toy results.
+
+    Attributes:
+        seen: All commands, in the order in which they came.
+    """
+
+    allow_reuse_address = True
+    daemon_threads = True
 
     def __init__(self, address: tuple[str, int], handler: type[Handler] = Handler):
+        """Listen at an address; each connection is served by a `handler`."""
         super().__init__(address, handler)
-        self.seen: list[list[bytes]] = []  # commands, in order
+        self.seen: list[list[bytes]] = []
 
 
 if __name__ == "__main__":
--- a/tests/test_corrupt_replies.py
+++ b/tests/test_corrupt_replies.py
@@ -48,10 +48,10 @@
 class CorruptingHandler(Handler):
     """Corrupts the first reply to each id as its statement says."""
 
-    def take(self, word, tag, *rest):
+    def handle_command(self, word, tag, *rest):
         kind = rest[1].decode().rpartition("--")[2].strip() if word == b"want" else ""
         if kind not in CORRUPT | ADDED:
-            return word == b"turn" or super().take(word, tag, *rest)
+            return word == b"turn" or super().handle_command(word, tag, *rest)
         again = [command[1] for command in self.server.seen if command[0] == b"want"].count(tag) > 1
         self.request.sendall(result(tag) if again else (CORRUPT | ADDED)[kind](tag))
         return True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,7 +27,7 @@
 class InPieces(Handler):
     """Cuts its answers anywhere."""
 
-    def say(self, data):
+    def send(self, data):
         for at in range(0, len(data), 701):
             self.request.sendall(data[at : at + 701])
 
