--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -3,7 +3,7 @@
     python benchmarks/fleet_cost.py [OTHER]
 
 OTHER is a folder with another version of the package (`git worktree add OTHER REV`); both versions then run
-in turns, each in a process of its own, and the least of several rounds is told for each.
+in turns, each in a process of its own, and the least of several rounds is printed for each.
 """
 
 from __future__ import annotations
@@ -13,78 +13,110 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
-HERE = Path(__file__).resolve().parent.parent
-SIZES = (8, 60, 1000)
-REQUESTS, EVENTS, ROUNDS = 300, 40, 3
+ROOT = Path(__file__).resolve().parent.parent
+ENGINE_COUNTS = (8, 60, 1000)
+REQUEST_COUNT = 300
+LIST_EVENT_COUNT = 40
+ROUND_COUNT = 3
+INTERVAL_SECONDS = 0.1  # of the decision module's clock, between two requests or events
+START_SECONDS = 100.0
+MICROSECONDS = 1e6
+MEASURE_OPTION = "--measure"
+SETTINGS = {  # those that a version does not know are left out
+    "gateways": 40,
+    "may_probe": True,
+    "may_cancel": True,
+    "report_columns": ("active",),
+    "report_how": "answers",
+    "probe_price": 0.08,
+}
+
+
+class PolicyBenchmark:
+    """A decision module with a number of engines, and a clock."""
+
+    def __init__(self, engine_count: int):
+        """Create the module and list its engines."""
+        from applevale import api  # of the version under test, whose folder is on the path by now
+        from applevale.policy import AdmissionController
+
+        self.api: Any = api
+        known = api.Settings.__dataclass_fields__
+        settings = api.Settings(
+            classes=(api.ClassSpec(name="lookup", aim=0.75, aim_stretch=2.0, deadline=4.0, worth=1.0),),
+            kinds=(api.KindSpec("k", 8.0, 16384.0),),
+            **{key: value for key, value in SETTINGS.items() if key in known},
+        )
+        self.controller = AdmissionController(settings, 1)
+        self.now = START_SECONDS
+        engines = tuple(api.EngineEntry(number) for number in range(engine_count))
+        self.controller.handle(self.now, [api.EngineList(engines, whole=True)])
+
+    def time_requests(self) -> float:
+        """Return the microseconds of a request with its outcome."""
+        started_at = time.perf_counter()
+        for number in range(REQUEST_COUNT):
+            self.now += INTERVAL_SECONDS
+            self._serve_request(number)
+        return (time.perf_counter() - started_at) / REQUEST_COUNT * MICROSECONDS
+
+    def _serve_request(self, number: int) -> None:
+        api = self.api
+        request = api.Request(number, 0, ttl=4.0, work=0.2, memory_mb=50.0, tables=float(number % 40))
+        actions = self.controller.handle(self.now, [request])
+        # A version that probes first gets its answers, else its requests would pile up in the queue.
+        while probed := [action.engine for action in actions if isinstance(action, api.Probe)]:
+            results = [api.ProbeResult(engine, api.Result.OK, 0.001, (5.0,)) for engine in probed]
+            actions = self.controller.handle(self.now, results)
+        for send in (action for action in actions if isinstance(action, api.Send)):
+            outcome = api.Outcome(number, 0, send.engine, api.Result.OK, 0.1, True, 0.2, 40.0, (5.0,))
+            self.controller.handle(self.now + 0.05, [outcome])
+
+    def time_list_events(self) -> float:
+        """Return the microseconds of a change of one engine."""
+        api = self.api
+        started_at = time.perf_counter()
+        for turn in range(LIST_EVENT_COUNT):
+            self.now += INTERVAL_SECONDS
+            state = api.State.DRAINING if turn % 2 == 0 else api.State.READY
+            self.controller.handle(self.now, [api.EngineList((api.EngineEntry(1, state=state),))])
+        return (time.perf_counter() - started_at) / LIST_EVENT_COUNT * MICROSECONDS
 
 
 def measure() -> dict[str, list[float]]:
-    """Microseconds of a request with its outcome, and of a change of one engine, at each size."""
-    from applevale import api
-    from applevale.policy import AdmissionController
-
-    classes = (api.ClassSpec(name="lookup", aim=0.75, aim_stretch=2.0, deadline=4.0, worth=1.0),)
-    known = api.Settings.__dataclass_fields__
-    wanted = {
-        "gateways": 40,
-        "may_probe": True,
-        "may_cancel": True,
-        "report_columns": ("active",),
-        "report_how": "answers",
-        "probe_price": 0.08,
-    }
-    settings = api.Settings(
-        classes=classes,
-        kinds=(api.KindSpec("k", 8.0, 16384.0),),
-        **{key: value for key, value in wanted.items() if key in known},
-    )
+    """Return the microseconds of a request and of a list event, for each number of engines."""
     figures: dict[str, list[float]] = {"request": [], "list_event": []}
-    for size in SIZES:
-        controller, now = AdmissionController(settings, 1), 100.0
-        controller.handle(now, [api.EngineList(tuple(api.EngineEntry(n) for n in range(size)), whole=True)])
-        began = time.perf_counter()
-        for number in range(REQUESTS):
-            now += 0.1
-            asked = api.Request(number, 0, ttl=4.0, work=0.2, memory_mb=50.0, tables=float(number % 40))
-            actions = controller.handle(now, [asked])
-            # A version that looks first gets its answers, else its requests would pile up in the line.
-            while looks := [a.engine for a in actions if isinstance(a, api.Probe)]:
-                told = [api.ProbeResult(one, api.Result.OK, 0.001, (5.0,)) for one in looks]
-                actions = controller.handle(now, told)
-            for send in (a for a in actions if isinstance(a, api.Send)):
-                done = api.Outcome(number, 0, send.engine, api.Result.OK, 0.1, True, 0.2, 40.0, (5.0,))
-                controller.handle(now + 0.05, [done])
-        figures["request"].append((time.perf_counter() - began) / REQUESTS * 1e6)
-        began = time.perf_counter()
-        for turn in range(EVENTS):
-            now += 0.1
-            state = api.State.DRAINING if turn % 2 == 0 else api.State.READY
-            controller.handle(now, [api.EngineList((api.EngineEntry(1, state=state),))])
-        figures["list_event"].append((time.perf_counter() - began) / EVENTS * 1e6)
+    for engine_count in ENGINE_COUNTS:
+        benchmark = PolicyBenchmark(engine_count)
+        figures["request"].append(benchmark.time_requests())
+        figures["list_event"].append(benchmark.time_list_events())
     return figures
 
 
 def run(folder: Path) -> dict[str, list[float]]:
-    done = subprocess.run(
-        [sys.executable, __file__, "--measure", str(folder)], check=True, capture_output=True, text=True
+    """Measure the version in a folder, in a process of its own."""
+    completed = subprocess.run(
+        [sys.executable, __file__, MEASURE_OPTION, str(folder)], check=True, capture_output=True, text=True
     )
-    return json.loads(done.stdout)
+    return json.loads(completed.stdout)
 
 
 def main(arguments: list[str]) -> int:
-    if arguments[:1] == ["--measure"]:
+    """Measure this version, and another one if it is given; return the exit code."""
+    if arguments[:1] == [MEASURE_OPTION]:
         sys.path.insert(0, arguments[1])
         print(json.dumps(measure()))
         return 0
-    folders = {"here": HERE}
+    folders = {"here": ROOT}
     if arguments:
         folders["other"] = Path(arguments[0]).resolve()
-    rounds = {name: [run(folder) for _ in range(ROUNDS)] for name, folder in folders.items()}
-    print(f"{'us at engines':>20} " + " ".join(f"{size:>8}" for size in SIZES))
+    rounds = {name: [run(folder) for _ in range(ROUND_COUNT)] for name, folder in folders.items()}
+    print(f"{'us at engines':>20} " + " ".join(f"{count:>8}" for count in ENGINE_COUNTS))
     for kind in ("request", "list_event"):
         for name, results in rounds.items():
-            least = [min(result[kind][at] for result in results) for at in range(len(SIZES))]
+            least = [min(result[kind][index] for result in results) for index in range(len(ENGINE_COUNTS))]
             print(f"{kind + ' ' + name:>20} " + " ".join(f"{value:8.0f}" for value in least))
     return 0
 
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -3,29 +3,42 @@
     python -m benchmarks.registry [etcd|consul]
 
 Prints one line a size: CPU of the program per change in ms (at the rate given, for five seconds), how far
-the list lay behind at the end in s, and its resident memory in MB. The stand-in runs in this process, so only
-the program's own CPU time is counted.
+the list lay behind at the end in s, and its resident memory in MB. The fake registry runs in this process, so
+only the program's own CPU time is counted.
 """
 
+from __future__ import annotations
+
 import asyncio
 import json
-import os
 import sys
 import time
 
+from applevale.discovery.endpoints import format_instance_id
 from applevale.fakes import consul, etcd
 from applevale.fakes.key_value_store import KeyValueStore
 from applevale.harness.default_settings import MACHINE_KINDS, ZONES
 from applevale.harness.managed_process import ManagedProcess
-
-PREFIX = "applevale/engines/"
-SECONDS = 5.0
-
-
-def record(number: int, state: str) -> bytes:
+from applevale.harness.resource_usage import BYTES_PER_MEBIBYTE, read_usage
+from applevale.net.addresses import format_address
+
+KEY_PREFIX = "applevale/engines/"
+CHANGE_SECONDS = 5.0  # for which the list is changed
+IDLE_SECONDS = 2.0  # for which the program is measured at rest
+SETTLE_SECONDS = 1.0
+WRITE_INTERVAL_SECONDS = 0.005
+START_POLL_SECONDS = 0.1
+END_POLL_SECONDS = 0.02
+FRESHNESS_SECONDS = 5.0
+MEMBER_TYPES = {"etcd": etcd.Member, "consul": consul.Member}
+SIZES_AND_RATES = ((100, 100), (1000, 100), (10_000, 100), (100, 1000), (1000, 1000), (10_000, 1000))
+
+
+def encode_record(number: int, state: str) -> bytes:
+    """Return the registry's record of an engine."""
     return json.dumps(
         {
-            "id": f"s-{number:08x}",
+            "id": format_instance_id(number),
             "address": f"127.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7001",
             "state": state,
             "zone": ZONES[0],
@@ -34,62 +47,113 @@
     ).encode()
 
 
-def cpu(process: int) -> float:
-    """s of CPU that a process has taken."""
-    with open(f"/proc/{process}/stat", encoding="utf-8") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def memory(process: int) -> float:
-    with open(f"/proc/{process}/statm", encoding="utf-8") as file:
-        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
-
-
-async def measure(kind: str, engines: int, rate: int) -> str:
+class EngineRegistry:
+    """The engines that the registry lists, and the changes of them.
+
+    Attributes:
+        change_count: Changes that were written.
+    """
+
+    def __init__(self, store: KeyValueStore, engine_count: int):
+        """List so many engines as ready."""
+        self.store = store
+        self.engine_count = engine_count
+        self.change_count = 0
+        for number in range(1, engine_count + 1):
+            self._write(number, "ready")
+
+    def _write(self, number: int, state: str) -> None:
+        self.store.put(f"{KEY_PREFIX}{number}".encode(), encode_record(number, state))
+
+    async def change(self, rate: int, seconds: float) -> None:
+        """Change one engine after the other, `rate` a second."""
+        started_at = time.monotonic()
+        while (elapsed := time.monotonic() - started_at) < seconds:
+            while self.change_count < elapsed * rate:
+                self.change_count += 1
+                state = "draining" if self.change_count // self.engine_count % 2 == 0 else "ready"
+                self._write(self.change_count % self.engine_count + 1, state)
+            await asyncio.sleep(WRITE_INTERVAL_SECONDS)
+
+
+class ProgramMeter:
+    """CPU time of a program, and how far it is behind the registry."""
+
+    def __init__(self, program: ManagedProcess, store: KeyValueStore):
+        """Measure a program that runs."""
+        self.program = program
+        self.store = store
+
+    def cpu_seconds(self) -> float:
+        """Return the CPU time that the program has taken."""
+        return read_usage(self.program.process.pid).cpu_seconds
+
+    def memory_mb(self) -> float:
+        """Return its resident memory in MiB."""
+        return read_usage(self.program.process.pid).memory_bytes / BYTES_PER_MEBIBYTE
+
+    async def idle_share(self) -> float:
+        """Return the share of a core that it takes while nothing changes."""
+        cpu_before = self.cpu_seconds()
+        started_at = time.monotonic()
+        await asyncio.sleep(IDLE_SECONDS)
+        return (self.cpu_seconds() - cpu_before) / (time.monotonic() - started_at)
+
+    async def wait_until_current(self, poll_seconds: float) -> None:
+        """Wait until its list is the registry's."""
+        while (await self.program.counters()).get("registry_revision") != self.store.revision:
+            await asyncio.sleep(poll_seconds)
+
+
+async def measure(kind: str, engine_count: int, rate: int) -> str:
+    """Return the line of one size.
+
+    Args:
+        kind: `etcd` or `consul`.
+        engine_count: Engines in the list.
+        rate: Changes a second.
+    """
     store = KeyValueStore()
-    member = {"etcd": etcd, "consul": consul}[kind].Member(store)
+    member = MEMBER_TYPES[kind](store)
     await member.start()
-    for number in range(1, engines + 1):
-        store.put(f"{PREFIX}{number}".encode(), record(number, "ready"))
-    address = f"{member.address[0]}:{member.address[1]}"
-    registry = {"kind": kind, "addresses": [address], "prefix": PREFIX, "fresh": 5.0}
+    engines = EngineRegistry(store, engine_count)
+    registry = {
+        "kind": kind,
+        "addresses": [format_address(member.address)],
+        "prefix": KEY_PREFIX,
+        "fresh": FRESHNESS_SECONDS,
+    }
     program = ManagedProcess({"registry": registry}, "bench")
     await program.start()
     try:
-        while (await program.counters()).get("registry_revision") != store.revision:
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(1.0)
-        rest, began = cpu(program.process.pid), time.monotonic()
-        await asyncio.sleep(2.0)
-        rest = (cpu(program.process.pid) - rest) / (time.monotonic() - began)
-        before, began, changes = cpu(program.process.pid), time.monotonic(), 0
-        while (spent := time.monotonic() - began) < SECONDS:
-            while changes < spent * rate:
-                changes += 1
-                state = "draining" if changes // engines % 2 == 0 else "ready"
-                number = changes % engines + 1
-                store.put(f"{PREFIX}{number}".encode(), record(number, state))
-            await asyncio.sleep(0.005)
-        ended = time.monotonic()
-        while (await program.counters())["registry_revision"] != store.revision:
-            await asyncio.sleep(0.02)
-        behind = time.monotonic() - ended
-        spent = cpu(program.process.pid) - before
-        each = (spent - rest * (time.monotonic() - began)) / changes * 1000
-        return (
-            f"{kind:6} {engines:6} engines, {rate} changes/s: {each:6.3f} ms a change, "
-            f"{behind:5.2f} s behind, {memory(program.process.pid):5.0f} MB, "
-            f"at rest {rest * 100:.1f}% of a core"
-        )
+        return f"{kind:6} " + await _measure_changes(ProgramMeter(program, store), engines, rate)
     finally:
         await program.stop()
         await member.stop()
 
 
+async def _measure_changes(meter: ProgramMeter, engines: EngineRegistry, rate: int) -> str:
+    await meter.wait_until_current(START_POLL_SECONDS)
+    await asyncio.sleep(SETTLE_SECONDS)
+    idle_share = await meter.idle_share()
+    cpu_before = meter.cpu_seconds()
+    started_at = time.monotonic()
+    await engines.change(rate, CHANGE_SECONDS)
+    ended_at = time.monotonic()
+    await meter.wait_until_current(END_POLL_SECONDS)
+    lag = time.monotonic() - ended_at
+    cpu_seconds = meter.cpu_seconds() - cpu_before - idle_share * (time.monotonic() - started_at)
+    return (
+        f"{engines.engine_count:6} engines, {rate} changes/s: "
+        f"{cpu_seconds / engines.change_count * 1000:6.3f} ms a change, "
+        f"{lag:5.2f} s behind, {meter.memory_mb():5.0f} MB, at rest {idle_share * 100:.1f}% of a core"
+    )
+
+
 async def main(kind: str) -> None:
-    for engines, rate in ((100, 100), (1000, 100), (10_000, 100), (100, 1000), (1000, 1000), (10_000, 1000)):
-        print(await measure(kind, engines, rate), flush=True)
+    """Print a line for each size and rate."""
+    for engine_count, rate in SIZES_AND_RATES:
+        print(await measure(kind, engine_count, rate), flush=True)
 
 
 if __name__ == "__main__":
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -2,10 +2,10 @@
 
     python benchmarks/request_cost.py OTHER_CHECKOUT [PAIRS]
 
-Each run starts the program of a checkout with a toy engine and sends REQUESTS small queries over one
-connection, OPEN at a time. Runs of the two checkouts take turns. Printed for each run: ms of CPU until it
-listens, us of CPU for one request, MB of resident memory before the first request. The machine must have
-nothing else to do.
+Each run starts the program of a checkout with a toy engine and sends REQUEST_COUNT small requests over one
+connection, MAX_OPEN_REQUESTS at a time. Runs of the two checkouts take turns. Printed for each run: ms of CPU
+until it listens, us of CPU for one request, MB of resident memory before the first request. The machine must
+have nothing else to do.
 """
 
 from __future__ import annotations
@@ -26,8 +26,8 @@
 from applevale.harness.ports import free_port
 
 ROOT = Path(__file__).parent.parent
-REQUESTS = 6000
-OPEN = 16
+REQUEST_COUNT = 6000
+MAX_OPEN_REQUESTS = 16
 SETTLE_SECONDS = 0.5  # after the start, until the memory is read
 
 
@@ -55,10 +55,11 @@
 def send_requests(address: tuple[str, int]) -> None:
     """Send all requests, and check that each is completed."""
     unpacker = msgpack.Unpacker()
-    sent = answered = 0
+    sent = 0
+    answered = 0
     with socket.create_connection(address) as sock:
-        while answered < REQUESTS:
-            while sent < REQUESTS and sent - answered < OPEN:
+        while answered < REQUEST_COUNT:
+            while sent < REQUEST_COUNT and sent - answered < MAX_OPEN_REQUESTS:
                 sent += 1
                 fields = {"ref": secrets.token_hex(8), "allow": "5000", "effort": "1", "space": "1"}
                 sock.sendall(msgpack.packb([0, sent, "lookup", [fields, b"select 1 from air_1.x"]]))
@@ -68,37 +69,57 @@
                 answered += 1
 
 
-def measure(checkout: Path) -> Cost:
-    """Run the program of a checkout once."""
-    engine_port, port = free_port(), free_port()
+def write_config(path: Path, port: int, engine_port: int) -> None:
+    """Write the example's configuration with these ports of the program and of its engine."""
     config = json.loads((ROOT / "examples" / "config.json").read_text())
     config["listen"] = f"127.0.0.1:{port}"
     config["known"]["events"][0]["members"]["instances"][0]["hostPort"] = f"127.0.0.1:{engine_port}"
+    path.write_text(json.dumps(config))
+
+
+def start_engine(port: int) -> subprocess.Popen:
+    """Start the toy engine."""
+    return subprocess.Popen([sys.executable, str(ROOT / "examples" / "toy_engine.py"), f"127.0.0.1:{port}"])
+
+
+def start_program(checkout: Path, config: Path) -> subprocess.Popen:
+    """Start the program of a checkout."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "applevale"],
+        cwd=checkout,
+        env=os.environ | {"BALANCER_CONFIG": str(config), "PYTHONPATH": str(checkout)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def measure(checkout: Path) -> Cost:
+    """Run the program of a checkout once."""
+    engine_port = free_port()
+    port = free_port()
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "config.json"
-        path.write_text(json.dumps(config))
-        toy = [sys.executable, str(ROOT / "examples" / "toy_engine.py"), f"127.0.0.1:{engine_port}"]
-        engine = subprocess.Popen(toy)
-        program = subprocess.Popen(
-            [sys.executable, "-m", "applevale"],
-            cwd=checkout,
-            env=os.environ | {"BALANCER_CONFIG": str(path), "PYTHONPATH": str(checkout)},
-            stderr=subprocess.PIPE,
-            text=True,
-        )
+        config = Path(folder) / "config.json"
+        write_config(config, port, engine_port)
+        engine = start_engine(engine_port)
+        program = start_program(checkout, config)
         try:
             assert "listens on" in program.stderr.readline()
-            started = cpu_seconds(program.pid)
-            time.sleep(SETTLE_SECONDS)
-            memory = memory_mb(program.pid)
-            before = cpu_seconds(program.pid)
-            send_requests(("127.0.0.1", port))
-            spent = cpu_seconds(program.pid) - before
+            return measure_requests(program.pid, ("127.0.0.1", port))
         finally:
             for process in (program, engine):
                 process.terminate()
                 process.wait()
-    return Cost(started * 1000, spent / REQUESTS * 1e6, memory)
+
+
+def measure_requests(process: int, address: tuple[str, int]) -> Cost:
+    """Return the cost of a process that has just begun to listen, and of the requests sent to it."""
+    start_seconds = cpu_seconds(process)
+    time.sleep(SETTLE_SECONDS)
+    memory = memory_mb(process)
+    before = cpu_seconds(process)
+    send_requests(address)
+    request_seconds = cpu_seconds(process) - before
+    return Cost(start_seconds * 1000, request_seconds / REQUEST_COUNT * 1e6, memory)
 
 
 def main() -> None:
