--- a/applevale/checkers/coldstart.py
+++ b/applevale/checkers/coldstart.py
@@ -55,13 +55,13 @@
     Either a full read counts, or a short one that confirms the stored list.
     """
     count = 0
-    for who, events in history.by_process("launched", "ready", "read").items():
+    for name, events in history.by_process("launched", "ready", "read").items():
         answered = [event["out"] for event in events if event["event"] == "read" and event["answered"]]
         launched = 0.0
         for event in events:
             if event["event"] == "launched":
                 launched = event["at"]
-            elif event["event"] == "ready" and event["ready"] and who != "other":
+            elif event["event"] == "ready" and event["ready"] and name != "other":
                 count += not any(launched <= out <= event["at"] for out in answered)
                 launched = -1e18  # only the first one after a start
     return count
@@ -200,38 +200,38 @@
     slow_at, slow_end = history.mark_time("slow"), history.mark_time("slow_end")
     break_at, break_end = history.mark_time("break"), history.mark_time("break_end")
     read_times = [event["at"] for event in history.select("read")]
-    found = {}
+    outage = {}
     if rest_at is not None and rest_end is not None:
         steady = sum(rest_at <= at < rest_end for at in read_times) / (rest_end - rest_at)
-        found["list_reads_s_steady"] = round(steady, 1)
-        found["unconfirmed_at_rest"] = unconfirmed(history, rest_at, rest_end)
+        outage["list_reads_s_steady"] = round(steady, 1)
+        outage["unconfirmed_at_rest"] = unconfirmed(history, rest_at, rest_end)
     if slow_at is not None and slow_end is not None:
-        found["sessions_left"] = sessions_left(history, slow_at, slow_end)
+        outage["sessions_left"] = sessions_left(history, slow_at, slow_end)
     if break_at is not None and break_end is not None:
         counted_until = break_end + SESSIONS_AFTER_BREAK_SECONDS
         sessions = history.select("session", since=break_end, until=counted_until)
-        found["reads_after_break"] = sum(break_end <= at < break_end + 1 for at in read_times)
-        found["sessions_after_break"] = sum(1 for _ in sessions)
-    return found
+        outage["reads_after_break"] = sum(break_end <= at < break_end + 1 for at in read_times)
+        outage["sessions_after_break"] = sum(1 for _ in sessions)
+    return outage
 
 
-def broken(found: dict, nodes: int, bars: dict[str, float]) -> list[str]:
+def broken(run_figures: dict, nodes: int, limits: dict[str, float]) -> list[str]:
     """Describe the limits that a run missed.
 
     Args:
-        found: What `figures` returned.
+        run_figures: What `figures` returned.
         nodes: Instances that must be ready.
-        bars: The most that each figure may be, beside those of `ALWAYS`.
+        limits: The greatest value that each figure may have, beside those of `ALWAYS`.
 
     Returns:
         One text for each limit; empty for a sound run.
     """
-    missed = [f"{name}: {found[name]}" for name in ALWAYS if found.get(name, 0)]
-    for name, limit in bars.items():
-        if name not in found:
+    missed = [f"{name}: {run_figures[name]}" for name in ALWAYS if run_figures.get(name, 0)]
+    for name, limit in limits.items():
+        if name not in run_figures:
             missed.append(f"{name}: not measured")
-        elif found[name] > limit:
-            missed.append(f"{name}: {found[name]}, over {limit:g}")
-    if found["ready"] < nodes:
-        missed.append(f"ready: {found['ready']} of {nodes}")
+        elif run_figures[name] > limit:
+            missed.append(f"{name}: {run_figures[name]}, over {limit:g}")
+    if run_figures["ready"] < nodes:
+        missed.append(f"ready: {run_figures['ready']} of {nodes}")
     return missed
--- a/applevale/checkers/membership.py
+++ b/applevale/checkers/membership.py
@@ -92,22 +92,22 @@
     }
 
 
-def broken(found: dict, limits: dict[str, float]) -> list[str]:
+def broken(run_figures: dict, limits: dict[str, float]) -> list[str]:
     """Return a line for each limit that the figures of a run exceed; `limits` are added to `ALWAYS`."""
     exceeded = [
-        f"{name}: {found[name]}, over {limit:g}"
+        f"{name}: {run_figures[name]}, over {limit:g}"
         for name, limit in (ALWAYS | limits).items()
-        if found.get(name, 0) > limit
+        if run_figures.get(name, 0) > limit
     ]
-    if found["agree_s"]["p99"] > MAX_AGREEMENT_SECONDS:
-        exceeded.append(f"agree_s: p99 {found['agree_s']['p99']}")
+    if run_figures["agree_s"]["p99"] > MAX_AGREEMENT_SECONDS:
+        exceeded.append(f"agree_s: p99 {run_figures['agree_s']['p99']}")
     return exceeded
 
 
 def false_deaths(history: History, truth: GroundTruth) -> list[FalseDeath]:
     """Return the announcements by which a reachable member was held dead or left."""
     clean_ends = [end for end in truth.ends if end.how == "term"]
-    found = []
+    deaths = []
     for observer, changes in _changes_by_observer(history).items():
         for observed in changes:
             is_leave = observed.change == "left" and any(
@@ -117,8 +117,8 @@
             if is_leave or observed.change not in ("died", "left"):  # a leave is announced before the end
                 continue
             if truth.is_reachable(observed.name, observed.at - GRACE_SECONDS, observed.at):
-                found.append(FalseDeath(observed.at, observer, observed.name))
-    return found
+                deaths.append(FalseDeath(observed.at, observer, observed.name))
+    return deaths
 
 
 def detection_times(history: History, truth: GroundTruth, end: float) -> DetectionTimes:
@@ -154,9 +154,9 @@
 def rejoin_times(history: History, truth: GroundTruth) -> list[float]:
     """Return the seconds until a member held dead was held alive again, from when it could be reached."""
     returned_at: dict[str, list[float]] = defaultdict(list)
-    for one in truth.returns():
-        returned_at[one.name].append(one.at)
-    found = []
+    for member_return in truth.returns():
+        returned_at[member_return.name].append(member_return.at)
+    durations = []
     for changes in _changes_by_observer(history).values():
         dead_since: dict[str, float] = {}
         for observed in changes:
@@ -166,8 +166,8 @@
                 since = dead_since.pop(observed.name)
                 index = bisect_right(returned_at[observed.name], observed.at)
                 if index:
-                    found.append(observed.at - max(since, returned_at[observed.name][index - 1]))
-    return found
+                    durations.append(observed.at - max(since, returned_at[observed.name][index - 1]))
+    return durations
 
 
 def wrong_views(history: History, truth: GroundTruth) -> int:
@@ -181,12 +181,12 @@
 
 
 def _changes_by_observer(history: History) -> dict[str, list[ObservedChange]]:
-    found: dict[str, list[ObservedChange]] = defaultdict(list)
+    changes_by_observer: dict[str, list[ObservedChange]] = defaultdict(list)
     for event in history.select("view"):
-        found[event["who"]] += [
+        changes_by_observer[event["who"]] += [
             ObservedChange(event["at"], name, change) for name, change in event["changes"]
         ]
-    return found
+    return changes_by_observer
 
 
 def _most_view_changes(history: History, truth: GroundTruth, since: float) -> int:
@@ -216,14 +216,16 @@
 
 
 def _most_bytes(events: list[dict]) -> int:
-    most = total = first = 0
+    largest = 0
+    total = 0
+    first = 0
     for event in events:
         total += event["bytes"]
         while events[first]["at"] <= event["at"] - RATE_WINDOW_SECONDS:
             total -= events[first]["bytes"]
             first += 1
-        most = max(most, total)
-    return most
+        largest = max(largest, total)
+    return largest
 
 
 def _most_datagrams_per_second(history: History) -> int:
--- a/applevale/checkers/membership_truth.py
+++ b/applevale/checkers/membership_truth.py
@@ -30,10 +30,10 @@
     sources: set[str]
     targets: set[str]
 
-    def separates(self, one: str, other: str) -> bool:
+    def separates(self, first: str, second: str) -> bool:
         """Return whether two members were cut off from each other, in either direction."""
-        return (one in self.sources and other in self.targets) or (
-            other in self.sources and one in self.targets
+        return (first in self.sources and second in self.targets) or (
+            second in self.sources and first in self.targets
         )
 
 
@@ -93,8 +93,8 @@
 
     def ran(self, name: str, since: float, until: float) -> bool:
         """Return whether a member ran all the time, without an end or a pause of any length."""
-        has_run = any(one.start <= since and until <= one.end for one in self._running[name])
-        return has_run and not any(one.overlaps(since, until) for one in self._paused[name])
+        has_run = any(interval.start <= since and until <= interval.end for interval in self._running[name])
+        return has_run and not any(interval.overlaps(since, until) for interval in self._paused[name])
 
     def is_reachable(self, name: str, since: float, until: float) -> bool:
         """Return whether a member ran all the time and was cut off from less than half of the others."""
@@ -107,16 +107,20 @@
 
     def alive(self, at: float) -> set[str]:
         """Return the members whose process ran at a time."""
-        return {name for name in self.names if any(one.start <= at < one.end for one in self._running[name])}
+        return {
+            name
+            for name in self.names
+            if any(interval.start <= at < interval.end for interval in self._running[name])
+        }
 
     def returns(self) -> list[Return]:
         """Return when members could be reached again, after a start, a pause or a cut, sorted."""
-        found = [Return(start.at, start.name) for start in self.starts]
+        returns = [Return(start.at, start.name) for start in self.starts]
         for name in self.names:
-            found += [Return(pause.end, name) for pause in self._paused[name]]
+            returns += [Return(pause.end, name) for pause in self._paused[name]]
         for cut in self._cuts:
-            found += [Return(cut.interval.end, name) for name in cut.sources | cut.targets]
-        return sorted(found, key=lambda one: (one.at, one.name))
+            returns += [Return(cut.interval.end, name) for name in cut.sources | cut.targets]
+        return sorted(returns, key=lambda item: (item.at, item.name))
 
     def _read_processes(self, history: History) -> None:
         started_at: dict[str, float] = {}
--- a/applevale/cli/rig.py
+++ b/applevale/cli/rig.py
@@ -33,14 +33,14 @@
     if name not in RIGS:
         fail(f"rig: no rig is called {name!r}; there are: {', '.join(RIGS)}")
     if name == "fleet":
-        result = _play_fleet(nodes, case, seed, history, baseline, schedule, as_json)
+        result = _run_fleet(nodes, case, seed, history, baseline, schedule, as_json)
     else:
-        result = _play_script(name, seed, seconds, as_json)
+        result = _run_script(name, seed, seconds, as_json)
     typer.echo(json.dumps(result))
     exit_with(result["ok"])
 
 
-def _play_script(name: str, seed: int, seconds: float, as_json: bool) -> dict:
+def _run_script(name: str, seed: int, seconds: float, as_json: bool) -> dict:
     from ..harness import ops
     from ..harness.registry import runner
 
@@ -50,7 +50,7 @@
     return asyncio.run(script.run(seed, seconds))
 
 
-def _play_fleet(
+def _run_fleet(
     nodes: int, case: str, seed: int, history: str, baseline: str, schedule: str, as_json: bool
 ) -> dict:
     import uvloop
--- a/applevale/fakes/__init__.py
+++ b/applevale/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Scripted fakes of the systems around the program, for tests and rigs. They listen on loopback only."""
+"""Scripted fakes of the systems around the program, for tests and harnesses. They listen on loopback only."""
--- a/applevale/fakes/registry_host.py
+++ b/applevale/fakes/registry_host.py
@@ -1,4 +1,4 @@
-"""A fake registry in a process of its own, for rigs of many programs.
+"""A fake registry in a process of its own, for harnesses of many processes.
 
 It is started by `python -m applevale.fakes.registry_host`. Three etcd-like members serve one store behind one
 capacity. Orders come as JSON lines on standard input; events go out as JSON lines on standard output:
--- a/applevale/fault_injection/scenarios.py
+++ b/applevale/fault_injection/scenarios.py
@@ -91,10 +91,10 @@
 
 
 def _cut_one_pair(nodes: int, random: Random) -> list[Step]:
-    one, other = random.sample(range(nodes), 2)
+    source, target = random.sample(range(nodes), 2)
     return [
         ApplyLinkCondition(
-            at=FIRST_FAULT_AT, sources=[f"n{one}"], targets=[f"n{other}"], condition=CUT, duration=12.0
+            at=FIRST_FAULT_AT, sources=[f"n{source}"], targets=[f"n{target}"], condition=CUT, duration=12.0
         )
     ]
 
@@ -124,10 +124,14 @@
     return [names[part::parts] for part in range(parts)]
 
 
-def _cut_both_ways(one: list[str], other: list[str], duration: float) -> list[Step]:
+def _cut_both_ways(first: list[str], second: list[str], duration: float) -> list[Step]:
     return [
-        ApplyLinkCondition(at=FIRST_FAULT_AT, sources=one, targets=other, condition=CUT, duration=duration),
-        ApplyLinkCondition(at=FIRST_FAULT_AT, sources=other, targets=one, condition=CUT, duration=duration),
+        ApplyLinkCondition(
+            at=FIRST_FAULT_AT, sources=first, targets=second, condition=CUT, duration=duration
+        ),
+        ApplyLinkCondition(
+            at=FIRST_FAULT_AT, sources=second, targets=first, condition=CUT, duration=duration
+        ),
     ]
 
 
@@ -137,8 +141,8 @@
 
 def _three_groups(nodes: int, random: Random) -> list[Step]:
     """Of three groups, two do not reach each other, and the third reaches both."""
-    one, _, other = _partition(nodes, random, 3)
-    return _cut_both_ways(one, other, duration=10.0)
+    first, _, third = _partition(nodes, random, 3)
+    return _cut_both_ways(first, third, duration=10.0)
 
 
 def _one_way_cut(nodes: int, random: Random) -> list[Step]:
@@ -171,7 +175,7 @@
 
 
 def _two_waves_of_pauses(nodes: int, random: Random) -> list[Step]:
-    """A quarter stands still for 6 s, and another one too, from a little later on."""
+    """A quarter is paused for 6 s, and another one too, from a little later on."""
     names = [f"n{number}" for number in range(nodes)]
     random.shuffle(names)
     quarter = max(1, nodes // 4)
@@ -182,7 +186,7 @@
 
 
 def _late_restart(nodes: int, random: Random) -> list[Step]:
-    """One is killed, and is back long after all hold it dead."""
+    """One is killed, and is started again long after all know it to be dead."""
     return [KillProcess(at=FIRST_FAULT_AT, processes=_choose(nodes, random, 0), restart_after=8.0)]
 
 
@@ -191,7 +195,7 @@
 
 
 def _sequence(nodes: int, random: Random) -> list[Step]:
-    """One after the other: a death, a quarter that stands still, loss, a one-sided cut, a quick restart."""
+    """One after the other: a death, a pause of a quarter, loss, a one-sided cut, a quick restart."""
     parts: list[tuple[float, Draw]] = [
         (0.0, _kill(0)),
         (7.0, _pause(0.25, 2.0)),
--- a/applevale/fault_injection/schedule.py
+++ b/applevale/fault_injection/schedule.py
@@ -76,7 +76,7 @@
 
 
 class OrderRegistry(_Step, tag="service"):
-    """Give an order to the fake registry: its word and its values, as the fake knows them."""
+    """Give an order to the fake registry: its name and its values, as the fake defines them."""
 
     order: str
     values: dict[str, float | str] = {}
--- a/applevale/fault_injection/tcp_proxy.py
+++ b/applevale/fault_injection/tcp_proxy.py
@@ -13,7 +13,7 @@
 from .tcp_relay import RelayConnection, RelayStream, TcpRelay
 
 MAX_BUFFERED_BYTES = 1 << 18  # in one direction of a connection; beyond, its sender is not read from
-CUT_POLL_SECONDS = 0.02  # between two looks whether a cut has ended
+CUT_POLL_SECONDS = 0.02  # between two checks whether a cut has ended
 MIN_DELAY_SECONDS = 0.0005  # what is due within this time leaves now
 ADDRESSES_PER_BLOCK = 250
 OTHER_CALLER = "other"  # the name of callers that are no instances
--- a/applevale/fault_injection/udp_proxy.py
+++ b/applevale/fault_injection/udp_proxy.py
@@ -40,7 +40,14 @@
         conditions: LinkConditions,
         on_datagram: Callable[[str, str, int], None] = _ignore_datagram,
     ):
-        """Open a socket for each name; `on_datagram` hears sender, receiver and size of all that is sent."""
+        """Open a socket for each name.
+
+        Args:
+            names: The parties that send and receive.
+            listen_addresses: Where each of them receives datagrams.
+            conditions: What happens to datagrams on their way.
+            on_datagram: Called with sender, receiver and size in bytes of each datagram that is sent.
+        """
         self.names = names
         self.listen_addresses = listen_addresses
         self.conditions = conditions
--- a/applevale/harness/__init__.py
+++ b/applevale/harness/__init__.py
@@ -1,1 +1,1 @@
-"""Rigs: the real program between stand-ins, failures from a seed, and a check of what was promised."""
+"""Harnesses: the real program between fakes, failures from a seed, and a check of what is guaranteed."""
--- a/applevale/harness/fault_executor.py
+++ b/applevale/harness/fault_executor.py
@@ -67,22 +67,28 @@
             case schedule.ApplyLinkCondition():
                 await self._apply_link_condition(step)
             case schedule.KillProcess():
-                await self._for_each(step.processes, lambda one: self._kill(one, step.restart_after))
+                await self._for_each(
+                    step.processes, lambda instance: self._kill(instance, step.restart_after)
+                )
             case schedule.TerminateProcess():
-                await self._for_each(step.processes, lambda one: self._terminate(one, step.restart_after))
+                await self._for_each(
+                    step.processes, lambda instance: self._terminate(instance, step.restart_after)
+                )
             case schedule.PauseProcess():
-                await self._for_each(step.processes, lambda one: self._pause(one, step.duration))
+                await self._for_each(step.processes, lambda instance: self._pause(instance, step.duration))
             case schedule.PauseRepeatedly():
-                await self._for_each(step.processes, lambda one: self._pause_repeatedly(one, step))
+                await self._for_each(step.processes, lambda instance: self._pause_repeatedly(instance, step))
             case schedule.UpgradeProcess():
-                await self._for_each(step.processes, lambda one: self._upgrade(one, step.overlap))
+                await self._for_each(step.processes, lambda instance: self._upgrade(instance, step.overlap))
             case schedule.OrderRegistry():
                 await self._order_registry(step)
 
     async def _for_each(
         self, patterns: list[str], action: Callable[[FleetInstance], Awaitable[None]]
     ) -> None:
-        matching = [one for one in self.targets.instances if matches_any(one.name, tuple(patterns))]
+        matching = [
+            instance for instance in self.targets.instances if matches_any(instance.name, tuple(patterns))
+        ]
         await asyncio.gather(*(action(instance) for instance in matching))
 
     async def _apply_link_condition(self, step: schedule.ApplyLinkCondition) -> None:
--- a/applevale/harness/fleet_engines.py
+++ b/applevale/harness/fleet_engines.py
@@ -113,7 +113,9 @@
         since = time.monotonic() - RECENT_SECONDS
 
         def recent_arrivals(number: int) -> int:
-            return sum(one.received_at >= since for one in self.fakes[number].arrivals[-RECENT_ARRIVALS:])
+            return sum(
+                arrival.received_at >= since for arrival in self.fakes[number].arrivals[-RECENT_ARRIVALS:]
+            )
 
         order = sorted(range(self.plan.engines), reverse=True, key=recent_arrivals)
         return order[: max(1, min(self.plan.engines // 10, MAX_DRAINED_MESSAGES // self.plan.nodes))]
--- a/applevale/harness/history_recorder.py
+++ b/applevale/harness/history_recorder.py
@@ -119,13 +119,13 @@
 
     def open_sessions(self) -> set[str]:
         """Return the connections (IP:PORT) that members of the registry serve, as it reports."""
-        found: set[str] = set()
+        callers: set[str] = set()
         for event in self.events:
             if event["event"] == "session":
-                found.add(event["caller"])
+                callers.add(event["caller"])
             elif event["event"] == "session_end":
-                found.discard(event["caller"])
-        return found
+                callers.discard(event["caller"])
+        return callers
 
     def history(self, engines: Iterable[tuple[ColdEngine, str]]) -> History:
         """Return the history, with what each engine (and its IP:PORT) saw, in the order of times."""
--- a/applevale/harness/registry/fault_injector.py
+++ b/applevale/harness/registry/fault_injector.py
@@ -25,7 +25,7 @@
     HALF = "half"  # an answer ends in its middle
     GARBAGE = "garbage"  # an answer is replaced by random bytes
     COMPACT = "compact"  # the registry's history is gone
-    MUTE = "mute"  # watches of one member tell nothing
+    MUTE = "mute"  # watches of one member send nothing
     LAG = "lag"  # one member is behind the others
     DENY = "deny"  # one member rejects credentials
     SLOW = "slow"  # full reads from one member take long
--- a/applevale/harness/scenarios/cases.py
+++ b/applevale/harness/scenarios/cases.py
@@ -36,90 +36,92 @@
 MAX_CONNECTS_PER_ENGINE = 20  # within any second
 
 
-def _no_bars(found: dict, nodes: int) -> dict[str, float]:
+def _no_limits(figures: dict, nodes: int) -> dict[str, float]:
     return {}
 
 
 @dataclass(frozen=True)
 class Case:
-    """A scenario and its bars.
+    """A scenario and its limits.
 
     Attributes:
         play: What happens.
-        bars: Returns the figures that have a bar and the most that each may be, from all figures and the
-            number of instances.
+        limits: Returns the greatest value that each limited figure may have, from all figures and the number
+            of instances.
         plan: The fields of the plan that differ from the usual.
     """
 
     play: Play
-    bars: Callable[[dict, int], dict[str, float]] = _no_bars
+    limits: Callable[[dict, int], dict[str, float]] = _no_limits
     plan: dict = field(default_factory=dict)
 
 
-def _coldstart_bars(found: dict, nodes: int) -> dict[str, float]:
+def _coldstart_limits(figures: dict, nodes: int) -> dict[str, float]:
     return {
         "sessions": MAX_SESSIONS_PER_INSTANCE * nodes,
         "sessions_after_break": MAX_SESSIONS_PER_INSTANCE * nodes,
         "full_reads_most": 1,
         "list_reads_s_steady": 5 * nodes,
         "unconfirmed_at_rest": 0,
-        "reads_after_break": found.get("list_reads_s_steady", 0),
+        "reads_after_break": figures.get("list_reads_s_steady", 0),
         "connects_per_engine_s_max": MAX_CONNECTS_PER_ENGINE,
     }
 
 
-def _calm_bars(found: dict, nodes: int) -> dict[str, float]:
+def _calm_limits(figures: dict, nodes: int) -> dict[str, float]:
     return {"unconfirmed_at_rest": 0, "full_reads_most": 1, "sessions": MAX_SESSIONS_PER_INSTANCE * nodes}
 
 
-def _slow_bars(found: dict, nodes: int) -> dict[str, float]:
-    return _calm_bars(found, nodes) | {"sessions_left": 0}
+def _slow_limits(figures: dict, nodes: int) -> dict[str, float]:
+    return _calm_limits(figures, nodes) | {"sessions_left": 0}
 
 
-def _rest_bars(found: dict, nodes: int) -> dict[str, float]:
+def _rest_limits(figures: dict, nodes: int) -> dict[str, float]:
     return {"unconfirmed_at_rest": 0}
 
 
-def _connect_bars(found: dict, nodes: int) -> dict[str, float]:
+def _connect_limits(figures: dict, nodes: int) -> dict[str, float]:
     return {"connects_per_engine_s_max": MAX_CONNECTS_PER_ENGINE}
 
 
-def _outage_bars(found: dict, nodes: int) -> dict[str, float]:
-    return _calm_bars(found, nodes) | {
+def _outage_limits(figures: dict, nodes: int) -> dict[str, float]:
+    return _calm_limits(figures, nodes) | {
         "sessions_after_break": MAX_SESSIONS_PER_INSTANCE * nodes,
-        "reads_after_break": found.get("list_reads_s_steady", 0),
+        "reads_after_break": figures.get("list_reads_s_steady", 0),
     }
 
 
 CASES: dict[str, Case] = {
-    "coldstart": Case(coldstart, _coldstart_bars),
-    "late-service": Case(late_service, lambda found, nodes: {"unconfirmed_at_rest": 0, "full_reads_most": 1}),
-    "restart": Case(restart, _calm_bars),
-    "scarce": Case(scarce, lambda found, nodes: {"full_reads_most": 1}),
-    "slow-200": Case(slow_registry(0.2), _slow_bars),
-    "slow-400": Case(slow_registry(0.4), _slow_bars),
-    "slow-member": Case(slow_member, _calm_bars),
-    "restore": Case(restore, _rest_bars),
-    "cut-third": Case(cut_third, _calm_bars, {"gates": True}),
-    "crash-loop": Case(crash_loop, _calm_bars),
-    "rolling": Case(rolling, _calm_bars),
+    "coldstart": Case(coldstart, _coldstart_limits),
+    "late-service": Case(
+        late_service, lambda figures, nodes: {"unconfirmed_at_rest": 0, "full_reads_most": 1}
+    ),
+    "restart": Case(restart, _calm_limits),
+    "scarce": Case(scarce, lambda figures, nodes: {"full_reads_most": 1}),
+    "slow-200": Case(slow_registry(0.2), _slow_limits),
+    "slow-400": Case(slow_registry(0.4), _slow_limits),
+    "slow-member": Case(slow_member, _calm_limits),
+    "restore": Case(restore, _rest_limits),
+    "cut-third": Case(cut_third, _calm_limits, {"gates": True}),
+    "crash-loop": Case(crash_loop, _calm_limits),
+    "rolling": Case(rolling, _calm_limits),
     "cold-site": Case(
         cold_site,
-        _connect_bars,
+        _connect_limits,
         {"engines": 30, "cold": 30, "clients": 4.0},
     ),
     "cold-push": Case(
-        cold_push, lambda found, nodes: {"pushed_most": 1}, {"engines": 6, "cold": 6, "clients": 10.0}
+        cold_push, lambda figures, nodes: {"pushed_most": 1}, {"engines": 6, "cold": 6, "clients": 10.0}
     ),
-    "eager": Case(eager, _rest_bars, {"eager": True}),
-    "away": Case(away, _outage_bars),
+    "eager": Case(eager, _rest_limits, {"eager": True}),
+    "away": Case(away, _outage_limits),
     "snapshots": Case(
         snapshots,
-        lambda found, nodes: {"unconfirmed_at_rest": 0, "full_reads": 1.02 * nodes, "full_reads_most": 1},
+        lambda figures, nodes: {"unconfirmed_at_rest": 0, "full_reads": 1.02 * nodes, "full_reads_most": 1},
         {"snapshot": True},
     ),
-    "schedule": Case(schedule, _no_bars, {"gates": True}),
-    "engines-cut": Case(engines_cut, _connect_bars, {"gates": True}),
+    "schedule": Case(schedule, _no_limits, {"gates": True}),
+    "engines-cut": Case(engines_cut, _connect_limits, {"gates": True}),
 }
 
 MEMBERSHIP_PLAN = {"members": True, "clients": 1.0}
--- a/applevale/harness/scenarios/instance_plays.py
+++ b/applevale/harness/scenarios/instance_plays.py
@@ -18,7 +18,7 @@
     """A third of the instances is cut off from the registry for 6 s."""
     await start_all(fleet)
     await observe_rest(fleet)
-    third = [one.name for one in fleet.instances[: max(1, len(fleet.instances) // 3)]]
+    third = [instance.name for instance in fleet.instances[: max(1, len(fleet.instances) // 3)]]
     cut = asyncio.create_task(
         fleet.play(
             [
@@ -43,7 +43,7 @@
     """Half of the instances crash and start again every 2 s."""
     await start_all(fleet)
     await observe_rest(fleet)
-    half = [one.name for one in fleet.instances[: len(fleet.instances) // 2]]
+    half = [instance.name for instance in fleet.instances[: len(fleet.instances) // 2]]
     fleet.mark("crashes")
     await fleet.play([KillProcess(at=2.0 * turn, processes=half, restart_after=0.1) for turn in range(5)])
     fleet.mark("crashes_end")
@@ -57,7 +57,7 @@
     """A release: each is ended and started anew, a tenth at a time."""
     await start_all(fleet)
     await observe_rest(fleet)
-    names = [one.name for one in fleet.instances]
+    names = [instance.name for instance in fleet.instances]
     step = max(1, len(names) // 10)
     for first in range(0, len(names), step):
         await fleet.play([TerminateProcess(at=0, processes=names[first : first + step], restart_after=0.1)])
@@ -127,7 +127,7 @@
     finally:
         playing.cancel()
     await fleet.all_ready(READY_TIMEOUT_SECONDS)
-    await asyncio.sleep(8.0)  # trials of the promise, one after the other
+    await asyncio.sleep(8.0)  # trials of the staleness guarantee, one after the other
     await fleet.engines.drain(2)
     await fleet.quiet()
 
@@ -138,7 +138,8 @@
     async def play(fleet: Fleet) -> None:
         await start_all(fleet)
         await fleet.until(
-            lambda: all(one.member_status == "well" for one in fleet.instances), READY_TIMEOUT_SECONDS
+            lambda: all(instance.member_status == "well" for instance in fleet.instances),
+            READY_TIMEOUT_SECONDS,
         )
         await asyncio.sleep(3.0)
         fleet.mark("joined")
--- a/applevale/harness/scenarios/registry_plays.py
+++ b/applevale/harness/scenarios/registry_plays.py
@@ -50,7 +50,7 @@
     await fleet.engines.drain(2)
     await fleet.registry.order("capacity", rate=fleet.plan.capacity)
     await fleet.all_ready(READY_TIMEOUT_SECONDS)
-    await asyncio.sleep(8.0)  # trials of the promise, one after the other
+    await asyncio.sleep(8.0)  # trials of the staleness guarantee, one after the other
     await observe_rest(fleet)
     await fleet.engines.drain(2)
     await fleet.quiet()
--- a/applevale/harness/scenarios/runner.py
+++ b/applevale/harness/scenarios/runner.py
@@ -41,7 +41,7 @@
         await fleet.stop()
     figures = _figures(fleet, fleet.history(), counters, case)
     if history_path:
-        fleet.history().write(history_path)  # with the requests that were found to be lost
+        fleet.history().write(history_path)  # with the requests that were lost
     return {"rig": "fleet", "case": case_name, **figures}
 
 
@@ -52,30 +52,34 @@
     await case.play(fleet)
     await fleet.clients.settle()
     dumps = await asyncio.gather(
-        *(one.program.counters() for one in fleet.instances if one.program.process.returncode is None)
+        *(
+            instance.program.counters()
+            for instance in fleet.instances
+            if instance.program.process.returncode is None
+        )
     )
     return {name: sum(dump.get(f"registry_{name}", 0) for dump in dumps) for name in REGISTRY_COUNTERS}
 
 
 def _figures(fleet: Fleet, history: History, counters: dict[str, int], case: Case) -> dict:
     nodes = fleet.plan.nodes
-    found = coldstart_checker.figures(history, nodes) | counters | _fleet_figures(fleet)
-    broken = coldstart_checker.broken(found, nodes, case.bars(found, nodes))
+    figures = coldstart_checker.figures(history, nodes) | counters | _fleet_figures(fleet)
+    broken = coldstart_checker.broken(figures, nodes, case.limits(figures, nodes))
     if fleet.plan.members:
         among_members = membership_checker.figures(history)
         broken += membership_checker.broken(among_members, {})
-        found |= among_members | {"datagrams": dict(fleet.links.relay.stats)}
+        figures |= among_members | {"datagrams": dict(fleet.links.relay.stats)}
     if fleet.figures["bad_exits"]:
         broken.append(f"exits with another code than 0: {fleet.figures['bad_exits']}")
     if case.play is coldstart:
-        broken += _late_starts(found)
+        broken += _late_starts(figures)
     return {
         "ok": not broken,
         "broken": broken,
         "seed": fleet.plan.seed,
         "nodes": nodes,
         "faults": _fault_counts(fleet),
-        **found,
+        **figures,
     }
 
 
@@ -95,9 +99,9 @@
     }
 
 
-def _late_starts(found: dict) -> list[str]:
-    ready = found["ready_s"]["p99"]
-    imports = found["import_s"]["p99"]
+def _late_starts(figures: dict) -> list[str]:
+    ready = figures["ready_s"]["p99"]
+    imports = figures["import_s"]["p99"]
     if ready <= imports + MAX_READY_DELAY_SECONDS:
         return []
     return [f"ready_s: p99 {ready}, imports {imports}"]
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -1,4 +1,4 @@
-"""The real program with one planted fault: python -m tests.planted FAULT. For tests of the rigs."""
+"""The real program with one planted fault: python -m tests.planted FAULT. For tests of the harnesses."""
 
 import sys
 
@@ -63,7 +63,7 @@
 
 
 def never_give_up(self, now, draw):
-    """The promise turns to and fro with each answer."""
+    """Lets the guarantee change with each answer."""
 
 
 # --- members
@@ -74,9 +74,9 @@
 
 
 def dead_by_one_observer(self, now, member, incarnation, observers, age=0.0):
-    held = self._view.table.records[member]
-    if held.is_alive and incarnation & INCARNATION_LOW_MASK == held.incarnation & INCARNATION_LOW_MASK:
-        record = MemberRecord(MemberState.DEAD, held.incarnation, held.process_id)
+    known = self._view.table.records[member]
+    if known.is_alive and incarnation & INCARNATION_LOW_MASK == known.incarnation & INCARNATION_LOW_MASK:
+        record = MemberRecord(MemberState.DEAD, known.incarnation, known.process_id)
         self._updates.remove_members(now, (MemberUpdate(member, record),))
 
 
@@ -108,12 +108,12 @@
 def call_everyone_dead(self, now):
     """In its own name, and forged in those of others."""
     for target in list(self.view.alive):
-        others = [one for one in self.view.alive if one != target]
+        others = [member for member in self.view.alive if member != target]
         updates = tuple(
             SuspicionUpdate(
-                one, self.view.table.records[one].incarnation, 10.0, (self.identity.member, *others[:2])
+                member, self.view.table.records[member].incarnation, 10.0, (self.identity.member, *others[:2])
             )
-            for one in others[:10]
+            for member in others[:10]
         )
         self.sender.send_gossip(now, target, updates, GOSSIP_RESERVE_BYTES)
     return on_tick(self, now)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,7 +21,7 @@
     assert all(word in text for word in ("check", "registry", "rig"))
 
 
-def test_check_tells_good_from_bad_by_exit_code_and_one_line(tmp_path):
+def test_check_distinguishes_good_from_bad_by_exit_code_and_one_line(tmp_path):
     for name in ("examples/config.json", "deploy/registry.json", "deploy/fleet.json", "deploy/members.json"):
         good = run("check", str(ROOT / name))
         assert good.exit_code == 0 and "good" in good.output
@@ -46,7 +46,7 @@
     assert run("rig", "nothing").exit_code == 2
 
 
-def test_a_short_rig_keeps_its_promises():
+def test_a_short_rig_keeps_its_guarantees():
     done = subprocess.run(
         [
             sys.executable,
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -54,10 +54,10 @@
             for seed, value in enumerate(values)
         ]
 
-    (found,) = results.compare(rows([1, 2, 3, 9]), rows([2, 4, 4]), ["x"])
-    assert (found.case, found.size, found.figure, found.pair_count) == ("c", "5", "x", 3)
-    assert round(found.mean, 6) == 1.333333
-    assert round(found.low, 3) == -0.101 and round(found.high, 3) == 2.768
+    (result,) = results.compare(rows([1, 2, 3, 9]), rows([2, 4, 4]), ["x"])
+    assert (result.case, result.size, result.figure, result.pair_count) == ("c", "5", "x", 3)
+    assert round(result.mean, 6) == 1.333333
+    assert round(result.low, 3) == -0.101 and round(result.high, 3) == 2.768
     same = results.compare(rows([1, 2]), rows([2, 3]), ["x"])[0]
     assert (same.mean, same.low, same.high) == (1.0, 1.0, 1.0)
 
@@ -70,10 +70,10 @@
         ({"versions": {"swim": {"warp": 9}}}, "warp"),
         ({"versions": {"raft": {}}}, "raft"),
     ):
-        found = run("experiment", "run", write(tmp_path, **change), str(tmp_path / "no"))
-        assert found.exit_code == 2 and named in found.output and found.output.count("\n") == 1
-    found = run("experiment", "compare", str(tmp_path), str(tmp_path))
-    assert found.exit_code == 2 and "results.csv" in found.output
+        result = run("experiment", "run", write(tmp_path, **change), str(tmp_path / "no"))
+        assert result.exit_code == 2 and named in result.output and result.output.count("\n") == 1
+    result = run("experiment", "compare", str(tmp_path), str(tmp_path))
+    assert result.exit_code == 2 and "results.csv" in result.output
 
 
 def test_members_prints_the_last_views_of_a_log(tmp_path):
@@ -89,8 +89,8 @@
             )
         )
     )
-    found = run("members", str(log))
-    assert found.exit_code == 0 and "2 live: n0 n2; at 2.50: n1 died" in found.output
+    result = run("members", str(log))
+    assert result.exit_code == 0 and "2 live: n0 n2; at 2.50: n1 died" in result.output
     empty = tmp_path / "empty"
     empty.write_text("{}\n")
     assert run("members", str(empty)).exit_code == 2
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,17 +1,19 @@
-"""The faults that rigs cause: conditions, schedules, gates and relays."""
+"""The faults that harnesses cause: link conditions, schedules and proxies."""
 
 import asyncio
 import socket
+from random import Random
 
 import pytest
 
+from applevale.fakes.faulty_proxy import FaultyProxy, ProxyMode
 from applevale.fault_injection import schedule as f
 from applevale.fault_injection.link_conditions import LinkCondition, LinkConditions
 from applevale.fault_injection.tcp_proxy import TcpProxy, source_address, source_number
 from applevale.fault_injection.udp_proxy import UdpProxy
 
 
-def test_a_pair_has_its_own_fate_and_its_own_random_numbers():
+def test_a_pair_has_its_own_condition_and_its_own_random_numbers():
     conditions = LinkConditions(7)
     conditions.apply(("n1",), ("n2",), LinkCondition(loss=0.5))
     alone = [conditions.datagram_delays(0.0, "n1", "n2", 10) for _ in range(50)]
@@ -27,7 +29,7 @@
     )  # the other way is clear
 
 
-def test_the_latest_word_on_a_pair_holds_until_it_is_lifted():
+def test_the_latest_condition_of_a_pair_holds_until_it_is_removed():
     conditions = LinkConditions(1)
     first = conditions.apply(("n*",), ("list*",), LinkCondition(delay=0.2))
     second = conditions.apply(("n3",), ("*",), LinkCondition(cut=True))
@@ -38,7 +40,7 @@
     assert conditions.between("n3", "list0") == LinkCondition()
 
 
-def test_bandwidth_copies_and_reordering_show_in_the_waits():
+def test_bandwidth_copies_and_reordering_show_in_the_delays():
     conditions = LinkConditions(1)
     conditions.apply(("a",), ("b",), LinkCondition(bandwidth=1000.0))
     assert [conditions.datagram_delays(0.0, "a", "b", 100) for _ in range(3)] == [
@@ -95,7 +97,7 @@
         assert place in str(error.value)
 
 
-def test_steps_are_played_at_their_times_and_logged():
+def test_steps_are_executed_at_their_times_and_logged():
     class Stage:
         def __init__(self):
             self.done = []
@@ -179,7 +181,65 @@
     proxied(play)
 
 
-def test_a_udp_proxy_tells_sender_and_receiver_and_gives_each_pair_its_fate():
+def run_with_faulty_proxy(script):
+    """Run a script on a faulty proxy before an echo server; it is given a function that connects."""
+
+    async def run():
+        async def echo(reader, writer):
+            while data := await reader.read(1000):
+                writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        proxy = FaultyProxy(server.sockets[0].getsockname()[:2], Random(1))
+        await proxy.start()
+        try:
+            async with asyncio.timeout(10):
+                await script(proxy, lambda: asyncio.open_connection(*proxy.address))
+        finally:
+            await proxy.stop()
+            server.close()
+
+    asyncio.run(run())
+
+
+def test_a_faulty_proxy_spoils_one_answer_and_passes_the_next():
+    async def script(proxy, connect):
+        reader, writer = await connect()
+        proxy.set_mode(ProxyMode.GARBAGE)
+        writer.write(b"12345678")
+        assert await reader.readexactly(8) == Random(1).randbytes(8)
+        writer.write(b"next")
+        assert await reader.readexactly(4) == b"next"
+        proxy.set_mode(ProxyMode.HALF)
+        writer.write(b"12345678")
+        assert await reader.read() == b"1234"
+        assert proxy.mode is ProxyMode.PASS
+
+    run_with_faulty_proxy(script)
+
+
+def test_a_faulty_proxy_holds_bytes_while_it_stalls_and_refuses_only_new_connections():
+    async def script(proxy, connect):
+        reader, writer = await connect()
+        writer.write(b"first")
+        assert await reader.readexactly(5) == b"first"
+        proxy.set_mode(ProxyMode.STALL)
+        writer.write(b"second")
+        other_reader, _ = await connect()
+        waiting = asyncio.create_task(reader.readexactly(6))
+        assert await asyncio.wait({waiting}, timeout=0.1) == (set(), {waiting})
+        proxy.set_mode(ProxyMode.REFUSE)
+        assert await waiting == b"second"
+        refused_reader, _ = await connect()
+        assert await refused_reader.read() == b""
+        proxy.abort_connections()
+        assert await reader.read() == b"" and await other_reader.read() == b""
+
+    run_with_faulty_proxy(script)
+
+
+def test_a_udp_proxy_knows_sender_and_receiver_and_gives_each_pair_its_condition():
     async def run():
         socks = {}
         for name in ("n0", "n1", "n2"):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""The fleet rig on a few real programs: it keeps its promises, and each planted fault is caught."""
+"""The fleet harness on a few real processes: guarantees are kept, and each planted fault is caught."""
 
 import asyncio
 import os
@@ -17,15 +17,15 @@
 from applevale.harness.log_events import parse_event
 from applevale.harness.scenarios.cases import CASES
 
-# One after the other: many programs at once would slow each other, and the tests beside them.
+# One after another: many processes at once would slow each other, and the tests beside them.
 pytestmark = pytest.mark.xdist_group("fleet")
 
 FRESH = RegistrySettings("etcd", ["127.0.0.1:1"]).fresh  # s
 MARGIN = 0.05  # s by which a timer may be rounded, and more
 
 
-def played(script, **plan):
-    """A script on a fleet; the figures of its history. All processes have ended then."""
+def run_scenario(script, **plan):
+    """Run a script on a fleet; return the figures and its history. All processes have ended then."""
 
     async def run():
         fleet = Fleet(FleetPlan(**({"nodes": 2, "engines": 8} | plan)))
@@ -36,7 +36,9 @@
                 await fleet.clients.settle()
         finally:
             await fleet.stop()
-        started = [one.program.process for one in fleet.instances if one.program.process is not None]
+        started = [
+            instance.program.process for instance in fleet.instances if instance.program.process is not None
+        ]
         assert all(process.returncode is not None for process in [*started, fleet.registry.process])
         history = fleet.history()
         return verify.figures(history, fleet.plan.nodes) | dict(fleet.figures) | fleet.violations(), history
@@ -44,14 +46,14 @@
     return asyncio.run(run())
 
 
-async def up(fleet):
+async def start_all(fleet):
     await fleet.launch_all()
     assert await fleet.all_ready(30)
 
 
-def test_six_programs_come_up_lose_the_service_and_an_instance_and_keep_all_promises(tmp_path):
+def test_six_processes_start_lose_the_registry_and_an_instance_and_keep_all_guarantees(tmp_path):
     async def script(fleet):
-        await up(fleet)
+        await start_all(fleet)
         fleet.mark("rest")
         await asyncio.sleep(2.0)
         fleet.mark("rest_end")
@@ -59,9 +61,9 @@
         fleet.mark("break")
         await fleet.registry.order("down")
         assert not fleet.open_sessions()
-        await asyncio.sleep(FRESH + MARGIN)  # no speed of the machine: the promise ends by then
+        await asyncio.sleep(FRESH + MARGIN)  # whatever the machine's speed, the guarantee ends by then
         await fleet.run_event_loops()
-        assert not any(one.is_confirmed for one in fleet.instances)
+        assert not any(instance.is_confirmed for instance in fleet.instances)
         await fleet.registry.order("up")
         fleet.mark("break_end")
         assert await fleet.all_ready(20)
@@ -74,31 +76,31 @@
         assert await fleet.all_ready(30)
         await fleet.quiet()
 
-    found, history = played(script, nodes=6, clients=4.0)
-    assert verify.broken(found, 6, {"full_reads_most": 1, "sessions": 6}) == []
-    assert found["drains"] == 1 and found["fault_kill"] == 1 and found["served"] > 20
-    assert "turns_left_out" not in found
+    figures, history = run_scenario(script, nodes=6, clients=4.0)
+    assert verify.broken(figures, 6, {"full_reads_most": 1, "sessions": 6}) == []
+    assert figures["drains"] == 1 and figures["fault_kill"] == 1 and figures["served"] > 20
+    assert "turns_left_out" not in figures
     assert {event["who"] for event in history.select("read")} == {f"n{number}" for number in range(6)}
     history.write(str(tmp_path / "h.jsonl"))
     again = read_history(str(tmp_path / "h.jsonl"))
     assert again.events == history.events and verify.figures(again, 6) == verify.figures(history, 6)
 
 
-def test_six_programs_together_stay_within_the_budget_of_cold_engines():
-    pushed = []
+def test_six_processes_together_stay_within_the_budget_of_cold_engines():
+    peak_overloads = []
 
     async def script(fleet):
-        await up(fleet)
+        await start_all(fleet)
         await asyncio.sleep(6.0)
-        pushed.extend(engine.peak_overload for engine in fleet.engines.fakes)
+        peak_overloads.extend(engine.peak_overload for engine in fleet.engines.fakes)
 
-    found, _ = played(script, nodes=6, engines=2, cold=2, clients=15.0)
-    assert found["engines_fallen"] == 0 and all(0.2 < one <= 1 for one in pushed)
-    assert found["requests"] - found["served"] > 20  # more was asked for than they bear
+    figures, _ = run_scenario(script, nodes=6, engines=2, cold=2, clients=15.0)
+    assert figures["engines_fallen"] == 0 and all(0.2 < overload <= 1 for overload in peak_overloads)
+    assert figures["requests"] - figures["served"] > 20  # more requests than they bear
 
 
 async def slow(fleet):
-    await up(fleet)
+    await start_all(fleet)
     await asyncio.sleep(3.0)  # until answers were quick for long enough to judge by
     fleet.mark("slow")
     await fleet.registry.order("late", seconds=0.25)
@@ -110,15 +112,15 @@
 async def never_served(fleet):
     await fleet.registry.order("down")
     await fleet.launch_all()
-    assert await fleet.until(lambda: all(one.program.listening.is_set() for one in fleet.instances), 30)
+    assert await fleet.until(fleet.all_listening, 30)
     await asyncio.sleep(0.5)
     await fleet.registry.order("up")
     assert await fleet.all_ready(20)
 
 
-async def late_words(fleet):
-    """What the list service says comes 0.8 s late, a drain among it, while its questions get through."""
-    await up(fleet)
+async def delayed_registry(fleet):
+    """Messages of the registry arrive 0.8 s late, a drain among them, while requests to it get through."""
+    await start_all(fleet)
     late = asyncio.create_task(
         fleet.play(
             [
@@ -134,8 +136,8 @@
     await late
 
 
-def turns(history):
-    """Turns of the list in the time in which the promise cannot be kept, but for its first seconds."""
+def count_guarantee_changes(history):
+    """Changes of the staleness guarantee while it cannot be kept, but for the first seconds."""
     slow = history.mark_time("slow")
     return (
         0
@@ -150,34 +152,37 @@
     ("leaves", slow, {}, "sessions_left"),
     ("thrash", slow, {}, "turns"),
     ("ready", never_served, {}, "ready_early"),
-    ("arrival", late_words, LATE, "missed_drains"),
+    ("arrival", delayed_registry, LATE, "missed_drains"),
 ]
 
 
-@pytest.mark.parametrize("script,plan", [(slow, {}), (never_served, {}), (late_words, LATE)])
-def test_the_program_keeps_its_promises_where_planted_faults_are_caught(script, plan):
-    found, history = played(script, **plan)
-    assert not any(found.get(figure, 0) for _, _, _, figure in CAUGHT) and turns(history) == 0
-    assert not found["engines_fallen"] and found["ready"] == 2
-    if script is slow:  # it says once that it cannot keep the promise, and with which figures
-        said = [event["text"] for event in history.select("said") if "cannot be kept" in event["text"]]
-        assert len(said) == 2 and all("needs 4.1 reads a second" in text for text in said)
+@pytest.mark.parametrize("script,plan", [(slow, {}), (never_served, {}), (delayed_registry, LATE)])
+def test_the_program_keeps_its_guarantees_where_planted_faults_are_caught(script, plan):
+    figures, history = run_scenario(script, **plan)
+    assert (
+        not any(figures.get(figure, 0) for _, _, _, figure in CAUGHT)
+        and count_guarantee_changes(history) == 0
+    )
+    assert not figures["engines_fallen"] and figures["ready"] == 2
+    if script is slow:  # it logs once that the guarantee cannot be kept, and with which figures
+        messages = [event["text"] for event in history.select("said") if "cannot be kept" in event["text"]]
+        assert len(messages) == 2 and all("needs 4.1 reads a second" in text for text in messages)
 
 
-@pytest.mark.parametrize("fault,script,plan,figure", CAUGHT, ids=[one[0] for one in CAUGHT])
+@pytest.mark.parametrize("fault,script,plan,figure", CAUGHT, ids=[case[0] for case in CAUGHT])
 def test_a_planted_fault_shows_in_the_history(fault, script, plan, figure):
-    found, history = played(script, entry=("tests.planted", fault), **plan)
-    assert (turns(history) if figure == "turns" else found[figure]) > 0
+    figures, history = run_scenario(script, entry=("tests.planted", fault), **plan)
+    assert (count_guarantee_changes(history) if figure == "turns" else figures[figure]) > 0
 
 
-def test_a_rig_that_fails_itself_leaves_no_process_behind():
+def test_a_harness_that_fails_itself_leaves_no_process_behind():
     async def script(fleet):
-        await up(fleet)
+        await start_all(fleet)
         os.kill(fleet.instances[0].program.process.pid, signal.SIGSTOP)
         raise RuntimeError("the script failed")
 
     with pytest.raises(RuntimeError, match="the script failed"):
-        played(script)
+        run_scenario(script)
 
 
 def commit(at, state, address="10.0.0.1:1", key="k1"):
@@ -229,18 +234,18 @@
             read(7.6, 8, caller="c2"),
         ]
     )
-    found = verify.figures(history, 1)
-    assert found["full_reads"] == 2 and found["full_reads_most"] == 1 and found["questions_on_top"] == 1
+    figures = verify.figures(history, 1)
+    assert figures["full_reads"] == 2 and figures["full_reads_most"] == 1 and figures["questions_on_top"] == 1
 
 
 def test_the_most_within_a_second_and_lines_of_an_older_version():
     assert max_in_window([0.0, 0.5, 0.9, 1.0, 1.4, 3.0], 1.0) == 4
-    told = parse_event("n3 listens on 127.0.0.1:7001")
-    assert told == {"event": "listening", "host": "127.0.0.1", "port": 7001}
+    event = parse_event("n3 listens on 127.0.0.1:7001")
+    assert event == {"event": "listening", "host": "127.0.0.1", "port": 7001}
     assert parse_event("registry: the list is not confirmed, on_stale is 'hold'")["confirmed"] is False
     assert parse_event('{"event": "list", "confirmed": true}')["confirmed"] is True
     assert parse_event("{broken")["event"] == "line"
 
 
-def test_every_case_says_what_happens():
+def test_every_case_describes_what_happens():
     assert all(case.play.__doc__ for case in CASES.values()) and len(CASES) >= 15
--- a/tests/test_members_fleet.py
+++ b/tests/test_members_fleet.py
@@ -1,4 +1,4 @@
-"""Membership on a few real programs: it keeps its promises, and each planted fault is caught."""
+"""Membership on a few real processes: guarantees are kept, and each planted fault is caught."""
 
 import asyncio
 
@@ -22,8 +22,8 @@
 CUT = LinkCondition(cut=True)
 
 
-def played(script, **plan):
-    """A script on a fleet whose members all know each other; its figures and its history."""
+def run_scenario(script, **plan):
+    """Run a script on a fleet whose members all know each other; return its figures and its history."""
 
     async def run():
         fleet = Fleet(FleetPlan(**({"nodes": 6, "engines": 4, "clients": 2.0, "members": True} | plan)))
@@ -33,7 +33,7 @@
                 await fleet.launch_all()
                 assert await fleet.all_ready(30)
                 assert await fleet.until(
-                    lambda: all(one.member_status == "well" for one in fleet.instances), 20
+                    lambda: all(instance.member_status == "well" for instance in fleet.instances), 20
                 )
                 await asyncio.sleep(1.0)
                 fleet.mark("joined")
@@ -41,9 +41,9 @@
                 await fleet.clients.settle()
                 await asyncio.gather(
                     *(
-                        one.program.counters()
-                        for one in fleet.instances
-                        if one.program.process.returncode is None
+                        instance.program.counters()
+                        for instance in fleet.instances
+                        if instance.program.process.returncode is None
                     )
                 )
         finally:
@@ -55,7 +55,7 @@
 
 
 def died(fleet, name):
-    """How many hold the member dead or gone, by the last they said of it."""
+    """Count the instances that last reported the member as dead or left."""
     last = {}
     for event in fleet.events:
         if event["event"] == "view":
@@ -63,8 +63,8 @@
     return sum(change in ("died", "left") for change in last.values())
 
 
-async def bad_day(fleet):
-    """A death, a standstill, a clean end, an upgrade and a quick restart."""
+async def many_faults(fleet):
+    """A kill, a pause, an orderly end, an upgrade and a quick restart."""
     others = len(fleet.instances) - 1
     await fleet.play([KillProcess(at=0, processes=["n1"])])
     assert await fleet.until(lambda: died(fleet, "n1") == others, 20)
@@ -78,17 +78,20 @@
         ]
     )
     assert await fleet.until(
-        lambda: all(one.member_status == "well" for one in fleet.instances if one.name != "n1"), 20
+        lambda: all(
+            instance.member_status == "well" for instance in fleet.instances if instance.name != "n1"
+        ),
+        20,
     )
     await asyncio.sleep(3.0)
 
 
-def test_six_programs_agree_on_who_lives_through_a_bad_day():
-    found, history = played(bad_day)
-    assert verify.broken(found, {}) == []
-    assert found["killed"] == 1 and found["lost_requests"] == 0 and found["served"] > 10
-    said = {event["stand"] for event in history.select("stand")}
-    assert {"joining", "well", "paused", "alone", "gone"} <= said  # alone: the older of two processes
+def test_six_instances_agree_on_who_is_alive_through_many_faults():
+    figures, history = run_scenario(many_faults)
+    assert verify.broken(figures, {}) == []
+    assert figures["killed"] == 1 and figures["lost_requests"] == 0 and figures["served"] > 10
+    statuses = {event["stand"] for event in history.select("stand")}
+    assert {"joining", "well", "paused", "alone", "gone"} <= statuses  # alone: the older of two processes
     assert any(change == "restarted" for event in history.select("view") for _, change in event["changes"])
 
 
@@ -104,7 +107,7 @@
 
 
 async def waves(fleet):
-    """The second that stands still has words against the first, and misses that it is back."""
+    """The second that is paused holds suspicions of the first, and misses that it is back."""
     await fleet.play(
         [
             PauseProcess(at=0, processes=["n1"], duration=6.0),
@@ -129,11 +132,12 @@
 
 
 async def halves(fleet):
-    one, other = ["n0", "n1", "n2"], ["n3", "n4", "n5"]
+    first = ["n0", "n1", "n2"]
+    second = ["n3", "n4", "n5"]
     await fleet.play(
         [
-            ApplyLinkCondition(at=0, sources=one, targets=other, condition=CUT, duration=8.0),
-            ApplyLinkCondition(at=0, sources=other, targets=one, condition=CUT, duration=8.0),
+            ApplyLinkCondition(at=0, sources=first, targets=second, condition=CUT, duration=8.0),
+            ApplyLinkCondition(at=0, sources=second, targets=first, condition=CUT, duration=8.0),
         ]
     )
     await asyncio.sleep(5.0)
@@ -152,21 +156,21 @@
 ]
 
 
-@pytest.mark.parametrize("fault,script,figure", CAUGHT, ids=[one[0] for one in CAUGHT])
+@pytest.mark.parametrize("fault,script,figure", CAUGHT, ids=[case[0] for case in CAUGHT])
 def test_a_planted_fault_shows_in_the_history(fault, script, figure):
-    found, _ = played(script, clients=0.0, entry=("tests.planted", fault))
-    assert found[figure] > 0
+    figures, _ = run_scenario(script, clients=0.0, entry=("tests.planted", fault))
+    assert figures[figure] > 0
 
 
 @pytest.mark.parametrize("script", [waves, halves], ids=["waves", "halves"])
-def test_the_program_keeps_its_promises_where_planted_faults_are_caught(script):
-    found, _ = played(script, clients=0.0)
-    assert verify.broken(found, {}) == []
+def test_the_program_keeps_its_guarantees_where_planted_faults_are_caught(script):
+    figures, _ = run_scenario(script, clients=0.0)
+    assert verify.broken(figures, {}) == []
 
 
-def test_one_program_that_calls_all_others_dead_harms_no_one():
-    found, history = played(calm, clients=0.0, entry=("tests.planted", "liar"), entry_of="n0")
-    assert verify.broken(found, {}) == []
+def test_one_instance_that_calls_all_others_dead_harms_no_one():
+    figures, history = run_scenario(calm, clients=0.0, entry=("tests.planted", "liar"), entry_of="n0")
+    assert verify.broken(figures, {}) == []
     assert sum(1 for _ in history.select("view", since=history.mark_time("joined"))) == 0
 
 
@@ -198,5 +202,5 @@
         {"at": 1 + tenth / 10, "event": "sent", "who": "n0", "bytes": 300, "most": 257, "count": 2}
         for tenth in range(10)
     ]
-    found = verify.figures(History([*start, *sent, last | {"view": ["n0", "n1", "n2"]}]))
-    assert found["bytes_s_max"] == 3000 and len(verify.broken(found, {})) == 2
+    figures = verify.figures(History([*start, *sent, last | {"view": ["n0", "n1", "n2"]}]))
+    assert figures["bytes_s_max"] == 3000 and len(verify.broken(figures, {})) == 2
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -1,4 +1,4 @@
-"""The rig of daily operation keeps every promise on a short run, and finds one that is broken."""
+"""The operations harness passes on a short run, and reports what is violated."""
 
 import asyncio
 import json
@@ -14,34 +14,34 @@
 from applevale.harness.request_rules import count_violations
 
 
-def test_ban_drain_and_upgrade_keep_their_promises():
+def test_ejection_drain_and_upgrade_keep_their_guarantees():
     result = asyncio.run(ops.run(seed=5, seconds=6.0))
     assert result["broken"] == [] and result["ok"], json.dumps(result)
     assert result["served"] > 0 and result["second_served"] > 0 and result["after_enable"] > 0
 
 
-def test_a_door_that_never_says_yes_is_told(monkeypatch):
-    async def never(door, within):
+def test_an_admin_api_that_is_never_ready_is_reported(monkeypatch):
+    async def never(address, within):
         return False
 
     monkeypatch.setattr(script, "until_ready", never)
     result = asyncio.run(ops.run(seed=5, seconds=6.0))
-    told = {"first_ready", "second_ready_in_6s", "undrained_in_2s"}
-    assert not result["ok"] and told <= set(result["broken"])
+    reported = {"first_ready", "second_ready_in_6s", "undrained_in_2s"}
+    assert not result["ok"] and reported <= set(result["broken"])
 
 
-def test_a_fault_of_the_rig_leaves_no_process_behind(monkeypatch):
+def test_a_fault_of_the_harness_leaves_no_process_behind(monkeypatch):
     started = []
 
-    class Noted(environment.ManagedProcess):
+    class RecordedProcess(environment.ManagedProcess):
         async def start(self, *entry, env=None):
             await super().start(*entry, env=env)
             started.append(self.process)
 
-    def faulty(door, within):
+    def faulty(address, within):
         raise RuntimeError("planted")
 
-    monkeypatch.setattr(environment, "ManagedProcess", Noted)
+    monkeypatch.setattr(environment, "ManagedProcess", RecordedProcess)
     monkeypatch.setattr(script, "until_ready", faulty)
     with pytest.raises(RuntimeError, match="planted"):
         asyncio.run(ops.run(seed=5, seconds=6.0))
@@ -74,34 +74,45 @@
     assert not observed.checks()["cut_at_most_2"]
 
 
-class Ran:
-    """An engine that only tells what reached it, and when."""
+class RecordedEngine:
+    """An engine with what reached it, and when."""
 
-    def __init__(self, *refs):
-        self.arrivals = [AttemptArrival(float(at), ref.encode(), b"load") for at, ref in enumerate(refs)]
+    def __init__(self, *request_ids):
+        self.arrivals = [
+            AttemptArrival(float(at), request_id.encode(), b"load")
+            for at, request_id in enumerate(request_ids)
+        ]
 
 
-class Asked:
-    """Clients that only tell what they sent: (ref, when) of one key."""
+class RecordedClients:
+    """Clients with what they sent: (id, time) of one key."""
 
     def __init__(self, *sent):
-        self.sent = [SentRequest(ref, "load", 7, at, at + 3.0, False, ["served"]) for ref, at in sent]
+        self.sent = [
+            SentRequest(request_id, "load", 7, at, at + 3.0, False, ["served"]) for request_id, at in sent
+        ]
 
     def stats(self):
         return Counter()
 
 
-def test_a_key_out_of_order_is_found_but_across_two_processes_none_is_promised():
-    swapped = Ran("b", "a", "c")
-    assert count_violations(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped])["order_breaks"] == 1
+def test_a_key_out_of_order_is_reported_but_across_two_processes_no_order_is_guaranteed():
+    swapped = RecordedEngine("b", "a", "c")
     assert (
-        count_violations(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (5.0, 6.0))["order_breaks"]
+        count_violations(RecordedClients(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped])["order_breaks"] == 1
+    )
+    assert (
+        count_violations(RecordedClients(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (5.0, 6.0))[
+            "order_breaks"
+        ]
         == 1
     )
     # b was sent while both ran, and may have come to the other one; c goes to the one that is left
     assert (
-        count_violations(Asked(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (1.5, 6.0))["order_breaks"]
+        count_violations(RecordedClients(("a", 1.0), ("b", 2.0), ("c", 9.0)), [swapped], (1.5, 6.0))[
+            "order_breaks"
+        ]
         == 0
     )
-    late = Asked(("a", 7.0), ("b", 8.0), ("c", 9.0))  # the second alone: it counts again
+    late = RecordedClients(("a", 7.0), ("b", 8.0), ("c", 9.0))  # the second alone: it counts again
     assert count_violations(late, [swapped], (1.5, 6.0))["order_breaks"] == 1
