--- a/applevale/harness/fault_executor.py
+++ b/applevale/harness/fault_executor.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import signal
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from ..fault_injection import schedule
 from ..fault_injection.link_conditions import LinkConditions, matches_any
 from ..fault_injection.tcp_proxy import TcpProxy
@@ -41,35 +44,51 @@
     """Carries out the steps of a schedule; steps may overlap."""
 
     def __init__(self, targets: FaultTargets, recorder: HistoryRecorder, stats: Counter):
-        """Record ended processes with `recorder`, and count bad exit codes in `stats`."""
+        """Record faults and ended processes with `recorder`; count faults and bad exit codes in `stats`."""
         self.targets = targets
         self.recorder = recorder
         self.stats = stats
         self.loop = asyncio.get_running_loop()
         self.open_outages = 0  # `down` orders to the registry without their `up`
 
+    async def play(self, steps: list[schedule.Step]) -> None:
+        """Carry out the steps of a schedule, each at its time; return when all are over."""
+        await schedule.play_schedule(steps, self, self._record_fault, time.monotonic)
+
+    def _record_fault(self, at: float, step: schedule.Step) -> None:
+        fields = msgspec.to_builtins(step)
+        fields.pop("at")
+        self.recorder.record("fault", at, **fields)
+        self.stats["fault_" + fields["do"]] += 1
+
     async def execute(self, step: schedule.Step) -> None:
         """Carry out one step; return when it is over."""
         match step:
             case schedule.ApplyLinkCondition():
                 await self._apply_link_condition(step)
             case schedule.KillProcess():
-                await self._for_each(step.processes, lambda one: self._kill(one, step.restart_after))
+                await self._for_each(
+                    step.processes, lambda instance: self._kill(instance, step.restart_after)
+                )
             case schedule.TerminateProcess():
-                await self._for_each(step.processes, lambda one: self._terminate(one, step.restart_after))
+                await self._for_each(
+                    step.processes, lambda instance: self._terminate(instance, step.restart_after)
+                )
             case schedule.PauseProcess():
-                await self._for_each(step.processes, lambda one: self._pause(one, step.duration))
+                await self._for_each(step.processes, lambda instance: self._pause(instance, step.duration))
             case schedule.PauseRepeatedly():
-                await self._for_each(step.processes, lambda one: self._pause_repeatedly(one, step))
+                await self._for_each(step.processes, lambda instance: self._pause_repeatedly(instance, step))
             case schedule.UpgradeProcess():
-                await self._for_each(step.processes, lambda one: self._upgrade(one, step.overlap))
+                await self._for_each(step.processes, lambda instance: self._upgrade(instance, step.overlap))
             case schedule.OrderRegistry():
                 await self._order_registry(step)
 
     async def _for_each(
         self, patterns: list[str], action: Callable[[FleetInstance], Awaitable[None]]
     ) -> None:
-        matching = [one for one in self.targets.instances if matches_any(one.name, tuple(patterns))]
+        matching = [
+            instance for instance in self.targets.instances if matches_any(instance.name, tuple(patterns))
+        ]
         await asyncio.gather(*(action(instance) for instance in matching))
 
     async def _apply_link_condition(self, step: schedule.ApplyLinkCondition) -> None:
--- a/tests/process.py
+++ b/tests/process.py
@@ -155,7 +155,7 @@
 class SplittingHandler(Handler):
     """Sends each reply of the engine in many small pieces."""
 
-    def say(self, data: bytes) -> None:
+    def send(self, data: bytes) -> None:
         """Send a reply in pieces."""
         for start in range(0, len(data), REPLY_PIECE_BYTES):
             self.request.sendall(data[start : start + REPLY_PIECE_BYTES])
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,7 +6,7 @@
 import pytest
 
 from applevale import api
-from applevale.simulator_wire import adapter, codec
+from applevale.simulator_wire import adapter, decoder, encoder, layout
 from applevale.simulator_wire.settings import read_settings
 
 RECORD_HEAD_BYTES = 5
@@ -41,7 +41,7 @@
         (record_size,) = struct.unpack_from("<I", body, position + 1)
         position += RECORD_HEAD_BYTES + record_size
         count += 1
-    return [event for _, event in codec.Decoder().batch(count, body)]
+    return [event for _, event in decoder.Decoder().batch(count, body)]
 
 
 def test_a_request_is_decoded():
@@ -93,7 +93,7 @@
     assert timer.token == 77
     assert client_gone.request == 0x030E310E6F2B19
     assert peer_message == api.PeerMessage(2, b"hi 7")
-    assert isinstance(shutdown, codec.Shutdown)
+    assert isinstance(shutdown, decoder.Shutdown)
 
 
 @pytest.mark.parametrize(
@@ -115,7 +115,7 @@
     ],
 )
 def test_an_action_is_encoded(action, text):
-    assert codec.encode_action(action) == bytes.fromhex(text)
+    assert encoder.encode_action(action) == bytes.fromhex(text)
 
 
 def test_settings_are_read_and_unknown_keys_are_ignored():
@@ -140,7 +140,7 @@
 
 def make_batch(body, count):
     """Return a batch of `count` records, as the simulator sends it."""
-    return codec.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
+    return layout.BATCH_HEAD.pack(len(body), 10_000_000_000, count) + body
 
 
 def test_an_unknown_event_is_ignored_and_the_end_of_input_logs_nothing(capsys):
@@ -162,7 +162,7 @@
 
 def test_an_exception_is_reported_on_the_wire(capsys):
     invalid_settings = struct.pack("<QI", 1, 4) + b"me=x"
-    head = codec.RECORD_HEAD.pack(10, len(invalid_settings))
+    head = layout.RECORD_HEAD.pack(10, len(invalid_settings))
     body = bytes.fromhex("82020000000300") + head + invalid_settings
     output = io.BytesIO()
     assert adapter.serve(io.BytesIO(make_batch(body, 2)), output) == 0
