The decision module is a package of modules by concern

policy.py was one module with a class of 651 lines that held every decision and the state of all of them, under names of its own.

It is now applevale/policy: the constants, the model (requests, attempts, classes, engines, what is shared), load estimation, outlier detection, admission, attempts, scheduling, and a controller that passes events on. Each part owns its state and is given the parts it needs. Arithmetic and containers that know no request, engine or setting are small documented modules beside it, with tests of their own: circuit breaker, token bucket, backoff, retry budget, quota, serial queues, stall detection.

--- a/applevale/dispatch/event_loop_driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -182,8 +182,7 @@
         That state ends by the clock and without an event, so this looks at each engine: it is for calls of
         operators.
         """
-        now = self.now()
-        return {number for number, engine in self.controller.engines.items() if engine.rest_until > now}
+        return self.controller.ejected_engines(self.now())
 
     def _tick(self) -> None:
         """Hold the requests with a key back, after a stall, until what accumulated has been read."""
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -54,9 +54,9 @@
             controller.handle(100.0, (api.EngineList((api.EngineEntry(1, started=100.0),), whole=True),))
         engines = [controller.engines[1] for controller in fleet]
         for engine in engines:
-            engine.cold_level = -1e9
-            engine.cold_fits(0.0, 100.0)
-            engine.cold_fits(0.0, 101.0)
-        return sum(engine.cold_level + 1e9 for engine in engines)
+            engine.cold_budget.level = -1e9
+            engine.cold_budget_allows(0.0, 100.0)
+            engine.cold_budget_allows(0.0, 101.0)
+        return sum(engine.cold_budget.level + 1e9 for engine in engines)
 
     assert levels(count) == pytest.approx(levels(1), rel=1e-6)
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -112,7 +112,7 @@
         for part in PROGRAM
         for file in ((ROOT / part).rglob("*.py") if (ROOT / part).is_dir() else [ROOT / part])
     ]
-    files.append(ROOT / "applevale" / "policy.py")
+    files += (ROOT / "applevale" / "policy").rglob("*.py")
     found = {
         (file.name, node.value)
         for file in files
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,7 +29,20 @@
     "harness",
     "cli",
 ]
-BASE = {"api", "estimators", "hashing", "policy", "simulator_wire", "__init__"}
+BASE = {
+    "api",
+    "circuit_breaker",
+    "containers",
+    "dispatching",
+    "estimators",
+    "hashing",
+    "policy",
+    "rate_limits",
+    "selection",
+    "simulator_wire",
+    "stalls",
+    "__init__",
+}
 
 
 def module_file(parts):
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -143,7 +143,7 @@
 def test_a_peers_report_counts_like_an_own_one_and_one_of_an_unknown_engine_is_ignored():
     d = controlled()
     d.give(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
-    loads = [d.controller.load(engine) for engine in d.controller.engines.values()]
+    loads = [d.controller.load.engine_load(engine) for engine in d.controller.engines.values()]
     assert loads[0] > 1.5 * max(loads[1:]) and len(d.controller.engines) == 4
 
 
@@ -151,13 +151,13 @@
     """All hear of the same idle engine, and would fill it in the time that its next report takes."""
     d = controlled()
     d.give(*(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,)))
-    before = d.controller.load(d.controller.engines[1])
+    before = d.controller.load.engine_load(d.controller.engines[1])
     d.give(*(api.PeerLoadReport(1, (), 1) for _ in range(24)))
-    after = d.controller.load(d.controller.engines[1])
+    after = d.controller.load.engine_load(d.controller.engines[1])
     assert before < 1.0 < 2.0 < after
     d.now += 6.0  # reports have shown it since
     d.give(api.PeerLoadReport(1, (0.0,)))
-    assert d.controller.load(d.controller.engines[1]) < 1.0
+    assert d.controller.load.engine_load(d.controller.engines[1]) < 1.0
 
 
 def test_a_new_engine_is_not_sent_at_once_what_all_had_earned_since_it_started():
@@ -184,9 +184,9 @@
 def test_an_even_stream_of_sends_makes_no_engine_look_fuller():
     d = controlled()
     d.give(*(api.PeerLoadReport(number, (8.0,)) for number in (1, 2, 3, 4)))
-    before = [d.controller.load(engine) for engine in d.controller.engines.values()]
+    before = [d.controller.load.engine_load(engine) for engine in d.controller.engines.values()]
     d.give(*(api.PeerLoadReport(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
-    after = [d.controller.load(engine) for engine in d.controller.engines.values()]
+    after = [d.controller.load.engine_load(engine) for engine in d.controller.engines.values()]
     assert after == pytest.approx(before, abs=0.2)
 
 
@@ -195,8 +195,10 @@
     for _ in range(50):
         d.now += 0.02
         d.give(*(api.PeerLoadReport(1, (254.0,), 255) for _ in range(20)))
-    assert d.controller.load(d.controller.engines[1]) <= 9.1
-    assert not any(e.trial or e.rest_until > d.now for e in d.controller.engines.values())
+    assert d.controller.load.engine_load(d.controller.engines[1]) <= 9.1
+    assert not any(
+        e.health.on_probation or e.health.open_until > d.now for e in d.controller.engines.values()
+    )
     assert of(api.Send, d.ask(1, work=1.0, tables=1.0)[1])
 
 
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -3,12 +3,13 @@
 import pytest
 from helpers import Driver, of
 
-from applevale import api, policy
+from applevale import api
 from applevale.discovery.control_feed import ControlFeed
 from applevale.discovery.endpoints import AttributeNames, Endpoint, EndpointUpdate
 from applevale.discovery.feed_codec import FeedError
 from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
+from applevale.policy.load_estimation import LoadEstimator
 
 READY, GONE = api.State.READY, api.State.GONE
 
@@ -28,15 +29,15 @@
     looked = {}
     for count in (8, 60, 1000):
         d, calls = many(count), [0]
-        load = policy.AdmissionController.load
+        load = LoadEstimator.engine_load
 
         def counted(self, engine, calls=calls, load=load):
             calls[0] += 1
             return load(self, engine)
 
-        monkeypatch.setattr(policy.AdmissionController, "load", counted)
+        monkeypatch.setattr(LoadEstimator, "engine_load", counted)
         sends = [send for group in range(20) for send in of(api.Send, d.ask(0, tables=float(group))[1])]
-        monkeypatch.setattr(policy.AdmissionController, "load", load)
+        monkeypatch.setattr(LoadEstimator, "engine_load", load)
         assert len(sends) == 20
         looked[count] = calls[0]
     assert looked[1000] <= 2 * looked[8]
@@ -53,20 +54,23 @@
     assert [send.request for send in of(api.Send, actions)] == [waiting]
     d.end(first)
     d.end(of(api.Send, actions)[0])
-    assert not d.controller.held and len(d.controller.engines) == 1000
+    assert not d.controller.attempts.pending and len(d.controller.engines) == 1000
 
 
 def test_an_engine_that_comes_back_under_its_id_starts_anew_and_cold():
     d = many(3)
     d.give(api.PeerLoadReport(1, (40.0,), 8))
-    assert d.controller.load(d.controller.engines[1]) > 2
+    assert d.controller.load.engine_load(d.controller.engines[1]) > 2
     d.now += 5.0
     d.give(api.EngineList((api.EngineEntry(1, state=GONE),)))
     d.give(api.PeerLoadReport(1, (40.0,), 8))  # a peer whose list is older
     assert 1 not in d.controller.engines
     d.give(api.EngineList((api.EngineEntry(1, started=d.now - 0.5),)))
-    d.controller.siblings.clear()
-    assert d.controller.load(d.controller.engines[1]) < 2 and d.controller.engines[1].warmth(d.now) < 0.5
+    d.controller.load.start_batch()
+    assert (
+        d.controller.load.engine_load(d.controller.engines[1]) < 2
+        and d.controller.engines[1].warmth(d.now) < 0.5
+    )
 
 
 def test_an_event_told_twice_or_out_of_turn_changes_nothing():
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -13,7 +13,10 @@
 
 from applevale import api
 from applevale.estimators import DecayingMean, EstimateCorrection
-from applevale.policy import RATIO_MOST, AdmissionController, Flagger, PendingRequest, price
+from applevale.policy import AdmissionController
+from applevale.policy.admission import flag_price
+from applevale.policy.config import MAX_RATIO
+from applevale.policy.model import PendingRequest
 
 R = api.Result
 
@@ -38,34 +41,35 @@
 
 
 def test_price_follows_entropy_and_misses():
-    assert price(1.0, 0) == pytest.approx(1.0)
-    assert price(0.5, 0) == pytest.approx(2.0)
-    assert price(0.5, 5) < price(0.5, 0)
-    assert price(1.0, 100) == pytest.approx(0.2)
+    assert flag_price(1.0, 0) == pytest.approx(1.0)
+    assert flag_price(0.5, 0) == pytest.approx(2.0)
+    assert flag_price(0.5, 5) < flag_price(0.5, 0)
+    assert flag_price(1.0, 100) == pytest.approx(0.2)
 
 
 def test_a_miss_flags_the_next_of_its_kind_and_expires():
     d = Driver()
     number, _ = d.ask(1, work=2.0, memory=3000.0)
-    req, flagger = d.controller.held[number], Flagger()
-    flagger.learn(req, True, d.now)
-    assert flagger.confidence(req, d.now + 1, 0.1, 0.1, 0.1, 0.0) == 1.0
-    assert flagger.confidence(req, d.now + 1000, 0.1, 0.1, 0.1, 0.0) < 1.0
+    admission, pending = d.controller.admission, d.controller.attempts.pending[number]
+    kind, features = admission.kind_of(pending), (1.0, 0.1, 0.1, 0.1, 0.0)
+    admission.learn(pending, d.controller.engines[1], True)
+    assert admission.predictor.predict(d.now + 1, kind, features) == 1.0
+    assert admission.predictor.predict(d.now + 1000, kind, features) < 1.0
 
 
 def report(d, engine, memory=0.0, cpu=0.0):
     """An engine's report, as an answer would bring it."""
-    d.controller.take_report(d.controller.engines[engine], (0.0, cpu, 0.0, memory))
-    d.controller.siblings.clear()  # as at the start of a batch
+    d.controller.load.take_report(d.controller.engines[engine], (0.0, cpu, 0.0, memory))
+    d.controller.load.start_batch()  # as at the start of a batch
 
 
 def test_accepted_flag_waits_for_memory_and_is_refused_at_its_deadline():
     d = Driver(engines=1)
     engine = d.controller.engines[1]
-    d.controller.last_trouble = d.now
-    d.controller.flagger.weights = [8.0, 0.0, 0.0, 0.0, 0.0]
+    d.controller.context.memory_trouble_at = d.now
+    d.controller.admission.predictor.model.weights = [8.0, 0.0, 0.0, 0.0, 0.0]
     report(d, 1, memory=0.95)
-    engine.quota, engine.next_refill = 5.0, d.now + 3.0
+    engine.flag_quota.quota, engine.flag_quota.next_refill = 5.0, d.now + 3.0
     number, actions = d.ask(1, work=3.0, memory=4000.0)
     assert not of(api.Send, actions) and not of(api.Reject, actions)
     done = []
@@ -81,10 +85,10 @@
     d = Driver(engines=1)
     engine = d.controller.engines[1]
     report(d, 1, memory=0.5)
-    first = d.controller.free_memory(engine)
+    first = d.controller.load.free_memory(engine)
     d.now += 0.01
     d.ask(1, work=1.0, memory=2000.0)
-    assert d.controller.free_memory(engine) <= first - 2000.0
+    assert d.controller.load.free_memory(engine) <= first - 2000.0
 
 
 def test_every_request_is_answered_before_its_time():
@@ -234,19 +238,21 @@
     for send, result in zip(sends, (R.RESET, R.RESET, R.OK, R.RESET, R.RESET)):
         d.end(send, result)
     d.give(api.ProbeResult(99, R.RESET))
-    assert d.controller.engines[sends[0].engine].rest_until <= d.now
+    assert d.controller.engines[sends[0].engine].health.open_until <= d.now
     d.give(api.ProbeResult(sends[0].engine, R.RESET))
-    assert d.controller.engines[sends[0].engine].rest_until > d.now
+    assert d.controller.engines[sends[0].engine].health.open_until > d.now
 
 
 def test_a_request_that_no_engine_can_use_is_given_up_after_two():
     d = Driver(engines=5)
     first = of(api.Send, d.ask()[1])[0]
     second = of(api.Send, d.end(first, R.ERROR))[0]
-    assert d.controller.engines[first.engine].rest_until > d.now
+    assert d.controller.engines[first.engine].health.open_until > d.now
     (answer,) = d.end(second, R.ERROR, attempt=1)
     assert isinstance(answer, api.Reject) and answer.retry_after > 0
-    assert not any(e.rest_until > d.now or e.trial for e in d.controller.engines.values())
+    assert not any(
+        e.health.open_until > d.now or e.health.on_probation for e in d.controller.engines.values()
+    )
 
 
 def test_an_engine_that_left_with_attempts_out_is_forgotten_after_them():
@@ -278,7 +284,7 @@
     # The end of the attempt must not cut the rest short.
     assert not of(api.Send, d.end(first, R.CANCELLED) + d.run(0.25))
     assert [send.request for send in of(api.Send, d.run(0.2))] == [second]
-    assert not d.controller.unread
+    assert not d.controller.attempts.key_queues.blocks
 
 
 def test_a_request_that_may_have_come_first_is_refused_and_the_other_waits_for_that():
@@ -309,7 +315,7 @@
     for group in range(60):
         for send in of(api.Send, d.ask(tables=float(group))[1]):
             d.end(send, R.ERROR)
-    assert sum(e.rest_until > d.now for e in d.controller.engines.values()) <= 2
+    assert sum(e.health.open_until > d.now for e in d.controller.engines.values()) <= 2
 
 
 def test_silent_engine_is_cut_and_its_work_moved():
@@ -339,7 +345,10 @@
 def test_the_line_is_bounded():
     d = Driver(entries=(api.EngineEntry(1, state=api.State.DRAINING),))
     refused = sum(len(of(api.Reject, d.ask()[1])) for _ in range(1000))
-    assert refused + len(d.controller.line) == 1000 and 0 < len(d.controller.line) <= 500
+    assert (
+        refused + len(d.controller.scheduler.waiting) == 1000
+        and 0 < len(d.controller.scheduler.waiting) <= 500
+    )
 
 
 def test_short_answers_do_not_hide_pressure():
@@ -353,12 +362,12 @@
 
 def test_over_share_tenant_is_worth_little():
     d = Driver(tenants=(api.TenantSpec("a", 2.0), api.TenantSpec("b", 100.0)), over_share_worth=0.1)
-    worths = [d.controller.held[d.ask(tenant=0)[0]].worth for _ in range(6)]
+    worths = [d.controller.attempts.pending[d.ask(tenant=0)[0]].worth for _ in range(6)]
     assert 1.0 in worths and worths[-1] == pytest.approx(0.1)
 
 
 def test_estimates_that_scatter_and_lie_are_drawn_towards_what_was_needed():
-    random, estimate, plain, learned = Random(5), EstimateCorrection(1.0, RATIO_MOST), [], []
+    random, estimate, plain, learned = Random(5), EstimateCorrection(1.0, MAX_RATIO), [], []
     for number in range(400):
         needed = random.lognormvariate(0.0, 0.5)
         told = 3.0 * needed * random.lognormvariate(0.0, 1.2)
@@ -367,33 +376,33 @@
             learned.append(abs(log(estimate.expect(told) / needed)))
         estimate.learn(told, needed)
     assert sum(learned) < 0.6 * sum(plain)
-    fresh = EstimateCorrection(1.0, RATIO_MOST)
+    fresh = EstimateCorrection(1.0, MAX_RATIO)
     assert fresh.expect(2.0) == pytest.approx(2.0, rel=0.5)  # nothing learned yet: as told
 
 
 def test_one_absurd_estimate_does_not_move_the_ranks():
     d = Driver()
     d.ask(1, work=3.0)
-    before = d.controller.held[d.ask(0, work=0.05)[0]].rank
+    before = d.controller.attempts.pending[d.ask(0, work=0.05)[0]].rank
     d.ask(1, work=100000.0), d.ask(0, work=1e-6)
-    assert d.controller.held[d.ask(0, work=0.05)[0]].rank == before > 0
+    assert d.controller.attempts.pending[d.ask(0, work=0.05)[0]].rank == before > 0
 
 
 def test_cuts_wait_longer_where_run_times_scatter_and_at_each_try():
     d = Driver()
     d.ask(1, work=3.0)
-    attempt = next(iter(d.controller.held.values())).tries[0]
-    first = d.controller.overdue(attempt)
-    d.controller.stats[1].scatter.value = 1.0
-    scattered = d.controller.overdue(attempt)
+    attempt = next(iter(d.controller.attempts.pending.values())).attempts[0]
+    first = d.controller.attempts.overdue_after(attempt)
+    d.controller.context.classes[1].run_time.scatter.value = 1.0
+    scattered = d.controller.attempts.overdue_after(attempt)
     attempt.index = 1
-    assert first < scattered and d.controller.overdue(attempt) == pytest.approx(2 * scattered)
+    assert first < scattered and d.controller.attempts.overdue_after(attempt) == pytest.approx(2 * scattered)
 
 
 def test_a_pace_that_shows_a_bad_plan_is_cut_before_it_is_overdue():
     d = Driver(progress=0.5)
     number, _ = d.ask(1, work=3.0)
-    attempt = d.controller.held[number].tries[0]
+    attempt = d.controller.attempts.pending[number].attempts[0]
     d.run(0.7)
     assert not d.give(api.Note(number, 0, attempt.entry.engine, api.NoteKind.PROGRESS, 0.5))
     assert of(api.Cancel, d.give(api.Note(number, 0, attempt.entry.engine, api.NoteKind.PROGRESS, 0.01)))
@@ -401,17 +410,21 @@
 
 def test_low_worth_per_work_finds_less_room_only_as_the_fleet_fills():
     d = Driver(engines=4, gateways=100)
-    quiet = [d.controller.room(rank) for rank in range(4)]
+    d.controller.load.start_pass()
+    quiet = d.controller.load.thread_limits
     for _ in range(3):
         for number in range(1, 5):
             report(d, number, cpu=1.0)
-    full = [d.controller.room(rank) for rank in range(4)]
+    d.controller.load.start_pass()
+    full = d.controller.load.thread_limits
     assert quiet[0] == quiet[1] == quiet[2] and full[0] < full[1] < full[2] < full[3] == quiet[3]
 
 
 def test_past_one_thread_a_core_the_least_loaded_is_taken():
     d = Driver(engines=3, gateways=100)
-    home = d.controller.order(d.controller.held[d.ask(tables=2.0)[0]])[0].entry.engine
+    home = d.controller.scheduler.preferred_engines(d.controller.attempts.pending[d.ask(tables=2.0)[0]])[
+        0
+    ].entry.engine
     for number in (1, 2, 3):
         report(d, number, cpu=0.85 if number == home else 0.3)
     assert of(api.Send, d.ask(tables=2.0)[1])[0].engine != home
@@ -440,8 +453,8 @@
             d = Driver(seed=seed, gateways=gateways, tenants=tenants, over_share_worth=0.0)
             step = gateways / (30.0 * excess)
             for _ in range(200):
-                d.controller.now += step
-                inside.append(d.controller.share_worth(0))
+                d.controller.context.now += step
+                inside.append(d.controller.admission.worth_factor(0))
     assert sum(shares[1.0]) / len(shares[1.0]) > 0.9
     assert sum(shares[4.0]) / len(shares[4.0]) < 0.45
 
@@ -473,13 +486,13 @@
 def test_a_report_shows_the_siblings_and_own_attempts_count_once():
     d = Driver(engines=3, gateways=200)
     engine = d.controller.engines[1]
-    assert d.controller.load(engine) < 0.5  # one own query there is no two hundred
+    assert d.controller.load.engine_load(engine) < 0.5  # one own query there is no two hundred
     report(d, 1, cpu=1.0)
-    busy = d.controller.load(engine)
-    assert busy > 1.5 and d.controller.load(d.controller.engines[2]) < busy
+    busy = d.controller.load.engine_load(engine)
+    assert busy > 1.5 and d.controller.load.engine_load(d.controller.engines[2]) < busy
     alone = Driver(engines=3, gateways=1)
     report(alone, 1, cpu=1.0)
-    assert alone.controller.load(alone.controller.engines[1]) == 0.0
+    assert alone.controller.load.engine_load(alone.controller.engines[1]) == 0.0
 
 
 def test_work_looks_before_it_is_sent_and_a_silent_engine_is_passed_by():
@@ -498,7 +511,7 @@
 def test_probes_are_rationed_by_requests_and_by_what_they_cost(price, least, most):
     d = Driver(engines=40, gateways=300, may_probe=True, probe_price=price)
     for engine in d.controller.engines.values():
-        engine.trial = True  # after a bad sign each is looked at, whatever it costs
+        engine.health.on_probation = True  # after a bad sign each is looked at, whatever it costs
     for group in range(100):
         d.now += 0.5
         for probe in of(api.Probe, d.ask(1, work=3.0, tables=float(group))[1]):
@@ -520,7 +533,7 @@
     d.timers.clear()
     actions = d.give(api.Timer(0), api.Outcome(send.request, 0, send.engine, R.OK, 0.4, True, 1.0, 50.0))
     assert not of(api.Cancel, actions) and not of(api.Log, actions)
-    assert all(not e.trial for e in d.controller.engines.values())
+    assert all(not e.health.on_probation for e in d.controller.engines.values())
 
 
 def test_after_gaps_the_last_answer_goes_out_earlier():
@@ -541,7 +554,7 @@
     send = of(api.Send, d.ask()[1])[0]
     d.end(send)
     d.run(1.0)
-    assert not d.timers and not d.controller.held
+    assert not d.timers and not d.controller.attempts.pending
 
 
 def test_work_for_a_request_does_not_grow_with_the_fleet():
@@ -550,8 +563,10 @@
         d = Driver(engines=engines, gateways=300)
         for number in range(1, engines + 1):
             report(d, number, cpu=1.0)
-        count, load = [], d.controller.load
-        d.controller.load = lambda engine, count=count, load=load: count.append(engine) or load(engine)
+        count, load = [], d.controller.load.engine_load
+        d.controller.load.engine_load = lambda engine, count=count, load=load: (
+            count.append(engine) or load(engine)
+        )
         d.ask(1, work=3.0)
         looked.append(len(count))
     assert 0 < looked[0] == looked[1] < 10
@@ -657,7 +672,9 @@
             d.give(api.ClientGone(send.request))
             d.end(send, api.Result.CANCELLED, attempt=attempt)
         gc.collect()
-        assert not d.controller.held and not [one for one in gc.garbage if isinstance(one, PendingRequest)]
+        assert not d.controller.attempts.pending and not [
+            one for one in gc.garbage if isinstance(one, PendingRequest)
+        ]
     finally:
         gc.set_debug(0)
         gc.garbage.clear()
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -220,4 +220,8 @@
             check.ended.pop(item[1].request, None)
             give(api.Outcome(item[1].request, item[2], item[1].engine, item[3] or R.TIMEOUT, 0.2, final))
     assert len(clients) > 400 and set(check.ended) == set(clients)
-    assert not d.controller.held and not d.controller.line and not d.controller.turns
+    assert (
+        not d.controller.attempts.pending
+        and not d.controller.scheduler.waiting
+        and not d.controller.attempts.key_queues.queues
+    )
