The wait queue's pass checks cheap conditions first

The pass asked each waiting request without an attempt whether it may run again, and each engine for loads of its table group, also for requests that need none. Both are asked only where the answer can matter.

--- a/applevale/policy/model.py
+++ b/applevale/policy/model.py
@@ -110,10 +110,9 @@
             -cold_debt, self.context.now
         )  # all hear of a start at once
 
-    def is_held_for(self, pending: PendingRequest) -> bool:
-        others = (attempt.pending for attempt in self.attempts.items)
-        held = (one.request.tables for one in others if one.spec.load)
-        return (pending.spec.load or pending.spec.yields) and pending.request.tables in held
+    def has_load_of(self, tables: float) -> bool:
+        loads = (one.pending for one in self.attempts.items if one.pending.spec.load)
+        return any(load.request.tables == tables for load in loads)
 
     def is_available(self) -> bool:
         is_ready = self.entry.state is api.State.READY and self.health.open_until <= self.context.now
--- a/applevale/policy/scheduling.py
+++ b/applevale/policy/scheduling.py
@@ -38,6 +38,8 @@
         if not self._attempts.may_go(pending):
             return None, False
         tried, candidates = {one.entry.engine for one in pending.attempts}, []
+        needed_mb = max(pending.memory_mb, pending.grant_mb)
+        needs_tables = pending.spec.load or pending.spec.yields
         limit = self._load.thread_limits[pending.rank]
         is_short = pending.rank >= config.TOP_RANK and not pending.is_flag_accepted
         home_limit = min(limit, config.THREAD_LIMIT if is_short else config.HOME_LOAD)
@@ -49,9 +51,8 @@
                     return None, True
                 self._outliers.suspect(engine, "silent to a probe")
                 continue
-            needed_mb = max(pending.memory_mb, pending.grant_mb)
             is_full = pending.is_flag_accepted and self._load.free_memory(engine) < needed_mb
-            if is_full or engine.is_held_for(pending):
+            if is_full or (needs_tables and engine.has_load_of(pending.request.tables)):
                 continue
             load, added = self._load.engine_load(engine), pending.spec.threads / engine.cores
             is_avoided = engine.health.on_probation and not (is_short and pending.is_repeatable())
@@ -85,14 +86,14 @@
             if pending.is_finished:
                 continue
             engine, may_wait = None, True
-            is_late = now > pending.final_answer_at(stall) or pending.is_spent(now)
-            latest_end, run_time = min(pending.aim_at, pending.deadline), pending.run_time
-            time_left = latest_end - run_time * slowdowns[pending.request.cls] - now
+            is_late = now > pending.final_answer_at(stall) or (pending.attempts and pending.is_spent(now))
+            latest_end = pending.aim_at if pending.aim_at < pending.deadline else pending.deadline
+            time_left = latest_end - pending.run_time * slowdowns[pending.request.cls] - now
             if tries < config.MAX_QUEUE_TRIES and not is_late and self._attempts.has_turn(pending):
                 tries += 1
                 engine, may_wait = self._route(pending, no_room_for)
             is_exempt = pending.rank >= config.TOP_RANK or pending.is_flag_accepted
-            is_behind = work_ahead > max(0.0, time_left) * work_rate and not is_exempt  # would miss its aim
+            is_behind = not is_exempt and work_ahead > max(0.0, time_left) * work_rate  # would miss its aim
             is_hopeless = is_late or (not may_wait and (is_behind or time_left < 0))
             if engine is not None:
                 self._attempts.send(pending, engine)
