Merge the decision module as a package of modules by concern

The tests of the decision module, which were split by concern meanwhile, use the new names with the same assertions.

--- a/applevale/dispatch/event_loop_driver.py
+++ b/applevale/dispatch/event_loop_driver.py
@@ -129,8 +129,7 @@
         That state ends by the clock and without an event, so this looks at each engine: it is for calls of
         operators.
         """
-        now = self.now()
-        return {number for number, engine in self.controller.engines.items() if engine.rest_until > now}
+        return self.controller.ejected_engines(self.now())
 
     def _schedule_batch(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -142,12 +142,12 @@
 
     def report_load(self, engine: int, memory_used: float = 0.0, cpu: float = 0.0) -> None:
         """Let an engine report its load, as shares of what it has, in a batch of its own."""
-        self.controller.take_report(self.engine(engine), (0.0, cpu, 0.0, memory_used))
-        self.controller.siblings.clear()  # as at the start of a batch
+        self.controller.load.take_report(self.engine(engine), (0.0, cpu, 0.0, memory_used))
+        self.controller.load.start_batch()  # as at the start of a batch
 
     def pending_request(self, request_id: int):
         """Return what the controller keeps of a request that has no final answer."""
-        return self.controller.held[request_id]
+        return self.controller.attempts.pending[request_id]
 
     def engine(self, engine_id: int):
         """Return what the controller keeps of an engine."""
@@ -155,7 +155,7 @@
 
     def is_ejected(self, engine_id: int) -> bool:
         """Return whether an engine gets no attempts for a while."""
-        return self.engine(engine_id).rest_until > self.now
+        return self.engine(engine_id).health.is_open(self.now)
 
 
 def actions_of(kind: type, actions: Iterable) -> list:
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -124,7 +124,7 @@
 
 def program_files():
     """Return all source files of the program."""
-    files = [ROOT / "applevale" / "policy.py"]
+    files = list((ROOT / "applevale" / "policy").rglob("*.py"))
     for part in PROGRAM_FILES:
         path = ROOT / part
         if path.is_dir():
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -156,7 +156,7 @@
 def test_a_peers_report_counts_like_an_own_one_and_is_ignored_for_an_unknown_engine():
     driver = controlled()
     driver.handle(api.PeerLoadReport(1, (60.0,)), api.PeerLoadReport(99, (60.0,), 3))
-    loads = [driver.controller.load(engine) for engine in driver.controller.engines.values()]
+    loads = [driver.controller.load.engine_load(engine) for engine in driver.controller.engines.values()]
     assert loads[0] > 1.5 * max(loads[1:]) and len(driver.controller.engines) == 4
 
 
@@ -166,13 +166,13 @@
     driver.handle(
         *(api.PeerLoadReport(number, (16.0,)) for number in (2, 3, 4)), api.PeerLoadReport(1, (0.0,))
     )
-    before = driver.controller.load(driver.controller.engines[1])
+    before = driver.controller.load.engine_load(driver.controller.engines[1])
     driver.handle(*(api.PeerLoadReport(1, (), 1) for _ in range(24)))
-    after = driver.controller.load(driver.controller.engines[1])
+    after = driver.controller.load.engine_load(driver.controller.engines[1])
     assert before < 1.0 < 2.0 < after
     driver.now += 6.0  # reports have shown it since
     driver.handle(api.PeerLoadReport(1, (0.0,)))
-    assert driver.controller.load(driver.controller.engines[1]) < 1.0
+    assert driver.controller.load.engine_load(driver.controller.engines[1]) < 1.0
 
 
 def test_a_new_engine_gets_no_burst_for_the_time_since_its_start():
@@ -201,9 +201,9 @@
 def test_an_even_stream_of_sends_makes_no_engine_look_fuller():
     driver = controlled()
     driver.handle(*(api.PeerLoadReport(number, (8.0,)) for number in (1, 2, 3, 4)))
-    before = [driver.controller.load(engine) for engine in driver.controller.engines.values()]
+    before = [driver.controller.load.engine_load(engine) for engine in driver.controller.engines.values()]
     driver.handle(*(api.PeerLoadReport(number, (), 1) for number in (1, 2, 3, 4) for _ in range(20)))
-    after = [driver.controller.load(engine) for engine in driver.controller.engines.values()]
+    after = [driver.controller.load.engine_load(engine) for engine in driver.controller.engines.values()]
     assert after == pytest.approx(before, abs=0.2)
 
 
@@ -212,10 +212,9 @@
     for _ in range(50):
         driver.now += 0.02
         driver.handle(*(api.PeerLoadReport(1, (254.0,), 255) for _ in range(20)))
-    assert driver.controller.load(driver.controller.engines[1]) <= 9.1
-    assert not any(
-        engine.trial or engine.rest_until > driver.now for engine in driver.controller.engines.values()
-    )
+    assert driver.controller.load.engine_load(driver.controller.engines[1]) <= 9.1
+    for engine in driver.controller.engines.values():
+        assert not engine.health.on_probation and not engine.health.is_open(driver.now)
     assert actions_of(api.Send, driver.submit(1, work=1.0, tables=1.0)[1])
 
 
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -3,12 +3,13 @@
 import pytest
 from policy_driver import PolicyDriver, actions_of
 
-from applevale import api, policy
+from applevale import api
 from applevale.discovery.control_feed import ControlFeed
 from applevale.discovery.endpoints import AttributeNames, Endpoint, EndpointUpdate
 from applevale.discovery.feed_codec import FeedError
 from applevale.engines.pool import EnginePool
 from applevale.observability.counters import Counters
+from applevale.policy.load_estimation import LoadEstimator
 
 READY, GONE = api.State.READY, api.State.GONE
 
@@ -29,19 +30,19 @@
     for count in (8, 60, 1000):
         driver = driver_with_engines(count)
         calls = [0]
-        load = policy.AdmissionController.load
+        load = LoadEstimator.engine_load
 
         def counted(self, engine, calls=calls, load=load):
             calls[0] += 1
             return load(self, engine)
 
-        monkeypatch.setattr(policy.AdmissionController, "load", counted)
+        monkeypatch.setattr(LoadEstimator, "engine_load", counted)
         sends = [
             send
             for group in range(20)
             for send in actions_of(api.Send, driver.submit(0, tables=float(group))[1])
         ]
-        monkeypatch.setattr(policy.AdmissionController, "load", load)
+        monkeypatch.setattr(LoadEstimator, "engine_load", load)
         assert len(sends) == 20
         load_calls[count] = calls[0]
     assert load_calls[1000] <= 2 * load_calls[8]
@@ -58,21 +59,21 @@
     assert [send.request for send in actions_of(api.Send, actions)] == [waiting]
     driver.finish(first)
     driver.finish(actions_of(api.Send, actions)[0])
-    assert not driver.controller.held and len(driver.controller.engines) == 1000
+    assert not driver.controller.attempts.pending and len(driver.controller.engines) == 1000
 
 
 def test_an_engine_that_is_listed_again_starts_cold_and_without_history():
     driver = driver_with_engines(3)
     driver.handle(api.PeerLoadReport(1, (40.0,), 8))
-    assert driver.controller.load(driver.controller.engines[1]) > 2
+    assert driver.controller.load.engine_load(driver.controller.engines[1]) > 2
     driver.now += 5.0
     driver.handle(api.EngineList((api.EngineEntry(1, state=GONE),)))
     driver.handle(api.PeerLoadReport(1, (40.0,), 8))  # from a peer with an older list
     assert 1 not in driver.controller.engines
     driver.handle(api.EngineList((api.EngineEntry(1, started=driver.now - 0.5),)))
-    driver.controller.siblings.clear()
+    driver.controller.load.start_batch()
     assert (
-        driver.controller.load(driver.controller.engines[1]) < 2
+        driver.controller.load.engine_load(driver.controller.engines[1]) < 2
         and driver.controller.engines[1].warmth(driver.now) < 0.5
     )
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,7 +9,8 @@
 from policy_driver import PolicyDriver, actions_of
 
 from applevale import api
-from applevale.policy import AdmissionController, PendingRequest
+from applevale.policy import AdmissionController
+from applevale.policy.model import PendingRequest
 
 
 def test_every_request_is_answered_before_its_timeout():
@@ -35,7 +36,7 @@
     actions = driver.handle(api.Timer(0), outcome)
     assert not actions_of(api.Cancel, actions)
     assert not actions_of(api.Log, actions)
-    assert not any(engine.trial for engine in driver.controller.engines.values())
+    assert not any(engine.health.on_probation for engine in driver.controller.engines.values())
 
 
 def test_after_a_stall_final_answers_are_given_earlier():
@@ -59,7 +60,7 @@
     driver.finish(send)
     driver.run(1.0)
     assert not driver.timers
-    assert not driver.controller.held
+    assert not driver.controller.attempts.pending
 
 
 def test_events_on_unknown_requests_and_engines_are_ignored():
@@ -160,7 +161,7 @@
             driver.handle(api.ClientGone(send.request))
             driver.finish(send, api.Result.CANCELLED, attempt=attempt)
         gc.collect()
-        assert not driver.controller.held
+        assert not driver.controller.attempts.pending
         assert not [garbage for garbage in gc.garbage if isinstance(garbage, PendingRequest)]
     finally:
         gc.set_debug(0)
--- a/tests/test_policy_admission.py
+++ b/tests/test_policy_admission.py
@@ -8,34 +8,37 @@
 
 from applevale import api
 from applevale.estimators import DecayingMean, EstimateCorrection
-from applevale.policy import RATIO_MOST, Flagger, price
+from applevale.policy.admission import flag_price
+from applevale.policy.config import MAX_RATIO
 
 
 def test_the_price_grows_with_uncertainty_and_falls_with_misses():
-    assert price(1.0, 0) == pytest.approx(1.0)
-    assert price(0.5, 0) == pytest.approx(2.0)
-    assert price(0.5, 5) < price(0.5, 0)
-    assert price(1.0, 100) == pytest.approx(0.2)
+    assert flag_price(1.0, 0) == pytest.approx(1.0)
+    assert flag_price(0.5, 0) == pytest.approx(2.0)
+    assert flag_price(0.5, 5) < flag_price(0.5, 0)
+    assert flag_price(1.0, 100) == pytest.approx(0.2)
 
 
 def test_a_miss_flags_later_requests_of_its_kind_for_a_while():
     driver = PolicyDriver()
     request_id, _ = driver.submit(1, work=2.0, memory=3000.0)
     request = driver.pending_request(request_id)
-    flagger = Flagger()
-    flagger.learn(request, True, driver.now)
-    assert flagger.confidence(request, driver.now + 1, 0.1, 0.1, 0.1, 0.0) == 1.0
-    assert flagger.confidence(request, driver.now + 1000, 0.1, 0.1, 0.1, 0.0) < 1.0
+    admission = driver.controller.admission
+    kind = admission.kind_of(request)
+    features = (1.0, 0.1, 0.1, 0.1, 0.0)
+    admission.learn(request, driver.engine(1), True)
+    assert admission.predictor.predict(driver.now + 1, kind, features) == 1.0
+    assert admission.predictor.predict(driver.now + 1000, kind, features) < 1.0
 
 
 def test_a_flagged_request_waits_for_memory_and_is_rejected_at_its_deadline():
     driver = PolicyDriver(engines=1)
     engine = driver.engine(1)
-    driver.controller.last_trouble = driver.now
-    driver.controller.flagger.weights = [8.0, 0.0, 0.0, 0.0, 0.0]
+    driver.controller.context.memory_trouble_at = driver.now
+    driver.controller.admission.predictor.model.weights = [8.0, 0.0, 0.0, 0.0, 0.0]
     driver.report_load(1, memory_used=0.95)
-    engine.quota = 5.0
-    engine.next_refill = driver.now + 3.0
+    engine.flag_quota.quota = 5.0
+    engine.flag_quota.next_refill = driver.now + 3.0
     request_id, actions = driver.submit(1, work=3.0, memory=4000.0)
     assert not actions_of(api.Send, actions)
     assert not actions_of(api.Reject, actions)
@@ -53,10 +56,10 @@
     driver = PolicyDriver(engines=1)
     engine = driver.engine(1)
     driver.report_load(1, memory_used=0.5)
-    reported = driver.controller.free_memory(engine)
+    reported = driver.controller.load.free_memory(engine)
     driver.now += 0.01
     driver.submit(1, work=1.0, memory=2000.0)
-    assert driver.controller.free_memory(engine) <= reported - 2000.0
+    assert driver.controller.load.free_memory(engine) <= reported - 2000.0
 
 
 def test_a_request_with_hardly_any_time_left_is_rejected_at_once():
@@ -100,7 +103,7 @@
 
 def test_scattered_estimates_are_corrected_towards_what_was_needed():
     random = Random(5)
-    correction = EstimateCorrection(1.0, RATIO_MOST)
+    correction = EstimateCorrection(1.0, MAX_RATIO)
     errors_of_mean_factor = []
     errors_of_correction = []
     for number in range(400):
@@ -111,7 +114,7 @@
             errors_of_correction.append(abs(log(correction.expect(estimate) / needed)))
         correction.learn(estimate, needed)
     assert sum(errors_of_correction) < 0.6 * sum(errors_of_mean_factor)
-    new_correction = EstimateCorrection(1.0, RATIO_MOST)
+    new_correction = EstimateCorrection(1.0, MAX_RATIO)
     assert new_correction.expect(2.0) == pytest.approx(2.0, rel=0.5)  # the estimate itself
 
 
@@ -129,11 +132,13 @@
 
 def test_low_ranks_find_less_room_only_as_the_engines_fill():
     driver = PolicyDriver(engines=4, gateways=100)
-    room_when_idle = [driver.controller.room(rank) for rank in range(4)]
+    driver.controller.load.start_pass()
+    room_when_idle = driver.controller.load.thread_limits
     for _ in range(3):
         for engine in range(1, 5):
             driver.report_load(engine, cpu=1.0)
-    room_when_full = [driver.controller.room(rank) for rank in range(4)]
+    driver.controller.load.start_pass()
+    room_when_full = driver.controller.load.thread_limits
     assert room_when_idle[0] == room_when_idle[1] == room_when_idle[2]
     assert room_when_full[0] < room_when_full[1] < room_when_full[2] < room_when_full[3]
     assert room_when_full[3] == room_when_idle[3]
@@ -149,8 +154,8 @@
             driver = PolicyDriver(seed=seed, gateways=gateways, tenants=tenants, over_share_worth=0.0)
             interval = gateways / (30.0 * load)
             for _ in range(200):
-                driver.controller.now += interval
-                worths_of_load.append(driver.controller.share_worth(0))
+                driver.controller.context.now += interval
+                worths_of_load.append(driver.controller.admission.worth_factor(0))
     assert sum(worths[1.0]) / len(worths[1.0]) > 0.9
     assert sum(worths[4.0]) / len(worths[4.0]) < 0.45
 
--- a/tests/test_policy_ejection.py
+++ b/tests/test_policy_ejection.py
@@ -42,7 +42,7 @@
     assert answer.retry_after > 0
     for engine_id, engine in driver.controller.engines.items():
         assert not driver.is_ejected(engine_id)
-        assert not engine.trial
+        assert not engine.health.on_probation
 
 
 def test_the_number_of_ejected_engines_is_capped_when_all_fail():
--- a/tests/test_policy_probes.py
+++ b/tests/test_policy_probes.py
@@ -27,7 +27,7 @@
 def test_the_number_of_probes_is_limited_by_requests_and_by_their_price(price, min_count, max_per_request):
     driver = PolicyDriver(engines=40, gateways=300, may_probe=True, probe_price=price)
     for engine in driver.controller.engines.values():
-        engine.trial = True  # an engine to be readmitted is probed at any price
+        engine.health.on_probation = True  # an engine to be readmitted is probed at any price
     for group in range(100):
         driver.now += 0.5
         _, actions = driver.submit(1, work=3.0, tables=float(group))
--- a/tests/test_policy_retry.py
+++ b/tests/test_policy_retry.py
@@ -112,19 +112,19 @@
 def test_attempts_are_cut_off_later_where_durations_scatter_and_with_each_attempt():
     driver = PolicyDriver()
     request_id, _ = driver.submit(1, work=3.0)
-    attempt = driver.pending_request(request_id).tries[0]
-    overdue_at_first = driver.controller.overdue(attempt)
-    driver.controller.stats[1].scatter.value = 1.0
-    overdue_with_scatter = driver.controller.overdue(attempt)
+    attempt = driver.pending_request(request_id).attempts[0]
+    overdue_at_first = driver.controller.attempts.overdue_after(attempt)
+    driver.controller.context.classes[1].run_time.scatter.value = 1.0
+    overdue_with_scatter = driver.controller.attempts.overdue_after(attempt)
     attempt.index = 1
     assert overdue_at_first < overdue_with_scatter
-    assert driver.controller.overdue(attempt) == pytest.approx(2 * overdue_with_scatter)
+    assert driver.controller.attempts.overdue_after(attempt) == pytest.approx(2 * overdue_with_scatter)
 
 
 def test_an_attempt_with_little_progress_is_cut_off_before_it_is_overdue():
     driver = PolicyDriver(progress=0.5)
     request_id, _ = driver.submit(1, work=3.0)
-    engine = driver.pending_request(request_id).tries[0].entry.engine
+    engine = driver.pending_request(request_id).attempts[0].entry.engine
     driver.run(0.7)
     assert not driver.handle(api.Note(request_id, 0, engine, api.NoteKind.PROGRESS, 0.5))
     actions = driver.handle(api.Note(request_id, 0, engine, api.NoteKind.PROGRESS, 0.01))
--- a/tests/test_policy_routing.py
+++ b/tests/test_policy_routing.py
@@ -48,7 +48,8 @@
 def test_the_least_loaded_engine_is_taken_if_all_threads_of_the_preferred_one_are_busy():
     driver = PolicyDriver(engines=3, gateways=100)
     request_id, _ = driver.submit(tables=2.0)
-    preferred = driver.controller.order(driver.pending_request(request_id))[0].entry.engine
+    request = driver.pending_request(request_id)
+    preferred = driver.controller.scheduler.preferred_engines(request)[0].entry.engine
     for engine in (1, 2, 3):
         driver.report_load(engine, cpu=0.85 if engine == preferred else 0.3)
     assert driver.send_request(tables=2.0).engine != preferred
@@ -76,14 +77,15 @@
 def test_a_report_shows_the_load_of_other_instances_and_own_attempts_are_counted_once():
     driver = PolicyDriver(engines=3, gateways=200)
     engine = driver.engine(1)
-    assert driver.controller.load(engine) < 0.5  # one own request does not stand for those of 200 instances
+    # One own request does not stand for those of 200 instances.
+    assert driver.controller.load.engine_load(engine) < 0.5
     driver.report_load(1, cpu=1.0)
-    reported_load = driver.controller.load(engine)
+    reported_load = driver.controller.load.engine_load(engine)
     assert reported_load > 1.5
-    assert driver.controller.load(driver.engine(2)) < reported_load
+    assert driver.controller.load.engine_load(driver.engine(2)) < reported_load
     only_instance = PolicyDriver(engines=3, gateways=1)
     only_instance.report_load(1, cpu=1.0)
-    assert only_instance.controller.load(only_instance.engine(1)) == 0.0
+    assert only_instance.controller.load.engine_load(only_instance.engine(1)) == 0.0
 
 
 def test_the_work_for_a_request_does_not_grow_with_the_number_of_engines():
@@ -93,13 +95,13 @@
         for engine in range(1, engines + 1):
             driver.report_load(engine, cpu=1.0)
         read_engines = []
-        load = driver.controller.load
+        load = driver.controller.load.engine_load
 
         def counted_load(engine, read_engines=read_engines, load=load):
             read_engines.append(engine)
             return load(engine)
 
-        driver.controller.load = counted_load
+        driver.controller.load.engine_load = counted_load
         driver.submit(1, work=3.0)
         load_reads.append(len(read_engines))
     assert 0 < load_reads[0] == load_reads[1] < 10
--- a/tests/test_policy_wait_queue.py
+++ b/tests/test_policy_wait_queue.py
@@ -27,8 +27,8 @@
 def test_the_wait_queue_is_bounded():
     driver = PolicyDriver(entries=(api.EngineEntry(1, state=api.State.DRAINING),))
     rejected_count = sum(len(actions_of(api.Reject, driver.submit()[1])) for _ in range(1000))
-    assert rejected_count + len(driver.controller.line) == 1000
-    assert 0 < len(driver.controller.line) <= 500
+    assert rejected_count + len(driver.controller.scheduler.waiting) == 1000
+    assert 0 < len(driver.controller.scheduler.waiting) <= 500
 
 
 def test_requests_of_one_key_are_sent_one_at_a_time_with_a_pause_after_a_timeout():
@@ -89,7 +89,7 @@
     # The end of the attempt must not shorten the pause.
     assert not actions_of(api.Send, driver.finish(first, Result.CANCELLED) + driver.run(0.25))
     assert request_ids(api.Send, driver.run(0.2)) == [second_id]
-    assert not driver.controller.unread
+    assert not driver.controller.attempts.key_queues.blocks
 
 
 def test_a_request_of_unknown_order_is_rejected_and_the_other_waits_for_that_answer():
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -239,4 +239,5 @@
     assert len(scenario.request_ids) > 400
     assert set(scenario.checker.ended_at) == set(scenario.request_ids)
     controller = scenario.driver.controller
-    assert not controller.held and not controller.line and not controller.turns
+    assert not controller.attempts.pending and not controller.scheduler.waiting
+    assert not controller.attempts.key_queues.queues
