--- a/applevale/api/settings.py
+++ b/applevale/api/settings.py
@@ -6,11 +6,13 @@
 from enum import Enum
 from math import isfinite
 
+from ..errors import AppleValeError
+
 REPEAT_GROUPS = ("all", "zone", "cell")
 POSITIVE_SETTINGS = ("gateways", "try_limit", "warm_up", "fall", "fall_multiple", "tick")
 
 
-class SettingsError(ValueError):
+class SettingsError(AppleValeError, ValueError):
     """A setting is missing or makes no sense; the text names its key."""
 
 
--- a/applevale/config/model.py
+++ b/applevale/config/model.py
@@ -7,10 +7,11 @@
 from .. import api
 from ..discovery.endpoints import AttributeNames, EndpointUpdate
 from ..engines.limits import ConnectionLimits
+from ..errors import AppleValeError
 from ..net.addresses import Address, PeerAddresses
 
 
-class ConfigError(ValueError):
+class ConfigError(AppleValeError, ValueError):
     """Something is missing or makes no sense; the text is one line that names its key."""
 
 
--- a/applevale/discovery/feed_codec.py
+++ b/applevale/discovery/feed_codec.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from .. import api
+from ..errors import AppleValeError
 from .endpoints import AttributeNames, Endpoint, EndpointUpdate, parse_instance_id
 
 FRAME_HEADER = struct.Struct(">IQB")  # length of all that follows the length, update number, frame kind
@@ -25,7 +26,7 @@
 }
 
 
-class FeedError(ValueError):
+class FeedError(AppleValeError, ValueError):
     """An update that can't be read, or that doesn't follow the one before it.
 
     Attributes:
--- a/applevale/discovery/registry/records.py
+++ b/applevale/discovery/registry/records.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ... import api
+from ...errors import AppleValeError
 from ..endpoints import AttributeNames, Endpoint, parse_instance_id
 
 MAX_VALUE_BYTES = 64 * 1024  # a larger value is not parsed
@@ -31,7 +32,7 @@
     started: Annotated[float, msgspec.Meta(ge=0, le=1e11)] = 0.0  # Unix time, s; 0: long ago
 
 
-class RecordError(ValueError):
+class RecordError(AppleValeError, ValueError):
     """A value that is not a record.
 
     Attributes:
--- a/applevale/discovery/registry/settings.py
+++ b/applevale/discovery/registry/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ...errors import AppleValeError
+
 MAX_PORT = 65535
 
 HoldSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
@@ -14,7 +16,7 @@
 KeyPrefix = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
-class RegistrySettingsError(ValueError):
+class RegistrySettingsError(AppleValeError, ValueError):
     """A setting that is missing or makes no sense.
 
     Attributes:
--- a/applevale/fault_injection/schedule.py
+++ b/applevale/fault_injection/schedule.py
@@ -9,13 +9,14 @@
 
 import msgspec
 
+from ..errors import AppleValeError
 from .link_conditions import LinkCondition
 
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 Patterns = Annotated[list[str], msgspec.Meta(min_length=1, max_length=256)]
 
 
-class ScheduleError(ValueError):
+class ScheduleError(AppleValeError, ValueError):
     """A step that makes no sense; the text names its place."""
 
 
--- a/applevale/harness/managed_process.py
+++ b/applevale/harness/managed_process.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from math import inf
 
+from ..errors import AppleValeError
 from .default_settings import SETTINGS
 from .log_events import parse_event
 
@@ -26,7 +27,7 @@
 }
 
 
-class ManagedProcessError(RuntimeError):
+class ManagedProcessError(AppleValeError, RuntimeError):
     """The application did not start, or ended before it was asked to."""
 
 
--- a/applevale/simulation/results.py
+++ b/applevale/simulation/results.py
@@ -7,13 +7,15 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ..errors import AppleValeError
+
 INPUTS = ("code", "version", "settings", "size", "case", "seed")
 CONFIDENCE = 0.95
 
 Row = dict[str, str]
 
 
-class ExperimentError(ValueError):
+class ExperimentError(AppleValeError, ValueError):
     """The experiment file, or the results, cannot be used; the text names the place."""
 
 
--- a/applevale/zones/settings.py
+++ b/applevale/zones/settings.py
@@ -10,13 +10,15 @@
 
 import msgspec
 
+from ..errors import AppleValeError
+
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Instances = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Cores = Annotated[float, msgspec.Meta(ge=0)]
 
 
-class ZonesError(ValueError):
+class ZonesError(AppleValeError, ValueError):
     """A zones file or a plan cannot be used.
 
     Attributes:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -34,6 +34,7 @@
     "circuit_breaker",
     "containers",
     "dispatching",
+    "errors",
     "estimators",
     "hashing",
     "policy",
