Operations harness: an ejection ends with the call that enables its engine

test_ejection_drain_and_upgrade_keep_their_guarantees failed once on a busy machine ('nothing_to_banned'), and passed in three runs alone. The end of both ejections was read after both enable calls: work that reached the first engine while the second call was under way counted as a violation. Each end is read before its own call now. That this was the cause of that one run is shown as a mechanism: the new test fails without the change.

--- a/applevale/harness/ops/admin_client.py
+++ b/applevale/harness/ops/admin_client.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import json
+from http import HTTPStatus
 
 CALL_TIMEOUT_SECONDS = 2.0
 READY_POLL_INTERVAL_SECONDS = 0.05
-STATUS_OK = 200
 
 
 async def call(address: str, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
@@ -33,7 +33,7 @@
     end = loop.time() + within
     while loop.time() < end:
         status, _ = await call(address, "GET", "/ready")
-        if status == STATUS_OK:
+        if status == HTTPStatus.OK:
             return True
         await asyncio.sleep(READY_POLL_INTERVAL_SECONDS)
     return False
--- a/applevale/harness/ops/evaluation.py
+++ b/applevale/harness/ops/evaluation.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from ...fakes.client_pool import ANSWER_SERVED, METHOD_LOOKUP, SentRequest
 from ...fakes.engine import AttemptArrival
@@ -36,6 +37,11 @@
     return sum(sent.answers == [ANSWER_SERVED] and sent.method == METHOD_LOOKUP for sent in sent_requests)
 
 
+def arrivals_between(arrivals: Iterable[AttemptArrival], start: float, end: float) -> int:
+    """Return how many attempts an engine received after `start` and before `end`, by its own clock."""
+    return sum(start < arrival.received_at < end for arrival in arrivals)
+
+
 @dataclass
 class Observations:
     """What the script saw.
@@ -59,6 +65,7 @@
     first_exit_code: int | None = None
     cut_in_upgrade: int = 0
     enabled_at: float = 0.0
+    late_enabled_at: float = 0.0
     to_ejected: int = 0
     to_late_ejected: int = 0
     after_enable: int = 0
@@ -90,9 +97,9 @@
         engines = environment.engines
         clients = environment.clients
         arrivals = engines[ejected].arrivals
-        self.to_ejected = self._arrivals_while_ejected(arrivals, self.ejected_from)
-        self.to_late_ejected = self._arrivals_while_ejected(
-            engines[late_ejected].arrivals, self.late_ejected_from
+        self.to_ejected = arrivals_between(arrivals, self.ejected_from, self.enabled_at)
+        self.to_late_ejected = arrivals_between(
+            engines[late_ejected].arrivals, self.late_ejected_from, self.late_enabled_at
         )
         self.after_enable = sum(arrival.received_at > self.enabled_at for arrival in arrivals)
         executed = {arrival.request_id.decode() for engine in engines for arrival in engine.arrivals}
@@ -101,16 +108,13 @@
         self.violations = count_violations(clients, engines, overlap)
         self.client_figures = clients.stats()
 
-    def _arrivals_while_ejected(self, arrivals: Iterable[AttemptArrival], ejected_from: float) -> int:
-        return sum(ejected_from < arrival.received_at < self.enabled_at for arrival in arrivals)
-
     def checks(self) -> dict[str, bool]:
         """Return each check by its name in the result, with whether it holds."""
         return {
             "first_ready": self.first_ready,
             "ban_yes": self.ejection_confirmed,
-            "unknown_refused": self.unknown_engine_status == 404,
-            "ready_no_in_drain": self.ready_status_in_drain == 503,
+            "unknown_refused": self.unknown_engine_status == HTTPStatus.NOT_FOUND,
+            "ready_no_in_drain": self.ready_status_in_drain == HTTPStatus.SERVICE_UNAVAILABLE,
             "undrained_in_2s": self.undrained,
             "second_ready_in_6s": self.second_ready,
             "first_exit_0": self.first_exit_code == 0,
--- a/applevale/harness/ops/script.py
+++ b/applevale/harness/ops/script.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 
 from ...discovery.endpoints import format_instance_id
-from .admin_client import STATUS_OK, call, until_ready
+from .admin_client import call, until_ready
 from .environment import OperationsEnvironment
 from .evaluation import Observations, cut_requests, served_lookups
 
@@ -62,7 +63,7 @@
 
     async def _eject(self) -> None:
         admin = self.environment.first_admin
-        self.observed.ejection_confirmed = await _disable(admin, _engine_id(EJECTED)) == STATUS_OK
+        self.observed.ejection_confirmed = await _disable(admin, _engine_id(EJECTED)) == HTTPStatus.OK
         self.observed.ejected_from = self._engine_time(EJECTED) + EJECTION_GRACE_SECONDS
         self.observed.unknown_engine_status = await _disable(admin, UNKNOWN_ENGINE_ID)
         await asyncio.sleep(self.phase_seconds)
@@ -91,7 +92,7 @@
         observed.second_ready = await until_ready(environment.second_admin, READY_TIMEOUT_SECONDS)
         # Ejected at the second process while both run: the first must stop using the engine, too.
         status = await _disable(environment.second_admin, _engine_id(LATE_EJECTED))
-        observed.late_ejection_confirmed = status == STATUS_OK
+        observed.late_ejection_confirmed = status == HTTPStatus.OK
         observed.late_ejected_from = self._engine_time(LATE_EJECTED) + EJECTION_GRACE_SECONDS
         cut_before = cut_requests(environment.clients.sent)
         observed.first_counters = await environment.first.stop()
@@ -101,10 +102,12 @@
         observed.cut_in_upgrade = cut_requests(environment.clients.sent) - cut_before
 
     async def _enable_engines(self) -> None:
+        """Enable both engines; work may reach each from the moment of its own call."""
         admin = self.environment.second_admin
+        self.observed.enabled_at = self._engine_time(EJECTED)
         await _enable(admin, _engine_id(EJECTED))
+        self.observed.late_enabled_at = self._engine_time(LATE_EJECTED)
         await _enable(admin, _engine_id(LATE_EJECTED))
-        self.observed.enabled_at = self._engine_time(EJECTED)
         await asyncio.sleep(REENABLE_TIMEOUT_SECONDS)
 
     def _engine_time(self, index: int) -> float:
--- a/tests/test_rig_ops.py
+++ b/tests/test_rig_ops.py
@@ -3,14 +3,21 @@
 import asyncio
 import json
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
+from applevale.discovery.endpoints import parse_instance_id
 from applevale.fakes.client_pool import SentRequest
 from applevale.fakes.engine import AttemptArrival
 from applevale.harness import ops
 from applevale.harness.ops import environment, script
-from applevale.harness.ops.evaluation import MAX_CUT_REQUESTS, Observations, cut_requests
+from applevale.harness.ops.evaluation import (
+    MAX_CUT_REQUESTS,
+    Observations,
+    arrivals_between,
+    cut_requests,
+)
 from applevale.harness.request_rules import count_violations
 
 
@@ -48,6 +55,46 @@
     assert len(started) == 1 and started[0].returncode is not None
 
 
+class EnabledEngine:
+    """An engine that receives an attempt once it is enabled, by a clock that each call moves on by 1 s."""
+
+    def __init__(self, now):
+        self.now = now
+        self.arrivals = []
+
+    def clock(self):
+        return self.now[0]
+
+    def enable(self):
+        self.now[0] += 1.0
+        self.arrivals.append(AttemptArrival(self.now[0], b"1", b"lookup"))
+        self.now[0] += 1.0
+
+
+def test_work_that_reaches_an_engine_before_the_next_one_is_enabled_is_no_violation(monkeypatch):
+    now = [100.0]
+    engines = [EnabledEngine(now) for _ in range(3)]
+
+    async def enable(admin_address, engine_id):
+        engines[parse_instance_id(engine_id) - 1].enable()
+
+    async def enable_engines():
+        scenario = script.OperationsScenario(SimpleNamespace(engines=engines, second_admin=""), 0.0)
+        await scenario._enable_engines()
+        return scenario.observed
+
+    monkeypatch.setattr(script, "_enable", enable)
+    monkeypatch.setattr(script, "REENABLE_TIMEOUT_SECONDS", 0.0)
+    observed = asyncio.run(enable_engines())
+    first, late = engines[script.EJECTED].arrivals, engines[script.LATE_EJECTED].arrivals
+    assert arrivals_between(first, 99.0, observed.enabled_at) == 0
+    assert arrivals_between(late, 99.0, observed.late_enabled_at) == 0
+    assert arrivals_between(first, observed.enabled_at, 200.0) == 1
+    assert arrivals_between(late, observed.late_enabled_at, 200.0) == 1
+    early = AttemptArrival(99.5, b"2", b"lookup")
+    assert arrivals_between([early, *first], 99.0, observed.enabled_at) == 1
+
+
 def requests_cut_at(*times):
     """Requests that met a closed connection at these times; 0: that did not."""
     return [
