--- a/applevale/dispatching.py
+++ b/applevale/dispatching.py
@@ -5,16 +5,12 @@
 from collections.abc import Callable, Sequence
 
 
-class BatchDispatcher:
-    """Handles a batch of events type by type, and those of one type in their order."""
+def dispatch_by_type(handlers: dict[type, Callable], events: Sequence) -> None:
+    """Handle a batch of events in the order of `handlers`, and those of one type in their own order.
 
-    def __init__(self, handlers: dict[type, Callable]):
-        """Handle types in the order of `handlers`; events of other types are ignored."""
-        self.handlers = handlers
-
-    def dispatch(self, events: Sequence) -> None:
-        """Handle the events of a batch."""
-        for kind, handler in self.handlers.items():
-            for event in events:
-                if type(event) is kind:
-                    handler(event)
+    Events of other types are ignored.
+    """
+    for kind, handler in handlers.items():
+        for event in events:
+            if type(event) is kind:
+                handler(event)
--- a/applevale/estimators.py
+++ b/applevale/estimators.py
@@ -18,11 +18,7 @@
 COVARIANCE_PRIOR = 0.8
 MIN_VARIANCE = 0.01
 
-# Priors of a RunTimeEstimate, and the shortest free run time (s) that it believes.
-SLOWDOWN_PRIOR = 1.5
-SCATTER_PRIOR = 0.3
-MIN_FREE_RUN_TIME = 0.001
-
+MIN_FREE_RUN_TIME = 0.001  # seconds, of a RunTimeEstimate
 MIN_MEAN_VALUE = 1e-9  # of a RelativeDensity
 
 
@@ -156,12 +152,19 @@
     of a run time from the expected one.
     """
 
-    def __init__(self, max_ratio: float, max_slowdown: float):
-        """Ignore ratios beyond `max_ratio`; expect no more than `max_slowdown` times the free run time."""
+    def __init__(self, slowdown_prior: float, scatter_prior: float, max_ratio: float, max_slowdown: float):
+        """Start from these priors.
+
+        Args:
+            slowdown_prior: The slowdown before the first run.
+            scatter_prior: The scatter before the first run.
+            max_ratio: Ratios beyond it count as that.
+            max_slowdown: The longest expected run time, as a multiple of the free run time.
+        """
         self.max_ratio = max_ratio
         self.max_slowdown = max_slowdown
-        self.slowdown = RunningMean(SLOWDOWN_PRIOR)
-        self.scatter = RunningMean(SCATTER_PRIOR)
+        self.slowdown = RunningMean(slowdown_prior)
+        self.scatter = RunningMean(scatter_prior)
 
     def expect(self, free_run_time: float) -> float:
         """Return the expected run time (s)."""
--- a/applevale/policy/controller.py
+++ b/applevale/policy/controller.py
@@ -23,7 +23,7 @@
         self._stalls = stalls.StallDetector(config.SWEEP_INTERVAL, config.STALL_TOLERANCE, config.LONG_FADE)
         self._list_backoff = rate_limits.ExponentialBackoff(1.0, max(1.0, settings.ask_within / 2))
         self._is_subscribed = settings.discovery_push
-        handlers = {
+        self._handlers = {
             api.FleetSize: self._on_fleet_size,
             api.EngineList: self._on_engine_list,
             api.PeerLoadReport: self.load.on_peer_report,
@@ -36,7 +36,6 @@
             api.AnswerSent: self.attempts.on_answer_sent,
             api.Timer: self._on_timer,
         }
-        self._dispatcher = dispatching.BatchDispatcher(handlers)
 
     def ejected_engines(self, now: float) -> set[int]:
         return {number for number, engine in self.engines.items() if engine.health.is_open(now)}
@@ -51,7 +50,7 @@
                 for attempt in engine.attempts.items:
                     attempt.running_since = min(now, attempt.running_since + stall)
         self.load.start_batch()
-        self._dispatcher.dispatch(events)
+        dispatching.dispatch_by_type(self._handlers, events)
         if self.scheduler.waiting:
             self.load.start_pass()
             self.scheduler.serve(self._stalls.recent(now))
--- a/applevale/policy/model.py
+++ b/applevale/policy/model.py
@@ -29,9 +29,8 @@
         self.deadline = now + max(0.0, request.ttl if isfinite(request.ttl) else stats.spec.deadline)
         self.max_stall_margin = 0.3 * (self.deadline - now)
         self.attempts, self.in_flight, self.features = [], 0, ()  # the last: of the flag model
-        self.is_finished = self.is_streaming = self.is_answered = self.is_flagged = self.is_flag_accepted = (
-            False
-        )
+        self.is_finished = self.is_streaming = self.is_answered = False
+        self.is_flagged = self.is_flag_accepted = False
         self.work = max(stats.work.expect(request.work if isfinite(request.work) else 0.0), 1e-4)
         announced_mb = max(request.memory_mb, 0.0) if isfinite(request.memory_mb) else 0.0
         self.memory_mb = stats.memory.expect(announced_mb)
@@ -74,7 +73,8 @@
         self.work = estimators.EstimateCorrection(max(spec.aim / 3 * spec.threads, 0.001), config.MAX_RATIO)
         self.memory = estimators.EstimateCorrection(0.0, config.MAX_RATIO)
         self.trouble = estimators.RunningMean(0.0)  # share of requests that met memory trouble
-        self.run_time = estimators.RunTimeEstimate(config.MAX_RATIO, config.MAX_EXPECTED_SLOWDOWN)
+        priors = (config.SLOWDOWN_PRIOR, config.SCATTER_PRIOR)
+        self.run_time = estimators.RunTimeEstimate(*priors, config.MAX_RATIO, config.MAX_EXPECTED_SLOWDOWN)
 
     def learn(self, attempt: Attempt, event: api.Outcome, run_time: float) -> bool:
         pending, usual_slowdown = attempt.pending, self.run_time.slowdown.value
@@ -106,9 +106,7 @@
         self.peer_sends = estimators.DecayingMean(config.SEND_FADE)  # threads per core
         self.health = circuit_breaker.CircuitBreaker(config.EJECTION_TIME, config.MAX_EJECTION_TIME)
         self.reported_at, self.succeeded_at, self.probed_at = -inf, -inf, inf  # inf: no probe is in flight
-        self.cold_budget = rate_limits.TokenBucket(
-            -cold_debt, self.context.now
-        )  # all hear of a start at once
+        self.cold_budget = rate_limits.TokenBucket(-cold_debt, self.context.now)  # not as of its start
 
     def has_load_of(self, tables: float) -> bool:
         loads = (one.pending for one in self.attempts.items if one.pending.spec.load)
--- a/applevale/policy/scheduling.py
+++ b/applevale/policy/scheduling.py
@@ -94,10 +94,11 @@
                 engine, may_wait = self._route(pending, no_room_for)
             is_exempt = pending.rank >= config.TOP_RANK or pending.is_flag_accepted
             is_behind = not is_exempt and work_ahead > max(0.0, time_left) * work_rate  # would miss its aim
-            is_hopeless = is_late or (not may_wait and (is_behind or time_left < 0))
+            is_hopeless = is_behind and not may_wait
+            is_too_late = is_late or (time_left < 0 and not may_wait)
             if engine is not None:
                 self._attempts.send(pending, engine)
-            elif is_hopeless or router.is_saturated(now, pending.request.cls, pending.work):
+            elif is_hopeless or router.is_saturated(now, pending.request.cls, pending.work) or is_too_late:
                 self._attempts.give_up(pending)
             else:
                 kept.append(pending)
--- a/tests/test_estimators.py
+++ b/tests/test_estimators.py
@@ -14,7 +14,7 @@
     SerialQueues,
     TurnForecast,
 )
-from applevale.dispatching import BatchDispatcher
+from applevale.dispatching import dispatch_by_type
 from applevale.estimators import (
     LogisticModel,
     RelativeDensity,
@@ -57,7 +57,7 @@
 
 
 def test_run_times_are_expected_by_the_slowdown_that_was_seen():
-    estimate = RunTimeEstimate(max_ratio=20.0, max_slowdown=5.0)
+    estimate = RunTimeEstimate(1.5, 0.3, max_ratio=20.0, max_slowdown=5.0)
     assert estimate.expect(2.0) == 3.0
     assert estimate.learn(expected=1.5, free_run_time=1.0, run_time=100.0) == 100.0
     assert estimate.slowdown.value == 20.0 and estimate.expect(1.0) == 5.0
@@ -208,6 +208,5 @@
 
 def test_a_batch_is_handled_type_by_type():
     handled = []
-    dispatcher = BatchDispatcher({str: handled.append, int: handled.append})
-    dispatcher.dispatch((1, "a", 2.0, "b", 2))
+    dispatch_by_type({str: handled.append, int: handled.append}, (1, "a", 2.0, "b", 2))
     assert handled == ["a", "b", 1, 2]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,21 +29,18 @@
     "harness",
     "cli",
 ]
-BASE = {
-    "api",
+# Arithmetic, containers and the like that know no request, engine or setting.
+ARITHMETIC = {
     "circuit_breaker",
     "containers",
     "dispatching",
-    "errors",
     "estimators",
     "hashing",
-    "policy",
     "rate_limits",
     "selection",
-    "simulator_wire",
     "stalls",
-    "__init__",
 }
+BASE = {"api", "errors", "policy", "simulator_wire", "__init__", *ARITHMETIC}
 
 
 def module_file(parts):
@@ -71,15 +68,25 @@
     return path.relative_to(PACKAGE).parts[0].removesuffix(".py")
 
 
+def test_arithmetic_beside_the_decision_module_knows_no_other_part():
+    foreign = [
+        f"{name} -> {other.relative_to(PACKAGE)}"
+        for name in ARITHMETIC
+        for other in imports(PACKAGE / f"{name}.py")
+        if layer(other) not in ARITHMETIC
+    ]
+    assert foreign == []
+
+
 def test_no_part_imports_one_above_it():
     upward = []
     for path in PACKAGE.rglob("*.py"):
         if layer(path) not in ORDER:
             continue
         for other in imports(path):
-            if layer(other) not in BASE and layer(other) in ORDER:
-                if ORDER.index(layer(other)) > ORDER.index(layer(path)):
-                    upward.append(f"{path.relative_to(PACKAGE)} -> {other.relative_to(PACKAGE)}")
+            is_ordered = layer(other) not in BASE and layer(other) in ORDER
+            if is_ordered and ORDER.index(layer(other)) > ORDER.index(layer(path)):
+                upward.append(f"{path.relative_to(PACKAGE)} -> {other.relative_to(PACKAGE)}")
     assert upward == []
 
 
--- a/tests/test_policy_wait_queue.py
+++ b/tests/test_policy_wait_queue.py
@@ -3,9 +3,10 @@
 from dataclasses import replace
 
 import pytest
-from policy_driver import LOOKUP, PolicyDriver, actions_of
+from policy_driver import LOOKUP, PolicyDriver, actions_of, make_settings
 
 from applevale import api
+from applevale.policy import AdmissionController
 
 Result = api.Result
 ORDERED = replace(LOOKUP, repeat=api.Repeat.UNSAFE, ordered=True)
@@ -103,3 +104,25 @@
     assert not actions_of(api.Send, driver.run(0.5))
     driver.handle(api.AnswerSent(902, 7, 0.1))
     assert request_ids(api.Send, driver.run(0.2)) == [901]
+
+
+class RecordingRouter(api.Router):
+    """A router that keeps for which requests it was asked whether all zones are saturated."""
+
+    def __init__(self):
+        self.saturation_checks = []
+
+    def is_saturated(self, now, request_class, work):
+        self.saturation_checks.append((now, request_class, work))
+        return False
+
+
+def test_the_router_is_also_asked_for_a_request_that_is_too_late():
+    """A router notices by this call that time has passed, and may begin the recovery of a zone."""
+    router = RecordingRouter()
+    controller = AdmissionController(make_settings(), 1, router)
+    draining = api.EngineEntry(1, state=api.State.DRAINING)
+    controller.handle(100.0, (api.EngineList((draining,), whole=True),))
+    actions = controller.handle(100.1, (api.Request(1, 0, ttl=4.0, work=30.0),))
+    assert request_ids(api.Reject, actions) == [1]
+    assert router.saturation_checks == [(100.1, 0, 30.0)]
