--- a/applevale/fakes/faulty_proxy.py
+++ b/applevale/fakes/faulty_proxy.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from random import Random
 
-from ..fault_injection.tcp_relay import RelayConnection, RelayStream, TcpRelay
+from ..fault_injection.tcp_relay import RelayConnection, RelayProxy, RelayStream
 from ..net.addresses import Address
 
 MAX_CHUNK_BYTES = 65536  # the most that one fault spoils of an answer
@@ -94,7 +94,7 @@
         super().pass_on(data)
 
 
-class FaultyProxy:
+class FaultyProxy(RelayProxy):
     """A proxy on loopback. A change of the mode holds for open connections, too.
 
     Attributes:
@@ -103,22 +103,9 @@
 
     def __init__(self, target: Address, random: Random):
         """Prepare a proxy to the target; `random` draws the bytes of GARBAGE."""
+        super().__init__(target)
         self.random = random
         self.mode = ProxyMode.PASS
-        self._relay = TcpRelay(target, self)
-
-    @property
-    def address(self) -> Address:
-        """Where it listens, once it has started."""
-        return self._relay.address
-
-    async def start(self) -> None:
-        """Listen; `address` holds the port from then on."""
-        await self._relay.start()
-
-    async def stop(self) -> None:
-        """Close the listener and abort all connections."""
-        await self._relay.stop()
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Change the mode."""
--- a/applevale/fault_injection/tcp_proxy.py
+++ b/applevale/fault_injection/tcp_proxy.py
@@ -10,7 +10,7 @@
 
 from ..net.addresses import Address
 from .link_conditions import LinkConditions
-from .tcp_relay import RelayConnection, RelayStream, TcpRelay
+from .tcp_relay import RelayConnection, RelayProxy, RelayStream
 
 MAX_BUFFERED_BYTES = 1 << 18  # in one direction of a connection; beyond, its sender is not read from
 CUT_POLL_SECONDS = 0.02  # between two checks whether a cut has ended
@@ -107,7 +107,7 @@
             self.timer = None
 
 
-class TcpProxy:
+class TcpProxy(RelayProxy):
     """Listens on loopback before one server, and passes on what the conditions of each pair let pass.
 
     The server sees the caller's own local address.
@@ -115,22 +115,9 @@
 
     def __init__(self, name: str, target: Address, conditions: LinkConditions):
         """Proxy the server `name` at `target`."""
+        super().__init__(target)
         self.name = name
         self.conditions = conditions
-        self._relay = TcpRelay(target, self)
-
-    @property
-    def address(self) -> Address:
-        """Where it listens, once it has started."""
-        return self._relay.address
-
-    async def start(self) -> None:
-        """Listen; `address` is set from now on."""
-        await self._relay.start()
-
-    async def stop(self) -> None:
-        """Close the listener and end all connections."""
-        await self._relay.stop()
 
     def on_conditions_changed(self) -> None:
         """End the connections that are refused from now on."""
--- a/applevale/fault_injection/tcp_relay.py
+++ b/applevale/fault_injection/tcp_relay.py
@@ -235,3 +235,24 @@
         for connection in list(self.connections):
             connection.abort()
         await asyncio.sleep(0)
+
+
+class RelayProxy:
+    """A base of proxies that are the behavior of a relay of their own."""
+
+    def __init__(self, target: Address):
+        """Prepare a proxy to the server at `target`; nothing is started yet."""
+        self._relay = TcpRelay(target, self)
+
+    @property
+    def address(self) -> Address:
+        """Where it listens, once it has started."""
+        return self._relay.address
+
+    async def start(self) -> None:
+        """Listen; `address` holds the port from then on."""
+        await self._relay.start()
+
+    async def stop(self) -> None:
+        """Close the listener and abort all connections."""
+        await self._relay.stop()
