--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -589,6 +589,14 @@
     } | changes
 
 
+def show(text: str) -> None:
+    """Print text; the result of the run does not depend on anybody reading it."""
+    try:
+        print(text, flush=True)
+    except OSError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
 def run_case(script: str, play: Callable[[Case], Awaitable[list[str]]], limit_seconds: float = 100.0) -> None:
     """Play a case, end its processes, and exit with its result.
 
@@ -604,10 +612,10 @@
         for line in breaks:
             case.record.write("RULE BROKEN", line)
         status = EXIT_BROKEN if breaks else EXIT_KEPT
-        print("\n".join(breaks[:5]) if breaks else "the rule was kept")
+        show("\n".join(breaks[:5]) if breaks else "the rule was kept")
     except Exception as error:  # the run says nothing about the rule
         case.record.write("not run", "".join(traceback.format_exception(error)))
-        print(f"the case could not run: {type(error).__name__}: {error}")
+        show(f"the case could not run: {type(error).__name__}: {error}")
     finally:
         with contextlib.suppress(Exception):
             case.close()
