--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from typing import TYPE_CHECKING
 
 from .. import api
@@ -37,6 +38,7 @@
 
 # Counters are logged at this interval, because a process that is killed cannot log them at its exit.
 COUNTERS_LOG_INTERVAL_SECONDS = 5.0
+KB_PER_MB = 1024
 CLIENT_BUFFER_MEMORY_SHARE = 0.125  # share of the memory for buffered messages and responses of clients
 
 
@@ -216,7 +218,9 @@
             self.connect_pacer.set_instance_count(size)
 
     def log_counters(self) -> None:
-        """Log all counters."""
+        """Log all counters, among them what the process holds for clients and its peak memory."""
+        self.counters["client_buffer_bytes"] = self.server.connections.buffered_bytes
+        self.counters["peak_memory_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // KB_PER_MB
         if self.registry_source is not None:
             self.registry_source.update_list_counters()
         if self.membership is not None:
