An unfinished message of a client takes no more memory than its bytes

Cause: MessageDecoder built the values of a message while it arrived, and limits counted received bytes alone.

The limits on bytes now count what they cost.

--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -20,7 +20,8 @@
 from ..observability.events import log_event
 from ..requests.model import Request
 from .connection_table import ConnectionTable
-from .rpc import MAX_MESSAGE_BYTES, RECEIVE_BUFFER_BYTES, MalformedMessageError, MessageDecoder
+from .message_scanner import MAX_MESSAGE_BYTES
+from .rpc import RECEIVE_BUFFER_BYTES, MessageDecoder
 
 # A connection whose client reads nothing for this long is closed. No client waits longer for a response.
 WRITE_STALL_TIMEOUT_SECONDS = 30.0
@@ -190,7 +191,8 @@
         """Handle the messages that `size` more bytes complete; return whether there were any.
 
         Raises:
-            MalformedMessageError: The incomplete message exceeds MAX_MESSAGE_BYTES.
+            ValueError: A message violates the protocol or exceeds a limit.
+            msgpack.exceptions.UnpackException: The bytes are not MessagePack.
         """
         received_at = self._driver.now()
         is_emptied = size < RECEIVE_BUFFER_BYTES
@@ -206,8 +208,6 @@
         incomplete_bytes = self._decoder.incomplete_bytes
         self._table.add_bytes(incomplete_bytes - self.incomplete_bytes)
         self.incomplete_bytes = incomplete_bytes
-        if incomplete_bytes > MAX_MESSAGE_BYTES:  # the decoder's own limits do not cover nested arrays
-            raise MalformedMessageError(f"message: over the limit of {MAX_MESSAGE_BYTES} bytes")
         return is_any_complete
 
     def _on_message_overdue(self, reader: asyncio.Task) -> None:
--- a/applevale/server/rpc.py
+++ b/applevale/server/rpc.py
@@ -9,10 +9,9 @@
 import msgpack
 
 from ..requests.model import Completed, Failed, Rejected, Response
+from .message_scanner import MessageScanner
 
-MAX_MESSAGE_BYTES = 256 * 1024
 RECEIVE_BUFFER_BYTES = 4096  # held by each connection for as long as it is open
-MAX_CONTAINER_ITEMS = 64  # items of one array or map
 MAX_MESSAGE_ID = 2**32 - 1
 
 _ERROR_FAILED = "Error"
@@ -68,6 +67,8 @@
 class MessageDecoder:
     """Decodes the messages in a stream of bytes.
 
+    An incomplete message is held as the bytes received, and nothing is built from it before it is complete.
+
     Attributes:
         buffer: Receive buffer. Invariant: its first byte is not 0 exactly while it holds bytes that are not
             decoded yet, since no message begins with 0.
@@ -76,20 +77,13 @@
     def __init__(self) -> None:
         """Create a decoder for a new stream."""
         self.buffer = bytearray(RECEIVE_BUFFER_BYTES)
-        self._unpacker = msgpack.Unpacker(
-            raw=False,
-            max_buffer_size=MAX_MESSAGE_BYTES,
-            read_size=RECEIVE_BUFFER_BYTES,
-            max_array_len=MAX_CONTAINER_ITEMS,
-            max_map_len=MAX_CONTAINER_ITEMS,
-        )
-        self._received_bytes = 0
-        self._last_message_end = 0
+        self._received = bytearray()
+        self._scanner = MessageScanner()
 
     @property
     def incomplete_bytes(self) -> int:
         """Number of received bytes that belong to an incomplete message."""
-        return self._received_bytes - self._last_message_end
+        return len(self._received)
 
     def decode(self, size: int) -> Iterator[object]:
         """Yield the messages that the first `size` bytes of the buffer complete.
@@ -98,12 +92,12 @@
             ValueError: The bytes are not MessagePack, or a message exceeds a limit.
             msgpack.exceptions.UnpackException: The bytes are not MessagePack.
         """
-        unpacker = self._unpacker
-        self._received_bytes += size
-        unpacker.feed(memoryview(self.buffer)[:size])
+        self._received += memoryview(self.buffer)[:size]
         self.buffer[0] = 0
-        for message in unpacker:
-            self._last_message_end = unpacker.tell()
+        while end := self._scanner.find_end(self._received):
+            message = msgpack.unpackb(self._received[:end])
+            del self._received[:end]
+            self._scanner = MessageScanner()
             yield message
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -18,7 +18,7 @@
 from applevale.engines import resp
 from applevale.observability.counters import Counters
 from applevale.requests.model import Completed, Failed, Rejected
-from applevale.server import rpc
+from applevale.server import message_scanner, rpc
 from applevale.server.request_parser import InvalidRequestError, RequestSchema, parse_request
 from applevale.server.statement import table_group
 
@@ -241,7 +241,7 @@
     assert resp.parse_load_report(fields, ("active", "cpu", "x1")) == (7.0, 0.61, -1.0)
 
 
-@pytest.mark.parametrize("item_count", [rpc.MAX_CONTAINER_ITEMS + 1, 2**32 - 1])
+@pytest.mark.parametrize("item_count", [message_scanner.MAX_CONTAINER_ITEMS + 1, 2**32 - 1])
 def test_an_array_with_too_many_items_is_rejected_by_its_header(item_count):
     decoder = rpc.MessageDecoder()
     header = struct.pack(">BI", 0xDD, item_count)
