A control feed that is late by up to 7 s is followed

Cause: each connection without a whole frame for 1.8 s was closed and a new one opened, so no connection lived to its first frame. Evidence: in the record a new connection every 2.0 to 2.2 s, each from event 1, closed by its reader before its first frame; the log has TimeoutError alone, no gap in the numbers; feed_frames stands still.

Not taken: a longer silence timeout, by which a dead connection would hide drains for as long.

--- a/applevale/discovery/control_feed.py
+++ b/applevale/discovery/control_feed.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable
-from math import inf
 
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from .endpoints import AttributeNames, EndpointUpdate
-from .feed_codec import FeedError, FrameDecoder
+from .feed_codec import FeedError
+from .feed_connection import FeedConnection
 
-# A connection without a whole frame for this time is closed. The feed sends at least one frame per second.
+# Without a whole frame for this time, a further connection is opened. The feed sends at least one frame per
+# second.
 SILENCE_TIMEOUT_SECONDS = 1.8
+# The feed may be this late with all that it sends, so a connection is given up no sooner.
+MAX_FEED_DELAY_SECONDS = 7.0
 MIN_RECONNECT_SECONDS = 0.05
 MAX_RECONNECT_SECONDS = 0.4
-RECEIVE_BUFFER_BYTES = 16384
-RESUME_REQUEST = struct.Struct(">Q")  # Its only field is the number of the last published update.
 
 
 class ControlFeed:
@@ -26,14 +25,17 @@
 
     It publishes each update once and in order. After a reconnect the feed sends the updates that were missed.
 
+    A feed that is silent may be slow, or the connection may be dead. Neither can be told from the other, so
+    the silent connection stays open while others are tried. The first one that delivers a frame is followed,
+    and the others are closed.
+
     Attributes:
         last_number: Number of the last update that was published.
         names: Names of zones and machine kinds, to which records refer by index.
         counters: Counts frames, updates and broken connections.
         publish: Called with each update, once and in order.
         address: Address of the feed; None if no feed is followed.
-        task: Task that follows the feed; None if no feed is followed.
-        last_frame_at: Time of the last frame on the event loop's clock, in s; -inf before the first one.
+        connections: Open connections, oldest first.
     """
 
     def __init__(
@@ -58,8 +60,10 @@
         self.counters = counters
         self.publish = publish
         self.address = address
-        self.task: asyncio.Task | None = None
-        self.last_frame_at = -inf
+        self.connections: list[FeedConnection] = []
+        self._is_following = False
+        self._connect_timer: asyncio.TimerHandle | None = None
+        self._reconnect_delay = MIN_RECONNECT_SECONDS
 
     def start(self) -> None:
         """Start to follow the feed if it has an address."""
@@ -67,18 +71,12 @@
 
     def reconfigure(self, target: tuple[str, int] | None) -> None:
         """Follow the feed at `target`, starting after the last published update; None stops following."""
-        if self.task is not None and (target is None or target != self.address):
-            self.task.cancel()
-            self.task = None
+        if self._is_following and target != self.address:
+            self._disconnect()
         self.address = target
-        if target is not None and self.task is None:
-            self.task = asyncio.create_task(self._follow())
-
-    def is_fresh(self) -> bool:
-        """Return whether a frame was received recently; without an address the list is always fresh."""
-        if self.address is None:
-            return True
-        return asyncio.get_running_loop().time() - self.last_frame_at <= SILENCE_TIMEOUT_SECONDS
+        if target is not None and not self._is_following:
+            self._is_following = True
+            self._open_connection()
 
     async def stop(self) -> None:
         """Stop following the feed."""
@@ -102,53 +100,59 @@
         self.counters["feed_events"] += 1
         self.publish(update)
 
-    async def _follow(self) -> None:
-        """Keep a connection to the feed; after consecutive failures it reconnects with growing delays."""
-        delay = MIN_RECONNECT_SECONDS
-        while True:
-            frames_before = self.counters["feed_frames"]
-            try:
-                await self._run_connection()
-            except (OSError, FeedError) as error:
-                log_event("feed", f"{type(error).__name__}: {error}")
-            self.counters["feed_breaks"] += 1
-            if self.counters["feed_frames"] > frames_before:
-                delay = MIN_RECONNECT_SECONDS
-            else:
-                delay = min(delay * 2, MAX_RECONNECT_SECONDS)
-            await asyncio.sleep(delay)
-
-    async def _run_connection(self) -> None:
-        """Open a connection and apply the updates that it delivers until it fails."""
-        loop = asyncio.get_running_loop()
-        decoder = FrameDecoder(self.names)
-        buffer = bytearray(RECEIVE_BUFFER_BYTES)
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            sock.setblocking(False)
-            async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
-                await loop.sock_connect(sock, self.address)
-                await loop.sock_sendall(sock, RESUME_REQUEST.pack(self.last_number))
-            while True:
-                # The feed may keep the connection open but send nothing, or never complete a frame.
-                async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
-                    updates = await _receive_updates(loop, sock, buffer, decoder)
-                self.last_frame_at = loop.time()
-                for update in updates:
-                    self.apply(update)
-
-
-async def _receive_updates(
-    loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: bytearray, decoder: FrameDecoder
-) -> list[EndpointUpdate]:
-    """Wait for the next updates and return them; there is at least one.
-
-    Raises:
-        FeedError: The feed has closed the connection, or a frame is malformed.
-    """
-    updates: list[EndpointUpdate] = []
-    while not updates:
-        size = await loop.sock_recv_into(sock, buffer)
-        if size == 0:
-            raise FeedError("the feed closed the connection")
-        updates = decoder.feed(memoryview(buffer)[:size])
-    return updates
+    def _open_connection(self) -> None:
+        connection = FeedConnection(
+            self.address, self.last_number, self.names, self._on_updates, self._on_failure
+        )
+        self.connections.append(connection)
+        self.counters["feed_connects"] += 1
+        self._schedule(SILENCE_TIMEOUT_SECONDS, self._on_silence)
+
+    def _schedule(self, delay: float, callback: Callable[[], None]) -> None:
+        """Call `callback` after `delay` seconds, unless another call is scheduled before then."""
+        if self._connect_timer is not None:
+            self._connect_timer.cancel()
+        self._connect_timer = asyncio.get_running_loop().call_later(delay, callback)
+
+    def _on_updates(self, connection: FeedConnection, updates: list[EndpointUpdate]) -> None:
+        """Follow the connection that has delivered updates, and apply them."""
+        for other in self.connections:
+            if other is not connection:
+                other.close()
+        self.connections = [connection]
+        self._schedule(SILENCE_TIMEOUT_SECONDS, self._on_silence)
+        for update in updates:
+            self.apply(update)
+        self._reconnect_delay = MIN_RECONNECT_SECONDS
+
+    def _on_failure(self, connection: FeedConnection, error: Exception) -> None:
+        """Open another connection soon, unless one that is newer than the failed one is being tried."""
+        log_event("feed", f"{type(error).__name__}: {error}")
+        self.counters["feed_breaks"] += 1
+        is_newest = connection is self.connections[-1]
+        self.connections.remove(connection)
+        if is_newest:
+            self._schedule(self._reconnect_delay, self._open_connection)
+            self._reconnect_delay = min(self._reconnect_delay * 2, MAX_RECONNECT_SECONDS)
+
+    def _on_silence(self) -> None:
+        """Open a further connection, and close those that are silent for longer than the feed may be late."""
+        now = asyncio.get_running_loop().time()
+        silence = now - self.connections[0].heard_at
+        log_event(
+            "feed", f"no frame for {silence:.1f} s, connections: {len(self.connections)}; opening another"
+        )
+        expired = [c for c in self.connections if now - c.heard_at >= MAX_FEED_DELAY_SECONDS]
+        for connection in expired:
+            connection.close()
+            self.connections.remove(connection)
+        self.counters["feed_breaks"] += len(expired)
+        self._open_connection()
+
+    def _disconnect(self) -> None:
+        """Close all connections and cancel the timer."""
+        for connection in self.connections:
+            connection.close()
+        self.connections = []
+        self._connect_timer.cancel()
+        self._is_following = False
