Nothing new is sent by a control feed's list that was not confirmed for over 7 s

Cause: the list counted as current for ever; ControlFeed.is_fresh had no caller.

Fix: ListFreshness, asked by EnginePool.may_send as the registry's limit is; a heartbeat confirms the list, less the lag that HeartbeatLag estimates. From 7 s and half of the drain's grace on nothing new is sent.

Test: test_nothing_new_is_sent_by_a_list_that_is_older_than_drains_take_to_count_as_told; before, the request is served 7.55 s after the last heartbeat. test_parsers, test_long_list: the constructor takes a FeedConfig.

--- a/applevale/discovery/control_feed.py
+++ b/applevale/discovery/control_feed.py
@@ -4,12 +4,15 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
 
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from .endpoints import AttributeNames, EndpointUpdate
 from .feed_codec import FeedError
 from .feed_connection import FeedConnection
+from .list_freshness import ListFreshness
 
 # Without a whole frame for this time, a further connection is opened. The feed sends at least one frame per
 # second.
@@ -20,6 +23,27 @@
 MAX_RECONNECT_SECONDS = 0.4
 
 
+def _ignore_change(is_fresh: bool) -> None:
+    """Do nothing; for callers that do not use the freshness of the list."""
+
+
+@dataclass(frozen=True)
+class FeedConfig:
+    """What a client of the control feed starts with.
+
+    Attributes:
+        names: Names of zones and machine kinds, to which records refer by index.
+        last_number: Number of the last update that is already known.
+        address: Address of the feed; None for a fixed engine list.
+        max_age: Seconds after its last confirmation for which the list is fresh.
+    """
+
+    names: AttributeNames
+    last_number: int = 0
+    address: tuple[str, int] | None = None
+    max_age: float = inf
+
+
 class ControlFeed:
     """An `EndpointSource` that follows the control feed, and reconnects until it is stopped.
 
@@ -36,31 +60,31 @@
         publish: Called with each update, once and in order.
         address: Address of the feed; None if no feed is followed.
         connections: Open connections, oldest first.
+        freshness: Whether the list is recent enough; it always is without an address.
     """
 
     def __init__(
         self,
-        last_number: int,
-        names: AttributeNames,
+        config: FeedConfig,
         counters: Counters,
         publish: Callable[[EndpointUpdate], None],
-        address: tuple[str, int] | None = None,
+        on_freshness_change: Callable[[bool], None] = _ignore_change,
     ):
         """Create a client; `start` opens its connection.
 
         Args:
-            last_number: Number of the last update that is already known.
-            names: Names of zones and machine kinds, to which records refer by index.
+            config: What the client starts with.
             counters: Counts frames, updates and broken connections.
             publish: Called with each update, once and in order.
-            address: Address of the feed; None for a fixed engine list.
+            on_freshness_change: Called with whether the list is fresh, after each change.
         """
-        self.last_number = last_number
-        self.names = names
+        self.last_number = config.last_number
+        self.names = config.names
         self.counters = counters
         self.publish = publish
-        self.address = address
+        self.address = config.address
         self.connections: list[FeedConnection] = []
+        self.freshness = ListFreshness(config.max_age, counters, on_freshness_change)
         self._is_following = False
         self._connect_timer: asyncio.TimerHandle | None = None
         self._reconnect_delay = MIN_RECONNECT_SECONDS
@@ -70,14 +94,31 @@
         self.reconfigure(self.address)
 
     def reconfigure(self, target: tuple[str, int] | None) -> None:
-        """Follow the feed at `target`, starting after the last published update; None stops following."""
-        if self._is_following and target != self.address:
+        """Follow the feed at `target`, starting after the last published update; None stops following.
+
+        The age of the list goes on across a change of the address.
+        """
+        was_following = self._is_following
+        if was_following and target != self.address:
             self._disconnect()
         self.address = target
-        if target is not None and not self._is_following:
+        if target is None:
+            self.freshness.stop()
+            return
+        if not was_following:
+            self.freshness.start()
+        if not self._is_following:
             self._is_following = True
             self._open_connection()
 
+    def may_send_requests(self) -> bool:
+        """Return whether the list is recent enough to send new requests to its engines."""
+        return self.freshness.is_fresh()
+
+    def list_age(self) -> float:
+        """Return the seconds since the list was last confirmed; 0 without an address."""
+        return self.freshness.age()
+
     async def stop(self) -> None:
         """Stop following the feed."""
         self.reconfigure(None)
@@ -91,7 +132,7 @@
         self.counters["feed_frames"] += 1
         if update.number <= self.last_number:
             return
-        if not update.endpoints and not update.is_full:  # A heartbeat whose update was missed.
+        if _is_heartbeat(update):  # its update was missed
             text = f"heartbeat of event {update.number} came after event {self.last_number}"
             raise FeedError(text, update.number)
         if not update.is_full and update.number != self.last_number + 1:
@@ -124,6 +165,18 @@
         for update in updates:
             self.apply(update)
         self._reconnect_delay = MIN_RECONNECT_SECONDS
+        self._confirm_list(connection, updates)
+
+    def _confirm_list(self, connection: FeedConnection, updates: list[EndpointUpdate]) -> None:
+        """Record up to when the list is complete.
+
+        The first frames of a connection may be only some of the updates that were missed. A heartbeat comes
+        behind all of them.
+        """
+        if any(map(_is_heartbeat, updates)):
+            connection.lag.record_heartbeat(connection.heard_at)
+        if connection.lag.has_heartbeat:
+            self.freshness.confirm(connection.heard_at - connection.lag.seconds)
 
     def _on_failure(self, connection: FeedConnection, error: Exception) -> None:
         """Open another connection soon, unless one that is newer than the failed one is being tried."""
@@ -156,3 +209,7 @@
         self.connections = []
         self._connect_timer.cancel()
         self._is_following = False
+
+
+def _is_heartbeat(update: EndpointUpdate) -> bool:
+    return not update.endpoints and not update.is_full
--- a/applevale/discovery/endpoints.py
+++ b/applevale/discovery/endpoints.py
@@ -72,8 +72,11 @@
             target: New address or settings, of the type that the source uses.
         """
 
-    def is_fresh(self) -> bool:
-        """Return whether the published list is confirmed to be current."""
+    def may_send_requests(self) -> bool:
+        """Return whether the published list is recent enough to send new requests to its engines."""
+
+    def list_age(self) -> float:
+        """Return the seconds since the list was last confirmed; infinite if it never was."""
 
     async def stop(self) -> None:
         """Stop following the list and close all connections."""
--- a/applevale/discovery/feed_connection.py
+++ b/applevale/discovery/feed_connection.py
@@ -9,6 +9,7 @@
 
 from .endpoints import AttributeNames, EndpointUpdate
 from .feed_codec import FeedError, FrameDecoder
+from .heartbeat_lag import HeartbeatLag
 
 RECEIVE_BUFFER_BYTES = 16384
 RESUME_REQUEST = struct.Struct(">Q")  # Its only field is the number of the last published update.
@@ -21,6 +22,7 @@
 
     Attributes:
         heard_at: Time of the last whole frame, or else of the opening, by the event loop's clock.
+        lag: How late its heartbeats arrive.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
             on_failure: Called once when the connection has ended by itself; not after `close`.
         """
         self.heard_at = asyncio.get_running_loop().time()
+        self.lag = HeartbeatLag(self.heard_at)
         self._address = address
         self._resume_request = RESUME_REQUEST.pack(last_number)
         self._decoder = FrameDecoder(names)
--- a/applevale/discovery/registry/source.py
+++ b/applevale/discovery/registry/source.py
@@ -120,6 +120,10 @@
         """
         return self.watcher.is_fresh(self._clock())
 
+    def list_age(self) -> float:
+        """Return the seconds since the list was last confirmed; infinite if it never was."""
+        return self._clock() - self.watcher.confirmed_at
+
     def may_send_requests(self) -> bool:
         """Return whether new requests may be sent to listed engines."""
         return self.settings.on_stale == "serve" or self.is_fresh()
--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import resource
+from math import inf
 from typing import TYPE_CHECKING
 
 from .. import api
 from ..admin.metrics import Gauges, Metrics
 from ..config.model import Config
-from ..discovery.control_feed import ControlFeed
+from ..discovery.control_feed import MAX_FEED_DELAY_SECONDS, ControlFeed, FeedConfig
 from ..discovery.endpoints import EndpointSource, EndpointUpdate
 from ..discovery.gated_endpoints import GatedEndpoints
 from ..dispatch.clock import UnixClock
@@ -39,6 +40,7 @@
 # Counters are logged at this interval, because a process that is killed cannot log them at its exit.
 COUNTERS_LOG_INTERVAL_SECONDS = 5.0
 KB_PER_MB = 1024
+FEED_HOLD_SECONDS = 2.0  # how long requests wait for a stale list to be confirmed before they are rejected
 CLIENT_BUFFER_MEMORY_SHARE = 0.125  # share of the memory for buffered messages and responses of clients
 
 
@@ -73,6 +75,8 @@
         self.registry_source = optional_components.create_registry_source(
             config, self.counters, self.apply_update, self.on_freshness_change
         )
+        self.control_feed = self._create_control_feed()
+        self.endpoint_source: EndpointSource = self.registry_source or self.control_feed
         self.pool = self._create_pool()
         self.driver = EventLoopDriver(controller, self.pool, self.counters, self.clock)
         if self.load_report_sender is not None:
@@ -86,8 +90,6 @@
         )
         self.admin_target = self._create_admin_target()
         self.membership = self._create_membership()
-        self.control_feed = self._create_control_feed()
-        self.endpoint_source: EndpointSource = self.registry_source or self.control_feed
         self.reloader = ConfigReloader(
             config, self.endpoint_source, self.control_feed, metrics=self.metrics, counters=self.counters
         )
@@ -117,7 +119,6 @@
         )
 
     def _create_pool(self) -> EnginePool:
-        source = self.registry_source
         return EnginePool(
             self.config.connection_limits,
             self.config.settings.report_columns,
@@ -126,7 +127,7 @@
             local_address=self.config.local_address,
             connect_policy=self.connect_pacer,
             observer=EngineActivityObserver(self.metrics, self.load_report_sender),
-            is_list_confirmed=None if source is None else source.may_send_requests,
+            is_list_confirmed=self.endpoint_source.may_send_requests,
         )
 
     def _create_handler(self) -> RequestHandler:
@@ -159,9 +160,10 @@
     def _create_control_feed(self) -> ControlFeed:
         config = self.config
         last_update_number = config.known_updates[0].number - 1 if config.known_updates else 0
-        return ControlFeed(
-            last_update_number, config.attribute_names, self.counters, self.apply_update, config.feed_address
-        )
+        # A command that is being written when the list turns stale may take half of the grace period.
+        max_age = MAX_FEED_DELAY_SECONDS + config.connection_limits.drain_grace / 2
+        feed_config = FeedConfig(config.attribute_names, last_update_number, config.feed_address, max_age)
+        return ControlFeed(feed_config, self.counters, self.apply_update, self.on_freshness_change)
 
     def _open_datagrams(self) -> DatagramSocket:
         if self.datagrams is None:
@@ -170,9 +172,16 @@
 
     def is_ready_for_clients(self) -> bool:
         """Return whether the instance should report itself ready for new clients."""
-        has_engines = self.config.registry is None or self.endpoints.has_usable_engine()
-        is_shutting_down = self.shutdown_requested.is_set()
-        return has_engines and not (is_shutting_down or self.endpoints.is_stale or self.server.is_draining)
+        return not (self.shutdown_requested.is_set() or self.server.is_draining or self._waits_for_registry())
+
+    def _waits_for_registry(self) -> bool:
+        """Return whether the registry's list cannot be used.
+
+        The control feed is one for all instances, so in its outage none of them is worse than the others.
+        """
+        if self.config.registry is None:
+            return False
+        return self.endpoints.is_stale or not self.endpoints.has_usable_engine()
 
     def update_readiness(self) -> None:
         """Update the readiness that probes and operators see, and emit an event if it has changed."""
@@ -197,17 +206,19 @@
         self.driver.submit(update)
 
     def on_freshness_change(self, is_fresh: bool) -> None:
-        """Start or stop sending requests to engines as the registry's engine list becomes fresh or stale.
+        """Start or stop sending requests to engines as the engine list becomes fresh or stale.
 
         Does nothing if the configuration says to serve with a stale list.
         """
-        if self.config.registry.on_stale == "serve":
+        registry = self.config.registry
+        if registry is not None and registry.on_stale == "serve":
             return
+        hold = FEED_HOLD_SECONDS if registry is None else registry.hold
         self.driver.submit(self.endpoints.set_confirmed(is_fresh))
         if not is_fresh:
             for engine in self.pool.engines:
                 self.pool.withdraw_unsent(engine)
-        self.handler.reject_after(None if is_fresh else self.config.registry.hold)
+        self.handler.reject_after(None if is_fresh else hold)
         self.update_readiness()
 
     def on_fleet_resize(self, size: int) -> None:
@@ -218,8 +229,10 @@
             self.connect_pacer.set_instance_count(size)
 
     def log_counters(self) -> None:
-        """Log all counters, among them what the process holds for clients and its peak memory."""
+        """Log all counters, and with them the age of the engine list, clients' buffers and memory."""
         self.counters["client_buffer_bytes"] = self.server.connections.buffered_bytes
+        if self.endpoint_source.list_age() < inf:
+            self.counters["list_age_ms"] = int(self.endpoint_source.list_age() * 1000)
         self.counters["peak_memory_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // KB_PER_MB
         if self.registry_source is not None:
             self.registry_source.update_list_counters()
--- a/tests/test_control_feed.py
+++ b/tests/test_control_feed.py
@@ -1,13 +1,15 @@
-"""The client of the control feed against a feed that is slow, silent, down or invalid."""
+"""The client of a control feed that is slow, silent, down or invalid, and the age of its list."""
 
 import asyncio
 import struct
+from math import inf
 
 import pytest
 
 from applevale.discovery import control_feed, feed_codec
-from applevale.discovery.control_feed import ControlFeed
+from applevale.discovery.control_feed import ControlFeed, FeedConfig
 from applevale.discovery.endpoints import AttributeNames
+from applevale.discovery.heartbeat_lag import MAX_LAG_SECONDS, HeartbeatLag
 from applevale.observability.counters import Counters
 
 NAMES = AttributeNames(("z",), ("k",))
@@ -87,14 +89,19 @@
             await asyncio.sleep(0.002)
 
 
-def run_with_feed(steps, monkeypatch):
-    """Run `steps` with a feed, a client that follows it from update 1 on, and the list of its updates."""
+def run_with_feed(steps, monkeypatch, max_age=inf, changes=None):
+    """Run `steps` with a feed, a client that follows it from update 1 on, and the list of its updates.
+
+    The changes of the list's freshness are appended to `changes`, if it is given.
+    """
     monkeypatch.setattr(control_feed, "SILENCE_TIMEOUT_SECONDS", SILENCE_SECONDS)
 
     async def run():
         feed = ManualFeed()
         updates = []
-        client = ControlFeed(1, NAMES, Counters(), updates.append, await feed.start())
+        config = FeedConfig(NAMES, 1, await feed.start(), max_age)
+        on_freshness_change = ([] if changes is None else changes).append
+        client = ControlFeed(config, Counters(), updates.append, on_freshness_change)
         client.start()
         try:
             return await steps(feed, client, updates)
@@ -206,3 +213,87 @@
         return restarted.requested[0]
 
     assert run_with_feed(steps, monkeypatch) == 2
+
+
+MAX_AGE_SECONDS = 0.3
+
+
+# Review case 2: a feed that was down for longer than drains take to count as told left every engine in use.
+def test_a_list_without_confirmation_becomes_stale_and_only_a_heartbeat_makes_it_fresh(monkeypatch):
+    """The first updates after an outage may be a part of what was missed; the heartbeat comes behind them."""
+    changes = []
+
+    async def steps(feed, client, updates):
+        loop = asyncio.get_running_loop()
+        assert client.may_send_requests()
+        await feed.wait_for_connections(1)
+        feed.go_down()
+        await wait_until(lambda: changes == [False])
+        assert client.list_age() > MAX_AGE_SECONDS and not client.may_send_requests()
+        restarted = ManualFeed()
+        await restarted.start(client.address[1])
+        await restarted.wait_for_connections(1)
+        restarted.writers[-1].write(drain_event(2))
+        await wait_until(lambda: updates)
+        assert not client.may_send_requests()
+        confirmed_from = loop.time()
+        restarted.writers[-1].write(drain_event(3) + heartbeat(3))
+        await wait_until(lambda: changes == [False, True])
+        assert client.freshness.confirmed_at >= confirmed_from and len(updates) == 2
+        restarted.go_down()
+
+    run_with_feed(steps, monkeypatch, MAX_AGE_SECONDS, changes)
+
+
+def test_a_list_is_stale_after_a_stall_of_the_event_loop_before_anything_else_runs(monkeypatch):
+    async def steps(feed, client, updates):
+        client.freshness.confirmed_at -= MAX_AGE_SECONDS
+        return client.may_send_requests()
+
+    assert not run_with_feed(steps, monkeypatch, MAX_AGE_SECONDS)
+
+
+def test_a_list_whose_feed_is_not_followed_any_more_is_fresh(monkeypatch):
+    changes = []
+
+    async def steps(feed, client, updates):
+        feed.go_down()
+        await wait_until(lambda: changes == [False])
+        client.reconfigure(None)
+        return client.may_send_requests(), changes
+
+    assert run_with_feed(steps, monkeypatch, MAX_AGE_SECONDS, changes) == (True, [False, True])
+
+
+@pytest.mark.parametrize(
+    "arrivals, expected",
+    [
+        ([0.0, 1.0, 2.0], 0.0),
+        ([0.9, 1.9, 3.1], 0.0),  # within the tolerance
+        ([2.6, 3.6, 4.6], 1.6),  # the first one shows that the feed was late before
+        ([0.1, 1.1, 4.6, 5.6], 2.5),
+        ([0.1, 4.6, 4.7, 4.8, 4.9, 5.9], 0.8),  # the feed catches up
+        ([0.1, 60.0, 61.0], MAX_LAG_SECONDS),
+        ([0.1 + 1.3 * count for count in range(100)], MAX_LAG_SECONDS),
+    ],
+)
+def test_the_lag_of_a_feed_is_estimated_from_the_gaps_between_heartbeats(arrivals, expected):
+    lag = HeartbeatLag(0.0)
+    assert not lag.has_heartbeat
+    for arrival in arrivals:
+        lag.record_heartbeat(arrival)
+    assert lag.has_heartbeat and lag.seconds == pytest.approx(expected)
+
+
+def test_a_late_feed_confirms_the_list_only_up_to_its_lag(monkeypatch):
+    async def steps(feed, client, updates):
+        await feed.wait_for_connections(1)
+        client.freshness.confirmed_at -= 60.0  # later than that by its first heartbeat
+        client.connections[0].lag.seconds = 2.5
+        feed.writers[0].write(heartbeat(1) + drain_event(2))
+        await wait_until(lambda: updates)
+        connection = client.connections[0]
+        assert connection.lag.seconds >= 1.5
+        return client.freshness.confirmed_at == connection.heard_at - connection.lag.seconds
+
+    assert run_with_feed(steps, monkeypatch)
--- a/tests/test_long_list.py
+++ b/tests/test_long_list.py
@@ -4,7 +4,7 @@
 from policy_driver import PolicyDriver, actions_of
 
 from applevale import api
-from applevale.discovery.control_feed import ControlFeed
+from applevale.discovery.control_feed import ControlFeed, FeedConfig
 from applevale.discovery.endpoints import AttributeNames, Endpoint, EndpointUpdate
 from applevale.discovery.feed_codec import FeedError
 from applevale.engines.pool import EnginePool
@@ -79,7 +79,7 @@
 
 def test_an_update_that_is_repeated_or_out_of_order_changes_nothing():
     updates = []
-    feed = ControlFeed(0, AttributeNames(("z",), ("k",)), Counters(), updates.append)
+    feed = ControlFeed(FeedConfig(AttributeNames(("z",), ("k",))), Counters(), updates.append)
     first = EndpointUpdate(1, True, (Endpoint(api.EngineEntry(1), ("127.0.0.1", 1)),))
     after_gap = EndpointUpdate(3, False, (Endpoint(api.EngineEntry(2), ("127.0.0.1", 2)),))
     feed.apply(first)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -68,7 +68,7 @@
 )
 def test_a_gap_or_an_invalid_frame_raises_an_error(invalid):
     updates = []
-    feed = control_feed.ControlFeed(1, NAMES, Counters(), updates.append)
+    feed = control_feed.ControlFeed(control_feed.FeedConfig(NAMES, 1), Counters(), updates.append)
     with pytest.raises(feed_codec.FeedError):
         for update in feed_codec.FrameDecoder(NAMES).feed(invalid):
             feed.apply(update)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import struct
+import time
 from dataclasses import dataclass
 
 import pytest
@@ -222,6 +223,33 @@
     assert instance.process.wait() == 0
 
 
+# Review case 2: with the control feed down for 12 s, work went on to an engine whose drain counted as told.
+def test_nothing_new_is_sent_by_a_list_that_is_older_than_drains_take_to_count_as_told(tmp_path):
+    feed = FakeControlFeed()
+    instance = Instance(tmp_path, json.dumps(json.loads(EXAMPLE_CONFIG) | {"feed": feed.address}))
+    subscription = feed.accept()
+    heartbeat = struct.pack(">IQB", 9, subscription.first_change, 0)
+    subscription.connection.sendall(heartbeat)
+    client = RpcClient(instance.address)
+    client.send_request(1, "lookup", "1" * 16, "select * from air_1.x limit 1")
+    assert client.read_response().error is None
+    told_at = time.monotonic() + 7.0  # by the protocol page, whether it arrived or not
+    last_send_at = told_at + 0.5 + 0.05  # grace period of a drain; allowance for sockets
+    wait_until(lambda: time.monotonic() > last_send_at)
+    client.send_request(2, "lookup", "2" * 16, "select * from air_1.x limit 1")
+    assert client.read_response().error == [REJECTED, {"cooldown": "500"}]
+    assert not instance.engine_commands("2" * 16)
+    assert probe(instance.address)  # the feed is down for all instances, so this one is as good as the others
+    _, _, open_connection = [feed.accept() for _ in range(3)]
+    open_connection.connection.sendall(heartbeat)
+    instance.process.wait_for_log_line("^staleness: the engine list is confirmed again")
+    client.send_request(3, "lookup", "3" * 16, "select * from air_1.x limit 1")
+    assert client.read_response().error is None
+    counters = instance.stop()
+    assert counters["list_stale"] == 1
+    assert instance.process.wait() == 0
+
+
 def test_signals_before_the_event_loop_runs_do_not_end_the_process_and_a_reload_follows(tmp_path):
     """The configuration file is a pipe, so that the test knows when the process is reading it."""
     old_feed = FakeControlFeed()
