The error of an address that cannot be bound names its key

BindError names key, address and reason.

Test: test_the_error_of_an_address_that_cannot_be_bound_names_its_key (listen, control, peer_listen).

--- a/applevale/__main__.py
+++ b/applevale/__main__.py
@@ -17,6 +17,7 @@
 
     from .config.loader import load_config
     from .config.model import ConfigError
+    from .net.addresses import BindError
     from .observability import events
     from .runtime import lifecycle
 
@@ -31,8 +32,8 @@
     start = lifecycle.StartupRecord(early_signals, imported_at, time.process_time())
     try:
         uvloop.run(lifecycle.run(config, start))
-    except OSError as error:
-        print(f"applevale: listen: {error}", file=sys.stderr)
+    except (BindError, OSError) as error:
+        print(f"applevale: {error}", file=sys.stderr)
         return EXIT_INVALID_INPUT
     return 0
 
--- a/applevale/net/datagrams.py
+++ b/applevale/net/datagrams.py
@@ -8,7 +8,7 @@
 
 from ..observability.counters import Counters
 from ..observability.events import log_event
-from .addresses import Address, PeerAddresses, format_address
+from .addresses import Address, BindError, PeerAddresses, format_address
 
 MAX_READS_PER_WAKEUP = 64  # leaves time for other sockets while many datagrams arrive
 MAX_DATAGRAM_BYTES = 256
@@ -41,7 +41,7 @@
                 receives all datagrams.
 
         Raises:
-            OSError: The address cannot be bound.
+            BindError: The address cannot be bound.
         """
         self.addresses = addresses
         self.counters = counters
@@ -58,7 +58,11 @@
         if reuse_address:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
-        self.sock.bind(addresses.listen)
+        try:
+            self.sock.bind(addresses.listen)
+        except OSError as error:
+            self.sock.close()
+            raise BindError("peer_listen", addresses.listen, error) from None
 
     def start(self) -> None:
         """Begin to receive datagrams on the running event loop."""
--- a/applevale/runtime/lifecycle.py
+++ b/applevale/runtime/lifecycle.py
@@ -36,11 +36,13 @@
     """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
     Raises:
-        OSError: A listening socket cannot be bound to its address.
+        BindError: A socket cannot be bound to its address.
     """
     started_at = time.time()
-    listener = listen(config.listen_address, shared=True)
-    admin_listener = None if config.admin_address is None else listen(config.admin_address, shared=False)
+    listener = listen(config.listen_address, shared=True, key="listen")
+    admin_listener = None
+    if config.admin_address is not None:
+        admin_listener = listen(config.admin_address, shared=False, key="control")
     host, port = listener.getsockname()
     application = Application(config, (host, port))
     _install_signal_handlers(application)
--- a/tests/process.py
+++ b/tests/process.py
@@ -62,6 +62,24 @@
     return f"{host}:{port}"
 
 
+def reserve_datagram_address() -> str:
+    """Return HOST:PORT of a loopback address to which a datagram socket can be bound."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((LOOPBACK, 0))
+        return format_address(sock.getsockname())
+
+
+def load_report_config() -> dict:
+    """Return the example configuration as one of two instances that exchange load reports."""
+    config = json.loads(EXAMPLE_CONFIG)
+    settings = config["settings"]
+    settings["fleet_size"] = 2
+    settings["limits"]["peers"] = True
+    settings["prices"] = {"probe": 0.02, "peer": 0.01}  # too much for a probe before each attempt
+    addresses = [reserve_datagram_address() for _ in range(3)]
+    return config | {"peer_listen": addresses[0], "peers": addresses[:2], "peers_all": addresses[2]}
+
+
 class ProgramProcess:
     """A process of the program; the constructor starts it.
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """Tests of the program over sockets, with the toy engine from `examples/`."""
 
+import json
 import signal
 import socket
 import time
@@ -7,7 +8,16 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from process import CANCEL, EXAMPLE_CONFIG, EXECUTE, Instance, ProgramProcess, wait_until
+from process import (
+    ANY_PORT,
+    CANCEL,
+    EXAMPLE_CONFIG,
+    EXECUTE,
+    Instance,
+    ProgramProcess,
+    load_report_config,
+    wait_until,
+)
 from rpc_client import (
     FAILED,
     PROBE_ACCEPTED,
@@ -194,3 +204,17 @@
     assert process.wait() == 2
     assert process.log.count("\n") == 1
     assert key in process.log
+
+
+FOREIGN_ADDRESS = "192.0.2.1:7946"  # reserved for documentation, so that no machine has it
+
+
+@pytest.mark.parametrize("key", ["listen", "control", "peer_listen"])
+def test_the_error_of_an_address_that_cannot_be_bound_names_its_key(tmp_path, key):
+    """Upgrades failed with a line that named `listen` for the address of datagrams."""
+    config_path = tmp_path / "config.json"
+    config_path.write_text(json.dumps(load_report_config() | {key: FOREIGN_ADDRESS}))
+    process = ProgramProcess(config_path, FOREIGN_ADDRESS if key == "listen" else ANY_PORT)
+    assert process.wait() == 2
+    assert process.log.startswith(f"applevale: {key}: a free local address is needed, not {FOREIGN_ADDRESS}")
+    assert process.log.count("\n") == 1
