An upgrade works where instances exchange load reports

Cause: both bind peer_listen, and only membership set SO_REUSEADDR on the socket for datagrams; load reports use the same socket.

Fix: always SO_REUSEADDR. A process of an older version has the address for itself, so one in use is no error: the program starts without datagrams, which the protocol may lose, and tries again every 0.5 s.

--- a/applevale/runtime/optional_components.py
+++ b/applevale/runtime/optional_components.py
@@ -69,8 +69,7 @@
     """Return the socket that all components share to exchange datagrams with other instances."""
     from ..net.datagrams import DatagramSocket
 
-    may_reuse_address = config.membership_probe_interval is not None
-    return DatagramSocket(config.peers, config.settings.me, counters, reuse_address=may_reuse_address)
+    return DatagramSocket(config.peers, config.settings.me, counters)
 
 
 def create_load_report_sender(
--- a/tests/process.py
+++ b/tests/process.py
@@ -32,6 +32,7 @@
 EXIT_TIMEOUT_SECONDS = 30.0
 GRACEFUL_EXIT_TIMEOUT_SECONDS = 15.0  # time from the last response after SIGTERM to the exit
 LATENESS_LINE = r"^event_loop: "  # the event loop reports lateness, which happens on a busy machine
+STARTUP_LINE = rf"{LATENESS_LINE}|^membership: "  # members report their state before they listen
 POLL_INTERVAL_SECONDS = 0.002
 REPLY_PIECE_BYTES = 701  # no page of a reply is a multiple of it
 
@@ -138,7 +139,7 @@
 
     def wait_for_address(self) -> tuple[str, int]:
         """Wait until the program listens for clients, and return the address."""
-        match = self.wait_for_log_line(r"listens on (.+):(\d+)$", skipped=LATENESS_LINE)
+        match = self.wait_for_log_line(r"listens on (.+):(\d+)$", skipped=STARTUP_LINE)
         return match[1], int(match[2])
 
     def send_signal(self, signal_number: int) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -486,7 +486,7 @@
         counters = Counters()
         sizes = []
         addresses = PeerAddresses(local_address, (local_address, peer_address), None)
-        datagrams = DatagramSocket(addresses, 0, counters, reuse_address=True)
+        datagrams = DatagramSocket(addresses, 0, counters)
         protocol = MembershipProtocol(0, 2, 7, Random(1))
         runner = MembershipRunner(protocol, EffectiveFleetSize(2), datagrams, counters, sizes.append)
         datagrams.start()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,18 +3,21 @@
 import asyncio
 import json
 import signal
+import socket
 
 import pytest
 from process import (
     EXAMPLE_CONFIG,
     GRACEFUL_EXIT_TIMEOUT_SECONDS,
+    LATENESS_LINE,
     Instance,
     ProgramProcess,
     format_address,
+    load_report_config,
     reserve_port,
     wait_until,
 )
-from rpc_client import PROBE_ACCEPTED, Response, RpcClient
+from rpc_client import PROBE_ACCEPTED, Response, RpcClient, probe
 
 from applevale.harness import ops
 
@@ -63,6 +66,71 @@
     assert second_process.wait() == 0
 
 
+MEMBERSHIP = {"membership": {"probe": 0.5}}
+
+
+# Review case 3: where instances exchange load reports, the second process of an upgrade could not bind the
+# address of the first one's datagrams and ended at its start.
+@pytest.mark.parametrize("options", [{}, MEMBERSHIP], ids=["load reports", "membership too"])
+def test_both_processes_of_an_upgrade_share_the_address_for_datagrams(tmp_path, options):
+    config_text = json.dumps(load_report_config() | options)
+    instance = Instance(tmp_path, config_text)
+    second_process = None
+    try:
+        second_process = start_second_process(tmp_path, instance, instance.config_path.read_text())
+        instance.process.send_signal(signal.SIGTERM)
+        assert instance.process.wait(GRACEFUL_EXIT_TIMEOUT_SECONDS) == 0
+        client = RpcClient(instance.address)
+        client.send_request(1, "lookup", "1" * 16, "select * from air_1.x limit 1")
+        assert client.read_response().error is None
+        assert "is in use" not in second_process.log
+    finally:
+        if second_process is not None:
+            second_process.terminate()
+        instance.close()
+    assert second_process.wait() == 0
+
+
+def test_the_first_process_of_an_upgrade_serves_on_if_the_second_one_fails(tmp_path):
+    instance = Instance(tmp_path, json.dumps(load_report_config()))
+    try:
+        path = tmp_path / "second.json"
+        path.write_text("{")
+        failed_process = ProgramProcess(path, format_address(instance.address))
+        assert failed_process.wait() == 2
+        second_process = start_second_process(tmp_path, instance, instance.config_path.read_text())
+        second_process.popen.kill()
+        second_process.popen.wait()
+        for index in range(10):
+            client = RpcClient(instance.address)
+            client.send_request(1, "lookup", f"{index + 1:016x}", "select * from air_1.x limit 1")
+            assert client.read_response().error is None
+    finally:
+        instance.stop()
+
+
+def test_a_process_serves_while_another_one_has_the_address_for_datagrams_for_itself(tmp_path):
+    """Versions before the one with this test bind the address for themselves, and are upgraded too."""
+    config = load_report_config()
+    host, _, port = config["peer_listen"].rpartition(":")
+    config_path = tmp_path / "config.json"
+    config_path.write_text(json.dumps(config))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as old_version:
+        old_version.bind((host, int(port)))
+        process = ProgramProcess(config_path)
+        process.wait_for_log_line(r"^datagram: peer_listen: .* is in use", skipped=LATENESS_LINE)
+        assert probe(process.wait_for_address())
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        stranger.bind((host, 0))
+
+        def is_received():
+            stranger.sendto(b"x", (host, int(port)))
+            return "the sender is not among the addresses of the peers" in process.log
+
+        wait_until(is_received)
+    assert process.terminate() == 0
+
+
 def call_admin(address, method, path, body=None):
     """Return the status and body of the response to an admin API request."""
     return asyncio.run(ops.call_admin_api(address, method, path, body))
