A client that writes its next request slowly keeps its open requests

Cause: ClientConnection._on_message_overdue did not ask whether the client was owed an answer.

Fix: while it is, the message is looked at again later. The open calls end by their deadlines, and no further one can begin before the message is complete, so a flood holds its connections for a bounded time.

Test: test_a_client_with_an_unfinished_message_gets_the_responses_to_its_open_calls; before, it times out, as the connection is closed at the first look.

--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -27,7 +27,8 @@
 WRITE_STALL_TIMEOUT_SECONDS = 30.0
 
 # Time in which a client must complete a message. It begins with the accept of the connection for the first
-# message, and with the first byte for each further one.
+# message, and with the first byte for each further one. A client that is owed a response has as long as that
+# takes; its open calls end by their deadlines, and it cannot start others before the message is complete.
 MESSAGE_TIMEOUT_SECONDS = 2.0
 
 # How long a connection stays open after an error, so that the client can read the last responses.
@@ -87,6 +88,7 @@
         self._counters = counters
         self._decoder = MessageDecoder()
         self._is_message_overdue = False
+        self._overdue_timer: asyncio.TimerHandle | None = None
         self._status = SocketStatus(sock)
 
     @abstractmethod
@@ -170,14 +172,16 @@
         message_deadline = loop.time() + MESSAGE_TIMEOUT_SECONDS
         while True:
             read_started_at = self._driver.now()
-            timer = None
             if message_deadline is not None:
-                timer = loop.call_at(message_deadline, self._on_message_overdue, asyncio.current_task())
+                self._overdue_timer = loop.call_at(
+                    message_deadline, self._on_message_overdue, asyncio.current_task()
+                )
             try:
                 size = await loop.sock_recv_into(self.sock, buffer)
             finally:
-                if timer is not None:
-                    timer.cancel()
+                if self._overdue_timer is not None:
+                    self._overdue_timer.cancel()
+                    self._overdue_timer = None
             if not size:
                 return
             if self._handle_received(size, read_started_at):
@@ -213,11 +217,17 @@
     def _on_message_overdue(self, reader: asyncio.Task) -> None:
         """Cancel the reader of a connection whose client has not completed a message in time.
 
-        Data that arrived in this loop iteration, or while the loop was late, is read first instead.
+        Data that arrived in this loop iteration, or while the loop was late, is read first instead. While a
+        response is owed, the connection stays open, and the message is checked again later.
         """
-        if not (self._decoder.buffer[0] or self._status.has_events()):
-            self._is_message_overdue = True
-            reader.cancel()
+        if self._decoder.buffer[0] or self._status.has_events():
+            return
+        if self.is_busy:
+            loop = asyncio.get_running_loop()
+            self._overdue_timer = loop.call_later(MESSAGE_TIMEOUT_SECONDS, self._on_message_overdue, reader)
+            return
+        self._is_message_overdue = True
+        reader.cancel()
 
     async def _linger(self) -> None:
         """Write the queued responses, then wait briefly for the client to read them and hang up.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -471,6 +471,41 @@
     assert run_steps(steps) == ((reply, 0) if rest else (b"", 1))
 
 
+# The review saw that a client which writes its next request slowly lost its open requests after 2 s.
+def test_a_client_with_an_unfinished_message_gets_the_responses_to_its_open_calls(monkeypatch):
+    """The connection is closed once nothing is open on it and the message is still not complete."""
+    monkeypatch.setattr(server_connection, "MESSAGE_TIMEOUT_SECONDS", 0.02)
+    overdue = []
+    on_message_overdue = server_connection.ClientConnection._on_message_overdue
+
+    def record_overdue(self, reader):
+        overdue.append(self)
+        on_message_overdue(self, reader)
+
+    monkeypatch.setattr(server_connection.ClientConnection, "_on_message_overdue", record_overdue)
+    fields = {"ref": "1" * 16, "allow": "20000", "effort": "1", "space": "1"}
+    request = msgpack.packb([0, 1, "write", [fields, b"insert into a_1.b"]])
+
+    async def steps(setup):
+        loop = asyncio.get_running_loop()
+        connection, client_socket = open_client_connection(setup)
+        client_socket.sendall(request + b"\x94")
+        await wait_until(lambda: setup.handler.active)
+        (request_context,) = setup.handler.active
+        await wait_until(lambda: len(overdue) >= 3)
+        assert connection.calls and connection in setup.rpc_server.connections
+        request_context.inbox.put_nowait(api.Reject(request_context.number))
+        client_socket.setblocking(False)
+        received = b""
+        async with asyncio.timeout(20):
+            while data := await loop.sock_recv(client_socket, 100):
+                received += data
+        client_socket.close()
+        return received, setup.pool.counters["unfinished_messages"]
+
+    assert run_steps(steps) == (msgpack.packb([1, 1, ["Full", {}], None]), 1)
+
+
 def test_an_idle_connection_with_an_unread_message_is_not_evicted():
     async def steps(setup):
         receiving_connection, receiving_client = open_client_connection(setup)
