--- a/applevale/discovery/control_feed.py
+++ b/applevale/discovery/control_feed.py
@@ -150,7 +150,7 @@
         self._schedule(SILENCE_TIMEOUT_SECONDS, self._on_silence)
 
     def _schedule(self, delay: float, callback: Callable[[], None]) -> None:
-        """Call `callback` after `delay` seconds, unless another call is scheduled before then."""
+        """Call `callback` after `delay` seconds, in place of the call that was scheduled before."""
         if self._connect_timer is not None:
             self._connect_timer.cancel()
         self._connect_timer = asyncio.get_running_loop().call_later(delay, callback)
--- a/tests/process.py
+++ b/tests/process.py
@@ -63,11 +63,11 @@
     return f"{host}:{port}"
 
 
-def reserve_datagram_address() -> str:
-    """Return HOST:PORT of a loopback address to which a datagram socket can be bound."""
+def free_datagram_address() -> tuple[str, int]:
+    """Return a loopback address to which a datagram socket can be bound."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind((LOOPBACK, 0))
-        return format_address(sock.getsockname())
+        return sock.getsockname()
 
 
 def load_report_config() -> dict:
@@ -77,7 +77,7 @@
     settings["fleet_size"] = 2
     settings["limits"]["peers"] = True
     settings["prices"] = {"probe": 0.02, "peer": 0.01}  # too much for a probe before each attempt
-    addresses = [reserve_datagram_address() for _ in range(3)]
+    addresses = [format_address(free_datagram_address()) for _ in range(3)]
     return config | {"peer_listen": addresses[0], "peers": addresses[:2], "peers_all": addresses[2]}
 
 
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from policy_driver import PolicyDriver, actions_of
+from process import free_datagram_address
 
 from applevale import api
 from applevale.config.model import ConfigError
@@ -261,18 +262,11 @@
         return []
 
 
-def free_address():
-    """Return a local address to which a datagram socket can be bound."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 def test_load_reports_are_accepted_from_peers_only():
     async def main():
-        first_address = free_address()
-        second_address = free_address()
-        unknown_address = free_address()
+        first_address = free_datagram_address()
+        second_address = free_datagram_address()
+        unknown_address = free_datagram_address()
         both = (first_address, second_address)
         controller = RecordingController()
         counters = Counters()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from process import free_datagram_address
 
 from applevale.checkers import membership as membership_checker
 from applevale.checkers.history import History
@@ -475,14 +476,9 @@
 
 
 def test_datagrams_from_unknown_senders_and_malformed_ones_are_only_counted():
-    def free_address():
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            sock.bind(("127.0.0.1", 0))
-            return sock.getsockname()
-
     async def main():
-        local_address = free_address()
-        peer_address = free_address()
+        local_address = free_datagram_address()
+        peer_address = free_datagram_address()
         counters = Counters()
         sizes = []
         addresses = PeerAddresses(local_address, (local_address, peer_address), None)
