--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -352,6 +352,7 @@
         self.record = record
         self.calls: dict[int, Call] = {}
         self._last_id = 0
+        self._has_ended = False
         self._writer: asyncio.StreamWriter | None = None
         self._task: asyncio.Task | None = None
 
@@ -364,15 +365,35 @@
 
     def send(self, class_name: str, allow: float, key: str = "", **fields: str) -> Call:
         """Send a request, and return it."""
+        message, request_id = self._pack(class_name, allow, key, fields)
+        self._writer.write(message)
+        return self._add_call(request_id, class_name, allow)
+
+    async def send_slowly(
+        self, class_name: str, allow: float, key: str, seconds: float, pieces: int, **fields: str
+    ) -> Call | None:
+        """Send a request in pieces over some seconds; return it, or None if the connection ended before."""
+        message, request_id = self._pack(class_name, allow, key, fields)
+        size = -(-len(message) // pieces)
+        for start in range(0, len(message), size):
+            if self._has_ended:
+                return None
+            self._writer.write(message[start : start + size])
+            await asyncio.sleep(seconds / pieces)
+        return self._add_call(request_id, class_name, allow)
+
+    def _pack(self, class_name: str, allow: float, key: str, fields: dict[str, str]) -> tuple[bytes, str]:
+        """Return the message and the id of a new request; the field `statement` is its body."""
         self._last_id += 1
         request_id = f"{next(_request_numbers):016x}"
+        statement = fields.pop("statement", "select * from air_17.readings limit 5")
         all_fields = {"ref": request_id, "allow": str(int(allow * 1000))} | fields
         if key:
             all_fields["lookup"] = key
-        statement = fields.pop("statement", "select * from air_17.readings limit 5")
-        all_fields.pop("statement", None)
         message = msgpack.packb([0, self._last_id, class_name, [all_fields, statement.encode()]])
-        self._writer.write(message)
+        return message, request_id
+
+    def _add_call(self, request_id: str, class_name: str, allow: float) -> Call:
         call = Call(request_id, class_name, time.time(), allow)
         self.calls[self._last_id] = call
         return call
@@ -389,6 +410,7 @@
                 unpacker.feed(data)
                 for _, message_id, error, result in unpacker:
                     self._on_answer(message_id, error, result)
+        self._has_ended = True
         for call in self.calls.values():
             if not call.answer:
                 self._finish(call, "lost")
