Counters tell lateness of the loop, wait in the accept queue and wait for the order

Nothing told where a new connection or a load waits, so the two cases of the operators could not be told apart by the log. Durations in the counters line are the longest since the last one.

--- a/applevale/dispatch/stall_monitor.py
+++ b/applevale/dispatch/stall_monitor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 from ..observability.counters import Counters
 from .arrival_order import TICK_SECONDS, ArrivalOrder, ArrivalSource
@@ -43,6 +44,8 @@
         order = self.arrival_order
         now = self._clock.now()
         self._timer = asyncio.get_running_loop().call_later(TICK_SECONDS, self._tick)
+        if order.ticked_at > -inf:
+            self._counters.record_duration("loop_late_ms", now - order.ticked_at - TICK_SECONDS)
         if order.on_tick(now):
             self._counters["stood_still"] += 1
             self.order_known.clear()
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -61,6 +61,8 @@
         """Return the response to a request; the caller cancels the task if the client has gone."""
         if request.order_key:
             await self._driver.stall_monitor.order_known.wait()
+            waited = self._driver.now() - request.received_at
+            self._counters.record_duration("order_wait_ms", waited)
         if not self._may_admit(request):
             return self.reject()
         context = RequestContext(self._environment, request)
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -91,6 +91,7 @@
         self._listener = listener
         accept_queue = select.poll()
         accept_queue.register(listener, select.POLLIN)
+        queued_since = inf  # connections have waited in the accept queue without a break since then
         while True:
             wait_started_at = self._driver.now()
             await self.connections.wait_for_capacity()  # clients wait in the accept queue
@@ -103,7 +104,11 @@
                 log_event("accept", str(error))
                 await asyncio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            self.accept_connection(sock, wait_started_at, not accept_queue.poll(0))
+            is_queue_empty = not accept_queue.poll(0)
+            now = self._driver.now()
+            self._counters.record_duration("accept_queue_ms", now - min(now, queued_since))
+            queued_since = inf if is_queue_empty else min(now, queued_since)
+            self.accept_connection(sock, wait_started_at, is_queue_empty)
 
     @staticmethod
     async def _wait_until_readable(listener: socket.socket) -> None:
