Connections are read in turns, so that a new client waits for no other client's work

Cause: one connection was accepted in an iteration of the event loop, and in the same iteration each open one handled all of a read. The longer the iterations, the longer the accept queue. Hypotheses: the loop stands still (no: late by 72 ms at most), the new requests wait in the program (no: none of them is read), they wait to be accepted (yes: accept_queue_ms 12517, queue of 513). Fix: up to 64 connections are accepted in an iteration. The socket is read in the turn, so that order of arrivals is the order of turns, and no connection keeps a buffer of 4 KB. The decoder's tests pass bytes in place of a filled buffer.

--- a/applevale/dispatch/arrival_order.py
+++ b/applevale/dispatch/arrival_order.py
@@ -37,19 +37,32 @@
         """Create a source from which all data up to a time has been read."""
         self.read_up_to = read_up_to
 
+    def earliest_arrival(self, wait_started_at: float, polled_at: float) -> float:
+        """Return the earliest time at which what was just found at the socket may have arrived.
+
+        Args:
+            wait_started_at: Time at which the wait for it began.
+            polled_at: The current `ArrivalOrder.polled_at`.
+        """
+        if wait_started_at <= polled_at:
+            return max(self.read_up_to, polled_at)
+        return self.read_up_to
+
+    def record_emptied(self, read_at: float) -> None:
+        """Record that all was read that had arrived at the time `read_at`."""
+        self.read_up_to = max(self.read_up_to, read_at)
+
     def record_read(self, wait_started_at: float, polled_at: float, emptied: bool) -> float:
-        """Record a read; return the earliest time at which its data may have arrived.
+        """Record a read that the event loop made; return the earliest time of arrival of its data.
 
         Args:
             wait_started_at: Time at which the wait for the data began.
-            polled_at: The current `ArrivalOrder.polled_at`.
+            polled_at: The current `ArrivalOrder.polled_at`; the event loop read after that time.
             emptied: Whether the read left no data behind.
         """
-        earliest_arrival = self.read_up_to
-        if wait_started_at <= polled_at:
-            earliest_arrival = max(self.read_up_to, polled_at)
+        earliest_arrival = self.earliest_arrival(wait_started_at, polled_at)
         if emptied:
-            self.read_up_to = max(earliest_arrival, polled_at)
+            self.record_emptied(max(earliest_arrival, polled_at))
         return earliest_arrival
 
 
--- a/applevale/net/socket_status.py
+++ b/applevale/net/socket_status.py
@@ -1,7 +1,8 @@
-"""The state of a connected socket according to the kernel, without reading from it."""
+"""The state of a socket according to the kernel, without reading from it."""
 
 from __future__ import annotations
 
+import asyncio
 import select
 import socket
 
@@ -31,3 +32,18 @@
     def is_hung_up(self) -> bool:
         """Return whether the peer has hung up, or the socket is closed."""
         return bool(self._events() & _HANG_UP_EVENTS)
+
+
+async def wait_until_readable(sock: socket.socket) -> None:
+    """Wait until there is something to read or accept, without taking it.
+
+    `loop.sock_accept` and `loop.sock_recv` would lose what they took if they were cancelled in the loop
+    iteration in which they complete. Without them it stays in the kernel.
+    """
+    loop = asyncio.get_running_loop()
+    readable = loop.create_future()
+    loop.add_reader(sock, lambda: readable.done() or readable.set_result(None))
+    try:
+        await readable
+    finally:
+        loop.remove_reader(sock)
--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -13,15 +13,14 @@
 import msgpack
 
 from ..dispatch.arrival_order import ArrivalSource
-from ..dispatch.event_loop_driver import EventLoopDriver
-from ..net.socket_status import SocketStatus
+from ..net.socket_status import SocketStatus, wait_until_readable
 from ..net.write_queue import WriteQueue
-from ..observability.counters import Counters
 from ..observability.events import log_event
 from ..requests.model import Request
-from .connection_table import ConnectionTable
+from .context import ServerContext
 from .message_scanner import MAX_MESSAGE_BYTES
 from .rpc import RECEIVE_BUFFER_BYTES, MessageDecoder
+from .turn_scheduler import TurnResult
 
 # A connection whose client reads nothing for this long is closed. No client waits longer for a response.
 WRITE_STALL_TIMEOUT_SECONDS = 30.0
@@ -34,6 +33,11 @@
 # How long a connection stays open after an error, so that the client can read the last responses.
 LINGER_TIMEOUT_SECONDS = 0.5
 
+# Work of one turn of a connection. A client that keeps to the limit of 32 open calls has at most 32 requests
+# and their cancellations unread, so that all its input is handled in one turn.
+MAX_MESSAGES_PER_TURN = 64
+MAX_READS_PER_TURN = 16
+
 # Reading pauses after an invalid request. Each further one lengthens the pause by the minimum.
 MIN_ERROR_BACKOFF_SECONDS = 0.05
 MAX_ERROR_BACKOFF_SECONDS = 1.0
@@ -59,22 +63,13 @@
         invalid_requests: Number of invalid requests so far.
     """
 
-    def __init__(
-        self,
-        sock: socket.socket,
-        earliest_arrival: float,
-        table: ConnectionTable,
-        driver: EventLoopDriver,
-        counters: Counters,
-    ):
+    def __init__(self, context: ServerContext, sock: socket.socket, earliest_arrival: float):
         """Create a connection for an accepted socket; `run` serves it.
 
         Args:
+            context: The objects that all connections of the server share.
             sock: The accepted socket.
             earliest_arrival: Earliest time, by the driver's clock, at which data can have arrived.
-            table: All connections of the server.
-            driver: Provides the clock and the order of arrivals.
-            counters: Counters of the ways in which connections end.
         """
         self.sock = sock
         self.arrival_source = ArrivalSource(earliest_arrival)
@@ -83,10 +78,14 @@
         self.incomplete_bytes = 0
         self.invalid_requests = 0
         self._earliest_arrival = earliest_arrival  # earliest arrival time of the bytes that were read last
-        self._table = table
-        self._driver = driver
-        self._counters = counters
+        self._readable_since = earliest_arrival  # when the input of the present turn was found
+        self._context = context
+        self._table = context.connections
+        self._turns = context.turns
+        self._driver = context.driver
+        self._counters = context.counters
         self._decoder = MessageDecoder()
+        self._message_count = 0
         self._is_message_overdue = False
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._status = SocketStatus(sock)
@@ -95,6 +94,10 @@
     def handle_message(self, message: object, received_at: float) -> None:
         """Handle a decoded message.
 
+        Args:
+            message: Any MessagePack value.
+            received_at: When its last bytes were found at the socket, by the driver's clock.
+
         Raises:
             ValueError: The message violates the protocol. The connection is closed.
         """
@@ -118,7 +121,7 @@
 
         Closing the connection now would drop a request that then never gets a response.
         """
-        return bool(self.incomplete_bytes or self._decoder.buffer[0]) or self._status.has_events()
+        return bool(self.incomplete_bytes) or self._status.has_events()
 
     def is_client_gone(self) -> bool:
         """Return whether the client has hung up, even if the end of the stream has not been read yet.
@@ -167,52 +170,84 @@
             await self._close()
 
     async def _read_messages(self) -> None:
+        """Read and handle messages in turns until the end of the stream."""
         loop = asyncio.get_running_loop()
-        buffer = self._decoder.buffer
-        message_deadline = loop.time() + MESSAGE_TIMEOUT_SECONDS
-        while True:
-            read_started_at = self._driver.now()
-            if message_deadline is not None:
-                self._overdue_timer = loop.call_at(
-                    message_deadline, self._on_message_overdue, asyncio.current_task()
-                )
-            try:
-                size = await loop.sock_recv_into(self.sock, buffer)
-            finally:
-                if self._overdue_timer is not None:
-                    self._overdue_timer.cancel()
-                    self._overdue_timer = None
-            if not size:
-                return
-            if self._handle_received(size, read_started_at):
+        message_deadline: float | None = loop.time() + MESSAGE_TIMEOUT_SECONDS
+        result = TurnResult.EMPTIED
+        while result is not TurnResult.END_OF_STREAM:
+            is_backlogged = result is TurnResult.BACKLOGGED
+            if not is_backlogged:
+                await self._wait_for_input(message_deadline)
+            self._readable_since = self._driver.now()
+            messages_before = self._message_count
+            result = await self._turns.take_turn(self._read_turn, is_backlogged=is_backlogged)
+            if self._message_count > messages_before:
                 message_deadline = None
             if self.incomplete_bytes and message_deadline is None:
                 message_deadline = loop.time() + MESSAGE_TIMEOUT_SECONDS
             if self.invalid_requests:
                 await asyncio.sleep(self.error_backoff())
 
-    def _handle_received(self, size: int, read_started_at: float) -> bool:
-        """Handle the messages that `size` more bytes complete; return whether there were any.
+    async def _wait_for_input(self, message_deadline: float | None) -> None:
+        """Wait until the socket is readable, at most until `message_deadline` (s, the event loop's clock)."""
+        wait_started_at = self._driver.now()
+        loop = asyncio.get_running_loop()
+        if message_deadline is not None:
+            self._overdue_timer = loop.call_at(
+                message_deadline, self._on_message_overdue, asyncio.current_task()
+            )
+        try:
+            await wait_until_readable(self.sock)
+        finally:
+            if self._overdue_timer is not None:
+                self._overdue_timer.cancel()
+                self._overdue_timer = None
+        self._earliest_arrival = self.arrival_source.earliest_arrival(
+            wait_started_at, self._driver.stall_monitor.arrival_order.polled_at
+        )
+
+    def _read_turn(self) -> TurnResult:
+        """Read and handle messages until there are none left or the work of one turn is done.
 
         Raises:
+            OSError: The connection was reset.
             ValueError: A message violates the protocol or exceeds a limit.
             msgpack.exceptions.UnpackException: The bytes are not MessagePack.
         """
-        received_at = self._driver.now()
-        is_emptied = size < RECEIVE_BUFFER_BYTES
-        self._earliest_arrival = self.arrival_source.record_read(
-            read_started_at, self._driver.stall_monitor.arrival_order.polled_at, is_emptied
-        )
-        is_any_complete = False
-        for message in self._decoder.decode(size):
-            is_any_complete = True
-            self.handle_message(message, received_at)
-        if is_any_complete:
+        last_message_of_turn = self._message_count + MAX_MESSAGES_PER_TURN
+        for _ in range(MAX_READS_PER_TURN):
+            read_at = self._driver.now()
+            try:
+                data = self.sock.recv(RECEIVE_BUFFER_BYTES)
+            except BlockingIOError:
+                data = None
+            if data == b"" or self.write_queue.closed:
+                return TurnResult.END_OF_STREAM
+            if data:
+                self._handle_received(data)
+            if data is None or len(data) < RECEIVE_BUFFER_BYTES:
+                self.arrival_source.record_emptied(read_at)
+                return TurnResult.EMPTIED
+            if self._message_count >= last_message_of_turn:
+                break
+        return TurnResult.BACKLOGGED
+
+    def _handle_received(self, data: bytes) -> None:
+        """Handle the messages that more bytes complete.
+
+        Raises:
+            ValueError: A message violates the protocol or exceeds a limit.
+            msgpack.exceptions.UnpackException: The bytes are not MessagePack.
+        """
+        messages_before = self._message_count
+        for message in self._decoder.decode(data):
+            self._message_count += 1
+            self.handle_message(message, self._readable_since)
+        if self._message_count > messages_before:
             self._table.update_idle(self)
         incomplete_bytes = self._decoder.incomplete_bytes
         self._table.add_bytes(incomplete_bytes - self.incomplete_bytes)
         self.incomplete_bytes = incomplete_bytes
-        return is_any_complete
 
     def _on_message_overdue(self, reader: asyncio.Task) -> None:
         """Cancel the reader of a connection whose client has not completed a message in time.
@@ -220,7 +255,7 @@
         Data that arrived in this loop iteration, or while the loop was late, is read first instead. While a
         response is owed, the connection stays open, and the message is checked again later.
         """
-        if self._decoder.buffer[0] or self._status.has_events():
+        if self._status.has_events():
             return
         if self.is_busy:
             loop = asyncio.get_running_loop()
--- a/applevale/server/connection_table.py
+++ b/applevale/server/connection_table.py
@@ -84,9 +84,14 @@
                 # close the connection is put off until then.
                 loop.call_soon(self._close_if_unused, connection)
 
+    @property
+    def has_capacity(self) -> bool:
+        """Whether a connection can be added, if necessary by evicting another one."""
+        return len(self._tasks) < self._max_connections or bool(self.silent or self.idle)
+
     async def wait_for_capacity(self) -> None:
-        """Wait until a connection can be added, if necessary by evicting another one."""
-        while len(self._tasks) >= self._max_connections and not (self.silent or self.idle):
+        """Wait until a connection can be added."""
+        while not self.has_capacity:
             self._capacity_changed.clear()
             await self._capacity_changed.wait()
 
--- a/applevale/server/context.py
+++ b/applevale/server/context.py
@@ -10,6 +10,7 @@
 from ..requests.handler import RequestHandler
 from .connection_table import ConnectionTable
 from .request_parser import RequestSchema
+from .turn_scheduler import TurnScheduler
 
 
 @dataclass(eq=False)
@@ -21,6 +22,7 @@
         driver: Provides the clock and the order of arrivals.
         schema: The classes and tenants that requests may name.
         connections: All connections, with their shared limits.
+        turns: Shares the event loop among the connections.
         counters: Counters of connections, messages and responses.
         metrics: Response metrics for operators; None without an operators' endpoint.
         is_ready: Whether new clients are accepted, as reported in the response to a probe.
@@ -31,6 +33,7 @@
     driver: EventLoopDriver
     schema: RequestSchema
     connections: ConnectionTable
+    turns: TurnScheduler
     counters: Counters
     metrics: Metrics | None = None
     is_ready: bool = False
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -12,6 +12,7 @@
 from ..admin.metrics import Metrics
 from ..dispatch.arrival_order import ArrivalSource
 from ..dispatch.event_loop_driver import EventLoopDriver
+from ..net.socket_status import wait_until_readable
 from ..observability.counters import Counters
 from ..observability.events import log_event
 from ..requests.handler import RequestHandler
@@ -20,8 +21,10 @@
 from .limits import ServerLimits
 from .request_parser import RequestSchema
 from .rpc_connection import RpcConnection
+from .turn_scheduler import TurnScheduler
 
 ACCEPT_RETRY_SECONDS = 0.01  # pause after a failed accept
+MAX_ACCEPTS_PER_ITERATION = 64  # of the event loop
 
 
 class RpcServer:
@@ -55,12 +58,21 @@
         self.connections = ConnectionTable(limits.max_connections, limits.max_buffered_bytes, counters)
         self.arrival_source = ArrivalSource()
         self._context = ServerContext(
-            handler, driver, RequestSchema.from_settings(settings), self.connections, counters, metrics
+            handler,
+            driver,
+            RequestSchema.from_settings(settings),
+            self.connections,
+            TurnScheduler(counters),
+            counters,
+            metrics,
         )
         self._driver = driver
         self._counters = counters
         self._listener: socket.socket | None = None
         self._accept_task: asyncio.Task | None = None
+        self._accept_queue = select.poll()
+        # Since then, by the driver's clock, the accept queue has not been empty.
+        self._queued_since = inf
         driver.stall_monitor.readable_source_providers.append(self.readable_sources)
 
     @property
@@ -89,41 +101,39 @@
 
     async def _accept_connections(self, listener: socket.socket) -> None:
         self._listener = listener
-        accept_queue = select.poll()
-        accept_queue.register(listener, select.POLLIN)
-        queued_since = inf  # connections have waited in the accept queue without a break since then
+        self._accept_queue.register(listener, select.POLLIN)
         while True:
             wait_started_at = self._driver.now()
             await self.connections.wait_for_capacity()  # clients wait in the accept queue
+            await wait_until_readable(listener)
             try:
-                await self._wait_until_readable(listener)
-                sock, _ = listener.accept()
+                self._accept_waiting(listener, wait_started_at)
             except BlockingIOError:  # the client has disconnected
                 continue
             except OSError as error:  # for example, no file descriptor is free
                 log_event("accept", str(error))
                 await asyncio.sleep(ACCEPT_RETRY_SECONDS)
-                continue
-            is_queue_empty = not accept_queue.poll(0)
-            now = self._driver.now()
-            self._counters.record_duration("accept_queue_ms", now - min(now, queued_since))
-            queued_since = inf if is_queue_empty else min(now, queued_since)
-            self.accept_connection(sock, wait_started_at, is_queue_empty)
 
-    @staticmethod
-    async def _wait_until_readable(listener: socket.socket) -> None:
-        """Wait until a connection can be accepted, without accepting it.
+    def _accept_waiting(self, listener: socket.socket, wait_started_at: float) -> None:
+        """Accept the connections that wait, as many as one loop iteration may accept.
+
+        A client waits for those before it to be accepted, never for what they have sent to be handled.
 
-        `loop.sock_accept` would lose the connection if a shutdown cancelled it in the loop iteration in which
-        it completes. With a separate wait the connection stays in the accept queue.
+        Raises:
+            OSError: A connection could not be accepted.
         """
-        loop = asyncio.get_running_loop()
-        readable = loop.create_future()
-        loop.add_reader(listener, lambda: readable.done() or readable.set_result(None))
-        try:
-            await readable
-        finally:
-            loop.remove_reader(listener)
+        for _ in range(MAX_ACCEPTS_PER_ITERATION):
+            sock, _ = listener.accept()
+            is_queue_empty = not self._accept_queue.poll(0)
+            self._record_accept_wait(is_queue_empty)
+            self.accept_connection(sock, wait_started_at, is_queue_empty)
+            if is_queue_empty or not self.connections.has_capacity:
+                break
+
+    def _record_accept_wait(self, is_queue_empty: bool) -> None:
+        now = self._driver.now()
+        self._counters.record_duration("accept_queue_ms", now - min(now, self._queued_since))
+        self._queued_since = inf if is_queue_empty else min(now, self._queued_since)
 
     def accept_connection(self, sock: socket.socket, wait_started_at: float, is_queue_empty: bool) -> None:
         """Start a task that serves an accepted connection.
--- a/applevale/server/rpc.py
+++ b/applevale/server/rpc.py
@@ -11,7 +11,7 @@
 from ..requests.model import Completed, Failed, Rejected, Response
 from .message_scanner import MessageScanner
 
-RECEIVE_BUFFER_BYTES = 4096  # held by each connection for as long as it is open
+RECEIVE_BUFFER_BYTES = 4096  # bytes of one read
 MAX_MESSAGE_ID = 2**32 - 1
 
 _ERROR_FAILED = "Error"
@@ -68,15 +68,10 @@
     """Decodes the messages in a stream of bytes.
 
     An incomplete message is held as the bytes received, and nothing is built from it before it is complete.
-
-    Attributes:
-        buffer: Receive buffer. Invariant: its first byte is not 0 exactly while it holds bytes that are not
-            decoded yet, since no message begins with 0.
     """
 
     def __init__(self) -> None:
         """Create a decoder for a new stream."""
-        self.buffer = bytearray(RECEIVE_BUFFER_BYTES)
         self._received = bytearray()
         self._scanner = MessageScanner()
 
@@ -85,15 +80,14 @@
         """Number of received bytes that belong to an incomplete message."""
         return len(self._received)
 
-    def decode(self, size: int) -> Iterator[object]:
-        """Yield the messages that the first `size` bytes of the buffer complete.
+    def decode(self, data: bytes) -> Iterator[object]:
+        """Yield the messages that the next bytes of the stream complete.
 
         Raises:
             ValueError: The bytes are not MessagePack, or a message exceeds a limit.
             msgpack.exceptions.UnpackException: The bytes are not MessagePack.
         """
-        self._received += memoryview(self.buffer)[:size]
-        self.buffer[0] = 0
+        self._received += data
         while end := self._scanner.find_end(self._received):
             message = msgpack.unpackb(self._received[:end])
             del self._received[:end]
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -43,8 +43,7 @@
 
     def __init__(self, context: ServerContext, sock: socket.socket, earliest_arrival: float):
         """Create a connection for an accepted socket; see `ClientConnection`."""
-        super().__init__(sock, earliest_arrival, context.connections, context.driver, context.counters)
-        self._context = context
+        super().__init__(context, sock, earliest_arrival)
         self._last_message_id = -1
         # Requests with an order key whose responses are queued but not written yet.
         self._undelivered: set[Request] = set()
@@ -116,7 +115,7 @@
             # Engines would take the second request for a repetition of the first.
             raise InvalidRequestError("ref: the id of a request that is still open, a new one expected")
         if request.order_key and not self._driver.stall_monitor.arrival_order.is_in_order(
-            request.order_key, self.arrival_source, self._earliest_arrival, received_at
+            request.order_key, self.arrival_source, self._earliest_arrival, self._driver.now()
         ):
             self._counters["unsure_order"] += 1
             request = replace(request, is_order_unknown=True)
--- a/tests/test_decoder_memory.py
+++ b/tests/test_decoder_memory.py
@@ -53,8 +53,7 @@
 
     def receive(self, data):
         """Decode one piece; a message that is no call ends the connection, as on the server."""
-        self.decoder.buffer[: len(data)] = data
-        for message in self.decoder.decode(len(data)):
+        for message in self.decoder.decode(data):
             parse_call(message)
 
 
--- a/tests/test_message_decoder.py
+++ b/tests/test_message_decoder.py
@@ -31,9 +31,7 @@
     """Pass data to a decoder as a connection does; return the messages that are complete."""
     messages = []
     for start in range(0, len(data), piece_bytes):
-        piece = data[start : start + piece_bytes]
-        decoder.buffer[: len(piece)] = piece
-        messages += decoder.decode(len(piece))
+        messages += decoder.decode(data[start : start + piece_bytes])
     return messages
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -245,9 +245,8 @@
 def test_an_array_with_too_many_items_is_rejected_by_its_header(item_count):
     decoder = rpc.MessageDecoder()
     header = struct.pack(">BI", 0xDD, item_count)
-    decoder.buffer[: len(header)] = header
     with pytest.raises(ValueError):
-        next(decoder.decode(len(header)))
+        next(decoder.decode(header))
 
 
 @pytest.mark.parametrize(
