A client that cancels what it sends as it sends it is closed after a bounded amount of work

With fair turns alone such work still took its share of the loop. Cause: nothing bounds the work for requests to which no answer is owed. Fix: as many requests as may be open, and 10 more a second, may be cancelled in the turn in which they are read. A client that has hung up is looked at before its turn, and nothing is handled for it. A connection on which nothing was written isn't drained before its close, since there is no answer that a reset could destroy. Tests seen to fail before: test_a_client_that_cancels_what_it_sends_..., ..._gets_the_response_that_it_is_owed_..., test_nothing_is_handled_for_a_client_that_has_hung_up_before_its_turn.

--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -123,6 +123,15 @@
         """
         return bool(self.incomplete_bytes) or self._status.has_events()
 
+    def is_unused(self) -> bool:
+        """Return whether no request is lost if the connection, on which no call is open, is closed."""
+        return not self.has_pending_input() or self.is_client_gone()
+
+    @property
+    def is_misused(self) -> bool:
+        """Whether the client has sent invalid requests."""
+        return self.invalid_requests > 0
+
     def is_client_gone(self) -> bool:
         """Return whether the client has hung up, even if the end of the stream has not been read yet.
 
@@ -209,11 +218,15 @@
     def _read_turn(self) -> TurnResult:
         """Read and handle messages until there are none left or the work of one turn is done.
 
+        Nothing is handled for a client that has hung up, since no response is owed to it.
+
         Raises:
             OSError: The connection was reset.
             ValueError: A message violates the protocol or exceeds a limit.
             msgpack.exceptions.UnpackException: The bytes are not MessagePack.
         """
+        if self.is_client_gone():
+            return TurnResult.END_OF_STREAM
         last_message_of_turn = self._message_count + MAX_MESSAGES_PER_TURN
         for _ in range(MAX_READS_PER_TURN):
             read_at = self._driver.now()
@@ -277,6 +290,8 @@
             async with asyncio.timeout(LINGER_TIMEOUT_SECONDS):
                 await self.write_queue.flush()
                 self.sock.shutdown(socket.SHUT_WR)
+                if not self.write_queue.completed_writes:
+                    return
                 # A client that keeps sending beyond one message is reset.
                 for _ in range(MAX_MESSAGE_BYTES // RECEIVE_BUFFER_BYTES):
                     if not await loop.sock_recv_into(self.sock, buffer):
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -8,6 +8,7 @@
 
 from ..admin.metrics import ResponseOutcome
 from ..observability.events import log_event
+from ..rate_limits import TokenBucket
 from ..requests.model import Completed, Failed, Rejected, Request, Response
 from .connection import ClientConnection, OpenCall
 from .context import ServerContext
@@ -25,6 +26,10 @@
 )
 
 MAX_OPEN_CALLS = 32  # limit for one connection
+# Requests that a client may cancel as it sends them: as many as it may have open, and these in each second.
+# Each has cost a turn and was never meant to run.
+MAX_IMMEDIATE_CANCELLATIONS = MAX_OPEN_CALLS
+IMMEDIATE_CANCELLATIONS_PER_SECOND = 10.0
 
 RESPONSE_COUNTERS = {
     Completed: "answered_served",
@@ -45,9 +50,16 @@
         """Create a connection for an accepted socket; see `ClientConnection`."""
         super().__init__(context, sock, earliest_arrival)
         self._last_message_id = -1
+        self._immediate_cancellations = TokenBucket(MAX_IMMEDIATE_CANCELLATIONS, context.driver.now())
+        self._is_being_refused = False
         # Requests with an order key whose responses are queued but not written yet.
         self._undelivered: set[Request] = set()
 
+    @property
+    def is_misused(self) -> bool:
+        """Whether the client has sent invalid requests, or cancelled too many as it sent them."""
+        return super().is_misused or self._is_being_refused
+
     def handle_message(self, message: object, received_at: float) -> None:
         """Start a call, cancel one, or respond to a probe.
 
@@ -62,7 +74,11 @@
                 self._send(encode_probe_response(call.message_id, self._context.is_ready))
             case RequestCall():
                 self._accept_message_id(call.message_id)
-                self._start_call(call, received_at)
+                if self._is_being_refused:
+                    self._check_owed_calls()
+                    self._send(encode_response(call.message_id, self._context.handler.reject()))
+                else:
+                    self._start_call(call, received_at)
             case CancelNotification():
                 self._cancel_call(call.message_id, received_at)
 
@@ -76,6 +92,8 @@
         if call is None:  # the response is already queued
             return
         waited = received_at - call.request.received_at
+        if waited <= 0:  # read in the same turn
+            self._count_immediate_cancellation(received_at)
         timeout = call.request.timeout
         log_event(
             "client",
@@ -83,6 +101,28 @@
         )
         call.task.cancel()
         self._release_call(message_id)
+        if self._is_being_refused:
+            self._check_owed_calls()
+
+    def _count_immediate_cancellation(self, now: float) -> None:
+        """Count a request that was cancelled as it came; refuse further ones of a client with too many."""
+        bucket = self._immediate_cancellations
+        bucket.refill(now, IMMEDIATE_CANCELLATIONS_PER_SECOND, MAX_IMMEDIATE_CANCELLATIONS)
+        if not bucket.take() and not self._is_being_refused:
+            self._is_being_refused = True
+            self._counters["excessive_cancellations"] += 1
+
+    def _check_owed_calls(self) -> None:
+        """End the connection of a client that is being refused once it is owed no response any more.
+
+        Raises:
+            MalformedMessageError: No call is open.
+        """
+        if not self.calls:
+            raise MalformedMessageError(
+                f"cancellations: at most {MAX_IMMEDIATE_CANCELLATIONS} at once and "
+                f"{IMMEDIATE_CANCELLATIONS_PER_SECOND:g} a second with their requests"
+            )
 
     def _start_call(self, call: RequestCall, received_at: float) -> None:
         """Start a task that handles a request, or respond with an error to an invalid one.
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,11 +12,12 @@
 from applevale import api
 from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.observability.counters import Counters
-from applevale.requests.model import Completed
+from applevale.requests.model import Completed, Rejected
 from applevale.server import turn_scheduler
 from applevale.server.connection import MAX_MESSAGES_PER_TURN
 from applevale.server.limits import ServerLimits
 from applevale.server.listener import RpcServer
+from applevale.server.rpc_connection import MAX_IMMEDIATE_CANCELLATIONS
 from applevale.server.turn_scheduler import TurnResult, TurnScheduler
 
 LOOPBACK = "127.0.0.1"
@@ -24,16 +25,20 @@
 
 
 class HangingRequestHandler:
-    """Answers the requests of one statement at once, and all others never."""
+    """Answers the requests of one statement at once, and all others once `may_answer_all` is set."""
 
     def __init__(self, answered_statement):
         self.answered_statement = answered_statement
+        self.may_answer_all = asyncio.Event()
 
     async def handle(self, request):
         if request.statement != self.answered_statement:
-            await asyncio.Event().wait()
+            await self.may_answer_all.wait()
         return Completed(b"row")
 
+    def reject(self):
+        return Rejected(0.0)
+
     def on_response_delivered(self, request):
         """Do nothing."""
 
@@ -45,8 +50,9 @@
         self.counters = Counters()
         self.listener = socket.create_server((LOOPBACK, 0), backlog=512)
         self.listener.setblocking(False)
+        self.handler = HangingRequestHandler(b"select 1 from air_1.usual")
         self.server = RpcServer(
-            HangingRequestHandler(b"select 1 from air_1.usual"),
+            self.handler,
             EventLoopDriver(None, None, self.counters),
             SETTINGS,
             ServerLimits(max_connections, 1 << 24),
@@ -84,13 +90,13 @@
         return runner.run(run())
 
 
-def pack_usual_request(message_id=1, reference=1):
-    """Return a request that the handler answers."""
+def pack_usual_request(message_id=1, reference=1, statement=b"select 1 from air_1.usual"):
+    """Return a request, which the handler answers at once unless it has another statement."""
     fields = {"ref": f"{reference:016x}", "allow": "3000"}
-    return pack_request(message_id, "read", fields, b"select 1 from air_1.usual")
+    return pack_request(message_id, "read", fields, statement)
 
 
-def pack_cancelled_requests(count, first_reference):
+def pack_cancelled_requests(count, first_reference, first_id=1):
     """Return requests, each of which is cancelled right behind it."""
     return b"".join(
         chain.from_iterable(
@@ -100,21 +106,27 @@
                 ),
                 pack_cancellation(number),
             )
-            for number in range(1, count + 1)
+            for number in range(first_id, first_id + count)
         )
     )
 
 
-async def read_response(client):
-    """Return the next response of the server."""
+async def read_responses(client, count):
+    """Return the next responses of the server, fewer if it closes the connection."""
     client.setblocking(False)
     unpacker = msgpack.Unpacker()
+    responses = []
     async with asyncio.timeout(30):
-        while data := await asyncio.get_running_loop().sock_recv(client, 65536):
+        while len(responses) < count:
+            try:
+                data = await asyncio.get_running_loop().sock_recv(client, 65536)
+            except ConnectionResetError:
+                break
+            if not data:
+                break
             unpacker.feed(data)
-            for response in unpacker:
-                return response
-    raise EOFError
+            responses += unpacker
+    return responses
 
 
 def test_a_new_client_does_not_wait_for_what_clients_before_it_sent():
@@ -127,15 +139,68 @@
             setup.connect(pack_cancelled_requests(requests_each, index << 32)).close()
         client = setup.connect(pack_usual_request(1, 0xFFFF << 32))
         setup.server.start(setup.listener)
-        response = await read_response(client)
-        return response, setup.counters["given_up"]
+        responses = await read_responses(client, 1)
+        return responses, setup.counters["given_up"]
 
-    response, cancellations = run_with_server(scenario)
-    assert response == [1, 1, None, [b"row", {}]]
+    responses, cancellations = run_with_server(scenario)
+    assert responses == [[1, 1, None, [b"row", {}]]]
     # At most one turn of each of them came first, and one round of those with more input.
     assert cancellations <= 2 * bad_clients * MAX_MESSAGES_PER_TURN
 
 
+def test_a_client_that_cancels_what_it_sends_is_closed_after_a_bounded_amount_of_work():
+    # Cases 7 and 8 of the review: all that such clients sent was handled, however much it was.
+    async def scenario(setup):
+        client = setup.connect(pack_cancelled_requests(500, 0))
+        setup.server.start(setup.listener)
+        return await read_responses(client, 1), setup.counters
+
+    responses, counters = run_with_server(scenario)
+    assert responses == []
+    assert counters["given_up"] == MAX_IMMEDIATE_CANCELLATIONS + 1
+    assert counters["excessive_cancellations"] == 1
+
+
+def test_a_client_that_cancels_too_much_gets_the_response_that_it_is_owed_before_it_is_closed():
+    async def scenario(setup):
+        client = setup.connect(pack_usual_request(1, 0xFF << 32, b"select 3"))
+        setup.server.start(setup.listener)
+        async with asyncio.timeout(30):
+            while not setup.counters["taken_read"]:
+                await asyncio.sleep(0)
+        client.sendall(pack_cancelled_requests(100, 0, first_id=2))
+        refusals = await read_responses(client, 100 - MAX_IMMEDIATE_CANCELLATIONS - 1)
+        setup.handler.may_answer_all.set()
+        successes = await read_responses(client, 1)
+        client.sendall(pack_cancelled_requests(1, 0, first_id=102))
+        return refusals, successes, await read_responses(client, 1)
+
+    refusals, successes, after_the_close = run_with_server(scenario)
+    assert {response[2][0] for response in refusals} == {"Full"}
+    assert successes == [[1, 1, None, [b"row", {}]]]
+    assert after_the_close == []
+
+
+def test_a_client_may_cancel_all_that_it_has_open_and_a_few_requests_a_second():
+    async def scenario(setup):
+        count = MAX_IMMEDIATE_CANCELLATIONS
+        client = setup.connect(pack_cancelled_requests(count, 0) + pack_usual_request(count + 1, 0xFF << 32))
+        setup.server.start(setup.listener)
+        return await read_responses(client, 1)
+
+    assert run_with_server(scenario) == [[1, MAX_IMMEDIATE_CANCELLATIONS + 1, None, [b"row", {}]]]
+
+
+def test_nothing_is_handled_for_a_client_that_has_hung_up_before_its_turn():
+    async def scenario(setup):
+        setup.connect(pack_usual_request()).close()
+        client = setup.connect(pack_usual_request())
+        setup.server.start(setup.listener)
+        return await read_responses(client, 1), setup.counters["taken_read"]
+
+    assert run_with_server(scenario) == ([[1, 1, None, [b"row", {}]]], 1)
+
+
 class FakeClock:
     """A clock that turns move on."""
 
