A connection with an unread request is not closed for a new one

Cause: accepted connections fill the table while they wait for their turn, and at its limit the oldest one was closed for each new one, those with unread requests too; to find it all were polled each time. Fix: closed are connections that are idle or whose client has hung up, then those of clients that sent invalid requests or cancelled too much; else new clients wait in the accept queue for the turns of the others, which are bounded. Test seen to fail: test_a_connection_with_an_unread_request_is_not_closed_for_a_new_one.

--- a/applevale/server/connection_table.py
+++ b/applevale/server/connection_table.py
@@ -53,8 +53,9 @@
         """Return whether a connection is in the table."""
         return connection in self._tasks
 
-    def add(self, connection: ClientConnection, task: asyncio.Task, accepted_at: float) -> None:
-        """Add a connection, the task that serves it, and its accept time by the event loop's clock."""
+    def add(self, connection: ClientConnection, task: asyncio.Task) -> None:
+        """Add a connection that was just accepted, and the task that serves it."""
+        accepted_at = asyncio.get_running_loop().time()
         self.silent[connection] = accepted_at
         self._tasks[connection] = task
         if self.drain_state.is_active:
@@ -84,39 +85,42 @@
                 # close the connection is put off until then.
                 loop.call_soon(self._close_if_unused, connection)
 
-    @property
     def has_capacity(self) -> bool:
-        """Whether a connection can be added, if necessary by evicting another one."""
-        return len(self._tasks) < self._max_connections or bool(self.silent or self.idle)
+        """Return whether a connection can be added, if necessary by evicting another one."""
+        return len(self._tasks) < self._max_connections or self._find_evictable() is not None
 
     async def wait_for_capacity(self) -> None:
         """Wait until a connection can be added."""
-        while not self.has_capacity:
+        while not self.has_capacity():
             self._capacity_changed.clear()
             await self._capacity_changed.wait()
 
-    def evict_if_full(self, now: float) -> None:
-        """Close an idle connection if the maximum number of connections is reached."""
-        if len(self._tasks) >= self._max_connections:
-            self._evict_one(now)
+    def evict_if_full(self) -> None:
+        """Close a connection that is owed nothing if the maximum number of connections is reached."""
+        if len(self._tasks) < self._max_connections:
+            return
+        evicted = self._find_evictable()
+        if evicted is not None:
+            self._counters["connections_evicted"] += 1
+            evicted.stop("")
 
-    def _evict_one(self, now: float) -> None:
-        """Close the oldest silent connection, or else the one that has been idle for longest.
+    def _find_evictable(self) -> ClientConnection | None:
+        """Return the oldest silent connection, or else the one that has been idle for longest.
 
         Without eviction, idle clients could keep the server from accepting clients that send requests. A
-        connection whose next message has begun to arrive is the last choice, since its client would be reset.
+        connection whose next message has begun to arrive is not evicted, since its request would be lost: new
+        clients wait until it was handled. Only if its client is known for misuse is it the last choice.
         """
+        now = asyncio.get_running_loop().time()
         silent = [
             connection
             for connection, accepted_at in self.silent.items()
             if now - accepted_at >= FIRST_REQUEST_GRACE_SECONDS
         ]
         candidates = [*silent, *self.idle, *self.silent]
-        unused = (connection for connection in candidates if not connection.has_pending_input())
-        evicted = next(unused, next(iter(candidates), None))
-        if evicted is not None:
-            self._counters["connections_evicted"] += 1
-            evicted.stop("")
+        unused = (connection for connection in candidates if connection.is_unused())
+        misused = (connection for connection in candidates if connection.is_misused)
+        return next(unused, None) or next(misused, None)
 
     def add_bytes(self, size: int) -> None:
         """Count buffered bytes; above the limit, close the connection that holds the most of them."""
--- a/applevale/server/listener.py
+++ b/applevale/server/listener.py
@@ -127,7 +127,7 @@
             is_queue_empty = not self._accept_queue.poll(0)
             self._record_accept_wait(is_queue_empty)
             self.accept_connection(sock, wait_started_at, is_queue_empty)
-            if is_queue_empty or not self.connections.has_capacity:
+            if is_queue_empty or not self.connections.has_capacity():
                 break
 
     def _record_accept_wait(self, is_queue_empty: bool) -> None:
@@ -144,12 +144,11 @@
             is_queue_empty: Whether the accept queue was empty afterwards.
         """
         self._counters["connections"] += 1
-        now = asyncio.get_running_loop().time()
-        self.connections.evict_if_full(now)
+        self.connections.evict_if_full()
         polled_at = self._driver.stall_monitor.arrival_order.polled_at
         earliest_arrival = self.arrival_source.record_read(wait_started_at, polled_at, is_queue_empty)
         connection = RpcConnection(self._context, sock, earliest_arrival)
-        self.connections.add(connection, asyncio.create_task(connection.run()), now)
+        self.connections.add(connection, asyncio.create_task(connection.run()))
 
     def stop_accepting(self) -> None:
         """Accept the connections in the accept queue, then close the listening socket.
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -201,6 +201,17 @@
     assert run_with_server(scenario) == ([[1, 1, None, [b"row", {}]]], 1)
 
 
+def test_a_connection_with_an_unread_request_is_not_closed_for_a_new_one():
+    # Under a flood of new connections, usual clients that waited for their turn lost their requests.
+    async def scenario(setup):
+        clients = [setup.connect(pack_usual_request(1, number)) for number in range(5)]
+        setup.server.start(setup.listener)
+        return [await read_responses(client, 1) for client in clients]
+
+    responses = run_with_server(scenario, max_connections=2)
+    assert responses == [[[1, 1, None, [b"row", {}]]]] * 5
+
+
 class FakeClock:
     """A clock that turns move on."""
 
