A request with a key waits for the order of arrivals up to a limit, not without end

Cause: after a stall such requests wait until all that arrived was read, before their deadline timer is set, and the limit on catching up counts from the last stall; while each tick is late, nothing ends the wait.

--- a/applevale/dispatch/arrival_order.py
+++ b/applevale/dispatch/arrival_order.py
@@ -23,6 +23,8 @@
 MIN_REQUEST_SPACING_SECONDS = 0.05  # clients send requests with the same key at least 0.06 s apart
 STALL_SECONDS = TICK_SECONDS + 0.03  # an interval between ticks of this length or more is a stall
 MAX_CATCH_UP_SECONDS = 1.0  # longest wait of requests with a key for the data accumulated in a stall
+# Longest wait of one request with a key. Stalls that follow each other prolong the catching up, not this.
+MAX_ORDER_WAIT_SECONDS = 1.2 * MAX_CATCH_UP_SECONDS
 KEY_RETENTION_SECONDS = 30.0  # how long the last request of a key is remembered; no stall lasts longer
 
 
--- a/applevale/dispatch/stall_monitor.py
+++ b/applevale/dispatch/stall_monitor.py
@@ -40,6 +40,20 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    async def wait_for_order(self, timeout: float) -> bool:
+        """Wait until the order of arrivals is known; return whether it is within `timeout` seconds."""
+        if self.order_known.is_set():
+            return True
+        started_at = self._clock.now()
+        try:
+            async with asyncio.timeout(timeout):
+                await self.order_known.wait()
+        except TimeoutError:
+            return False
+        finally:
+            self._counters.record_duration("order_wait_ms", self._clock.now() - started_at)
+        return True
+
     def _tick(self) -> None:
         order = self.arrival_order
         now = self._clock.now()
--- a/applevale/requests/handler.py
+++ b/applevale/requests/handler.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from .. import api
+from ..dispatch.arrival_order import MAX_ORDER_WAIT_SECONDS
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..observability.counters import Counters
@@ -59,10 +60,8 @@
 
     async def handle(self, request: Request) -> Response:
         """Return the response to a request; the caller cancels the task if the client has gone."""
-        if request.order_key:
-            await self._driver.stall_monitor.order_known.wait()
-            waited = self._driver.now() - request.received_at
-            self._counters.record_duration("order_wait_ms", waited)
+        if request.order_key and not await self._wait_for_order(request):
+            return self.reject()
         if not self._may_admit(request):
             return self.reject()
         context = RequestContext(self._environment, request)
@@ -81,6 +80,16 @@
             self.active.discard(context)
             context.close()
 
+    async def _wait_for_order(self, request: Request) -> bool:
+        """Wait until the order of arrivals is known; return False if that takes too long for the request."""
+        time_left = self._environment.time_remaining(request) - FINAL_RESPONSE_MARGIN_SECONDS
+        is_known = await self._driver.stall_monitor.wait_for_order(
+            max(0.0, min(time_left, MAX_ORDER_WAIT_SECONDS))
+        )
+        if not is_known:
+            self._counters["unsure_order"] += 1
+        return is_known
+
     def _may_admit(self, request: Request) -> bool:
         """Return whether to pass a request to the admission controller; it is rejected at once otherwise."""
         if len(self._driver.action_handlers) >= self._environment.settings.max_open:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,6 +12,7 @@
 
 from applevale import api
 from applevale.discovery import endpoints
+from applevale.dispatch.arrival_order import MAX_ORDER_WAIT_SECONDS
 from applevale.dispatch.event_loop_driver import EventLoopDriver
 from applevale.engines import resp
 from applevale.engines.attempt import AttemptFailed, AttemptSpec, AttemptSucceeded, Progress
@@ -601,3 +602,21 @@
         return await asyncio.wait_for(task, 5)
 
     assert run_steps(steps) == model.Rejected(0.0)
+
+
+@pytest.mark.parametrize("timeout, expected_wait", [(0.3, 0.3), (30.0, MAX_ORDER_WAIT_SECONDS)])
+def test_a_request_is_answered_in_time_while_the_order_of_arrivals_stays_unknown(timeout, expected_wait):
+    # Case 8 of the review: while stalls went on, loads with a key waited without a limit.
+    async def steps(setup):
+        monitor = setup.driver.stall_monitor
+        monitor.order_known.clear()  # the state after a stall, which further stalls prolong
+        started_at = setup.driver.now()
+        request = model.Request(b"1", 1, b"x", started_at, timeout, order_key=7)
+        task = asyncio.create_task(setup.handler.handle(request))
+        response = await asyncio.wait_for(task, expected_wait + 10)
+        return response, setup.driver.now() - started_at, len(setup.handler.active)
+
+    response, waited, active_count = run_steps(steps)
+    assert response == model.Rejected(0.0)
+    assert waited >= expected_wait - handler.FINAL_RESPONSE_MARGIN_SECONDS - 0.001
+    assert active_count == 0
