A refused request is answered before its client's connection ends; pages follow the code

A client that had cancelled too much and was owed a response lost its next request with the connection, since the check came before the answer. Test changed with it: the last request has its Full response.

--- a/applevale/runtime/application.py
+++ b/applevale/runtime/application.py
@@ -17,7 +17,7 @@
 from ..dispatch.event_loop_driver import EventLoopDriver
 from ..engines.pool import EnginePool
 from ..net.addresses import Address
-from ..observability.counters import Counters
+from ..observability.counters import MS_PER_SECOND, Counters
 from ..observability.events import emit_event
 from ..policy import AdmissionController
 from ..requests.context import ignore_attempt
@@ -231,8 +231,9 @@
     def log_counters(self) -> None:
         """Log all counters, and with them the age of the engine list, clients' buffers and memory."""
         self.counters["client_buffer_bytes"] = self.server.connections.buffered_bytes
-        if self.endpoint_source.list_age() < inf:
-            self.counters["list_age_ms"] = int(self.endpoint_source.list_age() * 1000)
+        list_age = self.endpoint_source.list_age()
+        if list_age < inf:
+            self.counters["list_age_ms"] = int(list_age * MS_PER_SECOND)
         self.counters["peak_memory_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // KB_PER_MB
         if self.registry_source is not None:
             self.registry_source.update_list_counters()
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -75,8 +75,8 @@
             case RequestCall():
                 self._accept_message_id(call.message_id)
                 if self._is_being_refused:
-                    self._check_owed_calls()
                     self._send(encode_response(call.message_id, self._context.handler.reject()))
+                    self._check_owed_calls()
                 else:
                     self._start_call(call, received_at)
             case CancelNotification():
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -173,12 +173,12 @@
         setup.handler.may_answer_all.set()
         successes = await read_responses(client, 1)
         client.sendall(pack_cancelled_requests(1, 0, first_id=102))
-        return refusals, successes, await read_responses(client, 1)
+        return refusals, successes, await read_responses(client, 100)
 
-    refusals, successes, after_the_close = run_with_server(scenario)
+    refusals, successes, last_responses = run_with_server(scenario)
     assert {response[2][0] for response in refusals} == {"Full"}
     assert successes == [[1, 1, None, [b"row", {}]]]
-    assert after_the_close == []
+    assert last_responses == [[1, 102, ["Full", {}], None]]
 
 
 def test_a_client_may_cancel_all_that_it_has_open_and_a_few_requests_a_second():
