The first turn of a connection is short, so that many new clients at once delay others little

Cause: a new connection is served before those with a backlog, and its turn was as long as that of a flood. Fix: it ends with 8 messages (in reads of 1 KB), unless the first one is long; the rest of a flood is backlog. Test seen to fail: test_the_first_turn_of_a_connection_is_short_unless_its_first_message_is_long.

--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -36,7 +36,11 @@
 # Work of one turn of a connection. A client that keeps to the limit of 32 open calls has at most 32 requests
 # and their cancellations unread, so that all its input is handled in one turn.
 MAX_MESSAGES_PER_TURN = 64
-MAX_READS_PER_TURN = 16
+MAX_BYTES_PER_TURN = 64 * 1024
+# The first turn of a connection is shorter: enough for the first requests of a usual client, and little of a
+# flood, so that a new client waits but shortly for any number of others that are as new.
+MAX_MESSAGES_OF_FIRST_TURN = 8
+FIRST_TURN_READ_BYTES = 1024  # bytes of one read
 
 # Reading pauses after an invalid request. Each further one lengthens the pause by the minimum.
 MIN_ERROR_BACKOFF_SECONDS = 0.05
@@ -86,6 +90,7 @@
         self._counters = context.counters
         self._decoder = MessageDecoder()
         self._message_count = 0
+        self._has_had_turn = False
         self._is_message_overdue = False
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._status = SocketStatus(sock)
@@ -227,18 +232,22 @@
         """
         if self.is_client_gone():
             return TurnResult.END_OF_STREAM
-        last_message_of_turn = self._message_count + MAX_MESSAGES_PER_TURN
-        for _ in range(MAX_READS_PER_TURN):
+        is_first = not self._has_had_turn
+        self._has_had_turn = True
+        read_bytes = FIRST_TURN_READ_BYTES if is_first else RECEIVE_BUFFER_BYTES
+        max_messages = MAX_MESSAGES_OF_FIRST_TURN if is_first else MAX_MESSAGES_PER_TURN
+        last_message_of_turn = self._message_count + max_messages
+        for _ in range(MAX_BYTES_PER_TURN // read_bytes):
             read_at = self._driver.now()
             try:
-                data = self.sock.recv(RECEIVE_BUFFER_BYTES)
+                data = self.sock.recv(read_bytes)
             except BlockingIOError:
                 data = None
             if data == b"" or self.write_queue.closed:
                 return TurnResult.END_OF_STREAM
             if data:
                 self._handle_received(data)
-            if data is None or len(data) < RECEIVE_BUFFER_BYTES:
+            if data is None or len(data) < read_bytes:
                 self.arrival_source.record_emptied(read_at)
                 return TurnResult.EMPTIED
             if self._message_count >= last_message_of_turn:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -14,7 +14,11 @@
 from applevale.observability.counters import Counters
 from applevale.requests.model import Completed, Rejected
 from applevale.server import turn_scheduler
-from applevale.server.connection import MAX_MESSAGES_PER_TURN
+from applevale.server.connection import (
+    FIRST_TURN_READ_BYTES,
+    MAX_MESSAGES_OF_FIRST_TURN,
+    MAX_MESSAGES_PER_TURN,
+)
 from applevale.server.limits import ServerLimits
 from applevale.server.listener import RpcServer
 from applevale.server.rpc_connection import MAX_IMMEDIATE_CANCELLATIONS
@@ -148,6 +152,26 @@
     assert cancellations <= 2 * bad_clients * MAX_MESSAGES_PER_TURN
 
 
+def test_the_first_turn_of_a_connection_is_short_unless_its_first_message_is_long():
+    # 341 new clients with 4 KB each delayed the first requests of others by over a second.
+    async def scenario(setup):
+        setup.connect(pack_cancelled_requests(30, 0))
+        setup.connect(pack_usual_request(1, 0xFF << 32, b"select 4 -- ".ljust(20_000, b"x")))
+        results = []
+        for _ in setup.clients:
+            sock, _ = setup.listener.accept()
+            sock.setblocking(False)
+            setup.server.accept_connection(sock, 0.0, True)
+            connection = list(setup.server.connections)[-1]
+            results.append(connection._read_turn())
+        return results, setup.counters["given_up"]
+
+    results, cancelled = run_with_server(scenario)
+    assert results == [TurnResult.BACKLOGGED, TurnResult.EMPTIED]
+    assert 2 * cancelled >= MAX_MESSAGES_OF_FIRST_TURN
+    assert cancelled * len(pack_cancelled_requests(1, 0)) <= FIRST_TURN_READ_BYTES
+
+
 def test_a_client_that_cancels_what_it_sends_is_closed_after_a_bounded_amount_of_work():
     # Cases 7 and 8 of the review: all that such clients sent was handled, however much it was.
     async def scenario(setup):
