Statements of bad clients do not end a connection on which requests run

Cause: above the limit on buffers the connection with the most buffered bytes was closed, and statements of open requests counted for the limit, not for their connection. A connection that gave way for its own unfinished message was subtracted twice, so the count fell below zero. Fix: statements count for their connection; a request whose statement finds no room in three quarters of the limit is rejected; beyond it clients that are owed nothing give way first, then the one that holds the most.

--- a/applevale/server/connection.py
+++ b/applevale/server/connection.py
@@ -118,8 +118,9 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes of unwritten responses and incomplete messages, which only the client can reduce."""
-        return self.write_queue.pending_bytes + self.incomplete_bytes
+        """Bytes of unwritten responses, incomplete messages and the statements of open calls."""
+        statement_bytes = sum(len(call.request.statement) for call in self.calls.values())
+        return self.write_queue.pending_bytes + self.incomplete_bytes + statement_bytes
 
     def has_pending_input(self) -> bool:
         """Return whether the client has begun to send a message that is not handled yet.
@@ -156,8 +157,8 @@
         """Close the connection at once and cancel its open calls; an empty reason is not logged."""
         if reason:
             log_event("client", reason)
-        self._table.release_bytes(self.write_queue.discard() + self.incomplete_bytes)
-        self.incomplete_bytes = 0
+        self._table.release_bytes(self.write_queue.discard())
+        self._set_incomplete_bytes(0)
         task = self._table.detach(self)
         if task is not None:
             task.cancel()
@@ -267,9 +268,17 @@
             self.handle_message(message, self._readable_since)
         if self._message_count > messages_before:
             self._table.update_idle(self)
-        incomplete_bytes = self._decoder.incomplete_bytes
-        self._table.add_bytes(incomplete_bytes - self.incomplete_bytes)
-        self.incomplete_bytes = incomplete_bytes
+        if not self.write_queue.closed:
+            self._set_incomplete_bytes(self._decoder.incomplete_bytes)
+
+    def _set_incomplete_bytes(self, size: int) -> None:
+        """Set `incomplete_bytes`, then let the table count the change; it may close the connection."""
+        change = size - self.incomplete_bytes
+        self.incomplete_bytes = size
+        if change > 0:
+            self._table.add_bytes(change)
+        else:
+            self._table.release_bytes(-change)
 
     def _on_message_overdue(self, reader: asyncio.Task) -> None:
         """Cancel the reader of a connection whose client has not completed a message in time.
@@ -318,7 +327,8 @@
         try:
             await self.write_queue.close()
         finally:
-            self._table.release_bytes(self.buffered_bytes)
+            self._table.release_bytes(self.write_queue.discard())
+            self._set_incomplete_bytes(0)
             self.sock.close()
             self.abandon_responses()
             self._table.remove(self)
--- a/applevale/server/connection_table.py
+++ b/applevale/server/connection_table.py
@@ -13,6 +13,10 @@
     from .connection import ClientConnection
 
 
+# Share of the limit on buffered bytes up to which the statements of new requests are accepted.
+MAX_STATEMENT_SHARE = 0.75
+
+
 class ConnectionTable:
     """All connections of a server, with limits on their number and on the bytes buffered for them.
 
@@ -28,7 +32,7 @@
 
         Args:
             max_connections: Number of connections at which an idle one is evicted for each new one.
-            max_buffered_bytes: Limit above which the connection with the most buffered bytes is closed.
+            max_buffered_bytes: Limit above which a connection is closed.
             counters: Counters of evicted connections, slow connections and drains.
         """
         self.silent: dict[ClientConnection, float] = {}
@@ -122,13 +126,33 @@
         misused = (connection for connection in candidates if connection.is_misused)
         return next(unused, None) or next(misused, None)
 
+    def has_room_for_statement(self, size: int) -> bool:
+        """Return whether a new request's statement may be held; room for messages and responses is left.
+
+        Args:
+            size: Bytes of the statement.
+        """
+        return self.buffered_bytes + size <= MAX_STATEMENT_SHARE * self._max_buffered_bytes
+
     def add_bytes(self, size: int) -> None:
-        """Count buffered bytes; above the limit, close the connection that holds the most of them."""
+        """Count buffered bytes; above the limit, close the connection that is to give way."""
         self.buffered_bytes += size
         if self.buffered_bytes > self._max_buffered_bytes and self._tasks:
-            slowest = max(self._tasks, key=lambda connection: connection.buffered_bytes)
+            closed = max(self._tasks, key=self._closing_order)
             self._counters["slow_clients_closed"] += 1
-            slowest.stop(f"buffered bytes exceed {self._max_buffered_bytes}; this connection holds the most")
+            closed.stop(
+                f"buffered bytes exceed {self._max_buffered_bytes}; "
+                f"this connection holds {closed.buffered_bytes} of them"
+            )
+
+    @staticmethod
+    def _closing_order(connection: ClientConnection) -> tuple[bool, int]:
+        """Return a key for choosing the connection to close: the highest gives way.
+
+        Clients that are owed no response come first. Then it is the one that holds the most.
+        """
+        buffered_bytes = connection.buffered_bytes
+        return not connection.is_busy and buffered_bytes > 0, buffered_bytes
 
     def release_bytes(self, size: int) -> None:
         """Subtract bytes that are no longer buffered."""
--- a/applevale/server/rpc_connection.py
+++ b/applevale/server/rpc_connection.py
@@ -141,6 +141,10 @@
             return
         message_id = call.message_id
         self._counters["taken_" + call.method] += 1
+        if not self._table.has_room_for_statement(len(request.statement)):
+            self._counters["statements_refused"] += 1
+            self._send_response(message_id, context.handler.reject(), request)
+            return
         context.open_request_ids.add(request.request_id)
         task = asyncio.create_task(self._handle_request(message_id, request))
         # A `finally` in the task would not run if the task is cancelled before its first step.
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -50,7 +50,7 @@
 class ServerUnderFlood:
     """A server whose listening socket can have clients in its accept queue before it starts."""
 
-    def __init__(self, max_connections=500):
+    def __init__(self, max_connections=500, max_buffered_bytes=1 << 24):
         self.counters = Counters()
         self.listener = socket.create_server((LOOPBACK, 0), backlog=512)
         self.listener.setblocking(False)
@@ -59,7 +59,7 @@
             self.handler,
             EventLoopDriver(None, None, self.counters),
             SETTINGS,
-            ServerLimits(max_connections, 1 << 24),
+            ServerLimits(max_connections, max_buffered_bytes),
             self.counters,
         )
         self.clients = []
