Requests that waited for the order of arrivals are not overtaken as they are resumed

Cause: those that waited are resumed in a later step of the event loop; a request whose task begins before it found the order known and was submitted first. Fix: StallMonitor.wait_for_order returns in the order of calls; while one has not returned, a further call waits a step behind those that are about to. Test seen to fail (2, 3, 1, 4, 5): test_a_request_that_comes_as_the_order_is_known_again_does_not_overtake_...

--- a/applevale/dispatch/stall_monitor.py
+++ b/applevale/dispatch/stall_monitor.py
@@ -27,6 +27,7 @@
         self.order_known = asyncio.Event()
         self.order_known.set()
         self.readable_source_providers: list[Callable[[], list[ArrivalSource]]] = []
+        self._held_back = 0  # calls of `wait_for_order` that have not returned
         self._clock = clock
         self._counters = counters
         self._timer: asyncio.TimerHandle | None = None
@@ -41,16 +42,24 @@
             self._timer.cancel()
 
     async def wait_for_order(self, timeout: float) -> bool:
-        """Wait until the order of arrivals is known; return whether it is within `timeout` seconds."""
-        if self.order_known.is_set():
+        """Wait until the order of arrivals is known; return whether it is within `timeout` seconds.
+
+        Callers return in the order in which they called.
+        """
+        if self.order_known.is_set() and not self._held_back:
             return True
         started_at = self._clock.now()
+        self._held_back += 1
         try:
-            async with asyncio.timeout(timeout):
-                await self.order_known.wait()
+            if self.order_known.is_set():
+                await asyncio.sleep(0)  # those before are about to return
+            else:
+                async with asyncio.timeout(timeout):
+                    await self.order_known.wait()
         except TimeoutError:
             return False
         finally:
+            self._held_back -= 1
             self._counters.record_duration("order_wait_ms", self._clock.now() - started_at)
         return True
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -620,3 +620,30 @@
     assert response == model.Rejected(0.0)
     assert waited >= expected_wait - handler.FINAL_RESPONSE_MARGIN_SECONDS - 0.001
     assert active_count == 0
+
+
+def test_a_request_that_comes_as_the_order_is_known_again_does_not_overtake_those_that_waited():
+    # Case 6 of the review: after a stall loads ran ahead of earlier ones with their key.
+    async def steps(setup):
+        monitor = setup.driver.stall_monitor
+        monitor.order_known.clear()  # the state after a stall
+        requests = [
+            model.Request(b"%016x" % index, 1, b"x", setup.driver.now(), 30.0, order_key=7)
+            for index in range(5)
+        ]
+        tasks = [asyncio.create_task(setup.handler.handle(request)) for request in requests[:2]]
+        await asyncio.sleep(0)
+        # These begin in the loop iteration in which those that waited are resumed, before or after them.
+        tasks.append(asyncio.create_task(setup.handler.handle(requests[2])))
+        monitor.order_known.set()
+        tasks.append(asyncio.create_task(setup.handler.handle(requests[3])))
+        await asyncio.sleep(0)
+        tasks.append(asyncio.create_task(setup.handler.handle(requests[4])))
+        await wait_until(lambda: len(setup.handler.active) == len(requests))
+        numbers = {context.request: context.number for context in setup.handler.active}
+        for task in tasks:
+            task.cancel()
+        return [numbers[request] for request in requests]
+
+    numbers = run_steps(steps)
+    assert numbers == sorted(numbers)
