Known failures are printed in quiet test runs too

The lines come with the summary now. The test's pytest.ini had no -q; with it as in pyproject.toml the test failed before (1 failed, 7 passed), and passes now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,12 +22,10 @@
         raise pytest.UsageError(str(error)) from None
 
 
-def pytest_report_header(config):
-    """Return a header line for each known failure."""
-    return [
-        f"known red: {failure.test}: {failure.cause} (issue {failure.issue})"
-        for failure in config.known_failures
-    ]
+def pytest_terminal_summary(terminalreporter, config):
+    """Print a line for each known failure, also in a quiet run, which has no header."""
+    for failure in config.known_failures:
+        terminalreporter.write_line(f"known red: {failure.test}: {failure.cause} (issue {failure.issue})")
 
 
 @pytest.hookimpl(tryfirst=True)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -18,7 +18,7 @@
     for name in COPIED_FILES:
         (tmp_path / name).write_text((TESTS_DIRECTORY / name).read_text())
     (tmp_path / "test_it.py").write_text(TEST_MODULE)
-    (tmp_path / "pytest.ini").write_text("[pytest]\n")
+    (tmp_path / "pytest.ini").write_text("[pytest]\naddopts = -q\n")  # as in pyproject.toml
 
     def run(lines):
         (tmp_path / "KNOWN-RED.txt").write_text("".join(line + "\n" for line in lines))
